--- /dev/null
+++ b/src/coralfall/exceptions.py
@@ -0,0 +1,156 @@
+"""One hierarchy of errors: a code to match on, fields to read, a message to act on."""
+
+import typing as t
+
+
+class CoralfallError(Exception):
+    """Base of every error that coralfall raises.
+
+    :param message: what went wrong and what to do about it, in one line.
+    :param fields: structured values that belong to the message.
+    """
+
+    #: Stable name for scripts and logs.
+    code = "error"
+
+    def __init__(self, message: str, **fields: t.Any) -> None:
+        super().__init__(message)
+        self.message = message
+        self.fields = fields
+
+    def as_dict(self) -> t.Dict[str, t.Any]:
+        """Code, message and fields, for ``--json`` and for logs."""
+        return {"code": self.code, "message": self.message, **self.fields}
+
+
+class Fault(t.NamedTuple):
+    """One thing wrong with an operator's input."""
+
+    #: Where, as a dotted path: ``services.catalogo.shift_cap``.
+    path: str
+    #: Stable name, such as ``unknown-field`` or ``wrong-type``.
+    code: str
+    #: What was found, what is allowed.
+    message: str
+
+
+class InputError(CoralfallError):
+    """Input of an operator that can't be taken; carries every fault found.
+
+    :param message: which input, in one line.
+    :param faults: at least one fault.
+    """
+
+    code = "input"
+
+    def __init__(self, message: str, faults: t.Sequence[Fault], **fields: t.Any) -> None:
+        super().__init__(message, **fields)
+        self.faults = list(faults)
+
+    def as_dict(self) -> t.Dict[str, t.Any]:
+        faults = [fault._asdict() for fault in self.faults]
+        return {**super().as_dict(), "faults": faults}
+
+
+class SettingsError(InputError):
+    """A settings file that is missing, unreadable or wrong."""
+
+    code = "settings"
+
+
+class BundleError(InputError):
+    """A bundle that breaks a rule of the bundle format."""
+
+    code = "bundle"
+
+
+class SignatureError(CoralfallError):
+    """A signature or key that is missing, forged, unknown or unsafe."""
+
+    code = "signature"
+
+
+class PlatformError(CoralfallError):
+    """Base of the platform layer's errors."""
+
+    code = "platform"
+
+
+class PlatformUnavailableError(PlatformError):
+    """The platform did not take the call; a write surely had no effect."""
+
+    code = "platform-unavailable"
+
+
+class PlatformUnknownError(PlatformError):
+    """No answer came back; a write may or may not have taken effect."""
+
+    code = "platform-unknown"
+
+
+class ObjectMissingError(PlatformError):
+    """The object store holds nothing under that digest."""
+
+    code = "object-missing"
+
+
+class SubmitError(CoralfallError):
+    """A bundle that was not taken into its line; ``fields`` say which one won."""
+
+    code = "submit"
+
+
+class PeerError(CoralfallError):
+    """Base of the errors between entries."""
+
+    code = "peer"
+
+
+class PeerAuthError(PeerError):
+    """The other side does not hold the fleet's key."""
+
+    code = "peer-auth"
+
+
+class PeerVersionError(PeerError):
+    """The other side speaks another version of the peer protocol."""
+
+    code = "peer-version"
+
+
+class PeerFrameError(PeerError):
+    """A frame that is too long, cut short or not a known message."""
+
+    code = "peer-frame"
+
+
+class TargetError(CoralfallError):
+    """Base of the errors of an exchange with a target."""
+
+    code = "target"
+
+
+class TargetNotRunError(TargetError):
+    """Evidence that the target did not run the request: refused, or its own word."""
+
+    code = "target-not-run"
+
+
+class TargetUnknownError(TargetError):
+    """The exchange broke after bytes had left; the request may have run."""
+
+    code = "target-unknown"
+
+
+class RefusedError(CoralfallError):
+    """A request that is given up before any target saw it.
+
+    :param message: why.
+    :param retry_after: seconds after which a retry makes sense.
+    """
+
+    code = "refused"
+
+    def __init__(self, message: str, retry_after: float, **fields: t.Any) -> None:
+        super().__init__(message, **fields)
+        self.retry_after = retry_after
--- /dev/null
+++ b/src/coralfall/messages.py
@@ -0,0 +1,108 @@
+"""Messages between entries: one typed class each, told apart by a tag on the wire."""
+
+import typing as t
+
+import msgspec
+
+from . import defaults
+from .bundle import Head
+from .ids import BundleVersion, Digest, EntryId, Incarnation, PartnerId, Revision, ServiceId
+from .ids import TargetId
+from .rows import Member
+
+
+class Message(msgspec.Struct, frozen=True, kw_only=True, tag=True, omit_defaults=True):
+    """Base of all messages."""
+
+
+class Hello(Message):
+    """First message of either side of a stream."""
+
+    entry_id: EntryId
+    incarnation: Incarnation
+    protocol: int = defaults.PEER_PROTOCOL
+
+
+class Heartbeat(Message):
+    """What the sender knows, so that the receiver can tell who is behind."""
+
+    #: Revision of the last roster change the sender has applied.
+    roster_revision: Revision
+    #: Versions that the sender knows to be accepted, by partner.
+    accepted: t.Dict[PartnerId, BundleVersion]
+    #: Versions that the sender holds staged, by partner.
+    staged: t.Dict[PartnerId, BundleVersion]
+    #: Seconds since the platform last answered the sender.
+    platform_age_s: float
+    #: Sender's estimate of the platform's wall time.
+    platform_now: float
+    #: Slots the sender could lend, by service.
+    idle: t.Dict[ServiceId, int] = {}
+
+
+class SyncRequest(Message):
+    """Asks for the peer's heads and roster."""
+
+
+class SyncAnswer(Message):
+    """The sender's heads and roster as it knows them."""
+
+    heads: t.Tuple[Head, ...]
+    members: t.Tuple[Member, ...]
+    roster_revision: Revision
+    platform_now: float
+
+
+class ObjectRequest(Message):
+    """Asks for an object that the object store may be unable to give."""
+
+    digest: Digest
+
+
+class ObjectAnswer(Message):
+    """The object's bytes, or ``None`` if the sender does not hold it."""
+
+    digest: Digest
+    data: t.Optional[bytes] = None
+
+
+class LoanRequest(Message):
+    """Asks an owner to lend slots of a service."""
+
+    service: ServiceId
+    count: int
+
+
+class LentSlot(msgspec.Struct, frozen=True):
+    """Names a slot of a target."""
+
+    target: TargetId
+    index: int
+
+
+class LoanAnswer(Message):
+    """Slots that the receiver may use for ``seconds`` after it sent its request."""
+
+    loan_id: int
+    slots: t.Tuple[LentSlot, ...]
+    seconds: float
+
+
+class LoanReturn(Message):
+    """Slots of a loan that the sender will not use again; nothing runs on them."""
+
+    loan_id: int
+    slots: t.Tuple[LentSlot, ...]
+
+
+AnyMessage = t.Union[
+    Hello,
+    Heartbeat,
+    SyncRequest,
+    SyncAnswer,
+    ObjectRequest,
+    ObjectAnswer,
+    LoanRequest,
+    LoanAnswer,
+    LoanReturn,
+]
--- /dev/null
+++ b/src/coralfall/utils.py
@@ -0,0 +1,1 @@
+"""Small helpers without a better home."""
--- /dev/null
+++ b/src/coralfall/validation.py
@@ -0,0 +1,87 @@
+"""Checks untrusted mappings against typed models and reports every fault at once."""
+
+import difflib
+import typing as t
+
+import msgspec
+
+from .exceptions import Fault
+
+_MISSING = object()
+
+
+def collect_faults(raw: t.Any, model: t.Any, path: str = "") -> t.List[Fault]:
+    """Every place where ``raw`` does not fit ``model``.
+
+    :param raw: what a TOML or JSON parser returned.
+    :param model: a ``msgspec.Struct`` class, or any annotation msgspec can convert to.
+    :param path: dotted path of ``raw`` within the whole input.
+    :return: faults in the order of the input; empty if ``raw`` can be converted.
+    """
+    if _is_struct(model):
+        return _struct_faults(raw, model, path)
+    origin = t.get_origin(model)
+    if origin is dict and isinstance(raw, dict):
+        value_model = t.get_args(model)[1]
+        return _mapping_faults(raw, value_model, path)
+    if origin is tuple and isinstance(raw, (list, tuple)) and _is_struct(t.get_args(model)[0]):
+        faults: t.List[Fault] = []
+        for index, item in enumerate(raw):
+            faults += collect_faults(item, t.get_args(model)[0], f"{path}[{index}]")
+        return faults
+    return _leaf_faults(raw, model, path)
+
+
+def _is_struct(model: t.Any) -> bool:
+    return isinstance(model, type) and issubclass(model, msgspec.Struct)
+
+
+def _struct_faults(raw: t.Any, model: t.Type[msgspec.Struct], path: str) -> t.List[Fault]:
+    if not isinstance(raw, dict):
+        return [Fault(path, "wrong-type", f"found {_kind(raw)}, allowed is a table")]
+    fields = {field.encode_name: field for field in msgspec.structs.fields(model)}
+    faults = []
+    for name in raw:
+        if name in fields:
+            continue
+        faults.append(Fault(_join(path, str(name)), "unknown-field", _hint(str(name), fields)))
+    for name, field in fields.items():
+        value = raw.get(name, _MISSING)
+        if value is not _MISSING:
+            faults += collect_faults(value, field.type, _join(path, name))
+            continue
+        if field.required:
+            faults.append(Fault(_join(path, name), "missing-field", "is required"))
+    return faults
+
+
+def _mapping_faults(raw: t.Dict[t.Any, t.Any], model: t.Any, path: str) -> t.List[Fault]:
+    faults: t.List[Fault] = []
+    for key, value in raw.items():
+        faults += collect_faults(value, model, _join(path, str(key)))
+    return faults
+
+
+def _leaf_faults(raw: t.Any, model: t.Any, path: str) -> t.List[Fault]:
+    try:
+        msgspec.convert(raw, model, strict=True)
+    except msgspec.ValidationError as error:
+        detail = str(error).split(" - at ")[0]
+        code = "wrong-type" if detail.startswith("Expected") else "wrong-value"
+        return [Fault(path, code, f"found {raw!r}: {detail}")]
+    return []
+
+
+def _hint(name: str, fields: t.Iterable[str]) -> str:
+    close = difflib.get_close_matches(name, list(fields), n=1)
+    if close:
+        return f"is not known; did you mean {close[0]!r}?"
+    return f"is not known; allowed are {', '.join(sorted(fields))}"
+
+
+def _kind(value: t.Any) -> str:
+    return {dict: "a table", list: "an array", str: "a string"}.get(type(value), repr(value))
+
+
+def _join(path: str, name: str) -> str:
+    return f"{path}.{name}" if path else name
