--- /dev/null
+++ b/src/coralfall/log.py
@@ -0,0 +1,185 @@
+"""Logs: one line of ``key=value`` pairs for each event, by eliot.
+
+An event has a stable dotted name and fields::
+
+    log.info("lease.lapsed", entry=entry_id, age_s=6.2)
+
+which gives::
+
+    time=2026-01-31T09:30:00.000Z level=info event=lease.lapsed entry=e1 age_s=6.2
+
+Values are quoted and escaped where needed, so that one event is one line whatever is in it.
+"""
+
+import enum
+import re
+import sys
+import time
+import typing as t
+
+import eliot
+
+if t.TYPE_CHECKING:
+    from .settings import LogSettings
+
+LevelName = t.Literal["debug", "info", "warning", "error"]
+Record = t.Mapping[str, t.Any]
+
+_RANK_BY_LEVEL: t.Dict[str, int] = {"debug": 10, "info": 20, "warning": 30, "error": 40}
+_DEBUG = _RANK_BY_LEVEL["debug"]
+_INFO = _RANK_BY_LEVEL["info"]
+_WARNING = _RANK_BY_LEVEL["warning"]
+
+#: Keys that each line starts with; a field of the same name gets ``_`` appended.
+_LEADING_KEYS = frozenset({"time", "level", "event"})
+_TIME_KEY = "timestamp"
+_EVENT_KEY = "message_type"
+_LEVEL_KEY = "_level"
+_ELIOT_KEYS = frozenset({_TIME_KEY, _EVENT_KEY, _LEVEL_KEY, "task_uuid", "task_level"})
+
+_BARE_VALUE = re.compile(r"[A-Za-z0-9_.:/@%+,*~^!?()\[\]{}<>|;&$#-]+")
+_BAD_IN_KEY = re.compile(r"[^A-Za-z0-9_.-]")
+_ESCAPES = {"\\": "\\\\", '"': '\\"', "\n": "\\n", "\r": "\\r", "\t": "\\t"}
+
+
+class _LineDestination:
+    """Writes each eliot message at or above a level to a stream, as one line."""
+
+    def __init__(self, stream: t.TextIO, level: str) -> None:
+        self._stream = stream
+        self._rank = _RANK_BY_LEVEL[level]
+
+    def __call__(self, message: Record) -> None:
+        if _RANK_BY_LEVEL[_level_of(message)] < self._rank:
+            return
+        self._stream.write(render(message) + "\n")
+        self._stream.flush()
+
+
+_logger = eliot.Logger()
+_destination: t.Optional[_LineDestination] = None
+_rank = _INFO
+
+
+def configure(settings: "LogSettings", stream: t.Optional[t.TextIO] = None) -> None:
+    """Send events to ``stream`` from now on; earlier ones, up to a thousand, come out first.
+
+    :param settings: which levels to write; what is below costs next to nothing.
+    :param stream: standard output unless given. It is flushed after each line.
+    """
+    global _destination, _rank
+    if stream is None:
+        stream = sys.stdout
+        if hasattr(stream, "reconfigure"):
+            # A terminal that can't show a character must not cost the event.
+            stream.reconfigure(errors="backslashreplace")
+    _rank = _RANK_BY_LEVEL[settings.level]
+    previous = _destination
+    _destination = _LineDestination(stream, settings.level)
+    if previous is not None:
+        eliot.remove_destination(previous)
+    eliot.add_destinations(_destination)
+
+
+def debug(event: str, /, **fields: t.Any) -> None:
+    """Log what only a developer needs."""
+    if _rank > _DEBUG:
+        return
+    _write(event, "debug", fields)
+
+
+def info(event: str, /, **fields: t.Any) -> None:
+    """Log what an operator wants to read later."""
+    if _rank > _INFO:
+        return
+    _write(event, "info", fields)
+
+
+def warning(event: str, /, **fields: t.Any) -> None:
+    """Log what went wrong but was dealt with."""
+    if _rank > _WARNING:
+        return
+    _write(event, "warning", fields)
+
+
+def error(event: str, /, **fields: t.Any) -> None:
+    """Log what went wrong and needs somebody."""
+    _write(event, "error", fields)
+
+
+def _write(event: str, level: LevelName, fields: t.Dict[str, t.Any]) -> None:
+    # Logger.write and not log_message: the latter makes an action with a random id for each
+    # message, ten times the cost, and the ids aren't rendered.
+    record: t.Dict[str, t.Any] = {
+        _TIME_KEY: time.time(),
+        _EVENT_KEY: event,
+        _LEVEL_KEY: level,
+    }
+    for key, value in fields.items():
+        record[f"{key}_" if key in _ELIOT_KEYS else key] = value
+    _logger.write(record)
+
+
+def _level_of(message: Record) -> str:
+    # Messages without a level are eliot's own, about a destination that failed.
+    level = message.get(_LEVEL_KEY, "error")
+    return level if level in _RANK_BY_LEVEL else "error"
+
+
+def render(message: Record) -> str:
+    """One line, without its end, for an eliot message."""
+    parts = [
+        f"time={_format_time(message.get(_TIME_KEY, 0.0))}",
+        f"level={_level_of(message)}",
+        f"event={_format_value(message.get(_EVENT_KEY, ''))}",
+    ]
+    for key, value in message.items():
+        if key in _ELIOT_KEYS:
+            continue
+        parts.append(f"{_format_key(key)}={_format_value(value)}")
+    return " ".join(parts)
+
+
+def _format_time(seconds: float) -> str:
+    whole, milliseconds = divmod(int(seconds * 1000), 1000)
+    return time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(whole)) + f".{milliseconds:03d}Z"
+
+
+def _format_key(key: str) -> str:
+    key = _BAD_IN_KEY.sub("_", key) or "_"
+    return f"{key}_" if key in _LEADING_KEYS else key
+
+
+def _format_value(value: t.Any) -> str:
+    text = _as_text(value)
+    if _BARE_VALUE.fullmatch(text):
+        return text
+    return '"' + "".join([_escape(character) for character in text]) + '"'
+
+
+def _as_text(value: t.Any) -> str:
+    try:
+        if isinstance(value, str) and not isinstance(value, enum.Enum):
+            return value
+        if value is None:
+            return "null"
+        if isinstance(value, bool):
+            return "true" if value else "false"
+        if isinstance(value, enum.Enum):
+            return str(value.value)
+        if isinstance(value, bytes):
+            return value.decode("utf-8", "backslashreplace")
+        if isinstance(value, BaseException):
+            return f"{type(value).__name__}: {value}"
+        return str(value)
+    except Exception:
+        return f"<{type(value).__name__} that can't be shown>"
+
+
+def _escape(character: str) -> str:
+    if character in _ESCAPES:
+        return _ESCAPES[character]
+    if character.isprintable():
+        return character
+    code = ord(character)
+    return f"\\u{code:04x}" if code <= 0xFFFF else f"\\U{code:08x}"
--- /dev/null
+++ b/tests/test_log.py
@@ -0,0 +1,136 @@
+"""Tests of log: one event is one line, whatever is in it."""
+
+import ast
+import enum
+import io
+import typing as t
+import unittest
+
+import hypothesis
+import hypothesis.strategies as st
+from parameterized import parameterized
+
+from coralfall import log
+from coralfall.settings import LogSettings
+
+LEVELS: t.List[t.Literal["debug", "info", "warning", "error"]] = [
+    "debug",
+    "info",
+    "warning",
+    "error",
+]
+
+
+class Colour(enum.Enum):
+    """A state as the log sees it."""
+
+    RED = "red"
+
+
+class Unprintable:
+    """An object that fails to say what it is."""
+
+    def __str__(self) -> str:
+        raise ValueError("no")
+
+
+class BrokenStream(io.StringIO):
+    """A stream whose reader has gone."""
+
+    def write(self, text: str) -> int:
+        raise BrokenPipeError
+
+
+def render(**fields: t.Any) -> str:
+    """What follows the leading keys for an event with these fields."""
+    line = log.render({"timestamp": 0.0, "message_type": "a.b", "_level": "info", **fields})
+    leading = "time=1970-01-01T00:00:00.000Z level=info event=a.b"
+    assert line.startswith(leading), line
+    return line.removeprefix(leading).strip()
+
+
+class RenderTest(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("bare", "e1", "value=e1"),
+            ("address", "127.0.0.1:80", "value=127.0.0.1:80"),
+            ("empty", "", 'value=""'),
+            ("space", "a b", 'value="a b"'),
+            ("equals", "a=b", 'value="a=b"'),
+            ("quote", 'a"b', r'value="a\"b"'),
+            ("backslash", "a\\b", r'value="a\\b"'),
+            ("newline", "a\nb", r'value="a\nb"'),
+            ("return", "a\rb", r'value="a\rb"'),
+            ("escape", "a\x1b[0m", r'value="a\u001b[0m"'),
+            ("line separator", "a\u2028b", r'value="a\u2028b"'),
+            ("next line", "a\x85b", r'value="a\u0085b"'),
+            ("bidi override", "a\u202eb", r'value="a\u202eb"'),
+            ("surrogate", "a\ud800b", r'value="a\ud800b"'),
+            ("tag", "a\U000e0001", r'value="a\U000e0001"'),
+            ("spanish", "Común", 'value="Común"'),
+            ("none", None, "value=null"),
+            ("true", True, "value=true"),
+            ("number", 1.5, "value=1.5"),
+            ("state", Colour.RED, "value=red"),
+            ("bytes", b"a\xff", r'value="a\\xff"'),
+            ("error", ValueError("bad\nline"), r'value="ValueError: bad\nline"'),
+            ("list", ["a", 1], "value=\"['a', 1]\""),
+            ("unprintable", Unprintable(), 'value="<Unprintable that can\'t be shown>"'),
+        ]
+    )
+    def test_value(self, _name: str, value: t.Any, expected: str) -> None:
+        self.assertEqual(render(value=value), expected)
+
+    @parameterized.expand(
+        [("level", "level_"), ("event", "event_"), ("time", "time_"), ("a b\n", "a_b_"), ("", "_")]
+    )
+    def test_key(self, key: str, expected: str) -> None:
+        self.assertEqual(render(**{key: 1}), f"{expected}=1")
+
+    @hypothesis.settings(derandomize=True, max_examples=300, deadline=None, database=None)
+    @hypothesis.given(st.text(st.characters(exclude_categories=())))
+    def test_any_text_stays_one_line_and_can_be_read_back(self, text: str) -> None:
+        line = render(value=text, after=1)
+        self.assertLessEqual(len(line.splitlines()), 1)
+        value = line.removeprefix("value=").removesuffix(" after=1")
+        read = ast.literal_eval(value) if value.startswith('"') else value
+        self.assertEqual(read, text)
+
+
+class LevelTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.stream = io.StringIO()
+        self.addCleanup(log.configure, LogSettings(level="error"), io.StringIO())
+
+    @parameterized.expand([(level,) for level in LEVELS])
+    def test_lower_levels_are_dropped(
+        self, level: t.Literal["debug", "info", "warning", "error"]
+    ) -> None:
+        log.configure(LogSettings(level=level), self.stream)
+        for name in LEVELS:
+            getattr(log, name)("a.b", n=1)
+        lines = self.stream.getvalue().splitlines()
+        seen = [line.split()[1].removeprefix("level=") for line in lines]
+        self.assertEqual(seen, LEVELS[LEVELS.index(level) :])
+
+    def test_field_names_of_the_library_are_kept_apart(self) -> None:
+        log.configure(LogSettings(), self.stream)
+        log.info("a.b", timestamp=1, message_type="x", event=2)
+        self.assertIn("event=a.b timestamp_=1 message_type_=x event_=2\n", self.stream.getvalue())
+
+    def test_only_the_last_stream_is_written_to(self) -> None:
+        log.configure(LogSettings(), io.StringIO())
+        log.configure(LogSettings(), self.stream)
+        log.info("a.b")
+        self.assertEqual(self.stream.getvalue().count("event=a.b"), 1)
+
+    def test_a_broken_stream_does_not_reach_the_caller(self) -> None:
+        log.configure(LogSettings(), BrokenStream())
+        log.error("a.b")
+        log.configure(LogSettings(), self.stream)
+        log.info("c.d")
+        self.assertIn("event=c.d", self.stream.getvalue())
+
+
+if __name__ == "__main__":
+    unittest.main()
