--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -17,15 +17,39 @@
 HEARTBEAT_FANOUT = 3
 #: Seconds a call to the platform may take.
 PLATFORM_TIMEOUT_S = 2.0
+#: Most connections that a process keeps to the platform.
+PLATFORM_CONNECTIONS = 8
+#: Largest body of a call to the platform or of its answer, in bytes.
+MAX_PLATFORM_BODY_BYTES = 8 * 1024 * 1024
 
 #: Largest frame between entries, in bytes.
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+#: Bytes that may wait to be sent to a peer before the sender has to wait.
+PEER_WRITE_BUFFER_BYTES = 64 * 1024
+#: Seconds in which a peer must have proved itself.
+PEER_HANDSHAKE_TIMEOUT_S = 3.0
+#: Seconds in which a peer must take a message.
+PEER_SEND_TIMEOUT_S = 5.0
 #: Largest head of a caller's request, in bytes.
 MAX_HEADER_BYTES = 16 * 1024
 #: Seconds in which a caller must have sent the head of its request.
 HEADER_TIMEOUT_S = 5.0
 #: Largest answer that is read whole before its first byte goes to the caller.
 MAX_BUFFERED_ANSWER_BYTES = 256 * 1024
+#: Largest body of a request that is held, so that another target can be given it.
+MAX_HELD_BODY_BYTES = 64 * 1024
+#: Bytes of bodies and answers that an entry holds at one time, of all requests together.
+MAX_HELD_BYTES = 16 * 1024 * 1024
+#: Most targets that one request is given to.
+MAX_ATTEMPTS = 3
+#: Seconds in which a connection to a target must be open.
+CONNECT_TIMEOUT_S = 1.0
+#: Seconds for which an idle connection to a target is kept; targets commonly keep theirs for 5.
+IDLE_CONNECTION_S = 3.0
+#: Buffer of one connection to a target in each direction, in bytes.
+CONNECTION_BUFFER_BYTES = 64 * 1024
+#: Seconds after which a caller may retry what no one else names a time for.
+RETRY_AFTER_S = 1.0
 #: Largest answer kept with an idempotency key.
 MAX_KEPT_ANSWER_BYTES = 16 * 1024
 
@@ -49,6 +73,8 @@
 HEADER_DEADLINE = "coralfall-deadline-ms"
 HEADER_KEY = "idempotency-key"
 HEADER_OUTCOME = "coralfall-outcome"
+#: Answer header beside Retry-After, which has whole seconds only.
+HEADER_RETRY_AFTER_MS = "coralfall-retry-after-ms"
 HEADER_VERSION = "coralfall-version"
 #: Request header towards targets: milliseconds left.
 HEADER_TARGET_DEADLINE = "deadline-ms"
--- a/src/coralfall/exceptions.py
+++ b/src/coralfall/exceptions.py
@@ -82,6 +82,12 @@
     code = "platform-unavailable"
 
 
+class PlatformRejectedError(PlatformUnavailableError):
+    """The platform will not take this call, however often it is repeated."""
+
+    code = "platform-rejected"
+
+
 class PlatformUnknownError(PlatformError):
     """No answer came back; a write may or may not have taken effect."""
 
@@ -124,6 +130,24 @@
     code = "peer-frame"
 
 
+class PeerClosedError(PeerError):
+    """The stream ended, by the other side's word or before a message could be sent."""
+
+    code = "peer-closed"
+
+
+class PeerTimeoutError(PeerError):
+    """The other side was too slow; what it did with the message is not known."""
+
+    code = "peer-timeout"
+
+
+class PeerUnreachableError(PeerError):
+    """No connection came about, or no peer could do what was asked."""
+
+    code = "peer-unreachable"
+
+
 class TargetError(CoralfallError):
     """Base of the errors of an exchange with a target."""
 
@@ -142,6 +166,31 @@
     code = "target-unknown"
 
 
+class TargetTimeoutError(TargetUnknownError):
+    """The deadline passed after bytes had left and before the whole answer came."""
+
+    code = "target-timeout"
+
+
+class RequestError(CoralfallError):
+    """A caller's request that can't be taken as it is; no target has seen it whole.
+
+    :param code: stable name, such as ``key-required``.
+    :param status: HTTP status of the answer.
+    """
+
+    def __init__(self, code: str, status: int, message: str, **fields: t.Any) -> None:
+        super().__init__(message, **fields)
+        self.code = code
+        self.status = status
+
+
+class CallerGoneError(CoralfallError):
+    """The caller closed its connection before its request was whole."""
+
+    code = "caller-gone"
+
+
 class RefusedError(CoralfallError):
     """A request that is given up before any target saw it.
 
--- a/src/coralfall/platform.py
+++ b/src/coralfall/platform.py
@@ -52,6 +52,8 @@
     #: Pass this as ``since`` of the next call.
     revision: Revision
     now: float
+    #: Whether ``limit`` cut the answer short.
+    more: bool = False
 
 
 class Vm(msgspec.Struct, frozen=True):
@@ -69,7 +71,8 @@
 
         class DictTable(Table):
             async def transact(self, writes, checks=()): ...
-            async def changes(self, prefixes, since): ...
+            async def changes(self, prefixes, since, limit=None): ...
+            async def read(self, keys): ...
 
     Both raise :class:`~coralfall.exceptions.PlatformUnavailableError` if nothing was done,
     and ``transact`` raises :class:`~coralfall.exceptions.PlatformUnknownError` if the answer
@@ -80,11 +83,23 @@
     async def transact(
         self, writes: t.Sequence[Write], checks: t.Sequence[Check] = ()
     ) -> TransactResult:
-        """Write all rows, or none if one row has another revision than expected."""
+        """Write all rows, or none if one row has another revision than expected.
+
+        All rows of a transaction get one revision: that of the result.
+        """
 
     @abc.abstractmethod
-    async def changes(self, prefixes: t.Sequence[str], since: Revision) -> Changes:
-        """Rows whose key starts with one of ``prefixes`` written after ``since``."""
+    async def changes(
+        self, prefixes: t.Sequence[str], since: Revision, limit: t.Optional[int] = None
+    ) -> Changes:
+        """Rows whose key starts with one of ``prefixes`` written after ``since``.
+
+        :param prefixes: at least one.
+        :param since: revision of an earlier answer, 0 for all rows.
+        :param limit: answer with the oldest writes alone once there are more than this
+            many; rows of one transaction are never parted.
+        :return: rows in the order of their revisions.
+        """
 
     @abc.abstractmethod
     async def read(self, keys: t.Sequence[str]) -> t.Dict[str, Row]:
