Add the decisions on where requests go

Every entry needs one answer to which target gets a request, under a shift cap that holds without entries agreeing on anything. The share of each region is a line in the platform's time given by the head row alone, and a governor on each entry keeps realized counts below ceilings around that line by credit per region, paid per request. An exact account of sliding windows was ruled out: a window that slides without a request can break a bound that held at every request, while credit bounds every run of requests at once.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -55,11 +55,35 @@
 
 #: Seconds for which a lent slot may be used.
 LOAN_S = 2.0
+#: Shortest loan worth granting, in seconds.
+MIN_LOAN_S = 0.2
+#: Seconds after which a borrowed slot that was not used goes back.
+LOAN_IDLE_S = 0.5
+#: Most requests for loans of one service that an entry has out at a time.
+MAX_LOAN_ASKS = 2
+#: Added, in seconds, wherever one entry waits for another's requests to be over: time on the
+#: way to the target and back, and clocks that do not run quite alike.
+HANDOVER_MARGIN_S = 0.5
+#: Share of its slots that a joining target gets at once.
+RAMP_START = 0.1
+#: Seconds of a link's rate that an entry may send at once.
+LINK_BURST_S = 0.1
 #: Longest time a request waits for a slot, in seconds; then it is refused at once.
 MAX_QUEUE_S = 0.05
 #: Share of requests that may be retries, and the burst kept for quiet times.
 RETRY_RATIO = 0.1
 RETRY_BURST = 10
+#: Failures in a row after which a target is suspected, and after which it is held dead even
+#: while the suspicion of most targets of its region is doubted.
+SUSPECT_FAILURES = 3
+DEAD_FAILURES = 5
+#: Seconds between a target's failure and the next single request to it, first and longest.
+PROBE_BACKOFF_S = 0.25
+PROBE_BACKOFF_MAX_S = 5.0
+#: Seconds for which a target's own word that it is unwell counts.
+UNWELL_S = 5.0
+#: Seconds after which half of a target's load report is replaced by the entry's own knowledge.
+REPORT_HALF_LIFE_S = 0.5
 #: Bound on how far apart two entries' estimates of the platform's time are, in seconds.
 MAX_CLOCK_SKEW_S = 1.0
 
@@ -69,6 +93,12 @@
 LOOKUP_ENTRIES = 4
 #: Seconds for which an entry or target that is asked to stop may finish its requests.
 GRACE_S = 30.0
+#: A child that fails more often than this within the window ends its supervisor.
+MAX_FAILURES = 5
+FAILURE_WINDOW_S = 60.0
+#: Seconds before the first restart of a failed child, doubled each time up to the longest.
+RESTART_BACKOFF_S = 0.1
+MAX_RESTART_BACKOFF_S = 10.0
 
 HEADER_DEADLINE = "coralfall-deadline-ms"
 HEADER_KEY = "idempotency-key"
--- /dev/null
+++ b/src/coralfall/health.py
@@ -0,0 +1,252 @@
+"""Health: what an entry believes of each target, from its own requests and from reports.
+
+Own results come first. Reports may be late, frozen or wrong, so they only ever make the entry
+more careful with one target, and are set aside when they say that most of a region is dead.
+"""
+
+import math
+import typing as t
+
+from . import defaults
+from .bundle import Target
+from .ids import RegionId, TargetId, ZoneId
+from .ramp import backoff, ramped_slots
+
+#: Weight of one new latency in a target's mean, and of one in its zone's.
+LATENCY_WEIGHT = 0.1
+ZONE_WEIGHT = 0.02
+#: Seconds after which half of a target's mean latency is replaced by its zone's.
+LATENCY_HALF_LIFE_S = 5.0
+#: Mean latency of a zone that nothing is known of, in seconds.
+UNKNOWN_LATENCY_S = 0.005
+#: Seconds a target is left alone after it said that it was full, doubling up to the longest.
+SHED_BACKOFF_S = 0.02
+SHED_BACKOFF_MAX_S = 0.5
+
+
+class TargetHealth:
+    """What the entry believes of one target.
+
+    :param target: the target, as the bundle states it.
+    :param ramp_s: seconds of slow start after it was suspected.
+    """
+
+    __slots__ = (
+        "_answered_at",
+        "_latency_at",
+        "_latency_s",
+        "_paused_until",
+        "_probe_at",
+        "_ramp_s",
+        "_recovered_at",
+        "_report_changed_at",
+        "_reported",
+        "_sheds",
+        "_unwell_at",
+        "failures",
+        "target",
+    )
+
+    def __init__(self, target: Target, ramp_s: float) -> None:
+        self.target = target
+        #: Failures in a row.
+        self.failures = 0
+        self._ramp_s = ramp_s
+        self._answered_at = float("-inf")
+        self._latency_at = float("-inf")
+        self._latency_s = 0.0
+        self._paused_until = float("-inf")
+        self._probe_at = float("-inf")
+        self._recovered_at = float("-inf")
+        self._report_changed_at = float("-inf")
+        self._reported = 0.0
+        self._sheds = 0
+        self._unwell_at = float("-inf")
+
+    @property
+    def suspect(self) -> bool:
+        """Whether its last requests failed in a row."""
+        return self.failures >= defaults.SUSPECT_FAILURES
+
+    @property
+    def dead(self) -> bool:
+        """Whether so many failed that no doubt is left."""
+        return self.failures >= defaults.DEAD_FAILURES
+
+    def answered(self, seconds: float, now: float) -> None:
+        """Take in an answer that came after ``seconds``."""
+        if self.suspect:
+            self._recovered_at = now
+        self.failures = 0
+        self._sheds = 0
+        self._answered_at = now
+        if self._latency_at == float("-inf"):
+            self._latency_s = seconds
+        self._latency_s += LATENCY_WEIGHT * (seconds - self._latency_s)
+        self._latency_at = now
+
+    def shed(self, now: float) -> None:
+        """Take in the target's own word that it did not run a request for want of room."""
+        pause = min(SHED_BACKOFF_S * 2.0**self._sheds, SHED_BACKOFF_MAX_S)
+        self._paused_until = now + pause
+        self._sheds = min(self._sheds + 1, 16)
+
+    def failed(self, now: float) -> None:
+        """Take in a request that got no whole answer, or none at all."""
+        self.failures += 1
+        self._probe_at = now + backoff(self.failures - defaults.SUSPECT_FAILURES)
+
+    def report(self, in_flight: int, slots: int, now: float, healthy: bool = True) -> None:
+        """Take in a report of load and health."""
+        reported = in_flight / max(1, slots)
+        if reported != self._reported:
+            self._reported = reported
+            self._report_changed_at = now
+        self._unwell_at = float("-inf") if healthy else now
+
+    def looks_dead(self, now: float) -> bool:
+        """Whether requests failed in a row, or it calls itself unwell and no answer says else."""
+        if self.suspect:
+            return True
+        return now - self._unwell_at < defaults.UNWELL_S and self._answered_at < self._unwell_at
+
+    def paused(self, now: float) -> bool:
+        """Whether it said a moment ago that it was full."""
+        return now < self._paused_until
+
+    def probe_due(self, now: float) -> bool:
+        """Whether a single request may find out if a suspected target is back."""
+        return now >= self._probe_at
+
+    def probe(self, now: float) -> None:
+        """Count a request as the probe; the next one waits for its result or the backoff."""
+        self._probe_at = now + backoff(self.failures - defaults.SUSPECT_FAILURES + 1)
+
+    def load(self, own: float, prior: float, now: float) -> float:
+        """Share of the target's slots in use, as far as can be known.
+
+        A report counts from its last change, so one that is frozen fades like one that stopped
+        coming; what replaces it is ``prior``, and in no case is it less than ``own``.
+
+        :param own: share of the target's slots that this entry uses.
+        :param prior: share of all its slots in the service that this entry uses.
+        """
+        age = now - self._report_changed_at
+        weight = math.pow(0.5, age / defaults.REPORT_HALF_LIFE_S)
+        return max(own, weight * self._reported + (1 - weight) * prior)
+
+    def latency(self, zone_latency_s: float, now: float) -> float:
+        """Seconds until an answer is to be expected.
+
+        :param zone_latency_s: mean of the target's zone, which replaces an old estimate.
+        """
+        weight = math.pow(0.5, (now - self._latency_at) / LATENCY_HALF_LIFE_S)
+        return weight * self._latency_s + (1 - weight) * zone_latency_s
+
+    def usable_slots(self, now: float) -> int:
+        """Slots with an index below this may be used."""
+        if self._recovered_at == float("-inf"):
+            return self.target.slots
+        return ramped_slots(self.target.slots, self._recovered_at, now, self._ramp_s)
+
+
+class ServiceHealth:
+    """Health of all targets of one service, and the doubt in it.
+
+    When more than half of the targets of a region look dead at once, the measurements are
+    doubted: all targets are used again, within their slots, until an answer clears them or
+    ``defaults.DEAD_FAILURES`` own failures in a row leave no doubt. A region is lost when all
+    its targets are dead beyond doubt; if all regions are, the entry doubts itself and uses
+    all of them.
+
+    :param ramp_s: seconds of slow start after a target was suspected.
+    """
+
+    def __init__(self, ramp_s: float) -> None:
+        self.by_id: t.Dict[TargetId, TargetHealth] = {}
+        self._ramp_s = ramp_s
+        self._doubted: t.Set[RegionId] = set()
+        self._serving: t.Set[RegionId] = set()
+        self._all_lost = False
+        self._latency_by_zone: t.Dict[ZoneId, float] = {}
+
+    def set_targets(self, targets_by_id: t.Mapping[TargetId, Target], now: float) -> None:
+        """Know just these targets; what is known of those that stay is kept."""
+        for target_id in list(self.by_id):
+            if target_id not in targets_by_id:
+                del self.by_id[target_id]
+        for target_id, target in targets_by_id.items():
+            health = self.by_id.get(target_id)
+            if health is not None and health.target.address == target.address:
+                health.target = target
+                continue
+            self.by_id[target_id] = TargetHealth(target, self._ramp_s)
+        self.refresh(now)
+
+    def refresh(self, now: float) -> None:
+        """Reckon anew which regions are doubted and which are lost."""
+        counts_by_region: t.Dict[RegionId, t.List[int]] = {}
+        for health in self.by_id.values():
+            counts = counts_by_region.setdefault(health.target.region, [0, 0, 0])
+            counts[0] += 1
+            counts[1] += health.looks_dead(now)
+            counts[2] += health.dead
+        self._doubted.clear()
+        self._serving.clear()
+        for region, (total, looking_dead, dead) in counts_by_region.items():
+            if 2 * looking_dead > total:
+                self._doubted.add(region)
+            if dead < total:
+                self._serving.add(region)
+        self._all_lost = not self._serving
+        if self._all_lost:
+            self._serving.update(counts_by_region)
+
+    @property
+    def serving(self) -> t.AbstractSet[RegionId]:
+        """Regions that can serve."""
+        return self._serving
+
+    def answered(self, target_id: TargetId, seconds: float, now: float) -> None:
+        """Take in an answer of a target."""
+        health = self.by_id.get(target_id)
+        if health is None:
+            return
+        was_suspect = health.suspect
+        health.answered(seconds, now)
+        zone = health.target.zone
+        mean = self._latency_by_zone.setdefault(zone, seconds)
+        self._latency_by_zone[zone] = mean + ZONE_WEIGHT * (seconds - mean)
+        if was_suspect:
+            self.refresh(now)
+
+    def failed(self, target_id: TargetId, now: float) -> None:
+        """Take in a failure of a target."""
+        health = self.by_id.get(target_id)
+        if health is None:
+            return
+        health.failed(now)
+        if health.suspect:
+            self.refresh(now)
+
+    def usable(self, target_id: TargetId, now: float) -> bool:
+        """Whether a target may get requests that are not probes."""
+        health = self.by_id[target_id]
+        if health.paused(now):
+            return False
+        if self._all_lost:
+            return True
+        if health.target.region in self._doubted:
+            return not health.dead
+        return not health.looks_dead(now)
+
+    def probe_due(self, target_id: TargetId, now: float) -> bool:
+        """Whether a target that is not usable may get one request to find out."""
+        health = self.by_id[target_id]
+        return not health.paused(now) and health.probe_due(now)
+
+    def latency(self, target_id: TargetId, now: float) -> float:
+        """Seconds until a target's answer is to be expected."""
+        health = self.by_id[target_id]
+        prior = self._latency_by_zone.get(health.target.zone, UNKNOWN_LATENCY_S)
+        return health.latency(prior, now)
--- /dev/null
+++ b/src/coralfall/routing.py
@@ -0,0 +1,240 @@
+"""Routing: which of the targets with a free slot gets a request."""
+
+import abc
+import typing as t
+
+import msgspec
+
+from .bundle import Service, Target
+from .exceptions import RefusedError
+from .health import ServiceHealth
+from .ids import PolicyName, RegionId, ServiceId, TargetId, ZoneId
+from .shift import ShiftGovernor
+
+#: Seconds between two reckonings of what changes slowly (load, latency, shares).
+REFRESH_S = 0.05
+#: Steps of free share that the headroom policy tells regions and targets apart by.
+HEADROOM_STEPS = 20
+#: By how much of its latency a wholly loaded target is put back.
+LOAD_PENALTY = 0.5
+
+
+class Candidate(msgspec.Struct, kw_only=True, eq=False):
+    """A target as the policies see it."""
+
+    target_id: TargetId
+    region: RegionId
+    zone: ZoneId
+    slots: int
+    #: Requests of this entry in flight there.
+    in_flight: int = 0
+    #: Slots that this entry may use there now.
+    free: int = 0
+    #: Share of the target's slots in use, as far as can be known.
+    load: float = 0.0
+    #: Mean of ``load`` over the region's targets.
+    region_load: float = 0.0
+    #: Seconds until an answer is to be expected, its way included.
+    latency_s: float = 0.0
+    #: Whether it may only be probed.
+    suspect: bool = False
+
+
+class Policy(abc.ABC):
+    """Ranks the targets of a service by one objective.
+
+    Write your own by giving a cost; the target with the least is taken::
+
+        class Cheapest(Policy):
+            def cost(self, candidate):
+                return price_by_region[candidate.region]
+    """
+
+    @abc.abstractmethod
+    def cost(self, candidate: Candidate) -> float:
+        """What sending a request to the candidate costs, in any unit."""
+
+    def rank(self, candidates: t.Iterable[Candidate]) -> t.List[Candidate]:
+        """The candidates, the best first; equal ones in the order given."""
+        return sorted(candidates, key=self.cost)
+
+
+class LatencyFirst(Policy):
+    """The earliest answer: measured latency, its way included, and some for load."""
+
+    def cost(self, candidate: Candidate) -> float:
+        return candidate.latency_s * (1 + LOAD_PENALTY * candidate.load)
+
+
+class HeadroomFirst(Policy):
+    """The most free share of the region, then of the target, then the earliest answer."""
+
+    def cost(self, candidate: Candidate) -> float:
+        region_step = int(candidate.region_load * HEADROOM_STEPS)
+        target_step = int(candidate.load * HEADROOM_STEPS)
+        return region_step * 1000 + target_step + min(candidate.latency_s, 0.9)
+
+
+_POLICY_BY_NAME: t.Dict[PolicyName, t.Type[Policy]] = {
+    PolicyName.LATENCY: LatencyFirst,
+    PolicyName.HEADROOM: HeadroomFirst,
+}
+
+
+def policy_for(name: PolicyName) -> Policy:
+    """The policy that a bundle names."""
+    return _POLICY_BY_NAME[name]()
+
+
+class Router:
+    """Chooses targets for the requests of one service on one entry.
+
+    For each request of a caller call :meth:`offer`, then :meth:`choose` until it gives a
+    target or the request is given up, which :meth:`refuse` counts.
+
+    :param service: rules in force.
+    :param governor: keeps the shift cap.
+    :param health: health of the service's targets.
+    """
+
+    def __init__(
+        self,
+        service_id: ServiceId,
+        service: Service,
+        governor: ShiftGovernor,
+        health: ServiceHealth,
+        now: float,
+    ) -> None:
+        self.service_id = service_id
+        self.governor = governor
+        self.health = health
+        self.by_id: t.Dict[TargetId, Candidate] = {}
+        self._service = service
+        self._policy = policy_for(service.policy)
+        self._refreshed_at = now
+
+    def set_targets(self, targets_by_id: t.Mapping[TargetId, Target], now: float) -> None:
+        """Know just these targets; those that are leaving are to be left out."""
+        self.health.set_targets(targets_by_id, now)
+        for target_id in list(self.by_id):
+            if target_id not in targets_by_id:
+                del self.by_id[target_id]
+        for target_id, target in targets_by_id.items():
+            known = self.by_id.get(target_id)
+            self.by_id[target_id] = Candidate(
+                target_id=target_id,
+                region=target.region,
+                zone=target.zone,
+                slots=target.slots,
+                in_flight=0 if known is None else known.in_flight,
+            )
+        self._reckon(0.0, now)
+
+    def refresh(
+        self, service: Service, planned: t.Mapping[RegionId, float], prior: float, now: float
+    ) -> None:
+        """Reckon loads, latencies and shares anew if that is due; to be called often.
+
+        :param service: rules in force.
+        :param planned: planned shares now.
+        :param prior: share of its own slots of the service that this entry uses.
+        """
+        if now - self._refreshed_at < REFRESH_S:
+            return
+        self._refreshed_at = now
+        if service is not self._service:
+            self._service = service
+            self._policy = policy_for(service.policy)
+        self.health.refresh(now)
+        self.governor.advance(service, planned, self.health.serving, now)
+        self._reckon(prior, now)
+
+    def offer(self) -> None:
+        """Count one request of a caller, once however often it is tried."""
+        self.governor.offer()
+
+    def choose(
+        self,
+        free_by_id: t.Mapping[TargetId, int],
+        tried: t.Collection[TargetId],
+        now: float,
+        probe: bool = True,
+    ) -> Candidate:
+        """The target for a request, which counts as sent there.
+
+        :param free_by_id: slots that this entry may use now, by target.
+        :param tried: targets that the request was sent to before.
+        :param probe: whether the request may find out if a suspected target is back.
+        :raises RefusedError: if there is none now.
+        """
+        allowed = self.governor.allowed(bool(tried))
+        best: t.Optional[Candidate] = None
+        best_cost = 0.0
+        for target_id, free in free_by_id.items():
+            if free <= 0 or target_id in tried:
+                continue
+            candidate = self.by_id.get(target_id)
+            if candidate is None:
+                continue
+            if candidate.suspect:
+                if probe and self._may_probe(candidate, now):
+                    return self._take(candidate)
+                continue
+            if candidate.region not in allowed:
+                continue
+            cost = self._policy.cost(candidate)
+            if best is None or cost < best_cost:
+                best = candidate
+                best_cost = cost
+        if best is None:
+            raise self._refused(allowed)
+        return self._take(best)
+
+    def refuse(self) -> None:
+        """Count a request as given up before any target saw it."""
+        self.governor.refuse()
+
+    def finished(self, target_id: TargetId) -> None:
+        """Count a request as over; its result is told to :attr:`health`."""
+        candidate = self.by_id.get(target_id)
+        if candidate is not None and candidate.in_flight > 0:
+            candidate.in_flight -= 1
+
+    def _may_probe(self, candidate: Candidate, now: float) -> bool:
+        if not self.health.probe_due(candidate.target_id, now):
+            return False
+        if not self.governor.allows_probe(candidate.region):
+            return False
+        self.health.by_id[candidate.target_id].probe(now)
+        return True
+
+    def _take(self, candidate: Candidate) -> Candidate:
+        self.governor.take(candidate.region)
+        candidate.in_flight += 1
+        return candidate
+
+    def _refused(self, allowed: t.Collection[RegionId]) -> RefusedError:
+        if not allowed:
+            message = "no region may take more of the service's requests yet; retry later"
+            return RefusedError(message, self.governor.retry_after(), service=self.service_id)
+        message = "every target that may take the request is busy; retry later"
+        return RefusedError(message, self._busy_s(), service=self.service_id)
+
+    def _busy_s(self) -> float:
+        seconds = 0.05
+        for candidate in self.by_id.values():
+            seconds = max(seconds, candidate.latency_s)
+        return min(seconds, 1.0)
+
+    def _reckon(self, prior: float, now: float) -> None:
+        loads_by_region: t.Dict[RegionId, t.List[float]] = {}
+        for target_id, candidate in self.by_id.items():
+            health = self.health.by_id[target_id]
+            own = candidate.in_flight / max(1, candidate.slots)
+            candidate.load = health.load(own, prior, now)
+            candidate.latency_s = self.health.latency(target_id, now)
+            candidate.suspect = not self.health.usable(target_id, now)
+            loads_by_region.setdefault(candidate.region, []).append(candidate.load)
+        for candidate in self.by_id.values():
+            loads = loads_by_region[candidate.region]
+            candidate.region_load = sum(loads) / len(loads)
--- /dev/null
+++ b/src/coralfall/shift.py
@@ -0,0 +1,365 @@
+"""Shift: how much of a service's traffic may go to each region now, under its shift cap.
+
+Every entry holds the same line of shares, which moves with the platform's time from where it
+stood when the bundle was accepted to the bundle's weights, and a governor that keeps what the
+entry itself sends close to that line. Nothing is agreed between entries on the way.
+"""
+
+import typing as t
+
+from . import defaults
+from .bundle import Bundle, Head, Service
+from .ids import RegionId, ServiceId
+
+Shares = t.Dict[RegionId, float]
+
+#: Part of the cap within which a policy may prefer one region over another.
+BAND_PART = 0.25
+#: Part of the cap kept for requests being whole numbers.
+COUNT_PART = 0.1
+#: Most credit that a region saves up, in requests.
+MAX_CREDIT = 2.0
+#: Most by which a region's count exceeds its ceiling over any run of one entry's requests.
+COUNT_SLACK = 3
+#: Share of refusals above which a region is taken to be full, and seconds of memory for it.
+FULL_SHARE = 0.02
+FULL_MEMORY_S = 1.0
+
+_TINY = 1e-9
+
+
+class CapParts(t.NamedTuple):
+    """What a shift cap is split into; see :class:`ShiftGovernor` for the sum."""
+
+    #: Share by which regions together may be above the line, for the policy to choose.
+    band: float
+    #: Share that the line may move within two windows and the clocks' skew.
+    move: float
+    #: Share that the line moves in a second.
+    rate: float
+
+
+def split_cap(service: Service) -> CapParts:
+    """The parts of the cap of ``service``."""
+    band = service.shift_cap * BAND_PART
+    move = (service.shift_cap * (1 - COUNT_PART) - band) / (1 + band)
+    span = 2 * service.shift_window_s + defaults.MAX_CLOCK_SKEW_S
+    return CapParts(band, move, move / span)
+
+
+def planned_shares(
+    head: Head, service_id: ServiceId, service: Service, now_platform: float
+) -> Shares:
+    """Where the shares of a service stand, by the bundle line alone.
+
+    They move straight from ``head.shares_at_accept`` to the weights, from
+    ``head.accepted_at`` on. An entry that restarts finds the same line again, and two entries
+    whose clocks differ are apart by no more than the skew at the line's rate, which
+    :func:`split_cap` has counted in.
+
+    :param now_platform: platform's wall time in seconds.
+    :return: share of each region; they add up to 1.
+    """
+    weights = normalised(service.weights)
+    start = normalised(head.shares_at_accept.get(service_id, {}))
+    if not start:
+        return weights
+    distance = moved_share(start, weights)
+    if distance <= _TINY:
+        return weights
+    way = split_cap(service).rate * max(0.0, now_platform - head.accepted_at)
+    done = min(1.0, way / distance)
+    shares: Shares = {}
+    for region in sorted({*start, *weights}):
+        share = (1 - done) * start.get(region, 0.0) + done * weights.get(region, 0.0)
+        if share > 0:
+            shares[region] = share
+    return shares
+
+
+def shares_at(head: Head, bundle: Bundle, now_platform: float) -> t.Dict[ServiceId, Shares]:
+    """Where all services of an accepted bundle stand, for the head that follows it.
+
+    :param head: head by which ``bundle`` is accepted.
+    :param now_platform: platform's wall time in seconds.
+    """
+    shares_by_service: t.Dict[ServiceId, Shares] = {}
+    for service_id, service in bundle.services.items():
+        shares_by_service[service_id] = planned_shares(head, service_id, service, now_platform)
+    return shares_by_service
+
+
+def normalised(shares: t.Mapping[RegionId, float]) -> Shares:
+    """The positive ones of ``shares``, scaled so that they add up to 1; empty if none is."""
+    total = sum(share for share in shares.values() if share > 0)
+    if total <= 0:
+        return {}
+    return {region: share / total for region, share in shares.items() if share > 0}
+
+
+def moved_share(before: t.Mapping[RegionId, float], after: t.Mapping[RegionId, float]) -> float:
+    """Sum of what the regions have gained; between whole splits, the total variation."""
+    moved = 0.0
+    for region, share in after.items():
+        moved += max(0.0, share - before.get(region, 0.0))
+    return moved
+
+
+class _Account:
+    """What a governor knows of one region."""
+
+    __slots__ = (
+        "credit",
+        "full",
+        "inflow",
+        "refused",
+        "serving",
+        "share",
+        "share_when_lost",
+        "taken",
+    )
+
+    def __init__(self, share: float) -> None:
+        self.share = share
+        self.share_when_lost = share
+        self.inflow = share
+        self.credit = 1.0
+        self.serving = True
+        self.taken = 0
+        self.refused = 0
+        self.full = 0.0
+
+
+class ShiftGovernor:
+    """Keeps one entry's requests of one service within the shift cap.
+
+    **Position.** The governor holds a share for each region, ``q``. It starts on the planned
+    line, and from then on moves toward its goal: the planned shares of the regions that can
+    serve, made whole, with less for regions that are full while others are not. The sum of
+    what regions gain in a second is at most ``rate``. The share of a region that is lost is
+    refused at once, and leaves ``q`` over one window (so that a region that was away for a
+    moment comes back with nearly all of its share, and one that was away for a window or more
+    begins at nothing).
+
+    **Counts.** Each request pays ``q * (1 + band)`` into each region's credit and what ``q``
+    lacks to 1 into that of refusals; sending a request to a region takes 1 out. Credit stays
+    between -1 and 2, so over any run of requests a region gets at most the sum of its
+    ceilings ``q * (1 + band)`` and 3 more (``COUNT_SLACK``). A request is refused only while
+    the refusals or the share of a lost or full region have the largest credit, so what is
+    sent or refused in the name of a region is at least what the other regions' ceilings leave.
+
+    **Sum.** Compare the shares ``d1``, ``d2`` of two consecutive windows, over all requests
+    offered. Let ``G`` be the regions that gained, ``O`` the others, ``q1``, ``q2`` the
+    positions averaged over the requests of either window::
+
+        gain = d2(G) - d1(G)
+             <= (1 + band) q2(G) - (q1(all) - (1 + band) q1(O)) + slack
+              = (1 + band) (q2(G) - q1(G)) + band q1(all) + slack
+             <= (1 + band) move + band + slack  =  0.9 cap + slack
+
+    since two requests of adjacent windows are at most two windows apart, and ``move`` is what
+    the line moves in two windows and the skew. ``slack`` is at most 3 requests a region, an
+    entry and a window; the tenth of the cap that is left covers it as soon as the window has
+    ``60 * regions * entries / cap`` requests at the very worst.
+
+    **Fleet.** The bound is for shares within a set (all splits within the band around ``q``)
+    that is convex and, while no region is lost, the same for all entries up to the skew. Any
+    mix of entries is within it, so callers that move from one entry to another, and entries
+    that restart, add nothing. While regions are lost or come back, ``q`` differs between
+    entries by at most the lost share ``L``, and a change of the callers' mix by ``m`` (total
+    variation; one of twelve entries restarting is 1/12) adds up to ``m * L``. A ``start`` from
+    a peer takes that away for restarts.
+
+    :param service: rules of the service, as in force.
+    :param planned: planned shares now.
+    :param now: monotonic time in seconds.
+    :param start: where a peer's governor stands, if one told; else the planned line.
+    """
+
+    def __init__(
+        self,
+        service_id: ServiceId,
+        service: Service,
+        planned: t.Mapping[RegionId, float],
+        now: float,
+        start: t.Optional[t.Mapping[RegionId, float]] = None,
+    ) -> None:
+        self.service_id = service_id
+        self._service = service
+        self._parts = split_cap(service)
+        self._now = now
+        self._refusals = _Account(0.0)
+        self._refusals.credit = 0.0
+        self._by_region: t.Dict[RegionId, _Account] = {}
+        for region, share in (planned if start is None else start).items():
+            self._by_region[region] = _Account(share)
+        self._set_inflows()
+
+    @property
+    def shares(self) -> Shares:
+        """Where the governor stands; what is missing to 1 is refused."""
+        return {region: account.share for region, account in self._by_region.items()}
+
+    def advance(
+        self,
+        service: Service,
+        planned: t.Mapping[RegionId, float],
+        serving: t.Container[RegionId],
+        now: float,
+    ) -> None:
+        """Move on to ``now``; to be called every second or more often.
+
+        :param service: rules in force.
+        :param planned: planned shares now.
+        :param serving: regions that can serve.
+        """
+        seconds = max(0.0, now - self._now)
+        self._now = max(now, self._now)
+        if service is not self._service:
+            self._service = service
+            self._parts = split_cap(service)
+        for region in planned:
+            if region not in self._by_region:
+                self._by_region[region] = _Account(0.0)
+        for region, account in self._by_region.items():
+            self._note_serving(account, region in serving)
+            self._note_fullness(account, seconds)
+        self._fade_lost(seconds)
+        self._move(self._goal(planned), self._parts.rate * seconds)
+        self._set_inflows()
+
+    def offer(self) -> None:
+        """Count one request of a caller, before :meth:`allows` is asked for it."""
+        for account in self._by_region.values():
+            account.credit = min(account.credit + account.inflow, MAX_CREDIT)
+        refusals = self._refusals
+        refusals.credit = min(refusals.credit + refusals.inflow, MAX_CREDIT)
+
+    def allowed(self, retry: bool = False) -> t.List[RegionId]:
+        """Regions that the request may go to.
+
+        :param retry: whether it was sent to a region before; then only saved credit counts.
+        """
+        most = 1.0
+        if not retry:
+            most = min(1.0, max(self._refusals.credit, *self._credits()))
+        regions = []
+        for region, account in self._by_region.items():
+            credit = account.credit
+            if account.serving and credit >= most and credit > 0:
+                regions.append(region)
+        return regions
+
+    def allows(self, region: RegionId, retry: bool = False) -> bool:
+        """Whether the request may go to ``region``."""
+        return region in self.allowed(retry)
+
+    def allows_probe(self, region: RegionId) -> bool:
+        """Whether one request may find out if a lost region is back.
+
+        It counts like any other; a lost region has the credit of its fading share, and earns
+        one request a window after that.
+        """
+        return self._by_region[region].credit >= 1 if region in self._by_region else False
+
+    def take(self, region: RegionId) -> None:
+        """Count the request as sent to ``region``, which must be allowed."""
+        account = self._by_region[region]
+        account.credit -= 1.0
+        account.taken += 1
+
+    def refuse(self) -> None:
+        """Count the request as refused, in the name of whoever has the largest credit."""
+        account = self._refusals
+        for other in self._by_region.values():
+            if other.credit > account.credit:
+                account = other
+        if account.credit > 0:
+            account.credit -= 1.0
+        account.refused += 1
+
+    def retry_after(self) -> float:
+        """Seconds after which what is refused for want of share finds a region."""
+        placed = 0.0
+        for account in self._by_region.values():
+            if account.serving:
+                placed += account.share
+        rate = max(self._parts.rate, _TINY)
+        return min(max((1 - placed) / rate, 0.1), self._service.shift_window_s)
+
+    def _credits(self) -> t.List[float]:
+        return [account.credit for account in self._by_region.values()]
+
+    def _note_serving(self, account: _Account, serving: bool) -> None:
+        if account.serving and not serving:
+            account.share_when_lost = account.share
+        account.serving = serving
+
+    def _note_fullness(self, account: _Account, seconds: float) -> None:
+        asked = account.taken + account.refused
+        if asked == 0 or seconds <= 0:
+            return
+        weight = min(1.0, seconds / FULL_MEMORY_S)
+        account.full += weight * (account.refused / asked - account.full)
+        account.taken = account.refused = 0
+
+    def _fade_lost(self, seconds: float) -> None:
+        for account in self._by_region.values():
+            if account.serving:
+                continue
+            windows = seconds / self._service.shift_window_s
+            account.share = max(0.0, account.share - account.share_when_lost * windows)
+            account.credit = min(account.credit + windows, MAX_CREDIT)
+
+    def _goal(self, planned: t.Mapping[RegionId, float]) -> Shares:
+        served = {
+            region: share for region, share in planned.items() if self._by_region[region].serving
+        }
+        whole = normalised(served)
+        kept: Shares = {}
+        for region, share in whole.items():
+            account = self._by_region[region]
+            if account.full > FULL_SHARE:
+                kept[region] = min(share, account.share) * (1 - account.full)
+        if not kept or len(kept) == len(whole):
+            return whole
+        rest = 1 - sum(kept.values())
+        roomy = normalised({r: share for r, share in whole.items() if r not in kept})
+        for region, share in roomy.items():
+            kept[region] = rest * share
+        return kept
+
+    def _move(self, goal: Shares, budget: float) -> None:
+        wanted = {}
+        for region, share in goal.items():
+            account = self._by_region[region]
+            if share > account.share:
+                wanted[region] = share - account.share
+        total_wanted = sum(wanted.values())
+        if total_wanted <= _TINY:
+            return
+        part = min(1.0, budget / total_wanted)
+        for region, share in wanted.items():
+            self._by_region[region].share += share * part
+        self._lower(goal, sum(account.share for account in self._by_region.values()) - 1)
+
+    def _lower(self, goal: Shares, excess: float) -> None:
+        if excess <= 0:
+            return
+        above = {}
+        for region, account in self._by_region.items():
+            if account.share > goal.get(region, 0.0):
+                above[region] = account.share - goal.get(region, 0.0)
+        total_above = sum(above.values())
+        if total_above <= 0:
+            return
+        part = min(1.0, excess / total_above)
+        for region, share in above.items():
+            self._by_region[region].share -= share * part
+
+    def _set_inflows(self) -> None:
+        total = 0.0
+        for account in self._by_region.values():
+            total += account.share
+            account.inflow = account.share * (1 + self._parts.band)
+        self._refusals.inflow = max(0.0, 1 - total)
--- /dev/null
+++ b/tests/test_shift.py
@@ -0,0 +1,90 @@
+"""The shift cap: the planned line, and what the governor lets through."""
+
+import random
+import typing as t
+import unittest
+
+from parameterized import parameterized
+
+from coralfall import defaults
+from coralfall.bundle import Head, Service
+from coralfall.ids import PartnerId, PolicyName, RegionId, ServiceId
+from coralfall.shift import COUNT_SLACK, ShiftGovernor, moved_share, planned_shares, split_cap
+
+A, B, C = RegionId("a"), RegionId("b"), RegionId("c")
+CATALOGO = ServiceId("catalogo")
+
+
+def make_service(
+    weights: t.Dict[RegionId, float], cap: float = 0.2, window: float = 10.0
+) -> Service:
+    return Service(
+        policy=PolicyName.LATENCY,
+        weights=weights,
+        shift_cap=cap,
+        shift_window_s=window,
+        timeout_ms=1000,
+    )
+
+
+def make_head(start: t.Dict[RegionId, float], accepted_at: float = 100.0) -> Head:
+    return Head(
+        partner=PartnerId("cosecha"),
+        accepted_at=accepted_at,
+        shares_at_accept={CATALOGO: start} if start else {},
+    )
+
+
+class PlannedSharesTest(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("no start", {}, 100.0, {A: 0.5, B: 0.5}),
+            ("before it was accepted", {A: 1.0}, 90.0, {A: 1.0}),
+            ("at once", {A: 1.0}, 100.0, {A: 1.0}),
+            ("long after", {A: 1.0}, 1e6, {A: 0.5, B: 0.5}),
+            ("region that goes", {A: 0.5, C: 0.5}, 1e6, {A: 0.5, B: 0.5}),
+        ]
+    )
+    def test_ends(
+        self, _: str, start: t.Dict[RegionId, float], now: float, shares: t.Dict[RegionId, float]
+    ) -> None:
+        service = make_service({A: 0.5, B: 0.5})
+        self.assertEqual(planned_shares(make_head(start), CATALOGO, service, now), shares)
+
+    @parameterized.expand([(cap, window) for cap in (0.01, 0.1, 1.0) for window in (1.0, 10.0)])
+    def test_two_windows_and_the_skew_move_no_more_than_the_cap(
+        self, cap: float, window: float
+    ) -> None:
+        service = make_service({B: 1.0}, cap, window)
+        head = make_head({A: 1.0})
+        span = 2 * window + defaults.MAX_CLOCK_SKEW_S
+        for step in range(200):
+            now = 100.0 + step * span / 7
+            before = planned_shares(head, CATALOGO, service, now)
+            after = planned_shares(head, CATALOGO, service, now + span)
+            self.assertAlmostEqual(sum(after.values()), 1)
+            self.assertLessEqual(moved_share(before, after), split_cap(service).move + 1e-9)
+
+
+class CountsTest(unittest.TestCase):
+    @parameterized.expand([(seed,) for seed in range(10)])
+    def test_any_run_of_requests_keeps_to_the_ceilings(self, seed: int) -> None:
+        rng = random.Random(seed)
+        service = make_service({A: 0.6, B: 0.3, C: 0.1})
+        governor = ShiftGovernor(CATALOGO, service, service.weights, 0.0)
+        band = split_cap(service).band
+        sent: t.List[RegionId] = []
+        for number in range(3000):
+            governor.offer()
+            allowed = governor.allowed()
+            self.assertTrue(allowed, "no share is missing, so nothing may be refused")
+            liked = A if number // 500 % 2 else C
+            region = liked if liked in allowed else rng.choice(allowed)
+            governor.take(region)
+            sent.append(region)
+        for region, share in service.weights.items():
+            hits = [0]
+            for name in sent:
+                hits.append(hits[-1] + (name == region) - share * (1 + band))
+            excess = max(hits[i] - min(hits[: i + 1]) for i in range(0, len(hits), 7))
+            self.assertLessEqual(excess, COUNT_SLACK)
