--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -52,6 +52,27 @@
 RETRY_AFTER_S = 1.0
 #: Largest answer kept with an idempotency key.
 MAX_KEPT_ANSWER_BYTES = 16 * 1024
+#: Longest time a command waits for its claim, in seconds; then it is refused.
+CLAIM_WAIT_S = 1.0
+#: Least time between two transactions with claims of one entry, in seconds.
+CLAIM_INTERVAL_S = 0.03
+#: Longest time an answer to a command waits for company before it is written, in seconds.
+CLAIM_SETTLE_S = 0.1
+#: Pauses between tries while the table can't be written, in seconds.
+CLAIM_RETRY_MIN_S = 0.1
+CLAIM_RETRY_MAX_S = 2.0
+#: Most rows in one transaction with claims.
+CLAIM_BATCH_ROWS = 256
+#: Most keys that an entry has open or still to write.
+MAX_OPEN_CLAIMS = 4096
+#: Most bytes of answers that wait to be kept; beyond it answers are kept without their body.
+MAX_WAITING_ANSWER_BYTES = 4 * 1024 * 1024
+#: Seconds that a stopping entry tries to write what became of its commands.
+CLAIM_STOP_S = 5.0
+#: Seconds for which the row of an idempotency key is kept after it was last written.
+CLAIM_RETENTION_S = 24 * 3600.0
+#: Most claim rows that one round of removal reads.
+CLAIM_SWEEP_ROWS = 500
 
 #: Seconds for which a lent slot may be used.
 LOAN_S = 2.0
--- a/src/coralfall/messages.py
+++ b/src/coralfall/messages.py
@@ -12,6 +12,7 @@
     EntryId,
     Incarnation,
     PartnerId,
+    RegionId,
     Revision,
     ServiceId,
     TargetId,
@@ -79,6 +80,8 @@
 
     service: ServiceId
     count: int
+    #: Regions whose targets are wanted; empty for any.
+    regions: t.Tuple[RegionId, ...] = ()
 
 
 class LentSlot(msgspec.Struct, frozen=True):
--- a/src/coralfall/rows.py
+++ b/src/coralfall/rows.py
@@ -1,5 +1,7 @@
 """Keys and values of the rows that coralfall keeps in the platform's table."""
 
+import enum
+import hashlib
 import typing as t
 
 import msgspec
@@ -8,9 +10,12 @@
     BundleVersion,
     EntryId,
     EntryState,
+    IdempotencyKey,
     Incarnation,
     PartnerId,
     RegionId,
+    Revision,
+    ServiceId,
     SiteId,
     VmId,
     ZoneId,
@@ -52,6 +57,8 @@
     staged: t.Dict[PartnerId, BundleVersion] = {}
     #: Version in force on the entry, by partner.
     in_force: t.Dict[PartnerId, BundleVersion] = {}
+    #: Last roster change that the entry has applied: it dispatches by no older roster.
+    roster_revision: Revision = Revision(0)
 
 
 class CoordinatorRow(msgspec.Struct, frozen=True, kw_only=True):
@@ -76,3 +83,47 @@
 def lease_key(entry_id: EntryId) -> str:
     """Key of an entry's lease row."""
     return LEASE_PREFIX + entry_id
+
+
+class ClaimState(enum.Enum):
+    """What is known of the command that an idempotency key names."""
+
+    #: One entry may dispatch it, or did; nobody else may.
+    CLAIMED = "claimed"
+    #: It surely was not run; the next attempt may claim it anew.
+    RELEASED = "released"
+    #: It was run and answered.
+    DONE = "done"
+    #: It was dispatched and no answer came; it stays so.
+    UNKNOWN = "unknown"
+
+
+class KeptAnswer(msgspec.Struct, frozen=True):
+    """Answer to a command, kept for those who ask again."""
+
+    status: int
+    headers: t.Tuple[t.Tuple[bytes, bytes], ...] = ()
+    #: ``None`` if it was too long to keep.
+    body: t.Optional[bytes] = None
+
+
+class ClaimRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Claim row of an idempotency key; written before its command is dispatched."""
+
+    state: ClaimState
+    #: Names one claimant's work on the key: entry, incarnation and a number of its own.
+    claim_id: str
+    #: Rises with each attempt under ``claim_id``; all but the last were never dispatched.
+    attempt: int
+    #: Digest of what the command is, so that its key can't be used for another one.
+    fingerprint: str
+    #: Platform's wall time of the writing, as the writer estimates it, in seconds.
+    at: float
+    #: Present if the state is ``DONE``.
+    answer: t.Optional[KeptAnswer] = None
+
+
+def claim_key(partner: PartnerId, service: ServiceId, key: IdempotencyKey) -> str:
+    """Key of the claim row of an idempotency key, of bounded length whatever the caller sent."""
+    digest = hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
+    return f"{CLAIM_PREFIX}{partner}/{service}/{digest}"
