Carry callers' requests to targets and back

One request now goes from the callers' port through the dispatcher to a target and its answer back, with its outcome said in a header. Answers up to the buffered size are read whole first, so that a retry of a read is invisible; longer ones stream, and a break leaves the response unfinished for the caller to see.

Not yet here: idempotency keys, caller leaving, pressure by slow readers.

--- /dev/null
+++ b/src/coralfall/callers.py
@@ -0,0 +1,207 @@
+"""The callers' port: an ASGI application that carries requests and answers look-ups."""
+
+import abc
+import asyncio
+import typing as t
+
+from .answer import Answer, answer_of
+from .exceptions import CallerGoneError, RequestError, TargetError
+from .ids import Outcome, PartnerId, ServiceId
+from .request import CallerRequest, MemoryAccount, RequestBody
+
+if t.TYPE_CHECKING:
+    from starlette.types import Receive, Scope, Send
+
+    from .dispatch import Dispatcher
+
+_LOOKUP_PATH = "/lookup"
+_REFUSED_METHODS = frozenset(("CONNECT", "TRACE"))
+#: Seconds after which the caller's connection is watched; most reads are over by then.
+_WATCH_AFTER_S = 0.02
+
+
+class LookupSource(abc.ABC):
+    """Answers look-ups.
+
+    Write your own by reading the query of the scope::
+
+        class FixedLookup(LookupSource):
+            def answer(self, query: bytes) -> Answer:
+                return Answer(200, [], b"...", Outcome.DONE)
+    """
+
+    @abc.abstractmethod
+    def answer(self, query: bytes) -> Answer:
+        """The answer to ``GET /lookup``; ``query`` is the raw query string."""
+
+
+class CallersApp:
+    """ASGI application of the callers' port.
+
+    Plain ASGI and not a router of a framework: every read of every caller passes here.
+
+    :param dispatcher: carries requests.
+    :param lookup: answers look-ups.
+    """
+
+    def __init__(self, dispatcher: "Dispatcher", lookup: LookupSource) -> None:
+        self._dispatcher = dispatcher
+        self._lookup = lookup
+        self._memory = MemoryAccount()
+
+    async def __call__(self, scope: "Scope", receive: "Receive", send: "Send") -> None:
+        if scope["type"] != "http":
+            return
+        if scope["path"] == _LOOKUP_PATH:
+            await _send_whole(self._look_up(scope), send)
+            return
+        try:
+            request = _request_of(scope, receive, self._memory)
+        except RequestError as error:
+            await _send_whole(answer_of(error, Outcome.NOT_RUN), send)
+            return
+        if request.read and request.body is None:
+            await self._serve_read(request, receive, send)
+        else:
+            await self._serve(request, send)
+
+    def _look_up(self, scope: "Scope") -> Answer:
+        if scope["method"] not in ("GET", "HEAD"):
+            error = RequestError("method", 405, "look-ups are made with GET")
+            return answer_of(error, Outcome.NOT_RUN)
+        return self._lookup.answer(scope["query_string"])
+
+    async def _serve_read(self, request: CallerRequest, receive: "Receive", send: "Send") -> None:
+        """Serve a read, which ends when its caller leaves."""
+        watch = _CallerWatch(receive)
+        try:
+            await self._serve(request, send)
+        except asyncio.CancelledError:
+            if not watch.caller_gone:
+                raise
+            watch.uncancel()
+        finally:
+            watch.stop()
+
+    async def _serve(self, request: CallerRequest, send: "Send") -> None:
+        try:
+            answer = await self._dispatcher.dispatch(request)
+        except CallerGoneError:
+            return
+        if answer.stream is None:
+            await _send_whole(answer, send)
+        else:
+            await _send_stream(answer, send)
+
+
+class _CallerWatch:
+    """Cancels the task that made it when the caller closes its connection."""
+
+    def __init__(self, receive: "Receive") -> None:
+        self._receive = receive
+        self._task = asyncio.current_task()
+        self._watcher: t.Optional["asyncio.Task[None]"] = None
+        self._timer = asyncio.get_running_loop().call_later(_WATCH_AFTER_S, self._start)
+        self.caller_gone = False
+
+    def _start(self) -> None:
+        self._watcher = asyncio.get_running_loop().create_task(self._watch())
+
+    async def _watch(self) -> None:
+        while (await self._receive())["type"] != "http.disconnect":
+            continue
+        self.caller_gone = True
+        if self._task is not None:
+            self._task.cancel()
+
+    def uncancel(self) -> None:
+        """Take back the cancellation once it has done its work."""
+        if self._task is not None:
+            self._task.uncancel()
+
+    def stop(self) -> None:
+        """Stop watching."""
+        self._timer.cancel()
+        if self._watcher is not None:
+            self._watcher.cancel()
+
+
+def _request_of(scope: "Scope", receive: "Receive", memory: MemoryAccount) -> CallerRequest:
+    method = scope["method"]
+    if method in _REFUSED_METHODS:
+        raise RequestError("method", 405, f"method {method} is not carried")
+    parts = scope["raw_path"].decode("ascii").split("/", 3)
+    if len(parts) < 3 or not parts[1] or not parts[2]:
+        message = "the path is not /{partner}/{service}/..."
+        raise RequestError("unknown-path", 404, message)
+    path = "/" + (parts[3] if len(parts) > 3 else "")
+    if scope["query_string"]:
+        path += "?" + scope["query_string"].decode("ascii")
+    client = scope.get("client")
+    return CallerRequest(
+        partner=PartnerId(parts[1]),
+        service=ServiceId(parts[2]),
+        method=method,
+        path=path,
+        headers=scope["headers"],
+        body=_body_of(scope, receive, memory),
+        caller_host=client[0] if client else "unknown",
+    )
+
+
+def _body_of(scope: "Scope", receive: "Receive", memory: MemoryAccount) -> t.Optional[RequestBody]:
+    length: t.Optional[int] = None
+    chunked = False
+    for name, value in scope["headers"]:
+        if name == b"content-length":
+            length = int(value)
+        elif name == b"transfer-encoding":
+            chunked = True
+    if chunked:
+        return RequestBody(_pieces(receive), None, memory)
+    if length:
+        return RequestBody(_pieces(receive), length, memory)
+    return None
+
+
+async def _pieces(receive: "Receive") -> t.AsyncIterator[bytes]:
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise CallerGoneError("the caller closed its connection within its request")
+        if message["body"]:
+            yield message["body"]
+        if not message["more_body"]:
+            return
+
+
+async def _send_whole(answer: Answer, send: "Send") -> None:
+    headers = answer.all_headers()
+    await send({"type": "http.response.start", "status": answer.status, "headers": headers})
+    await send({"type": "http.response.body", "body": answer.body})
+
+
+async def _send_stream(answer: Answer, send: "Send") -> None:
+    """Send a long answer; if it breaks off, leave it unfinished for the caller to see.
+
+    The server closes the connection of an answer that is left unfinished: without the last
+    chunk, or short of its length.
+    """
+    stream = answer.stream
+    assert stream is not None
+    headers = answer.all_headers()
+    try:
+        await send({"type": "http.response.start", "status": answer.status, "headers": headers})
+        if answer.body:
+            await send(_piece(answer.body))
+        async for piece in stream.pieces():
+            await send(_piece(piece))
+        await send({"type": "http.response.body", "body": b""})
+    except TargetError:
+        return
+    finally:
+        stream.abort()
+
+
+def _piece(body: bytes) -> t.Dict[str, t.Any]:
+    return {"type": "http.response.body", "body": body, "more_body": True}
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,206 @@
+"""What tests of the request path share: servers on loopback and a steering of one line."""
+
+import asyncio
+import contextlib
+import typing as t
+
+import uvicorn
+
+from coralfall import bundle
+from coralfall.answer import Answer
+from coralfall.callers import CallersApp, LookupSource
+from coralfall.clock import SystemClock
+from coralfall.dispatch import Dispatcher
+from coralfall.exceptions import RefusedError
+from coralfall.ids import (
+    BundleVersion,
+    Outcome,
+    PartnerId,
+    PolicyName,
+    RegionId,
+    ServiceId,
+    TargetId,
+)
+from coralfall.settings import TargetStandinSettings
+from coralfall.standin_target import TargetStandin
+from coralfall.steering import AttemptResult, Reservation, Steering
+from coralfall.upstream import Upstream
+
+PARTNER = PartnerId("calor")
+SERVICE = ServiceId("mando")
+KEYED = ServiceId("pedidos")
+
+
+@contextlib.asynccontextmanager
+async def serving(app: t.Any) -> t.AsyncIterator[str]:
+    """Serve an ASGI application; gives its ``ip:port``."""
+    config = uvicorn.Config(
+        app, host="127.0.0.1", port=0, log_level="error", lifespan="off", proxy_headers=False
+    )
+    server = uvicorn.Server(config)
+    config.load()
+    server.lifespan = config.lifespan_class(config)
+    await server.startup()
+    address = server.servers[0].sockets[0].getsockname()
+    try:
+        yield f"127.0.0.1:{address[1]}"
+    finally:
+        for socket_server in server.servers:
+            socket_server.close()
+        for connection in list(server.server_state.connections):
+            connection.transport.abort()
+        await asyncio.sleep(0)
+
+
+Handler = t.Callable[[asyncio.StreamReader, asyncio.StreamWriter], t.Awaitable[None]]
+
+
+@contextlib.asynccontextmanager
+async def raw_target(handler: Handler) -> t.AsyncIterator[str]:
+    """Serve connections with ``handler``, for targets that break the rules of HTTP."""
+    open_tasks: t.Set["asyncio.Task[t.Any]"] = set()
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        open_tasks.add(task)
+        try:
+            await handler(reader, writer)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            open_tasks.discard(task)
+            writer.close()
+
+    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    try:
+        yield "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+    finally:
+        server.close()
+        for task in list(open_tasks):
+            task.cancel()
+        await asyncio.gather(*open_tasks, return_exceptions=True)
+
+
+def service(**changes: t.Any) -> bundle.Service:
+    """Rules of a service, with some of them changed."""
+    rules: t.Dict[str, t.Any] = {
+        "policy": PolicyName.LATENCY,
+        "weights": {RegionId("centro"): 1.0},
+        "shift_cap": 0.1,
+        "shift_window_s": 60.0,
+        "timeout_ms": 5000,
+        "max_body_bytes": 64 * 1024 * 1024,
+    }
+    return bundle.Service(**{**rules, **changes})
+
+
+class LineSteering(Steering):
+    """Hands out targets in the order given, skipping tried ones, and keeps what it was told."""
+
+    def __init__(self, addresses: t.Sequence[str], rules: bundle.Service) -> None:
+        self.addresses = addresses
+        self.rules_by_service = {SERVICE: rules, KEYED: service(key_required=True)}
+        self.results: t.List[AttemptResult] = []
+        self.loads: t.List[t.Optional[str]] = []
+        self.in_use = 0
+        self.lapsed = False
+
+    async def reserve(
+        self,
+        partner: PartnerId,
+        service: ServiceId,
+        *,
+        tried: t.Collection[TargetId],
+        deadline: float,
+        body_bytes: int,
+    ) -> Reservation:
+        for address in self.addresses:
+            if address in tried:
+                continue
+            self.in_use += 1
+            return Reservation(
+                partner=partner,
+                service=service,
+                target_id=TargetId(address),
+                region=RegionId("centro"),
+                address=address,
+                connections=100,
+            )
+        raise RefusedError("no slot is free", 0.25)
+
+    def check(self, reservation: Reservation) -> None:
+        if self.lapsed:
+            raise RefusedError("the lease has lapsed", 2.0)
+
+    def finish(
+        self,
+        reservation: Reservation,
+        result: AttemptResult,
+        seconds: float,
+        load: t.Optional[str],
+    ) -> None:
+        self.in_use -= 1
+        self.results.append(result)
+        self.loads.append(load)
+
+    def service(self, partner: PartnerId, service: ServiceId) -> t.Optional[bundle.Service]:
+        return self.rules_by_service.get(service) if partner == PARTNER else None
+
+    def version(self, partner: PartnerId) -> BundleVersion:
+        return BundleVersion(7)
+
+
+class CountedBudget:
+    """A retry budget of so many retries."""
+
+    def __init__(self, retries: int) -> None:
+        self.retries = retries
+        self.requests = 0
+
+    def request(self) -> None:
+        self.requests += 1
+
+    def take(self) -> bool:
+        self.retries -= 1
+        return self.retries >= 0
+
+
+class FixedLookup(LookupSource):
+    """Answers every look-up with its query."""
+
+    def answer(self, query: bytes) -> Answer:
+        return Answer(200, [], query, Outcome.DONE)
+
+
+class Entry(t.NamedTuple):
+    """A request path over some targets."""
+
+    address: str
+    steering: LineSteering
+    budget: CountedBudget
+
+
+@contextlib.asynccontextmanager
+async def entry(
+    addresses: t.Sequence[str], rules: t.Optional[bundle.Service] = None, retries: int = 2
+) -> t.AsyncIterator[Entry]:
+    """Serve the callers' port over targets at ``addresses``, best first."""
+    steering = LineSteering(addresses, rules or service())
+    budget = CountedBudget(retries)
+    upstream = Upstream(SystemClock())
+    dispatcher = Dispatcher(steering, upstream, lambda: budget, SystemClock())
+    try:
+        async with serving(CallersApp(dispatcher, FixedLookup())) as address:
+            yield Entry(address, steering, budget)
+    finally:
+        await upstream.close()
+
+
+@contextlib.asynccontextmanager
+async def target(**settings: t.Any) -> t.AsyncIterator[t.Tuple[str, TargetStandin]]:
+    """Serve a target stand-in."""
+    values: t.Dict[str, t.Any] = {"address": "127.0.0.1:0", "service_ms": 0.0, **settings}
+    standin = TargetStandin(TargetStandinSettings(**values))
+    async with serving(standin) as address:
+        yield address, standin
