Find every fault of a draft in one run, and refuse unsafe signatures and keys

A draft with a fault of shape hid the faults of its rules, so an operator mended one at a time. A sound value now stands for each broken one, and a finding is dropped only if it was drawn from a broken value. Weighed and left out: rules inside verify(), because a later release with a stricter rule could then refuse a bundle that is already accepted; submit and staging call rules.require instead. Opening a folder as a key file crashed; its status is now read before anything else.

--- a/src/coralfall/draft.py
+++ b/src/coralfall/draft.py
@@ -9,7 +9,8 @@
 
 from . import rules
 from .bundle import Bundle, ChunkRef, Grant, Model, Region, Service, Site, Target
-from .exceptions import BundleError, Fault
+from .chunks import load_block_files
+from .exceptions import Fault
 from .ids import BundleVersion, Digest, PartnerId, RegionId, ServiceId, SiteId, TargetId
 from .validation import collect_faults
 
@@ -34,7 +35,7 @@
     """A draft without faults, ready to sign."""
 
     bundle: Bundle
-    #: Pieces of the block table, by digest.
+    #: Pages and chunks of the block table, by digest.
     objects: t.Dict[Digest, bytes]
 
 
@@ -64,11 +65,7 @@
     """
     loaded, faults = _read(path)
     if loaded is None or faults:
-        first = faults[0]
-        more = f" (and {len(faults) - 1} more)" if len(faults) > 1 else ""
-        where = f" {first.path}:" if first.path else ""
-        message = f"{path}:{where} {first.message}{more}"
-        raise BundleError(message, faults)
+        raise rules.bundle_error(str(path), faults)
     return loaded
 
 
@@ -82,9 +79,12 @@
     shape_faults = collect_faults(raw, Draft)
     draft = _convert(raw, shape_faults)
     faults = shape_faults + _rule_faults(draft, shape_faults)
+    folder = path.parent
+    files = load_block_files([folder / name for name in draft.block_files], draft.sites)
+    faults += files.faults
     if faults:
         return None, faults
-    return LoadedDraft(_to_bundle(draft, ()), {}), []
+    return LoadedDraft(_to_bundle(draft, files.refs), files.objects_by_digest), []
 
 
 def _to_bundle(draft: Draft, chunks: t.Tuple[ChunkRef, ...]) -> Bundle:
--- a/src/coralfall/rules.py
+++ b/src/coralfall/rules.py
@@ -6,7 +6,7 @@
 import typing as t
 
 from .bundle import Bundle, Service, Target
-from .exceptions import Fault
+from .exceptions import BundleError, Fault
 from .ids import RegionId, ServiceId, TargetState, ZoneId
 from .settings import split_address
 
@@ -22,7 +22,8 @@
 MAX_BYTES = 1 << 50
 
 _ID = re.compile(r"[a-z0-9](?:[a-z0-9-]{0,61}[a-z0-9])?")
-_ID_RULE = "allowed are 1 to 63 of a-z, 0-9 and -, not starting or ending with -"
+#: What an id may be, for messages.
+ID_RULE = "allowed are 1 to 63 of a-z, 0-9 and -, not starting or ending with -"
 
 
 class Finding(t.NamedTuple):
@@ -54,6 +55,29 @@
     return findings
 
 
+def is_id(name: str) -> bool:
+    """Whether ``name`` may name a partner, region, zone, service, target or site."""
+    return _ID.fullmatch(name) is not None
+
+
+def require(bundle: Bundle) -> None:
+    """Refuse a bundle that breaks a rule.
+
+    :raises BundleError: with every fault found.
+    """
+    faults = [finding.fault for finding in find_faults(bundle)]
+    if faults:
+        raise bundle_error(f"{bundle.partner} {bundle.version}", faults)
+
+
+def bundle_error(name: str, faults: t.Sequence[Fault]) -> BundleError:
+    """The error for a bundle that messages call ``name``; its message states the first fault."""
+    first = faults[0]
+    where = f" {first.path}:" if first.path else ""
+    more = f" (and {len(faults) - 1} more)" if len(faults) > 1 else ""
+    return BundleError(f"{name}:{where} {first.message}{more}", faults)
+
+
 def _finding(path: str, code: str, message: str, *reads: str) -> Finding:
     return Finding(Fault(path, code, message), reads)
 
@@ -61,9 +85,9 @@
 def _check_ids(bundle: Bundle) -> t.List[Finding]:
     findings = []
     for path, name in _named(bundle):
-        if _ID.fullmatch(name):
+        if is_id(name):
             continue
-        findings.append(_finding(path, "bad-id", f"found {name!r}; {_ID_RULE}"))
+        findings.append(_finding(path, "bad-id", f"found {name!r}; {ID_RULE}"))
     if bundle.partner in RESERVED_PARTNERS:
         findings.append(_finding("partner", "reserved-id", f"{bundle.partner!r} is kept for paths"))
     if not 1 <= bundle.version < 2**53:
@@ -117,7 +141,7 @@
             path = f"grants.{region_id}.{partner}"
             findings += _check_count(f"{path}.slots", grant.slots)
             if partner == bundle.partner:
-                findings.append(_finding(path, "self-grant", "the owner needs no grant"))
+                findings.append(_finding(path, "self-grant", "the owner needs no grant", "partner"))
             if region is not None and grant.slots > region.slots:
                 message = f"grants {grant.slots} slots of a region that bears {region.slots}"
                 reads = f"regions.{region_id}.slots"
--- a/src/coralfall/signing.py
+++ b/src/coralfall/signing.py
@@ -2,7 +2,6 @@
 
 import base64
 import binascii
-import collections
 import enum
 import os
 import pathlib
@@ -14,6 +13,7 @@
 import nacl.exceptions
 import nacl.signing
 
+from . import defaults
 from .bundle import Bundle, Model, Signature, SignedBundle, digest_of, encode
 from .exceptions import SignatureError
 from .ids import KeyId, PartnerId
@@ -30,6 +30,7 @@
 
 _BUNDLE_CONTEXT = b"coralfall bundle signature 1"
 _REQUEST_CONTEXT = b"coralfall request signature 1"
+_MAX_KEY_FILE_BYTES = 4096
 _PRIVATE_BITS = stat.S_IRWXG | stat.S_IRWXO
 
 
@@ -90,9 +91,11 @@
     except OSError as error:
         message = f"{path}: can't be read ({error.strerror}); make one by `coralfall keys new`"
         raise SignatureError(message, field="key", reason="unreadable") from error
-    with os.fdopen(handle, "rb") as file:
-        _check_private(path, os.fstat(file.fileno()))
-        data = file.read()
+    try:
+        _check_private(path, os.fstat(handle))
+        data = os.read(handle, _MAX_KEY_FILE_BYTES)
+    finally:
+        os.close(handle)
     try:
         content = msgspec.json.decode(data, type=KeyFile)
         return Key(content.key_id, nacl.signing.SigningKey(content.private_key))
@@ -162,12 +165,25 @@
     return verify(signed, trust[partner], partner)
 
 
+def decode_signed(data: bytes) -> SignedBundle:
+    """A signed bundle from its bytes; neither payload nor signatures are looked at.
+
+    :raises SignatureError: if the bytes are no signed bundle.
+    """
+    try:
+        return msgspec.msgpack.decode(data, type=SignedBundle)
+    except (msgspec.MsgspecError, ValueError) as error:
+        message = f"the bytes are not a signed bundle: {error}"
+        raise SignatureError(message, field="signed", reason="malformed") from error
+
+
 def decode_payload(payload: bytes) -> Bundle:
     """The bundle in ``payload``, whose signatures are not looked at.
 
     :raises SignatureError: if it is not a bundle, or not in its canonical bytes.
     """
     try:
+        _check_format(msgspec.msgpack.decode(payload, type=_Format).format)
         bundle = msgspec.msgpack.decode(payload, type=Bundle)
         canonical = encode(bundle)
     except (msgspec.MsgspecError, ValueError, OverflowError) as error:
@@ -179,6 +195,31 @@
     return bundle
 
 
+def parse_public_key(key_id: KeyId, encoded: str) -> nacl.signing.VerifyKey:
+    """The public key in ``encoded``, as settings and trust files state it.
+
+    :raises SignatureError: if it is not 32 bytes in base64.
+    """
+    try:
+        return nacl.signing.VerifyKey(base64.b64decode(encoded, validate=True))
+    except (binascii.Error, nacl.exceptions.CryptoError, ValueError) as error:
+        message = f"public key of {key_id!r} is not 32 bytes in base64"
+        raise SignatureError(message, field=key_id, reason="malformed-key") from error
+
+
+class _Format(msgspec.Struct, frozen=True):
+    """The one field by which bundles of other formats are told apart."""
+
+    format: int
+
+
+def _check_format(found: int) -> None:
+    if found == defaults.BUNDLE_FORMAT:
+        return
+    message = f"the bundle is of format {found}, known is {defaults.BUNDLE_FORMAT}; upgrade first"
+    raise SignatureError(message, field="format", reason="unknown-format")
+
+
 def _verify_role(
     payload: bytes, role: Role, signature: t.Optional[Signature], partner_keys: PartnerKeys
 ) -> bytes:
@@ -189,7 +230,7 @@
     if encoded is None:
         message = f"key {signature.key_id!r} is not trusted; known are {sorted(partner_keys)}"
         raise SignatureError(message, field=role.value, reason="unknown-key")
-    verify_key = _verify_key(signature.key_id, encoded)
+    verify_key = parse_public_key(signature.key_id, encoded)
     try:
         verify_key.verify(_bundle_message(role, payload), signature.signature)
     except (nacl.exceptions.CryptoError, ValueError) as error:
@@ -198,14 +239,6 @@
     return bytes(verify_key)
 
 
-def _verify_key(key_id: KeyId, encoded: str) -> nacl.signing.VerifyKey:
-    try:
-        return nacl.signing.VerifyKey(base64.b64decode(encoded, validate=True))
-    except (binascii.Error, nacl.exceptions.CryptoError, ValueError) as error:
-        message = f"public key of {key_id!r} is not 32 bytes in base64"
-        raise SignatureError(message, field=key_id, reason="malformed-key") from error
-
-
 def _key_id(signature: t.Optional[Signature]) -> t.Optional[KeyId]:
     return signature.key_id if signature is not None else None
 
@@ -223,35 +256,37 @@
 
 
 class ReplayGuard:
-    """Remembers the nonces of requests that are still fresh, up to a bound.
+    """Remembers signed requests for as long as they are fresh, up to a bound.
 
-    :param capacity: most nonces held; when they are all fresh, more requests are refused.
+    :param capacity: most requests held; when they are all fresh, more are refused.
     """
 
     def __init__(self, capacity: int = REQUEST_CAPACITY) -> None:
         self._capacity = capacity
-        self._expiry_by_nonce: t.Dict[str, float] = {}
-        self._queue: t.Deque[t.Tuple[float, str]] = collections.deque()
+        #: Times until which requests are remembered, the earliest first.
+        self._until_by_nonce: t.Dict[str, float] = {}
 
-    def claim(self, nonce: str, expiry: float, now: float) -> bool:
-        """Whether ``nonce`` is new; it is remembered until ``expiry``.
+    def claim(self, nonce: str, now: float) -> bool:
+        """Whether ``nonce`` is new; it is remembered from now on.
 
         :raises SignatureError: if the guard is full.
         """
         self._forget(now)
-        if nonce in self._expiry_by_nonce:
+        if nonce in self._until_by_nonce:
             return False
-        if len(self._expiry_by_nonce) >= self._capacity:
+        if len(self._until_by_nonce) >= self._capacity:
             message = "too many signed requests; try again in a few seconds"
             raise SignatureError(message, field="nonce", reason="busy")
-        self._expiry_by_nonce[nonce] = expiry
-        self._queue.append((now + 2 * REQUEST_WINDOW_S, nonce))
+        # The sender's clock may be a window ahead, and its request is fresh a window after.
+        self._until_by_nonce[nonce] = now + 2 * REQUEST_WINDOW_S
         return True
 
     def _forget(self, now: float) -> None:
-        while self._queue and self._queue[0][0] < now:
-            _, nonce = self._queue.popleft()
-            del self._expiry_by_nonce[nonce]
+        while self._until_by_nonce:
+            nonce = next(iter(self._until_by_nonce))
+            if self._until_by_nonce[nonce] >= now:
+                return
+            del self._until_by_nonce[nonce]
 
 
 def sign_request(
@@ -299,7 +334,7 @@
     if abs(age) > REQUEST_WINDOW_S:
         message = f"the request was signed {age:.0f} s ago; set the clocks and send it anew"
         raise SignatureError(message, field="time", reason="stale")
-    if not guard.claim(f"{key_id}:{nonce}", now + 2 * REQUEST_WINDOW_S, now):
+    if not guard.claim(f"{key_id}:{nonce}", now):
         message = "the request was seen before; sign each request anew"
         raise SignatureError(message, field="nonce", reason="replayed")
     return operator
@@ -316,7 +351,7 @@
         if key_id not in partner_keys:
             continue
         try:
-            _verify_key(key_id, partner_keys[key_id]).verify(message, raw)
+            parse_public_key(key_id, partner_keys[key_id]).verify(message, raw)
         except (nacl.exceptions.CryptoError, ValueError):
             continue
         return Operator(partner, key_id)
