Settle lost answers of a submission and name the winner of a race

An answer lost after the write took effect must neither be taken for a failure nor be followed by a blind write. Every attempt now reads head and history row in one call, and sends the same write again only while the head has the revision that the lost one expected, so at most one of them can take effect, however late the first arrives. What stays in doubt is said to be unknown. The loser of a race is told the winner's digest, author and the differences. A staged bundle is replaced by the next version when its digest is named, and its number is never used again. Weighed: clearing the staged bundle, ruled out since the number would be free for other content while entries still report it as held.

--- a/src/coralfall/diff.py
+++ b/src/coralfall/diff.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from .bundle import Bundle
+from .bundle import Bundle, ChunkRef, digest_of
 
-#: Most block changes that a text names one by one.
-SHOWN_BLOCKS = 5
+#: Digits of a digest that a change shows.
+_SHOWN_DIGITS = 12
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -32,7 +32,8 @@
 def diff_bundles(old: Bundle, new: Bundle) -> t.List[Change]:
     """Changes from ``old`` to ``new`` in the order of their paths.
 
-    A region, service, target or site that only one of them has is one change.
+    A region, service, target or site that only one of them has is one change. That the block
+    tables differ is one change as well; :mod:`coralfall.blockdiff` says by which blocks.
     """
     changes = _diff_values("", _plain(old), _plain(new))
     return sorted(changes, key=lambda change: change.path)
@@ -40,10 +41,19 @@
 
 def _plain(bundle: Bundle) -> t.Dict[str, t.Any]:
     raw: t.Dict[str, t.Any] = msgspec.to_builtins(bundle)
-    raw["chunks"] = {chunk["digest"]: chunk["blocks"] for chunk in raw["chunks"]}
+    del raw["chunks"]
+    raw["blocks"] = _describe_blocks(bundle.chunks)
     return raw
 
 
+def _describe_blocks(chunks: t.Sequence[ChunkRef]) -> str:
+    if not chunks:
+        return "none"
+    count = sum(chunk.blocks for chunk in chunks)
+    digest = digest_of(msgspec.msgpack.encode(chunks))
+    return f"{count} ({digest[:_SHOWN_DIGITS]})"
+
+
 def _diff_values(path: str, old: t.Any, new: t.Any) -> t.List[Change]:
     if not (isinstance(old, dict) and isinstance(new, dict)):
         return [] if old == new else [Change(path, "changed", old, new)]
@@ -52,10 +62,11 @@
         below = f"{path}.{name}" if path else str(name)
         if name not in new:
             changes.append(Change(below, "removed", old=old[name]))
-        elif name not in old:
+            continue
+        if name not in old:
             changes.append(Change(below, "added", new=new[name]))
-        else:
-            changes += _diff_values(below, old[name], new[name])
+            continue
+        changes += _diff_values(below, old[name], new[name])
     return changes
 
 
--- a/src/coralfall/line.py
+++ b/src/coralfall/line.py
@@ -1,21 +1,36 @@
-"""A partner's line of versions: how a signed bundle is submitted, accepted and looked up."""
+"""A partner's line of versions: how a signed bundle is submitted, accepted and looked up.
 
+A version number is staged once only: its history row must be absent and is written with the
+head. So a version stands for one digest wherever it is named. A staged bundle is never taken
+back; the next version replaces it, which entries that hold it take as any newer head.
+"""
+
+import asyncio
 import typing as t
 
 import msgspec
 
-from . import diff, rules, signing
+from . import chunks, diff, rules, signing
 from .bundle import Bundle, Head, SignedBundle, VersionRef, digest_of, encode
-from .exceptions import BundleError, PlatformError, PlatformUnknownError, SubmitError
-from .ids import BundleVersion, Digest, KeyId, PartnerId, RegionId, Revision, ServiceId
-from .platform import Check, Platform, Row, Write
+from .exceptions import (
+    CoralfallError,
+    PlatformError,
+    PlatformUnknownError,
+    SubmitError,
+)
+from .history import HistoryRow, decode_history, history_key, newest_version, read_history
+from .ids import BundleVersion, Digest, PartnerId, RegionId, Revision, ServiceId
+from .platform import Check, Platform, Write
 from .rows import HEAD_PREFIX, head_key
 
-HISTORY_PREFIX = "history/"
-#: How often a write whose answer was lost is settled before the operator is asked to.
-SETTLE_ATTEMPTS = 5
+#: How often a submission reads the head and writes it before it gives up.
+SUBMIT_ATTEMPTS = 5
+#: Seconds between two attempts.
+SUBMIT_PAUSE_S = 0.2
 #: Most changes that the loser of a race is shown.
 SHOWN_CHANGES = 20
+#: Digits of a digest that messages show.
+SHOWN_DIGITS = 12
 
 Shares = t.Dict[ServiceId, t.Dict[RegionId, float]]
 
@@ -27,26 +42,6 @@
     revision: Revision
 
 
-class HistoryRow(msgspec.Struct, frozen=True, kw_only=True):
-    """What became of one version; written with the head, in the same transaction."""
-
-    partner: PartnerId
-    version: BundleVersion
-    digest: Digest
-    author: KeyId
-    approver: KeyId
-    #: Names the submission, so that a lost answer can be settled.
-    submission: str
-    #: Platform's wall time.
-    submitted_at: float
-    accepted_at: t.Optional[float] = None
-
-
-def history_key(partner: PartnerId, version: BundleVersion) -> str:
-    """Key of a version's history row; keys sort as versions do."""
-    return f"{HISTORY_PREFIX}{partner}/{version:016d}"
-
-
 async def read_heads(platform: Platform) -> t.Dict[PartnerId, HeadRow]:
     """Heads of all partners, by partner."""
     changes = await platform.table.changes([HEAD_PREFIX], Revision(0))
@@ -54,28 +49,25 @@
     for row in changes.rows:
         if row.value is None:
             continue
-        head_row = _decode_head(row)
-        heads[head_row.head.partner] = head_row
+        head = msgspec.msgpack.decode(row.value, type=Head)
+        heads[head.partner] = HeadRow(head, row.revision)
     return heads
 
 
 async def read_head(platform: Platform, partner: PartnerId) -> HeadRow:
     """A partner's head; an empty one at revision 0 if its line has not begun."""
-    key = head_key(partner)
-    row = (await platform.table.read([key])).get(key)
-    if row is None:
-        return HeadRow(Head(partner=partner), Revision(0))
-    if row.value is None:
-        return HeadRow(Head(partner=partner), row.revision)
-    return _decode_head(row)
+    return (await _look(platform, partner, BundleVersion(0))).row
+
 
+async def history(
+    platform: Platform, partner: PartnerId, count: t.Optional[int] = None
+) -> t.List[HistoryRow]:
+    """Versions of a partner's line that were ever staged, oldest first.
 
-async def history(platform: Platform, partner: PartnerId) -> t.List[HistoryRow]:
-    """All versions of a partner's line that were ever staged, oldest first."""
-    prefix = f"{HISTORY_PREFIX}{partner}/"
-    changes = await platform.table.changes([prefix], Revision(0))
-    rows = [_decode_history(row) for row in changes.rows if row.value is not None]
-    return sorted(rows, key=lambda row: row.version)
+    :param count: read only so many of the newest.
+    """
+    head = (await read_head(platform, partner)).head
+    return await read_history(platform, head, count)
 
 
 async def submit(
@@ -83,28 +75,50 @@
     signed: SignedBundle,
     keys: signing.Trust,
     submission_id: str,
-    objects: t.Mapping[Digest, bytes] = {},
+    objects: t.Optional[t.Mapping[Digest, bytes]] = None,
     replaces: t.Optional[Digest] = None,
 ) -> Head:
     """Stage a signed bundle as the next version of its partner's line.
 
-    Submitting the same signed bundle again succeeds and changes nothing.
+    Submitting the same signed bundle again succeeds and changes nothing, as long as it is
+    staged or in force.
 
     :param keys: who may sign, by partner.
     :param submission_id: a name that no other submission has.
-    :param objects: pieces of the block table, by digest.
-    :param replaces: digest of the staged bundle that this one takes the place of.
+    :param objects: pages and chunks of the block table, by digest.
+    :param replaces: digest of the staged bundle that this one may take the place of.
     :return: the head after the submission.
     :raises SignatureError: if it is not signed by two operators of its partner.
     :raises BundleError: if it breaks a rule.
     :raises SubmitError: if it lost a race, is of the wrong version, or its fate is unknown.
+    :raises PlatformUnavailableError: if the platform is down and nothing was staged.
     """
     bundle = signing.verify_any(signed, keys)
-    faults = [finding.fault for finding in rules.find_faults(bundle)]
-    if faults:
-        raise BundleError(f"{faults[0].path}: {faults[0].message}", faults)
+    rules.require(bundle)
     submission = _Submission(platform, signed, bundle, submission_id, replaces)
-    return await submission.run(objects)
+    return await submission.run(objects or {})
+
+
+class _Look(t.NamedTuple):
+    """A line as one read of the table showed it."""
+
+    row: HeadRow
+    #: History row of the version that was asked for.
+    past: t.Optional[HistoryRow]
+    #: Platform's wall time.
+    now: float
+
+
+async def _look(platform: Platform, partner: PartnerId, version: BundleVersion) -> _Look:
+    keys = (head_key(partner), history_key(partner, version))
+    changes = await platform.table.changes(keys, Revision(0))
+    rows = {row.key: row for row in changes.rows}
+    past = decode_history(rows.get(keys[1]))
+    row = rows.get(keys[0])
+    if row is None or row.value is None:
+        return _Look(HeadRow(Head(partner=partner), Revision(0)), past, changes.now)
+    head = msgspec.msgpack.decode(row.value, type=Head)
+    return _Look(HeadRow(head, row.revision), past, changes.now)
 
 
 class _Submission:
@@ -125,136 +139,191 @@
         self._ref = VersionRef(version=bundle.version, digest=digest_of(self._data))
         self._submission_id = submission_id
         self._replaces = replaces
+        #: Whether a write was sent of which no answer came.
+        self._in_doubt = False
 
     async def run(self, objects: t.Mapping[Digest, bytes]) -> Head:
-        row = await read_head(self._platform, self._bundle.partner)
-        if self._is_taken(row.head):
-            return row.head
-        await self._check_next(row.head)
-        await self._put(objects)
-        return await self._stage(row)
-
-    def _is_taken(self, head: Head) -> bool:
-        return self._ref in (head.staged, head.accepted)
-
-    async def _check_next(self, head: Head) -> None:
-        newest = head.staged or head.accepted
-        version = newest.version if newest is not None else 0
+        look = await self._look()
+        if self._is_done(look):
+            return look.row.head
+        await self._check_next(look)
+        await self._put(look.row.head, objects)
+        for _ in range(SUBMIT_ATTEMPTS):
+            head = await self._attempt()
+            if head is not None:
+                return head
+            await asyncio.sleep(SUBMIT_PAUSE_S)
+        raise self._given_up()
+
+    def _given_up(self) -> SubmitError:
+        if not self._in_doubt:
+            message = f"the head of {self._bundle.partner!r} keeps changing; run the command again"
+            return SubmitError(message, reason="conflict")
+        return SubmitError(
+            f"whether version {self._ref.version} was staged is unknown; run the same command "
+            "again to settle it",
+            reason="unknown",
+            submission=self._submission_id,
+        )
+
+    async def _attempt(self) -> t.Optional[Head]:
+        """The head once the bundle is staged, ``None`` if that is not known yet.
+
+        Every attempt reads first. A write whose answer was lost is sent again only while the
+        head still has the revision that the lost one expected, so at most one of the two can
+        take effect, however late the first arrives.
+        """
+        try:
+            look = await self._look()
+            if self._is_done(look):
+                return look.row.head
+            await self._check_next(look)
+            return await self._stage(look)
+        except PlatformUnknownError:
+            self._in_doubt = True
+        except PlatformError:
+            if not self._in_doubt:
+                raise
+        return None
+
+    async def _look(self) -> _Look:
+        return await _look(self._platform, self._bundle.partner, self._ref.version)
+
+    def _is_done(self, look: _Look) -> bool:
+        if self._ref in (look.row.head.staged, look.row.head.accepted):
+            return True
+        past = look.past
+        return past is not None and past.submission == self._submission_id
+
+    async def _stage(self, look: _Look) -> t.Optional[Head]:
+        head = msgspec.structs.replace(
+            look.row.head, staged=self._ref, submission=self._submission_id
+        )
+        past = self._history_row(look.now)
+        writes = [
+            Write(head_key(head.partner), encode(head), look.row.revision),
+            Write(
+                history_key(past.partner, past.version), msgspec.msgpack.encode(past), Revision(0)
+            ),
+        ]
+        result = await self._platform.table.transact(writes)
+        return head if result.committed else None
+
+    def _history_row(self, now: float) -> HistoryRow:
+        author, approver = self._signed.author, self._signed.approver
+        assert author is not None and approver is not None, "verified before"
+        return HistoryRow(
+            partner=self._bundle.partner,
+            version=self._ref.version,
+            digest=self._ref.digest,
+            author=author.key_id,
+            approver=approver.key_id,
+            submission=self._submission_id,
+            submitted_at=now,
+        )
+
+    async def _check_next(self, look: _Look) -> None:
+        head = look.row.head
+        newest = newest_version(head)
+        if look.past is not None and look.past.digest != self._ref.digest:
+            raise await self._lost(look.past)
+        if self._ref.version <= newest:
+            raise self._old(newest)
+        if self._ref.version != newest + 1:
+            raise self._gap(newest)
         if head.staged is not None and head.staged.digest != self._replaces:
-            raise await self._lost(head.staged)
-        if self._ref.version <= version:
-            raise await self._behind(version)
-        if self._ref.version != version + 1:
-            raise SubmitError(
-                f"version {self._ref.version} does not follow {version}; set version = "
-                f"{version + 1} in the draft and sign it anew",
-                reason="version-gap",
-                field="version",
-                newest=version,
-            )
-
-    async def _lost(self, winner: VersionRef) -> SubmitError:
-        author, changes = await self._describe(winner)
-        shown = [change.text() for change in changes[:SHOWN_CHANGES]]
+            raise await self._must_wait(head.staged)
+
+    async def _lost(self, winner: HistoryRow) -> SubmitError:
+        changes = await self._differences(winner.digest)
         return SubmitError(
-            f"version {winner.version} by {author} is staged ({winner.digest[:12]}); it differs "
-            f"in {len(changes)} places; wait until it is in force, or replace it by version "
-            f"{winner.version + 1}",
+            f"version {winner.version} was taken by {winner.author}'s bundle "
+            f"{winner.digest[:SHOWN_DIGITS]}, which differs in {_count(changes)} places; set "
+            f"version = {winner.version + 1} in the draft and sign it anew",
             reason="lost-race",
             field="version",
-            version=winner.version,
-            digest=winner.digest,
-            author=author,
-            differs=shown,
+            winner=msgspec.to_builtins(winner),
+            differs=_texts(changes),
         )
 
-    async def _describe(self, winner: VersionRef) -> t.Tuple[str, t.List[diff.Change]]:
-        try:
-            data = await self._platform.objects.get(winner.digest)
-        except PlatformError:
-            return "an author that can't be read now", []
-        signed = msgspec.msgpack.decode(data, type=SignedBundle)
-        bundle = signing.decode_payload(signed.payload)
-        author = str(signed.author.key_id) if signed.author is not None else "nobody"
-        return author, diff.diff_bundles(bundle, self._bundle)
+    async def _must_wait(self, staged: VersionRef) -> SubmitError:
+        changes = await self._differences(staged.digest)
+        return SubmitError(
+            f"version {staged.version} ({staged.digest[:SHOWN_DIGITS]}) is staged and not in "
+            f"force yet, and differs in {_count(changes)} places; wait for it, or replace it by "
+            f"--replace {staged.digest[:SHOWN_DIGITS]}",
+            reason="staged-first",
+            field="version",
+            staged=msgspec.to_builtins(staged),
+            differs=_texts(changes),
+        )
 
-    async def _behind(self, newest: int) -> SubmitError:
+    def _old(self, newest: BundleVersion) -> SubmitError:
         return SubmitError(
-            f"version {self._ref.version} is not above {newest}, the newest of its line; set "
-            f"version = {newest + 1} in the draft and sign it anew",
+            f"version {self._ref.version} is an old one; the line is at {newest}: set version = "
+            f"{newest + 1} in the draft and sign it anew",
             reason="old-version",
             field="version",
             newest=newest,
         )
 
-    async def _put(self, objects: t.Mapping[Digest, bytes]) -> None:
-        for chunk in self._bundle.chunks:
-            data = objects.get(chunk.digest)
-            if data is None:
-                await self._platform.objects.get(chunk.digest)
-                continue
-            await self._platform.objects.put(chunk.digest, data)
-        await self._platform.objects.put(self._ref.digest, self._data)
+    def _gap(self, newest: BundleVersion) -> SubmitError:
+        return SubmitError(
+            f"version {self._ref.version} does not follow {newest}; set version = {newest + 1} "
+            "in the draft and sign it anew",
+            reason="version-gap",
+            field="version",
+            newest=newest,
+        )
+
+    async def _differences(self, digest: Digest) -> t.Optional[t.List[diff.Change]]:
+        """Changes from the bundle under ``digest`` to ours, if it can be read."""
+        try:
+            other = await fetch_bundle(self._platform, digest)
+        except CoralfallError:
+            return None
+        return diff.diff_bundles(other, self._bundle)
+
+    async def _put(self, head: Head, objects: t.Mapping[Digest, bytes]) -> None:
+        missing = await self._missing(head, objects)
+        missing[self._ref.digest] = self._data
+        for digest, data in missing.items():
+            if digest_of(data) != digest:
+                message = f"object {digest[:SHOWN_DIGITS]} has other bytes; sign the draft anew"
+                raise SubmitError(message, reason="wrong-object", field="blocks")
+            await self._put_one(digest, data)
+
+    async def _missing(
+        self, head: Head, objects: t.Mapping[Digest, bytes]
+    ) -> t.Dict[Digest, bytes]:
+        old = None
+        if head.accepted is not None and self._bundle.chunks:
+            old = await fetch_bundle(self._platform, head.accepted.digest)
+        try:
+            return await chunks.missing_chunks(self._platform.objects, old, self._bundle, objects)
+        except KeyError as error:
+            message = f"block table object {error.args[0]} is not given; sign the draft anew"
+            raise SubmitError(message, reason="missing-object", field="blocks") from error
 
-    async def _stage(self, row: HeadRow) -> Head:
-        for _ in range(SETTLE_ATTEMPTS):
-            head, writes = await self._writes(row)
+    async def _put_one(self, digest: Digest, data: bytes) -> None:
+        for _ in range(SUBMIT_ATTEMPTS):
             try:
-                result = await self._platform.table.transact(writes)
+                await self._platform.objects.put(digest, data)
             except PlatformUnknownError:
-                result = None
-            if result is not None and result.committed:
-                return head
-            settled = await self._settle(row)
-            if settled is not None:
-                return settled
-        raise SubmitError(
-            "whether the bundle was staged is unknown; run the same command again",
-            reason="unknown",
-            submission=self._submission_id,
-        )
+                await asyncio.sleep(SUBMIT_PAUSE_S)
+                continue
+            return
+        message = "the object store does not answer; nothing was staged, run the command again"
+        raise SubmitError(message, reason="not-stored")
 
-    async def _writes(self, row: HeadRow) -> t.Tuple[Head, t.List[Write]]:
-        head = msgspec.structs.replace(row.head, staged=self._ref, submission=self._submission_id)
-        assert self._signed.author is not None and self._signed.approver is not None
-        past = HistoryRow(
-            partner=head.partner,
-            version=self._ref.version,
-            digest=self._ref.digest,
-            author=self._signed.author.key_id,
-            approver=self._signed.approver.key_id,
-            submission=self._submission_id,
-            submitted_at=await _platform_now(self._platform, head.partner),
-        )
-        past_key = history_key(head.partner, self._ref.version)
-        return head, [
-            Write(head_key(head.partner), encode(head), row.revision),
-            Write(past_key, msgspec.msgpack.encode(past), Revision(0)),
-        ]
 
-    async def _settle(self, row: HeadRow) -> t.Optional[Head]:
-        """The head if our write took effect, ``None`` if the same write may be sent again.
+async def fetch_bundle(platform: Platform, digest: Digest) -> Bundle:
+    """The bundle in the object store under ``digest``, whose signatures are not looked at.
 
-        Sending it again is safe: it expects the same revision, so that at most one of the
-        two can take effect, however late the first arrives.
-        """
-        now = await read_head(self._platform, self._bundle.partner)
-        if now.revision == row.revision:
-            return None
-        if now.head.submission == self._submission_id or self._is_taken(now.head):
-            return now.head
-        if await self._was_staged():
-            return now.head
-        await self._check_next(now.head)
-        newest = now.head.staged or now.head.accepted
-        raise await self._behind(newest.version if newest is not None else 0)
-
-    async def _was_staged(self) -> bool:
-        key = history_key(self._bundle.partner, self._ref.version)
-        row = (await self._platform.table.read([key])).get(key)
-        if row is None or row.value is None:
-            return False
-        return _decode_history(row).submission == self._submission_id
+    :raises PlatformError: if it can't be had.
+    :raises SignatureError: if it is not a bundle.
+    """
+    return signing.decode_payload(signing.decode_signed(await platform.objects.get(digest)).payload)
 
 
 async def accept(
@@ -272,8 +341,9 @@
     :param shares: where each service's shares stand at ``now``.
     :param now: platform's wall time.
     :param checks: rows that must not have changed, such as the coordinator's own.
-    :return: the head as written.
+    :return: the head as accepted.
     :raises SubmitError: if the head or one of ``checks`` has changed; nothing was written.
+    :raises PlatformUnavailableError: if the platform is down; nothing was written.
     :raises PlatformUnknownError: if the answer was lost and reading back did not settle it;
         the call may be repeated with the same ``revision``.
     """
@@ -283,44 +353,51 @@
         head, accepted=head.staged, staged=None, accepted_at=now, shares_at_accept=shares
     )
     writes = [Write(head_key(head.partner), encode(accepted), revision)]
-    writes += await _history_accepted(platform, head.partner, head.staged, now)
+    writes += await _history_writes(platform, head.partner, head.staged, now)
     try:
         result = await platform.table.transact(writes, checks)
     except PlatformUnknownError:
-        found = await read_head(platform, head.partner)
-        if found.head == accepted:
-            return accepted
-        if found.revision == revision:
-            raise
-        raise _changed(head.partner) from None
+        return await _settle_accept(platform, accepted, revision)
     if not result.committed:
-        raise _changed(head.partner)
+        raise _conflict(head.partner)
     return accepted
 
 
-def _changed(partner: PartnerId) -> SubmitError:
-    message = f"the head of {partner!r} or a row it depends on has changed; read it again"
-    return SubmitError(message, reason="conflict")
-
-
-async def _history_accepted(
+async def _history_writes(
     platform: Platform, partner: PartnerId, ref: VersionRef, now: float
 ) -> t.List[Write]:
     key = history_key(partner, ref.version)
     row = (await platform.table.read([key])).get(key)
-    if row is None or row.value is None:
+    past = decode_history(row)
+    if row is None or past is None:
         return []
-    past = msgspec.structs.replace(_decode_history(row), accepted_at=now)
+    past = msgspec.structs.replace(past, accepted_at=now)
     return [Write(key, msgspec.msgpack.encode(past), row.revision)]
 
 
-async def _platform_now(platform: Platform, partner: PartnerId) -> float:
-    return (await platform.table.changes([head_key(partner)], Revision(0))).now
+async def _settle_accept(platform: Platform, accepted: Head, revision: Revision) -> Head:
+    try:
+        found = await read_head(platform, accepted.partner)
+    except PlatformError as error:
+        message = "whether the bundle was accepted is unknown; read the head again"
+        raise PlatformUnknownError(message) from error
+    if found.revision == revision:
+        message = "the bundle is not accepted yet, and the write may still arrive"
+        raise PlatformUnknownError(message)
+    ours = (accepted.accepted, accepted.accepted_at)
+    if (found.head.accepted, found.head.accepted_at) != ours:
+        raise _conflict(accepted.partner)
+    return found.head
+
+
+def _conflict(partner: PartnerId) -> SubmitError:
+    message = f"the head of {partner!r} or a row it depends on has changed; read it again"
+    return SubmitError(message, reason="conflict")
 
 
-def _decode_head(row: Row) -> HeadRow:
-    return HeadRow(msgspec.msgpack.decode(row.value or b"", type=Head), row.revision)
+def _count(changes: t.Optional[t.Sequence[diff.Change]]) -> str:
+    return "unknown" if changes is None else str(len(changes))
 
 
-def _decode_history(row: Row) -> HistoryRow:
-    return msgspec.msgpack.decode(row.value or b"", type=HistoryRow)
+def _texts(changes: t.Optional[t.Sequence[diff.Change]]) -> t.List[str]:
+    return [change.text() for change in (changes or ())[:SHOWN_CHANGES]]
