--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -40,6 +40,8 @@
 MAX_HELD_BODY_BYTES = 64 * 1024
 #: Bytes of bodies and answers that an entry holds at one time, of all requests together.
 MAX_HELD_BYTES = 16 * 1024 * 1024
+#: Longest idempotency key, in bytes.
+MAX_KEY_BYTES = 255
 #: Most targets that one request is given to.
 MAX_ATTEMPTS = 3
 #: Seconds in which a connection to a target must be open.
@@ -61,8 +63,9 @@
 #: Pauses between tries while the table can't be written, in seconds.
 CLAIM_RETRY_MIN_S = 0.1
 CLAIM_RETRY_MAX_S = 2.0
-#: Most rows in one transaction with claims.
+#: Most rows, and most bytes of answers, in one transaction with claims.
 CLAIM_BATCH_ROWS = 256
+CLAIM_BATCH_BYTES = 1024 * 1024
 #: Most keys that an entry has open or still to write.
 MAX_OPEN_CLAIMS = 4096
 #: Most bytes of answers that wait to be kept; beyond it answers are kept without their body.
@@ -85,8 +88,6 @@
 #: Added, in seconds, wherever one entry waits for another's requests to be over: time on the
 #: way to the target and back, and clocks that do not run quite alike.
 HANDOVER_MARGIN_S = 0.5
-#: Share of its slots that a joining target gets at once.
-RAMP_START = 0.1
 #: Seconds of a link's rate that an entry may send at once.
 LINK_BURST_S = 0.1
 #: Longest time a request waits for a slot, in seconds; then it is refused at once.
--- a/src/coralfall/lease.py
+++ b/src/coralfall/lease.py
@@ -46,7 +46,7 @@
 
 
 class Lease:
-    """The lease of one life of an entry.  An entry that joins anew takes a new one.
+    """The lease of an entry on its place in the roster.
 
     All times are monotonic seconds of the entry's own clock.
 
@@ -92,9 +92,16 @@
         self._alone = alone
 
     def removed(self) -> None:
-        """Take in that the entry is out of the roster; this lease never counts again."""
+        """Take in that the entry is out of the roster: nothing counts until it joins anew."""
         self._removed = True
 
+    def joins(self) -> None:
+        """Start over for a new life of the entry; what was heard for an earlier one is void."""
+        self._removed = False
+        self._renewed_at = -float("inf")
+        self._failed_at = -float("inf")
+        self._confirmed_at = -float("inf")
+
     def state(self) -> LeaseState:
         """Where the lease stands now."""
         now = self._clock.monotonic()
