--- a/src/coralfall/exceptions.py
+++ b/src/coralfall/exceptions.py
@@ -70,6 +70,12 @@
     code = "signature"
 
 
+class SupervisorError(CoralfallError):
+    """A child that ended by itself or failed too often; ``fields`` name it."""
+
+    code = "supervisor"
+
+
 class PlatformError(CoralfallError):
     """Base of the platform layer's errors."""
 
@@ -203,3 +209,35 @@
     def __init__(self, message: str, retry_after: float, **fields: t.Any) -> None:
         super().__init__(message, **fields)
         self.retry_after = retry_after
+
+
+class ClaimError(CoralfallError):
+    """Base of the errors of idempotency keys; the request was not dispatched."""
+
+    code = "claim"
+
+
+class ClaimMismatchError(ClaimError):
+    """The key names another command already; use a new key for this one."""
+
+    code = "claim-mismatch"
+
+
+class ClaimBusyError(ClaimError):
+    """Another request with the key is in progress, or what became of it is not known yet.
+
+    :param message: what is known.
+    :param retry_after: seconds after which more may be known.
+    """
+
+    code = "claim-busy"
+
+    def __init__(self, message: str, retry_after: float, **fields: t.Any) -> None:
+        super().__init__(message, **fields)
+        self.retry_after = retry_after
+
+
+class ClaimUnknownError(ClaimError):
+    """An earlier request with the key was dispatched, and what became of it stays unknown."""
+
+    code = "claim-unknown"
--- a/src/coralfall/settings.py
+++ b/src/coralfall/settings.py
@@ -64,6 +64,26 @@
     heartbeat_s: float = defaults.HEARTBEAT_S
 
 
+class ClaimSettings(Settings, frozen=True):
+    """Times of the claims on idempotency keys, in seconds."""
+
+    #: Longest time a command waits for its claim.
+    wait_s: float = defaults.CLAIM_WAIT_S
+    #: Least time between two transactions of one entry.
+    interval_s: float = defaults.CLAIM_INTERVAL_S
+    #: Longest time an answer waits for company before it is written.
+    settle_s: float = defaults.CLAIM_SETTLE_S
+
+
+class RestartSettings(Settings, frozen=True):
+    """How often and how soon a supervisor restarts a child that fails."""
+
+    max_failures: int = defaults.MAX_FAILURES
+    window_s: float = defaults.FAILURE_WINDOW_S
+    backoff_s: float = defaults.RESTART_BACKOFF_S
+    max_backoff_s: float = defaults.MAX_RESTART_BACKOFF_S
+
+
 class EntrySettings(Settings, frozen=True):
     """Settings of ``coralfall entry``."""
 
@@ -83,6 +103,7 @@
     log: LogSettings = LogSettings()
     metrics: MetricsSettings = MetricsSettings()
     grace_s: float = defaults.GRACE_S
+    claims: ClaimSettings = ClaimSettings()
 
 
 class PlatformStandinSettings(Settings, frozen=True):
