--- a/src/coralfall/history.py
+++ b/src/coralfall/history.py
@@ -7,6 +7,7 @@
 from .bundle import Head
 from .ids import BundleVersion, Digest, KeyId, PartnerId
 from .platform import Platform, Row
+from .rows import decode_row
 
 HISTORY_PREFIX = "history/"
 #: Most history rows that one call to the platform reads.
@@ -38,7 +39,7 @@
     """The history row in ``row``, if there is one."""
     if row is None or row.value is None:
         return None
-    return msgspec.msgpack.decode(row.value, type=HistoryRow)
+    return decode_row(row, HistoryRow)
 
 
 async def read_history(
--- /dev/null
+++ b/src/coralfall/keys_cli.py
@@ -0,0 +1,35 @@
+"""The commands ``coralfall keys ...``: signing keys of operators."""
+
+import pathlib
+import typing as t
+
+import typer
+
+from .ids import KeyId
+from .terminal import JsonOption, reporting, show
+
+app = typer.Typer(help="Signing keys of operators.", no_args_is_help=True)
+
+
+@app.callback()
+def _group() -> None:
+    """Keep ``new`` a command of its own, though it is the only one."""
+
+
+@app.command()
+def new(
+    path: t.Annotated[pathlib.Path, typer.Argument(help="File to write the private key to.")],
+    key_id: t.Annotated[str, typer.Option("--id", help="Name of the key in trust files.")],
+    as_json: JsonOption = False,
+) -> None:
+    """Make a signing key: the private half goes to PATH (mode 0600), the public is printed."""
+    with reporting(as_json):
+        from . import rules, signing
+        from .exceptions import Fault
+
+        if not rules.is_id(key_id):
+            fault = Fault("key_id", "bad-id", f"found {key_id!r}; {rules.ID_RULE}")
+            raise rules.bundle_error("new key", [fault])
+        public_key = signing.new_key(path, KeyId(key_id))
+        value = {"key_id": key_id, "public_key": public_key, "file": str(path)}
+        show(value, [f'{key_id} = "{public_key}"'], as_json)
--- a/src/coralfall/line.py
+++ b/src/coralfall/line.py
@@ -21,7 +21,7 @@
 from .history import HistoryRow, decode_history, history_key, newest_version, read_history
 from .ids import BundleVersion, Digest, PartnerId, RegionId, Revision, ServiceId
 from .platform import Check, Platform, Write
-from .rows import HEAD_PREFIX, head_key
+from .rows import HEAD_PREFIX, decode_row, head_key
 
 #: How often a submission reads the head and writes it before it gives up.
 SUBMIT_ATTEMPTS = 5
@@ -49,7 +49,7 @@
     for row in changes.rows:
         if row.value is None:
             continue
-        head = msgspec.msgpack.decode(row.value, type=Head)
+        head = decode_row(row, Head)
         heads[head.partner] = HeadRow(head, row.revision)
     return heads
 
@@ -117,7 +117,7 @@
     row = rows.get(keys[0])
     if row is None or row.value is None:
         return _Look(HeadRow(Head(partner=partner), Revision(0)), past, changes.now)
-    head = msgspec.msgpack.decode(row.value, type=Head)
+    head = decode_row(row, Head)
     return _Look(HeadRow(head, row.revision), past, changes.now)
 
 
--- a/src/coralfall/rows.py
+++ b/src/coralfall/rows.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from .exceptions import PlatformError
 from .ids import (
     BundleVersion,
     EntryId,
@@ -21,6 +22,11 @@
     ZoneId,
 )
 
+if t.TYPE_CHECKING:
+    from .platform import Row
+
+RowT = t.TypeVar("RowT", bound=msgspec.Struct)
+
 HEAD_PREFIX = "head/"
 ROSTER_PREFIX = "roster/"
 LEASE_PREFIX = "lease/"
@@ -127,3 +133,15 @@
     """Key of the claim row of an idempotency key, of bounded length whatever the caller sent."""
     digest = hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
     return f"{CLAIM_PREFIX}{partner}/{service}/{digest}"
+
+
+def decode_row(row: "Row", model: t.Type[RowT]) -> RowT:
+    """The value of a row that exists.
+
+    :param model: what the row's key says it holds.
+    :raises PlatformError: if the row holds something else.
+    """
+    try:
+        return msgspec.msgpack.decode(row.value or b"", type=model)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise PlatformError(f"row {row.key!r} can't be read: {error}", key=row.key) from error
--- /dev/null
+++ b/tests/test_rollout_status.py
@@ -0,0 +1,194 @@
+"""Tests of :mod:`coralfall.rollout_status`: what is in force, and which entry lags."""
+
+import typing as t
+import unittest
+from unittest import mock
+
+import msgspec
+from parameterized import parameterized
+
+from coralfall import line, rollout_status
+from coralfall.clock import ManualClock
+from coralfall.exceptions import PlatformError, SubmitError
+from coralfall.ids import BundleVersion, EntryId, Incarnation, RegionId, SiteId, VmId, ZoneId
+from coralfall.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
+from coralfall.platform import Write
+from coralfall.rollout_status import read_status, wait_in_force
+from coralfall.rows import LeaseRow, Member, head_key, lease_key, roster_key
+from tests.operators import COSECHA, TRUST, make_bundle, sign_bundle
+
+
+def make_member(name: str, incarnation: int = 1) -> Member:
+    return Member(
+        entry_id=EntryId(name),
+        vm_id=VmId(f"vm-{name}"),
+        incarnation=Incarnation(incarnation),
+        region=RegionId("sierra"),
+        zone=ZoneId("sierra-1"),
+        site=SiteId("sierra-1"),
+        caller_address="127.0.0.1:1",
+        peer_address="127.0.0.1:2",
+        operator_address="127.0.0.1:3",
+    )
+
+
+def make_lease(name: str, in_force: int, staged: int, incarnation: int = 1) -> LeaseRow:
+    return LeaseRow(
+        entry_id=EntryId(name),
+        incarnation=Incarnation(incarnation),
+        renewals=1,
+        in_force={COSECHA: BundleVersion(in_force)},
+        staged={COSECHA: BundleVersion(staged)},
+    )
+
+
+class StatusTest(unittest.IsolatedAsyncioTestCase):
+    """Two entries, version 1 in force, version 2 staged."""
+
+    async def asyncSetUp(self) -> None:
+        self.memory = MemoryPlatform(ManualClock(100.0))
+        self.platform = self.memory.platform
+        for version in (1, 2):
+            await self.submit(version)
+            if version == 1:
+                await self.accept()
+        await self.write(make_member("e1"), make_lease("e1", 1, 2))
+        await self.write(make_member("e2"), make_lease("e2", 1, 2))
+
+    async def submit(self, version: int) -> None:
+        signed = sign_bundle(make_bundle(version))
+        self.head = await line.submit(self.platform, signed, TRUST, f"s{version}")
+
+    async def accept(self) -> None:
+        row = await line.read_head(self.platform, COSECHA)
+        await line.accept(self.platform, row.head, row.revision, {}, 101.0)
+
+    async def write(self, member: Member, lease: t.Optional[LeaseRow]) -> None:
+        value = None if lease is None else msgspec.msgpack.encode(lease)
+        await self.platform.table.transact(
+            [
+                Write(roster_key(member.entry_id), msgspec.msgpack.encode(member)),
+                Write(lease_key(member.entry_id), value),
+            ]
+        )
+
+    async def test_says_what_is_in_force_and_who_signed_it(self) -> None:
+        status = (await read_status(self.platform)).partner(COSECHA)
+        self.assertEqual(
+            (1, "ana", "bea", 101.0),
+            (
+                status.in_force.version,
+                status.in_force.author,
+                status.in_force.approver,
+                status.in_force.accepted_at,
+            ),
+        )
+        self.assertEqual((2, None), (status.staged.version, status.staged.accepted_at))
+        self.assertEqual((), status.lagging)
+
+    @parameterized.expand(
+        [
+            ("all there", make_lease("e2", 1, 2), False),
+            ("not staged", make_lease("e2", 1, 1), True),
+            ("not in force", make_lease("e2", 0, 2), True),
+            ("ahead", make_lease("e2", 2, 2), False),
+            ("no lease row", None, True),
+            ("of an earlier process", make_lease("e2", 1, 2, incarnation=0), True),
+        ]
+    )
+    async def test_lagging(self, _name: str, lease: t.Optional[LeaseRow], lags: bool) -> None:
+        await self.write(make_member("e2"), lease)
+        status = (await read_status(self.platform)).partner(COSECHA)
+        self.assertEqual(["vm-e2"] if lags else [], [lag.vm_id for lag in status.lagging])
+
+    async def test_a_row_that_cannot_be_read_is_named(self) -> None:
+        await self.platform.table.transact([Write(head_key(COSECHA), b"?")])
+        with self.assertRaisesRegex(PlatformError, "head/cosecha"):
+            await read_status(self.platform)
+
+    async def wait(self, act: t.Callable[[int], t.Awaitable[None]]) -> rollout_status.PartnerStatus:
+        """Wait for version 2; ``act`` is called before each look with its number."""
+        clock = ManualClock()
+        looks = 0
+
+        async def sleep(seconds: float) -> None:
+            nonlocal looks
+            looks += 1
+            clock.advance(seconds)
+            await act(looks)
+
+        self.seen: t.List[rollout_status.PartnerStatus] = []
+        with mock.patch("asyncio.sleep", sleep):
+            return await wait_in_force(
+                self.platform, COSECHA, BundleVersion(2), 10.0, clock, self.seen.append
+            )
+
+    async def test_waits_until_every_entry_serves_under_it(self) -> None:
+        async def act(look: int) -> None:
+            if look == 1:
+                self.memory.set_faults(Faults(table=ServiceFault(mode=FaultMode.DOWN)))
+            if look == 2:
+                self.memory.set_faults(Faults())
+                await self.accept()
+            if look == 3:
+                await self.write(make_member("e1"), make_lease("e1", 2, 2))
+            if look == 4:
+                await self.write(make_member("e2"), make_lease("e2", 2, 2))
+
+        status = await self.wait(act)
+        self.assertEqual((2, ()), (status.in_force.version, status.lagging))
+        lagging = [[lag.entry_id for lag in status.lagging] for status in self.seen]
+        self.assertEqual([[], ["e1", "e2"], ["e2"], []], lagging)
+
+    async def test_a_newer_staged_version_is_not_waited_for(self) -> None:
+        async def act(look: int) -> None:
+            if look == 1:
+                await self.accept()
+                await self.submit_third()
+                await self.write(make_member("e1"), make_lease("e1", 2, 2))
+                await self.write(make_member("e2"), make_lease("e2", 2, 2))
+
+        status = await self.wait(act)
+        self.assertEqual((2, 3), (status.in_force.version, status.staged.version))
+
+    async def test_a_newer_version_in_force_counts(self) -> None:
+        async def act(look: int) -> None:
+            if look == 1:
+                await self.accept()
+                await self.submit_third()
+                await self.accept()
+                await self.write(make_member("e1"), make_lease("e1", 3, 3))
+                await self.write(make_member("e2"), make_lease("e2", 3, 3))
+
+        self.assertEqual(3, (await self.wait(act)).in_force.version)
+
+    async def submit_third(self) -> None:
+        await line.submit(self.platform, sign_bundle(make_bundle(3)), TRUST, "s3")
+
+    async def test_names_who_lags_when_time_is_up(self) -> None:
+        async def act(look: int) -> None:
+            if look == 1:
+                await self.accept()
+                await self.write(make_member("e1"), make_lease("e1", 2, 2))
+
+        with self.assertRaises(SubmitError) as caught:
+            await self.wait(act)
+        self.assertEqual("not-in-force", caught.exception.fields["reason"])
+        self.assertEqual(["vm-e2"], [lag["vm_id"] for lag in caught.exception.fields["lagging"]])
+
+    @parameterized.expand([("staged", False), ("in force", True)])
+    async def test_says_who_replaced_it(self, _name: str, in_force: bool) -> None:
+        async def act(look: int) -> None:
+            signed = sign_bundle(make_bundle(3))
+            replaces = self.head.staged.digest
+            await line.submit(self.platform, signed, TRUST, "s3", None, replaces)
+            if in_force:
+                await self.accept()
+
+        with self.assertRaises(SubmitError) as caught:
+            await self.wait(act)
+        self.assertEqual("replaced", caught.exception.fields["reason"])
+
+
+if __name__ == "__main__":
+    unittest.main()
