--- a/src/coralfall/blocktable.py
+++ b/src/coralfall/blocktable.py
@@ -11,6 +11,7 @@
 import array
 import asyncio
 import bisect
+import sys
 import typing as t
 
 from .blocks import TABLE_BITS, ClientAddress, Family
@@ -276,7 +277,9 @@
         raise _malformed(f"found {count} blocks, allowed are 1 to {MAX_CHUNK_BLOCKS}")
     if count != len(chunk.distances) or count != len(chunk.picks):
         raise _malformed("columns differ in length")
-    segment = Segment(chunk.family, chunk.sites)
+    # Every chunk brings its own copies of the sites' names; the table keeps one of each.
+    sites = tuple(SiteId(sys.intern(site)) for site in chunk.sites)
+    segment = Segment(chunk.family, sites)
     covering: t.List[int] = []
     for start in range(0, count, STEP_BLOCKS):
         _compile_step(chunk, segment, covering, start, min(start + STEP_BLOCKS, count))
--- a/src/coralfall/chunks.py
+++ b/src/coralfall/chunks.py
@@ -19,11 +19,12 @@
 from .platform import ObjectStore
 
 #: Blocks in a chunk: what is aimed at, and the most that a reader takes.
-CHUNK_BLOCKS = 1024
+CHUNK_BLOCKS = 512
 MAX_CHUNK_BLOCKS = 32 * 1024
-#: Chunks in a page: what is aimed at, and the most.
+#: Chunks in a page to aim at.
 PAGE_CHUNKS = 32
-MAX_PAGE_CHUNKS = 4 * PAGE_CHUNKS
+#: A writer cuts a chunk or page at this many times its aim at the latest.
+MAX_SIZE_FACTOR = 4
 #: Largest chunk or page in bytes; a larger object is refused before it is decoded.
 MAX_OBJECT_BYTES = 1024 * 1024
 
@@ -245,11 +246,8 @@
     start = 0
     for index in range(1, len(blocks)):
         block = blocks[index]
-        size = index - start
         new_family = block.family is not blocks[start].family
-        full = size >= 4 * chunk_blocks
-        cut = size >= chunk_blocks // 4 and _block_hash(block) % chunk_blocks == 0
-        if not (new_family or full or cut):
+        if not new_family and not _is_cut(index - start, _block_hash(block), chunk_blocks):
             continue
         yield blocks[start:index]
         start = index
@@ -260,9 +258,8 @@
 def _split_entries(entries: t.Sequence[ChunkEntry]) -> t.Iterator[t.Sequence[ChunkEntry]]:
     start = 0
     for index in range(1, len(entries)):
-        size = index - start
-        cut = int.from_bytes(entries[index].digest[:4], "big") % PAGE_CHUNKS == 0
-        if not (cut or size >= MAX_PAGE_CHUNKS):
+        entry_hash = int.from_bytes(entries[index].digest[:4], "big")
+        if not _is_cut(index - start, entry_hash, PAGE_CHUNKS):
             continue
         yield entries[start:index]
         start = index
@@ -270,6 +267,18 @@
         yield entries[start:]
 
 
+def _is_cut(size: int, next_hash: int, aim: int) -> bool:
+    """Whether a piece of ``size`` items ends before the item with ``next_hash``.
+
+    Half of ``aim`` is given and half left to the hash: with all of it left to the hash, pieces
+    differ more in size, and a change, which falls into large pieces more often, costs more.
+    """
+    half = aim // 2
+    if size < half:
+        return False
+    return next_hash % half == 0 or size >= MAX_SIZE_FACTOR * aim
+
+
 def _block_hash(block: Block) -> int:
     # The site is left out, so that steering a block elsewhere moves no cut.
     key = (block.network << 7 | block.length) * _HASH_MULTIPLIER
