Hold the shift cap over whole histories, lost regions included

The first governor let a lost region's share fade evenly and gave it all that was left on return: the account over the whole history was red by 0.12 at a cap of 0.1 for a region away for 2 of 5 seconds, because a window that starts with the loss lacks the region twice. What a region gets on return is now bounded by the time it was away (back / x), times away counting together while it flaps. The parts of the cap are split anew: band 0.2, return 0.1, move 0.65, counts 0.05.

--- a/src/coralfall/shift.py
+++ b/src/coralfall/shift.py
@@ -14,9 +14,11 @@
 Shares = t.Dict[RegionId, float]
 
 #: Part of the cap within which a policy may prefer one region over another.
-BAND_PART = 0.25
+BAND_PART = 0.2
+#: Part of the cap that a region may take at once when it comes back.
+RETURN_PART = 0.1
 #: Part of the cap kept for requests being whole numbers.
-COUNT_PART = 0.1
+COUNT_PART = 0.05
 #: Most credit that a region saves up, in requests.
 MAX_CREDIT = 2.0
 #: Most by which a region's count exceeds its ceiling over any run of one entry's requests.
@@ -37,14 +39,17 @@
     move: float
     #: Share that the line moves in a second.
     rate: float
+    #: Share that a region may take at once when it comes back after a window.
+    back: float
 
 
 def split_cap(service: Service) -> CapParts:
     """The parts of the cap of ``service``."""
     band = service.shift_cap * BAND_PART
-    move = (service.shift_cap * (1 - COUNT_PART) - band) / (1 + band)
+    back = service.shift_cap * RETURN_PART / (1 + band)
+    move = service.shift_cap * (1 - COUNT_PART - BAND_PART - RETURN_PART) / (1 + band)
     span = 2 * service.shift_window_s + defaults.MAX_CLOCK_SKEW_S
-    return CapParts(band, move, move / span)
+    return CapParts(band, move, move / span, back)
 
 
 def planned_shares(
@@ -112,16 +117,19 @@
         "credit",
         "full",
         "inflow",
+        "lost",
         "refused",
+        "served",
         "serving",
         "share",
-        "share_when_lost",
         "taken",
     )
 
     def __init__(self, share: float) -> None:
         self.share = share
-        self.share_when_lost = share
+        #: Windows for which it was lost, and served since; see ``_fade_lost``.
+        self.lost = 0.0
+        self.served = 1.0
         self.inflow = share
         self.credit = 1.0
         self.serving = True
@@ -137,9 +145,9 @@
     line, and from then on moves toward its goal: the planned shares of the regions that can
     serve, made whole, with less for regions that are full while others are not. The sum of
     what regions gain in a second is at most ``rate``. The share of a region that is lost is
-    refused at once, and leaves ``q`` over one window (so that a region that was away for a
-    moment comes back with nearly all of its share, and one that was away for a window or more
-    begins at nothing).
+    refused at once, and what the region gets if it comes back falls: after a part ``x`` of a
+    window without it, to ``back / x``; after two windows, to nothing. Times away count
+    together until the region has served for a window.
 
     **Counts.** Each request pays ``q * (1 + band)`` into each region's credit and what ``q``
     lacks to 1 into that of refusals; sending a request to a region takes 1 out. Credit stays
@@ -149,18 +157,23 @@
     sent or refused in the name of a region is at least what the other regions' ceilings leave.
 
     **Sum.** Compare the shares ``d1``, ``d2`` of two consecutive windows, over all requests
-    offered. Let ``G`` be the regions that gained, ``O`` the others, ``q1``, ``q2`` the
-    positions averaged over the requests of either window::
+    offered, where what is refused in a region's name counts as the region's. Let ``G`` be the
+    regions that gained, ``O`` the others, ``q1``, ``q2`` the positions averaged over the
+    requests of either window::
 
         gain = d2(G) - d1(G)
              <= (1 + band) q2(G) - (q1(all) - (1 + band) q1(O)) + slack
               = (1 + band) (q2(G) - q1(G)) + band q1(all) + slack
-             <= (1 + band) move + band + slack  =  0.9 cap + slack
+             <= (1 + band) move + band + slack
+             <= 0.65 cap + 0.2 cap + slack
 
     since two requests of adjacent windows are at most two windows apart, and ``move`` is what
-    the line moves in two windows and the skew. ``slack`` is at most 3 requests a region, an
-    entry and a window; the tenth of the cap that is left covers it as soon as the window has
-    ``60 * regions * entries / cap`` requests at the very worst.
+    the line moves in two windows and the skew. ``slack`` is 3 for each region and for the
+    refusals, an entry and a window, over the window's requests; 0.05 of the cap is left for
+    it, and fewer than ``60 * entries * (regions + 1) / cap`` requests in a window may go over.
+
+    If only what was sent counts, a region that was away for ``x`` of the first window was sent
+    ``x q1`` less there, which is at most ``back`` if requests come evenly: 0.1 cap more.
 
     **Fleet.** The bound is for shares within a set (all splits within the band around ``q``)
     that is convex and, while no region is lost, the same for all entries up to the skew. Any
@@ -268,15 +281,22 @@
         account.credit -= 1.0
         account.taken += 1
 
-    def refuse(self) -> None:
-        """Count the request as refused, in the name of whoever has the largest credit."""
+    def refuse(self) -> t.Optional[RegionId]:
+        """Count the request as refused, in the name of whoever has the largest credit.
+
+        :return: the region in whose name, which is lost or full; ``None`` if the request is one
+            of those that no region may take yet.
+        """
         account = self._refusals
-        for other in self._by_region.values():
+        name: t.Optional[RegionId] = None
+        for region, other in self._by_region.items():
             if other.credit > account.credit:
                 account = other
+                name = region
         if account.credit > 0:
             account.credit -= 1.0
         account.refused += 1
+        return name
 
     def retry_after(self) -> float:
         """Seconds after which what is refused for want of share finds a region."""
@@ -290,9 +310,16 @@
     def _credits(self) -> t.List[float]:
         return [account.credit for account in self._by_region.values()]
 
+    def _share_on_return(self, lost: float) -> float:
+        if lost <= 1:
+            return self._parts.back / max(lost, _TINY)
+        return self._parts.back * max(0.0, 2 - lost)
+
     def _note_serving(self, account: _Account, serving: bool) -> None:
-        if account.serving and not serving:
-            account.share_when_lost = account.share
+        if account.serving and not serving and account.served >= 1:
+            account.lost = 0.0
+        if serving and not account.serving:
+            account.served = 0.0
         account.serving = serving
 
     def _note_fullness(self, account: _Account, seconds: float) -> None:
@@ -305,10 +332,12 @@
 
     def _fade_lost(self, seconds: float) -> None:
         for account in self._by_region.values():
+            windows = seconds / self._service.shift_window_s
             if account.serving:
+                account.served += windows
                 continue
-            windows = seconds / self._service.shift_window_s
-            account.share = max(0.0, account.share - account.share_when_lost * windows)
+            account.lost += windows
+            account.share = min(account.share, self._share_on_return(account.lost))
             account.credit = min(account.credit + windows, MAX_CREDIT)
 
     def _goal(self, planned: t.Mapping[RegionId, float]) -> Shares:
--- a/tests/test_shift.py
+++ b/tests/test_shift.py
@@ -7,8 +7,8 @@
 from parameterized import parameterized
 
 from coralfall import defaults
-from coralfall.bundle import Head, Service
-from coralfall.ids import PartnerId, PolicyName, RegionId, ServiceId
+from coralfall.bundle import Bundle, Head, Service
+from coralfall.ids import BundleVersion, PartnerId, PolicyName, RegionId, ServiceId
 from coralfall.shift import COUNT_SLACK, ShiftGovernor, moved_share, planned_shares, split_cap
 
 A, B, C = RegionId("a"), RegionId("b"), RegionId("c")
@@ -35,6 +35,16 @@
     )
 
 
+def make_bundle(services: t.Dict[ServiceId, Service]) -> Bundle:
+    return Bundle(
+        partner=PartnerId("cosecha"),
+        version=BundleVersion(1),
+        regions={},
+        services=services,
+        targets={},
+    )
+
+
 class PlannedSharesTest(unittest.TestCase):
     @parameterized.expand(
         [
