Doubt measurements of health, and bound retries and drains

A region was lost as soon as each of its targets failed five times, which an entry with slots on few of them never sees. Now ten own failures in a row, of whichever targets, lose it, one answer finds it again, and reports alone never lose it; when more than half of a region's targets look dead they are used anyway, and when all regions are lost the entry doubts itself. Hedges have a part of the retry budget, so that the worst amplification stays 1 + ratio + burst / n.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -15,6 +15,12 @@
 HEARTBEAT_S = 1.0
 #: How many peers an entry sends a heartbeat to in one round.
 HEARTBEAT_FANOUT = 3
+#: How many of them are of another region.
+HEARTBEAT_OUTSIDE = 1
+#: Rounds for which an entry keeps a peer that it exchanges heartbeats with.
+NEIGHBOUR_ROUNDS = 30
+#: Seconds without an answer of the platform after which a roster is taken from a peer.
+PEER_ROSTER_AGE_S = 3.0
 #: Seconds a call to the platform may take.
 PLATFORM_TIMEOUT_S = 2.0
 #: Most connections that a process keeps to the platform.
@@ -30,10 +36,38 @@
 PEER_HANDSHAKE_TIMEOUT_S = 3.0
 #: Seconds in which a peer must take a message.
 PEER_SEND_TIMEOUT_S = 5.0
+#: Seconds within which a peer must answer a heartbeat or a request for heads.
+PEER_TIMEOUT_S = 2.0
+#: Seconds within which a peer must have sent an object.
+PEER_OBJECT_TIMEOUT_S = 5.0
+#: Seconds within which a peer must answer a request for a loan.
+PEER_LOAN_TIMEOUT_S = 0.5
+#: Seconds without a message after which a stream that a peer opened is closed.
+PEER_IDLE_S = 60.0
+#: Seconds for which a peer that failed is not chosen for heartbeats.
+PEER_AVOID_S = 10.0
+#: Most streams that an entry keeps open to others, and that others may keep open to it.
+MAX_PEER_LINKS = 32
+MAX_PEER_CONNECTIONS = 256
+#: Most connections whose other side has not proved itself yet.
+MAX_PEER_HANDSHAKES = 32
+#: Most peers that are asked for an object, one after the other.
+MAX_OBJECT_PEERS = 8
+#: Most seeds whose heads and roster are taken at the start.
+MAX_BOOTSTRAP_PEERS = 3
 #: Largest head of a caller's request, in bytes.
 MAX_HEADER_BYTES = 16 * 1024
 #: Seconds in which a caller must have sent the head of its request.
 HEADER_TIMEOUT_S = 5.0
+#: Seconds for which an idle connection of a caller is kept; clients commonly keep theirs for 15.
+IDLE_CALLER_S = 20.0
+#: Seconds for which a server that stops still answers what comes on an idle connection.
+IDLE_STOP_S = 1.0
+#: Connections that one server of an entry takes, and how many of them may be idle.
+MAX_CONNECTIONS = 1000
+MAX_IDLE_CONNECTIONS = 500
+#: Requests of one connection that may wait behind the one being answered.
+MAX_PIPELINED = 8
 #: Largest answer that is read whole before its first byte goes to the caller.
 MAX_BUFFERED_ANSWER_BYTES = 256 * 1024
 #: Largest body of a request that is held, so that another target can be given it.
@@ -99,6 +133,8 @@
 #: while the suspicion of most targets of its region is doubted.
 SUSPECT_FAILURES = 3
 DEAD_FAILURES = 5
+#: Failures in a row in a region, of whichever targets, after which the region is lost.
+REGION_DEAD_FAILURES = 10
 #: Seconds between a target's failure and the next single request to it, first and longest.
 PROBE_BACKOFF_S = 0.25
 PROBE_BACKOFF_MAX_S = 5.0
--- a/src/coralfall/drain.py
+++ b/src/coralfall/drain.py
@@ -6,6 +6,9 @@
 
 from .ids import TargetId
 
+#: Drains that are remembered after their target has gone from the bundle.
+KEPT_DRAINS = 100
+
 
 class DrainReport(msgspec.Struct, frozen=True, kw_only=True):
     """How one drain of a target went, as one entry saw it."""
@@ -38,9 +41,12 @@
     A target gets no new work from the entry from the call of :meth:`mark` on, whatever was
     queued, lent or meant as a retry before; across entries that is the time in which an
     accepted bundle is in force everywhere.
+
+    :param keep: how many drains of targets that have gone from the bundle to remember.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, keep: int = KEPT_DRAINS) -> None:
+        self._keep = keep
         self._in_flight_by_id: t.Dict[TargetId, int] = {}
         self._drain_by_id: t.Dict[TargetId, _Drain] = {}
 
@@ -69,6 +75,15 @@
                 continue
             drain = self._drain_by_id[target_id]
             drain.gone = drain.gone or drain.idle_at is None
+        self._forget(marked)
+
+    def _forget(self, marked: t.Container[TargetId]) -> None:
+        old = []
+        for target_id in self._drain_by_id:
+            if target_id not in marked and not self.in_flight(target_id):
+                old.append(target_id)
+        for target_id in old[: max(0, len(old) - self._keep)]:
+            del self._drain_by_id[target_id]
 
     def allows(self, target_id: TargetId) -> bool:
         """Whether the target may get new work; the last check before each dispatch."""
--- a/src/coralfall/health.py
+++ b/src/coralfall/health.py
@@ -20,8 +20,8 @@
 #: Mean latency of a zone that nothing is known of, in seconds.
 UNKNOWN_LATENCY_S = 0.005
 #: Seconds a target is left alone after it said that it was full, doubling up to the longest.
-SHED_BACKOFF_S = 0.02
-SHED_BACKOFF_MAX_S = 0.5
+SHED_BACKOFF_S = 0.1
+SHED_BACKOFF_MAX_S = 1.0
 
 
 class TargetHealth:
@@ -150,14 +150,30 @@
         return ramped_slots(self.target.slots, self._recovered_at, now, self._ramp_s)
 
 
+class _RegionHealth:
+    """What the entry believes of one region of a service."""
+
+    __slots__ = ("doubted", "failures", "known", "looking_dead")
+
+    def __init__(self) -> None:
+        #: Failures in a row, of whichever targets.
+        self.failures = 0
+        #: Targets, and those of them that look dead.
+        self.known = 0
+        self.looking_dead = 0
+        #: Whether so many look dead that it is not believed.
+        self.doubted = False
+
+
 class ServiceHealth:
     """Health of all targets of one service, and the doubt in it.
 
     When more than half of the targets of a region look dead at once, the measurements are
-    doubted: all targets are used again, within their slots, until an answer clears them or
-    ``defaults.DEAD_FAILURES`` own failures in a row leave no doubt. A region is lost when all
-    its targets are dead beyond doubt; if all regions are, the entry doubts itself and uses
-    all of them.
+    doubted: its targets are used again, within their slots, but for those that failed
+    ``defaults.DEAD_FAILURES`` times in a row here. A region is lost when
+    ``defaults.REGION_DEAD_FAILURES`` own requests in a row failed there, whatever the targets;
+    reports alone never make it so. If all regions are lost, the entry doubts itself and goes
+    on using all of them.
 
     :param ramp_s: seconds of slow start after a target was suspected.
     """
@@ -165,7 +181,7 @@
     def __init__(self, ramp_s: float) -> None:
         self.by_id: t.Dict[TargetId, TargetHealth] = {}
         self._ramp_s = ramp_s
-        self._doubted: t.Set[RegionId] = set()
+        self._region_by_id: t.Dict[RegionId, _RegionHealth] = {}
         self._serving: t.Set[RegionId] = set()
         self._all_lost = False
         self._latency_by_zone: t.Dict[ZoneId, float] = {}
@@ -185,22 +201,23 @@
 
     def refresh(self, now: float) -> None:
         """Reckon anew which regions are doubted and which are lost."""
-        counts_by_region: t.Dict[RegionId, t.List[int]] = {}
+        for region in self._region_by_id.values():
+            region.known = region.looking_dead = 0
         for health in self.by_id.values():
-            counts = counts_by_region.setdefault(health.target.region, [0, 0, 0])
-            counts[0] += 1
-            counts[1] += health.looks_dead(now)
-            counts[2] += health.dead
-        self._doubted.clear()
+            region = self._region_by_id.setdefault(health.target.region, _RegionHealth())
+            region.known += 1
+            region.looking_dead += health.looks_dead(now)
         self._serving.clear()
-        for region, (total, looking_dead, dead) in counts_by_region.items():
-            if 2 * looking_dead > total:
-                self._doubted.add(region)
-            if dead < total:
-                self._serving.add(region)
+        for region_id, region in list(self._region_by_id.items()):
+            if not region.known:
+                del self._region_by_id[region_id]
+                continue
+            region.doubted = 2 * region.looking_dead > region.known
+            if region.failures < defaults.REGION_DEAD_FAILURES:
+                self._serving.add(region_id)
         self._all_lost = not self._serving
         if self._all_lost:
-            self._serving.update(counts_by_region)
+            self._serving.update(self._region_by_id)
 
     @property
     def serving(self) -> t.AbstractSet[RegionId]:
@@ -212,12 +229,14 @@
         health = self.by_id.get(target_id)
         if health is None:
             return
-        was_suspect = health.suspect
+        region = self._region_by_id[health.target.region]
+        news = health.suspect or region.failures >= defaults.REGION_DEAD_FAILURES
+        region.failures = 0
         health.answered(seconds, now)
         zone = health.target.zone
         mean = self._latency_by_zone.setdefault(zone, seconds)
         self._latency_by_zone[zone] = mean + ZONE_WEIGHT * (seconds - mean)
-        if was_suspect:
+        if news:
             self.refresh(now)
 
     def failed(self, target_id: TargetId, now: float) -> None:
@@ -225,8 +244,10 @@
         health = self.by_id.get(target_id)
         if health is None:
             return
+        region = self._region_by_id[health.target.region]
+        region.failures += 1
         health.failed(now)
-        if health.suspect:
+        if health.suspect or region.failures == defaults.REGION_DEAD_FAILURES:
             self.refresh(now)
 
     def usable(self, target_id: TargetId, now: float) -> bool:
@@ -236,9 +257,10 @@
             return False
         if self._all_lost:
             return True
-        if health.target.region in self._doubted:
-            return not health.dead
-        return not health.looks_dead(now)
+        region = self._region_by_id[health.target.region]
+        if region.failures >= defaults.REGION_DEAD_FAILURES:
+            return False
+        return not health.dead if region.doubted else not health.looks_dead(now)
 
     def probe_due(self, target_id: TargetId, now: float) -> bool:
         """Whether a target that is not usable may get one request to find out."""
--- a/src/coralfall/retry.py
+++ b/src/coralfall/retry.py
@@ -13,6 +13,9 @@
 #: Shortest wait before a hedge, in seconds.
 HEDGE_MIN_DELAY_S = 0.005
 
+#: One token, less what adding up ratios may lose.
+_ONE = 1 - 1e-9
+
 
 class LatencyHistogram(t.Protocol):
     """What :func:`hedge_delay` needs of an ``hdrh.histogram.HdrHistogram``."""
@@ -49,14 +52,14 @@
 
     def take(self) -> bool:
         """Whether one retry may be sent; if so, it is counted."""
-        if self._tokens < 1:
+        if self._tokens < _ONE:
             return False
         self._tokens -= 1
         return True
 
     def take_hedge(self) -> bool:
         """Whether one hedge may be sent; if so, it is counted."""
-        if self._hedge_tokens < 1 or not self.take():
+        if self._hedge_tokens < _ONE or not self.take():
             return False
         self._hedge_tokens -= 1
         return True
