Rank all targets for each choice, and check it against a naive ranking

The router's load of a target stood still between two reckonings, so one target took all it could until the next. A choice now counts at once.

--- a/src/coralfall/routing.py
+++ b/src/coralfall/routing.py
@@ -139,7 +139,7 @@
         :param planned: planned shares now.
         :param prior: share of its own slots of the service that this entry uses.
         """
-        if now - self._refreshed_at < REFRESH_S:
+        if not self.due(now):
             return
         self._refreshed_at = now
         if service is not self._service:
@@ -149,6 +149,15 @@
         self.governor.advance(service, planned, self.health.serving, now)
         self._reckon(prior, now)
 
+    @property
+    def policy_name(self) -> PolicyName:
+        """The policy in force."""
+        return self._service.policy
+
+    def due(self, now: float) -> bool:
+        """Whether :meth:`refresh` would do anything; spares working out what it is given."""
+        return now - self._refreshed_at >= REFRESH_S
+
     def offer(self) -> None:
         """Count one request of a caller, once however often it is tried."""
         self.governor.offer()
@@ -199,6 +208,7 @@
         candidate = self.by_id.get(target_id)
         if candidate is not None and candidate.in_flight > 0:
             candidate.in_flight -= 1
+            candidate.load = max(0.0, candidate.load - 1 / candidate.slots)
 
     def _may_probe(self, candidate: Candidate, now: float) -> bool:
         if not self.health.probe_due(candidate.target_id, now):
@@ -211,6 +221,7 @@
     def _take(self, candidate: Candidate) -> Candidate:
         self.governor.take(candidate.region)
         candidate.in_flight += 1
+        candidate.load += 1 / candidate.slots
         return candidate
 
     def _refused(self, allowed: t.Collection[RegionId]) -> RefusedError:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -3,13 +3,16 @@
 import typing as t
 import unittest
 
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from parameterized import parameterized
 
 from coralfall.bundle import Target
 from coralfall.exceptions import RefusedError
 from coralfall.health import ServiceHealth
-from coralfall.ids import PolicyName, RegionId, ServiceId, TargetId, ZoneId
-from coralfall.routing import Candidate, Router, policy_for
+from coralfall.ids import PolicyName, RegionId, TargetId, ZoneId
+from coralfall.routing import REFRESH_S, Candidate, Router, policy_for
 from coralfall.shift import ShiftGovernor
 
 from .test_shift import CATALOGO, A, B, make_service
@@ -45,17 +48,80 @@
             self.assertEqual(ranked[0].target_id, first)
 
 
+SERVICE_BY_POLICY = {
+    policy: msgspec.structs.replace(make_service({A: 0.5, B: 0.5}), policy=policy)
+    for policy in PolicyName
+}
+
+
+def make_router(policy: PolicyName = PolicyName.LATENCY, count: int = 1) -> Router:
+    service = SERVICE_BY_POLICY[policy]
+    health = ServiceHealth(ramp_s=30.0)
+    governor = ShiftGovernor(CATALOGO, service, service.weights, 0.0)
+    router = Router(CATALOGO, service, governor, health, 0.0)
+    targets = {}
+    for region in (A, B):
+        for number in range(1, count + 1):
+            targets[TargetId(f"{region}{number}")] = make_target(region)
+    router.set_targets(targets, 0.0)
+    return router
+
+
+def naive_choice(
+    router: Router, free_by_id: t.Mapping[TargetId, int], tried: t.Collection[TargetId]
+) -> t.Optional[TargetId]:
+    """The first of all targets ranked in full."""
+    allowed = [region for region in (A, B) if router.governor.allows(region, bool(tried))]
+    policy = policy_for(router.policy_name)
+    for candidate in policy.rank(router.by_id[name] for name in free_by_id):
+        target_id = candidate.target_id
+        if free_by_id[target_id] < 1 or target_id in tried or candidate.suspect:
+            continue
+        if candidate.region in allowed:
+            return target_id
+    return None
+
+
 class RouterTest(unittest.TestCase):
-    def make_router(self) -> Router:
-        service = make_service({A: 0.5, B: 0.5})
-        health = ServiceHealth(ramp_s=30.0)
-        governor = ShiftGovernor(CATALOGO, service, service.weights, 0.0)
-        router = Router(ServiceId("catalogo"), service, governor, health, 0.0)
-        router.set_targets({TargetId("a1"): make_target(A), TargetId("b1"): make_target(B)}, 0.0)
-        return router
+    @parameterized.expand([(policy,) for policy in PolicyName])
+    def test_same_as_a_full_ranking(self, policy: PolicyName) -> None:
+        names = sorted(make_router(policy, 5).by_id)
+        steps = st.tuples(
+            st.lists(st.integers(0, 2), min_size=10, max_size=10),
+            st.sets(st.sampled_from(names), max_size=2),
+            st.sampled_from(names),
+            st.floats(0.001, 0.2),
+            st.booleans(),
+        )
+
+        @settings(max_examples=60, derandomize=True, deadline=None, database=None)
+        @given(st.lists(steps, max_size=40))
+        def check(script: t.Sequence[t.Any]) -> None:
+            router = make_router(policy, 5)
+            now = 0.0
+            for free, tried, target_id, seconds, answered in script:
+                now += REFRESH_S
+                if answered:
+                    router.health.answered(target_id, seconds, now)
+                else:
+                    router.health.failed(target_id, now)
+                service = SERVICE_BY_POLICY[policy]
+                router.refresh(service, service.weights, 0.5, now)
+                free_by_id = dict(zip(names, free, strict=True))
+                if not tried:
+                    router.offer()
+                expected = naive_choice(router, free_by_id, tried)
+                try:
+                    found = router.choose(free_by_id, tried, now, probe=False).target_id
+                except RefusedError as error:
+                    found = None
+                    self.assertGreater(error.retry_after, 0)
+                self.assertEqual(found, expected)
+
+        check()
 
     def test_tried_target_is_not_taken_again(self) -> None:
-        router = self.make_router()
+        router = make_router()
         router.offer()
         free = {TargetId("a1"): 1, TargetId("b1"): 1}
         first = router.choose(free, (), 0.0)
@@ -63,8 +129,59 @@
         self.assertNotEqual(first.target_id, second.target_id)
 
     def test_refused_when_no_slot_is_free(self) -> None:
-        router = self.make_router()
+        router = make_router()
         router.offer()
         with self.assertRaises(RefusedError) as caught:
             router.choose({TargetId("a1"): 0}, (), 0.0)
         self.assertGreater(caught.exception.retry_after, 0)
+
+    def test_lost_region_is_shed_probed_and_found_again(self) -> None:
+        router = make_router(count=3)
+        service = SERVICE_BY_POLICY[PolicyName.LATENCY]
+        free = dict.fromkeys(router.by_id, 6)
+        now = 0.0
+        asked_by_second: t.List[int] = []
+        answered_by_second: t.List[int] = []
+        for number in range(4000):
+            now += 0.01
+            if number % 100 == 0:
+                asked_by_second.append(0)
+                answered_by_second.append(0)
+            router.refresh(service, service.weights, 0.5, now)
+            router.offer()
+            try:
+                candidate = router.choose(free, (), now)
+            except RefusedError:
+                router.refuse()
+                continue
+            router.finished(candidate.target_id)
+            if candidate.region == A and 200 <= number < 1200:
+                asked_by_second[-1] += 1
+                router.health.failed(candidate.target_id, now)
+                continue
+            answered_by_second[-1] += candidate.region == A
+            router.health.answered(candidate.target_id, 0.01, now)
+        self.assertGreater(answered_by_second[1], 40)
+        self.assertLessEqual(max(asked_by_second[4:12]), 3, "a lost region is probed, not used")
+        self.assertGreater(sum(asked_by_second[4:12]), 0)
+        self.assertGreater(answered_by_second[-1], answered_by_second[14], "it comes back")
+
+    @parameterized.expand([("one target", 1, 1), ("many targets", 30, 2)])
+    def test_probes_of_a_lost_region_are_few(self, _: str, count: int, most: int) -> None:
+        router = make_router(count=count)
+        service = SERVICE_BY_POLICY[PolicyName.LATENCY]
+        for number in range(40):
+            router.health.failed(TargetId(f"a{number % count + 1}"), 0.0)
+        now = 0.0
+        while now < 3 * service.shift_window_s:
+            now += REFRESH_S
+            router.refresh(service, service.weights, 0.5, now)
+        regions = []
+        for _ in range(20):
+            router.offer()
+            try:
+                regions.append(router.choose(dict.fromkeys(router.by_id, 6), (), now).region)
+            except RefusedError:
+                router.refuse()
+        self.assertGreater(regions.count(A), 0)
+        self.assertLessEqual(regions.count(A), most)
