Claim idempotency keys in the table before a command is dispatched

A payment or a boiler restart must run at most once whichever entries its caller retries through, and entries keep nothing, so a key is claimed in the platform's table first.

Every write expects the revision its row was last seen with. A lost answer is settled by reading back and comparing claim id and attempt. Reading back alone is not enough: the lost write may still be under way and land after the caller was told 'not run'. So a claim that is given up in doubt is followed by a 'released' row, which makes the late write conflict; and a key claimed again by its own claimant gets a new attempt and thereby a new revision, or a late release of the earlier attempt would undo a claim whose command is running.

Weighed and left out: claims that expire (a paused holder would run the command a second time), binding a key to its command's fingerprint after a release (nothing was run, so nothing needs guarding; whether the row exists would have depended on which answer got lost), and keeping the claims in memory of the entry that owns the target's slot (lost with the VM).

--- /dev/null
+++ b/src/coralfall/claims.py
@@ -0,0 +1,437 @@
+"""Claims on idempotency keys: a command is claimed in the table before it is dispatched.
+
+A key is claimed by one entry at a time and never expires into a second run: whoever dies with
+a claim leaves its row as it is, and requests with the key are told that its outcome is not
+known. Only the claimant itself releases a claim, and only if it surely did not dispatch it.
+"""
+
+import asyncio
+import itertools
+import random
+import typing as t
+
+import msgspec
+
+from . import defaults, log
+from .child import Child
+from .claim_record import ClaimRecord, Verdict
+from .claim_writer import ClaimWriter
+from .clock import PlatformClock
+from .exceptions import (
+    ClaimBusyError,
+    ClaimError,
+    ClaimMismatchError,
+    ClaimUnknownError,
+    CoralfallError,
+    PlatformError,
+    PlatformUnknownError,
+    RefusedError,
+)
+from .rows import ClaimRow, ClaimState, KeptAnswer, claim_key
+from .settings import ClaimSettings
+
+if t.TYPE_CHECKING:
+    from .clock import Clock
+    from .ids import EntryId, IdempotencyKey, Incarnation, PartnerId, ServiceId
+    from .metrics import Metrics
+    from .platform import Table
+
+_SETTINGS = ClaimSettings()
+
+
+class Claim:
+    """Leave to dispatch one command once; its holder owes one settling call.
+
+    :param key: key of the claim's row.
+    """
+
+    def __init__(self, key: str) -> None:
+        self.key = key
+
+
+class ClaimBook(Child):
+    """The claims of one entry.
+
+    Calls that arrive while a transaction is under way go together into the next one. What
+    became of a command is written soon after, along with other claims where there are any,
+    and again until it is durable or the entry ends; until then the key stays claimed.
+
+    :param table: where the rows are.
+    :param entry_id: the entry's name, seen in its rows.
+    :param incarnation: the entry's life.
+    :param clock: the VM's clocks.
+    :param settings: how long things wait.
+    :param rng: makes claim ids unique even if an incarnation should come twice.
+    :param metrics: counts claims, refusals and transactions as ``claims.<name>``.
+    """
+
+    name = "claims"
+
+    def __init__(
+        self,
+        table: "Table",
+        entry_id: "EntryId",
+        incarnation: "Incarnation",
+        clock: "Clock",
+        settings: ClaimSettings = _SETTINGS,
+        rng: t.Optional[random.Random] = None,
+        metrics: "t.Optional[Metrics]" = None,
+    ) -> None:
+        self._platform_clock = PlatformClock(clock)
+        self._writer = ClaimWriter(table, clock, self._platform_clock)
+        self._settings = settings
+        self._metrics = metrics
+        nonce = (rng or random.SystemRandom()).getrandbits(64)
+        self._id_prefix = f"{entry_id}/{incarnation}/{nonce:016x}/"
+        self._numbers = itertools.count(1)
+        self._records_by_key: t.Dict[str, ClaimRecord] = {}
+        #: Records to write, those that someone waits for first; dicts as ordered sets.
+        self._claims: t.Dict[str, ClaimRecord] = {}
+        self._settlements: t.Dict[str, ClaimRecord] = {}
+        self._waiting_bytes = 0
+        self._wake = asyncio.Event()
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._stopping = False
+        self._flushing = False
+        self._flushed_at = float("-inf")
+        self._settle_at = 0.0
+        self._retry_at = float("-inf")
+        self._failures = 0
+        self._doubtful = False
+
+    @property
+    def transactions(self) -> int:
+        """Transactions sent to the table so far."""
+        return self._writer.transactions
+
+    @property
+    def open_keys(self) -> int:
+        """Keys that are claimed, being claimed, or still to be written."""
+        return len(self._records_by_key)
+
+    async def claim(
+        self,
+        partner: "PartnerId",
+        service: "ServiceId",
+        key: "IdempotencyKey",
+        fingerprint: str,
+        time_left_s: float = defaults.CLAIM_WAIT_S,
+    ) -> t.Union[Claim, KeptAnswer]:
+        """Leave to dispatch the command that ``key`` names, or the answer it got earlier.
+
+        If this is cancelled or raises, the command was not dispatched and the key is released
+        in the background, so that a later request with it can run.
+
+        :param fingerprint: digest of method, path and, where it is known, body.
+        :param time_left_s: seconds until the request is over.
+        :raises RefusedError: at once if the table can't be written, else after
+            ``settings.wait_s`` at most; the request was not run.
+        :raises ClaimMismatchError: if the key names another command.
+        :raises ClaimBusyError: if another request with the key is not over, or its entry
+            ended without a word of its outcome.
+        :raises ClaimUnknownError: if another request's outcome is known to stay unknown.
+        """
+        row_key = claim_key(partner, service, key)
+        kept = self._kept(row_key, fingerprint)
+        if kept is not None:
+            return kept
+        self._check_open()
+        record = self._begin(row_key, fingerprint)
+        waiter = asyncio.get_running_loop().create_future()
+        record.waiter = waiter
+        self._enqueue(record)
+        timeout = min(time_left_s, self._settings.wait_s)
+        try:
+            await asyncio.wait({waiter}, timeout=timeout)
+            if not waiter.done():
+                raise self._refusal("the claim on the key took too long")
+            result: t.Union[Claim, KeptAnswer] = waiter.result()
+        except BaseException:
+            self._abandon(record, waiter)
+            raise
+        return result
+
+    async def finish(self, claim: Claim, answer: KeptAnswer) -> None:
+        """Keep the answer for those who ask again.
+
+        Returns at once. Of an answer longer than ``defaults.MAX_KEPT_ANSWER_BYTES`` only the
+        status is kept.
+        """
+        size = _answer_bytes(answer)
+        fits = self._waiting_bytes + size <= defaults.MAX_WAITING_ANSWER_BYTES
+        if size > defaults.MAX_KEPT_ANSWER_BYTES or not fits:
+            answer = KeptAnswer(answer.status)
+        self._settle(claim, ClaimState.DONE, answer)
+        self._waiting_bytes += _answer_bytes(answer)
+
+    async def release(self, claim: Claim) -> None:
+        """Give the key back, on evidence that the command was not run; returns at once."""
+        self._settle(claim, ClaimState.RELEASED, None)
+
+    async def leave_unknown(self, claim: Claim) -> None:
+        """Say that the command may have run and nobody will know; returns at once."""
+        self._settle(claim, ClaimState.UNKNOWN, None)
+
+    async def run(self) -> None:
+        """Write what is to be written, until cancelled."""
+        while True:
+            await self._wait_until_due()
+            await self._flush(self._take())
+
+    async def stop(self) -> None:
+        """Refuse new claims, and return when what became of the others is written.
+
+        Gives up after ``defaults.CLAIM_STOP_S``: a key that is not settled stays claimed.
+        """
+        self._stopping = True
+        self._wake.set()
+        try:
+            async with asyncio.timeout(defaults.CLAIM_STOP_S):
+                await self._idle.wait()
+        except asyncio.TimeoutError:
+            log.warning("claims.unsettled", count=len(self._records_by_key))
+
+    def _check_open(self) -> None:
+        if self._stopping:
+            raise self._refusal("the entry is leaving")
+        if len(self._records_by_key) >= defaults.MAX_OPEN_CLAIMS:
+            raise self._refusal("the entry has too many commands open")
+        if self._failures and (self._flushing or _now() < self._retry_at):
+            raise self._refusal("the table of idempotency keys is not available")
+
+    def _refusal(self, message: str) -> RefusedError:
+        self._count("refused")
+        return RefusedError(message, defaults.RETRY_AFTER_S)
+
+    def _kept(self, key: str, fingerprint: str) -> t.Optional[KeptAnswer]:
+        """What this entry knows of the key; ``None`` if the key can be claimed."""
+        record = self._records_by_key.get(key)
+        if record is None or record.wanted.state is ClaimState.RELEASED:
+            return None
+        if record.wanted.fingerprint != fingerprint:
+            raise _mismatch()
+        if record.wanted.state is ClaimState.CLAIMED:
+            raise _busy()
+        if record.wanted.state is ClaimState.UNKNOWN:
+            raise _unknown()
+        return record.wanted.answer
+
+    def _begin(self, key: str, fingerprint: str) -> ClaimRecord:
+        record = self._records_by_key.get(key)
+        if record is None:
+            claim_id = self._id_prefix + str(next(self._numbers))
+            record = ClaimRecord(key, self._row(claim_id, 1, fingerprint))
+            self._records_by_key[key] = record
+            self._idle.clear()
+            return record
+        # Released, and not known to the table yet; earlier attempts were surely not dispatched.
+        self._settlements.pop(key, None)
+        record.wanted = self._row(record.wanted.claim_id, record.wanted.attempt + 1, fingerprint)
+        return record
+
+    def _row(self, claim_id: str, attempt: int, fingerprint: str) -> ClaimRow:
+        return ClaimRow(
+            state=ClaimState.CLAIMED,
+            claim_id=claim_id,
+            attempt=attempt,
+            fingerprint=fingerprint,
+            at=self._platform_clock.now(),
+        )
+
+    def _settle(self, claim: Claim, state: ClaimState, answer: t.Optional[KeptAnswer]) -> None:
+        record = self._records_by_key.get(claim.key)
+        if record is None or record.held is not claim:
+            raise ClaimError("the claim was settled already", key=claim.key)
+        record.held = None
+        self._want(record, state, answer)
+        self._enqueue(record)
+
+    def _want(
+        self, record: ClaimRecord, state: ClaimState, answer: t.Optional[KeptAnswer] = None
+    ) -> None:
+        now = self._platform_clock.now()
+        record.wanted = msgspec.structs.replace(record.wanted, state=state, answer=answer, at=now)
+
+    def _abandon(self, record: ClaimRecord, waiter: "asyncio.Future[t.Any]") -> None:
+        """Nobody waits for the claim any more, and nobody dispatched under it."""
+        if waiter.done():
+            # An error that came too late is not news to anyone.
+            waiter.exception()
+        if self._records_by_key.get(record.key) is not record:
+            return
+        if waiter.done() and record.held is not None and waiter.result() is record.held:
+            record.held = None
+        elif record.waiter is waiter:
+            record.waiter = None
+        else:
+            return
+        self._want(record, ClaimState.RELEASED)
+        self._claims.pop(record.key, None)
+        if not record.in_flight:
+            self._place(record)
+
+    def _enqueue(self, record: ClaimRecord) -> None:
+        if record.in_flight:
+            return
+        if record.waiter is not None:
+            self._claims[record.key] = record
+        else:
+            if not self._settlements:
+                self._settle_at = _now() + self._settings.settle_s
+            self._settlements[record.key] = record
+        self._wake.set()
+
+    def _due_at(self) -> t.Optional[float]:
+        """When to write next; ``None`` if there is nothing to write."""
+        if not self._claims and not self._settlements:
+            return None
+        due = max(self._flushed_at + self._settings.interval_s, self._retry_at)
+        full = len(self._settlements) >= defaults.CLAIM_BATCH_ROWS
+        if self._claims or full or self._stopping:
+            return due
+        return max(due, self._settle_at)
+
+    async def _wait_until_due(self) -> None:
+        while True:
+            self._wake.clear()
+            due = self._due_at()
+            if due is not None and due <= _now():
+                return
+            timeout = None if due is None else due - _now()
+            try:
+                await asyncio.wait_for(self._wake.wait(), timeout)
+            except asyncio.TimeoutError:
+                continue
+
+    def _take(self) -> t.List[ClaimRecord]:
+        batch: t.List[ClaimRecord] = []
+        size = 0
+        for record in [*self._claims.values(), *self._settlements.values()]:
+            size += _answer_bytes(record.wanted.answer)
+            full = len(batch) >= defaults.CLAIM_BATCH_ROWS
+            if batch and (full or size > defaults.CLAIM_BATCH_BYTES):
+                break
+            batch.append(record)
+        for record in batch:
+            record.in_flight = True
+            self._claims.pop(record.key, None)
+            self._settlements.pop(record.key, None)
+        return batch
+
+    async def _flush(self, batch: t.List[ClaimRecord]) -> None:
+        self._flushing = True
+        self._flushed_at = _now()
+        try:
+            await self._writer.write(batch)
+        except PlatformError as error:
+            self._on_failure(batch, error)
+        else:
+            self._on_success()
+        finally:
+            self._flushing = False
+            for record in batch:
+                record.in_flight = False
+                self._place(record)
+
+    def _on_success(self) -> None:
+        if self._failures:
+            log.info("claims.recovered", failures=self._failures)
+        self._failures = 0
+        self._doubtful = False
+
+    def _on_failure(self, batch: t.List[ClaimRecord], error: PlatformError) -> None:
+        if isinstance(error, PlatformUnknownError) and not self._doubtful:
+            # One lost answer is settled by reading back at once.
+            self._doubtful = True
+            return
+        pause = defaults.CLAIM_RETRY_MIN_S * 2 ** min(self._failures, 10)
+        self._retry_at = _now() + min(pause, defaults.CLAIM_RETRY_MAX_S)
+        self._failures += 1
+        log.warning("claims.failed", error=error, in_row=self._failures)
+        for record in [*batch, *self._claims.values()]:
+            if record.waiter is not None and not record.waiter.done():
+                message = "the table of idempotency keys is not available"
+                record.waiter.set_exception(self._refusal(message))
+
+    def _place(self, record: ClaimRecord) -> None:
+        """Put a record where it belongs after something became known of it."""
+        if record.waiter is not None and record.waiter.done():
+            # Refused; whoever waits has not seen it yet.
+            return
+        if record.wanted.state is ClaimState.RELEASED and not record.touched:
+            self._drop(record)
+            return
+        verdict = None if record.revision is None else record.verdict()
+        if verdict is None or verdict is Verdict.WRITE:
+            self._enqueue(record)
+            return
+        if record.waiter is not None:
+            self._answer(record, record.waiter, verdict)
+            return
+        if record.held is not None:
+            return
+        if verdict is Verdict.MOOT and record.wanted.state is not ClaimState.RELEASED:
+            log.warning("claims.moot", key=record.key, state=record.wanted.state.value)
+        self._drop(record)
+
+    def _answer(
+        self, record: ClaimRecord, waiter: "asyncio.Future[t.Any]", verdict: Verdict
+    ) -> None:
+        record.waiter = None
+        if verdict is Verdict.WRITTEN:
+            record.held = Claim(record.key)
+            self._count("claimed")
+            waiter.set_result(record.held)
+            return
+        self._drop(record)
+        if verdict is Verdict.DONE and record.row is not None and record.row.answer is not None:
+            waiter.set_result(record.row.answer)
+            return
+        waiter.set_exception(_error_of(verdict))
+
+    def _drop(self, record: ClaimRecord) -> None:
+        self._waiting_bytes -= _answer_bytes(record.wanted.answer)
+        del self._records_by_key[record.key]
+        if not self._records_by_key:
+            self._idle.set()
+
+    def _count(self, name: str) -> None:
+        if self._metrics is not None:
+            self._metrics.count(f"claims.{name}")
+
+
+def _now() -> float:
+    """Loop's time: pauses need no clock that goes on while the VM is suspended."""
+    return asyncio.get_running_loop().time()
+
+
+def _answer_bytes(answer: t.Optional[KeptAnswer]) -> int:
+    if answer is None:
+        return 0
+    size = len(answer.body or b"")
+    for name, value in answer.headers:
+        size += len(name) + len(value)
+    return size
+
+
+def _mismatch() -> ClaimError:
+    return ClaimMismatchError("the idempotency key names another command; use a new key")
+
+
+def _busy() -> ClaimError:
+    message = "a request with this idempotency key is in progress, or its outcome is not known"
+    return ClaimBusyError(message, defaults.RETRY_AFTER_S)
+
+
+def _unknown() -> ClaimError:
+    message = "a request with this idempotency key was dispatched; its outcome stays unknown"
+    return ClaimUnknownError(message)
+
+
+def _error_of(verdict: Verdict) -> CoralfallError:
+    if verdict is Verdict.MISMATCH:
+        return _mismatch()
+    if verdict is Verdict.UNKNOWN:
+        return _unknown()
+    return _busy()
--- a/src/coralfall/rows.py
+++ b/src/coralfall/rows.py
@@ -96,7 +96,7 @@
 
     #: One entry may dispatch it, or did; nobody else may.
     CLAIMED = "claimed"
-    #: It surely was not run; the next attempt may claim it anew.
+    #: It surely was not run; the key is as good as new.
     RELEASED = "released"
     #: It was run and answered.
     DONE = "done"
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,527 @@
+"""Claims: who may dispatch, under each fault of the table, and how few writes it takes."""
+
+import asyncio
+import contextlib
+import typing as t
+import unittest
+import unittest.mock
+
+import msgspec
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+from parameterized import parameterized
+
+from coralfall import defaults
+from coralfall.claims import Claim, ClaimBook
+from coralfall.exceptions import (
+    ClaimBusyError,
+    ClaimError,
+    ClaimMismatchError,
+    ClaimUnknownError,
+    CoralfallError,
+    RefusedError,
+)
+from coralfall.ids import EntryId, IdempotencyKey, Incarnation, PartnerId, ServiceId
+from coralfall.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
+from coralfall.platform import Write
+from coralfall.rows import ClaimRow, ClaimState, KeptAnswer, claim_key
+
+from .flaky_table import Fate, FlakyTable
+from .virtual_loop import LoopClock, VirtualLoop, run_virtual
+
+PARTNER, SERVICE = PartnerId("cosecha"), ServiceId("pedidos")
+KEY = IdempotencyKey("order-1")
+ROW = claim_key(PARTNER, SERVICE, KEY)
+ANSWER = KeptAnswer(201, ((b"content-type", b"text/plain"),), b"order 17")
+#: Long enough for every retry and late write of a test to be over.
+LONG_S = 60.0
+
+
+class Fleet:
+    """Two entries' books over one table; ``fates`` are those of the first one's next calls."""
+
+    def __init__(self, clock: LoopClock) -> None:
+        self.memory = MemoryPlatform(clock)
+        self.fates: t.List[Fate] = []
+        flaky = FlakyTable(self.memory.platform.table, self._next_fate)
+        self.a = ClaimBook(flaky, EntryId("a"), Incarnation(1), clock)
+        self.b = self.book("b")
+
+    def book(self, name: str, metrics: t.Any = None) -> ClaimBook:
+        table = self.memory.platform.table
+        clock = LoopClock(asyncio.get_running_loop())
+        return ClaimBook(table, EntryId(name), Incarnation(1), clock, metrics=metrics)
+
+    def _next_fate(self) -> Fate:
+        return self.fates.pop(0) if self.fates else Fate.OK
+
+    def down(self) -> None:
+        self.fates = [Fate.DOWN] * 1000
+
+    async def row(self) -> t.Optional[ClaimRow]:
+        rows = await self.memory.platform.table.read([ROW])
+        if ROW not in rows:
+            return None
+        return msgspec.msgpack.decode(rows[ROW].value or b"", type=ClaimRow)
+
+    async def state(self) -> t.Optional[ClaimState]:
+        row = await self.row()
+        return None if row is None else row.state
+
+
+@contextlib.asynccontextmanager
+async def running(*books: ClaimBook) -> t.AsyncIterator[None]:
+    tasks = [asyncio.ensure_future(book.run()) for book in books]
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def with_fleet(test: t.Callable[..., t.Awaitable[None]]) -> t.Callable[..., None]:
+    """Run a test on virtual time with a running fleet as its first argument."""
+
+    def run(self: unittest.TestCase, *args: t.Any) -> None:
+        async def main(clock: LoopClock) -> None:
+            fleet = Fleet(clock)
+            async with running(fleet.a, fleet.b):
+                await test(self, fleet, *args)
+
+        run_virtual(main)
+
+    run.__name__ = test.__name__
+    return run
+
+
+async def claim(book: ClaimBook, fingerprint: str = "f", key: str = KEY) -> t.Any:
+    return await book.claim(PARTNER, SERVICE, IdempotencyKey(key), fingerprint)
+
+
+async def outcome(book: ClaimBook, fingerprint: str = "f", key: str = KEY) -> t.Any:
+    """The claim's class, the kept answer, or the error's class."""
+    try:
+        result = await claim(book, fingerprint, key)
+    except CoralfallError as error:
+        return type(error)
+    return Claim if isinstance(result, Claim) else result
+
+
+async def settle(book: ClaimBook, held: Claim, state: ClaimState) -> None:
+    if state is ClaimState.DONE:
+        await book.finish(held, ANSWER)
+    if state is ClaimState.RELEASED:
+        await book.release(held)
+    if state is ClaimState.UNKNOWN:
+        await book.leave_unknown(held)
+
+
+SECOND_CLAIMS = [
+    (ClaimState.CLAIMED, "f", ClaimBusyError),
+    (ClaimState.RELEASED, "f", Claim),
+    (ClaimState.DONE, "f", ANSWER),
+    (ClaimState.UNKNOWN, "f", ClaimUnknownError),
+    (ClaimState.CLAIMED, "g", ClaimMismatchError),
+    (ClaimState.RELEASED, "g", Claim),
+    (ClaimState.DONE, "g", ClaimMismatchError),
+    (ClaimState.UNKNOWN, "g", ClaimMismatchError),
+]
+
+
+class TestSecondClaim(unittest.TestCase):
+    @parameterized.expand(SECOND_CLAIMS)
+    @with_fleet
+    async def test_elsewhere(
+        self, fleet: Fleet, state: ClaimState, fingerprint: str, expected: t.Any
+    ) -> None:
+        await settle(fleet.a, await claim(fleet.a), state)
+        await asyncio.sleep(LONG_S)
+        self.assertEqual(await fleet.state(), state)
+        self.assertEqual(await outcome(fleet.b, fingerprint), expected)
+
+    @parameterized.expand(SECOND_CLAIMS)
+    @with_fleet
+    async def test_here_before_the_table_knows(
+        self, fleet: Fleet, state: ClaimState, fingerprint: str, expected: t.Any
+    ) -> None:
+        await settle(fleet.a, await claim(fleet.a), state)
+        if state is not ClaimState.RELEASED:
+            fleet.down()
+        self.assertEqual(await outcome(fleet.a, fingerprint), expected)
+
+    @parameterized.expand([(state,) for state in ClaimState if state is not ClaimState.CLAIMED])
+    @with_fleet
+    async def test_a_claim_is_settled_once(self, fleet: Fleet, state: ClaimState) -> None:
+        held = await claim(fleet.a)
+        await settle(fleet.a, held, state)
+        with self.assertRaises(ClaimError):
+            await fleet.a.finish(held, ANSWER)
+
+    @with_fleet
+    async def test_a_row_that_cant_be_read_stays(self, fleet: Fleet) -> None:
+        await fleet.memory.platform.table.transact([Write(ROW, b"\xc1")])
+        self.assertEqual(await outcome(fleet.a), ClaimUnknownError)
+        rows = await fleet.memory.platform.table.read([ROW])
+        self.assertEqual(rows[ROW].value, b"\xc1")
+
+
+class TestFaults(unittest.TestCase):
+    """Each case: fates of calls to the table, the claim's outcome, its row once all is quiet."""
+
+    @parameterized.expand(
+        [
+            ([Fate.DOWN], RefusedError, None),
+            ([Fate.ANSWER_LOST], Claim, ClaimState.CLAIMED),
+            ([Fate.CALL_LOST], Claim, ClaimState.CLAIMED),
+            ([Fate.LATE], Claim, ClaimState.CLAIMED),
+            ([Fate.CALL_LOST, Fate.OK, Fate.ANSWER_LOST], RefusedError, ClaimState.RELEASED),
+            ([Fate.ANSWER_LOST, Fate.DOWN], RefusedError, ClaimState.RELEASED),
+            ([Fate.LATE, Fate.DOWN], RefusedError, ClaimState.RELEASED),
+            ([Fate.LATE, Fate.OK, Fate.LATE, Fate.DOWN], RefusedError, ClaimState.RELEASED),
+            ([Fate.CALL_LOST, Fate.DOWN], RefusedError, ClaimState.RELEASED),
+        ]
+    )
+    @with_fleet
+    async def test_claim(
+        self, fleet: Fleet, fates: t.List[Fate], expected: t.Any, state: t.Any
+    ) -> None:
+        fleet.fates = list(fates)
+        self.assertEqual(await outcome(fleet.a), expected)
+        await asyncio.sleep(LONG_S)
+        self.assertEqual(await fleet.state(), state)
+        again = ClaimBusyError if expected is Claim else Claim
+        self.assertEqual(await outcome(fleet.b), again)
+
+    @parameterized.expand(
+        [
+            (state, fates)
+            for state in (ClaimState.DONE, ClaimState.RELEASED, ClaimState.UNKNOWN)
+            for fates in (
+                [Fate.DOWN] * 5,
+                [Fate.ANSWER_LOST] * 3,
+                [Fate.CALL_LOST, Fate.DOWN],
+                [Fate.LATE, Fate.OK, Fate.LATE],
+            )
+        ]
+    )
+    @with_fleet
+    async def test_settling(self, fleet: Fleet, state: ClaimState, fates: t.List[Fate]) -> None:
+        held = await claim(fleet.a)
+        fleet.fates = list(fates)
+        await settle(fleet.a, held, state)
+        await asyncio.sleep(LONG_S)
+        self.assertEqual(await fleet.state(), state)
+        self.assertEqual(fleet.a.open_keys, 0)
+
+    @with_fleet
+    async def test_a_late_release_does_not_undo_the_next_claim(self, fleet: Fleet) -> None:
+        held = await claim(fleet.a)
+        fleet.fates = [Fate.LATE]
+        await fleet.a.release(held)
+        await asyncio.sleep(defaults.CLAIM_SETTLE_S + 0.01)
+        self.assertEqual(fleet.fates, [])
+        self.assertEqual(await outcome(fleet.a), Claim)
+        await asyncio.sleep(LONG_S)
+        self.assertEqual(await fleet.state(), ClaimState.CLAIMED)
+        self.assertEqual(await outcome(fleet.b), ClaimBusyError)
+
+    @with_fleet
+    async def test_lost_answer_is_read_back_not_written_again(self, fleet: Fleet) -> None:
+        fleet.fates = [Fate.ANSWER_LOST]
+        await claim(fleet.a)
+        self.assertEqual(fleet.memory.counters.table_writes, 1)
+        self.assertEqual(fleet.memory.counters.table_reads, 1)
+
+    @with_fleet
+    async def test_refused_at_once_while_down(self, fleet: Fleet) -> None:
+        fleet.down()
+        await outcome(fleet.a)
+        asked = fleet.memory.counters.table_writes
+        before = asyncio.get_running_loop().time()
+        with self.assertRaises(RefusedError) as caught:
+            await claim(fleet.a, key="other")
+        self.assertEqual(asyncio.get_running_loop().time(), before)
+        self.assertGreater(caught.exception.retry_after, 0)
+        self.assertEqual(fleet.memory.counters.table_writes, asked)
+        fleet.fates = []
+        await asyncio.sleep(LONG_S)
+        self.assertEqual(await outcome(fleet.a), Claim)
+
+    @with_fleet
+    async def test_kept_answers_are_given_while_down(self, fleet: Fleet) -> None:
+        held = await claim(fleet.a)
+        fleet.down()
+        await outcome(fleet.a, key="other")
+        await fleet.a.finish(held, ANSWER)
+        self.assertEqual(await outcome(fleet.a), ANSWER)
+
+    @with_fleet
+    async def test_a_slow_table_does_not_hold_a_command(self, fleet: Fleet) -> None:
+        slow = ServiceFault(mode=FaultMode.SLOW, delay_s=30)
+        fleet.memory.set_faults(Faults(table=slow))
+        self.assertEqual(await outcome(fleet.a), RefusedError)
+        self.assertLess(asyncio.get_running_loop().time(), 2 * defaults.CLAIM_WAIT_S)
+        fleet.memory.set_faults(Faults())
+        await asyncio.sleep(LONG_S)
+        self.assertEqual(await fleet.state(), ClaimState.RELEASED)
+
+    @parameterized.expand([(steps,) for steps in range(8)])
+    @with_fleet
+    async def test_cancelled_at_each_step(self, fleet: Fleet, steps: int) -> None:
+        task = asyncio.ensure_future(claim(fleet.a))
+        for _ in range(steps):
+            await asyncio.sleep(0.0004)
+        if task.done():
+            self.assertIsInstance(task.result(), Claim)
+            return
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+        await asyncio.sleep(LONG_S)
+        self.assertEqual(await outcome(fleet.b), Claim)
+
+    @with_fleet
+    async def test_cancelled_as_the_claim_arrives(self, fleet: Fleet) -> None:
+        metrics = unittest.mock.Mock()
+        book = fleet.book("c", metrics)
+        async with running(book):
+            task = asyncio.ensure_future(claim(book))
+            metrics.count.side_effect = lambda name: task.cancel()
+            with self.assertRaises(asyncio.CancelledError):
+                await task
+            metrics.count.assert_called_once_with("claims.claimed")
+            await asyncio.sleep(LONG_S)
+        self.assertEqual(await outcome(fleet.b), Claim)
+
+    @with_fleet
+    async def test_writer_restarted_in_the_middle(self, fleet: Fleet) -> None:
+        book = fleet.book("c")
+        slow = ServiceFault(mode=FaultMode.SLOW, delay_s=0.2)
+        fleet.memory.set_faults(Faults(table=slow))
+        waiting = asyncio.ensure_future(outcome(book))
+        async with running(book):
+            await asyncio.sleep(0.1)
+        fleet.memory.set_faults(Faults())
+        async with running(book):
+            self.assertEqual(await waiting, Claim)
+
+
+class TestGroupCommit(unittest.TestCase):
+    @with_fleet
+    async def test_calls_share_transactions(self, fleet: Fleet) -> None:
+        first = asyncio.ensure_future(claim(fleet.a, key="first"))
+        await asyncio.sleep(0.0005)
+        names = [f"key-{number}" for number in range(200)]
+        results = await asyncio.gather(*[claim(fleet.a, key=name) for name in names])
+        await first
+        self.assertEqual({type(result) for result in results}, {Claim})
+        self.assertEqual(fleet.memory.counters.table_writes, 2)
+
+    @with_fleet
+    async def test_a_conflict_costs_the_others_nothing(self, fleet: Fleet) -> None:
+        await claim(fleet.b, key="key-3")
+        names = [f"key-{number}" for number in range(10)]
+        results = await asyncio.gather(*[outcome(fleet.a, key=name) for name in names])
+        self.assertEqual(results[3], ClaimBusyError)
+        self.assertEqual(results.count(Claim), 9)
+
+    @with_fleet
+    async def test_a_batch_is_bounded(self, fleet: Fleet) -> None:
+        count = defaults.CLAIM_BATCH_ROWS + 1
+        names = [f"key-{number}" for number in range(count)]
+        await asyncio.gather(*[claim(fleet.a, key=name) for name in names])
+        self.assertEqual(fleet.memory.counters.table_writes, 2)
+        self.assertEqual(fleet.memory.counters.table_rows_written, count)
+
+    @with_fleet
+    async def test_open_keys_are_bounded(self, fleet: Fleet) -> None:
+        names = [f"key-{number}" for number in range(defaults.MAX_OPEN_CLAIMS)]
+        await asyncio.gather(*[claim(fleet.a, key=name) for name in names])
+        self.assertEqual(await outcome(fleet.a), RefusedError)
+
+    @with_fleet
+    async def test_transactions_keep_their_distance(self, fleet: Fleet) -> None:
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        for number in range(100):
+            await claim(fleet.a, key=f"key-{number}")
+        self.assertGreaterEqual(loop.time() - start, 99 * defaults.CLAIM_INTERVAL_S)
+
+
+class TestKeptAnswers(unittest.TestCase):
+    @parameterized.expand(
+        [
+            (defaults.MAX_KEPT_ANSWER_BYTES, True),
+            (defaults.MAX_KEPT_ANSWER_BYTES + 1, False),
+        ]
+    )
+    @with_fleet
+    async def test_long_answers_are_kept_without_body(
+        self, fleet: Fleet, length: int, kept: bool
+    ) -> None:
+        body = b"x" * length
+        await fleet.a.finish(await claim(fleet.a), KeptAnswer(200, (), body))
+        await asyncio.sleep(LONG_S)
+        self.assertEqual(await outcome(fleet.b), KeptAnswer(200, (), body if kept else None))
+
+    @with_fleet
+    async def test_waiting_bodies_are_bounded(self, fleet: Fleet) -> None:
+        body = b"x" * defaults.MAX_KEPT_ANSWER_BYTES
+        most = defaults.MAX_WAITING_ANSWER_BYTES // len(body)
+        names = [f"key-{number}" for number in range(most + 10)]
+        claims = await asyncio.gather(*[claim(fleet.a, key=name) for name in names])
+        fleet.down()
+        for held in claims:
+            await fleet.a.finish(held, KeptAnswer(200, (), body))
+        kept = [await outcome(fleet.a, key=name) for name in names]
+        self.assertEqual(sum(answer.body is not None for answer in kept), most)
+        fleet.fates = []
+        await asyncio.sleep(LONG_S)
+        self.assertEqual(fleet.a.open_keys, 0)
+        await fleet.a.finish(await claim(fleet.a), KeptAnswer(200, (), body))
+        self.assertEqual(await outcome(fleet.a), KeptAnswer(200, (), body))
+
+
+class TestStop(unittest.TestCase):
+    @with_fleet
+    async def test_settles_first(self, fleet: Fleet) -> None:
+        await fleet.a.finish(await claim(fleet.a), ANSWER)
+        await fleet.a.stop()
+        self.assertEqual(await fleet.state(), ClaimState.DONE)
+        self.assertEqual(await outcome(fleet.a, key="other"), RefusedError)
+
+    @with_fleet
+    async def test_gives_up_while_down(self, fleet: Fleet) -> None:
+        held = await claim(fleet.a)
+        fleet.down()
+        await fleet.a.finish(held, ANSWER)
+        await fleet.a.stop()
+        self.assertEqual(await fleet.state(), ClaimState.CLAIMED)
+
+
+NAMES = ("k1", "k2", "k3")
+FINGERPRINTS = ("f", "g")
+BOOKS = ("a", "b")
+NAME = st.sampled_from(NAMES)
+BOOK = st.sampled_from(BOOKS)
+
+
+class NaiveClaims:
+    """What the claims would be in one dict that never fails."""
+
+    def __init__(self) -> None:
+        self.rows_by_name: t.Dict[str, t.Tuple[str, t.Any]] = {}
+
+    def claim(self, name: str, fingerprint: str) -> t.Any:
+        known, state = self.rows_by_name.get(name, (fingerprint, ClaimState.RELEASED))
+        if state is not ClaimState.RELEASED and known != fingerprint:
+            return ClaimMismatchError
+        if state is ClaimState.CLAIMED:
+            return ClaimBusyError
+        if state is ClaimState.UNKNOWN:
+            return ClaimUnknownError
+        if state is ClaimState.DONE:
+            return ANSWER
+        self.rows_by_name[name] = (fingerprint, ClaimState.CLAIMED)
+        return Claim
+
+    def settle(self, name: str, state: ClaimState) -> None:
+        self.rows_by_name[name] = (self.rows_by_name[name][0], state)
+
+
+class ClaimsMachine(RuleBasedStateMachine):
+    """Two books under faults do as the naive version, or refuse."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = VirtualLoop()
+        self.clock = LoopClock(self.loop)
+        self.memory = MemoryPlatform(self.clock)
+        self.fates: t.List[Fate] = []
+        self.naive = NaiveClaims()
+        self.held: t.Dict[str, t.Tuple[str, Claim]] = {}
+        self.tasks_by_name: t.Dict[str, t.Any] = {}
+        self.books_by_name: t.Dict[str, ClaimBook] = {}
+        for name in BOOKS:
+            self._start(name)
+
+    def teardown(self) -> None:
+        tasks = asyncio.all_tasks(self.loop)
+        for task in tasks:
+            task.cancel()
+        self._run(asyncio.wait(tasks))
+        self.loop.close()
+
+    @rule(
+        book=st.sampled_from(BOOKS), name=st.sampled_from(NAMES), fingerprint=st.sampled_from("ffg")
+    )
+    def claim(self, book: str, name: str, fingerprint: str) -> None:
+        before = dict(self.naive.rows_by_name)
+        expected = self.naive.claim(name, fingerprint)
+        result = self._run(self._claim(book, name, fingerprint))
+        if result is RefusedError:
+            self.naive.rows_by_name = before
+            self._quiet()
+            return
+        assert result == expected, (result, expected)
+
+    @rule(name=st.sampled_from(NAMES), state=st.sampled_from(ClaimState))
+    def settle(self, name: str, state: ClaimState) -> None:
+        if name not in self.held or state is ClaimState.CLAIMED:
+            return
+        book, held = self.held.pop(name)
+        self.naive.settle(name, state)
+        self._run(settle(self.books_by_name[book], held, state))
+        if state is not ClaimState.CLAIMED:
+            self._quiet()
+
+    @rule(fates=st.lists(st.sampled_from(Fate), max_size=6))
+    def faults(self, fates: t.List[Fate]) -> None:
+        self.fates = fates
+
+    @rule(seconds=st.sampled_from((0.01, 0.2, 7.0)))
+    def wait(self, seconds: float) -> None:
+        self._run(asyncio.sleep(seconds))
+
+    @rule(book=st.sampled_from(BOOKS))
+    def kill(self, book: str) -> None:
+        self.tasks_by_name[book].cancel()
+        for name, (holder, _) in list(self.held.items()):
+            if holder == book:
+                del self.held[name]
+        self._start(book)
+
+    async def _claim(self, book: str, name: str, fingerprint: str) -> t.Any:
+        try:
+            result = await claim(self.books_by_name[book], fingerprint, name)
+        except CoralfallError as error:
+            return type(error)
+        if not isinstance(result, Claim):
+            return result
+        self.held[name] = (book, result)
+        return Claim
+
+    def _start(self, name: str) -> None:
+        table = FlakyTable(self.memory.platform.table, self._next_fate)
+        book = ClaimBook(table, EntryId(name), Incarnation(1), self.clock)
+        self.books_by_name[name] = book
+        self.tasks_by_name[name] = self.loop.create_task(book.run())
+
+    def _next_fate(self) -> Fate:
+        return self.fates.pop(0) if self.fates else Fate.OK
+
+    def _quiet(self) -> None:
+        """Let the table work until all that is under way is over."""
+        self.fates = []
+        self._run(asyncio.sleep(LONG_S))
+
+    def _run(self, work: t.Coroutine[t.Any, t.Any, t.Any]) -> t.Any:
+        return self.loop.run_until_complete(work)
+
+
+ClaimsMachine.TestCase.settings = settings(
+    derandomize=True, deadline=None, max_examples=150, stateful_step_count=30
+)
+TestClaimsMachine = ClaimsMachine.TestCase
--- /dev/null
+++ b/tests/virtual_loop.py
@@ -0,0 +1,59 @@
+"""An event loop on virtual time: it never waits, and jumps to the next timer instead."""
+
+import asyncio
+import selectors
+import typing as t
+
+from coralfall.clock import Clock
+
+ResultT = t.TypeVar("ResultT")
+
+#: Seconds that one pass of the loop takes.
+_PASS_S = 1e-9
+
+
+class _Selector(selectors.SelectSelector):
+    """Passes virtual time where a selector would wait."""
+
+    now = 0.0
+
+    def select(self, timeout: t.Optional[float] = None) -> t.List[t.Any]:
+        # As on a real clock, time never stands still: who asks for a moment gets it.
+        self.now += _PASS_S
+        ready = super().select(0)
+        if ready or not timeout:
+            if timeout is None and not ready:
+                raise RuntimeError("deadlock: nothing is ready and no timer is set")
+            return ready
+        self.now += timeout
+        return []
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """A loop whose time starts at 0 and moves only when all tasks wait."""
+
+    def __init__(self) -> None:
+        self._virtual = _Selector()
+        super().__init__(self._virtual)
+
+    def time(self) -> float:
+        return self._virtual.now
+
+
+class LoopClock(Clock):
+    """The virtual time of a loop as a clock."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+
+    def monotonic(self) -> float:
+        return self._loop.time()
+
+    def wall(self) -> float:
+        return self._loop.time()
+
+
+def run_virtual(main: t.Callable[[LoopClock], t.Coroutine[t.Any, t.Any, ResultT]]) -> ResultT:
+    """Run ``main`` on a fresh virtual loop; it is given the loop's clock."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(main(LoopClock(runner.get_loop())))
