--- a/src/coralfall/answer.py
+++ b/src/coralfall/answer.py
@@ -7,12 +7,13 @@
 
 from . import defaults
 from .exceptions import (
+    ClaimBusyError,
+    ClaimMismatchError,
+    ClaimUnknownError,
     CoralfallError,
-    RefusedError,
     RequestError,
-    TargetError,
-    TargetNotRunError,
     TargetTimeoutError,
+    TargetUnknownError,
 )
 from .ids import BundleVersion, Outcome
 
@@ -22,8 +23,8 @@
 class BodyStream(t.Protocol):
     """The rest of a long body; the one who has it calls :meth:`abort` if it does not end."""
 
-    def pieces(self) -> t.AsyncIterator[bytes]:
-        """The body's pieces.
+    async def piece(self) -> bytes:
+        """The next part of the body, empty at its end.
 
         :raises TargetError: if the body breaks off.
         """
@@ -62,7 +63,7 @@
         (b"content-length", str(len(body)).encode()),
     ]
     status = _status_of(error)
-    if status == 503:
+    if status == 503 or isinstance(error, ClaimBusyError):
         headers += _retry_after(getattr(error, "retry_after", defaults.RETRY_AFTER_S))
     return Answer(status, headers, body, outcome)
 
@@ -70,11 +71,13 @@
 def _status_of(error: CoralfallError) -> int:
     if isinstance(error, RequestError):
         return error.status
-    if isinstance(error, (RefusedError, TargetNotRunError)):
-        return 503
+    if isinstance(error, ClaimMismatchError):
+        return 422
+    if isinstance(error, (ClaimBusyError, ClaimUnknownError)):
+        return 409
     if isinstance(error, TargetTimeoutError):
         return 504
-    if isinstance(error, TargetError):
+    if isinstance(error, TargetUnknownError):
         return 502
     return 503
 
--- a/src/coralfall/callers.py
+++ b/src/coralfall/callers.py
@@ -26,13 +26,17 @@
     Write your own by reading the query of the scope::
 
         class FixedLookup(LookupSource):
-            def answer(self, query: bytes) -> Answer:
+            def answer(self, query: bytes, peer: t.Optional[str]) -> Answer:
                 return Answer(200, [], b"...", Outcome.DONE)
     """
 
     @abc.abstractmethod
-    def answer(self, query: bytes) -> Answer:
-        """The answer to ``GET /lookup``; ``query`` is the raw query string."""
+    def answer(self, query: bytes, peer: t.Optional[str]) -> Answer:
+        """The answer to ``GET /lookup``.
+
+        :param query: the raw query string.
+        :param peer: IP number that the caller's connection comes from.
+        """
 
 
 class CallersApp:
@@ -47,7 +51,8 @@
     def __init__(self, dispatcher: "Dispatcher", lookup: LookupSource) -> None:
         self._dispatcher = dispatcher
         self._lookup = lookup
-        self._memory = MemoryAccount()
+        #: Bytes of bodies that are held, of all requests together.
+        self.memory = MemoryAccount()
 
     async def __call__(self, scope: "Scope", receive: "Receive", send: "Send") -> None:
         if scope["type"] != "http":
@@ -56,7 +61,7 @@
             await _send_whole(self._look_up(scope), send)
             return
         try:
-            request = _request_of(scope, receive, self._memory)
+            request = _request_of(scope, receive, self.memory)
         except RequestError as error:
             await _send_whole(answer_of(error, Outcome.NOT_RUN), send)
             return
@@ -69,7 +74,8 @@
         if scope["method"] not in ("GET", "HEAD"):
             error = RequestError("method", 405, "look-ups are made with GET")
             return answer_of(error, Outcome.NOT_RUN)
-        return self._lookup.answer(scope["query_string"])
+        client = scope.get("client")
+        return self._lookup.answer(scope["query_string"], client[0] if client else None)
 
     async def _serve_read(self, request: CallerRequest, receive: "Receive", send: "Send") -> None:
         """Serve a read, which ends when its caller leaves."""
@@ -194,7 +200,7 @@
         await send({"type": "http.response.start", "status": answer.status, "headers": headers})
         if answer.body:
             await send(_piece(answer.body))
-        async for piece in stream.pieces():
+        while piece := await stream.piece():
             await send(_piece(piece))
         await send({"type": "http.response.body", "body": b""})
     except TargetError:
--- a/src/coralfall/dispatch.py
+++ b/src/coralfall/dispatch.py
@@ -1,12 +1,15 @@
 """Dispatch: gives each request to targets until one answers, or says what became of it."""
 
 import asyncio
+import hashlib
 import typing as t
 
 from . import defaults
 from .answer import Answer, answer_of
 from .exceptions import (
     CallerGoneError,
+    ClaimBusyError,
+    ClaimUnknownError,
     CoralfallError,
     RefusedError,
     RequestError,
@@ -15,19 +18,23 @@
     TargetUnknownError,
 )
 from .headers import headers_to_caller, headers_to_target
-from .ids import Outcome, TargetId
+from .ids import IdempotencyKey, Outcome, TargetId
 from .request import body_too_large
-from .steering import AttemptResult
+from .rows import KeptAnswer
 from .upstream import TargetRequest
 
 if t.TYPE_CHECKING:
     from .bundle import Service
+    from .claims import ClaimBook
     from .clock import Clock
     from .ids import PartnerId, ServiceId
     from .request import CallerRequest
     from .steering import Reservation, Steering
-    from .upstream import Exchange, Upstream
+    from .upstream import Upstream
 
+HeadersToTarget = t.List[t.Tuple[str, str]]
+
+_KEY = defaults.HEADER_KEY.encode()
 _DEADLINE = defaults.HEADER_DEADLINE.encode()
 
 
@@ -41,47 +48,6 @@
         """Whether one retry is allowed; counts it if so."""
 
 
-class Attempt:
-    """One reservation, given back exactly once.
-
-    It is the stream of a long answer too: the slot is held until the body has passed.
-    """
-
-    def __init__(self, steering: "Steering", reservation: "Reservation", clock: "Clock") -> None:
-        self._steering = steering
-        self._reservation = reservation
-        self._clock = clock
-        self._began = clock.monotonic()
-        self._finished = False
-        self.exchange: t.Optional["Exchange"] = None
-
-    def finish(self, result: AttemptResult) -> None:
-        """Give the slot back; later calls do nothing."""
-        if self._finished:
-            return
-        self._finished = True
-        seconds = self._clock.monotonic() - self._began
-        load = self.exchange.load if self.exchange is not None else None
-        self._steering.finish(self._reservation, result, seconds, load)
-
-    async def pieces(self) -> t.AsyncIterator[bytes]:
-        """The rest of the answer's body, after which the slot is free."""
-        assert self.exchange is not None
-        try:
-            async for piece in self.exchange.pieces():
-                yield piece
-        except TargetUnknownError:
-            self.finish(AttemptResult.FAILED)
-            raise
-        self.finish(AttemptResult.ANSWERED)
-
-    def abort(self) -> None:
-        """End the exchange, if it has not ended by itself."""
-        if self.exchange is not None:
-            self.exchange.abort()
-        self.finish(AttemptResult.CANCELLED)
-
-
 class Dispatcher:
     """Carries the requests of all callers of an entry.
 
@@ -90,6 +56,7 @@
 
     :param steering: chooses targets and holds their slots.
     :param upstream: carries single exchanges.
+    :param claims: makes sure that a command with a key runs once.
     :param new_budget: makes the retry budget of a service.
     :param clock: for deadlines.
     """
@@ -98,11 +65,13 @@
         self,
         steering: "Steering",
         upstream: "Upstream",
+        claims: "ClaimBook",
         new_budget: t.Callable[[], Budget],
         clock: "Clock",
     ) -> None:
         self._steering = steering
         self._upstream = upstream
+        self._claims = claims
         self._new_budget = new_budget
         self._clock = clock
         self._budgets_by_service: t.Dict[t.Tuple["PartnerId", "ServiceId"], Budget] = {}
@@ -116,7 +85,7 @@
             answer = await self._dispatch(request)
         except CallerGoneError:
             raise
-        except TargetUnknownError as error:
+        except (TargetUnknownError, ClaimBusyError, ClaimUnknownError) as error:
             answer = answer_of(_cause(request, error), Outcome.UNKNOWN)
         except CoralfallError as error:
             answer = answer_of(error, Outcome.NOT_RUN)
@@ -132,9 +101,12 @@
             message = f"partner {request.partner} has no service {request.service} here"
             raise RequestError("unknown-service", 404, message)
         deadline = self._clock.monotonic() + _allowed_seconds(request, rules)
+        key = None if request.read else _key_of(request, rules)
         if request.body is not None:
             await self._hold_body(request, rules, deadline)
-        return await self._carry(request, deadline)
+        if key is None:
+            return await self._carry(request, deadline)
+        return await self._carry_claimed(request, key, deadline)
 
     async def _hold_body(self, request: "CallerRequest", rules: "Service", deadline: float) -> None:
         body = request.body
@@ -149,7 +121,32 @@
             message = "the body did not come before the deadline"
             raise RequestError("body-too-slow", 408, message) from None
 
+    async def _carry_claimed(
+        self, request: "CallerRequest", key: IdempotencyKey, deadline: float
+    ) -> Answer:
+        claim = await self._claims.claim(
+            request.partner,
+            request.service,
+            key,
+            _fingerprint(request),
+            deadline - self._clock.monotonic(),
+        )
+        if isinstance(claim, KeptAnswer):
+            return _kept(claim)
+        try:
+            answer = await self._carry(request, deadline)
+        except (RefusedError, TargetNotRunError):
+            await self._claims.release(claim)
+            raise
+        except BaseException:
+            await self._claims.leave_unknown(claim)
+            raise
+        body = answer.body if answer.stream is None else None
+        await self._claims.finish(claim, KeptAnswer(answer.status, tuple(answer.headers), body))
+        return answer
+
     async def _carry(self, request: "CallerRequest", deadline: float) -> Answer:
+        headers = headers_to_target(request.headers, request.caller_host)
         budget = self._budget(request)
         budget.request()
         tried: t.Set[TargetId] = set()
@@ -157,11 +154,12 @@
         while True:
             try:
                 reservation = await self._reserve(request, tried, deadline)
+                tried.add(reservation.target_id)
+                return await self._attempt(request, headers, reservation, deadline)
             except RefusedError as refusal:
-                raise failure or refusal
-            tried.add(reservation.target_id)
-            try:
-                return await self._attempt(request, reservation, deadline)
+                if isinstance(failure, TargetUnknownError):
+                    raise failure from refusal
+                raise
             except TargetError as error:
                 failure = _weightier(failure, error)
             if len(tried) >= defaults.MAX_ATTEMPTS or not _may_retry(request, failure):
@@ -184,32 +182,23 @@
         )
 
     async def _attempt(
-        self, request: "CallerRequest", reservation: "Reservation", deadline: float
+        self,
+        request: "CallerRequest",
+        headers: HeadersToTarget,
+        reservation: "Reservation",
+        deadline: float,
     ) -> Answer:
-        attempt = Attempt(self._steering, reservation, self._clock)
-        try:
-            exchange = await self._upstream.exchange(
-                reservation,
-                _target_request(request),
-                deadline,
-                lambda: self._steering.check(reservation),
-            )
-            attempt.exchange = exchange
-            body = await exchange.read(defaults.MAX_BUFFERED_ANSWER_BYTES)
-        except TargetNotRunError:
-            attempt.finish(AttemptResult.NOT_RUN)
-            raise
-        except TargetUnknownError:
-            attempt.finish(_blame(request))
-            raise
-        except BaseException:
-            attempt.abort()
-            raise
-        answer = Answer(exchange.status, headers_to_caller(exchange.headers), body, Outcome.DONE)
-        if exchange.whole:
-            attempt.finish(AttemptResult.ANSWERED)
-        else:
-            answer.stream = attempt
+        body = request.body
+        whole = body.whole if body is not None else None
+        outgoing = TargetRequest(
+            request.method, request.path, headers, body if whole is None else whole
+        )
+        exchange = await self._upstream.exchange(reservation, outgoing, deadline)
+        first = await exchange.read(defaults.MAX_BUFFERED_ANSWER_BYTES)
+        passed = headers_to_caller(exchange.headers)
+        answer = Answer(exchange.status, passed, first, Outcome.DONE)
+        if not exchange.whole:
+            answer.stream = exchange
         return answer
 
     def _budget(self, request: "CallerRequest") -> Budget:
@@ -231,13 +220,39 @@
     return min(int(value), rules.timeout_ms) / 1000
 
 
-def _target_request(request: "CallerRequest") -> TargetRequest:
-    headers = headers_to_target(request.headers, request.caller_host)
+def _key_of(request: "CallerRequest", rules: "Service") -> t.Optional[IdempotencyKey]:
+    value = request.header(_KEY)
+    if value is None:
+        if not rules.key_required:
+            return None
+        message = f"this service takes commands only with the header {defaults.HEADER_KEY}"
+        raise RequestError("key-required", 400, message)
+    text = value.decode("ascii", "replace")
+    if not 0 < len(value) <= defaults.MAX_KEY_BYTES or not text.isprintable():
+        message = f"{defaults.HEADER_KEY} must be 1 to {defaults.MAX_KEY_BYTES} printable letters"
+        raise RequestError("key", 400, message)
+    return IdempotencyKey(text)
+
+
+def _fingerprint(request: "CallerRequest") -> str:
+    """Digest of what the command is; of a body too long to be held, only its length."""
     body = request.body
-    if body is None:
-        return TargetRequest(request.method, request.path, headers)
-    whole = body.whole
-    return TargetRequest(request.method, request.path, headers, body if whole is None else whole)
+    whole = body.whole if body is not None else b""
+    digest = hashlib.sha256(f"{request.method} {request.path}\n".encode())
+    if whole is None:
+        assert body is not None
+        digest.update(b"length %r" % body.length)
+    else:
+        digest.update(hashlib.sha256(whole).digest())
+    return digest.hexdigest()
+
+
+def _kept(kept: KeptAnswer) -> Answer:
+    if kept.body is not None:
+        return Answer(kept.status, list(kept.headers), kept.body, Outcome.DONE)
+    message = "the command ran earlier; its answer was too long to be kept"
+    error = RequestError("answer-not-kept", 409, message, answered=kept.status)
+    return answer_of(error, Outcome.DONE)
 
 
 def _body_bytes(request: "CallerRequest") -> int:
@@ -260,13 +275,7 @@
     return second
 
 
-def _blame(request: "CallerRequest") -> AttemptResult:
-    if request.body is not None and request.body.error is not None:
-        return AttemptResult.CANCELLED
-    return AttemptResult.FAILED
-
-
-def _cause(request: "CallerRequest", error: TargetUnknownError) -> CoralfallError:
+def _cause(request: "CallerRequest", error: CoralfallError) -> CoralfallError:
     """The caller's own fault, if its body ended an exchange."""
     if request.body is None or request.body.error is None:
         return error
--- a/src/coralfall/standin_target.py
+++ b/src/coralfall/standin_target.py
@@ -90,6 +90,8 @@
         self.settings = settings
         self.faults = Faults()
         self.leaving = False
+        #: Bytes by which answers to commands are made longer.
+        self.receipt_padding = 0
         self.state = Effects([], 0, 0, 0, 0, 0)
         self._random = random.Random(seed)
         self._started: t.Optional[float] = None
@@ -177,7 +179,7 @@
             await work.answer(503, b"", self._reported_load(), Outcome.NOT_RUN)
             return
         effect = self._begin(work, body)
-        seconds = self._service_seconds() if fault != "hang" else float("inf")
+        seconds = self.service_seconds() if fault != "hang" else float("inf")
         if not await work.spend(min(seconds, work.seconds_left())):
             self.state.cancelled += 1
             return
@@ -188,7 +190,7 @@
             effect.done = True
         if fault == "close-after":
             raise _EndConnectionError
-        answer = work.body() if effect is None else _receipt(effect)
+        answer = work.body() if effect is None else self._receipt(effect)
         await work.answer(200, answer, self._reported_load(), None, broken=fault == "break")
 
     def _begin(self, work: "_Work", body: t.Tuple[str, int]) -> t.Optional[Effect]:
@@ -199,7 +201,12 @@
         self.state.effects.append(effect)
         return effect
 
-    def _service_seconds(self) -> float:
+    def _receipt(self, effect: Effect) -> bytes:
+        receipt = msgspec.json.encode({"sha256": effect.digest, "length": effect.length})
+        return receipt + b" " * self.receipt_padding
+
+    def service_seconds(self) -> float:
+        """How long the next request takes; drawn anew each time."""
         now = asyncio.get_running_loop().time()
         if self._started is None:
             self._started = now
@@ -311,10 +318,6 @@
     return (block * (length // len(block) + 1))[:length]
 
 
-def _receipt(effect: Effect) -> bytes:
-    return msgspec.json.encode({"sha256": effect.digest, "length": effect.length})
-
-
 def _piece(body: bytes, more_body: bool) -> "Message":
     return {"type": "http.response.body", "body": body, "more_body": more_body}
 
--- a/src/coralfall/upstream.py
+++ b/src/coralfall/upstream.py
@@ -9,25 +9,32 @@
 """
 
 import asyncio
+import functools
 import typing as t
 
 import aiohttp
 import msgspec
 import multidict
 import yarl
+from aiohttp.connector import Connection
 
 from . import defaults
-from .exceptions import TargetNotRunError, TargetTimeoutError, TargetUnknownError
+from .exceptions import RefusedError, TargetNotRunError, TargetTimeoutError, TargetUnknownError
 from .headers import RawHeaders
 from .ids import Outcome
 from .request import READ_METHODS, RequestBody
+from .steering import AttemptResult
 
 if t.TYPE_CHECKING:
     from .clock import Clock
-    from .steering import Reservation
+    from .steering import Reservation, Steering
 
 _NO_AUTO_HEADERS: "multidict.CIMultiDict[None]" = multidict.CIMultiDict({"Content-Type": None})
 _NO_BODY_STATUSES = frozenset((204, 304))
+_GATEWAY_TIMEOUT = 504
+_CONNECT_TIMEOUT = aiohttp.ClientTimeout(connect=defaults.CONNECT_TIMEOUT_S)
+#: Addresses of targets whose parsed form is kept.
+_ADDRESSES = 4096
 _ERRORS = (aiohttp.ClientError, OSError, asyncio.TimeoutError, ValueError)
 
 
@@ -47,59 +54,77 @@
 
     DEFAULT_HEADERS = {}
 
+    request_body: t.Union[bytes, RequestBody, None] = None
+
     def update_auto_headers(self, skip_auto_headers: t.Optional[t.Iterable[str]]) -> None:
         self._skip_auto_headers = _NO_AUTO_HEADERS
 
 
 class Exchange:
-    """An answer whose head has come; its body is read here.
+    """One request on one connection; its answer's body is read here.
 
-    Ends by itself when the body is whole or the deadline passes, otherwise by :meth:`abort`.
+    It ends by itself when the target has answered whole or the deadline passes, otherwise by
+    :meth:`abort`. The reservation is given back then, also if the body is still to be read.
 
-    :param connection: the connection, used by this exchange alone.
-    :param on_end: called once when the exchange no longer uses its connection.
+    :param steering: gets the reservation back.
+    :param reservation: the slot that is used.
+    :param clock: tells how long it was used.
+    :param siblings: set of exchanges under way; this one is in it until it ends.
     """
 
     def __init__(
-        self, connection: aiohttp.connector.Connection, on_end: t.Callable[[], None]
+        self,
+        steering: "Steering",
+        reservation: "Reservation",
+        clock: "Clock",
+        siblings: "t.Set[Exchange]",
     ) -> None:
-        self._connection = connection
-        self._on_end: t.Optional[t.Callable[[], None]] = on_end
+        siblings.add(self)
+        self._siblings = siblings
+        self._steering = steering
+        self._reservation = reservation
+        self._clock = clock
+        self._began = clock.monotonic()
+        self._finished = False
+        self._connection: t.Optional[Connection] = None
         self._outgoing: t.Optional[_Outgoing] = None
         self._response: t.Optional[aiohttp.ClientResponse] = None
         self._timer: t.Optional[asyncio.TimerHandle] = None
         self._timed_out = False
         self.status = 0
         self.headers: RawHeaders = ()
-        #: Target's load report, ``in-flight/slots``, if it sent one.
-        self.load: t.Optional[str] = None
         #: Length of the body that the target announced.
         self.length: t.Optional[int] = None
         #: Whether the body has been read to its end.
         self.whole = False
 
-    async def send(self, outgoing: _Outgoing, seconds: float) -> None:
+    async def send(self, outgoing: _Outgoing, connection: Connection, seconds: float) -> None:
         """Send the request and wait for the answer's head.
 
         :param seconds: time after which the exchange is aborted, wherever it stands.
         :raises TargetNotRunError: if the target says so.
-        :raises TargetUnknownError: if no answer came.
+        :raises TargetUnknownError: if no answer came, or one of which no end could be told.
         """
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(seconds, self._expire)
+        self._timer = asyncio.get_running_loop().call_later(seconds, self._expire)
         self._outgoing = outgoing
+        self._connection = connection
         try:
-            await self._send(outgoing)
+            await self._send(outgoing, connection)
+            self._check_head(outgoing.method)
         except _ERRORS as error:
-            self.abort()
-            raise self._failure(error) from error
+            raise self._fail(error) from error
+        except TargetNotRunError:
+            self.abort(AttemptResult.NOT_RUN)
+            raise
+        except TargetUnknownError:
+            self.abort(AttemptResult.FAILED)
+            raise
         except BaseException:
             self.abort()
             raise
-        self._check_head(outgoing.method)
 
-    async def _send(self, outgoing: _Outgoing) -> None:
-        protocol = self._connection.protocol
+    async def _send(self, outgoing: _Outgoing, connection: Connection) -> None:
+        protocol = connection.protocol
         assert protocol is not None
         protocol.set_response_params(
             skip_payload=outgoing.method == "HEAD",
@@ -108,99 +133,116 @@
             read_bufsize=defaults.CONNECTION_BUFFER_BYTES,
             max_field_size=defaults.MAX_HEADER_BYTES,
         )
-        response = await outgoing.send(self._connection)
+        response = await outgoing.send(connection)
         self._response = response
-        await response.start(self._connection)
+        await response.start(connection)
         self.status = response.status
         self.headers = response.raw_headers
-        self.load = response.headers.get(defaults.HEADER_TARGET_LOAD)
         length = response.headers.get("content-length")
         self.length = int(length) if length is not None else None
 
     def _check_head(self, method: str) -> None:
         response = self._response
         assert response is not None
-        if response.headers.get(defaults.HEADER_TARGET_OUTCOME) == Outcome.NOT_RUN.value:
-            self.abort()
-            raise TargetNotRunError("target shed the request", status=self.status, load=self.load)
+        outcome = response.headers.get(defaults.HEADER_TARGET_OUTCOME)
+        if outcome == Outcome.NOT_RUN.value:
+            raise TargetNotRunError("target says that it did not run the request")
+        if outcome == Outcome.UNKNOWN.value:
+            raise _own_word_unknown(response.status)
         if method == "HEAD" or self.status in _NO_BODY_STATUSES:
             self._end_whole()
             return
-        if self.length is None and response.headers.get("transfer-encoding") is None:
-            self.abort()
+        if self.length is None and "transfer-encoding" not in response.headers:
             raise TargetUnknownError("target's answer has no length, so it can't be told whole")
+        response.content.on_eof(self._finish_answered)
 
     async def read(self, most: int) -> bytes:
         """The body, or its first part if it is longer than ``most`` bytes.
 
         :raises TargetUnknownError: if it breaks off.
         """
-        if self.whole:
-            return b""
-        if self.length is not None and self.length > most:
+        if self.whole or (self.length is not None and self.length > most):
             return b""
         pieces = []
         size = 0
-        async for piece in self.pieces():
+        while size <= most:
+            piece = await self.piece()
+            if not piece:
+                break
             pieces.append(piece)
             size += len(piece)
-            if size > most:
-                break
         return b"".join(pieces)
 
-    async def pieces(self) -> t.AsyncIterator[bytes]:
-        """The body, or what is left of it, as it comes.
+    async def piece(self) -> bytes:
+        """The next part of the body, empty at its end.
 
         :raises TargetUnknownError: if it breaks off.
         """
+        if self.whole:
+            return b""
         assert self._response is not None
         content = self._response.content
         try:
-            while not self.whole:
-                piece = await content.readany()
-                if content.at_eof():
-                    self._end_whole()
-                if piece:
-                    yield piece
+            piece = await content.readany()
         except _ERRORS as error:
+            raise self._fail(error) from error
+        except BaseException:
             self.abort()
-            raise self._failure(error) from error
+            raise
+        if content.at_eof():
+            self._end_whole()
+        return piece
 
-    def abort(self) -> None:
-        """End the exchange by closing its connection; a late answer then reaches nobody."""
-        if self._on_end is None:
+    def abort(self, result: AttemptResult = AttemptResult.CANCELLED) -> None:
+        """Close the connection, so that a late answer reaches nobody; no effect once whole."""
+        if self.whole:
             return
-        transport = self._connection.transport
-        if transport is not None:
-            transport.abort()
+        if self._timer is not None:
+            self._timer.cancel()
+        connection = self._connection
+        if connection is not None and connection.transport is not None:
+            connection.transport.abort()
         if self._outgoing is not None:
             self._outgoing.terminate()
         if self._response is not None:
             self._response.close()
-        self._connection.close()
-        self._end()
+        if connection is not None:
+            connection.close()
+        self._finish(result)
 
     def _expire(self) -> None:
         self._timed_out = True
-        transport = self._connection.transport
-        if transport is not None:
-            transport.abort()
+        self.abort(AttemptResult.FAILED)
+
+    def _fail(self, error: BaseException) -> TargetUnknownError:
+        body = self._outgoing.request_body if self._outgoing is not None else None
+        if isinstance(body, RequestBody) and body.error is not None:
+            self.abort(AttemptResult.CANCELLED)
+            return TargetUnknownError(f"the request's body broke off: {body.error}")
+        self.abort(AttemptResult.FAILED)
+        if self._timed_out:
+            return TargetTimeoutError("no whole answer before the deadline")
+        return TargetUnknownError(f"exchange broke off: {error or type(error).__name__}")
 
     def _end_whole(self) -> None:
         self.whole = True
-        self._end()
-
-    def _end(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        if self._on_end is not None:
-            on_end, self._on_end = self._on_end, None
-            on_end()
+        self._finish(AttemptResult.ANSWERED)
 
-    def _failure(self, error: BaseException) -> TargetUnknownError:
-        if self._timed_out:
-            return TargetTimeoutError("no whole answer before the deadline")
-        return TargetUnknownError(f"exchange broke off: {error or type(error).__name__}")
+    def _finish_answered(self) -> None:
+        self._finish(AttemptResult.ANSWERED)
+
+    def _finish(self, result: AttemptResult) -> None:
+        if self._finished:
+            return
+        self._finished = True
+        self._siblings.discard(self)
+        load: t.Optional[str] = None
+        if self._response is not None and self.status:
+            load = self._response.headers.get(defaults.HEADER_TARGET_LOAD)
+        seconds = self._clock.monotonic() - self._began
+        self._steering.finish(self._reservation, result, seconds, load)
 
 
 class Upstream:
@@ -210,83 +252,99 @@
     is then found by the connection that fails, which is evidence of "not run", and not by a
     command lost on a dead connection, which is none.
 
+    :param steering: owns the reservations.
     :param clock: for deadlines.
     """
 
-    def __init__(self, clock: "Clock") -> None:
+    def __init__(self, steering: "Steering", clock: "Clock") -> None:
+        self._steering = steering
         self._clock = clock
         self._kept = aiohttp.TCPConnector(limit=0, keepalive_timeout=defaults.IDLE_CONNECTION_S)
         self._fresh = aiohttp.TCPConnector(limit=0, force_close=True)
         self._open_by_address: t.Dict[str, int] = {}
+        self._exchanges: t.Set[Exchange] = set()
 
     async def exchange(
-        self,
-        reservation: "Reservation",
-        request: TargetRequest,
-        deadline: float,
-        check: t.Callable[[], None],
+        self, reservation: "Reservation", request: TargetRequest, deadline: float
     ) -> Exchange:
         """Carry one request to one target, until the head of its answer.
 
+        Gives the reservation back, whatever happens: here if this raises, otherwise when the
+        exchange ends.
+
         :param deadline: monotonic time at which the exchange is aborted.
-        :param check: called once connected, just before the first byte leaves; what it raises
-            ends the exchange with nothing sent.
+        :raises RefusedError: if the reservation no longer holds; nothing was sent.
         :raises TargetNotRunError: with evidence that the target did not run the request.
         :raises TargetUnknownError: if bytes left and no answer came.
         """
-        address = reservation.address
-        self._enter(address, reservation.connections)
+        exchange = Exchange(self._steering, reservation, self._clock, self._exchanges)
         try:
-            outgoing = _outgoing(address, request)
-            connection = await self._connect(outgoing, deadline)
+            outgoing = _outgoing(reservation.address, request)
+            connection = await self._connect(outgoing, reservation, deadline)
+        except TargetNotRunError:
+            exchange.abort(AttemptResult.NOT_RUN)
+            raise
         except BaseException:
-            self._leave(address)
+            exchange.abort()
             raise
-        exchange = Exchange(connection, lambda: self._leave(address))
         try:
-            check()
+            self._steering.check(reservation)
             seconds = deadline - self._clock.monotonic()
             if seconds <= 0:
-                raise TargetNotRunError("deadline passed before the request was sent")
+                raise _too_late()
         except BaseException:
+            connection.close()
             exchange.abort()
             raise
         outgoing.headers[defaults.HEADER_TARGET_DEADLINE] = str(max(1, int(seconds * 1000)))
-        await exchange.send(outgoing, seconds)
+        await exchange.send(outgoing, connection, seconds)
         return exchange
 
     async def close(self) -> None:
-        """Close all connections."""
+        """Close all connections, also those in use, of which some may be stuck in a write."""
+        for exchange in list(self._exchanges):
+            exchange.abort()
         await self._kept.close()
         await self._fresh.close()
 
-    async def _connect(self, outgoing: _Outgoing, deadline: float) -> aiohttp.connector.Connection:
-        connector = self._kept if outgoing.method in READ_METHODS else self._fresh
+    async def _connect(
+        self, outgoing: _Outgoing, reservation: "Reservation", deadline: float
+    ) -> Connection:
         seconds = min(defaults.CONNECT_TIMEOUT_S, deadline - self._clock.monotonic())
         if seconds <= 0:
-            raise TargetNotRunError("deadline passed before the target was connected")
-        timeout = aiohttp.ClientTimeout(connect=seconds)
-        while True:
-            try:
+            raise _too_late()
+        self._count(reservation)
+        connector = self._kept if outgoing.method in READ_METHODS else self._fresh
+        timeout = _CONNECT_TIMEOUT
+        if seconds < defaults.CONNECT_TIMEOUT_S:
+            timeout = aiohttp.ClientTimeout(connect=seconds)
+        try:
+            while True:
                 connection = await connector.connect(outgoing, [], timeout)
-            except _ERRORS as error:
-                message = f"target can't be connected: {error or type(error).__name__}"
-                raise TargetNotRunError(message) from error
-            assert connection.protocol is not None
-            if not connection.protocol.should_close:
-                return connection
-            # Bytes came that nobody asked for; the next request would take them for its answer.
-            connection.close()
+                assert connection.protocol is not None
+                if not connection.protocol.should_close:
+                    break
+                # Bytes came unasked; the next request would take them for its answer.
+                connection.close()
+        except _ERRORS as error:
+            self._uncount(reservation.address)
+            message = f"target can't be connected: {error or type(error).__name__}"
+            raise TargetNotRunError(message) from error
+        except BaseException:
+            self._uncount(reservation.address)
+            raise
+        connection.add_callback(lambda: self._uncount(reservation.address))
+        return connection
 
-    def _enter(self, address: str, connections: int) -> None:
-        count = self._open_by_address.get(address, 0)
+    def _count(self, reservation: "Reservation") -> None:
+        count = self._open_by_address.get(reservation.address, 0)
         # Half for commands' new connections, half for kept ones: a kept one is opened only when
         # none is idle, so there are never more of them than reads were under way at once.
-        if count >= max(1, connections // 2):
+        if count >= max(1, reservation.connections // 2):
             raise TargetNotRunError("all connections to the target are in use")
-        self._open_by_address[address] = count + 1
+        self._open_by_address[reservation.address] = count + 1
 
-    def _leave(self, address: str) -> None:
+    def _uncount(self, address: str) -> None:
         count = self._open_by_address[address] - 1
         if count:
             self._open_by_address[address] = count
@@ -294,10 +352,30 @@
             del self._open_by_address[address]
 
 
+def _too_late() -> RefusedError:
+    message = "deadline passed before the request was sent"
+    return RefusedError(message, defaults.RETRY_AFTER_S)
+
+
+def _own_word_unknown(status: int) -> TargetUnknownError:
+    message = "target says that it does not know whether it ran the request"
+    if status == _GATEWAY_TIMEOUT:
+        return TargetTimeoutError(message)
+    return TargetUnknownError(message)
+
+
+@functools.lru_cache(maxsize=_ADDRESSES)
+def _base_url(address: str) -> yarl.URL:
+    return yarl.URL(f"http://{address}/", encoded=True)
+
+
 def _outgoing(address: str, request: TargetRequest) -> _Outgoing:
     headers = list(request.headers)
     body = request.body
     if isinstance(body, RequestBody) and body.length is not None:
         headers.append(("Content-Length", str(body.length)))
-    url = yarl.URL(f"http://{address}{request.path}", encoded=True)
-    return _Outgoing(request.method, url, headers=headers, data=body)
+    # A path with its query counts as a path here, which also keeps it as the caller sent it.
+    url = _base_url(address).with_path(request.path, encoded=True)
+    outgoing = _Outgoing(request.method, url, headers=headers, data=body)
+    outgoing.request_body = body
+    return outgoing
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -9,11 +9,14 @@
 from coralfall import bundle
 from coralfall.answer import Answer
 from coralfall.callers import CallersApp, LookupSource
+from coralfall.claims import ClaimBook
 from coralfall.clock import SystemClock
 from coralfall.dispatch import Dispatcher
 from coralfall.exceptions import RefusedError
 from coralfall.ids import (
     BundleVersion,
+    EntryId,
+    Incarnation,
     Outcome,
     PartnerId,
     PolicyName,
@@ -21,6 +24,8 @@
     ServiceId,
     TargetId,
 )
+from coralfall.memory_platform import Counters, MemoryTable
+from coralfall.request import MemoryAccount
 from coralfall.settings import TargetStandinSettings
 from coralfall.standin_target import TargetStandin
 from coralfall.steering import AttemptResult, Reservation, Steering
@@ -35,7 +40,7 @@
 async def serving(app: t.Any) -> t.AsyncIterator[str]:
     """Serve an ASGI application; gives its ``ip:port``."""
     config = uvicorn.Config(
-        app, host="127.0.0.1", port=0, log_level="error", lifespan="off", proxy_headers=False
+        app, host="127.0.0.1", port=0, log_level="critical", lifespan="off", proxy_headers=False
     )
     server = uvicorn.Server(config)
     config.load()
@@ -66,7 +71,7 @@
         open_tasks.add(task)
         try:
             await handler(reader, writer)
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             open_tasks.discard(task)
@@ -169,7 +174,7 @@
 class FixedLookup(LookupSource):
     """Answers every look-up with its query."""
 
-    def answer(self, query: bytes) -> Answer:
+    def answer(self, query: bytes, peer: t.Optional[str] = None) -> Answer:
         return Answer(200, [], query, Outcome.DONE)
 
 
@@ -179,6 +184,8 @@
     address: str
     steering: LineSteering
     budget: CountedBudget
+    table: MemoryTable
+    memory: MemoryAccount
 
 
 @contextlib.asynccontextmanager
@@ -188,19 +195,30 @@
     """Serve the callers' port over targets at ``addresses``, best first."""
     steering = LineSteering(addresses, rules or service())
     budget = CountedBudget(retries)
-    upstream = Upstream(SystemClock())
-    dispatcher = Dispatcher(steering, upstream, lambda: budget, SystemClock())
+    clock = SystemClock()
+    upstream = Upstream(steering, clock)
+    table = MemoryTable(clock, Counters())
+    claims = ClaimBook(table, EntryId("entry"), Incarnation(1), clock)
+    dispatcher = Dispatcher(steering, upstream, claims, lambda: budget, clock)
+    running = asyncio.ensure_future(claims.run())
     try:
-        async with serving(CallersApp(dispatcher, FixedLookup())) as address:
-            yield Entry(address, steering, budget)
+        app = CallersApp(dispatcher, FixedLookup())
+        async with serving(app) as address:
+            yield Entry(address, steering, budget, table, app.memory)
     finally:
+        running.cancel()
         await upstream.close()
 
 
+def target_settings(**changes: t.Any) -> TargetStandinSettings:
+    """Settings of a target stand-in, with some of them changed."""
+    values: t.Dict[str, t.Any] = {"address": "127.0.0.1:0", "service_ms": 0.0, **changes}
+    return TargetStandinSettings(**values)
+
+
 @contextlib.asynccontextmanager
 async def target(**settings: t.Any) -> t.AsyncIterator[t.Tuple[str, TargetStandin]]:
     """Serve a target stand-in."""
-    values: t.Dict[str, t.Any] = {"address": "127.0.0.1:0", "service_ms": 0.0, **settings}
-    standin = TargetStandin(TargetStandinSettings(**values))
+    standin = TargetStandin(target_settings(**settings))
     async with serving(standin) as address:
         yield address, standin
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -10,6 +10,7 @@
 import aiohttp
 from parameterized import parameterized
 
+from coralfall.memory_platform import FaultMode, ServiceFault
 from coralfall.standin_target import Faults, pattern
 from coralfall.steering import AttemptResult
 from tests import loopback
@@ -144,6 +145,349 @@
                 self.assertEqual(len(second.state.effects), second_effects)
                 self.assertEqual(entry.steering.in_use, 0)
 
+    @parameterized.expand([("length", ""), ("chunked", "&chunked=1")])
+    async def test_long_answer_that_breaks_is_seen_as_broken(self, _: str, extra: str) -> None:
+        async with loopback.target() as (address, standin), loopback.entry([address]) as entry:
+            standin.faults = Faults(work="break")
+            with self.assertRaises(aiohttp.ClientPayloadError):
+                await ask(entry.address, "GET", f"/calor/mando/x?bytes={LONG}{extra}")
+            self.assertEqual(entry.steering.results, [FAILED])
+
+    @parameterized.expand([("no_budget", 0, 1), ("one_retry", 1, 2), ("all", 9, 3)])
+    async def test_retries_are_bounded(self, _: str, retries: int, attempts: int) -> None:
+        dead = [f"127.0.0.1:{port}" for port in range(1, 6)]
+        async with loopback.entry(dead, retries=retries) as entry:
+            got = await ask(entry.address, "GET", "/calor/mando/x")
+            self.assertEqual((got.status, got.outcome), (503, "not-run"))
+            self.assertEqual(entry.steering.results, [NOT_RUN] * attempts)
+            self.assertEqual(entry.budget.requests, 1)
+
+    async def test_read_that_may_have_run_stays_unknown(self) -> None:
+        async with loopback.target() as (address, standin):
+            standin.faults = Faults(work="close")
+            async with loopback.entry([address, "127.0.0.1:1"]) as entry:
+                got = await ask(entry.address, "GET", "/calor/mando/x")
+                self.assertEqual((got.status, got.outcome), (502, "unknown"))
+                self.assertEqual(entry.steering.results, [FAILED, NOT_RUN])
+
+    async def test_upload_that_left_is_not_sent_again(self) -> None:
+        """A shed upload of which parts are gone can't be given to the next target."""
+        async with (
+            loopback.target() as (first_address, first),
+            loopback.target() as (second_address, second),
+            loopback.entry([first_address, second_address]) as entry,
+        ):
+            first.leaving = True
+            got = await ask(entry.address, "POST", "/calor/mando/x", data=io.BytesIO(bytes(LONG)))
+            self.assertEqual((got.status, got.outcome), (503, "not-run"))
+            self.assertEqual(second.state.effects, [])
+
+
+class TestRefusals(unittest.IsolatedAsyncioTestCase):
+    """What is given up gets its final answer at once, with a code and when to come back."""
+
+    @parameterized.expand(
+        [
+            # method, path, headers, body length, status, code
+            ("GET", "/calor", {}, 0, 404, "unknown-path"),
+            ("GET", "/calor/", {}, 0, 404, "unknown-path"),
+            ("GET", "/calor/other/x", {}, 0, 404, "unknown-service"),
+            ("GET", "/cosecha/mando/x", {}, 0, 404, "unknown-service"),
+            ("TRACE", "/calor/mando/x", {}, 0, 405, "method"),
+            ("POST", "/lookup", {}, 0, 405, "method"),
+            ("POST", "/calor/pedidos/x", {}, 0, 400, "key-required"),
+            ("POST", "/calor/pedidos/x", {"idempotency-key": ""}, 0, 400, "key"),
+            ("POST", "/calor/pedidos/x", {"idempotency-key": "k" * 256}, 0, 400, "key"),
+            ("GET", "/calor/mando/x", {"coralfall-deadline-ms": "soon"}, 0, 400, "deadline"),
+            ("GET", "/calor/mando/x", {"coralfall-deadline-ms": "-1"}, 0, 400, "deadline"),
+            ("GET", "/calor/mando/x", {"coralfall-deadline-ms": "1.5"}, 0, 400, "deadline"),
+            ("GET", "/calor/mando/x", {"coralfall-deadline-ms": "0"}, 0, 503, "refused"),
+            ("POST", "/calor/mando/x", {}, 70_001, 413, "body-too-large"),
+            ("PUT", "/calor/mando/x", {}, 100, 503, "refused"),
+        ]
+    )
+    async def test_refusal(
+        self,
+        method: str,
+        path: str,
+        headers: t.Dict[str, str],
+        length: int,
+        status: int,
+        code: str,
+    ) -> None:
+        rules = loopback.service(max_body_bytes=70_000)
+        async with loopback.entry([], rules) as entry:
+            got = await ask(entry.address, method, path, headers=headers, data=bytes(length))
+            self.assertEqual((got.status, got.outcome), (status, "not-run"))
+            told = json.loads(got.body)
+            self.assertEqual(told["code"], code)
+            self.assertTrue(told["message"])
+
+    async def test_passed_deadline_takes_no_slot(self) -> None:
+        async with loopback.target() as (address, _standin), loopback.entry([address]) as entry:
+            headers = {"coralfall-deadline-ms": "0"}
+            got = await ask(entry.address, "GET", "/calor/mando/x", headers=headers)
+            self.assertEqual((got.status, got.outcome), (503, "not-run"))
+            self.assertEqual(entry.steering.results, [])
+
+    @parameterized.expand([("capped", 100, "60000"), ("own", 60_000, "100")])
+    async def test_deadline_of_caller_and_service(self, _: str, rule: int, header: str) -> None:
+        rules = loopback.service(timeout_ms=rule)
+        async with (
+            loopback.target() as (address, standin),
+            loopback.entry([address], rules) as entry,
+            asyncio.timeout(20),
+        ):
+            standin.faults = Faults(work="hang")
+            headers = {"coralfall-deadline-ms": header}
+            got = await ask(entry.address, "POST", "/calor/mando/x", headers=headers)
+            self.assertEqual((got.status, got.outcome), (504, "unknown"))
+
+    async def test_refusal_says_when_to_come_back(self) -> None:
+        async with loopback.entry([]) as entry:
+            got = await ask(entry.address, "GET", "/calor/mando/x")
+            self.assertEqual(got.headers["retry-after"], "1")
+            self.assertEqual(got.headers["coralfall-retry-after-ms"], "250")
+
+    async def test_lapsed_lease(self) -> None:
+        async with loopback.target() as (address, standin), loopback.entry([address]) as entry:
+            entry.steering.lapsed = True
+            got = await ask(entry.address, "POST", "/calor/mando/x")
+            self.assertEqual((got.status, got.outcome), (503, "not-run"))
+            self.assertEqual(got.headers["retry-after"], "2")
+            self.assertEqual(standin.state.effects, [])
+
+    async def test_too_large_body_is_refused_before_it_is_sent(self) -> None:
+        async with loopback.entry([], loopback.service(max_body_bytes=10)) as entry:
+            reader, writer = await connect(entry.address)
+            head = b"POST /calor/mando/x HTTP/1.1\r\nHost: x\r\nContent-Length: 11\r\n"
+            writer.write(head + b"Expect: 100-continue\r\n\r\n")
+            self.assertIn(b" 413 ", await reader.readline())
+            writer.close()
+
+    async def test_chunked_body_that_grows_too_large(self) -> None:
+        async def pieces() -> t.AsyncIterator[bytes]:
+            for _ in range(30):
+                yield bytes(10_000)
+
+        rules = loopback.service(max_body_bytes=200_000)
+        async with (
+            loopback.target() as (address, standin),
+            loopback.entry([address], rules) as entry,
+        ):
+            got = await ask(entry.address, "POST", "/calor/mando/x", data=pieces())
+            self.assertEqual((got.status, got.outcome), (413, "unknown"))
+            self.assertEqual(standin.state.effects, [])
+            self.assertEqual(entry.steering.results, [AttemptResult.CANCELLED])
+
+    async def test_body_that_drips_is_given_up_without_a_slot(self) -> None:
+        async with loopback.entry([], loopback.service(timeout_ms=100)) as entry:
+            reader, writer = await connect(entry.address)
+            writer.write(b"POST /calor/mando/x HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n1")
+            self.assertIn(b" 408 ", await reader.readline())
+            self.assertEqual(entry.steering.results, [])
+            writer.close()
+
+    async def test_bytes_held_for_all_requests_are_bounded(self) -> None:
+        async with loopback.target() as (address, standin), loopback.entry([address]) as entry:
+            entry.memory.take(entry.memory.limit)
+            got = await ask(entry.address, "POST", "/calor/mando/x", data=b"1")
+            self.assertEqual((got.status, got.outcome), (503, "not-run"))
+            entry.memory.give(entry.memory.limit)
+            got = await ask(entry.address, "POST", "/calor/mando/x", data=b"1")
+            self.assertEqual((got.status, entry.memory.held), (200, 0))
+            self.assertEqual(len(standin.state.effects), 1)
+
+
+class TestKeys(unittest.IsolatedAsyncioTestCase):
+    """A command with a key runs at most once, however often it is sent."""
+
+    PATH = "/calor/pedidos/order"
+
+    async def post(self, address: str, key: str = "k1", body: bytes = b"one kit") -> Got:
+        return await ask(address, "POST", self.PATH, headers={"idempotency-key": key}, data=body)
+
+    @parameterized.expand([("kept", 100), ("too_long_to_keep", 20_000)])
+    async def test_same_command_again(self, _: str, length: int) -> None:
+        async with loopback.target() as (address, standin), loopback.entry([address]) as entry:
+            standin.receipt_padding = length
+            first = await self.post(entry.address)
+            again = await self.post(entry.address)
+            self.assertEqual((first.status, first.outcome, again.outcome), (200, "done", "done"))
+            self.assertEqual(len(standin.state.effects), 1)
+            self.assertEqual(standin.state.effects[0].key, "k1")
+            if length == 100:
+                self.assertEqual((again.status, again.body), (200, first.body))
+            else:
+                self.assertEqual(json.loads(again.body)["code"], "answer-not-kept")
+
+    async def test_two_at_once(self) -> None:
+        async with (
+            loopback.target(service_ms=100.0) as (address, standin),
+            loopback.entry([address]) as entry,
+        ):
+            answers = await asyncio.gather(self.post(entry.address), self.post(entry.address))
+            told = sorted((got.status, got.outcome) for got in answers)
+            self.assertEqual(told, [(200, "done"), (409, "unknown")])
+            self.assertEqual(len(standin.state.effects), 1)
+
+    async def test_other_command_under_the_key(self) -> None:
+        async with loopback.target() as (address, standin), loopback.entry([address]) as entry:
+            await self.post(entry.address)
+            other = await self.post(entry.address, body=b"two kits")
+            self.assertEqual((other.status, other.outcome), (422, "not-run"))
+            self.assertEqual(len(standin.state.effects), 1)
+
+    @parameterized.expand(
+        [
+            # fault, outcome of the first and the second request, effects in all
+            ("close-after", "unknown", "unknown", 1),
+            ("close", "unknown", "unknown", 0),
+            ("shed", "not-run", "done", 1),
+        ]
+    )
+    async def test_again_after_a_failure(
+        self, fault: str, first: str, second: str, effects: int
+    ) -> None:
+        async with loopback.target() as (address, standin), loopback.entry([address]) as entry:
+            if fault == "shed":
+                standin.leaving = True
+            else:
+                standin.faults = Faults(work=fault)  # type: ignore[arg-type]
+            got = await self.post(entry.address)
+            self.assertEqual(got.outcome, first)
+            standin.leaving = False
+            standin.faults = Faults()
+            again = await self.post(entry.address)
+            self.assertEqual(again.outcome, second)
+            self.assertEqual(len(standin.state.effects), effects)
+
+    async def test_table_down(self) -> None:
+        async with loopback.target() as (address, standin), loopback.entry([address]) as entry:
+            entry.table.gate.set(ServiceFault(mode=FaultMode.DOWN))
+            got = await self.post(entry.address)
+            self.assertEqual((got.status, got.outcome), (503, "not-run"))
+            self.assertEqual(standin.state.effects, [])
+
+
+class TestCallerLeaves(unittest.IsolatedAsyncioTestCase):
+    """A caller that leaves ends its read, and not its command."""
+
+    async def test_read_is_cancelled(self) -> None:
+        async with loopback.target() as (address, standin), loopback.entry([address]) as entry:
+            standin.faults = Faults(work="hang")
+            _reader, writer = await connect(entry.address)
+            writer.write(b"GET /calor/mando/x HTTP/1.1\r\nHost: x\r\n\r\n")
+            await until(lambda: standin.state.in_flight == 1)
+            writer.close()
+            await until(lambda: standin.state.cancelled == 1)
+            self.assertEqual(entry.steering.results, [AttemptResult.CANCELLED])
+
+    async def test_long_read_is_cancelled(self) -> None:
+        async with loopback.target() as (address, standin), loopback.entry([address]) as entry:
+            reader, writer = await connect(entry.address)
+            path = f"/calor/mando/x?bytes={10 * LONG}".encode()
+            writer.write(b"GET " + path + b" HTTP/1.1\r\nHost: x\r\n\r\n")
+            await reader.readexactly(LONG)
+            writer.close()
+            await until(lambda: standin.state.in_flight == 0)
+            self.assertEqual(entry.steering.results, [AttemptResult.CANCELLED])
+
+    async def test_command_goes_on_and_its_answer_is_kept(self) -> None:
+        async with (
+            loopback.target(service_ms=100.0) as (address, standin),
+            loopback.entry([address]) as entry,
+        ):
+            _reader, writer = await connect(entry.address)
+            head = b"POST /calor/pedidos/order HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k1\r\n"
+            writer.write(head + b"Content-Length: 7\r\n\r\none kit")
+            await until(lambda: standin.state.in_flight == 1)
+            writer.close()
+            await until(lambda: entry.steering.results == [ANSWERED])
+            again = await ask(
+                entry.address,
+                "POST",
+                "/calor/pedidos/order",
+                headers={"idempotency-key": "k1"},
+                data=b"one kit",
+            )
+            self.assertEqual((again.status, again.outcome), (200, "done"))
+            self.assertEqual(len(standin.state.effects), 1)
+
+    async def test_upload_broken_off_never_runs(self) -> None:
+        async with loopback.target() as (address, standin), loopback.entry([address]) as entry:
+            _reader, writer = await connect(entry.address)
+            head = b"POST /calor/mando/x HTTP/1.1\r\nHost: x\r\nContent-Length: 900000\r\n\r\n"
+            writer.write(head + bytes(800_000))
+            await until(lambda: standin.state.in_flight == 1)
+            writer.close()
+            await until(lambda: entry.steering.results == [AttemptResult.CANCELLED])
+            await until(lambda: standin.state.in_flight == 0)
+            self.assertEqual(standin.state.effects, [])
+
+
+class TestMemory(unittest.IsolatedAsyncioTestCase):
+    """However large a body and however slow its reader, an entry holds little of it."""
+
+    SIZE = 40_000_000
+    #: Buffers of the entry and of four sockets on the way, which the kernel sizes.
+    MOST = 24_000_000
+
+    async def test_upload_to_a_target_that_does_not_read(self) -> None:
+        async def deaf(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await asyncio.Event().wait()
+
+        async with loopback.raw_target(deaf) as address, loopback.entry([address]) as entry:
+            _reader, writer = await connect(entry.address)
+            head = b"POST /calor/mando/x HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
+            writer.write(head % self.SIZE)
+            sent = await push(writer, self.SIZE)
+            self.assertLess(sent, self.MOST)
+            writer.transport.abort()
+
+    async def test_answer_to_a_caller_that_does_not_read(self) -> None:
+        sent = 0
+
+        async def long(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal sent
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % self.SIZE)
+            sent = await push(writer, self.SIZE)
+
+        async with loopback.raw_target(long) as address, loopback.entry([address]) as entry:
+            _reader, writer = await connect(entry.address)
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+            writer.write(b"GET /calor/mando/x HTTP/1.1\r\nHost: x\r\n\r\n")
+            await until(lambda: sent > 0)
+            self.assertLess(sent, self.MOST)
+            writer.transport.abort()
+
+
+async def connect(address: str) -> t.Tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """A caller's connection without a client library."""
+    host, _, port = address.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+async def until(condition: t.Callable[[], bool]) -> None:
+    """Wait for something that has no event of its own; gives up after a generous time."""
+    async with asyncio.timeout(10):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.002)
+
+
+async def push(writer: asyncio.StreamWriter, size: int) -> int:
+    """Write until nobody takes more for a while; the count of bytes taken."""
+    sent = 0
+    try:
+        while sent < size:
+            writer.write(bytes(100_000))
+            sent += 100_000
+            await asyncio.wait_for(writer.drain(), timeout=0.3)
+    except TimeoutError:
+        pass
+    return sent
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,308 @@
+"""Tests of exchanges with targets that break off, answer late, or answer too much."""
+
+import asyncio
+import typing as t
+import unittest
+
+from parameterized import parameterized
+
+from coralfall import defaults
+from coralfall.clock import Clock, ManualClock, SystemClock
+from coralfall.exceptions import (
+    CallerGoneError,
+    RefusedError,
+    TargetError,
+    TargetNotRunError,
+    TargetTimeoutError,
+    TargetUnknownError,
+)
+from coralfall.request import MemoryAccount, RequestBody
+from coralfall.steering import AttemptResult, Reservation
+from coralfall.upstream import Exchange, TargetRequest, Upstream
+from tests import loopback
+
+ANSWERED = AttemptResult.ANSWERED
+NOT_RUN = AttemptResult.NOT_RUN
+FAILED = AttemptResult.FAILED
+CANCELLED = AttemptResult.CANCELLED
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+CLOCK = SystemClock()
+MOST = defaults.MAX_BUFFERED_ANSWER_BYTES
+
+
+class Script:
+    """A target that answers request after request with the bytes given.
+
+    :param answers: by number of request; ``None`` closes the connection instead.
+    """
+
+    def __init__(self, *answers: t.Optional[bytes]) -> None:
+        self.answers = list(answers)
+        #: Heads of the requests that came.
+        self.requests: t.List[bytes] = []
+        self.connections = 0
+        #: Counts up with each request.
+        self.came = asyncio.Semaphore(0)
+        self.pause = asyncio.Event()
+        self.pause.set()
+
+    async def __call__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        while True:
+            self.requests.append(await reader.readuntil(b"\r\n\r\n"))
+            self.came.release()
+            answer = self.answers.pop(0)
+            await self.pause.wait()
+            if answer is None:
+                return
+            writer.write(answer)
+            await writer.drain()
+            if not answer.startswith(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"):
+                return
+
+
+class PausingSteering(loopback.LineSteering):
+    """The process is paused for a minute within the last check."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        super().__init__([], loopback.service())
+        self.clock = clock
+
+    def check(self, reservation: Reservation) -> None:
+        self.clock.advance(60.0)
+
+
+class Case(unittest.IsolatedAsyncioTestCase):
+    """Gives an upstream over a steering that keeps results."""
+
+    async def asyncSetUp(self) -> None:
+        self.steering = loopback.LineSteering([], loopback.service())
+        self.upstream = Upstream(self.steering, CLOCK)
+        self.addAsyncCleanup(self.upstream.close)
+
+    async def send(
+        self,
+        address: str,
+        method: str = "GET",
+        body: t.Union[bytes, RequestBody, None] = None,
+        seconds: float = 5.0,
+        connections: int = 100,
+        clock: Clock = CLOCK,
+    ) -> Exchange:
+        self.steering.addresses = [address]
+        reservation = await self.steering.reserve(
+            loopback.PARTNER, loopback.SERVICE, tried=(), deadline=0.0, body_bytes=0
+        )
+        limited = Reservation(
+            partner=reservation.partner,
+            service=reservation.service,
+            target_id=reservation.target_id,
+            region=reservation.region,
+            address=address,
+            connections=connections,
+        )
+        request = TargetRequest(method, "/x", [("idempotency-key", "k")], body)
+        deadline = clock.monotonic() + seconds
+        return await self.upstream.exchange(limited, request, deadline)
+
+    async def ask(self, address: str, method: str = "GET", **options: t.Any) -> bytes:
+        exchange = await self.send(address, method, **options)
+        return await exchange.read(MOST)
+
+
+class TestEvidence(Case):
+    """An exchange that fails says what is known of the request."""
+
+    @parameterized.expand(
+        [
+            ("no_answer", None, TargetUnknownError, FAILED),
+            ("short_of_length", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", None, FAILED),
+            (
+                "no_last_chunk",
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+                None,
+                FAILED,
+            ),
+            ("no_length", b"HTTP/1.1 200 OK\r\n\r\nok", TargetUnknownError, FAILED),
+            ("not_http", b"SSH-2.0\r\n\r\n", TargetUnknownError, FAILED),
+            (
+                "shed",
+                b"HTTP/1.1 503 Busy\r\nOutcome: not-run\r\nLoad: 6/6\r\nContent-Length: 0\r\n\r\n",
+                TargetNotRunError,
+                NOT_RUN,
+            ),
+            (
+                "own_word_unknown",
+                b"HTTP/1.1 504 Late\r\nOutcome: unknown\r\nContent-Length: 0\r\n\r\n",
+                TargetTimeoutError,
+                FAILED,
+            ),
+        ]
+    )
+    async def test_answer(
+        self,
+        _: str,
+        answer: t.Optional[bytes],
+        expected: t.Optional[t.Type[TargetError]],
+        result: AttemptResult,
+    ) -> None:
+        script = Script(answer)
+        async with loopback.raw_target(script) as address:
+            with self.assertRaises(expected or TargetUnknownError):
+                await self.ask(address, "POST")
+        self.assertEqual(self.steering.results, [result])
+        self.assertEqual(len(script.requests), 1)
+
+    async def test_load_of_a_target_that_sheds_is_passed_on(self) -> None:
+        shed = b"HTTP/1.1 503 Busy\r\nOutcome: not-run\r\nLoad: 6/6\r\nContent-Length: 0\r\n\r\n"
+        async with loopback.raw_target(Script(shed)) as address:
+            with self.assertRaises(TargetNotRunError):
+                await self.ask(address)
+        self.assertEqual(self.steering.loads, ["6/6"])
+
+    async def test_refused_connection(self) -> None:
+        with self.assertRaises(TargetNotRunError):
+            await self.ask("127.0.0.1:1", "POST")
+        self.assertEqual(self.steering.results, [NOT_RUN])
+
+    async def test_lapsed_lease_sends_nothing(self) -> None:
+        script = Script(OK)
+        self.steering.lapsed = True
+        async with loopback.raw_target(script) as address:
+            with self.assertRaises(RefusedError):
+                await self.ask(address, "POST")
+            await asyncio.sleep(0.01)
+        self.assertEqual((script.requests, self.steering.results), ([], [CANCELLED]))
+
+    async def test_passed_deadline_sends_nothing(self) -> None:
+        script = Script(OK)
+        async with loopback.raw_target(script) as address:
+            with self.assertRaises(RefusedError):
+                await self.ask(address, "POST", seconds=0.0)
+            await asyncio.sleep(0.01)
+        self.assertEqual((script.requests, self.steering.results), ([], [CANCELLED]))
+
+    async def test_pause_after_the_check_is_found_before_sending(self) -> None:
+        clock = ManualClock()
+        self.upstream = Upstream(PausingSteering(clock), clock)
+        self.addAsyncCleanup(self.upstream.close)
+        script = Script(OK)
+        async with loopback.raw_target(script) as address:
+            with self.assertRaises(RefusedError):
+                await self.ask(address, "POST", clock=clock)
+            await asyncio.sleep(0.01)
+        self.assertEqual(script.requests, [])
+
+    async def test_deadline_goes_to_the_target_and_ends_the_exchange(self) -> None:
+        script = Script(OK)
+        script.pause.clear()
+        async with loopback.raw_target(script) as address:
+            with self.assertRaises(TargetTimeoutError):
+                await self.ask(address, "POST", seconds=0.1)
+        self.assertRegex(script.requests[0], rb"(?i)\r\ndeadline-ms: \d{1,3}\r\n")
+        self.assertEqual(self.steering.results, [FAILED])
+
+    async def test_body_that_the_caller_breaks_off(self) -> None:
+        async def pieces() -> t.AsyncIterator[bytes]:
+            yield b"some"
+            raise CallerGoneError("gone")
+
+        body = RequestBody(pieces(), 100_000, MemoryAccount())
+        async with loopback.target() as (address, standin):
+            with self.assertRaises(TargetUnknownError):
+                await self.ask(address, "POST", body=body)
+            self.assertEqual(standin.state.effects, [])
+        self.assertEqual(self.steering.results, [CANCELLED])
+
+    async def test_target_that_sheds_before_it_read_the_body(self) -> None:
+        async def pieces() -> t.AsyncIterator[bytes]:
+            for _ in range(1000):
+                yield bytes(10_000)
+
+        body = RequestBody(pieces(), 10_000_000, MemoryAccount())
+        body.limit = 10_000_000
+        async with loopback.target() as (address, standin):
+            standin.leaving = True
+            with self.assertRaises(TargetNotRunError):
+                await self.ask(address, "POST", body=body)
+        self.assertEqual(self.steering.results, [NOT_RUN])
+
+
+class TestConnections(Case):
+    """One request, one connection in use at a time, and nothing left over from the last one."""
+
+    @parameterized.expand([("GET",), ("PUT",), ("DELETE",), ("POST",)])
+    async def test_kept_connection_closed_upon_a_request(self, method: str) -> None:
+        """The request is never sent a second time, not even one that HTTP calls idempotent."""
+        script = Script(OK, None, OK)
+        async with loopback.raw_target(script) as address:
+            self.assertEqual(await self.ask(address), b"ok")
+            with self.assertRaises(TargetUnknownError):
+                await self.ask(address, method)
+        self.assertEqual(len(script.requests), 2)
+
+    @parameterized.expand([("GET", 1), ("POST", 2)])
+    async def test_reads_share_a_kept_connection(self, method: str, connections: int) -> None:
+        script = Script(OK, OK, OK)
+        async with loopback.raw_target(script) as address:
+            for _ in range(2):
+                self.assertEqual(await self.ask(address, method), b"ok")
+        self.assertEqual(script.connections, connections)
+
+    @parameterized.expand([("at_once", 0.0), ("when_idle", 0.02)])
+    async def test_answer_that_nobody_asked_for_reaches_nobody(self, _: str, pause: float) -> None:
+        connections = 0
+
+        async def twice(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal connections
+            connections += 1
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(OK)
+            await asyncio.sleep(pause)
+            writer.write(OK.replace(b"ok", b"xx"))
+            await reader.readuntil(b"\r\n\r\n")
+
+        async with loopback.raw_target(twice) as address:
+            for _ in range(2):
+                self.assertEqual(await self.ask(address), b"ok")
+                await asyncio.sleep(0.05)
+        self.assertEqual(connections, 2)
+
+    async def test_late_answer_after_cancellation_reaches_nobody(self) -> None:
+        script = Script(OK.replace(b"ok", b"xx"), OK)
+        script.pause.clear()
+        async with loopback.raw_target(script) as address:
+            late = asyncio.ensure_future(self.ask(address))
+            await script.came.acquire()
+            late.cancel()
+            with self.assertRaises(asyncio.CancelledError):
+                await late
+            second = asyncio.ensure_future(self.ask(address))
+            await asyncio.sleep(0.01)
+            script.pause.set()
+            self.assertEqual(await second, b"ok")
+        self.assertEqual(script.connections, 2)
+        self.assertEqual(self.steering.results, [CANCELLED, ANSWERED])
+
+    @parameterized.expand([("one_each", 2, 1), ("some", 10, 5)])
+    async def test_limit(self, _: str, connections: int, allowed: int) -> None:
+        script = Script(*[OK] * allowed)
+        script.pause.clear()
+        async with loopback.raw_target(script) as address:
+            asked = [
+                asyncio.ensure_future(self.ask(address, connections=connections))
+                for _ in range(allowed)
+            ]
+            for _ in range(allowed):
+                await script.came.acquire()
+            with self.assertRaises(TargetNotRunError):
+                await self.ask(address, connections=connections)
+            script.pause.set()
+            self.assertEqual(await asyncio.gather(*asked), [b"ok"] * allowed)
+            script.answers.append(OK)
+            self.assertEqual(await self.ask(address, connections=connections), b"ok")
+        self.assertEqual(script.connections, allowed)
+
+
+if __name__ == "__main__":
+    unittest.main()
