--- a/src/coralfall/claim_record.py
+++ b/src/coralfall/claim_record.py
@@ -101,6 +101,11 @@
         #: The claim, while its holder may dispatch or has not said what became of it.
         self.held: "t.Optional[Claim]" = None
 
+    def answer_bytes(self) -> int:
+        """Bytes of the answer that is to be kept."""
+        answer = self.wanted.answer
+        return 0 if answer is None else answer.size()
+
     def verdict(self) -> Verdict:
         """What to do next; the row must have been seen."""
         return judge(self.row, self.wanted)
--- a/src/coralfall/claims.py
+++ b/src/coralfall/claims.py
@@ -14,6 +14,7 @@
 
 from . import defaults, log
 from .child import Child
+from .claim_queue import ClaimQueue
 from .claim_record import ClaimRecord, Verdict
 from .claim_writer import ClaimWriter
 from .clock import PlatformClock
@@ -24,7 +25,6 @@
     ClaimUnknownError,
     CoralfallError,
     PlatformError,
-    PlatformUnknownError,
     RefusedError,
 )
 from .rows import ClaimRow, ClaimState, KeptAnswer, claim_key
@@ -37,6 +37,7 @@
     from .platform import Table
 
 _SETTINGS = ClaimSettings()
+_UNAVAILABLE = "the table of idempotency keys is not available"
 
 
 class Claim:
@@ -62,7 +63,7 @@
     :param clock: the VM's clocks.
     :param settings: how long things wait.
     :param rng: makes claim ids unique even if an incarnation should come twice.
-    :param metrics: counts claims, refusals and transactions as ``claims.<name>``.
+    :param metrics: counts ``claims.claimed`` and ``claims.refused``.
     """
 
     name = "claims"
@@ -85,20 +86,13 @@
         self._id_prefix = f"{entry_id}/{incarnation}/{nonce:016x}/"
         self._numbers = itertools.count(1)
         self._records_by_key: t.Dict[str, ClaimRecord] = {}
-        #: Records to write, those that someone waits for first; dicts as ordered sets.
-        self._claims: t.Dict[str, ClaimRecord] = {}
-        self._settlements: t.Dict[str, ClaimRecord] = {}
+        self._queue = ClaimQueue(settings)
         self._waiting_bytes = 0
         self._wake = asyncio.Event()
         self._idle = asyncio.Event()
         self._idle.set()
         self._stopping = False
         self._flushing = False
-        self._flushed_at = float("-inf")
-        self._settle_at = 0.0
-        self._retry_at = float("-inf")
-        self._failures = 0
-        self._doubtful = False
 
     @property
     def transactions(self) -> int:
@@ -158,12 +152,11 @@
         Returns at once. Of an answer longer than ``defaults.MAX_KEPT_ANSWER_BYTES`` only the
         status is kept.
         """
-        size = _answer_bytes(answer)
-        fits = self._waiting_bytes + size <= defaults.MAX_WAITING_ANSWER_BYTES
-        if size > defaults.MAX_KEPT_ANSWER_BYTES or not fits:
+        fits = self._waiting_bytes + answer.size() <= defaults.MAX_WAITING_ANSWER_BYTES
+        if answer.size() > defaults.MAX_KEPT_ANSWER_BYTES or not fits:
             answer = KeptAnswer(answer.status)
         self._settle(claim, ClaimState.DONE, answer)
-        self._waiting_bytes += _answer_bytes(answer)
+        self._waiting_bytes += answer.size()
 
     async def release(self, claim: Claim) -> None:
         """Give the key back, on evidence that the command was not run; returns at once."""
@@ -173,11 +166,18 @@
         """Say that the command may have run and nobody will know; returns at once."""
         self._settle(claim, ClaimState.UNKNOWN, None)
 
+    def pace(self, entries: int) -> None:
+        """Share what the table can take with the other entries.
+
+        :param entries: how many entries there are, this one included.
+        """
+        self._queue.pace(entries)
+
     async def run(self) -> None:
         """Write what is to be written, until cancelled."""
         while True:
             await self._wait_until_due()
-            await self._flush(self._take())
+            await self._flush(self._queue.take(_now()))
 
     async def stop(self) -> None:
         """Refuse new claims, and return when what became of the others is written.
@@ -185,6 +185,7 @@
         Gives up after ``defaults.CLAIM_STOP_S``: a key that is not settled stays claimed.
         """
         self._stopping = True
+        self._queue.closing = True
         self._wake.set()
         try:
             async with asyncio.timeout(defaults.CLAIM_STOP_S):
@@ -197,8 +198,9 @@
             raise self._refusal("the entry is leaving")
         if len(self._records_by_key) >= defaults.MAX_OPEN_CLAIMS:
             raise self._refusal("the entry has too many commands open")
-        if self._failures and (self._flushing or _now() < self._retry_at):
-            raise self._refusal("the table of idempotency keys is not available")
+        trial_runs = self._queue.is_failing and self._flushing
+        if trial_runs or self._queue.is_paused(_now()):
+            raise self._refusal(_UNAVAILABLE)
 
     def _refusal(self, message: str) -> RefusedError:
         self._count("refused")
@@ -226,7 +228,6 @@
             self._idle.clear()
             return record
         # Released, and not known to the table yet; earlier attempts were surely not dispatched.
-        self._settlements.pop(key, None)
         record.wanted = self._row(record.wanted.claim_id, record.wanted.attempt + 1, fingerprint)
         return record
 
@@ -267,35 +268,20 @@
         else:
             return
         self._want(record, ClaimState.RELEASED)
-        self._claims.pop(record.key, None)
+        self._queue.remove(record)
         if not record.in_flight:
             self._place(record)
 
     def _enqueue(self, record: ClaimRecord) -> None:
         if record.in_flight:
             return
-        if record.waiter is not None:
-            self._claims[record.key] = record
-        else:
-            if not self._settlements:
-                self._settle_at = _now() + self._settings.settle_s
-            self._settlements[record.key] = record
+        self._queue.put(record, _now())
         self._wake.set()
 
-    def _due_at(self) -> t.Optional[float]:
-        """When to write next; ``None`` if there is nothing to write."""
-        if not self._claims and not self._settlements:
-            return None
-        due = max(self._flushed_at + self._settings.interval_s, self._retry_at)
-        full = len(self._settlements) >= defaults.CLAIM_BATCH_ROWS
-        if self._claims or full or self._stopping:
-            return due
-        return max(due, self._settle_at)
-
     async def _wait_until_due(self) -> None:
         while True:
             self._wake.clear()
-            due = self._due_at()
+            due = self._queue.due_at()
             if due is not None and due <= _now():
                 return
             timeout = None if due is None else due - _now()
@@ -304,55 +290,27 @@
             except asyncio.TimeoutError:
                 continue
 
-    def _take(self) -> t.List[ClaimRecord]:
-        batch: t.List[ClaimRecord] = []
-        size = 0
-        for record in [*self._claims.values(), *self._settlements.values()]:
-            size += _answer_bytes(record.wanted.answer)
-            full = len(batch) >= defaults.CLAIM_BATCH_ROWS
-            if batch and (full or size > defaults.CLAIM_BATCH_BYTES):
-                break
-            batch.append(record)
-        for record in batch:
-            record.in_flight = True
-            self._claims.pop(record.key, None)
-            self._settlements.pop(record.key, None)
-        return batch
-
     async def _flush(self, batch: t.List[ClaimRecord]) -> None:
         self._flushing = True
-        self._flushed_at = _now()
+        for record in batch:
+            record.in_flight = True
         try:
             await self._writer.write(batch)
         except PlatformError as error:
-            self._on_failure(batch, error)
+            if self._queue.failed(error, _now()):
+                self._refuse_all([*batch, *self._queue.waiting()])
         else:
-            self._on_success()
+            self._queue.succeeded()
         finally:
             self._flushing = False
             for record in batch:
                 record.in_flight = False
                 self._place(record)
 
-    def _on_success(self) -> None:
-        if self._failures:
-            log.info("claims.recovered", failures=self._failures)
-        self._failures = 0
-        self._doubtful = False
-
-    def _on_failure(self, batch: t.List[ClaimRecord], error: PlatformError) -> None:
-        if isinstance(error, PlatformUnknownError) and not self._doubtful:
-            # One lost answer is settled by reading back at once.
-            self._doubtful = True
-            return
-        pause = defaults.CLAIM_RETRY_MIN_S * 2 ** min(self._failures, 10)
-        self._retry_at = _now() + min(pause, defaults.CLAIM_RETRY_MAX_S)
-        self._failures += 1
-        log.warning("claims.failed", error=error, in_row=self._failures)
-        for record in [*batch, *self._claims.values()]:
+    def _refuse_all(self, records: t.Sequence[ClaimRecord]) -> None:
+        for record in records:
             if record.waiter is not None and not record.waiter.done():
-                message = "the table of idempotency keys is not available"
-                record.waiter.set_exception(self._refusal(message))
+                record.waiter.set_exception(self._refusal(_UNAVAILABLE))
 
     def _place(self, record: ClaimRecord) -> None:
         """Put a record where it belongs after something became known of it."""
@@ -391,7 +349,7 @@
         waiter.set_exception(_error_of(verdict))
 
     def _drop(self, record: ClaimRecord) -> None:
-        self._waiting_bytes -= _answer_bytes(record.wanted.answer)
+        self._waiting_bytes -= record.answer_bytes()
         del self._records_by_key[record.key]
         if not self._records_by_key:
             self._idle.set()
@@ -406,15 +364,6 @@
     return asyncio.get_running_loop().time()
 
 
-def _answer_bytes(answer: t.Optional[KeptAnswer]) -> int:
-    if answer is None:
-        return 0
-    size = len(answer.body or b"")
-    for name, value in answer.headers:
-        size += len(name) + len(value)
-    return size
-
-
 def _mismatch() -> ClaimError:
     return ClaimMismatchError("the idempotency key names another command; use a new key")
 
--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -92,6 +92,8 @@
 CLAIM_WAIT_S = 1.0
 #: Least time between two transactions with claims of one entry, in seconds.
 CLAIM_INTERVAL_S = 0.03
+#: Transactions with claims that all entries together may send to the table in a second.
+CLAIM_WRITES_PER_S = 300
 #: Longest time an answer to a command waits for company before it is written, in seconds.
 CLAIM_SETTLE_S = 0.1
 #: Pauses between tries while the table can't be written, in seconds.
--- a/src/coralfall/rows.py
+++ b/src/coralfall/rows.py
@@ -112,6 +112,13 @@
     #: ``None`` if it was too long to keep.
     body: t.Optional[bytes] = None
 
+    def size(self) -> int:
+        """Bytes of headers and body."""
+        size = len(self.body or b"")
+        for name, value in self.headers:
+            size += len(name) + len(value)
+        return size
+
 
 class ClaimRow(msgspec.Struct, frozen=True, kw_only=True):
     """Claim row of an idempotency key; written before its command is dispatched."""
