--- a/src/coralfall/answer.py
+++ b/src/coralfall/answer.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from . import defaults
+from .bundle import Service
 from .exceptions import (
     ClaimBusyError,
     ClaimMismatchError,
@@ -43,6 +44,8 @@
     outcome: Outcome
     version: BundleVersion = BundleVersion(0)
     stream: t.Optional[BodyStream] = None
+    #: Rules of the service that was asked, if there is such a service.
+    rules: t.Optional[Service] = None
 
     def all_headers(self) -> Headers:
         """Headers together with those that every answer carries."""
--- a/src/coralfall/callers.py
+++ b/src/coralfall/callers.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import time
 import typing as t
 
 from .answer import Answer, answer_of
@@ -13,8 +14,10 @@
     from starlette.types import Receive, Scope, Send
 
     from .dispatch import Dispatcher
+    from .observer import RequestObserver
 
 _LOOKUP_PATH = "/lookup"
+_FIRST_SERVER_ERROR = 500
 _REFUSED_METHODS = frozenset(("CONNECT", "TRACE"))
 #: Seconds after which the caller's connection is watched; most reads are over by then.
 _WATCH_AFTER_S = 0.02
@@ -46,11 +49,18 @@
 
     :param dispatcher: carries requests.
     :param lookup: answers look-ups.
+    :param observer: is told of each request that is over.
     """
 
-    def __init__(self, dispatcher: "Dispatcher", lookup: LookupSource) -> None:
+    def __init__(
+        self,
+        dispatcher: "Dispatcher",
+        lookup: LookupSource,
+        observer: "t.Optional[RequestObserver]" = None,
+    ) -> None:
         self._dispatcher = dispatcher
         self._lookup = lookup
+        self._observer = observer
         #: Bytes of bodies that are held, of all requests together.
         self.memory = MemoryAccount()
 
@@ -66,22 +76,23 @@
             await _send_whole(answer_of(error, Outcome.NOT_RUN), send)
             return
         if request.read and request.body is None:
-            await self._serve_read(request, receive, send)
+            await self._serve_read(request, scope, receive, send)
         else:
-            await self._serve(request, send)
+            await self._serve(request, scope, send)
 
     def _look_up(self, scope: "Scope") -> Answer:
         if scope["method"] not in ("GET", "HEAD"):
             error = RequestError("method", 405, "look-ups are made with GET")
             return answer_of(error, Outcome.NOT_RUN)
-        client = scope.get("client")
-        return self._lookup.answer(scope["query_string"], client[0] if client else None)
+        return self._lookup.answer(scope["query_string"], _caller_host(scope))
 
-    async def _serve_read(self, request: CallerRequest, receive: "Receive", send: "Send") -> None:
+    async def _serve_read(
+        self, request: CallerRequest, scope: "Scope", receive: "Receive", send: "Send"
+    ) -> None:
         """Serve a read, which ends when its caller leaves."""
         watch = _CallerWatch(receive)
         try:
-            await self._serve(request, send)
+            await self._serve(request, scope, send)
         except asyncio.CancelledError:
             if not watch.caller_gone:
                 raise
@@ -89,15 +100,29 @@
         finally:
             watch.stop()
 
-    async def _serve(self, request: CallerRequest, send: "Send") -> None:
+    async def _serve(self, request: CallerRequest, scope: "Scope", send: "Send") -> None:
+        began = time.perf_counter()
         try:
             answer = await self._dispatcher.dispatch(request)
         except CallerGoneError:
             return
+        if answer.stream is not None and _is_endless(answer, scope):
+            answer = _too_old(answer)
         if answer.stream is None:
             await _send_whole(answer, send)
+            whole = True
         else:
-            await _send_stream(answer, send)
+            whole = await _send_stream(answer, send)
+        self._observe(request, answer, began, whole)
+
+    def _observe(self, request: CallerRequest, answer: Answer, began: float, whole: bool) -> None:
+        if self._observer is None or answer.rules is None:
+            return
+        well = whole and answer.status < _FIRST_SERVER_ERROR
+        seconds = time.perf_counter() - began
+        self._observer.ended(
+            request.partner, request.service, answer.rules, answer.outcome, well, seconds
+        )
 
 
 class _CallerWatch:
@@ -143,7 +168,6 @@
     path = "/" + (parts[3] if len(parts) > 3 else "")
     if scope["query_string"]:
         path += "?" + scope["query_string"].decode("ascii")
-    client = scope.get("client")
     return CallerRequest(
         partner=PartnerId(parts[1]),
         service=ServiceId(parts[2]),
@@ -151,10 +175,15 @@
         path=path,
         headers=scope["headers"],
         body=_body_of(scope, receive, memory),
-        caller_host=client[0] if client else "unknown",
+        caller_host=_caller_host(scope) or "unknown",
     )
 
 
+def _caller_host(scope: "Scope") -> t.Optional[str]:
+    client = scope.get("client")
+    return client[0] if client else None
+
+
 def _body_of(scope: "Scope", receive: "Receive", memory: MemoryAccount) -> t.Optional[RequestBody]:
     length: t.Optional[int] = None
     chunked = False
@@ -181,17 +210,36 @@
             return
 
 
+def _is_endless(answer: Answer, scope: "Scope") -> bool:
+    """Whether the caller could not tell a break of this answer from its end."""
+    if scope["http_version"] != "1.0":
+        return False
+    return all(name != b"content-length" for name, _ in answer.headers)
+
+
+def _too_old(answer: Answer) -> Answer:
+    assert answer.stream is not None
+    answer.stream.abort()
+    message = "the answer is long and of unknown length, which HTTP/1.0 can't carry; use HTTP/1.1"
+    told = answer_of(RequestError("http-version", 505, message), answer.outcome)
+    told.version = answer.version
+    told.rules = answer.rules
+    return told
+
+
 async def _send_whole(answer: Answer, send: "Send") -> None:
     headers = answer.all_headers()
     await send({"type": "http.response.start", "status": answer.status, "headers": headers})
     await send({"type": "http.response.body", "body": answer.body})
 
 
-async def _send_stream(answer: Answer, send: "Send") -> None:
+async def _send_stream(answer: Answer, send: "Send") -> bool:
     """Send a long answer; if it breaks off, leave it unfinished for the caller to see.
 
     The server closes the connection of an answer that is left unfinished: without the last
     chunk, or short of its length.
+
+    :return: whether all of it was sent.
     """
     stream = answer.stream
     assert stream is not None
@@ -204,9 +252,10 @@
             await send(_piece(piece))
         await send({"type": "http.response.body", "body": b""})
     except TargetError:
-        return
+        return False
     finally:
         stream.abort()
+    return True
 
 
 def _piece(body: bytes) -> t.Dict[str, t.Any]:
--- a/src/coralfall/channel.py
+++ b/src/coralfall/channel.py
@@ -76,6 +76,17 @@
         raise PeerFrameError(f"a frame is not a known message: {error}") from error
 
 
+class Traffic:
+    """Counts what went over the channels it was given to, in bytes.
+
+    Handshakes and frames are counted; headers of TCP and IP come on top.
+    """
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.received = 0
+
+
 class Channel:
     """A stream whose other side has proved itself; get one by :func:`dial` or :func:`accept`.
 
@@ -85,6 +96,7 @@
     :param writer: what it gets.
     :param sealer: seals what is sent.
     :param opener: opens what is received.
+    :param traffic: counts the bytes.
     """
 
     def __init__(
@@ -93,16 +105,16 @@
         writer: asyncio.StreamWriter,
         sealer: FrameSealer,
         opener: FrameOpener,
+        traffic: Traffic,
     ) -> None:
         self._reader = reader
         self._writer = writer
         self._sealer = sealer
         self._opener = opener
         self._send_lock = asyncio.Lock()
+        self._traffic = traffic
+        self._ended = False
         self._peer: t.Optional[Hello] = None
-        #: Bytes of frames so far; headers of TCP and IP come on top.
-        self.bytes_sent = 0
-        self.bytes_received = 0
         writer.transport.set_write_buffer_limits(high=defaults.PEER_WRITE_BUFFER_BYTES)
 
     @property
@@ -143,7 +155,7 @@
     async def receive(self) -> AnyMessage:
         """The next message, however long it takes; wrap it in ``asyncio.timeout``.
 
-        :raises PeerClosedError: if the other side ended the stream.
+        :raises PeerClosedError: if either side ended the stream.
         :raises PeerFrameError: if the stream was cut or a frame is wrong.
         """
         try:
@@ -151,15 +163,18 @@
             if content == _END:
                 raise PeerClosedError("the other side ended the stream")
             return decode_message(content)
-        except BaseException:
+        except BaseException as error:
             # Half a frame may have been read, so that nothing after it could be understood.
             self.abort()
+            if self._ended and isinstance(error, PeerFrameError):
+                raise PeerClosedError("the stream was closed on this side") from error
             raise
 
     async def close(self) -> None:
         """End the stream so that the other side can tell it from a cut."""
         if not self.closed:
             self._write(_END)
+        self._ended = True
         self._writer.close()
         try:
             async with asyncio.timeout(defaults.PEER_SEND_TIMEOUT_S):
@@ -194,7 +209,7 @@
     def _write(self, content: bytes) -> None:
         sealed = self._sealer.seal(content)
         self._writer.write(len(sealed).to_bytes(_LENGTH_BYTES, "big") + sealed)
-        self.bytes_sent += _LENGTH_BYTES + len(sealed)
+        self._traffic.sent += _LENGTH_BYTES + len(sealed)
 
     async def _read_frame(self) -> bytes:
         size = int.from_bytes(await read_exactly(self._reader, _LENGTH_BYTES), "big")
@@ -203,7 +218,7 @@
                 f"frame of {size} bytes is over the limit of {defaults.MAX_FRAME_BYTES}"
             )
         sealed = await read_exactly(self._reader, size)
-        self.bytes_received += _LENGTH_BYTES + size
+        self._traffic.received += _LENGTH_BYTES + size
         return sealed
 
 
@@ -218,11 +233,14 @@
         raise PeerFrameError("the stream was cut") from error
 
 
-async def dial(address: str, fleet_key: FleetKey, hello: Hello) -> Channel:
+async def dial(
+    address: str, fleet_key: FleetKey, hello: Hello, traffic: t.Optional[Traffic] = None
+) -> Channel:
     """A channel to the entry at an address.
 
     :param address: ``ip:port`` of its peers' port.
     :param hello: what to say of ourselves.
+    :param traffic: counts the channel's bytes.
     :raises PeerError: if it can't be reached, is not of the fleet, or speaks another version.
     """
     host, port = split_address(address)
@@ -231,7 +249,7 @@
             reader, writer = await asyncio.open_connection(host, port)
     except (OSError, TimeoutError) as error:
         raise PeerUnreachableError(f"{address} can't be reached: {error}") from error
-    return await open_channel(reader, writer, fleet_key, hello, Role.DIALER)
+    return await open_channel(reader, writer, fleet_key, hello, Role.DIALER, traffic)
 
 
 async def accept(
@@ -239,9 +257,10 @@
     writer: asyncio.StreamWriter,
     fleet_key: FleetKey,
     hello: Hello,
+    traffic: t.Optional[Traffic] = None,
 ) -> Channel:
     """A channel out of a connection that came in; raises as :func:`dial` does."""
-    return await open_channel(reader, writer, fleet_key, hello, Role.LISTENER)
+    return await open_channel(reader, writer, fleet_key, hello, Role.LISTENER, traffic)
 
 
 async def open_channel(
@@ -250,6 +269,7 @@
     fleet_key: FleetKey,
     hello: Hello,
     role: Role,
+    traffic: t.Optional[Traffic] = None,
 ) -> Channel:
     """Prove, have proved, and greet, within ``PEER_HANDSHAKE_TIMEOUT_S`` seconds.
 
@@ -257,6 +277,7 @@
     :raises PeerVersionError: if it speaks another version.
     :raises PeerTimeoutError: if it is too slow.
     """
+    traffic = traffic or Traffic()
     try:
         async with asyncio.timeout(defaults.PEER_HANDSHAKE_TIMEOUT_S):
             exchange = KeyExchange(fleet_key, role)
@@ -264,8 +285,10 @@
             keys = exchange.finish(await read_exactly(reader, PUBLIC_BYTES))
             writer.write(keys.proof)
             keys.check_proof(await read_exactly(reader, PROOF_BYTES))
+            traffic.sent += PUBLIC_BYTES + PROOF_BYTES
+            traffic.received += PUBLIC_BYTES + PROOF_BYTES
             sealer = FrameSealer(keys.seal_key)
-            channel = Channel(reader, writer, sealer, FrameOpener(keys.open_key))
+            channel = Channel(reader, writer, sealer, FrameOpener(keys.open_key), traffic)
             await channel._greet(hello)
             return channel
     except TimeoutError as error:
--- /dev/null
+++ b/src/coralfall/cli.py
@@ -0,0 +1,92 @@
+"""The command line; each command imports what it needs when it runs."""
+
+import pathlib
+import sys
+import typing as t
+
+import typer
+
+from .exceptions import CoralfallError, InputError
+
+#: Exit codes: refused or failed, and bad input.
+EXIT_FAILED = 1
+EXIT_INPUT = 2
+
+app = typer.Typer(
+    name="coralfall",
+    help="Global traffic steering for partners who share VMs and target capacity.",
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+)
+standin_app = typer.Typer(help="Stand-ins of the platform and of targets.", no_args_is_help=True)
+app.add_typer(standin_app, name="standin")
+
+SettingsFile = t.Annotated[
+    pathlib.Path, typer.Option("--settings", help="TOML file with the process's settings.")
+]
+
+
+@app.command()
+def entry(settings: SettingsFile) -> None:
+    """Run the process of an entry VM."""
+    from .entry import run_entry
+    from .settings import EntrySettings, load_settings
+
+    raise typer.Exit(run_entry(load_settings(settings, EntrySettings)))
+
+
+@standin_app.command("platform")
+def standin_platform(settings: SettingsFile) -> None:
+    """Run a stand-in of the platform: table, object store and VM list."""
+    from .settings import PlatformStandinSettings, load_settings
+    from .standin import run_platform
+
+    raise typer.Exit(run_platform(load_settings(settings, PlatformStandinSettings)))
+
+
+@standin_app.command("target")
+def standin_target(settings: SettingsFile) -> None:
+    """Run a stand-in of one target."""
+    from .settings import TargetStandinSettings, load_settings
+    from .standin import run_target
+
+    raise typer.Exit(run_target(load_settings(settings, TargetStandinSettings)))
+
+
+@app.command()
+def dev(
+    seconds: t.Annotated[
+        t.Optional[float], typer.Option(help="Stop after this long; without it, on Ctrl-C.")
+    ] = None,
+) -> None:
+    """Run platform, targets, entries and callers in one process, on loopback."""
+    from .dev import run_dev
+
+    raise typer.Exit(run_dev(seconds))
+
+
+def _mount() -> None:
+    from .bundle_cli import app as bundle_app
+    from .keys_cli import app as keys_app
+
+    app.add_typer(bundle_app, name="bundle")
+    app.add_typer(keys_app, name="keys")
+
+
+def main() -> None:
+    """Run the command line; errors are one line on standard error."""
+    if len(sys.argv) > 1 and sys.argv[1] not in ("entry", "standin", "dev"):
+        _mount()
+    try:
+        app()
+    except InputError as error:
+        print(f"coralfall: {error.message}", file=sys.stderr)
+        sys.exit(EXIT_INPUT)
+    except CoralfallError as error:
+        print(f"coralfall: {error.code}: {error.message}", file=sys.stderr)
+        sys.exit(EXIT_FAILED)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/coralfall/clock.py
+++ b/src/coralfall/clock.py
@@ -71,6 +71,7 @@
         self._clock = clock
         self._offset: t.Optional[float] = None
         self._error = float("inf")
+        self._from_platform = False
 
     def observe(self, sent: float, received: float, platform_now: float) -> None:
         """Take in one answer.
@@ -79,11 +80,20 @@
         :param received: monotonic time at which the answer came.
         :param platform_now: platform's wall time, as the answer states it.
         """
+        if not self._from_platform:
+            self._from_platform = True
+            self._offset = None
         error = (received - sent) / 2
         if error <= self._error * 1.5 or self._offset is None:
             self._offset = platform_now - (sent + received) / 2
             self._error = error
 
+    def observe_peer(self, sent: float, received: float, platform_now: float) -> None:
+        """Take in a peer's estimate, as long as the platform itself has not answered."""
+        if self._from_platform:
+            return
+        self._offset = platform_now - (sent + received) / 2
+
     def now(self) -> float:
         """Platform's wall time in seconds; the VM's own until a first answer came."""
         if self._offset is None:
--- /dev/null
+++ b/src/coralfall/conversation.py
@@ -0,0 +1,205 @@
+"""What an entry tells its peers and does with what they tell: heads, roster, objects, loans."""
+
+import asyncio
+import typing as t
+
+from . import log
+from .exceptions import PeerError
+from .handover import Ack
+from .ids import BundleVersion, Digest, EntryId, PartnerId, RegionId, ServiceId
+from .lending import Ask, Borrower, Lender, Return
+from .messages import Heartbeat, Hello, LoanAnswer, LoanRequest, LoanReturn, SyncAnswer
+from .peer_handler import PeerHandler
+from .rollout import PartnerRollout
+from .rows import Member
+
+if t.TYPE_CHECKING:
+    from .clock import Clock
+    from .control import Control
+    from .fleet import FleetSteering
+    from .lease import Lease
+    from .membership import Membership
+    from .peers import PeerNetwork
+    from .roster import Roster
+    from .slots import SlotTable
+    from .staging import Staging
+
+
+class Conversation(PeerHandler):
+    """The entry's side of the conversation with its peers.
+
+    :param entry_id: this entry.
+    :param clock: the VM's clocks.
+    :param membership: given newer rosters.
+    :param roster: told to peers.
+    :param rollouts: told to peers, and given newer heads.
+    :param lease: confirmed by peers that know of no newer roster.
+    :param slots: told what peers have acknowledged.
+    :param staging: gives objects.
+    :param lender: answers requests for loans.
+    :param borrower: told what peers could lend.
+    """
+
+    def __init__(
+        self,
+        entry_id: EntryId,
+        clock: "Clock",
+        membership: "Membership",
+        roster: "Roster",
+        rollouts: t.Mapping[PartnerId, PartnerRollout],
+        lease: "Lease",
+        slots: "SlotTable",
+        staging: "Staging",
+        lender: Lender,
+        borrower: Borrower,
+    ) -> None:
+        self._entry_id = entry_id
+        self._clock = clock
+        self._membership = membership
+        self._roster = roster
+        self._rollouts = rollouts
+        self._lease = lease
+        self._slots = slots
+        self._staging = staging
+        self._lender = lender
+        self._borrower = borrower
+        self.control: t.Optional["Control"] = None
+        self.services: t.Callable[[], t.Iterable[ServiceId]] = tuple
+
+    def members_by_id(self) -> t.Mapping[EntryId, Member]:
+        return self._roster.by_id
+
+    def heartbeat(self) -> Heartbeat:
+        accepted: t.Dict[PartnerId, BundleVersion] = {}
+        staged: t.Dict[PartnerId, BundleVersion] = {}
+        for partner, rollout in self._rollouts.items():
+            head = rollout.head
+            if head.accepted is not None:
+                accepted[partner] = head.accepted.version
+            newest = head.staged or head.accepted
+            if newest is not None:
+                staged[partner] = newest.version
+        idle = {}
+        for service in self.services():
+            count = self._lender.lendable(service)
+            if count:
+                idle[service] = count
+        acknowledged = self._slots.acknowledged
+        behind = acknowledged != self._roster.revision
+        return Heartbeat(
+            roster_revision=self._roster.revision,
+            accepted=accepted,
+            staged=staged,
+            platform_age_s=min(self._membership.platform_age(), 1e9),
+            platform_now=self._membership.platform_clock.now(),
+            idle=idle,
+            acknowledged=acknowledged if behind else None,
+        )
+
+    def on_heartbeat(self, peer: Hello, heartbeat: Heartbeat, asked_at: t.Optional[float]) -> None:
+        self._borrower.heard(peer.entry_id, heartbeat.idle)
+        acknowledged = heartbeat.acknowledged
+        if acknowledged is None:
+            acknowledged = heartbeat.roster_revision
+        self._slots.take_acks([Ack(peer.entry_id, peer.incarnation, acknowledged)])
+        if asked_at is None:
+            return
+        self._membership.platform_clock.observe_peer(
+            asked_at, self._clock.monotonic(), heartbeat.platform_now
+        )
+        me = self._membership.member
+        if me is None or heartbeat.roster_revision > self._roster.revision:
+            return
+        if self._roster.holds(me.entry_id, me.incarnation):
+            self._lease.peer_confirmed(asked_at)
+
+    def sync(self) -> SyncAnswer:
+        return SyncAnswer(
+            heads=tuple(rollout.head for rollout in self._rollouts.values()),
+            members=tuple(self._roster.by_id.values()),
+            roster_revision=self._roster.revision,
+            platform_now=self._membership.platform_clock.now(),
+        )
+
+    def on_sync(self, peer: Hello, answer: SyncAnswer) -> None:
+        news = False
+        for head in answer.heads:
+            rollout = self._rollouts.get(head.partner)
+            if rollout is not None and rollout.learn_from_peer(head):
+                news = True
+        if answer.roster_revision > self._roster.revision:
+            self._membership.learn_roster(answer.members, answer.roster_revision)
+            news = True
+        if news and self.control is not None:
+            log.debug("peer.news", peer=peer.entry_id)
+            self.control.news.set()
+
+    def get_object(self, digest: Digest) -> t.Optional[bytes]:
+        return self._staging.object_bytes(digest)
+
+    def on_loan_request(self, peer: Hello, request: LoanRequest) -> LoanAnswer:
+        return self._lender.answer(peer.entry_id, request)
+
+    def on_loan_return(self, peer: Hello, loan: LoanReturn) -> None:
+        self._lender.returned(peer.entry_id, loan)
+
+
+class Loans:
+    """Carries this entry's requests for loans, one task for each.
+
+    :param borrower: decides whom to ask.
+    :param network: carries the messages.
+    :param steering: told of borrowed slots.
+    """
+
+    def __init__(
+        self, borrower: Borrower, network: "PeerNetwork", steering: "FleetSteering"
+    ) -> None:
+        self._borrower = borrower
+        self._network = network
+        self._steering = steering
+        self._tasks: t.Set["asyncio.Task[None]"] = set()
+
+    def ask(self, service: ServiceId, count: int, regions: t.Sequence[RegionId]) -> None:
+        """Ask a peer for slots of a service, if one is known that has some."""
+        ask = self._borrower.ask(service, count, regions)
+        if ask is not None:
+            self._spawn(self._ask(ask))
+
+    def give_back_due(self) -> None:
+        """Send back what has expired or lies idle."""
+        for due in self._borrower.due_returns():
+            self._spawn(self._give_back(due))
+
+    async def close(self) -> None:
+        """End what is under way; lenders take their slots back when the loans' time is over."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _ask(self, ask: Ask) -> None:
+        try:
+            answer = await self._network.request_loan(ask.peer, ask.request)
+        except PeerError as error:
+            self._borrower.failed(ask)
+            log.debug("loan.failed", peer=ask.peer, code=error.code)
+            return
+        except BaseException:
+            self._borrower.failed(ask)
+            raise
+        returns = self._borrower.answered(ask, answer)
+        self._steering.loan_arrived(ask.request.service, len(answer.slots))
+        for unusable in returns:
+            await self._give_back(unusable)
+
+    async def _give_back(self, due: Return) -> None:
+        try:
+            await self._network.return_loan(due.peer, due.message)
+        except PeerError as error:
+            log.debug("loan.not_returned", peer=due.peer, code=error.code)
+
+    def _spawn(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/src/coralfall/coordinator.py
@@ -0,0 +1,184 @@
+"""Accepts bundles that every entry has staged and removes entries that are gone."""
+
+import typing as t
+
+import msgspec
+
+from . import line, log
+from .clock import Clock
+from .exceptions import PlatformError, PlatformUnknownError, SubmitError
+from .ids import EntryId, PartnerId, Revision
+from .membership import Membership
+from .platform import Check, Platform, Row, Write
+from .removal import LeaseObserver, removable
+from .rollout import PartnerRollout
+from .roster import Roster
+from .rows import (
+    COORDINATOR_KEY,
+    LEASE_PREFIX,
+    CoordinatorRow,
+    LeaseRow,
+    Member,
+    lease_key,
+    roster_key,
+)
+from .settings import EntrySettings
+from .shift import shares_at
+
+
+class Coordinator:
+    """The duty that one entry at a time has for all of them.
+
+    The duty is a lease in the table. Every write of its holder checks the lease row's
+    revision in the same transaction, so a holder that was paused and lost the duty can't
+    act on it. An entry that has the duty and dies is followed by another after it sees the
+    row unchanged for longer than the lease's time.
+
+    :param settings: the entry's settings.
+    :param platform: the platform.
+    :param clock: the VM's clocks.
+    :param membership: the entry's own place in the roster.
+    :param roster: the roster.
+    :param rollouts: the partners' lines.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        platform: Platform,
+        clock: Clock,
+        membership: Membership,
+        roster: Roster,
+        rollouts: t.Mapping[PartnerId, PartnerRollout],
+    ) -> None:
+        self._settings = settings
+        self._platform = platform
+        self._clock = clock
+        self._membership = membership
+        self._roster = roster
+        self._rollouts = rollouts
+        self._renewals = 0
+        self._seen_revision = Revision(-1)
+        self._seen_at = clock.monotonic()
+        self._lease_since = Revision(0)
+        self._leases_by_id: t.Dict[EntryId, LeaseRow] = {}
+        self._observer = LeaseObserver(settings.lease, clock)
+
+    async def tick(self) -> None:
+        """Take or keep the duty, and do what it asks for.
+
+        :raises PlatformError: if the platform can't be reached; the next call goes on.
+        """
+        member = self._membership.member
+        if member is None:
+            return
+        if not await self._hold_duty(member.entry_id):
+            return
+        try:
+            await self._read_leases()
+        except PlatformError:
+            self._observer.reset()
+            raise
+        for rollout in self._rollouts.values():
+            await self._accept_if_staged(rollout)
+        await self._remove_gone()
+
+    async def _hold_duty(self, entry_id: EntryId) -> bool:
+        membership = self._membership
+        row = membership.coordinator
+        mine = row is not None and membership.member is not None
+        mine = mine and row is not None and row.entry_id == entry_id
+        if not mine and not self._may_take_over(row):
+            return False
+        assert membership.member is not None
+        self._renewals += 1
+        value = CoordinatorRow(
+            entry_id=entry_id,
+            incarnation=membership.member.incarnation,
+            renewals=self._renewals,
+        )
+        write = Write(
+            COORDINATOR_KEY, msgspec.msgpack.encode(value), membership.coordinator_revision
+        )
+        result = await self._platform.table.transact([write])
+        if not result.committed:
+            return False
+        if not mine:
+            log.info("coordinator.taken", entry=entry_id)
+            self._observer.reset()
+        membership.coordinator = value
+        membership.coordinator_revision = result.revision
+        return True
+
+    def _may_take_over(self, row: t.Optional[CoordinatorRow]) -> bool:
+        now = self._clock.monotonic()
+        revision = self._membership.coordinator_revision
+        if revision != self._seen_revision:
+            self._seen_revision = revision
+            self._seen_at = now
+        if row is None or row.entry_id not in self._roster.by_id:
+            return True
+        return now - self._seen_at > self._settings.lease.ttl_s
+
+    async def _read_leases(self) -> None:
+        rows: t.List[Row] = []
+        sent = self._clock.monotonic()
+        more = True
+        while more:
+            changes = await self._platform.table.changes((LEASE_PREFIX,), self._lease_since)
+            self._lease_since = changes.revision
+            rows += changes.rows
+            more = changes.more
+        self._observer.observe(sent, rows, self._roster.by_id)
+        for row in rows:
+            entry_id = EntryId(row.key[len(LEASE_PREFIX) :])
+            if row.value is None:
+                self._leases_by_id.pop(entry_id, None)
+                continue
+            lease = msgspec.msgpack.decode(row.value, type=LeaseRow)
+            self._leases_by_id[entry_id] = lease
+
+    async def _accept_if_staged(self, rollout: PartnerRollout) -> None:
+        staged = rollout.head.staged
+        if staged is None or rollout.revision == 0:
+            return
+        for entry_id, member in self._roster.by_id.items():
+            lease = self._leases_by_id.get(entry_id)
+            if lease is None or lease.incarnation != member.incarnation:
+                return
+            if lease.staged.get(rollout.partner, 0) < staged.version:
+                return
+        now = self._membership.platform_clock.now()
+        accepted = rollout.accepted()
+        shares = {} if accepted is None else shares_at(rollout.head, accepted, now)
+        checks = [Check(COORDINATOR_KEY, self._membership.coordinator_revision)]
+        try:
+            await line.accept(self._platform, rollout.head, rollout.revision, shares, now, checks)
+        except PlatformUnknownError:
+            # The next poll shows whether the head moved; writing again could not tell.
+            return
+        except SubmitError as error:
+            log.info("rollout.not_accepted", partner=rollout.partner, error=error.message)
+            return
+        log.info("rollout.accepted", partner=rollout.partner, version=staged.version)
+
+    async def _remove_gone(self) -> None:
+        lapsed = self._observer.lapsed()
+        if not lapsed:
+            return
+        vms = await self._platform.vms.list()
+        for entry_id in removable(self._roster.by_id, lapsed, vms):
+            key = roster_key(entry_id)
+            row = (await self._platform.table.read([key])).get(key)
+            if row is None or row.value is None:
+                continue
+            if msgspec.msgpack.decode(row.value, type=Member) != self._roster.by_id[entry_id]:
+                continue
+            writes = [
+                Write(key, None, row.revision),
+                Write(lease_key(entry_id), None, self._observer.revision(entry_id)),
+            ]
+            checks = [Check(COORDINATOR_KEY, self._membership.coordinator_revision)]
+            result = await self._platform.table.transact(writes, checks)
+            if result.committed:
+                log.warning("coordinator.removed", entry=entry_id)
--- a/src/coralfall/dispatch.py
+++ b/src/coralfall/dispatch.py
@@ -81,8 +81,10 @@
 
         :raises CallerGoneError: if the caller left before its request was whole.
         """
+        rules: t.Optional[Service] = None
         try:
-            answer = await self._dispatch(request)
+            rules = self._rules_of(request)
+            answer = await self._dispatch(request, rules)
         except CallerGoneError:
             raise
         except (TargetUnknownError, ClaimBusyError, ClaimUnknownError) as error:
@@ -93,13 +95,17 @@
             if request.body is not None:
                 request.body.release()
         answer.version = self._steering.version(request.partner)
+        answer.rules = rules
         return answer
 
-    async def _dispatch(self, request: "CallerRequest") -> Answer:
+    def _rules_of(self, request: "CallerRequest") -> "Service":
         rules = self._steering.service(request.partner, request.service)
         if rules is None:
             message = f"partner {request.partner} has no service {request.service} here"
             raise RequestError("unknown-service", 404, message)
+        return rules
+
+    async def _dispatch(self, request: "CallerRequest", rules: "Service") -> Answer:
         deadline = self._clock.monotonic() + _allowed_seconds(request, rules)
         key = None if request.read else _key_of(request, rules)
         if request.body is not None:
@@ -199,6 +205,9 @@
         answer = Answer(exchange.status, passed, first, Outcome.DONE)
         if not exchange.whole:
             answer.stream = exchange
+        elif exchange.length is None and exchange.bodied:
+            # It came in chunks; now that its length is known, a caller can check it.
+            passed.append((b"content-length", str(len(first)).encode()))
         return answer
 
     def _budget(self, request: "CallerRequest") -> Budget:
--- /dev/null
+++ b/src/coralfall/entry.py
@@ -0,0 +1,324 @@
+"""The process of an entry VM: builds its parts and runs them as one supervisor tree."""
+
+import asyncio
+import pathlib
+import random
+import resource
+import typing as t
+
+from . import log, loop
+from .callers import CallersApp
+from .channel import Traffic
+from .child import Child, FunctionChild, PeriodicChild
+from .claims import ClaimBook
+from .clock import Clock, SystemClock
+from .control import Control, Leave, Presence
+from .conversation import Conversation, Loans
+from .coordinator import Coordinator
+from .dispatch import Dispatcher
+from .fleet import FleetSteering
+from .fleetkey import load_fleet_key
+from .http_platform import HttpPlatform
+from .ids import BundleVersion, Digest, Incarnation, RegionId, ServiceId
+from .lease import Lease
+from .lending import Borrower, Lender
+from .lookup import Lookup
+from .lookup_http import LookupHttp
+from .membership import Membership, MembershipState
+from .messages import Hello
+from .metrics import Metrics
+from .operators import make_operators_app
+from .peers import PeerDirectory, PeerNetwork, PeerServer
+from .platform import Platform
+from .retry import RetryBudget
+from .rollout import PartnerRollout
+from .roster import Roster
+from .rows import Member
+from .server import HttpServer
+from .settings import EntrySettings
+from .slots import SlotTable
+from .staging import Staging
+from .status import DrainStatus, EntryStatus, MemberStatus, TargetStatus, VersionStatus
+from .supervisor import Supervisor, supervise
+from .trust import trust_of
+from .upstream import Upstream
+
+#: Seconds between two looks at limits, ramps and loans.
+STEERING_S = 0.25
+
+
+class Entry:
+    """All parts of one entry.
+
+    :param settings: the entry's settings.
+    :param platform: the platform, whatever implements it.
+    :param clock: the VM's clocks.
+    :param rng: the source of choices that may differ between entries.
+    """
+
+    def __init__(
+        self, settings: EntrySettings, platform: Platform, clock: Clock, rng: random.Random
+    ) -> None:
+        self.settings = settings
+        self._platform = platform
+        self._clock = clock
+        self._started_at = clock.monotonic()
+        self._incarnation = Incarnation(int(clock.wall() * 1000))
+        trust = trust_of(settings.partners)
+        self.metrics = Metrics(settings.metrics)
+        self.roster = Roster()
+        self.rollouts = {partner: PartnerRollout(partner) for partner in settings.partners}
+        self.lease = Lease(settings.lease, clock)
+        self.slots = SlotTable(settings.entry_id, self.lease, clock, settings.lease)
+        self.membership = Membership(
+            settings,
+            platform,
+            clock,
+            self.roster,
+            self.rollouts,
+            self.lease,
+            self._apply_roster,
+            lambda: self.slots.acknowledged,
+        )
+        self.steering = FleetSteering(
+            self.rollouts,
+            self.roster,
+            self.slots,
+            clock,
+            self.membership.platform_clock,
+            self._ask_loan,
+        )
+        self.staging = Staging(platform.objects, self._fetch_from_peers, trust)
+        self.lookup = Lookup(settings.partners, settings.lookup_ttl_s)
+        self.claims = ClaimBook(
+            platform.table,
+            settings.entry_id,
+            self._incarnation,
+            clock,
+            settings.claims,
+            rng,
+            self.metrics,
+        )
+        self.coordinator = Coordinator(
+            settings, platform, clock, self.membership, self.roster, self.rollouts
+        )
+        self.control = Control(
+            settings,
+            platform,
+            clock,
+            self.membership,
+            self.roster,
+            self.rollouts,
+            self.staging,
+            self.steering,
+            self.slots,
+            self.lookup,
+            self._make_member,
+            lambda: self.network.announce(),
+        )
+        self._make_peers(rng)
+        self.upstream = Upstream(self.steering, clock)
+        dispatcher = Dispatcher(self.steering, self.upstream, self.claims, RetryBudget, clock)
+        callers = CallersApp(dispatcher, LookupHttp(self.lookup))
+        operators = make_operators_app(self.status, trust, settings.entry_id)
+        self.callers_server = HttpServer(
+            "callers", callers, settings.caller_address, metrics=self.metrics
+        )
+        self.operators_server = HttpServer("operators", operators, settings.operator_address)
+        self.root = self._make_tree(rng)
+
+    def status(self) -> EntryStatus:
+        """What the operators' interface shows."""
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        age = self.membership.platform_age()
+        return EntryStatus(
+            entry_id=self.settings.entry_id,
+            incarnation=self._incarnation,
+            membership=self.membership.state.value,
+            lease=self.lease.state().value,
+            ready=self.ready(),
+            platform_age_s=None if age == float("inf") else age,
+            roster_revision=self.roster.revision,
+            versions=self._versions(),
+            members=self._members(),
+            targets=self._targets(),
+            drains=self._drains(),
+            burns={},
+            outcomes={},
+            resident_bytes=_resident_bytes(),
+            processor_s=usage.ru_utime + usage.ru_stime,
+            started_s=self._clock.monotonic() - self._started_at,
+        )
+
+    def ready(self) -> bool:
+        """Whether callers may be sent here: bundles in force, and not about to leave."""
+        if self.membership.state in (MembershipState.LEAVING, MembershipState.LEFT):
+            return False
+        return any(rollout.effective() is not None for rollout in self.rollouts.values())
+
+    def _make_tree(self, rng: random.Random) -> Supervisor:
+        children: t.List[Child] = [
+            FunctionChild("connections", self._keep_connections),
+            self.operators_server,
+            self.peer_server,
+            Leave(self.membership),
+            self.control,
+            FunctionChild("follow", self.control.follow_news),
+            self.network,
+            self.claims,
+            PeriodicChild(
+                "coordinator",
+                self.coordinator.tick,
+                self.settings.lease.poll_s,
+                rng,
+                self.metrics,
+            ),
+            PeriodicChild("steering", self._refresh_steering, STEERING_S, rng, self.metrics),
+            self.callers_server,
+            Presence(self.control, self.membership, self.settings.lookup_ttl_s),
+        ]
+        return Supervisor("entry", children, self._clock, rng, grace_s=self.settings.grace_s + 10.0)
+
+    async def _keep_connections(self) -> None:
+        try:
+            await asyncio.Event().wait()
+        finally:
+            await self.loans.close()
+            await self.upstream.close()
+
+    async def _refresh_steering(self) -> None:
+        self.steering.refresh()
+        for _ in self.slots.steps():
+            await asyncio.sleep(0)
+        self.loans.give_back_due()
+        self.steering.wake_all()
+
+    def _apply_roster(self) -> None:
+        self.steering.refresh()
+
+    def _make_peers(self, rng: random.Random) -> None:
+        settings = self.settings
+        clock = self._clock
+        lender = Lender(self.slots, self.lease, clock, rng)
+        borrower = Borrower(self.slots, clock, rng)
+        handler = Conversation(
+            settings.entry_id,
+            clock,
+            self.membership,
+            self.roster,
+            self.rollouts,
+            self.lease,
+            self.slots,
+            self.staging,
+            lender,
+            borrower,
+        )
+        handler.control = self.control
+        handler.services = self.steering.service_ids
+        fleet_key = load_fleet_key(pathlib.Path(settings.peers.fleet_key_file))
+        hello = Hello(entry_id=settings.entry_id, incarnation=self._incarnation)
+        directory = PeerDirectory(clock)
+        self.traffic = Traffic()
+        self.peer_server = PeerServer(
+            settings.peer_address, fleet_key, hello, handler, directory, self.traffic, self.metrics
+        )
+        self.network = PeerNetwork(
+            settings,
+            fleet_key,
+            hello,
+            handler,
+            directory,
+            clock,
+            rng,
+            self.traffic,
+            self.metrics,
+        )
+        self.loans = Loans(borrower, self.network, self.steering)
+
+    def _ask_loan(self, service: ServiceId, count: int, regions: t.Sequence[RegionId]) -> None:
+        self.loans.ask(service, count, regions)
+
+    async def _fetch_from_peers(self, digest: Digest) -> bytes:
+        return await self.network.fetch_object(digest)
+
+    def _make_member(self) -> Member:
+        settings = self.settings
+        return Member(
+            entry_id=settings.entry_id,
+            vm_id=settings.vm_id,
+            incarnation=self._incarnation,
+            region=settings.region,
+            zone=settings.zone,
+            site=settings.site,
+            caller_address=self.callers_server.bound_address,
+            peer_address=self.peer_server.bound_address,
+            operator_address=self.operators_server.bound_address,
+        )
+
+    def _versions(self) -> t.Dict[t.Any, VersionStatus]:
+        versions = {}
+        for partner, rollout in self.rollouts.items():
+            accepted = rollout.head.accepted
+            versions[partner] = VersionStatus(
+                in_force=rollout.in_force_version(),
+                staged=rollout.staged_version(),
+                accepted=BundleVersion(0) if accepted is None else accepted.version,
+            )
+        return versions
+
+    def _members(self) -> t.Tuple[MemberStatus, ...]:
+        members = []
+        for member in self.roster.by_id.values():
+            members.append(
+                MemberStatus(
+                    entry_id=member.entry_id,
+                    incarnation=member.incarnation,
+                    region=member.region,
+                    zone=member.zone,
+                    site=member.site,
+                    state=member.state,
+                    caller_address=member.caller_address,
+                    operator_address=member.operator_address,
+                )
+            )
+        return tuple(members)
+
+    def _targets(self) -> t.Tuple[TargetStatus, ...]:
+        return ()
+
+    def _drains(self) -> t.Tuple[DrainStatus, ...]:
+        now = self._clock.monotonic()
+        drains = []
+        for report in self.steering.drains.reports().values():
+            drains.append(
+                DrainStatus(
+                    target_id=report.target_id,
+                    in_flight=report.in_flight,
+                    age_s=now - report.marked_at,
+                    drained_s=report.seconds,
+                )
+            )
+        return tuple(drains)
+
+
+def run_entry(settings: EntrySettings) -> int:
+    """Run an entry until told to stop; the process's exit status."""
+    log.configure(settings.log)
+    return loop.run(_run(settings))
+
+
+async def _run(settings: EntrySettings) -> int:
+    clock = SystemClock()
+    platform = HttpPlatform(settings.platform, clock)
+    try:
+        entry = Entry(settings, platform.platform, clock, random.Random())
+        log.info("entry.starting", entry=settings.entry_id, vm=settings.vm_id)
+        return await supervise(entry.root)
+    finally:
+        await platform.close()
+
+
+def _resident_bytes() -> int:
+    with open("/proc/self/statm", encoding="ascii") as file:
+        pages = int(file.read().split()[1])
+    return pages * resource.getpagesize()
--- a/src/coralfall/exceptions.py
+++ b/src/coralfall/exceptions.py
@@ -76,6 +76,12 @@
     code = "supervisor"
 
 
+class ListenError(CoralfallError):
+    """An address that can't be listened on."""
+
+    code = "listen"
+
+
 class PlatformError(CoralfallError):
     """Base of the platform layer's errors."""
 
--- /dev/null
+++ b/src/coralfall/fleet.py
@@ -0,0 +1,340 @@
+"""Steering by what the whole fleet knows: bundles, roster, slots, shares and health together."""
+
+import asyncio
+import collections
+import typing as t
+
+from . import defaults
+from .bundle import Bundle, Service
+from .capacity import idle_connections
+from .drain import DrainTracker
+from .exceptions import RefusedError
+from .health import ServiceHealth
+from .ids import BundleVersion, PartnerId, RegionId, ServiceId, TargetId, TargetState
+from .limits import CapacityLimits
+from .link import LinkAllowance, link_rates
+from .rollout import PartnerRollout
+from .routing import Router
+from .shift import ShiftGovernor, planned_shares
+from .slots import Slot, SlotTable
+from .steering import AttemptResult, Reservation, Steering
+
+if t.TYPE_CHECKING:
+    from .clock import Clock, PlatformClock
+    from .roster import Roster
+
+#: Requests of one service that may wait for a slot at a time, for each slot held.
+_QUEUE_PER_SLOT = 2
+_MIN_QUEUE = 4
+
+ServiceKey = t.Tuple[PartnerId, ServiceId]
+#: Asks peers for slots of a service: how many, and in which regions they are of use.
+AskLoan = t.Callable[[ServiceId, int, t.Sequence[RegionId]], None]
+
+
+class FleetReservation(Reservation, frozen=True, kw_only=True, eq=False):
+    """A reservation with the slot it holds."""
+
+    slot: Slot
+
+
+class _Desk:
+    """What the steering of one service needs between requests."""
+
+    def __init__(self, partner: PartnerId, router: Router) -> None:
+        self.partner = partner
+        self.router = router
+        self.waiters: t.Deque["asyncio.Future[None]"] = collections.deque()
+
+    def wake(self, count: int = 1) -> None:
+        """Let up to ``count`` waiting requests try again."""
+        while count > 0 and self.waiters:
+            waiter = self.waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                count -= 1
+
+
+class FleetSteering(Steering):
+    """The steering of an entry.
+
+    :param rollouts: the partners' lines, by partner.
+    :param roster: the roster.
+    :param slots: the slots that this entry may use.
+    :param clock: the VM's clocks.
+    :param platform_clock: the platform's time, in which shifts and ramps are reckoned.
+    :param ask_loan: called when a service has no free slot left.
+    """
+
+    def __init__(
+        self,
+        rollouts: t.Mapping[PartnerId, PartnerRollout],
+        roster: "Roster",
+        slots: SlotTable,
+        clock: "Clock",
+        platform_clock: "PlatformClock",
+        ask_loan: AskLoan,
+    ) -> None:
+        self._rollouts = rollouts
+        self._roster = roster
+        self._slots = slots
+        self._clock = clock
+        self._platform_clock = platform_clock
+        self._ask_loan = ask_loan
+        self._limits = CapacityLimits(clock)
+        self._effective_by_partner: t.Dict[PartnerId, Bundle] = {}
+        self._desk_by_service: t.Dict[ServiceKey, _Desk] = {}
+        self.drains = DrainTracker()
+        self.links = LinkAllowance(clock)
+
+    async def reserve(
+        self,
+        partner: PartnerId,
+        service: ServiceId,
+        *,
+        tried: t.Collection[TargetId],
+        deadline: float,
+        body_bytes: int,
+    ) -> FleetReservation:
+        rules = self.service(partner, service)
+        desk = self._desk_by_service.get((partner, service))
+        if rules is None or desk is None:
+            raise RefusedError("the service is not in force here", defaults.RETRY_AFTER_S)
+        if not tried:
+            desk.router.offer()
+        try:
+            return await self._reserve(desk, service, rules, tried, deadline)
+        except RefusedError:
+            if not tried:
+                desk.router.refuse()
+            raise
+
+    def check(self, reservation: Reservation) -> None:
+        assert isinstance(reservation, FleetReservation)
+        if not self.drains.allows(reservation.target_id):
+            raise RefusedError("the target is leaving", defaults.RETRY_AFTER_S)
+        if not self._slots.confirm(reservation.slot):
+            raise RefusedError(
+                "the slot passed to another entry before the request was sent",
+                defaults.RETRY_AFTER_S,
+            )
+
+    def finish(
+        self,
+        reservation: Reservation,
+        result: AttemptResult,
+        seconds: float,
+        load: t.Optional[str],
+    ) -> None:
+        assert isinstance(reservation, FleetReservation)
+        now = self._clock.monotonic()
+        target_id = reservation.target_id
+        self._slots.release(reservation.slot)
+        self.drains.finish(target_id, now)
+        desk = self._desk_by_service.get((reservation.partner, reservation.service))
+        if desk is None:
+            return
+        desk.router.finished(target_id)
+        _tell_health(desk.router.health, target_id, result, seconds, load, now)
+        desk.wake()
+
+    def service(self, partner: PartnerId, service: ServiceId) -> t.Optional[Service]:
+        if partner not in self._rollouts:
+            return None
+        bundle = self._effective_by_partner.get(partner)
+        if bundle is None:
+            message = f"no bundle of {partner} is in force here yet"
+            raise RefusedError(message, defaults.RETRY_AFTER_S)
+        return bundle.services.get(service)
+
+    def version(self, partner: PartnerId) -> BundleVersion:
+        rollout = self._rollouts.get(partner)
+        return BundleVersion(0) if rollout is None else rollout.in_force_version()
+
+    def bundles(self) -> t.Mapping[PartnerId, Bundle]:
+        """The bundles that are served under, by partner."""
+        return self._effective_by_partner
+
+    def service_ids(self) -> t.List[ServiceId]:
+        """All services in force, of all partners."""
+        return [service for _, service in self._desk_by_service]
+
+    def routers(self) -> t.Dict[ServiceKey, Router]:
+        """The routers of all services, for status and metrics."""
+        return {key: desk.router for key, desk in self._desk_by_service.items()}
+
+    def refresh(self) -> None:
+        """Take in bundles, roster and time as they are now.
+
+        Slots that are lost are given up before this returns. Go on with
+        :meth:`coralfall.slots.SlotTable.steps` for those that are gained.
+        """
+        accepted: t.Dict[PartnerId, Bundle] = {}
+        staged: t.Dict[PartnerId, Bundle] = {}
+        accepted_at: t.Dict[PartnerId, float] = {}
+        for partner, rollout in self._rollouts.items():
+            bundle = rollout.accepted()
+            if bundle is None:
+                continue
+            accepted[partner] = bundle
+            accepted_at[partner] = rollout.head.accepted_at
+            other = rollout.staged()
+            if other is not None:
+                staged[partner] = other
+        platform_now = self._platform_clock.now()
+        limits = self._limits.update(accepted, staged, accepted_at, platform_now)
+        self._slots.update(self._roster, limits)
+        self.links.set_rates(link_rates([accepted, staged], limits, self._slots.held_by_region()))
+        for partner, rollout in self._rollouts.items():
+            effective = rollout.effective()
+            if effective is None:
+                self._effective_by_partner.pop(partner, None)
+                continue
+            if self._effective_by_partner.get(partner) is not effective:
+                self._effective_by_partner[partner] = effective
+                self._take_bundle(partner, effective)
+        self._mark_drains()
+
+    def loan_arrived(self, service: ServiceId, count: int) -> None:
+        """Let requests that wait for a slot of ``service`` use borrowed ones."""
+        for (_, service_id), desk in self._desk_by_service.items():
+            if service_id == service:
+                desk.wake(count)
+
+    def wake_all(self) -> None:
+        """Let all waiting requests look again, after slots may have become usable."""
+        for desk in self._desk_by_service.values():
+            desk.wake(len(desk.waiters))
+
+    async def _reserve(
+        self,
+        desk: _Desk,
+        service: ServiceId,
+        rules: Service,
+        tried: t.Collection[TargetId],
+        deadline: float,
+    ) -> FleetReservation:
+        give_up_at = min(deadline, self._clock.monotonic() + defaults.MAX_QUEUE_S)
+        while True:
+            self._refresh_router(desk, service, rules)
+            try:
+                return self._take(desk, service, tried)
+            except RefusedError:
+                regions = desk.router.governor.allowed(bool(tried))
+                seconds = give_up_at - self._clock.monotonic()
+                if not regions or seconds <= 0 or self._queue_is_full(desk, service):
+                    raise
+            self._ask_loan(service, len(desk.waiters) + 1, regions)
+            await _wait(desk, seconds)
+
+    def _queue_is_full(self, desk: _Desk, service: ServiceId) -> bool:
+        most = max(_MIN_QUEUE, _QUEUE_PER_SLOT * self._slots.in_use(service))
+        return len(desk.waiters) >= most
+
+    def _take(
+        self, desk: _Desk, service: ServiceId, tried: t.Collection[TargetId]
+    ) -> FleetReservation:
+        now = self._clock.monotonic()
+        router = desk.router
+        free_by_id = self._slots.free_by_target(service)
+        candidate = router.choose(free_by_id, tried, now)
+        target_id = candidate.target_id
+        target = self._effective_by_partner[desk.partner].targets[target_id]
+        slot = self._slots.acquire(target_id)
+        assert slot is not None, "a target that was counted as free has no slot"
+        self.drains.start(target_id)
+        if len(free_by_id) == 1 and free_by_id[target_id] == 1:
+            # The last free slot is gone: ask before the next request has to wait.
+            self._ask_loan(service, 1, ())
+        spare = idle_connections(target, len(self._roster.by_id))
+        return FleetReservation(
+            partner=desk.partner,
+            service=service,
+            target_id=target_id,
+            region=target.region,
+            address=target.address,
+            connections=max(2, 2 * (self._slots.in_flight(target_id) + spare)),
+            slot=slot,
+        )
+
+    def _refresh_router(self, desk: _Desk, service: ServiceId, rules: Service) -> None:
+        head = self._rollouts[desk.partner].head
+        planned = planned_shares(head, service, rules, self._platform_clock.now())
+        in_use = self._slots.in_use(service)
+        free = sum(self._slots.free_by_target(service).values())
+        prior = in_use / (in_use + free) if in_use else 0.0
+        desk.router.refresh(rules, planned, prior, self._clock.monotonic())
+
+    def _take_bundle(self, partner: PartnerId, bundle: Bundle) -> None:
+        now = self._clock.monotonic()
+        for key in list(self._desk_by_service):
+            if key[0] == partner and key[1] not in bundle.services:
+                self._desk_by_service.pop(key).wake(1_000_000)
+        for service_id, service in bundle.services.items():
+            desk = self._desk_by_service.get((partner, service_id))
+            if desk is None:
+                desk = self._new_desk(partner, service_id, service, now)
+                self._desk_by_service[partner, service_id] = desk
+            serving = {}
+            for target_id, target in bundle.targets.items():
+                if target.service == service_id and target.state is not TargetState.LEAVING:
+                    serving[target_id] = target
+            desk.router.set_targets(serving, now)
+
+    def _new_desk(
+        self, partner: PartnerId, service_id: ServiceId, service: Service, now: float
+    ) -> _Desk:
+        head = self._rollouts[partner].head
+        planned = planned_shares(head, service_id, service, self._platform_clock.now())
+        governor = ShiftGovernor(service_id, service, planned, now)
+        health = ServiceHealth(service.ramp_s)
+        return _Desk(partner, Router(service_id, service, governor, health, now))
+
+    def _mark_drains(self) -> None:
+        leaving: t.List[TargetId] = []
+        present: t.Set[TargetId] = set()
+        for bundle in self._effective_by_partner.values():
+            for target_id, target in bundle.targets.items():
+                present.add(target_id)
+                if target.state is TargetState.LEAVING:
+                    leaving.append(target_id)
+        self.drains.mark(leaving, present, self._clock.monotonic())
+
+
+async def _wait(desk: _Desk, seconds: float) -> None:
+    waiter = asyncio.get_running_loop().create_future()
+    desk.waiters.append(waiter)
+    try:
+        async with asyncio.timeout(seconds):
+            await waiter
+    except TimeoutError:
+        return
+    finally:
+        if waiter in desk.waiters:
+            desk.waiters.remove(waiter)
+
+
+def _tell_health(
+    health: ServiceHealth,
+    target_id: TargetId,
+    result: AttemptResult,
+    seconds: float,
+    load: t.Optional[str],
+    now: float,
+) -> None:
+    known = health.by_id.get(target_id)
+    if known is None:
+        return
+    if load is not None:
+        in_flight, _, slots = load.partition("/")
+        if in_flight.isdigit() and slots.isdigit():
+            known.report(int(in_flight), int(slots), now)
+    if result is AttemptResult.ANSWERED:
+        health.answered(target_id, seconds, now)
+        return
+    if result is AttemptResult.NOT_RUN and load is not None:
+        # The target's own word; without a load report nobody was reached.
+        known.shed(now)
+        return
+    if result is not AttemptResult.CANCELLED:
+        health.failed(target_id, now)
--- a/src/coralfall/lease.py
+++ b/src/coralfall/lease.py
@@ -32,6 +32,8 @@
 
 #: A failed renewal says that the platform is unreachable for this many ``ttl_s``.
 _FAILURE_TTLS = 2.0
+#: Time between two calls, in ``ttl_s``, above which the process is taken to have been paused.
+_PAUSE_TTLS = 0.5
 
 
 class LeaseState(enum.Enum):
@@ -62,6 +64,16 @@
         self._confirmed_at = -float("inf")
         self._alone = False
         self._removed = False
+        self._called_at = clock.monotonic()
+        #: When the process last came back from a pause.
+        self._woke_at = -float("inf")
+
+    def begin(self) -> None:
+        """Start over for a further life in the roster; what counted for the last is gone."""
+        self._renewed_at = -float("inf")
+        self._failed_at = -float("inf")
+        self._confirmed_at = -float("inf")
+        self._removed = False
 
     def renewed(self, sent_at: float) -> None:
         """Take in a whole round: lease row written, roster changes read *and applied*.
@@ -76,6 +88,7 @@
         :param sent_at: when the failed call was sent; after a pause a call sent before it
             says nothing of the platform now.
         """
+        self._notice_pause()
         self._failed_at = max(self._failed_at, sent_at)
 
     def peer_confirmed(self, exchanged_at: float) -> None:
@@ -85,6 +98,7 @@
 
         :param exchanged_at: when the exchange was begun.
         """
+        self._notice_pause()
         self._confirmed_at = max(self._confirmed_at, exchanged_at)
 
     def set_alone(self, alone: bool) -> None:
@@ -95,16 +109,9 @@
         """Take in that the entry is out of the roster: nothing counts until it joins anew."""
         self._removed = True
 
-    def joins(self) -> None:
-        """Start over for a new life of the entry; what was heard for an earlier one is void."""
-        self._removed = False
-        self._renewed_at = -float("inf")
-        self._failed_at = -float("inf")
-        self._confirmed_at = -float("inf")
-
     def state(self) -> LeaseState:
         """Where the lease stands now."""
-        now = self._clock.monotonic()
+        now = self._notice_pause()
         if now < self._held_until():
             return LeaseState.HELD
         if now < self._frozen_until():
@@ -117,8 +124,20 @@
 
     def remaining_s(self) -> float:
         """Seconds for which the lease counts if nothing further is heard; 0 if it lapsed."""
-        ends_at = max(self._held_until(), self._frozen_until())
-        return max(0.0, ends_at - self._clock.monotonic())
+        now = self._notice_pause()
+        return max(0.0, max(self._held_until(), self._frozen_until()) - now)
+
+    def _notice_pause(self) -> float:
+        """The time now.
+
+        A VM that was suspended may have been called gone and removed meanwhile.  So once it is
+        back it has to try the platform anew before it may go on as frozen.
+        """
+        now = self._clock.monotonic()
+        if now - self._called_at > _PAUSE_TTLS * self._ttl_s:
+            self._woke_at = now
+        self._called_at = now
+        return now
 
     def _held_until(self) -> float:
         if self._removed:
@@ -129,6 +148,8 @@
         never_renewed = self._renewed_at == -float("inf")
         if self._removed or never_renewed or self._failed_at <= self._renewed_at:
             return -float("inf")
+        if self._failed_at < self._woke_at:
+            return -float("inf")
         unreachable_until = self._failed_at + _FAILURE_TTLS * self._ttl_s
         if self._alone:
             return unreachable_until
--- a/src/coralfall/limits.py
+++ b/src/coralfall/limits.py
@@ -38,6 +38,8 @@
     usable: int
     #: Longest time that a request dispatched by any entry may still run, in seconds.
     timeout_s: float
+    #: Longest time that a request dispatched by this entry now may run, in seconds.
+    deadline_s: float
 
 
 Limits = t.Dict[TargetId, TargetLimit]
@@ -72,14 +74,15 @@
         limits: Limits = {}
         for place in self._places:
             service_id = place.target.service
-            service = self.bundles[place.partner].services[service_id]
+            timeout_ms = self.bundles[place.partner].services[service_id].timeout_ms
             limits[place.target_id] = TargetLimit(
                 place.partner,
                 service_id,
                 place.target.region,
                 self.reserved_by_id[place.target_id],
                 usable_by_id[place.target_id],
-                service.timeout_ms / 1000,
+                timeout_ms / 1000,
+                timeout_ms / 1000,
             )
         return limits
 
@@ -166,6 +169,7 @@
             reserved=min(limit.reserved, other.reserved),
             usable=min(limit.usable, other.usable),
             timeout_s=max(limit.timeout_s, other.timeout_s),
+            deadline_s=min(limit.deadline_s, other.deadline_s),
         )
     return met
 
--- a/src/coralfall/messages.py
+++ b/src/coralfall/messages.py
@@ -1,4 +1,8 @@
-"""Messages between entries: one typed class each, told apart by a tag on the wire."""
+"""Messages between entries: one typed class each, told apart by a tag on the wire.
+
+On the wire a message is an array, its tag first, then its fields in the order below. So a new
+field goes last and has a default, and a tag or field that was in use never means anything else.
+"""
 
 import typing as t
 
@@ -20,11 +24,11 @@
 from .rows import Member
 
 
-class Message(msgspec.Struct, frozen=True, kw_only=True, tag=True, omit_defaults=True):
+class Message(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Base of all messages."""
 
 
-class Hello(Message, frozen=True):
+class Hello(Message, frozen=True, tag=1):
     """First message of either side of a stream."""
 
     entry_id: EntryId
@@ -32,7 +36,7 @@
     protocol: int = defaults.PEER_PROTOCOL
 
 
-class Heartbeat(Message, frozen=True):
+class Heartbeat(Message, frozen=True, tag=2):
     """What the sender knows, so that the receiver can tell who is behind."""
 
     #: Revision of the last roster change the sender has applied.
@@ -47,14 +51,18 @@
     platform_now: float
     #: Slots the sender could lend, by service.
     idle: t.Dict[ServiceId, int] = {}
+    #: Revision of the roster by which the sender uses slots, if it is not the one above.
+    acknowledged: t.Optional[Revision] = None
+
 
+class SyncRequest(Message, frozen=True, tag=3):
+    """Asks for the peer's heads, and for its roster if wanted."""
 
-class SyncRequest(Message, frozen=True):
-    """Asks for the peer's heads and roster."""
+    roster: bool = False
 
 
-class SyncAnswer(Message, frozen=True):
-    """The sender's heads and roster as it knows them."""
+class SyncAnswer(Message, frozen=True, tag=4):
+    """The sender's heads and roster as it knows them; revision 0 stands for "no roster"."""
 
     heads: t.Tuple[Head, ...]
     members: t.Tuple[Member, ...]
@@ -62,20 +70,20 @@
     platform_now: float
 
 
-class ObjectRequest(Message, frozen=True):
+class ObjectRequest(Message, frozen=True, tag=5):
     """Asks for an object that the object store may be unable to give."""
 
     digest: Digest
 
 
-class ObjectAnswer(Message, frozen=True):
+class ObjectAnswer(Message, frozen=True, tag=6):
     """The object's bytes, or ``None`` if the sender does not hold it."""
 
     digest: Digest
     data: t.Optional[bytes] = None
 
 
-class LoanRequest(Message, frozen=True):
+class LoanRequest(Message, frozen=True, tag=7):
     """Asks an owner to lend slots of a service."""
 
     service: ServiceId
@@ -84,14 +92,14 @@
     regions: t.Tuple[RegionId, ...] = ()
 
 
-class LentSlot(msgspec.Struct, frozen=True):
+class LentSlot(msgspec.Struct, frozen=True, array_like=True):
     """Names a slot of a target."""
 
     target: TargetId
     index: int
 
 
-class LoanAnswer(Message, frozen=True):
+class LoanAnswer(Message, frozen=True, tag=8):
     """Slots that the receiver may use for ``seconds`` after it sent its request."""
 
     loan_id: int
@@ -99,7 +107,7 @@
     seconds: float
 
 
-class LoanReturn(Message, frozen=True):
+class LoanReturn(Message, frozen=True, tag=9):
     """Slots of a loan that the sender will not use again; nothing runs on them."""
 
     loan_id: int
--- /dev/null
+++ b/src/coralfall/protocol.py
@@ -0,0 +1,397 @@
+"""HTTP/1.1 towards callers: uvicorn's protocol on httptools, with bounds and strict framing.
+
+llhttp, below httptools, refuses most of what smuggles requests: both a Content-Length and a
+Transfer-Encoding, several or malformed lengths, folded or bare line ends, bad chunks. This adds
+what it leaves out: bounds on size, time, pipelined requests and connections, one Host, known
+versions, and no coding but ``chunked``.
+"""
+
+import asyncio
+import functools
+import typing as t
+
+import httptools
+import msgspec
+from uvicorn.protocols.http.httptools_impl import (
+    STATUS_LINE,
+    HttpToolsProtocol,
+    RequestResponseCycle,
+)
+
+if t.TYPE_CHECKING:
+    from .metrics import Metrics
+    from .settings import HttpSettings
+
+Header = t.Tuple[bytes, bytes]
+
+#: Seconds for which a refused caller's bytes are read and dropped. Closing a connection with
+#: unread bytes would reset it, and the caller might never see why.
+LINGER_S = 1.0
+#: Connections above the bound that are still told so; those beyond are cut at once.
+OVERFLOW = 64
+#: Seconds after which a caller that found no free connection may come back.
+RETRY_AFTER_S = 1
+
+#: Bytes that a header line has besides its name and value.
+_LINE_BYTES = 4
+#: Header fields that may come once only, and one that is acted on.
+_CHECKED = frozenset({b"host", b"content-length", b"transfer-encoding", b"expect"})
+_BODY = frozenset({b"content-length", b"transfer-encoding"})
+_VERSIONS = frozenset({"1.0", "1.1"})
+
+
+class _RefusedError(Exception):
+    """Ends the parsing of a request that breaks a rule.
+
+    :param status: HTTP status to answer with.
+    :param code: stable name of the rule.
+    :param message: what is wrong and what is allowed.
+    """
+
+    def __init__(self, status: int, code: str, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+        self.code = code
+        self.message = message
+
+
+class Connections:
+    """What the connections of one server share.
+
+    :param settings: bounds of the server.
+    :param refusal_headers: added to the answer of a request that no application saw.
+    :param metrics: counts refusals as ``http.refused.<code>``.
+    """
+
+    def __init__(
+        self,
+        settings: "HttpSettings",
+        refusal_headers: t.Sequence[Header] = (),
+        metrics: "t.Optional[Metrics]" = None,
+    ) -> None:
+        self.settings = settings
+        self.refusal_headers = list(refusal_headers)
+        #: Set once the server takes no new connections.
+        self.stopping = False
+        self.all: t.Set[CallerProtocol] = set()
+        self._metrics = metrics
+        # Ordered from the one idle for longest.
+        self._idle: t.Dict[CallerProtocol, None] = {}
+        self._none_left = asyncio.Event()
+
+    def add(self, connection: "CallerProtocol") -> int:
+        """Take in a new connection; by how many there are too many, after closing an idle one."""
+        self.all.add(connection)
+        self._none_left.clear()
+        excess = len(self.all) - self.settings.max_connections
+        if excess <= 0:
+            return 0
+        if self._idle:
+            self._close_longest_idle()
+            return 0
+        return excess
+
+    def remove(self, connection: "CallerProtocol") -> None:
+        """Forget a connection that was closed."""
+        self.all.discard(connection)
+        self._idle.pop(connection, None)
+        if not self.all:
+            self._none_left.set()
+
+    def mark_idle(self, connection: "CallerProtocol") -> None:
+        """Note that a connection waits for its next request; close another if too many do."""
+        self._idle[connection] = None
+        if len(self._idle) > self.settings.max_idle_connections:
+            self._close_longest_idle()
+
+    def mark_busy(self, connection: "CallerProtocol") -> None:
+        """Note that a connection is in use."""
+        self._idle.pop(connection, None)
+
+    def _close_longest_idle(self) -> None:
+        longest = next(iter(self._idle))
+        del self._idle[longest]
+        longest.transport.close()
+
+    def count_refusal(self, code: str) -> None:
+        """Count a request that was refused."""
+        if self._metrics is not None:
+            self._metrics.count(f"http.refused.{code}")
+
+    async def wait_none_left(self) -> None:
+        """Return once all connections are closed."""
+        if self.all:
+            await self._none_left.wait()
+
+
+class CallerProtocol(HttpToolsProtocol):
+    """One caller's connection.
+
+    :param shared: what all connections of the server share.
+    """
+
+    def __init__(self, shared: Connections, **options: t.Any) -> None:
+        super().__init__(**options)
+        self._shared = shared
+        self._settings = shared.settings
+        # Whether the next header field belongs to a head, and whether that head has begun.
+        self._in_head = True
+        self._begun = False
+        # Bytes of the lines of this head that are whole.
+        self._head_bytes = 0
+        # Bytes received since the parser last got anywhere.
+        self._stalled_bytes = 0
+        self._progressed = False
+        self._seen: t.Set[bytes] = set()
+        # The request before the newest one.
+        self._previous: t.Optional[RequestResponseCycle] = None
+        self._head_timer: t.Optional[asyncio.TimerHandle] = None
+        # Whether what still comes is dropped.
+        self._deaf = False
+
+    # Connection
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        super().connection_made(transport)
+        excess = self._shared.add(self)
+        if excess > OVERFLOW:
+            self._deaf = True
+            transport.abort()
+            return
+        if excess > 0:
+            self._refuse(_RefusedError(503, "busy", "too many connections; retry later"))
+            return
+        self._arm_head_timer()
+
+    def connection_lost(self, exc: t.Optional[Exception]) -> None:
+        self._disarm_head_timer()
+        self._unset_keepalive_if_required()
+        self._shared.remove(self)
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        if self._deaf:
+            return
+        self._unset_keepalive_if_required()
+        self._shared.mark_busy(self)
+        self._progressed = False
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # What follows would be another protocol, and none is offered.
+            self._deaf = True
+        except httptools.HttpParserError as error:
+            self._refuse(_refusal_of(error))
+            return
+        if self._progressed and not self._begun:
+            self._stalled_bytes = 0
+            return
+        self._check_progress(len(data))
+        self._watch_head()
+
+    def _check_progress(self, size: int) -> None:
+        # httptools gathers a line before it hands it on, in a head and in trailers alike.
+        self._stalled_bytes = 0 if self._progressed else self._stalled_bytes + size
+        if self._stalled_bytes > self._settings.max_header_bytes:
+            self._refuse(self._too_large())
+
+    def _watch_head(self) -> None:
+        if self._deaf or self._head_timer is not None:
+            return
+        # Line ends before a request begin none, yet they must not keep a connection for ever.
+        if self._begun or (not self._progressed and self._is_idle()):
+            self._arm_head_timer()
+
+    def _is_idle(self) -> bool:
+        return self.cycle is None or self.cycle.response_complete
+
+    def shutdown(self) -> None:
+        """Close once the requests in flight are answered, or soon if there are none."""
+        if self.cycle is not None and not self.cycle.response_complete:
+            self.cycle.keep_alive = False
+            return
+        # A request may be on its way already; it is answered if it comes in time.
+        self._unset_keepalive_if_required()
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self._settings.idle_stop_s, self.timeout_keep_alive_handler
+        )
+
+    # Callbacks of the parser
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self._begun = True
+        self._progressed = True
+        self._head_bytes = 0
+        self._seen.clear()
+
+    def on_url(self, url: bytes) -> None:
+        self._head_bytes += len(url)
+        if self._head_bytes > self._settings.max_header_bytes:
+            raise self._too_large()
+        self.url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        # Runs for each field of each request, so it does its parent's work itself.
+        self._head_bytes += len(name) + len(value) + _LINE_BYTES
+        if self._head_bytes > self._settings.max_header_bytes:
+            raise self._too_large()
+        if not self._in_head:
+            # A trailer; the application has the head's fields already and must not see more.
+            return
+        field = name.lower()
+        value = value.rstrip(b" \t")
+        if field in _CHECKED:
+            self._check_field(field, value)
+        self.headers.append((field, value))
+
+    def on_headers_complete(self) -> None:
+        self._check_head()
+        self._previous = self.cycle
+        super().on_headers_complete()
+        self._disarm_head_timer()
+        self._in_head = False
+        self._begun = False
+        self._progressed = True
+        self._head_bytes = 0
+        if self._shared.stopping or self.parser.should_upgrade():
+            self.cycle.keep_alive = False
+
+    def on_body(self, body: bytes) -> None:
+        self._progressed = True
+        super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        super().on_message_complete()
+        self._in_head = True
+        self._progressed = True
+        self._head_bytes = 0
+
+    def on_response_complete(self) -> None:
+        unread = self._is_idle() and self.cycle.more_body
+        super().on_response_complete()
+        if self.transport.is_closing():
+            return
+        if unread:
+            # Answered before its body was whole; the rest is not worth waiting for.
+            self._deaf = True
+            self._close_after_lingering()
+            return
+        if self.timeout_keep_alive_task is not None:
+            self._shared.mark_idle(self)
+
+    # Rules
+
+    def _check_head(self) -> None:
+        version = self.parser.get_http_version()
+        if version not in _VERSIONS:
+            raise _RefusedError(505, "http-version", "HTTP/1.1 and HTTP/1.0 are spoken")
+        if version == "1.1" and b"host" not in self._seen:
+            raise _RefusedError(400, "host-missing", "HTTP/1.1 needs one host header")
+        if version == "1.0" and b"transfer-encoding" in self._seen:
+            raise _RefusedError(400, "transfer-encoding", "HTTP/1.0 has no transfer-encoding")
+        if self.parser.should_upgrade() and _BODY & self._seen:
+            raise _RefusedError(400, "upgrade", "a request with a body can't ask for an upgrade")
+        if len(self.pipeline) >= self._settings.max_pipelined:
+            raise _RefusedError(503, "pipelined", "too many requests at once on one connection")
+
+    def _check_field(self, field: bytes, value: bytes) -> None:
+        if field == b"expect":
+            self.expect_100_continue = value.lower() == b"100-continue"
+            return
+        if field in self._seen:
+            raise _RefusedError(400, "repeated-header", f"{field.decode()} may come once only")
+        self._seen.add(field)
+        if field == b"transfer-encoding" and value.lower() != b"chunked":
+            raise _RefusedError(400, "transfer-encoding", "no coding but chunked is taken")
+
+    def _too_large(self) -> _RefusedError:
+        limit = self._settings.max_header_bytes
+        return _RefusedError(431, "head-too-large", f"a head may have {limit} bytes")
+
+    # Time
+
+    def _arm_head_timer(self) -> None:
+        self._head_timer = self.loop.call_later(
+            self._settings.header_timeout_s, self._head_timed_out
+        )
+
+    def _disarm_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _head_timed_out(self) -> None:
+        self._head_timer = None
+        if not self._begun:
+            self.transport.close()
+            return
+        limit = self._settings.header_timeout_s
+        self._refuse(_RefusedError(408, "head-too-slow", f"a head must come within {limit:g} s"))
+
+    # Refusal
+
+    def _refuse(self, refusal: _RefusedError) -> None:
+        """Take nothing more from this caller, and tell it why where that can't be mistaken."""
+        self._deaf = True
+        self._disarm_head_timer()
+        self._unset_keepalive_if_required()
+        self._shared.count_refusal(refusal.code)
+        if self._is_idle():
+            if self._in_head:
+                self._answer_refusal(refusal, self._shared.refusal_headers)
+            else:
+                self.transport.close()
+            return
+        if not self.cycle.more_body:
+            # Whole requests before this one are in flight; the last ends the connection.
+            self.cycle.keep_alive = False
+            return
+        self._end_broken_body(refusal)
+
+    def _end_broken_body(self, refusal: _RefusedError) -> None:
+        if self.pipeline and self._previous is not None:
+            # It was not started yet, and won't be: the one before it ends the connection.
+            self.cycle = self._previous
+            self.cycle.keep_alive = False
+            return
+        self.cycle.disconnected = True
+        self.cycle.message_event.set()
+        if self.cycle.response_started:
+            self.transport.close()
+            return
+        # The application saw the request, so nothing is said of what became of it.
+        self._answer_refusal(refusal, ())
+
+    def _answer_refusal(self, refusal: _RefusedError, headers: t.Iterable[Header]) -> None:
+        if self.transport.is_closing():
+            return
+        body = msgspec.json.encode({"code": refusal.code, "message": refusal.message})
+        fields = list(self.server_state.default_headers)
+        fields += headers
+        fields.append((b"content-type", b"application/json"))
+        fields.append((b"content-length", str(len(body)).encode()))
+        fields.append((b"connection", b"close"))
+        if refusal.status == 503:
+            fields.append((b"retry-after", str(RETRY_AFTER_S).encode()))
+        lines = [STATUS_LINE[refusal.status]]
+        for name, value in fields:
+            lines += [name, b": ", value, b"\r\n"]
+        self.transport.write(b"".join([*lines, b"\r\n", body]))
+        self._close_after_lingering()
+
+    def _close_after_lingering(self) -> None:
+        self.transport.write_eof()
+        self.loop.call_later(LINGER_S, self.transport.close)
+
+
+def _refusal_of(error: httptools.HttpParserError) -> _RefusedError:
+    cause = error.__context__
+    if isinstance(cause, _RefusedError):
+        return cause
+    return _RefusedError(400, "malformed", "the request is not well-formed HTTP/1.1")
+
+
+def protocol_factory(shared: Connections) -> t.Callable[..., CallerProtocol]:
+    """What uvicorn calls to make the protocol of each connection."""
+    return functools.partial(CallerProtocol, shared)
--- a/src/coralfall/roster.py
+++ b/src/coralfall/roster.py
@@ -1,7 +1,6 @@
 """The roster: which entries there are, and in which order they come for a key."""
 
 import hashlib
-import struct
 import typing as t
 
 import msgspec
@@ -12,11 +11,6 @@
 if t.TYPE_CHECKING:
     from .platform import Row, Vm
 
-#: Scores that one digest yields; BLAKE2b gives 64 bytes, a score takes 8.
-SCORES_PER_DIGEST = 8
-
-_scores = struct.Struct("<8Q")
-
 
 class Roster:
     """The members by id, as of the last roster change that this entry has learned of.
@@ -90,8 +84,13 @@
 
     def ranked(self, key: str) -> t.List[EntryId]:
         """All members in rendezvous order for ``key``, the owner first."""
-        salted = digest_state(key)
-        return sorted(self.by_id, key=lambda entry_id: (-score(salted, entry_id), entry_id))
+        state = hashlib.blake2b(key.encode() + b"\0", digest_size=8)
+        scored = []
+        for entry_id in self.by_id:
+            hasher = state.copy()
+            hasher.update(entry_id.encode())
+            scored.append((hasher.digest(), entry_id))
+        return [entry_id for _, entry_id in sorted(scored, reverse=True)]
 
     def _put(self, member: Member, revision: Revision) -> None:
         self.by_id[member.entry_id] = member
@@ -114,20 +113,3 @@
     if present.vm_id == joining.vm_id:
         return joining.incarnation > present.incarnation
     return joining.incarnation > present.incarnation and present.vm_id not in vms
-
-
-def digest_state(key: str) -> "hashlib.blake2b":
-    """A BLAKE2b state that has taken in ``key``; copy it to score members."""
-    return hashlib.blake2b(key.encode() + b"\0")
-
-
-def scores(state: "hashlib.blake2b", entry_id: EntryId) -> t.Tuple[int, ...]:
-    """Eight independent rendezvous scores of a member for a key's state."""
-    hasher = state.copy()
-    hasher.update(entry_id.encode())
-    return _scores.unpack(hasher.digest())
-
-
-def score(state: "hashlib.blake2b", entry_id: EntryId) -> int:
-    """The first of the eight scores."""
-    return scores(state, entry_id)[0]
--- a/src/coralfall/routing.py
+++ b/src/coralfall/routing.py
@@ -177,6 +177,32 @@
         :raises RefusedError: if there is none now.
         """
         allowed = self.governor.allowed(bool(tried))
+        best = self._best(allowed, free_by_id, tried, now, probe)
+        if best is None and not tried:
+            best = self._best(self.governor.stretched(), free_by_id, tried, now, False)
+        if best is None:
+            raise self._refused(allowed)
+        return self._take(best)
+
+    def refuse(self) -> None:
+        """Count a request as given up before any target saw it."""
+        self.governor.refuse()
+
+    def finished(self, target_id: TargetId) -> None:
+        """Count a request as over; its result is told to :attr:`health`."""
+        candidate = self.by_id.get(target_id)
+        if candidate is not None and candidate.in_flight > 0:
+            candidate.in_flight -= 1
+            candidate.load = max(0.0, candidate.load - 1 / candidate.slots)
+
+    def _best(
+        self,
+        regions: t.Collection[RegionId],
+        free_by_id: t.Mapping[TargetId, int],
+        tried: t.Collection[TargetId],
+        now: float,
+        probe: bool,
+    ) -> t.Optional[Candidate]:
         best: t.Optional[Candidate] = None
         best_cost = 0.0
         for target_id, free in free_by_id.items():
@@ -187,28 +213,15 @@
                 continue
             if candidate.suspect:
                 if probe and self._may_probe(candidate, now):
-                    return self._take(candidate)
+                    return candidate
                 continue
-            if candidate.region not in allowed:
+            if candidate.region not in regions:
                 continue
             cost = self._policy.cost(candidate)
             if best is None or cost < best_cost:
                 best = candidate
                 best_cost = cost
-        if best is None:
-            raise self._refused(allowed)
-        return self._take(best)
-
-    def refuse(self) -> None:
-        """Count a request as given up before any target saw it."""
-        self.governor.refuse()
-
-    def finished(self, target_id: TargetId) -> None:
-        """Count a request as over; its result is told to :attr:`health`."""
-        candidate = self.by_id.get(target_id)
-        if candidate is not None and candidate.in_flight > 0:
-            candidate.in_flight -= 1
-            candidate.load = max(0.0, candidate.load - 1 / candidate.slots)
+        return best
 
     def _may_probe(self, candidate: Candidate, now: float) -> bool:
         if not self.health.probe_due(candidate.target_id, now):
--- /dev/null
+++ b/src/coralfall/server.py
@@ -0,0 +1,157 @@
+"""HTTP servers of a process: uvicorn as a supervised child on the process's own loop."""
+
+import asyncio
+import socket
+import typing as t
+
+import uvicorn
+
+from .child import Child
+from .exceptions import ListenError
+from .protocol import Connections, Header, protocol_factory
+from .settings import HttpSettings, split_address
+
+if t.TYPE_CHECKING:
+    from .metrics import Metrics
+
+DEFAULT_HTTP = HttpSettings()
+#: Connections that wait to be taken by the loop.
+BACKLOG = 1024
+#: Seconds between two renewals of the date that answers carry.
+DATE_S = 1.0
+
+Application = t.Callable[..., t.Awaitable[None]]
+
+
+def bind(address: str) -> socket.socket:
+    """A listening TCP socket.
+
+    Servers get a socket and not an address, since uvloop looks addresses up on threads.
+
+    :param address: ``ip:port``; port 0 takes a free one.
+    :raises ListenError: if it can't be had.
+    """
+    try:
+        host, port = split_address(address)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
+    except (OSError, ValueError) as error:
+        raise ListenError(f"can't listen on {address}: {error}", address=address) from error
+    listener.setblocking(False)
+    return listener
+
+
+class HttpServer(Child):
+    """Serves an application until stopped, then finishes the requests in flight.
+
+    :param name: stable name for logs.
+    :param application: an ASGI application; its lifespan is not used.
+    :param address: ``ip:port``; port 0 takes a free one, see :attr:`bound_address`.
+    :param settings: bounds on what callers may do.
+    :param refusal_headers: added to the answer of a request that the application never saw.
+    :param metrics: counts refusals as ``http.refused.<code>``.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        application: Application,
+        address: str,
+        settings: HttpSettings = DEFAULT_HTTP,
+        refusal_headers: t.Sequence[Header] = (),
+        metrics: "t.Optional[Metrics]" = None,
+    ) -> None:
+        self.name = name
+        self._application = application
+        self._address = address
+        self._settings = settings
+        self._refusal_headers = refusal_headers
+        self._metrics = metrics
+        #: ``ip:port`` that the server listens on, known once it has started.
+        self.bound_address = ""
+
+    @property
+    def connection_count(self) -> int:
+        """How many connections are open."""
+        return len(self._connections.all)
+
+    async def start(self) -> None:
+        """Listen.
+
+        :raises ListenError: if the address can't be had.
+        """
+        self._connections = Connections(self._settings, self._refusal_headers, self._metrics)
+        self._listener = bind(self._address)
+        self.bound_address = _address_of(self._listener)
+        self._server = uvicorn.Server(self._config())
+        self._server.config.load()
+        self._server.lifespan = self._server.config.lifespan_class(self._server.config)
+        await self._server.on_tick(0)
+        # A copy stays with us, see _take_waiting.
+        await self._server.startup(sockets=[self._listener.dup()])
+
+    async def run(self) -> None:
+        try:
+            while True:
+                await asyncio.sleep(DATE_S)
+                await self._server.on_tick(0)
+        finally:
+            self._close()
+
+    async def stop(self) -> None:
+        """Take no new connections and return when all requests in flight are answered."""
+        self._connections.stopping = True
+        await self._take_waiting()
+        self._listener.close()
+        for connection in list(self._connections.all):
+            connection.shutdown()
+        await self._connections.wait_none_left()
+
+    def _config(self) -> uvicorn.Config:
+        protocol: t.Any = protocol_factory(self._connections)
+        return uvicorn.Config(
+            self._application,
+            http=protocol,
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            proxy_headers=False,
+            timeout_keep_alive=t.cast(int, self._settings.idle_timeout_s),
+        )
+
+    async def _take_waiting(self) -> None:
+        """Take the connections that the kernel accepted; closing the socket would reset them."""
+        loop = asyncio.get_running_loop()
+        for server in self._server.servers:
+            server.close()
+        while True:
+            try:
+                accepted, _ = self._listener.accept()
+            except OSError:
+                return
+            accepted.setblocking(False)
+            await loop.connect_accepted_socket(self._make_protocol, accepted)
+
+    def _make_protocol(self) -> asyncio.Protocol:
+        make = protocol_factory(self._connections)
+        return make(
+            config=self._server.config,
+            server_state=self._server.server_state,
+            app_state={},
+        )
+
+    def _close(self) -> None:
+        for server in self._server.servers:
+            server.close()
+        self._listener.close()
+        for connection in list(self._connections.all):
+            connection.transport.abort()
+        for task in list(self._server.server_state.tasks):
+            task.cancel()
+
+
+def _address_of(listener: socket.socket) -> str:
+    host, port = listener.getsockname()[:2]
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
--- a/src/coralfall/settings.py
+++ b/src/coralfall/settings.py
@@ -75,6 +75,21 @@
     settle_s: float = defaults.CLAIM_SETTLE_S
 
 
+class HttpSettings(Settings, frozen=True):
+    """Bounds of an HTTP server; times in seconds."""
+
+    #: A head must have come within this time, and have no more bytes than that.
+    header_timeout_s: float = defaults.HEADER_TIMEOUT_S
+    max_header_bytes: int = defaults.MAX_HEADER_BYTES
+    #: An idle connection is closed after this time, or sooner once the server stops.
+    idle_timeout_s: float = defaults.IDLE_CALLER_S
+    idle_stop_s: float = defaults.IDLE_STOP_S
+    max_connections: int = defaults.MAX_CONNECTIONS
+    max_idle_connections: int = defaults.MAX_IDLE_CONNECTIONS
+    #: Requests of one connection that wait behind the one being answered.
+    max_pipelined: int = defaults.MAX_PIPELINED
+
+
 class RestartSettings(Settings, frozen=True):
     """How often and how soon a supervisor restarts a child that fails."""
 
@@ -103,6 +118,8 @@
     log: LogSettings = LogSettings()
     metrics: MetricsSettings = MetricsSettings()
     grace_s: float = defaults.GRACE_S
+    #: Seconds for which callers may use an answer to a look-up.
+    lookup_ttl_s: float = defaults.LOOKUP_TTL_S
     claims: ClaimSettings = ClaimSettings()
 
 
--- a/src/coralfall/shift.py
+++ b/src/coralfall/shift.py
@@ -14,15 +14,20 @@
 Shares = t.Dict[RegionId, float]
 
 #: Part of the cap within which a policy may prefer one region over another.
-BAND_PART = 0.2
+BAND_PART = 0.1
+#: Part of the cap by which single requests may leave the line, to be made good by later ones.
+STRETCH_PART = 0.3
 #: Part of the cap that a region may take at once when it comes back.
 RETURN_PART = 0.1
 #: Part of the cap kept for requests being whole numbers.
 COUNT_PART = 0.05
-#: Most credit that a region saves up, in requests.
-MAX_CREDIT = 2.0
-#: Most by which a region's count exceeds its ceiling over any run of one entry's requests.
+#: Most by which a region's count exceeds its ceiling over any run of one entry's requests,
+#: when there are too few of them for ``STRETCH_PART`` to allow as much.
 COUNT_SLACK = 3
+#: The same when there are many.
+MAX_STRETCH = 16
+#: Seconds over which the rate of requests is measured, besides the window itself.
+RATE_MEMORY_S = 1.0
 #: Share of refusals above which a region is taken to be full, and seconds of memory for it.
 FULL_SHARE = 0.02
 FULL_MEMORY_S = 1.0
@@ -41,15 +46,19 @@
     rate: float
     #: Share that a region may take at once when it comes back after a window.
     back: float
+    #: Share of a window's requests that may leave the line, all regions together.
+    stretch: float
 
 
 def split_cap(service: Service) -> CapParts:
     """The parts of the cap of ``service``."""
     band = service.shift_cap * BAND_PART
     back = service.shift_cap * RETURN_PART / (1 + band)
-    move = service.shift_cap * (1 - COUNT_PART - BAND_PART - RETURN_PART) / (1 + band)
+    stretch = service.shift_cap * STRETCH_PART
+    part = 1 - BAND_PART - STRETCH_PART - RETURN_PART - COUNT_PART
+    move = service.shift_cap * part / (1 + band)
     span = 2 * service.shift_window_s + defaults.MAX_CLOCK_SKEW_S
-    return CapParts(band, move, move / span, back)
+    return CapParts(band, move, move / span, back, stretch)
 
 
 def planned_shares(
@@ -150,11 +159,14 @@
     together until the region has served for a window.
 
     **Counts.** Each request pays ``q * (1 + band)`` into each region's credit and what ``q``
-    lacks to 1 into that of refusals; sending a request to a region takes 1 out. Credit stays
-    between -1 and 2, so over any run of requests a region gets at most the sum of its
-    ceilings ``q * (1 + band)`` and 3 more (``COUNT_SLACK``). A request is refused only while
-    the refusals or the share of a lost or full region have the largest credit, so what is
-    sent or refused in the name of a region is at least what the other regions' ceilings leave.
+    lacks to 1 into that of refusals; sending a request to a region takes 1 out. A region is
+    allowed if it has a credit of 1 or the largest of all, and :meth:`stretched` allows it to
+    go into debt for the sake of a free slot. Credit stays between ``-debt`` and ``1 + debt``,
+    where ``debt`` is 1 for few requests, so over any run of requests a region gets at most the
+    sum of its ceilings ``q * (1 + band)`` and ``1 + 2 debt`` more. A request is refused only
+    while the refusals or the share of a lost or full region have the largest credit, so what
+    is sent or refused in the name of a region is at least what the other regions' ceilings
+    leave.
 
     **Sum.** Compare the shares ``d1``, ``d2`` of two consecutive windows, over all requests
     offered, where what is refused in a region's name counts as the region's. Let ``G`` be the
@@ -165,12 +177,15 @@
              <= (1 + band) q2(G) - (q1(all) - (1 + band) q1(O)) + slack
               = (1 + band) (q2(G) - q1(G)) + band q1(all) + slack
              <= (1 + band) move + band + slack
-             <= 0.65 cap + 0.2 cap + slack
+             <= 0.45 cap + 0.1 cap + slack
 
     since two requests of adjacent windows are at most two windows apart, and ``move`` is what
-    the line moves in two windows and the skew. ``slack`` is 3 for each region and for the
-    refusals, an entry and a window, over the window's requests; 0.05 of the cap is left for
-    it, and fewer than ``60 * entries * (regions + 1) / cap`` requests in a window may go over.
+    the line moves in two windows and the skew. ``slack`` is ``1 + 2 debt`` for each region and
+    entry over the window's requests. ``2 debt`` is 0.3 of the cap of the requests that a
+    window is expected to have, all regions together: 0.3 cap, if requests come evenly (when
+    they stop short, up to ``MAX_STRETCH`` requests a region and entry may be over). The 0.05
+    that is left is for the ones: fewer than ``20 * entries * regions / cap`` requests in a
+    window are too few for it.
 
     If only what was sent counts, a region that was away for ``x`` of the first window was sent
     ``x q1`` less there, which is at most ``back`` if requests come evenly: 0.1 cap more.
@@ -201,6 +216,10 @@
         self._service = service
         self._parts = split_cap(service)
         self._now = now
+        self._offered = 0
+        self._fast_rate = self._slow_rate = 0.0
+        self._most_credit = 2.0
+        self._most_debt = 1.0
         self._refusals = _Account(0.0)
         self._refusals.credit = 0.0
         self._by_region: t.Dict[RegionId, _Account] = {}
@@ -234,6 +253,7 @@
         for region in planned:
             if region not in self._by_region:
                 self._by_region[region] = _Account(0.0)
+        self._measure_rate(seconds)
         for region, account in self._by_region.items():
             self._note_serving(account, region in serving)
             self._note_fullness(account, seconds)
@@ -243,10 +263,11 @@
 
     def offer(self) -> None:
         """Count one request of a caller, before :meth:`allows` is asked for it."""
+        self._offered += 1
         for account in self._by_region.values():
-            account.credit = min(account.credit + account.inflow, MAX_CREDIT)
+            account.credit = min(account.credit + account.inflow, self._most_credit)
         refusals = self._refusals
-        refusals.credit = min(refusals.credit + refusals.inflow, MAX_CREDIT)
+        refusals.credit = min(refusals.credit + refusals.inflow, self._most_credit)
 
     def allowed(self, retry: bool = False) -> t.List[RegionId]:
         """Regions that the request may go to.
@@ -263,6 +284,17 @@
                 regions.append(region)
         return regions
 
+    def stretched(self) -> t.List[RegionId]:
+        """Regions that the request may go to if no allowed one has room for it.
+
+        What they get now they lack later.
+        """
+        regions = []
+        for region, account in self._by_region.items():
+            if account.serving and account.share > 0 and account.credit > 1 - self._most_debt:
+                regions.append(region)
+        return regions
+
     def allows(self, region: RegionId, retry: bool = False) -> bool:
         """Whether the request may go to ``region``."""
         return region in self.allowed(retry)
@@ -307,6 +339,19 @@
         rate = max(self._parts.rate, _TINY)
         return min(max((1 - placed) / rate, 0.1), self._service.shift_window_s)
 
+    def _measure_rate(self, seconds: float) -> None:
+        if seconds <= 0:
+            return
+        rate = self._offered / seconds
+        self._offered = 0
+        window = self._service.shift_window_s
+        self._fast_rate += min(1.0, seconds / RATE_MEMORY_S) * (rate - self._fast_rate)
+        self._slow_rate += min(1.0, seconds / window) * (rate - self._slow_rate)
+        requests = window * min(self._fast_rate, self._slow_rate)
+        stretch = self._parts.stretch * requests / max(1, len(self._by_region))
+        self._most_debt = max(1.0, min(stretch, MAX_STRETCH) / 2)
+        self._most_credit = 1 + self._most_debt
+
     def _credits(self) -> t.List[float]:
         return [account.credit for account in self._by_region.values()]
 
@@ -338,7 +383,7 @@
                 continue
             account.lost += windows
             account.share = min(account.share, self._share_on_return(account.lost))
-            account.credit = min(account.credit + windows, MAX_CREDIT)
+            account.credit = min(account.credit + windows, 2.0)
 
     def _goal(self, planned: t.Mapping[RegionId, float]) -> Shares:
         served = {
--- /dev/null
+++ b/src/coralfall/slots.py
@@ -0,0 +1,483 @@
+"""Slots: which units of the targets' capacity this entry may use now.
+
+Who owns a slot is said in :mod:`coralfall.ownership`; when a new owner may begin to use it, in
+:mod:`coralfall.handover`.
+"""
+
+import typing as t
+
+from . import defaults
+from .demand import PeakDemand
+from .handover import Ack, Handover, Settled
+from .ids import EntryId, RegionId, Revision, ServiceId, TargetId
+from .ownership import owned_indices, wins
+
+if t.TYPE_CHECKING:
+    from .clock import Clock
+    from .lease import Lease
+    from .limits import Limits, TargetLimit
+    from .messages import LentSlot
+    from .roster import Roster
+    from .settings import LeaseSettings
+
+#: Targets worked through in one step of :meth:`SlotTable.update`.
+TARGETS_PER_STEP = 32
+#: Seconds for which the peak of a service's demand is remembered.
+DEMAND_WINDOW_S = 2.0
+
+_NEVER = float("inf")
+#: Stands for any member, until it is worked out which one blocks a slot.
+_UNSETTLED = EntryId("")
+
+
+class Slot:
+    """One unit of a target's capacity, owned or borrowed; only :class:`SlotTable` changes it."""
+
+    __slots__ = (
+        "blocker",
+        "busy",
+        "index",
+        "lent_until",
+        "loan",
+        "region",
+        "rests_from",
+        "runs_until",
+        "service",
+        "target_id",
+        "used_at",
+        "valid_until",
+    )
+
+    def __init__(self, target_id: TargetId, index: int, limit: "TargetLimit") -> None:
+        self.target_id = target_id
+        self.index = index
+        self.service = limit.service
+        self.region = limit.region
+        #: Whether a request holds it.
+        self.busy = False
+        #: When the request that holds it must be over.
+        self.runs_until = -_NEVER
+        #: When a request last took it or gave it back.
+        self.used_at = -_NEVER
+        #: Last moment at which an earlier owner may have dispatched into it.
+        self.rests_from = -_NEVER
+        #: Member that may still own it by an older roster.
+        self.blocker: t.Optional[EntryId] = None
+        #: When the last request of a borrower must be over.
+        self.lent_until = -_NEVER
+        #: End of a borrowed slot's time; an owned slot has none.
+        self.valid_until = _NEVER
+        #: Lender and number of the loan, if it is borrowed.
+        self.loan: t.Optional[t.Tuple[EntryId, int]] = None
+
+    def __repr__(self) -> str:
+        return f"Slot({self.target_id!r}, {self.index})"
+
+
+class SlotTable:
+    """The slots that this entry owns or has borrowed, and the requests that hold them.
+
+    :param entry_id: this entry.
+    :param lease: checked before each use of an owned slot.
+    :param clock: the entry's clock.
+    :param settings: ``ttl_s`` is the time in which another entry's lease lapses.
+    """
+
+    def __init__(
+        self, entry_id: EntryId, lease: "Lease", clock: "Clock", settings: "LeaseSettings"
+    ) -> None:
+        self._entry_id = entry_id
+        self._lease = lease
+        self._clock = clock
+        # A loan ends before its owner's lease, or else after no more than its own time.
+        self._lapse_s = max(settings.ttl_s, defaults.LOAN_S)
+        self._limits: "Limits" = {}
+        self._handover = Handover(entry_id)
+        self._others: t.Set[EntryId] = set()
+        self._first = False
+        self._changed_at = -_NEVER
+        self._acknowledged = Revision(0)
+        self._unscanned: t.Dict[TargetId, None] = {}
+        self._owned_by_target: t.Dict[TargetId, t.Dict[int, Slot]] = {}
+        self._borrowed_by_target: t.Dict[TargetId, t.List[Slot]] = {}
+        #: Slots owned no longer on which a request or a loan is still out.
+        self._lost: t.Dict[t.Tuple[TargetId, int], Slot] = {}
+        self._in_flight_by_target: t.Dict[TargetId, int] = {}
+        self._in_flight_by_service: t.Dict[ServiceId, int] = {}
+        self._demand_by_service: t.Dict[ServiceId, PeakDemand] = {}
+
+    # What the table is told.
+
+    def update(self, roster: "Roster", limits: "Limits") -> None:
+        """Take in the roster and the limits as they are now.
+
+        Slots that are lost are given up at once, so that the lease may be renewed on this
+        roster as soon as the call returns.  For those that are gained go on with
+        :meth:`steps`.
+
+        :param limits: of :class:`coralfall.limits.CapacityLimits`; not to be changed later.
+        """
+        if limits is not self._limits:
+            self._take_limits(limits)
+        if roster.revision != self._handover.revision:
+            self._take_roster(roster)
+
+    def take_acks(self, acks: t.Iterable[Ack]) -> None:
+        """Take in which rosters other members have applied, from lease rows or heartbeats.
+
+        Go on with :meth:`steps`.
+        """
+        self._settle(self._handover.take(acks))
+
+    def steps(self) -> t.Iterator[None]:
+        """Work through what is left to do, a few milliseconds a step, and then end.
+
+        The loop may do other work in between; what comes in meanwhile is worked through too.
+        """
+        while self._unscanned:
+            for _ in range(min(TARGETS_PER_STEP, len(self._unscanned))):
+                target_id, _ = self._unscanned.popitem()
+                self._scan(target_id)
+            yield
+
+    @property
+    def awaited(self) -> t.Collection[EntryId]:
+        """Members whose acknowledgement is needed; while there are any, read lease rows."""
+        return self._handover.awaited.keys()
+
+    @property
+    def acknowledged(self) -> Revision:
+        """What to state as applied in heartbeats and the lease row."""
+        now = self._clock.monotonic()
+        for slot in self._lost.values():
+            limit = self._limits.get(slot.target_id)
+            if limit is not None and slot.busy and slot.runs_until > now + limit.deadline_s:
+                # The new owner expects no request to run for that long.
+                return self._acknowledged
+        self._acknowledged = self._handover.revision
+        return self._acknowledged
+
+    # What requests ask of the table.
+
+    def acquire(self, target_id: TargetId, below: t.Optional[int] = None) -> t.Optional[Slot]:
+        """A slot of the target for one request, or ``None``; owned ones go first.
+
+        :param below: use only slots with an index below this.
+        """
+        limit = self._limits.get(target_id)
+        if limit is None:
+            return None
+        self._record_demand(limit.service)
+        for slot in self._free(target_id, below):
+            self._hold(slot, limit)
+            return slot
+        return None
+
+    def acquire_any(self, target_ids: t.Iterable[TargetId]) -> t.Optional[Slot]:
+        """A slot of the first target that has a free one, or ``None``."""
+        for target_id in target_ids:
+            slot = self.acquire(target_id)
+            if slot is not None:
+                return slot
+        return None
+
+    def confirm(self, slot: Slot) -> bool:
+        """Whether a held slot may still be dispatched into; ask just before bytes leave.
+
+        The request must be over within the service's timeout from now.
+        """
+        now = self._clock.monotonic()
+        limit = self._limits.get(slot.target_id)
+        if limit is None or slot.index >= limit.usable:
+            return False
+        if slot.loan is None:
+            owned = self._owned_by_target.get(slot.target_id, {})
+            if owned.get(slot.index) is not slot or not self._lease.may_dispatch():
+                return False
+        slot.runs_until = now + limit.deadline_s
+        return now < slot.valid_until
+
+    def release(self, slot: Slot) -> None:
+        """Give a held slot back when its request is over at the target."""
+        if not slot.busy:
+            return
+        slot.busy = False
+        slot.used_at = self._clock.monotonic()
+        self._in_flight_by_target[slot.target_id] -= 1
+        self._in_flight_by_service[slot.service] -= 1
+        if not self._in_flight_by_target[slot.target_id]:
+            del self._in_flight_by_target[slot.target_id]
+        if slot.lent_until <= slot.used_at and self._lost.get(_key(slot)) is slot:
+            self._forget_lost(slot)
+
+    # What the table tells.
+
+    def free(self, target_id: TargetId, below: t.Optional[int] = None) -> int:
+        """Slots of the target that :meth:`acquire` could give now."""
+        return sum(1 for _ in self._free(target_id, below))
+
+    def free_by_target(self, service: ServiceId) -> t.Dict[TargetId, int]:
+        """Targets of a service with slots that :meth:`acquire` could give now, and how many."""
+        free_by_target = {}
+        for target_id in self._held_targets(service):
+            count = self.free(target_id)
+            if count:
+                free_by_target[target_id] = count
+        return free_by_target
+
+    def in_flight(self, target_id: TargetId) -> int:
+        """Requests of this entry that hold a slot of the target."""
+        return self._in_flight_by_target.get(target_id, 0)
+
+    def in_use(self, service: ServiceId) -> int:
+        """Requests of this entry that hold a slot of the service."""
+        return self._in_flight_by_service.get(service, 0)
+
+    def demand(self, service: ServiceId) -> int:
+        """Most slots of the service that were wanted at once in the last seconds."""
+        peak = self._demand_by_service.get(service)
+        return 0 if peak is None else peak.peak(self._clock.monotonic())
+
+    def idle(self, service: ServiceId) -> int:
+        """Owned slots of the service that could be used or lent now."""
+        return len(self.idle_slots(service))
+
+    def idle_slots(self, service: ServiceId) -> t.List[Slot]:
+        """Owned slots of the service that could be used or lent now."""
+        idle = []
+        for target_id in self._held_targets(service):
+            idle += [slot for slot in self._free(target_id, None) if slot.loan is None]
+        return idle
+
+    def busy_slots(self) -> t.List[Slot]:
+        """Slots that requests of this entry hold, owned no longer or not."""
+        slots = list(self._lost.values())
+        for target_id in {**self._owned_by_target, **self._borrowed_by_target}:
+            slots += self._slots(target_id)
+        return [slot for slot in slots if slot.busy]
+
+    def held_by_region(self) -> t.Dict[RegionId, int]:
+        """Slots by region that this entry may use now or is using."""
+        now = self._clock.monotonic()
+        held: t.Dict[RegionId, int] = {}
+        for target_id in {**self._owned_by_target, **self._borrowed_by_target}:
+            limit = self._limits.get(target_id)
+            if limit is None:
+                continue
+            for slot in self._slots(target_id):
+                if slot.busy or self._may_use(slot, limit.usable, now):
+                    held[slot.region] = held.get(slot.region, 0) + 1
+        return held
+
+    # Lending; see coralfall.lending.
+
+    def lend(self, slot: Slot, seconds: float) -> None:
+        """Leave an idle slot to a borrower who may dispatch for ``seconds`` from now."""
+        timeout_s = self._limits[slot.target_id].timeout_s
+        until = self._clock.monotonic() + seconds + timeout_s + defaults.HANDOVER_MARGIN_S
+        slot.lent_until = until
+
+    def take_back(self, slot: Slot) -> None:
+        """Use a lent slot again: the borrower has nothing on it and will not use it."""
+        slot.lent_until = -_NEVER
+        if not slot.busy and self._lost.get(_key(slot)) is slot:
+            self._forget_lost(slot)
+
+    def borrow(
+        self, lent: "LentSlot", loan: t.Tuple[EntryId, int], valid_until: float
+    ) -> t.Optional[Slot]:
+        """Take in a borrowed slot; ``None`` if the limits known here do not allow it.
+
+        :param loan: lender and number of the loan.
+        :param valid_until: monotonic time after which it may not be dispatched into.
+        """
+        limit = self._limits.get(lent.target)
+        if limit is None or lent.index >= limit.usable:
+            return None
+        slot = Slot(lent.target, lent.index, limit)
+        slot.loan = loan
+        slot.valid_until = valid_until
+        slot.used_at = self._clock.monotonic()
+        self._borrowed_by_target.setdefault(lent.target, []).append(slot)
+        return slot
+
+    def give_back(self, slot: Slot) -> None:
+        """Forget a borrowed slot that no request holds."""
+        borrowed = self._borrowed_by_target[slot.target_id]
+        borrowed.remove(slot)
+        if not borrowed:
+            del self._borrowed_by_target[slot.target_id]
+
+    # Changes of roster and limits.
+
+    def _take_limits(self, limits: "Limits") -> None:
+        before = self._limits
+        self._limits = limits
+        for target_id, limit in limits.items():
+            old = before.get(target_id)
+            if old is limit:
+                continue
+            same_place = old is not None and old.service == limit.service
+            same_place = same_place and old is not None and old.region == limit.region
+            if not same_place:
+                self._drop_from(target_id, 0)
+            elif old is not None and limit.reserved < old.reserved:
+                self._drop_from(target_id, limit.reserved)
+            if old is None or not same_place or limit.reserved > old.reserved:
+                self._unscanned[target_id] = None
+        for target_id in before:
+            if target_id not in limits:
+                self._drop_from(target_id, 0)
+                self._unscanned.pop(target_id, None)
+
+    def _take_roster(self, roster: "Roster") -> None:
+        now = self._clock.monotonic()
+        lives, others = self._handover.lives, self._others
+        settled = self._handover.update(roster)
+        self._changed_at = now
+        for slot in list(self._lost.values()):
+            if not slot.busy and slot.lent_until <= now:
+                self._forget_lost(slot)
+        incarnation = self._handover.incarnation
+        self._others = {name for name in roster.by_id if name != self._entry_id}
+        if incarnation is None:
+            self._drop_all()
+            self._unscanned = {}
+            return
+        self._first = roster.only_ever(self._entry_id, incarnation)
+        if self._handover.lives != lives:
+            self._drop_all()
+            self._unscanned = dict.fromkeys(self._limits)
+            return
+        self._drop_lost_to(self._others - others)
+        if others - self._others:
+            self._unscanned = dict.fromkeys(self._limits)
+        self._settle(settled)
+
+    def _settle(self, settled: Settled) -> None:
+        """Rest the slots of members that were waited for, now that they are settled."""
+        if not settled.acked and not settled.removed:
+            return
+        now = self._clock.monotonic()
+        for target_id, owned in self._owned_by_target.items():
+            for slot in owned.values():
+                anyone = slot.blocker is _UNSETTLED
+                if slot.blocker in settled.removed or (anyone and settled.removed):
+                    slot.rests_from = max(slot.rests_from, now + self._lapse_s)
+                elif slot.blocker in settled.acked or (anyone and settled.acked):
+                    slot.rests_from = max(slot.rests_from, now + defaults.LOAN_S)
+                else:
+                    continue
+                slot.blocker = _UNSETTLED
+                self._unscanned[target_id] = None
+
+    def _scan(self, target_id: TargetId) -> None:
+        """Find the slots of a target that are gained, and who blocks those that are held."""
+        limit = self._limits[target_id]
+        if self._handover.incarnation is None:
+            return
+        for index in owned_indices(target_id, limit.reserved, self._entry_id, self._others):
+            slot = self._owned_by_target.get(target_id, {}).get(index)
+            slot = slot or self._gain(target_id, index, limit)
+            if slot is not None and slot.blocker is _UNSETTLED:
+                slot.blocker = self._handover.blocker(target_id, index)
+
+    def _gain(self, target_id: TargetId, index: int, limit: "TargetLimit") -> t.Optional[Slot]:
+        slot = self._lost.get((target_id, index))
+        if slot is None:
+            slot = Slot(target_id, index, limit)
+        elif (slot.service, slot.region) != (limit.service, limit.region):
+            return None
+        self._lost.pop((target_id, index), None)
+        if not self._first:
+            slot.rests_from = self._changed_at + self._lapse_s
+        slot.blocker = _UNSETTLED
+        self._owned_by_target.setdefault(target_id, {})[index] = slot
+        return slot
+
+    def _drop_all(self) -> None:
+        for target_id in list(self._owned_by_target):
+            self._drop_from(target_id, 0)
+
+    def _drop_lost_to(self, joined: t.Set[EntryId]) -> None:
+        if not joined:
+            return
+        for target_id, owned in list(self._owned_by_target.items()):
+            kept = wins(target_id, owned, self._entry_id, joined)
+            for index in set(owned).difference(kept):
+                self._drop(target_id, index)
+
+    def _drop_from(self, target_id: TargetId, reserved: int) -> None:
+        for index in list(self._owned_by_target.get(target_id, ())):
+            if index >= reserved:
+                self._drop(target_id, index)
+
+    def _drop(self, target_id: TargetId, index: int) -> None:
+        owned = self._owned_by_target[target_id]
+        slot = owned.pop(index)
+        if not owned:
+            del self._owned_by_target[target_id]
+        if slot.busy or slot.lent_until > self._clock.monotonic():
+            self._lost[_key(slot)] = slot
+
+    def _forget_lost(self, slot: Slot) -> None:
+        del self._lost[_key(slot)]
+        if slot.target_id in self._limits:
+            # It may be owned again, and have been passed over while it was out.
+            self._unscanned[slot.target_id] = None
+
+    # Looking for slots.
+
+    def _slots(self, target_id: TargetId) -> t.List[Slot]:
+        owned = self._owned_by_target.get(target_id)
+        borrowed = self._borrowed_by_target.get(target_id)
+        return [*(owned.values() if owned else ()), *(borrowed or ())]
+
+    def _free(self, target_id: TargetId, below: t.Optional[int]) -> t.Iterator[Slot]:
+        limit = self._limits.get(target_id)
+        if limit is None:
+            return
+        ceiling = limit.usable if below is None else min(limit.usable, below)
+        now = self._clock.monotonic()
+        for slot in self._slots(target_id):
+            if not slot.busy and self._may_use(slot, ceiling, now):
+                yield slot
+
+    def _may_use(self, slot: Slot, ceiling: int, now: float) -> bool:
+        """Whether the slot is this entry's to use now, busy or not."""
+        if slot.index >= ceiling or now >= slot.valid_until:
+            return False
+        if slot.loan is not None:
+            return True
+        if slot.blocker is not None or now < slot.lent_until or not self._lease.may_dispatch():
+            return False
+        timeout_s = self._limits[slot.target_id].timeout_s
+        return now >= slot.rests_from + timeout_s + defaults.HANDOVER_MARGIN_S
+
+    def _held_targets(self, service: ServiceId) -> t.List[TargetId]:
+        held = []
+        for target_id in {**self._owned_by_target, **self._borrowed_by_target}:
+            limit = self._limits.get(target_id)
+            if limit is not None and limit.service == service:
+                held.append(target_id)
+        return held
+
+    def _hold(self, slot: Slot, limit: "TargetLimit") -> None:
+        now = self._clock.monotonic()
+        slot.busy = True
+        slot.used_at = now
+        slot.runs_until = now + limit.deadline_s
+        targets = self._in_flight_by_target
+        services = self._in_flight_by_service
+        targets[slot.target_id] = targets.get(slot.target_id, 0) + 1
+        services[slot.service] = services.get(slot.service, 0) + 1
+
+    def _record_demand(self, service: ServiceId) -> None:
+        peak = self._demand_by_service.get(service)
+        if peak is None:
+            peak = self._demand_by_service[service] = PeakDemand(DEMAND_WINDOW_S)
+        peak.record(self.in_use(service) + 1, self._clock.monotonic())
+
+
+def _key(slot: Slot) -> t.Tuple[TargetId, int]:
+    return slot.target_id, slot.index
--- a/src/coralfall/upstream.py
+++ b/src/coralfall/upstream.py
@@ -95,6 +95,8 @@
         self.headers: RawHeaders = ()
         #: Length of the body that the target announced.
         self.length: t.Optional[int] = None
+        #: Whether the answer is one that has a body, be it empty.
+        self.bodied = True
         #: Whether the body has been read to its end.
         self.whole = False
 
@@ -150,6 +152,7 @@
         if outcome == Outcome.UNKNOWN.value:
             raise _own_word_unknown(response.status)
         if method == "HEAD" or self.status in _NO_BODY_STATUSES:
+            self.bodied = False
             self._end_whole()
             return
         if self.length is None and "transfer-encoding" not in response.headers:
@@ -278,6 +281,11 @@
         :raises TargetUnknownError: if bytes left and no answer came.
         """
         exchange = Exchange(self._steering, reservation, self._clock, self._exchanges)
+        try:
+            self._check_limit(reservation)
+        except TargetNotRunError:
+            exchange.abort()
+            raise
         try:
             outgoing = _outgoing(reservation.address, request)
             connection = await self._connect(outgoing, reservation, deadline)
@@ -313,7 +321,8 @@
         seconds = min(defaults.CONNECT_TIMEOUT_S, deadline - self._clock.monotonic())
         if seconds <= 0:
             raise _too_late()
-        self._count(reservation)
+        address = reservation.address
+        self._open_by_address[address] = self._open_by_address.get(address, 0) + 1
         connector = self._kept if outgoing.method in READ_METHODS else self._fresh
         timeout = _CONNECT_TIMEOUT
         if seconds < defaults.CONNECT_TIMEOUT_S:
@@ -327,22 +336,21 @@
                 # Bytes came unasked; the next request would take them for its answer.
                 connection.close()
         except _ERRORS as error:
-            self._uncount(reservation.address)
+            self._uncount(address)
             message = f"target can't be connected: {error or type(error).__name__}"
             raise TargetNotRunError(message) from error
         except BaseException:
-            self._uncount(reservation.address)
+            self._uncount(address)
             raise
-        connection.add_callback(lambda: self._uncount(reservation.address))
+        connection.add_callback(lambda: self._uncount(address))
         return connection
 
-    def _count(self, reservation: "Reservation") -> None:
-        count = self._open_by_address.get(reservation.address, 0)
+    def _check_limit(self, reservation: "Reservation") -> None:
         # Half for commands' new connections, half for kept ones: a kept one is opened only when
         # none is idle, so there are never more of them than reads were under way at once.
-        if count >= max(1, reservation.connections // 2):
+        most = max(1, reservation.connections // 2)
+        if self._open_by_address.get(reservation.address, 0) >= most:
             raise TargetNotRunError("all connections to the target are in use")
-        self._open_by_address[reservation.address] = count + 1
 
     def _uncount(self, address: str) -> None:
         count = self._open_by_address[address] - 1
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -297,6 +297,7 @@
                 await script.came.acquire()
             with self.assertRaises(TargetNotRunError):
                 await self.ask(address, connections=connections)
+            self.assertEqual(self.steering.results, [CANCELLED])
             script.pause.set()
             self.assertEqual(await asyncio.gather(*asked), [b"ok"] * allowed)
             script.answers.append(OK)
