--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -24,6 +24,7 @@
 LONG = 3_000_000
 DEADLINE = "coralfall-deadline-ms"
 KEY = "idempotency-key"
+REPEATED = "header-repeated"
 
 
 class Got(t.NamedTuple):
@@ -236,7 +237,7 @@
                 400,
                 "header-repeated",
             ),
-            ("POST", "/calor/pedidos/x", [(KEY, "a"), (KEY, "b")], 0, 400, "header-repeated"),
+            ("POST", "/calor/pedidos/x", [(KEY, "a"), (KEY, "b")], 0, 400, REPEATED),
             ("POST", "/calor/mando/x", {}, 70_001, 413, "body-too-large"),
             ("PUT", "/calor/mando/x", {}, 100, 503, "refused"),
         ]
