--- a/src/coralfall/shift.py
+++ b/src/coralfall/shift.py
@@ -26,8 +26,6 @@
 COUNT_SLACK = 3
 #: The same when there are many.
 MAX_STRETCH = 16
-#: Seconds over which the rate of requests is measured, besides the window itself.
-RATE_MEMORY_S = 1.0
 #: Share of refusals above which a region is taken to be full, and seconds of memory for it.
 FULL_SHARE = 0.02
 FULL_MEMORY_S = 1.0
@@ -217,7 +215,7 @@
         self._parts = split_cap(service)
         self._now = now
         self._offered = 0
-        self._fast_rate = self._slow_rate = 0.0
+        self._rate = 0.0
         self._most_credit = 2.0
         self._most_debt = 1.0
         self._refusals = _Account(0.0)
@@ -345,9 +343,8 @@
         rate = self._offered / seconds
         self._offered = 0
         window = self._service.shift_window_s
-        self._fast_rate += min(1.0, seconds / RATE_MEMORY_S) * (rate - self._fast_rate)
-        self._slow_rate += min(1.0, seconds / window) * (rate - self._slow_rate)
-        requests = window * min(self._fast_rate, self._slow_rate)
+        self._rate += min(1.0, seconds / window) * (rate - self._rate)
+        requests = window * self._rate
         stretch = self._parts.stretch * requests / max(1, len(self._by_region))
         self._most_debt = max(1.0, min(stretch, MAX_STRETCH) / 2)
         self._most_credit = 1 + self._most_debt
