--- a/benchmarks/block_tables.py
+++ b/benchmarks/block_tables.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from coralfall.blocks import TABLE_BITS, Block, Family
+from coralfall.blocks import TABLE_BITS, Block, ClientAddress, Family
 from coralfall.bundle import ChunkRef
 from coralfall.chunks import BuiltChunks
 from coralfall.ids import Digest, SiteId
@@ -56,6 +56,20 @@
     return changed
 
 
+def make_queries(blocks: t.Sequence[Block], count: int) -> t.List[ClientAddress]:
+    """Addresses to look up: nine in ten lie in a block, the others anywhere."""
+    rng = random.Random(count)
+    queries = []
+    for _ in range(count):
+        block = rng.choice(blocks)
+        bits = TABLE_BITS[block.family]
+        value = rng.getrandbits(bits)
+        if rng.random() < 0.9:
+            value = block.network | value & ((1 << (bits - block.length)) - 1)
+        queries.append(ClientAddress(block.family, value))
+    return queries
+
+
 class ObjectFile:
     """Objects in one file, so that reading one leaves nothing else in memory."""
 
--- a/benchmarks/blocks.py
+++ b/benchmarks/blocks.py
@@ -11,6 +11,7 @@
 import asyncio
 import bisect
 import gc
+import importlib
 import importlib.util
 import pathlib
 import random
@@ -25,11 +26,12 @@
 
 from coralfall import chunks
 from coralfall.blocks import TABLE_BITS, Block, ClientAddress, Family, parse_prefix
-from coralfall.blocktable import BlockTable, compile_chunk, load_block_table
+from coralfall.blocktable import compile_chunk, load_block_table
 from coralfall.bundle import encode
 from coralfall.ids import SiteId
 
 from . import block_tables
+from .apply_cost import measure_apply
 from .block_tables import SITES, ObjectFile
 
 COUNTS = (1_000, 10_000, 100_000, 560_000, 1_000_000)
@@ -44,6 +46,8 @@
 SCAN_QUERIES = 50
 SCAN_MAX_BLOCKS = 10_000
 REPEATS = 5
+#: Changes of which the mean is taken for each size of chunks.
+CHANGES = 20
 CELL_TIMEOUT_S = 300
 RESULTS = pathlib.Path(__file__).parent / "results"
 
@@ -167,7 +171,7 @@
     """The library ``pytricia``."""
 
     def __init__(self, blocks: t.Iterable[Block]) -> None:
-        import pytricia
+        pytricia = importlib.import_module("pytricia")
 
         self._trees = {Family.IPV4: pytricia.PyTricia(32), Family.IPV6: pytricia.PyTricia(128)}
         for block in blocks:
@@ -186,7 +190,7 @@
     """The library ``py-radix``."""
 
     def __init__(self, blocks: t.Iterable[Block]) -> None:
-        import radix
+        radix = importlib.import_module("radix")
 
         self._tree = radix.Radix()
         for block in blocks:
@@ -282,18 +286,10 @@
         other = block_tables.steer_elsewhere(blocks, positions)
         block_tables.write_objects(chunks.build_chunks(other), folder / f"table-{changed}")
         block_tables.write_lines([other[index] for index in positions], folder / f"put-{changed}")
-    queries = [_query(rng, rng.choice(blocks)) for _ in range(QUERIES)]
+    queries = block_tables.make_queries(blocks, QUERIES)
     (folder / "queries").write_bytes(msgspec.msgpack.encode(queries))
 
 
-def _query(rng: random.Random, block: Block) -> ClientAddress:
-    bits = TABLE_BITS[block.family]
-    if rng.random() < 0.1:
-        return ClientAddress(block.family, rng.getrandbits(bits))
-    host = rng.getrandbits(bits) & ((1 << (bits - block.length)) - 1)
-    return ClientAddress(block.family, block.network | host)
-
-
 def run_cell(structure: str, folder: pathlib.Path, count: int) -> Cell:
     """Measure a structure in a process of its own."""
     command = [sys.executable, "-m", "benchmarks.blocks", "--cell", structure]
@@ -343,45 +339,14 @@
     found, checksum = _measure_find(table, _read_queries(folder))
     row = StructureRow(TABLE, count, grown / count, found, spent)
     for changed, other in other_by_changed.items():
-        costs = [asyncio.run(measure_apply(other, sites, table)) for _ in range(REPEATS)]
+        costs = []
+        for _ in range(REPEATS):
+            costs.append(asyncio.run(measure_apply(other.refs, other.get, table)))
         row.apply_cpu_ms[changed] = min(cost.cpu_ms for cost in costs)
         row.apply_hold_ms[changed] = sorted(cost.hold_ms for cost in costs)[REPEATS // 2]
     return Cell(row, checksum)
 
 
-class ApplyCost(t.NamedTuple):
-    """What a change cost."""
-
-    cpu_ms: float
-    #: Longest time between two turns of the loop.
-    hold_ms: float
-
-
-async def measure_apply(
-    objects: ObjectFile, sites: t.Container[SiteId], previous: t.Optional[BlockTable]
-) -> ApplyCost:
-    """Load a table while another task takes each turn of the loop that it can get."""
-    longest = 0.0
-
-    async def watch() -> None:
-        nonlocal longest
-        last = time.thread_time()
-        while True:
-            await asyncio.sleep(0)
-            now = time.thread_time()
-            longest = max(longest, now - last)
-            last = now
-
-    watcher = asyncio.ensure_future(watch())
-    await asyncio.sleep(0)
-    started = time.thread_time()
-    await load_block_table(objects.refs, sites, objects.get, previous)
-    spent = time.thread_time() - started
-    await asyncio.sleep(0)
-    watcher.cancel()
-    return ApplyCost(spent * 1000, longest * 1000)
-
-
 def _measure_find(table: Structure, queries: t.Sequence[ClientAddress]) -> t.Tuple[float, int]:
     answers = [table.find(query) for query in queries]
     checksum = zlib.crc32(repr(answers).encode())
@@ -458,7 +423,7 @@
     """Bytes of a change: plain, compressed, and those of its pages."""
     rng = random.Random(changed)
     plain = packed = pages = 0
-    for _ in range(REPEATS):
+    for _ in range(CHANGES):
         positions = rng.sample(range(len(blocks)), changed)
         other = chunks.build_chunks(block_tables.steer_elsewhere(blocks, positions), size)
         page_digests = {ref.digest for ref in other.refs}
@@ -472,7 +437,7 @@
             packed += len(zlib.compress(data))
             if digest in page_digests:
                 pages += len(data)
-    return plain / REPEATS, packed / REPEATS, pages / REPEATS
+    return plain / CHANGES, packed / CHANGES, pages / CHANGES
 
 
 def _refs_bytes(built: chunks.BuiltChunks) -> int:
