--- a/src/coralfall/coordinator.py
+++ b/src/coralfall/coordinator.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from . import line, log
+from .claim_sweep import ClaimSweeper
 from .clock import Clock
 from .exceptions import PlatformError, PlatformUnknownError, SubmitError
 from .ids import EntryId, PartnerId, Revision
@@ -25,6 +26,11 @@
 from .settings import EntrySettings
 from .shift import shares_at
 
+#: Most turns that an entry waits before it takes a duty that is free.
+MAX_TURNS = 10
+#: Seconds between two rounds of removing old claims.
+SWEEP_S = 60.0
+
 
 class Coordinator:
     """The duty that one entry at a time has for all of them.
@@ -63,6 +69,8 @@
         self._lease_since = Revision(0)
         self._leases_by_id: t.Dict[EntryId, LeaseRow] = {}
         self._observer = LeaseObserver(settings.lease, clock)
+        self._sweeper = ClaimSweeper(platform.table)
+        self._next_sweep = clock.monotonic() + SWEEP_S
 
     async def tick(self) -> None:
         """Take or keep the duty, and do what it asks for.
@@ -82,13 +90,14 @@
         for rollout in self._rollouts.values():
             await self._accept_if_staged(rollout)
         await self._remove_gone()
+        await self._sweep_claims()
 
     async def _hold_duty(self, entry_id: EntryId) -> bool:
         membership = self._membership
         row = membership.coordinator
         mine = row is not None and membership.member is not None
         mine = mine and row is not None and row.entry_id == entry_id
-        if not mine and not self._may_take_over(row):
+        if not mine and not self._may_take_over(row, entry_id):
             return False
         assert membership.member is not None
         self._renewals += 1
@@ -110,15 +119,25 @@
         membership.coordinator_revision = result.revision
         return True
 
-    def _may_take_over(self, row: t.Optional[CoordinatorRow]) -> bool:
+    def _may_take_over(self, row: t.Optional[CoordinatorRow], entry_id: EntryId) -> bool:
         now = self._clock.monotonic()
         revision = self._membership.coordinator_revision
         if revision != self._seen_revision:
             self._seen_revision = revision
             self._seen_at = now
-        if row is None or row.entry_id not in self._roster.by_id:
-            return True
-        return now - self._seen_at > self._settings.lease.ttl_s
+        wait_s = self._turn_s(entry_id, revision)
+        if row is not None and row.entry_id in self._roster.by_id:
+            wait_s += self._settings.lease.ttl_s
+        return now - self._seen_at > wait_s
+
+    def _turn_s(self, entry_id: EntryId, revision: Revision) -> float:
+        """Seconds that this entry leaves to those that come before it in a random order.
+
+        Without it all entries of a large fleet would write at once when the duty is free.
+        """
+        order = self._roster.ranked(f"{COORDINATOR_KEY}/{revision}")
+        turn = min(order.index(entry_id), MAX_TURNS) if entry_id in order else MAX_TURNS
+        return turn * self._settings.lease.poll_s
 
     async def _read_leases(self) -> None:
         rows: t.List[Row] = []
@@ -162,6 +181,15 @@
             return
         log.info("rollout.accepted", partner=rollout.partner, version=staged.version)
 
+    async def _sweep_claims(self) -> None:
+        now = self._clock.monotonic()
+        if now < self._next_sweep:
+            return
+        self._next_sweep = now + SWEEP_S
+        removed = await self._sweeper.sweep()
+        if removed:
+            log.info("claims.swept", rows=removed)
+
     async def _remove_gone(self) -> None:
         lapsed = self._observer.lapsed()
         if not lapsed:
--- a/src/coralfall/entry.py
+++ b/src/coralfall/entry.py
@@ -194,6 +194,7 @@
         self.steering.wake_all()
 
     def _apply_roster(self) -> None:
+        self.claims.pace(max(1, len(self.roster.by_id)))
         self.steering.refresh()
 
     def _make_peers(self, rng: random.Random) -> None:
--- a/src/coralfall/membership.py
+++ b/src/coralfall/membership.py
@@ -13,7 +13,7 @@
 from .lease import Lease
 from .platform import Check, Platform, Row, TransactResult, Write
 from .rollout import PartnerRollout
-from .roster import Roster
+from .roster import Roster, may_replace
 from .rows import (
     COORDINATOR_KEY,
     HEAD_PREFIX,
@@ -64,6 +64,7 @@
     ) -> None:
         self._settings = settings
         self._table = platform.table
+        self._vms = platform.vms
         self._clock = clock
         self._roster = roster
         self._rollouts = rollouts
@@ -134,10 +135,14 @@
         rows_by_key = await self._table.read(keys)
         earlier = rows_by_key.get(keys[0])
         newest = self._last_incarnation
+        present: t.Optional[Member] = None
         if earlier is not None and earlier.value is not None:
-            newest = max(newest, msgspec.msgpack.decode(earlier.value, type=Member).incarnation)
+            present = msgspec.msgpack.decode(earlier.value, type=Member)
+            newest = max(newest, present.incarnation)
         if newest >= member.incarnation:
             member = msgspec.structs.replace(member, incarnation=Incarnation(newest + 1))
+        if present is not None and not await self._may_replace(present, member):
+            return False
         sent = self._clock.monotonic()
         self._renewals = 1
         self._last_incarnation = member.incarnation
@@ -166,6 +171,13 @@
         log.info("membership.joined", entry=member.entry_id, incarnation=member.incarnation)
         return True
 
+    async def _may_replace(self, present: Member, member: Member) -> bool:
+        vms = await self._vms.list() if present.vm_id != member.vm_id else {}
+        if may_replace(present, member, vms):
+            return True
+        log.warning("membership.id_taken", entry=member.entry_id, vm=present.vm_id)
+        return False
+
     async def renew(self) -> bool:
         """Renew the lease, then read what changed.
 
