Count each request against its service's objective

Nothing told an entry's service levels: the recorder was written and not wired. An observer of the callers' port now counts outcomes, burn over 5 minutes, 1 hour and 6 hours, and latency, and the status shows them.

A refusal for want of room, an unknown outcome, a broken answer and one later than the objective burn the budget. A request refused for its caller's fault counts as faulty alone: counted as good it would make the budget look fuller, counted as bad any client could spend it. Refusals take no time, so they stay out of the latency.

Latency is kept as two histograms that take turns every 30 minutes, and is told as counts that add up: percentiles over several entries are those of all requests. Counts since the start alone were ruled out too, since old latencies would hide new ones.

Readiness no longer works out the whole status, as anybody may ask for it.

--- a/src/coralfall/entry.py
+++ b/src/coralfall/entry.py
@@ -35,6 +35,7 @@
 from .roster import Roster
 from .rows import Member
 from .server import HttpServer
+from .service_levels import ServiceLevels
 from .settings import EntrySettings
 from .slots import SlotTable
 from .staging import Staging
@@ -119,8 +120,9 @@
         self._make_peers(rng)
         self.upstream = Upstream(self.steering, clock)
         dispatcher = Dispatcher(self.steering, self.upstream, self.claims, RetryBudget, clock)
-        callers = CallersApp(dispatcher, LookupHttp(self.lookup))
-        operators = make_operators_app(self.status, trust, settings.entry_id)
+        self.levels = ServiceLevels(clock, self.metrics)
+        callers = CallersApp(dispatcher, LookupHttp(self.lookup), self.levels)
+        operators = make_operators_app(self.status, self.ready, trust, settings.entry_id)
         self.callers_server = HttpServer(
             "callers", callers, settings.caller_address, metrics=self.metrics
         )
@@ -143,8 +145,8 @@
             members=self._members(),
             targets=self._targets(),
             drains=self._drains(),
-            burns={},
-            outcomes={},
+            burns=self.levels.reports(self.steering.bundles()),
+            outcomes=self.levels.outcomes(),
             resident_bytes=_resident_bytes(),
             processor_s=usage.ru_utime + usage.ru_stime,
             started_s=self._clock.monotonic() - self._started_at,
--- a/src/coralfall/exceptions.py
+++ b/src/coralfall/exceptions.py
@@ -70,6 +70,18 @@
     code = "signature"
 
 
+class StatusError(CoralfallError):
+    """An entry that did not tell its status, or told what can't be read."""
+
+    code = "status"
+
+
+class LookupFailedError(CoralfallError):
+    """No entry answered a look-up; ``fields`` say what each one did."""
+
+    code = "lookup"
+
+
 class SupervisorError(CoralfallError):
     """A child that ended by itself or failed too often; ``fields`` name it."""
 
--- a/src/coralfall/operators.py
+++ b/src/coralfall/operators.py
@@ -17,15 +17,20 @@
 HEADER_SIGNATURE = "coralfall-signature"
 
 StatusSource = t.Callable[[], EntryStatus]
+ReadySource = t.Callable[[], bool]
 
 
-def make_operators_app(status: StatusSource, trust: Trust, audience: str) -> Starlette:
+def make_operators_app(
+    status: StatusSource, is_ready: ReadySource, trust: Trust, audience: str
+) -> Starlette:
     """The application of the operators' port.
 
     ``/health`` and ``/ready`` are open to everybody and say one word; ``/status`` takes a
     signature by a trusted operator of any partner.
 
-    :param status: gives the entry's status now.
+    :param status: gives the entry's status now; that takes a few milliseconds.
+    :param is_ready: tells whether callers may be sent here; that costs next to nothing, since
+        anybody may ask.
     :param trust: public keys by partner and key id.
     :param audience: the entry's id; a request signed for another entry is refused.
     """
@@ -35,7 +40,7 @@
         return Response("ok\n", media_type="text/plain")
 
     async def ready(request: Request) -> Response:
-        if status().ready:
+        if is_ready():
             return Response("ready\n", media_type="text/plain")
         return Response("not ready\n", status_code=503, media_type="text/plain")
 
