--- a/src/coralfall/cli.py
+++ b/src/coralfall/cli.py
@@ -18,8 +18,12 @@
     no_args_is_help=True,
     add_completion=False,
     pretty_exceptions_enable=False,
+    # Rendering help by rich would keep 10 MB of it in every entry.
+    rich_markup_mode=None,
+)
+standin_app = typer.Typer(
+    help="Stand-ins of the platform and of targets.", no_args_is_help=True, rich_markup_mode=None
 )
-standin_app = typer.Typer(help="Stand-ins of the platform and of targets.", no_args_is_help=True)
 app.add_typer(standin_app, name="standin")
 
 SettingsFile = t.Annotated[
@@ -69,9 +73,12 @@
 def _mount() -> None:
     from .bundle_cli import app as bundle_app
     from .keys_cli import app as keys_app
+    from .report_cli import lookup, report
 
     app.add_typer(bundle_app, name="bundle")
     app.add_typer(keys_app, name="keys")
+    app.command()(lookup)
+    app.command()(report)
 
 
 def main() -> None:
