Show allowances, roster, lease and lagging peers to operators

The status named no targets, so neither headroom nor allowances could be seen, and a peer that lags showed nowhere. It now gives for each target the slots that all entries may use, those owned here, in flight and suspicion; the same sums for each region; how long the lease still counts; and for each member what its last heartbeat to this entry said, with whether it is behind in roster or versions.

Headroom is worked out from usable slots and not from owned ones: owned slots rest after each change of the roster, and that is no lack of capacity. Members that never sent a heartbeat here have none to show; asking all of them would cost traffic that grows with the square of the fleet.

Working out the status moves out of the entry's assembly, which had grown with it.

--- a/src/coralfall/entry.py
+++ b/src/coralfall/entry.py
@@ -3,7 +3,6 @@
 import asyncio
 import pathlib
 import random
-import resource
 import typing as t
 
 from . import log, loop
@@ -18,8 +17,9 @@
 from .dispatch import Dispatcher
 from .fleet import FleetSteering
 from .fleetkey import load_fleet_key
+from .gauges import GAUGES_S, Gauges
 from .http_platform import HttpPlatform
-from .ids import BundleVersion, Digest, Incarnation, RegionId, ServiceId
+from .ids import Digest, Incarnation, RegionId, ServiceId
 from .lease import Lease
 from .lending import Borrower, Lender
 from .lookup import Lookup
@@ -39,7 +39,8 @@
 from .settings import EntrySettings
 from .slots import SlotTable
 from .staging import Staging
-from .status import DrainStatus, EntryStatus, MemberStatus, TargetStatus, VersionStatus
+from .status import EntryStatus
+from .status_builder import StatusBuilder
 from .supervisor import Supervisor, supervise
 from .trust import trust_of
 from .upstream import Upstream
@@ -63,7 +64,6 @@
         self.settings = settings
         self._platform = platform
         self._clock = clock
-        self._started_at = clock.monotonic()
         self._incarnation = Incarnation(int(clock.wall() * 1000))
         trust = trust_of(settings.partners)
         self.metrics = Metrics(settings.metrics)
@@ -121,6 +121,28 @@
         self.upstream = Upstream(self.steering, clock)
         dispatcher = Dispatcher(self.steering, self.upstream, self.claims, RetryBudget, clock)
         self.levels = ServiceLevels(clock, self.metrics)
+        self._status_builder = StatusBuilder(
+            settings.entry_id,
+            self._incarnation,
+            clock,
+            self.membership,
+            self.lease,
+            self.roster,
+            self.rollouts,
+            self.slots,
+            self.steering,
+            self.directory,
+            self.levels,
+        )
+        self.gauges = Gauges(
+            self.metrics,
+            self.membership,
+            self.lease,
+            self.roster,
+            self.rollouts,
+            self.slots,
+            self.steering,
+        )
         callers = CallersApp(dispatcher, LookupHttp(self.lookup), self.levels)
         operators = make_operators_app(self.status, self.ready, trust, settings.entry_id)
         self.callers_server = HttpServer(
@@ -131,26 +153,7 @@
 
     def status(self) -> EntryStatus:
         """What the operators' interface shows."""
-        usage = resource.getrusage(resource.RUSAGE_SELF)
-        age = self.membership.platform_age()
-        return EntryStatus(
-            entry_id=self.settings.entry_id,
-            incarnation=self._incarnation,
-            membership=self.membership.state.value,
-            lease=self.lease.state().value,
-            ready=self.ready(),
-            platform_age_s=None if age == float("inf") else age,
-            roster_revision=self.roster.revision,
-            versions=self._versions(),
-            members=self._members(),
-            targets=self._targets(),
-            drains=self._drains(),
-            burns=self.levels.reports(self.steering.bundles()),
-            outcomes=self.levels.outcomes(),
-            resident_bytes=_resident_bytes(),
-            processor_s=usage.ru_utime + usage.ru_stime,
-            started_s=self._clock.monotonic() - self._started_at,
-        )
+        return self._status_builder.build(self.ready())
 
     def ready(self) -> bool:
         """Whether callers may be sent here: bundles in force, and not about to leave."""
@@ -175,6 +178,7 @@
                 rng,
                 self.metrics,
             ),
+            PeriodicChild("gauges", self.gauges.set_all, GAUGES_S, rng, self.metrics),
             PeriodicChild("steering", self._refresh_steering, STEERING_S, rng, self.metrics),
             self.callers_server,
             Presence(self.control, self.membership, self.settings.lookup_ttl_s),
@@ -220,17 +224,23 @@
         handler.services = self.steering.service_ids
         fleet_key = load_fleet_key(pathlib.Path(settings.peers.fleet_key_file))
         hello = Hello(entry_id=settings.entry_id, incarnation=self._incarnation)
-        directory = PeerDirectory(clock)
+        self.directory = PeerDirectory(clock)
         self.traffic = Traffic()
         self.peer_server = PeerServer(
-            settings.peer_address, fleet_key, hello, handler, directory, self.traffic, self.metrics
+            settings.peer_address,
+            fleet_key,
+            hello,
+            handler,
+            self.directory,
+            self.traffic,
+            self.metrics,
         )
         self.network = PeerNetwork(
             settings,
             fleet_key,
             hello,
             handler,
-            directory,
+            self.directory,
             clock,
             rng,
             self.traffic,
@@ -258,51 +268,6 @@
             operator_address=self.operators_server.bound_address,
         )
 
-    def _versions(self) -> t.Dict[t.Any, VersionStatus]:
-        versions = {}
-        for partner, rollout in self.rollouts.items():
-            accepted = rollout.head.accepted
-            versions[partner] = VersionStatus(
-                in_force=rollout.in_force_version(),
-                staged=rollout.staged_version(),
-                accepted=BundleVersion(0) if accepted is None else accepted.version,
-            )
-        return versions
-
-    def _members(self) -> t.Tuple[MemberStatus, ...]:
-        members = []
-        for member in self.roster.by_id.values():
-            members.append(
-                MemberStatus(
-                    entry_id=member.entry_id,
-                    incarnation=member.incarnation,
-                    region=member.region,
-                    zone=member.zone,
-                    site=member.site,
-                    state=member.state,
-                    caller_address=member.caller_address,
-                    operator_address=member.operator_address,
-                )
-            )
-        return tuple(members)
-
-    def _targets(self) -> t.Tuple[TargetStatus, ...]:
-        return ()
-
-    def _drains(self) -> t.Tuple[DrainStatus, ...]:
-        now = self._clock.monotonic()
-        drains = []
-        for report in self.steering.drains.reports().values():
-            drains.append(
-                DrainStatus(
-                    target_id=report.target_id,
-                    in_flight=report.in_flight,
-                    age_s=now - report.marked_at,
-                    drained_s=report.seconds,
-                )
-            )
-        return tuple(drains)
-
 
 def run_entry(settings: EntrySettings) -> int:
     """Run an entry until told to stop; the process's exit status."""
@@ -319,9 +284,3 @@
         return await supervise(entry.root)
     finally:
         await platform.close()
-
-
-def _resident_bytes() -> int:
-    with open("/proc/self/statm", encoding="ascii") as file:
-        pages = int(file.read().split()[1])
-    return pages * resource.getpagesize()
--- a/src/coralfall/fleet.py
+++ b/src/coralfall/fleet.py
@@ -21,6 +21,7 @@
 
 if t.TYPE_CHECKING:
     from .clock import Clock, PlatformClock
+    from .limits import Limits
     from .roster import Roster
 
 #: Requests of one service that may wait for a slot at a time, for each slot held.
@@ -86,6 +87,8 @@
         self._desk_by_service: t.Dict[ServiceKey, _Desk] = {}
         self.drains = DrainTracker()
         self.links = LinkAllowance(clock)
+        #: What all entries together may do with each target, as of the last refresh.
+        self.limits: "Limits" = {}
 
     async def reserve(
         self,
@@ -183,6 +186,7 @@
                 staged[partner] = other
         platform_now = self._platform_clock.now()
         limits = self._limits.update(accepted, staged, accepted_at, platform_now)
+        self.limits = limits
         self._slots.update(self._roster, limits)
         self.links.set_rates(link_rates([accepted, staged], limits, self._slots.held_by_region()))
         for partner, rollout in self._rollouts.items():
--- a/src/coralfall/slots.py
+++ b/src/coralfall/slots.py
@@ -229,6 +229,10 @@
         """Requests of this entry that hold a slot of the target."""
         return self._in_flight_by_target.get(target_id, 0)
 
+    def owned(self, target_id: TargetId) -> int:
+        """Slots of the target that this entry owns, in whatever state."""
+        return len(self._owned_by_target.get(target_id, ()))
+
     def in_use(self, service: ServiceId) -> int:
         """Requests of this entry that hold a slot of the service."""
         return self._in_flight_by_service.get(service, 0)
--- a/src/coralfall/status.py
+++ b/src/coralfall/status.py
@@ -41,20 +41,52 @@
     state: EntryState
     caller_address: str
     operator_address: str
+    #: What it last said in a heartbeat to this entry; ``None`` if it never did, which is usual
+    #: for most members of a large roster.
+    heard: t.Optional["HeardStatus"] = None
+
+
+class HeardStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """What a peer last said of itself."""
+
+    #: Seconds since then.
+    age_s: float
+    roster_revision: Revision
+    #: Versions that it knew to be accepted, by partner.
+    accepted: t.Dict[PartnerId, BundleVersion]
+    #: Seconds since the platform had last answered it.
+    platform_age_s: float
+    #: Whether it knew an older roster or older versions than this entry knows now.
+    behind: bool
+
+
+class RegionStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """Allowance and use of one region, as seen by one entry."""
+
+    region: RegionId
+    #: Slots that may be used there by all entries together, of all partners' targets.
+    usable: int
+    #: Slots that this entry may use now, those borrowed included.
+    held: int
+    #: Requests of this entry in flight there.
+    in_flight: int
 
 
 class TargetStatus(msgspec.Struct, frozen=True, kw_only=True):
     """Allowance and use of one target, as seen by one entry."""
 
     target_id: TargetId
+    partner: PartnerId
     service: ServiceId
     region: RegionId
     state: TargetState
     #: Slots that may be used by all entries together.
     usable: int
-    #: Slots that this entry owns, of them resting, lent and in use.
+    #: Slots that this entry owns; some may rest after a change, or be lent.
     owned: int
+    #: Requests of this entry in flight there.
     in_flight: int
+    #: Whether requests to it failed in a row here, or it calls itself unwell.
     suspect: bool
 
 
@@ -77,12 +109,15 @@
     incarnation: Incarnation
     membership: str
     lease: str
+    #: Seconds for which the lease counts if nothing further is heard.
+    lease_remaining_s: float
     ready: bool
     #: Seconds since the platform last answered; ``None`` if it never did.
     platform_age_s: t.Optional[float]
     roster_revision: Revision
     versions: t.Dict[PartnerId, VersionStatus]
     members: t.Tuple[MemberStatus, ...]
+    regions: t.Tuple[RegionStatus, ...]
     targets: t.Tuple[TargetStatus, ...]
     drains: t.Tuple[DrainStatus, ...]
     burns: t.Dict[PartnerId, t.Dict[ServiceId, BurnReport]]
--- /dev/null
+++ b/src/coralfall/status_builder.py
@@ -0,0 +1,208 @@
+"""Works out what an entry says of itself to operators."""
+
+import resource
+import typing as t
+
+from .ids import BundleVersion, EntryId, Incarnation, PartnerId, RegionId, TargetState
+from .status import (
+    DrainStatus,
+    EntryStatus,
+    HeardStatus,
+    MemberStatus,
+    RegionStatus,
+    TargetStatus,
+    VersionStatus,
+)
+
+if t.TYPE_CHECKING:
+    from .clock import Clock
+    from .fleet import FleetSteering
+    from .lease import Lease
+    from .membership import Membership
+    from .peer_directory import PeerDirectory
+    from .rollout import PartnerRollout
+    from .roster import Roster
+    from .service_levels import ServiceLevels
+    from .slots import SlotTable
+
+_NEVER = float("inf")
+
+
+class StatusBuilder:
+    """Gathers the status of an entry from its parts; changes none of them.
+
+    :param entry_id: this entry.
+    :param incarnation: of this process.
+    :param clock: the VM's clocks; the entry counts as started now.
+    """
+
+    def __init__(
+        self,
+        entry_id: EntryId,
+        incarnation: Incarnation,
+        clock: "Clock",
+        membership: "Membership",
+        lease: "Lease",
+        roster: "Roster",
+        rollouts: "t.Mapping[PartnerId, PartnerRollout]",
+        slots: "SlotTable",
+        steering: "FleetSteering",
+        directory: "PeerDirectory",
+        levels: "ServiceLevels",
+    ) -> None:
+        self._entry_id = entry_id
+        self._incarnation = incarnation
+        self._clock = clock
+        self._started_at = clock.monotonic()
+        self._membership = membership
+        self._lease = lease
+        self._roster = roster
+        self._rollouts = rollouts
+        self._slots = slots
+        self._steering = steering
+        self._directory = directory
+        self._levels = levels
+
+    def build(self, ready: bool) -> EntryStatus:
+        """The status now.
+
+        :param ready: whether callers may be sent to the entry.
+        """
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        platform_age_s = self._membership.platform_age()
+        targets = self._targets()
+        return EntryStatus(
+            entry_id=self._entry_id,
+            incarnation=self._incarnation,
+            membership=self._membership.state.value,
+            lease=self._lease.state().value,
+            lease_remaining_s=self._lease.remaining_s(),
+            ready=ready,
+            platform_age_s=None if platform_age_s == _NEVER else platform_age_s,
+            roster_revision=self._roster.revision,
+            versions=self._versions(),
+            members=self._members(),
+            regions=self._regions(targets),
+            targets=targets,
+            drains=self._drains(),
+            burns=self._levels.reports(self._steering.bundles()),
+            outcomes=self._levels.outcomes(),
+            resident_bytes=resident_bytes(),
+            processor_s=usage.ru_utime + usage.ru_stime,
+            started_s=self._clock.monotonic() - self._started_at,
+        )
+
+    def _versions(self) -> t.Dict[PartnerId, VersionStatus]:
+        versions = {}
+        for partner, rollout in self._rollouts.items():
+            versions[partner] = VersionStatus(
+                in_force=rollout.in_force_version(),
+                staged=rollout.staged_version(),
+                accepted=self._accepted(partner),
+            )
+        return versions
+
+    def _accepted(self, partner: PartnerId) -> BundleVersion:
+        accepted = self._rollouts[partner].head.accepted
+        return BundleVersion(0) if accepted is None else accepted.version
+
+    def _members(self) -> t.Tuple[MemberStatus, ...]:
+        members = []
+        for member in self._roster.by_id.values():
+            members.append(
+                MemberStatus(
+                    entry_id=member.entry_id,
+                    incarnation=member.incarnation,
+                    region=member.region,
+                    zone=member.zone,
+                    site=member.site,
+                    state=member.state,
+                    caller_address=member.caller_address,
+                    operator_address=member.operator_address,
+                    heard=self._heard(member.entry_id),
+                )
+            )
+        return tuple(members)
+
+    def _heard(self, entry_id: EntryId) -> t.Optional[HeardStatus]:
+        heard = self._directory.heard(entry_id)
+        if heard is None:
+            return None
+        heartbeat = heard.heartbeat
+        behind = heartbeat.roster_revision < self._roster.revision
+        for partner in self._rollouts:
+            behind = behind or heartbeat.accepted.get(partner, 0) < self._accepted(partner)
+        return HeardStatus(
+            age_s=self._clock.monotonic() - heard.at,
+            roster_revision=heartbeat.roster_revision,
+            accepted=heartbeat.accepted,
+            platform_age_s=heartbeat.platform_age_s,
+            behind=behind,
+        )
+
+    def _targets(self) -> t.Tuple[TargetStatus, ...]:
+        now = self._clock.monotonic()
+        bundles = self._steering.bundles()
+        routers = self._steering.routers()
+        targets = []
+        for target_id, limit in self._steering.limits.items():
+            bundle = bundles.get(limit.partner)
+            target = None if bundle is None else bundle.targets.get(target_id)
+            router = routers.get((limit.partner, limit.service))
+            health = None if router is None else router.health.by_id.get(target_id)
+            targets.append(
+                TargetStatus(
+                    target_id=target_id,
+                    partner=limit.partner,
+                    service=limit.service,
+                    region=limit.region,
+                    state=TargetState.LEAVING if target is None else target.state,
+                    usable=limit.usable,
+                    owned=self._slots.owned(target_id),
+                    in_flight=self._slots.in_flight(target_id),
+                    suspect=health is not None and health.looks_dead(now),
+                )
+            )
+        return tuple(targets)
+
+    def _regions(self, targets: t.Iterable[TargetStatus]) -> t.Tuple[RegionStatus, ...]:
+        held_by_region = self._slots.held_by_region()
+        usable_by_region: t.Dict[RegionId, int] = {}
+        in_flight_by_region: t.Dict[RegionId, int] = {}
+        for target in targets:
+            region = target.region
+            usable_by_region[region] = usable_by_region.get(region, 0) + target.usable
+            in_flight = in_flight_by_region.get(region, 0) + target.in_flight
+            in_flight_by_region[region] = in_flight
+        regions = []
+        for region, usable in sorted(usable_by_region.items()):
+            regions.append(
+                RegionStatus(
+                    region=region,
+                    usable=usable,
+                    held=held_by_region.get(region, 0),
+                    in_flight=in_flight_by_region[region],
+                )
+            )
+        return tuple(regions)
+
+    def _drains(self) -> t.Tuple[DrainStatus, ...]:
+        now = self._clock.monotonic()
+        drains = []
+        for report in self._steering.drains.reports().values():
+            drains.append(
+                DrainStatus(
+                    target_id=report.target_id,
+                    in_flight=report.in_flight,
+                    age_s=now - report.marked_at,
+                    drained_s=report.seconds,
+                )
+            )
+        return tuple(drains)
+
+
+def resident_bytes() -> int:
+    """Memory that this process holds, in bytes."""
+    with open("/proc/self/statm", encoding="ascii") as file:
+        pages = int(file.read().split()[1])
+    return pages * resource.getpagesize()
