Prove that a full region gives up some of its share, slowly

A region with too few free slots for its share would refuse for as long as it lasts while others have room, so the governor's goal for it is lowered by the part that it refuses; this had no test. It has one now, with the return to the plan when there is room again. A rule of its own for 'all regions are full' is taken out: no test could tell it from none, since a goal that adds up to less than what is placed moves nothing anyway. Seen red without: the lower goal of a full region, and the part of it that is refused.

--- a/src/coralfall/shift.py
+++ b/src/coralfall/shift.py
@@ -392,8 +392,6 @@
             account = self._by_region[region]
             if account.full > FULL_SHARE:
                 kept[region] = min(share, account.share) * (1 - account.full)
-        if not kept or len(kept) == len(whole):
-            return whole
         rest = 1 - sum(kept.values())
         roomy = normalised({r: share for r, share in whole.items() if r not in kept})
         for region, share in roomy.items():
--- a/tests/test_shift.py
+++ b/tests/test_shift.py
@@ -98,3 +98,49 @@
                 hits.append(hits[-1] + (name == region) - share * (1 + band))
             excess = max(hits[i] - min(hits[: i + 1]) for i in range(0, len(hits), 7))
             self.assertLessEqual(excess, COUNT_SLACK)
+
+
+class FullRegionTest(unittest.TestCase):
+    """A region that refuses much of its share gives some to others, as slowly as any shift."""
+
+    def play(
+        self, seconds: float, room: t.Dict[RegionId, int], governor: ShiftGovernor, now: float
+    ) -> float:
+        """20 requests every 0.05 seconds, of which each region takes no more than its room."""
+        service = make_service({A: 0.5, B: 0.5}, 0.4)
+        end = now + seconds
+        while now < end:
+            now += 0.05
+            governor.advance(service, service.weights, {A, B}, now)
+            left = dict(room)
+            for _ in range(20):
+                governor.offer()
+                regions = [region for region in governor.allowed() if left[region]]
+                if not regions:
+                    governor.refuse()
+                    continue
+                governor.take(regions[0])
+                left[regions[0]] -= 1
+        return now
+
+    @parameterized.expand(
+        [
+            ("half full", {A: 5, B: 20}, True),
+            ("wholly full", {A: 0, B: 20}, True),
+            ("with room", {A: 20, B: 20}, False),
+            ("all full alike", {A: 5, B: 5}, False),
+        ]
+    )
+    def test_shares(self, _: str, room: t.Dict[RegionId, int], moves: bool) -> None:
+        service = make_service({A: 0.5, B: 0.5}, 0.4)
+        governor = ShiftGovernor(CATALOGO, service, service.weights, 0.0)
+        now = self.play(20.0, room, governor, 0.0)
+        rate = split_cap(service).rate
+        gained = governor.shares[B] - 0.5
+        self.assertLessEqual(gained, rate * now + 1e-9)
+        if not moves:
+            self.assertAlmostEqual(gained, 0.0, places=2)
+            return
+        self.assertGreater(gained, rate * now / 2)
+        self.play(60.0, {A: 20, B: 20}, governor, now)
+        self.assertAlmostEqual(governor.shares[B], 0.5, places=2)
