Let operators make the fleet's key by a command

Cause: every entry needs the fleet's shared key in a file of mode 0600, and the only way to make one was a function that tests and development mode call. An operator would have made it by hand, with whatever random source and mode came to mind.

The command writes a new file only and does not print the key. Weighed: printing it, as for the public half of a signing key; ruled out, since it is a secret and would stay in a terminal.

--- a/src/coralfall/keys_cli.py
+++ b/src/coralfall/keys_cli.py
@@ -1,4 +1,4 @@
-"""The commands ``coralfall keys ...``: signing keys of operators."""
+"""The commands ``coralfall keys ...``: signing keys of operators, and the fleet's key."""
 
 import pathlib
 import typing as t
@@ -8,12 +8,9 @@
 from .ids import KeyId
 from .terminal import JsonOption, reporting, show
 
-app = typer.Typer(help="Signing keys of operators.", no_args_is_help=True)
-
-
-@app.callback()
-def _group() -> None:
-    """Keep ``new`` a command of its own, though it is the only one."""
+app = typer.Typer(
+    help="Signing keys of operators, and the fleet's shared key.", no_args_is_help=True
+)
 
 
 @app.command()
@@ -33,3 +30,17 @@
         public_key = signing.new_key(path, KeyId(key_id))
         value = {"key_id": key_id, "public_key": public_key, "file": str(path)}
         show(value, [f'{key_id} = "{public_key}"'], as_json)
+
+
+@app.command()
+def fleet(
+    path: t.Annotated[pathlib.Path, typer.Argument(help="File to write the key to.")],
+    as_json: JsonOption = False,
+) -> None:
+    """Make the key that all entries share: it goes to PATH (mode 0600) and is not printed."""
+    with reporting(as_json):
+        from .fleetkey import new_fleet_key
+
+        new_fleet_key(path)
+        text = f"wrote {path}; put it on every entry VM, where peers.fleet_key_file names it"
+        show({"file": str(path)}, [text], as_json)
--- a/tests/test_bundle_cli.py
+++ b/tests/test_bundle_cli.py
@@ -17,6 +17,7 @@
 from coralfall.bundle import encode
 from coralfall.clock import ManualClock
 from coralfall.exceptions import PlatformUnavailableError, SettingsError
+from coralfall.fleetkey import load_fleet_key
 from coralfall.ids import PartnerId
 from coralfall.memory_platform import MemoryPlatform
 from coralfall.signedfile import SignedFile
@@ -228,6 +229,20 @@
         self.assertIn("chmod 600", result.err)
         self.assertFalse((self.folder / "draft.signed").exists())
 
+    def test_keys_fleet(self) -> None:
+        made = self.keys("fleet", "fleet.key", "--json")
+        path = self.folder / "fleet.key"
+        self.assertEqual((0, {"file": str(path)}), (made.code, made.json()))
+        self.assertEqual(0o600, path.stat().st_mode & 0o777)
+        key = load_fleet_key(path)
+        self.assertNotIn(path.read_text().strip(), made.out + made.err)
+        again = self.keys("fleet", "fleet.key")
+        self.assertEqual(2, again.code)
+        self.assertIn("unwritable", self.keys("fleet", "fleet.key", "--json").out)
+        self.assertEqual(key, load_fleet_key(path))
+        self.assertEqual(0, self.keys("fleet", "other.key").code)
+        self.assertNotEqual(key, load_fleet_key(self.folder / "other.key"))
+
     def test_keys_new(self) -> None:
         made = self.keys("new", "caro.key", "--id", "caro", "--json").json()
         self.assertEqual("caro", made["key_id"])
