Check rollouts over many nodes under faults, and tell an acceptance at once

Cause: the rollout had only tests on processes, which try few interleavings. The parts that decide and follow are now one Node without servers, so that many run on virtual time with a platform that fails, loses answers and writes late, nodes that are killed, cut off, started and restarted, and operators who race.

Found by it: the coordinator did not take in the head that it had written. If the platform went down right after an acceptance, nobody knew of it until the platform was back. Now it knows at once and tells its peers.

What is checked: the table's version never falls; a node's version in force never falls; whoever may dispatch holds what is accepted, from the moment of the acceptance; 8 s after anybody reachable knows of it, it is in force everywhere.

--- a/src/coralfall/control.py
+++ b/src/coralfall/control.py
@@ -114,11 +114,12 @@
         for rollout in self._rollouts.values():
             staged = await self._staging.fill(rollout) or staged
         self._steering.refresh()
-        self._set_lookup()
+        in_force = self._set_lookup()
         self._staging.forget_unnamed(self._rollouts.values())
         await self._work_through_slots()
         if staged:
             self._next_renewal = 0.0
+        if staged or in_force:
             self._announce()
 
     async def _round(self) -> None:
@@ -164,7 +165,9 @@
         for _ in self._slots.steps():
             await asyncio.sleep(0)
 
-    def _set_lookup(self) -> None:
+    def _set_lookup(self) -> bool:
+        """Answer look-ups by what is in force; whether a newer bundle is."""
+        changed = False
         for partner, rollout in self._rollouts.items():
             ref = rollout.head.accepted
             if ref is None or self._looked_up.get(partner) == ref.digest:
@@ -174,10 +177,12 @@
                 continue
             self._lookup.set_bundle(staged.bundle, staged.blocks)
             self._looked_up[partner] = ref.digest
+            changed = True
             log.info("rollout.in_force", partner=partner, version=ref.version)
         if self._named_revision != self._roster.revision:
             self._named_revision = self._roster.revision
             self._lookup.set_members(self._roster.by_id)
+        return changed
 
     def _note_failure(self, error: PlatformError) -> None:
         self._failures += 1
--- a/src/coralfall/coordinator.py
+++ b/src/coralfall/coordinator.py
@@ -46,6 +46,7 @@
     :param membership: the entry's own place in the roster.
     :param roster: the roster.
     :param rollouts: the partners' lines.
+    :param tell_news: called when a bundle was accepted.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         membership: Membership,
         roster: Roster,
         rollouts: t.Mapping[PartnerId, PartnerRollout],
+        tell_news: t.Callable[[], None],
     ) -> None:
         self._settings = settings
         self._platform = platform
@@ -63,6 +65,7 @@
         self._membership = membership
         self._roster = roster
         self._rollouts = rollouts
+        self._tell_news = tell_news
         self._renewals = 0
         self._seen_revision = Revision(-1)
         self._seen_at = clock.monotonic()
@@ -172,7 +175,9 @@
         shares = {} if accepted is None else shares_at(rollout.head, accepted, now)
         checks = [Check(COORDINATOR_KEY, self._membership.coordinator_revision)]
         try:
-            await line.accept(self._platform, rollout.head, rollout.revision, shares, now, checks)
+            head = await line.accept(
+                self._platform, rollout.head, rollout.revision, shares, now, checks
+            )
         except PlatformUnknownError:
             # The next poll shows whether the head moved; writing again could not tell.
             return
@@ -180,6 +185,9 @@
             log.info("rollout.not_accepted", partner=rollout.partner, error=error.message)
             return
         log.info("rollout.accepted", partner=rollout.partner, version=staged.version)
+        # Known here before anybody can read it: if the platform goes now, peers still hear.
+        rollout.learn_from_peer(head)
+        self._tell_news()
 
     async def _sweep_claims(self) -> None:
         now = self._clock.monotonic()
--- a/src/coralfall/dev.py
+++ b/src/coralfall/dev.py
@@ -178,7 +178,7 @@
         """Wait until bundles are in force and an entry's slots have rested after its joining."""
         services = [service for partner in PARTNERS for service in partner.services]
         while True:
-            if all(entry.slots.idle(service.service_id) for service in services):
+            if all(entry.node.slots.idle(service.service_id) for service in services):
                 return
             await asyncio.sleep(0.1)
 
--- a/src/coralfall/entry.py
+++ b/src/coralfall/entry.py
@@ -11,34 +11,26 @@
 from .child import Child, FunctionChild, PeriodicChild
 from .claims import ClaimBook
 from .clock import Clock, SystemClock
-from .control import Control, Leave, Presence
-from .conversation import Conversation, Loans
-from .coordinator import Coordinator
+from .control import Leave, Presence
+from .conversation import Loans
 from .dispatch import Dispatcher
-from .fleet import FleetSteering
 from .fleetkey import load_fleet_key
 from .gauges import GAUGES_S, Gauges
 from .http_platform import HttpPlatform
 from .ids import Digest, Incarnation, RegionId, ServiceId
-from .lease import Lease
-from .lending import Borrower, Lender
-from .lookup import Lookup
 from .lookup_http import LookupHttp
-from .membership import Membership, MembershipState
+from .membership import MembershipState
 from .messages import Hello
 from .metrics import Metrics
+from .node import Node, Surroundings
 from .operators import make_operators_app
 from .peers import PeerDirectory, PeerNetwork, PeerServer
 from .platform import Platform
 from .retry import RetryBudget
-from .rollout import PartnerRollout
-from .roster import Roster
 from .rows import Member
 from .server import HttpServer
 from .service_levels import ServiceLevels
 from .settings import EntrySettings
-from .slots import SlotTable
-from .staging import Staging
 from .status import EntryStatus
 from .status_builder import StatusBuilder
 from .supervisor import Supervisor, supervise
@@ -67,30 +59,20 @@
         self._incarnation = Incarnation(int(clock.wall() * 1000))
         trust = trust_of(settings.partners)
         self.metrics = Metrics(settings.metrics)
-        self.roster = Roster()
-        self.rollouts = {partner: PartnerRollout(partner) for partner in settings.partners}
-        self.lease = Lease(settings.lease, clock)
-        self.slots = SlotTable(settings.entry_id, self.lease, clock, settings.lease)
-        self.membership = Membership(
+        self.node = Node(
             settings,
             platform,
             clock,
-            self.roster,
-            self.rollouts,
-            self.lease,
-            self._apply_roster,
-            lambda: self.slots.acknowledged,
-        )
-        self.steering = FleetSteering(
-            self.rollouts,
-            self.roster,
-            self.slots,
-            clock,
-            self.membership.platform_clock,
-            self._ask_loan,
+            rng,
+            Surroundings(
+                make_member=self._make_member,
+                peer_fetch=self._fetch_from_peers,
+                ask_loan=self._ask_loan,
+                announce=self._announce,
+                roster_changed=self._pace_claims,
+            ),
         )
-        self.staging = Staging(platform.objects, self._fetch_from_peers, trust)
-        self.lookup = Lookup(settings.partners, settings.lookup_ttl_s)
+        node = self.node
         self.claims = ClaimBook(
             platform.table,
             settings.entry_id,
@@ -100,50 +82,33 @@
             rng,
             self.metrics,
         )
-        self.coordinator = Coordinator(
-            settings, platform, clock, self.membership, self.roster, self.rollouts
-        )
-        self.control = Control(
-            settings,
-            platform,
-            clock,
-            self.membership,
-            self.roster,
-            self.rollouts,
-            self.staging,
-            self.steering,
-            self.slots,
-            self.lookup,
-            self._make_member,
-            lambda: self.network.announce(),
-        )
         self._make_peers(rng)
-        self.upstream = Upstream(self.steering, clock)
-        dispatcher = Dispatcher(self.steering, self.upstream, self.claims, RetryBudget, clock)
+        self.upstream = Upstream(node.steering, clock)
+        dispatcher = Dispatcher(node.steering, self.upstream, self.claims, RetryBudget, clock)
         self.levels = ServiceLevels(clock, self.metrics)
         self._status_builder = StatusBuilder(
             settings.entry_id,
             self._incarnation,
             clock,
-            self.membership,
-            self.lease,
-            self.roster,
-            self.rollouts,
-            self.slots,
-            self.steering,
+            node.membership,
+            node.lease,
+            node.roster,
+            node.rollouts,
+            node.slots,
+            node.steering,
             self.directory,
             self.levels,
         )
         self.gauges = Gauges(
             self.metrics,
-            self.membership,
-            self.lease,
-            self.roster,
-            self.rollouts,
-            self.slots,
-            self.steering,
+            node.membership,
+            node.lease,
+            node.roster,
+            node.rollouts,
+            node.slots,
+            node.steering,
         )
-        callers = CallersApp(dispatcher, LookupHttp(self.lookup), self.levels)
+        callers = CallersApp(dispatcher, LookupHttp(node.lookup), self.levels)
         operators = make_operators_app(self.status, self.ready, trust, settings.entry_id)
         self.callers_server = HttpServer(
             "callers", callers, settings.caller_address, metrics=self.metrics
@@ -157,23 +122,25 @@
 
     def ready(self) -> bool:
         """Whether callers may be sent here: bundles in force, and not about to leave."""
-        if self.membership.state in (MembershipState.LEAVING, MembershipState.LEFT):
+        node = self.node
+        if node.membership.state in (MembershipState.LEAVING, MembershipState.LEFT):
             return False
-        return any(rollout.effective() is not None for rollout in self.rollouts.values())
+        return any(rollout.effective() is not None for rollout in node.rollouts.values())
 
     def _make_tree(self, rng: random.Random) -> Supervisor:
+        node = self.node
         children: t.List[Child] = [
             FunctionChild("connections", self._keep_connections),
             self.operators_server,
             self.peer_server,
-            Leave(self.membership),
-            self.control,
-            FunctionChild("follow", self.control.follow_news),
+            Leave(node.membership),
+            node.control,
+            FunctionChild("follow", node.control.follow_news),
             self.network,
             self.claims,
             PeriodicChild(
                 "coordinator",
-                self.coordinator.tick,
+                node.coordinator.tick,
                 self.settings.lease.poll_s,
                 rng,
                 self.metrics,
@@ -181,7 +148,7 @@
             PeriodicChild("gauges", self.gauges.set_all, GAUGES_S, rng, self.metrics),
             PeriodicChild("steering", self._refresh_steering, STEERING_S, rng, self.metrics),
             self.callers_server,
-            Presence(self.control, self.membership, self.settings.lookup_ttl_s),
+            Presence(node.control, node.membership, self.settings.lookup_ttl_s),
         ]
         return Supervisor("entry", children, self._clock, rng, grace_s=self.settings.grace_s + 10.0)
 
@@ -193,35 +160,20 @@
             await self.upstream.close()
 
     async def _refresh_steering(self) -> None:
-        self.steering.refresh()
-        for _ in self.slots.steps():
+        node = self.node
+        node.steering.refresh()
+        for _ in node.slots.steps():
             await asyncio.sleep(0)
         self.loans.give_back_due()
-        self.steering.wake_all()
+        node.steering.wake_all()
 
-    def _apply_roster(self) -> None:
-        self.claims.pace(max(1, len(self.roster.by_id)))
-        self.steering.refresh()
+    def _pace_claims(self) -> None:
+        self.claims.pace(max(1, len(self.node.roster.by_id)))
 
     def _make_peers(self, rng: random.Random) -> None:
         settings = self.settings
         clock = self._clock
-        lender = Lender(self.slots, self.lease, clock, rng)
-        borrower = Borrower(self.slots, clock, rng)
-        handler = Conversation(
-            settings.entry_id,
-            clock,
-            self.membership,
-            self.roster,
-            self.rollouts,
-            self.lease,
-            self.slots,
-            self.staging,
-            lender,
-            borrower,
-        )
-        handler.control = self.control
-        handler.services = self.steering.service_ids
+        handler = self.node.conversation
         fleet_key = load_fleet_key(pathlib.Path(settings.peers.fleet_key_file))
         hello = Hello(entry_id=settings.entry_id, incarnation=self._incarnation)
         self.directory = PeerDirectory(clock)
@@ -246,13 +198,16 @@
             self.traffic,
             self.metrics,
         )
-        self.loans = Loans(borrower, self.network, self.steering)
+        self.loans = Loans(self.node.borrower, self.network, self.node.steering)
+
+    async def _fetch_from_peers(self, digest: Digest) -> bytes:
+        return await self.network.fetch_object(digest)
 
     def _ask_loan(self, service: ServiceId, count: int, regions: t.Sequence[RegionId]) -> None:
         self.loans.ask(service, count, regions)
 
-    async def _fetch_from_peers(self, digest: Digest) -> bytes:
-        return await self.network.fetch_object(digest)
+    def _announce(self) -> None:
+        self.network.announce()
 
     def _make_member(self) -> Member:
         settings = self.settings
--- /dev/null
+++ b/src/coralfall/node.py
@@ -0,0 +1,133 @@
+"""The parts of an entry that decide and follow, joined together without servers or streams."""
+
+import random
+import typing as t
+
+from .clock import Clock
+from .control import Control
+from .conversation import Conversation
+from .coordinator import Coordinator
+from .fleet import FleetSteering
+from .ids import RegionId, ServiceId
+from .lease import Lease
+from .lending import Borrower, Lender
+from .lookup import Lookup
+from .membership import Membership
+from .platform import Platform
+from .rollout import PartnerRollout
+from .roster import Roster
+from .rows import Member
+from .settings import EntrySettings
+from .slots import SlotTable
+from .staging import PeerFetch, Staging
+from .trust import trust_of
+
+if t.TYPE_CHECKING:
+    from .fleet import AskLoan
+
+
+class Surroundings(t.NamedTuple):
+    """What a node needs of the process that it runs in."""
+
+    #: Gives the roster row, once the entry's addresses are known.
+    make_member: t.Callable[[], Member]
+    #: Gives an object that a peer holds.
+    peer_fetch: PeerFetch
+    #: Asks peers for slots.
+    ask_loan: "AskLoan"
+    #: Spreads news to peers.
+    announce: t.Callable[[], None]
+    #: Told after each change of the roster.
+    roster_changed: t.Callable[[], None]
+
+
+class Node:
+    """What an entry knows and decides.
+
+    :param settings: the entry's settings.
+    :param platform: the platform, whatever implements it.
+    :param clock: the VM's clocks.
+    :param rng: the source of choices that may differ between entries.
+    :param surroundings: the process around it.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        platform: Platform,
+        clock: Clock,
+        rng: random.Random,
+        surroundings: Surroundings,
+    ) -> None:
+        self._surroundings = surroundings
+        self.roster = Roster()
+        self.rollouts = {partner: PartnerRollout(partner) for partner in settings.partners}
+        self.lease = Lease(settings.lease, clock)
+        self.slots = SlotTable(settings.entry_id, self.lease, clock, settings.lease)
+        self.membership = Membership(
+            settings,
+            platform,
+            clock,
+            self.roster,
+            self.rollouts,
+            self.lease,
+            self._follow_roster,
+            lambda: self.slots.acknowledged,
+        )
+        self.steering = FleetSteering(
+            self.rollouts,
+            self.roster,
+            self.slots,
+            clock,
+            self.membership.platform_clock,
+            self._ask_loan,
+        )
+        trust = trust_of(settings.partners)
+        self.staging = Staging(platform.objects, surroundings.peer_fetch, trust)
+        self.lookup = Lookup(settings.partners, settings.lookup_ttl_s)
+        self.control = Control(
+            settings,
+            platform,
+            clock,
+            self.membership,
+            self.roster,
+            self.rollouts,
+            self.staging,
+            self.steering,
+            self.slots,
+            self.lookup,
+            surroundings.make_member,
+            surroundings.announce,
+        )
+        self.coordinator = Coordinator(
+            settings,
+            platform,
+            clock,
+            self.membership,
+            self.roster,
+            self.rollouts,
+            self.control.news.set,
+        )
+        self.lender = Lender(self.slots, self.lease, clock, rng)
+        self.borrower = Borrower(self.slots, clock, rng)
+        self.conversation = Conversation(
+            settings.entry_id,
+            clock,
+            self.membership,
+            self.roster,
+            self.rollouts,
+            self.lease,
+            self.slots,
+            self.staging,
+            self.lender,
+            self.borrower,
+        )
+        self.conversation.control = self.control
+        self.conversation.services = self.steering.service_ids
+
+    def _follow_roster(self) -> None:
+        self._surroundings.roster_changed()
+        self.steering.refresh()
+
+    def _ask_loan(self, service: ServiceId, count: int, regions: t.Sequence[RegionId]) -> None:
+        self._surroundings.ask_loan(service, count, regions)
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,240 @@
+"""Rollouts over many nodes: accepted is in force everywhere within seconds, and stays."""
+
+import asyncio
+import typing as t
+import unittest
+
+from parameterized import parameterized
+
+from coralfall import log
+from coralfall.settings import LogSettings
+from tests.control_fleet import LEASE, LiveNode, World
+from tests.virtual_loop import VirtualLoop
+
+SETTLE_S = 40.0
+#: Seconds within which what is accepted has to be in force wherever requests are served.
+IN_FORCE_S = 8.0
+SEEDS = range(12)
+
+
+def run(work: t.Coroutine[t.Any, t.Any, None]) -> None:
+    """Run a coroutine to its end on virtual time."""
+    loop = VirtualLoop()
+    try:
+        loop.run_until_complete(work)
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        loop.close()
+
+
+class Watch:
+    """Looks at all nodes often and notes what must not be.
+
+    What is accepted must be held by all who serve from that moment on, so that nobody goes
+    past its limits; and be in force within seconds of the first moment at which anybody who
+    can be reached knows of it. If the answer of the acceptance is lost and the platform goes
+    in the same moment, nobody does until it is back.
+
+    :param world: whose nodes.
+    """
+
+    def __init__(self, world: World) -> None:
+        self.violations: t.List[str] = []
+        self._world = world
+        self._highest: t.Dict[LiveNode, int] = {}
+        self._accepted = 0
+        self._accepted_at = 0.0
+        #: When it could last not be known: nobody who can be reached had read it.
+        self._unknown_at = 0.0
+        self._cut_at: t.Dict[LiveNode, float] = {}
+        self.task = asyncio.ensure_future(self._run())
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(0.1)
+            await self._look()
+
+    async def _look(self) -> None:
+        ref = await self._world.accepted()
+        now = self._world.clock.monotonic()
+        version = 0 if ref is None else ref.version
+        if version < self._accepted:
+            self.violations.append(f"{now:.1f}: the table went from {self._accepted} to {version}")
+        if version > self._accepted:
+            self._accepted = version
+            self._accepted_at = now
+        nodes = list(self._world.nodes_by_id.values())
+        reachable = [node for node in nodes if node.entry_id not in self._world.cut]
+        if not any(node.in_force >= self._accepted for node in reachable):
+            self._unknown_at = now
+        for node in nodes:
+            self._look_at(node, now)
+
+    def _look_at(self, node: LiveNode, now: float) -> None:
+        for error in node.failures():
+            self.violations.append(f"{now:.1f}: {node.entry_id} failed: {error!r}")
+        highest = self._highest.get(node, 0)
+        if node.in_force < highest:
+            self.violations.append(f"{now:.1f}: {node.entry_id} fell from {highest}")
+        self._highest[node] = max(highest, node.in_force)
+        if not node.serves:
+            return
+        if node.holds < self._accepted:
+            self.violations.append(
+                f"{now:.1f}: {node.entry_id} serves with {node.holds}, {self._accepted} is accepted"
+            )
+        if node.entry_id in self._world.cut:
+            self._cut_at[node] = now
+        cut_at = self._cut_at.get(node, 0.0)
+        since = max(self._accepted_at, self._unknown_at, cut_at)
+        if now - since > IN_FORCE_S and node.in_force < self._accepted:
+            self.violations.append(f"{now:.1f}: {node.entry_id} is late with {self._accepted}")
+
+
+class TestRollout(unittest.TestCase):
+    def setUp(self) -> None:
+        log.configure(LogSettings(level="error"))
+
+    def test_accepted_is_in_force_everywhere(self) -> None:
+        async def work() -> None:
+            world = World(1)
+            for number in range(6):
+                world.start(f"e{number}")
+            await asyncio.sleep(5)
+            watch = Watch(world)
+            for version in (1, 2, 3):
+                self.assertTrue(await world.submit(version, "ana"))
+                await asyncio.sleep(10)
+                for node in world.nodes_by_id.values():
+                    self.assertEqual(node.in_force, version)
+            self.assertEqual(watch.violations, [])
+
+        run(work())
+
+    def test_racing_operators_one_wins(self) -> None:
+        async def work() -> None:
+            world = World(2)
+            for number in range(3):
+                world.start(f"e{number}")
+            await asyncio.sleep(5)
+            won = await asyncio.gather(world.submit(1, "ana", 6), world.submit(1, "bea", 5))
+            self.assertEqual(sorted(won), [False, True])
+
+        run(work())
+
+    def test_spreads_by_peers_when_the_platform_goes_right_after(self) -> None:
+        async def work() -> None:
+            world = World(3)
+            for number in range(8):
+                world.start(f"e{number}")
+            await asyncio.sleep(5)
+            self.assertTrue(await world.submit(1, "ana"))
+            await _accepted(world, 1)
+            world.platform_up = False
+            newcomer = world.start("late")
+            await asyncio.sleep(IN_FORCE_S)
+            for node in world.nodes_by_id.values():
+                self.assertEqual(node.in_force, 1, node.entry_id)
+            self.assertEqual(newcomer.in_force, 1)
+            for _ in range(6):
+                await asyncio.sleep(LEASE.ttl_s)
+                frozen = [node for node in world.nodes_by_id.values() if node is not newcomer]
+                self.assertTrue(all(node.serves for node in frozen))
+
+        run(work())
+
+    def test_waits_for_a_member_that_is_cut_off(self) -> None:
+        async def work() -> None:
+            world = World(4)
+            for number in range(4):
+                world.start(f"e{number}")
+            await asyncio.sleep(5)
+            self.assertTrue(await world.submit(1, "ana"))
+            await asyncio.sleep(10)
+            watch = Watch(world)
+            cut = next(iter(world.nodes_by_id))
+            world.cut.add(cut)
+            self.assertTrue(await world.submit(2, "ana"))
+            await asyncio.sleep(30)
+            accepted = await world.accepted()
+            assert accepted is not None
+            self.assertEqual(accepted.version, 1)
+            world.kill(cut)
+            await asyncio.sleep(SETTLE_S)
+            for node in world.nodes_by_id.values():
+                self.assertEqual(node.in_force, 2)
+            self.assertEqual(watch.violations, [])
+
+        run(work())
+
+    @parameterized.expand([(seed,) for seed in SEEDS])
+    def test_histories_with_faults(self, seed: int) -> None:
+        self.check_history(seed)
+
+    def check_history(self, seed: int) -> None:
+        async def work() -> None:
+            world = World(seed)
+            names = 0
+            for _ in range(5):
+                world.start(f"e{names}")
+                names += 1
+            await asyncio.sleep(5)
+            watch = Watch(world)
+            operators = asyncio.ensure_future(_operate(world))
+            for _ in range(25):
+                await asyncio.sleep(world.rng.uniform(0.5, 6))
+                names = _disturb(world, names)
+            world.trouble = 0.0
+            world.platform_up = True
+            world.cut.clear()
+            operators.cancel()
+            await asyncio.sleep(SETTLE_S)
+            accepted = await world.accepted()
+            assert accepted is not None
+            for node in world.nodes_by_id.values():
+                self.assertEqual(node.in_force, accepted.version, node.entry_id)
+                self.assertTrue(node.serves, node.entry_id)
+            self.assertEqual(watch.violations, [])
+
+        run(work())
+
+
+async def _operate(world: World) -> None:
+    version = 0
+    while True:
+        version += 1
+        await asyncio.gather(world.submit(version, "ana", 6), world.submit(version, "bea", 5))
+        await asyncio.sleep(world.rng.uniform(1, 8))
+        await _accepted(world, version)
+
+
+async def _accepted(world: World, version: int) -> None:
+    """Wait until a version is accepted."""
+    while True:
+        ref = await world.accepted()
+        if ref is not None and ref.version >= version:
+            return
+        await asyncio.sleep(0.05)
+
+
+def _disturb(world: World, names: int) -> int:
+    choice = world.rng.choice(("trouble", "platform", "cut", "kill", "start", "restart"))
+    ids = list(world.nodes_by_id)
+    if choice == "trouble":
+        world.trouble = world.rng.choice((0.0, 0.2, 0.5))
+    elif choice == "platform":
+        world.platform_up = not world.platform_up
+    elif choice == "cut":
+        world.cut = set(world.rng.sample(ids, world.rng.randrange(0, 3)))
+    elif choice == "kill" and len(ids) > 3:
+        world.kill(world.rng.choice(ids))
+    elif choice == "restart" and len(ids) > 3:
+        entry_id = world.rng.choice(ids)
+        world.kill(entry_id)
+        world.start(entry_id)
+    else:
+        world.start(f"e{names}")
+        names += 1
+    return names
