--- a/tests/control_fleet.py
+++ b/tests/control_fleet.py
@@ -110,6 +110,11 @@
             except PlatformError:
                 await asyncio.sleep(0.5)
 
+    async def stage_only(self, version: int) -> None:
+        """Stage a version on a platform that does not fail."""
+        signed = operators.sign_bundle(operators.make_bundle(version))
+        await line.submit(self.memory.platform, signed, TRUST, f"only-{version}")
+
     async def accepted(self) -> t.Optional[VersionRef]:
         """What the table says is in force."""
         return (await line.read_head(self.memory.platform, operators.COSECHA)).head.accepted
