Report on the whole fleet, and look up entries as a caller does

Operators had no view over all entries. `coralfall report` finds the entries by the roster in the platform's table, asks each for its status with a signed request, and merges what they say: burn and latency of all requests together, headroom of targets and regions, drains, versions in force, and who did not answer.

Of a target's usable slots the least that any entry knows of counts; the objective is that of the newest version in force. An entry that does not answer costs its own row, never the report; only if none answers is it an error.

--- /dev/null
+++ b/src/coralfall/fleet_report.py
@@ -0,0 +1,301 @@
+"""The report over all entries: service levels, headroom, drains and versions, as one whole."""
+
+import typing as t
+
+import msgspec
+
+from .bundle import Objective
+from .burn import BurnReport, merge_burns
+from .ids import (
+    BundleVersion,
+    EntryId,
+    EntryState,
+    PartnerId,
+    RegionId,
+    ServiceId,
+    TargetId,
+    TargetState,
+    VmId,
+    ZoneId,
+)
+from .rollout_status import PartnerStatus
+from .status import DrainStatus, EntryStatus, TargetStatus
+
+if t.TYPE_CHECKING:
+    from .operators_client import Asked
+
+ServiceKey = t.Tuple[PartnerId, ServiceId]
+
+
+class ServiceReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Service level of one service over all entries that answered."""
+
+    partner: PartnerId
+    service: ServiceId
+    burn: BurnReport
+
+
+class Headroom(msgspec.Struct, frozen=True, kw_only=True):
+    """Slots of a region or target and what is left of them."""
+
+    #: Slots that may be used by all entries together; the least that an entry knows of.
+    usable: int
+    #: Slots that entries own by now; fewer than usable while a roster or bundle settles.
+    owned: int
+    in_flight: int
+    #: Share of the usable slots that is free; ``None`` if none are usable.
+    free_share: t.Optional[float]
+
+
+class RegionReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Headroom of one region, of all partners' targets there."""
+
+    region: RegionId
+    headroom: Headroom
+
+
+class TargetReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Headroom of one target."""
+
+    target_id: TargetId
+    partner: PartnerId
+    service: ServiceId
+    region: RegionId
+    state: TargetState
+    headroom: Headroom
+    #: How many entries suspect it.
+    suspected_by: int
+
+
+class DrainSummary(msgspec.Struct, frozen=True, kw_only=True):
+    """Drain of one target over all entries that answered."""
+
+    target_id: TargetId
+    in_flight: int
+    #: Seconds since the first entry marked it as leaving.
+    age_s: float
+    #: Seconds until the last entry had nothing there any more; ``None`` while one has.
+    drained_s: t.Optional[float]
+    #: Entries that told of it.
+    entries: int
+
+
+class EntryReport(msgspec.Struct, frozen=True, kw_only=True):
+    """One entry of the roster, whether or not it answered."""
+
+    entry_id: EntryId
+    vm_id: VmId
+    region: RegionId
+    zone: ZoneId
+    state: EntryState
+    operator_address: str
+    #: Why it did not answer; what follows is empty then.
+    error: t.Optional[str] = None
+    membership: str = ""
+    lease: str = ""
+    ready: bool = False
+    platform_age_s: t.Optional[float] = None
+    in_force: t.Dict[PartnerId, BundleVersion] = {}
+    staged: t.Dict[PartnerId, BundleVersion] = {}
+    #: Whether it serves under an older version than the one accepted.
+    lags: bool = False
+    resident_bytes: int = 0
+    #: Share of one core since it started.
+    processor_share: float = 0.0
+    #: Seconds since it started; its counts go no further back.
+    started_s: float = 0.0
+
+
+class FleetReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Everything that ``coralfall report`` shows."""
+
+    #: Platform's wall time.
+    at: float
+    #: Entries that answered, of those in the roster.
+    answered: int
+    partners: t.Tuple[PartnerStatus, ...]
+    services: t.Tuple[ServiceReport, ...]
+    regions: t.Tuple[RegionReport, ...]
+    targets: t.Tuple[TargetReport, ...]
+    drains: t.Tuple[DrainSummary, ...]
+    entries: t.Tuple[EntryReport, ...]
+    #: Requests since the entries started, by what callers were told.
+    outcomes: t.Dict[str, int]
+
+
+def merge_statuses(
+    asked: "t.Sequence[Asked]", partners: t.Sequence[PartnerStatus], at: float
+) -> FleetReport:
+    """The report from what the entries said.
+
+    :param asked: all entries of the roster, those that did not answer included.
+    :param partners: where the lines stand by the platform.
+    :param at: platform's wall time.
+    :raises StatusError: if what an entry counted can't be read.
+    """
+    statuses = [answer.status for answer in asked if answer.status is not None]
+    targets = _merge_targets(statuses)
+    return FleetReport(
+        at=at,
+        answered=len(statuses),
+        partners=tuple(partners),
+        services=_merge_services(statuses),
+        regions=_sum_regions(targets),
+        targets=targets,
+        drains=_merge_drains(statuses),
+        entries=_entry_reports(asked, partners),
+        outcomes=_sum_outcomes(statuses),
+    )
+
+
+def _merge_services(statuses: t.Sequence[EntryStatus]) -> t.Tuple[ServiceReport, ...]:
+    burns_by_key: t.Dict[ServiceKey, t.List[BurnReport]] = {}
+    newest_by_key: t.Dict[ServiceKey, t.Tuple[BundleVersion, Objective]] = {}
+    for status in statuses:
+        for partner, burn_by_service in status.burns.items():
+            version = status.versions[partner].in_force
+            for service, burn in burn_by_service.items():
+                key = (partner, service)
+                burns_by_key.setdefault(key, []).append(burn)
+                known = newest_by_key.get(key)
+                if known is None or version > known[0]:
+                    newest_by_key[key] = (version, burn.objective)
+    reports = []
+    for key, burns in sorted(burns_by_key.items()):
+        partner, service = key
+        burn = merge_burns(burns, newest_by_key[key][1])
+        reports.append(ServiceReport(partner=partner, service=service, burn=burn))
+    return tuple(reports)
+
+
+def _merge_targets(statuses: t.Sequence[EntryStatus]) -> t.Tuple[TargetReport, ...]:
+    seen_by_id: t.Dict[TargetId, t.List[TargetStatus]] = {}
+    for status in statuses:
+        for target in status.targets:
+            seen_by_id.setdefault(target.target_id, []).append(target)
+    reports = []
+    for target_id, seen in sorted(seen_by_id.items()):
+        first = seen[0]
+        reports.append(
+            TargetReport(
+                target_id=target_id,
+                partner=first.partner,
+                service=first.service,
+                region=first.region,
+                state=_strictest(seen),
+                headroom=make_headroom(
+                    usable=min(target.usable for target in seen),
+                    owned=sum(target.owned for target in seen),
+                    in_flight=sum(target.in_flight for target in seen),
+                ),
+                suspected_by=sum(target.suspect for target in seen),
+            )
+        )
+    return tuple(reports)
+
+
+def _strictest(seen: t.Sequence[TargetStatus]) -> TargetState:
+    states = {target.state for target in seen}
+    for state in (TargetState.LEAVING, TargetState.JOINING):
+        if state in states:
+            return state
+    return TargetState.ACTIVE
+
+
+def make_headroom(usable: int, owned: int, in_flight: int) -> Headroom:
+    """Headroom with its free share; more in flight than usable counts as none free."""
+    free_share = None if not usable else max(0.0, 1.0 - in_flight / usable)
+    return Headroom(usable=usable, owned=owned, in_flight=in_flight, free_share=free_share)
+
+
+def _sum_regions(targets: t.Sequence[TargetReport]) -> t.Tuple[RegionReport, ...]:
+    headrooms_by_region: t.Dict[RegionId, t.List[Headroom]] = {}
+    for target in targets:
+        headrooms_by_region.setdefault(target.region, []).append(target.headroom)
+    reports = []
+    for region, headrooms in sorted(headrooms_by_region.items()):
+        headroom = make_headroom(
+            usable=sum(headroom.usable for headroom in headrooms),
+            owned=sum(headroom.owned for headroom in headrooms),
+            in_flight=sum(headroom.in_flight for headroom in headrooms),
+        )
+        reports.append(RegionReport(region=region, headroom=headroom))
+    return tuple(reports)
+
+
+def _merge_drains(statuses: t.Sequence[EntryStatus]) -> t.Tuple[DrainSummary, ...]:
+    seen_by_id: t.Dict[TargetId, t.List[DrainStatus]] = {}
+    for status in statuses:
+        for drain in status.drains:
+            seen_by_id.setdefault(drain.target_id, []).append(drain)
+    summaries = []
+    for target_id, seen in sorted(seen_by_id.items()):
+        times = [drain.drained_s for drain in seen if drain.drained_s is not None]
+        summaries.append(
+            DrainSummary(
+                target_id=target_id,
+                in_flight=sum(drain.in_flight for drain in seen),
+                age_s=max(drain.age_s for drain in seen),
+                drained_s=max(times) if len(times) == len(seen) else None,
+                entries=len(seen),
+            )
+        )
+    return tuple(summaries)
+
+
+def _entry_reports(
+    asked: "t.Sequence[Asked]", partners: t.Sequence[PartnerStatus]
+) -> t.Tuple[EntryReport, ...]:
+    accepted: t.Dict[PartnerId, BundleVersion] = {}
+    for partner in partners:
+        if partner.in_force is not None:
+            accepted[partner.partner] = partner.in_force.version
+    reports = []
+    for answer in sorted(asked, key=lambda answer: answer.member.entry_id):
+        member = answer.member
+        report = EntryReport(
+            entry_id=member.entry_id,
+            vm_id=member.vm_id,
+            region=member.region,
+            zone=member.zone,
+            state=member.state,
+            operator_address=member.operator_address,
+            error=answer.error,
+        )
+        if answer.status is not None:
+            report = _with_status(report, answer.status, accepted)
+        reports.append(report)
+    return tuple(reports)
+
+
+def _with_status(
+    report: EntryReport, status: EntryStatus, accepted: t.Mapping[PartnerId, BundleVersion]
+) -> EntryReport:
+    in_force = {}
+    staged = {}
+    lags = False
+    for partner, version in status.versions.items():
+        in_force[partner] = version.in_force
+        staged[partner] = version.staged
+        lags = lags or version.in_force < accepted.get(partner, 0)
+    return msgspec.structs.replace(
+        report,
+        membership=status.membership,
+        lease=status.lease,
+        ready=status.ready,
+        platform_age_s=status.platform_age_s,
+        in_force=in_force,
+        staged=staged,
+        lags=lags,
+        resident_bytes=status.resident_bytes,
+        processor_share=status.processor_s / max(status.started_s, 0.001),
+        started_s=status.started_s,
+    )
+
+
+def _sum_outcomes(statuses: t.Sequence[EntryStatus]) -> t.Dict[str, int]:
+    totals: t.Dict[str, int] = {}
+    for status in statuses:
+        for outcome, count in status.outcomes.items():
+            totals[outcome] = totals.get(outcome, 0) + count
+    return totals
--- /dev/null
+++ b/src/coralfall/operators_client.py
@@ -0,0 +1,112 @@
+"""Asks running entries for their status, as an operator."""
+
+import asyncio
+import time
+import typing as t
+
+import aiohttp
+import msgspec
+
+from .exceptions import StatusError
+from .operators import HEADER_SIGNATURE
+from .rows import Member
+from .signing import Key, sign_request
+from .status import EntryStatus
+
+STATUS_PATH = "/status"
+#: Seconds in which an entry must have told its status.
+STATUS_TIMEOUT_S = 5.0
+#: Entries that are asked at a time.
+_PARALLEL = 32
+_MAX_STATUS_BYTES = 16 * 1024 * 1024
+_MAX_SHOWN = 200
+
+
+class Asked(t.NamedTuple):
+    """What came of asking one entry."""
+
+    member: Member
+    #: Present if the entry answered.
+    status: t.Optional[EntryStatus]
+    #: Why it did not.
+    error: t.Optional[str]
+
+
+class _Refusal(msgspec.Struct):
+    """Body of an answer that is no status."""
+
+    message: str
+    reason: str = ""
+
+
+async def ask_entries(
+    members: t.Sequence[Member], key: Key, timeout_s: float = STATUS_TIMEOUT_S
+) -> t.List[Asked]:
+    """The status of each entry, or why it could not be had, in the order given.
+
+    :param members: entries of the roster.
+    :param key: an operator's key that the entries trust.
+    :param timeout_s: seconds for each entry.
+    """
+    timeout = aiohttp.ClientTimeout(total=timeout_s)
+    connector = aiohttp.TCPConnector(limit=0)
+    permits = asyncio.Semaphore(_PARALLEL)
+    async with aiohttp.ClientSession(timeout=timeout, connector=connector) as session:
+
+        async def ask(member: Member) -> Asked:
+            async with permits:
+                return await _ask(session, member, key)
+
+        return await asyncio.gather(*[ask(member) for member in members])
+
+
+async def fetch_status(session: aiohttp.ClientSession, member: Member, key: Key) -> EntryStatus:
+    """The status of one entry.
+
+    :raises StatusError: if it does not answer, refuses, or answers what can't be read.
+    """
+    url = f"http://{member.operator_address}{STATUS_PATH}"
+    signature = sign_request(key, "GET", STATUS_PATH, b"", time.time(), member.entry_id)
+    headers = {HEADER_SIGNATURE: signature}
+    try:
+        async with session.get(url, headers=headers, allow_redirects=False) as answer:
+            body = await _read(answer)
+    except asyncio.TimeoutError as error:
+        raise StatusError("no answer in time") from error
+    except (aiohttp.ClientError, OSError) as error:
+        raise StatusError(f"no answer: {error}") from error
+    if answer.status != 200:
+        raise StatusError(_refusal_text(answer.status, body))
+    try:
+        return msgspec.json.decode(body, type=EntryStatus)
+    except msgspec.MsgspecError as error:
+        raise StatusError(f"its status can't be read: {error}; is it of this version?") from error
+
+
+async def _ask(session: aiohttp.ClientSession, member: Member, key: Key) -> Asked:
+    try:
+        status = await fetch_status(session, member, key)
+    except StatusError as error:
+        return Asked(member, None, error.message)
+    if status.entry_id != member.entry_id:
+        return Asked(member, None, f"{status.entry_id!r} answers at its address")
+    return Asked(member, status, None)
+
+
+async def _read(answer: aiohttp.ClientResponse) -> bytes:
+    parts = []
+    size = 0
+    async for part in answer.content.iter_any():
+        size += len(part)
+        if size > _MAX_STATUS_BYTES:
+            raise StatusError(f"its status is longer than {_MAX_STATUS_BYTES} bytes")
+        parts.append(part)
+    return b"".join(parts)
+
+
+def _refusal_text(status: int, body: bytes) -> str:
+    try:
+        refusal = msgspec.json.decode(body, type=_Refusal)
+    except msgspec.MsgspecError:
+        return f"refused with HTTP status {status}"
+    return f"refused ({refusal.reason or status}): {refusal.message}"[:_MAX_SHOWN]
--- /dev/null
+++ b/src/coralfall/report_cli.py
@@ -0,0 +1,146 @@
+"""The commands ``coralfall report`` and ``coralfall lookup``, which ask running entries."""
+
+import asyncio
+import os
+import pathlib
+import typing as t
+
+import typer
+
+from . import terminal
+from .ids import PartnerId, Revision
+from .terminal import JsonOption, reporting, show
+
+if t.TYPE_CHECKING:
+    from .fleet_report import FleetReport
+    from .platform import Platform
+    from .signing import Key
+
+_CLEAR_SCREEN = "\x1b[H\x1b[2J"
+
+
+def report(
+    platform: t.Annotated[
+        str, typer.Option("--platform", help="Base address, such as http://10.0.0.2:7000.")
+    ],
+    key: t.Annotated[pathlib.Path, typer.Option("--key", help="Private key file of an operator.")],
+    html: t.Annotated[
+        t.Optional[pathlib.Path], typer.Option("--html", help="Page to write as well.")
+    ] = None,
+    watch: t.Annotated[
+        t.Optional[float],
+        typer.Option("--watch", min=0.5, help="Report anew every so many seconds."),
+    ] = None,
+    as_json: JsonOption = False,
+) -> None:
+    """Show service levels, headroom, drains and versions over all entries."""
+    with reporting(as_json):
+        from .signing import load_key
+
+        loaded = load_key(key)
+        if watch is None:
+            _show_report(asyncio.run(_report_once(platform, loaded)), html, None, as_json)
+            return
+        asyncio.run(_watch(platform, loaded, html, watch, as_json))
+
+
+def lookup(
+    entry: t.Annotated[
+        t.List[str], typer.Option("--entry", help="ip:port of an entry; give several to try.")
+    ],
+    partner: t.Annotated[str, typer.Option("--partner", help="Whose services are wanted.")],
+    address: t.Annotated[
+        t.Optional[str], typer.Option("--address", help="IP number; by default your own.")
+    ] = None,
+    as_json: JsonOption = False,
+) -> None:
+    """Ask a running system which entries to use, as a caller does."""
+    with reporting(as_json):
+        from .lookup_client import look_up
+
+        found = asyncio.run(look_up(entry, PartnerId(partner), address))
+        answer = found.answer
+        lines = [
+            f"site {answer.site or 'none'}, version {answer.version}, "
+            f"use for {answer.ttl_s:g} s (told by {found.entry})"
+        ]
+        lines += [f"  {number}. {name}" for number, name in enumerate(answer.entries, 1)]
+        show({**found._asdict()}, lines, as_json)
+
+
+async def _report_once(url: str, key: "Key") -> "FleetReport":
+    from .clock import SystemClock
+    from .http_platform import HttpPlatform
+    from .settings import PlatformSettings
+
+    client = HttpPlatform(PlatformSettings(url=url), SystemClock())
+    try:
+        return await make_report(client.platform, key)
+    finally:
+        await client.close()
+
+
+async def make_report(platform: "Platform", key: "Key") -> "FleetReport":
+    """Ask all entries of the roster and merge what they say.
+
+    :raises PlatformError: if the roster can't be read.
+    :raises StatusError: if there are entries and none of them answered.
+    """
+    from .exceptions import StatusError
+    from .fleet_report import merge_statuses
+    from .operators_client import ask_entries
+    from .rollout_status import read_status
+    from .rows import ROSTER_PREFIX, Member, decode_row
+
+    changes = await platform.table.changes([ROSTER_PREFIX], Revision(0))
+    members = [decode_row(row, Member) for row in changes.rows if row.value is not None]
+    lines = await read_status(platform)
+    asked = await ask_entries(members, key)
+    if asked and all(answer.status is None for answer in asked):
+        failures = [f"{answer.member.entry_id}: {answer.error}" for answer in asked]
+        raise StatusError(f"no entry answered; {'; '.join(failures)}", failures=failures)
+    return merge_statuses(asked, lines.partners, changes.now)
+
+
+async def _watch(
+    url: str, key: "Key", html: t.Optional[pathlib.Path], seconds: float, as_json: bool
+) -> None:
+    from .exceptions import CoralfallError
+
+    while True:
+        try:
+            found = await _report_once(url, key)
+        except CoralfallError as error:
+            terminal.report(error, as_json)
+        else:
+            if not as_json and os.isatty(1):
+                print(_CLEAR_SCREEN, end="")
+            _show_report(found, html, seconds, as_json)
+        await asyncio.sleep(seconds)
+
+
+def _show_report(
+    found: "FleetReport",
+    html: t.Optional[pathlib.Path],
+    refresh_s: t.Optional[float],
+    as_json: bool,
+) -> None:
+    from .report_text import report_lines
+
+    if html is not None:
+        _write_page(found, html, refresh_s)
+    show(found, report_lines(found), as_json)
+
+
+def _write_page(found: "FleetReport", path: pathlib.Path, refresh_s: t.Optional[float]) -> None:
+    from .exceptions import Fault, InputError
+    from .report_html import render_page
+
+    page = render_page(found, refresh_s)
+    part = path.with_name(f".{path.name}.{os.getpid()}")
+    try:
+        part.write_text(page, encoding="utf-8")
+        part.replace(path)
+    except OSError as error:
+        message = f"{path}: can't be written ({error.strerror}); name a file in a folder of yours"
+        raise InputError(message, [Fault("--html", "not-written", message)]) from error
