--- a/src/coralfall/service_levels.py
+++ b/src/coralfall/service_levels.py
@@ -12,7 +12,7 @@
     from .bundle import Bundle, Service
 
 #: Metrics of callers' requests; the second is followed by the outcome.
-TIMING_METRIC = "requests.{partner}.{service}.seconds"
+TIMING_METRIC = "requests.{partner}.{service}.latency"
 COUNT_METRIC = "requests.{partner}.{service}."
 #: In place of the outcome, a request that was the caller's own fault.
 FAULTY = "faulty"
--- a/src/coralfall/settings.py
+++ b/src/coralfall/settings.py
@@ -19,15 +19,18 @@
 class LogSettings(Settings, frozen=True):
     """What is logged."""
 
-    #: One of ``debug``, ``info``, ``warning``, ``error``.
+    #: Least level of the events that are logged.
     level: t.Literal["debug", "info", "warning", "error"] = "info"
 
 
 class MetricsSettings(Settings, frozen=True):
     """Where metrics go; without ``host`` none are sent."""
 
+    #: IP number or name of the statsd server; without it no metrics are sent.
     host: t.Optional[str] = None
+    #: UDP port of the statsd server.
     port: int = 8125
+    #: First part of every metric's name.
     prefix: str = "coralfall"
 
 
@@ -36,6 +39,7 @@
 
     #: Base address, such as ``http://10.0.0.2:7000``.
     url: str
+    #: Seconds that a call to the platform may take.
     timeout_s: float = defaults.PLATFORM_TIMEOUT_S
 
 
@@ -49,8 +53,11 @@
 class LeaseSettings(Settings, frozen=True):
     """Times of the lease on a place in the roster."""
 
+    #: Seconds for which the lease counts after its renewal was sent; the same on all entries.
     ttl_s: float = defaults.LEASE_TTL_S
+    #: Seconds between renewals of the lease.
     renew_s: float = defaults.LEASE_RENEW_S
+    #: Seconds between two reads of what changed in the platform's table.
     poll_s: float = defaults.POLL_S
 
 
@@ -61,17 +68,18 @@
     fleet_key_file: str
     #: Addresses to ask when the table can't be read, as ``ip:port``.
     seeds: t.Tuple[str, ...] = ()
+    #: Seconds between two rounds of heartbeats.
     heartbeat_s: float = defaults.HEARTBEAT_S
 
 
 class ClaimSettings(Settings, frozen=True):
     """Times of the claims on idempotency keys, in seconds."""
 
-    #: Longest time a command waits for its claim.
+    #: Most seconds that a command waits for its claim; then it is refused.
     wait_s: float = defaults.CLAIM_WAIT_S
-    #: Least time between two transactions of one entry.
+    #: Least seconds between two transactions of one entry.
     interval_s: float = defaults.CLAIM_INTERVAL_S
-    #: Longest time an answer waits for company before it is written.
+    #: Most seconds that an answer waits for others before it is written.
     settle_s: float = defaults.CLAIM_SETTLE_S
 
 
@@ -102,46 +110,67 @@
 class EntrySettings(Settings, frozen=True):
     """Settings of ``coralfall entry``."""
 
+    #: Name of the entry, unlike that of any other entry.
     entry_id: EntryId
+    #: Name of its VM, as the platform's VM list has it.
     vm_id: VmId
+    #: Region that the VM is in.
     region: RegionId
+    #: Availability zone that the VM is in.
     zone: ZoneId
+    #: Site that the VM is at.
     site: SiteId
-    #: ``ip:port`` to listen on for callers, peers and operators; port 0 takes a free one.
+    #: ``ip:port`` to listen on for callers; port 0 takes a free one.
     caller_address: str
+    #: ``ip:port`` to listen on for other entries.
     peer_address: str
+    #: ``ip:port`` to listen on for operators.
     operator_address: str
+    #: Where the platform's services answer.
     platform: PlatformSettings
+    #: Partners whose bundles are served, by name.
     partners: t.Dict[PartnerId, PartnerSettings]
+    #: How entries find and trust each other.
     peers: PeerSettings
+    #: Times of the lease on a place in the roster.
     lease: LeaseSettings = LeaseSettings()
+    #: What is logged.
     log: LogSettings = LogSettings()
+    #: Where metrics go.
     metrics: MetricsSettings = MetricsSettings()
+    #: Seconds for which requests may still run once the entry is told to stop.
     grace_s: float = defaults.GRACE_S
     #: Seconds for which callers may use an answer to a look-up.
     lookup_ttl_s: float = defaults.LOOKUP_TTL_S
+    #: Times of the claims on idempotency keys.
     claims: ClaimSettings = ClaimSettings()
 
 
 class PlatformStandinSettings(Settings, frozen=True):
     """Settings of ``coralfall standin platform``."""
 
+    #: ``ip:port`` to listen on.
     address: str
     #: Seconds by which the VM list lags behind what it was told.
     vm_list_lag_s: float = 0.0
+    #: What is logged.
     log: LogSettings = LogSettings()
 
 
 class TargetStandinSettings(Settings, frozen=True):
     """Settings of ``coralfall standin target``."""
 
+    #: ``ip:port`` to listen on.
     address: str
+    #: Most requests at a time; more are shed.
     slots: int = 6
     #: Mean time that one request takes, in milliseconds.
     service_ms: float = 5.0
-    #: Seconds after the start during which requests take longer, and by what factor.
+    #: Seconds after the start during which requests take longer.
     cold_s: float = 0.0
+    #: How many times longer.
     cold_factor: float = 5.0
+    #: What is logged.
     log: LogSettings = LogSettings()
 
 
--- a/src/coralfall/trust.py
+++ b/src/coralfall/trust.py
@@ -19,6 +19,7 @@
 class TrustSettings(Settings, frozen=True):
     """What a trust file holds."""
 
+    #: Partners whose bundles may be submitted, by name.
     partners: t.Dict[PartnerId, PartnerSettings]
 
 
