Take the status and the gauges from the node, and name members' VMs

The parts that a fleet's decisions need moved into the node, and the tests of the status still looked for them on the entry: eleven failed. They now use the node, and so do the builder of the status and the gauges, which took six or seven parts each and take one; what they show is as before.

Members are told with their VMs, so that a report made without the platform can name them. The incarnation is that of the present life in the roster, which may be above the process's own after it was removed and joined anew. Tests of the status: 11 errors before, 11 passed after.

--- a/src/coralfall/entry.py
+++ b/src/coralfall/entry.py
@@ -87,27 +87,9 @@
         dispatcher = Dispatcher(node.steering, self.upstream, self.claims, RetryBudget, clock)
         self.levels = ServiceLevels(clock, self.metrics)
         self._status_builder = StatusBuilder(
-            settings.entry_id,
-            self._incarnation,
-            clock,
-            node.membership,
-            node.lease,
-            node.roster,
-            node.rollouts,
-            node.slots,
-            node.steering,
-            self.directory,
-            self.levels,
-        )
-        self.gauges = Gauges(
-            self.metrics,
-            node.membership,
-            node.lease,
-            node.roster,
-            node.rollouts,
-            node.slots,
-            node.steering,
+            settings.entry_id, self._incarnation, clock, node, self.directory, self.levels
         )
+        self.gauges = Gauges(self.metrics, node)
         callers = CallersApp(dispatcher, LookupHttp(node.lookup), self.levels)
         operators = make_operators_app(self.status, self.ready, trust, settings.entry_id)
         self.callers_server = HttpServer(
--- a/src/coralfall/gauges.py
+++ b/src/coralfall/gauges.py
@@ -2,18 +2,12 @@
 
 import typing as t
 
-from .ids import PartnerId
 from .lease import LeaseState
 from .status_builder import resident_bytes
 
 if t.TYPE_CHECKING:
-    from .fleet import FleetSteering
-    from .lease import Lease
-    from .membership import Membership
     from .metrics import Metrics
-    from .rollout import PartnerRollout
-    from .roster import Roster
-    from .slots import SlotTable
+    from .node import Node
 
 #: Seconds between two settings of all gauges.
 GAUGES_S = 10.0
@@ -22,44 +16,34 @@
 
 
 class Gauges:
-    """Sets all gauges at once; :meth:`set_all` is for a periodic child."""
+    """Sets all gauges at once; :meth:`set_all` is for a periodic child.
 
-    def __init__(
-        self,
-        metrics: "Metrics",
-        membership: "Membership",
-        lease: "Lease",
-        roster: "Roster",
-        rollouts: "t.Mapping[PartnerId, PartnerRollout]",
-        slots: "SlotTable",
-        steering: "FleetSteering",
-    ) -> None:
+    :param metrics: takes the gauges.
+    :param node: the entry's part in the fleet.
+    """
+
+    def __init__(self, metrics: "Metrics", node: "Node") -> None:
         self._metrics = metrics
-        self._membership = membership
-        self._lease = lease
-        self._roster = roster
-        self._rollouts = rollouts
-        self._slots = slots
-        self._steering = steering
+        self._node = node
 
     async def set_all(self) -> None:
         """Set each gauge to its value now."""
         gauge = self._metrics.gauge
-        gauge("lease.state", VALUE_BY_LEASE_STATE[self._lease.state()])
-        gauge("lease.remaining_seconds", self._lease.remaining_s())
-        gauge("roster.size", len(self._roster.by_id))
+        gauge("lease.state", VALUE_BY_LEASE_STATE[self._node.lease.state()])
+        gauge("lease.remaining_seconds", self._node.lease.remaining_s())
+        gauge("roster.size", len(self._node.roster.by_id))
         gauge("memory.resident_bytes", resident_bytes())
-        platform_age_s = self._membership.platform_age()
+        platform_age_s = self._node.membership.platform_age()
         if platform_age_s != float("inf"):
             gauge("platform.age_seconds", platform_age_s)
-        for partner, rollout in self._rollouts.items():
+        for partner, rollout in self._node.rollouts.items():
             gauge(f"bundle.{partner}.in_force", rollout.in_force_version())
-        for region, held in self._slots.held_by_region().items():
+        for region, held in self._node.slots.held_by_region().items():
             gauge(f"slots.{region}.held", held)
-        for partner, service in self._steering.routers():
-            gauge(f"slots.{partner}.{service}.in_flight", self._slots.in_use(service))
+        for partner, service in self._node.steering.routers():
+            gauge(f"slots.{partner}.{service}.in_flight", self._node.slots.in_use(service))
         gauge("drains.open", self._open_drains())
 
     def _open_drains(self) -> int:
-        reports = self._steering.drains.reports().values()
+        reports = self._node.steering.drains.reports().values()
         return sum(1 for report in reports if report.seconds is None)
--- a/src/coralfall/status.py
+++ b/src/coralfall/status.py
@@ -17,6 +17,7 @@
     SiteId,
     TargetId,
     TargetState,
+    VmId,
     ZoneId,
 )
 
@@ -34,6 +35,7 @@
     """One entry of the roster."""
 
     entry_id: EntryId
+    vm_id: VmId
     incarnation: Incarnation
     region: RegionId
     zone: ZoneId
--- a/src/coralfall/status_builder.py
+++ b/src/coralfall/status_builder.py
@@ -16,14 +16,9 @@
 
 if t.TYPE_CHECKING:
     from .clock import Clock
-    from .fleet import FleetSteering
-    from .lease import Lease
-    from .membership import Membership
+    from .node import Node
     from .peer_directory import PeerDirectory
-    from .rollout import PartnerRollout
-    from .roster import Roster
     from .service_levels import ServiceLevels
-    from .slots import SlotTable
 
 _NEVER = float("inf")
 
@@ -32,8 +27,11 @@
     """Gathers the status of an entry from its parts; changes none of them.
 
     :param entry_id: this entry.
-    :param incarnation: of this process.
+    :param incarnation: of this process before it joins.
     :param clock: the VM's clocks; the entry counts as started now.
+    :param node: its part in the fleet.
+    :param directory: what its peers last said.
+    :param levels: what became of its callers' requests.
     """
 
     def __init__(
@@ -41,12 +39,7 @@
         entry_id: EntryId,
         incarnation: Incarnation,
         clock: "Clock",
-        membership: "Membership",
-        lease: "Lease",
-        roster: "Roster",
-        rollouts: "t.Mapping[PartnerId, PartnerRollout]",
-        slots: "SlotTable",
-        steering: "FleetSteering",
+        node: "Node",
         directory: "PeerDirectory",
         levels: "ServiceLevels",
     ) -> None:
@@ -54,12 +47,7 @@
         self._incarnation = incarnation
         self._clock = clock
         self._started_at = clock.monotonic()
-        self._membership = membership
-        self._lease = lease
-        self._roster = roster
-        self._rollouts = rollouts
-        self._slots = slots
-        self._steering = steering
+        self._node = node
         self._directory = directory
         self._levels = levels
 
@@ -69,23 +57,24 @@
         :param ready: whether callers may be sent to the entry.
         """
         usage = resource.getrusage(resource.RUSAGE_SELF)
-        platform_age_s = self._membership.platform_age()
+        platform_age_s = self._node.membership.platform_age()
         targets = self._targets()
+        member = self._node.membership.member
         return EntryStatus(
             entry_id=self._entry_id,
-            incarnation=self._incarnation,
-            membership=self._membership.state.value,
-            lease=self._lease.state().value,
-            lease_remaining_s=self._lease.remaining_s(),
+            incarnation=self._incarnation if member is None else member.incarnation,
+            membership=self._node.membership.state.value,
+            lease=self._node.lease.state().value,
+            lease_remaining_s=self._node.lease.remaining_s(),
             ready=ready,
             platform_age_s=None if platform_age_s == _NEVER else platform_age_s,
-            roster_revision=self._roster.revision,
+            roster_revision=self._node.roster.revision,
             versions=self._versions(),
             members=self._members(),
             regions=self._regions(targets),
             targets=targets,
             drains=self._drains(),
-            burns=self._levels.reports(self._steering.bundles()),
+            burns=self._levels.reports(self._node.steering.bundles()),
             outcomes=self._levels.outcomes(),
             resident_bytes=resident_bytes(),
             processor_s=usage.ru_utime + usage.ru_stime,
@@ -94,7 +83,7 @@
 
     def _versions(self) -> t.Dict[PartnerId, VersionStatus]:
         versions = {}
-        for partner, rollout in self._rollouts.items():
+        for partner, rollout in self._node.rollouts.items():
             versions[partner] = VersionStatus(
                 in_force=rollout.in_force_version(),
                 staged=rollout.staged_version(),
@@ -103,15 +92,16 @@
         return versions
 
     def _accepted(self, partner: PartnerId) -> BundleVersion:
-        accepted = self._rollouts[partner].head.accepted
+        accepted = self._node.rollouts[partner].head.accepted
         return BundleVersion(0) if accepted is None else accepted.version
 
     def _members(self) -> t.Tuple[MemberStatus, ...]:
         members = []
-        for member in self._roster.by_id.values():
+        for member in self._node.roster.by_id.values():
             members.append(
                 MemberStatus(
                     entry_id=member.entry_id,
+                    vm_id=member.vm_id,
                     incarnation=member.incarnation,
                     region=member.region,
                     zone=member.zone,
@@ -129,8 +119,8 @@
         if heard is None:
             return None
         heartbeat = heard.heartbeat
-        behind = heartbeat.roster_revision < self._roster.revision
-        for partner in self._rollouts:
+        behind = heartbeat.roster_revision < self._node.roster.revision
+        for partner in self._node.rollouts:
             behind = behind or heartbeat.accepted.get(partner, 0) < self._accepted(partner)
         return HeardStatus(
             age_s=self._clock.monotonic() - heard.at,
@@ -142,10 +132,10 @@
 
     def _targets(self) -> t.Tuple[TargetStatus, ...]:
         now = self._clock.monotonic()
-        bundles = self._steering.bundles()
-        routers = self._steering.routers()
+        bundles = self._node.steering.bundles()
+        routers = self._node.steering.routers()
         targets = []
-        for target_id, limit in self._steering.limits.items():
+        for target_id, limit in self._node.steering.limits.items():
             bundle = bundles.get(limit.partner)
             target = None if bundle is None else bundle.targets.get(target_id)
             router = routers.get((limit.partner, limit.service))
@@ -158,15 +148,15 @@
                     region=limit.region,
                     state=TargetState.LEAVING if target is None else target.state,
                     usable=limit.usable,
-                    owned=self._slots.owned(target_id),
-                    in_flight=self._slots.in_flight(target_id),
+                    owned=self._node.slots.owned(target_id),
+                    in_flight=self._node.slots.in_flight(target_id),
                     suspect=health is not None and health.looks_dead(now),
                 )
             )
         return tuple(targets)
 
     def _regions(self, targets: t.Iterable[TargetStatus]) -> t.Tuple[RegionStatus, ...]:
-        held_by_region = self._slots.held_by_region()
+        held_by_region = self._node.slots.held_by_region()
         usable_by_region: t.Dict[RegionId, int] = {}
         in_flight_by_region: t.Dict[RegionId, int] = {}
         for target in targets:
@@ -189,7 +179,7 @@
     def _drains(self) -> t.Tuple[DrainStatus, ...]:
         now = self._clock.monotonic()
         drains = []
-        for report in self._steering.drains.reports().values():
+        for report in self._node.steering.drains.reports().values():
             drains.append(
                 DrainStatus(
                     target_id=report.target_id,
--- a/tests/test_status_builder.py
+++ b/tests/test_status_builder.py
@@ -67,9 +67,9 @@
         platform = MemoryPlatform(self.clock).platform
         self.entry = Entry(settings, platform, self.clock, random.Random(1))
         self.addAsyncCleanup(self.entry.upstream.close)
-        self.entry.lease.begin()
-        self.entry.lease.renewed(self.clock.monotonic())
-        self.entry.roster.replace([self.own_member()], Revision(5))
+        self.entry.node.lease.begin()
+        self.entry.node.lease.renewed(self.clock.monotonic())
+        self.entry.node.roster.replace([self.own_member()], Revision(5))
         self.put_in_force(3)
 
     def own_member(self) -> t.Any:
@@ -80,11 +80,11 @@
         target = msgspec.structs.replace(make_bundle().targets[TARGET], state=state)
         bundle = make_bundle(version, targets={TARGET: target})
         ref = VersionRef(BundleVersion(version), f"digest-{version}")
-        rollout = self.entry.rollouts[COSECHA]
+        rollout = self.entry.node.rollouts[COSECHA]
         rollout.learn_from_table(Head(partner=COSECHA, accepted=ref), Revision(version))
         rollout.hold(ref, bundle)
-        self.entry.steering.refresh()
-        for _ in self.entry.slots.steps():
+        self.entry.node.steering.refresh()
+        for _ in self.entry.node.slots.steps():
             pass
 
     def status(self) -> EntryStatus:
@@ -93,7 +93,7 @@
 
     async def reserve(self) -> t.Any:
         deadline = self.clock.monotonic() + 1
-        return await self.entry.steering.reserve(
+        return await self.entry.node.steering.reserve(
             COSECHA, CATALOGO, tried=(), deadline=deadline, body_bytes=0
         )
 
@@ -121,7 +121,7 @@
     async def test_a_target_that_fails_is_suspect(self) -> None:
         for _ in range(3):
             reservation = await self.reserve()
-            self.entry.steering.finish(reservation, AttemptResult.FAILED, 0.1, None)
+            self.entry.node.steering.finish(reservation, AttemptResult.FAILED, 0.1, None)
         self.assertTrue(self.status().targets[0].suspect)
 
     async def test_a_drain_from_mark_to_idle(self) -> None:
@@ -131,7 +131,7 @@
         (drain,) = self.status().drains
         self.assertEqual((1, 2.0, None), (drain.in_flight, drain.age_s, drain.drained_s))
         self.assertEqual(TargetState.LEAVING, self.status().targets[0].state)
-        self.entry.steering.finish(reservation, AttemptResult.ANSWERED, 0.1, None)
+        self.entry.node.steering.finish(reservation, AttemptResult.ANSWERED, 0.1, None)
         self.clock.advance(5.0)
         (drain,) = self.status().drains
         self.assertEqual((0, 7.0, 2.0), (drain.in_flight, drain.age_s, drain.drained_s))
@@ -161,7 +161,7 @@
     )
     def test_a_peer_that_lags(self, _name: str, revision: int, version: int, behind: bool) -> None:
         members = [self.own_member(), make_member("e2"), make_member("e3")]
-        self.entry.roster.replace(members, Revision(6))
+        self.entry.node.roster.replace(members, Revision(6))
         heartbeat = Heartbeat(
             roster_revision=Revision(revision),
             accepted={COSECHA: BundleVersion(version)},
@@ -185,16 +185,7 @@
 class GaugesTest(EntryCase):
     async def test_all_gauges(self) -> None:
         metrics = mock.Mock(spec=Metrics)
-        entry = self.entry
-        gauges = Gauges(
-            metrics,
-            entry.membership,
-            entry.lease,
-            entry.roster,
-            entry.rollouts,
-            entry.slots,
-            entry.steering,
-        )
+        gauges = Gauges(metrics, self.entry.node)
         await self.reserve()
         self.clock.advance(2.0)
         await gauges.set_all()
