Report while the platform is away, by the roster of an entry

A report found its entries by the platform's table alone, so it failed in an outage of the platform, when it is wanted most. Entries named by `--entry ID@ip:port` are now asked for the roster then; the report says that it was made so, and why. The id is needed because requests are signed for one entry.

Which version counts as accepted is the newest that the platform or any entry knows of, so that an entry that lags shows in an outage too. Keeping the last roster in a file was ruled out: it would be as old as the last report.

--- a/src/coralfall/fleet_report.py
+++ b/src/coralfall/fleet_report.py
@@ -109,10 +109,12 @@
 class FleetReport(msgspec.Struct, frozen=True, kw_only=True):
     """Everything that ``coralfall report`` shows."""
 
-    #: Platform's wall time.
+    #: Platform's wall time, or that of the reader if the platform is away.
     at: float
     #: Entries that answered, of those in the roster.
     answered: int
+    #: Why the platform could not be read; lines and roster are then as the entries know them.
+    platform_error: t.Optional[str] = None
     partners: t.Tuple[PartnerStatus, ...]
     services: t.Tuple[ServiceReport, ...]
     regions: t.Tuple[RegionReport, ...]
@@ -124,13 +126,17 @@
 
 
 def merge_statuses(
-    asked: "t.Sequence[Asked]", partners: t.Sequence[PartnerStatus], at: float
+    asked: "t.Sequence[Asked]",
+    partners: t.Sequence[PartnerStatus],
+    at: float,
+    platform_error: t.Optional[str] = None,
 ) -> FleetReport:
     """The report from what the entries said.
 
     :param asked: all entries of the roster, those that did not answer included.
     :param partners: where the lines stand by the platform.
     :param at: platform's wall time.
+    :param platform_error: why the platform could not be read, if so.
     :raises StatusError: if what an entry counted can't be read.
     """
     statuses = [answer.status for answer in asked if answer.status is not None]
@@ -138,12 +144,13 @@
     return FleetReport(
         at=at,
         answered=len(statuses),
+        platform_error=platform_error,
         partners=tuple(partners),
         services=_merge_services(statuses),
         regions=_sum_regions(targets),
         targets=targets,
         drains=_merge_drains(statuses),
-        entries=_entry_reports(asked, partners),
+        entries=_entry_reports(asked, _accepted_versions(statuses, partners)),
         outcomes=_sum_outcomes(statuses),
     )
 
@@ -243,13 +250,24 @@
     return tuple(summaries)
 
 
-def _entry_reports(
-    asked: "t.Sequence[Asked]", partners: t.Sequence[PartnerStatus]
-) -> t.Tuple[EntryReport, ...]:
+def _accepted_versions(
+    statuses: t.Sequence[EntryStatus], partners: t.Sequence[PartnerStatus]
+) -> t.Dict[PartnerId, BundleVersion]:
+    """The newest accepted versions that the platform or any entry knows of."""
     accepted: t.Dict[PartnerId, BundleVersion] = {}
     for partner in partners:
         if partner.in_force is not None:
             accepted[partner.partner] = partner.in_force.version
+    for status in statuses:
+        for partner_id, version in status.versions.items():
+            known = accepted.get(partner_id, BundleVersion(0))
+            accepted[partner_id] = max(known, version.accepted)
+    return accepted
+
+
+def _entry_reports(
+    asked: "t.Sequence[Asked]", accepted: t.Mapping[PartnerId, BundleVersion]
+) -> t.Tuple[EntryReport, ...]:
     reports = []
     for answer in sorted(asked, key=lambda answer: answer.member.entry_id):
         member = answer.member
--- a/src/coralfall/operators_client.py
+++ b/src/coralfall/operators_client.py
@@ -8,10 +8,11 @@
 import msgspec
 
 from .exceptions import StatusError
+from .ids import EntryId
 from .operators import HEADER_SIGNATURE
 from .rows import Member
 from .signing import Key, sign_request
-from .status import EntryStatus
+from .status import EntryStatus, MemberStatus
 
 STATUS_PATH = "/status"
 #: Seconds in which an entry must have told its status.
@@ -22,10 +23,14 @@
 _MAX_SHOWN = 200
 
 
+#: An entry of the roster, as the platform or another entry knows it.
+AnyMember = t.Union[Member, MemberStatus]
+
+
 class Asked(t.NamedTuple):
     """What came of asking one entry."""
 
-    member: Member
+    member: AnyMember
     #: Present if the entry answered.
     status: t.Optional[EntryStatus]
     #: Why it did not.
@@ -40,7 +45,7 @@
 
 
 async def ask_entries(
-    members: t.Sequence[Member], key: Key, timeout_s: float = STATUS_TIMEOUT_S
+    members: t.Sequence[AnyMember], key: Key, timeout_s: float = STATUS_TIMEOUT_S
 ) -> t.List[Asked]:
     """The status of each entry, or why it could not be had, in the order given.
 
@@ -53,20 +58,24 @@
     permits = asyncio.Semaphore(_PARALLEL)
     async with aiohttp.ClientSession(timeout=timeout, connector=connector) as session:
 
-        async def ask(member: Member) -> Asked:
+        async def ask(member: AnyMember) -> Asked:
             async with permits:
                 return await _ask(session, member, key)
 
         return await asyncio.gather(*[ask(member) for member in members])
 
 
-async def fetch_status(session: aiohttp.ClientSession, member: Member, key: Key) -> EntryStatus:
+async def fetch_status(
+    session: aiohttp.ClientSession, entry_id: EntryId, address: str, key: Key
+) -> EntryStatus:
     """The status of one entry.
 
+    :param entry_id: whom the request is signed for.
+    :param address: ``ip:port`` of its operators' port.
     :raises StatusError: if it does not answer, refuses, or answers what can't be read.
     """
-    url = f"http://{member.operator_address}{STATUS_PATH}"
-    signature = sign_request(key, "GET", STATUS_PATH, b"", time.time(), member.entry_id)
+    url = f"http://{address}{STATUS_PATH}"
+    signature = sign_request(key, "GET", STATUS_PATH, b"", time.time(), entry_id)
     headers = {HEADER_SIGNATURE: signature}
     try:
         async with session.get(url, headers=headers, allow_redirects=False) as answer:
@@ -78,18 +87,19 @@
     if answer.status != 200:
         raise StatusError(_refusal_text(answer.status, body))
     try:
-        return msgspec.json.decode(body, type=EntryStatus)
+        status = msgspec.json.decode(body, type=EntryStatus)
     except msgspec.MsgspecError as error:
         raise StatusError(f"its status can't be read: {error}; is it of this version?") from error
+    if status.entry_id != entry_id:
+        raise StatusError(f"{status.entry_id!r} answers at its address")
+    return status
 
 
-async def _ask(session: aiohttp.ClientSession, member: Member, key: Key) -> Asked:
+async def _ask(session: aiohttp.ClientSession, member: AnyMember, key: Key) -> Asked:
     try:
-        status = await fetch_status(session, member, key)
+        status = await fetch_status(session, member.entry_id, member.operator_address, key)
     except StatusError as error:
         return Asked(member, None, error.message)
-    if status.entry_id != member.entry_id:
-        return Asked(member, None, f"{status.entry_id!r} answers at its address")
     return Asked(member, status, None)
 
 
--- a/src/coralfall/report_cli.py
+++ b/src/coralfall/report_cli.py
@@ -8,12 +8,12 @@
 import typer
 
 from . import terminal
-from .ids import PartnerId, Revision
+from .ids import PartnerId
 from .terminal import JsonOption, reporting, show
 
 if t.TYPE_CHECKING:
+    from .fleet_reader import Seed
     from .fleet_report import FleetReport
-    from .platform import Platform
     from .signing import Key
 
 _CLEAR_SCREEN = "\x1b[H\x1b[2J"
@@ -24,6 +24,13 @@
         str, typer.Option("--platform", help="Base address, such as http://10.0.0.2:7000.")
     ],
     key: t.Annotated[pathlib.Path, typer.Option("--key", help="Private key file of an operator.")],
+    entry: t.Annotated[
+        t.Optional[t.List[str]],
+        typer.Option(
+            "--entry",
+            help="Operators' port of an entry, as ID@ip:port; asked if the platform is away.",
+        ),
+    ] = None,
     html: t.Annotated[
         t.Optional[pathlib.Path], typer.Option("--html", help="Page to write as well.")
     ] = None,
@@ -35,13 +42,14 @@
 ) -> None:
     """Show service levels, headroom, drains and versions over all entries."""
     with reporting(as_json):
+        from .fleet_reader import parse_seeds
         from .signing import load_key
 
-        loaded = load_key(key)
+        source = _Source(platform, load_key(key), parse_seeds(entry or ()))
         if watch is None:
-            _show_report(asyncio.run(_report_once(platform, loaded)), html, None, as_json)
+            _show_report(asyncio.run(_report_once(source)), html, None, as_json)
             return
-        asyncio.run(_watch(platform, loaded, html, watch, as_json))
+        asyncio.run(_watch(source, html, watch, as_json))
 
 
 def lookup(
@@ -68,48 +76,36 @@
         show({**found._asdict()}, lines, as_json)
 
 
-async def _report_once(url: str, key: "Key") -> "FleetReport":
+class _Source(t.NamedTuple):
+    """Where reports come from."""
+
+    platform_url: str
+    key: "Key"
+    seeds: "t.Tuple[Seed, ...]"
+
+
+async def _report_once(source: _Source) -> "FleetReport":
     from .clock import SystemClock
+    from .fleet_reader import read_fleet
     from .http_platform import HttpPlatform
     from .settings import PlatformSettings
 
-    client = HttpPlatform(PlatformSettings(url=url), SystemClock())
+    clock = SystemClock()
+    client = HttpPlatform(PlatformSettings(url=source.platform_url), clock)
     try:
-        return await make_report(client.platform, key)
+        return await read_fleet(client.platform, source.key, clock, source.seeds)
     finally:
         await client.close()
 
 
-async def make_report(platform: "Platform", key: "Key") -> "FleetReport":
-    """Ask all entries of the roster and merge what they say.
-
-    :raises PlatformError: if the roster can't be read.
-    :raises StatusError: if there are entries and none of them answered.
-    """
-    from .exceptions import StatusError
-    from .fleet_report import merge_statuses
-    from .operators_client import ask_entries
-    from .rollout_status import read_status
-    from .rows import ROSTER_PREFIX, Member, decode_row
-
-    changes = await platform.table.changes([ROSTER_PREFIX], Revision(0))
-    members = [decode_row(row, Member) for row in changes.rows if row.value is not None]
-    lines = await read_status(platform)
-    asked = await ask_entries(members, key)
-    if asked and all(answer.status is None for answer in asked):
-        failures = [f"{answer.member.entry_id}: {answer.error}" for answer in asked]
-        raise StatusError(f"no entry answered; {'; '.join(failures)}", failures=failures)
-    return merge_statuses(asked, lines.partners, changes.now)
-
-
 async def _watch(
-    url: str, key: "Key", html: t.Optional[pathlib.Path], seconds: float, as_json: bool
+    source: _Source, html: t.Optional[pathlib.Path], seconds: float, as_json: bool
 ) -> None:
     from .exceptions import CoralfallError
 
     while True:
         try:
-            found = await _report_once(url, key)
+            found = await _report_once(source)
         except CoralfallError as error:
             terminal.report(error, as_json)
         else:
--- a/src/coralfall/report_html.py
+++ b/src/coralfall/report_html.py
@@ -11,6 +11,7 @@
     burn_text,
     duration_text,
     limit_text,
+    platform_text,
     share_text,
     summary_text,
     versions_text,
@@ -68,6 +69,8 @@
     header = add(main, "header")
     add(header, "h1", _TITLE)
     add(header, "p", summary_text(report), class_="soft")
+    if report.platform_error is not None:
+        add(header, "p", platform_text(report.platform_error), class_="grade warn wrap")
     tiles = add(main, "div", class_="tiles")
     missing = len(report.entries) - report.answered
     answered = f"{report.answered} / {len(report.entries)}"
--- a/src/coralfall/report_text.py
+++ b/src/coralfall/report_text.py
@@ -14,6 +14,8 @@
 def report_lines(report: "FleetReport") -> t.List[str]:
     """The whole report, a line each."""
     lines = [summary_text(report)]
+    if report.platform_error is not None:
+        lines.append(platform_text(report.platform_error))
     for partner in report.partners:
         version = "nothing" if partner.in_force is None else f"version {partner.in_force.version}"
         staged = "" if partner.staged is None else f", version {partner.staged.version} staged"
@@ -33,6 +35,11 @@
     return f"{report.answered} of {len(report.entries)} entries answered, {time_text(report.at)}"
 
 
+def platform_text(error: str) -> str:
+    """That the report was made without the platform, and why."""
+    return f"the platform can't be read ({error}); roster and versions are as the entries know them"
+
+
 def time_text(seconds: float) -> str:
     """A wall time in UTC."""
     moment = datetime.datetime.fromtimestamp(seconds, tz=datetime.timezone.utc)
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -16,7 +16,8 @@
 from coralfall.bundle import Objective
 from coralfall.burn import BurnReport, WindowCount
 from coralfall.clock import ManualClock
-from coralfall.exceptions import InputError, StatusError
+from coralfall.exceptions import InputError, PlatformError, StatusError
+from coralfall.fleet_reader import parse_seeds, read_fleet
 from coralfall.fleet_report import FleetReport, make_headroom, merge_statuses
 from coralfall.ids import (
     BundleVersion,
@@ -30,7 +31,7 @@
     TargetId,
     TargetState,
 )
-from coralfall.memory_platform import MemoryPlatform
+from coralfall.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
 from coralfall.metrics import Metrics
 from coralfall.operators import make_operators_app
 from coralfall.operators_client import Asked, ask_entries
@@ -42,7 +43,7 @@
 from coralfall.rows import Member, roster_key
 from coralfall.service_levels import ServiceLevels
 from coralfall.settings import MetricsSettings
-from coralfall.status import DrainStatus, EntryStatus, TargetStatus, VersionStatus
+from coralfall.status import DrainStatus, EntryStatus, MemberStatus, TargetStatus, VersionStatus
 from tests.loopback import serving
 from tests.operators import ANA, COSECHA, TRUST, make_bundle, make_key
 from tests.test_roster import make_member
@@ -329,7 +330,7 @@
 
     @parameterized.expand(
         [
-            ("another entry", b'{"entry_id": "e9"}', "can't be read"),
+            ("a part of one", b'{"entry_id": "e1"}', "can't be read"),
             ("no JSON", b"<html>", "can't be read"),
         ]
     )
@@ -341,6 +342,10 @@
 
         self.assertIn(text, (await self.ask(app)).error or "")
 
+    async def test_another_entry_at_the_address(self) -> None:
+        app = make_operators_app(lambda: make_status("e9"), lambda: True, TRUST, "e1")
+        self.assertEqual("'e9' answers at its address", (await self.ask(app)).error)
+
     async def test_an_entry_that_hangs_holds_up_nothing(self) -> None:
         async def app(scope: t.Any, receive: t.Any, send: t.Any) -> None:
             await asyncio.Event().wait()
@@ -351,28 +356,66 @@
         self.assertEqual("no answer in time", asked.error)
 
 
-class MakeReportTest(unittest.IsolatedAsyncioTestCase):
-    async def write(self, memory: MemoryPlatform, member: Member) -> None:
+class ReadFleetTest(unittest.IsolatedAsyncioTestCase):
+    """One entry that answers, one that nobody reaches, and a platform that may be away."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = ManualClock(100.0)
+        self.memory = MemoryPlatform(self.clock)
+        await self.write(make_member("e2"))
+
+    async def write(self, member: Member) -> None:
         value = msgspec.msgpack.encode(member)
-        await memory.platform.table.transact([Write(roster_key(member.entry_id), value)])
+        await self.memory.platform.table.transact([Write(roster_key(member.entry_id), value)])
+
+    async def read(self, seeds: t.Sequence[str] = ()) -> FleetReport:
+        return await read_fleet(self.memory.platform, ANA, self.clock, parse_seeds(seeds))
+
+    def stop_platform(self) -> None:
+        self.memory.set_faults(Faults(table=ServiceFault(mode=FaultMode.DOWN)))
 
     async def test_entries_are_found_by_the_roster(self) -> None:
-        memory = MemoryPlatform(ManualClock(100.0))
         app = make_operators_app(lambda: make_status("e1"), lambda: True, TRUST, "e1")
         async with serving(app) as address:
-            member = msgspec.structs.replace(make_member("e1"), operator_address=address)
-            await self.write(memory, member)
-            await self.write(memory, make_member("e2"))
-            report = await report_cli.make_report(memory.platform, ANA)
-        self.assertEqual((1, 100.0), (report.answered, report.at))
+            await self.write(msgspec.structs.replace(make_member("e1"), operator_address=address))
+            report = await self.read()
+        self.assertEqual((1, 100.0, None), (report.answered, report.at, report.platform_error))
         self.assertEqual(["e1", "e2"], [entry.entry_id for entry in report.entries])
         self.assertIn("no answer", report.entries[1].error or "")
 
     async def test_no_entry_answers(self) -> None:
-        memory = MemoryPlatform(ManualClock())
-        await self.write(memory, make_member("e2"))
         with self.assertRaisesRegex(StatusError, "e2: no answer"):
-            await report_cli.make_report(memory.platform, ANA)
+            await self.read()
+
+    async def test_entries_are_found_by_a_seed_while_the_platform_is_away(self) -> None:
+        self.stop_platform()
+        members: t.List[MemberStatus] = []
+        status = make_status("e1", 1, members=members)
+        app = make_operators_app(lambda: status, lambda: True, TRUST, "e1")
+        async with serving(app) as address:
+            for name in ("e1", "e2"):
+                fields = msgspec.structs.asdict(make_member(name))
+                fields["operator_address"] = address if name == "e1" else "127.0.0.1:1"
+                del fields["peer_address"]
+                members.append(MemberStatus(**fields))
+            report = await self.read(["e3@127.0.0.1:1", f"e1@{address}"])
+        self.assertEqual((1, 2), (report.answered, len(report.entries)))
+        self.assertTrue(report.entries[0].lags, "version 2 is known to be accepted")
+        for text in ("\n".join(report_lines(report)), _Page(render_page(report)).text):
+            self.assertIn("the platform can't be read", text)
+
+    @parameterized.expand(
+        [("no seed", (), PlatformError), ("none answers", ("e3@127.0.0.1:1",), StatusError)]
+    )
+    async def test_platform_away(self, _name: str, seeds: t.Any, error: t.Any) -> None:
+        self.stop_platform()
+        with self.assertRaises(error):
+            await self.read(seeds)
+
+    @parameterized.expand([("no id", "10.0.0.1:80"), ("empty id", "@10.0.0.1:80"), ("a", "e1@x")])
+    def test_a_seed_that_is_none(self, _name: str, text: str) -> None:
+        with self.assertRaisesRegex(InputError, "is not ID@ip:port"):
+            parse_seeds(["e1@10.0.0.1:80", text])
 
 
 if __name__ == "__main__":
