Say where a server listens, and let the smoke check use it

The smoke check of the one file waited for a first line on standard output that no program printed, and hung on a fresh clone. A server with port 0 could not be found either. Each server now logs server.listening with its address; the check waits for it within a bound, asks the stand-in over HTTP, sees one thread and no child in /proc, and wants status 0 at SIGTERM.

The tests of levels write off first what was logged before any stream was set, since these events come out with the first stream and would be counted as their own.

Seen red: the check hung before, with the same program that it passes now. Not tried: a VM whose SHIV_ROOT is in memory.

--- a/.ci/smoke.py
+++ b/.ci/smoke.py
@@ -1,73 +1,89 @@
 """Starts the one-file program and checks that it works as one process without a child."""
 
+import asyncio
 import os
 import pathlib
-import shutil
-import subprocess
+import re
 import sys
 import tempfile
 import typing as t
 
-START_TIMEOUT_S = 60.0
+#: Bound that only keeps a broken program from hanging.
+PATIENCE_S = 60.0
 STANDIN_SETTINGS = 'address = "127.0.0.1:0"\n'
+LISTENING = re.compile(r"event=server\.listening .*address=([0-9.]+):([0-9]+)")
 
 
-def children_of(pid: int) -> t.List[int]:
-    """Process ids of all direct children of a process."""
-    children = []
-    for task in pathlib.Path(f"/proc/{pid}/task").iterdir():
-        children += [int(child) for child in (task / "children").read_text().split()]
-    return children
-
-
-def check_help(binary: str, environment: t.Dict[str, str]) -> None:
+async def check_help(binary: str, environment: t.Dict[str, str]) -> None:
     """The file runs and says how it is used."""
-    done = subprocess.run(
-        [binary, "--help"], env=environment, capture_output=True, text=True, timeout=START_TIMEOUT_S
-    )
-    if done.returncode != 0 or "Usage" not in done.stdout:
-        raise SystemExit(f"--help: status {done.returncode}\n{done.stdout}{done.stderr}")
+    process = await _start(binary, ["--help"], environment)
+    output, _ = await asyncio.wait_for(process.communicate(), PATIENCE_S)
+    if process.returncode != 0 or b"Usage" not in output:
+        raise SystemExit(f"--help: status {process.returncode}: {output.decode()}")
 
 
-def check_standin(binary: str, environment: t.Dict[str, str], folder: str) -> None:
-    """A long-running command runs as one process, without a child, and ends at SIGTERM."""
+async def check_standin(binary: str, environment: t.Dict[str, str], folder: str) -> None:
+    """A server runs as one process on one thread, answers, and ends in order at SIGTERM."""
     settings = pathlib.Path(folder) / "platform.toml"
     settings.write_text(STANDIN_SETTINGS)
-    process = subprocess.Popen(
-        [binary, "standin", "platform", "--settings", str(settings)],
-        env=environment,
-        stdout=subprocess.PIPE,
-        text=True,
-    )
+    arguments = ["standin", "platform", "--settings", str(settings)]
+    process = await _start(binary, arguments, environment)
     try:
-        assert process.stdout is not None
-        first_line = process.stdout.readline()
-        if not first_line:
-            raise SystemExit(f"standin platform: ended with status {process.wait()}")
-        if children_of(process.pid):
-            raise SystemExit(f"standin platform: has children {children_of(process.pid)}")
+        host, port = await asyncio.wait_for(_listening_address(process), PATIENCE_S)
+        await asyncio.wait_for(_ask(host, port), PATIENCE_S)
+        _check_alone(process.pid)
         process.terminate()
-        if process.wait(timeout=START_TIMEOUT_S) != 0:
-            raise SystemExit(f"standin platform: status {process.returncode} at SIGTERM")
+        status = await asyncio.wait_for(process.wait(), PATIENCE_S)
+        if status != 0:
+            raise SystemExit(f"standin: status {status} at SIGTERM")
     finally:
-        if process.poll() is None:
+        if process.returncode is None:
             process.kill()
-            process.wait()
+            await process.wait()
 
 
-def main() -> None:
-    """Check the file named on the command line."""
-    binary = os.path.abspath(sys.argv[1])
-    folder = tempfile.mkdtemp(prefix="coralfall-smoke-")
-    environment = {**os.environ, "SHIV_ROOT": folder}
-    environment.pop("PYTHONPATH", None)
-    try:
-        check_help(binary, environment)
-        check_standin(binary, environment, folder)
-    finally:
-        shutil.rmtree(folder)
-    print(f"{sys.argv[1]}: one process, no child")
+async def _start(
+    binary: str, arguments: t.List[str], environment: t.Dict[str, str]
+) -> asyncio.subprocess.Process:
+    return await asyncio.create_subprocess_exec(
+        binary, *arguments, env=environment, stdout=asyncio.subprocess.PIPE
+    )
+
+
+async def _listening_address(process: asyncio.subprocess.Process) -> t.Tuple[str, int]:
+    assert process.stdout is not None
+    async for line in process.stdout:
+        found = LISTENING.search(line.decode())
+        if found:
+            return found.group(1), int(found.group(2))
+    raise SystemExit(f"standin: ended with status {await process.wait()}")
+
+
+async def _ask(host: str, port: int) -> None:
+    reader, writer = await asyncio.open_connection(host, port)
+    writer.write(b"GET / HTTP/1.1\r\nHost: smoke\r\nConnection: close\r\n\r\n")
+    answer = await reader.read()
+    writer.close()
+    if not answer.startswith(b"HTTP/1.1 "):
+        raise SystemExit(f"standin: answered {answer!r}")
+
+
+def _check_alone(pid: int) -> None:
+    tasks = list(pathlib.Path(f"/proc/{pid}/task").iterdir())
+    children = (tasks[0] / "children").read_text().split()
+    if len(tasks) != 1 or children:
+        raise SystemExit(f"standin: {len(tasks)} threads, children {children}")
+
+
+async def main(binary: str) -> None:
+    """Check the file ``binary``, given by its whole path."""
+    with tempfile.TemporaryDirectory(prefix="coralfall-smoke-") as folder:
+        environment = {**os.environ, "SHIV_ROOT": folder}
+        environment.pop("PYTHONPATH", None)
+        await check_help(binary, environment)
+        await check_standin(binary, environment, folder)
+    print(f"{os.path.basename(binary)}: one process on one thread, no child; ended in order")
 
 
 if __name__ == "__main__":
-    main()
+    asyncio.run(main(os.path.abspath(sys.argv[1])))
--- a/src/coralfall/server.py
+++ b/src/coralfall/server.py
@@ -6,6 +6,7 @@
 
 import uvicorn
 
+from . import log
 from .child import Child
 from .exceptions import ListenError
 from .protocol import Connections, Header, protocol_factory
@@ -89,6 +90,7 @@
         await self._server.on_tick(0)
         # A copy stays with us, see _take_waiting.
         await self._server.startup(sockets=[self._listener.dup()])
+        log.info("server.listening", server=self.name, address=self.bound_address)
 
     async def run(self) -> None:
         try:
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -99,6 +99,8 @@
 
 class LevelTest(unittest.TestCase):
     def setUp(self) -> None:
+        # What other tests logged before the first stream comes out here.
+        log.configure(LogSettings(), io.StringIO())
         self.stream = io.StringIO()
         self.addCleanup(log.configure, LogSettings(level="error"), io.StringIO())
 
