--- a/src/coralfall/log.py
+++ b/src/coralfall/log.py
@@ -9,12 +9,15 @@
     time=2026-01-31T09:30:00.000Z level=info event=lease.lapsed entry=e1 age_s=6.2
 
 Values are quoted and escaped where needed, so that one event is one line whatever is in it.
+Warnings and errors that libraries log by :mod:`logging` come out as ``library.message``.
 """
 
 import enum
+import logging
 import re
 import sys
 import time
+import traceback
 import typing as t
 
 import eliot
@@ -56,7 +59,22 @@
         self._stream.flush()
 
 
+class _LibraryHandler(logging.Handler):
+    """Turns what libraries log into events."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        fields: t.Dict[str, t.Any] = {"logger": record.name, "message": record.getMessage()}
+        if record.exc_info is not None and record.exc_info[1] is not None:
+            fields["error"] = record.exc_info[1]
+            fields["traceback"] = "".join(traceback.format_exception(record.exc_info[1]))
+        if record.levelno >= logging.ERROR:
+            error("library.message", **fields)
+        else:
+            warning("library.message", **fields)
+
+
 _logger = eliot.Logger()
+_library_handler = _LibraryHandler(logging.WARNING)
 _destination: t.Optional[_LineDestination] = None
 _rank = _INFO
 
@@ -79,6 +97,8 @@
     if previous is not None:
         eliot.remove_destination(previous)
     eliot.add_destinations(_destination)
+    # Adding it again changes nothing.
+    logging.getLogger().addHandler(_library_handler)
 
 
 def debug(event: str, /, **fields: t.Any) -> None:
--- /dev/null
+++ b/tests/test_ci.py
@@ -0,0 +1,102 @@
+"""Tests of what CI counts: passes, failures, and the list of tests known to fail."""
+
+import contextlib
+import importlib.util
+import io
+import pathlib
+import tempfile
+import typing as t
+import unittest
+
+from parameterized import parameterized
+
+COUNT_PATH = pathlib.Path(__file__).parent.parent / ".ci" / "count.py"
+
+PASS = '<testcase classname="tests.test_a.A" name="test_pass"/>'
+FAIL = '<testcase classname="tests.test_a.A" name="test_fail"><failure>f</failure></testcase>'
+ERROR = '<testcase classname="nose2.loader.Failed" name="test_b"><error>e</error></testcase>'
+SKIP = '<testcase classname="tests.test_a.A" name="test_skip"><skipped message="s"/></testcase>'
+UNEXPECTED = (
+    '<testcase classname="tests.test_a.A" name="test_pass">'
+    '<skipped message="test passes unexpectedly"/></testcase>'
+)
+PART = FAIL.replace("test_fail", "test_pass")
+
+KNOWN_FAIL = "tests.test_a.A.test_fail | broken | 7\n"
+KNOWN_PASS = "tests.test_a.A.test_pass | broken | 7\n"
+KNOWN_SKIP = "tests.test_a.A.test_skip | broken | 7\n"
+KNOWN_NONE = "tests.test_a.A.test_none | broken | 7\n"
+
+
+def load_count() -> t.Any:
+    """The script, which is no part of a package."""
+    spec = importlib.util.spec_from_file_location("count", COUNT_PATH)
+    assert spec is not None and spec.loader is not None
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+class CountTest(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("all pass", PASS, "", 0, [], 0, "1 passed, 0 failed"),
+            ("one fails", PASS + FAIL, "", 1, [], 1, "1 passed, 1 failed"),
+            ("module broken", PASS + ERROR, "", 1, [], 1, "1 passed, 1 failed"),
+            ("one part fails", PASS + PART, "", 1, [], 1, "0 passed, 1 failed"),
+            ("part fails first", PART + PASS, "", 1, [], 1, "0 passed, 1 failed"),
+            ("skipped", PASS + SKIP, "", 0, [], 0, "1 passed, 0 failed"),
+            ("passes unexpectedly", UNEXPECTED, "", 0, [], 1, "0 passed, 1 failed"),
+            ("none ran", "", "", 0, [], 1, "0 passed, 1 failed"),
+            ("no report", None, "", 0, [], 1, "0 passed, 2 failed"),
+            ("cut report", "<testcase", "", 0, [], 1, "0 passed, 2 failed"),
+            ("status without failure", PASS, "", 2, [], 1, "1 passed, 1 failed"),
+            ("step failed", PASS, "", 0, ["ruff"], 1, "1 passed, 1 failed"),
+            ("known", PASS + FAIL, KNOWN_FAIL, 1, [], 0, "1 passed, 0 failed"),
+            ("known and another", FAIL + ERROR, KNOWN_FAIL, 1, [], 1, "0 passed, 1 failed"),
+            ("known passes", PASS, KNOWN_PASS, 0, [], 1, "1 passed, 1 failed"),
+            ("known is skipped", PASS + SKIP, KNOWN_SKIP, 0, [], 1, "1 passed, 1 failed"),
+            ("known does not exist", PASS, KNOWN_NONE, 0, [], 1, "1 passed, 1 failed"),
+            ("four known", PASS + FAIL, KNOWN_FAIL * 4, 1, [], 1, "1 passed, 1 failed"),
+            ("no cause", PASS + FAIL, "tests.test_a.A.test_fail\n", 1, [], 1, "1 passed, 2 failed"),
+            (
+                "empty cause",
+                PASS + FAIL,
+                "tests.test_a.A.test_fail | | 7\n",
+                1,
+                [],
+                1,
+                "1 passed, 2 failed",
+            ),
+        ]
+    )
+    def test_count(
+        self,
+        _name: str,
+        cases: t.Optional[str],
+        known: str,
+        test_status: int,
+        steps: t.List[str],
+        status: int,
+        last_line: str,
+    ) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            folder = pathlib.Path(name)
+            if cases is not None:
+                (folder / "tests.xml").write_text(f"<testsuite>{cases}</testsuite>")
+            if known:
+                (folder / "KNOWN-RED.txt").write_text(known)
+            arguments = ["--report", f"{name}/tests.xml", "--known-red", f"{name}/KNOWN-RED.txt"]
+            arguments += ["--test-status", str(test_status), *steps]
+            output = io.StringIO()
+            with contextlib.redirect_stdout(output):
+                self.assertEqual(load_count().main(arguments), status)
+        self.assertEqual(output.getvalue().splitlines()[-1], last_line)
+        self.assertEqual("no such test ran" in output.getvalue(), known == KNOWN_NONE)
+        for line in known.splitlines():
+            if line.count(" | ") == 2:
+                self.assertIn(line, output.getvalue())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -3,6 +3,7 @@
 import ast
 import enum
 import io
+import logging
 import typing as t
 import unittest
 
@@ -120,6 +121,22 @@
         log.info("a.b", timestamp=1, message_type="x", event=2)
         self.assertIn("event=a.b timestamp_=1 message_type_=x event_=2\n", self.stream.getvalue())
 
+    @parameterized.expand(
+        [("info", ""), ("warning", "level=warning event=library.message logger=uvicorn.error")]
+        + [("error", "level=error event=library.message logger=uvicorn.error")]
+    )
+    def test_what_libraries_log(self, level: str, expected: str) -> None:
+        log.configure(LogSettings(), self.stream)
+        try:
+            raise ValueError("bad\nline")
+        except ValueError:
+            getattr(logging.getLogger("uvicorn.error"), level)("%s\nfailed", "it", exc_info=True)
+        line = self.stream.getvalue()
+        self.assertIn(expected, line)
+        self.assertEqual(line.count("\n"), 1 if expected else 0)
+        if expected:
+            self.assertIn(r'message="it\nfailed" error="ValueError: bad\nline" traceback=', line)
+
     def test_only_the_last_stream_is_written_to(self) -> None:
         log.configure(LogSettings(), io.StringIO())
         log.configure(LogSettings(), self.stream)
