Keep the head before one whose bundle nobody signed

Cause: an entry took in any head that the table named and dropped the bundle that it held, before it had looked at the new one. A writer with access to the table could so stop all service: a head that named half-signed bytes was refused, and nothing was in force any more.

Bytes under a digest can't change, so bytes that do not verify are final evidence: the head that names them is dropped and the last one whose bundle was held counts again, with its shares and its time. Ruled out: going on under the old version whenever the new one is not held yet, since then an entry that is no member could serve under a version that the others have left. A head that names an object which the store lacks still stops service: that is no evidence.

--- a/src/coralfall/control.py
+++ b/src/coralfall/control.py
@@ -142,10 +142,7 @@
 
     def _holds_accepted(self) -> bool:
         """Whether every partner's bundle in force is held; slots are of no use without."""
-        for rollout in self._rollouts.values():
-            if rollout.head.accepted is not None and rollout.accepted() is None:
-                return False
-        return True
+        return all(rollout.holds_accepted() for rollout in self._rollouts.values())
 
     async def _take_acks(self) -> None:
         """Read what the members that this entry waits for have acknowledged."""
--- a/src/coralfall/rollout.py
+++ b/src/coralfall/rollout.py
@@ -14,6 +14,9 @@
     accepted, so it serves under the stricter of the staged and the accepted one until a
     head settles it.
 
+    A head counts only with a bundle that two operators signed. One whose accepted bundle
+    turns out not to be signed is dropped, and the head before it counts again.
+
     :param partner: whose line.
     """
 
@@ -22,6 +25,10 @@
         self.head = Head(partner=partner)
         #: Revision of the head row as last read from the table; 0 if only peers told of it.
         self.revision = Revision(0)
+        #: The last head whose accepted bundle was held.
+        self._before = self.head
+        #: Accepted bundle of the head that was dropped last.
+        self._refused: t.Optional[Digest] = None
         self._held_by_digest: t.Dict[Digest, Bundle] = {}
         self._effective: t.Optional[Bundle] = None
 
@@ -35,14 +42,30 @@
         if revision <= self.revision or _accepted_version(head) < _accepted_version(self.head):
             return False
         self.revision = revision
-        return self._replace(head)
+        return not self._is_refused(head) and self._replace(head)
 
     def learn_from_peer(self, head: Head) -> bool:
         """Take in a head that a peer knows; one that is not newer changes nothing."""
-        if _order(head) <= _order(self.head):
+        if _order(head) <= _order(self.head) or self._is_refused(head):
             return False
         return self._replace(head)
 
+    def refuse(self, ref: VersionRef) -> bool:
+        """Take in that the bundle which :meth:`missing` named is no signed bundle at all.
+
+        :return: whether the head was dropped for it.
+        """
+        if ref != self.head.accepted:
+            return False
+        self._refused = ref.digest
+        return self._replace(self._before)
+
+    def holds_accepted(self) -> bool:
+        """Whether all that is known to be accepted is held."""
+        if self.head.accepted is None:
+            return self._refused is None
+        return self.accepted() is not None
+
     def missing(self) -> t.List[VersionRef]:
         """Bundles that the head names and that are not held yet, the accepted one first."""
         missing = []
@@ -90,12 +113,18 @@
             return None
         return self._held_by_digest.get(ref.digest)
 
+    def _is_refused(self, head: Head) -> bool:
+        return head.accepted is not None and head.accepted.digest == self._refused
+
     def _replace(self, head: Head) -> bool:
         if head == self.head:
             return False
+        if self.accepted() is not None:
+            self._before = self.head
         self.head = head
         self._effective = None
-        named = {ref.digest for ref in (head.accepted, head.staged) if ref is not None}
+        refs = (head.accepted, head.staged, self._before.accepted, self._before.staged)
+        named = {ref.digest for ref in refs if ref is not None}
         for digest in list(self._held_by_digest):
             if digest not in named:
                 del self._held_by_digest[digest]
--- a/src/coralfall/staging.py
+++ b/src/coralfall/staging.py
@@ -94,6 +94,8 @@
                 code=error.code,
                 error=error.message,
             )
+            if isinstance(error, SignatureError) and rollout.refuse(ref):
+                log.error("rollout.head_refused", partner=rollout.partner, version=ref.version)
             return None
         staged = Staged(data, bundle, blocks)
         self.by_digest[ref.digest] = staged
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -107,6 +107,46 @@
         self.assertEqual([missing.version for missing in rollout.missing()], [2])
 
 
+class TestRefused(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("by_the_table", ((head(1, 2), 1),), head(9), 1, 2),
+            ("told_by_a_peer", ((head(1, 2), 1),), head(9), None, 2),
+            ("after_a_rise", ((head(1, 2), 1), (head(2), 2)), head(9, 10), 3, 2),
+            ("nothing_before", (), head(9), 1, 0),
+        ]
+    )
+    def test_head_without_a_signed_bundle_is_dropped(
+        self,
+        _: str,
+        before: t.Tuple[t.Tuple[Head, int], ...],
+        told: Head,
+        revision: t.Optional[int],
+        staged: int,
+    ) -> None:
+        rollout = holding(*before)
+        known = rollout.head
+        for _again in range(2):
+            if revision is None:
+                rollout.learn_from_peer(told)
+            else:
+                rollout.learn_from_table(told, Revision(revision + 10))
+            for missing in rollout.missing():
+                rollout.refuse(missing)
+            self.assertEqual(rollout.head, known)
+            self.assertEqual(rollout.staged_version(), staged)
+            self.assertEqual(rollout.holds_accepted(), bool(before))
+        rollout.learn_from_table(head(3), Revision(30))
+        rollout.hold(ref(3), bundle(3))
+        self.assertEqual((rollout.in_force_version(), rollout.holds_accepted()), (3, True))
+
+    def test_staged_without_signatures_is_not_served(self) -> None:
+        rollout = holding((head(1), 1))
+        rollout.learn_from_table(head(1, 2), Revision(2))
+        self.assertFalse(rollout.refuse(ref(2)))
+        self.assertEqual((rollout.in_force_version(), rollout.staged_version()), (1, 1))
+
+
 def staged_of(known: Head) -> int:
     newest = known.staged or known.accepted
     return newest.version if newest is not None else 0
