Take in the roster also if a head row can't be read

Cause: a head row that is no head raised out of the reading of the table's changes. The control child failed and was restarted, and the rows of the roster that came in the same answer were lost, since the next read began after them: an entry that started meanwhile could take itself for the only one. Found by writing such a row by hand while three entries serve and one is killed and started again. The row is now passed over with an error in the log, and what is known of the head stays; before, the child failed once for each entry that read the row, after it none did. Seen red on a scratch copy with this change taken out: the log of an entry names a failed child.

--- a/src/coralfall/membership.py
+++ b/src/coralfall/membership.py
@@ -22,6 +22,7 @@
     CoordinatorRow,
     LeaseRow,
     Member,
+    decode_row,
     head_key,
     lease_key,
     roster_key,
@@ -270,7 +271,12 @@
         rollout = self._rollouts.get(PartnerId(row.key[len(HEAD_PREFIX) :]))
         if rollout is None or row.value is None:
             return
-        head = msgspec.msgpack.decode(row.value, type=Head)
+        try:
+            head = decode_row(row, Head)
+        except PlatformError as error:
+            # What else came with it must be taken in, the roster above all.
+            log.error("rollout.head_unreadable", partner=rollout.partner, error=error.message)
+            return
         if rollout.learn_from_table(head, row.revision):
             log.info(
                 "rollout.head",
