Say whose rules the line of shares follows

The line must be the same on every entry, but an entry that holds a staged bundle serves under the stricter of two, and its cap or window would give another line: after half of a move, half the cap sets the line back by a quarter of the way. The governor bounds what that moves, but an entry that restarts then starts apart from the others. The docstring now says which service to pass, and that a lost region earns one request a window for probes beyond its ceiling.

--- a/src/coralfall/shift.py
+++ b/src/coralfall/shift.py
@@ -69,6 +69,8 @@
     whose clocks differ are apart by no more than the skew at the line's rate, which
     :func:`split_cap` has counted in.
 
+    :param service: the service as accepted with ``head``. Not what is met with a staged bundle:
+        another cap or window would give another line.
     :param now_platform: platform's wall time in seconds.
     :return: share of each region; they add up to 1.
     """
@@ -161,10 +163,10 @@
     allowed if it has a credit of 1 or the largest of all, and :meth:`stretched` allows it to
     go into debt for the sake of a free slot. Credit stays between ``-debt`` and ``1 + debt``,
     where ``debt`` is 1 for few requests, so over any run of requests a region gets at most the
-    sum of its ceilings ``q * (1 + band)`` and ``1 + 2 debt`` more. A request is refused only
-    while the refusals or the share of a lost or full region have the largest credit, so what
-    is sent or refused in the name of a region is at least what the other regions' ceilings
-    leave.
+    sum of its ceilings ``q * (1 + band)`` and ``1 + 2 debt`` more; a lost region earns one
+    request a window besides, to be probed with. A request is refused only while the refusals
+    or the share of a lost or full region have the largest credit, so what is sent or refused
+    in the name of a region is at least what the other regions' ceilings leave.
 
     **Sum.** Compare the shares ``d1``, ``d2`` of two consecutive windows, over all requests
     offered, where what is refused in a region's name counts as the region's. Let ``G`` be the
