Say the outcome also of requests that the HTTP server refuses

Cause: the server takes headers for the answer to a request that the application never saw, and the entry passed none. A malformed request was answered without an outcome, which a careful client has to take for unknown, though such a request was surely not run.

Weighed: leaving it and saying so in the caller's guide; ruled out, since one more rule in each client costs more than one line here. An answer within a body still carries no outcome, as the application has seen the request.

Seen red in the test of the whole path without the line; green with it.

--- a/src/coralfall/entry.py
+++ b/src/coralfall/entry.py
@@ -5,7 +5,7 @@
 import random
 import typing as t
 
-from . import log, loop
+from . import defaults, log, loop
 from .callers import CallersApp
 from .channel import Traffic
 from .child import Child, FunctionChild, PeriodicChild
@@ -17,7 +17,7 @@
 from .fleetkey import load_fleet_key
 from .gauges import GAUGES_S, Gauges
 from .http_platform import HttpPlatform
-from .ids import Digest, Incarnation, RegionId, ServiceId
+from .ids import Digest, Incarnation, Outcome, RegionId, ServiceId
 from .lookup_http import LookupHttp
 from .membership import MembershipState
 from .messages import Hello
@@ -39,6 +39,8 @@
 
 #: Seconds between two looks at limits, ramps and loans.
 STEERING_S = 0.25
+#: What callers are told with a request that no part of the entry but the HTTP server has seen.
+REFUSAL_HEADERS = ((defaults.HEADER_OUTCOME.encode(), Outcome.NOT_RUN.value.encode()),)
 
 
 class Entry:
@@ -93,7 +95,11 @@
         callers = CallersApp(dispatcher, LookupHttp(node.lookup), self.levels)
         operators = make_operators_app(self.status, self.ready, trust, settings.entry_id)
         self.callers_server = HttpServer(
-            "callers", callers, settings.caller_address, metrics=self.metrics
+            "callers",
+            callers,
+            settings.caller_address,
+            refusal_headers=REFUSAL_HEADERS,
+            metrics=self.metrics,
         )
         self.operators_server = HttpServer("operators", operators, settings.operator_address)
         self.root = self._make_tree(rng)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -72,6 +72,17 @@
         status, outcome, refusal = await self.post("e3", "pedidos", b"2 kits")
         self.assertEqual((status, outcome, refusal["code"]), (400, "not-run", "key-required"))
 
+        self.assertIn(b"coralfall-outcome: not-run\r\n", await self._malformed("e1"))
+
+    async def _malformed(self, entry: str) -> bytes:
+        """Head of the answer to a request that breaks HTTP."""
+        host, _, port = self.fleet.address_by_name[entry].partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /cosecha/catalogo/menu HTTP/1.1\r\n\r\n")
+        head = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+        return head
+
     async def test_look_up_names_the_entries(self) -> None:
         expected = {self.fleet.address_by_name[entry] for entry in ENTRIES}
         for entry in ENTRIES:
