Send callers one date only

Cause: answers of targets came to callers with two Date headers, the target's and that of the entry's own HTTP server; RFC 9110 has one. It was seen while the caller's guide was checked against a running system.

Weighed: leaving the server's out and passing the target's on; ruled out, since answers of the entry itself would then have none. Entries pass answers on at once, so the two are alike but for long ones.

Seen red: the new row of the table fails without the line (two dates were seen on the wire before).

--- a/src/coralfall/headers.py
+++ b/src/coralfall/headers.py
@@ -39,6 +39,8 @@
 )
 _REPLACED_TO_CALLER = frozenset(
     (
+        # The entry's HTTP server dates every answer, and there may be one date only.
+        b"date",
         defaults.HEADER_OUTCOME.encode(),
         defaults.HEADER_VERSION.encode(),
         defaults.HEADER_RETRY_AFTER_MS.encode(),
--- a/tests/test_headers.py
+++ b/tests/test_headers.py
@@ -51,6 +51,7 @@
             ("hop", [(b"Transfer-Encoding", b"chunked"), (b"Keep-Alive", b"1")], []),
             ("named", [(b"Connection", b"x-own"), (b"X-Own", b"1")], []),
             ("forged", [(b"coralfall-outcome", b"done"), (b"Coralfall-Version", b"9")], []),
+            ("date", [(b"Date", b"Wed, 02 Dec 2026 14:58:46 GMT")], []),
             ("own", [(b"Outcome", b"not-run"), (b"Load", b"1/6")], []),
         ]
     )
