Check what must always hold on real processes that fail

Cause: what must always hold was shown part by part; on whole processes only a graceful stop was tried. Concurrent callers now record what they send and are told, and rules check it against what the targets say they ran and had in flight. The targets of these tests have more slots than the bundle gives them, so that one request too many is seen instead of shed.

--- a/tests/history.py
+++ b/tests/history.py
@@ -20,6 +20,10 @@
     EFFECT = "effect"
     #: The caller was told an outcome.
     ANSWER = "answer"
+    #: The connection ended before the caller had its whole answer.
+    CUT_OFF = "cut-off"
+    #: Every entry had told that a version was in force on it.
+    IN_FORCE = "in-force"
 
 
 class Event(t.NamedTuple):
@@ -34,6 +38,10 @@
     outcome: t.Optional[Outcome] = None
     #: What the target answered, of an ``EFFECT`` and of an ``ANSWER`` that is done.
     value: t.Optional[str] = None
+    #: Of an ``INVOKE`` and what follows it: the entry that was asked.
+    entry: str = ""
+    #: Version in force: of an ``IN_FORCE``, and as an ``ANSWER`` states it; 0 if it does not.
+    version: int = 0
 
 
 class Violation(t.NamedTuple):
@@ -123,6 +131,62 @@
     return found
 
 
+def one_effect_per_keyless_request(events: t.Sequence[Event]) -> t.List[Event]:
+    """Effects beyond the first of their request, of requests without a key."""
+    seen: t.Set[str] = set()
+    found = []
+    for event in events:
+        if event.kind is not Kind.EFFECT or event.key:
+            continue
+        if event.request in seen:
+            found.append(event)
+        seen.add(event.request)
+    return found
+
+
+def no_effect_when_all_not_run(events: t.Sequence[Event]) -> t.List[Event]:
+    """Effects of keys whose every request was answered "not run"."""
+    maybe_run = collections.Counter(event.key for event in events if event.kind is Kind.INVOKE)
+    for event in events:
+        if event.kind is Kind.ANSWER and event.outcome is Outcome.NOT_RUN:
+            maybe_run[event.key] -= 1
+    found = []
+    for event in events:
+        if event.kind is Kind.EFFECT and event.key and maybe_run[event.key] <= 0:
+            found.append(event)
+    return found
+
+
+def version_never_falls(events: t.Sequence[Event]) -> t.List[Event]:
+    """Answers under an older version than their entry had when the request was sent.
+
+    An entry had at least what it answered with before, be it in an earlier life, and what was
+    in force everywhere.
+    """
+    everywhere = 0
+    version_by_entry: t.Dict[str, int] = {}
+    least_by_request: t.Dict[str, int] = {}
+    found = []
+    for event in events:
+        if event.kind is Kind.IN_FORCE:
+            everywhere = max(everywhere, event.version)
+        if event.kind is Kind.INVOKE:
+            least = max(everywhere, version_by_entry.get(event.entry, 0))
+            least_by_request[event.request] = least
+        if event.kind is not Kind.ANSWER or not event.version:
+            continue
+        if event.version < least_by_request.get(event.request, 0):
+            found.append(event)
+        newest = max(event.version, version_by_entry.get(event.entry, 0))
+        version_by_entry[event.entry] = newest
+    return found
+
+
+def nothing_cut_off(events: t.Sequence[Event]) -> t.List[Event]:
+    """Requests whose connection ended before the whole answer."""
+    return [event for event in events if event.kind is Kind.CUT_OFF]
+
+
 AT_MOST_ONCE: t.Tuple[Rule, ...] = (
     one_effect_per_key,
     one_open_dispatch_per_key,
@@ -132,6 +196,15 @@
     done_as_the_effect_said,
 )
 
+#: What holds for processes seen from outside, whatever fails.
+ALWAYS: t.Tuple[Rule, ...] = (
+    one_effect_per_key,
+    one_effect_per_keyless_request,
+    no_effect_when_all_not_run,
+    one_answer_per_request,
+    version_never_falls,
+)
+
 
 def violations(
     events: t.Sequence[Event], rules: t.Sequence[Rule] = AT_MOST_ONCE
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -15,11 +15,14 @@
 import aiohttp
 
 from coralfall.fleetkey import new_fleet_key
+from coralfall.ids import PartnerId
+from coralfall.operators import HEADER_SIGNATURE
+from coralfall.signing import load_key, sign_request
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 #: Seconds after which a process or a condition is given up; no test passes by waiting.
 PATIENCE_S = 60.0
-PARTNER = "cosecha"
+PARTNER = PartnerId("cosecha")
 ZONES = ("sierra-1", "costa-1")
 SERVICES = ("catalogo", "pedidos", "acopio")
 
@@ -87,6 +90,10 @@
         self.slots = 4
         self.timeout_ms = 3000
         self.cap = 0.9
+        #: Slots that target stand-ins have beyond the bundle's, so that too many would show.
+        self.spare_slots = 0
+        self.ttl_s = 3.0
+        self.lookup_ttl_s = 5.0
         self.version = 0
         self._public_keys: t.Dict[str, str] = {}
         new_fleet_key(folder / "fleet.key")
@@ -121,7 +128,8 @@
         self.states_by_target.setdefault(name, "active")
         settings = self.folder / f"{name}.toml"
         settings.write_text(
-            f'address = "{address}"\nslots = {self.slots}\nservice_ms = {service_ms}\n'
+            f'address = "{address}"\nslots = {self.slots + self.spare_slots}\n'
+            f"service_ms = {service_ms}\n"
         )
         self.start(name, "standin", "target", "--settings", str(settings))
 
@@ -161,17 +169,21 @@
     # Operators.
 
     def cli(self, *arguments: str, expect: int = 0) -> "subprocess.CompletedProcess[str]":
+        """Run a command of ``coralfall`` to its end, which must be as expected."""
+        done = self.run(*arguments)
+        if done.returncode != expect:
+            raise AssertionError(f"{arguments}: {done.returncode}\n{done.stdout}{done.stderr}")
+        return done
+
+    def run(self, *arguments: str) -> "subprocess.CompletedProcess[str]":
         """Run a command of ``coralfall`` to its end."""
-        done = subprocess.run(
+        return subprocess.run(
             [sys.executable, "-m", "coralfall.cli", *arguments],
             capture_output=True,
             text=True,
             timeout=PATIENCE_S * 2,
             env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
         )
-        if done.returncode != expect:
-            raise AssertionError(f"{arguments}: {done.returncode}\n{done.stdout}{done.stderr}")
-        return done
 
     def sign(self, text: t.Optional[str] = None) -> pathlib.Path:
         """A signed bundle of the next version, or of ``text``."""
@@ -268,6 +280,15 @@
         async with session.post(f"{self.platform_url()}/faults", json=faults) as answer:
             assert answer.status == 200, await answer.text()
 
+    async def status(self, session: aiohttp.ClientSession, entry: str) -> t.Any:
+        """What an entry tells operators of itself."""
+        key = load_key(self.folder / "ana.key")
+        signature = sign_request(key, "GET", "/status", b"", time.time(), entry)
+        url = f"http://{self.operator_address_by_name[entry]}/status"
+        async with session.get(url, headers={HEADER_SIGNATURE: signature}) as answer:
+            assert answer.status == 200, await answer.text()
+            return await answer.json()
+
     async def effects(self, session: aiohttp.ClientSession, target: str) -> t.Any:
         """What a target has done."""
         async with session.get(f"http://{self.address_by_name[target]}/effects") as answer:
@@ -298,6 +319,13 @@
             lines.append(f'{name} = "{public_key}"')
         return "\n".join(lines) + "\n"
 
+    def _seeds(self, name: str) -> t.List[str]:
+        seeds = []
+        for entry in self.operator_address_by_name:
+            if entry != name:
+                seeds.append(self.address_by_name[f"{entry}-peer"])
+        return seeds
+
     def _entry_text(self, name: str, zone: str, addresses: t.Sequence[str]) -> str:
         region = zone.split("-")[0]
         return f"""
@@ -310,13 +338,15 @@
 peer_address = "{addresses[1]}"
 operator_address = "{addresses[2]}"
 grace_s = 10.0
+lookup_ttl_s = {self.lookup_ttl_s}
 [platform]
 url = "{self.platform_url()}"
 [peers]
 fleet_key_file = "{self.folder / 'fleet.key'}"
+seeds = {json.dumps(self._seeds(name))}
 heartbeat_s = 0.3
 [lease]
-ttl_s = 3.0
+ttl_s = {self.ttl_s}
 renew_s = 0.5
 poll_s = 0.25
 {self._trust_text()}"""
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -6,7 +6,7 @@
 
 from coralfall.ids import Outcome
 
-from .history import Event, Kind, violations
+from .history import ALWAYS, Event, Kind, nothing_cut_off, violations
 
 INVOKE_1 = Event(Kind.INVOKE, "r1", "k")
 INVOKE_2 = Event(Kind.INVOKE, "r2", "k")
@@ -42,3 +42,43 @@
     )
     def test_rules(self, _name: str, events: list, broken: set) -> None:
         self.assertEqual({violation.rule for violation in violations(events)}, broken)
+
+
+#: Requests of two entries, answered under versions.
+ASK_A, ASK_B = INVOKE_1._replace(entry="e1"), INVOKE_2._replace(entry="e1")
+ASK_OTHER = INVOKE_2._replace(entry="e2")
+
+
+def answer(request: Event, version: int) -> Event:
+    return request._replace(kind=Kind.ANSWER, outcome=Outcome.DONE, version=version)
+
+
+class TestProcessRules(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("versions rise", [ASK_A, answer(ASK_A, 1), ASK_B, answer(ASK_B, 2)], set()),
+            ("overtaken", [ASK_A, ASK_B, answer(ASK_B, 2), answer(ASK_A, 1)], set()),
+            ("other entry", [ASK_A, answer(ASK_A, 2), ASK_OTHER, answer(ASK_OTHER, 1)], set()),
+            ("run after another try", [EFFECT_1, INVOKE_1, NOT_RUN_1, INVOKE_2], set()),
+            (
+                "falls",
+                [ASK_A, answer(ASK_A, 2), ASK_B, answer(ASK_B, 1)],
+                {"version_never_falls"},
+            ),
+            (
+                "older than everywhere",
+                [Event(Kind.IN_FORCE, "", version=3), ASK_A, answer(ASK_A, 2)],
+                {"version_never_falls"},
+            ),
+            ("none run", [EFFECT_1, INVOKE_1, NOT_RUN_1], {"no_effect_when_all_not_run"}),
+            (
+                "keyless, twice",
+                [EFFECT_1._replace(key=""), EFFECT_1._replace(key="")],
+                {"one_effect_per_keyless_request"},
+            ),
+            ("cut off", [INVOKE_1, INVOKE_1._replace(kind=Kind.CUT_OFF)], {"nothing_cut_off"}),
+        ]
+    )
+    def test_rules(self, _name: str, events: list, broken: set) -> None:
+        found = violations(events, (*ALWAYS, nothing_cut_off))
+        self.assertEqual({violation.rule for violation in found}, broken)
