--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -122,15 +122,15 @@
         self.assertIn("event=a.b timestamp_=1 message_type_=x event_=2\n", self.stream.getvalue())
 
     @parameterized.expand(
-        [("info", ""), ("warning", "level=warning event=library.message logger=uvicorn.error")]
-        + [("error", "level=error event=library.message logger=uvicorn.error")]
+        [("info", ""), ("warning", "level=warning event=library.message logger=some.library")]
+        + [("error", "level=error event=library.message logger=some.library")]
     )
     def test_what_libraries_log(self, level: str, expected: str) -> None:
         log.configure(LogSettings(), self.stream)
         try:
             raise ValueError("bad\nline")
         except ValueError:
-            getattr(logging.getLogger("uvicorn.error"), level)("%s\nfailed", "it", exc_info=True)
+            getattr(logging.getLogger("some.library"), level)("%s\nfailed", "it", exc_info=True)
         line = self.stream.getvalue()
         self.assertIn(expected, line)
         self.assertEqual(line.count("\n"), 1 if expected else 0)
