--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -44,6 +44,8 @@
 PEER_LOAN_TIMEOUT_S = 0.5
 #: Seconds without a message after which a stream that a peer opened is closed.
 PEER_IDLE_S = 60.0
+#: Seconds after a request for a loan for which all neighbours are asked in each round.
+PEER_BORROWING_S = 5.0
 #: Seconds for which a peer that failed is not chosen for heartbeats.
 PEER_AVOID_S = 10.0
 #: Most streams that an entry keeps open to others, and that others may keep open to it.
--- a/src/coralfall/gossip.py
+++ b/src/coralfall/gossip.py
@@ -4,7 +4,7 @@
 region and some outside, and exchanges heartbeats with them; each is replaced after a while.
 What is new is told to all neighbours at once, who tell theirs. Whoever nobody chose as a
 neighbour learns of it by its own next heartbeat, since the answer to one says as much as the
-heartbeat itself.
+heartbeat itself. In quiet times the neighbours take turns, one in a round.
 """
 
 import typing as t
@@ -67,12 +67,16 @@
         self.entry_ids: t.Tuple[EntryId, ...] = ()
 
     def next_round(
-        self, members_by_id: MembersById, avoid: t.Collection[EntryId] = ()
+        self,
+        members_by_id: MembersById,
+        avoid: t.Collection[EntryId] = (),
+        all_at_once: bool = True,
     ) -> t.Tuple[EntryId, ...]:
         """Whom to exchange heartbeats with in this round.
 
         :param members_by_id: the roster.
         :param avoid: entries that did not answer lately; taken only if there are no others.
+        :param all_at_once: whether all neighbours are wanted, or the one whose turn it is.
         """
         kept = [entry_id for entry_id in self.entry_ids if entry_id not in avoid]
         if self._is_replacement_due():
@@ -83,7 +87,10 @@
         self.entry_ids = choose_neighbours(
             self._region, others_by_id, kept, avoid, self._random, self._shape
         )
-        return self.entry_ids
+        if all_at_once or not self.entry_ids:
+            return self.entry_ids
+        turn = self._round % len(self.entry_ids)
+        return self.entry_ids[turn : turn + 1]
 
     def _is_replacement_due(self) -> bool:
         interval = max(1, self._shape.rounds // self._shape.fanout)
--- a/src/coralfall/peer_links.py
+++ b/src/coralfall/peer_links.py
@@ -43,7 +43,6 @@
         self._traffic = traffic
         self._lock = asyncio.Lock()
         self._channel: t.Optional[Channel] = None
-        self._used_at = 0.0
         #: Exchanges that run or wait.
         self.users = 0
 
@@ -82,12 +81,6 @@
             await self._channel.close()
 
     async def _open(self, expected: t.Optional[EntryId]) -> Channel:
-        now = asyncio.get_running_loop().time()
-        # The other side closes silent streams; ours must not cross its closing.
-        stale = now - self._used_at > defaults.PEER_IDLE_S / 2
-        self._used_at = now
-        if self._channel is not None and stale:
-            await self._channel.close()
         if self._channel is None or self._channel.closed:
             self._channel = await dial(self._address, self._fleet_key, self._hello, self._traffic)
         entry_id = self._channel.peer.entry_id
--- a/src/coralfall/peers.py
+++ b/src/coralfall/peers.py
@@ -1,6 +1,8 @@
 """Spreads news among the entries, and carries loans and objects between them.
 
-In each round an entry exchanges heartbeats with its neighbours (:mod:`coralfall.gossip`). If
+In each round an entry exchanges heartbeats with its neighbours (:mod:`coralfall.gossip`): with
+all of them if there is news, while the platform is silent and while loans are sought, else with
+one of them, since a heartbeat that says nothing new is most of what peers send. If
 the answer shows that this entry is behind, it asks for the peer's heads; if it shows that the
 peer is behind, this entry sends its own heads on the same stream. The one behind could ask
 for them as well, but would have to open a stream of its own first, and could not do so before
@@ -84,11 +86,13 @@
         self._running: t.Set[EntryId] = set()
         self._again: t.Set[EntryId] = set()
         self._bootstrapping = False
+        self._borrowing_until = float("-inf")
 
     async def run(self) -> None:
+        # The first round is with all neighbours, for whoever starts knows nothing yet.
+        self.announce()
         try:
             while True:
-                self._news.clear()
                 self._begin_round()
                 await self._pause()
         finally:
@@ -127,6 +131,7 @@
 
         :raises PeerError: if no answer came; the entry may have set slots aside for us.
         """
+        self._borrowing_until = self._clock.monotonic() + defaults.PEER_BORROWING_S
         answer = await self._links.exchange(
             self._address_of(entry_id),
             request,
@@ -166,12 +171,19 @@
     def _begin_round(self) -> None:
         members_by_id = self._handler.members_by_id()
         self._directory.forget_others(members_by_id)
-        entry_ids = self._neighbours.next_round(members_by_id, self._directory.avoided())
+        entry_ids = self._neighbours.next_round(
+            members_by_id, self._directory.avoided(), self._is_urgent()
+        )
+        self._news.clear()
         for entry_id in entry_ids:
             self._begin_exchange(entry_id)
         if not entry_ids and not self._bootstrapping:
             self._spawn(self._bootstrap_from_seeds())
 
+    def _is_urgent(self) -> bool:
+        silent = self._handler.heartbeat().platform_age_s >= defaults.PEER_ROSTER_AGE_S
+        return silent or self._news.is_set() or self._clock.monotonic() < self._borrowing_until
+
     def _begin_exchange(self, entry_id: EntryId) -> None:
         # A peer that is slow to answer must learn the news afterwards, but not hold up others.
         if entry_id in self._running:
