Let a newcomer report on development mode, and keep the text short

Development mode made its operators' keys in memory, so nobody could sign a request and the report could not be tried. It now keeps them in its folder and prints the command; a test runs that very command against the running system and reads the page it writes.

It now shows the 12 that deserve a look first: suspected, joining or leaving, then those with the least room, and says how many more there are. The page and the JSON have all of them. An option for the full table was left out, since both others serve whoever wants all.

Watching is tested: an error of one look is shown and the next one comes, and the page loads itself anew.

--- a/src/coralfall/dev.py
+++ b/src/coralfall/dev.py
@@ -1,7 +1,6 @@
 """Development mode: the whole system in one process on loopback, for a newcomer to look at."""
 
 import asyncio
-import base64
 import contextlib
 import hashlib
 import pathlib
@@ -11,7 +10,6 @@
 import typing as t
 
 import aiohttp
-import nacl.signing
 
 from . import fleetkey, line, log, loop, signing
 from .bundle import Bundle, SignedBundle, encode
@@ -70,7 +68,7 @@
 class DevSystem(Child):
     """Platform, targets, entries and callers.
 
-    :param folder: for the fleet's key.
+    :param folder: for the keys of the fleet and of the operators.
     """
 
     name = "dev"
@@ -81,7 +79,10 @@
         self._memory = MemoryPlatform(self._clock)
         self._platform_server = HttpServer("platform", make_app(self._memory), ANY_PORT)
         self._target_server_by_id: t.Dict[TargetId, HttpServer] = {}
-        self._keys = {key_id: nacl.signing.SigningKey.generate() for key_id in _OPERATORS}
+        self._keys: t.Dict[KeyId, signing.Key] = {}
+        for key_id in _OPERATORS:
+            signing.new_key(self._key_file(key_id), key_id)
+            self._keys[key_id] = signing.load_key(self._key_file(key_id))
         self._entries: t.List[Entry] = []
         #: Set while callers call.
         self.serving = asyncio.Event()
@@ -157,7 +158,7 @@
     def _partner_settings(self) -> t.Dict[PartnerId, PartnerSettings]:
         keys = {}
         for key_id, key in self._keys.items():
-            keys[key_id] = base64.b64encode(bytes(key.verify_key)).decode("ascii")
+            keys[key_id] = key.public_key
         return {partner.partner: PartnerSettings(keys=keys) for partner in PARTNERS}
 
     async def _roll_out(self) -> None:
@@ -187,7 +188,7 @@
         for role, key_id in zip(
             (signing.Role.AUTHOR, signing.Role.APPROVER), _OPERATORS, strict=True
         ):
-            signed = signing.sign(signed, role, signing.Key(key_id, self._keys[key_id]))
+            signed = signing.sign(signed, role, self._keys[key_id])
         return signed
 
     def _print_addresses(self) -> None:
@@ -197,8 +198,14 @@
         print(f"look-up    http://{caller}/lookup?partner=cosecha&address=192.0.2.1")
         print(f"read       http://{caller}/cosecha/catalogo/menu?bytes=200")
         print(f"operators  http://{entry.operators_server.bound_address}/ready")
+        platform = f"--platform http://{self._platform_server.bound_address}"
+        key_file = self._key_file(_OPERATORS[0])
+        print(f"report     coralfall report {platform} --key {key_file} --html report.html")
         print("Ctrl-C ends it.")
 
+    def _key_file(self, key_id: KeyId) -> pathlib.Path:
+        return self._folder / f"{key_id}.key"
+
     async def _watch(self, started: float) -> None:
         while True:
             await asyncio.sleep(1.0)
--- a/src/coralfall/report_text.py
+++ b/src/coralfall/report_text.py
@@ -4,11 +4,14 @@
 import typing as t
 
 from .burn import WINDOWS_S
+from .ids import TargetState
 
 if t.TYPE_CHECKING:
-    from .fleet_report import FleetReport, Headroom
+    from .fleet_report import FleetReport, Headroom, TargetReport
 
 Row = t.Sequence[str]
+#: Targets shown on a terminal: those that stand out, then those with the least room.
+MAX_TARGETS = 12
 
 
 def report_lines(report: "FleetReport") -> t.List[str]:
@@ -25,6 +28,9 @@
     lines += _section("services", _service_rows(report))
     lines += _section("regions", _region_rows(report))
     lines += _section("targets", _target_rows(report))
+    hidden = len(report.targets) - MAX_TARGETS
+    if hidden > 0:
+        lines.append(f"  {hidden} more with as much room or more; --json and --html have all")
     lines += _section("drains", _drain_rows(report))
     lines += _section("entries", _entry_rows(report))
     return lines
@@ -145,7 +151,7 @@
 def _target_rows(report: "FleetReport") -> t.List[Row]:
     head = ("target", "service", "region", "state", "usable", "owned", "in flight", "free")
     rows: t.List[Row] = [(*head, "suspected by")]
-    for target in report.targets:
+    for target in sorted(report.targets, key=_calm)[:MAX_TARGETS]:
         rows.append(
             (
                 target.target_id,
@@ -159,6 +165,14 @@
     return rows
 
 
+def _calm(target: "TargetReport") -> t.Tuple[bool, bool, float]:
+    """The lower, the more a target deserves a look."""
+    unsuspected = not target.suspected_by
+    unchanged = target.state is TargetState.ACTIVE
+    free_share = target.headroom.free_share
+    return unsuspected, unchanged, 0.0 if free_share is None else free_share
+
+
 def _drain_rows(report: "FleetReport") -> t.List[Row]:
     rows: t.List[Row] = [("target", "marked", "in flight", "idle after", "told by")]
     for drain in report.drains:
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -269,6 +269,19 @@
         self.assertIn(on_page, _Page(render_page(report)).text)
         self.assertIn(in_text, "\n".join(report_lines(report)))
 
+    def test_of_many_targets_a_terminal_shows_those_that_stand_out(self) -> None:
+        targets = [make_target(f"t{number:02d}", 1) for number in range(20)]
+        targets.append(make_target("t20", 6))
+        targets.append(make_target("t21", 0, state=TargetState.JOINING))
+        targets.append(make_target("t22", 0, suspect=True))
+        report = merge(make_status("e1", targets=tuple(targets)))
+        lines = report_lines(report)
+        shown = [line.split()[0] for line in lines if line.startswith("  t") and "sierra" in line]
+        self.assertEqual(["t22", "t21", "t20", "t00", "t01"], shown[:5])
+        self.assertEqual(12, len(shown))
+        self.assertIn("  11 more with as much room", "\n".join(lines))
+        self.assertEqual(23, render_page(report).count('class="target"'))
+
     def test_names_are_escaped(self) -> None:
         name = "<script>&'\""
         parsed = _Page(render_page(self.make_report(name)))
@@ -418,5 +431,29 @@
             parse_seeds(["e1@10.0.0.1:80", text])
 
 
+class WatchTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_outage_does_not_end_it(self) -> None:
+        reads = [merge(make_status("e1")), PlatformError("away"), merge(make_status("e2"))]
+        read = mock.AsyncMock(side_effect=reads)
+        sleep = mock.AsyncMock(side_effect=[None, None, asyncio.CancelledError])
+        shown: t.List[str] = []
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            mock.patch.object(report_cli, "_report_once", read),
+            mock.patch.object(report_cli.asyncio, "sleep", sleep),
+            mock.patch.object(
+                report_cli.terminal, "report", lambda error, _: shown.append("error")
+            ),
+            mock.patch.object(report_cli, "show", lambda *_: shown.append("report")),
+        ):
+            path = pathlib.Path(folder) / "page.html"
+            with self.assertRaises(asyncio.CancelledError):
+                await report_cli._watch(mock.Mock(), path, 5.0, False)
+            self.assertIn('content="5"', path.read_text())
+            self.assertEqual([path], list(path.parent.iterdir()), "no part is left behind")
+        self.assertEqual(["report", "error", "report"], shown)
+        self.assertEqual([mock.call(5.0)] * 3, sleep.call_args_list)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_report_processes.py
+++ b/tests/test_report_processes.py
@@ -1,9 +1,13 @@
 """The report and the look-up against separate processes: counts are exact, strangers refused."""
 
 import json
+import pathlib
+import shlex
+import tempfile
 import typing as t
+import unittest
 
-from tests.processes import PARTNER
+from tests.processes import PARTNER, Fleet
 from tests.test_processes import ENTRIES, ProcessCase
 
 #: Requests sent to each entry in turn, by service and outcome.
@@ -99,3 +103,21 @@
         self.assertEqual({self.fleet.address_by_name[entry] for entry in ENTRIES}, named)
         unknown = self.fleet.cli("lookup", *entries, "--partner", "nobody", expect=2)
         self.assertIn("not known; use one of cosecha", unknown.stderr)
+
+
+class TestDevelopmentMode(unittest.IsolatedAsyncioTestCase):
+    async def test_the_command_that_it_prints_reports(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        fleet = Fleet(pathlib.Path(folder.name))
+        self.addCleanup(fleet.close)
+        fleet.start("dev", "dev", "--seconds", "6")
+        prefix = "report     coralfall "
+        await fleet.until(lambda: "Ctrl-C ends it" in fleet.log_of("dev"), "dev serves")
+        (line,) = [line for line in fleet.log_of("dev").splitlines() if line.startswith(prefix)]
+        page = fleet.folder / "page.html"
+        command = line.removeprefix(prefix).replace("report.html", str(page))
+        done = fleet.cli(*shlex.split(command))
+        self.assertIn("4 of 4 entries answered", done.stdout)
+        self.assertIn("4 of 4 entries answered", page.read_text())
+        self.assertEqual(0, await fleet.exit_status("dev"))
