Prove that no slot has two users, and take out what the proof found

Cause: slots, handover and lending were in use without the runs that show them safe. Four entries on skewed clocks now dispatch and lend all they may while they are paused, killed, cut off, parted, slowed and restarted; a naive allocator that sees every request is the reference, and once all is mended every slot must be of use again.

Weighed: rest by time alone. It overloads when an entry joins that a frozen one never hears of, so a newcomer also waits for acknowledgements. Ruled out: lending on the owner's word alone without the cap at its lease; with today's times the rest covers it, so the cap is a second guard.

--- a/src/coralfall/demand.py
+++ b/src/coralfall/demand.py
@@ -2,16 +2,16 @@
 
 
 class PeakDemand:
-    """The largest value of the last one to two windows.
+    """The largest value of the present window and the one before.
 
     :param window_s: length of a window in seconds.
     """
 
-    __slots__ = ("_before", "_now_started_at", "_peak", "_window_s")
+    __slots__ = ("_before", "_peak", "_window", "_window_s")
 
     def __init__(self, window_s: float) -> None:
         self._window_s = window_s
-        self._now_started_at = -float("inf")
+        self._window = 0
         self._peak = 0
         self._before = 0
 
@@ -21,14 +21,14 @@
         self._peak = max(self._peak, value)
 
     def peak(self, now: float) -> int:
-        """The largest value recorded within the last window, and at most one before."""
+        """The largest value recorded lately: for one window surely, for two at most."""
         self._roll(now)
         return max(self._peak, self._before)
 
     def _roll(self, now: float) -> None:
-        passed = now - self._now_started_at
-        if passed < self._window_s:
+        window = int(now // self._window_s)
+        if window == self._window:
             return
-        self._before = self._peak if passed < 2 * self._window_s else 0
+        self._before = self._peak if window == self._window + 1 else 0
         self._peak = 0
-        self._now_started_at = now
+        self._window = window
--- a/src/coralfall/lease.py
+++ b/src/coralfall/lease.py
@@ -12,7 +12,7 @@
     While the platform is out of reach nothing can be renewed, and stopping would turn each of
     its outages into one of ours.  So a lapsed lease may go on as ``FROZEN``.  This is safe for
     two reasons that lie elsewhere: an entry that joins uses no slot of a member that has not
-    acknowledged the new roster (see :mod:`coralfall.slots`), and a member is removed only on
+    acknowledged the new roster (see :mod:`coralfall.handover`), and a member is removed only on
     evidence that its VM is gone (see :mod:`coralfall.removal`).  The peer exchange that a
     frozen lease needs makes a removal known early.
 
--- a/src/coralfall/link.py
+++ b/src/coralfall/link.py
@@ -10,6 +10,8 @@
 
 import typing as t
 
+import msgspec
+
 from . import defaults
 from .bundle import Bundle
 from .ids import PartnerId, RegionId
@@ -19,12 +21,21 @@
     from .limits import Limits
 
 
+class LinkRate(msgspec.Struct, frozen=True):
+    """Bytes a second that an entry may send into a region."""
+
+    #: With the slots that it holds.
+    held: float
+    #: For a single slot.
+    per_slot: float
+
+
 def link_rates(
     bundles: t.Iterable[t.Mapping[PartnerId, Bundle]],
     limits: "Limits",
     held: t.Mapping[RegionId, int],
-) -> t.Dict[RegionId, float]:
-    """Bytes a second that this entry may send into each region.
+) -> t.Dict[RegionId, LinkRate]:
+    """The rates of this entry into each region.
 
     :param bundles: bundles that may be in force; the least rate that a region has in any counts.
     :param limits: slots of all targets.
@@ -41,8 +52,8 @@
                 link_by_region[region_id] = min(known, region.link_bytes_per_s)
     rates = {}
     for region_id, link in link_by_region.items():
-        slots = slots_by_region.get(region_id, 0)
-        rates[region_id] = link * held.get(region_id, 0) / slots if slots else 0.0
+        per_slot = link / max(1, slots_by_region.get(region_id, 0))
+        rates[region_id] = LinkRate(per_slot * held.get(region_id, 0), per_slot)
     return rates
 
 
@@ -65,21 +76,23 @@
 
     def __init__(self, clock: "Clock") -> None:
         self._clock = clock
-        self._rates: t.Mapping[RegionId, float] = {}
+        self._rates: t.Mapping[RegionId, LinkRate] = {}
         self._bucket_by_region: t.Dict[RegionId, _Bucket] = {}
 
-    def set_rates(self, rates: t.Mapping[RegionId, float]) -> None:
-        """Go on at these rates, in bytes a second; a region that is not named has none."""
+    def set_rates(self, rates: t.Mapping[RegionId, LinkRate]) -> None:
+        """Go on at these rates; a region that is not named has none."""
         self._rates = rates
 
     def reserve(self, region: RegionId, size: int) -> float:
         """Seconds to wait before sending a piece of ``size`` bytes; it is counted as sent.
 
-        Infinite if the entry has no allowance into the region now.
+        To be asked only with a slot in the region at hand: if the rates were set before that
+        slot was borrowed, a single slot's rate counts.  Infinite for an unknown region.
         """
-        rate = self._rates.get(region, 0.0)
-        if rate <= 0:
+        known = self._rates.get(region)
+        if known is None:
             return float("inf")
+        rate = max(known.held, known.per_slot)
         now = self._clock.monotonic()
         bucket = self._bucket_by_region.get(region)
         if bucket is None:
--- a/src/coralfall/slots.py
+++ b/src/coralfall/slots.py
@@ -21,7 +21,7 @@
     from .settings import LeaseSettings
 
 #: Targets worked through in one step of :meth:`SlotTable.update`.
-TARGETS_PER_STEP = 32
+TARGETS_PER_STEP = 8
 #: Seconds for which the peak of a service's demand is remembered.
 DEMAND_WINDOW_S = 2.0
 
@@ -102,6 +102,8 @@
         self._borrowed_by_target: t.Dict[TargetId, t.List[Slot]] = {}
         #: Slots owned no longer on which a request or a loan is still out.
         self._lost: t.Dict[t.Tuple[TargetId, int], Slot] = {}
+        #: Worked out when asked for, and forgotten with each change of what is held.
+        self._held_by_service: t.Dict[ServiceId, t.List[t.Tuple[Slot, "TargetLimit"]]] = {}
         self._in_flight_by_target: t.Dict[TargetId, int] = {}
         self._in_flight_by_service: t.Dict[ServiceId, int] = {}
         self._demand_by_service: t.Dict[ServiceId, PeakDemand] = {}
@@ -218,11 +220,12 @@
 
     def free_by_target(self, service: ServiceId) -> t.Dict[TargetId, int]:
         """Targets of a service with slots that :meth:`acquire` could give now, and how many."""
-        free_by_target = {}
-        for target_id in self._held_targets(service):
-            count = self.free(target_id)
-            if count:
-                free_by_target[target_id] = count
+        free_by_target: t.Dict[TargetId, int] = {}
+        now = self._clock.monotonic()
+        leased = self._lease.may_dispatch()
+        for slot, limit in self._held(service):
+            if not slot.busy and _may_use(slot, limit, limit.usable, now, leased):
+                free_by_target[slot.target_id] = free_by_target.get(slot.target_id, 0) + 1
         return free_by_target
 
     def in_flight(self, target_id: TargetId) -> int:
@@ -249,8 +252,13 @@
     def idle_slots(self, service: ServiceId) -> t.List[Slot]:
         """Owned slots of the service that could be used or lent now."""
         idle = []
-        for target_id in self._held_targets(service):
-            idle += [slot for slot in self._free(target_id, None) if slot.loan is None]
+        now = self._clock.monotonic()
+        leased = self._lease.may_dispatch()
+        for slot, limit in self._held(service):
+            if slot.busy or slot.loan is not None:
+                continue
+            if _may_use(slot, limit, limit.usable, now, leased):
+                idle.append(slot)
         return idle
 
     def busy_slots(self) -> t.List[Slot]:
@@ -263,13 +271,14 @@
     def held_by_region(self) -> t.Dict[RegionId, int]:
         """Slots by region that this entry may use now or is using."""
         now = self._clock.monotonic()
+        leased = self._lease.may_dispatch()
         held: t.Dict[RegionId, int] = {}
         for target_id in {**self._owned_by_target, **self._borrowed_by_target}:
             limit = self._limits.get(target_id)
             if limit is None:
                 continue
             for slot in self._slots(target_id):
-                if slot.busy or self._may_use(slot, limit.usable, now):
+                if slot.busy or _may_use(slot, limit, limit.usable, now, leased):
                     held[slot.region] = held.get(slot.region, 0) + 1
         return held
 
@@ -303,12 +312,14 @@
         slot.valid_until = valid_until
         slot.used_at = self._clock.monotonic()
         self._borrowed_by_target.setdefault(lent.target, []).append(slot)
+        self._held_by_service = {}
         return slot
 
     def give_back(self, slot: Slot) -> None:
         """Forget a borrowed slot that no request holds."""
         borrowed = self._borrowed_by_target[slot.target_id]
         borrowed.remove(slot)
+        self._held_by_service = {}
         if not borrowed:
             del self._borrowed_by_target[slot.target_id]
 
@@ -317,6 +328,7 @@
     def _take_limits(self, limits: "Limits") -> None:
         before = self._limits
         self._limits = limits
+        self._held_by_service = {}
         for target_id, limit in limits.items():
             old = before.get(target_id)
             if old is limit:
@@ -397,6 +409,7 @@
             slot.rests_from = self._changed_at + self._lapse_s
         slot.blocker = _UNSETTLED
         self._owned_by_target.setdefault(target_id, {})[index] = slot
+        self._held_by_service = {}
         return slot
 
     def _drop_all(self) -> None:
@@ -419,6 +432,7 @@
     def _drop(self, target_id: TargetId, index: int) -> None:
         owned = self._owned_by_target[target_id]
         slot = owned.pop(index)
+        self._held_by_service = {}
         if not owned:
             del self._owned_by_target[target_id]
         if slot.busy or slot.lent_until > self._clock.monotonic():
@@ -443,27 +457,22 @@
             return
         ceiling = limit.usable if below is None else min(limit.usable, below)
         now = self._clock.monotonic()
+        leased = self._lease.may_dispatch()
         for slot in self._slots(target_id):
-            if not slot.busy and self._may_use(slot, ceiling, now):
+            if not slot.busy and _may_use(slot, limit, ceiling, now, leased):
                 yield slot
 
-    def _may_use(self, slot: Slot, ceiling: int, now: float) -> bool:
-        """Whether the slot is this entry's to use now, busy or not."""
-        if slot.index >= ceiling or now >= slot.valid_until:
-            return False
-        if slot.loan is not None:
-            return True
-        if slot.blocker is not None or now < slot.lent_until or not self._lease.may_dispatch():
-            return False
-        timeout_s = self._limits[slot.target_id].timeout_s
-        return now >= slot.rests_from + timeout_s + defaults.HANDOVER_MARGIN_S
-
-    def _held_targets(self, service: ServiceId) -> t.List[TargetId]:
+    def _held(self, service: ServiceId) -> t.List[t.Tuple[Slot, "TargetLimit"]]:
+        """Slots of a service, free or not, with the limits of their targets."""
+        held = self._held_by_service.get(service)
+        if held is not None:
+            return held
         held = []
         for target_id in {**self._owned_by_target, **self._borrowed_by_target}:
             limit = self._limits.get(target_id)
             if limit is not None and limit.service == service:
-                held.append(target_id)
+                held += [(slot, limit) for slot in self._slots(target_id)]
+        self._held_by_service[service] = held
         return held
 
     def _hold(self, slot: Slot, limit: "TargetLimit") -> None:
@@ -483,5 +492,19 @@
         peak.record(self.in_use(service) + 1, self._clock.monotonic())
 
 
+def _may_use(slot: Slot, limit: "TargetLimit", ceiling: int, now: float, leased: bool) -> bool:
+    """Whether the slot is this entry's to use now, busy or not.
+
+    :param leased: whether the entry's lease counts, which borrowed slots do not need.
+    """
+    if slot.index >= ceiling or now >= slot.valid_until:
+        return False
+    if slot.loan is not None:
+        return True
+    if slot.blocker is not None or now < slot.lent_until or not leased:
+        return False
+    return now >= slot.rests_from + limit.timeout_s + defaults.HANDOVER_MARGIN_S
+
+
 def _key(slot: Slot) -> t.Tuple[TargetId, int]:
     return slot.target_id, slot.index
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -85,6 +85,8 @@
         self.row_by_key: t.Dict[str, Row] = {}
         self.vms: t.Dict[VmId, Vm] = {}
         self.nodes: t.Dict[str, Node] = {}
+        #: Entries whose VMs the list calls gone although they run, and may be isolated.
+        self.vms_gone_wrongly: t.Set[str] = set()
         #: Pairs of entries that can't reach each other.
         self.apart: t.Set[t.FrozenSet[str]] = set()
         self.requests: t.List[Request] = []
@@ -133,10 +135,29 @@
         What the safety argument leaves out is left out here: a VM that the list calls gone
         reaches the platform when it is back.
         """
-        for node in self.nodes.values():
-            if not node.runs():
+        for name, node in self.nodes.items():
+            if not node.runs() or name in self.vms_gone_wrongly:
                 self.vms.pop(node.member.vm_id, None)
 
+    def mend(self) -> None:
+        """End all faults; entries that are out of the roster start again."""
+        self.apart.clear()
+        for name, node in list(self.nodes.items()):
+            node.paused = node.cut_off = node.slow = node.hesitant = False
+            if node.dead or node.gone:
+                node.dead = True
+                Node(self, name, node.clock.offset)
+        self.run(20)
+
+    def usable(self) -> int:
+        """Slots that their owners could use or lend now, or are using."""
+        count = 0
+        for node in self.nodes.values():
+            node.finish()
+            count += len([slot for slot in node.slots.busy_slots() if slot.loan is None])
+            count += node.slots.idle(SERVICE) + node.lender.lent()
+        return count
+
 
 class Node:
     """One life of an entry."""
@@ -175,7 +196,8 @@
 
     def isolated(self) -> bool:
         """Whether the platform can't be reached."""
-        return self.cut_off and self.member.vm_id in self.world.vms
+        listed = self.member.vm_id in self.world.vms or self.name in self.world.vms_gone_wrongly
+        return self.cut_off and listed
 
     def later(self, arrive: t.Callable[[], None]) -> None:
         """Let something arrive now or, on a slow node, some time later."""
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,220 @@
+"""When a new owner may use its slots, and what becomes of those it loses."""
+
+import typing as t
+import unittest
+
+import msgspec
+from parameterized import parameterized
+
+from coralfall import defaults
+from coralfall.clock import ManualClock
+from coralfall.handover import Ack
+from coralfall.ids import EntryId, EntryState, Incarnation, Revision, TargetId
+from coralfall.lease import Lease
+from coralfall.limits import CapacityLimits, Limits
+from coralfall.platform import Row
+from coralfall.roster import Roster
+from coralfall.rows import roster_key
+from coralfall.settings import LeaseSettings
+from coralfall.slots import SlotTable
+from tests.bundles import COSECHA, make_bundle, make_target
+from tests.test_roster import deleted, make_member, put
+
+TTL_S = 6.0
+SLOTS = 40
+MARGIN_S = defaults.HANDOVER_MARGIN_S
+T0 = TargetId("t0")
+
+
+def make_limits(slots: int = SLOTS, timeout_s: float = 1.0) -> Limits:
+    targets = {"t0": make_target("sierra", slots)}
+    bundle = make_bundle("cosecha", {"sierra": 999}, targets, timeout_ms=int(timeout_s * 1000))
+    return CapacityLimits(ManualClock()).update({COSECHA: bundle}, {}, {}, 0)
+
+
+class Entry:
+    """An entry ``a`` whose lease never lapses."""
+
+    def __init__(self, limits: Limits) -> None:
+        self.clock = ManualClock(100)
+        settings = LeaseSettings(ttl_s=TTL_S)
+        lease = Lease(settings, self.clock)
+        lease.renewed(1e9)
+        self.roster = Roster()
+        self.limits = limits
+        self.slots = SlotTable(EntryId("a"), lease, self.clock, settings)
+
+    def rows(self, *rows: Row) -> None:
+        self.roster.apply(rows)
+        self.work()
+
+    def ack(self, name: str, revision: int, incarnation: int = 1) -> None:
+        ack = Ack(EntryId(name), Incarnation(incarnation), Revision(revision))
+        self.slots.take_acks([ack])
+        self.work()
+
+    def work(self) -> None:
+        self.slots.update(self.roster, self.limits)
+        for _ in self.slots.steps():
+            pass
+
+    def usable_from(self, horizon_s: float = 60) -> t.Dict[float, int]:
+        """Seconds from now at which the number of free slots changes, and to what."""
+        found: t.Dict[float, int] = {}
+        start, known = self.clock.now, 0
+        for tenth in range(int(horizon_s * 10)):
+            self.clock.now = start + tenth / 10
+            free = self.slots.free(T0)
+            if free != known:
+                found[tenth / 10] = known = free
+        self.clock.now = start
+        return found
+
+
+class RestTest(unittest.TestCase):
+    """Each row: events as (seconds to wait before it, what happens), expected usable slots."""
+
+    def setUp(self) -> None:
+        self.entry = Entry(make_limits())
+
+    def _share(self, *names: str) -> int:
+        """Slots that ``a`` owns beside the named ones."""
+        alone = Entry(self.entry.limits)
+        alone.rows(put("a", 1), *(put(name, 1 + number) for number, name in enumerate(names)))
+        return sum(len(owned) for owned in alone.slots._owned_by_target.values())
+
+    @parameterized.expand(
+        [
+            ("first_of_all", [(0, put("a", 1))], {0: ""}),
+            ("other_has_left", [(0, deleted("b", 1)), (0, put("a", 2))], {7.5: ""}),
+            ("own_earlier_life", [(0, put("a", 1)), (0, put("a", 2, 2))], {7.5: ""}),
+            ("other_removed", [(0, put("a", 1)), (0, put("b", 2)), (9, deleted("b", 3))], {0: "b"}),
+        ]
+    )
+    def test_alone(
+        self, _name: str, events: t.List[t.Tuple[float, Row]], usable: t.Dict[float, str]
+    ) -> None:
+        for seconds, row in events:
+            self.entry.clock.advance(seconds)
+            self.entry.rows(row)
+        expected = {at: self._share(*others) for at, others in usable.items()}
+        if usable == {0: "b"}:
+            expected[7.5] = SLOTS
+        self.assertEqual(self.entry.usable_from(), expected)
+
+    @parameterized.expand(
+        [
+            ("nobody_acked", [], {}),
+            ("early_ack", [(2, "b", 2)], {5.5: "b"}),
+            ("late_ack", [(20, "b", 2)], {defaults.LOAN_S + 1 + MARGIN_S: "b"}),
+            ("ack_of_older_roster", [(20, "b", 1)], {}),
+            ("ack_of_newer_roster", [(20, "b", 3)], {}),
+            ("ack_of_other_life", [(20, "b", 2, 7)], {}),
+        ]
+    )
+    def test_join(
+        self, _name: str, acks: t.List[t.Tuple[t.Any, ...]], usable: t.Dict[float, str]
+    ) -> None:
+        self.entry.rows(put("b", 1), put("a", 2))
+        for seconds, *ack in acks:
+            self.entry.clock.advance(seconds)
+            self.entry.ack(*ack)
+        expected = {at: self._share(*others) for at, others in usable.items()}
+        self.assertEqual(self.entry.usable_from(), expected)
+
+    def test_ack_of_newer_roster_counts_once_caught_up(self) -> None:
+        self.entry.rows(put("b", 1), put("a", 2))
+        self.entry.ack("b", 3)
+        self.entry.clock.advance(20)
+        self.entry.rows(put("c", 3))
+        self.entry.ack("c", 3)
+        self.assertEqual(self.entry.usable_from(), {3.5: self._share("b", "c")})
+
+    def test_removal_of_an_awaited_member_rests_anew(self) -> None:
+        self.entry.rows(put("b", 1), put("a", 2))
+        self.entry.clock.advance(30)
+        self.entry.rows(deleted("b", 3))
+        self.assertEqual(self.entry.usable_from(), {7.5: SLOTS})
+
+    def test_member_blocks_only_what_it_may_own(self) -> None:
+        self.entry.rows(put("b", 1), put("c", 2), put("a", 3))
+        self.entry.ack("b", 3)
+        self.entry.clock.advance(20)
+        self.assertEqual(self.entry.usable_from(), {})
+        self.entry.ack("c", 2)  # c knows b, so it owns nothing that b would own before it.
+        self.assertEqual(list(self.entry.usable_from()), [3.5])
+        partly = self.entry.usable_from()[3.5]
+        self.assertTrue(0 < partly < self._share("b", "c"))
+        self.entry.ack("c", 3)
+        self.entry.clock.advance(20)
+        self.assertEqual(self.entry.usable_from(), {0: self._share("b", "c")})
+
+    def test_rejoining_under_the_same_number_is_a_join(self) -> None:
+        self.entry.rows(put("b", 1), put("a", 2))
+        self.entry.ack("b", 2)
+        self.entry.clock.advance(20)
+        self.entry.rows(put("a", 5))
+        self.assertEqual(self.entry.usable_from(), {})
+        leaving = msgspec.structs.replace(make_member("a"), state=EntryState.LEAVING)
+        self.entry.ack("b", 5)
+        self.entry.clock.advance(20)
+        row = Row(roster_key(EntryId("a")), msgspec.msgpack.encode(leaving), Revision(6))
+        self.entry.rows(row)
+        self.assertEqual(self.entry.usable_from(), {0: self._share("b")})
+
+    def test_longer_timeout_rests_longer(self) -> None:
+        self.entry.limits = make_limits(timeout_s=4.0)
+        self.entry.rows(deleted("b", 1), put("a", 2))
+        self.assertEqual(self.entry.usable_from(), {TTL_S + 4 + MARGIN_S: SLOTS})
+
+    def test_bundle_that_adds_slots_moves_none(self) -> None:
+        self.entry.limits = make_limits(4)
+        self.entry.rows(deleted("b", 1), put("a", 2))
+        self.entry.clock.advance(30)
+        self.entry.limits = make_limits(SLOTS)
+        self.entry.work()
+        self.assertEqual(self.entry.usable_from(), {0: SLOTS})
+
+
+class LossTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.entry = Entry(make_limits())
+        self.entry.rows(put("a", 1))
+        self.slots = self.entry.slots
+        self.held = [self.slots.acquire(T0) for _ in range(SLOTS)]
+
+    def _lost(self) -> t.List[t.Any]:
+        return [slot for slot in self.held if not self.slots.confirm(slot)]
+
+    def test_lost_at_once_and_counted_until_over(self) -> None:
+        self.assertIsNone(self.slots.acquire(T0))
+        self.assertEqual(self._lost(), [])
+        self.entry.rows(put("b", 2))
+        lost = self._lost()
+        self.assertTrue(0 < len(lost) < SLOTS)
+        self.assertEqual(self.slots.in_flight(T0), SLOTS)
+        for slot in [*lost, *lost]:
+            self.slots.release(slot)
+        self.assertEqual(self.slots.in_flight(T0), SLOTS - len(lost))
+        self.assertEqual(self.slots.free(T0), 0)
+
+    def test_regained_while_busy(self) -> None:
+        self.entry.rows(put("b", 2))
+        self.entry.rows(deleted("b", 3))
+        self.assertEqual(len(self.slots.busy_slots()), SLOTS)
+        self.assertEqual(self.entry.usable_from(), {})
+        for slot in self.held:
+            self.slots.release(slot)
+        self.assertEqual(list(self.entry.usable_from().values())[-1], SLOTS)
+
+    def test_leaving_target_is_refused_at_the_last_check(self) -> None:
+        self.entry.limits = make_limits(1)
+        self.entry.work()
+        self.assertEqual(len(self._lost()), SLOTS - 1)
+
+    def test_nothing_is_acknowledged_while_a_request_outlasts_the_timeout(self) -> None:
+        self.entry.limits = make_limits(timeout_s=0.2)
+        self.entry.rows(put("b", 2))
+        self.assertEqual(self.slots.acknowledged, 0)
+        self.entry.clock.advance(0.9)
+        self.assertEqual(self.slots.acknowledged, 2)
--- /dev/null
+++ b/tests/test_lending.py
@@ -0,0 +1,244 @@
+"""Loans between an owner and a borrower, and the allowance on links that goes with slots."""
+
+import random
+import typing as t
+import unittest
+
+from parameterized import parameterized
+
+from coralfall import defaults
+from coralfall.bundle import Bundle
+from coralfall.clock import ManualClock
+from coralfall.demand import PeakDemand
+from coralfall.ids import EntryId, PartnerId, RegionId, ServiceId
+from coralfall.lease import Lease
+from coralfall.lending import Ask, Borrower, Lender, Return
+from coralfall.link import LinkAllowance, LinkRate, link_rates
+from coralfall.messages import LoanAnswer, LoanReturn
+from coralfall.roster import Roster
+from coralfall.settings import LeaseSettings
+from coralfall.slots import SlotTable
+from tests.bundles import CENTRO, COSECHA, SIERRA, make_bundle, make_target
+from tests.test_handover import MARGIN_S, SLOTS, T0, make_limits
+from tests.test_roster import put
+
+SERVICE = ServiceId("pedidos")
+OWNER, BORROWER = EntryId("a"), EntryId("b")
+HELD_S = defaults.LOAN_S + 1 + MARGIN_S
+
+
+class LoanTest(unittest.TestCase):
+    """An owner of all slots and a borrower of none."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock(100)
+        settings = LeaseSettings(ttl_s=6)
+        self.lease = Lease(settings, self.clock)
+        self.lease.renewed(100)
+        self.owned = SlotTable(OWNER, self.lease, self.clock, settings)
+        roster = Roster()
+        roster.apply([put("a", 1)])
+        self.owned.update(roster, make_limits())
+        for _ in self.owned.steps():
+            pass
+        self.lender = Lender(self.owned, self.lease, self.clock, random.Random(1))
+        # The borrower has no lease at all, as one that could not join.
+        self.used = SlotTable(BORROWER, Lease(settings, self.clock), self.clock, settings)
+        self.used.update(Roster(), make_limits())
+        self.borrower = Borrower(self.used, self.clock, random.Random(2))
+        self.borrower.heard(OWNER, {SERVICE: 30})
+
+    def _ask(self, count: int = 2, regions: t.Sequence[RegionId] = ()) -> Ask:
+        ask = self.borrower.ask(SERVICE, count, regions)
+        assert ask is not None
+        return ask
+
+    def _borrow(self, count: int = 2) -> LoanAnswer:
+        ask = self._ask(count)
+        answer = self.lender.answer(BORROWER, ask.request)
+        self.assertEqual(self.borrower.answered(ask, answer), [])
+        return answer
+
+    def _deliver(self, returns: t.List[Return]) -> None:
+        for back in returns:
+            self.lender.returned(BORROWER, back.message)
+
+    def _free(self) -> t.Tuple[int, int]:
+        return self.owned.free(T0), self.used.free(T0)
+
+    def test_lent_slot_has_one_user(self) -> None:
+        self._borrow()
+        self.assertEqual(self._free(), (SLOTS - 2, 2))
+        self.clock.advance(defaults.LOAN_S - 0.1)
+        self.assertEqual(self._free(), (SLOTS - 2, 2))
+        self.clock.advance(0.1)
+        self.assertEqual(self._free(), (SLOTS - 2, 0))
+        self.clock.advance(HELD_S - defaults.LOAN_S - 0.1)
+        self.assertEqual(self._free(), (SLOTS - 2, 0))
+        self.clock.advance(0.1)
+        self.assertEqual((self._free(), self.lender.lent()), ((SLOTS, 0), 0))
+
+    def test_counts_from_the_request_on_the_borrowers_side(self) -> None:
+        ask = self._ask()
+        self.clock.advance(1.5)
+        answer = self.lender.answer(BORROWER, ask.request)
+        self.clock.advance(0.4)
+        self.borrower.answered(ask, answer)
+        slot = self.used.acquire(T0)
+        assert slot is not None
+        self.assertTrue(self.used.confirm(slot))
+        self.clock.advance(0.1)
+        self.assertFalse(self.used.confirm(slot))
+
+    def test_late_answer_is_given_back_unused(self) -> None:
+        ask = self._ask()
+        answer = self.lender.answer(BORROWER, ask.request)
+        self.clock.advance(defaults.LOAN_S)
+        self._deliver(self.borrower.answered(ask, answer))
+        self.assertEqual(self._free(), (SLOTS, 0))
+
+    def test_given_back_when_idle_but_not_while_a_request_runs(self) -> None:
+        self._borrow()
+        slot = self.used.acquire_any([T0])
+        assert slot is not None
+        self.clock.advance(defaults.LOAN_IDLE_S)
+        self._deliver(self.borrower.due_returns())
+        self.assertEqual((self._free(), self.borrower.borrowed()), ((SLOTS - 1, 0), 1))
+        self.clock.advance(defaults.LOAN_S)
+        self.assertEqual(self.borrower.due_returns(), [])
+        self.used.release(slot)
+        self._deliver(self.borrower.due_returns())
+        self.assertEqual(self._free(), (SLOTS, 0))
+
+    @parameterized.expand(
+        [("other_borrower", 0, "c"), ("after_its_time", HELD_S, "b"), ("other_loan", 0, "b", 1)]
+    )
+    def test_void_return(self, _name: str, wait_s: float, sender: str, off_by: int = 0) -> None:
+        first = self._borrow(SLOTS)
+        self.clock.advance(wait_s)
+        if wait_s:
+            self.borrower.due_returns()
+            self.lease.renewed(self.clock.now)
+            self.borrower.heard(OWNER, {SERVICE: SLOTS})
+            self._borrow(SLOTS)
+        before = self.owned.free(T0)
+        message = LoanReturn(loan_id=first.loan_id + off_by, slots=first.slots)
+        self.lender.returned(EntryId(sender), message)
+        self.assertEqual(self.owned.free(T0), before)
+
+    @parameterized.expand(
+        [
+            ("whole", 1.0, defaults.LOAN_S),
+            ("cut_to_the_lease", 5.0, 1.0),
+            ("too_short", 5.9, 0.0),
+            ("lapsed", 7.0, 0.0),
+        ]
+    )
+    def test_ends_with_the_owners_lease(self, _name: str, age_s: float, seconds: float) -> None:
+        self.clock.advance(age_s)
+        self.borrower.heard(OWNER, {SERVICE: 30})
+        answer = self.lender.answer(BORROWER, self._ask().request)
+        self.assertAlmostEqual(answer.seconds, seconds)
+        self.assertEqual(len(answer.slots), 2 if seconds else 0)
+
+    def test_owner_keeps_what_it_wanted_lately(self) -> None:
+        slots = [self.owned.acquire(T0) for _ in range(SLOTS - 3)]
+        self.assertEqual(self.lender.lendable(SERVICE), 3)
+        for slot in slots:
+            assert slot is not None
+            self.owned.release(slot)
+        self.assertEqual(self.lender.lendable(SERVICE), 3)
+        self.clock.advance(4)
+        self.assertEqual(self.lender.lendable(SERVICE), SLOTS)
+
+    def test_only_regions_that_are_of_use(self) -> None:
+        for regions, count in (([CENTRO], 0), ([CENTRO, SIERRA], 2)):
+            ask = self._ask(2, regions)
+            self.assertEqual(len(self.lender.answer(BORROWER, ask.request).slots), count)
+            self.borrower.failed(ask)
+
+    def test_limit_of_the_borrower_counts_too(self) -> None:
+        self.used.update(Roster(), make_limits(1))
+        ask = self._ask(SLOTS)
+        answer = self.lender.answer(BORROWER, ask.request)
+        self._deliver(self.borrower.answered(ask, answer))
+        self.assertEqual((self.used.free(T0), self.lender.lent()), (1, 1))
+
+
+class AskTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        settings = LeaseSettings()
+        slots = SlotTable(BORROWER, Lease(settings, self.clock), self.clock, settings)
+        self.borrower = Borrower(slots, self.clock, random.Random(3))
+
+    def test_asks_are_bounded_and_count_each_other(self) -> None:
+        self.assertIsNone(self.borrower.ask(SERVICE, 2))
+        self.borrower.heard(OWNER, {SERVICE: 9})
+        first = self.borrower.ask(SERVICE, 2)
+        assert first is not None
+        self.assertIsNone(self.borrower.ask(SERVICE, 2))
+        second = self.borrower.ask(SERVICE, 5)
+        assert second is not None
+        self.assertEqual((first.request.count, second.request.count), (2, 3))
+        self.assertIsNone(self.borrower.ask(SERVICE, 99))
+        self.borrower.failed(first)
+        self.assertEqual(self.borrower.ask(SERVICE, 99).request.count, 4)  # type: ignore[union-attr]
+
+    @parameterized.expand([("stale", 5.1, 2), ("gone", 0.0, 2), ("nothing", 0.0, 0)])
+    def test_nobody_to_ask(self, name: str, wait_s: float, idle: int) -> None:
+        self.borrower.heard(OWNER, {SERVICE: idle})
+        if name == "gone":
+            self.borrower.forget(OWNER)
+        self.clock.advance(wait_s)
+        self.assertIsNone(self.borrower.ask(SERVICE, 1))
+
+    def test_asks_are_spread_and_lean_to_those_with_more(self) -> None:
+        asked = dict.fromkeys("cdef", 0)
+        for _ in range(400):
+            for name, idle in zip("cdef", (1, 5, 5, 20), strict=True):
+                self.borrower.heard(EntryId(name), {SERVICE: idle})
+            ask = self.borrower.ask(SERVICE, 1)
+            assert ask is not None
+            asked[ask.peer] += 1
+            self.borrower.failed(ask)
+        self.assertEqual(asked["c"], 0)
+        self.assertTrue(0 < asked["d"] < asked["f"] < 300)
+
+
+class PeakDemandTest(unittest.TestCase):
+    def test_forgets_after_one_to_two_windows(self) -> None:
+        demand = PeakDemand(2.0)
+        demand.record(5, 0.0)
+        demand.record(3, 1.0)
+        self.assertEqual([demand.peak(at) for at in (1.9, 3.9, 4.1)], [5, 5, 0])
+
+
+class LinkTest(unittest.TestCase):
+    def _bundles(self) -> t.Dict[PartnerId, Bundle]:
+        targets = {"t0": make_target("sierra", 6), "t1": make_target("sierra", 4)}
+        return {COSECHA: make_bundle("cosecha", {"sierra": 99}, targets)}
+
+    def test_share_by_slots(self) -> None:
+        rates = link_rates([self._bundles()], make_limits(10), {SIERRA: 3})
+        self.assertEqual(rates, {SIERRA: LinkRate(37_500_000, 12_500_000)})
+
+    def test_rate_is_kept_with_a_burst(self) -> None:
+        clock = ManualClock(10)
+        link = LinkAllowance(clock)
+        self.assertEqual(link.reserve(SIERRA, 1), float("inf"))
+        link.set_rates({SIERRA: LinkRate(1000.0, 100.0)})
+        sent, rng = 0, random.Random(5)
+        while clock.now < 40:
+            size = rng.randint(1, 300)
+            clock.advance(link.reserve(SIERRA, size))
+            sent += size
+            clock.advance(rng.choice([0, 0, 0, 0.3]))
+        bound = 1000 * (clock.now - 10 + defaults.LINK_BURST_S) + 300
+        self.assertTrue(0.5 * bound < sent <= bound)
+
+    def test_slot_borrowed_since_the_rates_were_set(self) -> None:
+        link = LinkAllowance(ManualClock(10))
+        link.set_rates({SIERRA: LinkRate(0.0, 100.0)})
+        link.reserve(SIERRA, 20)
+        self.assertAlmostEqual(link.reserve(SIERRA, 20), 0.1)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -1,12 +1,17 @@
 """Slots: no target or region ever gets more than it bears, whatever happens to the entries."""
 
+import typing as t
+import unittest
+
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from parameterized import parameterized
 
-from tests.fleet import Node, World
+from tests.fleet import REGION_SLOTS, Node, World
 
 OFFSET_BY_NAME = {"a": 0.0, "b": 5000.0, "c": -300.0, "d": 12.5}
+SEEDS = range(12)
 names = st.sampled_from(sorted(OFFSET_BY_NAME))
 
 
@@ -71,6 +76,15 @@
     def part_or_join(self, first: str, second: str) -> None:
         self.world.apart ^= {frozenset((first, second))}
 
+    def teardown(self) -> None:
+        """Once all is well again, every slot is of use again."""
+        world = getattr(self, "world", None)
+        if world is None:
+            return
+        world.mend()
+        world.run(60)
+        assert not world.nodes or world.usable() == REGION_SLOTS
+
     @invariant()
     def naive_allocator_agrees(self) -> None:
         world = getattr(self, "world", None)
@@ -81,3 +95,108 @@
 FleetTest.settings = settings(
     derandomize=True, max_examples=60, stateful_step_count=30, deadline=None
 )
+
+
+def suspended(world: World) -> None:
+    """A VM is suspended, called gone, removed, and comes back."""
+    world.nodes["a"].slow = True
+    world.run(3)
+    world.nodes["a"].paused = True
+    world.run(60)
+    world.nodes["a"].paused = False
+
+
+def split(world: World) -> None:
+    """Two entries reach each other, but neither the platform nor the third."""
+    Node(world, "d")
+    world.run(40)
+    for name in "ad":
+        world.nodes[name].cut_off = True
+        world.apart |= {frozenset((name, other)) for other in "bc"}
+    world.run(60)
+
+
+def newcomer_beyond_a_split(world: World) -> None:
+    """An entry joins that those who are cut off never hear of."""
+    split(world)
+    Node(world, "c")
+
+
+def newcomer_and_slow_dispatch(world: World) -> None:
+    """An owner takes slots, loses them to an entry that joins, and only then dispatches."""
+    world.nodes["a"].hesitant = True
+    world.run(2)
+    Node(world, "c")
+
+
+def restarted_alone(world: World) -> None:
+    """The only entry is killed amid its requests and starts again on its VM."""
+    world.nodes["b"].dead = True
+    world.run(60)
+    world.nodes["a"].dead = True
+    Node(world, "a")
+
+
+def lender_left(world: World) -> None:
+    """An owner leaves while its loans are out."""
+    world.nodes["a"].busy = False
+    world.run(20)
+    for _ in range(20):
+        world.run(1)
+        world.nodes["a"].leave()
+
+
+Scenario = t.Callable[[World], None]
+SCENARIOS = (
+    suspended,
+    split,
+    newcomer_beyond_a_split,
+    newcomer_and_slow_dispatch,
+    restarted_alone,
+    lender_left,
+)
+
+
+class ScenarioTest(unittest.TestCase):
+    """What the machine above finds only in many more runs."""
+
+    @parameterized.expand([(scenario.__name__, scenario) for scenario in SCENARIOS])
+    def test_naive_allocator_agrees(self, _name: str, scenario: Scenario) -> None:
+        for seed in SEEDS:
+            world = self._settled(seed)
+            scenario(world)
+            world.run(60)
+            self.assertEqual(world.wrong, [])
+
+    def test_platform_down(self) -> None:
+        """Owners go on without a gap, and a new entry lives on what they lend."""
+        world = self._settled(1)
+        for node in world.nodes.values():
+            node.cut_off = True
+        newcomer = Node(world, "c")
+        newcomer.cut_off = True
+        world.nodes["a"].busy = False
+        served = []
+        for _ in range(20):
+            world.run(5)
+            served.append({request.node.name for request in world.requests})
+        self.assertTrue(all("b" in names for names in served))
+        self.assertGreater(sum("c" in names for names in served), len(served) / 2)
+        self.assertEqual(world.wrong, [])
+
+    def test_hole_that_is_left(self) -> None:
+        """Isolated from all and called gone while it runs: that, and only that, overloads."""
+        world = self._settled(1)
+        split(world)
+        self.assertEqual(world.wrong, [])
+        world.vms_gone_wrongly = {"a"}
+        world.run(60)
+        self.assertNotEqual(world.wrong, [])
+
+    def _settled(self, seed: int) -> World:
+        world = World(seed)
+        Node(world, "a")
+        Node(world, "b", 77.0)
+        world.run(40)
+        self.assertEqual(world.usable(), REGION_SLOTS)
+        return world
