Say in the report whether peers still hear an entry that is silent

An entry that does not answer an operator may be dead, or only out of the operator's reach; the report told neither. It now says when any entry that answered last had a heartbeat of it, and how many of them find it behind in roster or versions.

Only heartbeats of the last 5 seconds count for the second: neighbours change, and what a former neighbour said a minute ago would call every entry behind after each change of the roster.

--- a/src/coralfall/fleet_report.py
+++ b/src/coralfall/fleet_report.py
@@ -19,11 +19,14 @@
     ZoneId,
 )
 from .rollout_status import PartnerStatus
-from .status import DrainStatus, EntryStatus, TargetStatus
+from .status import DrainStatus, EntryStatus, HeardStatus, TargetStatus
 
 if t.TYPE_CHECKING:
     from .operators_client import Asked
 
+#: Seconds for which a heartbeat says that its sender lags; neighbours change, so many are older.
+FRESH_S = 5.0
+
 ServiceKey = t.Tuple[PartnerId, ServiceId]
 
 
@@ -89,6 +92,10 @@
     zone: ZoneId
     state: EntryState
     operator_address: str
+    #: Seconds since it last sent a heartbeat to an entry that answered; ``None`` if it sent none.
+    heard_s: t.Optional[float] = None
+    #: Entries that answered and knew more than its last heartbeat to them, if that was fresh.
+    behind_by: int = 0
     #: Why it did not answer; what follows is empty then.
     error: t.Optional[str] = None
     membership: str = ""
@@ -150,7 +157,7 @@
         regions=_sum_regions(targets),
         targets=targets,
         drains=_merge_drains(statuses),
-        entries=_entry_reports(asked, _accepted_versions(statuses, partners)),
+        entries=_entry_reports(asked, statuses, _accepted_versions(statuses, partners)),
         outcomes=_sum_outcomes(statuses),
     )
 
@@ -266,11 +273,15 @@
 
 
 def _entry_reports(
-    asked: "t.Sequence[Asked]", accepted: t.Mapping[PartnerId, BundleVersion]
+    asked: "t.Sequence[Asked]",
+    statuses: t.Sequence[EntryStatus],
+    accepted: t.Mapping[PartnerId, BundleVersion],
 ) -> t.Tuple[EntryReport, ...]:
+    heard_by_id = _collect_heard(statuses)
     reports = []
     for answer in sorted(asked, key=lambda answer: answer.member.entry_id):
         member = answer.member
+        heard = heard_by_id.get(member.entry_id, [])
         report = EntryReport(
             entry_id=member.entry_id,
             vm_id=member.vm_id,
@@ -278,6 +289,8 @@
             zone=member.zone,
             state=member.state,
             operator_address=member.operator_address,
+            heard_s=min((word.age_s for word in heard), default=None),
+            behind_by=sum(word.behind and word.age_s <= FRESH_S for word in heard),
             error=answer.error,
         )
         if answer.status is not None:
@@ -286,6 +299,16 @@
     return tuple(reports)
 
 
+def _collect_heard(statuses: t.Sequence[EntryStatus]) -> t.Dict[EntryId, t.List[HeardStatus]]:
+    """What entries last heard of each member."""
+    heard_by_id: t.Dict[EntryId, t.List[HeardStatus]] = {}
+    for status in statuses:
+        for member in status.members:
+            if member.heard is not None:
+                heard_by_id.setdefault(member.entry_id, []).append(member.heard)
+    return heard_by_id
+
+
 def _with_status(
     report: EntryReport, status: EntryStatus, accepted: t.Mapping[PartnerId, BundleVersion]
 ) -> EntryReport:
--- a/src/coralfall/report_html.py
+++ b/src/coralfall/report_html.py
@@ -13,6 +13,7 @@
     limit_text,
     platform_text,
     share_text,
+    silence_text,
     summary_text,
     versions_text,
 )
@@ -271,7 +272,7 @@
         _add_grade(cells[1], "no answer", "bad")
         cells[3].set("colspan", "6")
         cells[3].set("class", "wrap soft")
-        cells[3].text = entry.error
+        cells[3].text = silence_text(entry)
         return
     age = "never" if entry.platform_age_s is None else f"{entry.platform_age_s:.1f} s ago"
     texts = [entry.entry_id, "", entry.zone, "", "", age, f"{entry.resident_bytes / 1e6:.0f} MB"]
--- a/src/coralfall/report_text.py
+++ b/src/coralfall/report_text.py
@@ -7,7 +7,7 @@
 from .ids import TargetState
 
 if t.TYPE_CHECKING:
-    from .fleet_report import FleetReport, Headroom, TargetReport
+    from .fleet_report import EntryReport, FleetReport, Headroom, TargetReport
 
 Row = t.Sequence[str]
 #: Targets shown on a terminal: those that stand out, then those with the least room.
@@ -95,6 +95,22 @@
     return ", ".join(f"{partner} {version}" for partner, version in versions.items()) or "-"
 
 
+def silence_text(entry: "EntryReport") -> str:
+    """Why an entry did not answer, and whether its peers still hear it."""
+    heard = "no entry has heard it"
+    if entry.heard_s is not None:
+        heard = f"an entry heard it {duration_text(entry.heard_s)} ago"
+    return f"{' '.join((entry.error or '').split())}; {heard}"
+
+
+def _note_text(entry: "EntryReport") -> str:
+    if entry.lags:
+        return "lags"
+    if not entry.ready:
+        return "not ready"
+    return f"behind for {entry.behind_by} entries" if entry.behind_by else ""
+
+
 def _section(title: str, rows: t.Sequence[Row]) -> t.List[str]:
     if len(rows) < 2:
         return ["", f"{title}: none"]
@@ -194,7 +210,7 @@
     for entry in report.entries:
         if entry.error is not None:
             blanks = ("-",) * 6
-            note = f"did not answer: {' '.join(entry.error.split())}"
+            note = f"did not answer: {silence_text(entry)}"
             rows.append((entry.entry_id, entry.zone, entry.state.value, *blanks, note))
             continue
         age = "never" if entry.platform_age_s is None else f"{entry.platform_age_s:.1f} s ago"
@@ -209,7 +225,7 @@
                 f"{entry.resident_bytes / 1e6:.0f} MB",
                 share_text(entry.processor_share),
                 duration_text(entry.started_s),
-                "lags" if entry.lags else "" if entry.ready else "not ready",
+                _note_text(entry),
             )
         )
     return rows
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -43,7 +43,14 @@
 from coralfall.rows import Member, roster_key
 from coralfall.service_levels import ServiceLevels
 from coralfall.settings import MetricsSettings
-from coralfall.status import DrainStatus, EntryStatus, MemberStatus, TargetStatus, VersionStatus
+from coralfall.status import (
+    DrainStatus,
+    EntryStatus,
+    HeardStatus,
+    MemberStatus,
+    TargetStatus,
+    VersionStatus,
+)
 from tests.loopback import serving
 from tests.operators import ANA, COSECHA, TRUST, make_bundle, make_key
 from tests.test_roster import make_member
@@ -117,6 +124,14 @@
     return EntryStatus(**{**values, **fields})
 
 
+def make_member_status(
+    name: str, address: str, heard: t.Optional[HeardStatus] = None
+) -> MemberStatus:
+    fields = msgspec.structs.asdict(make_member(name))
+    del fields["peer_address"]
+    return MemberStatus(**{**fields, "operator_address": address, "heard": heard})
+
+
 def merge(*statuses: EntryStatus, failed: t.Sequence[str] = ()) -> FleetReport:
     asked = [Asked(make_member(status.entry_id), status, None) for status in statuses]
     for name in failed:
@@ -207,6 +222,38 @@
         self.assertEqual((1, 2), (report.answered, len(report.entries)))
         self.assertEqual([None, "no answer in time"], [entry.error for entry in report.entries])
 
+    @parameterized.expand(
+        [
+            ("by nobody", [], None, 0, "no entry has heard it"),
+            ("by two", [(3.0, True), (1.5, False)], 1.5, 1, "an entry heard it 1.5 s ago"),
+            ("long ago", [(60.0, True)], 60.0, 0, "an entry heard it 60.0 s ago"),
+        ]
+    )
+    def test_who_heard_a_silent_entry(
+        self,
+        _name: str,
+        words: t.Sequence[t.Tuple[float, bool]],
+        heard_s: t.Optional[float],
+        behind_by: int,
+        text: str,
+    ) -> None:
+        statuses = []
+        for number, (age_s, behind) in enumerate(words):
+            heard = HeardStatus(
+                age_s=age_s,
+                roster_revision=Revision(6),
+                accepted={},
+                platform_age_s=1.0,
+                behind=behind,
+            )
+            member = make_member_status("e9", "127.0.0.1:1", heard)
+            statuses.append(make_status(f"e{number}", members=(member,)))
+        report = merge(*statuses, failed=["e9"])
+        silent = report.entries[-1]
+        self.assertEqual((heard_s, behind_by), (silent.heard_s, silent.behind_by))
+        self.assertIn(text, "\n".join(report_lines(report)))
+        self.assertIn(text, _Page(render_page(report)).text)
+
 
 class _Page(html.parser.HTMLParser):
     """Tags, texts and references of a page."""
@@ -407,10 +454,8 @@
         app = make_operators_app(lambda: status, lambda: True, TRUST, "e1")
         async with serving(app) as address:
             for name in ("e1", "e2"):
-                fields = msgspec.structs.asdict(make_member(name))
-                fields["operator_address"] = address if name == "e1" else "127.0.0.1:1"
-                del fields["peer_address"]
-                members.append(MemberStatus(**fields))
+                there = address if name == "e1" else "127.0.0.1:1"
+                members.append(make_member_status(name, there))
             report = await self.read(["e3@127.0.0.1:1", f"e1@{address}"])
         self.assertEqual((1, 2), (report.answered, len(report.entries)))
         self.assertTrue(report.entries[0].lags, "version 2 is known to be accepted")
