Bind the peers' port before the loop gets it, so that no thread starts

The HTTP server bound its sockets itself already; that moves to a module of its own and the peers use it too.

Seen red: a process test that counts threads and children of every process found 5 threads in an entry before, 1 after. Ruled out: UV_THREADPOOL_SIZE=1, which still starts one.

The check that runs of claims reach every kind of event named all kinds there are; kinds that only process tests record came in since, and it went red.

--- a/src/coralfall/peer_server.py
+++ b/src/coralfall/peer_server.py
@@ -12,6 +12,7 @@
 from .child import Child
 from .exceptions import PeerClosedError, PeerError, PeerFrameError
 from .ids import Revision
+from .listener import address_of, bind
 from .messages import (
     Heartbeat,
     LoanRequest,
@@ -21,7 +22,6 @@
     SyncAnswer,
     SyncRequest,
 )
-from .settings import split_address
 
 if t.TYPE_CHECKING:
     from .cipher import FleetKey
@@ -83,14 +83,10 @@
         return len(self._channels)
 
     async def start(self) -> None:
-        host, port = split_address(self.bound_address)
         self.handshakes = 0
-        try:
-            self._server = await asyncio.start_server(self._accept, host, port)
-        except OSError as error:
-            raise PeerError(f"can't listen on {self.bound_address}: {error}") from error
-        port = self._server.sockets[0].getsockname()[1]
-        self.bound_address = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+        listener = bind(self.bound_address)
+        self.bound_address = address_of(listener)
+        self._server = await asyncio.start_server(self._accept, sock=listener)
 
     async def run(self) -> None:
         try:
--- a/src/coralfall/server.py
+++ b/src/coralfall/server.py
@@ -1,47 +1,26 @@
 """HTTP servers of a process: uvicorn as a supervised child on the process's own loop."""
 
 import asyncio
-import socket
 import typing as t
 
 import uvicorn
 
 from . import log
 from .child import Child
-from .exceptions import ListenError
+from .listener import address_of, bind
 from .protocol import Connections, Header, protocol_factory
-from .settings import HttpSettings, split_address
+from .settings import HttpSettings
 
 if t.TYPE_CHECKING:
     from .metrics import Metrics
 
 DEFAULT_HTTP = HttpSettings()
-#: Connections that wait to be taken by the loop.
-BACKLOG = 1024
 #: Seconds between two renewals of the date that answers carry.
 DATE_S = 1.0
 
 Application = t.Callable[..., t.Awaitable[None]]
 
 
-def bind(address: str) -> socket.socket:
-    """A listening TCP socket.
-
-    Servers get a socket and not an address, since uvloop looks addresses up on threads.
-
-    :param address: ``ip:port``; port 0 takes a free one.
-    :raises ListenError: if it can't be had.
-    """
-    try:
-        host, port = split_address(address)
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
-    except (OSError, ValueError) as error:
-        raise ListenError(f"can't listen on {address}: {error}", address=address) from error
-    listener.setblocking(False)
-    return listener
-
-
 class HttpServer(Child):
     """Serves an application until stopped, then finishes the requests in flight.
 
@@ -83,7 +62,7 @@
         """
         self._connections = Connections(self._settings, self._refusal_headers, self._metrics)
         self._listener = bind(self._address)
-        self.bound_address = _address_of(self._listener)
+        self.bound_address = address_of(self._listener)
         self._server = uvicorn.Server(self._config())
         self._server.config.load()
         self._server.lifespan = self._server.config.lifespan_class(self._server.config)
@@ -152,8 +131,3 @@
             connection.transport.abort()
         for task in list(self._server.server_state.tasks):
             task.cancel()
-
-
-def _address_of(listener: socket.socket) -> str:
-    host, port = listener.getsockname()[:2]
-    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
--- a/tests/test_claims_history.py
+++ b/tests/test_claims_history.py
@@ -192,6 +192,8 @@
 
 
 SEEDS = range(120)
+#: All kinds of events that a run with claims can record.
+RECORDED = (Kind.INVOKE, Kind.DISPATCH, Kind.SHED, Kind.EFFECT, Kind.ANSWER)
 
 
 class TestHistories(unittest.TestCase):
@@ -203,7 +205,7 @@
 
     def test_runs_reach_what_they_are_to_check(self) -> None:
         outcomes = dict.fromkeys(Outcome, 0)
-        kinds = dict.fromkeys(Kind, 0)
+        kinds = dict.fromkeys(RECORDED, 0)
         for seed in SEEDS[:20]:
             for event in play(seed).events:
                 kinds[event.kind] += 1
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -83,6 +83,12 @@
         writer.close()
         return head
 
+    async def test_each_process_has_one_thread_and_no_child(self) -> None:
+        for name, process in self.fleet.process_by_name.items():
+            threads = list(pathlib.Path(f"/proc/{process.pid}/task").iterdir())
+            self.assertEqual(len(threads), 1, name)
+            self.assertEqual((threads[0] / "children").read_text(), "", name)
+
     async def test_look_up_names_the_entries(self) -> None:
         expected = {self.fleet.address_by_name[entry] for entry in ENTRIES}
         for entry in ENTRIES:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -10,7 +10,8 @@
 
 from coralfall import loop, protocol, server
 from coralfall.exceptions import ListenError
-from coralfall.server import HttpServer, bind
+from coralfall.listener import bind
+from coralfall.server import HttpServer
 from coralfall.settings import HttpSettings
 
 #: Bound that only keeps a broken test from hanging.
