Serve on until no look-up can name a leaving entry any more

Cause: an entry that stops served on for as long as a look-up lasts, counted from its own word in the roster. But other entries, and it itself, go on naming it until they have read the roster again, so that callers who did as they were told met a closed port. Ruled out: spreading the word by peers instead, since callers' copies last longer than that takes anyway. What remains: if the table can't be written at the stop, others do not hear of it and name the entry until it is removed.

--- a/src/coralfall/control.py
+++ b/src/coralfall/control.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from . import defaults, log
+from . import log
 from .child import Child
 from .clock import Clock
 from .exceptions import PlatformError
@@ -24,6 +24,8 @@
     from .slots import SlotTable
     from .staging import Staging
 
+#: Intervals between two reads of the roster after which every entry has read a change.
+READS_UNTIL_KNOWN = 2
 MakeMember = t.Callable[[], Member]
 #: Told when something that peers should hear of at once was learned.
 Announce = t.Callable[[], None]
@@ -216,21 +218,20 @@
 class Presence(Child):
     """Lets the entry join once its servers listen, and announces it before they stop.
 
-    Callers may hold look-ups that name the entry, so it serves on for as long as those last.
+    Look-ups may name the entry until every entry has read that it leaves, and callers hold
+    them for a while, so it serves on for as long as both take.
 
     :param control: joins when told to.
     :param membership: the entry's place in the roster.
-    :param seconds: how long look-ups last.
+    :param settings: how long look-ups last, and how often the roster is read.
     """
 
     name = "presence"
 
-    def __init__(
-        self, control: Control, membership: Membership, seconds: float = defaults.LOOKUP_TTL_S
-    ) -> None:
+    def __init__(self, control: Control, membership: Membership, settings: EntrySettings) -> None:
         self._control = control
         self._membership = membership
-        self._seconds = seconds
+        self._seconds = settings.lookup_ttl_s + READS_UNTIL_KNOWN * settings.lease.poll_s
 
     async def run(self) -> None:
         self._control.may_join.set()
--- a/src/coralfall/entry.py
+++ b/src/coralfall/entry.py
@@ -136,7 +136,7 @@
             PeriodicChild("gauges", self.gauges.set_all, GAUGES_S, rng, self.metrics),
             PeriodicChild("steering", self._refresh_steering, STEERING_S, rng, self.metrics),
             self.callers_server,
-            Presence(node.control, node.membership, self.settings.lookup_ttl_s),
+            Presence(node.control, node.membership, self.settings),
         ]
         return Supervisor("entry", children, self._clock, rng, grace_s=self.settings.grace_s + 10.0)
 
