Ask the slots' owners for loans, worked out from the roster

Four of five loan requests came back empty: whom to ask was taken from idle counts that peers state once a second, and not by region. Any entry can work out each slot's owner, so a borrower now asks owners of slots in the regions wanted, those first that said they had some idle. Four asks may be out at a time; an owner that had nothing is left alone for 30 ms, doubled up to 240 ms, so that a full fleet is not asked without end. Regions that the governor may stretch to count as wanted, and an empty answer lets the oldest waiting request look whom to ask next. Entries without a roster go by heartbeats as before.

The test of the bound on asks assumed a bound of two; it now goes through the four, and checks the same sums. Seen red: with no owners worked out both new tests fail, with a wait that does not double the second does.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -122,7 +122,10 @@
 #: Seconds after which a borrowed slot that was not used goes back.
 LOAN_IDLE_S = 0.5
 #: Most requests for loans of one service that an entry has out at a time.
-MAX_LOAN_ASKS = 2
+MAX_LOAN_ASKS = 4
+#: Seconds for which an owner that had nothing to lend is not asked again, at first and at most.
+LOAN_REFUSED_S = 0.03
+MAX_LOAN_REFUSED_S = 0.24
 #: Added, in seconds, wherever one entry waits for another's requests to be over: time on the
 #: way to the target and back, and clocks that do not run quite alike.
 HANDOVER_MARGIN_S = 0.5
--- a/src/coralfall/fleet.py
+++ b/src/coralfall/fleet.py
@@ -200,10 +200,13 @@
         self._mark_drains()
 
     def loan_arrived(self, service: ServiceId, count: int) -> None:
-        """Let requests that wait for a slot of ``service`` use borrowed ones."""
+        """Let requests that wait for a slot of ``service`` use borrowed ones.
+
+        :param count: slots that came; with none, one request looks whom else to ask.
+        """
         for (_, service_id), desk in self._desk_by_service.items():
             if service_id == service:
-                desk.wake(count)
+                desk.wake(max(1, count))
 
     def wake_all(self) -> None:
         """Let all waiting requests look again, after slots may have become usable."""
@@ -225,10 +228,11 @@
                 return self._take(desk, service, tried)
             except RefusedError:
                 regions = desk.router.governor.allowed(bool(tried))
+                useful = regions if tried else [*regions, *desk.router.governor.stretched()]
                 seconds = give_up_at - self._clock.monotonic()
                 if not regions or seconds <= 0 or self._queue_is_full(desk, service):
                     raise
-            self._ask_loan(service, len(desk.waiters) + 1, regions)
+            self._ask_loan(service, len(desk.waiters) + 1, useful)
             await _wait(desk, seconds)
 
     def _queue_is_full(self, desk: _Desk, service: ServiceId) -> bool:
--- a/src/coralfall/lending.py
+++ b/src/coralfall/lending.py
@@ -138,6 +138,14 @@
     message: LoanReturn
 
 
+class _Refusal(msgspec.Struct):
+    """What is remembered of an owner that had nothing to lend."""
+
+    #: When it may be asked again, and how long it was left alone before.
+    until: float
+    wait_s: float
+
+
 class _Idle(msgspec.Struct):
     """What a peer said that it could lend."""
 
@@ -159,6 +167,7 @@
         self._rng = rng
         self._idle_by_peer: t.Dict[EntryId, _Idle] = {}
         self._asks_by_service: t.Dict[ServiceId, t.List[Ask]] = {}
+        self._refusals: t.Dict[t.Tuple[EntryId, ServiceId], _Refusal] = {}
         self._borrowed: t.List[Slot] = []
 
     def heard(self, peer: EntryId, idle: t.Mapping[ServiceId, int]) -> None:
@@ -184,13 +193,14 @@
             count -= ask.request.count
         if count <= 0 or len(asks) >= defaults.MAX_LOAN_ASKS:
             return None
-        peer = self._choose(service)
+        peer = self._choose(service, regions)
         if peer is None:
             return None
-        known = self._idle_by_peer[peer].count_by_service
-        count = min(count, known[service])
-        # Until the next heartbeat, do not count on what was asked for already.
-        known[service] -= count
+        known = self._idle_by_peer.get(peer)
+        if known is not None and known.count_by_service.get(service):
+            count = min(count, known.count_by_service[service])
+            # Until the next heartbeat, do not count on what was asked for already.
+            known.count_by_service[service] -= count
         request = LoanRequest(service=service, count=count, regions=tuple(regions))
         ask = Ask(peer, request, self._clock.monotonic())
         asks.append(ask)
@@ -203,6 +213,7 @@
             known here does not allow them.
         """
         self.failed(ask)
+        self._note_refusal(ask, answer)
         valid_until = ask.sent_at + answer.seconds
         unusable = []
         for lent in answer.slots:
@@ -249,13 +260,46 @@
         """Slots that are borrowed, whether in use or not."""
         return len(self._borrowed)
 
-    def _choose(self, service: ServiceId) -> t.Optional[EntryId]:
+    def _note_refusal(self, ask: Ask, answer: LoanAnswer) -> None:
+        key = (ask.peer, ask.request.service)
+        if answer.slots:
+            self._refusals.pop(key, None)
+            return
+        wait_s = defaults.LOAN_REFUSED_S
+        before = self._refusals.get(key)
+        if before is not None:
+            wait_s = min(2 * before.wait_s, defaults.MAX_LOAN_REFUSED_S)
+        self._refusals[key] = _Refusal(self._clock.monotonic() + wait_s, wait_s)
+
+    def _choose(self, service: ServiceId, regions: t.Sequence[RegionId]) -> t.Optional[EntryId]:
+        """An owner that may have something to lend, those first that said so."""
+        owned = self._slots.owners(service, regions)
+        asked = {ask.peer for ask in self._asks_by_service.get(service, [])}
+        now = self._clock.monotonic()
+        chances: t.Dict[EntryId, int] = {}
+        idle_by_peer = self._idle(service)
+        for peer in owned or idle_by_peer:
+            refusal = self._refusals.get((peer, service))
+            if peer in asked and peer not in idle_by_peer:
+                continue
+            if refusal is not None and now < refusal.until:
+                continue
+            chances[peer] = idle_by_peer.get(peer, 0)
+        peers = [peer for peer, idle in chances.items() if idle > 0]
+        if peers:
+            picked = self._rng.sample(peers, min(_PICKS, len(peers)))
+            return max(picked, key=chances.__getitem__)
+        if not chances:
+            return None
+        weights = [owned[peer] for peer in chances]
+        return self._rng.choices(list(chances), weights)[0]
+
+    def _idle(self, service: ServiceId) -> t.Dict[EntryId, int]:
+        """Slots that peers said they could lend, lately."""
         recent = self._clock.monotonic() - IDLE_MEMORY_S
-        peers = []
+        counts: t.Dict[EntryId, int] = {}
         for peer, idle in self._idle_by_peer.items():
-            if idle.heard_at >= recent and idle.count_by_service.get(service, 0) > 0:
-                peers.append(peer)
-        if not peers:
-            return None
-        picked = self._rng.sample(peers, min(_PICKS, len(peers)))
-        return max(picked, key=lambda peer: self._idle_by_peer[peer].count_by_service[service])
+            count = idle.count_by_service.get(service, 0)
+            if idle.heard_at >= recent and count > 0:
+                counts[peer] = count
+        return counts
--- a/src/coralfall/ownership.py
+++ b/src/coralfall/ownership.py
@@ -57,6 +57,21 @@
     return [entry_id for _, entry_id in sorted(scored, reverse=True)]
 
 
+def owners_of(
+    target_id: TargetId, slots: int, members: t.Iterable[EntryId]
+) -> t.Dict[EntryId, int]:
+    """How many of a target's slots each member owns; members that own none are left out."""
+    counts: t.Dict[EntryId, int] = {}
+    members = list(members)
+    for first in range(0, slots if members else 0, SLOTS_PER_DIGEST):
+        state = _state(target_id, first)
+        scored = [(_score(state, entry_id), entry_id) for entry_id in members]
+        for place in range(min(SLOTS_PER_DIGEST, slots - first)):
+            _, owner = max((score[place], entry_id) for score, entry_id in scored)
+            counts[owner] = counts.get(owner, 0) + 1
+    return counts
+
+
 def _won(
     target_id: TargetId,
     indices: t.Sequence[int],
--- a/src/coralfall/slots.py
+++ b/src/coralfall/slots.py
@@ -10,7 +10,7 @@
 from .demand import PeakDemand
 from .handover import Ack, Handover, Settled
 from .ids import EntryId, RegionId, Revision, ServiceId, TargetId
-from .ownership import owned_indices, wins
+from .ownership import owned_indices, owners_of, wins
 
 if t.TYPE_CHECKING:
     from .clock import Clock
@@ -107,6 +107,8 @@
         self._in_flight_by_target: t.Dict[TargetId, int] = {}
         self._in_flight_by_service: t.Dict[ServiceId, int] = {}
         self._demand_by_service: t.Dict[ServiceId, PeakDemand] = {}
+        #: Worked out when asked for, and forgotten when the roster or a target's limit changes.
+        self._owners_by_target: t.Dict[TargetId, t.Dict[EntryId, int]] = {}
 
     # What the table is told.
 
@@ -284,6 +286,19 @@
 
     # Lending; see coralfall.lending.
 
+    def owners(self, service: ServiceId, regions: t.Collection[RegionId]) -> t.Dict[EntryId, int]:
+        """How many slots of the service each other member owns, by the roster known here.
+
+        :param regions: regions whose targets count; empty for any.
+        """
+        counts: t.Dict[EntryId, int] = {}
+        for target_id, limit in self._limits.items():
+            if limit.service != service or (regions and limit.region not in regions):
+                continue
+            for entry_id, count in self._owners(target_id, limit).items():
+                counts[entry_id] = counts.get(entry_id, 0) + count
+        return counts
+
     def lend(self, slot: Slot, seconds: float) -> None:
         """Leave an idle slot to a borrower who may dispatch for ``seconds`` from now."""
         timeout_s = self._limits[slot.target_id].timeout_s
@@ -333,6 +348,7 @@
             old = before.get(target_id)
             if old is limit:
                 continue
+            self._owners_by_target.pop(target_id, None)
             same_place = old is not None and old.service == limit.service
             same_place = same_place and old is not None and old.region == limit.region
             if not same_place:
@@ -345,11 +361,13 @@
             if target_id not in limits:
                 self._drop_from(target_id, 0)
                 self._unscanned.pop(target_id, None)
+                self._owners_by_target.pop(target_id, None)
 
     def _take_roster(self, roster: "Roster") -> None:
         now = self._clock.monotonic()
         lives, others = self._handover.lives, self._others
         settled = self._handover.update(roster)
+        self._owners_by_target = {}
         self._changed_at = now
         for slot in list(self._lost.values()):
             if not slot.busy and slot.lent_until <= now:
@@ -446,6 +464,15 @@
 
     # Looking for slots.
 
+    def _owners(self, target_id: TargetId, limit: "TargetLimit") -> t.Dict[EntryId, int]:
+        owners = self._owners_by_target.get(target_id)
+        if owners is None:
+            members = {*self._others, self._entry_id}
+            owners = owners_of(target_id, min(limit.usable, limit.reserved), members)
+            owners.pop(self._entry_id, None)
+            self._owners_by_target[target_id] = owners
+        return owners
+
     def _slots(self, target_id: TargetId) -> t.List[Slot]:
         owned = self._owned_by_target.get(target_id)
         borrowed = self._borrowed_by_target.get(target_id)
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -1,5 +1,6 @@
 """Loans between an owner and a borrower, and the allowance on links that goes with slots."""
 
+import collections
 import random
 import typing as t
 import unittest
@@ -15,6 +16,7 @@
 from coralfall.lending import Ask, Borrower, Lender, Return
 from coralfall.link import LinkAllowance, LinkRate, link_rates
 from coralfall.messages import LoanAnswer, LoanReturn
+from coralfall.ownership import ranked
 from coralfall.roster import Roster
 from coralfall.settings import LeaseSettings
 from coralfall.slots import SlotTable
@@ -169,21 +171,23 @@
     def setUp(self) -> None:
         self.clock = ManualClock()
         settings = LeaseSettings()
-        slots = SlotTable(BORROWER, Lease(settings, self.clock), self.clock, settings)
-        self.borrower = Borrower(slots, self.clock, random.Random(3))
+        self.slots = SlotTable(BORROWER, Lease(settings, self.clock), self.clock, settings)
+        self.borrower = Borrower(self.slots, self.clock, random.Random(3))
 
     def test_asks_are_bounded_and_count_each_other(self) -> None:
         self.assertIsNone(self.borrower.ask(SERVICE, 2))
-        self.borrower.heard(OWNER, {SERVICE: 9})
-        first = self.borrower.ask(SERVICE, 2)
-        assert first is not None
-        self.assertIsNone(self.borrower.ask(SERVICE, 2))
-        second = self.borrower.ask(SERVICE, 5)
-        assert second is not None
-        self.assertEqual((first.request.count, second.request.count), (2, 3))
+        self.borrower.heard(OWNER, {SERVICE: 30})
+        asks = []
+        for count in (2, 5, 9, 14):
+            ask = self.borrower.ask(SERVICE, count)
+            assert ask is not None
+            asks.append(ask)
+            self.assertIsNone(self.borrower.ask(SERVICE, count))
+        self.assertEqual([ask.request.count for ask in asks], [2, 3, 4, 5])
+        self.assertEqual(len(asks), defaults.MAX_LOAN_ASKS)
         self.assertIsNone(self.borrower.ask(SERVICE, 99))
-        self.borrower.failed(first)
-        self.assertEqual(self.borrower.ask(SERVICE, 99).request.count, 4)  # type: ignore[union-attr]
+        self.borrower.failed(asks[0])
+        self.assertEqual(self.borrower.ask(SERVICE, 99).request.count, 16)  # type: ignore[union-attr]
 
     @parameterized.expand([("stale", 5.1, 2), ("gone", 0.0, 2), ("nothing", 0.0, 0)])
     def test_nobody_to_ask(self, name: str, wait_s: float, idle: int) -> None:
@@ -193,6 +197,36 @@
         self.clock.advance(wait_s)
         self.assertIsNone(self.borrower.ask(SERVICE, 1))
 
+    def test_owners_are_asked_that_have_said_nothing(self) -> None:
+        roster = Roster()
+        roster.apply([put("b", 1), put("c", 2), put("d", 3)])
+        self.slots.update(roster, make_limits())
+        owners = self.slots.owners(SERVICE, [])
+        scored = collections.Counter(ranked(T0, index, "bcd")[0] for index in range(SLOTS))
+        self.assertEqual(owners, {peer: scored[peer] for peer in "cd"})
+        asks = [self.borrower.ask(SERVICE, count) for count in (1, 2)]
+        assert asks[0] is not None and asks[1] is not None
+        self.assertEqual({ask.peer for ask in asks if ask}, set(owners))
+        self.assertIsNone(self.borrower.ask(SERVICE, 3))
+
+    def test_owner_that_had_nothing_is_left_alone_ever_longer(self) -> None:
+        roster = Roster()
+        roster.apply([put("b", 1), put("c", 2)])
+        self.slots.update(roster, make_limits())
+        waits = []
+        for _ in range(5):
+            ask = self.borrower.ask(SERVICE, 1)
+            assert ask is not None
+            self.borrower.answered(ask, LoanAnswer(loan_id=1, slots=(), seconds=0.0))
+            started = self.clock.now
+            again = self.borrower.ask(SERVICE, 1)
+            while again is None:
+                self.clock.advance(0.01)
+                again = self.borrower.ask(SERVICE, 1)
+            waits.append(round((self.clock.now - started) / defaults.LOAN_REFUSED_S))
+            self.borrower.failed(again)
+        self.assertEqual(waits, [1, 2, 4, 8, 8])
+
     def test_asks_are_spread_and_lean_to_those_with_more(self) -> None:
         asked = dict.fromkeys("cdef", 0)
         for _ in range(400):
