Send uploads no faster than the link into the region allows

Cause: the allowance of bytes into each region was worked out, and nobody asked for it: an upload went as fast as its caller sent. A streamed body now waits before each piece for as long as the entry's share of the region's link says; a held body is short and is counted, so that the next long one waits for it.

Ruled out: refusing an upload at its start for want of allowance. It would refuse what a few seconds carry, and the share grows with the slots that the entry holds while it waits.

--- a/src/coralfall/fleet.py
+++ b/src/coralfall/fleet.py
@@ -122,6 +122,9 @@
                 defaults.RETRY_AFTER_S,
             )
 
+    def pace(self, reservation: Reservation, size: int) -> float:
+        return self.links.reserve(reservation.region, size)
+
     def finish(
         self,
         reservation: Reservation,
--- a/src/coralfall/steering.py
+++ b/src/coralfall/steering.py
@@ -76,6 +76,13 @@
         :raises RefusedError: if not; the reservation must still be finished.
         """
 
+    def pace(self, reservation: Reservation, size: int) -> float:
+        """Seconds to wait before the next ``size`` bytes of a body are sent; they are counted.
+
+        Infinite if nothing may be sent now: wait a moment and ask again. By default, none.
+        """
+        return 0.0
+
     @abc.abstractmethod
     def finish(
         self,
--- a/src/coralfall/upstream.py
+++ b/src/coralfall/upstream.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import functools
+import math
 import typing as t
 
 import aiohttp
@@ -35,6 +36,8 @@
 _CONNECT_TIMEOUT = aiohttp.ClientTimeout(connect=defaults.CONNECT_TIMEOUT_S)
 #: Addresses of targets whose parsed form is kept.
 _ADDRESSES = 4096
+#: Seconds until the allowance is looked at again while there is none.
+_NO_ALLOWANCE_S = 0.05
 _ERRORS = (aiohttp.ClientError, OSError, asyncio.TimeoutError, ValueError)
 
 
@@ -287,7 +290,7 @@
             exchange.abort()
             raise
         try:
-            outgoing = _outgoing(reservation.address, request)
+            outgoing = _outgoing(reservation, request, self._steering)
             connection = await self._connect(outgoing, reservation, deadline)
         except TargetNotRunError:
             exchange.abort(AttemptResult.NOT_RUN)
@@ -377,13 +380,36 @@
     return yarl.URL(f"http://{address}/", encoded=True)
 
 
-def _outgoing(address: str, request: TargetRequest) -> _Outgoing:
+async def _paced(
+    body: RequestBody, reservation: "Reservation", steering: "Steering"
+) -> t.AsyncIterator[bytes]:
+    """The body's pieces, no faster than the link into the target's region allows."""
+    async for piece in body:
+        seconds = steering.pace(reservation, len(piece))
+        while math.isinf(seconds):
+            await asyncio.sleep(_NO_ALLOWANCE_S)
+            seconds = steering.pace(reservation, len(piece))
+        if seconds > 0:
+            await asyncio.sleep(seconds)
+        yield piece
+
+
+def _outgoing(
+    reservation: "Reservation", request: TargetRequest, steering: "Steering"
+) -> _Outgoing:
     headers = list(request.headers)
     body = request.body
+    data: t.Union[bytes, t.AsyncIterator[bytes], None] = None
+    if isinstance(body, RequestBody):
+        data = _paced(body, reservation, steering)
+    else:
+        data = body
+        # A held body is short: it is counted, and the next long one waits for it.
+        steering.pace(reservation, len(body or b""))
     if isinstance(body, RequestBody) and body.length is not None:
         headers.append(("Content-Length", str(body.length)))
     # A path with its query counts as a path here, which also keeps it as the caller sent it.
-    url = _base_url(address).with_path(request.path, encoded=True)
-    outgoing = _Outgoing(request.method, url, headers=headers, data=body)
+    url = _base_url(reservation.address).with_path(request.path, encoded=True)
+    outgoing = _Outgoing(request.method, url, headers=headers, data=data)
     outgoing.request_body = body
     return outgoing
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -1,6 +1,7 @@
 """Tests of exchanges with targets that break off, answer late, or answer too much."""
 
 import asyncio
+import math
 import typing as t
 import unittest
 
@@ -72,6 +73,19 @@
         self.clock.advance(60.0)
 
 
+class PacedSteering(loopback.LineSteering):
+    """Lets each piece go after it was asked for ``asks`` times."""
+
+    def __init__(self, asks: int) -> None:
+        super().__init__([], loopback.service())
+        self.asks = asks
+        self.asked: t.List[int] = []
+
+    def pace(self, reservation: Reservation, size: int) -> float:
+        self.asked.append(size)
+        return 0.0 if len(self.asked) % self.asks == 0 else math.inf
+
+
 class Case(unittest.IsolatedAsyncioTestCase):
     """Gives an upstream over a steering that keeps results."""
 
@@ -214,6 +228,25 @@
             self.assertEqual(standin.state.effects, [])
         self.assertEqual(self.steering.results, [CANCELLED])
 
+    @parameterized.expand([("allowed", 1), ("waits_for_an_allowance", 2)])
+    async def test_bodies_keep_the_pace_of_the_link(self, _: str, asks: int) -> None:
+        async def pieces() -> t.AsyncIterator[bytes]:
+            for _piece in range(3):
+                yield bytes(1000)
+
+        self.steering = steering = PacedSteering(asks)
+        self.upstream = Upstream(steering, CLOCK)
+        self.addAsyncCleanup(self.upstream.close)
+        body = RequestBody(pieces(), 3000, MemoryAccount())
+        async with loopback.target() as (address, standin):
+            await self.ask(address, "POST", body=body)
+            self.assertEqual(standin.state.effects[0].length, 3000)
+        self.assertEqual(steering.asked, [1000] * 3 * asks)
+        steering.asked.clear()
+        async with loopback.target() as (address, standin):
+            await self.ask(address, "POST", body=b"short")
+        self.assertEqual(steering.asked, [5])
+
     async def test_target_that_sheds_before_it_read_the_body(self) -> None:
         async def pieces() -> t.AsyncIterator[bytes]:
             for _ in range(1000):
