Renew the lease of an entry that is leaving, until it has left

Cause: a leaving entry serves on for as long as look-ups may name it, and its requests in flight may take longer; but it stopped renewing, so that after one lease time it refused what still came, and its uploads could not be retried.

Found by reading.

--- a/src/coralfall/control.py
+++ b/src/coralfall/control.py
@@ -134,7 +134,8 @@
                 await self._take_acks()
             return
         now = self._clock.monotonic()
-        if state is MembershipState.JOINED and now >= self._next_renewal:
+        if self._membership.member is not None and now >= self._next_renewal:
+            # Also while it leaves: requests that still come need the slots until the end.
             self._next_renewal = now + self._settings.lease.renew_s
             await self._membership.renew()
         else:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -169,6 +169,24 @@
 
         run(work())
 
+    def test_leaving_entry_serves_until_it_has_left(self) -> None:
+        async def work() -> None:
+            world = World(5)
+            for number in range(3):
+                world.start(f"e{number}")
+            await asyncio.sleep(5)
+            self.assertTrue(await world.submit(1, "ana"))
+            await asyncio.sleep(10)
+            leaving = next(iter(world.nodes_by_id.values()))
+            await leaving.node.membership.start_leaving()
+            for _ in range(20):
+                await asyncio.sleep(LEASE.ttl_s / 4)
+                self.assertTrue(leaving.serves)
+            await leaving.node.membership.leave()
+            self.assertFalse(leaving.serves)
+
+        run(work())
+
     @parameterized.expand([(seed,) for seed in SEEDS])
     def test_histories_with_faults(self, seed: int) -> None:
         self.check_history(seed)
