--- a/src/coralfall/utils.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Small helpers without a better home."""
