Test staging by itself, and decode signed bundles in one place

Cause: what an entry does when the object store is down, gives other bytes or a bundle that is unsigned or breaks a rule was tested by whole processes only. Now tables say it for each source, each kind of object and each kind of fault, for staged and for accepted bundles. Staging decoded signed bundles by itself, where signing does it already; that copy goes, and messages say what to do.

Ruled out: asking peers when the store gives other bytes.

--- a/src/coralfall/staging.py
+++ b/src/coralfall/staging.py
@@ -2,11 +2,9 @@
 
 import typing as t
 
-import msgspec
-
 from . import log, rules, signing
 from .blocktable import BlockTable, load_block_table
-from .bundle import Bundle, SignedBundle, VersionRef, digest_of
+from .bundle import Bundle, VersionRef, digest_of
 from .exceptions import CoralfallError, PeerError, PlatformError, SignatureError
 from .ids import Digest
 from .platform import ObjectStore
@@ -17,8 +15,9 @@
 
 
 class Staged(t.NamedTuple):
-    """A bundle that is ready to serve under."""
+    """A verified bundle with its block table built, so that it can be served under at once."""
 
+    #: The encoded signed bundle, as the object store has it.
     data: bytes
     bundle: Bundle
     blocks: BlockTable
@@ -44,6 +43,9 @@
     async def fill(self, rollout: PartnerRollout) -> bool:
         """Fetch what the rollout's head names and is not held yet.
 
+        What can't be had or verified is logged and passed over, and tried again by the next
+        call; an accepted bundle that is not signed drops its head.
+
         :return: whether anything was added.
         """
         added = False
@@ -102,14 +104,13 @@
         return staged
 
     def _verify(self, data: bytes, ref: VersionRef, rollout: PartnerRollout) -> Bundle:
-        try:
-            signed = msgspec.msgpack.decode(data, type=SignedBundle)
-        except msgspec.MsgspecError as error:
-            message = f"object {ref.digest} is not a signed bundle: {error}"
-            raise SignatureError(message, field="payload", reason="malformed") from error
+        signed = signing.decode_signed(data)
         bundle = signing.verify(signed, self._trust[rollout.partner], rollout.partner)
         if bundle.version != ref.version:
-            message = f"the head names version {ref.version}, the bundle is {bundle.version}"
+            message = (
+                f"the head names version {ref.version}, the bundle is {bundle.version}; "
+                f"submit a bundle with a version above {bundle.version}"
+            )
             raise SignatureError(message, field="version", reason="wrong-version")
         if ref == rollout.head.staged:
             # What was accepted stays in force, also by rules that came later.
@@ -134,7 +135,7 @@
         except PlatformError as error:
             data = await self._ask_peers(digest, error)
         if digest_of(data) != digest:
-            raise PeerError(f"object {digest} came with other bytes")
+            raise PeerError(f"object {digest} came with other bytes; it is fetched anew")
         return data
 
     async def _ask_peers(self, digest: Digest, cause: PlatformError) -> bytes:
