Part the bundle commands from their text and name a lagging entry

The twelve digits by which messages name a bundle were stated in four places and are bundle.short_digest. rollout_status.Lag is LaggingEntry, since gossip.Lag is another thing: what a peer's heartbeat lacks. Its docstrings say versions where they said lines. Output and exit codes are as before; the tests of the commands changed only in the name that they patch.

--- a/src/coralfall/bundle.py
+++ b/src/coralfall/bundle.py
@@ -20,6 +20,9 @@
     ZoneId,
 )
 
+#: Digits of a short digest.
+_SHORT_DIGITS = 12
+
 
 class Model(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Base of the bundle's parts: immutable, and unknown fields are refused."""
@@ -164,3 +167,8 @@
 def digest_of(data: bytes) -> Digest:
     """SHA-256 of ``data`` in hexadecimal."""
     return Digest(hashlib.sha256(data).hexdigest())
+
+
+def short_digest(digest: Digest) -> str:
+    """The first digits of ``digest``, as messages show it and operators may name it."""
+    return digest[:_SHORT_DIGITS]
--- a/src/coralfall/bundle_cli.py
+++ b/src/coralfall/bundle_cli.py
@@ -9,6 +9,7 @@
 
 from . import terminal
 from .ids import Digest, PartnerId
+from .platform_cli import PlatformOption, with_platform
 from .terminal import ExitCode, JsonOption, reporting, show
 
 if t.TYPE_CHECKING:
@@ -17,8 +18,9 @@
     from .diff import Change
     from .history import HistoryRow
     from .platform import Platform
-    from .rollout_status import PartnerStatus, Status, VersionStatus
+    from .rollout_status import PartnerStatus
     from .signedfile import SignedFile
+    from .signing import Trust
 
 app = typer.Typer(help="Bundles: draft, sign, submit, look up.", no_args_is_help=True)
 
@@ -28,11 +30,6 @@
 IN_FORCE = "in-force"
 STAGED = "staged"
 
-ResultT = t.TypeVar("ResultT")
-
-PlatformOption = t.Annotated[
-    str, typer.Option("--platform", help="Base address, such as http://10.0.0.2:7000.")
-]
 PartnerOption = t.Annotated[str, typer.Option("--partner", help="Whose line.")]
 DraftArgument = t.Annotated[pathlib.Path, typer.Argument(help="Draft in TOML.")]
 
@@ -136,33 +133,24 @@
         keys = load_trust(trust)
 
         async def run(services: "Platform") -> "Head":
-            from . import line
-
-            replaces = await _find_staged(services, file, replace)
-            submission_id = uuid.uuid4().hex
-            head = await line.submit(
-                services, file.signed, keys, submission_id, file.objects, replaces
-            )
+            head = await _submit(services, file, keys, replace)
             if wait:
                 await _wait(services, file.bundle(), timeout_s)
             return head
 
-        head = asyncio.run(_on_platform(platform, run))
-        bundle = file.bundle()
-        state = "in force" if wait else "submitted"
-        value = {"partner": bundle.partner, "version": bundle.version, "digest": file.digest()}
-        text = f"{bundle.partner} version {bundle.version} is {state} ({file.digest()})"
-        show({**value, "state": state, "head": head}, [text], as_json)
+        head = asyncio.run(with_platform(platform, run))
+        _show_submitted(file, head, "in force" if wait else "submitted", as_json)
 
 
 @app.command()
 def status(platform: PlatformOption, as_json: JsonOption = False) -> None:
     """Show the version in force, what is staged, who signed it, and which entry lags."""
     with reporting(as_json):
+        from .bundle_text import status_lines
         from .rollout_status import read_status
 
-        found = asyncio.run(_on_platform(platform, read_status))
-        show(found, _status_lines(found), as_json)
+        found = asyncio.run(with_platform(platform, read_status))
+        show(found, status_lines(found), as_json)
 
 
 @app.command()
@@ -176,26 +164,15 @@
 ) -> None:
     """List the versions of a partner's line, oldest first."""
     with reporting(as_json):
+        from .bundle_text import history_lines
 
         async def run(services: "Platform") -> t.List["HistoryRow"]:
             from . import line
 
             return await line.history(services, PartnerId(partner), last)
 
-        rows = asyncio.run(_on_platform(platform, run))
-        show(rows, _history_lines(rows), as_json)
-
-
-async def _on_platform(url: str, run: t.Callable[["Platform"], t.Awaitable[ResultT]]) -> ResultT:
-    from .clock import SystemClock
-    from .http_platform import HttpPlatform
-    from .settings import PlatformSettings
-
-    client = HttpPlatform(PlatformSettings(url=url), SystemClock())
-    try:
-        return await run(client.platform)
-    finally:
-        await client.close()
+        rows = asyncio.run(with_platform(platform, run))
+        show(rows, history_lines(rows), as_json)
 
 
 async def _diff(
@@ -212,7 +189,7 @@
 
     if url is None:
         return await run(None)
-    return await _on_platform(url, run)
+    return await with_platform(url, run)
 
 
 async def _open_source(
@@ -221,7 +198,7 @@
     from .blockdiff import Source
 
     if name in (IN_FORCE, STAGED):
-        return await _open_line(name, services, partner)
+        return await _open_from_platform(name, services, partner)
     file = _read_file(pathlib.Path(name))
 
     async def fetch(digest: Digest) -> bytes:
@@ -230,7 +207,7 @@
     return Source(file.bundle(), fetch)
 
 
-async def _open_line(
+async def _open_from_platform(
     name: str, services: t.Optional["Platform"], partner: t.Optional[str]
 ) -> "Source":
     from . import line
@@ -246,6 +223,16 @@
     return Source(bundle, services.objects.get)
 
 
+async def _submit(
+    services: "Platform", file: "SignedFile", keys: "Trust", replace: t.Optional[str]
+) -> "Head":
+    from . import line
+
+    replaces = await _find_staged(services, file, replace)
+    submission_id = uuid.uuid4().hex
+    return await line.submit(services, file.signed, keys, submission_id, file.objects, replaces)
+
+
 async def _find_staged(
     services: "Platform", file: "SignedFile", replace: t.Optional[str]
 ) -> t.Optional[Digest]:
@@ -269,7 +256,7 @@
     shown: t.List[str] = []
 
     def on_status(status: "PartnerStatus") -> None:
-        lines = [lag.text() for lag in status.lagging]
+        lines = [entry.text() for entry in status.lagging]
         if lines and lines != shown:
             shown[:] = lines
             terminal.note(f"waiting for {'; '.join(lines)}")
@@ -319,41 +306,8 @@
     show(value, [text], as_json)
 
 
-def _status_lines(found: "Status") -> t.Iterator[str]:
-    yield f"{found.entries} entries in the roster"
-    for partner in found.partners:
-        yield f"{partner.partner}:"
-        yield f"  in force: {_version_text(partner.in_force)}"
-        yield f"  staged:   {_version_text(partner.staged)}"
-        for lag in partner.lagging:
-            yield f"  lagging:  {lag.text()}"
-
-
-def _version_text(version: t.Optional["VersionStatus"]) -> str:
-    if version is None:
-        return "nothing"
-    times = f"submitted {_time(version.submitted_at)}"
-    if version.accepted_at is not None:
-        times += f", accepted {_time(version.accepted_at)}"
-    return (
-        f"version {version.version} by {version.author}, approved by {version.approver}, "
-        f"{times} ({version.digest[:12]})"
-    )
-
-
-def _history_lines(rows: t.Sequence["HistoryRow"]) -> t.Iterator[str]:
-    for row in rows:
-        accepted = "never" if row.accepted_at is None else _time(row.accepted_at)
-        yield (
-            f"{row.version:>6}  {row.digest[:12]}  {row.author} / {row.approver}  "
-            f"submitted {_time(row.submitted_at)}  accepted {accepted}"
-        )
-
-
-def _time(seconds: t.Optional[float]) -> str:
-    import datetime
-
-    if seconds is None:
-        return "unknown"
-    moment = datetime.datetime.fromtimestamp(seconds, tz=datetime.timezone.utc)
-    return moment.strftime("%Y-%m-%dT%H:%M:%SZ")
+def _show_submitted(file: "SignedFile", head: "Head", state: str, as_json: bool) -> None:
+    bundle = file.bundle()
+    value = {"partner": bundle.partner, "version": bundle.version, "digest": file.digest()}
+    text = f"{bundle.partner} version {bundle.version} is {state} ({file.digest()})"
+    show({**value, "state": state, "head": head}, [text], as_json)
--- a/src/coralfall/diff.py
+++ b/src/coralfall/diff.py
@@ -4,10 +4,7 @@
 
 import msgspec
 
-from .bundle import Bundle, ChunkRef, digest_of
-
-#: Digits of a digest that a change shows.
-_SHOWN_DIGITS = 12
+from .bundle import Bundle, ChunkRef, digest_of, short_digest
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -51,7 +48,7 @@
         return "none"
     count = sum(chunk.blocks for chunk in chunks)
     digest = digest_of(msgspec.msgpack.encode(chunks))
-    return f"{count} ({digest[:_SHOWN_DIGITS]})"
+    return f"{count} ({short_digest(digest)})"
 
 
 def _diff_values(path: str, old: t.Any, new: t.Any) -> t.List[Change]:
--- a/src/coralfall/line.py
+++ b/src/coralfall/line.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from . import chunks, diff, rules, signing
-from .bundle import Bundle, Head, SignedBundle, VersionRef, digest_of, encode
+from .bundle import Bundle, Head, SignedBundle, VersionRef, digest_of, encode, short_digest
 from .exceptions import (
     CoralfallError,
     PlatformError,
@@ -29,8 +29,6 @@
 SUBMIT_PAUSE_S = 0.2
 #: Most changes that the loser of a race is shown.
 SHOWN_CHANGES = 20
-#: Digits of a digest that messages show.
-SHOWN_DIGITS = 12
 
 Shares = t.Dict[ServiceId, t.Dict[RegionId, float]]
 
@@ -238,7 +236,7 @@
         changes = await self._differences(winner.digest)
         return SubmitError(
             f"version {winner.version} was taken by {winner.author}'s bundle "
-            f"{winner.digest[:SHOWN_DIGITS]}, which differs in {_count(changes)} places; set "
+            f"{short_digest(winner.digest)}, which differs in {_count(changes)} places; set "
             f"version = {winner.version + 1} in the draft and sign it anew",
             reason="lost-race",
             field="version",
@@ -249,9 +247,9 @@
     async def _must_wait(self, staged: VersionRef) -> SubmitError:
         changes = await self._differences(staged.digest)
         return SubmitError(
-            f"version {staged.version} ({staged.digest[:SHOWN_DIGITS]}) is staged and not in "
+            f"version {staged.version} ({short_digest(staged.digest)}) is staged and not in "
             f"force yet, and differs in {_count(changes)} places; wait for it, or replace it by "
-            f"--replace {staged.digest[:SHOWN_DIGITS]}",
+            f"--replace {short_digest(staged.digest)}",
             reason="staged-first",
             field="version",
             staged=msgspec.to_builtins(staged),
@@ -289,7 +287,7 @@
         missing[self._ref.digest] = self._data
         for digest, data in missing.items():
             if digest_of(data) != digest:
-                message = f"object {digest[:SHOWN_DIGITS]} has other bytes; sign the draft anew"
+                message = f"object {short_digest(digest)} has other bytes; sign the draft anew"
                 raise SubmitError(message, reason="wrong-object", field="blocks")
             await self._put_one(digest, data)
 
--- a/src/coralfall/report_cli.py
+++ b/src/coralfall/report_cli.py
@@ -9,20 +9,20 @@
 
 from . import terminal
 from .ids import PartnerId
+from .platform_cli import PlatformOption, with_platform
 from .terminal import JsonOption, reporting, show
 
 if t.TYPE_CHECKING:
     from .fleet_reader import Seed
     from .fleet_report import FleetReport
+    from .platform import Platform
     from .signing import Key
 
 _CLEAR_SCREEN = "\x1b[H\x1b[2J"
 
 
 def report(
-    platform: t.Annotated[
-        str, typer.Option("--platform", help="Base address, such as http://10.0.0.2:7000.")
-    ],
+    platform: PlatformOption,
     key: t.Annotated[pathlib.Path, typer.Option("--key", help="Private key file of an operator.")],
     entry: t.Annotated[
         t.Optional[t.List[str]],
@@ -87,15 +87,11 @@
 async def _report_once(source: _Source) -> "FleetReport":
     from .clock import SystemClock
     from .fleet_reader import read_fleet
-    from .http_platform import HttpPlatform
-    from .settings import PlatformSettings
 
-    clock = SystemClock()
-    client = HttpPlatform(PlatformSettings(url=source.platform_url), clock)
-    try:
-        return await read_fleet(client.platform, source.key, clock, source.seeds)
-    finally:
-        await client.close()
+    async def run(services: "Platform") -> "FleetReport":
+        return await read_fleet(services, source.key, SystemClock(), source.seeds)
+
+    return await with_platform(source.platform_url, run)
 
 
 async def _watch(
--- a/src/coralfall/rollout_status.py
+++ b/src/coralfall/rollout_status.py
@@ -39,7 +39,7 @@
     accepted_at: t.Optional[float] = None
 
 
-class Lag(msgspec.Struct, frozen=True, kw_only=True):
+class LaggingEntry(msgspec.Struct, frozen=True, kw_only=True):
     """An entry that does not hold the staged bundle or serve under the accepted one yet."""
 
     entry_id: EntryId
@@ -59,16 +59,16 @@
 
 
 class PartnerStatus(msgspec.Struct, frozen=True, kw_only=True):
-    """Where a partner's line stands."""
+    """Which of a partner's versions are in force and staged, and which entries lag."""
 
     partner: PartnerId
     in_force: t.Optional[VersionStatus]
     staged: t.Optional[VersionStatus]
-    lagging: t.Tuple[Lag, ...]
+    lagging: t.Tuple[LaggingEntry, ...]
 
 
 class Status(msgspec.Struct, frozen=True, kw_only=True):
-    """Where all lines stand."""
+    """Which versions of all partners are in force and staged, and which entries lag."""
 
     partners: t.Tuple[PartnerStatus, ...]
     #: Number of entries in the roster.
@@ -77,7 +77,7 @@
     now: float
 
     def partner(self, partner: PartnerId) -> t.Optional[PartnerStatus]:
-        """The status of one partner, if its line has begun."""
+        """The status of one partner; ``None`` if it has not submitted a version yet."""
         for status in self.partners:
             if status.partner == partner:
                 return status
@@ -85,9 +85,10 @@
 
 
 async def read_status(platform: Platform) -> Status:
-    """Where all lines stand; asks no entry.
+    """The status of all partners; asks no entry.
 
     :raises PlatformUnavailableError: if the table can't be read.
+    :raises PlatformError: if a row of it is not what coralfall writes.
     """
     prefixes = (HEAD_PREFIX, ROSTER_PREFIX, LEASE_PREFIX)
     changes = await platform.table.changes(prefixes, Revision(0))
@@ -118,7 +119,8 @@
 ) -> PartnerStatus:
     """Return once a submitted version, or one that followed it, is in force on every entry.
 
-    :param timeout_s: seconds to wait at most; an outage of the platform is waited out.
+    :param timeout_s: seconds to wait at most; an outage of the platform within it is no error.
+    :param clock: measures the wait.
     :param on_status: is told every status seen.
     :raises SubmitError: if time runs out, or another version took its place.
     """
@@ -187,7 +189,7 @@
 
 def _find_lagging(
     head: Head, members: t.Sequence[Member], leases_by_id: t.Mapping[EntryId, LeaseRow]
-) -> t.Tuple[Lag, ...]:
+) -> t.Tuple[LaggingEntry, ...]:
     must_serve = 0 if head.accepted is None else head.accepted.version
     must_hold = must_serve if head.staged is None else head.staged.version
     lagging = []
@@ -200,7 +202,7 @@
         if in_force >= must_serve and staged >= must_hold:
             continue
         lagging.append(
-            Lag(
+            LaggingEntry(
                 entry_id=member.entry_id,
                 vm_id=member.vm_id,
                 state=member.state,
--- a/tests/test_bundle_cli.py
+++ b/tests/test_bundle_cli.py
@@ -48,14 +48,14 @@
         self.folder = pathlib.Path(folder.name)
         self.memory = MemoryPlatform(ManualClock(100.0))
         self.down = False
-        patch = mock.patch.object(bundle_cli, "_on_platform", self._on_platform)
+        patch = mock.patch.object(bundle_cli, "with_platform", self._with_platform)
         patch.start()
         self.addCleanup(patch.stop)
         lines = [self.keys("new", f"{name}.key", "--id", name).out for name in ("ana", "bea")]
         self.write("trust.toml", "[partners.cosecha.keys]\n" + "".join(lines))
         self.bundle("new", "draft.toml", "--partner", "cosecha")
 
-    async def _on_platform(self, url: str, run: t.Any) -> t.Any:
+    async def _with_platform(self, url: str, run: t.Any) -> t.Any:
         self.assertEqual(URL, url)
         if self.down:
             raise PlatformUnavailableError("down")
