--- a/src/coralfall/operators.py
+++ b/src/coralfall/operators.py
@@ -10,7 +10,8 @@
 from starlette.routing import Route
 
 from .exceptions import SignatureError
-from .signing import ReplayGuard, Trust, verify_request
+from .request_signing import ReplayGuard, SignedParts, verify_request
+from .signing import Trust
 from .status import EntryStatus
 
 #: Header that carries an operator's signature of the request.
@@ -34,35 +35,48 @@
     :param trust: public keys by partner and key id.
     :param audience: the entry's id; a request signed for another entry is refused.
     """
-    guard = ReplayGuard()
+    handlers = _Handlers(status, is_ready, trust, audience)
+    routes = [
+        Route("/health", handlers.health),
+        Route("/ready", handlers.ready),
+        Route("/status", handlers.status),
+    ]
+    return Starlette(routes=routes)
+
+
+class _Handlers:
+    """Answers the requests to the operators' port."""
 
-    async def health(request: Request) -> Response:
+    def __init__(
+        self, status: StatusSource, is_ready: ReadySource, trust: Trust, audience: str
+    ) -> None:
+        self._status = status
+        self._is_ready = is_ready
+        self._trust = trust
+        self._audience = audience
+        self._guard = ReplayGuard()
+
+    async def health(self, request: Request) -> Response:
         return Response("ok\n", media_type="text/plain")
 
-    async def ready(request: Request) -> Response:
-        if is_ready():
+    async def ready(self, request: Request) -> Response:
+        if self._is_ready():
             return Response("ready\n", media_type="text/plain")
         return Response("not ready\n", status_code=503, media_type="text/plain")
 
-    async def show_status(request: Request) -> Response:
+    async def status(self, request: Request) -> Response:
         header = request.headers.get(HEADER_SIGNATURE)
         if header is None:
             return _refused("missing", f"send a signature in {HEADER_SIGNATURE}")
         path = request.url.path
         if request.url.query:
             path += "?" + request.url.query
+        parts = SignedParts(request.method, path, audience=self._audience)
         try:
-            verify_request(header, request.method, path, b"", time.time(), trust, guard, audience)
+            verify_request(header, parts, time.time(), self._trust, self._guard)
         except SignatureError as error:
             return _refused(str(error.fields.get("reason", "refused")), error.message)
-        return Response(msgspec.json.encode(status()), media_type="application/json")
-
-    routes = [
-        Route("/health", health),
-        Route("/ready", ready),
-        Route("/status", show_status),
-    ]
-    return Starlette(routes=routes)
+        return Response(msgspec.json.encode(self._status()), media_type="application/json")
 
 
 def _refused(reason: str, message: str) -> Response:
--- a/src/coralfall/operators_client.py
+++ b/src/coralfall/operators_client.py
@@ -10,8 +10,9 @@
 from .exceptions import StatusError
 from .ids import EntryId
 from .operators import HEADER_SIGNATURE
+from .request_signing import SignedParts, sign_request
 from .rows import Member
-from .signing import Key, sign_request
+from .signing import Key
 from .status import EntryStatus, MemberStatus
 
 STATUS_PATH = "/status"
@@ -75,8 +76,8 @@
     :raises StatusError: if it does not answer, refuses, or answers what can't be read.
     """
     url = f"http://{address}{STATUS_PATH}"
-    signature = sign_request(key, "GET", STATUS_PATH, b"", time.time(), entry_id)
-    headers = {HEADER_SIGNATURE: signature}
+    parts = SignedParts("GET", STATUS_PATH, audience=entry_id)
+    headers = {HEADER_SIGNATURE: sign_request(key, parts, time.time())}
     try:
         async with session.get(url, headers=headers, allow_redirects=False) as answer:
             body = await _read(answer)
--- a/src/coralfall/signing.py
+++ b/src/coralfall/signing.py
@@ -1,11 +1,10 @@
-"""Ed25519 keys of operators, and what they sign: bundles and requests."""
+"""Ed25519 keys of operators, and the bundles that they sign."""
 
 import base64
 import binascii
 import enum
 import os
 import pathlib
-import secrets
 import stat
 import typing as t
 
@@ -23,13 +22,7 @@
 #: Public keys by partner and key id.
 Trust = t.Mapping[PartnerId, PartnerKeys]
 
-#: Seconds by which the time in a signed request may differ from the receiver's.
-REQUEST_WINDOW_S = 30.0
-#: Most requests whose nonces are remembered within the window.
-REQUEST_CAPACITY = 10_000
-
 _BUNDLE_CONTEXT = b"coralfall bundle signature 1"
-_REQUEST_CONTEXT = b"coralfall request signature 1"
 _MAX_KEY_FILE_BYTES = 4096
 _PRIVATE_BITS = stat.S_IRWXG | stat.S_IRWXO
 
@@ -140,8 +133,9 @@
 
     :param signed: from anywhere; nothing in it is trusted.
     :param partner_keys: public keys of that partner.
-    :param partner: whose line the bundle is for.
-    :raises SignatureError: if a signature is missing, unknown, forged or given twice.
+    :param partner: whose bundle it must be.
+    :raises SignatureError: if a signature is missing, unknown, forged or given twice, or what
+        is signed is not a bundle of that partner.
     """
     public_keys = []
     for role, signature in ((Role.AUTHOR, signed.author), (Role.APPROVER, signed.approver)):
@@ -157,7 +151,11 @@
 
 
 def verify_any(signed: SignedBundle, trust: Trust) -> Bundle:
-    """As :func:`verify`, with the keys of the partner that the bundle itself names."""
+    """As :func:`verify`, with the keys of the partner that the bundle itself names.
+
+    :param trust: public keys by partner and key id.
+    :raises SignatureError: as :func:`verify`, and if no keys of that partner are known.
+    """
     partner = decode_payload(signed.payload).partner
     if partner not in trust:
         message = f"no keys of partner {partner!r} are trusted; known are {sorted(trust)}"
@@ -203,7 +201,9 @@
     try:
         return nacl.signing.VerifyKey(base64.b64decode(encoded, validate=True))
     except (binascii.Error, nacl.exceptions.CryptoError, ValueError) as error:
-        message = f"public key of {key_id!r} is not 32 bytes in base64"
+        message = (
+            f"public key of {key_id!r} is not 32 bytes in base64; copy what `keys new` printed"
+        )
         raise SignatureError(message, field=key_id, reason="malformed-key") from error
 
 
@@ -234,7 +234,10 @@
     try:
         verify_key.verify(_bundle_message(role, payload), signature.signature)
     except (nacl.exceptions.CryptoError, ValueError) as error:
-        message = f"signature of {signature.key_id!r} as {role.value} does not fit the bundle"
+        message = (
+            f"signature of {signature.key_id!r} as {role.value} does not fit the bundle; "
+            "sign it anew"
+        )
         raise SignatureError(message, field=role.value, reason="forged") from error
     return bytes(verify_key)
 
@@ -246,122 +249,3 @@
 def _bundle_message(role: Role, payload: bytes) -> bytes:
     digest = digest_of(payload).encode("ascii")
     return b"\0".join((_BUNDLE_CONTEXT, role.value.encode("ascii"), digest))
-
-
-class Operator(t.NamedTuple):
-    """Who sent a signed request."""
-
-    partner: PartnerId
-    key_id: KeyId
-
-
-class ReplayGuard:
-    """Remembers signed requests for as long as they are fresh, up to a bound.
-
-    :param capacity: most requests held; when they are all fresh, more are refused.
-    """
-
-    def __init__(self, capacity: int = REQUEST_CAPACITY) -> None:
-        self._capacity = capacity
-        #: Times until which requests are remembered, the earliest first.
-        self._until_by_nonce: t.Dict[str, float] = {}
-
-    def claim(self, nonce: str, now: float) -> bool:
-        """Whether ``nonce`` is new; it is remembered from now on.
-
-        :raises SignatureError: if the guard is full.
-        """
-        self._forget(now)
-        if nonce in self._until_by_nonce:
-            return False
-        if len(self._until_by_nonce) >= self._capacity:
-            message = "too many signed requests; try again in a few seconds"
-            raise SignatureError(message, field="nonce", reason="busy")
-        # The sender's clock may be a window ahead, and its request is fresh a window after.
-        self._until_by_nonce[nonce] = now + 2 * REQUEST_WINDOW_S
-        return True
-
-    def _forget(self, now: float) -> None:
-        while self._until_by_nonce:
-            nonce = next(iter(self._until_by_nonce))
-            if self._until_by_nonce[nonce] >= now:
-                return
-            del self._until_by_nonce[nonce]
-
-
-def sign_request(
-    key: Key, method: str, path: str, body: bytes, now: float, audience: str = ""
-) -> str:
-    """Value of the header that signs a request to the operators' port.
-
-    :param key: of the operator.
-    :param path: with its query, as sent.
-    :param now: wall time in seconds.
-    :param audience: address the request is for, so that it is of no use elsewhere.
-    """
-    nonce = secrets.token_urlsafe(16)
-    stamp = str(int(now * 1000))
-    message = _request_message(key.key_id, method, path, body, stamp, nonce, audience)
-    raw = key.signing_key.sign(message).signature
-    return ":".join((key.key_id, stamp, nonce, base64.urlsafe_b64encode(raw).decode("ascii")))
-
-
-def verify_request(
-    header: str,
-    method: str,
-    path: str,
-    body: bytes,
-    now: float,
-    trust: Trust,
-    guard: ReplayGuard,
-    audience: str = "",
-) -> Operator:
-    """Who signed a request.
-
-    :param header: value of the header as received.
-    :param now: wall time in seconds.
-    :param guard: the receiver's memory of requests.
-    :raises SignatureError: if it is malformed, unknown, forged, stale or was seen before.
-    """
-    parts = header.split(":")
-    if len(parts) != 4 or not parts[1].isascii() or not parts[1].isdigit() or len(parts[1]) > 16:
-        message = "the request's signature is malformed; expected key:time:nonce:signature"
-        raise SignatureError(message, field="header", reason="malformed")
-    key_id, stamp, nonce = KeyId(parts[0]), parts[1], parts[2]
-    message_bytes = _request_message(key_id, method, path, body, stamp, nonce, audience)
-    operator = _find_operator(key_id, message_bytes, parts[3], trust)
-    age = now - int(stamp) / 1000
-    if abs(age) > REQUEST_WINDOW_S:
-        message = f"the request was signed {age:.0f} s ago; set the clocks and send it anew"
-        raise SignatureError(message, field="time", reason="stale")
-    if not guard.claim(f"{key_id}:{nonce}", now):
-        message = "the request was seen before; sign each request anew"
-        raise SignatureError(message, field="nonce", reason="replayed")
-    return operator
-
-
-def _find_operator(key_id: KeyId, message: bytes, encoded: str, trust: Trust) -> Operator:
-    try:
-        raw = base64.b64decode(encoded, altchars=b"-_", validate=True)
-    except (binascii.Error, ValueError) as error:
-        raise SignatureError(
-            "signature is not base64", field="header", reason="malformed"
-        ) from error
-    for partner, partner_keys in trust.items():
-        if key_id not in partner_keys:
-            continue
-        try:
-            parse_public_key(key_id, partner_keys[key_id]).verify(message, raw)
-        except (nacl.exceptions.CryptoError, ValueError):
-            continue
-        return Operator(partner, key_id)
-    text = f"no trusted key {key_id!r} made this signature"
-    raise SignatureError(text, field="header", reason="forged")
-
-
-def _request_message(
-    key_id: KeyId, method: str, path: str, body: bytes, stamp: str, nonce: str, audience: str
-) -> bytes:
-    parts = (key_id, method.upper(), path, digest_of(body), stamp, nonce, audience)
-    encoded = [msgspec.msgpack.encode(part) for part in parts]
-    return _REQUEST_CONTEXT + b"\0" + b"".join(encoded)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -18,7 +18,8 @@
 from coralfall.fleetkey import new_fleet_key
 from coralfall.ids import PartnerId
 from coralfall.operators import HEADER_SIGNATURE
-from coralfall.signing import load_key, sign_request
+from coralfall.request_signing import SignedParts, sign_request
+from coralfall.signing import load_key
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 #: Seconds after which a process or a condition is given up; no test passes by waiting.
@@ -70,10 +71,17 @@
 """
 
 
+#: Ports that this process gave out; their users may not listen yet.
+_given_ports: t.Set[int] = set()
+
+
 def free_port() -> int:
     """A port that nothing listens on at the moment, of those that no connection is given."""
     while True:
         port = random.randrange(*PORTS)
+        if port in _given_ports:
+            continue
+        _given_ports.add(port)
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
             return port
@@ -287,7 +295,7 @@
     async def status(self, session: aiohttp.ClientSession, entry: str) -> t.Any:
         """What an entry tells operators of itself."""
         key = load_key(self.folder / "ana.key")
-        signature = sign_request(key, "GET", "/status", b"", time.time(), entry)
+        signature = sign_request(key, SignedParts("GET", "/status", audience=entry), time.time())
         url = f"http://{self.operator_address_by_name[entry]}/status"
         async with session.get(url, headers={HEADER_SIGNATURE: signature}) as answer:
             assert answer.status == 200, await answer.text()
