Name a node's callbacks so, and build roster rows of tests in one place

Cause: Surroundings, in node.py, was a word of our own for what the field calls callbacks, and nothing said how a node differs from an entry. The class is now NodeCallbacks; both modules say who does what: the node knows and decides and has no servers, the entry is the process around it.

The roster row of a test's entry stood in five test files, and a test module took it from another one. Four of them now share one builder, with the rows of the table made from it; the settings of a node are a function of their own, to be used by tests of its parts.

Ruled out: one builder for settings of nodes and of whole processes; the latter go through the settings file on purpose.

--- a/src/coralfall/entry.py
+++ b/src/coralfall/entry.py
@@ -1,4 +1,8 @@
-"""The process of an entry VM: builds its parts and runs them as one supervisor tree."""
+"""The process of an entry VM: builds its parts and runs them as one supervisor tree.
+
+An :class:`Entry` adds servers, streams to peers, connections to targets and the order of
+starting and stopping to a :class:`coralfall.node.Node`, which knows and decides.
+"""
 
 import asyncio
 import pathlib
@@ -22,7 +26,7 @@
 from .membership import MembershipState
 from .messages import Hello
 from .metrics import Metrics
-from .node import Node, Surroundings
+from .node import Node, NodeCallbacks
 from .operators import make_operators_app
 from .peers import PeerDirectory, PeerNetwork, PeerServer
 from .platform import Platform
@@ -66,7 +70,7 @@
             platform,
             clock,
             rng,
-            Surroundings(
+            NodeCallbacks(
                 make_member=self._make_member,
                 peer_fetch=self._fetch_from_peers,
                 ask_loan=self._ask_loan,
--- a/src/coralfall/node.py
+++ b/src/coralfall/node.py
@@ -1,4 +1,10 @@
-"""The parts of an entry that decide and follow, joined together without servers or streams."""
+"""What an entry knows and decides, without servers or streams.
+
+A :class:`Node` joins the parts that follow the table and the peers and decide where requests
+go. It opens no port and connection of its own, so tests run many in one loop. The process
+around it, with its servers and its supervisor tree, is :class:`coralfall.entry.Entry`, which
+gives the node what it needs of them as :class:`NodeCallbacks`.
+"""
 
 import random
 import typing as t
@@ -26,8 +32,8 @@
     from .fleet import AskLoan
 
 
-class Surroundings(t.NamedTuple):
-    """What a node needs of the process that it runs in."""
+class NodeCallbacks(t.NamedTuple):
+    """What a node calls in the process that it runs in."""
 
     #: Gives the roster row, once the entry's addresses are known.
     make_member: t.Callable[[], Member]
@@ -48,7 +54,7 @@
     :param platform: the platform, whatever implements it.
     :param clock: the VM's clocks.
     :param rng: the source of choices that may differ between entries.
-    :param surroundings: the process around it.
+    :param callbacks: what it calls in the process that it runs in.
     """
 
     def __init__(
@@ -57,9 +63,9 @@
         platform: Platform,
         clock: Clock,
         rng: random.Random,
-        surroundings: Surroundings,
+        callbacks: NodeCallbacks,
     ) -> None:
-        self._surroundings = surroundings
+        self._callbacks = callbacks
         self.roster = Roster()
         self.rollouts = {partner: PartnerRollout(partner) for partner in settings.partners}
         self.lease = Lease(settings.lease, clock)
@@ -83,7 +89,7 @@
             self._ask_loan,
         )
         trust = trust_of(settings.partners)
-        self.staging = Staging(platform.objects, surroundings.peer_fetch, trust)
+        self.staging = Staging(platform.objects, callbacks.peer_fetch, trust)
         self.lookup = Lookup(settings.partners, settings.lookup_ttl_s)
         self.control = Control(
             settings,
@@ -96,8 +102,8 @@
             self.steering,
             self.slots,
             self.lookup,
-            surroundings.make_member,
-            surroundings.announce,
+            callbacks.make_member,
+            callbacks.announce,
         )
         self.coordinator = Coordinator(
             settings,
@@ -126,8 +132,8 @@
         self.conversation.services = self.steering.service_ids
 
     def _follow_roster(self) -> None:
-        self._surroundings.roster_changed()
+        self._callbacks.roster_changed()
         self.steering.refresh()
 
     def _ask_loan(self, service: ServiceId, count: int, regions: t.Sequence[RegionId]) -> None:
-        self._surroundings.ask_loan(service, count, regions)
+        self._callbacks.ask_loan(service, count, regions)
--- a/tests/control_fleet.py
+++ b/tests/control_fleet.py
@@ -26,7 +26,7 @@
 )
 from coralfall.memory_platform import MemoryPlatform
 from coralfall.messages import Hello
-from coralfall.node import Node, Surroundings
+from coralfall.node import Node, NodeCallbacks
 from coralfall.platform import ObjectStore, Platform, Vm
 from coralfall.rows import Member
 from coralfall.settings import (
@@ -38,6 +38,7 @@
 )
 from tests import operators
 from tests.flaky_table import Fate, FlakyTable
+from tests.members import make_member
 from tests.virtual_loop import LoopClock
 
 LEASE = LeaseSettings(ttl_s=6.0, renew_s=2.0, poll_s=1.0)
@@ -120,6 +121,25 @@
         return (await line.read_head(self.memory.platform, operators.COSECHA)).head.accepted
 
 
+def make_settings(entry_id: EntryId, vm_id: VmId) -> EntrySettings:
+    """Settings of an entry that serves Cosecha."""
+    keys = {key.key_id: key.public_key for key in (operators.ANA, operators.BEA)}
+    return EntrySettings(
+        entry_id=entry_id,
+        vm_id=vm_id,
+        region=RegionId("sierra"),
+        zone=ZoneId("sierra-1"),
+        site=SiteId("sierra-1"),
+        caller_address="127.0.0.1:1",
+        peer_address="127.0.0.1:2",
+        operator_address="127.0.0.1:3",
+        platform=PlatformSettings(url="http://127.0.0.1"),
+        partners={operators.COSECHA: PartnerSettings(keys=keys)},
+        peers=PeerSettings(fleet_key_file="unused"),
+        lease=LEASE,
+    )
+
+
 class _Objects(ObjectStore):
     def __init__(self, world: World, entry_id: EntryId) -> None:
         self._world = world
@@ -144,33 +164,17 @@
         self.entry_id = entry_id
         self.vm_id = vm_id
         self._incarnation = incarnation
-        keys = {}
-        for key in (operators.ANA, operators.BEA):
-            keys[key.key_id] = key.public_key
-        settings = EntrySettings(
-            entry_id=entry_id,
-            vm_id=vm_id,
-            region=RegionId("sierra"),
-            zone=ZoneId("sierra-1"),
-            site=SiteId("sierra-1"),
-            caller_address="127.0.0.1:1",
-            peer_address="127.0.0.1:2",
-            operator_address="127.0.0.1:3",
-            platform=PlatformSettings(url="http://127.0.0.1"),
-            partners={operators.COSECHA: PartnerSettings(keys=keys)},
-            peers=PeerSettings(fleet_key_file="unused"),
-            lease=LEASE,
-        )
+        settings = make_settings(entry_id, vm_id)
         table = FlakyTable(world.memory.platform.table, lambda: world.fate(entry_id))
         platform = Platform(table, _Objects(world, entry_id), world.memory.platform.vms)
-        surroundings = Surroundings(
+        callbacks = NodeCallbacks(
             make_member=self._member,
             peer_fetch=self._fetch,
             ask_loan=lambda service, count, regions: None,
             announce=self._spread_news,
             roster_changed=lambda: None,
         )
-        self.node = Node(settings, platform, world.clock, world.rng, surroundings)
+        self.node = Node(settings, platform, world.clock, world.rng, callbacks)
         self.node.control.may_join.set()
         works = (self.node.control.run, self.node.control.follow_news, self._tick, self._gossip)
         self._tasks = [asyncio.ensure_future(work()) for work in works]
@@ -205,17 +209,7 @@
         return found
 
     def _member(self) -> Member:
-        return Member(
-            entry_id=self.entry_id,
-            vm_id=self.vm_id,
-            incarnation=self._incarnation,
-            region=RegionId("sierra"),
-            zone=ZoneId("sierra-1"),
-            site=SiteId("sierra-1"),
-            caller_address="127.0.0.1:1",
-            peer_address="127.0.0.1:2",
-            operator_address="127.0.0.1:3",
-        )
+        return make_member(self.entry_id, self._incarnation, self.vm_id)
 
     async def _tick(self) -> None:
         while True:
--- a/tests/peer_fleet.py
+++ b/tests/peer_fleet.py
@@ -19,6 +19,7 @@
     PeerSettings,
     PlatformSettings,
 )
+from tests.members import make_member
 
 KEY = FleetKey(bytes(range(32)))
 COSECHA = PartnerId("cosecha")
@@ -40,10 +41,8 @@
 
 def member(index: int, regions: int, address: str = "127.0.0.1:0") -> rows.Member:
     region = f"r{index % regions}"
-    return rows.Member(
-        entry_id=f"e{index:03}",
-        vm_id=f"v{index}",
-        incarnation=1,
+    return make_member(
+        f"e{index:03}",
         region=region,
         zone=region,
         site=region,
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -18,7 +18,7 @@
 from coralfall.settings import LeaseSettings
 from coralfall.slots import SlotTable
 from tests.bundles import COSECHA, make_bundle, make_target
-from tests.test_roster import deleted, make_member, put
+from tests.members import deleted, make_member, put
 
 TTL_S = 6.0
 SLOTS = 40
--- a/tests/test_lookup.py
+++ b/tests/test_lookup.py
@@ -21,16 +21,15 @@
     Digest,
     EntryId,
     EntryState,
-    Incarnation,
     PartnerId,
     RegionId,
     SiteId,
-    VmId,
     ZoneId,
 )
 from coralfall.lookup import Lookup
 from coralfall.lookup_http import LookupHttp
 from coralfall.rows import Member
+from tests.members import make_member
 
 COSECHA = PartnerId("cosecha")
 CALOR = PartnerId("calor")
@@ -65,10 +64,8 @@
 
 def member(name: str, site: SiteId, state: EntryState = EntryState.SERVING) -> Member:
     place = SITES[site]
-    return Member(
-        entry_id=EntryId(name),
-        vm_id=VmId(name),
-        incarnation=Incarnation(1),
+    return make_member(
+        name,
         region=place.region,
         zone=place.zone,
         site=site,
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -3,39 +3,16 @@
 import typing as t
 import unittest
 
-import msgspec
 from parameterized import parameterized
 
 from coralfall.clock import ManualClock
-from coralfall.ids import EntryId, Incarnation, RegionId, Revision, SiteId, VmId, VmState, ZoneId
+from coralfall.ids import EntryId, Incarnation, Revision, VmId, VmState, ZoneId
 from coralfall.platform import Row, Vm
 from coralfall.removal import LeaseObserver, removable
 from coralfall.roster import Roster, may_replace
-from coralfall.rows import Member, lease_key, roster_key
+from coralfall.rows import Member, lease_key
 from coralfall.settings import LeaseSettings
-
-
-def make_member(name: str, incarnation: int = 1, vm: str = "") -> Member:
-    return Member(
-        entry_id=EntryId(name),
-        vm_id=VmId(vm or f"vm-{name}"),
-        incarnation=Incarnation(incarnation),
-        region=RegionId("sierra"),
-        zone=ZoneId("sierra-1"),
-        site=SiteId("quito"),
-        caller_address="127.0.0.1:1",
-        peer_address="127.0.0.1:2",
-        operator_address="127.0.0.1:3",
-    )
-
-
-def put(name: str, revision: int, incarnation: int = 1) -> Row:
-    value = msgspec.msgpack.encode(make_member(name, incarnation))
-    return Row(roster_key(EntryId(name)), value, Revision(revision))
-
-
-def deleted(name: str, revision: int) -> Row:
-    return Row(roster_key(EntryId(name)), None, Revision(revision))
+from tests.members import deleted, make_member, put
 
 
 def lease(name: str, revision: int) -> Row:
