Take no older roster of a peer for a removal while joining

Cause: between the write that makes an entry a member and its next read of the table, a peer may tell a roster from before that write. The entry took it for its removal, joined a second time, and rested its slots anew. Seen in a run of 40 entries started together: one was removed 12 ms after it had joined.

Now a roster counts as evidence only from the revision of the entry's own row on. Seen red: the new test fails without it (the entry joins twice). 18 tests of nodes pass.

--- a/src/coralfall/membership.py
+++ b/src/coralfall/membership.py
@@ -294,6 +294,9 @@
             MembershipState.LEAVING,
         ):
             return
+        if self._roster.revision < self._roster_revision:
+            # A peer's roster from before this entry's own row was written.
+            return
         if not self._roster.holds(self.member.entry_id, self.member.incarnation):
             self._fall_out()
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -7,6 +7,7 @@
 from parameterized import parameterized
 
 from coralfall import log
+from coralfall.ids import EntryId, Revision
 from coralfall.settings import LogSettings
 from tests.control_fleet import LEASE, LiveNode, World
 from tests.virtual_loop import VirtualLoop
@@ -169,6 +170,30 @@
 
         run(work())
 
+    def test_roster_of_a_peer_from_before_the_join_removes_nobody(self) -> None:
+        async def work() -> None:
+            world = World(6)
+            world.start("e0")
+            await asyncio.sleep(5)
+            joining = world.start("e1")
+            membership = joining.node.membership
+            poll = membership.poll
+
+            async def told_by_a_peer_first() -> None:
+                if membership.member is not None:
+                    row = (await world.memory.platform.table.read(["roster/e1"]))["roster/e1"]
+                    before = Revision(row.revision - 1)
+                    others = tuple(world.nodes_by_id[EntryId("e0")].node.roster.by_id.values())
+                    membership.learn_roster([m for m in others if m.entry_id != "e1"], before)
+                await poll()
+
+            membership.poll = told_by_a_peer_first  # type: ignore[method-assign]
+            await asyncio.sleep(5)
+            assert membership.member is not None
+            self.assertEqual(membership.member.incarnation, 2)
+
+        run(work())
+
     def test_leaving_entry_serves_until_it_has_left(self) -> None:
         async def work() -> None:
             world = World(5)
