Part the submission of a bundle from the line it joins

The submission is submission.py now and line.py is what both share: reading a head with a version's history, and the coordinator's acceptance. Entries no longer load the code that compares and stores bundles by way of line. Moving the acceptance out too was weighed and left: it needs the same reading back.

--- a/src/coralfall/bundle_cli.py
+++ b/src/coralfall/bundle_cli.py
@@ -226,11 +226,13 @@
 async def _submit(
     services: "Platform", file: "SignedFile", keys: "Trust", replace: t.Optional[str]
 ) -> "Head":
-    from . import line
+    from . import submission
 
     replaces = await _find_staged(services, file, replace)
     submission_id = uuid.uuid4().hex
-    return await line.submit(services, file.signed, keys, submission_id, file.objects, replaces)
+    return await submission.submit(
+        services, file.signed, keys, submission_id, file.objects, replaces
+    )
 
 
 async def _find_staged(
--- a/src/coralfall/dev.py
+++ b/src/coralfall/dev.py
@@ -11,7 +11,7 @@
 
 import aiohttp
 
-from . import fleetkey, line, log, loop, signing
+from . import fleetkey, log, loop, signing, submission
 from .bundle import Bundle, SignedBundle, encode
 from .child import Child, FunctionChild
 from .clock import SystemClock
@@ -170,7 +170,7 @@
             others = [other.partner for other in PARTNERS if other is not partner]
             bundle = sample_bundle(partner, others, addresses)
             signed = self._sign(bundle)
-            await line.submit(
+            await submission.submit(
                 self._memory.platform, signed, trust, f"dev-{partner.partner}", objects={}
             )
         await asyncio.gather(*[self._wait_until_usable(entry) for entry in self._entries])
--- a/tests/control_fleet.py
+++ b/tests/control_fleet.py
@@ -4,7 +4,7 @@
 import random
 import typing as t
 
-from coralfall import line
+from coralfall import line, submission
 from coralfall.bundle import VersionRef
 from coralfall.exceptions import (
     CoralfallError,
@@ -41,7 +41,7 @@
 from tests.members import make_member
 from tests.virtual_loop import LoopClock
 
-LEASE = LeaseSettings(ttl_s=6.0, renew_s=2.0, poll_s=1.0)
+LEASE = LeaseSettings(ttl_s=6.0, renew_s=2.0, poll_s=1.0, vm_list_s=2.0)
 HEARTBEAT_S = 1.0
 TRUST = {operators.COSECHA: operators.COSECHA_KEYS}
 _TROUBLE = (Fate.DOWN, Fate.ANSWER_LOST, Fate.CALL_LOST, Fate.LATE)
@@ -102,7 +102,7 @@
         platform = self.memory.platform._replace(table=table)
         while True:
             try:
-                await line.submit(platform, signed, TRUST, f"{author}-{version}")
+                await submission.submit(platform, signed, TRUST, f"{author}-{version}")
                 return True
             except SubmitError as error:
                 if error.fields["reason"] == "unknown":
@@ -114,7 +114,7 @@
     async def stage_only(self, version: int) -> None:
         """Stage a version on a platform that does not fail."""
         signed = operators.sign_bundle(operators.make_bundle(version))
-        await line.submit(self.memory.platform, signed, TRUST, f"only-{version}")
+        await submission.submit(self.memory.platform, signed, TRUST, f"only-{version}")
 
     async def accepted(self) -> t.Optional[VersionRef]:
         """What the table says is in force."""
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -1,4 +1,4 @@
-"""Tests of :mod:`coralfall.line`: one winner, settled answers, versions that only rise."""
+"""Tests of :mod:`coralfall.line` and :mod:`coralfall.submission`: one winner, settled answers."""
 
 import asyncio
 import typing as t
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from parameterized import parameterized
 
-from coralfall import line
+from coralfall import line, submission
 from coralfall.blocks import parse_blocks
 from coralfall.bundle import Head, SignedBundle, VersionRef, digest_of, encode
 from coralfall.chunks import build_chunks
@@ -113,7 +113,7 @@
     """Base: a platform, and operators who submit to it."""
 
     def setUp(self) -> None:
-        patch = mock.patch.object(line, "SUBMIT_PAUSE_S", 0)
+        patch = mock.patch.object(submission, "SUBMIT_PAUSE_S", 0)
         patch.start()
         self.addCleanup(patch.stop)
         self.clock = ManualClock(100.0)
@@ -125,7 +125,7 @@
     async def submit(
         self, signed: SignedBundle, name: str = "s", replaces: t.Optional[Digest] = None
     ) -> Head:
-        return await line.submit(self.platform, signed, TRUST, name, None, replaces)
+        return await submission.submit(self.platform, signed, TRUST, name, None, replaces)
 
     async def accept(self, now: float = 101.0) -> Head:
         row = await line.read_head(self.platform, COSECHA)
@@ -341,7 +341,7 @@
         self.assertEqual(2, head.accepted.version)
 
     async def test_what_stays_unknown_is_said_to_be(self) -> None:
-        self.table.script = [Fate.CALL_LOST] * line.SUBMIT_ATTEMPTS
+        self.table.script = [Fate.CALL_LOST] * submission.SUBMIT_ATTEMPTS
         signed = sign_bundle(make_bundle())
         error = await self.refused("unknown", signed, name="doubt")
         self.assertEqual("doubt", error.fields["submission"])
@@ -439,7 +439,7 @@
 
     async def test_all_are_put(self) -> None:
         objects = self.built.objects_by_digest
-        await line.submit(self.platform, self.signed, TRUST, "s", objects)
+        await submission.submit(self.platform, self.signed, TRUST, "s", objects)
         for digest, data in objects.items():
             self.assertEqual(data, await self.platform.objects.get(digest))
         await self.accept()
@@ -456,7 +456,7 @@
         if reason == "missing-object":
             objects = {}
         with self.assertRaises(SubmitError) as caught:
-            await line.submit(self.platform, self.signed, TRUST, "s", objects)
+            await submission.submit(self.platform, self.signed, TRUST, "s", objects)
         self.assertEqual(reason, caught.exception.fields["reason"])
         self.assertEqual(Head(partner=COSECHA), await self.head())
 
@@ -510,7 +510,7 @@
     @hypothesis.settings(max_examples=80, deadline=None, derandomize=True)
     @hypothesis.given(st.lists(STEPS, max_size=12))
     def test_same_as_naive(self, steps: t.List[t.Any]) -> None:
-        with mock.patch.object(line, "SUBMIT_PAUSE_S", 0):
+        with mock.patch.object(submission, "SUBMIT_PAUSE_S", 0):
             asyncio.run(self._compare(steps))
 
     async def _compare(self, steps: t.List[t.Any]) -> None:
@@ -557,7 +557,7 @@
         replaced = head.staged.digest if replaces and head.staged is not None else None
         wanted = naive.submit(ref_of(signed, version), replaces)
         try:
-            await line.submit(platform, signed, TRUST, name, None, replaced)
+            await submission.submit(platform, signed, TRUST, name, None, replaced)
         except SubmitError:
             self.assertFalse(wanted, name)
             return
--- a/tests/test_rollout_status.py
+++ b/tests/test_rollout_status.py
@@ -7,7 +7,7 @@
 import msgspec
 from parameterized import parameterized
 
-from coralfall import line, rollout_status
+from coralfall import line, rollout_status, submission
 from coralfall.clock import ManualClock
 from coralfall.exceptions import PlatformError, SubmitError
 from coralfall.ids import BundleVersion, EntryId, Incarnation, RegionId, SiteId, VmId, ZoneId
@@ -57,7 +57,7 @@
 
     async def submit(self, version: int) -> None:
         signed = sign_bundle(make_bundle(version))
-        self.head = await line.submit(self.platform, signed, TRUST, f"s{version}")
+        self.head = await submission.submit(self.platform, signed, TRUST, f"s{version}")
 
     async def accept(self) -> None:
         row = await line.read_head(self.platform, COSECHA)
@@ -163,7 +163,7 @@
         self.assertEqual(3, (await self.wait(act)).in_force.version)
 
     async def submit_third(self) -> None:
-        await line.submit(self.platform, sign_bundle(make_bundle(3)), TRUST, "s3")
+        await submission.submit(self.platform, sign_bundle(make_bundle(3)), TRUST, "s3")
 
     async def test_names_who_lags_when_time_is_up(self) -> None:
         async def act(look: int) -> None:
@@ -181,7 +181,7 @@
         async def act(look: int) -> None:
             signed = sign_bundle(make_bundle(3))
             replaces = self.head.staged.digest
-            await line.submit(self.platform, signed, TRUST, "s3", None, replaces)
+            await submission.submit(self.platform, signed, TRUST, "s3", None, replaces)
             if in_force:
                 await self.accept()
 
