--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -74,8 +74,8 @@
         self.staging = staging.Staging(self.store, self.peers.get_as_peer, operators.TRUST)
         self.rollout = PartnerRollout(operators.COSECHA)
         self.revision = 0
-        log = unittest.mock.patch.object(staging.log, "warning")
-        self.warning = log.start()
+        log = unittest.mock.patch.object(staging, "log")
+        self.warning = log.start().warning
         self.addCleanup(log.stop)
 
     def name(self, data: bytes, version: int, accepted: bool) -> None:
