Part the records of the report from how they are merged

On the page a table is a class in place of a function that returned a function, a service's card is three functions in place of one of 28 lines, and how old the platform's answer is and how much memory is held are worded once for page and terminal. Names that needed explaining went: _calm, _nobody, silence_text, and heartbeats that were called words.

--- a/src/coralfall/charts.py
+++ b/src/coralfall/charts.py
@@ -11,6 +11,7 @@
     from .burn import BurnReport
     from .fleet_report import Headroom
 
+#: Sizes in units of the SVG: of a chart, its rows, and what stands beside the bars.
 _WIDTH = 320
 _ROW = 24
 _LABEL = 44
--- a/src/coralfall/fleet_reader.py
+++ b/src/coralfall/fleet_reader.py
@@ -5,7 +5,8 @@
 import aiohttp
 
 from .exceptions import Fault, InputError, PlatformError, StatusError
-from .fleet_report import FleetReport, merge_statuses
+from .fleet_merge import merge_statuses
+from .fleet_report import FleetReport
 from .ids import EntryId, Revision
 from .operators_client import STATUS_TIMEOUT_S, AnyMember, ask_entries, fetch_status
 from .rollout_status import read_status
@@ -58,12 +59,14 @@
 
     :param key: an operator's key that the entries trust.
     :param clock: dates a report that is made without the platform.
+    :param seeds: entries to ask for the roster while the platform is away, in this order.
     :raises PlatformError: if the roster can't be read, and there are no seeds.
-    :raises StatusError: if there are entries and none of them answers.
+    :raises StatusError: if there are entries and none of them answers, or what one counted
+        can't be read.
     """
     try:
         changes = await platform.table.changes([ROSTER_PREFIX], Revision(0))
-        lines = await read_status(platform)
+        status = await read_status(platform)
     except PlatformError as error:
         if not seeds:
             raise
@@ -73,8 +76,8 @@
     rows = [row for row in changes.rows if row.value is not None]
     asked = await ask_entries([decode_row(row, Member) for row in rows], key)
     if asked and all(answer.status is None for answer in asked):
-        raise _nobody([f"{answer.member.entry_id}: {answer.error}" for answer in asked])
-    return merge_statuses(asked, lines.partners, changes.now)
+        raise _none_answered([f"{answer.member.entry_id}: {answer.error}" for answer in asked])
+    return merge_statuses(asked, status.partners, changes.now)
 
 
 async def _members_of_seeds(seeds: t.Sequence[Seed], key: "Key") -> t.Sequence[AnyMember]:
@@ -88,8 +91,8 @@
                 failures.append(f"{seed.entry_id}: {error.message}")
                 continue
             return status.members
-    raise _nobody(failures)
+    raise _none_answered(failures)
 
 
-def _nobody(failures: t.Sequence[str]) -> StatusError:
+def _none_answered(failures: t.Sequence[str]) -> StatusError:
     return StatusError(f"no entry answered; {'; '.join(failures)}", failures=list(failures))
--- a/src/coralfall/report_html.py
+++ b/src/coralfall/report_html.py
@@ -11,18 +11,23 @@
     burn_text,
     duration_text,
     limit_text,
+    memory_text,
+    no_answer_text,
+    platform_age_text,
     platform_text,
     share_text,
-    silence_text,
     summary_text,
     versions_text,
 )
 
 if t.TYPE_CHECKING:
+    from .burn import BurnReport
     from .fleet_report import EntryReport, FleetReport, Headroom, ServiceReport, TargetReport
 
 _TITLE = "Coralfall service levels"
+#: Style class of columns of numbers.
 _NUMBER = "number"
+_GRADE_BY_LEASE = {"held": "good", "frozen": "warn"}
 _FOOTER = (
     "Counts begin when an entry starts and go back 6 hours at most; entries keep nothing when "
     "they are replaced. Latency is of the last 30 to 60 minutes, from the request's head to the "
@@ -35,6 +40,7 @@
 def render_page(report: "FleetReport", refresh_s: t.Optional[float] = None) -> str:
     """The page.
 
+    :param report: what it shows.
     :param refresh_s: seconds after which a browser loads the page anew.
     """
     root = new("html", lang="en")
@@ -135,51 +141,62 @@
     limit = limit_text(objective.latency_ms / 1000)
     goal = f"{objective.availability * 100:g} % answered within {limit}"
     add(card, "p", goal, class_="soft")
-    budget = add(card, "div", class_="budget")
-    if burn.counts_by_window[LONGEST_WINDOW].total:
-        grade = charts.grade_share(burn.budget_left)
-        charts.add_meter(budget, burn.budget_left, grade)
-        text = f"{share_text(burn.budget_left)} left"
-        if burn.budget_left < 0:
-            text = f"{(1 - burn.budget_left) * 100:,.0f} % spent"
-        add(budget, "span", text, class_=f"grade {grade}")
-    else:
-        add(budget, "span", "no requests yet", class_="soft")
+    _add_budget(card, burn)
     add(card, "h4", "Burn rate")
     charts.add_burn_chart(card, burn)
     add(card, "h4", "Latency")
     charts.add_latency_chart(card, burn)
+    _add_outcomes(card, burn)
+
+
+def _add_budget(card: Element, burn: "BurnReport") -> None:
+    budget = add(card, "div", class_="budget")
+    if not burn.counts_by_window[LONGEST_WINDOW].total:
+        add(budget, "span", "no requests yet", class_="soft")
+        return
+    grade = charts.grade_share(burn.budget_left)
+    charts.add_meter(budget, burn.budget_left, grade)
+    text = f"{share_text(burn.budget_left)} left"
+    if burn.budget_left < 0:
+        text = f"{(1 - burn.budget_left) * 100:,.0f} % spent"
+    _add_grade(budget, text, grade)
+
+
+def _add_outcomes(card: Element, burn: "BurnReport") -> None:
     counts = [f"{count:,} {outcome}" for outcome, count in burn.outcomes.items() if count]
     if burn.faulty:
         counts.append(f"{burn.faulty:,} faulty")
     add(card, "p", " · ".join(counts) or "nothing asked", class_="soft counts")
 
 
-def _add_table(
-    parent: Element, names: t.Sequence[str], classes: t.Optional[t.Mapping[int, str]] = None
-) -> t.Callable[[t.Sequence[str]], t.List[Element]]:
-    """A table; returns what adds one row and gives its cells."""
-    card = add(parent, "div", class_="card scroll")
-    table = add(card, "table")
-    head = add(add(table, "thead"), "tr")
-    body = add(table, "tbody")
-    by_position = classes or {}
+class _Table:
+    """A table in a card of its own.
+
+    :param names: heads of the columns.
+    :param class_by_column: style classes of columns, by position from 0.
+    """
+
+    def __init__(
+        self, parent: Element, names: t.Sequence[str], class_by_column: t.Mapping[int, str]
+    ) -> None:
+        self._class_by_column = class_by_column
+        table = add(add(parent, "div", class_="card scroll"), "table")
+        self._add_cells(add(add(table, "thead"), "tr"), "th", names)
+        self._body = add(table, "tbody")
+
+    def add_row(self, texts: t.Sequence[str]) -> t.List[Element]:
+        """A new last row; returns its cells."""
+        return self._add_cells(add(self._body, "tr"), "td", texts)
 
-    def add_cells(row: Element, tag: str, texts: t.Sequence[str]) -> t.List[Element]:
+    def _add_cells(self, row: Element, tag: str, texts: t.Sequence[str]) -> t.List[Element]:
         cells = []
-        for position, text in enumerate(texts):
+        for column, text in enumerate(texts):
             cell = add(row, tag, text)
-            if position in by_position:
-                cell.set("class", by_position[position])
+            if column in self._class_by_column:
+                cell.set("class", self._class_by_column[column])
             cells.append(cell)
         return cells
 
-    def add_row(texts: t.Sequence[str]) -> t.List[Element]:
-        return add_cells(add(body, "tr"), "td", texts)
-
-    add_cells(head, "th", names)
-    return add_row
-
 
 def _headroom_texts(headroom: "Headroom") -> t.List[str]:
     return [str(headroom.in_flight), str(headroom.usable), str(headroom.owned)]
@@ -194,11 +211,11 @@
     section = _add_section(main, "Regions", lead)
     names = ("region", "in flight of usable", "in flight", "usable", "owned", "free")
     classes = {1: "grow", 2: _NUMBER, 3: _NUMBER, 4: _NUMBER, 5: _NUMBER}
-    add_row = _add_table(section, names, classes)
+    table = _Table(section, names, classes)
     most = max((region.headroom.usable for region in report.regions), default=1)
     for region in report.regions:
         headroom = region.headroom
-        cells = add_row([region.region, "", *_headroom_texts(headroom), ""])
+        cells = table.add_row([region.region, "", *_headroom_texts(headroom), ""])
         charts.add_headroom_bar(cells[1], headroom, most)
         grade = charts.grade_share(headroom.free_share)
         _add_grade(cells[5], share_text(headroom.free_share), grade)
@@ -244,13 +261,13 @@
         add(add(section, "div", class_="card"), "p", "No target is leaving.", class_="soft")
         return
     names = ("target", "state", "drain time", "in flight", "marked", "told by")
-    add_row = _add_table(section, names, {2: _NUMBER, 3: _NUMBER, 4: _NUMBER, 5: _NUMBER})
+    table = _Table(section, names, {2: _NUMBER, 3: _NUMBER, 4: _NUMBER, 5: _NUMBER})
     for drain in report.drains:
         done = drain.drained_s is not None
         marked = f"{duration_text(drain.age_s)} ago"
         told = f"{drain.entries} entries"
         time = duration_text(drain.drained_s)
-        cells = add_row([drain.target_id, "", time, str(drain.in_flight), marked, told])
+        cells = table.add_row([drain.target_id, "", time, str(drain.in_flight), marked, told])
         _add_grade(cells[1], "idle" if done else "draining", "good" if done else "warn")
 
 
@@ -259,34 +276,28 @@
     section = _add_section(main, "Entries", lead)
     names = ("entry", "state", "zone", "lease", "in force", "platform seen", "memory", "core", "up")
     classes = {5: _NUMBER, 6: _NUMBER, 7: _NUMBER, 8: _NUMBER}
-    add_row = _add_table(section, (*names,), classes)
+    table = _Table(section, names, classes)
     for entry in report.entries:
-        _add_entry(add_row, entry)
+        _add_entry(table, entry)
 
 
-def _add_entry(
-    add_row: t.Callable[[t.Sequence[str]], t.List[Element]], entry: "EntryReport"
-) -> None:
+def _add_entry(table: _Table, entry: "EntryReport") -> None:
     if entry.error is not None:
-        cells = add_row([entry.entry_id, "", entry.zone, ""])
+        cells = table.add_row([entry.entry_id, "", entry.zone, ""])
         _add_grade(cells[1], "no answer", "bad")
         cells[3].set("colspan", "6")
         cells[3].set("class", "wrap soft")
-        cells[3].text = silence_text(entry)
+        cells[3].text = no_answer_text(entry)
         return
-    age = "never" if entry.platform_age_s is None else f"{entry.platform_age_s:.1f} s ago"
-    texts = [entry.entry_id, "", entry.zone, "", "", age, f"{entry.resident_bytes / 1e6:.0f} MB"]
-    texts += [share_text(entry.processor_share), duration_text(entry.started_s)]
-    cells = add_row(texts)
+    texts = [entry.entry_id, "", entry.zone, "", "", platform_age_text(entry)]
+    texts += [memory_text(entry.resident_bytes), share_text(entry.processor_share)]
+    cells = table.add_row([*texts, duration_text(entry.started_s)])
     _add_grade(cells[1], entry.state.value if entry.ready else "not ready", _entry_grade(entry))
-    _add_grade(cells[3], entry.lease, _LEASE_GRADES.get(entry.lease, "bad"))
+    _add_grade(cells[3], entry.lease, _GRADE_BY_LEASE.get(entry.lease, "bad"))
     note = f"{versions_text(entry.in_force)}{' (lags)' if entry.lags else ''}"
     _add_grade(cells[4], note, "warn" if entry.lags else "")
 
 
-_LEASE_GRADES = {"held": "good", "frozen": "warn"}
-
-
 def _entry_grade(entry: "EntryReport") -> str:
     if not entry.ready:
         return "bad"
--- a/src/coralfall/report_text.py
+++ b/src/coralfall/report_text.py
@@ -53,7 +53,7 @@
 
 
 def latency_text(seconds: t.Optional[float]) -> str:
-    """A latency with its unit."""
+    """A latency with its unit, ``-`` if there is none."""
     if seconds is None:
         return "-"
     if seconds >= 1:
@@ -68,7 +68,7 @@
 
 
 def duration_text(seconds: t.Optional[float]) -> str:
-    """A duration of seconds to days."""
+    """A duration in seconds to days, ``-`` if there is none."""
     if seconds is None:
         return "-"
     if seconds < 90:
@@ -81,7 +81,7 @@
 
 
 def share_text(share: t.Optional[float]) -> str:
-    """A share in per cent."""
+    """A share from 0 to 1 in per cent, ``-`` if there is none."""
     return "-" if share is None else f"{share * 100:.1f} %"
 
 
@@ -95,7 +95,7 @@
     return ", ".join(f"{partner} {version}" for partner, version in versions.items()) or "-"
 
 
-def silence_text(entry: "EntryReport") -> str:
+def no_answer_text(entry: "EntryReport") -> str:
     """Why an entry did not answer, and whether its peers still hear it."""
     heard = "no entry has heard it"
     if entry.heard_s is not None:
@@ -103,6 +103,16 @@
     return f"{' '.join((entry.error or '').split())}; {heard}"
 
 
+def platform_age_text(entry: "EntryReport") -> str:
+    """When the platform last answered an entry."""
+    return "never" if entry.platform_age_s is None else f"{entry.platform_age_s:.1f} s ago"
+
+
+def memory_text(count: int) -> str:
+    """A number of bytes in megabytes."""
+    return f"{count / 1e6:.0f} MB"
+
+
 def _note_text(entry: "EntryReport") -> str:
     if entry.lags:
         return "lags"
@@ -167,7 +177,7 @@
 def _target_rows(report: "FleetReport") -> t.List[Row]:
     head = ("target", "service", "region", "state", "usable", "owned", "in flight", "free")
     rows: t.List[Row] = [(*head, "suspected by")]
-    for target in sorted(report.targets, key=_calm)[:MAX_TARGETS]:
+    for target in sorted(report.targets, key=_attention_order)[:MAX_TARGETS]:
         rows.append(
             (
                 target.target_id,
@@ -181,8 +191,8 @@
     return rows
 
 
-def _calm(target: "TargetReport") -> t.Tuple[bool, bool, float]:
-    """The lower, the more a target deserves a look."""
+def _attention_order(target: "TargetReport") -> t.Tuple[bool, bool, float]:
+    """Sorts suspected targets first, then those that join or leave, then the fullest."""
     unsuspected = not target.suspected_by
     unchanged = target.state is TargetState.ACTIVE
     free_share = target.headroom.free_share
@@ -210,10 +220,9 @@
     for entry in report.entries:
         if entry.error is not None:
             blanks = ("-",) * 6
-            note = f"did not answer: {silence_text(entry)}"
+            note = f"did not answer: {no_answer_text(entry)}"
             rows.append((entry.entry_id, entry.zone, entry.state.value, *blanks, note))
             continue
-        age = "never" if entry.platform_age_s is None else f"{entry.platform_age_s:.1f} s ago"
         rows.append(
             (
                 entry.entry_id,
@@ -221,8 +230,8 @@
                 entry.state.value,
                 entry.lease,
                 versions_text(entry.in_force),
-                age,
-                f"{entry.resident_bytes / 1e6:.0f} MB",
+                platform_age_text(entry),
+                memory_text(entry.resident_bytes),
                 share_text(entry.processor_share),
                 duration_text(entry.started_s),
                 _note_text(entry),
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -17,8 +17,9 @@
 from coralfall.burn import BurnReport, WindowCount
 from coralfall.clock import ManualClock
 from coralfall.exceptions import InputError, PlatformError, StatusError
+from coralfall.fleet_merge import merge_statuses
 from coralfall.fleet_reader import parse_seeds, read_fleet
-from coralfall.fleet_report import FleetReport, make_headroom, merge_statuses
+from coralfall.fleet_report import FleetReport, make_headroom
 from coralfall.ids import (
     BundleVersion,
     Digest,
@@ -52,8 +53,8 @@
     VersionStatus,
 )
 from tests.loopback import serving
+from tests.members import make_member
 from tests.operators import ANA, COSECHA, TRUST, make_bundle, make_key
-from tests.test_roster import make_member
 
 CATALOGO = ServiceId("catalogo")
 LINE = PartnerStatus(
@@ -356,7 +357,7 @@
 
     async def ask(self, app: t.Any, entry: str = "e1", key: t.Any = ANA) -> Asked:
         async with serving(app) as address:
-            member = msgspec.structs.replace(make_member(entry), operator_address=address)
+            member = make_member(entry, operator_address=address)
             (asked,) = await ask_entries([member], key, timeout_s=10.0)
         return asked
 
@@ -411,7 +412,7 @@
             await asyncio.Event().wait()
 
         async with serving(app) as address:
-            member = msgspec.structs.replace(make_member("e1"), operator_address=address)
+            member = make_member("e1", operator_address=address)
             (asked,) = await ask_entries([member], ANA, timeout_s=0.2)
         self.assertEqual("no answer in time", asked.error)
 
@@ -437,7 +438,7 @@
     async def test_entries_are_found_by_the_roster(self) -> None:
         app = make_operators_app(lambda: make_status("e1"), lambda: True, TRUST, "e1")
         async with serving(app) as address:
-            await self.write(msgspec.structs.replace(make_member("e1"), operator_address=address))
+            await self.write(make_member("e1", operator_address=address))
             report = await self.read()
         self.assertEqual((1, 100.0, None), (report.answered, report.at, report.platform_error))
         self.assertEqual(["e1", "e2"], [entry.entry_id for entry in report.entries])
--- a/tests/test_rollout_status.py
+++ b/tests/test_rollout_status.py
@@ -10,28 +10,15 @@
 from coralfall import line, rollout_status, submission
 from coralfall.clock import ManualClock
 from coralfall.exceptions import PlatformError, SubmitError
-from coralfall.ids import BundleVersion, EntryId, Incarnation, RegionId, SiteId, VmId, ZoneId
+from coralfall.ids import BundleVersion, Digest, EntryId, Incarnation
 from coralfall.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
 from coralfall.platform import Write
 from coralfall.rollout_status import read_status, wait_in_force
 from coralfall.rows import LeaseRow, Member, head_key, lease_key, roster_key
+from tests.members import make_member
 from tests.operators import COSECHA, TRUST, make_bundle, sign_bundle
 
 
-def make_member(name: str, incarnation: int = 1) -> Member:
-    return Member(
-        entry_id=EntryId(name),
-        vm_id=VmId(f"vm-{name}"),
-        incarnation=Incarnation(incarnation),
-        region=RegionId("sierra"),
-        zone=ZoneId("sierra-1"),
-        site=SiteId("sierra-1"),
-        caller_address="127.0.0.1:1",
-        peer_address="127.0.0.1:2",
-        operator_address="127.0.0.1:3",
-    )
-
-
 def make_lease(name: str, in_force: int, staged: int, incarnation: int = 1) -> LeaseRow:
     return LeaseRow(
         entry_id=EntryId(name),
@@ -55,14 +42,21 @@
         await self.write(make_member("e1"), make_lease("e1", 1, 2))
         await self.write(make_member("e2"), make_lease("e2", 1, 2))
 
-    async def submit(self, version: int) -> None:
+    async def submit(self, version: int, replaces: t.Optional[Digest] = None) -> None:
         signed = sign_bundle(make_bundle(version))
-        self.head = await submission.submit(self.platform, signed, TRUST, f"s{version}")
+        self.head = await submission.submit(
+            self.platform, signed, TRUST, f"s{version}", None, replaces
+        )
 
     async def accept(self) -> None:
         row = await line.read_head(self.platform, COSECHA)
         await line.accept(self.platform, row.head, row.revision, {}, 101.0)
 
+    async def serve(self, version: int, *names: str) -> None:
+        """Both entries, or those named, say that they serve under ``version``."""
+        for name in names or ("e1", "e2"):
+            await self.write(make_member(name), make_lease(name, version, version))
+
     async def write(self, member: Member, lease: t.Optional[LeaseRow]) -> None:
         value = None if lease is None else msgspec.msgpack.encode(lease)
         await self.platform.table.transact(
@@ -131,9 +125,9 @@
                 self.memory.set_faults(Faults())
                 await self.accept()
             if look == 3:
-                await self.write(make_member("e1"), make_lease("e1", 2, 2))
+                await self.serve(2, "e1")
             if look == 4:
-                await self.write(make_member("e2"), make_lease("e2", 2, 2))
+                await self.serve(2, "e2")
 
         status = await self.wait(act)
         self.assertEqual((2, ()), (status.in_force.version, status.lagging))
@@ -144,9 +138,8 @@
         async def act(look: int) -> None:
             if look == 1:
                 await self.accept()
-                await self.submit_third()
-                await self.write(make_member("e1"), make_lease("e1", 2, 2))
-                await self.write(make_member("e2"), make_lease("e2", 2, 2))
+                await self.submit(3)
+                await self.serve(2)
 
         status = await self.wait(act)
         self.assertEqual((2, 3), (status.in_force.version, status.staged.version))
@@ -155,21 +148,17 @@
         async def act(look: int) -> None:
             if look == 1:
                 await self.accept()
-                await self.submit_third()
+                await self.submit(3)
                 await self.accept()
-                await self.write(make_member("e1"), make_lease("e1", 3, 3))
-                await self.write(make_member("e2"), make_lease("e2", 3, 3))
+                await self.serve(3)
 
         self.assertEqual(3, (await self.wait(act)).in_force.version)
 
-    async def submit_third(self) -> None:
-        await submission.submit(self.platform, sign_bundle(make_bundle(3)), TRUST, "s3")
-
     async def test_names_who_lags_when_time_is_up(self) -> None:
         async def act(look: int) -> None:
             if look == 1:
                 await self.accept()
-                await self.write(make_member("e1"), make_lease("e1", 2, 2))
+                await self.serve(2, "e1")
 
         with self.assertRaises(SubmitError) as caught:
             await self.wait(act)
@@ -179,9 +168,7 @@
     @parameterized.expand([("staged", False), ("in force", True)])
     async def test_says_who_replaced_it(self, _name: str, in_force: bool) -> None:
         async def act(look: int) -> None:
-            signed = sign_bundle(make_bundle(3))
-            replaces = self.head.staged.digest
-            await submission.submit(self.platform, signed, TRUST, "s3", None, replaces)
+            await self.submit(3, self.head.staged.digest)
             if in_force:
                 await self.accept()
 
--- a/tests/test_status_builder.py
+++ b/tests/test_status_builder.py
@@ -34,8 +34,8 @@
 from coralfall.settings import EntrySettings, PartnerSettings, PeerSettings, PlatformSettings
 from coralfall.status import EntryStatus, HeardStatus, RegionStatus, TargetStatus
 from coralfall.steering import AttemptResult
+from tests.members import make_member
 from tests.operators import COSECHA, COSECHA_KEYS, SIERRA, make_bundle
-from tests.test_roster import make_member
 
 CATALOGO = ServiceId("catalogo")
 TARGET = TargetId("catalogo-01")
