Read lease rows only while a bundle is staged or a VM is gone

Cause: the coordinator read the lease rows that had changed at every poll.

Now it reads them while a bundle is staged, and otherwise only those of entries that the VM list does not name, which it reads every 10 s (vm_list_s). Removal is a module of its own. The random order for a duty that is free is only worked out when it is free. Price: a removal comes up to vm_list_s later.

--- a/src/coralfall/coordinator.py
+++ b/src/coralfall/coordinator.py
@@ -1,28 +1,21 @@
-"""Accepts bundles that every entry has staged and removes entries that are gone."""
+"""The duty that one entry at a time has for all: accepting bundles that every entry holds."""
 
 import typing as t
 
 import msgspec
 
 from . import line, log
+from .bundle import VersionRef
 from .claim_sweep import ClaimSweeper
 from .clock import Clock
-from .exceptions import PlatformError, PlatformUnknownError, SubmitError
+from .exceptions import PlatformUnknownError, SubmitError
 from .ids import EntryId, PartnerId, Revision
 from .membership import Membership
 from .platform import Check, Platform, Row, Write
-from .removal import LeaseObserver, removable
+from .remover import Remover
 from .rollout import PartnerRollout
 from .roster import Roster
-from .rows import (
-    COORDINATOR_KEY,
-    LEASE_PREFIX,
-    CoordinatorRow,
-    LeaseRow,
-    Member,
-    lease_key,
-    roster_key,
-)
+from .rows import COORDINATOR_KEY, LEASE_PREFIX, CoordinatorRow, LeaseRow
 from .settings import EntrySettings
 from .shift import shares_at
 
@@ -71,7 +64,7 @@
         self._seen_at = clock.monotonic()
         self._lease_since = Revision(0)
         self._leases_by_id: t.Dict[EntryId, LeaseRow] = {}
-        self._observer = LeaseObserver(settings.lease, clock)
+        self._remover = Remover(settings.lease, platform, clock, roster)
         self._sweeper = ClaimSweeper(platform.table)
         self._next_sweep = clock.monotonic() + SWEEP_S
 
@@ -85,16 +78,17 @@
             return
         if not await self._hold_duty(member.entry_id):
             return
-        try:
-            await self._read_leases()
-        except PlatformError:
-            self._observer.reset()
-            raise
         for rollout in self._rollouts.values():
-            await self._accept_if_staged(rollout)
-        await self._remove_gone()
+            if rollout.head.staged is not None and rollout.revision:
+                await self._read_leases()
+                await self._accept_if_staged(rollout, rollout.head.staged)
+        await self._remover.tick(self._fence())
         await self._sweep_claims()
 
+    def _fence(self) -> Check:
+        """Makes a write take effect only while this entry holds the duty."""
+        return Check(COORDINATOR_KEY, self._membership.coordinator_revision)
+
     async def _hold_duty(self, entry_id: EntryId) -> bool:
         membership = self._membership
         row = membership.coordinator
@@ -117,7 +111,7 @@
             return False
         if not mine:
             log.info("coordinator.taken", entry=entry_id)
-            self._observer.reset()
+            self._remover.reset()
         membership.coordinator = value
         membership.coordinator_revision = result.revision
         return True
@@ -128,10 +122,10 @@
         if revision != self._seen_revision:
             self._seen_revision = revision
             self._seen_at = now
-        wait_s = self._turn_s(entry_id, revision)
+        free_for_s = now - self._seen_at
         if row is not None and row.entry_id in self._roster.by_id:
-            wait_s += self._settings.lease.ttl_s
-        return now - self._seen_at > wait_s
+            free_for_s -= self._settings.lease.ttl_s
+        return free_for_s > 0 and free_for_s > self._turn_s(entry_id, revision)
 
     def _turn_s(self, entry_id: EntryId, revision: Revision) -> float:
         """Seconds that this entry leaves to those that come before it in a random order.
@@ -143,27 +137,23 @@
         return turn * self._settings.lease.poll_s
 
     async def _read_leases(self) -> None:
-        rows: t.List[Row] = []
-        sent = self._clock.monotonic()
+        """Read what entries hold; only done while a bundle is staged, since it is much."""
         more = True
         while more:
             changes = await self._platform.table.changes((LEASE_PREFIX,), self._lease_since)
             self._lease_since = changes.revision
-            rows += changes.rows
+            for row in changes.rows:
+                self._take_lease(row)
             more = changes.more
-        self._observer.observe(sent, rows, self._roster.by_id)
-        for row in rows:
-            entry_id = EntryId(row.key[len(LEASE_PREFIX) :])
-            if row.value is None:
-                self._leases_by_id.pop(entry_id, None)
-                continue
-            lease = msgspec.msgpack.decode(row.value, type=LeaseRow)
-            self._leases_by_id[entry_id] = lease
-
-    async def _accept_if_staged(self, rollout: PartnerRollout) -> None:
-        staged = rollout.head.staged
-        if staged is None or rollout.revision == 0:
+
+    def _take_lease(self, row: Row) -> None:
+        entry_id = EntryId(row.key[len(LEASE_PREFIX) :])
+        if row.value is None:
+            self._leases_by_id.pop(entry_id, None)
             return
+        self._leases_by_id[entry_id] = msgspec.msgpack.decode(row.value, type=LeaseRow)
+
+    async def _accept_if_staged(self, rollout: PartnerRollout, staged: VersionRef) -> None:
         for entry_id, member in self._roster.by_id.items():
             lease = self._leases_by_id.get(entry_id)
             if lease is None or lease.incarnation != member.incarnation:
@@ -173,10 +163,9 @@
         now = self._membership.platform_clock.now()
         accepted = rollout.accepted()
         shares = {} if accepted is None else shares_at(rollout.head, accepted, now)
-        checks = [Check(COORDINATOR_KEY, self._membership.coordinator_revision)]
         try:
             head = await line.accept(
-                self._platform, rollout.head, rollout.revision, shares, now, checks
+                self._platform, rollout.head, rollout.revision, shares, now, [self._fence()]
             )
         except PlatformUnknownError:
             # The next poll shows whether the head moved; writing again could not tell.
@@ -197,24 +186,3 @@
         removed = await self._sweeper.sweep()
         if removed:
             log.info("claims.swept", rows=removed)
-
-    async def _remove_gone(self) -> None:
-        lapsed = self._observer.lapsed()
-        if not lapsed:
-            return
-        vms = await self._platform.vms.list()
-        for entry_id in removable(self._roster.by_id, lapsed, vms):
-            key = roster_key(entry_id)
-            row = (await self._platform.table.read([key])).get(key)
-            if row is None or row.value is None:
-                continue
-            if msgspec.msgpack.decode(row.value, type=Member) != self._roster.by_id[entry_id]:
-                continue
-            writes = [
-                Write(key, None, row.revision),
-                Write(lease_key(entry_id), None, self._observer.revision(entry_id)),
-            ]
-            checks = [Check(COORDINATOR_KEY, self._membership.coordinator_revision)]
-            result = await self._platform.table.transact(writes, checks)
-            if result.committed:
-                log.warning("coordinator.removed", entry=entry_id)
--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -11,6 +11,8 @@
 LEASE_RENEW_S = 2.0
 #: Seconds between two reads of the table's changes.
 POLL_S = 1.0
+#: Seconds between two reads of the platform's VM list by the coordinator.
+VM_LIST_S = 10.0
 #: Seconds between two rounds of peer heartbeats.
 HEARTBEAT_S = 1.0
 #: How many peers an entry sends a heartbeat to in one round.
--- a/src/coralfall/settings.py
+++ b/src/coralfall/settings.py
@@ -59,6 +59,8 @@
     renew_s: float = defaults.LEASE_RENEW_S
     #: Seconds between two reads of what changed in the platform's table.
     poll_s: float = defaults.POLL_S
+    #: Seconds between two reads of the platform's VM list by the coordinator.
+    vm_list_s: float = defaults.VM_LIST_S
 
 
 class PeerSettings(Settings, frozen=True):
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -26,6 +26,7 @@
 PATIENCE_S = 60.0
 #: Below the range from which connections get theirs, so that a process can be started again.
 PORTS = (12000, 32000)
+_given_ports: t.Set[int] = set()
 PARTNER = PartnerId("cosecha")
 ZONES = ("sierra-1", "costa-1")
 SERVICES = ("catalogo", "pedidos", "acopio")
@@ -361,4 +362,5 @@
 ttl_s = {self.ttl_s}
 renew_s = 0.5
 poll_s = 0.25
+vm_list_s = 0.5
 {self._trust_text()}"""
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -75,9 +75,11 @@
             row = await line.read_head(world.memory.platform, operators.COSECHA)
             self.assertEqual(row.head, staged)
             rollout.learn_from_table(row.head, row.revision)
+            await old.node.coordinator._read_leases()
             for lease in old.node.coordinator._leases_by_id.values():
                 lease.staged[operators.COSECHA] = staged.staged.version  # type: ignore[union-attr]
-            await old.node.coordinator._accept_if_staged(rollout)
+            assert staged.staged is not None
+            await old.node.coordinator._accept_if_staged(rollout, staged.staged)
             self.assertIsNone(await world.accepted())
 
         run(work())
