--- a/src/coralfall/membership.py
+++ b/src/coralfall/membership.py
@@ -152,16 +152,8 @@
             Write(keys[0], msgspec.msgpack.encode(member), _revision_of(earlier)),
             Write(keys[1], self._lease_value(), _revision_of(rows_by_key.get(keys[1]))),
         ]
-        checks = []
-        for partner, rollout in self._rollouts.items():
-            if rollout.missing():
-                # Moves the head's revision, so that a coordinator that has not seen this
-                # entry yet can't accept what the entry has not staged.
-                value = encode(rollout.head)
-                writes.append(Write(head_key(partner), value, rollout.revision))
-                continue
-            checks.append(Check(head_key(partner), rollout.revision))
-        result = await self._transact(writes, checks)
+        head_writes, head_checks = self._hold_heads()
+        result = await self._transact([*writes, *head_writes], head_checks)
         if not result.committed:
             self.member = None
             return False
@@ -172,6 +164,20 @@
         log.info("membership.joined", entry=member.entry_id, incarnation=member.incarnation)
         return True
 
+    def _hold_heads(self) -> t.Tuple[t.List[Write], t.List[Check]]:
+        """Writes and checks that fail if a head is no longer as this entry has read it."""
+        writes: t.List[Write] = []
+        checks: t.List[Check] = []
+        for partner, rollout in self._rollouts.items():
+            if rollout.missing():
+                # Moves the head's revision, so that a coordinator that has not seen this
+                # entry yet can't accept what the entry has not staged.
+                value = encode(rollout.head)
+                writes.append(Write(head_key(partner), value, rollout.revision))
+                continue
+            checks.append(Check(head_key(partner), rollout.revision))
+        return writes, checks
+
     async def _may_replace(self, present: Member, member: Member) -> bool:
         vms = await self._vms.list() if present.vm_id != member.vm_id else {}
         if may_replace(present, member, vms):
--- a/tests/control_fleet.py
+++ b/tests/control_fleet.py
@@ -3,9 +3,11 @@
 import asyncio
 import random
 import typing as t
+import unittest.mock
 
 from coralfall import line, submission
 from coralfall.bundle import VersionRef
+from coralfall.clock import Clock
 from coralfall.exceptions import (
     CoralfallError,
     PeerUnreachableError,
@@ -140,6 +142,19 @@
     )
 
 
+def make_still_node(clock: Clock, platform: Platform) -> Node:
+    """A node named a that does nothing by itself, and whose process does nothing either."""
+    callbacks = NodeCallbacks(
+        make_member=lambda: make_member("a"),
+        peer_fetch=unittest.mock.AsyncMock(),
+        ask_loan=unittest.mock.Mock(),
+        announce=unittest.mock.Mock(),
+        roster_changed=unittest.mock.Mock(),
+    )
+    settings = make_settings(EntryId("a"), VmId("vm-a"))
+    return Node(settings, platform, clock, random.Random(1), callbacks)
+
+
 class _Objects(ObjectStore):
     def __init__(self, world: World, entry_id: EntryId) -> None:
         self._world = world
--- a/tests/test_conversation.py
+++ b/tests/test_conversation.py
@@ -1,7 +1,6 @@
 """What an entry tells its peers, and what it does with their heartbeats and syncs."""
 
 import asyncio
-import random
 import typing as t
 import unittest
 import unittest.mock
@@ -11,13 +10,12 @@
 from coralfall.bundle import Head, VersionRef
 from coralfall.clock import ManualClock
 from coralfall.handover import Ack
-from coralfall.ids import BundleVersion, Digest, EntryId, Incarnation, Revision, ServiceId, VmId
+from coralfall.ids import BundleVersion, Digest, EntryId, Incarnation, Revision, ServiceId
 from coralfall.lease import LeaseState
 from coralfall.memory_platform import MemoryPlatform
 from coralfall.messages import Heartbeat, Hello, SyncAnswer
-from coralfall.node import Node, NodeCallbacks
 from coralfall.platform import Write
-from tests.control_fleet import LEASE, make_settings
+from tests.control_fleet import LEASE, make_still_node
 from tests.members import make_member, put
 from tests.operators import CALOR, COSECHA
 
@@ -44,15 +42,7 @@
     def setUp(self) -> None:
         self.clock = ManualClock(1000.0)
         self.platform = MemoryPlatform(self.clock).platform
-        callbacks = NodeCallbacks(
-            make_member=lambda: make_member("a"),
-            peer_fetch=unittest.mock.AsyncMock(),
-            ask_loan=unittest.mock.Mock(),
-            announce=unittest.mock.Mock(),
-            roster_changed=unittest.mock.Mock(),
-        )
-        settings = make_settings(EntryId("a"), VmId("vm-a"))
-        self.node = Node(settings, self.platform, self.clock, random.Random(1), callbacks)
+        self.node = make_still_node(self.clock, self.platform)
         self.conversation = self.node.conversation
 
     def join(self) -> None:
