Fold rules, diffs and errors that stood twice, and name what to do

Two structures were called VersionStatus and one test had to rename an import: the one of an entry's status is HeldVersions. Faults that said only what is wrong say what to do or what is allowed; codes, paths and JSON shapes are as before.

--- a/src/coralfall/blockdiff.py
+++ b/src/coralfall/blockdiff.py
@@ -7,7 +7,7 @@
 from .blocks import TABLE_BITS, Block
 from .bundle import Bundle
 from .chunks import Chunk, decode_chunk, decode_page
-from .diff import Change
+from .diff import Change, diff_values
 from .ids import Digest, SiteId
 
 #: Most block changes that are named one by one.
@@ -88,15 +88,8 @@
 
 
 def _compare(old: t.Mapping[str, SiteId], new: t.Mapping[str, SiteId]) -> BlockDiff:
-    changes = []
-    for prefix in sorted({**old, **new}):
-        path = f"blocks.{prefix}"
-        if prefix not in new:
-            changes.append(Change(path, "removed", old=old[prefix]))
-        elif prefix not in old:
-            changes.append(Change(path, "added", new=new[prefix]))
-        elif old[prefix] != new[prefix]:
-            changes.append(Change(path, "changed", old[prefix], new[prefix]))
+    changes = diff_values("blocks", old, new)
+    changes.sort(key=lambda change: change.path)
     count = {"added": 0, "removed": 0, "changed": 0}
     for change in changes:
         count[change.kind] += 1
--- a/src/coralfall/diff.py
+++ b/src/coralfall/diff.py
@@ -32,7 +32,7 @@
     A region, service, target or site that only one of them has is one change. That the block
     tables differ is one change as well; :mod:`coralfall.blockdiff` says by which blocks.
     """
-    changes = _diff_values("", _plain(old), _plain(new))
+    changes = diff_values("", _plain(old), _plain(new))
     return sorted(changes, key=lambda change: change.path)
 
 
@@ -51,7 +51,11 @@
     return f"{count} ({short_digest(digest)})"
 
 
-def _diff_values(path: str, old: t.Any, new: t.Any) -> t.List[Change]:
+def diff_values(path: str, old: t.Any, new: t.Any) -> t.List[Change]:
+    """Changes from ``old`` to ``new``; mappings are compared key by key, in no certain order.
+
+    :param path: dotted path of both within their bundles.
+    """
     if not (isinstance(old, dict) and isinstance(new, dict)):
         return [] if old == new else [Change(path, "changed", old, new)]
     changes: t.List[Change] = []
@@ -63,7 +67,7 @@
         if name not in old:
             changes.append(Change(below, "added", new=new[name]))
             continue
-        changes += _diff_values(below, old[name], new[name])
+        changes += diff_values(below, old[name], new[name])
     return changes
 
 
--- a/src/coralfall/draft.py
+++ b/src/coralfall/draft.py
@@ -16,7 +16,7 @@
 
 
 class Draft(Model, frozen=True):
-    """What the TOML file states; a bundle but for the block files and the regions lent to us."""
+    """What the TOML file states: a bundle, but for its block files and the granted regions."""
 
     partner: PartnerId
     version: BundleVersion
@@ -104,13 +104,14 @@
     faults = []
     broken = [fault.path for fault in shape_faults if fault.code != "unknown-field"]
     for finding in rules.find_faults(_to_bundle(draft, ()), frozenset(draft.granted_regions)):
-        if _is_drawn_from(finding, broken):
+        if _follows_from(finding, broken):
             continue
         faults.append(finding.fault)
     return faults
 
 
-def _is_drawn_from(finding: rules.Finding, broken: t.Sequence[str]) -> bool:
+def _follows_from(finding: rules.Finding, broken: t.Sequence[str]) -> bool:
+    """Whether a finding may be there only because the values at the paths ``broken`` are."""
     for path in broken:
         if _overlaps(finding.fault.path, path):
             return True
@@ -121,6 +122,7 @@
 
 
 def _overlaps(first: str, second: str) -> bool:
+    """Whether one path is the other, or within it; the empty path is the whole draft."""
     if first == second or not first or not second:
         return True
     return _is_below(first, second) or _is_below(second, first)
@@ -138,6 +140,7 @@
 
 
 def _repair(raw: t.Any, model: t.Any) -> t.Any:
+    """``raw`` as ``model``, with a placeholder for every part that does not fit."""
     if isinstance(model, type) and issubclass(model, msgspec.Struct):
         return _repair_struct(raw if isinstance(raw, dict) else {}, model)
     if t.get_origin(model) is dict:
@@ -161,6 +164,7 @@
 
 
 def _placeholder(model: t.Any) -> t.Any:
+    """Any value of ``model``: 1 or its text, the empty tuple, or an enumeration's first."""
     for kind in (str, int, float, bool):
         if getattr(model, "__supertype__", model) is kind:
             return kind(1)
--- a/src/coralfall/exceptions.py
+++ b/src/coralfall/exceptions.py
@@ -125,7 +125,7 @@
 
 
 class SubmitError(CoralfallError):
-    """A bundle that was not taken into its line; ``fields`` say which one won."""
+    """A bundle that was not staged or accepted; ``fields`` say why, and which one won a race."""
 
     code = "submit"
 
@@ -215,20 +215,24 @@
     code = "caller-gone"
 
 
-class RefusedError(CoralfallError):
-    """A request that is given up before any target saw it.
+class RetryLaterError(CoralfallError):
+    """Base of the errors after which a retry may do better.
 
     :param message: why.
     :param retry_after: seconds after which a retry makes sense.
     """
 
-    code = "refused"
-
     def __init__(self, message: str, retry_after: float, **fields: t.Any) -> None:
         super().__init__(message, **fields)
         self.retry_after = retry_after
 
 
+class RefusedError(RetryLaterError):
+    """A request that is given up before any target saw it."""
+
+    code = "refused"
+
+
 class ClaimError(CoralfallError):
     """Base of the errors of idempotency keys; the request was not dispatched."""
 
@@ -241,19 +245,11 @@
     code = "claim-mismatch"
 
 
-class ClaimBusyError(ClaimError):
-    """Another request with the key is in progress, or what became of it is not known yet.
-
-    :param message: what is known.
-    :param retry_after: seconds after which more may be known.
-    """
+class ClaimBusyError(RetryLaterError, ClaimError):
+    """Another request with the key is in progress, or what became of it is not known yet."""
 
     code = "claim-busy"
 
-    def __init__(self, message: str, retry_after: float, **fields: t.Any) -> None:
-        super().__init__(message, **fields)
-        self.retry_after = retry_after
-
 
 class ClaimUnknownError(ClaimError):
     """An earlier request with the key was dispatched, and what became of it stays unknown."""
--- a/src/coralfall/gauges.py
+++ b/src/coralfall/gauges.py
@@ -1,5 +1,6 @@
 """Gauges of an entry: what its metrics show of slots, lease, roster, platform and memory."""
 
+import math
 import typing as t
 
 from .lease import LeaseState
@@ -34,7 +35,7 @@
         gauge("roster.size", len(self._node.roster.by_id))
         gauge("memory.resident_bytes", resident_bytes())
         platform_age_s = self._node.membership.platform_age()
-        if platform_age_s != float("inf"):
+        if math.isfinite(platform_age_s):
             gauge("platform.age_seconds", platform_age_s)
         for partner, rollout in self._node.rollouts.items():
             gauge(f"bundle.{partner}.in_force", rollout.in_force_version())
--- a/src/coralfall/rules.py
+++ b/src/coralfall/rules.py
@@ -27,7 +27,11 @@
 
 
 class Finding(t.NamedTuple):
-    """A fault with the values it was drawn from."""
+    """A fault and which other values of the bundle it follows from.
+
+    A finding counts only if those values are sound: a weight that no target serves is no fault
+    of its own if the target's region could not be read.
+    """
 
     fault: Fault
     #: Patterns (as of :mod:`fnmatch`) of the paths that were read besides the fault's own.
@@ -89,7 +93,8 @@
             continue
         findings.append(_finding(path, "bad-id", f"found {name!r}; {ID_RULE}"))
     if bundle.partner in RESERVED_PARTNERS:
-        findings.append(_finding("partner", "reserved-id", f"{bundle.partner!r} is kept for paths"))
+        message = f"{bundle.partner!r} is a path of the callers' port; take another name"
+        findings.append(_finding("partner", "reserved-id", message))
     if not 1 <= bundle.version < 2**53:
         findings.append(_out_of_range("version", bundle.version, "a whole number from 1"))
     return findings
@@ -120,10 +125,12 @@
         findings += _check_count(f"{path}.slots", region.slots)
         findings += _check_bytes(f"{path}.link_bytes_per_s", region.link_bytes_per_s)
         if not region.zones:
-            findings.append(_finding(f"{path}.zones", "empty", "names no zone; at least one"))
+            findings.append(
+                _finding(f"{path}.zones", "empty", "names no zone; at least one is needed")
+            )
         for index, zone in enumerate(region.zones):
             if zone in owner_by_zone:
-                message = f"{zone!r} is already a zone of {owner_by_zone[zone]!r}"
+                message = f"{zone!r} is already a zone of {owner_by_zone[zone]!r}; name it once"
                 findings.append(_finding(f"{path}.zones[{index}]", "duplicate-zone", message))
                 continue
             owner_by_zone[zone] = region_id
@@ -141,7 +148,8 @@
             path = f"grants.{region_id}.{partner}"
             findings += _check_count(f"{path}.slots", grant.slots)
             if partner == bundle.partner:
-                findings.append(_finding(path, "self-grant", "the owner needs no grant", "partner"))
+                message = "the owner needs no grant; leave it out"
+                findings.append(_finding(path, "self-grant", message, "partner"))
             if region is not None and grant.slots > region.slots:
                 message = f"grants {grant.slots} slots of a region that bears {region.slots}"
                 reads = f"regions.{region_id}.slots"
@@ -157,9 +165,7 @@
     findings += _check_seconds(f"{path}.shift_window_s", service.shift_window_s)
     findings += _check_milliseconds(f"{path}.timeout_ms", service.timeout_ms)
     findings += _check_bytes(f"{path}.max_body_bytes", service.max_body_bytes)
-    if not 0 <= service.ramp_s <= MAX_SECONDS:
-        allowed = f"0 to {MAX_SECONDS:g} seconds"
-        findings.append(_out_of_range(f"{path}.ramp_s", service.ramp_s, allowed))
+    findings += _check_range(f"{path}.ramp_s", service.ramp_s, 0, MAX_SECONDS, " seconds")
     objective = service.objective
     if not 0 < objective.availability < 1:
         finding_path = f"{path}.objective.availability"
@@ -169,11 +175,9 @@
 
 
 def _check_weights(path: str, weights: t.Mapping[RegionId, float]) -> t.List[Finding]:
-    findings = []
+    findings: t.List[Finding] = []
     for region_id, weight in weights.items():
-        if 0 <= weight <= 1:
-            continue
-        findings.append(_out_of_range(f"{path}.{region_id}", weight, "0 to 1"))
+        findings += _check_range(f"{path}.{region_id}", weight, 0, 1)
     total = math.fsum(weights.values())
     if not abs(total - 1) <= WEIGHT_TOLERANCE:
         findings.append(_finding(path, "weight-sum", f"add up to {total:.12g}; must be 1"))
@@ -209,7 +213,8 @@
     for target_id, target in bundle.targets.items():
         path = f"targets.{target_id}"
         if target.service not in bundle.services:
-            message = f"{target.service!r} is not a service of this bundle"
+            known = ", ".join(bundle.services) or "none"
+            message = f"{target.service!r} is not a service of this bundle: {known}"
             findings.append(_finding(f"{path}.service", "unknown-service", message))
         findings += _check_place(bundle, granted_regions, path, target.region, target.zone)
         findings += _check_target_limits(path, target)
@@ -219,7 +224,10 @@
             findings.append(_finding(f"{path}.address", "bad-address", message))
             continue
         if address in target_by_address:
-            message = f"{target.address!r} is already the address of {target_by_address[address]!r}"
+            other = target_by_address[address]
+            message = (
+                f"{target.address!r} is already the address of {other!r}; each target needs its own"
+            )
             findings.append(_finding(f"{path}.address", "duplicate-address", message))
             continue
         target_by_address[address] = target_id
@@ -230,7 +238,7 @@
     findings = _check_count(f"{path}.slots", target.slots)
     findings += _check_count(f"{path}.connections", target.connections)
     if target.connections < target.slots:
-        message = f"{target.connections} connections cannot carry {target.slots} slots"
+        message = f"allows {target.connections} for {target.slots} slots, each of which needs one"
         reads = f"{path}.slots"
         findings.append(_finding(f"{path}.connections", "few-connections", message, reads))
     return findings
@@ -257,7 +265,7 @@
     if region is None:
         if granted_regions is None or region_id in granted_regions:
             return []
-        message = f"{region_id!r} is neither in regions nor in granted_regions"
+        message = f"{region_id!r} is neither in regions nor in granted_regions; add it to one"
         return [_finding(f"{path}.region", "unknown-region", message, "granted_regions")]
     if zone in region.zones:
         return []
@@ -280,15 +288,23 @@
 
 
 def _check_count(path: str, value: int) -> t.List[Finding]:
-    if 1 <= value <= MAX_COUNT:
-        return []
-    return [_out_of_range(path, value, f"1 to {MAX_COUNT}")]
+    return _check_range(path, value, 1, MAX_COUNT)
 
 
 def _check_bytes(path: str, value: int) -> t.List[Finding]:
-    if 1 <= value <= MAX_BYTES:
+    return _check_range(path, value, 1, MAX_BYTES, " bytes")
+
+
+def _check_milliseconds(path: str, value: int) -> t.List[Finding]:
+    return _check_range(path, value, 1, MAX_SECONDS * 1000, " milliseconds")
+
+
+def _check_range(
+    path: str, value: float, least: float, most: float, unit: str = ""
+) -> t.List[Finding]:
+    if least <= value <= most:
         return []
-    return [_out_of_range(path, value, f"1 to {MAX_BYTES} bytes")]
+    return [_out_of_range(path, value, f"{least:.0f} to {most:.0f}{unit}")]
 
 
 def _check_seconds(path: str, value: float) -> t.List[Finding]:
@@ -297,11 +313,5 @@
     return [_out_of_range(path, value, f"above 0, at most {MAX_SECONDS:g} seconds")]
 
 
-def _check_milliseconds(path: str, value: int) -> t.List[Finding]:
-    if 1 <= value <= MAX_SECONDS * 1000:
-        return []
-    return [_out_of_range(path, value, f"1 to {MAX_SECONDS * 1000:.0f} milliseconds")]
-
-
 def _out_of_range(path: str, value: float, allowed: str) -> Finding:
     return _finding(path, "out-of-range", f"found {value}, allowed is {allowed}")
--- a/src/coralfall/signedfile.py
+++ b/src/coralfall/signedfile.py
@@ -63,7 +63,9 @@
         raise _unusable(path, "malformed", message) from error
     for digest, data in file.objects.items():
         if digest_of(data) != digest:
-            raise _unusable(path, "wrong-object", f"object {digest} has other bytes")
+            raise _unusable(
+                path, "wrong-object", f"object {digest} has other bytes; sign the draft anew"
+            )
     for digest in _named_objects(file):
         if digest not in file.objects:
             raise _unusable(path, "missing-object", f"lacks object {digest}; sign the draft anew")
--- a/src/coralfall/status.py
+++ b/src/coralfall/status.py
@@ -22,7 +22,7 @@
 )
 
 
-class VersionStatus(msgspec.Struct, frozen=True, kw_only=True):
+class HeldVersions(msgspec.Struct, frozen=True, kw_only=True):
     """Versions of one partner as an entry holds them; 0 means none."""
 
     in_force: BundleVersion
@@ -117,7 +117,7 @@
     #: Seconds since the platform last answered; ``None`` if it never did.
     platform_age_s: t.Optional[float]
     roster_revision: Revision
-    versions: t.Dict[PartnerId, VersionStatus]
+    versions: t.Dict[PartnerId, HeldVersions]
     members: t.Tuple[MemberStatus, ...]
     regions: t.Tuple[RegionStatus, ...]
     targets: t.Tuple[TargetStatus, ...]
--- a/src/coralfall/status_builder.py
+++ b/src/coralfall/status_builder.py
@@ -1,5 +1,6 @@
 """Works out what an entry says of itself to operators."""
 
+import math
 import resource
 import typing as t
 
@@ -8,10 +9,10 @@
     DrainStatus,
     EntryStatus,
     HeardStatus,
+    HeldVersions,
     MemberStatus,
     RegionStatus,
     TargetStatus,
-    VersionStatus,
 )
 
 if t.TYPE_CHECKING:
@@ -20,8 +21,6 @@
     from .peer_directory import PeerDirectory
     from .service_levels import ServiceLevels
 
-_NEVER = float("inf")
-
 
 class StatusBuilder:
     """Gathers the status of an entry from its parts; changes none of them.
@@ -67,7 +66,7 @@
             lease=self._node.lease.state().value,
             lease_remaining_s=self._node.lease.remaining_s(),
             ready=ready,
-            platform_age_s=None if platform_age_s == _NEVER else platform_age_s,
+            platform_age_s=platform_age_s if math.isfinite(platform_age_s) else None,
             roster_revision=self._node.roster.revision,
             versions=self._versions(),
             members=self._members(),
@@ -81,10 +80,10 @@
             started_s=self._clock.monotonic() - self._started_at,
         )
 
-    def _versions(self) -> t.Dict[PartnerId, VersionStatus]:
+    def _versions(self) -> t.Dict[PartnerId, HeldVersions]:
         versions = {}
         for partner, rollout in self._node.rollouts.items():
-            versions[partner] = VersionStatus(
+            versions[partner] = HeldVersions(
                 in_force=rollout.in_force_version(),
                 staged=rollout.staged_version(),
                 accepted=self._accepted(partner),
--- a/tests/test_diff.py
+++ b/tests/test_diff.py
@@ -120,7 +120,8 @@
             }
             with mock.patch("coralfall.blockdiff.SHOWN_BLOCKS", None):
                 found = await diff_blocks(_Store(old).source, _Store(new).source)
-            self.assertEqual(wanted, {(c.path, c.old, c.new) for c in found.first})
+            changes = [(c.path, c.old, c.new) for c in found.first]
+            self.assertEqual(sorted(wanted, key=lambda change: change[0]), changes)
             self.assertEqual(len(wanted), found.added + found.removed + found.changed)
 
     async def test_what_is_equal_is_not_read(self) -> None:
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -39,8 +39,7 @@
 from coralfall.platform import Write
 from coralfall.report_html import render_page
 from coralfall.report_text import report_lines
-from coralfall.rollout_status import PartnerStatus
-from coralfall.rollout_status import VersionStatus as LineVersion
+from coralfall.rollout_status import PartnerStatus, VersionStatus
 from coralfall.rows import Member, roster_key
 from coralfall.service_levels import ServiceLevels
 from coralfall.settings import MetricsSettings
@@ -48,9 +47,9 @@
     DrainStatus,
     EntryStatus,
     HeardStatus,
+    HeldVersions,
     MemberStatus,
     TargetStatus,
-    VersionStatus,
 )
 from tests.loopback import serving
 from tests.members import make_member
@@ -59,7 +58,7 @@
 CATALOGO = ServiceId("catalogo")
 LINE = PartnerStatus(
     partner=COSECHA,
-    in_force=LineVersion(version=BundleVersion(2), digest=Digest("d")),
+    in_force=VersionStatus(version=BundleVersion(2), digest=Digest("d")),
     staged=None,
     lagging=(),
 )
@@ -106,7 +105,7 @@
         "platform_age_s": 0.5,
         "roster_revision": Revision(7),
         "versions": {
-            COSECHA: VersionStatus(
+            COSECHA: HeldVersions(
                 in_force=BundleVersion(version),
                 staged=BundleVersion(version),
                 accepted=BundleVersion(2),
