Share or load parts of the block table in one walk, and say remedies

Cause: pages and chunks of the block table were shared with the table before, or fetched, by two copies of one walk; it is one function now. The module of the peers' rounds passed on three classes of other modules, so that a reader looked for them in the wrong place; each is imported from its own now.

Errors that a caller or operator reads now say what to do: a claim in progress (retry with the same key), one whose outcome stays unknown (find out first), an address that can't be listened on. A connection to a peer that timed out gave an empty reason, since that exception has no text; it names the time now.

--- a/benchmarks/slot_cost.py
+++ b/benchmarks/slot_cost.py
@@ -9,7 +9,7 @@
 
 import msgspec
 from tests.bundles import COSECHA, make_bundle, make_target
-from tests.test_roster import make_member
+from tests.members import make_member
 
 from coralfall.clock import ManualClock
 from coralfall.handover import Ack
--- a/src/coralfall/blocktable.py
+++ b/src/coralfall/blocktable.py
@@ -223,41 +223,22 @@
         self._compiling = asyncio.Lock()
 
     async def load_pages(self, digests: t.Iterable[Digest]) -> t.Dict[Digest, t.Tuple[Digest, ...]]:
-        pages_by_digest: t.Dict[Digest, t.Tuple[Digest, ...]] = {}
-        missing = []
-        for digest in digests:
-            page = self._previous.page(digest)
-            if page is None:
-                missing.append(digest)
-                continue
-            pages_by_digest[digest] = page
-
-        async def load(digest: Digest) -> None:
-            data = await self._fetch_checked(digest)
-            pages_by_digest[digest] = tuple(ref.digest for ref in decode_page(data))
-
-        await _for_each(missing, load)
-        return pages_by_digest
+        """The chunks that each page names, in order."""
+        return await _share_or_load(digests, self._previous.page, self._load_page)
 
     async def load_segments(self, digests: t.Iterable[Digest]) -> t.Dict[Digest, Segment]:
-        segments_by_digest: t.Dict[Digest, Segment] = {}
-        missing = []
-        for digest in digests:
-            segment = self._previous.segment(digest)
-            if segment is None:
-                missing.append(digest)
-                continue
-            segments_by_digest[digest] = segment
-
-        async def load(digest: Digest) -> None:
-            data = await self._fetch_checked(digest)
-            # One at a time: steps of several would run in the same turn of the loop.
-            async with self._compiling:
-                segment = await _run_steps(compile_chunk(decode_chunk(data)))
-            segments_by_digest[digest] = segment
-
-        await _for_each(missing, load)
-        return segments_by_digest
+        """The segment that each chunk compiles to."""
+        return await _share_or_load(digests, self._previous.segment, self._load_segment)
+
+    async def _load_page(self, digest: Digest) -> t.Tuple[Digest, ...]:
+        data = await self._fetch_checked(digest)
+        return tuple(ref.digest for ref in decode_page(data))
+
+    async def _load_segment(self, digest: Digest) -> Segment:
+        data = await self._fetch_checked(digest)
+        # One at a time: steps of several would run in the same turn of the loop.
+        async with self._compiling:
+            return await _run_steps(compile_chunk(decode_chunk(data)))
 
     async def _fetch_checked(self, digest: Digest) -> bytes:
         data = await self._fetch(digest)
@@ -369,15 +350,28 @@
         await asyncio.sleep(0)
 
 
-async def _for_each(
-    digests: t.Iterable[Digest], work: t.Callable[[Digest], t.Awaitable[None]]
-) -> None:
-    """Do ``work`` for each digest, :data:`FETCHES` at a time; the first error ends all."""
-    queue = iter(list(dict.fromkeys(digests)))
+async def _share_or_load(
+    digests: t.Iterable[Digest],
+    shared: t.Callable[[Digest], t.Optional[_T]],
+    load: t.Callable[[Digest], t.Awaitable[_T]],
+) -> t.Dict[Digest, _T]:
+    """What ``shared`` has under each digest, and what ``load`` gives for the others.
+
+    :data:`FETCHES` are loaded at a time; the first error ends all.
+    """
+    found_by_digest: t.Dict[Digest, _T] = {}
+    missing = []
+    for digest in dict.fromkeys(digests):
+        found = shared(digest)
+        if found is None:
+            missing.append(digest)
+            continue
+        found_by_digest[digest] = found
+    queue = iter(missing)
 
     async def worker() -> None:
         for digest in queue:
-            await work(digest)
+            found_by_digest[digest] = await load(digest)
 
     workers = [asyncio.ensure_future(worker()) for _ in range(FETCHES)]
     try:
@@ -385,6 +379,7 @@
     finally:
         for task in workers:
             task.cancel()
+    return found_by_digest
 
 
 def _malformed(message: str) -> BundleError:
--- a/src/coralfall/channel.py
+++ b/src/coralfall/channel.py
@@ -248,7 +248,9 @@
         async with asyncio.timeout(defaults.PEER_HANDSHAKE_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(host, port)
     except (OSError, TimeoutError) as error:
-        raise PeerUnreachableError(f"{address} can't be reached: {error}") from error
+        # A timeout has no text of its own.
+        reason = str(error) or f"no connection in {defaults.PEER_HANDSHAKE_TIMEOUT_S} s"
+        raise PeerUnreachableError(f"{address} can't be reached: {reason}") from error
     return await open_channel(reader, writer, fleet_key, hello, Role.DIALER, traffic)
 
 
--- a/src/coralfall/claims.py
+++ b/src/coralfall/claims.py
@@ -369,12 +369,18 @@
 
 
 def _busy() -> ClaimError:
-    message = "a request with this idempotency key is in progress, or its outcome is not known"
+    message = (
+        "a request with this idempotency key is in progress, or its outcome is not known yet; "
+        "retry with the same key"
+    )
     return ClaimBusyError(message, defaults.RETRY_AFTER_S)
 
 
 def _unknown() -> ClaimError:
-    message = "a request with this idempotency key was dispatched; its outcome stays unknown"
+    message = (
+        "a request with this idempotency key was dispatched, and its outcome stays unknown; "
+        "find out what it did before a new key is used"
+    )
     return ClaimUnknownError(message)
 
 
--- a/src/coralfall/entry.py
+++ b/src/coralfall/entry.py
@@ -28,7 +28,9 @@
 from .metrics import Metrics
 from .node import Node, NodeCallbacks
 from .operators import make_operators_app
-from .peers import PeerDirectory, PeerNetwork, PeerServer
+from .peer_directory import PeerDirectory
+from .peer_server import PeerServer
+from .peers import PeerNetwork
 from .platform import Platform
 from .retry import RetryBudget
 from .rows import Member
--- a/src/coralfall/listener.py
+++ b/src/coralfall/listener.py
@@ -22,7 +22,8 @@
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
     except (OSError, ValueError) as error:
-        raise ListenError(f"can't listen on {address}: {error}", address=address) from error
+        message = f"can't listen on {address}: {error}; name an address of this VM and a free port"
+        raise ListenError(message, address=address) from error
     listener.setblocking(False)
     return listener
 
--- a/src/coralfall/peers.py
+++ b/src/coralfall/peers.py
@@ -28,10 +28,9 @@
     SyncAnswer,
     SyncRequest,
 )
-from .peer_directory import PeerDirectory as PeerDirectory
-from .peer_handler import PeerHandler as PeerHandler
+from .peer_directory import PeerDirectory
+from .peer_handler import PeerHandler
 from .peer_links import PeerLinks
-from .peer_server import PeerServer as PeerServer
 from .peer_server import trimmed
 
 if t.TYPE_CHECKING:
--- a/tests/peer_fleet.py
+++ b/tests/peer_fleet.py
@@ -12,7 +12,10 @@
 from coralfall.ids import EntryId, Incarnation, PartnerId, Revision
 from coralfall.messages import Heartbeat, Hello, LoanAnswer, SyncAnswer
 from coralfall.metrics import Metrics
-from coralfall.peers import PeerDirectory, PeerHandler, PeerNetwork, PeerServer
+from coralfall.peer_directory import PeerDirectory
+from coralfall.peer_handler import PeerHandler
+from coralfall.peer_server import PeerServer
+from coralfall.peers import PeerNetwork
 from coralfall.settings import (
     EntrySettings,
     MetricsSettings,
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -21,8 +21,8 @@
 from coralfall.settings import LeaseSettings
 from coralfall.slots import SlotTable
 from tests.bundles import CENTRO, COSECHA, SIERRA, make_bundle, make_target
+from tests.members import put
 from tests.test_handover import MARGIN_S, SLOTS, T0, make_limits
-from tests.test_roster import put
 
 SERVICE = ServiceId("pedidos")
 OWNER, BORROWER = EntryId("a"), EntryId("b")
