Serve waiting requests oldest first, and wake them when a lent slot returns

A request that was woken and found no slot went to the end of the queue, and a newcomer could take the slot that it was woken for. Now a request keeps its place, newcomers queue behind, and each that leaves wakes the next. Waiting requests look again when a borrower gives back a slot, when an answer to a loan request came (empty ones too, so that the next owner is asked) and when another request's offer adds to the governor's credit. A request waits for a quarter of the time until its deadline at most. The planned shares come from the accepted bundle's service, as their docstring asks, and they and the free slots are worked out only when the router is due for a refresh.

Seen red: the new tests fail if newcomers may overtake, if a request that leaves wakes nobody, and if one slot is asked for however many wait. Left open: credit is capped, so of three or more that wait in a quiet service one may be told that no region may take it, though a slot came free.

--- a/benchmarks/deciders.py
+++ b/benchmarks/deciders.py
@@ -28,6 +28,7 @@
 )
 from coralfall.lease import Lease
 from coralfall.lending import Borrower, Lender
+from coralfall.messages import LoanReturn
 from coralfall.rollout import PartnerRollout
 from coralfall.roster import Roster
 from coralfall.rows import Member
@@ -233,8 +234,8 @@
 
     def _answered(self, peer: "Ours", ask: t.Any, answer: t.Any) -> None:
         for back in self.borrower.answered(ask, answer):
-            self._later(peer, peer.lender.returned, self.id, back.message)
-        self.steering.loan_arrived(ask.request.service, len(answer.slots))
+            self._later(peer, peer._returned, self.id, back.message)
+        self.steering.slots_arrived(ask.request.service)
 
     def _hear(self, peer: "Ours") -> None:
         self.borrower.heard(peer.id, {name: peer.lender.lendable(name) for name in self.services})
@@ -244,7 +245,11 @@
     def _give_back(self) -> None:
         for back in self.borrower.due_returns():
             peer = self.others[back.peer]
-            self._later(peer, peer.lender.returned, self.id, back.message)
+            self._later(peer, peer._returned, self.id, back.message)
+
+    def _returned(self, borrower: EntryId, message: LoanReturn) -> None:
+        for service in self.lender.returned(borrower, message):
+            self.steering.slots_arrived(service)
 
     def _later(self, peer: t.Any, action: t.Callable[..., None], *arguments: t.Any) -> None:
         way = way_s(self.zone, peer.zone)
--- a/src/coralfall/conversation.py
+++ b/src/coralfall/conversation.py
@@ -65,6 +65,8 @@
         self._borrower = borrower
         self.control: t.Optional["Control"] = None
         self.services: t.Callable[[], t.Iterable[ServiceId]] = tuple
+        #: Told of services whose lent slots came back.
+        self.slots_arrived: t.Callable[[ServiceId], None] = _nothing_waits
 
     def members_by_id(self) -> t.Mapping[EntryId, Member]:
         return self._roster.by_id
@@ -141,7 +143,12 @@
         return self._lender.answer(peer.entry_id, request)
 
     def on_loan_return(self, peer: Hello, loan: LoanReturn) -> None:
-        self._lender.returned(peer.entry_id, loan)
+        for service in self._lender.returned(peer.entry_id, loan):
+            self.slots_arrived(service)
+
+
+def _nothing_waits(service: ServiceId) -> None:
+    """Stands for the steering until there is one."""
 
 
 class Loans:
@@ -189,7 +196,7 @@
             self._borrower.failed(ask)
             raise
         returns = self._borrower.answered(ask, answer)
-        self._steering.loan_arrived(ask.request.service, len(answer.slots))
+        self._steering.slots_arrived(ask.request.service)
         for unusable in returns:
             await self._give_back(unusable)
 
--- a/src/coralfall/fleet.py
+++ b/src/coralfall/fleet.py
@@ -1,7 +1,6 @@
 """Steering by what the whole fleet knows: bundles, roster, slots, shares and health together."""
 
 import asyncio
-import collections
 import typing as t
 
 from . import defaults
@@ -15,7 +14,7 @@
 from .link import LinkAllowance, link_rates
 from .rollout import PartnerRollout
 from .routing import Router
-from .shift import ShiftGovernor, planned_shares
+from .shift import Shares, ShiftGovernor, planned_shares
 from .slots import Slot, SlotTable
 from .steering import AttemptResult, Reservation, Steering
 
@@ -27,6 +26,8 @@
 #: Requests of one service that may wait for a slot at a time, for each slot held.
 _QUEUE_PER_SLOT = 2
 _MIN_QUEUE = 4
+#: Part of the time until its deadline that a request may wait for a slot.
+_MAX_QUEUE_PART = 0.25
 
 ServiceKey = t.Tuple[PartnerId, ServiceId]
 #: Asks peers for slots of a service: how many, and in which regions they are of use.
@@ -45,15 +46,19 @@
     def __init__(self, partner: PartnerId, router: Router) -> None:
         self.partner = partner
         self.router = router
-        self.waiters: t.Deque["asyncio.Future[None]"] = collections.deque()
+        #: Requests that wait, the oldest first; each is woken when its turn has come.
+        self.waiters: t.List[asyncio.Event] = []
 
-    def wake(self, count: int = 1) -> None:
-        """Let up to ``count`` waiting requests try again."""
-        while count > 0 and self.waiters:
-            waiter = self.waiters.popleft()
-            if not waiter.done():
-                waiter.set_result(None)
-                count -= 1
+    def wake(self) -> None:
+        """Let the oldest waiting request look for a slot; when it has one, the next will."""
+        if self.waiters:
+            self.waiters[0].set()
+
+    def wake_after(self, waiter: asyncio.Event) -> None:
+        """Let the request behind ``waiter`` look."""
+        place = self.waiters.index(waiter) + 1
+        if place < len(self.waiters):
+            self.waiters[place].set()
 
 
 class FleetSteering(Steering):
@@ -105,6 +110,8 @@
             raise RefusedError("the service is not in force here", defaults.RETRY_AFTER_S)
         if not tried:
             desk.router.offer()
+            # The offer may be what a waiting request lacked.
+            desk.wake()
         try:
             return await self._reserve(desk, service, rules, tried, deadline)
         except RefusedError:
@@ -202,19 +209,20 @@
                 self._take_bundle(partner, effective)
         self._mark_drains()
 
-    def loan_arrived(self, service: ServiceId, count: int) -> None:
-        """Let requests that wait for a slot of ``service`` use borrowed ones.
+    def slots_arrived(self, service: ServiceId) -> None:
+        """Let requests that wait for a slot of ``service`` look.
 
-        :param count: slots that came; with none, one request looks whom else to ask.
+        To be called when slots were borrowed or given back, and also when a request for a loan
+        brought none, so that another owner is asked.
         """
         for (_, service_id), desk in self._desk_by_service.items():
             if service_id == service:
-                desk.wake(max(1, count))
+                desk.wake()
 
     def wake_all(self) -> None:
         """Let all waiting requests look again, after slots may have become usable."""
         for desk in self._desk_by_service.values():
-            desk.wake(len(desk.waiters))
+            desk.wake()
 
     async def _reserve(
         self,
@@ -224,19 +232,55 @@
         tried: t.Collection[TargetId],
         deadline: float,
     ) -> FleetReservation:
-        give_up_at = min(deadline, self._clock.monotonic() + defaults.MAX_QUEUE_S)
-        while True:
-            self._refresh_router(desk, service, rules)
+        self._refresh_router(desk, service, rules)
+        if not desk.waiters:
             try:
                 return self._take(desk, service, tried)
             except RefusedError:
-                regions = desk.router.governor.allowed(bool(tried))
-                useful = regions if tried else [*regions, *desk.router.governor.stretched()]
-                seconds = give_up_at - self._clock.monotonic()
-                if not regions or seconds <= 0 or self._queue_is_full(desk, service):
+                if not desk.router.governor.allowed(bool(tried)):
                     raise
-            self._ask_loan(service, len(desk.waiters) + 1, useful)
-            await _wait(desk, seconds)
+        if self._queue_is_full(desk, service):
+            raise desk.router.busy()
+        now = self._clock.monotonic()
+        seconds = min(defaults.MAX_QUEUE_S, (deadline - now) * _MAX_QUEUE_PART)
+        return await self._queue(desk, service, rules, tried, now + seconds)
+
+    async def _queue(
+        self,
+        desk: _Desk,
+        service: ServiceId,
+        rules: Service,
+        tried: t.Collection[TargetId],
+        give_up_at: float,
+    ) -> FleetReservation:
+        """Wait for a slot behind the requests that wait already."""
+        waiter = asyncio.Event()
+        desk.waiters.append(waiter)
+        self._ask_for(desk, service, tried)
+        try:
+            while await _woken(waiter, give_up_at - self._clock.monotonic()):
+                waiter.clear()
+                self._refresh_router(desk, service, rules)
+                try:
+                    return self._take(desk, service, tried)
+                except RefusedError:
+                    if not desk.router.governor.allowed(bool(tried)):
+                        raise
+                if tried:
+                    # It may go to fewer places than the one behind it.
+                    desk.wake_after(waiter)
+                self._ask_for(desk, service, tried)
+            raise desk.router.busy()
+        finally:
+            desk.waiters.remove(waiter)
+            desk.wake()
+
+    def _ask_for(self, desk: _Desk, service: ServiceId, tried: t.Collection[TargetId]) -> None:
+        governor = desk.router.governor
+        regions = governor.allowed(bool(tried))
+        if not tried:
+            regions += [region for region in governor.stretched() if region not in regions]
+        self._ask_loan(service, len(desk.waiters), regions)
 
     def _queue_is_full(self, desk: _Desk, service: ServiceId) -> bool:
         most = max(_MIN_QUEUE, _QUEUE_PER_SLOT * self._slots.in_use(service))
@@ -269,18 +313,27 @@
         )
 
     def _refresh_router(self, desk: _Desk, service: ServiceId, rules: Service) -> None:
-        head = self._rollouts[desk.partner].head
-        planned = planned_shares(head, service, rules, self._platform_clock.now())
+        now = self._clock.monotonic()
+        if not desk.router.due(now):
+            return
+        planned = self._planned(desk.partner, service, rules)
         in_use = self._slots.in_use(service)
         free = sum(self._slots.free_by_target(service).values())
         prior = in_use / (in_use + free) if in_use else 0.0
-        desk.router.refresh(rules, planned, prior, self._clock.monotonic())
+        desk.router.refresh(rules, planned, prior, now)
+
+    def _planned(self, partner: PartnerId, service_id: ServiceId, rules: Service) -> Shares:
+        rollout = self._rollouts[partner]
+        bundle = rollout.accepted()
+        accepted = None if bundle is None else bundle.services.get(service_id)
+        now = self._platform_clock.now()
+        return planned_shares(rollout.head, service_id, accepted or rules, now)
 
     def _take_bundle(self, partner: PartnerId, bundle: Bundle) -> None:
         now = self._clock.monotonic()
         for key in list(self._desk_by_service):
             if key[0] == partner and key[1] not in bundle.services:
-                self._desk_by_service.pop(key).wake(1_000_000)
+                self._desk_by_service.pop(key).wake()
         for service_id, service in bundle.services.items():
             desk = self._desk_by_service.get((partner, service_id))
             if desk is None:
@@ -295,8 +348,7 @@
     def _new_desk(
         self, partner: PartnerId, service_id: ServiceId, service: Service, now: float
     ) -> _Desk:
-        head = self._rollouts[partner].head
-        planned = planned_shares(head, service_id, service, self._platform_clock.now())
+        planned = self._planned(partner, service_id, service)
         governor = ShiftGovernor(service_id, service, planned, now)
         health = ServiceHealth(service.ramp_s)
         return _Desk(partner, Router(service_id, service, governor, health, now))
@@ -312,17 +364,16 @@
         self.drains.mark(leaving, present, self._clock.monotonic())
 
 
-async def _wait(desk: _Desk, seconds: float) -> None:
-    waiter = asyncio.get_running_loop().create_future()
-    desk.waiters.append(waiter)
+async def _woken(waiter: asyncio.Event, seconds: float) -> bool:
+    """Whether the waiter was woken within ``seconds``."""
+    if waiter.is_set():
+        return True
     try:
-        async with asyncio.timeout(seconds):
-            await waiter
+        async with asyncio.timeout(max(0.0, seconds)):
+            await waiter.wait()
     except TimeoutError:
-        return
-    finally:
-        if waiter in desk.waiters:
-            desk.waiters.remove(waiter)
+        return False
+    return True
 
 
 def _tell_health(
--- a/src/coralfall/lending.py
+++ b/src/coralfall/lending.py
@@ -84,22 +84,27 @@
         self._loan_by_id[loan_id] = loan
         return LoanAnswer(loan_id=loan_id, slots=tuple(loan.slot_by_key), seconds=seconds)
 
-    def returned(self, borrower: EntryId, message: LoanReturn) -> None:
+    def returned(self, borrower: EntryId, message: LoanReturn) -> t.Set[ServiceId]:
         """Take back what a borrower will not use again.
 
         A message that fits no loan is void, above all one that comes so late that its slots
         may have been lent again.
+
+        :return: services that have more idle slots now.
         """
+        services: t.Set[ServiceId] = set()
         self._forget_expired()
         loan = self._loan_by_id.get(message.loan_id)
         if loan is None or loan.borrower != borrower:
-            return
+            return services
         for lent in message.slots:
             slot = loan.slot_by_key.pop(lent, None)
             if slot is not None:
                 self._slots.take_back(slot)
+                services.add(slot.service)
         if not loan.slot_by_key:
             del self._loan_by_id[message.loan_id]
+        return services
 
     def lent(self) -> int:
         """Slots that are out on loan."""
--- a/src/coralfall/node.py
+++ b/src/coralfall/node.py
@@ -130,6 +130,7 @@
         )
         self.conversation.control = self.control
         self.conversation.services = self.steering.service_ids
+        self.conversation.slots_arrived = self.steering.slots_arrived
 
     def _follow_roster(self) -> None:
         self._callbacks.roster_changed()
--- a/src/coralfall/routing.py
+++ b/src/coralfall/routing.py
@@ -237,13 +237,17 @@
         candidate.load += 1 / candidate.slots
         return candidate
 
-    def _refused(self, allowed: t.Collection[RegionId]) -> RefusedError:
-        if not allowed:
-            message = "no region may take more of the service's requests yet; retry later"
-            return RefusedError(message, self.governor.retry_after(), service=self.service_id)
+    def busy(self) -> RefusedError:
+        """The answer for a request that waited for a slot in vain."""
         message = "every target that may take the request is busy; retry later"
         return RefusedError(message, self._busy_s(), service=self.service_id)
 
+    def _refused(self, allowed: t.Collection[RegionId]) -> RefusedError:
+        if allowed:
+            return self.busy()
+        message = "no region may take more of the service's requests yet; retry later"
+        return RefusedError(message, self.governor.retry_after(), service=self.service_id)
+
     def _busy_s(self) -> float:
         seconds = 0.05
         for candidate in self.by_id.values():
--- /dev/null
+++ b/tests/test_queue.py
@@ -0,0 +1,108 @@
+"""Requests of one service that wait for a slot on an entry."""
+
+import asyncio
+import typing as t
+import unittest
+
+from coralfall.bundle import Head, VersionRef
+from coralfall.clock import ManualClock, PlatformClock
+from coralfall.exceptions import RefusedError
+from coralfall.fleet import FleetReservation, FleetSteering
+from coralfall.ids import BundleVersion, Digest, EntryId, RegionId, ServiceId
+from coralfall.lease import Lease
+from coralfall.rollout import PartnerRollout
+from coralfall.roster import Roster
+from coralfall.settings import LeaseSettings
+from coralfall.slots import SlotTable
+from coralfall.steering import AttemptResult
+from tests.bundles import COSECHA, make_bundle, make_target
+from tests.test_roster import put
+
+SERVICE = ServiceId("pedidos")
+SLOTS = 2
+
+
+class QueueTest(unittest.IsolatedAsyncioTestCase):
+    """One entry with one target, all of whose slots are in use."""
+
+    async def asyncSetUp(self) -> None:
+        clock = ManualClock(100)
+        lease = Lease(LeaseSettings(), clock)
+        lease.renewed(100)
+        roster = Roster()
+        roster.apply([put("a", 1)])
+        slots = SlotTable(EntryId("a"), lease, clock, LeaseSettings())
+        bundle = make_bundle("cosecha", {"sierra": 9}, {"t0": make_target("sierra", SLOTS)})
+        rollout = PartnerRollout(COSECHA)
+        ref = VersionRef(version=BundleVersion(1), digest=Digest("d"))
+        rollout.learn_from_peer(Head(partner=COSECHA, accepted=ref, accepted_at=0.0))
+        rollout.hold(ref, bundle)
+        self.asked: t.List[int] = []
+        self.steering = FleetSteering(
+            {COSECHA: rollout}, roster, slots, clock, PlatformClock(clock), self._ask
+        )
+        self.steering.refresh()
+        for _ in slots.steps():
+            pass
+        self.held = [await self._reserve() for _ in range(SLOTS)]
+        self.served: t.List[int] = []
+
+    def _ask(self, service: ServiceId, count: int, regions: t.Sequence[RegionId]) -> None:
+        self.asked.append(count)
+
+    async def _reserve(self) -> FleetReservation:
+        return await self.steering.reserve(COSECHA, SERVICE, tried=(), deadline=1e6, body_bytes=0)
+
+    async def _serve(self, number: int) -> FleetReservation:
+        held = await self._reserve()
+        self.served.append(number)
+        return held
+
+    async def _wait(self, *numbers: int) -> t.List["asyncio.Task[FleetReservation]"]:
+        tasks = [asyncio.create_task(self._serve(number)) for number in numbers]
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        return tasks
+
+    def _finish(self, held: FleetReservation) -> None:
+        self.steering.finish(held, AttemptResult.ANSWERED, 0.1, None)
+
+    async def test_oldest_first_and_newcomers_behind(self) -> None:
+        tasks = await self._wait(1)
+        # Runs before the one that waits, which the slot is for, can take it.
+        newcomer = asyncio.create_task(self._serve(2))
+        self._finish(self.held[0])
+        self._finish(await tasks[0])
+        await newcomer
+        self.assertEqual(self.served, [1, 2])
+
+    async def test_one_that_gives_up_or_is_cancelled_holds_up_nobody(self) -> None:
+        tasks = await self._wait(1, 2)
+        self._finish(self.held[0])
+        tasks[0].cancel()
+        await tasks[1]
+        self.assertEqual(self.served, [2])
+        with self.assertRaises(RefusedError) as refused:
+            await self._reserve()
+        self.assertGreater(refused.exception.retry_after, 0.0)
+        self._finish(self.held[1])
+        await self._reserve()
+
+    async def test_as_many_as_wait_are_asked_for_and_again_after_nothing_came(self) -> None:
+        tasks = await self._wait(1, 2)
+        self.asked.clear()
+        self.steering.slots_arrived(SERVICE)
+        await self._wait()
+        self.assertEqual(self.asked, [2])
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def test_bounded(self) -> None:
+        tasks = await self._wait(*range(20))
+        refused = [task for task in tasks if task.done()]
+        self.assertEqual(len(refused), 20 - 2 * SLOTS)
+        for task in refused:
+            self.assertIsInstance(task.exception(), RefusedError)
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.assertEqual(self.served, [])
