--- a/src/coralfall/removal.py
+++ b/src/coralfall/removal.py
@@ -50,8 +50,9 @@
         :param rows: the lease rows written since the read before, deletions included.
         :param members: the roster; only members are remembered.
         """
-        if sent_at - self._last_sent_at > self._settings.ttl_s / 2:
-            # Nobody knows whether the members could reach the platform in between.
+        if sent_at - self._last_sent_at > self._settings.ttl_s:
+            # Nobody knows whether the members could reach the platform in between; a platform
+            # that is merely slow must not keep the dead in the roster for ever.
             self.reset()
         self._last_sent_at = max(self._last_sent_at, sent_at)
         now = self._clock.monotonic()
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -127,6 +127,9 @@
         self.assertEqual(self.observer.lapsed(), [])
         self._observe(50)
         self.assertEqual(self.observer.lapsed(), [])
+        for _ in range(2):
+            self._observe(5)  # Slow, but steadily.
+        self.assertEqual(self.observer.lapsed(), ["a", "b"])
 
     def test_slow_reads_count_from_answer_to_sending(self) -> None:
         self._observe(2, [lease("a", 1)], sent_before=1)
