--- a/src/coralfall/draft.py
+++ b/src/coralfall/draft.py
@@ -2,7 +2,6 @@
 
 import fnmatch
 import pathlib
-import tomllib
 import typing as t
 
 import msgspec
@@ -10,8 +9,9 @@
 from . import rules
 from .bundle import Bundle, ChunkRef, Grant, Model, Region, Service, Site, Target
 from .chunks import load_block_files
-from .exceptions import Fault
+from .exceptions import Fault, InputError
 from .ids import BundleVersion, Digest, PartnerId, RegionId, ServiceId, SiteId, TargetId
+from .tomlfile import read_toml
 from .validation import collect_faults
 
 
@@ -71,11 +71,9 @@
 
 def _read(path: pathlib.Path) -> t.Tuple[t.Optional[LoadedDraft], t.List[Fault]]:
     try:
-        raw = tomllib.loads(path.read_text(encoding="utf-8"))
-    except OSError as error:
-        return None, [Fault("", "unreadable", f"can't be read: {error.strerror or error}")]
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        return None, [Fault("", "syntax", f"is not TOML: {error}")]
+        raw = read_toml(path)
+    except InputError as error:
+        return None, error.faults
     shape_faults = collect_faults(raw, Draft)
     draft = _convert(raw, shape_faults)
     faults = shape_faults + _rule_faults(draft, shape_faults)
--- a/src/coralfall/history.py
+++ b/src/coralfall/history.py
@@ -36,7 +36,10 @@
 
 
 def decode_history(row: t.Optional[Row]) -> t.Optional[HistoryRow]:
-    """The history row in ``row``, if there is one."""
+    """The history row in ``row``, if there is one.
+
+    :raises PlatformError: if it is something else.
+    """
     if row is None or row.value is None:
         return None
     return decode_row(row, HistoryRow)
@@ -51,6 +54,7 @@
 
     :param head: names the newest version.
     :param count: read only so many of the newest.
+    :raises PlatformError: if they can't be read.
     """
     newest = newest_version(head)
     first = 1 if count is None else max(1, newest - count + 1)
--- a/src/coralfall/settings.py
+++ b/src/coralfall/settings.py
@@ -1,14 +1,14 @@
 """Settings of each process, read from TOML and checked whole before anything starts."""
 
 import pathlib
-import tomllib
 import typing as t
 
 import msgspec
 
 from . import defaults
-from .exceptions import Fault, SettingsError
+from .exceptions import Fault, InputError, SettingsError
 from .ids import EntryId, KeyId, PartnerId, RegionId, SiteId, VmId, ZoneId
+from .tomlfile import read_toml
 from .validation import collect_faults
 
 
@@ -103,8 +103,10 @@
 class RestartSettings(Settings, frozen=True):
     """How often and how soon a supervisor restarts a child that fails."""
 
+    #: Failures of a child within ``window_s`` seconds; with one more its supervisor ends.
     max_failures: int = defaults.MAX_FAILURES
     window_s: float = defaults.FAILURE_WINDOW_S
+    #: Most seconds before the first restart; doubled for each further one, up to the longest.
     backoff_s: float = defaults.RESTART_BACKOFF_S
     max_backoff_s: float = defaults.MAX_RESTART_BACKOFF_S
 
@@ -187,25 +189,31 @@
     :raises SettingsError: with every fault found, the file's name in its message.
     """
     try:
-        raw = tomllib.loads(path.read_text(encoding="utf-8"))
-    except OSError as error:
-        fault = Fault("", "unreadable", error.strerror or str(error))
-        raise SettingsError(f"{path}: can't be read: {fault.message}", [fault]) from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        fault = Fault("", "syntax", str(error))
-        raise SettingsError(f"{path}: is not TOML: {error}", [fault]) from error
+        raw = read_toml(path)
+    except InputError as error:
+        raise SettingsError(error.message, error.faults) from error
     return parse_settings(raw, model, str(path))
 
 
 def parse_settings(raw: t.Dict[str, t.Any], model: t.Type[SettingsT], name: str) -> SettingsT:
-    """Settings from a parsed TOML document; ``name`` is what messages call it."""
+    """Settings from a parsed TOML document.
+
+    :param model: which process's settings to expect.
+    :param name: what messages call the document.
+    :raises SettingsError: with every fault found.
+    """
     faults = collect_faults(raw, model)
     if faults:
-        listed = "; ".join(f"{fault.path}: {fault.message}" for fault in faults)
-        raise SettingsError(f"{name}: {listed}", faults)
+        raise settings_error(name, faults)
     return msgspec.convert(raw, model)
 
 
+def settings_error(name: str, faults: t.Sequence[Fault]) -> SettingsError:
+    """The error for a document that messages call ``name``; its message states all faults."""
+    listed = "; ".join(f"{fault.path}: {fault.message}" for fault in faults)
+    return SettingsError(f"{name}: {listed}", faults)
+
+
 def split_address(address: str) -> t.Tuple[str, int]:
     """Host and port of ``ip:port`` or ``[ip]:port``.
 
--- a/src/coralfall/status.py
+++ b/src/coralfall/status.py
@@ -109,10 +109,13 @@
 
     entry_id: EntryId
     incarnation: Incarnation
+    #: Where the entry is on its way into or out of the roster.
     membership: str
+    #: Whether the lease is held, frozen or lapsed.
     lease: str
     #: Seconds for which the lease counts if nothing further is heard.
     lease_remaining_s: float
+    #: Whether callers may be sent to the entry.
     ready: bool
     #: Seconds since the platform last answered; ``None`` if it never did.
     platform_age_s: t.Optional[float]
@@ -122,9 +125,13 @@
     regions: t.Tuple[RegionStatus, ...]
     targets: t.Tuple[TargetStatus, ...]
     drains: t.Tuple[DrainStatus, ...]
+    #: Service levels by partner and service.
     burns: t.Dict[PartnerId, t.Dict[ServiceId, BurnReport]]
     #: Requests by outcome since the entry started.
     outcomes: t.Dict[str, int]
+    #: Memory that the process holds.
     resident_bytes: int
+    #: Seconds of processor time that the process has used.
     processor_s: float
+    #: Seconds since the entry started.
     started_s: float
--- a/src/coralfall/trust.py
+++ b/src/coralfall/trust.py
@@ -11,9 +11,9 @@
 import typing as t
 
 from . import signing
-from .exceptions import Fault, SettingsError, SignatureError
+from .exceptions import Fault, SignatureError
 from .ids import KeyId, PartnerId
-from .settings import PartnerSettings, Settings, load_settings
+from .settings import PartnerSettings, Settings, load_settings, settings_error
 
 
 class TrustSettings(Settings, frozen=True):
@@ -31,8 +31,7 @@
     settings = load_settings(path, TrustSettings)
     faults = find_key_faults(settings.partners)
     if faults:
-        listed = "; ".join(f"{fault.path}: {fault.message}" for fault in faults)
-        raise SettingsError(f"{path}: {listed}", faults)
+        raise settings_error(str(path), faults)
     return trust_of(settings.partners)
 
 
