Keep the owners of slots known between refreshes, and the loop free

Limits that are equal now stay the same objects, and so does the whole mapping if nothing has changed; one call works out no more than 5000 pairs of member and target, and further calls the rest. Weighed: working through the steps of the slot table; a borrower needs some owners soon, not all of them, so the bounded call is enough.

Seen red: with the bound lifted and with equality ignored, one test each.

--- a/src/coralfall/limits.py
+++ b/src/coralfall/limits.py
@@ -96,6 +96,7 @@
     def __init__(self, clock: "Clock") -> None:
         self._clock = clock
         self._view_by_versions: t.Dict[_Versions, _View] = {}
+        self._known: Limits = {}
 
     def update(
         self,
@@ -104,7 +105,7 @@
         accepted_at: t.Mapping[PartnerId, float],
         platform_now: float,
     ) -> Limits:
-        """Limits to keep from now until the next call.
+        """Limits to keep from now until the next call; the same object if none has changed.
 
         :param accepted: accepted bundle of each partner, as far as known.
         :param staged: bundle of each partner that may have been accepted meanwhile.
@@ -121,7 +122,8 @@
                     since[partner] = platform_now
             limits = view.limits(platform_now, since)
             met = limits if met is None else _least(met, limits)
-        return _hold_back(met or {}, current, retired)
+        self._known = _unchanged(self._known, _hold_back(met or {}, current, retired))
+        return self._known
 
     def _current_views(
         self, accepted: t.Mapping[PartnerId, Bundle], staged: t.Mapping[PartnerId, Bundle]
@@ -157,6 +159,16 @@
         return retired
 
 
+def _unchanged(known: Limits, limits: Limits) -> Limits:
+    """The new limits, with what is equal to the known ones taken from there."""
+    if known == limits:
+        return known
+    for target_id, limit in limits.items():
+        if known.get(target_id) == limit:
+            limits[target_id] = known[target_id]
+    return limits
+
+
 def _least(first: Limits, second: Limits) -> Limits:
     met: Limits = {}
     for target_id, limit in first.items():
--- a/src/coralfall/slots.py
+++ b/src/coralfall/slots.py
@@ -22,6 +22,8 @@
 
 #: Targets worked through in one step of :meth:`SlotTable.update`.
 TARGETS_PER_STEP = 8
+#: Members times targets that one call of :meth:`SlotTable.owners` works through at most.
+MEMBERS_PER_CALL = 5000
 #: Seconds for which the peak of a service's demand is remembered.
 DEMAND_WINDOW_S = 2.0
 
@@ -289,12 +291,19 @@
     def owners(self, service: ServiceId, regions: t.Collection[RegionId]) -> t.Dict[EntryId, int]:
         """How many slots of the service each other member owns, by the roster known here.
 
+        In a large fleet a call works out some targets only, and further calls the others.
+
         :param regions: regions whose targets count; empty for any.
         """
         counts: t.Dict[EntryId, int] = {}
+        unknown = max(1, MEMBERS_PER_CALL // (len(self._others) + 1))
         for target_id, limit in self._limits.items():
             if limit.service != service or (regions and limit.region not in regions):
                 continue
+            if target_id not in self._owners_by_target:
+                unknown -= 1
+                if unknown < 0:
+                    continue
             for entry_id, count in self._owners(target_id, limit).items():
                 counts[entry_id] = counts.get(entry_id, 0) + count
         return counts
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -261,6 +261,17 @@
         self.assertNotIn("b", staged)
         self.assertEqual(self._update(limits, new, {})[TargetId("b")].usable, 6)
 
+    def test_what_has_not_changed_stays_the_same_object(self) -> None:
+        targets = {"a": make_target("sierra"), "b": make_target("sierra", 6, JOINING)}
+        bundles = {COSECHA: make_bundle("cosecha", {"sierra": 99}, targets)}
+        limits = CapacityLimits(ManualClock())
+        first, again, later = (
+            limits.update(bundles, {}, {COSECHA: 0.0}, now) for now in (0.0, 0.1, 20.0)
+        )
+        self.assertIs(first, again)
+        same = [name for name in first if first[name] is later[name]]
+        self.assertEqual(same, ["a"])
+
     def test_longer_timeout_counts_while_its_requests_run(self) -> None:
         targets = {"a": make_target("centro")}
         old = {CALOR: make_bundle("calor", {"centro": 9}, targets, timeout_ms=9000)}
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -9,7 +9,7 @@
 from coralfall import defaults
 from coralfall.clock import ManualClock
 from coralfall.handover import Ack
-from coralfall.ids import EntryId, EntryState, Incarnation, Revision, TargetId
+from coralfall.ids import EntryId, EntryState, Incarnation, Revision, ServiceId, TargetId
 from coralfall.lease import Lease
 from coralfall.limits import CapacityLimits, Limits
 from coralfall.platform import Row
@@ -176,6 +176,21 @@
         self.assertEqual(self.entry.usable_from(), {0: SLOTS})
 
 
+class OwnersTest(unittest.TestCase):
+    def test_large_fleet_is_worked_out_call_by_call(self) -> None:
+        targets = {f"t{number}": make_target("sierra", 6) for number in range(30)}
+        bundles = {COSECHA: make_bundle("cosecha", {"sierra": 999}, targets)}
+        entry = Entry(CapacityLimits(ManualClock()).update(bundles, {}, {}, 0))
+        entry.rows(put("a", 1), *(put(f"e{number}", 2 + number) for number in range(499)))
+        found = []
+        for _ in range(4):
+            owners = entry.slots.owners(ServiceId("pedidos"), ())
+            found.append(sum(owners.values()))
+        own = sum(len(owned) for owned in entry.slots._owned_by_target.values())
+        self.assertTrue(0 < found[0] < found[1] < found[2])
+        self.assertEqual(found[2:], [30 * 6 - own] * 2)
+
+
 class LossTest(unittest.TestCase):
     def setUp(self) -> None:
         self.entry = Entry(make_limits())
