--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -12,10 +12,10 @@
 
 import msgspec
 
-from . import capacity_lookup
+from . import capacity_fleet, capacity_lookup
 from .samples import Fit, Sample, fit_all
 
-MODULES = (capacity_lookup,)
+MODULES = (capacity_lookup, capacity_fleet)
 RESULTS = pathlib.Path(__file__).parent / "results" / "capacity.json"
 
 
