--- a/benchmarks/capacity_fleet.py
+++ b/benchmarks/capacity_fleet.py
@@ -11,7 +11,6 @@
 import typing as t
 
 import aiohttp
-
 from tests.processes import ZONES, Fleet
 
 from .samples import Sample
@@ -31,7 +30,7 @@
 
     def _entry_text(self, name: str, zone: str, addresses: t.Sequence[str]) -> str:
         text = super()._entry_text(name, zone, addresses)
-        head, lease, rest = text.partition("[lease]\n")
+        head, _lease, rest = text.partition("[lease]\n")
         tail = rest[rest.index("[partners") :]
         return head.replace("heartbeat_s = 0.3\n", "") + tail
 
