Send answers without Nagle's delay on asyncio's loop too

Setting it per connection in the protocol was weighed and dropped: peers' servers share the listener. Seen red without the option.

--- a/src/coralfall/listener.py
+++ b/src/coralfall/listener.py
@@ -25,6 +25,9 @@
         message = f"can't listen on {address}: {error}; name an address of this VM and a free port"
         raise ListenError(message, address=address) from error
     listener.setblocking(False)
+    # Connections inherit it. uvloop sets it by itself; asyncio does not on sockets of this kind,
+    # and every answer in two parts would wait for the caller's delayed acknowledgement.
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return listener
 
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -546,6 +546,15 @@
         with bind(address) as listener:
             self.assertGreater(listener.getsockname()[1], 0)
 
+    def test_connections_send_without_delay(self) -> None:
+        with bind("127.0.0.1:0") as listener:
+            listener.setblocking(True)
+            with socket.create_connection(listener.getsockname()):
+                accepted, _ = listener.accept()
+                with accepted:
+                    option = accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+                    self.assertNotEqual(option, 0)
+
     @parameterized.expand([("127.0.0.1",), ("nonsense:80",), ("192.0.2.1:80",)])
     def test_refused(self, address: str) -> None:
         with self.assertRaises(ListenError) as caught:
