Hedge slow reads within the budget, and part carrying from dispatch

A read on a target that hangs waited for its whole deadline. Once enough reads of a service were seen, a read slower than the percentile kept in retry.py is given to a second target beside the first, within the hedges' part of the budget, and the first answer wins; the other exchange is aborted and its slot freed. Only reads without a body, never commands, and not while the first still waits for a slot. Dispatch had grown large, so carrying to targets, hedges and what a key names became modules of their own.

A request refused for a header after its key was claimed also left the key 'unknown' for ever; headers are now looked at before the claim.

--- /dev/null
+++ b/src/coralfall/carrier.py
@@ -0,0 +1,213 @@
+"""Carrier: gives one request to one target after another until one answers."""
+
+import asyncio
+import typing as t
+
+from . import defaults
+from .answer import Answer
+from .exceptions import (
+    CoralfallError,
+    RefusedError,
+    TargetError,
+    TargetNotRunError,
+    TargetUnknownError,
+)
+from .headers import headers_to_caller, headers_to_target
+from .hedge import Hedge, ReadLatency
+from .ids import Outcome, TargetId
+from .upstream import TargetRequest
+
+if t.TYPE_CHECKING:
+    from .clock import Clock
+    from .ids import PartnerId, ServiceId
+    from .request import CallerRequest
+    from .steering import Steering
+    from .upstream import Upstream
+
+
+class Budget(t.Protocol):
+    """Bounds the retries and hedges of one service to a share of its requests."""
+
+    def request(self) -> None:
+        """Count a request."""
+
+    def take(self) -> bool:
+        """Whether one retry is allowed; counts it if so."""
+
+    def take_hedge(self) -> bool:
+        """Whether one hedge is allowed; counts it if so."""
+
+
+class Errand:
+    """One request on its way, and the targets it was given to.
+
+    :param deadline: monotonic time by which it must be over.
+    :raises RequestError: if its headers can't be passed on.
+    """
+
+    def __init__(self, request: "CallerRequest", deadline: float) -> None:
+        self.request = request
+        self.deadline = deadline
+        self.headers = headers_to_target(request.headers, request.caller_host)
+        self.tried: t.Set[TargetId] = set()
+
+    def outgoing(self) -> TargetRequest:
+        """What the next target is sent."""
+        request = self.request
+        body = request.body
+        whole = body.whole if body is not None else None
+        if whole is None:
+            return TargetRequest(request.method, request.path, self.headers, body)
+        return TargetRequest(request.method, request.path, self.headers, whole)
+
+    def may_retry(self, failure: CoralfallError) -> bool:
+        """Whether another target may be given the request after such a failure."""
+        if len(self.tried) >= defaults.MAX_ATTEMPTS:
+            return False
+        body = self.request.body
+        if body is not None and not body.replayable:
+            return False
+        return self.request.read or isinstance(failure, TargetNotRunError)
+
+    def body_bytes(self) -> int:
+        """Length of the body, or the most it may be."""
+        body = self.request.body
+        if body is None:
+            return 0
+        return body.limit if body.length is None else body.length
+
+
+class _Means:
+    """What one service's requests share."""
+
+    def __init__(self, budget: Budget) -> None:
+        self.budget = budget
+        self.latency = ReadLatency()
+
+
+class Carrier:
+    """Carries requests to targets.
+
+    Reads are given to another target when one fails, or beside one that is slow, under a budget
+    for each service. Commands are given to another target only with evidence that the first did
+    not run them.
+
+    :param steering: chooses targets and holds their slots.
+    :param upstream: carries single exchanges.
+    :param new_budget: makes the retry budget of a service.
+    :param clock: for deadlines.
+    """
+
+    def __init__(
+        self,
+        steering: "Steering",
+        upstream: "Upstream",
+        new_budget: t.Callable[[], Budget],
+        clock: "Clock",
+    ) -> None:
+        self._steering = steering
+        self._upstream = upstream
+        self._new_budget = new_budget
+        self._clock = clock
+        self._means_by_service: t.Dict[t.Tuple["PartnerId", "ServiceId"], _Means] = {}
+
+    async def carry(self, errand: Errand) -> Answer:
+        """The answer of the first target that gives one.
+
+        :raises RefusedError: if no target was given the request.
+        :raises TargetNotRunError: if none of the targets ran it.
+        :raises TargetUnknownError: if one of them may have run it.
+        """
+        means = self._means_of(errand.request.partner, errand.request.service)
+        means.budget.request()
+        failure: t.Optional[CoralfallError] = None
+        while True:
+            try:
+                if errand.request.read and errand.request.body is None:
+                    return await self._hedged(errand, means)
+                return await self._attempt(errand)
+            except RefusedError as refusal:
+                if isinstance(failure, TargetUnknownError):
+                    raise failure from refusal
+                raise
+            except TargetError as error:
+                failure = _weightier(failure, error)
+            if not errand.may_retry(failure) or self._clock.monotonic() >= errand.deadline:
+                raise failure
+            if not means.budget.take():
+                raise failure
+
+    async def _hedged(self, errand: Errand, means: _Means) -> Answer:
+        delay = means.latency.delay
+        if delay is None:
+            return await self._timed(errand, means.latency)
+        # While the first waits for a slot, a second would only wait beside it.
+        hedge = Hedge(
+            delay,
+            lambda: bool(errand.tried) and means.budget.take_hedge(),
+            lambda: self._attempt(errand),
+        )
+        try:
+            return await self._timed(errand, means.latency)
+        except asyncio.CancelledError:
+            answer = hedge.accept()
+            if answer is None:
+                raise
+            return answer
+        except (RefusedError, TargetError) as error:
+            answer = await hedge.outcome()
+            if answer is not None:
+                return answer
+            if isinstance(hedge.failure, TargetUnknownError):
+                raise hedge.failure from error
+            raise
+        finally:
+            hedge.stop()
+
+    async def _timed(self, errand: Errand, latency: ReadLatency) -> Answer:
+        began = self._clock.monotonic()
+        answer = await self._attempt(errand)
+        latency.record(self._clock.monotonic() - began)
+        return answer
+
+    async def _attempt(self, errand: Errand) -> Answer:
+        if self._clock.monotonic() >= errand.deadline:
+            message = "deadline passed before the request was dispatched"
+            raise RefusedError(message, defaults.RETRY_AFTER_S)
+        request = errand.request
+        reservation = await self._steering.reserve(
+            request.partner,
+            request.service,
+            tried=errand.tried,
+            deadline=errand.deadline,
+            body_bytes=errand.body_bytes(),
+        )
+        errand.tried.add(reservation.target_id)
+        exchange = await self._upstream.exchange(reservation, errand.outgoing(), errand.deadline)
+        first = await exchange.read(defaults.MAX_BUFFERED_ANSWER_BYTES)
+        passed = headers_to_caller(exchange.headers)
+        answer = Answer(exchange.status, passed, first, Outcome.DONE)
+        if not exchange.whole:
+            answer.stream = exchange
+        elif exchange.length is None and exchange.bodied:
+            # It came in chunks; now that its length is known, a caller can check it.
+            passed.append((b"content-length", str(len(first)).encode()))
+        return answer
+
+    def latency_of(self, partner: "PartnerId", service: "ServiceId") -> ReadLatency:
+        """Latencies of a service's reads as they are known here."""
+        return self._means_of(partner, service).latency
+
+    def _means_of(self, partner: "PartnerId", service: "ServiceId") -> _Means:
+        means = self._means_by_service.get((partner, service))
+        if means is None:
+            means = _Means(self._new_budget())
+            self._means_by_service[partner, service] = means
+        return means
+
+
+def _weightier(first: t.Optional[CoralfallError], second: CoralfallError) -> CoralfallError:
+    """The failure to report: one attempt that may have run makes the whole request so."""
+    if isinstance(first, TargetUnknownError):
+        return second if isinstance(second, TargetUnknownError) else first
+    return second
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -108,6 +108,8 @@
         self.loads: t.List[t.Optional[str]] = []
         self.in_use = 0
         self.lapsed = False
+        #: Seconds until a slot is had.
+        self.wait_s = 0.0
 
     async def reserve(
         self,
@@ -118,6 +120,8 @@
         deadline: float,
         body_bytes: int,
     ) -> Reservation:
+        if self.wait_s:
+            await asyncio.sleep(self.wait_s)
         for address in self.addresses:
             if address in tried:
                 continue
@@ -168,6 +172,9 @@
         self.retries -= 1
         return self.retries >= 0
 
+    def take_hedge(self) -> bool:
+        return self.take()
+
 
 class FixedLookup(LookupSource):
     """Answers every look-up with its query and the caller's address."""
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -197,6 +197,24 @@
                 self.assertEqual((got.status, got.outcome), (502, "unknown"))
                 self.assertEqual(entry.steering.results, [FAILED, NOT_RUN])
 
+    async def test_read_that_hangs_is_answered_by_another_target(self) -> None:
+        async with (
+            loopback.target() as (stuck, first),
+            loopback.target() as (address, _second),
+            loopback.entry([stuck, address], retries=1) as entry,
+            asyncio.timeout(20),
+        ):
+            async with aiohttp.ClientSession() as session:
+                for _ in range(200):
+                    async with session.get(f"http://{entry.address}/calor/mando/x") as usual:
+                        await usual.read()
+            first.faults = Faults(work="hang")
+            entry.steering.results.clear()
+            got = await ask(entry.address, "GET", "/calor/mando/x")
+            self.assertEqual((got.status, got.outcome), (200, "done"))
+            await until(lambda: first.state.cancelled == 1)
+            self.assertEqual(entry.steering.results, [ANSWERED, AttemptResult.CANCELLED])
+
     async def test_upload_that_left_is_not_sent_again(self) -> None:
         """A shed upload of which parts are gone can't be given to the next target."""
         async with (
@@ -405,6 +423,16 @@
             self.assertEqual(again.outcome, second)
             self.assertEqual(len(standin.state.effects), effects)
 
+    async def test_request_refused_before_dispatch_leaves_the_key_free(self) -> None:
+        async with loopback.target() as (address, _standin), loopback.entry([address]) as entry:
+            reader, writer = await connect(entry.address)
+            head = b"POST /calor/pedidos/order HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k1\r\n"
+            writer.write(head + b"X: \xff\r\nContent-Length: 7\r\n\r\none kit")
+            self.assertIn(b" 400 ", await reader.readline())
+            writer.close()
+            got = await self.post(entry.address)
+            self.assertEqual((got.status, got.outcome), (200, "done"))
+
     async def test_table_down(self) -> None:
         async with loopback.target() as (address, standin), loopback.entry([address]) as entry:
             entry.table.gate.set(ServiceFault(mode=FaultMode.DOWN))
