--- a/tests/history.py
+++ b/tests/event_rules.py
@@ -1,4 +1,4 @@
-"""Checks histories of concurrent runs, recorded as events."""
+"""Rules that the recorded events of a concurrent run must keep: its history is checked by them."""
 
 import collections
 import enum
@@ -54,19 +54,27 @@
 Rule = t.Callable[[t.Sequence[Event]], t.List[Event]]
 
 
-def one_effect_per_key(events: t.Sequence[Event]) -> t.List[Event]:
-    """Effects beyond the first of their key."""
+def _repeated_effects(
+    events: t.Sequence[Event], name_of: t.Callable[[Event], t.Optional[str]]
+) -> t.List[Event]:
+    """Effects beyond the first of their name; those whose name is ``None`` do not count."""
     seen: t.Set[str] = set()
     found = []
     for event in events:
-        if event.kind is not Kind.EFFECT or not event.key:
+        name = name_of(event)
+        if event.kind is not Kind.EFFECT or name is None:
             continue
-        if event.key in seen:
+        if name in seen:
             found.append(event)
-        seen.add(event.key)
+        seen.add(name)
     return found
 
 
+def one_effect_per_key(events: t.Sequence[Event]) -> t.List[Event]:
+    """Effects beyond the first of their key."""
+    return _repeated_effects(events, lambda event: event.key or None)
+
+
 def one_open_dispatch_per_key(events: t.Sequence[Event]) -> t.List[Event]:
     """Dispatches of a key whose earlier dispatch was not shed."""
     open_keys: t.Set[str] = set()
@@ -133,15 +141,7 @@
 
 def one_effect_per_keyless_request(events: t.Sequence[Event]) -> t.List[Event]:
     """Effects beyond the first of their request, of requests without a key."""
-    seen: t.Set[str] = set()
-    found = []
-    for event in events:
-        if event.kind is not Kind.EFFECT or event.key:
-            continue
-        if event.request in seen:
-            found.append(event)
-        seen.add(event.request)
-    return found
+    return _repeated_effects(events, lambda event: None if event.key else event.request)
 
 
 def no_effect_when_all_not_run(events: t.Sequence[Event]) -> t.List[Event]:
--- a/tests/load.py
+++ b/tests/load.py
@@ -1,4 +1,4 @@
-"""Concurrent callers of entries that record every event, for :mod:`tests.history`."""
+"""Concurrent callers of entries that record every event, for :mod:`tests.event_rules`."""
 
 import asyncio
 import hashlib
@@ -10,7 +10,7 @@
 
 from coralfall.ids import Outcome
 from coralfall.standin_target import pattern
-from tests.history import ALWAYS, Event, Kind, Rule, done_as_the_effect_said, violations
+from tests.event_rules import ALWAYS, Event, Kind, Rule, done_as_the_effect_said, violations
 from tests.processes import PARTNER, Fleet
 
 #: Seconds that a caller waits for an answer; entries answer far sooner.
--- a/tests/test_claims_history.py
+++ b/tests/test_claims_history.py
@@ -17,8 +17,8 @@
 from coralfall.platform import Table, Write
 from coralfall.rows import CLAIM_PREFIX, ClaimRow, ClaimState, KeptAnswer
 
+from .event_rules import Event, Kind, violations
 from .flaky_table import Fate, FlakyTable
-from .history import Event, Kind, violations
 from .virtual_loop import LoopClock, run_virtual
 
 PARTNER, SERVICE = PartnerId("calor"), ServiceId("mando")
--- a/tests/test_history.py
+++ b/tests/test_event_rules.py
@@ -1,4 +1,4 @@
-"""The history checks themselves: each rule sees what breaks it, and nothing else."""
+"""Tests of :mod:`tests.event_rules`: each rule sees what breaks it, and nothing else."""
 
 import unittest
 
@@ -6,7 +6,7 @@
 
 from coralfall.ids import Outcome
 
-from .history import ALWAYS, Event, Kind, nothing_cut_off, violations
+from .event_rules import ALWAYS, Event, Kind, nothing_cut_off, violations
 
 INVOKE_1 = Event(Kind.INVOKE, "r1", "k")
 INVOKE_2 = Event(Kind.INVOKE, "r2", "k")
@@ -76,6 +76,7 @@
                 [EFFECT_1._replace(key=""), EFFECT_1._replace(key="")],
                 {"one_effect_per_keyless_request"},
             ),
+            ("with a key, twice", [EFFECT_1, INVOKE_1, EFFECT_1], {"one_effect_per_key"}),
             ("cut off", [INVOKE_1, INVOKE_1._replace(kind=Kind.CUT_OFF)], {"nothing_cut_off"}),
         ]
     )
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -24,7 +24,7 @@
 from coralfall.settings import PlatformSettings
 from coralfall.signedfile import read_signed_file, write_signed_file
 from coralfall.terminal import ExitCode
-from tests.history import ALWAYS, Event, Kind, Rule, nothing_cut_off
+from tests.event_rules import ALWAYS, Event, Kind, Rule, nothing_cut_off
 from tests.load import Load
 from tests.operators import make_bundle, sign_bundle
 from tests.processes import PARTNER, Fleet
