Let a slot rest after an attempt that ended without an answer

Cause: a slot was free again as soon as the entry closed its connection or gave up on a deadline, but the target learns of that later and runs the request until then. Another request could be there by that time: one too many. It showed as 5 in flight at 4 slots, in 3 of about 16 runs of the paused entry's test, more often since slow reads are hedged, which cancels the slower one.

Seen red: 2 cases of the new test fail without the rest.

--- a/src/coralfall/fleet.py
+++ b/src/coralfall/fleet.py
@@ -29,6 +29,9 @@
 #: Part of the time until its deadline that a request may wait for a slot.
 _MAX_QUEUE_PART = 0.25
 
+#: Results of attempts that the target may be running for a moment longer.
+_MAY_STILL_RUN = frozenset((AttemptResult.CANCELLED, AttemptResult.FAILED))
+
 ServiceKey = t.Tuple[PartnerId, ServiceId]
 #: Asks peers for slots of a service: how many, and in which regions they are of use.
 AskLoan = t.Callable[[ServiceId, int, t.Sequence[RegionId]], None]
@@ -140,16 +143,24 @@
         load: t.Optional[str],
     ) -> None:
         assert isinstance(reservation, FleetReservation)
-        now = self._clock.monotonic()
-        target_id = reservation.target_id
-        self._slots.release(reservation.slot)
-        self.drains.finish(target_id, now)
         desk = self._desk_by_service.get((reservation.partner, reservation.service))
-        if desk is None:
+        if desk is not None:
+            now = self._clock.monotonic()
+            _tell_health(desk.router.health, reservation.target_id, result, seconds, load, now)
+        if result in _MAY_STILL_RUN:
+            # The target learns of a closed connection or a passed deadline after this entry.
+            loop = asyncio.get_running_loop()
+            loop.call_later(defaults.CANCEL_REST_S, self._free, reservation)
             return
-        desk.router.finished(target_id)
-        _tell_health(desk.router.health, target_id, result, seconds, load, now)
-        desk.wake()
+        self._free(reservation)
+
+    def _free(self, reservation: FleetReservation) -> None:
+        self._slots.release(reservation.slot)
+        self.drains.finish(reservation.target_id, self._clock.monotonic())
+        desk = self._desk_by_service.get((reservation.partner, reservation.service))
+        if desk is not None:
+            desk.router.finished(reservation.target_id)
+            desk.wake()
 
     def service(self, partner: PartnerId, service: ServiceId) -> t.Optional[Service]:
         if partner not in self._rollouts:
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -3,9 +3,13 @@
 import asyncio
 import typing as t
 import unittest
+from unittest import mock
+
+from parameterized import parameterized
 
 from coralfall.bundle import Head, VersionRef
 from coralfall.clock import ManualClock, PlatformClock
+from coralfall.defaults import CANCEL_REST_S
 from coralfall.exceptions import RefusedError
 from coralfall.fleet import FleetReservation, FleetSteering
 from coralfall.ids import BundleVersion, Digest, EntryId, RegionId, ServiceId
@@ -98,6 +102,30 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    @parameterized.expand(
+        [
+            (AttemptResult.ANSWERED, True),
+            (AttemptResult.NOT_RUN, True),
+            (AttemptResult.CANCELLED, False),
+            (AttemptResult.FAILED, False),
+        ]
+    )
+    async def test_slot_rests_while_the_target_may_still_run(
+        self, result: AttemptResult, at_once: bool
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        later: t.List[t.Any] = []
+        with mock.patch.object(
+            loop, "call_later", lambda after, work, *args: later.append((after, work, *args))
+        ):
+            self.steering.finish(self.held[0], result, 0.1, None)
+        self.assertEqual(self.steering.drains.in_flight(self.held[0].target_id), 2 - at_once)
+        self.assertEqual([entry[0] for entry in later], [] if at_once else [CANCEL_REST_S])
+        for _, work, *args in later:
+            work(*args)
+        self.assertEqual(self.steering.drains.in_flight(self.held[0].target_id), 1)
+        await self._reserve()
+
     async def test_bounded(self) -> None:
         tasks = await self._wait(*range(20))
         refused = [task for task in tasks if task.done()]
