Tell targets the time after which a request must not be run

Cause: a process paused between its last check and the send sends when it wakes, whoever owns the slot by then, and a relative deadline is counted by the target from the late arrival. Requests now also carry deadline-at-ms, a Unix time; a target that honours it refuses the late one as not run. Targets that do not know the header ignore it, and the hole stays as the lease's page says. It counts on clocks of entries and targets that differ by less than the handover's margin.

The target stand-in honours it, and no longer waits for a body beyond the deadline.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -128,6 +128,8 @@
 #: Seconds for which an owner that had nothing to lend is not asked again, at first and at most.
 LOAN_REFUSED_S = 0.03
 MAX_LOAN_REFUSED_S = 0.24
+#: Seconds for which a slot rests after an attempt that was ended without an answer.
+CANCEL_REST_S = 0.25
 #: Added, in seconds, wherever one entry waits for another's requests to be over: time on the
 #: way to the target and back, and clocks that do not run quite alike.
 HANDOVER_MARGIN_S = 0.5
@@ -175,6 +177,8 @@
 HEADER_VERSION = "coralfall-version"
 #: Request header towards targets: milliseconds left.
 HEADER_TARGET_DEADLINE = "deadline-ms"
+#: Request header towards targets: Unix time in milliseconds after which it must not be run.
+HEADER_TARGET_DEADLINE_AT = "deadline-at-ms"
 #: Answer header of targets: ``not-run`` if the target shed the request unseen.
 HEADER_TARGET_OUTCOME = "outcome"
 #: Answer header of targets: ``in-flight/slots``.
--- a/src/coralfall/headers.py
+++ b/src/coralfall/headers.py
@@ -35,6 +35,7 @@
         b"x-real-ip",
         defaults.HEADER_DEADLINE.encode(),
         defaults.HEADER_TARGET_DEADLINE.encode(),
+        defaults.HEADER_TARGET_DEADLINE_AT.encode(),
     )
 )
 _REPLACED_TO_CALLER = frozenset(
--- a/src/coralfall/lease.py
+++ b/src/coralfall/lease.py
@@ -20,7 +20,8 @@
     A VM that runs, reaches neither the platform nor a peer that knows of the removal, and yet
     is called gone by the platform's VM list, goes on with slots that others take over once
     their rest is over.  The same holds for a VM suspended between the check and the system call
-    that sends the request, if the VM list calls it gone meanwhile.
+    that sends the request, if the VM list calls it gone meanwhile, unless the target refuses what
+    comes after the time that the request states (``deadline-at-ms``).
 """
 
 import enum
--- a/src/coralfall/standin_target.py
+++ b/src/coralfall/standin_target.py
@@ -9,6 +9,7 @@
 import asyncio
 import hashlib
 import random
+import time
 import typing as t
 import urllib.parse
 
@@ -161,7 +162,8 @@
     async def _serve(self, work: "_Work", fault: str) -> None:
         if fault == "close":
             raise _EndConnectionError
-        if self.leaving or self.state.in_flight >= self.settings.slots:
+        late = work.seconds_left() <= 0
+        if late or self.leaving or self.state.in_flight >= self.settings.slots:
             self.state.shed += 1
             await work.answer(503, b"", self._reported_load(), Outcome.NOT_RUN)
             return
@@ -172,7 +174,12 @@
             self._move(-1)
 
     async def _run(self, work: "_Work", fault: str) -> None:
-        body = await work.read_body()
+        try:
+            left = work.seconds_left()
+            body = await asyncio.wait_for(work.read_body(), None if left == float("inf") else left)
+        except asyncio.TimeoutError:
+            await work.answer(503, b"", self._reported_load(), Outcome.NOT_RUN)
+            raise _EndConnectionError from None
         if body is None:
             return
         if work.seconds_left() <= 0:
@@ -250,8 +257,13 @@
         self._query = dict(urllib.parse.parse_qsl(scope["query_string"].decode()))
         self._receive = receive
         self._send = send
+        seconds = float("inf")
         deadline = self.header(defaults.HEADER_TARGET_DEADLINE.encode())
-        seconds = float(deadline) / 1000 if deadline is not None else float("inf")
+        if deadline is not None:
+            seconds = float(deadline) / 1000
+        ends_at = self.header(defaults.HEADER_TARGET_DEADLINE_AT.encode())
+        if ends_at is not None:
+            seconds = min(seconds, float(ends_at) / 1000 - time.time())
         self._deadline = asyncio.get_running_loop().time() + seconds
 
     def header(self, name: bytes) -> t.Optional[str]:
--- a/src/coralfall/upstream.py
+++ b/src/coralfall/upstream.py
@@ -308,6 +308,9 @@
             exchange.abort()
             raise
         outgoing.headers[defaults.HEADER_TARGET_DEADLINE] = str(max(1, int(seconds * 1000)))
+        # If the process is paused between here and the send, only the target can notice.
+        ends_at_ms = int((self._clock.wall() + seconds) * 1000)
+        outgoing.headers[defaults.HEADER_TARGET_DEADLINE_AT] = str(ends_at_ms)
         await exchange.send(outgoing, connection, seconds)
         return exchange
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -73,6 +73,16 @@
         self.clock.advance(60.0)
 
 
+class PausedClock(SystemClock):
+    """A VM that was paused for a while after its last look at the clock."""
+
+    def __init__(self, paused_s: float) -> None:
+        self.paused_s = paused_s
+
+    def wall(self) -> float:
+        return super().wall() - self.paused_s
+
+
 class PacedSteering(loopback.LineSteering):
     """Lets each piece go after it was asked for ``asks`` times."""
 
@@ -207,6 +217,21 @@
             await asyncio.sleep(0.01)
         self.assertEqual(script.requests, [])
 
+    @parameterized.expand([("paused_past_it", 60.0, False), ("not_paused", 0.0, True)])
+    async def test_target_refuses_what_comes_after_its_deadline(
+        self, _: str, paused_s: float, runs: bool
+    ) -> None:
+        self.upstream = Upstream(self.steering, PausedClock(paused_s))
+        self.addAsyncCleanup(self.upstream.close)
+        async with loopback.target() as (address, standin):
+            if runs:
+                await self.ask(address, "POST", body=b"x")
+            else:
+                with self.assertRaises(TargetNotRunError):
+                    await self.ask(address, "POST", body=b"x")
+            self.assertEqual(len(standin.state.effects), int(runs))
+            self.assertEqual(standin.state.max_in_flight, int(runs))
+
     async def test_deadline_goes_to_the_target_and_ends_the_exchange(self) -> None:
         script = Script(OK)
         script.pause.clear()
