--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -55,6 +55,12 @@
             )
 
 
+def _family(pid: int) -> t.Tuple[int, str]:
+    """Number of a process's threads, and its children."""
+    threads = list(pathlib.Path(f"/proc/{pid}/task").iterdir())
+    return len(threads), (threads[0] / "children").read_text()
+
+
 class TestWholePath(ProcessCase):
     async def test_serves_what_a_bundle_states(self) -> None:
         for entry in ENTRIES:
@@ -85,9 +91,8 @@
 
     async def test_each_process_has_one_thread_and_no_child(self) -> None:
         for name, process in self.fleet.process_by_name.items():
-            threads = list(pathlib.Path(f"/proc/{process.pid}/task").iterdir())
-            self.assertEqual(len(threads), 1, name)
-            self.assertEqual((threads[0] / "children").read_text(), "", name)
+            threads, children = _family(process.pid)
+            self.assertEqual((threads, children), (1, ""), name)
 
     async def test_look_up_names_the_entries(self) -> None:
         expected = {self.fleet.address_by_name[entry] for entry in ENTRIES}
