Run tests on virtual time by one decorator

A decorator beside the virtual loop and one method of the test's world do that now; no check is changed.

Seen red on a copy: two expectations turned round, and both tests failed, so that bodies are run to their end.

--- a/tests/control_fleet.py
+++ b/tests/control_fleet.py
@@ -45,6 +45,8 @@
 
 LEASE = LeaseSettings(ttl_s=6.0, renew_s=2.0, poll_s=1.0, vm_list_s=2.0)
 HEARTBEAT_S = 1.0
+#: Seconds in which nodes that are started together have all joined.
+JOIN_S = 5.0
 TRUST = {operators.COSECHA: operators.COSECHA_KEYS}
 _TROUBLE = (Fate.DOWN, Fate.ANSWER_LOST, Fate.CALL_LOST, Fate.LATE)
 
@@ -85,6 +87,12 @@
         self.nodes_by_id[node.entry_id] = node
         return node
 
+    async def start_all(self, count: int) -> None:
+        """Nodes named e0, e1 and so on, and the time that they need to join."""
+        for number in range(count):
+            self.start(f"e{number}")
+        await asyncio.sleep(JOIN_S)
+
     def kill(self, entry_id: EntryId) -> None:
         """End a node without a word; the VM list knows at once."""
         node = self.nodes_by_id.pop(entry_id)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,7 +10,7 @@
 from coralfall.ids import EntryId, Revision
 from coralfall.settings import LogSettings
 from tests.control_fleet import LEASE, LiveNode, World
-from tests.virtual_loop import VirtualLoop
+from tests.virtual_loop import on_virtual_time
 
 SETTLE_S = 40.0
 #: Seconds within which what is accepted has to be in force wherever requests are served.
@@ -18,18 +18,6 @@
 SEEDS = range(12)
 
 
-def run(work: t.Coroutine[t.Any, t.Any, None]) -> None:
-    """Run a coroutine to its end on virtual time."""
-    loop = VirtualLoop()
-    try:
-        loop.run_until_complete(work)
-    finally:
-        for task in asyncio.all_tasks(loop):
-            task.cancel()
-        loop.run_until_complete(asyncio.sleep(0))
-        loop.close()
-
-
 class Watch:
     """Looks at all nodes often and notes what must not be.
 
@@ -98,150 +86,123 @@
     def setUp(self) -> None:
         log.configure(LogSettings(level="error"))
 
-    def test_accepted_is_in_force_everywhere(self) -> None:
-        async def work() -> None:
-            world = World(1)
-            for number in range(6):
-                world.start(f"e{number}")
-            await asyncio.sleep(5)
-            watch = Watch(world)
-            for version in (1, 2, 3):
-                self.assertTrue(await world.submit(version, "ana"))
-                await asyncio.sleep(10)
-                for node in world.nodes_by_id.values():
-                    self.assertEqual(node.in_force, version)
-            self.assertEqual(watch.violations, [])
-
-        run(work())
-
-    def test_racing_operators_one_wins(self) -> None:
-        async def work() -> None:
-            world = World(2)
-            for number in range(3):
-                world.start(f"e{number}")
-            await asyncio.sleep(5)
-            won = await asyncio.gather(world.submit(1, "ana", 6), world.submit(1, "bea", 5))
-            self.assertEqual(sorted(won), [False, True])
-
-        run(work())
-
-    def test_spreads_by_peers_when_the_platform_goes_right_after(self) -> None:
-        async def work() -> None:
-            world = World(3)
-            for number in range(8):
-                world.start(f"e{number}")
-            await asyncio.sleep(5)
-            self.assertTrue(await world.submit(1, "ana"))
-            await _accepted(world, 1)
-            world.platform_up = False
-            newcomer = world.start("late")
-            await asyncio.sleep(IN_FORCE_S)
-            for node in world.nodes_by_id.values():
-                self.assertEqual(node.in_force, 1, node.entry_id)
-            self.assertEqual(newcomer.in_force, 1)
-            for _ in range(6):
-                await asyncio.sleep(LEASE.ttl_s)
-                frozen = [node for node in world.nodes_by_id.values() if node is not newcomer]
-                self.assertTrue(all(node.serves for node in frozen))
-
-        run(work())
-
-    def test_waits_for_a_member_that_is_cut_off(self) -> None:
-        async def work() -> None:
-            world = World(4)
-            for number in range(4):
-                world.start(f"e{number}")
-            await asyncio.sleep(5)
-            self.assertTrue(await world.submit(1, "ana"))
+    @on_virtual_time
+    async def test_accepted_is_in_force_everywhere(self) -> None:
+        world = World(1)
+        await world.start_all(6)
+        watch = Watch(world)
+        for version in (1, 2, 3):
+            self.assertTrue(await world.submit(version, "ana"))
             await asyncio.sleep(10)
-            watch = Watch(world)
-            cut = next(iter(world.nodes_by_id))
-            world.cut.add(cut)
-            self.assertTrue(await world.submit(2, "ana"))
-            await asyncio.sleep(30)
-            accepted = await world.accepted()
-            assert accepted is not None
-            self.assertEqual(accepted.version, 1)
-            world.kill(cut)
-            await asyncio.sleep(SETTLE_S)
             for node in world.nodes_by_id.values():
-                self.assertEqual(node.in_force, 2)
-            self.assertEqual(watch.violations, [])
-
-        run(work())
-
-    def test_roster_of_a_peer_from_before_the_join_removes_nobody(self) -> None:
-        async def work() -> None:
-            world = World(6)
-            world.start("e0")
-            await asyncio.sleep(5)
-            joining = world.start("e1")
-            membership = joining.node.membership
-            poll = membership.poll
-
-            async def told_by_a_peer_first() -> None:
-                if membership.member is not None:
-                    row = (await world.memory.platform.table.read(["roster/e1"]))["roster/e1"]
-                    before = Revision(row.revision - 1)
-                    others = tuple(world.nodes_by_id[EntryId("e0")].node.roster.by_id.values())
-                    membership.learn_roster([m for m in others if m.entry_id != "e1"], before)
-                await poll()
-
-            membership.poll = told_by_a_peer_first  # type: ignore[method-assign]
-            await asyncio.sleep(5)
-            assert membership.member is not None
-            self.assertEqual(membership.member.incarnation, 2)
-
-        run(work())
-
-    def test_leaving_entry_serves_until_it_has_left(self) -> None:
-        async def work() -> None:
-            world = World(5)
-            for number in range(3):
-                world.start(f"e{number}")
-            await asyncio.sleep(5)
-            self.assertTrue(await world.submit(1, "ana"))
-            await asyncio.sleep(10)
-            leaving = next(iter(world.nodes_by_id.values()))
-            await leaving.node.membership.start_leaving()
-            for _ in range(20):
-                await asyncio.sleep(LEASE.ttl_s / 4)
-                self.assertTrue(leaving.serves)
-            await leaving.node.membership.leave()
-            self.assertFalse(leaving.serves)
-
-        run(work())
+                self.assertEqual(node.in_force, version)
+        self.assertEqual(watch.violations, [])
+
+    @on_virtual_time
+    async def test_racing_operators_one_wins(self) -> None:
+        world = World(2)
+        await world.start_all(3)
+        won = await asyncio.gather(world.submit(1, "ana", 6), world.submit(1, "bea", 5))
+        self.assertEqual(sorted(won), [False, True])
+
+    @on_virtual_time
+    async def test_spreads_by_peers_when_the_platform_goes_right_after(self) -> None:
+        world = World(3)
+        await world.start_all(8)
+        self.assertTrue(await world.submit(1, "ana"))
+        await _accepted(world, 1)
+        world.platform_up = False
+        newcomer = world.start("late")
+        await asyncio.sleep(IN_FORCE_S)
+        for node in world.nodes_by_id.values():
+            self.assertEqual(node.in_force, 1, node.entry_id)
+        self.assertEqual(newcomer.in_force, 1)
+        for _ in range(6):
+            await asyncio.sleep(LEASE.ttl_s)
+            frozen = [node for node in world.nodes_by_id.values() if node is not newcomer]
+            self.assertTrue(all(node.serves for node in frozen))
+
+    @on_virtual_time
+    async def test_waits_for_a_member_that_is_cut_off(self) -> None:
+        world = World(4)
+        await world.start_all(4)
+        self.assertTrue(await world.submit(1, "ana"))
+        await asyncio.sleep(10)
+        watch = Watch(world)
+        cut = next(iter(world.nodes_by_id))
+        world.cut.add(cut)
+        self.assertTrue(await world.submit(2, "ana"))
+        await asyncio.sleep(30)
+        accepted = await world.accepted()
+        assert accepted is not None
+        self.assertEqual(accepted.version, 1)
+        world.kill(cut)
+        await asyncio.sleep(SETTLE_S)
+        for node in world.nodes_by_id.values():
+            self.assertEqual(node.in_force, 2)
+        self.assertEqual(watch.violations, [])
+
+    @on_virtual_time
+    async def test_roster_of_a_peer_from_before_the_join_removes_nobody(self) -> None:
+        world = World(6)
+        world.start("e0")
+        await asyncio.sleep(5)
+        joining = world.start("e1")
+        membership = joining.node.membership
+        poll = membership.poll
+
+        async def told_by_a_peer_first() -> None:
+            if membership.member is not None:
+                row = (await world.memory.platform.table.read(["roster/e1"]))["roster/e1"]
+                before = Revision(row.revision - 1)
+                others = tuple(world.nodes_by_id[EntryId("e0")].node.roster.by_id.values())
+                membership.learn_roster([m for m in others if m.entry_id != "e1"], before)
+            await poll()
+
+        membership.poll = told_by_a_peer_first  # type: ignore[method-assign]
+        await asyncio.sleep(5)
+        assert membership.member is not None
+        self.assertEqual(membership.member.incarnation, 2)
+
+    @on_virtual_time
+    async def test_leaving_entry_serves_until_it_has_left(self) -> None:
+        world = World(5)
+        await world.start_all(3)
+        self.assertTrue(await world.submit(1, "ana"))
+        await asyncio.sleep(10)
+        leaving = next(iter(world.nodes_by_id.values()))
+        await leaving.node.membership.start_leaving()
+        for _ in range(20):
+            await asyncio.sleep(LEASE.ttl_s / 4)
+            self.assertTrue(leaving.serves)
+        await leaving.node.membership.leave()
+        self.assertFalse(leaving.serves)
 
     @parameterized.expand([(seed,) for seed in SEEDS])
     def test_histories_with_faults(self, seed: int) -> None:
         self.check_history(seed)
 
-    def check_history(self, seed: int) -> None:
-        async def work() -> None:
-            world = World(seed)
-            names = 0
-            for _ in range(5):
-                world.start(f"e{names}")
-                names += 1
-            await asyncio.sleep(5)
-            watch = Watch(world)
-            operators = asyncio.ensure_future(_operate(world))
-            for _ in range(25):
-                await asyncio.sleep(world.rng.uniform(0.5, 6))
-                names = _disturb(world, names)
-            world.trouble = 0.0
-            world.platform_up = True
-            world.cut.clear()
-            operators.cancel()
-            await asyncio.sleep(SETTLE_S)
-            accepted = await world.accepted()
-            assert accepted is not None
-            for node in world.nodes_by_id.values():
-                self.assertEqual(node.in_force, accepted.version, node.entry_id)
-                self.assertTrue(node.serves, node.entry_id)
-            self.assertEqual(watch.violations, [])
-
-        run(work())
+    @on_virtual_time
+    async def check_history(self, seed: int) -> None:
+        world = World(seed)
+        names = 5
+        await world.start_all(names)
+        watch = Watch(world)
+        operators = asyncio.ensure_future(_operate(world))
+        for _ in range(25):
+            await asyncio.sleep(world.rng.uniform(0.5, 6))
+            names = _disturb(world, names)
+        world.trouble = 0.0
+        world.platform_up = True
+        world.cut.clear()
+        operators.cancel()
+        await asyncio.sleep(SETTLE_S)
+        accepted = await world.accepted()
+        assert accepted is not None
+        for node in world.nodes_by_id.values():
+            self.assertEqual(node.in_force, accepted.version, node.entry_id)
+            self.assertTrue(node.serves, node.entry_id)
+        self.assertEqual(watch.violations, [])
 
 
 async def _operate(world: World) -> None:
--- a/tests/virtual_loop.py
+++ b/tests/virtual_loop.py
@@ -1,6 +1,7 @@
 """An event loop on virtual time: it never waits, and jumps to the next timer instead."""
 
 import asyncio
+import functools
 import selectors
 import typing as t
 
@@ -57,3 +58,15 @@
     """Run ``main`` on a fresh virtual loop; it is given the loop's clock."""
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
         return runner.run(main(LoopClock(runner.get_loop())))
+
+
+def on_virtual_time(
+    test: t.Callable[..., t.Coroutine[t.Any, t.Any, None]],
+) -> t.Callable[..., None]:
+    """Make a plain test method of a coroutine, run on a fresh virtual loop."""
+
+    @functools.wraps(test)
+    def run(*args: t.Any) -> None:
+        run_virtual(lambda _clock: test(*args))
+
+    return run
