Name what a service's requests share, and a request on its way, plainly

Cause: two readers stumbled over desk, errand and means, which are metaphors and no terms of the field. They are _ServiceState, Delivery and _ServiceShared now.

--- a/src/coralfall/carrier.py
+++ b/src/coralfall/carrier.py
@@ -38,7 +38,7 @@
         """Whether one hedge is allowed; counts it if so."""
 
 
-class Errand:
+class Delivery:
     """One request on its way, and the targets it was given to.
 
     :param deadline: monotonic time by which it must be over.
@@ -77,7 +77,7 @@
         return body.limit if body.length is None else body.length
 
 
-class _Means:
+class _ServiceShared:
     """What one service's requests share."""
 
     def __init__(self, budget: Budget) -> None:
@@ -109,46 +109,46 @@
         self._upstream = upstream
         self._new_budget = new_budget
         self._clock = clock
-        self._means_by_service: t.Dict[t.Tuple["PartnerId", "ServiceId"], _Means] = {}
+        self._shared_by_service: t.Dict[t.Tuple["PartnerId", "ServiceId"], _ServiceShared] = {}
 
-    async def carry(self, errand: Errand) -> Answer:
+    async def carry(self, delivery: Delivery) -> Answer:
         """The answer of the first target that gives one.
 
         :raises RefusedError: if no target was given the request.
         :raises TargetNotRunError: if none of the targets ran it.
         :raises TargetUnknownError: if one of them may have run it.
         """
-        means = self._means_of(errand.request.partner, errand.request.service)
-        means.budget.request()
+        shared = self._shared_of(delivery.request.partner, delivery.request.service)
+        shared.budget.request()
         failure: t.Optional[CoralfallError] = None
         while True:
             try:
-                if errand.request.read and errand.request.body is None:
-                    return await self._hedged(errand, means)
-                return await self._attempt(errand)
+                if delivery.request.read and delivery.request.body is None:
+                    return await self._hedged(delivery, shared)
+                return await self._attempt(delivery)
             except RefusedError as refusal:
                 if isinstance(failure, TargetUnknownError):
                     raise failure from refusal
                 raise
             except TargetError as error:
                 failure = _weightier(failure, error)
-            if not errand.may_retry(failure) or self._clock.monotonic() >= errand.deadline:
+            if not delivery.may_retry(failure) or self._clock.monotonic() >= delivery.deadline:
                 raise failure
-            if not means.budget.take():
+            if not shared.budget.take():
                 raise failure
 
-    async def _hedged(self, errand: Errand, means: _Means) -> Answer:
-        delay = means.latency.delay
+    async def _hedged(self, delivery: Delivery, shared: _ServiceShared) -> Answer:
+        delay = shared.latency.delay
         if delay is None:
-            return await self._timed(errand, means.latency)
+            return await self._timed(delivery, shared.latency)
         # While the first waits for a slot, a second would only wait beside it.
         hedge = Hedge(
             delay,
-            lambda: bool(errand.tried) and means.budget.take_hedge(),
-            lambda: self._attempt(errand),
+            lambda: bool(delivery.tried) and shared.budget.take_hedge(),
+            lambda: self._attempt(delivery),
         )
         try:
-            return await self._timed(errand, means.latency)
+            return await self._timed(delivery, shared.latency)
         except asyncio.CancelledError:
             answer = hedge.accept()
             if answer is None:
@@ -164,26 +164,28 @@
         finally:
             hedge.stop()
 
-    async def _timed(self, errand: Errand, latency: ReadLatency) -> Answer:
+    async def _timed(self, delivery: Delivery, latency: ReadLatency) -> Answer:
         began = self._clock.monotonic()
-        answer = await self._attempt(errand)
+        answer = await self._attempt(delivery)
         latency.record(self._clock.monotonic() - began)
         return answer
 
-    async def _attempt(self, errand: Errand) -> Answer:
-        if self._clock.monotonic() >= errand.deadline:
+    async def _attempt(self, delivery: Delivery) -> Answer:
+        if self._clock.monotonic() >= delivery.deadline:
             message = "deadline passed before the request was dispatched"
             raise RefusedError(message, defaults.RETRY_AFTER_S)
-        request = errand.request
+        request = delivery.request
         reservation = await self._steering.reserve(
             request.partner,
             request.service,
-            tried=errand.tried,
-            deadline=errand.deadline,
-            body_bytes=errand.body_bytes(),
+            tried=delivery.tried,
+            deadline=delivery.deadline,
+            body_bytes=delivery.body_bytes(),
+        )
+        delivery.tried.add(reservation.target_id)
+        exchange = await self._upstream.exchange(
+            reservation, delivery.outgoing(), delivery.deadline
         )
-        errand.tried.add(reservation.target_id)
-        exchange = await self._upstream.exchange(reservation, errand.outgoing(), errand.deadline)
         first = await exchange.read(defaults.MAX_BUFFERED_ANSWER_BYTES)
         passed = headers_to_caller(exchange.headers)
         answer = Answer(exchange.status, passed, first, Outcome.DONE)
@@ -196,14 +198,14 @@
 
     def latency_of(self, partner: "PartnerId", service: "ServiceId") -> ReadLatency:
         """Latencies of a service's reads as they are known here."""
-        return self._means_of(partner, service).latency
-
-    def _means_of(self, partner: "PartnerId", service: "ServiceId") -> _Means:
-        means = self._means_by_service.get((partner, service))
-        if means is None:
-            means = _Means(self._new_budget())
-            self._means_by_service[partner, service] = means
-        return means
+        return self._shared_of(partner, service).latency
+
+    def _shared_of(self, partner: "PartnerId", service: "ServiceId") -> _ServiceShared:
+        shared = self._shared_by_service.get((partner, service))
+        if shared is None:
+            shared = _ServiceShared(self._new_budget())
+            self._shared_by_service[partner, service] = shared
+        return shared
 
 
 def _weightier(first: t.Optional[CoralfallError], second: CoralfallError) -> CoralfallError:
--- a/src/coralfall/dispatch.py
+++ b/src/coralfall/dispatch.py
@@ -5,7 +5,7 @@
 
 from . import defaults
 from .answer import Answer, answer_of
-from .carrier import Carrier, Errand
+from .carrier import Carrier, Delivery
 from .command import answer_of_kept, fingerprint_of, key_of
 from .exceptions import (
     CallerGoneError,
@@ -87,13 +87,13 @@
 
     async def _dispatch(self, request: "CallerRequest", rules: "Service") -> Answer:
         deadline = self._clock.monotonic() + _allowed_seconds(request, rules)
-        errand = Errand(request, deadline)
+        delivery = Delivery(request, deadline)
         key = None if request.read else key_of(request, rules)
         if request.body is not None:
             await self._hold_body(request, rules, deadline)
         if key is None:
-            return await self._carrier.carry(errand)
-        return await self._carry_claimed(errand, key)
+            return await self._carrier.carry(delivery)
+        return await self._carry_claimed(delivery, key)
 
     async def _hold_body(self, request: "CallerRequest", rules: "Service", deadline: float) -> None:
         body = request.body
@@ -108,19 +108,19 @@
             message = "the body did not come before the deadline"
             raise RequestError("body-too-slow", 408, message) from None
 
-    async def _carry_claimed(self, errand: Errand, key: IdempotencyKey) -> Answer:
-        request = errand.request
+    async def _carry_claimed(self, delivery: Delivery, key: IdempotencyKey) -> Answer:
+        request = delivery.request
         claim = await self._claims.claim(
             request.partner,
             request.service,
             key,
             fingerprint_of(request),
-            errand.deadline - self._clock.monotonic(),
+            delivery.deadline - self._clock.monotonic(),
         )
         if isinstance(claim, KeptAnswer):
             return answer_of_kept(claim)
         try:
-            answer = await self._carrier.carry(errand)
+            answer = await self._carrier.carry(delivery)
         except (RefusedError, TargetNotRunError):
             await self._claims.release(claim)
             raise
--- a/src/coralfall/fleet.py
+++ b/src/coralfall/fleet.py
@@ -43,7 +43,7 @@
     slot: Slot
 
 
-class _Desk:
+class _ServiceState:
     """What the steering of one service needs between requests."""
 
     def __init__(self, partner: PartnerId, router: Router) -> None:
@@ -92,7 +92,7 @@
         self._ask_loan = ask_loan
         self._limits = CapacityLimits(clock)
         self._effective_by_partner: t.Dict[PartnerId, Bundle] = {}
-        self._desk_by_service: t.Dict[ServiceKey, _Desk] = {}
+        self._state_by_service: t.Dict[ServiceKey, _ServiceState] = {}
         self.drains = DrainTracker()
         self.links = LinkAllowance(clock)
         #: What all entries together may do with each target, as of the last refresh.
@@ -108,18 +108,18 @@
         body_bytes: int,
     ) -> FleetReservation:
         rules = self.service(partner, service)
-        desk = self._desk_by_service.get((partner, service))
-        if rules is None or desk is None:
+        service_state = self._state_by_service.get((partner, service))
+        if rules is None or service_state is None:
             raise RefusedError("the service is not in force here", defaults.RETRY_AFTER_S)
         if not tried:
-            desk.router.offer()
+            service_state.router.offer()
             # The offer may be what a waiting request lacked.
-            desk.wake()
+            service_state.wake()
         try:
-            return await self._reserve(desk, service, rules, tried, deadline)
+            return await self._reserve(service_state, service, rules, tried, deadline)
         except RefusedError:
             if not tried:
-                desk.router.refuse()
+                service_state.router.refuse()
             raise
 
     def check(self, reservation: Reservation) -> None:
@@ -143,10 +143,12 @@
         load: t.Optional[str],
     ) -> None:
         assert isinstance(reservation, FleetReservation)
-        desk = self._desk_by_service.get((reservation.partner, reservation.service))
-        if desk is not None:
+        service_state = self._state_by_service.get((reservation.partner, reservation.service))
+        if service_state is not None:
             now = self._clock.monotonic()
-            _tell_health(desk.router.health, reservation.target_id, result, seconds, load, now)
+            _tell_health(
+                service_state.router.health, reservation.target_id, result, seconds, load, now
+            )
         if result in _MAY_STILL_RUN:
             # The target learns of a closed connection or a passed deadline after this entry.
             loop = asyncio.get_running_loop()
@@ -157,10 +159,10 @@
     def _free(self, reservation: FleetReservation) -> None:
         self._slots.release(reservation.slot)
         self.drains.finish(reservation.target_id, self._clock.monotonic())
-        desk = self._desk_by_service.get((reservation.partner, reservation.service))
-        if desk is not None:
-            desk.router.finished(reservation.target_id)
-            desk.wake()
+        service_state = self._state_by_service.get((reservation.partner, reservation.service))
+        if service_state is not None:
+            service_state.router.finished(reservation.target_id)
+            service_state.wake()
 
     def service(self, partner: PartnerId, service: ServiceId) -> t.Optional[Service]:
         if partner not in self._rollouts:
@@ -181,11 +183,11 @@
 
     def service_ids(self) -> t.List[ServiceId]:
         """All services in force, of all partners."""
-        return [service for _, service in self._desk_by_service]
+        return [service for _, service in self._state_by_service]
 
     def routers(self) -> t.Dict[ServiceKey, Router]:
         """The routers of all services, for status and metrics."""
-        return {key: desk.router for key, desk in self._desk_by_service.items()}
+        return {key: service_state.router for key, service_state in self._state_by_service.items()}
 
     def refresh(self) -> None:
         """Take in bundles, roster and time as they are now.
@@ -226,39 +228,39 @@
         To be called when slots were borrowed or given back, and also when a request for a loan
         brought none, so that another owner is asked.
         """
-        for (_, service_id), desk in self._desk_by_service.items():
+        for (_, service_id), service_state in self._state_by_service.items():
             if service_id == service:
-                desk.wake()
+                service_state.wake()
 
     def wake_all(self) -> None:
         """Let all waiting requests look again, after slots may have become usable."""
-        for desk in self._desk_by_service.values():
-            desk.wake()
+        for service_state in self._state_by_service.values():
+            service_state.wake()
 
     async def _reserve(
         self,
-        desk: _Desk,
+        service_state: _ServiceState,
         service: ServiceId,
         rules: Service,
         tried: t.Collection[TargetId],
         deadline: float,
     ) -> FleetReservation:
-        self._refresh_router(desk, service, rules)
-        if not desk.waiters:
+        self._refresh_router(service_state, service, rules)
+        if not service_state.waiters:
             try:
-                return self._take(desk, service, tried)
+                return self._take(service_state, service, tried)
             except RefusedError:
-                if not desk.router.governor.allowed(bool(tried)):
+                if not service_state.router.governor.allowed(bool(tried)):
                     raise
-        if self._queue_is_full(desk, service):
-            raise desk.router.busy()
+        if self._queue_is_full(service_state, service):
+            raise service_state.router.busy()
         now = self._clock.monotonic()
         seconds = min(defaults.MAX_QUEUE_S, (deadline - now) * _MAX_QUEUE_PART)
-        return await self._queue(desk, service, rules, tried, now + seconds)
+        return await self._queue(service_state, service, rules, tried, now + seconds)
 
     async def _queue(
         self,
-        desk: _Desk,
+        service_state: _ServiceState,
         service: ServiceId,
         rules: Service,
         tried: t.Collection[TargetId],
@@ -266,46 +268,48 @@
     ) -> FleetReservation:
         """Wait for a slot behind the requests that wait already."""
         waiter = asyncio.Event()
-        desk.waiters.append(waiter)
-        self._ask_for(desk, service, tried)
+        service_state.waiters.append(waiter)
+        self._ask_for(service_state, service, tried)
         try:
             while await _woken(waiter, give_up_at - self._clock.monotonic()):
                 waiter.clear()
-                self._refresh_router(desk, service, rules)
+                self._refresh_router(service_state, service, rules)
                 try:
-                    return self._take(desk, service, tried)
+                    return self._take(service_state, service, tried)
                 except RefusedError:
-                    if not desk.router.governor.allowed(bool(tried)):
+                    if not service_state.router.governor.allowed(bool(tried)):
                         raise
                 if tried:
                     # It may go to fewer places than the one behind it.
-                    desk.wake_after(waiter)
-                self._ask_for(desk, service, tried)
-            raise desk.router.busy()
+                    service_state.wake_after(waiter)
+                self._ask_for(service_state, service, tried)
+            raise service_state.router.busy()
         finally:
-            desk.waiters.remove(waiter)
-            desk.wake()
+            service_state.waiters.remove(waiter)
+            service_state.wake()
 
-    def _ask_for(self, desk: _Desk, service: ServiceId, tried: t.Collection[TargetId]) -> None:
-        governor = desk.router.governor
+    def _ask_for(
+        self, service_state: _ServiceState, service: ServiceId, tried: t.Collection[TargetId]
+    ) -> None:
+        governor = service_state.router.governor
         regions = governor.allowed(bool(tried))
         if not tried:
             regions += [region for region in governor.stretched() if region not in regions]
-        self._ask_loan(service, len(desk.waiters), regions)
+        self._ask_loan(service, len(service_state.waiters), regions)
 
-    def _queue_is_full(self, desk: _Desk, service: ServiceId) -> bool:
+    def _queue_is_full(self, service_state: _ServiceState, service: ServiceId) -> bool:
         most = max(_MIN_QUEUE, _QUEUE_PER_SLOT * self._slots.in_use(service))
-        return len(desk.waiters) >= most
+        return len(service_state.waiters) >= most
 
     def _take(
-        self, desk: _Desk, service: ServiceId, tried: t.Collection[TargetId]
+        self, service_state: _ServiceState, service: ServiceId, tried: t.Collection[TargetId]
     ) -> FleetReservation:
         now = self._clock.monotonic()
-        router = desk.router
+        router = service_state.router
         free_by_id = self._slots.free_by_target(service)
         candidate = router.choose(free_by_id, tried, now)
         target_id = candidate.target_id
-        target = self._effective_by_partner[desk.partner].targets[target_id]
+        target = self._effective_by_partner[service_state.partner].targets[target_id]
         slot = self._slots.acquire(target_id)
         assert slot is not None, "a target that was counted as free has no slot"
         self.drains.start(target_id)
@@ -314,7 +318,7 @@
             self._ask_loan(service, 1, ())
         spare = idle_connections(target, len(self._roster.by_id))
         return FleetReservation(
-            partner=desk.partner,
+            partner=service_state.partner,
             service=service,
             target_id=target_id,
             region=target.region,
@@ -323,15 +327,17 @@
             slot=slot,
         )
 
-    def _refresh_router(self, desk: _Desk, service: ServiceId, rules: Service) -> None:
+    def _refresh_router(
+        self, service_state: _ServiceState, service: ServiceId, rules: Service
+    ) -> None:
         now = self._clock.monotonic()
-        if not desk.router.due(now):
+        if not service_state.router.due(now):
             return
-        planned = self._planned(desk.partner, service, rules)
+        planned = self._planned(service_state.partner, service, rules)
         in_use = self._slots.in_use(service)
         free = sum(self._slots.free_by_target(service).values())
         prior = in_use / (in_use + free) if in_use else 0.0
-        desk.router.refresh(rules, planned, prior, now)
+        service_state.router.refresh(rules, planned, prior, now)
 
     def _planned(self, partner: PartnerId, service_id: ServiceId, rules: Service) -> Shares:
         rollout = self._rollouts[partner]
@@ -342,27 +348,27 @@
 
     def _take_bundle(self, partner: PartnerId, bundle: Bundle) -> None:
         now = self._clock.monotonic()
-        for key in list(self._desk_by_service):
+        for key in list(self._state_by_service):
             if key[0] == partner and key[1] not in bundle.services:
-                self._desk_by_service.pop(key).wake()
+                self._state_by_service.pop(key).wake()
         for service_id, service in bundle.services.items():
-            desk = self._desk_by_service.get((partner, service_id))
-            if desk is None:
-                desk = self._new_desk(partner, service_id, service, now)
-                self._desk_by_service[partner, service_id] = desk
+            service_state = self._state_by_service.get((partner, service_id))
+            if service_state is None:
+                service_state = self._new_state(partner, service_id, service, now)
+                self._state_by_service[partner, service_id] = service_state
             serving = {}
             for target_id, target in bundle.targets.items():
                 if target.service == service_id and target.state is not TargetState.LEAVING:
                     serving[target_id] = target
-            desk.router.set_targets(serving, now)
+            service_state.router.set_targets(serving, now)
 
-    def _new_desk(
+    def _new_state(
         self, partner: PartnerId, service_id: ServiceId, service: Service, now: float
-    ) -> _Desk:
+    ) -> _ServiceState:
         planned = self._planned(partner, service_id, service)
         governor = ShiftGovernor(service_id, service, planned, now)
         health = ServiceHealth(service.ramp_s)
-        return _Desk(partner, Router(service_id, service, governor, health, now))
+        return _ServiceState(partner, Router(service_id, service, governor, health, now))
 
     def _mark_drains(self) -> None:
         leaving: t.List[TargetId] = []
--- a/tests/test_carrier.py
+++ b/tests/test_carrier.py
@@ -10,7 +10,7 @@
 from parameterized import parameterized
 
 from coralfall.answer import Answer
-from coralfall.carrier import Carrier, Errand
+from coralfall.carrier import Carrier, Delivery
 from coralfall.clock import Clock
 from coralfall.exceptions import TargetNotRunError, TargetUnknownError
 from coralfall.hedge import Hedge
@@ -114,9 +114,9 @@
 
     async def carry(self, method: str = "GET") -> str:
         request = CallerRequest(loopback.PARTNER, loopback.SERVICE, method, "/x", [])
-        errand = Errand(request, self.clock.monotonic() + 60.0)
+        delivery = Delivery(request, self.clock.monotonic() + 60.0)
         try:
-            return (await self.carrier.carry(errand)).body.decode()
+            return (await self.carrier.carry(delivery)).body.decode()
         except (TargetNotRunError, TargetUnknownError) as error:
             return error.code
 
