Give up a test on virtual time that waits for what never comes

Cause: tests of nodes wait for an acceptance without a bound, so that a coordinator that does nothing made a run hang instead of fail. Work on virtual time now ends after two virtual hours, far beyond what any test takes.

--- a/tests/virtual_loop.py
+++ b/tests/virtual_loop.py
@@ -9,6 +9,8 @@
 
 ResultT = t.TypeVar("ResultT")
 
+#: Virtual seconds after which work that waits for what never comes is given up.
+PATIENCE_S = 7200.0
 #: Seconds that one pass of the loop takes.
 _PASS_S = 1e-9
 
@@ -57,7 +59,8 @@
 def run_virtual(main: t.Callable[[LoopClock], t.Coroutine[t.Any, t.Any, ResultT]]) -> ResultT:
     """Run ``main`` on a fresh virtual loop; it is given the loop's clock."""
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
-        return runner.run(main(LoopClock(runner.get_loop())))
+        work = main(LoopClock(runner.get_loop()))
+        return runner.run(asyncio.wait_for(work, PATIENCE_S))
 
 
 def on_virtual_time(
