--- a/benchmarks/slot_cost.py
+++ b/benchmarks/slot_cost.py
@@ -16,7 +16,7 @@
 from coralfall.ids import EntryId, Incarnation, Revision, ServiceId
 from coralfall.lease import Lease
 from coralfall.limits import CapacityLimits
-from coralfall.platform import Row
+from coralfall.store import Row
 from coralfall.roster import Roster
 from coralfall.rows import roster_key
 from coralfall.settings import LeaseSettings
--- a/src/coralfall/__init__.py
+++ b/src/coralfall/__init__.py
@@ -19,14 +19,14 @@
     from .exceptions import RefusedError as RefusedError
     from .observer import RequestObserver as RequestObserver
     from .peer_handler import PeerHandler as PeerHandler
-    from .platform import ObjectStore as ObjectStore
-    from .platform import Platform as Platform
-    from .platform import Table as Table
-    from .platform import VmList as VmList
     from .routing import Policy as Policy
     from .settings import EntrySettings as EntrySettings
     from .settings import load_settings as load_settings
     from .steering import Steering as Steering
+    from .store import ObjectStore as ObjectStore
+    from .store import Platform as Platform
+    from .store import Table as Table
+    from .store import VmList as VmList
 
 __version__ = "0.1.0"
 
@@ -38,17 +38,17 @@
     "Entry": "entry",
     "EntrySettings": "settings",
     "LookupSource": "callers",
-    "ObjectStore": "platform",
+    "ObjectStore": "store",
     "PeerHandler": "peer_handler",
-    "Platform": "platform",
+    "Platform": "store",
     "PlatformError": "exceptions",
     "Policy": "routing",
     "RefusedError": "exceptions",
     "RequestObserver": "observer",
     "SignedBundle": "bundle",
     "Steering": "steering",
-    "Table": "platform",
-    "VmList": "platform",
+    "Table": "store",
+    "VmList": "store",
     "load_settings": "settings",
 }
 __all__ = list(_MODULE_BY_NAME)
--- a/src/coralfall/bundle_cli.py
+++ b/src/coralfall/bundle_cli.py
@@ -17,10 +17,10 @@
     from .bundle import Bundle, Head
     from .diff import Change
     from .history import HistoryRow
-    from .platform import Platform
     from .rollout_status import PartnerStatus
     from .signedfile import SignedFile
     from .signing import Trust
+    from .store import Platform
 
 app = typer.Typer(help="Bundles: draft, sign, submit, look up.", no_args_is_help=True)
 
--- a/src/coralfall/callers.py
+++ b/src/coralfall/callers.py
@@ -6,6 +6,7 @@
 import typing as t
 
 from .answer import Answer, answer_of
+from .caller_watch import CallerWatch
 from .exceptions import CallerGoneError, RequestError, TargetError
 from .ids import Outcome, PartnerId, ServiceId
 from .request import CallerRequest, MemoryAccount, RequestBody
@@ -19,8 +20,6 @@
 _LOOKUP_PATH = "/lookup"
 _FIRST_SERVER_ERROR = 500
 _REFUSED_METHODS = frozenset(("CONNECT", "TRACE"))
-#: Seconds after which the caller's connection is watched; most reads are over by then.
-_WATCH_AFTER_S = 0.02
 
 
 class LookupSource(abc.ABC):
@@ -90,7 +89,7 @@
         self, request: CallerRequest, scope: "Scope", receive: "Receive", send: "Send"
     ) -> None:
         """Serve a read, which ends when its caller leaves."""
-        watch = _CallerWatch(receive)
+        watch = CallerWatch(receive)
         try:
             await self._serve(request, scope, send)
         except asyncio.CancelledError:
@@ -127,38 +126,6 @@
         )
 
 
-class _CallerWatch:
-    """Cancels the task that made it when the caller closes its connection."""
-
-    def __init__(self, receive: "Receive") -> None:
-        self._receive = receive
-        self._task = asyncio.current_task()
-        self._watcher: t.Optional["asyncio.Task[None]"] = None
-        self._timer = asyncio.get_running_loop().call_later(_WATCH_AFTER_S, self._start)
-        self.caller_gone = False
-
-    def _start(self) -> None:
-        self._watcher = asyncio.get_running_loop().create_task(self._watch())
-
-    async def _watch(self) -> None:
-        while (await self._receive())["type"] != "http.disconnect":
-            continue
-        self.caller_gone = True
-        if self._task is not None:
-            self._task.cancel()
-
-    def uncancel(self) -> None:
-        """Take back the cancellation once it has done its work."""
-        if self._task is not None:
-            self._task.uncancel()
-
-    def stop(self) -> None:
-        """Stop watching."""
-        self._timer.cancel()
-        if self._watcher is not None:
-            self._watcher.cancel()
-
-
 def _request_of(scope: "Scope", receive: "Receive", memory: MemoryAccount) -> CallerRequest:
     method = scope["method"]
     if method in _REFUSED_METHODS:
--- a/src/coralfall/chunks.py
+++ b/src/coralfall/chunks.py
@@ -16,7 +16,7 @@
 from .bundle import Bundle, ChunkRef, digest_of
 from .exceptions import BundleError, Fault
 from .ids import Digest, SiteId
-from .platform import ObjectStore
+from .store import ObjectStore
 
 #: Blocks in a chunk: what is aimed at, and the most that a reader takes.
 CHUNK_BLOCKS = 512
--- a/src/coralfall/claim_record.py
+++ b/src/coralfall/claim_record.py
@@ -7,8 +7,8 @@
 
 from . import log
 from .ids import Revision
-from .platform import Write
 from .rows import ClaimRow, ClaimState
+from .store import Write
 
 if t.TYPE_CHECKING:
     import asyncio
--- a/src/coralfall/claim_sweep.py
+++ b/src/coralfall/claim_sweep.py
@@ -6,11 +6,11 @@
 
 from . import defaults, log
 from .ids import Revision
-from .platform import Row, Write
 from .rows import CLAIM_PREFIX, ClaimRow
+from .store import Row, Write
 
 if t.TYPE_CHECKING:
-    from .platform import Table
+    from .store import Table
 
 
 class ClaimSweeper:
--- a/src/coralfall/claim_writer.py
+++ b/src/coralfall/claim_writer.py
@@ -7,7 +7,7 @@
 
 if t.TYPE_CHECKING:
     from .clock import Clock, PlatformClock
-    from .platform import Table
+    from .store import Table
 
 #: Transactions that one call sends; each is smaller by the rows that conflicted before.
 _MAX_ROUNDS = 3
--- a/src/coralfall/claims.py
+++ b/src/coralfall/claims.py
@@ -34,7 +34,7 @@
     from .clock import Clock
     from .ids import EntryId, IdempotencyKey, Incarnation, PartnerId, ServiceId
     from .metrics import Metrics
-    from .platform import Table
+    from .store import Table
 
 _SETTINGS = ClaimSettings()
 _UNAVAILABLE = "the table of idempotency keys is not available"
--- a/src/coralfall/cli.py
+++ b/src/coralfall/cli.py
@@ -40,6 +40,19 @@
     raise typer.Exit(run_entry(load_settings(settings, EntrySettings)))
 
 
+@app.command()
+def steer(
+    settings: t.Annotated[
+        t.Optional[pathlib.Path],
+        typer.Option(help="TOML file with the process's settings; by default the platform's."),
+    ] = None,
+) -> None:
+    """Run the process of an entry on the users' platform."""
+    from .platform.run import run_steer
+
+    raise typer.Exit(run_steer(settings))
+
+
 @standin_app.command("platform")
 def standin_platform(settings: SettingsFile) -> None:
     """Run a stand-in of the platform: table, object store and VM list."""
--- a/src/coralfall/control.py
+++ b/src/coralfall/control.py
@@ -12,11 +12,11 @@
 from .handover import Ack
 from .ids import Digest, EntryId, PartnerId, Revision
 from .membership import Membership, MembershipState
-from .platform import Platform
 from .rollout import PartnerRollout
 from .roster import Roster
 from .rows import LeaseRow, Member, lease_key
 from .settings import EntrySettings
+from .store import Platform
 
 if t.TYPE_CHECKING:
     from .fleet import FleetSteering
--- a/src/coralfall/coordinator.py
+++ b/src/coralfall/coordinator.py
@@ -11,13 +11,13 @@
 from .exceptions import PlatformUnknownError, SubmitError
 from .ids import EntryId, PartnerId, Revision
 from .membership import Membership
-from .platform import Check, Platform, Row, Write
 from .remover import Remover
 from .rollout import PartnerRollout
 from .roster import Roster
 from .rows import COORDINATOR_KEY, LEASE_PREFIX, CoordinatorRow, LeaseRow
 from .settings import EntrySettings
 from .shift import shares_at
+from .store import Check, Platform, Row, Write
 
 #: Most turns that an entry waits before it takes a duty that is free.
 MAX_TURNS = 10
--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -183,3 +183,58 @@
 HEADER_TARGET_OUTCOME = "outcome"
 #: Answer header of targets: ``in-flight/slots``.
 HEADER_TARGET_LOAD = "load"
+
+#: Seconds that a call to the platform's store may take, beside what it was asked to wait.
+STORE_TIMEOUT_S = 1.0
+#: Seconds between two reads of the store by the entry that reads for all.
+READ_INTERVAL_S = 0.5
+#: Age in seconds at which the first other entry reads for itself, and what each next one adds.
+READ_STALE_S = 0.9
+READ_RANK_S = 0.12
+#: Seconds after an outage of the store for which targets that are missing are still used.
+RETURN_GRACE_S = 2.2
+#: Seconds without an answer of the store that count as an outage.
+OUTAGE_S = 1.5
+#: Seconds between two rounds of gossip, and how many entries are asked in one.
+GOSSIP_S = 0.4
+GOSSIP_FANOUT = 3
+#: Most records of entries in one message.
+GOSSIP_RECORDS = 48
+#: Seconds without a newer beat after which an entry is held dead, and then forgotten.
+ENTRY_DEAD_S = 2.0
+ENTRY_FORGET_S = 120.0
+#: How many entries one entry hands a change on to.
+RELAY_FANOUT = 8
+#: Seconds that an exchange between entries may take.
+GOSSIP_TIMEOUT_S = 0.6
+#: Seconds for which callers may keep an answer to a look-up.
+STEER_TTL_S = 1.0
+#: Seconds for which a stopping entry still takes what callers send to it.
+LEAVE_S = 3.0
+#: Most addresses in an answer to a look-up.
+MAX_LOOKUP_ADDRESSES = 16
+
+#: How many targets hold an object, in the order of their hashes.
+AFFINITY_HOMES = 2
+#: Slots, as a multiple of a target's own, up to which the homes are filled, one limit after
+#: the other: first every home up to the first limit, then every home up to the next.
+AFFINITY_LIMITS = (1.5, 3.0)
+#: Most objects whose order of targets is kept.
+AFFINITY_CACHE = 20_000
+#: Seconds in which a connection to a target must be open.
+TARGET_CONNECT_S = 0.35
+#: Failed connections and failed exchanges in a row after which a target rests.
+REST_FAILURES = 3
+#: Seconds for which it rests, at first and at most.
+REST_S = 0.3
+MAX_REST_S = 2.0
+#: Seconds for which an idle connection to a target is used again.
+TARGET_IDLE_S = 3.0
+#: Seconds that a request must have left to be sent to a target.
+MIN_SEND_S = 0.02
+#: Seconds after which a refused caller may come back.
+COME_BACK_S = 0.1
+#: Largest body of a request that is held whole, in bytes.
+MAX_HELD_UPLOAD_BYTES = 2 * 1024 * 1024
+#: Largest head of a target's answer, in bytes.
+MAX_ANSWER_HEAD_BYTES = 64 * 1024
--- a/src/coralfall/dev.py
+++ b/src/coralfall/dev.py
@@ -18,7 +18,6 @@
 from .entry import Entry
 from .ids import EntryId, KeyId, Outcome, PartnerId, SiteId, TargetId, VmId, VmState
 from .memory_platform import MemoryPlatform
-from .platform import Vm
 from .sample import PARTNERS, SamplePartner, SampleService, sample_bundle, target_ids_of, zones_of
 from .server import HttpServer
 from .settings import (
@@ -32,6 +31,7 @@
 )
 from .standin_platform import make_app
 from .standin_target import TargetStandin, pattern
+from .store import Vm
 from .supervisor import Supervisor, supervise
 
 ANY_PORT = "127.0.0.1:0"
--- a/src/coralfall/entry.py
+++ b/src/coralfall/entry.py
@@ -31,7 +31,6 @@
 from .peer_directory import PeerDirectory
 from .peer_server import PeerServer
 from .peers import PeerNetwork
-from .platform import Platform
 from .retry import RetryBudget
 from .rows import Member
 from .server import HttpServer
@@ -39,6 +38,7 @@
 from .settings import EntrySettings
 from .status import EntryStatus
 from .status_builder import StatusBuilder
+from .store import Platform
 from .supervisor import Supervisor, supervise
 from .trust import trust_of
 from .upstream import Upstream
--- a/src/coralfall/exceptions.py
+++ b/src/coralfall/exceptions.py
@@ -118,6 +118,18 @@
     code = "platform-unknown"
 
 
+class HistoryLostError(PlatformError):
+    """The platform no longer knows what followed a revision; take a snapshot instead."""
+
+    code = "history-lost"
+
+
+class DesiredStateError(PlatformError):
+    """A desired state, or a part of it, that can't be read; ``fields`` name the row and field."""
+
+    code = "desired-state"
+
+
 class ObjectMissingError(PlatformError):
     """The object store holds nothing under that digest."""
 
--- a/src/coralfall/fleet_reader.py
+++ b/src/coralfall/fleet_reader.py
@@ -15,8 +15,8 @@
 
 if t.TYPE_CHECKING:
     from .clock import Clock
-    from .platform import Platform
     from .signing import Key
+    from .store import Platform
 
 
 class Seed(t.NamedTuple):
--- a/src/coralfall/history.py
+++ b/src/coralfall/history.py
@@ -6,8 +6,8 @@
 
 from .bundle import Head
 from .ids import BundleVersion, Digest, KeyId, PartnerId
-from .platform import Platform, Row
 from .rows import decode_row
+from .store import Platform, Row
 
 HISTORY_PREFIX = "history/"
 #: Most history rows that one call to the platform reads.
--- a/src/coralfall/http_platform.py
+++ b/src/coralfall/http_platform.py
@@ -16,7 +16,15 @@
     PlatformUnknownError,
 )
 from .ids import Digest, Revision, VmId
-from .platform import (
+from .platform_messages import (
+    CONTENT_TYPE,
+    ChangesRequest,
+    ErrorAnswer,
+    ReadAnswer,
+    ReadRequest,
+    TransactRequest,
+)
+from .store import (
     Changes,
     Check,
     ObjectStore,
@@ -28,14 +36,6 @@
     VmList,
     Write,
 )
-from .platform_messages import (
-    CONTENT_TYPE,
-    ChangesRequest,
-    ErrorAnswer,
-    ReadAnswer,
-    ReadRequest,
-    TransactRequest,
-)
 
 if t.TYPE_CHECKING:
     from .clock import Clock
@@ -68,7 +68,7 @@
             await self._session.close()
 
     async def send(self, call: _Call) -> bytes:
-        """Body of the answer; raises the errors that :mod:`coralfall.platform` names."""
+        """Body of the answer; raises the errors that :mod:`coralfall.store` names."""
         try:
             return await self._exchange(call)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
--- a/src/coralfall/line.py
+++ b/src/coralfall/line.py
@@ -16,8 +16,8 @@
 from .exceptions import PlatformError, PlatformUnknownError, SubmitError
 from .history import HistoryRow, decode_history, history_key, read_history
 from .ids import BundleVersion, Digest, PartnerId, RegionId, Revision, ServiceId
-from .platform import Check, Platform, Write
 from .rows import HEAD_PREFIX, decode_row, head_key
+from .store import Check, Platform, Write
 
 #: Shares of a service's requests by region, as the head keeps them.
 Shares = t.Dict[ServiceId, t.Dict[RegionId, float]]
--- a/src/coralfall/membership.py
+++ b/src/coralfall/membership.py
@@ -11,7 +11,6 @@
 from .exceptions import PlatformError, PlatformUnknownError
 from .ids import EntryState, Incarnation, PartnerId, Revision
 from .lease import Lease
-from .platform import Check, Platform, Row, TransactResult, Write
 from .rollout import PartnerRollout
 from .roster import Roster, may_replace
 from .rows import (
@@ -28,6 +27,7 @@
     roster_key,
 )
 from .settings import EntrySettings
+from .store import Check, Platform, Row, TransactResult, Write
 
 
 class MembershipState(enum.Enum):
--- a/src/coralfall/memory_platform.py
+++ b/src/coralfall/memory_platform.py
@@ -9,7 +9,7 @@
 from .clock import Clock, SystemClock
 from .exceptions import ObjectMissingError, PlatformUnavailableError, PlatformUnknownError
 from .ids import Digest, Revision, VmId
-from .platform import (
+from .store import (
     Changes,
     Check,
     ObjectStore,
--- a/src/coralfall/messages.py
+++ b/src/coralfall/messages.py
@@ -21,11 +21,9 @@
     ServiceId,
     TargetId,
 )
+from .message import Message as Message
 from .rows import Member
-
-
-class Message(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Base of all messages."""
+from .traffic.messages import News, Push
 
 
 class Hello(Message, frozen=True, tag=1):
@@ -124,4 +122,6 @@
     LoanRequest,
     LoanAnswer,
     LoanReturn,
+    News,
+    Push,
 ]
--- a/src/coralfall/node.py
+++ b/src/coralfall/node.py
@@ -19,13 +19,13 @@
 from .lending import Borrower, Lender
 from .lookup import Lookup
 from .membership import Membership
-from .platform import Platform
 from .rollout import PartnerRollout
 from .roster import Roster
 from .rows import Member
 from .settings import EntrySettings
 from .slots import SlotTable
 from .staging import PeerFetch, Staging
+from .store import Platform
 from .trust import trust_of
 
 if t.TYPE_CHECKING:
--- a/src/coralfall/peer_server.py
+++ b/src/coralfall/peer_server.py
@@ -1,5 +1,6 @@
 """Answers the messages of the peers that connect to this entry."""
 
+import abc
 import asyncio
 import collections
 import traceback
@@ -34,8 +35,8 @@
 _OBJECT_OVERHEAD_BYTES = 1024
 
 
-class PeerServer(Child):
-    """Listens for peers and answers them.
+class PeerListener(Child):
+    """Listens for peers and gives each message to :meth:`answer`.
 
     Connections are bounded: those that have not proved themselves by
     ``MAX_PEER_HANDSHAKES``, beyond which new ones are refused; proven ones by
@@ -44,8 +45,6 @@
     :param address: ``ip:port`` to listen on; port 0 takes a free one, and keeps it.
     :param fleet_key: the key that all entries hold.
     :param hello: what to say of ourselves.
-    :param handler: what the entry does with the messages.
-    :param directory: told of each heartbeat.
     :param traffic: counts the bytes.
     :param metrics: counts refusals and failures.
     """
@@ -57,8 +56,6 @@
         address: str,
         fleet_key: "FleetKey",
         hello: "Hello",
-        handler: "PeerHandler",
-        directory: "PeerDirectory",
         traffic: Traffic,
         metrics: "Metrics",
     ) -> None:
@@ -66,8 +63,6 @@
         self.bound_address = address
         self._fleet_key = fleet_key
         self._hello = hello
-        self._handler = handler
-        self._directory = directory
         self._traffic = traffic
         self._metrics = metrics
         self._server: t.Optional[asyncio.Server] = None
@@ -160,11 +155,40 @@
             message = await channel.receive()
         if channel in self._channels:
             self._channels.move_to_end(channel)
-        answer = self._answer(channel.peer, message)
+        answer = self.answer(channel.peer, message)
         if answer is not None:
             await channel.send(answer)
 
-    def _answer(self, peer: "Hello", message: "AnyMessage") -> t.Optional["AnyMessage"]:
+    @abc.abstractmethod
+    def answer(self, peer: "Hello", message: "AnyMessage") -> t.Optional["AnyMessage"]:
+        """What to send back for a message, if anything.
+
+        :raises PeerError: to end the stream.
+        """
+
+
+class PeerServer(PeerListener):
+    """Answers the peers of a fleet that runs by signed bundles.
+
+    :param handler: what the entry does with the messages.
+    :param directory: told of each heartbeat.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        fleet_key: "FleetKey",
+        hello: "Hello",
+        handler: "PeerHandler",
+        directory: "PeerDirectory",
+        traffic: Traffic,
+        metrics: "Metrics",
+    ) -> None:
+        super().__init__(address, fleet_key, hello, traffic, metrics)
+        self._handler = handler
+        self._directory = directory
+
+    def answer(self, peer: "Hello", message: "AnyMessage") -> t.Optional["AnyMessage"]:
         if isinstance(message, Heartbeat):
             self._directory.hear(peer.entry_id, message)
             self._handler.on_heartbeat(peer, message, None)
--- /dev/null
+++ b/src/coralfall/platform/names.py
@@ -0,0 +1,26 @@
+"""Names that the platform's pages use, for headers, calls and rows."""
+
+from ..traffic.wire import HeaderNames
+
+HEADERS = HeaderNames(
+    request_id=b"x-request-id",
+    time_left=b"x-request-deadline",
+    signature=b"x-response-signature",
+    expected_target=b"x-expected-instance",
+    not_run=b"x-not-executed",
+    load=b"x-server-load",
+    affinity_cookie=b"X-Affinity-Key",
+)
+
+READY_PATH = "/v1/ready"
+RESOLVE_PATH = "/v1/resolve"
+ROWS_TX_PATH = "/v1/rows-tx"
+ROWS_GET_PATH = "/v1/rows-get"
+ROWS_FEED_PATH = "/v1/rows-feed"
+
+STATE_TABLE = "op"
+STATE_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
+TARGET_TABLE = "servers"
+#: The system's own table of its entries.
+ENTRY_TABLE = "entries"
--- /dev/null
+++ b/src/coralfall/platform/rows.py
@@ -0,0 +1,186 @@
+"""Rows of the platform's store in the product's words."""
+
+import typing as t
+
+import msgspec
+
+from ..exceptions import DesiredStateError
+from ..ids import RegionId, ServiceId, TargetId, ZoneId
+from ..traffic.model import (
+    Backend,
+    CallerLimits,
+    DesiredState,
+    EntryRecord,
+    RequestKind,
+    Route,
+    RouteId,
+    ServiceRules,
+    Target,
+)
+from ..traffic.translator import Evacuation, StateRow, Translator
+from . import names
+
+_DRAINING = "draining"
+_KINDS = {"safe": RequestKind.SAFE, "unsafe": RequestKind.UNSAFE, "upload": RequestKind.UPLOAD}
+
+
+class _Part(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_s: float
+    latency_target_s: float = 1.0
+    priority: int = 0
+    service: t.Optional[str] = None
+    backends: t.List[_Part] = []
+    max_attempts: int = 1
+    session_affinity: bool = False
+    allowed_regions: t.List[str] = []
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    max_conns: int = 100
+    warmup_s: float = 0.0
+    warmup_per_s: float = 0.0
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: t.List[_Route]
+    services: t.List[_Service]
+    limits: _Limits
+
+
+class _Info(msgspec.Struct):
+    service: str
+    zone: str
+    concurrency: int
+
+
+class _Status(msgspec.Struct, rename="camel"):
+    state: str
+    warmup_left_s: float = 0.0
+
+
+class _Server(msgspec.Struct):
+    address: str
+    info: _Info
+    status: _Status
+
+
+_config_decoder = msgspec.json.Decoder(_Config)
+_server_decoder = msgspec.json.Decoder(_Server)
+_entry_decoder = msgspec.msgpack.Decoder(EntryRecord)
+
+
+class PlatformTranslator(Translator):
+    """Reads and writes the platform's rows."""
+
+    state_prefix = f"{names.STATE_TABLE}/"
+    target_prefix = f"{names.TARGET_TABLE}/"
+    entry_prefix = f"{names.ENTRY_TABLE}/"
+
+    def state_row(self, key: str, data: bytes) -> StateRow:
+        name = key.removeprefix(self.state_prefix)
+        if name.startswith(names.EVACUATION_PREFIX):
+            return Evacuation(ZoneId(name.removeprefix(names.EVACUATION_PREFIX)))
+        if name != names.STATE_KEY:
+            return None
+        return _desired_state(_decode(_config_decoder, key, data))
+
+    def target_row(self, key: str, data: bytes) -> Target:
+        server = _decode(_server_decoder, key, data)
+        return Target(
+            target_id=TargetId(key.removeprefix(self.target_prefix)),
+            service=ServiceId(server.info.service),
+            address=server.address,
+            zone=ZoneId(server.info.zone),
+            slots=server.info.concurrency,
+            leaving=server.status.state == _DRAINING,
+            cold_s=server.status.warmup_left_s,
+        )
+
+    def entry_row(self, record: EntryRecord) -> t.Tuple[str, bytes]:
+        return self.entry_prefix + record.entry_id, msgspec.msgpack.encode(record)
+
+    def read_entry_row(self, key: str, data: bytes) -> EntryRecord:
+        return _decode(_entry_decoder, key, data)
+
+
+DecodedT = t.TypeVar("DecodedT")
+
+
+class _Decoder(t.Protocol[DecodedT]):
+    def decode(self, data: bytes, /) -> DecodedT: ...
+
+
+def _decode(decoder: _Decoder[DecodedT], key: str, data: bytes) -> DecodedT:
+    try:
+        return decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        message = f"{key}: {error}; the last good state stays in force"
+        raise DesiredStateError(message, key=key) from error
+
+
+def _desired_state(config: _Config) -> DesiredState:
+    services = {ServiceId(service.name): _rules(service) for service in config.services}
+    return DesiredState(
+        version=config.version,
+        routes=tuple([_route(route) for route in config.routes]),
+        services=services,
+        limits=CallerLimits(
+            max_header_bytes=config.limits.max_header_bytes,
+            max_body_bytes=config.limits.max_body_bytes,
+            header_timeout_s=config.limits.header_timeout_s,
+            idle_timeout_s=config.limits.idle_timeout_s,
+        ),
+    )
+
+
+def _rules(service: _Service) -> ServiceRules:
+    return ServiceRules(
+        service=ServiceId(service.name),
+        max_connections=service.max_conns,
+        warmup_s=service.warmup_s,
+        warmup_per_s=service.warmup_per_s,
+    )
+
+
+def _route(route: _Route) -> Route:
+    kind = _KINDS.get(route.kind)
+    if kind is None:
+        message = f"route {route.name}: kind {route.kind!r} is not known; allowed: {list(_KINDS)}"
+        raise DesiredStateError(message, field="kind")
+    backends = [Backend(ServiceId(part.service), part.weight) for part in route.backends]
+    if route.service is not None:
+        backends = [Backend(ServiceId(route.service), 1.0)]
+    if not backends:
+        message = f"route {route.name}: it names neither a service nor backends"
+        raise DesiredStateError(message, field="service")
+    return Route(
+        route_id=RouteId(route.name),
+        host=route.host,
+        prefix=route.prefix,
+        kind=kind,
+        timeout_s=route.timeout_s,
+        latency_target_s=route.latency_target_s,
+        priority=route.priority,
+        backends=tuple(backends),
+        max_attempts=route.max_attempts,
+        session_affinity=route.session_affinity,
+        allowed_regions=frozenset([RegionId(region) for region in route.allowed_regions]),
+    )
--- /dev/null
+++ b/src/coralfall/platform/run.py
@@ -0,0 +1,49 @@
+"""Runs an entry on the platform: its settings, its store and its HTTP around the product's node."""
+
+import os
+import pathlib
+import random
+import typing as t
+
+from .. import log, loop
+from ..clock import SystemClock
+from ..settings import load_settings
+from ..supervisor import supervise
+from ..traffic.node import Node, Store
+from ..traffic.settings import SteerSettings
+from .http import ReadinessApp, ResolveApp
+from .names import HEADERS
+from .rows import PlatformTranslator
+from .store import RowStore
+
+#: Environment variable that holds the path of the settings file.
+SETTINGS_VARIABLE = "CORALFALL_SETTINGS"
+
+
+def run_steer(path: t.Optional[pathlib.Path] = None) -> int:
+    """Run an entry until told to stop; the process's exit status.
+
+    :param path: settings file; by default the one that the platform names.
+    """
+    if path is None:
+        path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, "/etc/coralfall/settings.toml"))
+    settings = load_settings(path, SteerSettings)
+    log.configure(settings.log)
+    return loop.run(_run(settings))
+
+
+async def _run(settings: SteerSettings) -> int:
+    store = RowStore(settings.store)
+    node = Node(
+        settings,
+        HEADERS,
+        PlatformTranslator(),
+        Store(store, store),
+        SystemClock(),
+        random.Random(),
+    )
+    root = node.make_tree(ResolveApp(node.lookup), ReadinessApp(lambda: node.ready))
+    log.info("entry.starting", entry=settings.entry_id, zone=settings.zone)
+    status = await supervise(root)
+    log.info("entry.stopped", status=status)
+    return status
--- /dev/null
+++ b/src/coralfall/platform/store.py
@@ -0,0 +1,208 @@
+"""The platform's store over HTTP, as the product's feed and table.
+
+A row's key here is ``table/key``; the part is always empty.
+"""
+
+import asyncio
+import base64
+import typing as t
+import urllib.parse
+
+import msgspec
+
+from ..exceptions import (
+    HistoryLostError,
+    PlatformError,
+    PlatformRejectedError,
+    PlatformUnavailableError,
+    PlatformUnknownError,
+)
+from ..ids import Revision
+from ..store import Changes, Check, Feed, Row, Table, TransactResult, Write
+from ..traffic.connection import (
+    BrokenAnswerError,
+    ServerAnswer,
+    ServerConnection,
+    connect,
+    head_of,
+)
+from ..traffic.settings import StoreSettings
+from . import names
+
+_MAX_ANSWER_BYTES = 4 * 1024 * 1024
+_PAGE_ROWS = 500
+_JSON = (b"content-type", b"application/json")
+_GONE = 410
+_CONFLICT = 412
+
+
+class _Row(msgspec.Struct):
+    table: str
+    key: str
+    part: str = ""
+    value: t.Optional[str] = None
+    ver: int = 0
+    deleted: t.Union[bool, int, None] = None
+
+
+class _Rows(msgspec.Struct, rename="camel"):
+    rows: t.List[_Row] = []
+    ver: int = 0
+    now_s: float = 0.0
+    has_more: bool = False
+
+
+_rows_decoder = msgspec.json.Decoder(_Rows)
+
+
+class RowStore(Feed, Table):
+    """Calls to the platform's store.
+
+    :param settings: where it answers.
+    """
+
+    def __init__(self, settings: StoreSettings) -> None:
+        self._settings = settings
+        self._idle: t.List[ServerConnection] = []
+        #: Calls made so far.
+        self.calls = 0
+
+    async def snapshot(self, prefix: str) -> Changes:
+        rows: t.List[Row] = []
+        first: t.Optional[_Rows] = None
+        after = ""
+        while True:
+            query = {"table": _table_of(prefix), "part": "", "limit": str(_PAGE_ROWS)}
+            if after:
+                query["from"] = after
+            page = await self._read(names.ROWS_GET_PATH, query, 0.0)
+            first = first or page
+            rows += [_row(row) for row in page.rows]
+            if not page.has_more or not page.rows:
+                return Changes(tuple(rows), Revision(first.ver), first.now_s)
+            after = page.rows[-1].key + "\0"
+
+    async def follow(self, prefix: str, since: Revision, wait_s: float) -> Changes:
+        query = {
+            "table": _table_of(prefix),
+            "after": str(since),
+            "waitMs": str(int(wait_s * 1000)),
+        }
+        page = await self._read(names.ROWS_FEED_PATH, query, wait_s)
+        return Changes(tuple([_row(row) for row in page.rows]), Revision(page.ver), page.now_s)
+
+    async def changes(
+        self, prefixes: t.Sequence[str], since: Revision, limit: t.Optional[int] = None
+    ) -> Changes:
+        if len(prefixes) != 1:
+            raise PlatformRejectedError("the platform's store tells the changes of one table")
+        if since:
+            return await self.follow(prefixes[0], since, 0.0)
+        return await self.snapshot(prefixes[0])
+
+    async def read(self, keys: t.Sequence[str]) -> t.Dict[str, Row]:
+        found: t.Dict[str, Row] = {}
+        for key in keys:
+            table, _, name = key.partition("/")
+            query = {"table": table, "part": "", "from": name, "limit": "1"}
+            page = await self._read(names.ROWS_GET_PATH, query, 0.0)
+            for row in page.rows:
+                if row.key == name:
+                    found[key] = _row(row)
+        return found
+
+    async def transact(
+        self, writes: t.Sequence[Write], checks: t.Sequence[Check] = ()
+    ) -> TransactResult:
+        body = msgspec.json.encode(_transaction(writes, checks))
+        answer = await self._call("POST", names.ROWS_TX_PATH, body, 0.0, PlatformUnknownError)
+        if answer.status not in (200, _CONFLICT):
+            raise _refusal(answer)
+        result = _decode(answer)
+        conflicts = tuple([_row(row) for row in result.rows])
+        committed = answer.status == 200
+        return TransactResult(committed, Revision(result.ver), conflicts, result.now_s)
+
+    async def _read(self, path: str, query: t.Dict[str, str], wait_s: float) -> _Rows:
+        target = f"{path}?{urllib.parse.urlencode(query)}"
+        answer = await self._call("GET", target, b"", wait_s, PlatformUnavailableError)
+        if answer.status == _GONE:
+            raise HistoryLostError("the platform's store no longer has these changes")
+        if answer.status != 200:
+            raise _refusal(answer)
+        return _decode(answer)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        wait_s: float,
+        unanswered: t.Type[PlatformError],
+    ) -> ServerAnswer:
+        self.calls += 1
+        connection = await self._connect()
+        fields = [_JSON, (b"content-length", str(len(body)).encode())] if body else []
+        head = head_of(method, path, self._settings.address, fields)
+        try:
+            async with asyncio.timeout(self._settings.timeout_s + wait_s):
+                answer = await connection.exchange(head, body)
+        except (BrokenAnswerError, OSError) as error:
+            raise unanswered(f"{path}: no answer: {error or type(error).__name__}") from error
+        if connection.reusable:
+            self._idle.append(connection)
+        return answer
+
+    async def _connect(self) -> ServerConnection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.reusable:
+                return connection
+        address = self._settings.address
+        try:
+            return await connect(address, self._settings.timeout_s, _MAX_ANSWER_BYTES)
+        except OSError as error:
+            message = f"store at {address} can't be connected: {error or type(error).__name__}"
+            raise PlatformUnavailableError(message) from error
+
+
+def _table_of(prefix: str) -> str:
+    return prefix.partition("/")[0]
+
+
+def _row(row: _Row) -> Row:
+    value = None if row.deleted or row.value is None else base64.b64decode(row.value)
+    return Row(f"{row.table}/{row.key}", value, Revision(row.ver))
+
+
+def _transaction(writes: t.Sequence[Write], checks: t.Sequence[Check]) -> t.Dict[str, t.Any]:
+    expected = [(check.key, check.expected) for check in checks]
+    expected += [(write.key, write.expected) for write in writes if write.expected is not None]
+    puts = [write for write in writes if write.value is not None]
+    return {
+        "expectedRev": [{**_name(key), "ver": revision} for key, revision in expected],
+        "put": [
+            {**_name(write.key), "value": base64.b64encode(write.value or b"").decode()}
+            for write in puts
+        ],
+        "remove": [_name(write.key) for write in writes if write.value is None],
+    }
+
+
+def _name(key: str) -> t.Dict[str, str]:
+    table, _, name = key.partition("/")
+    return {"table": table, "part": "", "key": name}
+
+
+def _decode(answer: ServerAnswer) -> _Rows:
+    try:
+        return _rows_decoder.decode(answer.body)
+    except msgspec.MsgspecError as error:
+        raise PlatformUnavailableError(f"the store's answer can't be read: {error}") from error
+
+
+def _refusal(answer: ServerAnswer) -> PlatformError:
+    message = f"the store answered {answer.status}: {answer.body[:200]!r}"
+    if answer.status in (429, 503):
+        return PlatformUnavailableError(message, status=answer.status)
+    return PlatformRejectedError(message, status=answer.status)
--- a/src/coralfall/platform_cli.py
+++ b/src/coralfall/platform_cli.py
@@ -5,7 +5,7 @@
 import typer
 
 if t.TYPE_CHECKING:
-    from .platform import Platform
+    from .store import Platform
 
 ResultT = t.TypeVar("ResultT")
 
--- a/src/coralfall/platform_messages.py
+++ b/src/coralfall/platform_messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from .ids import Revision
-from .platform import Check, Row, Write
+from .store import Check, Row, Write
 
 CONTENT_TYPE = "application/msgpack"
 
--- a/src/coralfall/protocol.py
+++ b/src/coralfall/protocol.py
@@ -133,7 +133,6 @@
     def __init__(self, shared: Connections, **options: t.Any) -> None:
         super().__init__(**options)
         self._shared = shared
-        self._settings = shared.settings
         # Whether the next header field belongs to a head, and whether that head has begun.
         self._in_head = True
         self._begun = False
@@ -149,6 +148,10 @@
         # Whether what still comes is dropped.
         self._deaf = False
 
+    @property
+    def _settings(self) -> "HttpSettings":
+        return self._shared.settings
+
     # Connection
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
--- a/src/coralfall/removal.py
+++ b/src/coralfall/removal.py
@@ -15,8 +15,8 @@
 
 if t.TYPE_CHECKING:
     from .clock import Clock
-    from .platform import Row, Vm
     from .settings import LeaseSettings
+    from .store import Row, Vm
 
 
 class _Sighting(msgspec.Struct):
--- a/src/coralfall/remover.py
+++ b/src/coralfall/remover.py
@@ -7,9 +7,9 @@
 from . import log
 from .exceptions import PlatformError
 from .ids import EntryId
-from .platform import Check, Platform, Write
 from .removal import LeaseObserver, removable
 from .rows import Member, lease_key, roster_key
+from .store import Check, Platform, Write
 
 if t.TYPE_CHECKING:
     from .clock import Clock
--- a/src/coralfall/report_cli.py
+++ b/src/coralfall/report_cli.py
@@ -15,8 +15,8 @@
 if t.TYPE_CHECKING:
     from .fleet_reader import Seed
     from .fleet_report import FleetReport
-    from .platform import Platform
     from .signing import Key
+    from .store import Platform
 
 _CLEAR_SCREEN = "\x1b[H\x1b[2J"
 
--- a/src/coralfall/rollout_status.py
+++ b/src/coralfall/rollout_status.py
@@ -9,7 +9,6 @@
 from .exceptions import PlatformUnavailableError, SubmitError
 from .history import HistoryRow, decode_history, history_key
 from .ids import BundleVersion, Digest, EntryId, EntryState, KeyId, PartnerId, Revision, VmId
-from .platform import Changes, Platform
 from .rows import (
     HEAD_PREFIX,
     LEASE_PREFIX,
@@ -19,6 +18,7 @@
     RowT,
     decode_row,
 )
+from .store import Changes, Platform
 
 if t.TYPE_CHECKING:
     from .clock import Clock
--- a/src/coralfall/roster.py
+++ b/src/coralfall/roster.py
@@ -9,7 +9,7 @@
 from .rows import ROSTER_PREFIX, Member
 
 if t.TYPE_CHECKING:
-    from .platform import Row, Vm
+    from .store import Row, Vm
 
 
 class Roster:
--- a/src/coralfall/rows.py
+++ b/src/coralfall/rows.py
@@ -23,7 +23,7 @@
 )
 
 if t.TYPE_CHECKING:
-    from .platform import Row
+    from .store import Row
 
 RowT = t.TypeVar("RowT", bound=msgspec.Struct)
 
--- a/src/coralfall/server.py
+++ b/src/coralfall/server.py
@@ -55,6 +55,21 @@
         """How many connections are open."""
         return len(self._connections.all)
 
+    def set_settings(self, settings: HttpSettings) -> None:
+        """Hold callers to other bounds from now on, on connections that are open too."""
+        self._settings = settings
+        if not hasattr(self, "_connections"):
+            return
+        self._connections.settings = settings
+        idle_timeout_s = t.cast(int, settings.idle_timeout_s)
+        self._server.config.timeout_keep_alive = idle_timeout_s
+        for connection in self._connections.all:
+            connection.timeout_keep_alive = idle_timeout_s
+
+    def close_connections_after_answers(self) -> None:
+        """Tell callers with each answer from now on that its connection is over."""
+        self._connections.stopping = True
+
     async def start(self) -> None:
         """Listen.
 
--- a/src/coralfall/staging.py
+++ b/src/coralfall/staging.py
@@ -7,8 +7,8 @@
 from .bundle import Bundle, VersionRef, digest_of
 from .exceptions import CoralfallError, PeerError, PlatformError, SignatureError
 from .ids import Digest
-from .platform import ObjectStore
 from .rollout import PartnerRollout
+from .store import ObjectStore
 
 #: Gives the bytes of an object that a peer holds; raises ``PeerError`` if none does.
 PeerFetch = t.Callable[[Digest], t.Awaitable[bytes]]
--- a/src/coralfall/standin_platform.py
+++ b/src/coralfall/standin_platform.py
@@ -19,7 +19,6 @@
 )
 from .ids import Digest, VmId
 from .memory_platform import Faults, MemoryPlatform
-from .platform import Vm
 from .platform_messages import (
     CONTENT_TYPE,
     ChangesRequest,
@@ -28,6 +27,7 @@
     ReadRequest,
     TransactRequest,
 )
+from .store import Vm
 
 if t.TYPE_CHECKING:
     from starlette.types import Receive, Scope, Send
--- a/src/coralfall/platform.py
+++ b/src/coralfall/store.py
@@ -106,6 +106,31 @@
         """The rows that exist among ``keys``, by key."""
 
 
+class Feed(abc.ABC):
+    """Follows the rows below a prefix.
+
+    Write your own over anything that counts its writes::
+
+        class DictFeed(Feed):
+            async def snapshot(self, prefix): ...
+            async def follow(self, prefix, since, wait_s): ...
+
+    Both raise :class:`~coralfall.exceptions.PlatformUnavailableError` if no answer came.
+    """
+
+    @abc.abstractmethod
+    async def snapshot(self, prefix: str) -> Changes:
+        """All rows below ``prefix`` that exist, as of the answer's revision."""
+
+    @abc.abstractmethod
+    async def follow(self, prefix: str, since: Revision, wait_s: float) -> Changes:
+        """Rows written after ``since``, deletions included, as soon as there is one.
+
+        :param wait_s: seconds after which the answer comes without rows.
+        :raises HistoryLostError: if what followed ``since`` is no longer known; take a snapshot.
+        """
+
+
 class ObjectStore(abc.ABC):
     """A store of immutable bytes by digest."""
 
--- a/src/coralfall/submission.py
+++ b/src/coralfall/submission.py
@@ -11,8 +11,8 @@
 from .history import HistoryRow, history_key, newest_version
 from .ids import BundleVersion, Digest, Revision
 from .line import LineView, fetch_bundle, read_line
-from .platform import Platform, Write
 from .rows import head_key
+from .store import Platform, Write
 
 #: How often a submission reads the head and writes it before it gives up.
 SUBMIT_ATTEMPTS = 5
--- /dev/null
+++ b/src/coralfall/traffic/belief.py
@@ -0,0 +1,138 @@
+"""Belief: the desired state, evacuations and targets as this entry knows them, and their age."""
+
+import random
+import typing as t
+
+from .. import defaults, log
+from ..ids import TargetId
+from .model import DesiredState
+from .replica import Replica
+from .routes import RouteTable
+from .split import Split
+from .translator import Evacuation, StateRow
+
+if t.TYPE_CHECKING:
+    from ..clock import Clock
+    from .affinity import AffinitySteering
+    from .model import Target
+    from .targets import TargetBook
+    from .translator import Translator
+
+
+class Belief:
+    """What an entry steers by.
+
+    :param translator: reads the platform's rows.
+    :param steering: told of each desired state.
+    :param targets: told of targets and evacuations.
+    :param clock: tells the time.
+    :param rng: where the split of traffic starts.
+    """
+
+    def __init__(
+        self,
+        translator: "Translator",
+        steering: "AffinitySteering",
+        targets: "TargetBook",
+        clock: "Clock",
+        rng: random.Random,
+    ) -> None:
+        self._steering = steering
+        self._targets = targets
+        self._clock = clock
+        self.state_rows: Replica[StateRow] = Replica("state", translator.state_row)
+        self.target_rows: Replica["Target"] = Replica("targets", translator.target_row)
+        self.state: t.Optional[DesiredState] = None
+        self.routes: t.Optional[RouteTable] = None
+        self.split = Split(rng)
+        #: Called with each new desired state.
+        self.on_state: t.Callable[[DesiredState], None] = lambda state: None
+        self._lingering: t.Dict[TargetId, "Target"] = {}
+        self._linger_until = -float("inf")
+
+    @property
+    def version(self) -> int:
+        """Version of the desired state in force, 0 if there is none."""
+        return self.state.version if self.state is not None else 0
+
+    @property
+    def complete(self) -> bool:
+        """Whether enough is known to serve callers."""
+        return self.state is not None and self.target_rows.known
+
+    def state_age(self, now: float) -> float:
+        """Seconds since the desired state was known to be the newest."""
+        return min(now - self.state_rows.read_at, 1e6)
+
+    def targets_age(self, now: float) -> float:
+        """Seconds since the targets were known to be as they are here."""
+        return min(now - self.target_rows.read_at, 1e6)
+
+    def note_gap(self, age_s: float) -> None:
+        """Before rows are taken in: how long nothing was heard of them.
+
+        Targets that could not reach the store meanwhile lose their rows, and write them again
+        soon after; those that are missing are used for a little longer.
+        """
+        if age_s < defaults.OUTAGE_S or not self.target_rows.known:
+            return
+        self._linger_until = self._clock.monotonic() + defaults.RETURN_GRACE_S
+
+    def state_changed(self, keys: t.Set[str]) -> None:
+        """Act on state rows that changed."""
+        if not keys:
+            return
+        zones = set()
+        newest = self.state
+        for row in self.state_rows.values().values():
+            if isinstance(row, Evacuation):
+                zones.add(row.zone)
+            elif isinstance(row, DesiredState) and (newest is None or row.version > newest.version):
+                newest = row
+        if newest is not None and newest is not self.state:
+            self._enforce(newest)
+        self._targets.evacuate(frozenset(zones))
+
+    def _enforce(self, state: DesiredState) -> None:
+        previous = self.version
+        self.state = state
+        self.routes = RouteTable(state)
+        self._steering.set_state(state)
+        log.info(
+            "state.in-force",
+            version=state.version,
+            previous=previous,
+            routes=len(state.routes),
+            services=len(state.services),
+            revision=self.state_rows.revision,
+        )
+        self.on_state(state)
+
+    def targets_changed(self, keys: t.Set[str]) -> None:
+        """Act on target rows that changed."""
+        if not keys:
+            return
+        now = self._clock.monotonic()
+        present = {target.target_id: target for target in self.target_rows.values().values()}
+        if now < self._linger_until:
+            self._linger(present)
+        self._drop_returned(present)
+        self._targets.update({**self._lingering, **present}, self.target_rows.read_at)
+
+    def tick(self) -> None:
+        """Let go of targets that did not come back."""
+        if not self._lingering or self._clock.monotonic() < self._linger_until:
+            return
+        log.info("targets.not-returned", targets=",".join(sorted(self._lingering)))
+        self._lingering.clear()
+        present = {target.target_id: target for target in self.target_rows.values().values()}
+        self._targets.update(present, self.target_rows.read_at)
+
+    def _linger(self, present: "t.Mapping[TargetId, Target]") -> None:
+        for target_id, state in self._targets.by_id.items():
+            if target_id not in present and not state.target.leaving:
+                self._lingering[target_id] = state.target
+
+    def _drop_returned(self, present: "t.Mapping[TargetId, Target]") -> None:
+        for target_id in present:
+            self._lingering.pop(target_id, None)
--- /dev/null
+++ b/src/coralfall/traffic/callers.py
@@ -0,0 +1,208 @@
+"""The callers' port: takes requests in, finds their route, and sends the replies."""
+
+import asyncio
+import typing as t
+
+from .. import defaults, log
+from ..caller_watch import CallerWatch
+from ..exceptions import CallerGoneError, CoralfallError, RefusedError, RequestError
+from ..request import MemoryAccount, RequestBody
+from .forwarder import SteeredRequest
+from .reply import Reply, reply_of_error
+
+if t.TYPE_CHECKING:
+    from starlette.types import Receive, Scope, Send
+
+    from ..clock import Clock
+    from .belief import Belief
+    from .forwarder import Forwarder
+    from .wire import HeaderNames
+
+_REFUSED_METHODS = frozenset(("CONNECT", "TRACE"))
+_MAX_MILLISECONDS_DIGITS = 9
+
+
+class CallersApp:
+    """ASGI application of the callers' port.
+
+    :param names: header names.
+    :param belief: the desired state in force.
+    :param forwarder: sends requests on.
+    :param clock: for deadlines.
+    """
+
+    def __init__(
+        self, names: "HeaderNames", belief: "Belief", forwarder: "Forwarder", clock: "Clock"
+    ) -> None:
+        self._names = names
+        self._belief = belief
+        self._forwarder = forwarder
+        self._clock = clock
+        self._memory = MemoryAccount(defaults.MAX_HELD_BYTES)
+        #: Requests being served.
+        self.in_hand = 0
+
+    async def __call__(self, scope: "Scope", receive: "Receive", send: "Send") -> None:
+        if scope["type"] != "http":
+            return
+        began = self._clock.monotonic()
+        self.in_hand += 1
+        request: t.Optional[SteeredRequest] = None
+        body = _body_of(scope, receive, self._memory)
+        try:
+            request = self._request_of(scope, body, began)
+            reply = await self._serve(request, receive)
+        except CallerGoneError:
+            self._log(scope, request, None, began)
+            return
+        except CoralfallError as error:
+            reply = reply_of_error(error)
+        finally:
+            self.in_hand -= 1
+            if body is not None:
+                body.release()
+        if body is not None and not body.ended:
+            # The caller must not send its next request behind a body that nobody reads.
+            reply.headers.append((b"connection", b"close"))
+        self._log(scope, request, reply, began)
+        await send(
+            {"type": "http.response.start", "status": reply.status, "headers": reply.headers}
+        )
+        await send({"type": "http.response.body", "body": reply.body})
+
+    async def _serve(self, request: SteeredRequest, receive: "Receive") -> Reply:
+        if request.body is not None:
+            await self._hold(request)
+            if not request.body.ended:
+                return await self._forwarder.forward(request)
+        watch = CallerWatch(receive)
+        try:
+            return await self._forwarder.forward(request)
+        except asyncio.CancelledError:
+            if not watch.caller_gone:
+                raise
+            watch.uncancel()
+            raise CallerGoneError("the caller closed its connection") from None
+        finally:
+            watch.stop()
+
+    async def _hold(self, request: SteeredRequest) -> None:
+        body = request.body
+        assert body is not None
+        limits = self._belief.state.limits if self._belief.state is not None else None
+        if limits is not None:
+            body.limit = limits.max_body_bytes
+            if body.length is not None and body.length > limits.max_body_bytes:
+                message = f"body is longer than {limits.max_body_bytes} bytes"
+                raise RequestError("body-too-large", 413, message)
+        try:
+            async with asyncio.timeout(request.deadline - self._clock.monotonic()):
+                await body.hold(defaults.MAX_HELD_UPLOAD_BYTES)
+        except TimeoutError:
+            message = "the body did not come before the deadline"
+            raise RequestError("body-too-slow", 408, message) from None
+
+    def _request_of(
+        self, scope: "Scope", body: t.Optional[RequestBody], began: float
+    ) -> SteeredRequest:
+        method = scope["method"]
+        if method in _REFUSED_METHODS:
+            raise RequestError("method", 405, f"method {method} is not carried")
+        routes = self._belief.routes
+        if routes is None:
+            message = "no desired state is known yet"
+            raise RefusedError(message, defaults.COME_BACK_S, reason="no-state")
+        headers = scope["headers"]
+        host = _header(headers, b"host") or b""
+        path = scope["raw_path"].decode("latin-1")
+        route = routes.find(host.decode("latin-1"), path)
+        if route is None:
+            raise RequestError("unknown-route", 404, "no route matches host and path")
+        if scope["query_string"]:
+            path += "?" + scope["query_string"].decode("latin-1")
+        request_id = (_header(headers, self._names.request_id) or b"").decode("latin-1")
+        key = self._names.affinity_of(headers) if route.session_affinity else None
+        return SteeredRequest(
+            method,
+            path,
+            host.decode("latin-1"),
+            headers,
+            body,
+            route,
+            self._belief.split.choose(route),
+            request_id,
+            key if key is not None else request_id.encode(),
+            began + self._seconds_of(headers, route.timeout_s),
+        )
+
+    def _seconds_of(self, headers: t.Sequence[t.Tuple[bytes, bytes]], timeout_s: float) -> float:
+        value = _header(headers, self._names.time_left)
+        if value is None:
+            return timeout_s
+        if not value.isdigit() or len(value) > _MAX_MILLISECONDS_DIGITS:
+            raise RequestError("deadline", 400, "the time left is not in whole milliseconds")
+        return min(int(value) / 1000, timeout_s)
+
+    def _log(
+        self,
+        scope: "Scope",
+        request: t.Optional[SteeredRequest],
+        reply: t.Optional[Reply],
+        began: float,
+    ) -> None:
+        belief = self._belief
+        if request is None:
+            request_id = (_header(scope["headers"], self._names.request_id) or b"").decode(
+                "latin-1"
+            )
+            log.info(
+                "request.refused",
+                id=request_id,
+                path=scope["path"],
+                status=reply.status if reply else 0,
+                reason=reply.reason if reply else "caller-gone",
+                version=belief.version,
+            )
+            return
+        now = self._clock.monotonic()
+        log.info(
+            "request.ended",
+            id=request.request_id,
+            route=request.route.route_id,
+            service=request.service,
+            status=reply.status if reply else 0,
+            outcome=reply.outcome if reply else "caller-gone",
+            reason=reply.reason if reply else "caller-gone",
+            ms=round((now - began) * 1000),
+            sends=",".join([str(send) for send in request.sends]) or "none",
+            version=belief.version,
+            state_age_ms=round(belief.state_age(now) * 1000),
+            targets_age_ms=round(belief.targets_age(now) * 1000),
+        )
+
+
+def _header(headers: t.Sequence[t.Tuple[bytes, bytes]], name: bytes) -> t.Optional[bytes]:
+    for field, value in headers:
+        if field == name:
+            return t.cast(bytes, value)
+    return None
+
+
+def _body_of(scope: "Scope", receive: "Receive", memory: MemoryAccount) -> t.Optional[RequestBody]:
+    length = _header(scope["headers"], b"content-length")
+    if _header(scope["headers"], b"transfer-encoding") is not None:
+        return RequestBody(_pieces(receive), None, memory)
+    if length is not None and int(length) > 0:
+        return RequestBody(_pieces(receive), int(length), memory)
+    return None
+
+
+async def _pieces(receive: "Receive") -> t.AsyncIterator[bytes]:
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise CallerGoneError("the caller closed its connection within its request")
+        if message["body"]:
+            yield message["body"]
+        if not message["more_body"]:
+            return
--- /dev/null
+++ b/src/coralfall/traffic/follower.py
@@ -0,0 +1,137 @@
+"""Follower: keeps one replica up to date from the platform's store, on behalf of all entries.
+
+There is no election. Each entry waits until what it knows has reached an age that depends on its
+rank among the live entries, then reads for itself and hands what it read to the others. As long as
+the first in rank reads, nobody else's knowledge grows old; when it stops, the next one's does.
+"""
+
+import asyncio
+import random
+import typing as t
+
+from .. import defaults, log
+from ..exceptions import HistoryLostError, PlatformError
+
+if t.TYPE_CHECKING:
+    from ..clock import Clock
+    from ..ids import Revision
+    from ..store import Changes, Feed
+    from .members import Members
+    from .replica import Replica
+
+#: Seconds between two looks at the age of what is known.
+_LOOK_S = 0.05
+#: Pauses after a failed read, in seconds.
+_MIN_PAUSE_S = 0.2
+_MAX_PAUSE_S = 1.0
+
+
+class Follower:
+    """Follows the rows below a prefix.
+
+    :param prefix: of the rows.
+    :param replica: what is known of them.
+    :param feed: the platform's store.
+    :param members: tells this entry's rank.
+    :param clock: tells the time.
+    :param rng: varies the pauses.
+    :param wait_s: seconds for which the store may hold a read until something changes.
+    :param before: told how old the knowledge was, before rows are taken in.
+    :param changed: told which keys changed, and the revision before.
+    """
+
+    def __init__(
+        self,
+        prefix: str,
+        replica: "Replica[t.Any]",
+        feed: "Feed",
+        members: "Members",
+        clock: "Clock",
+        rng: random.Random,
+        wait_s: float,
+        before: t.Callable[[float], None],
+        changed: "t.Callable[[t.Set[str], Revision], None]",
+    ) -> None:
+        self._prefix = prefix
+        self._replica = replica
+        self._feed = feed
+        self._members = members
+        self._clock = clock
+        self._rng = rng
+        self._wait_s = wait_s
+        self._before = before
+        self._changed = changed
+        self._failures = 0
+        #: Reads so far, and those that failed.
+        self.reads = 0
+        self.failed_reads = 0
+
+    async def run(self) -> None:
+        """Read when it is this entry's turn, for ever."""
+        while True:
+            await self._wait_for_turn()
+            try:
+                await self.read()
+            except PlatformError as error:
+                self._note_failure(error)
+                pause = min(_MIN_PAUSE_S * 2.0 ** min(self._failures, 4), _MAX_PAUSE_S)
+                await asyncio.sleep(pause * self._rng.uniform(0.7, 1.0))
+
+    async def read(self) -> None:
+        """Read once and hand on what was read.
+
+        :raises PlatformError: if the store gave no answer.
+        """
+        began = self._clock.monotonic()
+        since = self._replica.revision
+        self.reads += 1
+        snapshot = not since
+        try:
+            if snapshot:
+                changes = await self._feed.snapshot(self._prefix)
+            else:
+                changes = await self._feed.follow(self._prefix, since, self._wait())
+        except HistoryLostError:
+            log.info("store.history-lost", rows=self._replica.name, since=since)
+            snapshot = True
+            self.reads += 1
+            began = self._clock.monotonic()
+            changes = await self._feed.snapshot(self._prefix)
+        self._note_success()
+        self._take(changes, snapshot, since, began)
+
+    def _wait(self) -> float:
+        return self._wait_s if self._members.rank() == 0 else 0.0
+
+    def _take(self, changes: "Changes", snapshot: bool, since: "Revision", began: float) -> None:
+        now = self._clock.monotonic()
+        self._before(now - self._replica.read_at)
+        # The store held the read until something happened, so it is as good as the answer's time.
+        read_at = max(began, now - 0.1) if not snapshot else began
+        if snapshot:
+            changed = self._replica.apply_snapshot(changes.rows, changes.revision, read_at)
+        else:
+            changed = self._replica.apply_changes(changes.rows, changes.revision, read_at)
+        self._changed(changed, since)
+
+    async def _wait_for_turn(self) -> None:
+        while True:
+            age = self._clock.monotonic() - self._replica.read_at
+            rank = self._members.rank()
+            due = defaults.READ_INTERVAL_S - self._wait_s
+            if rank:
+                due = defaults.READ_STALE_S + defaults.READ_RANK_S * rank
+            if age >= due:
+                return
+            await asyncio.sleep(max(_LOOK_S, due - age))
+
+    def _note_failure(self, error: PlatformError) -> None:
+        self._failures += 1
+        self.failed_reads += 1
+        if self._failures == 1:
+            log.warning("store.lost", rows=self._replica.name, code=error.code, error=error.message)
+
+    def _note_success(self) -> None:
+        if self._failures:
+            log.info("store.regained", rows=self._replica.name, failures=self._failures)
+        self._failures = 0
--- /dev/null
+++ b/src/coralfall/traffic/forwarder.py
@@ -0,0 +1,307 @@
+"""Forwarder: sends one request to one target after another until one answers.
+
+What may follow a failed send is decided by evidence alone. Not run: no connection, the target's
+own word, or another target at its address. Anything else after the first byte may have run, and
+only a request that may run twice is sent again then, within the budget.
+"""
+
+import asyncio
+import typing as t
+
+from .. import defaults
+from ..exceptions import (
+    CoralfallError,
+    RefusedError,
+    RequestError,
+    TargetError,
+    TargetNotRunError,
+    TargetTimeoutError,
+    TargetUnknownError,
+)
+from ..headers import HOP_BY_HOP
+from .connection import BrokenAnswerError, ServerAnswer, head_of
+from .model import RequestKind
+from .reply import Reply, reply_of_answer, reply_of_error
+from .wire import HeaderNames, parse_load
+
+if t.TYPE_CHECKING:
+    from ..clock import Clock
+    from ..ids import ServiceId, TargetId
+    from ..request import RequestBody
+    from .affinity import AffinitySteering
+    from .budget import SendBudget
+    from .connection import Headers
+    from .model import Route
+    from .pool import ConnectionPool
+    from .targets import TargetBook, TargetState
+
+_FIRST_SERVER_ERROR = 500
+_PROMISES = frozenset((408, 421, 429, 503))
+_MISDIRECTED = 421
+#: Most targets that are tried in vain to be connected for one request.
+_MAX_UNREACHED = 4
+_REPLACED = HOP_BY_HOP | {b"content-length", b"host", b"expect"}
+
+
+class Send:
+    """One send of a request, for the log."""
+
+    __slots__ = ("result", "seconds", "target_id")
+
+    def __init__(self, target_id: "TargetId") -> None:
+        self.target_id = target_id
+        self.result = "?"
+        self.seconds = 0.0
+
+    def __str__(self) -> str:
+        return f"{self.target_id}:{self.result}:{self.seconds * 1000:.0f}"
+
+
+class SteeredRequest:
+    """A caller's request with its route.
+
+    :param deadline: monotonic time at which it gets its final answer.
+    :param time_left_at: monotonic time until which the caller waits.
+    """
+
+    __slots__ = (
+        "body",
+        "deadline",
+        "headers",
+        "host",
+        "key",
+        "method",
+        "path",
+        "request_id",
+        "route",
+        "sends",
+        "service",
+    )
+
+    def __init__(
+        self,
+        method: str,
+        path: str,
+        host: str,
+        headers: "Headers",
+        body: "t.Optional[RequestBody]",
+        route: "Route",
+        service: "ServiceId",
+        request_id: str,
+        key: bytes,
+        deadline: float,
+    ) -> None:
+        self.method = method
+        self.path = path
+        self.host = host
+        self.headers = headers
+        self.body = body
+        self.route = route
+        self.service = service
+        self.request_id = request_id
+        self.key = key
+        self.deadline = deadline
+        self.sends: t.List[Send] = []
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may run more than once."""
+        return self.route.kind is RequestKind.SAFE
+
+
+class Forwarder:
+    """Sends requests to targets.
+
+    :param names: header names.
+    :param steering: chooses targets.
+    :param targets: what is known of them.
+    :param pool: connections to them.
+    :param budget: bounds second sends.
+    :param clock: for deadlines.
+    """
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        steering: "AffinitySteering",
+        targets: "TargetBook",
+        pool: "ConnectionPool",
+        budget: "SendBudget",
+        clock: "Clock",
+    ) -> None:
+        self._names = names
+        self._steering = steering
+        self._targets = targets
+        self._pool = pool
+        self._budget = budget
+        self._clock = clock
+        self._dropped = _REPLACED | {names.time_left, names.expected_target}
+
+    async def forward(self, request: SteeredRequest) -> Reply:
+        """The reply to a request; failures are replies too."""
+        self._budget.request(request.service)
+        try:
+            return await self._forward(request)
+        except CoralfallError as error:
+            return reply_of_error(error)
+
+    async def _forward(self, request: SteeredRequest) -> Reply:
+        tried: t.Set["TargetId"] = set()
+        unreached = 0
+        failed: t.Optional[Reply] = None
+        failure: t.Optional[CoralfallError] = None
+        while True:
+            try:
+                state = self._steering.choose(request.route, request.service, request.key, tried)
+            except RefusedError as refusal:
+                if failed is not None:
+                    return failed
+                raise _weightier(failure, refusal)
+            tried.add(state.target.target_id)
+            try:
+                answer = await self._send(request, state)
+            except TargetError as error:
+                failure = _weightier(failure, error)
+                if error.fields.get("reason") == "connect":
+                    unreached += 1
+                    if unreached < _MAX_UNREACHED and self._has_time(request):
+                        continue
+                if not self._may_send_again(request, failure):
+                    if failed is not None:
+                        return failed
+                    raise failure from error
+                continue
+            reply = reply_of_answer(answer, request.method == "HEAD")
+            if answer.status < _FIRST_SERVER_ERROR or failed is not None:
+                return reply
+            failed = reply
+            if not request.repeatable or not self._may_send_again(request, None):
+                return failed
+
+    def _may_send_again(self, request: SteeredRequest, failure: t.Optional[CoralfallError]) -> bool:
+        if len(request.sends) >= request.route.max_attempts or not self._has_time(request):
+            return False
+        if not request.repeatable and not isinstance(failure, TargetNotRunError):
+            return False
+        if request.body is not None and not request.body.replayable:
+            return False
+        return self._budget.take(request.service)
+
+    def _has_time(self, request: SteeredRequest) -> bool:
+        return request.deadline - self._clock.monotonic() > defaults.MIN_SEND_S
+
+    async def _send(self, request: SteeredRequest, state: "TargetState") -> ServerAnswer:
+        """One send; the target is given back whatever happens.
+
+        :raises TargetNotRunError: with evidence that the target did not run it.
+        :raises TargetUnknownError: if it may have.
+        """
+        send = Send(state.target.target_id)
+        began = self._clock.monotonic()
+        try:
+            answer = await self._exchange(request, state, send)
+        except TargetNotRunError as error:
+            send.result = str(error.fields.get("reason", "not-run"))
+            if send.result == "connect":
+                state.fail(reached=False)
+            raise
+        except TargetUnknownError as error:
+            send.result = str(error.fields.get("reason", error.code))
+            state.fail(reached=True)
+            raise
+        except asyncio.CancelledError:
+            send.result = "cancelled"
+            raise
+        finally:
+            send.seconds = self._clock.monotonic() - began
+            self._steering.release(state)
+        state.succeed()
+        send.result = str(answer.status)
+        return answer
+
+    async def _exchange(
+        self, request: SteeredRequest, state: "TargetState", send: Send
+    ) -> ServerAnswer:
+        seconds = min(defaults.TARGET_CONNECT_S, request.deadline - self._clock.monotonic())
+        if seconds <= 0:
+            raise TargetNotRunError("no time left to send", reason="late")
+        connection = await self._pool.take(state.target, request.repeatable, seconds)
+        left = request.deadline - self._clock.monotonic()
+        if left < defaults.MIN_SEND_S or not self._targets.may_use(state):
+            self._pool.give(state.target, connection)
+            reason = "late" if left < defaults.MIN_SEND_S else "withdrawn"
+            raise TargetNotRunError("not sent", reason=reason)
+        request.sends.append(send)
+        head, body, rest = self._outgoing(request, state, left)
+        try:
+            async with asyncio.timeout(left):
+                answer = await connection.exchange(head, body, rest, request.method == "HEAD")
+        except TimeoutError as error:
+            message = "no whole answer before the request's time was over"
+            raise TargetTimeoutError(message, reason="time") from error
+        except (BrokenAnswerError, OSError) as error:
+            raise TargetUnknownError(f"exchange broke off: {error}", reason="broken") from error
+        self._check(answer, request, state)
+        if request.repeatable:
+            self._pool.give(state.target, connection)
+        else:
+            connection.abort()
+        return answer
+
+    def _check(self, answer: ServerAnswer, request: SteeredRequest, state: "TargetState") -> None:
+        names = self._names
+        echoed = answer.header(names.request_id)
+        if echoed is not None and echoed.decode("latin-1") != request.request_id:
+            raise TargetUnknownError("answer to another request", reason="mixed")
+        load = answer.header(names.load)
+        if load is not None:
+            numbers = parse_load(load)
+            if numbers is not None:
+                state.report(*numbers)
+        if answer.status == _MISDIRECTED:
+            self._targets.drop(state)
+            raise TargetNotRunError("another target is at the address", reason="misdirected")
+        if answer.header(names.not_run) is not None:
+            raise TargetNotRunError("target did not run it", reason=f"shed-{answer.status}")
+        if answer.status in _PROMISES:
+            raise TargetUnknownError("target promises what it can't", reason="unproved")
+        if answer.status < 300 and (answer.header(names.signature) is None or echoed is None):
+            raise TargetUnknownError("answer is not signed", reason="unsigned")
+
+    def _outgoing(
+        self, request: SteeredRequest, state: "TargetState", left: float
+    ) -> t.Tuple[bytes, bytes, t.Optional[t.AsyncIterator[bytes]]]:
+        names = self._names
+        fields = [field for field in request.headers if field[0] not in self._dropped]
+        fields.append((names.time_left, str(max(1, int(left * 1000))).encode()))
+        fields.append((names.expected_target, state.target.target_id.encode()))
+        body = request.body
+        rest: t.Optional[t.AsyncIterator[bytes]] = None
+        whole = b""
+        if body is not None:
+            held = body.whole
+            if held is not None:
+                whole = held
+                fields.append((b"content-length", str(len(held)).encode()))
+            elif body.length is not None:
+                fields.append((b"content-length", str(body.length).encode()))
+                rest = aiter(body)
+            else:
+                fields.append((b"transfer-encoding", b"chunked"))
+                rest = _chunked(body)
+        return head_of(request.method, request.path, request.host, fields), whole, rest
+
+
+async def _chunked(body: "RequestBody") -> t.AsyncIterator[bytes]:
+    async for piece in body:
+        yield b"%x\r\n%b\r\n" % (len(piece), piece)
+    yield b"0\r\n\r\n"
+
+
+def _weightier(first: t.Optional[CoralfallError], second: CoralfallError) -> CoralfallError:
+    """The failure to report: one send that may have run makes the whole request so."""
+    if isinstance(first, TargetUnknownError):
+        return second if isinstance(second, TargetUnknownError) else first
+    if isinstance(second, RequestError):
+        return second
+    return second
--- /dev/null
+++ b/src/coralfall/traffic/gossip.py
@@ -0,0 +1,241 @@
+"""Gossip: entries tell each other who is alive, and hand on what one of them read in the store.
+
+Every round an entry exchanges news with a few others; either side learns what it lacks. What was
+just read is pushed at once: to a few entries, each of which hands it on to its part of the rest.
+"""
+
+import asyncio
+import random
+import typing as t
+
+from .. import defaults, log
+from ..channel import Traffic
+from ..child import Child
+from ..exceptions import PeerError, PeerFrameError
+from ..peer_links import PeerLinks
+from ..peer_server import PeerListener
+from .messages import News, Push
+
+if t.TYPE_CHECKING:
+    from ..cipher import FleetKey
+    from ..clock import Clock
+    from ..ids import EntryId, Revision
+    from ..messages import AnyMessage, Hello
+    from ..metrics import Metrics
+    from .belief import Belief
+    from .members import Members
+    from .replica import Delta, Replica
+
+
+class Exchange:
+    """What an entry tells others, and what it does with what they tell.
+
+    :param members: the entries.
+    :param belief: the rows.
+    :param clock: tells the time.
+    """
+
+    def __init__(self, members: "Members", belief: "Belief", clock: "Clock") -> None:
+        self._members = members
+        self._belief = belief
+        self._clock = clock
+
+    def news(
+        self,
+        state_since: "t.Optional[Revision]" = None,
+        targets_since: "t.Optional[Revision]" = None,
+    ) -> News:
+        """What is known here, with what came after the revisions given."""
+        now = self._clock.monotonic()
+        belief = self._belief
+        return News(
+            records=self._members.records(),
+            state_revision=belief.state_rows.revision,
+            targets_revision=belief.target_rows.revision,
+            state_age_s=belief.state_age(now),
+            targets_age_s=belief.targets_age(now),
+            state=_delta(belief.state_rows, state_since),
+            targets=_delta(belief.target_rows, targets_since),
+        )
+
+    def answer(self, news: News) -> News:
+        """What the sender of ``news`` does not know."""
+        return self.news(news.state_revision, news.targets_revision)
+
+    def take(self, news: News, sent_at: float) -> bool:
+        """Take in news that were true at a monotonic time; whether the sender knows more still."""
+        belief = self._belief
+        self._members.hear(news.records)
+        state_at = sent_at - news.state_age_s
+        targets_at = sent_at - news.targets_age_s
+        keys = _apply(belief.state_rows, news.state, state_at)
+        belief.state_changed(keys)
+        if news.targets is not None:
+            belief.note_gap(self._clock.monotonic() - belief.target_rows.read_at)
+        keys = _apply(belief.target_rows, news.targets, targets_at)
+        belief.targets_changed(keys)
+        belief.state_rows.confirm(news.state_revision, state_at)
+        belief.target_rows.confirm(news.targets_revision, targets_at)
+        return (
+            news.state_revision > belief.state_rows.revision
+            or news.targets_revision > belief.target_rows.revision
+        )
+
+
+class GossipServer(PeerListener):
+    """Answers the other entries.
+
+    :param exchange: what to tell and what to take in.
+    :param relay: hands a push on.
+    :param pull: asks an entry that knows more.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        fleet_key: "FleetKey",
+        hello: "Hello",
+        exchange: Exchange,
+        relay: "t.Callable[[News, t.Sequence[EntryId]], None]",
+        pull: "t.Callable[[EntryId], None]",
+        clock: "Clock",
+        traffic: Traffic,
+        metrics: "Metrics",
+    ) -> None:
+        super().__init__(address, fleet_key, hello, traffic, metrics)
+        self._exchange = exchange
+        self._relay = relay
+        self._pull = pull
+        self._clock = clock
+
+    def answer(self, peer: "Hello", message: "AnyMessage") -> t.Optional["AnyMessage"]:
+        now = self._clock.monotonic()
+        if isinstance(message, News):
+            if self._exchange.take(message, now):
+                self._pull(peer.entry_id)
+            return self._exchange.answer(message)
+        if isinstance(message, Push):
+            self._relay(message.news, message.relay)
+            if self._exchange.take(message.news, now):
+                self._pull(peer.entry_id)
+            return None
+        raise PeerFrameError(f"{peer.entry_id} sent {type(message).__name__} unasked")
+
+
+class Gossip(Child):
+    """Exchanges news with other entries, in rounds and when there is something new.
+
+    :param exchange: what to tell and what to take in.
+    :param members: the entries.
+    :param links: streams to them.
+    :param seeds: addresses to ask at the start.
+    :param clock: tells the time.
+    :param rng: varies the rounds.
+    """
+
+    name = "gossip"
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        members: "Members",
+        links: PeerLinks,
+        seeds: t.Sequence[str],
+        clock: "Clock",
+        rng: random.Random,
+    ) -> None:
+        self._exchange = exchange
+        self._members = members
+        self._links = links
+        self._seeds = seeds
+        self._clock = clock
+        self._rng = rng
+        self._tasks: t.Set[asyncio.Task[None]] = set()
+        self._asking: t.Set[str] = set()
+
+    async def run(self) -> None:
+        try:
+            while True:
+                self._members.beat()
+                for record in self._members.choose(defaults.GOSSIP_FANOUT):
+                    self._ask(record.peer_address)
+                if not self._members.alive():
+                    self._ask_all()
+                await asyncio.sleep(defaults.GOSSIP_S * self._rng.uniform(0.9, 1.1))
+        finally:
+            for task in self._tasks:
+                task.cancel()
+            await self._links.close()
+
+    def pull(self, entry_id: "EntryId") -> None:
+        """Ask an entry that knows more."""
+        address = self._members.address_of(entry_id)
+        if address is not None:
+            self._ask(address)
+
+    def push(self, state_since: "Revision", targets_since: "Revision") -> None:
+        """Tell all live entries what came after these revisions."""
+        news = self._exchange.news(state_since, targets_since)
+        others = [record.entry_id for record in self._members.alive()]
+        self._rng.shuffle(others)
+        self.relay(news, others)
+
+    def relay(self, news: News, entry_ids: "t.Sequence[EntryId]") -> None:
+        """Hand news on to these entries, through a few of them."""
+        if not entry_ids:
+            return
+        parts = min(defaults.RELAY_FANOUT, len(entry_ids))
+        for number in range(parts):
+            part = entry_ids[number::parts]
+            address = self._members.address_of(part[0])
+            if address is not None:
+                push = Push(news=news, relay=tuple(part[1:]))
+                self._spawn(self._post(address, push))
+
+    def _ask_all(self) -> None:
+        for address in self._seeds:
+            self._ask(address)
+        for entry_id in sorted(self._members.all_ids(), key=lambda _: self._rng.random())[:8]:
+            self.pull(entry_id)
+
+    def _ask(self, address: str) -> None:
+        if address in self._asking or address == self._members.own.peer_address:
+            return
+        self._asking.add(address)
+        self._spawn(self._exchange_news(address))
+
+    async def _exchange_news(self, address: str) -> None:
+        try:
+            for _ in range(3):
+                answer = await self._links.exchange(
+                    address, self._exchange.news(), News, defaults.GOSSIP_TIMEOUT_S
+                )
+                if not self._exchange.take(answer.message, self._clock.monotonic()):
+                    return
+        except PeerError as error:
+            log.debug("peer.not-asked", address=address, code=error.code, error=error.message)
+        finally:
+            self._asking.discard(address)
+
+    async def _post(self, address: str, push: Push) -> None:
+        try:
+            await self._links.post(address, push)
+        except PeerError as error:
+            log.debug("peer.not-told", address=address, code=error.code, error=error.message)
+
+    def _spawn(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _delta(replica: "Replica[t.Any]", since: "t.Optional[Revision]") -> "t.Optional[Delta]":
+    if since is None or since >= replica.revision:
+        return None
+    return replica.delta(since)
+
+
+def _apply(replica: "Replica[t.Any]", delta: "t.Optional[Delta]", read_at: float) -> t.Set[str]:
+    if delta is None or delta.revision <= replica.revision or not replica.can_take(delta):
+        return set()
+    return replica.apply_delta(delta, read_at)
--- /dev/null
+++ b/src/coralfall/traffic/node.py
@@ -0,0 +1,280 @@
+"""The process of an entry that steers by a desired state: its parts and their tree."""
+
+import asyncio
+import hashlib
+import random
+import typing as t
+
+from .. import defaults, log
+from ..channel import Traffic
+from ..child import Child, FunctionChild, PeriodicChild
+from ..cipher import FLEET_KEY_BYTES, FleetKey
+from ..exceptions import PlatformError
+from ..ids import EntryState, Incarnation
+from ..messages import Hello
+from ..metrics import Metrics
+from ..peer_links import PeerLinks
+from ..server import HttpServer
+from ..settings import HttpSettings
+from ..store import Write
+from ..supervisor import Supervisor
+from .affinity import AffinitySteering
+from .belief import Belief
+from .budget import SendBudget
+from .callers import CallersApp
+from .follower import Follower
+from .forwarder import Forwarder
+from .gossip import Exchange, Gossip, GossipServer
+from .lookup import Lookup
+from .members import Members
+from .model import DesiredState, EntryRecord
+from .pool import ConnectionPool
+from .targets import TargetBook
+
+if t.TYPE_CHECKING:
+    from ..clock import Clock
+    from ..ids import Revision
+    from ..server import Application
+    from ..store import Feed, Table
+    from .settings import SteerSettings
+    from .translator import Translator
+    from .wire import HeaderNames
+
+_TICK_S = 0.2
+#: Seconds by which an idle connection of a caller is kept longer than its limit.
+_IDLE_MARGIN_S = 5.0
+_MAX_CONNECTIONS = 3000
+
+
+class Store(t.NamedTuple):
+    """The platform's store: what changes in it, and transactions."""
+
+    feed: "Feed"
+    table: "Table"
+
+
+class Node:
+    """All parts of one entry.
+
+    :param settings: the entry's settings.
+    :param names: header names.
+    :param translator: reads and writes the platform's rows.
+    :param store: the platform's store.
+    :param clock: the VM's clocks.
+    :param rng: the source of choices that may differ between entries.
+    """
+
+    def __init__(
+        self,
+        settings: "SteerSettings",
+        names: "HeaderNames",
+        translator: "Translator",
+        store: Store,
+        clock: "Clock",
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self._translator = translator
+        self._store = store
+        self._clock = clock
+        self._rng = rng
+        self.metrics = Metrics(settings.metrics)
+        self.targets = TargetBook(clock)
+        self.steering = AffinitySteering(settings, self.targets, clock)
+        self.belief = Belief(translator, self.steering, self.targets, clock, rng)
+        self.members = Members(_own_record(settings, clock), clock, rng)
+        self.budget = SendBudget(settings.bounds, clock)
+        self.pool = ConnectionPool()
+        self.forwarder = Forwarder(
+            names, self.steering, self.targets, self.pool, self.budget, clock
+        )
+        self.callers = CallersApp(names, self.belief, self.forwarder, clock)
+        self.lookup = Lookup(settings, self.members, self.belief)
+        self._make_peers()
+        self.followers = self._make_followers()
+        self.belief.on_state = self._apply_limits
+
+    def make_tree(self, lookup: "Application", readiness: "Application") -> Supervisor:
+        """The process's parts in the order of their start.
+
+        :param lookup: the platform's form of look-ups.
+        :param readiness: the platform's form of its checks.
+        """
+        settings = self.settings
+        self._callers_server = HttpServer(
+            "callers",
+            self.callers,
+            settings.caller_address,
+            HttpSettings(max_connections=_MAX_CONNECTIONS, max_idle_connections=_MAX_CONNECTIONS),
+            metrics=self.metrics,
+        )
+        children: t.List[Child] = [
+            FunctionChild("pool", self._keep_pool),
+            self._peer_server,
+            self.gossip,
+            FunctionChild("register", self._register, temporary=True),
+            HttpServer("readiness", readiness, settings.readiness_address),
+            HttpServer("lookup", lookup, settings.lookup_address),
+            self._callers_server,
+            PeriodicChild("tick", self._tick, _TICK_S, self._rng, self.metrics),
+            Leave(self),
+        ]
+        for follower in self.followers:
+            children.insert(3, FunctionChild("follower", follower.run))
+        grace_s = settings.bounds.grace_s
+        return Supervisor("entry", children, self._clock, self._rng, grace_s=grace_s)
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return self.members.own.ready and self.members.own.state is EntryState.SERVING
+
+    async def leave(self) -> None:
+        """Tell all that this entry stops, and serve on while callers still come."""
+        self.members.set_own(leaving=True)
+        self._callers_server.close_connections_after_answers()
+        self.gossip.push(self.belief.state_rows.revision, self.belief.target_rows.revision)
+        log.info("entry.leaving", in_hand=self.callers.in_hand)
+        unregister = asyncio.create_task(self._unregister())
+        await asyncio.sleep(defaults.LEAVE_S)
+        unregister.cancel()
+
+    async def _tick(self) -> None:
+        self.belief.tick()
+        self.pool.close_idle()
+        self.budget.entries = self.members.count()
+        self.steering.entries = self.members.all_ids()
+        if self.members.set_own(ready=self.belief.complete) and self.ready:
+            log.info("entry.ready", version=self.belief.version, targets=len(self.targets.by_id))
+            self.gossip.push(self.belief.state_rows.revision, self.belief.target_rows.revision)
+
+    def _apply_limits(self, state: DesiredState) -> None:
+        limits = state.limits
+        self._callers_server.set_settings(
+            HttpSettings(
+                header_timeout_s=limits.header_timeout_s,
+                max_header_bytes=limits.max_header_bytes,
+                idle_timeout_s=limits.idle_timeout_s + _IDLE_MARGIN_S,
+                max_connections=_MAX_CONNECTIONS,
+                max_idle_connections=_MAX_CONNECTIONS,
+            )
+        )
+
+    def _make_peers(self) -> None:
+        settings = self.settings
+        fleet_key = _fleet_key(settings)
+        own = self.members.own
+        hello = Hello(entry_id=own.entry_id, incarnation=own.incarnation)
+        traffic = Traffic()
+        self.exchange = Exchange(self.members, self.belief, self._clock)
+        links = PeerLinks(fleet_key, hello, traffic)
+        self.gossip = Gossip(
+            self.exchange, self.members, links, settings.seeds, self._clock, self._rng
+        )
+        self._peer_server = GossipServer(
+            settings.peer_address,
+            fleet_key,
+            hello,
+            self.exchange,
+            self.gossip.relay,
+            self.gossip.pull,
+            self._clock,
+            traffic,
+            self.metrics,
+        )
+
+    def _make_followers(self) -> t.List[Follower]:
+        belief = self.belief
+
+        def state_changed(keys: t.Set[str], since: "Revision") -> None:
+            belief.state_changed(keys)
+            self.gossip.push(since, belief.target_rows.revision)
+
+        def targets_changed(keys: t.Set[str], since: "Revision") -> None:
+            belief.targets_changed(keys)
+            self.gossip.push(belief.state_rows.revision, since)
+
+        shared = (self._store.feed, self.members, self._clock, self._rng)
+        return [
+            Follower(
+                self._translator.state_prefix,
+                belief.state_rows,
+                *shared,
+                wait_s=defaults.READ_INTERVAL_S,
+                before=lambda age_s: None,
+                changed=state_changed,
+            ),
+            Follower(
+                self._translator.target_prefix,
+                belief.target_rows,
+                *shared,
+                wait_s=0.0,
+                before=belief.note_gap,
+                changed=targets_changed,
+            ),
+        ]
+
+    async def _keep_pool(self) -> None:
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.pool.close()
+
+    async def _register(self) -> None:
+        """Learn of the other entries, and let them learn of this one."""
+        pause = 0.1
+        while True:
+            try:
+                changes = await self._store.feed.snapshot(self._translator.entry_prefix)
+                for row in changes.rows:
+                    if row.value is not None:
+                        record = self._translator.read_entry_row(row.key, row.value)
+                        self.members.register(record)
+                key, data = self._translator.entry_row(self.members.own)
+                await self._store.table.transact([Write(key, data)])
+                log.info("entry.registered", entries=len(changes.rows))
+                return
+            except PlatformError as error:
+                log.info("entry.not-registered", code=error.code, error=error.message)
+                await asyncio.sleep(pause * self._rng.uniform(0.8, 1.2))
+                pause = min(pause * 2, 1.0)
+
+    async def _unregister(self) -> None:
+        key, _ = self._translator.entry_row(self.members.own)
+        try:
+            await self._store.table.transact([Write(key, None)])
+        except PlatformError as error:
+            log.info("entry.not-unregistered", code=error.code, error=error.message)
+
+
+class Leave(Child):
+    """Started last and so stopped first: callers go elsewhere before anything is shut."""
+
+    name = "leave"
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    async def run(self) -> None:
+        await asyncio.Event().wait()
+
+    async def stop(self) -> None:
+        await self._node.leave()
+
+
+def _own_record(settings: "SteerSettings", clock: "Clock") -> EntryRecord:
+    return EntryRecord(
+        entry_id=settings.entry_id,
+        incarnation=Incarnation(int(clock.wall() * 1000)),
+        region=settings.region,
+        zone=settings.zone,
+        caller_address=settings.caller_address,
+        peer_address=settings.peer_address,
+    )
+
+
+def _fleet_key(settings: "SteerSettings") -> FleetKey:
+    # The platform gives its processes no secret. The key keeps fleets apart, not attackers out.
+    return FleetKey(
+        hashlib.blake2b(settings.store.address.encode(), digest_size=FLEET_KEY_BYTES).digest()
+    )
--- /dev/null
+++ b/src/coralfall/traffic/settings.py
@@ -0,0 +1,68 @@
+"""Settings of ``coralfall steer``, the process of an entry on the users' platform."""
+
+import typing as t
+
+from .. import defaults
+from ..ids import EntryId, RegionId, ZoneId
+from ..settings import LogSettings, MetricsSettings, Settings
+
+
+class StoreSettings(Settings, frozen=True):
+    """Where the platform's store answers, and how long it is waited for."""
+
+    #: ``ip:port``.
+    address: str
+    #: Seconds that a call may take, beside the time that it was asked to wait.
+    timeout_s: float = defaults.STORE_TIMEOUT_S
+
+
+class BoundSettings(Settings, frozen=True):
+    """What the users hold the system to; times in seconds."""
+
+    #: Second sends that a service's requests allow in a window, as a share and a number on top.
+    budget_ratio: float = 0.2
+    budget_window_s: float = 10.0
+    budget_slack: int = 64
+    #: What a cold target bears in a second: so many times its own figure, and a number on top.
+    cold_overage: float = 1.5
+    cold_slack: int = 5
+    #: Longest time for which callers may keep an answer to a look-up.
+    max_ttl_s: float = 5.0
+    #: From being told to stop until being killed.
+    grace_s: float = 6.0
+    #: Between two writes of a target's row.
+    target_beat_s: float = 1.5
+
+
+class SteerSettings(Settings, frozen=True, kw_only=True):
+    """Settings of ``coralfall steer``."""
+
+    #: Name of the entry, unlike that of any other entry.
+    entry_id: EntryId
+    #: Zone and region that the VM is in.
+    zone: ZoneId
+    region: RegionId
+    #: Region of each zone.
+    regions_by_zone: t.Dict[ZoneId, RegionId]
+    #: ``ip:port`` to listen on: for callers, for look-ups, for the platform's own checks.
+    caller_address: str
+    lookup_address: str
+    readiness_address: str
+    #: ``ip:port`` to listen on for other entries.
+    peer_address: str
+    #: ``ip:port`` to serve metrics on; without it none are served.
+    metrics_address: t.Optional[str] = None
+    #: The platform's store.
+    store: StoreSettings
+    #: What the users hold the system to.
+    bounds: BoundSettings = BoundSettings()
+    #: ``ip:port`` at which other entries may answer, for a start while the store is away.
+    seeds: t.Tuple[str, ...] = ()
+    #: What is logged.
+    log: LogSettings = LogSettings()
+    #: Where statsd metrics go.
+    metrics: MetricsSettings = MetricsSettings()
+
+    def cold_per_s(self, warmup_per_s: float) -> float:
+        """Requests in a second that a cold target may get, of all entries together."""
+        return warmup_per_s * self.bounds.cold_overage + self.bounds.cold_slack
--- /dev/null
+++ b/src/coralfall/traffic/targets.py
@@ -0,0 +1,175 @@
+"""Targets: what an entry knows of each one, from the platform's rows and from its own requests."""
+
+import typing as t
+
+from .. import defaults, log
+from .cold import ColdGate
+
+if t.TYPE_CHECKING:
+    from ..clock import Clock
+    from ..ids import ServiceId, TargetId, ZoneId
+    from .model import Target
+
+
+class TargetState:
+    """One lifetime of a target, and how it has done.
+
+    :param target: its row.
+    :param clock: tells the time.
+    """
+
+    def __init__(self, target: "Target", clock: "Clock") -> None:
+        self.target = target
+        self._clock = clock
+        #: Requests of this entry that it has in hand.
+        self.in_hand = 0
+        self.cold = ColdGate()
+        self.cold_until = 0.0
+        #: Whether its own address says that this lifetime is over.
+        self.gone = False
+        self._reported = 0
+        self._reported_at = -float("inf")
+        self._failures = 0
+        self._rests = 0
+        self._rests_until = -float("inf")
+
+    def load(self) -> float:
+        """Requests that it has in hand, of all entries, as far as known here.
+
+        Its own last word counts for less the older it is.
+        """
+        age = self._clock.monotonic() - self._reported_at
+        reported = self._reported * 0.5 ** (age / defaults.REPORT_HALF_LIFE_S)
+        return float(max(self.in_hand, reported))
+
+    def usable(self) -> bool:
+        """Whether a request may be sent to it now, as far as its health goes."""
+        return not self.gone and self._clock.monotonic() >= self._rests_until
+
+    def is_cold(self) -> bool:
+        """Whether it bears only a few requests a second."""
+        return self._clock.monotonic() < self.cold_until
+
+    def report(self, running: int, waiting: int) -> None:
+        """Take in its own word on its load."""
+        self._reported = running + waiting
+        self._reported_at = self._clock.monotonic()
+
+    def succeed(self) -> None:
+        """Note an answer."""
+        self._failures = 0
+        self._rests = 0
+
+    def fail(self, reached: bool) -> None:
+        """Note a failure; it rests after some in a row, at once if it was not reached.
+
+        :param reached: whether a connection was open.
+        """
+        self._failures += 1
+        if reached and self._failures < defaults.REST_FAILURES:
+            return
+        seconds = min(defaults.REST_S * 2.0**self._rests, defaults.MAX_REST_S)
+        self._rests += 1
+        self._rests_until = self._clock.monotonic() + seconds
+        log.info(
+            "target.resting",
+            target=self.target.target_id,
+            failures=self._failures,
+            reached=reached,
+            seconds=seconds,
+        )
+
+
+class TargetBook:
+    """All targets, by id and by service.
+
+    :param clock: tells the time.
+    """
+
+    def __init__(self, clock: "Clock") -> None:
+        self._clock = clock
+        self.by_id: t.Dict["TargetId", TargetState] = {}
+        self._by_service: t.Dict["ServiceId", t.List[TargetState]] = {}
+        self._evacuated: t.FrozenSet["ZoneId"] = frozenset()
+        #: Rises whenever the targets that may be used change.
+        self.generation = 0
+        #: Seconds for which targets of a zone are held cold once its evacuation is over.
+        self.warmup_s_by_service: t.Mapping["ServiceId", float] = {}
+
+    def update(self, targets: "t.Mapping[TargetId, Target]", read_at: float) -> None:
+        """Take in all targets as they were read at a monotonic time."""
+        for target_id in list(self.by_id):
+            if target_id not in targets:
+                del self.by_id[target_id]
+                log.info("target.removed", target=target_id)
+        for target in targets.values():
+            self._update_one(target, read_at)
+        self._index()
+
+    def _update_one(self, target: "Target", read_at: float) -> None:
+        state = self.by_id.get(target.target_id)
+        if state is None:
+            state = self.by_id[target.target_id] = TargetState(target, self._clock)
+            log.info(
+                "target.added",
+                target=target.target_id,
+                service=target.service,
+                zone=target.zone,
+                cold_s=target.cold_s,
+            )
+        elif state.target != target:
+            if target.leaving and not state.target.leaving:
+                log.info("target.leaving", target=target.target_id, service=target.service)
+            state.target = target
+        else:
+            return
+        if target.cold_s > 0:
+            state.cold_until = max(state.cold_until, read_at + target.cold_s)
+
+    def evacuate(self, zones: "t.FrozenSet[ZoneId]") -> None:
+        """Use no targets in these zones; those of zones that are given back are held cold."""
+        returned = self._evacuated - zones
+        if zones != self._evacuated:
+            log.info("zones.evacuated", zones=",".join(sorted(zones)) or "none")
+        self._evacuated = zones
+        now = self._clock.monotonic()
+        for state in self.by_id.values():
+            if state.target.zone not in returned:
+                continue
+            warmup = self.warmup_s_by_service.get(state.target.service, 0.0)
+            state.cold_until = max(state.cold_until, now + warmup + 1.0)
+        self._index()
+
+    def may_use(self, state: TargetState) -> bool:
+        """The last check before a request is sent: its row is there, it stays, its zone is used."""
+        target = state.target
+        if target.leaving or target.zone in self._evacuated or state.gone:
+            return False
+        return self.by_id.get(target.target_id) is state
+
+    def of_service(self, service: "ServiceId") -> t.Sequence[TargetState]:
+        """Targets of a service that may be used."""
+        return self._by_service.get(service, ())
+
+    def drop(self, state: TargetState) -> None:
+        """Use a target no more: something else answers at its address."""
+        if state.gone:
+            return
+        state.gone = True
+        log.info("target.replaced", target=state.target.target_id, address=state.target.address)
+        self._index()
+
+    def _index(self) -> None:
+        by_service: t.Dict["ServiceId", t.List[TargetState]] = {}
+        for state in self.by_id.values():
+            if self.may_use(state):
+                by_service.setdefault(state.target.service, []).append(state)
+        if _ids(by_service) != _ids(self._by_service):
+            self.generation += 1
+        self._by_service = by_service
+
+
+def _ids(
+    by_service: "t.Mapping[ServiceId, t.Sequence[TargetState]]",
+) -> "t.Set[TargetId]":
+    return {state.target.target_id for states in by_service.values() for state in states}
--- /dev/null
+++ b/src/coralfall/traffic/wire.py
@@ -0,0 +1,44 @@
+"""Names on the wire that the users choose: headers that the request path reads and writes."""
+
+import typing as t
+
+import msgspec
+
+
+class HeaderNames(msgspec.Struct, frozen=True, kw_only=True):
+    """Header names, in lower case, and the name of the cookie with the object's key."""
+
+    #: Names one attempt of a caller; targets echo it.
+    request_id: bytes
+    #: Milliseconds that the caller, and so the target, will wait.
+    time_left: bytes
+    #: Marks a whole answer of a target.
+    signature: bytes
+    #: Target that must run the request; any other answers 421.
+    expected_target: bytes
+    #: Target's word that it did not run the request.
+    not_run: bytes
+    #: Target's load: running, waiting, slots.
+    load: bytes
+    #: Cookie that names the object that a request concerns.
+    affinity_cookie: bytes
+
+    def affinity_of(self, headers: t.Iterable[t.Tuple[bytes, bytes]]) -> t.Optional[bytes]:
+        """The object's key, from a caller's cookies."""
+        for name, value in headers:
+            if name != b"cookie":
+                continue
+            for part in value.split(b";"):
+                key, _, found = part.strip().partition(b"=")
+                if key == self.affinity_cookie:
+                    return found
+        return None
+
+
+def parse_load(value: bytes) -> t.Optional[t.Tuple[int, int]]:
+    """Running and waiting requests of ``running,waiting,slots``; ``None`` if it can't be read."""
+    parts = value.split(b",")
+    try:
+        return int(parts[0]), int(parts[1])
+    except (ValueError, IndexError):
+        return None
--- a/tests/control_fleet.py
+++ b/tests/control_fleet.py
@@ -29,7 +29,7 @@
 from coralfall.memory_platform import MemoryPlatform
 from coralfall.messages import Hello
 from coralfall.node import Node, NodeCallbacks
-from coralfall.platform import ObjectStore, Platform, Vm
+from coralfall.store import ObjectStore, Platform, Vm
 from coralfall.rows import Member
 from coralfall.settings import (
     EntrySettings,
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -31,7 +31,7 @@
 from coralfall.lease import Lease
 from coralfall.lending import Ask, Borrower, Lender, Return
 from coralfall.limits import CapacityLimits
-from coralfall.platform import Row, Vm
+from coralfall.store import Row, Vm
 from coralfall.removal import LeaseObserver, removable
 from coralfall.roster import Roster
 from coralfall.rows import LEASE_PREFIX, ROSTER_PREFIX, LeaseRow, Member, lease_key, roster_key
--- a/tests/members.py
+++ b/tests/members.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from coralfall.ids import EntryId, Incarnation, RegionId, Revision, SiteId, VmId, ZoneId
-from coralfall.platform import Row
+from coralfall.store import Row
 from coralfall.rows import Member, roster_key
 
 
--- a/tests/test_chunks.py
+++ b/tests/test_chunks.py
@@ -15,7 +15,7 @@
 from coralfall.bundle import Bundle
 from coralfall.exceptions import BundleError
 from coralfall.ids import BundleVersion, Digest, PartnerId, SiteId
-from coralfall.platform import ObjectStore
+from coralfall.store import ObjectStore
 
 SITES = [SiteId("alto"), SiteId("bajo")]
 BLOCKS = 40_000
--- a/tests/test_claim_sweep.py
+++ b/tests/test_claim_sweep.py
@@ -10,7 +10,7 @@
 from coralfall.clock import ManualClock
 from coralfall.exceptions import PlatformError
 from coralfall.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
-from coralfall.platform import Write
+from coralfall.store import Write
 from coralfall.rows import CLAIM_PREFIX, ClaimRow, ClaimState
 
 RETENTION_S = 100.0
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -24,7 +24,7 @@
 )
 from coralfall.ids import EntryId, IdempotencyKey, Incarnation, PartnerId, ServiceId
 from coralfall.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
-from coralfall.platform import Write
+from coralfall.store import Write
 from coralfall.rows import ClaimRow, ClaimState, KeptAnswer, claim_key
 
 from .flaky_table import Fate, FlakyTable
--- a/tests/test_conversation.py
+++ b/tests/test_conversation.py
@@ -14,7 +14,7 @@
 from coralfall.lease import LeaseState
 from coralfall.memory_platform import MemoryPlatform
 from coralfall.messages import Heartbeat, Hello, SyncAnswer
-from coralfall.platform import Write
+from coralfall.store import Write
 from tests.control_fleet import LEASE, make_still_node
 from tests.members import make_member, put
 from tests.operators import CALOR, COSECHA
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -19,7 +19,7 @@
 from coralfall.clock import SystemClock
 from coralfall.http_platform import HttpPlatform
 from coralfall.ids import BundleVersion
-from coralfall.platform import Platform, Write
+from coralfall.store import Platform, Write
 from coralfall.rows import head_key
 from coralfall.settings import PlatformSettings
 from coralfall.signedfile import read_signed_file, write_signed_file
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -12,7 +12,7 @@
 from coralfall.ids import EntryId, EntryState, Incarnation, Revision, ServiceId, TargetId
 from coralfall.lease import Lease
 from coralfall.limits import CapacityLimits, Limits
-from coralfall.platform import Row
+from coralfall.store import Row
 from coralfall.roster import Roster
 from coralfall.rows import roster_key
 from coralfall.settings import LeaseSettings
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -24,7 +24,7 @@
 )
 from coralfall.ids import Digest, Revision, SiteId
 from coralfall.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
-from coralfall.platform import Check, Platform, Table, TransactResult, Write
+from coralfall.store import Check, Platform, Table, TransactResult, Write
 from tests.checks import refused
 from tests.operators import (
     ANA,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -9,7 +9,7 @@
 from coralfall.clock import ManualClock
 from coralfall.ids import BundleVersion, Digest, Revision
 from coralfall.memory_platform import MemoryPlatform
-from coralfall.platform import Write
+from coralfall.store import Write
 from coralfall.rows import head_key
 from tests import operators
 from tests.control_fleet import make_still_node
--- a/tests/test_memory_platform.py
+++ b/tests/test_memory_platform.py
@@ -12,7 +12,7 @@
 from coralfall.exceptions import PlatformUnavailableError, PlatformUnknownError
 from coralfall.ids import Revision, VmId, VmState, ZoneId
 from coralfall.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
-from coralfall.platform import Check, Row, Vm, Write
+from coralfall.store import Check, Row, Vm, Write
 
 KEYS = ("a/1", "a/2", "b/1")
 WRITES = st.builds(
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -7,7 +7,7 @@
 
 from coralfall.clock import ManualClock
 from coralfall.ids import EntryId, Incarnation, Revision, VmId, VmState, ZoneId
-from coralfall.platform import Row, Vm
+from coralfall.store import Row, Vm
 from coralfall.removal import LeaseObserver, removable
 from coralfall.roster import Roster, may_replace
 from coralfall.rows import Member, lease_key
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -16,7 +16,7 @@
     PlatformUnavailableError,
 )
 from coralfall.ids import Digest, Revision, SiteId
-from coralfall.platform import ObjectStore
+from coralfall.store import ObjectStore
 from coralfall.rollout import PartnerRollout
 from coralfall.signing import Role, sign
 from tests import operators
