Tell a reset from the end of an answer without a length

Cause: the reset of a crashed target came with its last bytes, and the loop (uvloop; asyncio's own too) reported an end. The socket's pending error tells them apart; a trace showed 104 (ECONNRESET) for the broken answer and 0 for the two whole ones. Ruled out: the parser (it never saw an end), another loop (asyncio's reads it the same way).

--- a/src/coralfall/platform/rows.py
+++ b/src/coralfall/platform/rows.py
@@ -121,7 +121,7 @@
         return _decode(_entry_decoder, key, data)
 
 
-DecodedT = t.TypeVar("DecodedT")
+DecodedT = t.TypeVar("DecodedT", covariant=True)
 
 
 class _Decoder(t.Protocol[DecodedT]):
--- a/src/coralfall/traffic/callers.py
+++ b/src/coralfall/traffic/callers.py
@@ -184,7 +184,7 @@
 def _header(headers: t.Sequence[t.Tuple[bytes, bytes]], name: bytes) -> t.Optional[bytes]:
     for field, value in headers:
         if field == name:
-            return t.cast(bytes, value)
+            return value
     return None
 
 
--- a/src/coralfall/traffic/connection.py
+++ b/src/coralfall/traffic/connection.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import socket
 import typing as t
 
 import httptools
@@ -160,10 +161,23 @@
 
     def eof_received(self) -> bool:
         self._reusable = False
-        if self._answered is not None and self._head_done and self._until_end:
+        if self._answered is None or not self._head_done or not self._until_end:
+            return False
+        if self._was_reset():
+            self._fail("connection reset within an answer without a length")
+        else:
             self._end()
         return False
 
+    def _was_reset(self) -> bool:
+        # A reset that arrives together with the last bytes can be read as an end; the socket
+        # still tells one from the other.
+        assert self._transport is not None
+        connected: t.Optional[socket.socket] = self._transport.get_extra_info("socket")
+        if connected is None:
+            return False
+        return connected.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+
     def connection_lost(self, exc: t.Optional[Exception]) -> None:
         self._reusable = False
         self._writable.set()
