Leave no trace of a second answer that came in the same piece

Cause: the parser handed the head of a second answer on to the headers of the first, which were a list that both shared; the caller got both signatures (MIXED: the answer is another request's). Ruled out: kept connections (the requests were unsafe, on fresh ones) and the id check (it passed). Test: two answers in one piece; it failed with both signatures before.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -221,6 +221,8 @@
 #: Slots, as a multiple of a target's own, up to which the homes are filled, one limit after
 #: the other: first every home up to the first limit, then every home up to the next.
 AFFINITY_LIMITS = (1.5, 3.0)
+#: The same for requests whose callers have waited for longer than the answer is worth most.
+LATE_LIMITS = (1.0,)
 #: Most objects whose order of targets is kept.
 AFFINITY_CACHE = 20_000
 #: Seconds in which a connection to a target must be open.
--- a/src/coralfall/traffic/affinity.py
+++ b/src/coralfall/traffic/affinity.py
@@ -13,6 +13,7 @@
 
 from .. import defaults
 from ..exceptions import RefusedError
+from .admission import Admission
 from .cold import share_of
 
 if t.TYPE_CHECKING:
@@ -42,6 +43,8 @@
         )
         self._generation = -1
         self._cold_per_s: t.Dict["ServiceId", float] = {}
+        #: Estimates of how long targets take, and of how long callers wait.
+        self.admission = Admission()
         #: All entries that may be running, this one included.
         self.entries: t.Collection["EntryId"] = (settings.entry_id,)
 
@@ -54,29 +57,42 @@
         }
 
     def choose(
-        self, route: "Route", service: "ServiceId", key: bytes, tried: "t.Collection[TargetId]"
+        self,
+        route: "Route",
+        service: "ServiceId",
+        key: bytes,
+        tried: "t.Collection[TargetId]",
+        left_s: float = float("inf"),
+        late: bool = False,
     ) -> "TargetState":
         """The target of one send; it counts as in hand until :meth:`release`.
 
         :param key: names the object that the request concerns.
         :param tried: targets that the request was sent to already.
-        :raises RefusedError: if none has room.
+        :param left_s: seconds within which the answer must come.
+        :param late: whether the request may only take room that nobody else needs.
+        :raises RefusedError: if none has room, or none could answer in time.
         """
         homes = self._homes(route, service, key, tried)
         if not homes:
             message = f"no target of {service} can be used now"
             raise RefusedError(message, defaults.COME_BACK_S, service=service, reason="no-target")
-        for limit in defaults.AFFINITY_LIMITS:
-            for state in homes:
+        limits = defaults.LATE_LIMITS if late else defaults.AFFINITY_LIMITS
+        in_time = [state for state in homes if self.admission.predict(state) < left_s]
+        for limit in limits:
+            for state in in_time:
                 if state.load() < limit * state.target.slots:
                     self._take(state)
                     return state
+        if not in_time:
+            message = f"no target of {service} for this object would answer in time"
+            raise RefusedError(message, defaults.COME_BACK_S, service=service, reason="no-time")
         message = f"all targets of {service} for this object are full"
         raise RefusedError(
             message,
             defaults.COME_BACK_S,
             service=service,
-            reason="full",
+            reason="full-late" if late else "full",
             loads=",".join([f"{s.target.target_id}:{s.load():.1f}" for s in homes]),
         )
 
--- a/src/coralfall/traffic/belief.py
+++ b/src/coralfall/traffic/belief.py
@@ -45,8 +45,9 @@
         self.state: t.Optional[DesiredState] = None
         self.routes: t.Optional[RouteTable] = None
         self.split = Split(rng)
-        #: Called with each new desired state.
+        #: Called with each new desired state, and after anything else was learnt.
         self.on_state: t.Callable[[DesiredState], None] = lambda state: None
+        self.on_learnt: t.Callable[[], None] = lambda: None
         self._lingering: t.Dict[TargetId, "Target"] = {}
         self._linger_until = -float("inf")
 
@@ -92,6 +93,7 @@
         if newest is not None and newest is not self.state:
             self._enforce(newest)
         self._targets.evacuate(frozenset(zones))
+        self.on_learnt()
 
     def _enforce(self, state: DesiredState) -> None:
         previous = self.version
@@ -118,6 +120,7 @@
             self._linger(present)
         self._drop_returned(present)
         self._targets.update({**self._lingering, **present}, self.target_rows.read_at)
+        self.on_learnt()
 
     def tick(self) -> None:
         """Let go of targets that did not come back."""
--- a/src/coralfall/traffic/callers.py
+++ b/src/coralfall/traffic/callers.py
@@ -130,6 +130,7 @@
             path += "?" + scope["query_string"].decode("latin-1")
         request_id = (_header(headers, self._names.request_id) or b"").decode("latin-1")
         key = self._names.affinity_of(headers) if route.session_affinity else None
+        left = self._seconds_of(headers)
         return SteeredRequest(
             method,
             path,
@@ -140,16 +141,17 @@
             self._belief.split.choose(route),
             request_id,
             key if key is not None else request_id.encode(),
-            began + self._seconds_of(headers, route.timeout_s),
+            began + (route.timeout_s if left is None else min(left, route.timeout_s)),
+            left,
         )
 
-    def _seconds_of(self, headers: t.Sequence[t.Tuple[bytes, bytes]], timeout_s: float) -> float:
+    def _seconds_of(self, headers: t.Sequence[t.Tuple[bytes, bytes]]) -> t.Optional[float]:
         value = _header(headers, self._names.time_left)
         if value is None:
-            return timeout_s
+            return None
         if not value.isdigit() or len(value) > _MAX_MILLISECONDS_DIGITS:
             raise RequestError("deadline", 400, "the time left is not in whole milliseconds")
-        return min(int(value) / 1000, timeout_s)
+        return int(value) / 1000
 
     def _log(
         self,
--- a/src/coralfall/traffic/connection.py
+++ b/src/coralfall/traffic/connection.py
@@ -73,6 +73,7 @@
         self._status = 0
         self._head_done = False
         self._until_end = False
+        self._surplus = False
 
     @property
     def reusable(self) -> bool:
@@ -187,9 +188,13 @@
 
     def on_message_begin(self) -> None:
         if self._answered is None or self._answered.done():
+            # Whatever follows an answer belongs to no request.
             self._reusable = False
+            self._surplus = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self._surplus:
+            return
         self._head_bytes += len(name) + len(value)
         if self._head_bytes > defaults.MAX_ANSWER_HEAD_BYTES:
             self._fail("head too long")
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -63,7 +63,7 @@
     """A caller's request with its route.
 
     :param deadline: monotonic time at which it gets its final answer.
-    :param time_left_at: monotonic time until which the caller waits.
+    :param left_s: seconds for which its caller said, when it asked, that it would wait.
     """
 
     __slots__ = (
@@ -72,6 +72,8 @@
         "headers",
         "host",
         "key",
+        "late",
+        "left_s",
         "method",
         "path",
         "request_id",
@@ -92,6 +94,7 @@
         request_id: str,
         key: bytes,
         deadline: float,
+        left_s: t.Optional[float] = None,
     ) -> None:
         self.method = method
         self.path = path
@@ -103,6 +106,9 @@
         self.request_id = request_id
         self.key = key
         self.deadline = deadline
+        self.left_s = left_s
+        #: Whether its caller has waited for longer than the answer is worth most.
+        self.late = False
         self.sends: t.List[Send] = []
 
     def sent_count(self) -> int:
@@ -146,6 +152,10 @@
     async def forward(self, request: SteeredRequest) -> Reply:
         """The reply to a request; failures are replies too."""
         self._budget.request(request.service)
+        if request.left_s is not None:
+            admission = self._steering.admission
+            admission.note_arrival(request.route, request.left_s)
+            request.late = admission.is_late(request.route, request.left_s)
         try:
             return await self._forward(request)
         except CoralfallError as error:
@@ -158,7 +168,7 @@
         failure: t.Optional[CoralfallError] = None
         while True:
             try:
-                state = self._steering.choose(request.route, request.service, request.key, tried)
+                state = self._choose(request, tried)
             except RefusedError as refusal:
                 if failed is not None:
                     return failed
@@ -184,6 +194,12 @@
             if not request.repeatable or not self._may_send_again(request, None):
                 return failed
 
+    def _choose(self, request: SteeredRequest, tried: "t.Set[TargetId]") -> "TargetState":
+        left = request.deadline - self._clock.monotonic()
+        return self._steering.choose(
+            request.route, request.service, request.key, tried, left, request.late
+        )
+
     def _may_send_again(self, request: SteeredRequest, failure: t.Optional[CoralfallError]) -> bool:
         if request.sent_count() >= request.route.max_attempts or not self._has_time(request):
             return False
@@ -223,6 +239,7 @@
             send.seconds = self._clock.monotonic() - began
             self._steering.release(state)
         state.succeed()
+        self._steering.admission.note_duration(request.service, send.seconds)
         send.result = str(answer.status)
         return answer
 
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -96,6 +96,7 @@
         self._tick_due = clock.monotonic() + _TICK_S
         self.followers = self._make_followers()
         self.belief.on_state = self._apply_limits
+        self.belief.on_learnt = self._note_readiness
 
     def make_tree(self, lookup: "Application", readiness: "Application") -> Supervisor:
         """The process's parts in the order of their start.
@@ -153,9 +154,12 @@
         self.pool.close_idle()
         self.budget.entries = self.members.count()
         self.steering.entries = self.members.all_ids()
-        if self.members.set_own(ready=self.belief.complete) and self.ready:
-            log.info("entry.ready", version=self.belief.version, targets=len(self.targets.by_id))
-            self.gossip.push(self.belief.state_rows.revision, self.belief.target_rows.revision)
+
+    def _note_readiness(self) -> None:
+        if not self.belief.complete or not self.members.set_own(ready=True):
+            return
+        log.info("entry.ready", version=self.belief.version, targets=len(self.targets.by_id))
+        self.gossip.push(self.belief.state_rows.revision, self.belief.target_rows.revision)
 
     def _apply_limits(self, state: DesiredState) -> None:
         limits = state.limits
--- a/tests/traffic/test_forwarder.py
+++ b/tests/traffic/test_forwarder.py
@@ -342,6 +342,20 @@
         self.assertEqual([b"whole", b"whole"], [reply.body for reply in replies])
         self.assertEqual(2, target.connections)
 
+    @parameterized.expand([("safe",), ("unsafe",)])
+    def test_a_second_answer_in_the_same_piece_leaves_no_trace(self, kind: str) -> None:
+        async def both(turn: Turn) -> None:
+            first = b"content-length: 5\r\n\r\nwhole"
+            second = b"x-response-signature: other\r\ncontent-length: 6\r\n\r\nsecond"
+            head = _unframed_head(turn)[:-2]
+            await turn.send(head + first + b"HTTP/1.1 200 OK\r\n" + second)
+
+        replies, target = self.forward_twice(kind, both)
+        for reply in replies:
+            signatures = [value for name, value in reply.headers if b"signature" in name]
+            self.assertEqual((b"whole", [b"signed"]), (reply.body, signatures))
+        self.assertEqual(2, target.connections)
+
     def test_a_late_second_answer_is_not_the_next_one_s(self) -> None:
         async def late(turn: Turn) -> None:
             if turn.header("x-request-id") == "id1":
