Explain a request from its id; tell an entry's lines apart

New: coralfall explain ID [LOGS]; every line names its entry; readiness waits for the callers' port. A test of the planned stop showed that look-ups could name an entry whose port was not open yet (by a millisecond or two): readiness is noted when the last child starts.

--- a/src/coralfall/cli.py
+++ b/src/coralfall/cli.py
@@ -53,6 +53,25 @@
     raise typer.Exit(run_steer(settings))
 
 
+@app.command()
+def explain(
+    request_id: t.Annotated[str, typer.Argument(help="The request's id, as its caller sent it.")],
+    logs: t.Annotated[
+        t.Optional[t.List[pathlib.Path]],
+        typer.Argument(help="Files with the entries' log lines; standard input without any."),
+    ] = None,
+) -> None:
+    """Tell from log lines what became of a request, and why."""
+    from .explain import explain as story_of
+
+    lines: t.List[str] = []
+    for path in logs or ():
+        lines += path.read_text(errors="replace").splitlines()
+    if not logs:
+        lines = sys.stdin.read().splitlines()
+    print(story_of(request_id, lines))
+
+
 @standin_app.command("platform")
 def standin_platform(settings: SettingsFile) -> None:
     """Run a stand-in of the platform: table, object store and VM list."""
--- /dev/null
+++ b/src/coralfall/explain.py
@@ -0,0 +1,171 @@
+"""Explains one request from the log lines of the processes that it met.
+
+Lines may come from several entries, in any order and with anything before ``time=``. The story is
+put together from the line that ended the request and from what the same entry believed shortly
+before: what it knew of the targets, and which of its dependencies were away.
+"""
+
+import datetime
+import re
+import typing as t
+
+from .exceptions import CoralfallError
+
+#: Seconds before the end of a request whose events belong to its story.
+CONTEXT_S = 8.0
+
+_PAIR = re.compile(r'([A-Za-z0-9_.-]+)=("(?:[^"\\]|\\.)*"|\S*)')
+_ESCAPED = re.compile(r"\\(u[0-9a-f]{4}|U[0-9a-f]{8}|.)")
+_PLAIN_BY_ESCAPE = {"n": "\n", "r": "\r", "t": "\t"}
+_ENDS = frozenset(("request.ended", "request.refused"))
+#: Events that change what an entry believes.
+_BELIEFS = (
+    "state.",
+    "zones.",
+    "store.",
+    "peer.",
+    "entry.",
+    "targets.",
+    "row.",
+    "process.",
+    "log.dropped",
+)
+
+#: What a reason means, and what to look at next.
+_CAUSES = {
+    "answered": "a target answered, and its answer was passed on as it was",
+    "full": "all targets for the object were full; look at their load and number",
+    "full-late": "the caller had waited beyond the aim, and its targets had no room to spare",
+    "no-time": "no target for the object could have answered within the time that was left",
+    "no-target": "no target of the service could be used: see which rested, left, were evacuated",
+    "no-state": "the entry knew no desired state yet: see store and peer lines after its start",
+    "connect": "no target could be connected; nothing was sent",
+    "time": "a target had the request and gave no whole answer in time; it may have run",
+    "broken": "the connection ended within the exchange; the target may have run the request",
+    "mixed": "a target sent another request's answer; nothing of it was passed on",
+    "unsigned": "a target's success had no signature or id; nothing of it was passed on",
+    "unproved": "a target promised not to have run it, without the mark that proves it",
+    "misdirected": "another target is at the address; the request was not run",
+    "withdrawn": "the target was leaving, evacuated or gone when the request was about to be sent",
+    "late": "the time was over before the request could be sent",
+    "caller-gone": "the caller closed its connection; the send was cancelled",
+    "unknown-route": "no route of the version in force matches host and path",
+}
+
+
+class ExplainError(CoralfallError):
+    """No line tells of the request."""
+
+    code = "explain"
+
+
+class LogEvent(t.NamedTuple):
+    """One parsed line."""
+
+    #: Seconds since the Unix epoch by the clock of the process.
+    at: float
+    event: str
+    fields: t.Dict[str, str]
+
+
+def parse_line(line: str) -> t.Optional[LogEvent]:
+    """The event of a line, ``None`` if it has none."""
+    start = line.find("time=")
+    if start < 0:
+        return None
+    fields = {key: _unquoted(value) for key, value in _PAIR.findall(line[start:])}
+    try:
+        at = datetime.datetime.fromisoformat(fields["time"]).timestamp()
+        return LogEvent(at, fields["event"], fields)
+    except (KeyError, ValueError):
+        return None
+
+
+def explain(request_id: str, lines: t.Iterable[str]) -> str:
+    """The story of a request.
+
+    :param request_id: as its caller sent it.
+    :param lines: of one or more entries.
+    :raises ExplainError: if no line tells of it.
+    """
+    events = [event for event in map(parse_line, lines) if event is not None]
+    ends = [event for event in events if _is_end_of(event, request_id)]
+    if not ends:
+        message = (
+            f"no line tells of request {request_id}; look for log.dropped, or for an entry whose"
+            " lines are missing: if none has it, no entry read the request whole"
+        )
+        raise ExplainError(message, id=request_id)
+    ends.sort(key=lambda event: event.at)
+    return "\n\n".join([_story(end, events) for end in ends])
+
+
+def _is_end_of(event: LogEvent, request_id: str) -> bool:
+    return event.event in _ENDS and event.fields.get("id") == request_id
+
+
+def _story(end: LogEvent, events: t.Sequence[LogEvent]) -> str:
+    fields = end.fields
+    entry = fields.get("entry", "?")
+    reason = fields.get("reason", "?")
+    parts = [
+        f"request {fields.get('id')} at entry {entry}: status {fields.get('status')}"
+        f" ({reason}) after {fields.get('ms', '0')} ms, ended {fields['time']}",
+        f"  cause: {_CAUSES.get(reason, 'see the fields of the line')}",
+    ]
+    if "route" in fields:
+        parts.append(
+            f"  route {fields['route']}, service {fields.get('service')}; version"
+            f" {fields.get('version')} in force, known as newest {fields.get('state_age_ms')} ms"
+            f" before, targets {fields.get('targets_age_ms')} ms before"
+        )
+    sends = _sends_of(fields)
+    for number, (target, result, milliseconds) in enumerate(sends, start=1):
+        meaning = _CAUSES.get(result, "")
+        parts.append(f"  send {number} to {target}: {result} after {milliseconds} ms {meaning}")
+    context = _context(end, events, entry, {target for target, _, _ in sends})
+    parts.append("  what the entry learnt shortly before:" if context else "  nothing new before")
+    for event in context:
+        told = " ".join(
+            [f"{key}={value}" for key, value in event.fields.items() if key not in _LEADING]
+        )
+        parts.append(f"    {event.at - end.at:+.3f} s  {event.event} {told}")
+    return "\n".join(parts)
+
+
+_LEADING = frozenset(("time", "level", "event", "entry"))
+
+
+def _sends_of(fields: t.Mapping[str, str]) -> t.List[t.Tuple[str, str, str]]:
+    sends = []
+    for send in fields.get("sends", "none").split(","):
+        parts = send.split(":")
+        if len(parts) == 3:
+            sends.append((parts[0], parts[1], parts[2]))
+    return sends
+
+
+def _context(
+    end: LogEvent, events: t.Sequence[LogEvent], entry: str, targets: t.Set[str]
+) -> t.List[LogEvent]:
+    found = []
+    for event in events:
+        if event.fields.get("entry", "?") != entry or not 0 <= end.at - event.at <= CONTEXT_S:
+            continue
+        about_target = event.event.startswith("target.") and event.fields.get("target") in targets
+        if about_target or event.event.startswith(_BELIEFS):
+            found.append(event)
+    return sorted(found, key=lambda event: event.at)
+
+
+def _unquoted(value: str) -> str:
+    if not value.startswith('"'):
+        return value
+    return _ESCAPED.sub(_plain, value[1:-1])
+
+
+def _plain(match: "re.Match[str]") -> str:
+    escape = match.group(1)
+    if len(escape) > 1:
+        return chr(int(escape[1:], 16))
+    return _PLAIN_BY_ESCAPE.get(escape, escape)
--- a/src/coralfall/log.py
+++ b/src/coralfall/log.py
@@ -106,6 +106,7 @@
 _library_handler = _LibraryHandler(logging.WARNING)
 _destination: t.Union[_LineDestination, _DescriptorDestination, None] = None
 _rank = _INFO
+_identity: t.Dict[str, str] = {}
 
 
 def configure(settings: "LogSettings", stream: t.Optional[t.TextIO] = None) -> None:
@@ -126,6 +127,12 @@
     logging.getLogger().addHandler(_library_handler)
 
 
+def identify(**fields: str) -> None:
+    """Give every event of this process these fields, so that lines of several can be told apart."""
+    _identity.clear()
+    _identity.update(fields)
+
+
 def dropped_lines() -> int:
     """Lines that were not written since the start."""
     if isinstance(_destination, _DescriptorDestination):
@@ -178,6 +185,7 @@
         _TIME_KEY: time.time(),
         _EVENT_KEY: event,
         _LEVEL_KEY: level,
+        **_identity,
     }
     for key, value in fields.items():
         record[f"{key}_" if key in _ELIOT_KEYS else key] = value
--- a/src/coralfall/platform/run.py
+++ b/src/coralfall/platform/run.py
@@ -29,6 +29,7 @@
         path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, "/etc/coralfall/settings.toml"))
     settings = load_settings(path, SteerSettings)
     log.configure(settings.log)
+    log.identify(entry=settings.entry_id)
     return loop.run(_run(settings))
 
 
@@ -43,7 +44,9 @@
         random.Random(),
     )
     root = node.make_tree(ResolveApp(node.lookup, node.telemetry), ReadinessApp(lambda: node.ready))
-    log.info("entry.starting", entry=settings.entry_id, zone=settings.zone)
+    log.info(
+        "entry.starting", zone=settings.zone, region=settings.region, seeds=len(settings.seeds)
+    )
     status = await supervise(root)
     log.info("entry.stopped", status=status)
     return status
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -96,7 +96,7 @@
         self._tick_due = clock.monotonic() + _TICK_S
         self.followers = self._make_followers()
         self.belief.on_state = self._apply_limits
-        self.belief.on_learnt = self._note_readiness
+        self.belief.on_learnt = self.note_readiness
 
     def make_tree(self, lookup: "Application", readiness: "Application") -> Supervisor:
         """The process's parts in the order of their start.
@@ -121,7 +121,7 @@
             HttpServer("lookup", lookup, settings.lookup_address),
             self._callers_server,
             PeriodicChild("tick", self._tick, _TICK_S, self._rng, self.metrics),
-            Leave(self),
+            Presence(self),
         ]
         if settings.metrics_address is not None:
             metrics = MetricsApp(self.telemetry, self)
@@ -155,8 +155,11 @@
         self.budget.entries = self.members.count()
         self.steering.entries = self.members.all_ids()
 
-    def _note_readiness(self) -> None:
-        if not self.belief.complete or not self.members.set_own(ready=True):
+    def note_readiness(self) -> None:
+        """Let callers come as soon as enough is known and the callers' port is open."""
+        if not self.belief.complete or not self._callers_server.bound_address:
+            return
+        if not self.members.set_own(ready=True):
             return
         log.info("entry.ready", version=self.belief.version, targets=len(self.targets.by_id))
         self.gossip.push(self.belief.state_rows.revision, self.belief.target_rows.revision)
@@ -260,14 +263,17 @@
             log.info("entry.not-unregistered", code=error.code, error=error.message)
 
 
-class Leave(Child):
-    """Started last and so stopped first: callers go elsewhere before anything is shut."""
+class Presence(Child):
+    """Started last and so stopped first: callers come when all stands, and go before it falls."""
 
-    name = "leave"
+    name = "presence"
 
     def __init__(self, node: Node) -> None:
         self._node = node
 
+    async def start(self) -> None:
+        self._node.note_readiness()
+
     async def run(self) -> None:
         await asyncio.Event().wait()
 
--- a/tests/platform_adapter/test_processes.py
+++ b/tests/platform_adapter/test_processes.py
@@ -241,7 +241,7 @@
             self.assertEqual(503, (await all_of.get(first.ports["readiness"], "/v1/ready"))[0])
             self.assertEqual(0, await first.ended())
             self.assertEqual(2, len(all_of.store.keys("entries")))
-            self.assertIn("event=entry.stopped status=0", first.log.read_text())
+            self.assertIn("event=entry.stopped entry=e0 status=0", first.log.read_text())
 
         play(scene, route={"kind": "unsafe"})
 
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,62 @@
+"""Tests of explain: the story of a request from the lines of several entries."""
+
+import io
+import unittest
+
+from parameterized import parameterized
+
+from coralfall import log
+from coralfall.explain import ExplainError, explain, parse_line
+from coralfall.settings import LogSettings
+
+LINES = """
+  18.1 edge-1 time=2026-08-30T10:00:10.000Z level=info event=store.lost entry=e1 rows=targets
+  18.2 edge-1 time=2026-08-30T10:00:11.000Z level=info event=target.resting entry=e1 target=i-1
+  18.2 edge-1 time=2026-08-30T10:00:11.100Z level=info event=target.resting entry=e1 target=i-9
+  18.3 edge-2 time=2026-08-30T10:00:11.500Z level=info event=store.regained entry=e2 rows=state
+  18.4 edge-1 time=2026-08-30T10:00:12.000Z level=info event=request.ended entry=e1 id=abc route=r1\
+ service=s1 status=502 outcome=unknown reason=broken ms=310 sends=i-1:connect:300,i-2:broken:10\
+ version=7 state_age_ms=120 targets_age_ms=2400
+not a line of ours
+  18.5 edge-1 time=2026-08-30T10:00:13.000Z level=info event=request.ended entry=e1 id=abd route=r1\
+ service=s1 status=200 outcome=done reason=answered ms=31 sends=i-2:200:30 version=7
+  18.6 edge-2 time=2026-08-30T10:00:14.000Z level=info event=request.refused entry=e2 id=abe\
+ path=/x status=404 reason=unknown-route version=7
+""".splitlines()
+
+
+class ExplainTest(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("entry and status", "abc", "at entry e1: status 502 (broken) after 310 ms"),
+            ("cause", "abc", "cause: the connection ended within the exchange"),
+            ("belief", "abc", "version 7 in force, known as newest 120 ms before, targets 2400 ms"),
+            ("first send", "abc", "send 1 to i-1: connect after 300 ms no target could be"),
+            ("second send", "abc", "send 2 to i-2: broken after 10 ms"),
+            ("lost store", "abc", "-2.000 s  store.lost rows=targets"),
+            ("its target", "abc", "-1.000 s  target.resting target=i-1"),
+            ("no route", "abe", "cause: no route of the version in force matches"),
+        ]
+    )
+    def test_told(self, _name: str, request_id: str, expected: str) -> None:
+        self.assertIn(expected, explain(request_id, LINES))
+
+    @parameterized.expand([("other target", "i-9"), ("other entry", "regained")])
+    def test_not_told(self, _name: str, text: str) -> None:
+        self.assertNotIn(text, explain("abc", LINES))
+
+    def test_unknown(self) -> None:
+        with self.assertRaises(ExplainError) as caught:
+            explain("nobody", LINES)
+        self.assertIn("log.dropped", caught.exception.message)
+
+    @parameterized.expand(
+        [("space", "a b"), ("quote", 'a"b'), ("lines", "a\nb\\"), ("sign", "é\x00")]
+    )
+    def test_a_value_comes_back_as_it_was_logged(self, _name: str, value: str) -> None:
+        stream = io.StringIO()
+        log.configure(LogSettings(), stream)
+        log.info("some.event", value=value)
+        event = parse_line(stream.getvalue())
+        assert event is not None
+        self.assertEqual(("some.event", value), (event.event, event.fields["value"]))
