Pass over targets that give no sign of life

Now a target is passed over while a request waits for over three times the typical duration and none was answered since it began, and rests at once if such a request's time runs out. If all seem unwell they are tried all the same. Ruled out: store, peers and entries (12 were alive or stopping as planned, versions and ages fresh).

--- a/src/coralfall/traffic/admission.py
+++ b/src/coralfall/traffic/admission.py
@@ -18,6 +18,9 @@
 #: The quantile of durations that counts as typical, and the part by which each one moves it.
 _QUANTILE = 0.3
 _STEP = 0.05
+#: Multiple of the typical duration after which an answer is overdue, and the least time for it.
+_OVERDUE = 3.0
+_OVERDUE_MIN_S = 0.3
 
 
 class Admission:
@@ -47,6 +50,10 @@
         weight = _QUANTILE if seconds > typical else _QUANTILE - 1
         self._typical_by_service[service] = typical * (1 + _STEP * weight)
 
+    def overdue_s(self, service: "ServiceId") -> float:
+        """Seconds after which an answer should have come."""
+        return max(_OVERDUE_MIN_S, _OVERDUE * self._typical_by_service.get(service, _OVERDUE_MIN_S))
+
     def predict(self, state: "TargetState") -> float:
         """Seconds that a target would take with one more request, queueing included."""
         typical = self._typical_by_service.get(state.target.service, 0.0)
--- a/src/coralfall/traffic/affinity.py
+++ b/src/coralfall/traffic/affinity.py
@@ -26,6 +26,23 @@
 _Ranked = t.Tuple["TargetState", ...]
 
 
+class Place:
+    """One request's place at a target.
+
+    :param state: the target.
+    """
+
+    __slots__ = ("_number", "state")
+
+    def __init__(self, state: "TargetState") -> None:
+        self.state = state
+        self._number = state.begin()
+
+    def release(self) -> None:
+        """Give it back; more than once does no harm."""
+        self.state.end(self._number)
+
+
 class AffinitySteering:
     """Chooses the target of each send.
 
@@ -64,8 +81,8 @@
         tried: "t.Collection[TargetId]",
         left_s: float = float("inf"),
         late: bool = False,
-    ) -> "TargetState":
-        """The target of one send; it counts as in hand until :meth:`release`.
+    ) -> "Place":
+        """A place at the target of one send, held until it is released.
 
         :param key: names the object that the request concerns.
         :param tried: targets that the request was sent to already.
@@ -82,8 +99,7 @@
         for limit in limits:
             for state in in_time:
                 if state.load() < limit * state.target.slots:
-                    self._take(state)
-                    return state
+                    return self._take(state)
         if not in_time:
             message = f"no target of {service} for this object would answer in time"
             raise RefusedError(message, defaults.COME_BACK_S, service=service, reason="no-time")
@@ -96,24 +112,29 @@
             loads=",".join([f"{s.target.target_id}:{s.load():.1f}" for s in homes]),
         )
 
-    def release(self, state: "TargetState") -> None:
-        """Give back what :meth:`choose` took."""
-        state.in_hand -= 1
-
-    def _take(self, state: "TargetState") -> None:
-        state.in_hand += 1
+    def _take(self, state: "TargetState") -> "Place":
         if state.is_cold():
             state.cold.note(self._clock.monotonic())
+        return Place(state)
 
     def _homes(
         self, route: "Route", service: "ServiceId", key: bytes, tried: "t.Collection[TargetId]"
     ) -> t.List["TargetState"]:
+        open_to = [
+            state
+            for state in self._rank(service, key)
+            if state.target.target_id not in tried and self._is_allowed(route, state)
+        ]
+        overdue_s = self.admission.overdue_s(service)
+        homes = self._first([s for s in open_to if s.usable() and not s.is_quiet(overdue_s)])
+        if homes:
+            return homes
+        # If all seem unwell, the fault may be on this side; and somebody has to find out.
+        return self._first([state for state in open_to if not state.gone])
+
+    def _first(self, states: t.Iterable["TargetState"]) -> t.List["TargetState"]:
         homes: t.List["TargetState"] = []
-        for state in self._rank(service, key):
-            if state.target.target_id in tried or not state.usable():
-                continue
-            if route.allowed_regions and self._region_of(state) not in route.allowed_regions:
-                continue
+        for state in states:
             if state.is_cold() and not self._may_warm(state):
                 continue
             homes.append(state)
@@ -121,6 +142,9 @@
                 break
         return homes
 
+    def _is_allowed(self, route: "Route", state: "TargetState") -> bool:
+        return not route.allowed_regions or self._region_of(state) in route.allowed_regions
+
     def _region_of(self, state: "TargetState") -> "t.Optional[RegionId]":
         return self._settings.regions_by_zone.get(state.target.zone)
 
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -28,7 +28,7 @@
     from ..clock import Clock
     from ..ids import ServiceId, TargetId
     from ..request import RequestBody
-    from .affinity import AffinitySteering
+    from .affinity import AffinitySteering, Place
     from .budget import SendBudget
     from .connection import Headers
     from .model import Route
@@ -168,14 +168,14 @@
         failure: t.Optional[CoralfallError] = None
         while True:
             try:
-                state = self._choose(request, tried)
+                place = self._choose(request, tried)
             except RefusedError as refusal:
                 if failed is not None:
                     return failed
                 raise _weightier(failure, refusal)
-            tried.add(state.target.target_id)
+            tried.add(place.state.target.target_id)
             try:
-                answer = await self._send(request, state)
+                answer = await self._send(request, place)
             except TargetError as error:
                 failure = _weightier(failure, error)
                 if error.fields.get("reason") == "connect":
@@ -194,7 +194,7 @@
             if not request.repeatable or not self._may_send_again(request, None):
                 return failed
 
-    def _choose(self, request: SteeredRequest, tried: "t.Set[TargetId]") -> "TargetState":
+    def _choose(self, request: SteeredRequest, tried: "t.Set[TargetId]") -> "Place":
         left = request.deadline - self._clock.monotonic()
         return self._steering.choose(
             request.route, request.service, request.key, tried, left, request.late
@@ -212,12 +212,13 @@
     def _has_time(self, request: SteeredRequest) -> bool:
         return request.deadline - self._clock.monotonic() > defaults.MIN_SEND_S
 
-    async def _send(self, request: SteeredRequest, state: "TargetState") -> ServerAnswer:
-        """One send; the target is given back whatever happens.
+    async def _send(self, request: SteeredRequest, place: "Place") -> ServerAnswer:
+        """One send; the place is given back whatever happens.
 
         :raises TargetNotRunError: with evidence that the target did not run it.
         :raises TargetUnknownError: if it may have.
         """
+        state = place.state
         send = Send(state.target.target_id)
         request.sends.append(send)
         began = self._clock.monotonic()
@@ -230,14 +231,15 @@
             raise
         except TargetUnknownError as error:
             send.result = str(error.fields.get("reason", error.code))
-            state.fail(reached=True)
+            silent = began if isinstance(error, TargetTimeoutError) else None
+            state.fail(reached=True, silent_since=silent)
             raise
         except asyncio.CancelledError:
             send.result = "cancelled"
             raise
         finally:
             send.seconds = self._clock.monotonic() - began
-            self._steering.release(state)
+            place.release()
         state.succeed()
         self._steering.admission.note_duration(request.service, send.seconds)
         send.result = str(answer.status)
--- a/src/coralfall/traffic/targets.py
+++ b/src/coralfall/traffic/targets.py
@@ -21,8 +21,10 @@
     def __init__(self, target: "Target", clock: "Clock") -> None:
         self.target = target
         self._clock = clock
-        #: Requests of this entry that it has in hand.
-        self.in_hand = 0
+        #: When each request of this entry that it has in hand was begun, the oldest first.
+        self._begun: t.Dict[int, float] = {}
+        self._begun_count = 0
+        self._answered_at = -float("inf")
         self.cold = ColdGate()
         self.cold_until = 0.0
         #: Whether its own address says that this lifetime is over.
@@ -33,6 +35,28 @@
         self._rests = 0
         self._rests_until = -float("inf")
 
+    @property
+    def in_hand(self) -> int:
+        """Requests of this entry that it has in hand."""
+        return len(self._begun)
+
+    def begin(self) -> int:
+        """Note that it gets a request; the number that :meth:`end` wants."""
+        self._begun_count += 1
+        self._begun[self._begun_count] = self._clock.monotonic()
+        return self._begun_count
+
+    def end(self, number: int) -> None:
+        """Note that a request is over, however it ended."""
+        self._begun.pop(number, None)
+
+    def is_quiet(self, seconds: float) -> bool:
+        """Whether a request waits for longer than that and none was answered since it began."""
+        if not self._begun:
+            return False
+        oldest = next(iter(self._begun.values()))
+        return oldest > self._answered_at and self._clock.monotonic() - oldest > seconds
+
     def load(self) -> float:
         """Requests that it has in hand, of all entries, as far as known here.
 
@@ -57,16 +81,19 @@
 
     def succeed(self) -> None:
         """Note an answer."""
+        self._answered_at = self._clock.monotonic()
         self._failures = 0
         self._rests = 0
 
-    def fail(self, reached: bool) -> None:
-        """Note a failure; it rests after some in a row, at once if it was not reached.
+    def fail(self, reached: bool, silent_since: t.Optional[float] = None) -> None:
+        """Note a failure; it rests after some in a row, or at once if it gives no sign of life.
 
         :param reached: whether a connection was open.
+        :param silent_since: when the request began, if its time was over without an answer.
         """
         self._failures += 1
-        if reached and self._failures < defaults.REST_FAILURES:
+        silent = silent_since is not None and silent_since > self._answered_at
+        if reached and not silent and self._failures < defaults.REST_FAILURES:
             return
         seconds = min(defaults.REST_S * 2.0**self._rests, defaults.MAX_REST_S)
         self._rests += 1
@@ -76,6 +103,7 @@
             target=self.target.target_id,
             failures=self._failures,
             reached=reached,
+            silent=silent,
             seconds=seconds,
         )
 
--- a/tests/traffic/test_decisions.py
+++ b/tests/traffic/test_decisions.py
@@ -125,8 +125,10 @@
 class AffinityTest(unittest.TestCase):
     def choose(self, steered: Steered, key: str, **options: t.Any) -> TargetId:
         route = options.get("route", make_route())
-        state = steered.steering.choose(route, PEDIDOS, key.encode(), options.get("tried", ()))
-        return state.target.target_id
+        place = steered.steering.choose(route, PEDIDOS, key.encode(), options.get("tried", ()))
+        if not options.get("held", False):
+            place.release()
+        return place.state.target.target_id
 
     def test_entries_agree_without_talking(self) -> None:
         targets = [make_target(number) for number in range(20)]
@@ -150,7 +152,7 @@
         chosen: t.List[TargetId] = []
         with self.assertRaises(RefusedError) as caught:
             while True:
-                chosen.append(self.choose(steered, "object"))
+                chosen.append(self.choose(steered, "object", held=True))
         first, second = chosen[0], chosen[3]
         self.assertEqual([first] * 3 + [second] * 3 + [first] * 3 + [second] * 3, chosen)
         self.assertEqual("full", caught.exception.fields["reason"])
@@ -161,7 +163,8 @@
         held = [steered.steering.choose(make_route(), PEDIDOS, b"x", ()) for _ in range(3)]
         with self.assertRaises(RefusedError):
             self.choose(steered, "x")
-        steered.steering.release(held[0])
+        held[0].release()
+        held[0].release()
         self.assertEqual(TargetId("t1"), self.choose(steered, "x"))
 
     def test_a_target_s_own_word_counts_and_fades(self) -> None:
@@ -186,7 +189,7 @@
 
     def test_the_last_check_sees_what_changed_since_the_choice(self) -> None:
         steered = Steered(make_target(1), make_target(2))
-        state = steered.steering.choose(make_route(), PEDIDOS, b"x", ())
+        state = steered.steering.choose(make_route(), PEDIDOS, b"x", ()).state
         self.assertTrue(steered.targets.may_use(state))
         steered.targets.evacuate(frozenset({NORTE}))
         self.assertFalse(steered.targets.may_use(state))
@@ -208,6 +211,78 @@
         steered.clock.advance(defaults.REST_S)
         self.assertTrue(state.usable())
 
+    @parameterized.expand(
+        [
+            ("no sign of life", None, 1, True),
+            ("another was answered meanwhile", 0.5, 1, False),
+            ("not overdue yet", None, 0.2, False),
+        ]
+    )
+    def test_a_quiet_target_is_passed_over(
+        self, _name: str, answered_s: t.Optional[float], waited_s: float, passed_over: bool
+    ) -> None:
+        steered = Steered(make_target(1), make_target(2))
+        steered.steering.admission.note_duration(PEDIDOS, 0.2)
+        place = steered.steering.choose(make_route(), PEDIDOS, b"x", ())
+        home = place.state.target.target_id
+        steered.clock.advance(answered_s or 0.0)
+        if answered_s is not None:
+            place.state.succeed()
+        steered.clock.advance(waited_s - (answered_s or 0.0))
+        self.assertEqual(passed_over, self.choose(steered, "x") != home)
+        place.release()
+
+    @parameterized.expand([("no sign of life", False, True), ("others answered", True, False)])
+    def test_a_target_that_lets_a_request_s_time_pass(
+        self, _name: str, answered: bool, rests: bool
+    ) -> None:
+        steered = Steered(make_target(1))
+        state = steered.targets.by_id[TargetId("t1")]
+        began = steered.clock.monotonic()
+        steered.clock.advance(1.0)
+        if answered:
+            state.succeed()
+        state.fail(reached=True, silent_since=began)
+        self.assertEqual(rests, not state.usable())
+
+    @parameterized.expand(
+        [
+            # left, load at the target, whether late, what becomes of it
+            ("in time", 1.0, 0, False, None),
+            ("too little time", 0.15, 0, False, "no-time"),
+            ("too little time behind others", 0.3, 7, False, "no-time"),
+            ("late and room", 1.0, 0, True, None),
+            ("late and no room to spare", 1.0, 4, True, "full-late"),
+            ("not late, and the same load", 1.0, 4, False, None),
+        ]
+    )
+    def test_admission(
+        self, _name: str, left_s: float, load: int, late: bool, reason: t.Optional[str]
+    ) -> None:
+        steered = Steered(make_target(1, slots=4))
+        steered.steering.admission.note_duration(PEDIDOS, 0.2)
+        steered.targets.by_id[TargetId("t1")].report(load, 0)
+        got: t.Optional[str] = None
+        try:
+            steered.steering.choose(make_route(), PEDIDOS, b"x", (), left_s, late)
+        except RefusedError as error:
+            got = error.fields["reason"]
+        self.assertEqual(reason, got)
+
+    def test_if_all_rest_they_are_tried_all_the_same(self) -> None:
+        steered = Steered(make_target(1), make_target(2))
+        for state in steered.targets.by_id.values():
+            state.fail(reached=False)
+        self.assertIn(self.choose(steered, "x"), ("t1", "t2"))
+
+    def test_who_is_late(self) -> None:
+        admission = Steered().steering.admission
+        route = make_route(latency_target_s=0.3)
+        for _ in range(20):
+            admission.note_arrival(route, 2.5)
+        late = [left for left in (2.5, 2.3, 2.1, 0.5) if admission.is_late(route, left)]
+        self.assertEqual([2.1, 0.5], late)
+
     def test_a_replaced_target_is_never_chosen_again(self) -> None:
         steered = Steered(make_target(1), make_target(2, slots=1000))
         steered.targets.drop(steered.targets.by_id[TargetId("t1")])
@@ -244,7 +319,8 @@
         sent: t.List[float] = []
         while steered.clock.now < 102.9:
             chosen = steered.steering.choose(make_route(), PEDIDOS, b"x", ())
-            if chosen.target.target_id == TargetId("t1"):
+            chosen.release()
+            if chosen.state.target.target_id == TargetId("t1"):
                 sent.append(steered.clock.now)
             steered.clock.advance(0.01)
         self.assertTrue(sent)
--- a/tests/traffic/test_forwarder.py
+++ b/tests/traffic/test_forwarder.py
@@ -82,9 +82,9 @@
     def _key_for(self, target_id: TargetId) -> bytes:
         for number in range(1000):
             key = str(number).encode()
-            state = self.steering.choose(make_route(), PEDIDOS, key, ())
-            self.steering.release(state)
-            if state.target.target_id == target_id:
+            place = self.steering.choose(make_route(), PEDIDOS, key, ())
+            place.release()
+            if place.state.target.target_id == target_id:
                 return key
         raise AssertionError("no key has that home")
 
