--- a/benchmarks/slot_cost.py
+++ b/benchmarks/slot_cost.py
@@ -16,11 +16,11 @@
 from coralfall.ids import EntryId, Incarnation, Revision, ServiceId
 from coralfall.lease import Lease
 from coralfall.limits import CapacityLimits
-from coralfall.store import Row
 from coralfall.roster import Roster
 from coralfall.rows import roster_key
 from coralfall.settings import LeaseSettings
 from coralfall.slots import SlotTable
+from coralfall.store import Row
 
 #: Members, and targets of six slots.
 SIZES = ((22, 85), (530, 2000))
--- a/src/coralfall/explain.py
+++ b/src/coralfall/explain.py
@@ -49,10 +49,17 @@
     "withdrawn": "the target was leaving, evacuated or gone when the request was about to be sent",
     "late": "the time was over before the request could be sent",
     "caller-gone": "the caller closed its connection; the send was cancelled",
+    "shed": "the target said that it did not run the request: full, leaving, or out of time",
+    "cancelled": "the caller left first",
     "unknown-route": "no route of the version in force matches host and path",
 }
 
 
+def cause_of(reason: str) -> str:
+    """What a reason in a line means; empty for a status, which speaks for itself."""
+    return _CAUSES.get(reason) or _CAUSES.get(reason.partition("-")[0], "")
+
+
 class ExplainError(CoralfallError):
     """No line tells of the request."""
 
@@ -111,7 +118,7 @@
     parts = [
         f"request {fields.get('id')} at entry {entry}: status {fields.get('status')}"
         f" ({reason}) after {fields.get('ms', '0')} ms, ended {fields['time']}",
-        f"  cause: {_CAUSES.get(reason, 'see the fields of the line')}",
+        f"  cause: {cause_of(reason) or 'see the fields of the line'}",
     ]
     if "route" in fields:
         parts.append(
@@ -121,8 +128,9 @@
         )
     sends = _sends_of(fields)
     for number, (target, result, milliseconds) in enumerate(sends, start=1):
-        meaning = _CAUSES.get(result, "")
-        parts.append(f"  send {number} to {target}: {result} after {milliseconds} ms {meaning}")
+        meaning = cause_of(result)
+        told = f"; {meaning}" if meaning else ""
+        parts.append(f"  send {number} to {target}: {result} after {milliseconds} ms{told}")
     context = _context(end, events, entry, {target for target, _, _ in sends})
     parts.append("  what the entry learnt shortly before:" if context else "  nothing new before")
     for event in context:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -6,7 +6,7 @@
 from parameterized import parameterized
 
 from coralfall import log
-from coralfall.explain import ExplainError, explain, parse_line
+from coralfall.explain import ExplainError, cause_of, explain, parse_line
 from coralfall.settings import LogSettings
 
 LINES = """
@@ -31,7 +31,7 @@
             ("entry and status", "abc", "at entry e1: status 502 (broken) after 310 ms"),
             ("cause", "abc", "cause: the connection ended within the exchange"),
             ("belief", "abc", "version 7 in force, known as newest 120 ms before, targets 2400 ms"),
-            ("first send", "abc", "send 1 to i-1: connect after 300 ms no target could be"),
+            ("first send", "abc", "send 1 to i-1: connect after 300 ms; no target could be"),
             ("second send", "abc", "send 2 to i-2: broken after 10 ms"),
             ("lost store", "abc", "-2.000 s  store.lost rows=targets"),
             ("its target", "abc", "-1.000 s  target.resting target=i-1"),
@@ -41,6 +41,14 @@
     def test_told(self, _name: str, request_id: str, expected: str) -> None:
         self.assertIn(expected, explain(request_id, LINES))
 
+    @parameterized.expand(
+        [("shed-503", "did not run"), ("full-late", "beyond the aim"), ("200", ""), ("odd", "")]
+    )
+    def test_causes(self, reason: str, expected: str) -> None:
+        found = cause_of(reason)
+        self.assertIn(expected, found)
+        self.assertEqual(bool(expected), bool(found))
+
     @parameterized.expand([("other target", "i-9"), ("other entry", "regained")])
     def test_not_told(self, _name: str, text: str) -> None:
         self.assertNotIn(text, explain("abc", LINES))
