Take in a settings file that changed, on SIGHUP

Bounds, log level and seeds are in force at once, what else changed is named and waits for the next start, and a file that can't be taken is refused.

--- a/src/coralfall/log.py
+++ b/src/coralfall/log.py
@@ -53,10 +53,10 @@
 
     def __init__(self, stream: t.TextIO, level: str) -> None:
         self._stream = stream
-        self._rank = _RANK_BY_LEVEL[level]
+        self.rank = _RANK_BY_LEVEL[level]
 
     def __call__(self, message: Record) -> None:
-        if _RANK_BY_LEVEL[_level_of(message)] < self._rank:
+        if _RANK_BY_LEVEL[_level_of(message)] < self.rank:
             return
         self._stream.write(render(message) + "\n")
         self._stream.flush()
@@ -66,13 +66,13 @@
     """Hands each eliot message at or above a level to a :class:`LineWriter`, as one line."""
 
     def __init__(self, descriptor: int, level: str) -> None:
-        self._rank = _RANK_BY_LEVEL[level]
+        self.rank = _RANK_BY_LEVEL[level]
         self.writer = LineWriter(descriptor, _dropped_line)
         atexit.register(self.writer.close)
 
     def __call__(self, message: Record) -> None:
         rank = _RANK_BY_LEVEL[_level_of(message)]
-        if rank < self._rank:
+        if rank < self.rank:
             return
         self.writer.write(render(message), urgent=rank >= _WARNING)
 
@@ -127,6 +127,14 @@
     logging.getLogger().addHandler(_library_handler)
 
 
+def set_level(settings: "LogSettings") -> None:
+    """Write events of other levels from now on, to where they go already."""
+    global _rank
+    _rank = _RANK_BY_LEVEL[settings.level]
+    if _destination is not None:
+        _destination.rank = _rank
+
+
 def identify(**fields: str) -> None:
     """Give every event of this process these fields, so that lines of several can be told apart."""
     _identity.clear()
--- a/src/coralfall/platform/run.py
+++ b/src/coralfall/platform/run.py
@@ -1,8 +1,10 @@
 """Runs an entry on the platform: its settings, its store and its HTTP around the product's node."""
 
+import asyncio
 import os
 import pathlib
 import random
+import signal
 import typing as t
 
 from .. import log, loop
@@ -10,6 +12,7 @@
 from ..settings import load_settings
 from ..supervisor import supervise
 from ..traffic.node import Node, Store
+from ..traffic.reload import Reload
 from ..traffic.settings import SteerSettings
 from .http import ReadinessApp, ResolveApp
 from .names import HEADERS
@@ -30,10 +33,10 @@
     settings = load_settings(path, SteerSettings)
     log.configure(settings.log)
     log.identify(entry=settings.entry_id)
-    return loop.run(_run(settings))
+    return loop.run(_run(settings, path))
 
 
-async def _run(settings: SteerSettings) -> int:
+async def _run(settings: SteerSettings, path: pathlib.Path) -> int:
     store = RowStore(settings.store)
     node = Node(
         settings,
@@ -47,6 +50,8 @@
     log.info(
         "entry.starting", zone=settings.zone, region=settings.region, seeds=len(settings.seeds)
     )
+    reload = Reload(path, settings, node.apply)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
     status = await supervise(root)
     log.info("entry.stopped", status=status)
     return status
--- a/src/coralfall/traffic/affinity.py
+++ b/src/coralfall/traffic/affinity.py
@@ -52,7 +52,7 @@
     """
 
     def __init__(self, settings: "SteerSettings", targets: "TargetBook", clock: "Clock") -> None:
-        self._settings = settings
+        self.settings = settings
         self._targets = targets
         self._clock = clock
         self._ranked: "collections.OrderedDict[t.Tuple[ServiceId, bytes], _Ranked]" = (
@@ -68,7 +68,7 @@
     def set_state(self, state: "DesiredState") -> None:
         """Steer by this desired state."""
         for service, rules in state.services.items():
-            self._cold_per_s[service] = self._settings.cold_per_s(rules.warmup_per_s)
+            self._cold_per_s[service] = self.settings.cold_per_s(rules.warmup_per_s)
         self._targets.warmup_s_by_service = {
             service: rules.warmup_s for service, rules in state.services.items()
         }
@@ -146,12 +146,12 @@
         return not route.allowed_regions or self._region_of(state) in route.allowed_regions
 
     def _region_of(self, state: "TargetState") -> "t.Optional[RegionId]":
-        return self._settings.regions_by_zone.get(state.target.zone)
+        return self.settings.regions_by_zone.get(state.target.zone)
 
     def _may_warm(self, state: "TargetState") -> bool:
         target = state.target
         per_s = self._cold_per_s.get(target.service, 1.0)
-        most = share_of(self._settings.entry_id, self.entries, target.target_id, per_s)
+        most = share_of(self.settings.entry_id, self.entries, target.target_id, per_s)
         return state.cold.has_room(self._clock.monotonic(), most)
 
     def _rank(self, service: "ServiceId", key: bytes) -> _Ranked:
--- a/src/coralfall/traffic/budget.py
+++ b/src/coralfall/traffic/budget.py
@@ -47,7 +47,7 @@
     """
 
     def __init__(self, bounds: "BoundSettings", clock: "Clock") -> None:
-        self._bounds = bounds
+        self.bounds = bounds
         self._clock = clock
         self._requests: t.Dict["ServiceId", _Window] = {}
         self._seconds: t.Dict["ServiceId", _Window] = {}
@@ -65,8 +65,8 @@
         seconds = self._window(self._seconds, service)
         requests.trim(now)
         seconds.trim(now)
-        slack = self._bounds.budget_slack / max(1, self.entries)
-        allowed = (requests.total * self._bounds.budget_ratio + slack) * _USED
+        slack = self.bounds.budget_slack / max(1, self.entries)
+        allowed = (requests.total * self.bounds.budget_ratio + slack) * _USED
         if seconds.total + 1 > allowed:
             return False
         seconds.add(now)
@@ -75,5 +75,5 @@
     def _window(self, windows: "t.Dict[ServiceId, _Window]", service: "ServiceId") -> _Window:
         window = windows.get(service)
         if window is None:
-            window = windows[service] = _Window(self._bounds.budget_window_s)
+            window = windows[service] = _Window(self.bounds.budget_window_s)
         return window
--- a/src/coralfall/traffic/gossip.py
+++ b/src/coralfall/traffic/gossip.py
@@ -147,7 +147,7 @@
         self._exchange = exchange
         self._members = members
         self._links = links
-        self._seeds = seeds
+        self.seeds = seeds
         self._clock = clock
         self._rng = rng
         self._tasks: t.Set[asyncio.Task[None]] = set()
@@ -193,7 +193,7 @@
                 self._spawn(self._post(address, push))
 
     def _ask_all(self) -> None:
-        for address in self._seeds:
+        for address in self.seeds:
             self._ask(address)
         for entry_id in sorted(self._members.all_ids(), key=lambda _: self._rng.random())[:8]:
             self.pull(entry_id)
--- a/src/coralfall/traffic/lookup.py
+++ b/src/coralfall/traffic/lookup.py
@@ -10,7 +10,7 @@
     from .belief import Belief
     from .members import Members
     from .model import EntryRecord
-    from .settings import SteerSettings
+    from .settings import BoundSettings, SteerSettings
     from .translator import LookupQuestion
 
 #: Entries that a caller should be told of at the least, so that it need not ask again at once.
@@ -28,8 +28,12 @@
     def __init__(self, settings: "SteerSettings", members: "Members", belief: "Belief") -> None:
         self._members = members
         self._belief = belief
+        self.set_bounds(settings.bounds)
+
+    def set_bounds(self, bounds: "BoundSettings") -> None:
+        """Keep to these bounds from now on."""
         #: Seconds for which callers may keep an answer.
-        self.ttl_s = min(defaults.STEER_TTL_S, settings.bounds.max_ttl_s)
+        self.ttl_s = min(defaults.STEER_TTL_S, bounds.max_ttl_s)
 
     def addresses(self, question: "LookupQuestion") -> t.List[str]:
         """Callers' addresses of entries, none if no entry can serve.
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -136,6 +136,15 @@
         """Whether callers may be sent here."""
         return self.members.own.ready and self.members.own.state is EntryState.SERVING
 
+    def apply(self, settings: "SteerSettings") -> None:
+        """Take in settings of which only live ones differ; see :mod:`.reload`."""
+        self.settings = settings
+        log.set_level(settings.log)
+        self.steering.settings = settings
+        self.budget.bounds = settings.bounds
+        self.lookup.set_bounds(settings.bounds)
+        self.gossip.seeds = settings.seeds
+
     async def leave(self) -> None:
         """Tell all that this entry stops, and serve on while callers still come."""
         self.members.set_own(leaving=True)
--- a/tests/platform_adapter/test_processes.py
+++ b/tests/platform_adapter/test_processes.py
@@ -45,9 +45,9 @@
         names = ("caller", "lookup", "readiness", "peer", "metrics")
         self.ports = {name: free_port() for name in names}
         self.log = folder / f"{self.name}.log"
-        self._settings = folder / f"{self.name}.toml"
+        self.settings = folder / f"{self.name}.toml"
         fields = {"name": self.name, "zone": self.zone, "region": self.region, "store": store}
-        self._settings.write_text(_SETTINGS.format(**fields, **self.ports))
+        self.settings.write_text(_SETTINGS.format(**fields, **self.ports))
         self.process: t.Optional["subprocess.Popen[bytes]"] = None
 
     def start(self) -> None:
@@ -60,7 +60,7 @@
                 env={
                     **os.environ,
                     "PYTHONPATH": str(ROOT / "src"),
-                    "CORALFALL_SETTINGS": str(self._settings),
+                    "CORALFALL_SETTINGS": str(self.settings),
                 },
             )
 
@@ -299,6 +299,26 @@
 
         play(scene)
 
+    def test_a_settings_file_that_changed_is_taken_in(self) -> None:
+        async def scene(all_of: Installation, instances: t.List[InstanceStandin]) -> None:
+            entry = all_of.entries[0]
+            text = entry.settings.read_text()
+
+            async def told(line: str) -> bool:
+                return line in entry.log.read_text()
+
+            for changed, line in (
+                (text + "[bounds]\nmax_ttl_s = 0.5\n", "applied=bounds at_next_start=none"),
+                (text.replace('zone = "s', 'zone = "t'), "at_next_start=zone"),
+                (text + "[bounds]\nmax_ttl = 0.5\n", "did you mean 'max_ttl_s'?"),
+            ):
+                entry.settings.write_text(changed)
+                entry.signal(signal.SIGHUP)
+                await all_of.until(line, lambda line=line: told(line))
+            self.assertEqual(200, (await all_of.ask(entry))[0])
+
+        play(scene, entries=1)
+
     def test_metrics_and_the_log_tell_of_a_request(self) -> None:
         async def scene(all_of: Installation, instances: t.List[InstanceStandin]) -> None:
             entry = all_of.entries[0]
