--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -223,6 +223,10 @@
 AFFINITY_LIMITS = (1.5, 3.0)
 #: The same for requests whose callers have waited for longer than the answer is worth most.
 LATE_LIMITS = (1.0,)
+#: Part of a region's objects that may change its home region in a second.
+SHARE_PER_S = 0.05
+#: Seconds after which half of a target's word on its load is replaced by an entry's own knowledge.
+LOAD_HALF_LIFE_S = 1.5
 #: Most objects whose order of targets is kept.
 AFFINITY_CACHE = 20_000
 #: Seconds in which a connection to a target must be open.
--- a/src/coralfall/traffic/affinity.py
+++ b/src/coralfall/traffic/affinity.py
@@ -1,20 +1,29 @@
 """Steering by affinity: an object's requests go to the same few targets, from all entries alike.
 
-A target that has handled an object is several times faster with it. All entries rank the targets
-of a service by a hash of object and target, so they agree without talking. The first targets of
-that order are the object's homes; they are filled up to a limit one after the other, then up to a
-higher limit, and then the request is refused: to scatter it would cost the others more than it
-gains, since each new target has to learn the object. This is rendezvous hashing with bounded loads.
+A target that has handled an object is several times faster with it. The entries of a region rank
+the targets of a service by a hash of object and target, so they agree without talking. The first
+targets of that order are the object's homes, one in the callers' region and one outside (see
+:mod:`.shares`); they are filled up to a limit one after the other, then up to a higher limit, and
+then the request is refused: to scatter it would cost the others more than it gains, since each new
+target has to learn the object. This is rendezvous hashing with bounded loads.
 """
 
 import collections
-import hashlib
 import typing as t
 
 from .. import defaults
 from ..exceptions import RefusedError
 from .admission import Admission
 from .cold import share_of
+from .shares import (
+    SlotsByRegion,
+    SlowPart,
+    interleaved,
+    kept_part,
+    place_of,
+    score,
+    spare_weight,
+)
 
 if t.TYPE_CHECKING:
     from ..clock import Clock
@@ -23,7 +32,15 @@
     from .settings import SteerSettings
     from .targets import TargetBook, TargetState
 
-_Ranked = t.Tuple["TargetState", ...]
+_Regions = t.FrozenSet["RegionId"]
+
+
+class _Ranked(t.NamedTuple):
+    """The targets of one object, the first home first, in its callers' region and elsewhere."""
+
+    place: float
+    near: t.Tuple["TargetState", ...]
+    far: t.Tuple["TargetState", ...]
 
 
 class Place:
@@ -55,9 +72,12 @@
         self.settings = settings
         self._targets = targets
         self._clock = clock
-        self._ranked: "collections.OrderedDict[t.Tuple[ServiceId, bytes], _Ranked]" = (
+        self._ranked: "collections.OrderedDict[t.Tuple[ServiceId, bytes, _Regions], _Ranked]" = (
             collections.OrderedDict()
         )
+        self._parts: t.Dict[t.Tuple["ServiceId", _Regions], SlowPart] = {}
+        self._slots: t.Dict[t.Tuple["ServiceId", _Regions], SlotsByRegion] = {}
+        self._region_count = len(set(settings.regions_by_zone.values()))
         self._generation = -1
         self._cold_per_s: t.Dict["ServiceId", float] = {}
         #: Estimates of how long targets take, and of how long callers wait.
@@ -122,8 +142,8 @@
     ) -> t.List["TargetState"]:
         open_to = [
             state
-            for state in self._rank(service, key)
-            if state.target.target_id not in tried and self._is_allowed(route, state)
+            for state in self._rank(route, service, key)
+            if state.target.target_id not in tried
         ]
         overdue_s = self.admission.overdue_s(service)
         homes = self._first([s for s in open_to if s.usable() and not s.is_quiet(overdue_s)])
@@ -142,9 +162,6 @@
                 break
         return homes
 
-    def _is_allowed(self, route: "Route", state: "TargetState") -> bool:
-        return not route.allowed_regions or self._region_of(state) in route.allowed_regions
-
     def _region_of(self, state: "TargetState") -> "t.Optional[RegionId]":
         return self.settings.regions_by_zone.get(state.target.zone)
 
@@ -154,21 +171,60 @@
         most = share_of(self.settings.entry_id, self.entries, target.target_id, per_s)
         return state.cold.has_room(self._clock.monotonic(), most)
 
-    def _rank(self, service: "ServiceId", key: bytes) -> _Ranked:
+    def _rank(self, route: "Route", service: "ServiceId", key: bytes) -> t.Iterator["TargetState"]:
+        """Targets in the order in which they are an object's homes, of regions in turn."""
         if self._generation != self._targets.generation:
             self._generation = self._targets.generation
             self._ranked.clear()
-        ranked = self._ranked.get((service, key))
-        if ranked is not None:
-            self._ranked.move_to_end((service, key))
-            return ranked
-        states = self._targets.of_service(service)
-        ranked = tuple(sorted(states, key=lambda state: _weight(state.target.target_id, key)))
-        self._ranked[service, key] = ranked
-        if len(self._ranked) > defaults.AFFINITY_CACHE:
-            self._ranked.popitem(last=False)
-        return ranked
-
-
-def _weight(target_id: "TargetId", key: bytes) -> bytes:
-    return hashlib.blake2b(target_id.encode(), key=key[:64], digest_size=8).digest()
+            self._slots.clear()
+        regions = route.allowed_regions
+        ranked = self._ranked.get((service, key, regions))
+        if ranked is None:
+            ranked = self._ranked[service, key, regions] = self._make_ranked(service, key, regions)
+            if len(self._ranked) > defaults.AFFINITY_CACHE:
+                self._ranked.popitem(last=False)
+        if ranked.place < self._kept_part(service, regions):
+            return interleaved(ranked.near, ranked.far)
+        return interleaved(ranked.far, ranked.near)
+
+    def _make_ranked(self, service: "ServiceId", key: bytes, regions: _Regions) -> _Ranked:
+        slots = self._slots_by_region(service, regions)
+        count = self._region_count
+        near: t.List[t.Tuple[float, "TargetState"]] = []
+        far: t.List[t.Tuple[float, "TargetState"]] = []
+        for state in self._targets.of_service(service):
+            region = self._region_of(state)
+            if region is None or (regions and region not in regions):
+                continue
+            target = state.target
+            if region == self.settings.region:
+                near.append((score(target.target_id, key, target.slots), state))
+                continue
+            weight = target.slots * spare_weight(region, slots, count)
+            far.append((score(target.target_id, key, weight), state))
+        return _Ranked(place_of(key), _in_order(near), _in_order(far))
+
+    def _kept_part(self, service: "ServiceId", regions: _Regions) -> float:
+        slots = self._slots_by_region(service, regions)
+        aim = kept_part(self.settings.region, slots, self._region_count)
+        now = self._clock.monotonic()
+        part = self._parts.get((service, regions))
+        if part is None:
+            part = self._parts[service, regions] = SlowPart(now, aim)
+        return part.follow(now, aim)
+
+    def _slots_by_region(self, service: "ServiceId", regions: _Regions) -> SlotsByRegion:
+        known = self._slots.get((service, regions))
+        if known is not None:
+            return known
+        slots: t.Dict["RegionId", int] = {}
+        for state in self._targets.of_service(service):
+            region = self._region_of(state)
+            if region is not None and (not regions or region in regions):
+                slots[region] = slots.get(region, 0) + state.target.slots
+        self._slots[service, regions] = slots
+        return slots
+
+
+def _in_order(scored: t.List[t.Tuple[float, "TargetState"]]) -> t.Tuple["TargetState", ...]:
+    return tuple([state for _, state in sorted(scored, key=lambda pair: -pair[0])])
--- a/src/coralfall/traffic/targets.py
+++ b/src/coralfall/traffic/targets.py
@@ -63,7 +63,7 @@
         Its own last word counts for less the older it is.
         """
         age = self._clock.monotonic() - self._reported_at
-        reported = self._reported * 0.5 ** (age / defaults.REPORT_HALF_LIFE_S)
+        reported = self._reported * 0.5 ** (age / defaults.LOAD_HALF_LIFE_S)
         return float(max(self.in_hand, reported))
 
     def usable(self) -> bool:
