--- a/benchmarks/apply_cost.py
+++ b/benchmarks/apply_cost.py
@@ -4,8 +4,8 @@
 import time
 import typing as t
 
-from coralfall.blocktable import BlockTable, Fetch, load_block_table
-from coralfall.bundle import ChunkRef
+from coralfall.bundles.bundle import ChunkRef
+from coralfall.lookups.blocktable import BlockTable, Fetch, load_block_table
 
 from .block_tables import SITES
 
--- a/benchmarks/block_tables.py
+++ b/benchmarks/block_tables.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
-from coralfall.blocks import TABLE_BITS, Block, ClientAddress, Family
-from coralfall.bundle import ChunkRef
-from coralfall.chunks import BuiltChunks
+from coralfall.bundles.bundle import ChunkRef
 from coralfall.ids import Digest, SiteId
+from coralfall.lookups.blocks import TABLE_BITS, Block, ClientAddress, Family
+from coralfall.lookups.chunks import BuiltChunks
 
 SITES = [SiteId(f"site-{index:03d}") for index in range(100)]
 
--- a/benchmarks/blocks.py
+++ b/benchmarks/blocks.py
@@ -24,11 +24,11 @@
 
 import msgspec
 
-from coralfall import chunks
-from coralfall.blocks import TABLE_BITS, Block, ClientAddress, Family, parse_prefix
-from coralfall.blocktable import compile_chunk, load_block_table
-from coralfall.bundle import encode
+from coralfall.bundles.bundle import encode
 from coralfall.ids import SiteId
+from coralfall.lookups import chunks
+from coralfall.lookups.blocks import TABLE_BITS, Block, ClientAddress, Family, parse_prefix
+from coralfall.lookups.blocktable import compile_chunk, load_block_table
 
 from . import block_tables
 from .apply_cost import measure_apply
--- a/benchmarks/capacity_lookup.py
+++ b/benchmarks/capacity_lookup.py
@@ -10,12 +10,12 @@
 import time
 import typing as t
 
-from coralfall import chunks
-from coralfall.blocks import ClientAddress
-from coralfall.blocktable import BlockTable, Fetch, load_block_table
-from coralfall.bundle import encode
+from coralfall.bundles.bundle import encode
 from coralfall.ids import Digest
-from coralfall.lookup import Lookup
+from coralfall.lookups import chunks
+from coralfall.lookups.blocks import ClientAddress
+from coralfall.lookups.blocktable import BlockTable, Fetch, load_block_table
+from coralfall.lookups.lookup import Lookup
 
 from . import block_tables, lookup_load, lookup_server
 from .apply_cost import measure_apply
--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -11,10 +11,10 @@
 
 from tests.virtual_loop import LoopClock, run_virtual
 
-from coralfall.claims import Claim, ClaimBook
+from coralfall.cluster.rows import KeptAnswer
+from coralfall.idempotency.claims import Claim, ClaimBook
 from coralfall.ids import EntryId, IdempotencyKey, Incarnation, PartnerId, ServiceId
-from coralfall.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
-from coralfall.rows import KeptAnswer
+from coralfall.stores.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
 
 ENTRIES = 12
 #: Commands a second of all entries together.
--- a/benchmarks/deciders.py
+++ b/benchmarks/deciders.py
@@ -6,11 +6,16 @@
 import typing as t
 
 from coralfall import defaults
-from coralfall.bundle import Bundle, Head, Service, VersionRef
-from coralfall.clock import ManualClock, PlatformClock
+from coralfall.balancing.handover import Ack
+from coralfall.balancing.lending import Borrower, Lender
+from coralfall.balancing.slots import SlotTable
+from coralfall.balancing.steering import AttemptResult, Reservation, Steering
+from coralfall.bundles.bundle import Bundle, Head, Service, VersionRef
+from coralfall.bundles.rollout import PartnerRollout
+from coralfall.cluster.lease import Lease
+from coralfall.cluster.roster import Roster
+from coralfall.cluster.rows import Member
 from coralfall.exceptions import RefusedError
-from coralfall.fleet import FleetSteering
-from coralfall.handover import Ack
 from coralfall.ids import (
     BundleVersion,
     Digest,
@@ -26,15 +31,10 @@
     VmId,
     ZoneId,
 )
-from coralfall.lease import Lease
-from coralfall.lending import Borrower, Lender
-from coralfall.messages import LoanReturn
-from coralfall.rollout import PartnerRollout
-from coralfall.roster import Roster
-from coralfall.rows import Member
+from coralfall.peering.messages import LoanReturn
+from coralfall.process.clock import ManualClock, PlatformClock
+from coralfall.reporting.fleet import FleetSteering
 from coralfall.settings import LeaseSettings
-from coralfall.slots import SlotTable
-from coralfall.steering import AttemptResult, Reservation, Steering
 
 from .fleet_model import FakeTarget, way_s
 
--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -14,12 +14,12 @@
 import random
 import typing as t
 
-from coralfall.clock import ManualClock
+from coralfall.balancing.steering import AttemptResult
 from coralfall.defaults import CONNECT_TIMEOUT_S, GRACE_S, MAX_ATTEMPTS, POLL_S
 from coralfall.exceptions import RefusedError
+from coralfall.forwarding.retry import RetryBudget
 from coralfall.ids import EntryId, PartnerId, PolicyName, RegionId, ServiceId, TargetId, ZoneId
-from coralfall.retry import RetryBudget
-from coralfall.steering import AttemptResult
+from coralfall.process.clock import ManualClock
 
 from .deciders import Decider, Ours, Simple
 from .fleet_model import (
--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -6,8 +6,7 @@
 import selectors
 import typing as t
 
-from coralfall.bundle import Bundle, Region, Service, Target
-from coralfall.clock import ManualClock
+from coralfall.bundles.bundle import Bundle, Region, Service, Target
 from coralfall.ids import (
     BundleVersion,
     PartnerId,
@@ -18,6 +17,7 @@
     TargetState,
     ZoneId,
 )
+from coralfall.process.clock import ManualClock
 
 #: Delay between zones of different partners, which the brief does not state, in seconds.
 FAR_S = 0.035
--- a/benchmarks/lookup_load.py
+++ b/benchmarks/lookup_load.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from coralfall.blocks import ClientAddress, Family
+from coralfall.lookups.blocks import ClientAddress, Family
 from coralfall.settings import split_address
 
 CONNECTIONS = 32
--- a/benchmarks/lookup_server.py
+++ b/benchmarks/lookup_server.py
@@ -10,15 +10,15 @@
 import sys
 import typing as t
 
-from coralfall import loop
-from coralfall.blocktable import BlockTable, load_block_table
-from coralfall.bundle import Bundle, Site
-from coralfall.callers import CallersApp
+from coralfall.bundles.bundle import Bundle, Site
+from coralfall.cluster.rows import Member
+from coralfall.forwarding.callers import CallersApp
+from coralfall.http.server import HttpServer
 from coralfall.ids import BundleVersion, EntryId, Incarnation, PartnerId, RegionId, VmId, ZoneId
-from coralfall.lookup import Lookup
-from coralfall.lookup_http import LookupHttp
-from coralfall.rows import Member
-from coralfall.server import HttpServer
+from coralfall.lookups.blocktable import BlockTable, load_block_table
+from coralfall.lookups.lookup import Lookup
+from coralfall.lookups.lookup_http import LookupHttp
+from coralfall.process import loop
 
 from .block_tables import SITES, ObjectFile
 
--- a/benchmarks/ownership.py
+++ b/benchmarks/ownership.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
+from coralfall.balancing.ownership import ranked
 from coralfall.ids import EntryId, TargetId
-from coralfall.ownership import ranked
 
 Key = t.Tuple[TargetId, int]
 Owners = t.Dict[Key, EntryId]
--- a/benchmarks/request_path.py
+++ b/benchmarks/request_path.py
@@ -27,11 +27,13 @@
 import uvloop
 from starlette.responses import Response
 
-from coralfall import bundle
-from coralfall.answer import Answer
-from coralfall.callers import CallersApp, LookupSource
-from coralfall.clock import SystemClock
-from coralfall.dispatch import Dispatcher
+from coralfall.balancing.steering import AttemptResult, Reservation, Steering
+from coralfall.bundles import bundle
+from coralfall.forwarding.answer import Answer
+from coralfall.forwarding.callers import CallersApp, LookupSource
+from coralfall.forwarding.dispatch import Dispatcher
+from coralfall.forwarding.retry import RetryBudget
+from coralfall.forwarding.upstream import Upstream
 from coralfall.ids import (
     BundleVersion,
     Outcome,
@@ -41,9 +43,7 @@
     ServiceId,
     TargetId,
 )
-from coralfall.retry import RetryBudget
-from coralfall.steering import AttemptResult, Reservation, Steering
-from coralfall.upstream import Upstream
+from coralfall.process.clock import SystemClock
 
 if t.TYPE_CHECKING:
     from starlette.types import Receive, Scope, Send
--- a/benchmarks/slot_cost.py
+++ b/benchmarks/slot_cost.py
@@ -11,16 +11,16 @@
 from tests.bundles import COSECHA, make_bundle, make_target
 from tests.members import make_member
 
-from coralfall.clock import ManualClock
-from coralfall.handover import Ack
+from coralfall.balancing.handover import Ack
+from coralfall.balancing.limits import CapacityLimits
+from coralfall.balancing.slots import SlotTable
+from coralfall.cluster.lease import Lease
+from coralfall.cluster.roster import Roster
+from coralfall.cluster.rows import roster_key
 from coralfall.ids import EntryId, Incarnation, Revision, ServiceId
-from coralfall.lease import Lease
-from coralfall.limits import CapacityLimits
-from coralfall.roster import Roster
-from coralfall.rows import roster_key
+from coralfall.process.clock import ManualClock
 from coralfall.settings import LeaseSettings
-from coralfall.slots import SlotTable
-from coralfall.store import Row
+from coralfall.stores.store import Row
 
 #: Members, and targets of six slots.
 SIZES = ((22, 85), (530, 2000))
--- a/docs/settings_reference.py
+++ b/docs/settings_reference.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
+from coralfall.bundles.trust import TrustSettings
 from coralfall.settings import EntrySettings, PlatformStandinSettings, TargetStandinSettings
-from coralfall.trust import TrustSettings
 
 PAGE = pathlib.Path(__file__).with_name("SETTINGS.md")
 _INTRODUCTION = """# Settings
--- a/src/coralfall/__init__.py
+++ b/src/coralfall/__init__.py
@@ -8,47 +8,47 @@
 import typing as t
 
 if t.TYPE_CHECKING:
-    from .bundle import Bundle as Bundle
-    from .bundle import SignedBundle as SignedBundle
-    from .callers import LookupSource as LookupSource
-    from .child import Child as Child
-    from .clock import Clock as Clock
-    from .entry import Entry as Entry
+    from .balancing.routing import Policy as Policy
+    from .balancing.steering import Steering as Steering
+    from .bundles.bundle import Bundle as Bundle
+    from .bundles.bundle import SignedBundle as SignedBundle
+    from .cluster.entry import Entry as Entry
     from .exceptions import CoralfallError as CoralfallError
     from .exceptions import PlatformError as PlatformError
     from .exceptions import RefusedError as RefusedError
-    from .observer import RequestObserver as RequestObserver
-    from .peer_handler import PeerHandler as PeerHandler
-    from .routing import Policy as Policy
+    from .forwarding.callers import LookupSource as LookupSource
+    from .forwarding.observer import RequestObserver as RequestObserver
+    from .peering.peer_handler import PeerHandler as PeerHandler
+    from .process.child import Child as Child
+    from .process.clock import Clock as Clock
     from .settings import EntrySettings as EntrySettings
     from .settings import load_settings as load_settings
-    from .steering import Steering as Steering
-    from .store import ObjectStore as ObjectStore
-    from .store import Platform as Platform
-    from .store import Table as Table
-    from .store import VmList as VmList
+    from .stores.store import ObjectStore as ObjectStore
+    from .stores.store import Platform as Platform
+    from .stores.store import Table as Table
+    from .stores.store import VmList as VmList
 
 __version__ = "0.1.0"
 
 _MODULE_BY_NAME = {
-    "Bundle": "bundle",
-    "Child": "child",
-    "Clock": "clock",
+    "Bundle": "bundles.bundle",
+    "Child": "process.child",
+    "Clock": "process.clock",
     "CoralfallError": "exceptions",
-    "Entry": "entry",
+    "Entry": "cluster.entry",
     "EntrySettings": "settings",
-    "LookupSource": "callers",
-    "ObjectStore": "store",
-    "PeerHandler": "peer_handler",
-    "Platform": "store",
+    "LookupSource": "forwarding.callers",
+    "ObjectStore": "stores.store",
+    "PeerHandler": "peering.peer_handler",
+    "Platform": "stores.store",
     "PlatformError": "exceptions",
-    "Policy": "routing",
+    "Policy": "balancing.routing",
     "RefusedError": "exceptions",
-    "RequestObserver": "observer",
-    "SignedBundle": "bundle",
-    "Steering": "steering",
-    "Table": "store",
-    "VmList": "store",
+    "RequestObserver": "forwarding.observer",
+    "SignedBundle": "bundles.bundle",
+    "Steering": "balancing.steering",
+    "Table": "stores.store",
+    "VmList": "stores.store",
     "load_settings": "settings",
 }
 __all__ = list(_MODULE_BY_NAME)
--- a/src/coralfall/capacity.py
+++ b/src/coralfall/balancing/capacity.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from .bundle import Bundle, Grant, Region, Service, Target
-from .ids import PartnerId, RegionId, TargetId, TargetState
+from ..bundles.bundle import Bundle, Grant, Region, Service, Target
+from ..ids import PartnerId, RegionId, TargetId, TargetState
 from .ramp import ramped_slots
 
 #: States of a target from the strictest down.
@@ -130,7 +130,7 @@
     """A bundle that allows only what both allow; for while it is unknown which is in force.
 
     How many slots each target gets is not to be worked out from the result, since what one
-    target loses another would gain: see :class:`coralfall.limits.CapacityLimits`.
+    target loses another would gain: see :class:`coralfall.balancing.limits.CapacityLimits`.
 
     :param accepted: gives weights, policies, sites and blocks.
     :param staged: of the same partner.
--- a/src/coralfall/drain.py
+++ b/src/coralfall/balancing/drain.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from .ids import TargetId
+from ..ids import TargetId
 
 #: Drains that are remembered after their target has gone from the bundle.
 KEPT_DRAINS = 100
--- a/src/coralfall/handover.py
+++ b/src/coralfall/balancing/handover.py
@@ -18,7 +18,8 @@
     it may come from a member that owns the slot again by the newer one.
 
 What is left
-    A frozen lease does not lapse with the time: see :mod:`coralfall.lease`.  And an entry that
+    A frozen lease does not lapse with the time: see :mod:`coralfall.cluster.lease`.  And an entry
+    that
     joins just after a bundle has lowered a timeout does not know the longer one, which
     requests of a member removed in the same moments may still have.
 """
@@ -27,11 +28,11 @@
 
 import msgspec
 
-from .ids import EntryId, EntryState, Incarnation, Revision, TargetId
+from ..ids import EntryId, EntryState, Incarnation, Revision, TargetId
 from .ownership import ranked
 
 if t.TYPE_CHECKING:
-    from .roster import Roster
+    from ..cluster.roster import Roster
 
 _NO_REVISION = Revision(0)
 _NO_LIMIT = Revision(1 << 63)
--- a/src/coralfall/health.py
+++ b/src/coralfall/balancing/health.py
@@ -7,9 +7,9 @@
 import math
 import typing as t
 
-from . import defaults
-from .bundle import Target
-from .ids import RegionId, TargetId, ZoneId
+from .. import defaults
+from ..bundles.bundle import Target
+from ..ids import RegionId, TargetId, ZoneId
 from .ramp import backoff, ramped_slots
 
 #: Weight of one new latency in a target's mean, and of one in its zone's.
--- a/src/coralfall/lending.py
+++ b/src/coralfall/balancing/lending.py
@@ -9,7 +9,7 @@
     leaves it alone until ``seconds`` and the service's timeout after it *received* the
     request, which is later.  Both count on their own clocks, whatever happened to the answer.
     The owner grants no longer than its lease counts, so that to everyone else the borrower is
-    as good as the owner: see :mod:`coralfall.handover`.
+    as good as the owner: see :mod:`coralfall.balancing.handover`.
 """
 
 import random
@@ -17,14 +17,14 @@
 
 import msgspec
 
-from . import defaults
-from .ids import EntryId, RegionId, ServiceId
-from .messages import LentSlot, LoanAnswer, LoanRequest, LoanReturn
+from .. import defaults
+from ..ids import EntryId, RegionId, ServiceId
+from ..peering.messages import LentSlot, LoanAnswer, LoanRequest, LoanReturn
 from .slots import Slot, SlotTable
 
 if t.TYPE_CHECKING:
-    from .clock import Clock
-    from .lease import Lease
+    from ..cluster.lease import Lease
+    from ..process.clock import Clock
 
 #: Seconds after which a peer's word on its idle slots is no longer relied on.
 IDLE_MEMORY_S = 5.0
--- a/src/coralfall/limits.py
+++ b/src/coralfall/balancing/limits.py
@@ -17,13 +17,13 @@
 
 import msgspec
 
-from . import defaults
-from .bundle import Bundle
+from .. import defaults
+from ..bundles.bundle import Bundle
+from ..ids import BundleVersion, PartnerId, RegionId, ServiceId, TargetId
 from .capacity import Pool, places_of, pool_limit, pools, reserved_slots, usable_slots
-from .ids import BundleVersion, PartnerId, RegionId, ServiceId, TargetId
 
 if t.TYPE_CHECKING:
-    from .clock import Clock
+    from ..process.clock import Clock
 
 
 class TargetLimit(msgspec.Struct, frozen=True):
--- a/src/coralfall/link.py
+++ b/src/coralfall/balancing/link.py
@@ -12,12 +12,12 @@
 
 import msgspec
 
-from . import defaults
-from .bundle import Bundle
-from .ids import PartnerId, RegionId
+from .. import defaults
+from ..bundles.bundle import Bundle
+from ..ids import PartnerId, RegionId
 
 if t.TYPE_CHECKING:
-    from .clock import Clock
+    from ..process.clock import Clock
     from .limits import Limits
 
 
@@ -39,7 +39,7 @@
 
     :param bundles: bundles that may be in force; the least rate that a region has in any counts.
     :param limits: slots of all targets.
-    :param held: of :meth:`coralfall.slots.SlotTable.held_by_region`.
+    :param held: of :meth:`coralfall.balancing.slots.SlotTable.held_by_region`.
     """
     slots_by_region: t.Dict[RegionId, int] = {}
     for limit in limits.values():
--- a/src/coralfall/ownership.py
+++ b/src/coralfall/balancing/ownership.py
@@ -11,7 +11,7 @@
 import struct
 import typing as t
 
-from .ids import EntryId, TargetId
+from ..ids import EntryId, TargetId
 
 #: A BLAKE2b digest has 64 bytes, and a score takes 8.
 SLOTS_PER_DIGEST = 8
--- a/src/coralfall/ramp.py
+++ b/src/coralfall/balancing/ramp.py
@@ -1,6 +1,6 @@
 """Ramps: how many slots of a target that comes back may be used while it is cold."""
 
-from . import defaults
+from .. import defaults
 
 
 def ramped_slots(slots: int, since: float, now: float, ramp_s: float) -> int:
--- a/src/coralfall/routing.py
+++ b/src/coralfall/balancing/routing.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
-from .bundle import Service, Target
-from .exceptions import RefusedError
+from ..bundles.bundle import Service, Target
+from ..exceptions import RefusedError
+from ..ids import PolicyName, RegionId, ServiceId, TargetId, ZoneId
 from .health import ServiceHealth
-from .ids import PolicyName, RegionId, ServiceId, TargetId, ZoneId
 from .shift import ShiftGovernor
 
 #: Seconds between two reckonings of what changes slowly (load, latency, shares).
--- a/src/coralfall/shift.py
+++ b/src/coralfall/balancing/shift.py
@@ -7,9 +7,9 @@
 
 import typing as t
 
-from . import defaults
-from .bundle import Bundle, Head, Service
-from .ids import RegionId, ServiceId
+from .. import defaults
+from ..bundles.bundle import Bundle, Head, Service
+from ..ids import RegionId, ServiceId
 
 Shares = t.Dict[RegionId, float]
 
--- a/src/coralfall/slots.py
+++ b/src/coralfall/balancing/slots.py
@@ -1,24 +1,25 @@
 """Slots: which units of the targets' capacity this entry may use now.
 
-Who owns a slot is said in :mod:`coralfall.ownership`; when a new owner may begin to use it, in
-:mod:`coralfall.handover`.
+Who owns a slot is said in :mod:`coralfall.balancing.ownership`; when a new owner may begin to use
+it, in
+:mod:`coralfall.balancing.handover`.
 """
 
 import typing as t
 
-from . import defaults
+from .. import defaults
+from ..ids import EntryId, RegionId, Revision, ServiceId, TargetId
 from .demand import PeakDemand
 from .handover import Ack, Handover, Settled
-from .ids import EntryId, RegionId, Revision, ServiceId, TargetId
 from .ownership import owned_indices, owners_of, wins
 
 if t.TYPE_CHECKING:
-    from .clock import Clock
-    from .lease import Lease
+    from ..cluster.lease import Lease
+    from ..cluster.roster import Roster
+    from ..peering.messages import LentSlot
+    from ..process.clock import Clock
+    from ..settings import LeaseSettings
     from .limits import Limits, TargetLimit
-    from .messages import LentSlot
-    from .roster import Roster
-    from .settings import LeaseSettings
 
 #: Targets worked through in one step of :meth:`SlotTable.update`.
 TARGETS_PER_STEP = 8
@@ -121,7 +122,8 @@
         roster as soon as the call returns.  For those that are gained go on with
         :meth:`steps`.
 
-        :param limits: of :class:`coralfall.limits.CapacityLimits`; not to be changed later.
+        :param limits: of :class:`coralfall.balancing.limits.CapacityLimits`; not to be changed
+            later.
         """
         if limits is not self._limits:
             self._take_limits(limits)
@@ -286,7 +288,7 @@
                     held[slot.region] = held.get(slot.region, 0) + 1
         return held
 
-    # Lending; see coralfall.lending.
+    # Lending; see coralfall.balancing.lending.
 
     def owners(self, service: ServiceId, regions: t.Collection[RegionId]) -> t.Dict[EntryId, int]:
         """How many slots of the service each other member owns, by the roster known here.
--- a/src/coralfall/steering.py
+++ b/src/coralfall/balancing/steering.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from .bundle import Service
-from .ids import BundleVersion, PartnerId, RegionId, ServiceId, TargetId
+from ..bundles.bundle import Service
+from ..ids import BundleVersion, PartnerId, RegionId, ServiceId, TargetId
 
 
 class AttemptResult(enum.Enum):
--- a/src/coralfall/blockdiff.py
+++ b/src/coralfall/bundles/blockdiff.py
@@ -4,11 +4,11 @@
 
 import msgspec
 
-from .blocks import TABLE_BITS, Block
+from ..ids import Digest, SiteId
+from ..lookups.blocks import TABLE_BITS, Block
+from ..lookups.chunks import Chunk, decode_chunk, decode_page
 from .bundle import Bundle
-from .chunks import Chunk, decode_chunk, decode_page
 from .diff import Change, diff_values
-from .ids import Digest, SiteId
 
 #: Most block changes that are named one by one.
 SHOWN_BLOCKS = 5
--- a/src/coralfall/bundle.py
+++ b/src/coralfall/bundles/bundle.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from . import defaults
-from .ids import (
+from .. import defaults
+from ..ids import (
     BundleVersion,
     Digest,
     KeyId,
--- a/src/coralfall/bundle_cli.py
+++ b/src/coralfall/bundles/bundle_cli.py
@@ -7,12 +7,13 @@
 
 import typer
 
-from . import terminal
-from .ids import Digest, PartnerId
-from .platform_cli import PlatformOption, with_platform
-from .terminal import ExitCode, JsonOption, reporting, show
+from ..ids import Digest, PartnerId
+from ..reporting import terminal
+from ..reporting.terminal import ExitCode, JsonOption, reporting, show
+from ..stores.platform_cli import PlatformOption, with_platform
 
 if t.TYPE_CHECKING:
+    from ..stores.store import Platform
     from .blockdiff import BlockDiff, Source
     from .bundle import Bundle, Head
     from .diff import Change
@@ -20,7 +21,6 @@
     from .rollout_status import PartnerStatus
     from .signedfile import SignedFile
     from .signing import Trust
-    from .store import Platform
 
 app = typer.Typer(help="Bundles: draft, sign, submit, look up.", no_args_is_help=True)
 
@@ -38,8 +38,8 @@
 def new(path: DraftArgument, partner: PartnerOption, as_json: JsonOption = False) -> None:
     """Write a commented starting draft to PATH, which must not exist."""
     with reporting(as_json):
+        from ..exceptions import Fault
         from . import rules, starter
-        from .exceptions import Fault
 
         text = starter.starter_draft(PartnerId(partner))
         try:
@@ -252,7 +252,7 @@
 
 
 async def _wait(services: "Platform", bundle: "Bundle", timeout_s: float) -> None:
-    from .clock import SystemClock
+    from ..process.clock import SystemClock
     from .rollout_status import wait_in_force
 
     shown: t.List[str] = []
@@ -285,8 +285,8 @@
 
 
 def _bad_argument(name: str, message: str) -> Exception:
+    from ..exceptions import Fault
     from . import rules
-    from .exceptions import Fault
 
     return rules.bundle_error("arguments", [Fault(name, "bad-argument", message)])
 
--- a/src/coralfall/diff.py
+++ b/src/coralfall/bundles/diff.py
@@ -30,7 +30,7 @@
     """Changes from ``old`` to ``new`` in the order of their paths.
 
     A region, service, target or site that only one of them has is one change. That the block
-    tables differ is one change as well; :mod:`coralfall.blockdiff` says by which blocks.
+    tables differ is one change as well; :mod:`coralfall.bundles.blockdiff` says by which blocks.
     """
     changes = diff_values("", _plain(old), _plain(new))
     return sorted(changes, key=lambda change: change.path)
--- a/src/coralfall/draft.py
+++ b/src/coralfall/bundles/draft.py
@@ -6,13 +6,13 @@
 
 import msgspec
 
+from ..exceptions import Fault, InputError
+from ..ids import BundleVersion, Digest, PartnerId, RegionId, ServiceId, SiteId, TargetId
+from ..lookups.chunks import load_block_files
+from ..tomlfile import read_toml
+from ..validation import collect_faults
 from . import rules
 from .bundle import Bundle, ChunkRef, Grant, Model, Region, Service, Site, Target
-from .chunks import load_block_files
-from .exceptions import Fault, InputError
-from .ids import BundleVersion, Digest, PartnerId, RegionId, ServiceId, SiteId, TargetId
-from .tomlfile import read_toml
-from .validation import collect_faults
 
 
 class Draft(Model, frozen=True):
--- a/src/coralfall/history.py
+++ b/src/coralfall/bundles/history.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
+from ..cluster.rows import decode_row
+from ..ids import BundleVersion, Digest, KeyId, PartnerId
+from ..stores.store import Platform, Row
 from .bundle import Head
-from .ids import BundleVersion, Digest, KeyId, PartnerId
-from .rows import decode_row
-from .store import Platform, Row
 
 HISTORY_PREFIX = "history/"
 #: Most history rows that one call to the platform reads.
--- a/src/coralfall/keys_cli.py
+++ b/src/coralfall/bundles/keys_cli.py
@@ -5,8 +5,8 @@
 
 import typer
 
-from .ids import KeyId
-from .terminal import JsonOption, reporting, show
+from ..ids import KeyId
+from ..reporting.terminal import JsonOption, reporting, show
 
 app = typer.Typer(
     help="Signing keys of operators, and the fleet's shared key.", no_args_is_help=True
@@ -21,8 +21,8 @@
 ) -> None:
     """Make a signing key: the private half goes to PATH (mode 0600), the public is printed."""
     with reporting(as_json):
+        from ..exceptions import Fault
         from . import rules, signing
-        from .exceptions import Fault
 
         if not rules.is_id(key_id):
             fault = Fault("key_id", "bad-id", f"found {key_id!r}; {rules.ID_RULE}")
@@ -39,7 +39,7 @@
 ) -> None:
     """Make the key that all entries share: it goes to PATH (mode 0600) and is not printed."""
     with reporting(as_json):
-        from .fleetkey import new_fleet_key
+        from ..peering.fleetkey import new_fleet_key
 
         new_fleet_key(path)
         text = f"wrote {path}; put it on every entry VM, where peers.fleet_key_file names it"
--- a/src/coralfall/line.py
+++ b/src/coralfall/bundles/line.py
@@ -1,23 +1,24 @@
 """A partner's line of versions on the platform: its head, its history, and how it moves on.
 
 A line here is the sequence of one partner's bundle versions; the line of planned shares is
-:mod:`coralfall.shift`. A version number is staged once only: its history row must be absent and
+:mod:`coralfall.balancing.shift`. A version number is staged once only: its history row must be
+absent and
 is written with the head. So a version stands for one digest wherever it is named. A staged
 bundle is never taken back; the next version replaces it, which entries that hold it take as any
-newer head. :mod:`coralfall.submission` stages a version.
+newer head. :mod:`coralfall.bundles.submission` stages a version.
 """
 
 import typing as t
 
 import msgspec
 
+from ..cluster.rows import HEAD_PREFIX, decode_row, head_key
+from ..exceptions import PlatformError, PlatformUnknownError, SubmitError
+from ..ids import BundleVersion, Digest, PartnerId, RegionId, Revision, ServiceId
+from ..stores.store import Check, Platform, Write
 from . import signing
 from .bundle import Bundle, Head, VersionRef, encode
-from .exceptions import PlatformError, PlatformUnknownError, SubmitError
 from .history import HistoryRow, decode_history, history_key, read_history
-from .ids import BundleVersion, Digest, PartnerId, RegionId, Revision, ServiceId
-from .rows import HEAD_PREFIX, decode_row, head_key
-from .store import Check, Platform, Write
 
 #: Shares of a service's requests by region, as the head keeps them.
 Shares = t.Dict[ServiceId, t.Dict[RegionId, float]]
--- a/src/coralfall/removal.py
+++ b/src/coralfall/bundles/removal.py
@@ -9,14 +9,14 @@
 
 import msgspec
 
-from . import defaults
-from .ids import EntryId, Incarnation, Revision, VmId
-from .rows import LEASE_PREFIX, Member
+from .. import defaults
+from ..cluster.rows import LEASE_PREFIX, Member
+from ..ids import EntryId, Incarnation, Revision, VmId
 
 if t.TYPE_CHECKING:
-    from .clock import Clock
-    from .settings import LeaseSettings
-    from .store import Row, Vm
+    from ..process.clock import Clock
+    from ..settings import LeaseSettings
+    from ..stores.store import Row, Vm
 
 
 class _Sighting(msgspec.Struct):
--- a/src/coralfall/remover.py
+++ b/src/coralfall/bundles/remover.py
@@ -4,17 +4,17 @@
 
 import msgspec
 
-from . import log
-from .exceptions import PlatformError
-from .ids import EntryId
+from ..cluster.rows import Member, lease_key, roster_key
+from ..exceptions import PlatformError
+from ..ids import EntryId
+from ..process import log
+from ..stores.store import Check, Platform, Write
 from .removal import LeaseObserver, removable
-from .rows import Member, lease_key, roster_key
-from .store import Check, Platform, Write
 
 if t.TYPE_CHECKING:
-    from .clock import Clock
-    from .roster import Roster
-    from .settings import LeaseSettings
+    from ..cluster.roster import Roster
+    from ..process.clock import Clock
+    from ..settings import LeaseSettings
 
 
 class Remover:
--- a/src/coralfall/rollout.py
+++ b/src/coralfall/bundles/rollout.py
@@ -2,9 +2,9 @@
 
 import typing as t
 
+from ..balancing.capacity import stricter
+from ..ids import BundleVersion, Digest, PartnerId, Revision
 from .bundle import Bundle, Head, VersionRef
-from .capacity import stricter
-from .ids import BundleVersion, Digest, PartnerId, Revision
 
 
 class PartnerRollout:
--- a/src/coralfall/rollout_status.py
+++ b/src/coralfall/bundles/rollout_status.py
@@ -5,11 +5,7 @@
 
 import msgspec
 
-from .bundle import Head, VersionRef
-from .exceptions import PlatformUnavailableError, SubmitError
-from .history import HistoryRow, decode_history, history_key
-from .ids import BundleVersion, Digest, EntryId, EntryState, KeyId, PartnerId, Revision, VmId
-from .rows import (
+from ..cluster.rows import (
     HEAD_PREFIX,
     LEASE_PREFIX,
     ROSTER_PREFIX,
@@ -18,10 +14,14 @@
     RowT,
     decode_row,
 )
-from .store import Changes, Platform
+from ..exceptions import PlatformUnavailableError, SubmitError
+from ..ids import BundleVersion, Digest, EntryId, EntryState, KeyId, PartnerId, Revision, VmId
+from ..stores.store import Changes, Platform
+from .bundle import Head, VersionRef
+from .history import HistoryRow, decode_history, history_key
 
 if t.TYPE_CHECKING:
-    from .clock import Clock
+    from ..process.clock import Clock
 
 #: Seconds between two looks while waiting.
 WAIT_POLL_S = 0.5
--- a/src/coralfall/rules.py
+++ b/src/coralfall/bundles/rules.py
@@ -5,10 +5,10 @@
 import re
 import typing as t
 
+from ..exceptions import BundleError, Fault
+from ..ids import RegionId, ServiceId, TargetState, ZoneId
+from ..settings import split_address
 from .bundle import Bundle, Service, Target
-from .exceptions import BundleError, Fault
-from .ids import RegionId, ServiceId, TargetState, ZoneId
-from .settings import split_address
 
 #: Partners that would hide a path of the callers' port.
 RESERVED_PARTNERS = frozenset({"lookup"})
--- a/src/coralfall/sample.py
+++ b/src/coralfall/bundles/sample.py
@@ -2,8 +2,17 @@
 
 import typing as t
 
+from ..ids import (
+    BundleVersion,
+    PartnerId,
+    PolicyName,
+    RegionId,
+    ServiceId,
+    SiteId,
+    TargetId,
+    ZoneId,
+)
 from .bundle import Bundle, Grant, Objective, Region, Service, Site, Target
-from .ids import BundleVersion, PartnerId, PolicyName, RegionId, ServiceId, SiteId, TargetId, ZoneId
 
 
 class SampleService(t.NamedTuple):
--- a/src/coralfall/signedfile.py
+++ b/src/coralfall/bundles/signedfile.py
@@ -6,12 +6,12 @@
 
 import msgspec
 
+from ..exceptions import BundleError, Fault
+from ..ids import Digest
+from ..lookups.chunks import decode_page
 from . import rules, signing
 from .bundle import Bundle, Model, SignedBundle, digest_of, encode
-from .chunks import decode_page
 from .draft import LoadedDraft
-from .exceptions import BundleError, Fault
-from .ids import Digest
 
 #: Ending of the names of signed files.
 SUFFIX = ".signed"
--- a/src/coralfall/signing.py
+++ b/src/coralfall/bundles/signing.py
@@ -12,10 +12,10 @@
 import nacl.exceptions
 import nacl.signing
 
-from . import defaults
+from .. import defaults
+from ..exceptions import SignatureError
+from ..ids import KeyId, PartnerId
 from .bundle import Bundle, Model, Signature, SignedBundle, digest_of, encode
-from .exceptions import SignatureError
-from .ids import KeyId, PartnerId
 
 #: Public keys in base64 by key id: who may sign for one partner.
 PartnerKeys = t.Mapping[KeyId, str]
--- a/src/coralfall/staging.py
+++ b/src/coralfall/bundles/staging.py
@@ -2,13 +2,14 @@
 
 import typing as t
 
-from . import log, rules, signing
-from .blocktable import BlockTable, load_block_table
+from ..exceptions import CoralfallError, PeerError, PlatformError, SignatureError
+from ..ids import Digest
+from ..lookups.blocktable import BlockTable, load_block_table
+from ..process import log
+from ..stores.store import ObjectStore
+from . import rules, signing
 from .bundle import Bundle, VersionRef, digest_of
-from .exceptions import CoralfallError, PeerError, PlatformError, SignatureError
-from .ids import Digest
 from .rollout import PartnerRollout
-from .store import ObjectStore
 
 #: Gives the bytes of an object that a peer holds; raises ``PeerError`` if none does.
 PeerFetch = t.Callable[[Digest], t.Awaitable[bytes]]
--- a/src/coralfall/starter.py
+++ b/src/coralfall/bundles/starter.py
@@ -2,9 +2,9 @@
 
 import string
 
+from ..exceptions import Fault
+from ..ids import PartnerId
 from . import rules
-from .exceptions import Fault
-from .ids import PartnerId
 
 _TEMPLATE = string.Template("""\
 # Draft of a bundle. Check it with `coralfall bundle check`, have two operators sign it with
--- a/src/coralfall/submission.py
+++ b/src/coralfall/bundles/submission.py
@@ -5,14 +5,15 @@
 
 import msgspec
 
-from . import chunks, diff, rules, signing
+from ..cluster.rows import head_key
+from ..exceptions import CoralfallError, PlatformError, PlatformUnknownError, SubmitError
+from ..ids import BundleVersion, Digest, Revision
+from ..lookups import chunks
+from ..stores.store import Platform, Write
+from . import diff, rules, signing
 from .bundle import Bundle, Head, SignedBundle, VersionRef, digest_of, encode, short_digest
-from .exceptions import CoralfallError, PlatformError, PlatformUnknownError, SubmitError
 from .history import HistoryRow, history_key, newest_version
-from .ids import BundleVersion, Digest, Revision
 from .line import LineView, fetch_bundle, read_line
-from .rows import head_key
-from .store import Platform, Write
 
 #: How often a submission reads the head and writes it before it gives up.
 SUBMIT_ATTEMPTS = 5
--- a/src/coralfall/trust.py
+++ b/src/coralfall/bundles/trust.py
@@ -10,10 +10,10 @@
 import pathlib
 import typing as t
 
+from ..exceptions import Fault, SignatureError
+from ..ids import KeyId, PartnerId
+from ..settings import PartnerSettings, Settings, load_settings, settings_error
 from . import signing
-from .exceptions import Fault, SignatureError
-from .ids import KeyId, PartnerId
-from .settings import PartnerSettings, Settings, load_settings, settings_error
 
 
 class TrustSettings(Settings, frozen=True):
@@ -36,7 +36,7 @@
 
 
 def trust_of(partners: t.Mapping[PartnerId, PartnerSettings]) -> signing.Trust:
-    """The keys in settings, as :mod:`coralfall.signing` takes them."""
+    """The keys in settings, as :mod:`coralfall.bundles.signing` takes them."""
     return {partner: settings.keys for partner, settings in partners.items()}
 
 
--- a/src/coralfall/cli.py
+++ b/src/coralfall/cli.py
@@ -34,7 +34,7 @@
 @app.command()
 def entry(settings: SettingsFile) -> None:
     """Run the process of an entry VM."""
-    from .entry import run_entry
+    from .cluster.entry import run_entry
     from .settings import EntrySettings, load_settings
 
     raise typer.Exit(run_entry(load_settings(settings, EntrySettings)))
@@ -62,7 +62,7 @@
     ] = None,
 ) -> None:
     """Tell from log lines what became of a request, and why."""
-    from .explain import explain as story_of
+    from .reporting.explain import explain as story_of
 
     lines: t.List[str] = []
     for path in logs or ():
@@ -76,7 +76,7 @@
 def standin_platform(settings: SettingsFile) -> None:
     """Run a stand-in of the platform: table, object store and VM list."""
     from .settings import PlatformStandinSettings, load_settings
-    from .standin import run_platform
+    from .standins.standin import run_platform
 
     raise typer.Exit(run_platform(load_settings(settings, PlatformStandinSettings)))
 
@@ -85,7 +85,7 @@
 def standin_target(settings: SettingsFile) -> None:
     """Run a stand-in of one target."""
     from .settings import TargetStandinSettings, load_settings
-    from .standin import run_target
+    from .standins.standin import run_target
 
     raise typer.Exit(run_target(load_settings(settings, TargetStandinSettings)))
 
@@ -97,15 +97,15 @@
     ] = None,
 ) -> None:
     """Run platform, targets, entries and callers in one process, on loopback."""
-    from .dev import run_dev
+    from .standins.dev import run_dev
 
     raise typer.Exit(run_dev(seconds))
 
 
 def _mount() -> None:
-    from .bundle_cli import app as bundle_app
-    from .keys_cli import app as keys_app
-    from .report_cli import lookup, report
+    from .bundles.bundle_cli import app as bundle_app
+    from .bundles.keys_cli import app as keys_app
+    from .reporting.report_cli import lookup, report
 
     app.add_typer(bundle_app, name="bundle")
     app.add_typer(keys_app, name="keys")
--- a/src/coralfall/control.py
+++ b/src/coralfall/cluster/control.py
@@ -5,24 +5,24 @@
 
 import msgspec
 
-from . import log
-from .child import Child
-from .clock import Clock
-from .exceptions import PlatformError
-from .handover import Ack
-from .ids import Digest, EntryId, PartnerId, Revision
+from ..balancing.handover import Ack
+from ..bundles.rollout import PartnerRollout
+from ..exceptions import PlatformError
+from ..ids import Digest, EntryId, PartnerId, Revision
+from ..process import log
+from ..process.child import Child
+from ..process.clock import Clock
+from ..settings import EntrySettings
+from ..stores.store import Platform
 from .membership import Membership, MembershipState
-from .rollout import PartnerRollout
 from .roster import Roster
 from .rows import LeaseRow, Member, lease_key
-from .settings import EntrySettings
-from .store import Platform
 
 if t.TYPE_CHECKING:
-    from .fleet import FleetSteering
-    from .lookup import Lookup
-    from .slots import SlotTable
-    from .staging import Staging
+    from ..balancing.slots import SlotTable
+    from ..bundles.staging import Staging
+    from ..lookups.lookup import Lookup
+    from ..reporting.fleet import FleetSteering
 
 #: Intervals between two reads of the roster after which every entry has read a change.
 READS_UNTIL_KNOWN = 2
--- a/src/coralfall/conversation.py
+++ b/src/coralfall/cluster/conversation.py
@@ -3,26 +3,26 @@
 import asyncio
 import typing as t
 
-from . import log
-from .exceptions import PeerError
-from .handover import Ack
-from .ids import BundleVersion, Digest, EntryId, PartnerId, RegionId, ServiceId
-from .lending import Ask, Borrower, Lender, Return
-from .messages import Heartbeat, Hello, LoanAnswer, LoanRequest, LoanReturn, SyncAnswer
-from .peer_handler import PeerHandler
-from .rollout import PartnerRollout
+from ..balancing.handover import Ack
+from ..balancing.lending import Ask, Borrower, Lender, Return
+from ..bundles.rollout import PartnerRollout
+from ..exceptions import PeerError
+from ..ids import BundleVersion, Digest, EntryId, PartnerId, RegionId, ServiceId
+from ..peering.messages import Heartbeat, Hello, LoanAnswer, LoanRequest, LoanReturn, SyncAnswer
+from ..peering.peer_handler import PeerHandler
+from ..process import log
 from .rows import Member
 
 if t.TYPE_CHECKING:
-    from .clock import Clock
+    from ..balancing.slots import SlotTable
+    from ..bundles.staging import Staging
+    from ..peering.peers import PeerNetwork
+    from ..process.clock import Clock
+    from ..reporting.fleet import FleetSteering
     from .control import Control
-    from .fleet import FleetSteering
     from .lease import Lease
     from .membership import Membership
-    from .peers import PeerNetwork
     from .roster import Roster
-    from .slots import SlotTable
-    from .staging import Staging
 
 
 class Conversation(PeerHandler):
--- a/src/coralfall/coordinator.py
+++ b/src/coralfall/cluster/coordinator.py
@@ -4,20 +4,21 @@
 
 import msgspec
 
-from . import line, log
-from .bundle import VersionRef
-from .claim_sweep import ClaimSweeper
-from .clock import Clock
-from .exceptions import PlatformUnknownError, SubmitError
-from .ids import EntryId, PartnerId, Revision
+from ..balancing.shift import shares_at
+from ..bundles import line
+from ..bundles.bundle import VersionRef
+from ..bundles.remover import Remover
+from ..bundles.rollout import PartnerRollout
+from ..exceptions import PlatformUnknownError, SubmitError
+from ..idempotency.claim_sweep import ClaimSweeper
+from ..ids import EntryId, PartnerId, Revision
+from ..process import log
+from ..process.clock import Clock
+from ..settings import EntrySettings
+from ..stores.store import Check, Platform, Row, Write
 from .membership import Membership
-from .remover import Remover
-from .rollout import PartnerRollout
 from .roster import Roster
 from .rows import COORDINATOR_KEY, LEASE_PREFIX, CoordinatorRow, LeaseRow
-from .settings import EntrySettings
-from .shift import shares_at
-from .store import Check, Platform, Row, Write
 
 #: Most turns that an entry waits before it takes a duty that is free.
 MAX_TURNS = 10
--- a/src/coralfall/entry.py
+++ b/src/coralfall/cluster/entry.py
@@ -1,7 +1,7 @@
 """The process of an entry VM: builds its parts and runs them as one supervisor tree.
 
 An :class:`Entry` adds servers, streams to peers, connections to targets and the order of
-starting and stopping to a :class:`coralfall.node.Node`, which knows and decides.
+starting and stopping to a :class:`coralfall.cluster.node.Node`, which knows and decides.
 """
 
 import asyncio
@@ -9,39 +9,40 @@
 import random
 import typing as t
 
-from . import defaults, log, loop
-from .callers import CallersApp
-from .channel import Traffic
-from .child import Child, FunctionChild, PeriodicChild
-from .claims import ClaimBook
-from .clock import Clock, SystemClock
+from .. import defaults
+from ..bundles.trust import trust_of
+from ..forwarding.callers import CallersApp
+from ..forwarding.dispatch import Dispatcher
+from ..forwarding.retry import RetryBudget
+from ..forwarding.upstream import Upstream
+from ..http.server import HttpServer
+from ..idempotency.claims import ClaimBook
+from ..ids import Digest, Incarnation, Outcome, RegionId, ServiceId
+from ..lookups.lookup_http import LookupHttp
+from ..peering.channel import Traffic
+from ..peering.fleetkey import load_fleet_key
+from ..peering.messages import Hello
+from ..peering.peer_directory import PeerDirectory
+from ..peering.peer_server import PeerServer
+from ..peering.peers import PeerNetwork
+from ..process import log, loop
+from ..process.child import Child, FunctionChild, PeriodicChild
+from ..process.clock import Clock, SystemClock
+from ..process.metrics import Metrics
+from ..process.supervisor import Supervisor, supervise
+from ..reporting.operators import make_operators_app
+from ..reporting.service_levels import ServiceLevels
+from ..reporting.status import EntryStatus
+from ..reporting.status_builder import StatusBuilder
+from ..settings import EntrySettings
+from ..stores.http_platform import HttpPlatform
+from ..stores.store import Platform
 from .control import Leave, Presence
 from .conversation import Loans
-from .dispatch import Dispatcher
-from .fleetkey import load_fleet_key
 from .gauges import GAUGES_S, Gauges
-from .http_platform import HttpPlatform
-from .ids import Digest, Incarnation, Outcome, RegionId, ServiceId
-from .lookup_http import LookupHttp
 from .membership import MembershipState
-from .messages import Hello
-from .metrics import Metrics
 from .node import Node, NodeCallbacks
-from .operators import make_operators_app
-from .peer_directory import PeerDirectory
-from .peer_server import PeerServer
-from .peers import PeerNetwork
-from .retry import RetryBudget
 from .rows import Member
-from .server import HttpServer
-from .service_levels import ServiceLevels
-from .settings import EntrySettings
-from .status import EntryStatus
-from .status_builder import StatusBuilder
-from .store import Platform
-from .supervisor import Supervisor, supervise
-from .trust import trust_of
-from .upstream import Upstream
 
 #: Seconds between two looks at limits, ramps and loans.
 STEERING_S = 0.25
--- a/src/coralfall/gauges.py
+++ b/src/coralfall/cluster/gauges.py
@@ -3,11 +3,11 @@
 import math
 import typing as t
 
+from ..reporting.status_builder import resident_bytes
 from .lease import LeaseState
-from .status_builder import resident_bytes
 
 if t.TYPE_CHECKING:
-    from .metrics import Metrics
+    from ..process.metrics import Metrics
     from .node import Node
 
 #: Seconds between two settings of all gauges.
--- a/src/coralfall/lease.py
+++ b/src/coralfall/cluster/lease.py
@@ -12,8 +12,9 @@
     While the platform is out of reach nothing can be renewed, and stopping would turn each of
     its outages into one of ours.  So a lapsed lease may go on as ``FROZEN``.  This is safe for
     two reasons that lie elsewhere: an entry that joins uses no slot of a member that has not
-    acknowledged the new roster (see :mod:`coralfall.handover`), and a member is removed only on
-    evidence that its VM is gone (see :mod:`coralfall.removal`).  The peer exchange that a
+    acknowledged the new roster (see :mod:`coralfall.balancing.handover`), and a member is removed
+    only on
+    evidence that its VM is gone (see :mod:`coralfall.bundles.removal`).  The peer exchange that a
     frozen lease needs makes a removal known early.
 
 What is left
@@ -28,8 +29,8 @@
 import typing as t
 
 if t.TYPE_CHECKING:
-    from .clock import Clock
-    from .settings import LeaseSettings
+    from ..process.clock import Clock
+    from ..settings import LeaseSettings
 
 #: A failed renewal says that the platform is unreachable for this many ``ttl_s``.
 _FAILURE_TTLS = 2.0
--- a/src/coralfall/membership.py
+++ b/src/coralfall/cluster/membership.py
@@ -5,13 +5,15 @@
 
 import msgspec
 
-from . import log
-from .bundle import Head, encode
-from .clock import Clock, PlatformClock
-from .exceptions import PlatformError, PlatformUnknownError
-from .ids import EntryState, Incarnation, PartnerId, Revision
+from ..bundles.bundle import Head, encode
+from ..bundles.rollout import PartnerRollout
+from ..exceptions import PlatformError, PlatformUnknownError
+from ..ids import EntryState, Incarnation, PartnerId, Revision
+from ..process import log
+from ..process.clock import Clock, PlatformClock
+from ..settings import EntrySettings
+from ..stores.store import Check, Platform, Row, TransactResult, Write
 from .lease import Lease
-from .rollout import PartnerRollout
 from .roster import Roster, may_replace
 from .rows import (
     COORDINATOR_KEY,
@@ -26,8 +28,6 @@
     lease_key,
     roster_key,
 )
-from .settings import EntrySettings
-from .store import Check, Platform, Row, TransactResult, Write
 
 
 class MembershipState(enum.Enum):
--- a/src/coralfall/node.py
+++ b/src/coralfall/cluster/node.py
@@ -2,34 +2,35 @@
 
 A :class:`Node` joins the parts that follow the table and the peers and decide where requests
 go. It opens no port and connection of its own, so tests run many in one loop. The process
-around it, with its servers and its supervisor tree, is :class:`coralfall.entry.Entry`, which
+around it, with its servers and its supervisor tree, is :class:`coralfall.cluster.entry.Entry`,
+which
 gives the node what it needs of them as :class:`NodeCallbacks`.
 """
 
 import random
 import typing as t
 
-from .clock import Clock
+from ..balancing.lending import Borrower, Lender
+from ..balancing.slots import SlotTable
+from ..bundles.rollout import PartnerRollout
+from ..bundles.staging import PeerFetch, Staging
+from ..bundles.trust import trust_of
+from ..ids import RegionId, ServiceId
+from ..lookups.lookup import Lookup
+from ..process.clock import Clock
+from ..reporting.fleet import FleetSteering
+from ..settings import EntrySettings
+from ..stores.store import Platform
 from .control import Control
 from .conversation import Conversation
 from .coordinator import Coordinator
-from .fleet import FleetSteering
-from .ids import RegionId, ServiceId
 from .lease import Lease
-from .lending import Borrower, Lender
-from .lookup import Lookup
 from .membership import Membership
-from .rollout import PartnerRollout
 from .roster import Roster
 from .rows import Member
-from .settings import EntrySettings
-from .slots import SlotTable
-from .staging import PeerFetch, Staging
-from .store import Platform
-from .trust import trust_of
 
 if t.TYPE_CHECKING:
-    from .fleet import AskLoan
+    from ..reporting.fleet import AskLoan
 
 
 class NodeCallbacks(t.NamedTuple):
--- a/src/coralfall/roster.py
+++ b/src/coralfall/cluster/roster.py
@@ -5,11 +5,11 @@
 
 import msgspec
 
-from .ids import EntryId, Incarnation, Revision, VmId
+from ..ids import EntryId, Incarnation, Revision, VmId
 from .rows import ROSTER_PREFIX, Member
 
 if t.TYPE_CHECKING:
-    from .store import Row, Vm
+    from ..stores.store import Row, Vm
 
 
 class Roster:
--- a/src/coralfall/rows.py
+++ b/src/coralfall/cluster/rows.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from .exceptions import PlatformError
-from .ids import (
+from ..exceptions import PlatformError
+from ..ids import (
     BundleVersion,
     EntryId,
     EntryState,
@@ -23,7 +23,7 @@
 )
 
 if t.TYPE_CHECKING:
-    from .store import Row
+    from ..stores.store import Row
 
 RowT = t.TypeVar("RowT", bound=msgspec.Struct)
 
--- a/src/coralfall/answer.py
+++ b/src/coralfall/forwarding/answer.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from . import defaults
-from .bundle import Service
-from .exceptions import (
+from .. import defaults
+from ..bundles.bundle import Service
+from ..exceptions import (
     ClaimBusyError,
     ClaimMismatchError,
     ClaimUnknownError,
@@ -16,7 +16,7 @@
     TargetTimeoutError,
     TargetUnknownError,
 )
-from .ids import BundleVersion, Outcome
+from ..ids import BundleVersion, Outcome
 
 Headers = t.List[t.Tuple[bytes, bytes]]
 
--- a/src/coralfall/callers.py
+++ b/src/coralfall/forwarding/callers.py
@@ -5,10 +5,10 @@
 import time
 import typing as t
 
+from ..exceptions import CallerGoneError, RequestError, TargetError
+from ..http.caller_watch import CallerWatch
+from ..ids import Outcome, PartnerId, ServiceId
 from .answer import Answer, answer_of
-from .caller_watch import CallerWatch
-from .exceptions import CallerGoneError, RequestError, TargetError
-from .ids import Outcome, PartnerId, ServiceId
 from .request import CallerRequest, MemoryAccount, RequestBody
 
 if t.TYPE_CHECKING:
--- a/src/coralfall/carrier.py
+++ b/src/coralfall/forwarding/carrier.py
@@ -3,25 +3,25 @@
 import asyncio
 import typing as t
 
-from . import defaults
-from .answer import Answer
-from .exceptions import (
+from .. import defaults
+from ..exceptions import (
     CoralfallError,
     RefusedError,
     TargetError,
     TargetNotRunError,
     TargetUnknownError,
 )
+from ..ids import Outcome, TargetId
+from .answer import Answer
 from .headers import headers_to_caller, headers_to_target
 from .hedge import Hedge, ReadLatency
-from .ids import Outcome, TargetId
 from .upstream import TargetRequest
 
 if t.TYPE_CHECKING:
-    from .clock import Clock
-    from .ids import PartnerId, ServiceId
+    from ..balancing.steering import Steering
+    from ..ids import PartnerId, ServiceId
+    from ..process.clock import Clock
     from .request import CallerRequest
-    from .steering import Steering
     from .upstream import Upstream
 
 
--- a/src/coralfall/dispatch.py
+++ b/src/coralfall/forwarding/dispatch.py
@@ -3,11 +3,9 @@
 import asyncio
 import typing as t
 
-from . import defaults
-from .answer import Answer, answer_of
-from .carrier import Carrier, Delivery
-from .command import answer_of_kept, fingerprint_of, key_of
-from .exceptions import (
+from .. import defaults
+from ..cluster.rows import KeptAnswer
+from ..exceptions import (
     CallerGoneError,
     ClaimBusyError,
     ClaimUnknownError,
@@ -17,17 +15,19 @@
     TargetNotRunError,
     TargetUnknownError,
 )
-from .ids import IdempotencyKey, Outcome
+from ..idempotency.command import answer_of_kept, fingerprint_of, key_of
+from ..ids import IdempotencyKey, Outcome
+from .answer import Answer, answer_of
+from .carrier import Carrier, Delivery
 from .request import body_too_large
-from .rows import KeptAnswer
 
 if t.TYPE_CHECKING:
-    from .bundle import Service
+    from ..balancing.steering import Steering
+    from ..bundles.bundle import Service
+    from ..idempotency.claims import ClaimBook
+    from ..process.clock import Clock
     from .carrier import Budget
-    from .claims import ClaimBook
-    from .clock import Clock
     from .request import CallerRequest
-    from .steering import Steering
     from .upstream import Upstream
 
 _DEADLINE = defaults.HEADER_DEADLINE.encode()
--- a/src/coralfall/headers.py
+++ b/src/coralfall/forwarding/headers.py
@@ -2,8 +2,8 @@
 
 import typing as t
 
-from . import defaults
-from .exceptions import RequestError
+from .. import defaults
+from ..exceptions import RequestError
 
 #: Names in lower case with their values, as ASGI has them.
 RawHeaders = t.Sequence[t.Tuple[bytes, bytes]]
--- a/src/coralfall/hedge.py
+++ b/src/coralfall/forwarding/hedge.py
@@ -5,8 +5,8 @@
 
 from hdrh.histogram import HdrHistogram
 
+from ..exceptions import CoralfallError
 from .answer import Answer
-from .exceptions import CoralfallError
 from .retry import hedge_delay
 
 _MICROSECONDS = 1_000_000
--- a/src/coralfall/latency.py
+++ b/src/coralfall/forwarding/latency.py
@@ -4,8 +4,8 @@
 
 from hdrh.histogram import HdrHistogram
 
-from .clock import Clock
-from .exceptions import StatusError
+from ..exceptions import StatusError
+from ..process.clock import Clock
 
 #: Seconds after which a new histogram is begun; the one before it is kept as long again.
 PERIOD_S = 1800.0
--- a/src/coralfall/observer.py
+++ b/src/coralfall/forwarding/observer.py
@@ -4,8 +4,8 @@
 import typing as t
 
 if t.TYPE_CHECKING:
-    from .bundle import Service
-    from .ids import Outcome, PartnerId, ServiceId
+    from ..bundles.bundle import Service
+    from ..ids import Outcome, PartnerId, ServiceId
 
 
 class RequestObserver(abc.ABC):
--- a/src/coralfall/request.py
+++ b/src/coralfall/forwarding/request.py
@@ -2,10 +2,10 @@
 
 import typing as t
 
-from . import defaults
-from .exceptions import RefusedError, RequestError
+from .. import defaults
+from ..exceptions import RefusedError, RequestError
+from ..ids import PartnerId, ServiceId
 from .headers import RawHeaders
-from .ids import PartnerId, ServiceId
 
 #: Methods that change nothing and may be sent again; every other one is a command.
 READ_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
--- a/src/coralfall/retry.py
+++ b/src/coralfall/forwarding/retry.py
@@ -2,7 +2,7 @@
 
 import typing as t
 
-from . import defaults
+from .. import defaults
 
 #: Part of the retry budget that hedges may use.
 HEDGE_PART = 0.2
--- a/src/coralfall/upstream.py
+++ b/src/coralfall/forwarding/upstream.py
@@ -19,16 +19,16 @@
 import yarl
 from aiohttp.connector import Connection
 
-from . import defaults
-from .exceptions import RefusedError, TargetNotRunError, TargetTimeoutError, TargetUnknownError
+from .. import defaults
+from ..balancing.steering import AttemptResult
+from ..exceptions import RefusedError, TargetNotRunError, TargetTimeoutError, TargetUnknownError
+from ..ids import Outcome
 from .headers import RawHeaders
-from .ids import Outcome
 from .request import READ_METHODS, RequestBody
-from .steering import AttemptResult
 
 if t.TYPE_CHECKING:
-    from .clock import Clock
-    from .steering import Reservation, Steering
+    from ..balancing.steering import Reservation, Steering
+    from ..process.clock import Clock
 
 _NO_AUTO_HEADERS: "multidict.CIMultiDict[None]" = multidict.CIMultiDict({"Content-Type": None})
 _NO_BODY_STATUSES = frozenset((204, 304))
--- /dev/null
+++ b/src/coralfall/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers: uvicorn's server and protocol with bounds."""
--- a/src/coralfall/listener.py
+++ b/src/coralfall/http/listener.py
@@ -2,8 +2,8 @@
 
 import socket
 
-from .exceptions import ListenError
-from .settings import split_address
+from ..exceptions import ListenError
+from ..settings import split_address
 
 #: Connections that wait to be taken by the loop.
 BACKLOG = 1024
--- a/src/coralfall/protocol.py
+++ b/src/coralfall/http/protocol.py
@@ -19,8 +19,8 @@
 )
 
 if t.TYPE_CHECKING:
-    from .metrics import Metrics
-    from .settings import HttpSettings
+    from ..process.metrics import Metrics
+    from ..settings import HttpSettings
 
 Header = t.Tuple[bytes, bytes]
 
--- a/src/coralfall/server.py
+++ b/src/coralfall/http/server.py
@@ -5,14 +5,14 @@
 
 import uvicorn
 
-from . import log
-from .child import Child
+from ..process import log
+from ..process.child import Child
+from ..settings import HttpSettings
 from .listener import address_of, bind
 from .protocol import Connections, Header, protocol_factory
-from .settings import HttpSettings
 
 if t.TYPE_CHECKING:
-    from .metrics import Metrics
+    from ..process.metrics import Metrics
 
 DEFAULT_HTTP = HttpSettings()
 #: Seconds between two renewals of the date that answers carry.
--- /dev/null
+++ b/src/coralfall/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Claims on idempotency keys, by which a command runs at most once."""
--- a/src/coralfall/claim_queue.py
+++ b/src/coralfall/idempotency/claim_queue.py
@@ -2,12 +2,13 @@
 
 import typing as t
 
-from . import defaults, log
-from .exceptions import PlatformError, PlatformUnknownError
+from .. import defaults
+from ..exceptions import PlatformError, PlatformUnknownError
+from ..process import log
 
 if t.TYPE_CHECKING:
+    from ..settings import ClaimSettings
     from .claim_record import ClaimRecord
-    from .settings import ClaimSettings
 
 #: Failures in a row after which pauses do not grow any more.
 _MAX_DOUBLINGS = 10
--- a/src/coralfall/claim_record.py
+++ b/src/coralfall/idempotency/claim_record.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
-from . import log
-from .ids import Revision
-from .rows import ClaimRow, ClaimState
-from .store import Write
+from ..cluster.rows import ClaimRow, ClaimState
+from ..ids import Revision
+from ..process import log
+from ..stores.store import Write
 
 if t.TYPE_CHECKING:
     import asyncio
--- a/src/coralfall/claim_sweep.py
+++ b/src/coralfall/idempotency/claim_sweep.py
@@ -4,13 +4,14 @@
 
 import msgspec
 
-from . import defaults, log
-from .ids import Revision
-from .rows import CLAIM_PREFIX, ClaimRow
-from .store import Row, Write
+from .. import defaults
+from ..cluster.rows import CLAIM_PREFIX, ClaimRow
+from ..ids import Revision
+from ..process import log
+from ..stores.store import Row, Write
 
 if t.TYPE_CHECKING:
-    from .store import Table
+    from ..stores.store import Table
 
 
 class ClaimSweeper:
--- a/src/coralfall/claim_writer.py
+++ b/src/coralfall/idempotency/claim_writer.py
@@ -2,12 +2,12 @@
 
 import typing as t
 
+from ..exceptions import PlatformUnavailableError
 from .claim_record import ABSENT, ClaimRecord, Verdict
-from .exceptions import PlatformUnavailableError
 
 if t.TYPE_CHECKING:
-    from .clock import Clock, PlatformClock
-    from .store import Table
+    from ..process.clock import Clock, PlatformClock
+    from ..stores.store import Table
 
 #: Transactions that one call sends; each is smaller by the rows that conflicted before.
 _MAX_ROUNDS = 3
--- a/src/coralfall/claims.py
+++ b/src/coralfall/idempotency/claims.py
@@ -12,13 +12,9 @@
 
 import msgspec
 
-from . import defaults, log
-from .child import Child
-from .claim_queue import ClaimQueue
-from .claim_record import ClaimRecord, Verdict
-from .claim_writer import ClaimWriter
-from .clock import PlatformClock
-from .exceptions import (
+from .. import defaults
+from ..cluster.rows import ClaimRow, ClaimState, KeptAnswer, claim_key
+from ..exceptions import (
     ClaimBusyError,
     ClaimError,
     ClaimMismatchError,
@@ -27,14 +23,19 @@
     PlatformError,
     RefusedError,
 )
-from .rows import ClaimRow, ClaimState, KeptAnswer, claim_key
-from .settings import ClaimSettings
+from ..process import log
+from ..process.child import Child
+from ..process.clock import PlatformClock
+from ..settings import ClaimSettings
+from .claim_queue import ClaimQueue
+from .claim_record import ClaimRecord, Verdict
+from .claim_writer import ClaimWriter
 
 if t.TYPE_CHECKING:
-    from .clock import Clock
-    from .ids import EntryId, IdempotencyKey, Incarnation, PartnerId, ServiceId
-    from .metrics import Metrics
-    from .store import Table
+    from ..ids import EntryId, IdempotencyKey, Incarnation, PartnerId, ServiceId
+    from ..process.clock import Clock
+    from ..process.metrics import Metrics
+    from ..stores.store import Table
 
 _SETTINGS = ClaimSettings()
 _UNAVAILABLE = "the table of idempotency keys is not available"
--- a/src/coralfall/command.py
+++ b/src/coralfall/idempotency/command.py
@@ -3,15 +3,15 @@
 import hashlib
 import typing as t
 
-from . import defaults
-from .answer import Answer, answer_of
-from .exceptions import RequestError
-from .ids import IdempotencyKey, Outcome
+from .. import defaults
+from ..exceptions import RequestError
+from ..forwarding.answer import Answer, answer_of
+from ..ids import IdempotencyKey, Outcome
 
 if t.TYPE_CHECKING:
-    from .bundle import Service
-    from .request import CallerRequest
-    from .rows import KeptAnswer
+    from ..bundles.bundle import Service
+    from ..cluster.rows import KeptAnswer
+    from ..forwarding.request import CallerRequest
 
 _KEY = defaults.HEADER_KEY.encode()
 
--- /dev/null
+++ b/src/coralfall/lookups/__init__.py
@@ -0,0 +1,1 @@
+"""Look-ups: which entries a caller should use, by blocks of clients and distance."""
--- a/src/coralfall/blocks.py
+++ b/src/coralfall/lookups/blocks.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from .exceptions import Fault
-from .ids import SiteId
+from ..exceptions import Fault
+from ..ids import SiteId
 
 #: An IPv6 block is no longer than this: a network of 64 bits is the smallest that is handed to
 #: one customer, whose devices change the other 64 bits at will, and half an address saves
--- a/src/coralfall/blocktable.py
+++ b/src/coralfall/lookups/blocktable.py
@@ -14,8 +14,10 @@
 import sys
 import typing as t
 
+from ..bundles.bundle import ChunkRef, digest_of
+from ..exceptions import BundleError, Fault
+from ..ids import Digest, SiteId
 from .blocks import TABLE_BITS, ClientAddress, Family
-from .bundle import ChunkRef, digest_of
 from .chunks import (
     MAX_CHUNK_BLOCKS,
     Chunk,
@@ -25,8 +27,6 @@
     encode_columns,
     encode_page,
 )
-from .exceptions import BundleError, Fault
-from .ids import Digest, SiteId
 
 #: Blocks compiled between two turns of the loop.
 STEP_BLOCKS = 512
--- a/src/coralfall/chunks.py
+++ b/src/coralfall/lookups/chunks.py
@@ -12,11 +12,11 @@
 
 import msgspec
 
+from ..bundles.bundle import Bundle, ChunkRef, digest_of
+from ..exceptions import BundleError, Fault
+from ..ids import Digest, SiteId
+from ..stores.store import ObjectStore
 from .blocks import TABLE_BITS, Block, BlockReader, Family
-from .bundle import Bundle, ChunkRef, digest_of
-from .exceptions import BundleError, Fault
-from .ids import Digest, SiteId
-from .store import ObjectStore
 
 #: Blocks in a chunk: what is aimed at, and the most that a reader takes.
 CHUNK_BLOCKS = 512
--- a/src/coralfall/lookup.py
+++ b/src/coralfall/lookups/lookup.py
@@ -4,14 +4,14 @@
 
 import msgspec
 
-from . import defaults
+from .. import defaults
+from ..bundles.bundle import Bundle
+from ..cluster.rows import Member
+from ..exceptions import RefusedError, RequestError
+from ..ids import BundleVersion, EntryId, PartnerId, SiteId
 from .blocks import ClientAddress
 from .blocktable import BlockTable
-from .bundle import Bundle
-from .exceptions import RefusedError, RequestError
-from .ids import BundleVersion, EntryId, PartnerId, SiteId
 from .proximity import Plan, Proximity, client_hash, order_entries
-from .rows import Member
 
 #: Low bits of an address that do not count when callers are spread: a /24 or /56 is one
 #: network of callers. Not the block, since one block may hold most of the callers.
@@ -108,7 +108,7 @@
     def set_bundle(self, bundle: Bundle, blocks: BlockTable) -> None:
         """Answer under another bundle from now on.
 
-        :param blocks: as :func:`~coralfall.blocktable.load_block_table` built it.
+        :param blocks: as :func:`~coralfall.lookups.blocktable.load_block_table` built it.
         """
         table = LookupTable(bundle, blocks, self._proximity, self.ttl_s)
         self._table_by_partner[bundle.partner] = table
--- a/src/coralfall/lookup_client.py
+++ b/src/coralfall/lookups/lookup_client.py
@@ -6,10 +6,10 @@
 import aiohttp
 import msgspec
 
-from .exceptions import Fault, InputError, LookupFailedError
-from .ids import PartnerId
+from ..exceptions import Fault, InputError, LookupFailedError
+from ..ids import PartnerId
+from ..settings import split_address
 from .lookup import LookupAnswer
-from .settings import split_address
 
 #: Seconds in which an entry must have answered.
 LOOKUP_TIMEOUT_S = 3.0
--- a/src/coralfall/lookup_http.py
+++ b/src/coralfall/lookups/lookup_http.py
@@ -5,11 +5,11 @@
 
 import msgspec
 
-from .answer import Answer, Headers, answer_of
+from ..exceptions import RefusedError, RequestError
+from ..forwarding.answer import Answer, Headers, answer_of
+from ..forwarding.callers import LookupSource
+from ..ids import Outcome, PartnerId
 from .blocks import ClientAddress, parse_address
-from .callers import LookupSource
-from .exceptions import RefusedError, RequestError
-from .ids import Outcome, PartnerId
 from .lookup import Lookup
 
 _MAX_FIELDS = 8
--- a/src/coralfall/proximity.py
+++ b/src/coralfall/lookups/proximity.py
@@ -5,10 +5,10 @@
 import heapq
 import typing as t
 
-from . import defaults
-from .bundle import Site
-from .ids import EntryId, EntryState, RegionId, SiteId, ZoneId
-from .rows import Member
+from .. import defaults
+from ..bundles.bundle import Site
+from ..cluster.rows import Member
+from ..ids import EntryId, EntryState, RegionId, SiteId, ZoneId
 
 #: Entries outside the zone among which the callers of one site are spread.
 MAX_BACKUPS = 16
--- /dev/null
+++ b/src/coralfall/peering/__init__.py
@@ -0,0 +1,1 @@
+"""Streams between entries, and the messages on them."""
--- a/src/coralfall/channel.py
+++ b/src/coralfall/peering/channel.py
@@ -3,8 +3,8 @@
 Either side sends a fresh public key, then a proof that it holds the fleet's key; nothing that
 the other side sends is parsed before its proof was right. Then come frames: four bytes of
 length, then one message in msgpack, sealed by ChaCha20-Poly1305 under its number in its
-direction (see :mod:`coralfall.cipher`). The first message of either side is
-:class:`~coralfall.messages.Hello`; a stream ends with an empty sealed frame.
+direction (see :mod:`coralfall.peering.cipher`). The first message of either side is
+:class:`~coralfall.peering.messages.Hello`; a stream ends with an empty sealed frame.
 
 **What an attacker on the network can do:** see who talks with whom, when, and how long each
 message is; delay, cut and refuse streams; open connections that never prove anything, which
@@ -31,7 +31,15 @@
 
 import msgspec
 
-from . import defaults
+from .. import defaults
+from ..exceptions import (
+    PeerClosedError,
+    PeerFrameError,
+    PeerTimeoutError,
+    PeerUnreachableError,
+    PeerVersionError,
+)
+from ..settings import split_address
 from .cipher import (
     PROOF_BYTES,
     PUBLIC_BYTES,
@@ -42,17 +50,9 @@
     KeyExchange,
     Role,
 )
-from .exceptions import (
-    PeerClosedError,
-    PeerFrameError,
-    PeerTimeoutError,
-    PeerUnreachableError,
-    PeerVersionError,
-)
 from .fleetkey import load_fleet_key as load_fleet_key
 from .fleetkey import new_fleet_key as new_fleet_key
 from .messages import AnyMessage, Hello
-from .settings import split_address
 
 _LENGTH_BYTES = 4
 _END = b""
--- a/src/coralfall/cipher.py
+++ b/src/coralfall/peering/cipher.py
@@ -1,6 +1,7 @@
 """Turns the fleet's shared key into the keys of one stream, and frames into sealed bytes.
 
-No I/O here: :mod:`coralfall.channel` moves the bytes. The key exchange is X25519 with a fresh
+No I/O here: :mod:`coralfall.peering.channel` moves the bytes. The key exchange is X25519 with a
+fresh
 key pair on either side; the shared secret of both is then hashed under the fleet's key. So
 the keys of a stream are known only to someone who holds the fleet's key *and* one of the two
 fresh secrets, which are forgotten with the stream: a fleet key that leaks later does not open
@@ -15,7 +16,7 @@
 import nacl.bindings
 import nacl.exceptions
 
-from .exceptions import PeerAuthError, PeerFrameError
+from ..exceptions import PeerAuthError, PeerFrameError
 
 #: The fleet's shared key.
 FleetKey = t.NewType("FleetKey", bytes)
--- a/src/coralfall/fleetkey.py
+++ b/src/coralfall/peering/fleetkey.py
@@ -7,8 +7,8 @@
 import secrets
 import stat
 
+from ..exceptions import Fault, SettingsError
 from .cipher import FLEET_KEY_BYTES, FleetKey
-from .exceptions import Fault, SettingsError
 
 _FIELD = "peers.fleet_key_file"
 _MODE = 0o600
--- a/src/coralfall/gossip.py
+++ b/src/coralfall/peering/gossip.py
@@ -9,14 +9,14 @@
 
 import typing as t
 
-from . import defaults
-from .ids import EntryId, RegionId
+from .. import defaults
+from ..ids import EntryId, RegionId
 
 if t.TYPE_CHECKING:
     import random as random_module
 
+    from ..cluster.rows import Member
     from .messages import Heartbeat
-    from .rows import Member
 
 MembersById = t.Mapping[EntryId, "Member"]
 
--- a/src/coralfall/messages.py
+++ b/src/coralfall/peering/messages.py
@@ -8,9 +8,10 @@
 
 import msgspec
 
-from . import defaults
-from .bundle import Head
-from .ids import (
+from .. import defaults
+from ..bundles.bundle import Head
+from ..cluster.rows import Member
+from ..ids import (
     BundleVersion,
     Digest,
     EntryId,
@@ -21,9 +22,8 @@
     ServiceId,
     TargetId,
 )
+from ..traffic.messages import News, Push
 from .message import Message as Message
-from .rows import Member
-from .traffic.messages import News, Push
 
 
 class Hello(Message, frozen=True, tag=1):
--- a/src/coralfall/peer_directory.py
+++ b/src/coralfall/peering/peer_directory.py
@@ -2,13 +2,13 @@
 
 import typing as t
 
-from . import defaults
-from .ids import EntryId
+from .. import defaults
+from ..ids import EntryId
 
 if t.TYPE_CHECKING:
-    from .clock import Clock
+    from ..cluster.rows import Member
+    from ..process.clock import Clock
     from .messages import Heartbeat
-    from .rows import Member
 
 
 class Heard(t.NamedTuple):
--- a/src/coralfall/peer_handler.py
+++ b/src/coralfall/peering/peer_handler.py
@@ -4,9 +4,9 @@
 import typing as t
 
 if t.TYPE_CHECKING:
-    from .ids import Digest, EntryId
+    from ..cluster.rows import Member
+    from ..ids import Digest, EntryId
     from .messages import Heartbeat, Hello, LoanAnswer, LoanRequest, LoanReturn, SyncAnswer
-    from .rows import Member
 
 
 class PeerHandler(abc.ABC):
--- a/src/coralfall/peer_links.py
+++ b/src/coralfall/peering/peer_links.py
@@ -4,10 +4,10 @@
 import collections
 import typing as t
 
-from . import defaults
+from .. import defaults
+from ..exceptions import PeerFrameError, PeerTimeoutError, PeerUnreachableError
+from ..ids import EntryId
 from .channel import Channel, Traffic, dial
-from .exceptions import PeerFrameError, PeerTimeoutError, PeerUnreachableError
-from .ids import EntryId
 
 if t.TYPE_CHECKING:
     from .cipher import FleetKey
--- a/src/coralfall/peer_server.py
+++ b/src/coralfall/peering/peer_server.py
@@ -8,12 +8,13 @@
 
 import msgspec
 
-from . import defaults, log
+from .. import defaults
+from ..exceptions import PeerClosedError, PeerError, PeerFrameError
+from ..http.listener import address_of, bind
+from ..ids import Revision
+from ..process import log
+from ..process.child import Child
 from .channel import Channel, Traffic, accept
-from .child import Child
-from .exceptions import PeerClosedError, PeerError, PeerFrameError
-from .ids import Revision
-from .listener import address_of, bind
 from .messages import (
     Heartbeat,
     LoanRequest,
@@ -25,9 +26,9 @@
 )
 
 if t.TYPE_CHECKING:
+    from ..process.metrics import Metrics
     from .cipher import FleetKey
     from .messages import AnyMessage, Hello
-    from .metrics import Metrics
     from .peer_directory import PeerDirectory
     from .peer_handler import PeerHandler
 
--- a/src/coralfall/peers.py
+++ b/src/coralfall/peering/peers.py
@@ -1,6 +1,7 @@
 """Spreads news among the entries, and carries loans and objects between them.
 
-In each round an entry exchanges heartbeats with its neighbours (:mod:`coralfall.gossip`): with
+In each round an entry exchanges heartbeats with its neighbours (:mod:`coralfall.peering.gossip`):
+with
 all of them if there is news, while the platform is silent and while loans are sought, else with
 one of them, since a heartbeat that says nothing new is most of what peers send. If
 the answer shows that this entry is behind, it asks for the peer's heads; if it shows that the
@@ -13,11 +14,13 @@
 import traceback
 import typing as t
 
-from . import defaults, gossip, log
-from .bundle import digest_of
-from .child import PERIODIC_JITTER, Child
-from .exceptions import PeerError, PeerUnreachableError
-from .ids import Digest, EntryId
+from .. import defaults
+from ..bundles.bundle import digest_of
+from ..exceptions import PeerError, PeerUnreachableError
+from ..ids import Digest, EntryId
+from ..process import log
+from ..process.child import PERIODIC_JITTER, Child
+from . import gossip
 from .messages import (
     Heartbeat,
     LoanAnswer,
@@ -36,12 +39,12 @@
 if t.TYPE_CHECKING:
     import random as random_module
 
+    from ..process.clock import Clock
+    from ..process.metrics import Metrics
+    from ..settings import EntrySettings
     from .channel import Traffic
     from .cipher import FleetKey
-    from .clock import Clock
     from .messages import Hello
-    from .metrics import Metrics
-    from .settings import EntrySettings
 
 
 class PeerNetwork(Child):
--- a/src/coralfall/platform/http.py
+++ b/src/coralfall/platform/http.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from .. import log
 from ..ids import RegionId, ZoneId
+from ..process import log
 from ..traffic.translator import LookupQuestion
 from . import names
 
--- a/src/coralfall/platform/run.py
+++ b/src/coralfall/platform/run.py
@@ -7,10 +7,10 @@
 import signal
 import typing as t
 
-from .. import log, loop
-from ..clock import SystemClock
+from ..process import log, loop
+from ..process.clock import SystemClock
+from ..process.supervisor import supervise
 from ..settings import load_settings
-from ..supervisor import supervise
 from ..traffic.node import Node, Store
 from ..traffic.reload import Reload
 from ..traffic.settings import SteerSettings
--- a/src/coralfall/platform/store.py
+++ b/src/coralfall/platform/store.py
@@ -18,14 +18,8 @@
     PlatformUnknownError,
 )
 from ..ids import Revision
-from ..store import Changes, Check, Feed, Row, Table, TransactResult, Write
-from ..traffic.connection import (
-    BrokenAnswerError,
-    ServerAnswer,
-    ServerConnection,
-    connect,
-    head_of,
-)
+from ..stores.store import Changes, Check, Feed, Row, Table, TransactResult, Write
+from ..traffic.connection import BrokenAnswerError, ServerAnswer, ServerConnection, connect, head_of
 from ..traffic.settings import StoreSettings
 from . import names
 
--- a/src/coralfall/log.py
+++ b/src/coralfall/process/log.py
@@ -26,7 +26,7 @@
 from .linewriter import LineWriter
 
 if t.TYPE_CHECKING:
-    from .settings import LogSettings
+    from ..settings import LogSettings
 
 LevelName = t.Literal["debug", "info", "warning", "error"]
 Record = t.Mapping[str, t.Any]
@@ -114,7 +114,7 @@
 
     :param settings: which levels to write; what is below costs next to nothing.
     :param stream: flushed after each line. Without one, lines go to standard output, bounded in
-        number and without ever waiting for its reader; see :mod:`coralfall.linewriter`.
+        number and without ever waiting for its reader; see :mod:`coralfall.process.linewriter`.
     """
     global _destination, _rank
     _rank = _RANK_BY_LEVEL[settings.level]
--- a/src/coralfall/metrics.py
+++ b/src/coralfall/process/metrics.py
@@ -10,7 +10,7 @@
 from . import log
 
 if t.TYPE_CHECKING:
-    from .settings import MetricsSettings
+    from ..settings import MetricsSettings
 
 #: Seconds for which metrics are gathered into one send.
 FLUSH_S = 0.1
--- a/src/coralfall/supervisor.py
+++ b/src/coralfall/process/supervisor.py
@@ -8,11 +8,11 @@
 import traceback
 import typing as t
 
+from ..defaults import GRACE_S
+from ..exceptions import CoralfallError, SupervisorError
+from ..settings import RestartSettings
 from . import log
 from .child import Child, Sleep
-from .defaults import GRACE_S
-from .exceptions import CoralfallError, SupervisorError
-from .settings import RestartSettings
 
 if t.TYPE_CHECKING:
     from .clock import Clock
--- a/src/coralfall/burn.py
+++ b/src/coralfall/reporting/burn.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from .bundle import Objective
-from .clock import Clock
-from .latency import LatencyRecorder, LatencyTotal
+from ..bundles.bundle import Objective
+from ..forwarding.latency import LatencyRecorder, LatencyTotal
+from ..process.clock import Clock
 
 #: Windows over which burn is reckoned, in seconds, by name; the last is the longest.
 WINDOWS_S: t.Dict[str, int] = {"5m": 300, "1h": 3600, "6h": 21600}
--- a/src/coralfall/explain.py
+++ b/src/coralfall/reporting/explain.py
@@ -9,7 +9,7 @@
 import re
 import typing as t
 
-from .exceptions import CoralfallError
+from ..exceptions import CoralfallError
 
 #: Seconds before the end of a request whose events belong to its story.
 CONTEXT_S = 8.0
--- a/src/coralfall/fleet.py
+++ b/src/coralfall/reporting/fleet.py
@@ -3,25 +3,25 @@
 import asyncio
 import typing as t
 
-from . import defaults
-from .bundle import Bundle, Service
-from .capacity import idle_connections
-from .drain import DrainTracker
-from .exceptions import RefusedError
-from .health import ServiceHealth
-from .ids import BundleVersion, PartnerId, RegionId, ServiceId, TargetId, TargetState
-from .limits import CapacityLimits
-from .link import LinkAllowance, link_rates
-from .rollout import PartnerRollout
-from .routing import Router
-from .shift import Shares, ShiftGovernor, planned_shares
-from .slots import Slot, SlotTable
-from .steering import AttemptResult, Reservation, Steering
+from .. import defaults
+from ..balancing.capacity import idle_connections
+from ..balancing.drain import DrainTracker
+from ..balancing.health import ServiceHealth
+from ..balancing.limits import CapacityLimits
+from ..balancing.link import LinkAllowance, link_rates
+from ..balancing.routing import Router
+from ..balancing.shift import Shares, ShiftGovernor, planned_shares
+from ..balancing.slots import Slot, SlotTable
+from ..balancing.steering import AttemptResult, Reservation, Steering
+from ..bundles.bundle import Bundle, Service
+from ..bundles.rollout import PartnerRollout
+from ..exceptions import RefusedError
+from ..ids import BundleVersion, PartnerId, RegionId, ServiceId, TargetId, TargetState
 
 if t.TYPE_CHECKING:
-    from .clock import Clock, PlatformClock
-    from .limits import Limits
-    from .roster import Roster
+    from ..balancing.limits import Limits
+    from ..cluster.roster import Roster
+    from ..process.clock import Clock, PlatformClock
 
 #: Requests of one service that may wait for a slot at a time, for each slot held.
 _QUEUE_PER_SLOT = 2
@@ -193,7 +193,7 @@
         """Take in bundles, roster and time as they are now.
 
         Slots that are lost are given up before this returns. Go on with
-        :meth:`coralfall.slots.SlotTable.steps` for those that are gained.
+        :meth:`coralfall.balancing.slots.SlotTable.steps` for those that are gained.
         """
         accepted: t.Dict[PartnerId, Bundle] = {}
         staged: t.Dict[PartnerId, Bundle] = {}
--- a/src/coralfall/fleet_merge.py
+++ b/src/coralfall/reporting/fleet_merge.py
@@ -4,7 +4,9 @@
 
 import msgspec
 
-from .bundle import Objective
+from ..bundles.bundle import Objective
+from ..bundles.rollout_status import PartnerStatus
+from ..ids import BundleVersion, EntryId, PartnerId, RegionId, ServiceId, TargetId, TargetState
 from .burn import BurnReport, merge_burns
 from .fleet_report import (
     DrainSummary,
@@ -16,8 +18,6 @@
     TargetReport,
     make_headroom,
 )
-from .ids import BundleVersion, EntryId, PartnerId, RegionId, ServiceId, TargetId, TargetState
-from .rollout_status import PartnerStatus
 from .status import DrainStatus, EntryStatus, HeardStatus, TargetStatus
 
 if t.TYPE_CHECKING:
--- a/src/coralfall/fleet_reader.py
+++ b/src/coralfall/reporting/fleet_reader.py
@@ -4,19 +4,19 @@
 
 import aiohttp
 
-from .exceptions import Fault, InputError, PlatformError, StatusError
+from ..bundles.rollout_status import read_status
+from ..cluster.rows import ROSTER_PREFIX, Member, decode_row
+from ..exceptions import Fault, InputError, PlatformError, StatusError
+from ..ids import EntryId, Revision
+from ..settings import split_address
 from .fleet_merge import merge_statuses
 from .fleet_report import FleetReport
-from .ids import EntryId, Revision
 from .operators_client import STATUS_TIMEOUT_S, AnyMember, ask_entries, fetch_status
-from .rollout_status import read_status
-from .rows import ROSTER_PREFIX, Member, decode_row
-from .settings import split_address
 
 if t.TYPE_CHECKING:
-    from .clock import Clock
-    from .signing import Key
-    from .store import Platform
+    from ..bundles.signing import Key
+    from ..process.clock import Clock
+    from ..stores.store import Platform
 
 
 class Seed(t.NamedTuple):
--- a/src/coralfall/fleet_report.py
+++ b/src/coralfall/reporting/fleet_report.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from .burn import BurnReport
-from .ids import (
+from ..bundles.rollout_status import PartnerStatus
+from ..ids import (
     BundleVersion,
     EntryId,
     EntryState,
@@ -17,7 +17,7 @@
     VmId,
     ZoneId,
 )
-from .rollout_status import PartnerStatus
+from .burn import BurnReport
 
 
 class ServiceReport(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/coralfall/operators.py
+++ b/src/coralfall/reporting/operators.py
@@ -9,9 +9,9 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from .exceptions import SignatureError
+from ..bundles.signing import Trust
+from ..exceptions import SignatureError
 from .request_signing import ReplayGuard, SignedParts, verify_request
-from .signing import Trust
 from .status import EntryStatus
 
 #: Header that carries an operator's signature of the request.
--- a/src/coralfall/operators_client.py
+++ b/src/coralfall/reporting/operators_client.py
@@ -7,12 +7,12 @@
 import aiohttp
 import msgspec
 
-from .exceptions import StatusError
-from .ids import EntryId
+from ..bundles.signing import Key
+from ..cluster.rows import Member
+from ..exceptions import StatusError
+from ..ids import EntryId
 from .operators import HEADER_SIGNATURE
 from .request_signing import SignedParts, sign_request
-from .rows import Member
-from .signing import Key
 from .status import EntryStatus, MemberStatus
 
 STATUS_PATH = "/status"
--- a/src/coralfall/report_cli.py
+++ b/src/coralfall/reporting/report_cli.py
@@ -7,16 +7,16 @@
 
 import typer
 
+from ..ids import PartnerId
+from ..stores.platform_cli import PlatformOption, with_platform
 from . import terminal
-from .ids import PartnerId
-from .platform_cli import PlatformOption, with_platform
 from .terminal import JsonOption, reporting, show
 
 if t.TYPE_CHECKING:
+    from ..bundles.signing import Key
+    from ..stores.store import Platform
     from .fleet_reader import Seed
     from .fleet_report import FleetReport
-    from .signing import Key
-    from .store import Platform
 
 _CLEAR_SCREEN = "\x1b[H\x1b[2J"
 
@@ -42,8 +42,8 @@
 ) -> None:
     """Show service levels, headroom, drains and versions over all entries."""
     with reporting(as_json):
+        from ..bundles.signing import load_key
         from .fleet_reader import parse_seeds
-        from .signing import load_key
 
         source = _Source(platform, load_key(key), parse_seeds(entry or ()))
         if watch is None:
@@ -64,7 +64,7 @@
 ) -> None:
     """Ask a running system which entries to use, as a caller does."""
     with reporting(as_json):
-        from .lookup_client import look_up
+        from ..lookups.lookup_client import look_up
 
         found = asyncio.run(look_up(entry, PartnerId(partner), address))
         answer = found.answer
@@ -85,7 +85,7 @@
 
 
 async def _report_once(source: _Source) -> "FleetReport":
-    from .clock import SystemClock
+    from ..process.clock import SystemClock
     from .fleet_reader import read_fleet
 
     async def run(services: "Platform") -> "FleetReport":
@@ -97,7 +97,7 @@
 async def _watch(
     source: _Source, html: t.Optional[pathlib.Path], seconds: float, as_json: bool
 ) -> None:
-    from .exceptions import CoralfallError
+    from ..exceptions import CoralfallError
 
     while True:
         try:
@@ -125,7 +125,7 @@
 
 
 def _write_page(found: "FleetReport", path: pathlib.Path, refresh_s: t.Optional[float]) -> None:
-    from .exceptions import Fault, InputError
+    from ..exceptions import Fault, InputError
     from .report_html import render_page
 
     page = render_page(found, refresh_s)
--- a/src/coralfall/report_html.py
+++ b/src/coralfall/reporting/report_html.py
@@ -3,9 +3,9 @@
 import importlib.resources
 import typing as t
 
+from ..ids import TargetState
 from . import charts
 from .burn import LONGEST_WINDOW
-from .ids import TargetState
 from .markup import Element, add, new, render
 from .report_text import (
     burn_text,
--- a/src/coralfall/report_text.py
+++ b/src/coralfall/reporting/report_text.py
@@ -3,8 +3,8 @@
 import datetime
 import typing as t
 
+from ..ids import TargetState
 from .burn import WINDOWS_S
-from .ids import TargetState
 
 if t.TYPE_CHECKING:
     from .fleet_report import EntryReport, FleetReport, Headroom, TargetReport
--- a/src/coralfall/request_signing.py
+++ b/src/coralfall/reporting/request_signing.py
@@ -8,10 +8,10 @@
 import msgspec
 import nacl.exceptions
 
-from .bundle import digest_of
-from .exceptions import SignatureError
-from .ids import KeyId, PartnerId
-from .signing import Key, Trust, parse_public_key
+from ..bundles.bundle import digest_of
+from ..bundles.signing import Key, Trust, parse_public_key
+from ..exceptions import SignatureError
+from ..ids import KeyId, PartnerId
 
 #: Seconds by which the time in a signed request may differ from the receiver's.
 REQUEST_WINDOW_S = 30.0
--- a/src/coralfall/service_levels.py
+++ b/src/coralfall/reporting/service_levels.py
@@ -2,14 +2,14 @@
 
 import typing as t
 
+from ..forwarding.observer import RequestObserver
+from ..ids import Outcome, PartnerId, ServiceId
+from ..process.clock import Clock
+from ..process.metrics import Metrics
 from .burn import BurnRecorder, BurnReport
-from .clock import Clock
-from .ids import Outcome, PartnerId, ServiceId
-from .metrics import Metrics
-from .observer import RequestObserver
 
 if t.TYPE_CHECKING:
-    from .bundle import Bundle, Service
+    from ..bundles.bundle import Bundle, Service
 
 #: Metrics of callers' requests; the second is followed by the outcome.
 TIMING_METRIC = "requests.{partner}.{service}.latency"
--- a/src/coralfall/status.py
+++ b/src/coralfall/reporting/status.py
@@ -4,8 +4,7 @@
 
 import msgspec
 
-from .burn import BurnReport
-from .ids import (
+from ..ids import (
     BundleVersion,
     EntryId,
     EntryState,
@@ -20,6 +19,7 @@
     VmId,
     ZoneId,
 )
+from .burn import BurnReport
 
 
 class HeldVersions(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/coralfall/status_builder.py
+++ b/src/coralfall/reporting/status_builder.py
@@ -4,7 +4,7 @@
 import resource
 import typing as t
 
-from .ids import BundleVersion, EntryId, Incarnation, PartnerId, RegionId, TargetState
+from ..ids import BundleVersion, EntryId, Incarnation, PartnerId, RegionId, TargetState
 from .status import (
     DrainStatus,
     EntryStatus,
@@ -16,9 +16,9 @@
 )
 
 if t.TYPE_CHECKING:
-    from .clock import Clock
-    from .node import Node
-    from .peer_directory import PeerDirectory
+    from ..cluster.node import Node
+    from ..peering.peer_directory import PeerDirectory
+    from ..process.clock import Clock
     from .service_levels import ServiceLevels
 
 
--- a/src/coralfall/terminal.py
+++ b/src/coralfall/reporting/terminal.py
@@ -8,7 +8,7 @@
 import msgspec
 import typer
 
-from .exceptions import CoralfallError, Fault, InputError
+from ..exceptions import CoralfallError, Fault, InputError
 
 #: Option of every command that scripts use.
 JsonOption = t.Annotated[bool, typer.Option("--json", help="Print JSON, errors included.")]
--- a/src/coralfall/dev.py
+++ b/src/coralfall/standins/dev.py
@@ -11,16 +11,25 @@
 
 import aiohttp
 
-from . import fleetkey, log, loop, signing, submission
-from .bundle import Bundle, SignedBundle, encode
-from .child import Child, FunctionChild
-from .clock import SystemClock
-from .entry import Entry
-from .ids import EntryId, KeyId, Outcome, PartnerId, SiteId, TargetId, VmId, VmState
-from .memory_platform import MemoryPlatform
-from .sample import PARTNERS, SamplePartner, SampleService, sample_bundle, target_ids_of, zones_of
-from .server import HttpServer
-from .settings import (
+from ..bundles import signing, submission
+from ..bundles.bundle import Bundle, SignedBundle, encode
+from ..bundles.sample import (
+    PARTNERS,
+    SamplePartner,
+    SampleService,
+    sample_bundle,
+    target_ids_of,
+    zones_of,
+)
+from ..cluster.entry import Entry
+from ..http.server import HttpServer
+from ..ids import EntryId, KeyId, Outcome, PartnerId, SiteId, TargetId, VmId, VmState
+from ..peering import fleetkey
+from ..process import log, loop
+from ..process.child import Child, FunctionChild
+from ..process.clock import SystemClock
+from ..process.supervisor import Supervisor, supervise
+from ..settings import (
     EntrySettings,
     LeaseSettings,
     LogSettings,
@@ -29,10 +38,10 @@
     PlatformSettings,
     TargetStandinSettings,
 )
+from ..stores.memory_platform import MemoryPlatform
+from ..stores.store import Vm
 from .standin_platform import make_app
 from .standin_target import TargetStandin, pattern
-from .store import Vm
-from .supervisor import Supervisor, supervise
 
 ANY_PORT = "127.0.0.1:0"
 #: Entries in development mode, one zone of a region each.
--- a/src/coralfall/standin.py
+++ b/src/coralfall/standins/standin.py
@@ -2,15 +2,15 @@
 
 import random
 
-from . import log, loop
-from .child import Child
-from .clock import SystemClock
-from .memory_platform import Faults, MemoryPlatform
-from .server import HttpServer
-from .settings import PlatformStandinSettings, TargetStandinSettings
+from ..http.server import HttpServer
+from ..process import log, loop
+from ..process.child import Child
+from ..process.clock import SystemClock
+from ..process.supervisor import Supervisor, supervise
+from ..settings import PlatformStandinSettings, TargetStandinSettings
+from ..stores.memory_platform import Faults, MemoryPlatform
 from .standin_platform import make_app
 from .standin_target import TargetStandin
-from .supervisor import Supervisor, supervise
 
 
 def run_platform(settings: PlatformStandinSettings) -> int:
--- a/src/coralfall/standin_platform.py
+++ b/src/coralfall/standins/standin_platform.py
@@ -9,17 +9,17 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from . import defaults
-from .bundle import digest_of
-from .exceptions import (
+from .. import defaults
+from ..bundles.bundle import digest_of
+from ..exceptions import (
     CoralfallError,
     ObjectMissingError,
     PlatformUnavailableError,
     PlatformUnknownError,
 )
-from .ids import Digest, VmId
-from .memory_platform import Faults, MemoryPlatform
-from .platform_messages import (
+from ..ids import Digest, VmId
+from ..stores.memory_platform import Faults, MemoryPlatform
+from ..stores.platform_messages import (
     CONTENT_TYPE,
     ChangesRequest,
     ErrorAnswer,
@@ -27,7 +27,7 @@
     ReadRequest,
     TransactRequest,
 )
-from .store import Vm
+from ..stores.store import Vm
 
 if t.TYPE_CHECKING:
     from starlette.types import Receive, Scope, Send
@@ -130,7 +130,7 @@
 ) -> Starlette:
     """The application that serves ``memory``.
 
-    Bodies under ``/table`` are msgpack (see :mod:`coralfall.platform_messages`), those
+    Bodies under ``/table`` are msgpack (see :mod:`coralfall.stores.platform_messages`), those
     under ``/objects`` are plain bytes, all others JSON. An answer with an error status
     means that nothing was done.
 
--- a/src/coralfall/standin_target.py
+++ b/src/coralfall/standins/standin_target.py
@@ -18,15 +18,15 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from . import defaults
-from .ids import Outcome
-from .request import READ_METHODS
+from .. import defaults
+from ..forwarding.request import READ_METHODS
+from ..ids import Outcome
 
 if t.TYPE_CHECKING:
     from starlette.requests import Request
     from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
-    from .settings import TargetStandinSettings
+    from ..settings import TargetStandinSettings
 
 _CONTROL_PATHS = frozenset(("/health", "/load", "/effects", "/faults", "/drain"))
 _PIECE_BYTES = 64 * 1024
--- a/src/coralfall/http_platform.py
+++ b/src/coralfall/stores/http_platform.py
@@ -6,16 +6,16 @@
 import aiohttp
 import msgspec
 
-from . import defaults
-from .bundle import digest_of
-from .exceptions import (
+from .. import defaults
+from ..bundles.bundle import digest_of
+from ..exceptions import (
     ObjectMissingError,
     PlatformError,
     PlatformRejectedError,
     PlatformUnavailableError,
     PlatformUnknownError,
 )
-from .ids import Digest, Revision, VmId
+from ..ids import Digest, Revision, VmId
 from .platform_messages import (
     CONTENT_TYPE,
     ChangesRequest,
@@ -38,8 +38,8 @@
 )
 
 if t.TYPE_CHECKING:
-    from .clock import Clock
-    from .settings import PlatformSettings
+    from ..process.clock import Clock
+    from ..settings import PlatformSettings
 
 AnswerT = t.TypeVar("AnswerT")
 _READ_CHUNK_BYTES = 64 * 1024
@@ -68,7 +68,7 @@
             await self._session.close()
 
     async def send(self, call: _Call) -> bytes:
-        """Body of the answer; raises the errors that :mod:`coralfall.store` names."""
+        """Body of the answer; raises the errors that :mod:`coralfall.stores.store` names."""
         try:
             return await self._exchange(call)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
--- a/src/coralfall/memory_platform.py
+++ b/src/coralfall/stores/memory_platform.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from .clock import Clock, SystemClock
-from .exceptions import ObjectMissingError, PlatformUnavailableError, PlatformUnknownError
-from .ids import Digest, Revision, VmId
+from ..exceptions import ObjectMissingError, PlatformUnavailableError, PlatformUnknownError
+from ..ids import Digest, Revision, VmId
+from ..process.clock import Clock, SystemClock
 from .store import (
     Changes,
     Check,
--- a/src/coralfall/platform_cli.py
+++ b/src/coralfall/stores/platform_cli.py
@@ -22,9 +22,9 @@
     :param run: makes all calls of one command.
     :raises PlatformError: as ``run`` does.
     """
-    from .clock import SystemClock
+    from ..process.clock import SystemClock
+    from ..settings import PlatformSettings
     from .http_platform import HttpPlatform
-    from .settings import PlatformSettings
 
     client = HttpPlatform(PlatformSettings(url=url), SystemClock())
     try:
--- a/src/coralfall/platform_messages.py
+++ b/src/coralfall/stores/platform_messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from .ids import Revision
+from ..ids import Revision
 from .store import Check, Row, Write
 
 CONTENT_TYPE = "application/msgpack"
--- a/src/coralfall/store.py
+++ b/src/coralfall/stores/store.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from .ids import Digest, Revision, VmId, VmState, ZoneId
+from ..ids import Digest, Revision, VmId, VmState, ZoneId
 
 
 class Row(msgspec.Struct, frozen=True):
--- a/src/coralfall/traffic/affinity.py
+++ b/src/coralfall/traffic/affinity.py
@@ -15,19 +15,11 @@
 from ..exceptions import RefusedError
 from .admission import Admission
 from .cold import share_of
-from .shares import (
-    SlotsByRegion,
-    SlowPart,
-    interleaved,
-    kept_part,
-    place_of,
-    score,
-    spare_weight,
-)
+from .shares import SlotsByRegion, SlowPart, interleaved, kept_part, place_of, score, spare_weight
 
 if t.TYPE_CHECKING:
-    from ..clock import Clock
     from ..ids import EntryId, RegionId, ServiceId, TargetId
+    from ..process.clock import Clock
     from .model import DesiredState, Route
     from .settings import SteerSettings
     from .targets import TargetBook, TargetState
--- a/src/coralfall/traffic/belief.py
+++ b/src/coralfall/traffic/belief.py
@@ -3,8 +3,9 @@
 import random
 import typing as t
 
-from .. import defaults, log
+from .. import defaults
 from ..ids import TargetId
+from ..process import log
 from .model import DesiredState
 from .replica import Replica
 from .routes import RouteTable
@@ -12,7 +13,7 @@
 from .translator import Evacuation, StateRow
 
 if t.TYPE_CHECKING:
-    from ..clock import Clock
+    from ..process.clock import Clock
     from .affinity import AffinitySteering
     from .model import Target
     from .targets import TargetBook
--- a/src/coralfall/traffic/budget.py
+++ b/src/coralfall/traffic/budget.py
@@ -4,8 +4,8 @@
 import typing as t
 
 if t.TYPE_CHECKING:
-    from ..clock import Clock
     from ..ids import ServiceId
+    from ..process.clock import Clock
     from .settings import BoundSettings
 
 #: Part of what is allowed that is used; entries do not see each other's windows.
--- a/src/coralfall/traffic/callers.py
+++ b/src/coralfall/traffic/callers.py
@@ -3,17 +3,18 @@
 import asyncio
 import typing as t
 
-from .. import defaults, log
-from ..caller_watch import CallerWatch
+from .. import defaults
 from ..exceptions import CallerGoneError, CoralfallError, RefusedError, RequestError
-from ..request import MemoryAccount, RequestBody
+from ..forwarding.request import MemoryAccount, RequestBody
+from ..http.caller_watch import CallerWatch
+from ..process import log
 from .forwarder import SteeredRequest
 from .reply import Reply, reply_of_error
 
 if t.TYPE_CHECKING:
     from starlette.types import Receive, Scope, Send
 
-    from ..clock import Clock
+    from ..process.clock import Clock
     from .belief import Belief
     from .forwarder import Forwarder
     from .telemetry import Telemetry
--- a/src/coralfall/traffic/follower.py
+++ b/src/coralfall/traffic/follower.py
@@ -9,13 +9,14 @@
 import random
 import typing as t
 
-from .. import defaults, log
+from .. import defaults
 from ..exceptions import HistoryLostError, PlatformError
+from ..process import log
 
 if t.TYPE_CHECKING:
-    from ..clock import Clock
     from ..ids import Revision
-    from ..store import Changes, Feed
+    from ..process.clock import Clock
+    from ..stores.store import Changes, Feed
     from .members import Members
     from .replica import Replica
 
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -18,16 +18,16 @@
     TargetTimeoutError,
     TargetUnknownError,
 )
-from ..headers import HOP_BY_HOP
+from ..forwarding.headers import HOP_BY_HOP
 from .connection import BrokenAnswerError, ServerAnswer, head_of
 from .model import RequestKind
 from .reply import Reply, reply_of_answer, reply_of_error
 from .wire import HeaderNames, parse_load
 
 if t.TYPE_CHECKING:
-    from ..clock import Clock
+    from ..forwarding.request import RequestBody
     from ..ids import ServiceId, TargetId
-    from ..request import RequestBody
+    from ..process.clock import Clock
     from .affinity import AffinitySteering, Place
     from .budget import SendBudget
     from .connection import Headers
--- a/src/coralfall/traffic/gossip.py
+++ b/src/coralfall/traffic/gossip.py
@@ -8,20 +8,21 @@
 import random
 import typing as t
 
-from .. import defaults, log
-from ..channel import Traffic
-from ..child import Child
+from .. import defaults
 from ..exceptions import PeerError, PeerFrameError
-from ..peer_links import PeerLinks
-from ..peer_server import PeerListener
+from ..peering.channel import Traffic
+from ..peering.peer_links import PeerLinks
+from ..peering.peer_server import PeerListener
+from ..process import log
+from ..process.child import Child
 from .messages import News, Push
 
 if t.TYPE_CHECKING:
-    from ..cipher import FleetKey
-    from ..clock import Clock
     from ..ids import EntryId, Revision
-    from ..messages import AnyMessage, Hello
-    from ..metrics import Metrics
+    from ..peering.cipher import FleetKey
+    from ..peering.messages import AnyMessage, Hello
+    from ..process.clock import Clock
+    from ..process.metrics import Metrics
     from .belief import Belief
     from .members import Members
     from .replica import Delta, Replica
--- a/src/coralfall/traffic/members.py
+++ b/src/coralfall/traffic/members.py
@@ -10,11 +10,12 @@
 
 import msgspec
 
-from .. import defaults, log
+from .. import defaults
 from ..ids import EntryId, EntryState, Incarnation, RegionId, ZoneId
+from ..process import log
 
 if t.TYPE_CHECKING:
-    from ..clock import Clock
+    from ..process.clock import Clock
     from .model import EntryRecord
 
 
--- a/src/coralfall/traffic/messages.py
+++ b/src/coralfall/traffic/messages.py
@@ -1,9 +1,9 @@
-"""Messages between entries that steer by a desired state; see :mod:`coralfall.messages`."""
+"""Messages between entries that steer by a desired state; see :mod:`coralfall.peering.messages`."""
 
 import typing as t
 
 from ..ids import EntryId, Revision
-from ..message import Message
+from ..peering.message import Message
 from .model import EntryRecord
 from .replica import Delta
 
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -5,19 +5,20 @@
 import random
 import typing as t
 
-from .. import defaults, log
-from ..channel import Traffic
-from ..child import PERIODIC_JITTER, Child, FunctionChild, PeriodicChild
-from ..cipher import FLEET_KEY_BYTES, FleetKey
+from .. import defaults
 from ..exceptions import PlatformError
+from ..http.server import HttpServer
 from ..ids import EntryState, Incarnation
-from ..messages import Hello
-from ..metrics import Metrics
-from ..peer_links import PeerLinks
-from ..server import HttpServer
+from ..peering.channel import Traffic
+from ..peering.cipher import FLEET_KEY_BYTES, FleetKey
+from ..peering.messages import Hello
+from ..peering.peer_links import PeerLinks
+from ..process import log
+from ..process.child import PERIODIC_JITTER, Child, FunctionChild, PeriodicChild
+from ..process.metrics import Metrics
+from ..process.supervisor import Supervisor
 from ..settings import HttpSettings
-from ..store import Write
-from ..supervisor import Supervisor
+from ..stores.store import Write
 from .affinity import AffinitySteering
 from .belief import Belief
 from .budget import SendBudget
@@ -33,10 +34,10 @@
 from .telemetry import MetricsApp, Telemetry
 
 if t.TYPE_CHECKING:
-    from ..clock import Clock
+    from ..http.server import Application
     from ..ids import Revision
-    from ..server import Application
-    from ..store import Feed, Table
+    from ..process.clock import Clock
+    from ..stores.store import Feed, Table
     from .settings import SteerSettings
     from .translator import Translator
     from .wire import HeaderNames
--- a/src/coralfall/traffic/reload.py
+++ b/src/coralfall/traffic/reload.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from .. import log
 from ..exceptions import SettingsError
+from ..process import log
 from ..settings import load_settings
 from .settings import SteerSettings
 
--- a/src/coralfall/traffic/replica.py
+++ b/src/coralfall/traffic/replica.py
@@ -9,12 +9,12 @@
 
 import msgspec
 
-from .. import log
 from ..exceptions import DesiredStateError
 from ..ids import Revision
+from ..process import log
 
 if t.TYPE_CHECKING:
-    from ..store import Row
+    from ..stores.store import Row
 
 ValueT = t.TypeVar("ValueT")
 
--- a/src/coralfall/traffic/reply.py
+++ b/src/coralfall/traffic/reply.py
@@ -12,7 +12,7 @@
     TargetTimeoutError,
     TargetUnknownError,
 )
-from ..headers import HOP_BY_HOP
+from ..forwarding.headers import HOP_BY_HOP
 from ..ids import Outcome
 
 if t.TYPE_CHECKING:
--- a/src/coralfall/traffic/targets.py
+++ b/src/coralfall/traffic/targets.py
@@ -2,12 +2,13 @@
 
 import typing as t
 
-from .. import defaults, log
+from .. import defaults
+from ..process import log
 from .cold import ColdGate
 
 if t.TYPE_CHECKING:
-    from ..clock import Clock
     from ..ids import ServiceId, TargetId, ZoneId
+    from ..process.clock import Clock
     from .model import Target
 
 
--- a/src/coralfall/traffic/telemetry.py
+++ b/src/coralfall/traffic/telemetry.py
@@ -8,7 +8,7 @@
 
 import prometheus_client
 
-from .. import log
+from ..process import log
 
 if t.TYPE_CHECKING:
     from starlette.types import Receive, Scope, Send
--- a/tests/bundles.py
+++ b/tests/bundles.py
@@ -2,7 +2,7 @@
 
 import typing as t
 
-from coralfall.bundle import Bundle, Grant, Region, Service, Target
+from coralfall.bundles.bundle import Bundle, Grant, Region, Service, Target
 from coralfall.ids import (
     BundleVersion,
     PartnerId,
--- a/tests/control_fleet.py
+++ b/tests/control_fleet.py
@@ -5,9 +5,10 @@
 import typing as t
 import unittest.mock
 
-from coralfall import line, submission
-from coralfall.bundle import VersionRef
-from coralfall.clock import Clock
+from coralfall.bundles import line, submission
+from coralfall.bundles.bundle import VersionRef
+from coralfall.cluster.node import Node, NodeCallbacks
+from coralfall.cluster.rows import Member
 from coralfall.exceptions import (
     CoralfallError,
     PeerUnreachableError,
@@ -15,7 +16,6 @@
     PlatformUnavailableError,
     SubmitError,
 )
-from coralfall.gossip import lag
 from coralfall.ids import (
     Digest,
     EntryId,
@@ -26,10 +26,9 @@
     VmState,
     ZoneId,
 )
-from coralfall.memory_platform import MemoryPlatform
-from coralfall.messages import Hello
-from coralfall.node import Node, NodeCallbacks
-from coralfall.rows import Member
+from coralfall.peering.gossip import lag
+from coralfall.peering.messages import Hello
+from coralfall.process.clock import Clock
 from coralfall.settings import (
     EntrySettings,
     LeaseSettings,
@@ -37,7 +36,8 @@
     PeerSettings,
     PlatformSettings,
 )
-from coralfall.store import ObjectStore, Platform, Vm
+from coralfall.stores.memory_platform import MemoryPlatform
+from coralfall.stores.store import ObjectStore, Platform, Vm
 from tests import operators
 from tests.flaky_table import Fate, FlakyTable
 from tests.members import make_member
--- a/tests/flaky_table.py
+++ b/tests/flaky_table.py
@@ -6,7 +6,7 @@
 
 from coralfall.exceptions import PlatformUnavailableError, PlatformUnknownError
 from coralfall.ids import Revision
-from coralfall.store import Changes, Check, Row, Table, TransactResult, Write
+from coralfall.stores.store import Changes, Check, Row, Table, TransactResult, Write
 
 
 class Fate(enum.Enum):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -13,10 +13,23 @@
 import msgspec
 
 from coralfall import defaults
-from coralfall.bundle import Bundle
-from coralfall.capacity import reserved_slots
-from coralfall.clock import Clock
-from coralfall.handover import Ack
+from coralfall.balancing.capacity import reserved_slots
+from coralfall.balancing.handover import Ack
+from coralfall.balancing.lending import Ask, Borrower, Lender, Return
+from coralfall.balancing.limits import CapacityLimits
+from coralfall.balancing.slots import Slot, SlotTable
+from coralfall.bundles.bundle import Bundle
+from coralfall.bundles.removal import LeaseObserver, removable
+from coralfall.cluster.lease import Lease
+from coralfall.cluster.roster import Roster
+from coralfall.cluster.rows import (
+    LEASE_PREFIX,
+    ROSTER_PREFIX,
+    LeaseRow,
+    Member,
+    lease_key,
+    roster_key,
+)
 from coralfall.ids import (
     EntryId,
     Incarnation,
@@ -28,15 +41,9 @@
     VmState,
     ZoneId,
 )
-from coralfall.lease import Lease
-from coralfall.lending import Ask, Borrower, Lender, Return
-from coralfall.limits import CapacityLimits
-from coralfall.removal import LeaseObserver, removable
-from coralfall.roster import Roster
-from coralfall.rows import LEASE_PREFIX, ROSTER_PREFIX, LeaseRow, Member, lease_key, roster_key
+from coralfall.process.clock import Clock
 from coralfall.settings import LeaseSettings
-from coralfall.slots import Slot, SlotTable
-from coralfall.store import Row, Vm
+from coralfall.stores.store import Row, Vm
 from tests.bundles import COSECHA, SIERRA, make_bundle, make_target
 from tests.test_roster import make_member
 
--- a/tests/load.py
+++ b/tests/load.py
@@ -9,7 +9,7 @@
 import aiohttp
 
 from coralfall.ids import Outcome
-from coralfall.standin_target import pattern
+from coralfall.standins.standin_target import pattern
 from tests.event_rules import ALWAYS, Event, Kind, Rule, done_as_the_effect_said, violations
 from tests.processes import PARTNER, Fleet
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -5,13 +5,17 @@
 import logging
 import typing as t
 
-from coralfall import bundle
-from coralfall.answer import Answer
-from coralfall.callers import CallersApp, LookupSource
-from coralfall.claims import ClaimBook
-from coralfall.clock import SystemClock
-from coralfall.dispatch import Dispatcher
+from coralfall.balancing.steering import AttemptResult, Reservation, Steering
+from coralfall.bundles import bundle
 from coralfall.exceptions import RefusedError
+from coralfall.forwarding.answer import Answer
+from coralfall.forwarding.callers import CallersApp, LookupSource
+from coralfall.forwarding.dispatch import Dispatcher
+from coralfall.forwarding.observer import RequestObserver
+from coralfall.forwarding.request import MemoryAccount
+from coralfall.forwarding.upstream import Upstream
+from coralfall.http.server import HttpServer
+from coralfall.idempotency.claims import ClaimBook
 from coralfall.ids import (
     BundleVersion,
     EntryId,
@@ -23,14 +27,10 @@
     ServiceId,
     TargetId,
 )
-from coralfall.memory_platform import Counters, MemoryTable
-from coralfall.observer import RequestObserver
-from coralfall.request import MemoryAccount
-from coralfall.server import HttpServer
+from coralfall.process.clock import SystemClock
 from coralfall.settings import TargetStandinSettings
-from coralfall.standin_target import TargetStandin
-from coralfall.steering import AttemptResult, Reservation, Steering
-from coralfall.upstream import Upstream
+from coralfall.standins.standin_target import TargetStandin
+from coralfall.stores.memory_platform import Counters, MemoryTable
 
 # Broken answers and ended tests are what these tests are about.
 logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL + 1)
--- a/tests/members.py
+++ b/tests/members.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
+from coralfall.cluster.rows import Member, roster_key
 from coralfall.ids import EntryId, Incarnation, RegionId, Revision, SiteId, VmId, ZoneId
-from coralfall.rows import Member, roster_key
-from coralfall.store import Row
+from coralfall.stores.store import Row
 
 
 def make_member(name: str, incarnation: int = 1, vm: str = "", **changes: t.Any) -> Member:
--- a/tests/operators.py
+++ b/tests/operators.py
@@ -4,7 +4,17 @@
 
 import nacl.signing
 
-from coralfall.bundle import Bundle, Grant, Region, Service, SignedBundle, Site, Target, encode
+from coralfall.bundles.bundle import (
+    Bundle,
+    Grant,
+    Region,
+    Service,
+    SignedBundle,
+    Site,
+    Target,
+    encode,
+)
+from coralfall.bundles.signing import Key, Role, sign
 from coralfall.ids import (
     BundleVersion,
     KeyId,
@@ -16,7 +26,6 @@
     TargetId,
     ZoneId,
 )
-from coralfall.signing import Key, Role, sign
 
 COSECHA = PartnerId("cosecha")
 CALOR = PartnerId("calor")
--- a/tests/peer_fleet.py
+++ b/tests/peer_fleet.py
@@ -4,18 +4,20 @@
 import random
 import typing as t
 
-from coralfall import bundle, defaults, rows
-from coralfall.channel import Traffic
-from coralfall.cipher import FleetKey
-from coralfall.clock import Clock, SystemClock
+from coralfall import defaults
+from coralfall.bundles import bundle
+from coralfall.cluster import rows
 from coralfall.exceptions import PeerError
 from coralfall.ids import EntryId, Incarnation, PartnerId, Revision
-from coralfall.messages import Heartbeat, Hello, LoanAnswer, SyncAnswer
-from coralfall.metrics import Metrics
-from coralfall.peer_directory import PeerDirectory
-from coralfall.peer_handler import PeerHandler
-from coralfall.peer_server import PeerServer
-from coralfall.peers import PeerNetwork
+from coralfall.peering.channel import Traffic
+from coralfall.peering.cipher import FleetKey
+from coralfall.peering.messages import Heartbeat, Hello, LoanAnswer, SyncAnswer
+from coralfall.peering.peer_directory import PeerDirectory
+from coralfall.peering.peer_handler import PeerHandler
+from coralfall.peering.peer_server import PeerServer
+from coralfall.peering.peers import PeerNetwork
+from coralfall.process.clock import Clock, SystemClock
+from coralfall.process.metrics import Metrics
 from coralfall.settings import (
     EntrySettings,
     MetricsSettings,
--- a/tests/platform_adapter/standins.py
+++ b/tests/platform_adapter/standins.py
@@ -6,7 +6,7 @@
 import typing as t
 import urllib.parse
 
-from coralfall.server import HttpServer
+from coralfall.http.server import HttpServer
 from tests.traffic.raw_target import RawTarget, Turn
 
 if t.TYPE_CHECKING:
--- a/tests/platform_adapter/test_adapter.py
+++ b/tests/platform_adapter/test_adapter.py
@@ -21,7 +21,7 @@
 from coralfall.ids import Revision
 from coralfall.platform.rows import PlatformTranslator
 from coralfall.platform.store import RowStore
-from coralfall.store import Check, Write
+from coralfall.stores.store import Check, Write
 from coralfall.traffic.model import DesiredState, RequestKind
 from coralfall.traffic.settings import StoreSettings
 from coralfall.traffic.translator import Evacuation
--- a/tests/platform_server.py
+++ b/tests/platform_server.py
@@ -4,12 +4,12 @@
 import contextlib
 import typing as t
 
-from coralfall.clock import SystemClock
-from coralfall.http_platform import HttpPlatform
-from coralfall.memory_platform import MemoryPlatform
-from coralfall.server import HttpServer
+from coralfall.http.server import HttpServer
+from coralfall.process.clock import SystemClock
 from coralfall.settings import PlatformSettings
-from coralfall.standin_platform import make_app
+from coralfall.standins.standin_platform import make_app
+from coralfall.stores.http_platform import HttpPlatform
+from coralfall.stores.memory_platform import MemoryPlatform
 
 
 class Served(t.NamedTuple):
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -15,11 +15,11 @@
 
 import aiohttp
 
-from coralfall.fleetkey import new_fleet_key
+from coralfall.bundles.signing import load_key
 from coralfall.ids import PartnerId
-from coralfall.operators import HEADER_SIGNATURE
-from coralfall.request_signing import SignedParts, sign_request
-from coralfall.signing import load_key
+from coralfall.peering.fleetkey import new_fleet_key
+from coralfall.reporting.operators import HEADER_SIGNATURE
+from coralfall.reporting.request_signing import SignedParts, sign_request
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 #: Seconds after which a process or a condition is given up; no test passes by waiting.
--- a/tests/test_blocks.py
+++ b/tests/test_blocks.py
@@ -10,8 +10,8 @@
 from hypothesis import strategies as st
 from parameterized import parameterized
 
-from coralfall.blocks import Family, parse_address, parse_blocks
 from coralfall.ids import SiteId
+from coralfall.lookups.blocks import Family, parse_address, parse_blocks
 
 SITES = {SiteId("alto"), SiteId("bajo")}
 
--- a/tests/test_blocktable.py
+++ b/tests/test_blocktable.py
@@ -9,13 +9,13 @@
 from hypothesis import strategies as st
 from parameterized import parameterized
 
-from coralfall import blocktable, chunks
-from coralfall.blocks import TABLE_BITS, Block, ClientAddress, Family
-from coralfall.blocktable import BlockTable, load_block_table
-from coralfall.bundle import ChunkRef, digest_of
-from coralfall.chunks import Chunk, ChunkEntry
+from coralfall.bundles.bundle import ChunkRef, digest_of
 from coralfall.exceptions import BundleError
 from coralfall.ids import Digest, SiteId
+from coralfall.lookups import blocktable, chunks
+from coralfall.lookups.blocks import TABLE_BITS, Block, ClientAddress, Family
+from coralfall.lookups.blocktable import BlockTable, load_block_table
+from coralfall.lookups.chunks import Chunk, ChunkEntry
 
 SITES = [SiteId(name) for name in ("alto", "bajo", "cima", "delta")]
 CHUNK_BLOCKS = 4
--- a/tests/test_bundle_cli.py
+++ b/tests/test_bundle_cli.py
@@ -13,15 +13,15 @@
 from parameterized import parameterized
 from typer.testing import CliRunner
 
-from coralfall import bundle_cli, keys_cli, line
-from coralfall.bundle import encode
-from coralfall.clock import ManualClock
+from coralfall.bundles import bundle_cli, keys_cli, line
+from coralfall.bundles.bundle import encode
+from coralfall.bundles.signedfile import SignedFile
+from coralfall.bundles.trust import load_trust
 from coralfall.exceptions import PlatformUnavailableError, SettingsError
-from coralfall.fleetkey import load_fleet_key
 from coralfall.ids import PartnerId
-from coralfall.memory_platform import MemoryPlatform
-from coralfall.signedfile import SignedFile
-from coralfall.trust import load_trust
+from coralfall.peering.fleetkey import load_fleet_key
+from coralfall.process.clock import ManualClock
+from coralfall.stores.memory_platform import MemoryPlatform
 from tests.checks import make_folder
 from tests.operators import ANA, BEA, COSECHA, make_bundle, sign_bundle
 from tests.platform_server import serve_platform
@@ -333,7 +333,12 @@
         self.assertEqual((1, "not-in-force"), (code, json.loads(out)["error"]["reason"]))
 
     async def _run(self, folder: pathlib.Path, *arguments: str) -> t.Tuple[t.Optional[int], str]:
-        command = (sys.executable, "-c", "from coralfall.bundle_cli import app; app()", *arguments)
+        command = (
+            sys.executable,
+            "-c",
+            "from coralfall.bundles.bundle_cli import app; app()",
+            *arguments,
+        )
         pipe = asyncio.subprocess.PIPE
         process = await asyncio.create_subprocess_exec(*command, cwd=folder, stdout=pipe)
         out, _ = await process.communicate()
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -9,8 +9,7 @@
 from hypothesis import strategies as st
 from parameterized import parameterized
 
-from coralfall.bundle import Bundle, Grant, Target
-from coralfall.capacity import (
+from coralfall.balancing.capacity import (
     Pool,
     idle_connections,
     pool_limit,
@@ -19,9 +18,10 @@
     stricter,
     usable_slots,
 )
-from coralfall.clock import ManualClock
+from coralfall.balancing.limits import CapacityLimits, Limits
+from coralfall.bundles.bundle import Bundle, Grant, Target
 from coralfall.ids import PartnerId, ServiceId, TargetId, TargetState
-from coralfall.limits import CapacityLimits, Limits
+from coralfall.process.clock import ManualClock
 from tests.bundles import (
     CALOR,
     CENTRO,
--- a/tests/test_carrier.py
+++ b/tests/test_carrier.py
@@ -9,15 +9,15 @@
 from hypothesis import strategies as st
 from parameterized import parameterized
 
-from coralfall.answer import Answer
-from coralfall.carrier import Carrier, Delivery
-from coralfall.clock import Clock
+from coralfall.balancing.steering import AttemptResult, Reservation
 from coralfall.exceptions import TargetNotRunError, TargetUnknownError
-from coralfall.hedge import Hedge
+from coralfall.forwarding.answer import Answer
+from coralfall.forwarding.carrier import Carrier, Delivery
+from coralfall.forwarding.hedge import Hedge
+from coralfall.forwarding.request import CallerRequest
+from coralfall.forwarding.retry import HEDGE_MIN_COUNT
 from coralfall.ids import Outcome
-from coralfall.request import CallerRequest
-from coralfall.retry import HEDGE_MIN_COUNT
-from coralfall.steering import AttemptResult, Reservation
+from coralfall.process.clock import Clock
 from tests import loopback
 from tests.virtual_loop import LoopClock, run_virtual
 
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -10,17 +10,7 @@
 from hypothesis import strategies as st
 from parameterized import parameterized
 
-from coralfall import channel, defaults, messages
-from coralfall.cipher import (
-    PROOF_BYTES,
-    PUBLIC_BYTES,
-    FleetKey,
-    FrameOpener,
-    FrameSealer,
-    KeyExchange,
-    Role,
-    StreamKeys,
-)
+from coralfall import defaults
 from coralfall.exceptions import (
     PeerAuthError,
     PeerClosedError,
@@ -31,6 +21,17 @@
     SettingsError,
 )
 from coralfall.ids import EntryId, Incarnation
+from coralfall.peering import channel, messages
+from coralfall.peering.cipher import (
+    PROOF_BYTES,
+    PUBLIC_BYTES,
+    FleetKey,
+    FrameOpener,
+    FrameSealer,
+    KeyExchange,
+    Role,
+    StreamKeys,
+)
 
 KEY = FleetKey(bytes(range(32)))
 OTHER_KEY = FleetKey(bytes(32))
--- a/tests/test_chunks.py
+++ b/tests/test_chunks.py
@@ -10,12 +10,12 @@
 import msgspec
 from parameterized import parameterized
 
-from coralfall import chunks
-from coralfall.blocks import Block, Family
-from coralfall.bundle import Bundle
+from coralfall.bundles.bundle import Bundle
 from coralfall.exceptions import BundleError
 from coralfall.ids import BundleVersion, Digest, PartnerId, SiteId
-from coralfall.store import ObjectStore
+from coralfall.lookups import chunks
+from coralfall.lookups.blocks import Block, Family
+from coralfall.stores.store import ObjectStore
 
 SITES = [SiteId("alto"), SiteId("bajo")]
 BLOCKS = 40_000
--- a/tests/test_claim_sweep.py
+++ b/tests/test_claim_sweep.py
@@ -6,12 +6,12 @@
 import msgspec
 from parameterized import parameterized
 
-from coralfall.claim_sweep import ClaimSweeper
-from coralfall.clock import ManualClock
+from coralfall.cluster.rows import CLAIM_PREFIX, ClaimRow, ClaimState
 from coralfall.exceptions import PlatformError
-from coralfall.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
-from coralfall.rows import CLAIM_PREFIX, ClaimRow, ClaimState
-from coralfall.store import Write
+from coralfall.idempotency.claim_sweep import ClaimSweeper
+from coralfall.process.clock import ManualClock
+from coralfall.stores.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
+from coralfall.stores.store import Write
 
 RETENTION_S = 100.0
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -13,7 +13,7 @@
 from parameterized import parameterized
 
 from coralfall import defaults
-from coralfall.claims import Claim, ClaimBook
+from coralfall.cluster.rows import ClaimRow, ClaimState, KeptAnswer, claim_key
 from coralfall.exceptions import (
     ClaimBusyError,
     ClaimError,
@@ -22,10 +22,10 @@
     CoralfallError,
     RefusedError,
 )
+from coralfall.idempotency.claims import Claim, ClaimBook
 from coralfall.ids import EntryId, IdempotencyKey, Incarnation, PartnerId, ServiceId
-from coralfall.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
-from coralfall.rows import ClaimRow, ClaimState, KeptAnswer, claim_key
-from coralfall.store import Write
+from coralfall.stores.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
+from coralfall.stores.store import Write
 
 from .flaky_table import Fate, FlakyTable
 from .virtual_loop import LoopClock, VirtualLoop, run_virtual
--- a/tests/test_claims_history.py
+++ b/tests/test_claims_history.py
@@ -9,13 +9,13 @@
 import msgspec
 from parameterized import parameterized
 
-from coralfall import claim_record
-from coralfall.claims import Claim, ClaimBook
+from coralfall.cluster.rows import CLAIM_PREFIX, ClaimRow, ClaimState, KeptAnswer
 from coralfall.exceptions import ClaimError, RefusedError
+from coralfall.idempotency import claim_record
+from coralfall.idempotency.claims import Claim, ClaimBook
 from coralfall.ids import EntryId, IdempotencyKey, Incarnation, Outcome, PartnerId, ServiceId
-from coralfall.memory_platform import MemoryPlatform
-from coralfall.rows import CLAIM_PREFIX, ClaimRow, ClaimState, KeptAnswer
-from coralfall.store import Table, Write
+from coralfall.stores.memory_platform import MemoryPlatform
+from coralfall.stores.store import Table, Write
 
 from .event_rules import Event, Kind, violations
 from .flaky_table import Fate, FlakyTable
@@ -260,10 +260,10 @@
 
     @parameterized.expand(
         [
-            ("coralfall.claim_record.ClaimRecord.write", _write_whatever_is_there),
-            ("coralfall.claim_writer.ClaimWriter._read", _write_again_unread),
-            ("coralfall.claim_record.ClaimRecord.doubt", _take_lost_answer_for_success),
-            ("coralfall.claim_record.judge", _claim_what_is_claimed),
+            ("coralfall.idempotency.claim_record.ClaimRecord.write", _write_whatever_is_there),
+            ("coralfall.idempotency.claim_writer.ClaimWriter._read", _write_again_unread),
+            ("coralfall.idempotency.claim_record.ClaimRecord.doubt", _take_lost_answer_for_success),
+            ("coralfall.idempotency.claim_record.judge", _claim_what_is_claimed),
         ]
     )
     def test_broken(self, target: str, replacement: t.Any) -> None:
--- a/tests/test_claims_http.py
+++ b/tests/test_claims_http.py
@@ -7,12 +7,12 @@
 import msgspec
 from parameterized import parameterized
 
-from coralfall.claims import Claim, ClaimBook
-from coralfall.clock import SystemClock
+from coralfall.cluster.rows import ClaimRow, ClaimState, claim_key
 from coralfall.exceptions import ClaimBusyError, CoralfallError, RefusedError
+from coralfall.idempotency.claims import Claim, ClaimBook
 from coralfall.ids import EntryId, IdempotencyKey, Incarnation, PartnerId, ServiceId
-from coralfall.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
-from coralfall.rows import ClaimRow, ClaimState, claim_key
+from coralfall.process.clock import SystemClock
+from coralfall.stores.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
 
 from .platform_server import serve_platform
 
--- a/tests/test_conversation.py
+++ b/tests/test_conversation.py
@@ -7,14 +7,14 @@
 
 from parameterized import parameterized
 
-from coralfall.bundle import Head, VersionRef
-from coralfall.clock import ManualClock
-from coralfall.handover import Ack
+from coralfall.balancing.handover import Ack
+from coralfall.bundles.bundle import Head, VersionRef
+from coralfall.cluster.lease import LeaseState
 from coralfall.ids import BundleVersion, Digest, EntryId, Incarnation, Revision, ServiceId
-from coralfall.lease import LeaseState
-from coralfall.memory_platform import MemoryPlatform
-from coralfall.messages import Heartbeat, Hello, SyncAnswer
-from coralfall.store import Write
+from coralfall.peering.messages import Heartbeat, Hello, SyncAnswer
+from coralfall.process.clock import ManualClock
+from coralfall.stores.memory_platform import MemoryPlatform
+from coralfall.stores.store import Write
 from tests.control_fleet import LEASE, make_still_node
 from tests.members import make_member, put
 from tests.operators import CALOR, COSECHA
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -4,7 +4,8 @@
 import typing as t
 import unittest
 
-from coralfall import line, log
+from coralfall.bundles import line
+from coralfall.process import log
 from coralfall.settings import LogSettings
 from tests import operators
 from tests.control_fleet import LEASE, LiveNode, World
--- a/tests/test_diff.py
+++ b/tests/test_diff.py
@@ -1,4 +1,4 @@
-"""Tests of :mod:`coralfall.diff` and :mod:`coralfall.blockdiff`."""
+"""Tests of :mod:`coralfall.bundles.diff` and :mod:`coralfall.bundles.blockdiff`."""
 
 import random
 import typing as t
@@ -7,12 +7,12 @@
 
 from parameterized import parameterized
 
-from coralfall.blockdiff import SHOWN_BLOCKS, Source, diff_blocks
-from coralfall.blocks import parse_blocks
-from coralfall.bundle import Region
-from coralfall.chunks import build_chunks
-from coralfall.diff import diff_bundles
+from coralfall.bundles.blockdiff import SHOWN_BLOCKS, Source, diff_blocks
+from coralfall.bundles.bundle import Region
+from coralfall.bundles.diff import diff_bundles
 from coralfall.ids import Digest, SiteId
+from coralfall.lookups.blocks import parse_blocks
+from coralfall.lookups.chunks import build_chunks
 from tests.operators import CALOR, SIERRA, make_bundle
 
 SITES = [SiteId("sierra-1"), SiteId("sierra-2")]
@@ -118,7 +118,7 @@
                 for prefix in {**old, **new}
                 if old.get(prefix) != new.get(prefix)
             }
-            with mock.patch("coralfall.blockdiff.SHOWN_BLOCKS", None):
+            with mock.patch("coralfall.bundles.blockdiff.SHOWN_BLOCKS", None):
                 found = await diff_blocks(_Store(old).source, _Store(new).source)
             changes = [(c.path, c.old, c.new) for c in found.first]
             self.assertEqual(sorted(wanted, key=lambda change: change[0]), changes)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -10,11 +10,11 @@
 import aiohttp
 from parameterized import parameterized
 
+from coralfall.balancing.steering import AttemptResult
 from coralfall.defaults import MAX_BUFFERED_ANSWER_BYTES
 from coralfall.ids import Outcome
-from coralfall.memory_platform import FaultMode, ServiceFault
-from coralfall.standin_target import Faults, pattern
-from coralfall.steering import AttemptResult
+from coralfall.standins.standin_target import Faults, pattern
+from coralfall.stores.memory_platform import FaultMode, ServiceFault
 from tests import loopback
 
 ANSWERED = AttemptResult.ANSWERED
--- a/tests/test_draft.py
+++ b/tests/test_draft.py
@@ -1,4 +1,4 @@
-"""Tests of :mod:`coralfall.draft` and its rules: every fault is found, in one run."""
+"""Tests of :mod:`coralfall.bundles.draft` and its rules: every fault is found, in one run."""
 
 import pathlib
 import typing as t
@@ -6,8 +6,8 @@
 
 from parameterized import parameterized
 
-from coralfall import draft, starter
-from coralfall.bundle import Bundle, encode
+from coralfall.bundles import draft, starter
+from coralfall.bundles.bundle import Bundle, encode
 from coralfall.exceptions import BundleError
 from coralfall.ids import PartnerId
 from tests.checks import make_folder
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -5,7 +5,7 @@
 
 from parameterized import parameterized
 
-from coralfall.drain import DrainTracker
+from coralfall.balancing.drain import DrainTracker
 from coralfall.ids import TargetId
 
 T = TargetId("t")
--- a/tests/test_example_client.py
+++ b/tests/test_example_client.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 from parameterized import parameterized
 
-from coralfall.standin_target import pattern
+from coralfall.standins.standin_target import pattern
 from tests import test_processes
 from tests.processes import ROOT
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -5,8 +5,8 @@
 
 from parameterized import parameterized
 
-from coralfall import log
-from coralfall.explain import ExplainError, cause_of, explain, parse_line
+from coralfall.process import log
+from coralfall.reporting.explain import ExplainError, cause_of, explain, parse_line
 from coralfall.settings import LogSettings
 
 LINES = """
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -14,16 +14,16 @@
 import msgspec
 from parameterized import parameterized
 
-from coralfall import line
-from coralfall.bundle import SignedBundle, VersionRef, digest_of, encode
-from coralfall.clock import SystemClock
-from coralfall.http_platform import HttpPlatform
+from coralfall.bundles import line
+from coralfall.bundles.bundle import SignedBundle, VersionRef, digest_of, encode
+from coralfall.bundles.signedfile import read_signed_file, write_signed_file
+from coralfall.cluster.rows import head_key
 from coralfall.ids import BundleVersion
-from coralfall.rows import head_key
+from coralfall.process.clock import SystemClock
+from coralfall.reporting.terminal import ExitCode
 from coralfall.settings import PlatformSettings
-from coralfall.signedfile import read_signed_file, write_signed_file
-from coralfall.store import Platform, Write
-from coralfall.terminal import ExitCode
+from coralfall.stores.http_platform import HttpPlatform
+from coralfall.stores.store import Platform, Write
 from tests.event_rules import ALWAYS, Event, Kind, Rule, nothing_cut_off
 from tests.load import Load
 from tests.operators import make_bundle, sign_bundle
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -7,8 +7,9 @@
 from hypothesis import strategies as st
 from parameterized import parameterized
 
-from coralfall import defaults, gossip, messages
-from coralfall.gossip import Lag, Shape
+from coralfall import defaults
+from coralfall.peering import gossip, messages
+from coralfall.peering.gossip import Lag, Shape
 from tests.peer_fleet import member, members
 
 
@@ -114,7 +115,7 @@
 
 
 class Spread:
-    """News among entries that choose by :mod:`coralfall.gossip`, without sockets.
+    """News among entries that choose by :mod:`coralfall.peering.gossip`, without sockets.
 
     :param gone: how many entries are dead and still in the roster.
     """
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -7,16 +7,16 @@
 from parameterized import parameterized
 
 from coralfall import defaults
-from coralfall.clock import ManualClock
-from coralfall.handover import Ack
+from coralfall.balancing.handover import Ack
+from coralfall.balancing.limits import CapacityLimits, Limits
+from coralfall.balancing.slots import SlotTable
+from coralfall.cluster.lease import Lease
+from coralfall.cluster.roster import Roster
+from coralfall.cluster.rows import roster_key
 from coralfall.ids import EntryId, EntryState, Incarnation, Revision, ServiceId, TargetId
-from coralfall.lease import Lease
-from coralfall.limits import CapacityLimits, Limits
-from coralfall.roster import Roster
-from coralfall.rows import roster_key
+from coralfall.process.clock import ManualClock
 from coralfall.settings import LeaseSettings
-from coralfall.slots import SlotTable
-from coralfall.store import Row
+from coralfall.stores.store import Row
 from tests.bundles import COSECHA, make_bundle, make_target
 from tests.members import deleted, make_member, put
 
--- a/tests/test_headers.py
+++ b/tests/test_headers.py
@@ -6,7 +6,7 @@
 from parameterized import parameterized
 
 from coralfall.exceptions import RequestError
-from coralfall.headers import headers_to_caller, headers_to_target
+from coralfall.forwarding.headers import headers_to_caller, headers_to_target
 
 Fields = t.List[t.Tuple[bytes, bytes]]
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -6,7 +6,7 @@
 from parameterized import parameterized
 
 from coralfall import defaults
-from coralfall.health import ServiceHealth, TargetHealth
+from coralfall.balancing.health import ServiceHealth, TargetHealth
 from coralfall.ids import RegionId, TargetId
 
 from .test_routing import make_target
--- a/tests/test_http_platform.py
+++ b/tests/test_http_platform.py
@@ -8,19 +8,19 @@
 import aiohttp
 from parameterized import parameterized
 
-from coralfall.bundle import digest_of
-from coralfall.clock import SystemClock
+from coralfall.bundles.bundle import digest_of
 from coralfall.exceptions import (
     ObjectMissingError,
     PlatformRejectedError,
     PlatformUnavailableError,
     PlatformUnknownError,
 )
-from coralfall.http_platform import HttpPlatform
 from coralfall.ids import Revision, VmId, VmState, ZoneId
-from coralfall.memory_platform import FaultMode, Faults, ServiceFault
+from coralfall.process.clock import SystemClock
 from coralfall.settings import PlatformSettings
-from coralfall.store import Check, Platform, Row, Vm, Write
+from coralfall.stores.http_platform import HttpPlatform
+from coralfall.stores.memory_platform import FaultMode, Faults, ServiceFault
+from coralfall.stores.store import Check, Platform, Row, Vm, Write
 
 from .platform_server import serve_platform
 
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -5,8 +5,8 @@
 
 from parameterized import parameterized
 
-from coralfall.clock import ManualClock
-from coralfall.lease import Lease, LeaseState
+from coralfall.cluster.lease import Lease, LeaseState
+from coralfall.process.clock import ManualClock
 from coralfall.settings import LeaseSettings
 
 HELD, LAPSED, FROZEN = LeaseState.HELD, LeaseState.LAPSED, LeaseState.FROZEN
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -8,18 +8,18 @@
 from parameterized import parameterized
 
 from coralfall import defaults
-from coralfall.bundle import Bundle
-from coralfall.clock import ManualClock
-from coralfall.demand import PeakDemand
+from coralfall.balancing.demand import PeakDemand
+from coralfall.balancing.lending import Ask, Borrower, Lender, Return
+from coralfall.balancing.link import LinkAllowance, LinkRate, link_rates
+from coralfall.balancing.ownership import ranked
+from coralfall.balancing.slots import SlotTable
+from coralfall.bundles.bundle import Bundle
+from coralfall.cluster.lease import Lease
+from coralfall.cluster.roster import Roster
 from coralfall.ids import EntryId, PartnerId, RegionId, ServiceId
-from coralfall.lease import Lease
-from coralfall.lending import Ask, Borrower, Lender, Return
-from coralfall.link import LinkAllowance, LinkRate, link_rates
-from coralfall.messages import LoanAnswer, LoanReturn
-from coralfall.ownership import ranked
-from coralfall.roster import Roster
+from coralfall.peering.messages import LoanAnswer, LoanReturn
+from coralfall.process.clock import ManualClock
 from coralfall.settings import LeaseSettings
-from coralfall.slots import SlotTable
 from tests.bundles import CENTRO, COSECHA, SIERRA, make_bundle, make_target
 from tests.members import put
 from tests.test_handover import MARGIN_S, SLOTS, T0, make_limits
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -1,4 +1,4 @@
-"""Tests of :mod:`coralfall.line` and :mod:`coralfall.submission`: one winner, settled answers."""
+"""Tests of a partner's line and of submissions: one winner, settled answers."""
 
 import asyncio
 import typing as t
@@ -9,11 +9,8 @@
 from hypothesis import strategies as st
 from parameterized import parameterized
 
-from coralfall import line, submission
-from coralfall.blocks import parse_blocks
-from coralfall.bundle import Head, SignedBundle, VersionRef, digest_of, encode
-from coralfall.chunks import build_chunks
-from coralfall.clock import ManualClock
+from coralfall.bundles import line, submission
+from coralfall.bundles.bundle import Head, SignedBundle, VersionRef, digest_of, encode
 from coralfall.exceptions import (
     BundleError,
     CoralfallError,
@@ -23,8 +20,11 @@
     SubmitError,
 )
 from coralfall.ids import Digest, Revision, SiteId
-from coralfall.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
-from coralfall.store import Check, Platform, Table, TransactResult, Write
+from coralfall.lookups.blocks import parse_blocks
+from coralfall.lookups.chunks import build_chunks
+from coralfall.process.clock import ManualClock
+from coralfall.stores.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
+from coralfall.stores.store import Check, Platform, Table, TransactResult, Write
 from tests.checks import refused
 from tests.operators import (
     ANA,
@@ -226,7 +226,7 @@
         self.assertEqual({COSECHA, CALOR}, set(heads))
 
     async def test_history_reads_the_newest(self) -> None:
-        with mock.patch("coralfall.history.PAGE_ROWS", 2):
+        with mock.patch("coralfall.bundles.history.PAGE_ROWS", 2):
             for version in range(1, 6):
                 await self.put_in_force(version)
             every = await line.history(self.platform, COSECHA)
--- a/tests/test_linewriter.py
+++ b/tests/test_linewriter.py
@@ -7,8 +7,8 @@
 
 from parameterized import parameterized
 
-from coralfall import linewriter
-from coralfall.linewriter import LineWriter
+from coralfall.process import linewriter
+from coralfall.process.linewriter import LineWriter
 
 
 class Pipe:
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -11,7 +11,7 @@
 import hypothesis.strategies as st
 from parameterized import parameterized
 
-from coralfall import log
+from coralfall.process import log
 from coralfall.settings import LogSettings
 
 LEVELS: t.List[t.Literal["debug", "info", "warning", "error"]] = [
--- a/tests/test_lookup.py
+++ b/tests/test_lookup.py
@@ -11,10 +11,9 @@
 from hypothesis import strategies as st
 from parameterized import parameterized
 
-from coralfall import chunks, defaults
-from coralfall.blocks import ClientAddress, Family, parse_address, parse_blocks
-from coralfall.blocktable import BlockTable, load_block_table
-from coralfall.bundle import Bundle, Site
+from coralfall import defaults
+from coralfall.bundles.bundle import Bundle, Site
+from coralfall.cluster.rows import Member
 from coralfall.exceptions import RefusedError
 from coralfall.ids import (
     BundleVersion,
@@ -26,9 +25,11 @@
     SiteId,
     ZoneId,
 )
-from coralfall.lookup import Lookup
-from coralfall.lookup_http import LookupHttp
-from coralfall.rows import Member
+from coralfall.lookups import chunks
+from coralfall.lookups.blocks import ClientAddress, Family, parse_address, parse_blocks
+from coralfall.lookups.blocktable import BlockTable, load_block_table
+from coralfall.lookups.lookup import Lookup
+from coralfall.lookups.lookup_http import LookupHttp
 from tests.members import make_member
 
 COSECHA = PartnerId("cosecha")
--- a/tests/test_lookup_client.py
+++ b/tests/test_lookup_client.py
@@ -8,12 +8,13 @@
 from parameterized import parameterized
 from typer.testing import CliRunner
 
-from coralfall import cli, report_cli
-from coralfall.answer import answer_of
+from coralfall import cli
 from coralfall.exceptions import InputError, LookupFailedError, RefusedError, RequestError
+from coralfall.forwarding.answer import answer_of
 from coralfall.ids import BundleVersion, Outcome, PartnerId, SiteId
-from coralfall.lookup import LookupAnswer
-from coralfall.lookup_client import Found, look_up
+from coralfall.lookups.lookup import LookupAnswer
+from coralfall.lookups.lookup_client import Found, look_up
+from coralfall.reporting import report_cli
 from tests.loopback import serving
 
 COSECHA = PartnerId("cosecha")
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -11,7 +11,7 @@
 
 from parameterized import parameterized
 
-from coralfall import log, loop
+from coralfall.process import log, loop
 from coralfall.settings import LogSettings
 
 #: Bound that only keeps a broken test from hanging.
@@ -46,8 +46,8 @@
 
     @parameterized.expand(
         [
-            ("as installed", {}, False, "coralfall.fastloop"),
-            ("no uvloop", {"coralfall.fastloop": None}, False, "asyncio.unix_events"),
+            ("as installed", {}, False, "coralfall.process.fastloop"),
+            ("no uvloop", {"coralfall.process.fastloop": None}, False, "asyncio.unix_events"),
             ("uvloop opens an io_uring", {}, True, "asyncio.unix_events"),
         ]
     )
@@ -88,7 +88,7 @@
             text=True,
             timeout=PATIENCE_S,
         )
-        self.assertEqual(done.stdout, "coralfall.fastloop 1\n", done.stderr)
+        self.assertEqual(done.stdout, "coralfall.process.fastloop 1\n", done.stderr)
 
     def test_an_error_in_a_callback_is_logged(self) -> None:
         async def main() -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,12 +5,12 @@
 
 from parameterized import parameterized
 
-from coralfall.bundle import Head, VersionRef, encode
-from coralfall.clock import ManualClock
+from coralfall.bundles.bundle import Head, VersionRef, encode
+from coralfall.cluster.rows import head_key
 from coralfall.ids import BundleVersion, Digest, Revision
-from coralfall.memory_platform import MemoryPlatform
-from coralfall.rows import head_key
-from coralfall.store import Write
+from coralfall.process.clock import ManualClock
+from coralfall.stores.memory_platform import MemoryPlatform
+from coralfall.stores.store import Write
 from tests import operators
 from tests.control_fleet import make_still_node
 from tests.members import make_member
--- a/tests/test_memory_platform.py
+++ b/tests/test_memory_platform.py
@@ -8,11 +8,11 @@
 from hypothesis import strategies as st
 from parameterized import parameterized
 
-from coralfall.clock import ManualClock
 from coralfall.exceptions import PlatformUnavailableError, PlatformUnknownError
 from coralfall.ids import Revision, VmId, VmState, ZoneId
-from coralfall.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
-from coralfall.store import Check, Row, Vm, Write
+from coralfall.process.clock import ManualClock
+from coralfall.stores.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
+from coralfall.stores.store import Check, Row, Vm, Write
 
 KEYS = ("a/1", "a/2", "b/1")
 WRITES = st.builds(
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -6,7 +6,7 @@
 
 from parameterized import parameterized
 
-from coralfall.metrics import FLUSH_COUNT, Metrics
+from coralfall.process.metrics import FLUSH_COUNT, Metrics
 from coralfall.settings import MetricsSettings
 
 RECEIVE_TIMEOUT_S = 10.0
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,8 +6,8 @@
 
 from parameterized import parameterized
 
-from coralfall import log
 from coralfall.ids import EntryId, Revision
+from coralfall.process import log
 from coralfall.settings import LogSettings
 from tests.control_fleet import LEASE, LiveNode, World
 from tests.virtual_loop import on_virtual_time
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -8,7 +8,9 @@
 from parameterized import parameterized
 from typer.main import get_command
 
-from coralfall import bundle_cli, cli, keys_cli, report_cli
+from coralfall import cli
+from coralfall.bundles import bundle_cli, keys_cli
+from coralfall.reporting import report_cli
 from tests.processes import ROOT
 
 PAGES = [*ROOT.glob("*.md"), *ROOT.glob("docs/*.md"), *ROOT.glob("examples/*.md")]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,8 +6,7 @@
 
 from parameterized import parameterized
 
-from coralfall import channel, defaults, messages
-from coralfall.clock import Clock, ManualClock
+from coralfall import defaults
 from coralfall.exceptions import (
     PeerAuthError,
     PeerClosedError,
@@ -15,7 +14,9 @@
     PeerTimeoutError,
     PeerUnreachableError,
 )
-from coralfall.peer_links import PeerLinks
+from coralfall.peering import channel, messages
+from coralfall.peering.peer_links import PeerLinks
+from coralfall.process.clock import Clock, ManualClock
 from tests import peer_fleet
 from tests.peer_fleet import KEY, Fleet, Node, bundle_bytes, until
 
@@ -425,7 +426,7 @@
     async def test_fault_of_the_handler_ends_one_stream_and_is_logged(self) -> None:
         dialed, other = await self.dial(), await self.dial()
         self.node_.on_loan_request = mock.Mock(side_effect=ZeroDivisionError("by hand"))
-        with mock.patch("coralfall.peer_server.log.error") as logged:
+        with mock.patch("coralfall.peering.peer_server.log.error") as logged:
             await dialed.send(LOAN)
             with self.assertRaises(PeerError):
                 await dialed.receive()
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -10,7 +10,7 @@
 
 import aiohttp
 
-from coralfall.standin_target import pattern
+from coralfall.standins.standin_target import pattern
 from tests.processes import Fleet
 
 ENTRIES = ("e1", "e2", "e3")
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -7,18 +7,18 @@
 
 from parameterized import parameterized
 
-from coralfall.bundle import Head, VersionRef
-from coralfall.clock import ManualClock, PlatformClock
+from coralfall.balancing.slots import SlotTable
+from coralfall.balancing.steering import AttemptResult
+from coralfall.bundles.bundle import Head, VersionRef
+from coralfall.bundles.rollout import PartnerRollout
+from coralfall.cluster.lease import Lease
+from coralfall.cluster.roster import Roster
 from coralfall.defaults import CANCEL_REST_S
 from coralfall.exceptions import RefusedError
-from coralfall.fleet import FleetReservation, FleetSteering
 from coralfall.ids import BundleVersion, Digest, EntryId, RegionId, ServiceId
-from coralfall.lease import Lease
-from coralfall.rollout import PartnerRollout
-from coralfall.roster import Roster
+from coralfall.process.clock import ManualClock, PlatformClock
+from coralfall.reporting.fleet import FleetReservation, FleetSteering
 from coralfall.settings import LeaseSettings
-from coralfall.slots import SlotTable
-from coralfall.steering import AttemptResult
 from tests.bundles import COSECHA, make_bundle, make_target
 from tests.test_roster import put
 
--- a/tests/test_references.py
+++ b/tests/test_references.py
@@ -8,7 +8,7 @@
 import unittest
 
 from coralfall.ids import Outcome
-from coralfall.service_levels import COUNT_METRIC, FAULTY, TIMING_METRIC
+from coralfall.reporting.service_levels import COUNT_METRIC, FAULTY, TIMING_METRIC
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 METRIC_CALLS = ("count", "timing", "gauge")
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -12,14 +12,10 @@
 import msgspec
 from parameterized import parameterized
 
-from coralfall import report_cli
-from coralfall.bundle import Objective
-from coralfall.burn import BurnReport, WindowCount
-from coralfall.clock import ManualClock
+from coralfall.bundles.bundle import Objective
+from coralfall.bundles.rollout_status import PartnerStatus, VersionStatus
+from coralfall.cluster.rows import Member, roster_key
 from coralfall.exceptions import InputError, PlatformError, StatusError
-from coralfall.fleet_merge import merge_statuses
-from coralfall.fleet_reader import parse_seeds, read_fleet
-from coralfall.fleet_report import FleetReport, make_headroom
 from coralfall.ids import (
     BundleVersion,
     Digest,
@@ -32,17 +28,19 @@
     TargetId,
     TargetState,
 )
-from coralfall.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
-from coralfall.metrics import Metrics
-from coralfall.operators import make_operators_app
-from coralfall.operators_client import Asked, ask_entries
-from coralfall.report_html import render_page
-from coralfall.report_text import report_lines
-from coralfall.rollout_status import PartnerStatus, VersionStatus
-from coralfall.rows import Member, roster_key
-from coralfall.service_levels import ServiceLevels
-from coralfall.settings import MetricsSettings
-from coralfall.status import (
+from coralfall.process.clock import ManualClock
+from coralfall.process.metrics import Metrics
+from coralfall.reporting import report_cli
+from coralfall.reporting.burn import BurnReport, WindowCount
+from coralfall.reporting.fleet_merge import merge_statuses
+from coralfall.reporting.fleet_reader import parse_seeds, read_fleet
+from coralfall.reporting.fleet_report import FleetReport, make_headroom
+from coralfall.reporting.operators import make_operators_app
+from coralfall.reporting.operators_client import Asked, ask_entries
+from coralfall.reporting.report_html import render_page
+from coralfall.reporting.report_text import report_lines
+from coralfall.reporting.service_levels import ServiceLevels
+from coralfall.reporting.status import (
     DrainStatus,
     EntryStatus,
     HeardStatus,
@@ -50,7 +48,9 @@
     MemberStatus,
     TargetStatus,
 )
-from coralfall.store import Write
+from coralfall.settings import MetricsSettings
+from coralfall.stores.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
+from coralfall.stores.store import Write
 from tests.loopback import serving
 from tests.members import make_member
 from tests.operators import ANA, COSECHA, TRUST, make_bundle, make_key
@@ -379,10 +379,10 @@
         self, _name: str, entry: str, key: t.Any, shift_s: float, reason: str
     ) -> None:
         now = time.time() + shift_s
-        with mock.patch("coralfall.operators_client.time.time", lambda: now):
+        with mock.patch("coralfall.reporting.operators_client.time.time", lambda: now):
             # Both sides read the same module; the entry's clock is put right again.
             app = self.make_app(make_status("e1"))
-            with mock.patch("coralfall.operators.time") as entry_time:
+            with mock.patch("coralfall.reporting.operators.time") as entry_time:
                 entry_time.time.side_effect = lambda: now - shift_s
                 asked = await self.ask(app, entry, key)
         self.assertIsNone(asked.status)
--- a/tests/test_request_signing.py
+++ b/tests/test_request_signing.py
@@ -1,4 +1,4 @@
-"""Tests of :mod:`coralfall.request_signing`: who may ask an entry, and how often."""
+"""Tests of :mod:`coralfall.reporting.request_signing`: who may ask an entry, and how often."""
 
 import typing as t
 import unittest
@@ -6,7 +6,7 @@
 from parameterized import parameterized
 
 from coralfall.exceptions import SignatureError
-from coralfall.request_signing import (
+from coralfall.reporting.request_signing import (
     Operator,
     ReplayGuard,
     SignedParts,
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -7,7 +7,7 @@
 from parameterized import parameterized
 
 from coralfall import defaults
-from coralfall.retry import HEDGE_MIN_COUNT, HEDGE_PART, RetryBudget, hedge_delay
+from coralfall.forwarding.retry import HEDGE_MIN_COUNT, HEDGE_PART, RetryBudget, hedge_delay
 
 
 def attempts_in_outage(budget: RetryBudget, requests: int, tries: int) -> t.Tuple[int, int]:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -5,9 +5,9 @@
 
 from parameterized import parameterized
 
-from coralfall.bundle import Bundle, Head, VersionRef
+from coralfall.bundles.bundle import Bundle, Head, VersionRef
+from coralfall.bundles.rollout import PartnerRollout
 from coralfall.ids import BundleVersion, Digest, Revision, TargetId
-from coralfall.rollout import PartnerRollout
 from tests import operators
 
 TARGET = TargetId("catalogo-01")
--- a/tests/test_rollout_status.py
+++ b/tests/test_rollout_status.py
@@ -1,4 +1,4 @@
-"""Tests of :mod:`coralfall.rollout_status`: what is in force, and which entry lags."""
+"""Tests of :mod:`coralfall.bundles.rollout_status`: what is in force, and which entry lags."""
 
 import typing as t
 import unittest
@@ -7,14 +7,14 @@
 import msgspec
 from parameterized import parameterized
 
-from coralfall import line, rollout_status, submission
-from coralfall.clock import ManualClock
+from coralfall.bundles import line, rollout_status, submission
+from coralfall.bundles.rollout_status import read_status, wait_in_force
+from coralfall.cluster.rows import LeaseRow, Member, head_key, lease_key, roster_key
 from coralfall.exceptions import PlatformError, SubmitError
 from coralfall.ids import BundleVersion, Digest, EntryId, Incarnation
-from coralfall.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
-from coralfall.rollout_status import read_status, wait_in_force
-from coralfall.rows import LeaseRow, Member, head_key, lease_key, roster_key
-from coralfall.store import Write
+from coralfall.process.clock import ManualClock
+from coralfall.stores.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
+from coralfall.stores.store import Write
 from tests.checks import refused
 from tests.members import make_member
 from tests.operators import COSECHA, TRUST, make_bundle, sign_bundle
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -5,13 +5,13 @@
 
 from parameterized import parameterized
 
-from coralfall.clock import ManualClock
+from coralfall.bundles.removal import LeaseObserver, removable
+from coralfall.cluster.roster import Roster, may_replace
+from coralfall.cluster.rows import Member, lease_key
 from coralfall.ids import EntryId, Incarnation, Revision, VmId, VmState, ZoneId
-from coralfall.removal import LeaseObserver, removable
-from coralfall.roster import Roster, may_replace
-from coralfall.rows import Member, lease_key
+from coralfall.process.clock import ManualClock
 from coralfall.settings import LeaseSettings
-from coralfall.store import Row, Vm
+from coralfall.stores.store import Row, Vm
 from tests.members import deleted, make_member, put
 
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -8,12 +8,12 @@
 from hypothesis import strategies as st
 from parameterized import parameterized
 
-from coralfall.bundle import Target
+from coralfall.balancing.health import ServiceHealth
+from coralfall.balancing.routing import REFRESH_S, Candidate, Router, policy_for
+from coralfall.balancing.shift import ShiftGovernor
+from coralfall.bundles.bundle import Target
 from coralfall.exceptions import RefusedError
-from coralfall.health import ServiceHealth
 from coralfall.ids import PolicyName, RegionId, TargetId, ZoneId
-from coralfall.routing import REFRESH_S, Candidate, Router, policy_for
-from coralfall.shift import ShiftGovernor
 
 from .test_shift import CATALOGO, A, B, make_service
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -8,10 +8,11 @@
 
 from parameterized import parameterized, parameterized_class
 
-from coralfall import loop, protocol, server
 from coralfall.exceptions import ListenError
-from coralfall.listener import bind
-from coralfall.server import HttpServer
+from coralfall.http import protocol, server
+from coralfall.http.listener import bind
+from coralfall.http.server import HttpServer
+from coralfall.process import loop
 from coralfall.settings import HttpSettings
 
 #: Bound that only keeps a broken test from hanging.
--- a/tests/test_service_levels.py
+++ b/tests/test_service_levels.py
@@ -10,14 +10,14 @@
 from hypothesis import strategies as st
 from parameterized import parameterized
 
-from coralfall.bundle import Objective
-from coralfall.burn import BurnReport, WindowCount, merge_burns
-from coralfall.clock import ManualClock
+from coralfall.bundles.bundle import Objective
 from coralfall.exceptions import StatusError
+from coralfall.forwarding.latency import PERIOD_S, LatencyRecorder, LatencyTotal
 from coralfall.ids import Outcome, ServiceId
-from coralfall.latency import PERIOD_S, LatencyRecorder, LatencyTotal
-from coralfall.metrics import Metrics
-from coralfall.service_levels import ServiceLevels
+from coralfall.process.clock import ManualClock
+from coralfall.process.metrics import Metrics
+from coralfall.reporting.burn import BurnReport, WindowCount, merge_burns
+from coralfall.reporting.service_levels import ServiceLevels
 from coralfall.settings import MetricsSettings
 from tests.operators import COSECHA, make_bundle
 
--- a/tests/test_shift.py
+++ b/tests/test_shift.py
@@ -7,9 +7,15 @@
 from parameterized import parameterized
 
 from coralfall import defaults
-from coralfall.bundle import Bundle, Head, Service
+from coralfall.balancing.shift import (
+    COUNT_SLACK,
+    ShiftGovernor,
+    moved_share,
+    planned_shares,
+    split_cap,
+)
+from coralfall.bundles.bundle import Bundle, Head, Service
 from coralfall.ids import BundleVersion, PartnerId, PolicyName, RegionId, ServiceId
-from coralfall.shift import COUNT_SLACK, ShiftGovernor, moved_share, planned_shares, split_cap
 
 A, B, C = RegionId("a"), RegionId("b"), RegionId("c")
 CATALOGO = ServiceId("catalogo")
--- a/tests/test_shift_history.py
+++ b/tests/test_shift_history.py
@@ -9,9 +9,7 @@
 from parameterized import parameterized
 
 from coralfall import defaults
-from coralfall.bundle import Head, Service
-from coralfall.ids import RegionId
-from coralfall.shift import (
+from coralfall.balancing.shift import (
     COUNT_SLACK,
     MAX_STRETCH,
     Shares,
@@ -20,6 +18,8 @@
     planned_shares,
     shares_at,
 )
+from coralfall.bundles.bundle import Head, Service
+from coralfall.ids import RegionId
 
 from .test_shift import CATALOGO, A, B, C, make_bundle, make_head, make_service
 
--- a/tests/test_signing.py
+++ b/tests/test_signing.py
@@ -1,4 +1,4 @@
-"""Tests of :mod:`coralfall.signing`: who may sign what, and what is refused."""
+"""Tests of :mod:`coralfall.bundles.signing`: who may sign what, and what is refused."""
 
 import os
 import typing as t
@@ -10,11 +10,11 @@
 from hypothesis import strategies as st
 from parameterized import parameterized
 
-from coralfall import signing
-from coralfall.bundle import Bundle, Signature, SignedBundle, encode
+from coralfall.bundles import signing
+from coralfall.bundles.bundle import Bundle, Signature, SignedBundle, encode
+from coralfall.bundles.signing import Role, sign, verify
 from coralfall.exceptions import SignatureError
 from coralfall.ids import KeyId, ServiceId
-from coralfall.signing import Role, sign, verify
 from tests.checks import make_folder, refused
 from tests.operators import (
     ANA,
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -7,18 +7,19 @@
 
 from parameterized import parameterized
 
-from coralfall import chunks, staging
-from coralfall.blocks import Block, Family
-from coralfall.bundle import Bundle, Head, SignedBundle, VersionRef, digest_of, encode
+from coralfall.bundles import staging
+from coralfall.bundles.bundle import Bundle, Head, SignedBundle, VersionRef, digest_of, encode
+from coralfall.bundles.rollout import PartnerRollout
+from coralfall.bundles.signing import Role, sign
 from coralfall.exceptions import (
     ObjectMissingError,
     PeerUnreachableError,
     PlatformUnavailableError,
 )
 from coralfall.ids import Digest, Revision, SiteId
-from coralfall.rollout import PartnerRollout
-from coralfall.signing import Role, sign
-from coralfall.store import ObjectStore
+from coralfall.lookups import chunks
+from coralfall.lookups.blocks import Block, Family
+from coralfall.stores.store import ObjectStore
 from tests import operators
 
 Objects = t.Dict[Digest, bytes]
--- a/tests/test_standin_target.py
+++ b/tests/test_standin_target.py
@@ -7,7 +7,7 @@
 
 from parameterized import parameterized
 
-from coralfall.standin_target import Faults
+from coralfall.standins.standin_target import Faults
 from tests import loopback
 from tests.test_dispatch import Got, ask, connect, until
 
--- a/tests/test_status_builder.py
+++ b/tests/test_status_builder.py
@@ -8,11 +8,10 @@
 import msgspec
 from parameterized import parameterized
 
-from coralfall.bundle import Head, VersionRef
-from coralfall.clock import ManualClock
-from coralfall.entry import Entry
-from coralfall.fleetkey import new_fleet_key
-from coralfall.gauges import Gauges
+from coralfall.balancing.steering import AttemptResult
+from coralfall.bundles.bundle import Head, VersionRef
+from coralfall.cluster.entry import Entry
+from coralfall.cluster.gauges import Gauges
 from coralfall.ids import (
     BundleVersion,
     EntryId,
@@ -26,12 +25,13 @@
     VmId,
     ZoneId,
 )
-from coralfall.memory_platform import MemoryPlatform
-from coralfall.messages import Heartbeat
-from coralfall.metrics import Metrics
+from coralfall.peering.fleetkey import new_fleet_key
+from coralfall.peering.messages import Heartbeat
+from coralfall.process.clock import ManualClock
+from coralfall.process.metrics import Metrics
+from coralfall.reporting.status import EntryStatus, HeardStatus, RegionStatus, TargetStatus
 from coralfall.settings import EntrySettings, PartnerSettings, PeerSettings, PlatformSettings
-from coralfall.status import EntryStatus, HeardStatus, RegionStatus, TargetStatus
-from coralfall.steering import AttemptResult
+from coralfall.stores.memory_platform import MemoryPlatform
 from tests.checks import make_folder
 from tests.members import make_member
 from tests.operators import COSECHA, COSECHA_KEYS, SIERRA, make_bundle
--- a/tests/test_supervisor.py
+++ b/tests/test_supervisor.py
@@ -11,12 +11,12 @@
 
 from parameterized import parameterized
 
-from coralfall import log, supervisor
-from coralfall.child import PERIODIC_JITTER, Child, FunctionChild, PeriodicChild
-from coralfall.clock import ManualClock
 from coralfall.exceptions import SupervisorError
+from coralfall.process import log, supervisor
+from coralfall.process.child import PERIODIC_JITTER, Child, FunctionChild, PeriodicChild
+from coralfall.process.clock import ManualClock
+from coralfall.process.supervisor import ChildState, Supervisor, supervise
 from coralfall.settings import LogSettings, RestartSettings
-from coralfall.supervisor import ChildState, Supervisor, supervise
 
 #: Bound that only keeps a broken test from hanging.
 PATIENCE_S = 20.0
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -8,7 +8,7 @@
 from parameterized import parameterized
 
 from coralfall import defaults
-from coralfall.clock import Clock, ManualClock, SystemClock
+from coralfall.balancing.steering import AttemptResult, Reservation
 from coralfall.exceptions import (
     CallerGoneError,
     RefusedError,
@@ -17,9 +17,9 @@
     TargetTimeoutError,
     TargetUnknownError,
 )
-from coralfall.request import MemoryAccount, RequestBody
-from coralfall.steering import AttemptResult, Reservation
-from coralfall.upstream import Exchange, TargetRequest, Upstream
+from coralfall.forwarding.request import MemoryAccount, RequestBody
+from coralfall.forwarding.upstream import Exchange, TargetRequest, Upstream
+from coralfall.process.clock import Clock, ManualClock, SystemClock
 from tests import loopback
 
 ANSWERED = AttemptResult.ANSWERED
--- a/tests/traffic/makers.py
+++ b/tests/traffic/makers.py
@@ -3,8 +3,8 @@
 import random
 import typing as t
 
-from coralfall.clock import ManualClock
 from coralfall.ids import EntryId, Incarnation, RegionId, ServiceId, TargetId, ZoneId
+from coralfall.process.clock import ManualClock
 from coralfall.traffic.affinity import AffinitySteering
 from coralfall.traffic.model import (
     Backend,
--- a/tests/traffic/test_decisions.py
+++ b/tests/traffic/test_decisions.py
@@ -9,9 +9,9 @@
 from parameterized import parameterized
 
 from coralfall import defaults
-from coralfall.clock import ManualClock
 from coralfall.exceptions import RefusedError
 from coralfall.ids import EntryId, ServiceId, TargetId
+from coralfall.process.clock import ManualClock
 from coralfall.traffic import cold
 from coralfall.traffic.budget import SendBudget
 from coralfall.traffic.model import Backend, RouteId
--- a/tests/traffic/test_forwarder.py
+++ b/tests/traffic/test_forwarder.py
@@ -6,10 +6,10 @@
 
 from parameterized import parameterized
 
-from coralfall.clock import SystemClock
+from coralfall.forwarding.request import MemoryAccount, RequestBody
 from coralfall.ids import Outcome, TargetId
 from coralfall.platform.names import HEADERS
-from coralfall.request import MemoryAccount, RequestBody
+from coralfall.process.clock import SystemClock
 from coralfall.traffic.affinity import AffinitySteering
 from coralfall.traffic.budget import SendBudget
 from coralfall.traffic.forwarder import Forwarder, SteeredRequest
--- a/tests/traffic/test_knowledge.py
+++ b/tests/traffic/test_knowledge.py
@@ -10,10 +10,10 @@
 from parameterized import parameterized
 
 from coralfall import defaults
-from coralfall.clock import Clock, ManualClock
 from coralfall.exceptions import DesiredStateError, HistoryLostError, PlatformUnavailableError
 from coralfall.ids import EntryState, Incarnation, RegionId, Revision, TargetId, ZoneId
-from coralfall.store import Changes, Feed, Row
+from coralfall.process.clock import Clock, ManualClock
+from coralfall.stores.store import Changes, Feed, Row
 from coralfall.traffic.belief import Belief
 from coralfall.traffic.follower import Follower
 from coralfall.traffic.gossip import Exchange
--- a/tests/virtual_loop.py
+++ b/tests/virtual_loop.py
@@ -5,7 +5,7 @@
 import selectors
 import typing as t
 
-from coralfall.clock import Clock
+from coralfall.process.clock import Clock
 
 ResultT = t.TypeVar("ResultT")
 
