--- a/docs/settings_reference.py
+++ b/docs/settings_reference.py
@@ -14,6 +14,8 @@
 from coralfall.bundles.trust import TrustSettings
 from coralfall.settings import EntrySettings, PlatformStandinSettings, TargetStandinSettings
 
+from coralfall.traffic.settings import SteerSettings
+
 PAGE = pathlib.Path(__file__).with_name("SETTINGS.md")
 _INTRODUCTION = """# Settings
 
@@ -22,10 +24,11 @@
 and exit code 2. Times are in seconds unless the name says otherwise.
 
 This page is written by `docs/settings_reference.py` from the definitions in
-`src/coralfall/settings.py`; change them, not it.
+`src/coralfall/settings.py` and `src/coralfall/traffic/settings.py`; change them, not it.
 """
 _PROCESSES = {
     "`coralfall entry --settings FILE`": EntrySettings,
+    "`coralfall steer --settings FILE`": SteerSettings,
     "`coralfall standin platform --settings FILE`": PlatformStandinSettings,
     "`coralfall standin target --settings FILE`": TargetStandinSettings,
     "Trust file of `coralfall bundle submit --trust FILE`": TrustSettings,
--- a/src/coralfall/traffic/settings.py
+++ b/src/coralfall/traffic/settings.py
@@ -19,12 +19,15 @@
 class BoundSettings(Settings, frozen=True):
     """What the users hold the system to; times in seconds."""
 
-    #: Second sends that a service's requests allow in a window, as a share and a number on top.
+    #: Second sends in a window, of all entries together, as a share of a service's requests.
     budget_ratio: float = 0.2
+    #: Seconds of that window.
     budget_window_s: float = 10.0
+    #: Second sends that are allowed on top of the share.
     budget_slack: int = 64
-    #: What a cold target bears in a second: so many times its own figure, and a number on top.
+    #: What a cold target may get in a second, as a multiple of what its service's rules say.
     cold_overage: float = 1.5
+    #: Requests that a cold target may get in a second on top of that.
     cold_slack: int = 5
     #: Longest time for which callers may keep an answer to a look-up.
     max_ttl_s: float = 5.0
@@ -39,14 +42,17 @@
 
     #: Name of the entry, unlike that of any other entry.
     entry_id: EntryId
-    #: Zone and region that the VM is in.
+    #: Zone that the VM is in.
     zone: ZoneId
+    #: Region that the VM is in.
     region: RegionId
     #: Region of each zone.
     regions_by_zone: t.Dict[ZoneId, RegionId]
-    #: ``ip:port`` to listen on: for callers, for look-ups, for the platform's own checks.
+    #: ``ip:port`` to listen on for callers.
     caller_address: str
+    #: ``ip:port`` to listen on for look-ups.
     lookup_address: str
+    #: ``ip:port`` to listen on for the platform's own checks.
     readiness_address: str
     #: ``ip:port`` to listen on for other entries.
     peer_address: str
--- a/tests/test_references.py
+++ b/tests/test_references.py
@@ -19,7 +19,7 @@
 
 def calls_in_source() -> t.Iterator[t.Tuple[pathlib.Path, str, str]]:
     """File, function's name and first argument of every call that names something."""
-    for path in sorted((ROOT / "src" / "coralfall").glob("*.py")):
+    for path in sorted((ROOT / "src" / "coralfall").rglob("*.py")):
         for node in ast.walk(ast.parse(path.read_text())):
             if not isinstance(node, ast.Call) or not node.args:
                 continue
