--- a/src/coralfall/traffic/lookup.py
+++ b/src/coralfall/traffic/lookup.py
@@ -13,9 +13,6 @@
     from .settings import BoundSettings, SteerSettings
     from .translator import LookupQuestion
 
-#: Entries that a caller should be told of at the least, so that it need not ask again at once.
-_ENOUGH = 2
-
 
 class Lookup:
     """Answers look-ups.
@@ -42,7 +39,7 @@
         host's routes are held to, then any.
         """
         serving = self._members.serving()
-        found = nearest(serving, question.zone, question.region, _ENOUGH)
+        found = nearest(serving, question.zone, question.region)
         if not found:
             homes = self._homes(question.host)
             found = [record for record in serving if record.region in homes]
--- a/src/coralfall/traffic/members.py
+++ b/src/coralfall/traffic/members.py
@@ -179,10 +179,18 @@
 
 
 def nearest(
-    records: "t.Sequence[EntryRecord]", zone: ZoneId, region: RegionId, enough: int
+    records: "t.Sequence[EntryRecord]", zone: ZoneId, region: RegionId
 ) -> "t.List[EntryRecord]":
-    """Entries of the zone, with those of its region if they are fewer than enough."""
+    """Entries of a zone, and as many of the other zones of its region.
+
+    Callers of a zone that is lost can't ask again: those whom they would ask are lost with it.
+    Which others they are told of differs by zone.
+    """
     in_zone = [record for record in records if record.zone == zone]
-    if len(in_zone) >= enough:
-        return in_zone
-    return [record for record in records if record.region == region]
+    beside = [record for record in records if record.region == region and record.zone != zone]
+    beside.sort(key=lambda record: _weight(EntryId(f"{zone} {record.entry_id}")))
+    return in_zone + beside[: max(_LEAST_OUTSIDE, len(in_zone))]
+
+
+#: Entries outside their zone that callers should be told of at the least.
+_LEAST_OUTSIDE = 2
