--- a/benchmarks/slot_cost.py
+++ b/benchmarks/slot_cost.py
@@ -8,7 +8,7 @@
 import typing as t
 
 import msgspec
-from tests.bundles import COSECHA, make_bundle, make_target
+from tests.bundle_makers import COSECHA, make_bundle, make_target
 from tests.members import make_member
 
 from coralfall.balancing.handover import Ack
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -228,11 +228,13 @@
             send.result = str(error.fields.get("reason", "not-run"))
             if send.result == "connect":
                 state.fail(reached=False)
+                self._targets.failed_at = self._clock.monotonic()
             raise
         except TargetUnknownError as error:
             send.result = str(error.fields.get("reason", error.code))
             silent = began if isinstance(error, TargetTimeoutError) else None
             state.fail(reached=True, silent_since=silent)
+            self._targets.failed_at = self._clock.monotonic()
             raise
         except asyncio.CancelledError:
             send.result = "cancelled"
@@ -241,6 +243,7 @@
             send.seconds = self._clock.monotonic() - began
             place.release()
         state.succeed()
+        self._targets.answered_at = self._clock.monotonic()
         self._steering.admission.note_duration(request.service, send.seconds)
         send.result = str(answer.status)
         return answer
--- /dev/null
+++ b/tests/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of slots and shares."""
--- a/tests/test_capacity.py
+++ b/tests/balancing/test_capacity.py
@@ -22,7 +22,7 @@
 from coralfall.bundles.bundle import Bundle, Grant, Target
 from coralfall.ids import PartnerId, ServiceId, TargetId, TargetState
 from coralfall.process.clock import ManualClock
-from tests.bundles import (
+from tests.bundle_makers import (
     CALOR,
     CENTRO,
     COSECHA,
--- a/tests/test_handover.py
+++ b/tests/balancing/test_handover.py
@@ -17,7 +17,7 @@
 from coralfall.process.clock import ManualClock
 from coralfall.settings import LeaseSettings
 from coralfall.stores.store import Row
-from tests.bundles import COSECHA, make_bundle, make_target
+from tests.bundle_makers import COSECHA, make_bundle, make_target
 from tests.members import deleted, make_member, put
 
 TTL_S = 6.0
--- a/tests/test_lending.py
+++ b/tests/balancing/test_lending.py
@@ -20,9 +20,9 @@
 from coralfall.peering.messages import LoanAnswer, LoanReturn
 from coralfall.process.clock import ManualClock
 from coralfall.settings import LeaseSettings
-from tests.bundles import CENTRO, COSECHA, SIERRA, make_bundle, make_target
+from tests.balancing.test_handover import MARGIN_S, SLOTS, T0, make_limits
+from tests.bundle_makers import CENTRO, COSECHA, SIERRA, make_bundle, make_target
 from tests.members import put
-from tests.test_handover import MARGIN_S, SLOTS, T0, make_limits
 
 SERVICE = ServiceId("pedidos")
 OWNER, BORROWER = EntryId("a"), EntryId("b")
--- a/tests/test_queue.py
+++ b/tests/balancing/test_queue.py
@@ -19,8 +19,8 @@
 from coralfall.process.clock import ManualClock, PlatformClock
 from coralfall.reporting.fleet import FleetReservation, FleetSteering
 from coralfall.settings import LeaseSettings
-from tests.bundles import COSECHA, make_bundle, make_target
-from tests.test_roster import put
+from tests.bundle_makers import COSECHA, make_bundle, make_target
+from tests.cluster.test_roster import put
 
 SERVICE = ServiceId("pedidos")
 SLOTS = 2
--- /dev/null
+++ b/tests/bundles/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of bundles."""
--- a/tests/test_draft.py
+++ b/tests/bundles/test_draft.py
@@ -13,7 +13,7 @@
 from tests.checks import make_folder
 from tests.operators import COSECHA
 
-EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+EXAMPLES = pathlib.Path(__file__).parent.parent.parent / "examples"
 BASE = starter.starter_draft(COSECHA)
 Wanted = t.List[t.Tuple[str, str]]
 
--- /dev/null
+++ b/tests/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of entries that run by signed bundles."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -44,8 +44,8 @@
 from coralfall.process.clock import Clock
 from coralfall.settings import LeaseSettings
 from coralfall.stores.store import Row, Vm
-from tests.bundles import COSECHA, SIERRA, make_bundle, make_target
-from tests.test_roster import make_member
+from tests.bundle_makers import COSECHA, SIERRA, make_bundle, make_target
+from tests.cluster.test_roster import make_member
 
 SETTINGS = LeaseSettings(ttl_s=6.0)
 SERVICE = ServiceId("pedidos")
--- /dev/null
+++ b/tests/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the path of a request."""
--- /dev/null
+++ b/tests/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of claims on idempotency keys."""
--- /dev/null
+++ b/tests/peering/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of streams between entries."""
--- /dev/null
+++ b/tests/process/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what every process is made of."""
--- a/tests/test_loop.py
+++ b/tests/process/test_loop.py
@@ -21,7 +21,7 @@
 ONE_THREAD_PROGRAM = """
 import asyncio, os, socket
 import aiohttp
-from coralfall import loop
+from coralfall.process import loop
 
 async def main():
     listener = socket.create_server(("127.0.0.1", 0))
--- /dev/null
+++ b/tests/reporting/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of reports and status."""
--- a/tests/test_standin_target.py
+++ b/tests/standins/test_standin_target.py
@@ -9,7 +9,7 @@
 
 from coralfall.standins.standin_target import Faults
 from tests import loopback
-from tests.test_dispatch import Got, ask, connect, until
+from tests.forwarding.test_dispatch import Got, ask, connect, until
 
 
 async def asks(address: str, method: str, paths: t.Iterable[str]) -> t.List[Got]:
--- /dev/null
+++ b/tests/stores/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform's interfaces."""
