Take back the refusal of entries that are cut off

An entry that is cut off from entries and store still has targets that answer, in its zone at the least, and serves by them.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -197,10 +197,6 @@
 RETURN_GRACE_S = 2.2
 #: Seconds without an answer of the store that count as an outage.
 OUTAGE_S = 1.5
-#: Seconds without an answer of any target, though some were asked, that are a sign of isolation.
-ISOLATED_S = 1.0
-#: Seconds for which an entry that is cut off refuses requests before it tries targets again.
-ISOLATION_S = 3.0
 #: Seconds between two rounds of gossip, and how many entries are asked in one.
 GOSSIP_S = 0.4
 GOSSIP_FANOUT = 3
--- a/src/coralfall/reporting/explain.py
+++ b/src/coralfall/reporting/explain.py
@@ -39,7 +39,6 @@
     "no-time": "no target for the object could have answered within the time that was left",
     "no-target": "no target of the service could be used: see which rested, left, were evacuated",
     "no-state": "the entry knew no desired state yet: see store and peer lines after its start",
-    "isolated": "the entry was cut off from other entries, store and targets alike",
     "connect": "no target could be connected; nothing was sent",
     "time": "a target had the request and gave no whole answer in time; it may have run",
     "broken": "the connection ended within the exchange; the target may have run the request",
--- a/src/coralfall/traffic/belief.py
+++ b/src/coralfall/traffic/belief.py
@@ -45,8 +45,6 @@
         self.target_rows: Replica["Target"] = Replica("targets", translator.target_row)
         self.state: t.Optional[DesiredState] = None
         self.routes: t.Optional[RouteTable] = None
-        #: Whether this entry is cut off, so that nothing here can be trusted to lead anywhere.
-        self.isolated = False
         self.split = Split(rng)
         #: Called with each new desired state, and after anything else was learnt.
         self.on_state: t.Callable[[DesiredState], None] = lambda state: None
--- a/src/coralfall/traffic/callers.py
+++ b/src/coralfall/traffic/callers.py
@@ -121,9 +121,6 @@
         if routes is None:
             message = "no desired state is known yet"
             raise RefusedError(message, defaults.COME_BACK_S, reason="no-state")
-        if self._belief.isolated:
-            message = "this entry is cut off; ask another one"
-            raise RefusedError(message, defaults.COME_BACK_S, reason="isolated")
         headers = scope["headers"]
         host = _header(headers, b"host") or b""
         path = scope["raw_path"].decode("latin-1")
--- a/src/coralfall/traffic/follower.py
+++ b/src/coralfall/traffic/follower.py
@@ -69,11 +69,6 @@
         self.reads = 0
         self.failed_reads = 0
 
-    @property
-    def lost(self) -> bool:
-        """Whether the store did not answer the last read."""
-        return self._failures > 0
-
     async def run(self) -> None:
         """Read when it is this entry's turn, for ever."""
         while True:
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -12,7 +12,6 @@
 from ..exceptions import (
     CoralfallError,
     RefusedError,
-    RequestError,
     TargetError,
     TargetNotRunError,
     TargetTimeoutError,
@@ -228,13 +227,11 @@
             send.result = str(error.fields.get("reason", "not-run"))
             if send.result == "connect":
                 state.fail(reached=False)
-                self._targets.failed_at = self._clock.monotonic()
             raise
         except TargetUnknownError as error:
             send.result = str(error.fields.get("reason", error.code))
             silent = began if isinstance(error, TargetTimeoutError) else None
             state.fail(reached=True, silent_since=silent)
-            self._targets.failed_at = self._clock.monotonic()
             raise
         except asyncio.CancelledError:
             send.result = "cancelled"
@@ -243,7 +240,6 @@
             send.seconds = self._clock.monotonic() - began
             place.release()
         state.succeed()
-        self._targets.answered_at = self._clock.monotonic()
         self._steering.admission.note_duration(request.service, send.seconds)
         send.result = str(answer.status)
         return answer
@@ -331,6 +327,4 @@
     """The failure to report: one send that may have run makes the whole request so."""
     if isinstance(first, TargetUnknownError):
         return second if isinstance(second, TargetUnknownError) else first
-    if isinstance(second, RequestError):
-        return second
     return second
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -26,7 +26,6 @@
 from .follower import Follower
 from .forwarder import Forwarder
 from .gossip import Exchange, Gossip, GossipServer
-from .isolation import Isolation
 from .lookup import Lookup
 from .members import Members
 from .model import DesiredState, EntryRecord
@@ -97,7 +96,6 @@
         self._make_peers()
         self._tick_due = clock.monotonic() + _TICK_S
         self.followers = self._make_followers()
-        self.isolation = Isolation(self.members, self.targets, self._store_lost, clock)
         self.belief.on_state = self._apply_limits
         self.belief.on_learnt = self.note_readiness
 
@@ -163,27 +161,19 @@
         self.telemetry.loop_delay(max(0.0, now - self._tick_due))
         self._tick_due = now + _TICK_S * (1 + PERIODIC_JITTER)
         self.belief.tick()
-        if self.isolation.look():
-            self.belief.isolated = self.isolation.isolated
-            self.members.set_own(ready=not self.isolation.isolated and self.belief.complete)
         self.pool.close_idle()
         self.budget.entries = self.members.count()
         self.steering.entries = self.members.all_ids()
 
     def note_readiness(self) -> None:
         """Let callers come as soon as enough is known and the callers' port is open."""
-        if not self.belief.complete or self.belief.isolated:
-            return
-        if not self._callers_server.bound_address:
+        if not self.belief.complete or not self._callers_server.bound_address:
             return
         if not self.members.set_own(ready=True):
             return
         log.info("entry.ready", version=self.belief.version, targets=len(self.targets.by_id))
         self.gossip.push(self.belief.state_rows.revision, self.belief.target_rows.revision)
 
-    def _store_lost(self) -> bool:
-        return all(follower.lost for follower in self.followers)
-
     def _apply_limits(self, state: DesiredState) -> None:
         limits = state.limits
         self._callers_server.set_settings(
--- a/src/coralfall/traffic/targets.py
+++ b/src/coralfall/traffic/targets.py
@@ -122,9 +122,6 @@
         self._evacuated: t.FrozenSet["ZoneId"] = frozenset()
         #: Rises whenever the targets that may be used change.
         self.generation = 0
-        #: When a target answered last, and when one last failed.
-        self.answered_at = -float("inf")
-        self.failed_at = -float("inf")
         #: Seconds for which targets of a zone are held cold once its evacuation is over.
         self.warmup_s_by_service: t.Mapping["ServiceId", float] = {}
 
