--- a/src/coralfall/forwarding/callers.py
+++ b/src/coralfall/forwarding/callers.py
@@ -9,7 +9,7 @@
 from ..http.caller_watch import CallerWatch
 from ..ids import Outcome, PartnerId, ServiceId
 from .answer import Answer, answer_of
-from .request import CallerRequest, MemoryAccount, RequestBody
+from .request import CallerRequest, MemoryAccount, RequestBody, pieces_of
 
 if t.TYPE_CHECKING:
     from starlette.types import Receive, Scope, Send
@@ -162,23 +162,12 @@
         elif name == b"transfer-encoding":
             chunked = True
     if chunked:
-        return RequestBody(_pieces(receive), None, memory)
+        return RequestBody(pieces_of(receive), None, memory)
     if length:
-        return RequestBody(_pieces(receive), length, memory)
+        return RequestBody(pieces_of(receive), length, memory)
     return None
 
 
-async def _pieces(receive: "Receive") -> t.AsyncIterator[bytes]:
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            raise CallerGoneError("the caller closed its connection within its request")
-        if message["body"]:
-            yield message["body"]
-        if not message["more_body"]:
-            return
-
-
 def _is_endless(answer: Answer, scope: "Scope") -> bool:
     """Whether the caller could not tell a break of this answer from its end."""
     if scope["http_version"] != "1.0":
--- a/src/coralfall/forwarding/request.py
+++ b/src/coralfall/forwarding/request.py
@@ -3,10 +3,13 @@
 import typing as t
 
 from .. import defaults
-from ..exceptions import RefusedError, RequestError
+from ..exceptions import CallerGoneError, RefusedError, RequestError
 from ..ids import PartnerId, ServiceId
 from .headers import RawHeaders
 
+if t.TYPE_CHECKING:
+    from starlette.types import Receive
+
 #: Methods that change nothing and may be sent again; every other one is a command.
 READ_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
 
@@ -118,6 +121,22 @@
             raise body_too_large(self.limit)
 
 
+async def pieces_of(receive: "Receive") -> t.AsyncIterator[bytes]:
+    """A request's body as it comes from its caller.
+
+    :param receive: of the ASGI application.
+    :raises CallerGoneError: if the caller leaves before the body is whole.
+    """
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise CallerGoneError("the caller closed its connection within its request")
+        if message["body"]:
+            yield message["body"]
+        if not message["more_body"]:
+            return
+
+
 def body_too_large(limit: int) -> RequestError:
     """The error for a body that is longer than its service allows."""
     message = f"body is longer than the {limit} bytes that this service takes"
--- a/src/coralfall/traffic/callers.py
+++ b/src/coralfall/traffic/callers.py
@@ -5,7 +5,7 @@
 
 from .. import defaults
 from ..exceptions import CallerGoneError, CoralfallError, RefusedError, RequestError
-from ..forwarding.request import MemoryAccount, RequestBody
+from ..forwarding.request import MemoryAccount, RequestBody, pieces_of
 from ..http.caller_watch import CallerWatch
 from ..process import log
 from .forwarder import SteeredRequest
@@ -202,18 +202,7 @@
 def _body_of(scope: "Scope", receive: "Receive", memory: MemoryAccount) -> t.Optional[RequestBody]:
     length = _header(scope["headers"], b"content-length")
     if _header(scope["headers"], b"transfer-encoding") is not None:
-        return RequestBody(_pieces(receive), None, memory)
+        return RequestBody(pieces_of(receive), None, memory)
     if length is not None and int(length) > 0:
-        return RequestBody(_pieces(receive), int(length), memory)
+        return RequestBody(pieces_of(receive), int(length), memory)
     return None
-
-
-async def _pieces(receive: "Receive") -> t.AsyncIterator[bytes]:
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            raise CallerGoneError("the caller closed its connection within its request")
-        if message["body"]:
-            yield message["body"]
-        if not message["more_body"]:
-            return
