--- a/tests/idempotency/test_claims.py
+++ b/tests/idempotency/test_claims.py
@@ -26,9 +26,8 @@
 from coralfall.ids import EntryId, IdempotencyKey, Incarnation, PartnerId, ServiceId
 from coralfall.stores.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
 from coralfall.stores.store import Write
-
-from .flaky_table import Fate, FlakyTable
-from .virtual_loop import LoopClock, VirtualLoop, run_virtual
+from tests.flaky_table import Fate, FlakyTable
+from tests.virtual_loop import LoopClock, VirtualLoop, run_virtual
 
 PARTNER, SERVICE = PartnerId("cosecha"), ServiceId("pedidos")
 KEY = IdempotencyKey("order-1")
--- a/tests/idempotency/test_claims_history.py
+++ b/tests/idempotency/test_claims_history.py
@@ -16,10 +16,9 @@
 from coralfall.ids import EntryId, IdempotencyKey, Incarnation, Outcome, PartnerId, ServiceId
 from coralfall.stores.memory_platform import MemoryPlatform
 from coralfall.stores.store import Table, Write
-
-from .event_rules import Event, Kind, violations
-from .flaky_table import Fate, FlakyTable
-from .virtual_loop import LoopClock, run_virtual
+from tests.event_rules import Event, Kind, violations
+from tests.flaky_table import Fate, FlakyTable
+from tests.virtual_loop import LoopClock, run_virtual
 
 PARTNER, SERVICE = PartnerId("calor"), ServiceId("mando")
 ENTRIES = 3
--- a/tests/idempotency/test_claims_http.py
+++ b/tests/idempotency/test_claims_http.py
@@ -13,8 +13,7 @@
 from coralfall.ids import EntryId, IdempotencyKey, Incarnation, PartnerId, ServiceId
 from coralfall.process.clock import SystemClock
 from coralfall.stores.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
-
-from .platform_server import serve_platform
+from tests.platform_server import serve_platform
 
 KEY = (PartnerId("calor"), ServiceId("mando"), IdempotencyKey("restart-7"))
 #: Only keeps a broken test from hanging.
--- a/tests/stores/test_http_platform.py
+++ b/tests/stores/test_http_platform.py
@@ -21,8 +21,7 @@
 from coralfall.stores.http_platform import HttpPlatform
 from coralfall.stores.memory_platform import FaultMode, Faults, ServiceFault
 from coralfall.stores.store import Check, Platform, Row, Vm, Write
-
-from .platform_server import serve_platform
+from tests.platform_server import serve_platform
 
 DATA = b"a signed bundle"
 DIGEST = digest_of(DATA)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -228,6 +228,9 @@
         await self.load.serves_more()
         for target in ("pedidos-2", "catalogo-2"):
             self.fleet.start_target(target, service_ms=20.0)
+        for target in ("pedidos-2", "catalogo-2"):
+            # The check asks it what it did, and others can serve before it listens.
+            await self.fleet.up(self.session, target, "/effects")
         await self.load.serves_more()
         await self.stop_and_check(recorded=False)
         self.note(f"longest gap {self.load.longest_gap_s:.2f} s")
