Say what an answer without an outcome was

An answer without the outcome header would have shown as a bare KeyError; the callers of the tests now fail with its status and body, so that the next time tells. The test is as strict as before: it still fails then.

Ruled out: calls to the platform that raise anything but errors of the stores (http_platform turns aiohttp's, timeouts and OSError).

--- a/tests/load.py
+++ b/tests/load.py
@@ -188,6 +188,8 @@
     def _take(
         self, request: Event, answer: aiohttp.ClientResponse, body: bytes, expected: bytes
     ) -> Outcome:
+        if "coralfall-outcome" not in answer.headers:
+            raise AssertionError(f"{request}: {answer.status} without outcome, {body[:200]!r}")
         outcome = Outcome(answer.headers["coralfall-outcome"])
         version = int(answer.headers.get("coralfall-version", "0"))
         whole = answer.status == 200 and body == expected
