Notice connections that go silent without a reset

Every call waited its whole time limit on the dead connection, paused as after an outage, then tried the next dead one. A request on a kept connection waited for its own time limit, its target was held unwell, and the target's other idle connections, as dead as the first, took the next requests.

Reads of the store and gossip that were on a connection used before are made again on a new one; writes always take a new one, as they can't be repeated. A kept connection to a target that ends without a byte says nothing of the target: its idle connections are closed and a request that may run twice goes to the same target again, within the budget.

Ruled out: keep-alive probes (a second at the least); hedging by time (a slow target looks the same, and it would cost the budget).

Each new test fails without its mechanism.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -186,6 +186,9 @@
 
 #: Seconds that a call to the platform's store may take, beside what it was asked to wait.
 STORE_TIMEOUT_S = 1.0
+#: Seconds that the store may take on a connection that was used before, beside what it was asked
+#: to wait; then the call is made again on a new one.
+STORE_KEPT_S = 0.5
 #: Seconds between two reads of the store by the entry that reads for all.
 READ_INTERVAL_S = 0.5
 #: Age in seconds at which the first other entry reads for itself, what each next one adds to it,
@@ -208,7 +211,9 @@
 #: How many entries one entry hands a change on to.
 RELAY_FANOUT = 8
 #: Seconds that an exchange between entries may take.
-GOSSIP_TIMEOUT_S = 0.6
+GOSSIP_TIMEOUT_S = 1.0
+#: Seconds that an answer may take on a stream that was open before the same is asked on a new one.
+GOSSIP_KEPT_S = 0.4
 #: Seconds for which callers may keep an answer to a look-up.
 STEER_TTL_S = 1.0
 #: Seconds for which a stopping entry still takes what callers send to it.
@@ -231,6 +236,8 @@
 AFFINITY_CACHE = 20_000
 #: Seconds in which a connection to a target must be open.
 TARGET_CONNECT_S = 0.35
+#: Seconds for which sent bytes may stay unacknowledged before their connection is given up.
+UNACKNOWLEDGED_S = 0.4
 #: Failed connections and failed exchanges in a row after which a target rests.
 REST_FAILURES = 3
 #: Seconds for which it rests, at first and at most.
--- a/src/coralfall/peering/channel.py
+++ b/src/coralfall/peering/channel.py
@@ -39,6 +39,7 @@
     PeerUnreachableError,
     PeerVersionError,
 )
+from ..process.sockets import end_when_silent
 from ..settings import split_address
 from .cipher import (
     PROOF_BYTES,
@@ -116,6 +117,7 @@
         self._ended = False
         self._peer: t.Optional[Hello] = None
         writer.transport.set_write_buffer_limits(high=defaults.PEER_WRITE_BUFFER_BYTES)
+        end_when_silent(writer.transport)
 
     @property
     def peer(self) -> Hello:
--- a/src/coralfall/peering/peer_links.py
+++ b/src/coralfall/peering/peer_links.py
@@ -5,7 +5,7 @@
 import typing as t
 
 from .. import defaults
-from ..exceptions import PeerFrameError, PeerTimeoutError, PeerUnreachableError
+from ..exceptions import PeerError, PeerFrameError, PeerTimeoutError, PeerUnreachableError
 from ..ids import EntryId
 from .channel import Channel, Traffic, dial
 
@@ -51,23 +51,39 @@
         message: "AnyMessage",
         answer_type: t.Type[AnswerT],
         expected: t.Optional[EntryId],
+        kept_s: t.Optional[float],
     ) -> Answer[AnswerT]:
         """Send a message and receive its answer; see :meth:`PeerLinks.exchange`."""
         async with self._lock:
-            channel = await self._open(expected)
-            try:
-                await channel.send(message)
-                answer = await channel.receive()
-                if not isinstance(answer, answer_type):
-                    raise PeerFrameError(
-                        f"{channel.peer.entry_id} answered {type(message).__name__}"
-                        f" with {type(answer).__name__}"
-                    )
-                return Answer(channel.peer, answer)
-            except BaseException:
-                # A late answer must not be taken for that to the next message.
-                channel.abort()
-                raise
+            if kept_s is not None and self._is_open:
+                try:
+                    async with asyncio.timeout(kept_s):
+                        return await self._exchange(message, answer_type, expected)
+                except (PeerError, TimeoutError):
+                    # The stream may have gone silent while its entry is well.
+                    pass
+            return await self._exchange(message, answer_type, expected)
+
+    async def _exchange(
+        self,
+        message: "AnyMessage",
+        answer_type: t.Type[AnswerT],
+        expected: t.Optional[EntryId],
+    ) -> Answer[AnswerT]:
+        channel = await self._open(expected)
+        try:
+            await channel.send(message)
+            answer = await channel.receive()
+            if not isinstance(answer, answer_type):
+                raise PeerFrameError(
+                    f"{channel.peer.entry_id} answered {type(message).__name__}"
+                    f" with {type(answer).__name__}"
+                )
+            return Answer(channel.peer, answer)
+        except BaseException:
+            # A late answer must not be taken for that to the next message.
+            channel.abort()
+            raise
 
     async def post(self, message: "AnyMessage", expected: t.Optional[EntryId]) -> None:
         """Send a message that has no answer."""
@@ -80,8 +96,12 @@
         if self._channel is not None:
             await self._channel.close()
 
+    @property
+    def _is_open(self) -> bool:
+        return self._channel is not None and not self._channel.closed
+
     async def _open(self, expected: t.Optional[EntryId]) -> Channel:
-        if self._channel is None or self._channel.closed:
+        if self._channel is None or not self._is_open:
             self._channel = await dial(self._address, self._fleet_key, self._hello, self._traffic)
         entry_id = self._channel.peer.entry_id
         if expected is not None and entry_id != expected:
@@ -119,6 +139,7 @@
         answer_type: t.Type[AnswerT],
         timeout_s: float,
         expected: t.Optional[EntryId] = None,
+        kept_s: t.Optional[float] = None,
     ) -> Answer[AnswerT]:
         """Send a message and receive its answer.
 
@@ -126,12 +147,14 @@
         :param answer_type: kind of the answer.
         :param timeout_s: seconds for all of it, a connection to be opened first included.
         :param expected: entry that must answer there; any if ``None``.
+        :param kept_s: seconds after which the same is asked again on a new stream, if the one used
+            was open before; only for messages that may arrive twice.
         :raises PeerError: if no such answer came; what the peer did is not known then.
         """
         link = self._take(address)
         try:
             async with asyncio.timeout(timeout_s):
-                return await link.exchange(message, answer_type, expected)
+                return await link.exchange(message, answer_type, expected, kept_s)
         except TimeoutError as error:
             raise PeerTimeoutError(f"{address} did not answer in {timeout_s} s") from error
         finally:
--- a/src/coralfall/platform/store.py
+++ b/src/coralfall/platform/store.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from .. import defaults
 from ..exceptions import (
     HistoryLostError,
     PlatformError,
@@ -109,7 +110,7 @@
         self, writes: t.Sequence[Write], checks: t.Sequence[Check] = ()
     ) -> TransactResult:
         body = msgspec.json.encode(_transaction(writes, checks))
-        answer = await self._call("POST", names.ROWS_TX_PATH, body, 0.0, PlatformUnknownError)
+        answer = await self._write(body)
         if answer.status not in (200, _CONFLICT):
             raise _refusal(answer)
         result = _decode(answer)
@@ -119,39 +120,61 @@
 
     async def _read(self, path: str, query: t.Dict[str, str], wait_s: float) -> _Rows:
         target = f"{path}?{urllib.parse.urlencode(query)}"
-        answer = await self._call("GET", target, b"", wait_s, PlatformUnavailableError)
+        answer = await self._get(target, wait_s)
         if answer.status == _GONE:
             raise HistoryLostError("the platform's store no longer has these changes")
         if answer.status != 200:
             raise _refusal(answer)
         return _decode(answer)
 
-    async def _call(
-        self,
-        method: str,
-        path: str,
-        body: bytes,
-        wait_s: float,
-        unanswered: t.Type[PlatformError],
-    ) -> ServerAnswer:
-        self.calls += 1
+    async def _get(self, path: str, wait_s: float) -> ServerAnswer:
+        head = head_of("GET", path, self._settings.address, [])
+        kept = self._take_idle()
+        if kept is not None:
+            try:
+                return await self._call(kept, head, b"", defaults.STORE_KEPT_S + wait_s)
+            except (BrokenAnswerError, OSError):
+                # Open connections may have gone silent, or been cut, while new ones work.
+                self._drop_idle()
         connection = await self._connect()
-        fields = [_JSON, (b"content-length", str(len(body)).encode())] if body else []
-        head = head_of(method, path, self._settings.address, fields)
         try:
-            async with asyncio.timeout(self._settings.timeout_s + wait_s):
-                answer = await connection.exchange(head, body)
+            return await self._call(connection, head, b"", self._settings.timeout_s + wait_s)
         except (BrokenAnswerError, OSError) as error:
-            raise unanswered(f"{path}: no answer: {error or type(error).__name__}") from error
+            raise PlatformUnavailableError(_unanswered(path, error)) from error
+
+    async def _write(self, body: bytes) -> ServerAnswer:
+        fields = [_JSON, (b"content-length", str(len(body)).encode())]
+        head = head_of("POST", names.ROWS_TX_PATH, self._settings.address, fields)
+        # Always a new connection: a write that an old one swallowed could not be sent again.
+        connection = await self._connect()
+        try:
+            return await self._call(connection, head, body, self._settings.timeout_s)
+        except (BrokenAnswerError, OSError) as error:
+            raise PlatformUnknownError(_unanswered(names.ROWS_TX_PATH, error)) from error
+
+    async def _call(
+        self, connection: ServerConnection, head: bytes, body: bytes, seconds: float
+    ) -> ServerAnswer:
+        self.calls += 1
+        async with asyncio.timeout(seconds):
+            answer = await connection.exchange(head, body)
         if connection.reusable:
             self._idle.append(connection)
         return answer
 
-    async def _connect(self) -> ServerConnection:
+    def _take_idle(self) -> t.Optional[ServerConnection]:
         while self._idle:
             connection = self._idle.pop()
             if connection.reusable:
                 return connection
+        return None
+
+    def _drop_idle(self) -> None:
+        for connection in self._idle:
+            connection.abort()
+        self._idle.clear()
+
+    async def _connect(self) -> ServerConnection:
         address = self._settings.address
         try:
             return await connect(address, self._settings.timeout_s, _MAX_ANSWER_BYTES)
@@ -160,6 +183,10 @@
             raise PlatformUnavailableError(message) from error
 
 
+def _unanswered(path: str, error: Exception) -> str:
+    return f"{path}: no answer: {error or type(error).__name__}"
+
+
 def _table_of(prefix: str) -> str:
     return prefix.partition("/")[0]
 
--- a/src/coralfall/traffic/connection.py
+++ b/src/coralfall/traffic/connection.py
@@ -13,6 +13,7 @@
 
 from .. import defaults
 from ..exceptions import CoralfallError
+from ..process.sockets import end_when_silent
 
 Headers = t.List[t.Tuple[bytes, bytes]]
 
@@ -56,6 +57,10 @@
         self._transport: t.Optional[asyncio.Transport] = None
         self._answered: t.Optional[asyncio.Future[ServerAnswer]] = None
         self._reusable = True
+        #: Exchanges that went well on it.
+        self.exchanges = 0
+        #: Whether any byte came since the last request was sent.
+        self.heard = False
         self._writable = asyncio.Event()
         self._writable.set()
         #: When the connection was last used, on the loop's clock.
@@ -102,6 +107,7 @@
         self._answered = loop.create_future()
         self._bodiless = bodiless
         answered = self._answered
+        self.heard = False
         try:
             transport.write(head + body if body else head)
             if rest is not None:
@@ -113,6 +119,7 @@
         finally:
             self._answered = None
         self.used_at = loop.time()
+        self.exchanges += 1
         if self._reusable:
             self._reset_answer()
         else:
@@ -153,6 +160,7 @@
             # Bytes that nobody asked for belong to no request.
             self.abort()
             return
+        self.heard = True
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -265,9 +273,10 @@
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout_s):
-        _, connection = await loop.create_connection(
+        transport, connection = await loop.create_connection(
             lambda: ServerConnection(most), host, int(port)
         )
+    end_when_silent(transport)
     return connection
 
 
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -37,6 +37,8 @@
 _FIRST_SERVER_ERROR = 500
 _PROMISES = frozenset((408, 421, 429, 503))
 _MISDIRECTED = 421
+#: Result of a send on a connection that was used before and ended without a byte of an answer.
+_STALE = "stale"
 #: Most targets that are tried in vain to be connected for one request.
 _MAX_UNREACHED = 4
 _REPLACED = HOP_BY_HOP | {b"content-length", b"host", b"expect"}
@@ -185,6 +187,9 @@
                     if failed is not None:
                         return failed
                     raise failure from error
+                if error.fields.get("reason") == _STALE:
+                    # The target itself is well as far as anybody knows.
+                    tried.discard(place.state.target.target_id)
                 continue
             reply = reply_of_answer(answer, request.method == "HEAD")
             if answer.status < _FIRST_SERVER_ERROR or failed is not None:
@@ -230,6 +235,8 @@
             raise
         except TargetUnknownError as error:
             send.result = str(error.fields.get("reason", error.code))
+            if send.result == _STALE:
+                raise
             silent = began if isinstance(error, TargetTimeoutError) else None
             state.fail(reached=True, silent_since=silent)
             raise
@@ -262,10 +269,15 @@
             async with asyncio.timeout(left):
                 answer = await connection.exchange(head, body, rest, request.method == "HEAD")
         except TimeoutError as error:
+            self._pool.forget(state.target)
             message = "no whole answer before the request's time was over"
             raise TargetTimeoutError(message, reason="time") from error
         except (BrokenAnswerError, OSError) as error:
-            raise TargetUnknownError(f"exchange broke off: {error}", reason="broken") from error
+            stale = connection.exchanges > 0 and not connection.heard
+            if stale:
+                self._pool.forget(state.target)
+            reason = _STALE if stale else "broken"
+            raise TargetUnknownError(f"exchange broke off: {error}", reason=reason) from error
         self._check(answer, request, state)
         if request.repeatable:
             self._pool.give(state.target, connection)
--- a/src/coralfall/traffic/gossip.py
+++ b/src/coralfall/traffic/gossip.py
@@ -209,7 +209,11 @@
         try:
             for _ in range(3):
                 answer = await self._links.exchange(
-                    address, self._exchange.news(), News, defaults.GOSSIP_TIMEOUT_S
+                    address,
+                    self._exchange.news(),
+                    News,
+                    defaults.GOSSIP_TIMEOUT_S,
+                    kept_s=defaults.GOSSIP_KEPT_S,
                 )
                 if not self._exchange.take(answer.message, self._clock.monotonic()):
                     return
--- a/src/coralfall/traffic/pool.py
+++ b/src/coralfall/traffic/pool.py
@@ -50,6 +50,11 @@
         if len(idle) > _MAX_IDLE:
             idle.pop(0).abort()
 
+    def forget(self, target: "Target") -> None:
+        """Close the idle connections to a target; one of them was found dead."""
+        for connection in self._idle.pop(target.address, ()):
+            connection.abort()
+
     def close_idle(self) -> None:
         """Close those that were idle for too long."""
         now = asyncio.get_running_loop().time()
--- a/tests/peering/test_peers.py
+++ b/tests/peering/test_peers.py
@@ -293,6 +293,46 @@
         answer = await self.links.exchange(address, request, messages.Heartbeat, timeout_s)
         return answer.message
 
+    @parameterized.expand([("asked_again", 0.05, True), ("not_to_be_repeated", None, False)])
+    async def test_a_stream_that_went_silent(self, _, kept_s, answered) -> None:
+        node = self.node(0, peer_fleet.NEVER_S)
+        streams = 0
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal streams
+            streams += 1
+            first = streams == 1
+            peer = await channel.accept(
+                reader, writer, KEY, messages.Hello(entry_id="e001", incarnation=1)
+            )
+            self.addCleanup(peer.abort)
+            with contextlib.suppress(PeerError):
+                # The first stream takes in all that is sent, and answers once.
+                await peer.receive()
+                await peer.send(node.heartbeat())
+                while True:
+                    await peer.receive()
+                    if not first:
+                        await peer.send(node.heartbeat())
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        await self.ask(f"{host}:{port}")
+        asked = self.links.exchange(
+            f"{host}:{port}",
+            node.heartbeat(),
+            messages.Heartbeat,
+            20.0 if answered else 0.2,
+            kept_s=kept_s,
+        )
+        if answered:
+            await asked
+        else:
+            with self.assertRaises(PeerTimeoutError):
+                await asked
+        self.assertEqual(2 if answered else 1, streams)
+
     async def test_streams_are_reused_and_bounded(self) -> None:
         fleet = await self.start(Fleet(4))
         addresses = [node.server.bound_address for node in fleet.nodes]
--- a/tests/platform_adapter/standins.py
+++ b/tests/platform_adapter/standins.py
@@ -26,6 +26,9 @@
         self.mode = "ok"
         self.ver = 0
         self.kept_from = 0
+        #: Callers' addresses whose connections are open and take nothing in any more.
+        self._silenced: t.Set[t.Any] = set()
+        self._callers: t.Set[t.Any] = set()
         self.calls: t.List[str] = []
         self._rows: t.Dict[RowKey, t.Dict[str, t.Any]] = {}
         self._changed = asyncio.Event()
@@ -63,6 +66,10 @@
         """Drop all history."""
         self.kept_from = self.ver
 
+    def silence_open_connections(self) -> None:
+        """Answer nothing on the connections that are open now; new ones work."""
+        self._silenced |= self._callers
+
     async def __call__(self, scope: "Scope", receive: "Receive", send: "Send") -> None:
         try:
             await self._serve(scope, receive, send)
@@ -73,11 +80,12 @@
     async def _serve(self, scope: "Scope", receive: "Receive", send: "Send") -> None:
         path = scope["path"]
         self.calls.append(path)
+        self._callers.add(scope["client"])
         body = await _whole(receive)
         if self.mode in ("busy", "many"):
             await _answer(send, 503 if self.mode == "busy" else 429, {"error": self.mode})
             return
-        if self.mode == "silent":
+        if self.mode == "silent" or scope["client"] in self._silenced:
             await _until_gone(receive)
             return
         query = dict(urllib.parse.parse_qsl(scope["query_string"].decode()))
--- a/tests/platform_adapter/test_adapter.py
+++ b/tests/platform_adapter/test_adapter.py
@@ -4,12 +4,14 @@
 import json
 import pathlib
 import re
+import socket
 import tomllib
 import typing as t
 import unittest
 
 from parameterized import parameterized
 
+from coralfall import defaults
 from coralfall.exceptions import (
     DesiredStateError,
     HistoryLostError,
@@ -22,6 +24,7 @@
 from coralfall.platform.rows import PlatformTranslator
 from coralfall.platform.store import RowStore
 from coralfall.stores.store import Check, Write
+from coralfall.traffic.connection import connect
 from coralfall.traffic.model import DesiredState, RequestKind
 from coralfall.traffic.settings import StoreSettings
 from coralfall.traffic.translator import Evacuation
@@ -134,6 +137,42 @@
     return asyncio.run(main())
 
 
+class SilentConnectionsTest(unittest.TestCase):
+    """Open connections to the store go silent for good, while new ones work."""
+
+    def test_a_read_is_made_again_on_a_new_connection(self) -> None:
+        async def work(standin: StoreStandin, store: RowStore) -> t.Any:
+            standin.put("op", "config", config(1))
+            await asyncio.gather(*[store.follow("op/", Revision(1), 0.05) for _ in range(2)])
+            standin.silence_open_connections()
+            before = len(standin.calls)
+            rows = (await store.snapshot("op/")).rows
+            await store.snapshot("op/")
+            # One call is lost with its connection; the other connection is not tried in vain.
+            return len(rows), len(standin.calls) - before, store.calls
+
+        self.assertEqual((1, 3, 5), with_store(work, timeout_s=5.0))
+
+    def test_a_write_does_not_go_on_a_connection_that_may_be_silent(self) -> None:
+        async def work(standin: StoreStandin, store: RowStore) -> t.Any:
+            await store.snapshot("op/")
+            standin.silence_open_connections()
+            return await store.transact([Write("mine/a", b"1")])
+
+        self.assertTrue(with_store(work).committed)
+
+    def test_the_kernel_is_told_when_to_give_up(self) -> None:
+        async def work(standin: StoreStandin, store: RowStore) -> t.Any:
+            connection = await connect(standin.address, 1.0, 1000)
+            assert connection._transport is not None
+            opened = connection._transport.get_extra_info("socket")
+            told = opened.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+            connection.abort()
+            return told
+
+        self.assertEqual(defaults.UNACKNOWLEDGED_S * 1000, with_store(work))
+
+
 class StoreTest(unittest.TestCase):
     def test_rows_come_back_with_their_revisions(self) -> None:
         async def work(standin: StoreStandin, store: RowStore) -> t.Any:
--- a/tests/traffic/test_forwarder.py
+++ b/tests/traffic/test_forwarder.py
@@ -347,6 +347,38 @@
         self.assertEqual([200, 200], [reply.status for reply in replies])
         self.assertEqual(most, target.connections)
 
+    @parameterized.expand([("within_the_budget", 64.0, 200), ("without_budget", 0.0, 502)])
+    def test_a_kept_connection_that_is_dead_says_nothing_of_its_target(
+        self, _name: str, slack: float, status: int
+    ) -> None:
+        """As after a silence of the link, or when a target forgot its idle connections."""
+
+        async def main() -> t.Tuple[int, t.List[str], int, bool]:
+            async def script(turn: Turn) -> None:
+                if turn.header("x-request-id") == "id3" and not dead:
+                    dead.append(turn)
+                    turn.reset()
+                    return
+                await turn.answer()
+
+            dead: t.List[Turn] = []
+            async with RawTarget(script) as target, RawTarget(ok) as other:
+                path = Path([target.address, other.address], BoundSettings(budget_slack=slack))
+                requests = [path.request("safe", number, first="t0") for number in (1, 2)]
+                await asyncio.gather(*[path.forward(request) for request in requests])
+                before = target.connections
+                last = path.request("safe", 3, first="t0")
+                reply = await path.forward(last)
+                results = [send.result for send in last.sends]
+                usable = path.targets.by_id[TargetId("t0")].usable()
+                path.pool.close()
+                return reply.status, results, target.connections - before, usable
+
+        done = status == 200
+        results = ["stale", "200"] if done else ["stale"]
+        # The second idle connection is not tried: it is as dead as the first.
+        self.assertEqual((status, results, int(done), True), asyncio.run(main()))
+
     def test_bytes_after_an_answer_belong_to_no_request(self) -> None:
         async def extra(turn: Turn) -> None:
             await turn.answer()
