Tell only what is news of who lives, and suspect who gives no answer

That was a design which the next size would have needed a second one for.

Now an entry asks two others a round. Who gives no answer is suspected, the suspicion is pushed to all, and whoever hears of its own raises its beat and pushes that; 1.5 s without it is death, until the entry is heard of again. What rounds miss is found by a sum over all records that goes with each message. A push whose first receiver can't be reached goes on by the next.

Ruled out: beats among the entries of a zone and between zones at a tenth of the pace (still grows with the zone, and look-ups name other zones); any direct answer as a refutation (others then never hear of it: 15 rounds without agreement on 89 entries); no questions by others to a suspect (two that can't reach each other lost one another).

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -202,18 +202,26 @@
 OUTAGE_S = 1.5
 #: Seconds between two rounds of gossip, and how many entries are asked in one.
 GOSSIP_S = 0.4
-GOSSIP_FANOUT = 3
-#: Most records of entries in one message.
+GOSSIP_FANOUT = 2
+#: Most records of entries that are news in one message, and seconds for which they are.
 GOSSIP_RECORDS = 48
-#: Seconds without a newer beat after which an entry is held dead, and then forgotten.
-ENTRY_DEAD_S = 2.0
+GOSSIP_NEWS_S = 3.0
+#: Seconds for which two entries know different things before one asks the other for everything.
+GOSSIP_DIFFER_S = 0.8
+#: Seconds after which a suspected entry that did not refute it is held dead, and seconds without
+#: a word after which a dead one is forgotten.
+ENTRY_SUSPECT_S = 1.5
+#: How many more entries are asked in a round while others are suspected, at the most.
+MAX_EXTRA_ASKED = 8
+#: How many of all entries ask a suspect in a round.
+SUSPECT_ASKERS = 3
 ENTRY_FORGET_S = 120.0
 #: How many entries one entry hands a change on to.
 RELAY_FANOUT = 8
 #: Seconds that an exchange between entries may take.
-GOSSIP_TIMEOUT_S = 1.0
+GOSSIP_TIMEOUT_S = 0.8
 #: Seconds that an answer may take on a stream that was open before the same is asked on a new one.
-GOSSIP_KEPT_S = 0.4
+GOSSIP_KEPT_S = 0.3
 #: Seconds for which callers may keep an answer to a look-up.
 STEER_TTL_S = 1.0
 #: Seconds for which a stopping entry still takes what callers send to it.
--- a/src/coralfall/traffic/gossip.py
+++ b/src/coralfall/traffic/gossip.py
@@ -1,7 +1,8 @@
 """Gossip: entries tell each other who is alive, and hand on what one of them read in the store.
 
 Every round an entry exchanges news with a few others; either side learns what it lacks. What was
-just read is pushed at once: to a few entries, each of which hands it on to its part of the rest.
+just read is pushed at once: to a few entries, each of which hands it on to its part of the rest;
+so are suspicions, refutations and entries that come and go. See :mod:`.members` for these.
 """
 
 import asyncio
@@ -28,6 +29,12 @@
     from .replica import Delta, Replica
 
 
+#: Entries for which one more time of patience passes before all of them are asked for.
+_MEMBERS_PER_PATIENCE = 100
+#: Seconds for which news of entries are gathered before they are pushed.
+_GATHER_S = 0.05
+
+
 class Exchange:
     """What an entry tells others, and what it does with what they tell.
 
@@ -38,19 +45,33 @@
 
     def __init__(self, members: "Members", belief: "Belief", clock: "Clock") -> None:
         self._members = members
-        self._belief = belief
+        #: The rows.
+        self.belief = belief
         self._clock = clock
+        #: Since when what is known of the entries differs from what others know.
+        self._differs_since: t.Optional[float] = None
 
     def news(
         self,
         state_since: "t.Optional[Revision]" = None,
         targets_since: "t.Optional[Revision]" = None,
+        all_members: bool = False,
+        address: str = "",
     ) -> News:
-        """What is known here, with what came after the revisions given."""
+        """What is known here, with what came after the revisions given.
+
+        :param all_members: whether to tell of all entries, and not only what is news.
+        :param address: of the entry that this is for; it is told if it is suspected.
+        """
         now = self._clock.monotonic()
-        belief = self._belief
+        belief = self.belief
+        members = self._members
+        suspicions = members.all_suspicions() if all_members else members.recent_suspicions()
         return News(
-            records=self._members.records(),
+            records=members.all_records() if all_members else members.recent(),
+            suspicions=suspicions + members.suspicions_of(address),
+            members_sum=members.sum(),
+            wants_all=self._wants_all(now),
             state_revision=belief.state_rows.revision,
             targets_revision=belief.target_rows.revision,
             state_age_s=belief.state_age(now),
@@ -61,12 +82,13 @@
 
     def answer(self, news: News) -> News:
         """What the sender of ``news`` does not know."""
-        return self.news(news.state_revision, news.targets_revision)
+        address = news.records[0].peer_address if news.records else ""
+        return self.news(news.state_revision, news.targets_revision, news.wants_all, address)
 
     def take(self, news: News, sent_at: float) -> bool:
         """Take in news that were true at a monotonic time; whether the sender knows more still."""
-        belief = self._belief
-        self._members.hear(news.records)
+        belief = self.belief
+        self._take_members(news)
         state_at = sent_at - news.state_age_s
         targets_at = sent_at - news.targets_age_s
         keys = _apply(belief.state_rows, news.state, state_at)
@@ -82,6 +104,23 @@
             or news.targets_revision > belief.target_rows.revision
         )
 
+    def _take_members(self, news: News) -> None:
+        members = self._members
+        members.hear(news.records)
+        members.doubt(news.suspicions)
+        if news.members_sum == members.sum():
+            self._differs_since = None
+        elif self._differs_since is None:
+            self._differs_since = self._clock.monotonic()
+
+    def _wants_all(self, now: float) -> bool:
+        """Whether others have gone on knowing other things, for longer than news take to spread."""
+        patience = defaults.GOSSIP_DIFFER_S * (1 + self._members.count() / _MEMBERS_PER_PATIENCE)
+        if self._differs_since is None or now - self._differs_since < patience:
+            return False
+        self._differs_since = now
+        return True
+
 
 class GossipServer(PeerListener):
     """Answers the other entries.
@@ -153,17 +192,21 @@
         self._rng = rng
         self._tasks: t.Set[asyncio.Task[None]] = set()
         self._asking: t.Set[str] = set()
+        self._pushing: t.Optional[asyncio.TimerHandle] = None
+        members.on_news = self._push_soon
 
     async def run(self) -> None:
         try:
             while True:
-                self._members.beat()
+                self._members.look()
                 for record in self._members.choose(defaults.GOSSIP_FANOUT):
                     self._ask(record.peer_address)
                 if not self._members.alive():
                     self._ask_all()
                 await asyncio.sleep(defaults.GOSSIP_S * self._rng.uniform(0.9, 1.1))
         finally:
+            if self._pushing is not None:
+                self._pushing.cancel()
             for task in self._tasks:
                 task.cancel()
             await self._links.close()
@@ -193,6 +236,15 @@
                 push = Push(news=news, relay=tuple(part[1:]))
                 self._spawn(self._post(address, push))
 
+    def _push_soon(self) -> None:
+        if self._pushing is None:
+            self._pushing = asyncio.get_running_loop().call_later(_GATHER_S, self._push_members)
+
+    def _push_members(self) -> None:
+        self._pushing = None
+        belief = self._exchange.belief
+        self.push(belief.state_rows.revision, belief.target_rows.revision)
+
     def _ask_all(self) -> None:
         for address in self.seeds:
             self._ask(address)
@@ -210,7 +262,7 @@
             for _ in range(3):
                 answer = await self._links.exchange(
                     address,
-                    self._exchange.news(),
+                    self._exchange.news(address=address),
                     News,
                     defaults.GOSSIP_TIMEOUT_S,
                     kept_s=defaults.GOSSIP_KEPT_S,
@@ -218,6 +270,7 @@
                 if not self._exchange.take(answer.message, self._clock.monotonic()):
                     return
         except PeerError as error:
+            self._members.missed(address)
             log.debug("peer.not-asked", address=address, code=error.code, error=error.message)
         finally:
             self._asking.discard(address)
@@ -227,6 +280,7 @@
             await self._links.post(address, push)
         except PeerError as error:
             log.debug("peer.not-told", address=address, code=error.code, error=error.message)
+            self.relay(push.news, push.relay)
 
     def _spawn(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
         task = asyncio.create_task(work)
--- a/src/coralfall/traffic/members.py
+++ b/src/coralfall/traffic/members.py
@@ -1,7 +1,14 @@
-"""Members: the entries of the fleet, and which of them are alive, by what they say of themselves.
+"""Members: the entries of the fleet, and which of them are alive.
 
-Each entry raises a beat in its own record, and records spread by gossip. An entry whose beat has
-not risen for a while is held dead; nobody has to reach it for that.
+Nobody tells everybody that it lives: that would cost each entry bytes in proportion to the fleet.
+Each entry asks a few others in every round. One that gives no answer is suspected, and the
+suspicion is told to all; a suspect that hears of it raises its beat and tells that. A suspicion
+that is not refuted in time makes an entry dead until it is; whoever talks with it says so. This
+is the scheme of SWIM (Das, Gupta and Motivala, 2002); its indirect probes are the questions that
+a suspect gets from others.
+
+What one round missed is made up for by a sum over all that is known: two entries whose sums go on
+differing tell each other everything.
 """
 
 import hashlib
@@ -13,20 +20,42 @@
 from .. import defaults
 from ..ids import EntryId, EntryState, Incarnation, RegionId, ZoneId
 from ..process import log
+from .messages import Suspicion
 
 if t.TYPE_CHECKING:
     from ..process.clock import Clock
     from .model import EntryRecord
 
+_Mark = t.Tuple[Incarnation, int]
+
 
 class _Known:
-    __slots__ = ("alive", "heard_at", "record")
+    __slots__ = ("alive", "digest", "heard_at", "learnt_at", "record", "suspected_at")
+
+    def __init__(self, record: "EntryRecord", now: float) -> None:
+        #: When it was last heard of, by itself or by others.
+        self.heard_at = now
+        #: Since when it is suspected, if it is.
+        self.suspected_at: t.Optional[float] = None
+        self.take(record, now)
+        #: Whether it was alive when that was last looked at.
+        self.alive = False
 
-    def __init__(self, record: "EntryRecord", heard_at: float, alive: bool) -> None:
+    def take(self, record: "EntryRecord", now: float) -> None:
+        """Let this be what it said last."""
         self.record = record
-        self.heard_at = heard_at
-        #: Whether it was alive when that was last looked at.
-        self.alive = alive
+        self.digest = _digest(record)
+        #: When this record was new here.
+        self.learnt_at = self.heard_at = now
+        self.suspected_at = None
+
+    @property
+    def mark(self) -> _Mark:
+        return self.record.incarnation, self.record.beat
+
+    def suspicion(self) -> Suspicion:
+        record = self.record
+        return Suspicion(record.entry_id, record.incarnation, record.beat)
 
 
 class Members:
@@ -34,7 +63,7 @@
 
     :param own: this entry's record.
     :param clock: tells the time.
-    :param rng: chooses whom to gossip with.
+    :param rng: chooses whom to ask.
     """
 
     def __init__(self, own: "EntryRecord", clock: "Clock", rng: random.Random) -> None:
@@ -43,20 +72,20 @@
         self._rng = rng
         self._known: t.Dict[EntryId, _Known] = {}
         self._looked_at = clock.monotonic()
+        #: Called when there is something to tell the others at once.
+        self.on_news: t.Callable[[], None] = lambda: None
 
-    def beat(self) -> None:
-        """Raise the own beat; after a pause of this process, nobody is held dead for it."""
+    def look(self) -> None:
+        """Look at the time, once a round; after a pause of this process, nobody dies of it."""
         now = self._clock.monotonic()
         pause = now - self._looked_at - defaults.GOSSIP_S
         self._looked_at = now
-        if pause > defaults.ENTRY_DEAD_S / 2:
+        if pause > defaults.ENTRY_SUSPECT_S / 2:
             log.warning("process.paused", seconds=round(pause, 3))
-            for known in self._known.values():
-                known.heard_at = min(now, known.heard_at + pause)
-        self.own = msgspec.structs.replace(self.own, beat=self.own.beat + 1)
+            self._excuse(now, pause)
         self._forget(now)
         for known in self._known.values():
-            self._look(known, now)
+            self._note(known, now)
 
     def set_own(self, *, ready: t.Optional[bool] = None, leaving: bool = False) -> bool:
         """Change what this entry says of itself; whether that is news."""
@@ -68,7 +97,7 @@
             changed = msgspec.structs.replace(changed, ready=ready)
         if changed == own:
             return False
-        self.own = msgspec.structs.replace(changed, beat=own.beat + 1)
+        self._tell(changed, own.beat + 1)
         return True
 
     def register(self, record: "EntryRecord") -> None:
@@ -77,11 +106,12 @@
             self._outlive(record)
             return
         if record.entry_id not in self._known:
-            heard_at = self._clock.monotonic() - defaults.ENTRY_DEAD_S
-            self._known[record.entry_id] = _Known(record, heard_at, False)
+            now = self._clock.monotonic()
+            known = self._known[record.entry_id] = _Known(record, now)
+            known.suspected_at = now - defaults.ENTRY_SUSPECT_S
 
     def hear(self, records: "t.Iterable[EntryRecord]") -> None:
-        """Take in records from another entry."""
+        """Take in records that another entry told."""
         now = self._clock.monotonic()
         for record in records:
             if record.entry_id == self.own.entry_id:
@@ -89,17 +119,70 @@
                 continue
             known = self._known.get(record.entry_id)
             if known is None:
-                known = self._known[record.entry_id] = _Known(record, now, False)
+                known = self._known[record.entry_id] = _Known(record, now)
             elif record.is_newer_than(known.record):
-                known.record = record
-                known.heard_at = now
-            self._look(known, now)
+                known.take(record, now)
+            self._note(known, now)
 
-    def records(self) -> "t.Tuple[EntryRecord, ...]":
-        """The own record and the ones heard last."""
-        latest = sorted(self._known.values(), key=lambda known: known.heard_at, reverse=True)
-        others = [known.record for known in latest[: defaults.GOSSIP_RECORDS] if known.alive]
-        return (self.own, *others)
+    def missed(self, address: str) -> None:
+        """Note that an entry was asked and gave no answer."""
+        for known in self._known.values():
+            if known.record.peer_address == address and known.suspected_at is None:
+                self._suspect(known)
+                self.on_news()
+
+    def doubt(self, suspicions: t.Iterable[Suspicion]) -> None:
+        """Take in suspicions that another entry told."""
+        for suspicion in suspicions:
+            mark = (suspicion.incarnation, suspicion.beat)
+            if suspicion.entry_id == self.own.entry_id:
+                self._refute(mark)
+                continue
+            known = self._known.get(suspicion.entry_id)
+            if known is not None and known.suspected_at is None and mark >= known.mark:
+                self._suspect(known)
+
+    def recent(self) -> "t.Tuple[EntryRecord, ...]":
+        """The own record and the newest ones that are news still."""
+        since = self._clock.monotonic() - defaults.GOSSIP_NEWS_S
+        found = [known for known in self._known.values() if known.learnt_at > since]
+        found.sort(key=lambda known: known.learnt_at, reverse=True)
+        newest = found[: defaults.GOSSIP_RECORDS]
+        return (self.own, *[known.record for known in newest])
+
+    def all_records(self) -> "t.Tuple[EntryRecord, ...]":
+        """The own record and those of the living."""
+        return (self.own, *self.alive())
+
+    def recent_suspicions(self) -> t.Tuple[Suspicion, ...]:
+        """Suspicions that are news still."""
+        since = self._clock.monotonic() - defaults.GOSSIP_NEWS_S
+        found = [k for k in self._known.values() if k.suspected_at and k.suspected_at > since]
+        return tuple([known.suspicion() for known in found[: defaults.GOSSIP_RECORDS]])
+
+    def suspicions_of(self, address: str) -> t.Tuple[Suspicion, ...]:
+        """What the entry at an address is to be told that it is suspected of, if it is."""
+        return tuple(
+            [
+                known.suspicion()
+                for known in self._known.values()
+                if known.record.peer_address == address and known.suspected_at is not None
+            ]
+        )
+
+    def all_suspicions(self) -> t.Tuple[Suspicion, ...]:
+        """Suspicions, and who is held dead."""
+        found = [known for known in self._known.values() if known.suspected_at is not None]
+        return tuple([known.suspicion() for known in found])
+
+    def sum(self) -> int:
+        """A number that two entries share if they agree on who lives and what these last said."""
+        now = self._clock.monotonic()
+        total = _digest(self.own)
+        for known in self._known.values():
+            if self._is_alive(known, now):
+                total ^= known.digest
+        return total
 
     def alive(self) -> "t.List[EntryRecord]":
         """Other entries that are alive, leaving ones included."""
@@ -125,9 +208,20 @@
         return known.record.peer_address if known is not None else None
 
     def choose(self, count: int) -> "t.List[EntryRecord]":
-        """Entries to gossip with: live ones, and now and then one that was held dead."""
-        alive = self.alive()
-        chosen = self._rng.sample(alive, min(count, len(alive)))
+        """Entries to ask in a round: live ones, and one of those that are held dead.
+
+        Each suspect is asked by a few of all entries, so that it hears of the suspicion.
+        """
+        living = [known for known in self._known.values() if known.alive]
+        trusted = [known.record for known in living if known.suspected_at is None]
+        # Where some were lost, others may have been lost with them.
+        count += min(len(living) - len(trusted), defaults.MAX_EXTRA_ASKED)
+        chosen = self._rng.sample(trusted, min(count, len(trusted)))
+        for known in living:
+            if known.suspected_at is None:
+                continue
+            if self._rng.random() < defaults.SUSPECT_ASKERS / len(living):
+                chosen.append(known.record)
         silent = [known.record for known in self._known.values() if not known.alive]
         if silent:
             chosen.append(self._rng.choice(silent))
@@ -142,16 +236,32 @@
                 rank += 1
         return rank
 
+    def _tell(self, own: "EntryRecord", beat: int) -> None:
+        self.own = msgspec.structs.replace(own, beat=beat)
+        self.on_news()
+
+    def _refute(self, mark: _Mark) -> None:
+        own = self.own
+        if mark < (own.incarnation, own.beat):
+            return
+        log.info("entry.suspected", beat=own.beat)
+        self._tell(own, max(own.beat, mark[1]) + 1)
+
+    def _suspect(self, known: _Known) -> None:
+        known.suspected_at = self._clock.monotonic()
+        log.debug("peer.suspected", peer=known.record.entry_id, beat=known.record.beat)
+
     def _outlive(self, record: "EntryRecord") -> None:
         # An earlier lifetime of this entry, started by a clock that ran ahead.
         if record.incarnation > self.own.incarnation:
             incarnation = Incarnation(record.incarnation + 1)
-            self.own = msgspec.structs.replace(self.own, incarnation=incarnation)
+            self._tell(msgspec.structs.replace(self.own, incarnation=incarnation), self.own.beat)
 
     def _is_alive(self, known: _Known, now: float) -> bool:
-        return now - known.heard_at < defaults.ENTRY_DEAD_S
+        since = known.suspected_at
+        return since is None or now - since < defaults.ENTRY_SUSPECT_S
 
-    def _look(self, known: _Known, now: float) -> None:
+    def _note(self, known: _Known, now: float) -> None:
         alive = self._is_alive(known, now)
         if alive == known.alive:
             return
@@ -164,9 +274,15 @@
             age_s=round(now - known.heard_at, 2),
         )
 
+    def _excuse(self, now: float, pause: float) -> None:
+        for known in self._known.values():
+            if known.suspected_at is not None and known.alive:
+                known.suspected_at = min(now, known.suspected_at + pause)
+
     def _forget(self, now: float) -> None:
         for entry_id, known in list(self._known.items()):
-            if now - known.heard_at > defaults.ENTRY_FORGET_S:
+            dead = not self._is_alive(known, now)
+            if dead and now - known.heard_at > defaults.ENTRY_FORGET_S:
                 del self._known[entry_id]
 
 
@@ -178,6 +294,11 @@
     return hashlib.blake2b(entry_id.encode(), digest_size=8).digest()
 
 
+def _digest(record: "EntryRecord") -> int:
+    text = f"{record.entry_id} {record.incarnation} {record.beat}"
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
 def nearest(
     records: "t.Sequence[EntryRecord]", zone: ZoneId, region: RegionId
 ) -> "t.List[EntryRecord]":
--- a/src/coralfall/traffic/messages.py
+++ b/src/coralfall/traffic/messages.py
@@ -2,16 +2,32 @@
 
 import typing as t
 
-from ..ids import EntryId, Revision
+import msgspec
+
+from ..ids import EntryId, Incarnation, Revision
 from ..peering.message import Message
 from .model import EntryRecord
 from .replica import Delta
 
 
+class Suspicion(msgspec.Struct, frozen=True, array_like=True):
+    """Somebody asked an entry, which last said this of itself, and got no answer."""
+
+    entry_id: EntryId
+    incarnation: Incarnation
+    beat: int
+
+
 class News(Message, frozen=True, tag=32):
     """What the sender knows: entries, and how new its rows are; asks for what is newer."""
 
+    #: The sender's own first, then those that are news, or all if the receiver asked for them.
     records: t.Tuple[EntryRecord, ...]
+    suspicions: t.Tuple[Suspicion, ...]
+    #: See :meth:`.members.Members.sum`.
+    members_sum: int
+    #: Whether the sender wants to be told of all entries.
+    wants_all: bool
     state_revision: Revision
     targets_revision: Revision
     #: Seconds since these revisions were known to be the newest.
--- a/src/coralfall/traffic/model.py
+++ b/src/coralfall/traffic/model.py
@@ -107,7 +107,7 @@
     state: EntryState = EntryState.SERVING
     #: Whether it can serve callers; rises and falls with what it knows.
     ready: bool = False
-    #: Rises while the entry is alive.
+    #: Rises whenever the entry has something new to say of itself, or refutes a suspicion.
     beat: int = 0
 
     def is_newer_than(self, other: "EntryRecord") -> bool:
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -150,7 +150,6 @@
         """Tell all that this entry stops, and serve on while callers still come."""
         self.members.set_own(leaving=True)
         self._callers_server.close_connections_after_answers()
-        self.gossip.push(self.belief.state_rows.revision, self.belief.target_rows.revision)
         log.info("entry.leaving", in_hand=self.callers.in_hand)
         unregister = asyncio.create_task(self._unregister())
         await asyncio.sleep(defaults.LEAVE_S)
@@ -172,7 +171,6 @@
         if not self.members.set_own(ready=True):
             return
         log.info("entry.ready", version=self.belief.version, targets=len(self.targets.by_id))
-        self.gossip.push(self.belief.state_rows.revision, self.belief.target_rows.revision)
 
     def _apply_limits(self, state: DesiredState) -> None:
         limits = state.limits
