Soak real entries with faults from outside; take signals while starting

For proxies before the peers' port an entry may announce another address than it listens on, which an installation behind translated addresses needs too.

Handlers now stand before the first import; SIGHUP is made up for once the loop runs. EarlySignalsTest fails without them (never ready; -15). Ruled out: waiting for readiness before signalling in the soak, as the platform does not wait either; only the interpreter's own start is left out.

--- a/src/coralfall/__main__.py
+++ b/src/coralfall/__main__.py
@@ -10,6 +10,9 @@
 def main() -> None:
     """Run the command line."""
     if sys.argv[1:] == ["steer"]:
+        from .process.signals import early
+
+        early.hold()
         from .exceptions import CoralfallError
         from .platform.run import run_steer
 
--- a/src/coralfall/platform/run.py
+++ b/src/coralfall/platform/run.py
@@ -9,6 +9,7 @@
 
 from ..process import log, loop
 from ..process.clock import SystemClock
+from ..process.signals import early
 from ..process.supervisor import supervise
 from ..settings import load_settings
 from ..traffic.node import Node, Store
@@ -52,6 +53,8 @@
     )
     reload = Reload(path, settings, node.apply)
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
+    if early.hung_up:
+        reload()
     status = await supervise(root)
     log.info("entry.stopped", status=status)
     return status
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -296,7 +296,7 @@
         region=settings.region,
         zone=settings.zone,
         caller_address=settings.caller_address,
-        peer_address=settings.peer_address,
+        peer_address=settings.announced_peer_address or settings.peer_address,
     )
 
 
--- a/src/coralfall/traffic/settings.py
+++ b/src/coralfall/traffic/settings.py
@@ -56,6 +56,8 @@
     readiness_address: str
     #: ``ip:port`` to listen on for other entries.
     peer_address: str
+    #: ``ip:port`` that other entries are told to use, if the one above is not what they reach.
+    announced_peer_address: t.Optional[str] = None
     #: ``ip:port`` to serve metrics on; without it none are served.
     metrics_address: t.Optional[str] = None
     #: The platform's store.
--- a/tests/platform_adapter/test_processes.py
+++ b/tests/platform_adapter/test_processes.py
@@ -12,6 +12,7 @@
 import unittest
 
 import aiohttp
+from parameterized import parameterized
 
 from tests.platform_adapter.standins import InstanceStandin, StoreStandin, config
 from tests.processes import PATIENCE_S, ROOT, free_port
@@ -183,6 +184,34 @@
     asyncio.run(main())
 
 
+def loads(process: "subprocess.Popen[bytes]", module: str) -> bool:
+    """Whether a process has begun to load a module of compiled code."""
+    return module in pathlib.Path(f"/proc/{process.pid}/maps").read_text()
+
+
+class EarlySignalsTest(unittest.TestCase):
+    @parameterized.expand([("hung up", signal.SIGHUP, None), ("told to stop", signal.SIGTERM, 0)])
+    def test_a_signal_while_modules_are_imported(
+        self, _name: str, number: int, status: t.Optional[int]
+    ) -> None:
+        async def scene(all_of: Installation, _instances: t.List[InstanceStandin]) -> None:
+            entry = all_of.entries[0]
+            entry.signal(signal.SIGKILL)
+            await entry.ended()
+            entry.start()
+            assert entry.process is not None
+            while not loads(entry.process, "msgspec"):  # noqa: ASYNC110
+                await asyncio.sleep(0)
+            entry.signal(number)
+            if status is not None:
+                self.assertEqual(status, await entry.ended())
+                return
+            await all_of.until_ready(entry)
+            self.assertIn("event=settings.reloaded", entry.log.read_text())
+
+        play(scene, entries=1)
+
+
 class WholePathTest(unittest.TestCase):
     def test_requests_desired_states_and_drains(self) -> None:
         async def scene(all_of: Installation, instances: t.List[InstanceStandin]) -> None:
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,125 @@
+"""A TCP proxy on loopback that delays, cuts, silences, resets and refuses connections."""
+
+import asyncio
+import socket
+import struct
+import typing as t
+
+_PIECE_BYTES = 64 * 1024
+
+
+class _Link:
+    """One connection and what it is forwarded to."""
+
+    def __init__(self, writers: t.Sequence[asyncio.StreamWriter]) -> None:
+        self.writers = writers
+        #: Whether it goes silent for good, without being closed.
+        self.silent = False
+
+
+class Proxy:
+    """Forwards connections to one address; its faults are attributes that may be set at any time.
+
+    :param target: ``ip:port`` to forward to.
+    """
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.address = ""
+        #: Seconds by which each piece is held up, either way.
+        self.delay_s = 0.0
+        #: Whether new connections are reset.
+        self.refusing = False
+        #: Whether bytes towards the target, and those from it, stay where they are.
+        self.cut_up = False
+        self.cut_down = False
+        self._links: t.Set[_Link] = set()
+        self._tasks: t.Set[asyncio.Task[None]] = set()
+
+    async def __aenter__(self) -> "Proxy":
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+        return self
+
+    async def __aexit__(self, *_error: t.Any) -> None:
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+
+    def heal(self) -> None:
+        """Be sound to connections that are not silenced."""
+        self.delay_s = 0.0
+        self.refusing = self.cut_up = self.cut_down = False
+
+    def reset_all(self) -> None:
+        """Reset all open connections."""
+        for link in list(self._links):
+            for writer in link.writers:
+                _reset(writer)
+
+    def silence_all(self) -> None:
+        """Let open connections go silent for good; new ones work."""
+        for link in self._links:
+            link.silent = True
+
+    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.create_task(self._serve(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.refusing:
+            _reset(writer)
+            return
+        host, _, port = self.target.rpartition(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            _reset(writer)
+            return
+        link = _Link((writer, far_writer))
+        self._links.add(link)
+        ways = [
+            asyncio.create_task(self._carry(link, reader, far_writer, up=True)),
+            asyncio.create_task(self._carry(link, far_reader, writer, up=False)),
+        ]
+        try:
+            await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+            # An end on one side is told to the other after what came before it.
+            await asyncio.wait(ways, timeout=0.2)
+        finally:
+            self._links.discard(link)
+            for way in ways:
+                way.cancel()
+            for side in link.writers:
+                side.close()
+
+    async def _carry(
+        self, link: _Link, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, up: bool
+    ) -> None:
+        try:
+            while True:
+                data = await reader.read(_PIECE_BYTES)
+                while link.silent or (self.cut_up if up else self.cut_down):  # noqa: ASYNC110
+                    await asyncio.sleep(0.02)
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                if not data:
+                    writer.close()
+                    return
+                writer.write(data)
+                await writer.drain()
+        except ConnectionResetError:
+            _reset(writer)
+        except OSError:
+            writer.close()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    opened: t.Optional[socket.socket] = writer.get_extra_info("socket")
+    if opened is not None and not writer.transport.is_closing():
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
--- /dev/null
+++ b/tests/soak/record.py
@@ -0,0 +1,97 @@
+"""What callers, targets and the operator saw: the only things that the soak judges by."""
+
+import dataclasses
+import enum
+import hashlib
+import typing as t
+
+#: Statuses that promise that a request has not run and never will.
+PROMISES = frozenset((408, 421, 429, 503))
+
+
+class Sort(enum.Enum):
+    """What a request is, by its path's beginning."""
+
+    READ = "/read/"
+    COMMAND = "/command/"
+    UPLOAD = "/upload/"
+    #: Asks whether a desired state is in force; the version follows.
+    SINCE = "/since"
+
+
+@dataclasses.dataclass
+class Attempt:
+    """One request of a caller."""
+
+    request_id: str
+    sort: Sort
+    path: str
+    body: bytes
+    entry: str
+    sent_at: float
+    #: When its answer was whole, or the connection over.
+    ended_at: float = 0.0
+    #: ``None`` if the connection ended without an answer; 0 if it could not be had.
+    status: t.Optional[int] = None
+    answer: bytes = b""
+    signature: str = ""
+    #: The version that a request of that sort asks for.
+    version: int = 0
+
+
+@dataclasses.dataclass
+class Arrival:
+    """One request at a target."""
+
+    request_id: str
+    method: str
+    path: str
+    body: bytes
+    target: str
+    service: str
+    at: float
+    #: Whether the target began to work on it.
+    ran: bool
+
+
+@dataclasses.dataclass
+class Lifetime:
+    """One process of an entry."""
+
+    entry: str
+    began: float
+    #: When it was told to stop, and when it was gone.
+    told_at: float = float("inf")
+    gone_at: float = float("inf")
+    #: Whether it was killed or paused, so that little may be asked of it.
+    disturbed: bool = False
+    status: t.Optional[int] = None
+
+
+@dataclasses.dataclass
+class Record:
+    """Everything that was seen in one run."""
+
+    attempts: t.List[Attempt] = dataclasses.field(default_factory=list)
+    arrivals: t.List[Arrival] = dataclasses.field(default_factory=list)
+    lifetimes: t.List[Lifetime] = dataclasses.field(default_factory=list)
+    #: When the store took each version of the desired state.
+    version_at: t.Dict[int, float] = dataclasses.field(default_factory=dict)
+    #: When the store took a target's word that it leaves, by target.
+    leaving_at: t.Dict[str, float] = dataclasses.field(default_factory=dict)
+    #: Times at which entries, their peers or the store were disturbed: from, to.
+    disturbances: t.List[t.Tuple[float, float]] = dataclasses.field(default_factory=list)
+    #: What the run itself found, beside what the rules find.
+    faults: t.List[str] = dataclasses.field(default_factory=list)
+
+    def calm(self, since: float, until: float, stable_s: float) -> bool:
+        """Whether nothing was disturbed from a while before one moment until another."""
+        for began, ended in self.disturbances:
+            if began < until and ended + stable_s > since:
+                return False
+        return True
+
+
+def answer_to(request_id: str, body: bytes) -> bytes:
+    """The whole answer that a target gives to a request; a few kilobytes that only it has."""
+    return hashlib.sha256(request_id.encode() + body).hexdigest().encode() * 50
--- /dev/null
+++ b/tests/soak/rules.py
@@ -0,0 +1,138 @@
+"""The promises of the users' pages, each checked over the whole record of a run."""
+
+import collections
+import signal
+import typing as t
+
+from tests.soak.record import PROMISES, Attempt, Lifetime, Record, Sort, answer_to
+
+#: Bounds of the pages, in seconds, as the soak's settings have them.
+STABLE_S = 3.0
+DRAIN_S = 2.0
+CONFIG_S = 2.0
+GRACE_S = 6.0
+#: What a busy machine may add to a bound before it counts, in seconds.
+SLOW_S = 0.7
+
+Rule = t.Callable[[Record], t.Iterator[str]]
+
+
+def mixed(record: Record) -> t.Iterator[str]:
+    """A success is the target's whole answer to the same request."""
+    for attempt in record.attempts:
+        if attempt.status is None or not 200 <= attempt.status < 300:
+            continue
+        if attempt.answer != answer_to(attempt.request_id, attempt.body) or not attempt.signature:
+            yield f"MIXED {_text(attempt)}: {len(attempt.answer)} bytes, {attempt.signature!r}"
+
+
+def unasked(record: Record) -> t.Iterator[str]:
+    """What arrives is what a caller sent, unchanged."""
+    sent = {attempt.request_id: attempt for attempt in record.attempts}
+    for arrival in record.arrivals:
+        attempt = sent.get(arrival.request_id)
+        if attempt is None:
+            yield f"UNASKED {arrival.request_id} at {arrival.target}"
+        elif (attempt.path, attempt.body) != (arrival.path, arrival.body):
+            yield f"UNASKED {_text(attempt)} came to {arrival.target} as {arrival.path}"
+
+
+def twice(record: Record) -> t.Iterator[str]:
+    """What may run once runs once."""
+    runs = collections.Counter(a.request_id for a in record.arrivals if a.ran)
+    for attempt in record.attempts:
+        if attempt.sort in (Sort.COMMAND, Sort.UPLOAD) and runs[attempt.request_id] > 1:
+            yield f"TWICE {_text(attempt)}: {runs[attempt.request_id]} times"
+
+
+def refused(record: Record) -> t.Iterator[str]:
+    """What a caller was told not to have run has not."""
+    ran = {arrival.request_id for arrival in record.arrivals if arrival.ran}
+    for attempt in record.attempts:
+        if attempt.sort not in (Sort.COMMAND, Sort.UPLOAD):
+            continue
+        if attempt.status in PROMISES and attempt.request_id in ran:
+            yield f"REFUSED {_text(attempt)}"
+
+
+def reverts(record: Record) -> t.Iterator[str]:
+    """A process that showed a version never shows an older one."""
+    for lifetime in record.lifetimes:
+        newest, shown_at = 0, 0.0
+        asked = [a for a in record.attempts if a.sort is Sort.SINCE and _within(a, lifetime)]
+        for attempt in sorted(asked, key=lambda asked_one: asked_one.ended_at):
+            if attempt.status in (200, 502, 504) and attempt.version > newest:
+                newest, shown_at = attempt.version, attempt.ended_at
+            if attempt.status == 404 and attempt.version <= newest and attempt.sent_at > shown_at:
+                yield f"CONFIG {_text(attempt)}: {newest} was shown at {shown_at:.2f}"
+
+
+def in_force(record: Record) -> t.Iterator[str]:
+    """A version is in force everywhere in time, where nothing was disturbed."""
+    for attempt in record.attempts:
+        if attempt.sort is not Sort.SINCE or attempt.status != 404:
+            continue
+        taken_at = record.version_at[attempt.version]
+        if attempt.sent_at < taken_at + CONFIG_S + SLOW_S:
+            continue
+        if record.calm(taken_at, attempt.ended_at, STABLE_S):
+            yield f"CONFIG {_text(attempt)}: {attempt.sent_at - taken_at:.2f} s after its time"
+
+
+def drains(record: Record) -> t.Iterator[str]:
+    """A target that leaves gets nothing new after a while, where nothing was disturbed."""
+    for arrival in record.arrivals:
+        left_at = record.leaving_at.get(arrival.target, float("inf"))
+        late = arrival.at - left_at - DRAIN_S - SLOW_S
+        if late > 0 and record.calm(left_at, arrival.at, STABLE_S):
+            yield f"DRAIN {arrival.request_id} at {arrival.target} {late:.2f} s too late"
+
+
+def lost(record: Record) -> t.Iterator[str]:
+    """A process that is told to stop answers what it passed on, and then ends by itself."""
+    passed_on = {arrival.request_id for arrival in record.arrivals}
+    for lifetime in record.lifetimes:
+        if lifetime.disturbed or lifetime.told_at == float("inf"):
+            continue
+        for attempt in record.attempts:
+            if attempt.status is not None or attempt.request_id not in passed_on:
+                continue
+            if _within(attempt, lifetime) and attempt.ended_at > lifetime.told_at:
+                yield f"LOST {_text(attempt)}, told to stop at {lifetime.told_at:.2f}"
+        if lifetime.status not in (0, None) and not _barely_began(lifetime, record):
+            yield f"LOST {lifetime.entry} ended with {lifetime.status}"
+        if lifetime.gone_at > lifetime.told_at + GRACE_S:
+            yield f"LOST {lifetime.entry} was still there {GRACE_S} s after it was told to stop"
+
+
+#: What holds however busy the machine is, and what has a bound in time besides.
+TIMELESS: t.Tuple[Rule, ...] = (mixed, unasked, twice, refused, reverts)
+TIMED: t.Tuple[Rule, ...] = (in_force, drains, lost)
+
+
+def broken(record: Record, rules: t.Iterable[Rule]) -> t.List[str]:
+    """All that goes against some rules."""
+    found = list(record.faults)
+    for rule in rules:
+        found += rule(record)
+    return found
+
+
+def _barely_began(lifetime: Lifetime, record: Record) -> bool:
+    """Whether it was told to stop while the interpreter itself was still being started."""
+    if lifetime.status != -signal.SIGTERM:
+        return False
+    return not any(a.status and _within(a, lifetime) for a in record.attempts)
+
+
+def _within(attempt: Attempt, lifetime: Lifetime) -> bool:
+    if attempt.entry != lifetime.entry or attempt.sent_at < lifetime.began:
+        return False
+    return attempt.ended_at <= lifetime.gone_at
+
+
+def _text(attempt: Attempt) -> str:
+    return (
+        f"{attempt.request_id} by {attempt.entry} at {attempt.sent_at:.2f}"
+        f" to {attempt.ended_at:.2f}: {attempt.status}"
+    )
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,114 @@
+"""One run of the soak: a world, its callers, troubles drawn from a seed, and what the rules say."""
+
+import asyncio
+import pathlib
+import random
+import time
+import typing as t
+
+from tests.soak.callers import Caller
+from tests.soak.record import Record, Sort
+from tests.soak.rules import TIMED, TIMELESS, broken
+from tests.soak.troubles import TROUBLES
+from tests.soak.world import World
+
+#: Seconds that entries may take to be ready at the start and once all troubles are over.
+READY_S = 40.0
+_CALLERS = 8
+#: Seconds of calm before the first trouble, and between two.
+_WARM_UP_S = 1.0
+_GAP_S = (0.0, 1.2)
+#: Seconds for which a request may fail once all is well again, and the pause between two tries.
+_WELL_S = 20.0
+_TRY_S = 0.1
+
+
+class Outcome(t.NamedTuple):
+    """What one run showed."""
+
+    faults: t.List[str]
+    attempts: int
+    served: int
+    troubles: t.List[str]
+
+
+async def run(seed: int, seconds: float, folder: pathlib.Path, timed: bool) -> Outcome:
+    """Play one seed.
+
+    :param timed: whether bounds in time are judged too, which want a machine that is not busy.
+    """
+    rng = random.Random(seed)
+    played: t.List[str] = []
+    async with World(folder, seed) as world:
+        late = await world.until_ready(READY_S)
+        if late:
+            return Outcome([f"not ready at the start: {late}"], 0, 0, played)
+        callers = _callers(world, seed)
+        calling = [asyncio.create_task(caller.run()) for caller in callers]
+        await asyncio.sleep(_WARM_UP_S)
+        await _play(world, rng, seconds, played)
+        await _check_all_is_well(world, callers[0])
+        for task in calling:
+            task.cancel()
+        ended = await asyncio.gather(*calling, return_exceptions=True)
+        for result in ended:
+            if isinstance(result, Exception):
+                world.record.faults.append(f"a caller failed: {result!r}")
+        _close_record(world)
+        rules = TIMELESS + TIMED if timed else TIMELESS
+        faults = broken(world.record, rules)
+        served = sum(attempt.status == 200 for attempt in world.record.attempts)
+        return Outcome(faults, len(world.record.attempts), served, played)
+
+
+def _callers(world: World, seed: int) -> t.List[Caller]:
+    lookups = {entry.name: entry.lookup_address for entry in world.entries}
+    names = {entry.caller_address: entry.name for entry in world.entries}
+    callers = []
+    for number in range(_CALLERS):
+        rng = random.Random(f"{seed}-{number}")
+        keeps = number % 2 == 0
+        newest = _newest(world)
+        callers.append(Caller(f"c{number}", world.record, lookups, names, newest, keeps, rng))
+    return callers
+
+
+def _newest(world: World) -> t.Callable[[], int]:
+    return lambda: world.version
+
+
+async def _play(world: World, rng: random.Random, seconds: float, played: t.List[str]) -> None:
+    began = time.monotonic()
+    under_way = []
+    while time.monotonic() - began < seconds:
+        trouble = rng.choice(TROUBLES)
+        played.append(f"{time.monotonic() - began:.2f} {trouble.__name__}")
+        under_way.append(asyncio.create_task(trouble(world, random.Random(rng.random()))))
+        await asyncio.sleep(rng.uniform(*_GAP_S))
+    for result in await asyncio.gather(*under_way, return_exceptions=True):
+        if isinstance(result, Exception):
+            world.record.faults.append(f"a trouble failed: {result!r}")
+
+
+async def _check_all_is_well(world: World, caller: Caller) -> None:
+    """Every entry becomes ready again, and serves reads and commands."""
+    late = await world.until_ready(READY_S)
+    if late:
+        world.record.faults.append(f"RECOVER not ready once all was well: {late}")
+        return
+    for entry in world.entries:
+        for sort in (Sort.READ, Sort.COMMAND):
+            give_up_at = time.monotonic() + _WELL_S
+            while (await caller.send(entry.caller_address, sort)).status != 200:
+                if time.monotonic() > give_up_at:
+                    world.record.faults.append(f"RECOVER {entry.name} does not serve {sort.name}")
+                    break
+                await asyncio.sleep(_TRY_S)
+
+
+def _close_record(world: World) -> None:
+    """Attempts that were cut off by the end of the run say nothing."""
+    record: Record = world.record
+    record.attempts = [attempt for attempt in record.attempts if attempt.ended_at]
+    known = {attempt.request_id for attempt in record.attempts}
+    record.arrivals = [arrival for arrival in record.arrivals if arrival.request_id in known]
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,130 @@
+"""A short part of the soak, and each seed that ever showed a fault."""
+
+import asyncio
+import pathlib
+import tempfile
+import unittest
+
+from parameterized import parameterized
+
+from tests.soak.record import Arrival, Attempt, Lifetime, Record, Sort, answer_to
+from tests.soak.rules import TIMED, TIMELESS, broken
+from tests.soak.run import run
+
+
+class SoakTest(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("first", 1, 5.0),
+            ("second", 2, 5.0),
+            # Signals ended entries that were still starting.
+            ("signals while starting", 201, 10.0),
+        ]
+    )
+    def test_promises_hold_under_faults(self, _name: str, seed: int, seconds: float) -> None:
+        """Bounds in time are judged by hand only: here the machine may be busy."""
+        with tempfile.TemporaryDirectory() as folder:
+            outcome = asyncio.run(run(seed, seconds, pathlib.Path(folder), timed=False))
+        self.assertEqual([], outcome.faults[:5])
+        self.assertGreater(outcome.served, 0)
+
+
+def attempt(request_id: str = "c-1", sort: Sort = Sort.COMMAND, **fields: object) -> Attempt:
+    made = Attempt(request_id, sort, f"{sort.value}{request_id}", b"", "e0", 10.0, 10.5, 200)
+    made.answer = answer_to(request_id, b"")
+    made.signature = "signed"
+    for name, value in fields.items():
+        setattr(made, name, value)
+    return made
+
+
+def arrival(request_id: str = "c-1", **fields: object) -> Arrival:
+    path = f"{Sort.COMMAND.value}{request_id}"
+    made = Arrival(request_id, "POST", path, b"", "i-1", "s1", 10.2, True)
+    for name, value in fields.items():
+        setattr(made, name, value)
+    return made
+
+
+class RulesTest(unittest.TestCase):
+    """A rule that sees nothing would make the soak worthless."""
+
+    def record(self, *seen: object) -> Record:
+        record = Record(version_at={1: 1.0, 2: 2.0, 3: 9.0}, leaving_at={"i-9": 5.0})
+        record.attempts = [one for one in seen if isinstance(one, Attempt)]
+        record.arrivals = [one for one in seen if isinstance(one, Arrival)]
+        record.lifetimes = [one for one in seen if isinstance(one, Lifetime)]
+        return record
+
+    @parameterized.expand(
+        [
+            ("all well", [attempt(), arrival()], ""),
+            ("another's answer", [attempt(answer=answer_to("c-2", b"")), arrival()], "MIXED"),
+            ("half an answer", [attempt(answer=answer_to("c-1", b"")[:99]), arrival()], "MIXED"),
+            ("not signed", [attempt(signature=""), arrival()], "MIXED"),
+            ("never sent", [arrival()], "UNASKED"),
+            ("changed", [attempt(), arrival(body=b"more")], "UNASKED"),
+            ("ran twice", [attempt(), arrival(), arrival(target="i-2")], "TWICE"),
+            ("arrived twice, ran once", [attempt(), arrival(), arrival(ran=False)], ""),
+            ("refused and ran", [attempt(status=503), arrival()], "REFUSED"),
+            ("refused", [attempt(status=503), arrival(ran=False)], ""),
+            ("may have run", [attempt(status=502), arrival()], ""),
+            (
+                "goes back",
+                [
+                    Lifetime("e0", 0.0),
+                    attempt(sort=Sort.SINCE, version=3),
+                    attempt("c-2", Sort.SINCE, version=3, status=404, sent_at=10.6, ended_at=10.7),
+                ],
+                "CONFIG",
+            ),
+            (
+                "another lifetime knows less",
+                [
+                    Lifetime("e0", 0.0, gone_at=10.5),
+                    Lifetime("e0", 10.55),
+                    attempt(sort=Sort.SINCE, version=3),
+                    attempt("c-2", Sort.SINCE, version=3, status=404, sent_at=10.6, ended_at=10.7),
+                ],
+                "",
+            ),
+            ("late", [attempt(sort=Sort.SINCE, version=2, status=404)], "CONFIG"),
+            ("not late yet", [attempt(sort=Sort.SINCE, version=3, status=404)], ""),
+            ("leaving", [attempt(), arrival(target="i-9")], "DRAIN"),
+            (
+                "cut off by a stop",
+                [
+                    Lifetime("e0", 0.0, told_at=9.0, gone_at=11.0, status=0),
+                    attempt(status=None),
+                    arrival(),
+                ],
+                "LOST",
+            ),
+            (
+                "not passed on",
+                [Lifetime("e0", 0.0, told_at=9.0, gone_at=11.0, status=0), attempt(status=None)],
+                "",
+            ),
+            ("ends badly", [Lifetime("e0", 0.0, told_at=9.0, gone_at=9.5, status=1)], "LOST"),
+            ("ends while it begins", [Lifetime("e0", 9.0, 9.1, 9.2, status=-15)], ""),
+            (
+                "ends by the signal though it served",
+                [Lifetime("e0", 9.0, 10.1, 11.0, status=-15), attempt(), arrival()],
+                "LOST",
+            ),
+            ("does not end", [Lifetime("e0", 0.0, told_at=1.0, gone_at=9.5, status=0)], "LOST"),
+        ]
+    )
+    def test_each_rule_sees_its_fault(self, _name: str, seen: list, rule: str) -> None:
+        faults = broken(self.record(*seen), TIMELESS + TIMED)
+        self.assertEqual([rule] if rule else [], [fault.split(" ")[0] for fault in faults])
+
+    def test_bounds_in_time_wait_for_calm(self) -> None:
+        record = self.record(attempt(sort=Sort.SINCE, version=2, status=404))
+        record.disturbances.append((1.0, 3.0))
+        self.assertEqual([], broken(record, TIMED))
+
+    def test_what_the_run_found_is_told(self) -> None:
+        record = self.record()
+        record.faults.append("RECOVER")
+        self.assertEqual(["RECOVER"], broken(record, ()))
--- /dev/null
+++ b/tests/soak/troubles.py
@@ -0,0 +1,230 @@
+"""Troubles of the soak: each does something to the world for a while, and undoes it."""
+
+import asyncio
+import contextlib
+import random
+import signal
+import time
+import typing as t
+
+from tests.soak.proxy import Proxy
+from tests.soak.targets import SoakTarget
+from tests.soak.world import SERVICES, SoakEntry, World
+
+Trouble = t.Callable[[World, random.Random], t.Awaitable[None]]
+
+_LONG_S = (0.4, 2.5)
+#: Targets of a service that are left however many are taken away.
+_LEAST_TARGETS = 2
+#: Seconds that an interpreter takes to start.
+_BOOT_S = 0.4
+#: Seconds for which a leaving target serves on, and after which its address may be another's.
+_LEAVES_S = 4.0
+
+
+@contextlib.asynccontextmanager
+async def _disturbance(world: World) -> t.AsyncIterator[None]:
+    began = time.monotonic()
+    place = len(world.record.disturbances)
+    world.record.disturbances.append((began, float("inf")))
+    try:
+        yield
+    finally:
+        world.record.disturbances[place] = (began, time.monotonic())
+
+
+def _entry(world: World, rng: random.Random) -> t.Optional[SoakEntry]:
+    running = [entry for entry in world.entries if not entry.stopping]
+    return rng.choice(running) if running else None
+
+
+async def _restart(world: World, rng: random.Random, number: int) -> None:
+    entry = _entry(world, rng)
+    if entry is None:
+        return
+    entry.stopping = True
+    try:
+        await entry.end(number)
+        await asyncio.sleep(rng.uniform(0.0, 0.5))
+        entry.start()
+    finally:
+        entry.stopping = False
+
+
+async def stop(world: World, rng: random.Random) -> None:
+    """A planned stop."""
+    await _restart(world, rng, signal.SIGTERM)
+
+
+async def roll(world: World, rng: random.Random) -> None:
+    """Planned stops of all entries, one soon after the other."""
+    stops = []
+    for _ in world.entries:
+        stops.append(asyncio.create_task(stop(world, rng)))
+        await asyncio.sleep(rng.uniform(0.3, 1.2))
+    await asyncio.gather(*stops)
+
+
+async def kill(world: World, rng: random.Random) -> None:
+    async with _disturbance(world):
+        await _restart(world, rng, signal.SIGKILL)
+
+
+async def kill_all(world: World, rng: random.Random) -> None:
+    async with _disturbance(world):
+        await asyncio.gather(*[_restart(world, rng, signal.SIGKILL) for _ in world.entries])
+
+
+async def pause(world: World, rng: random.Random) -> None:
+    """A process stands still."""
+    entry = _entry(world, rng)
+    if entry is None:
+        return
+    async with _disturbance(world):
+        entry.disturb()
+        with contextlib.suppress(ProcessLookupError):
+            entry.signal(signal.SIGSTOP)
+            await asyncio.sleep(rng.uniform(*_LONG_S))
+            entry.signal(signal.SIGCONT)
+
+
+async def hang_up(world: World, rng: random.Random) -> None:
+    """SIGHUP, with settings that did not change."""
+    entry = _entry(world, rng)
+    if entry is None or entry.lifetime is None:
+        return
+    # No program can take a signal before its interpreter runs.
+    while time.monotonic() - entry.lifetime.began < _BOOT_S:  # noqa: ASYNC110
+        await asyncio.sleep(_BOOT_S)
+    entry.signal(signal.SIGHUP)
+
+
+async def _break(proxy: Proxy, rng: random.Random) -> None:
+    how = rng.choice(("silence", "reset", "cut", "up", "down", "delay", "refuse"))
+    if how == "silence":
+        proxy.silence_all()
+        return
+    if how == "reset":
+        proxy.reset_all()
+        return
+    proxy.cut_up = how in ("cut", "up")
+    proxy.cut_down = how in ("cut", "down")
+    proxy.refusing = how == "refuse"
+    proxy.delay_s = rng.uniform(0.05, 0.6) if how == "delay" else 0.0
+    await asyncio.sleep(rng.uniform(*_LONG_S))
+    proxy.heal()
+
+
+async def break_store_link(world: World, rng: random.Random) -> None:
+    async with _disturbance(world):
+        await _break(rng.choice(world.entries).store_proxy, rng)
+
+
+async def break_peer_link(world: World, rng: random.Random) -> None:
+    async with _disturbance(world):
+        await _break(rng.choice(world.entries).peer_proxy, rng)
+
+
+async def break_all_links(world: World, rng: random.Random) -> None:
+    """All open connections between machines and to the store and targets go silent at once."""
+    async with _disturbance(world):
+        for entry in world.entries:
+            entry.store_proxy.silence_all()
+            entry.peer_proxy.silence_all()
+        for target in world.targets:
+            target.proxy.silence_all()
+
+
+async def break_target_link(world: World, rng: random.Random) -> None:
+    await _break(rng.choice(world.targets).proxy, rng)
+
+
+async def break_store(world: World, rng: random.Random) -> None:
+    async with _disturbance(world):
+        world.store.mode = rng.choice(("busy", "many", "silent", "lost", "late"))
+        await asyncio.sleep(rng.uniform(*_LONG_S))
+        world.store.mode = "ok"
+
+
+async def forget_history(world: World, _rng: random.Random) -> None:
+    async with _disturbance(world):
+        world.store.forget()
+
+
+async def change(world: World, rng: random.Random) -> None:
+    """New desired states in quick succession."""
+    for _ in range(rng.randint(1, 4)):
+        world.change()
+        await asyncio.sleep(rng.uniform(0.05, 0.5))
+
+
+async def evacuate(world: World, rng: random.Random) -> None:
+    zone = rng.choice(world.targets).zone
+    world.store.put("op", f"evacuate/{zone}", {})
+    await asyncio.sleep(rng.uniform(*_LONG_S))
+    world.store.remove("op", f"evacuate/{zone}")
+
+
+def _spare(world: World, rng: random.Random) -> t.Optional[SoakTarget]:
+    for target in rng.sample(world.targets, len(world.targets)):
+        beside = [other for other in world.targets if other.service == target.service]
+        if len(beside) > _LEAST_TARGETS:
+            return target
+    return None
+
+
+async def drain(world: World, rng: random.Random) -> None:
+    """A target leaves, and another one of any service takes over its address."""
+    target = _spare(world, rng)
+    if target is None:
+        return
+    world.leave(target)
+    await asyncio.sleep(_LEAVES_S)
+    world.store.remove("servers", target.instance_id)
+    successor = await world.add_target(rng.choice(SERVICES))
+    target.proxy.target = successor.proxy.target
+
+
+async def scale_out(world: World, rng: random.Random) -> None:
+    if len(world.targets) < 10:
+        target = await world.add_target(rng.choice(SERVICES))
+        world.store.put("servers", target.instance_id, target.listing(warmupLeftS=2.0))
+
+
+async def slow_target(world: World, rng: random.Random) -> None:
+    target = rng.choice(world.targets)
+    target.work_s *= 8
+    await asyncio.sleep(rng.uniform(*_LONG_S))
+    target.work_s /= 8
+
+
+async def bad_answers(world: World, rng: random.Random) -> None:
+    target = rng.choice(world.targets)
+    target.lose, target.garble = rng.choice(((0.2, 0.0), (0.0, 0.2), (0.1, 0.1)))
+    await asyncio.sleep(rng.uniform(*_LONG_S))
+    target.lose = target.garble = 0.0
+
+
+TROUBLES: t.Tuple[Trouble, ...] = (
+    stop,
+    stop,
+    roll,
+    kill,
+    kill_all,
+    pause,
+    hang_up,
+    break_store_link,
+    break_peer_link,
+    break_all_links,
+    break_target_link,
+    break_store,
+    forget_history,
+    change,
+    change,
+    evacuate,
+    drain,
+    drain,
+    scale_out,
+    slow_target,
+    bad_answers,
+)
