--- a/.ci/count.py
+++ b/.ci/count.py
@@ -13,6 +13,9 @@
 MAX_KNOWN_RED = 3
 UNEXPECTED_PASS = "test passes unexpectedly"
 
+#: Lines of a failure that are told again at the end, where the record of a run still has them.
+CAUSE_LINES = 15
+
 PASSED = "passed"
 FAILED = "failed"
 SKIPPED = "skipped"
@@ -37,6 +40,18 @@
     return outcomes_by_id
 
 
+def read_causes(path: pathlib.Path) -> t.Dict[str, t.List[str]]:
+    """The last lines of what each test that failed said, by its id."""
+    causes_by_id: t.Dict[str, t.List[str]] = {}
+    for case in ElementTree.parse(path).getroot().iter("testcase"):
+        test_id = f"{case.get('classname')}.{case.get('name')}"
+        for kind in ("error", "failure"):
+            found = case.find(kind)
+            if found is not None:
+                causes_by_id[test_id] = (found.text or "").strip().splitlines()[-CAUSE_LINES:]
+    return causes_by_id
+
+
 def _outcome(case: ElementTree.Element) -> str:
     if case.find("error") is not None or case.find("failure") is not None:
         return FAILED
@@ -85,6 +100,7 @@
     known: t.List[KnownRed],
     problems: t.List[str],
     test_status: int,
+    causes_by_id: t.Mapping[str, t.Sequence[str]],
 ) -> t.Tuple[int, int]:
     """Tests that passed, and what failed: tests not known to be red, and ``problems``."""
     known_ids = {red.test_id for red in known}
@@ -102,6 +118,8 @@
         if test_id in known_ids:
             continue
         print(f"failed: {test_id}")
+        for line in causes_by_id.get(test_id, ()):
+            print(f"    {line}")
         failed += 1
     if test_status != 0 and not any_test_failed:
         print(f"failed: the tests ended with status {test_status} though none failed")
@@ -119,9 +137,11 @@
     options = parser.parse_args(arguments)
 
     outcomes_by_id: t.Dict[str, str] = {}
+    causes_by_id: t.Dict[str, t.List[str]] = {}
     problems = [f"step {name} failed" for name in options.failed_steps]
     try:
         outcomes_by_id = read_report(options.report)
+        causes_by_id = read_causes(options.report)
     except (OSError, ElementTree.ParseError) as error:
         problems.append(f"no report of the tests: {error}")
     if not outcomes_by_id:
@@ -133,7 +153,7 @@
         print(f"known red, passed over: {red.test_id} | {red.cause} | {red.issue}")
     for problem in problems:
         print(f"failed: {problem}")
-    passed, failed = count(outcomes_by_id, known, problems, options.test_status)
+    passed, failed = count(outcomes_by_id, known, problems, options.test_status, causes_by_id)
     print(f"{passed} passed, {failed} failed")
     return 1 if failed else 0
 
--- a/tests/test_ci.py
+++ b/tests/test_ci.py
@@ -97,6 +97,21 @@
             if line.count(" | ") == 2:
                 self.assertIn(line, output.getvalue())
 
+    def test_what_a_failure_said_is_told_at_the_end(self) -> None:
+        said = "\n".join([f"line {number}" for number in range(40)])
+        case = FAIL.replace(">f<", f">{said}<")
+        with tempfile.TemporaryDirectory() as name:
+            report = pathlib.Path(name) / "tests.xml"
+            report.write_text(f"<testsuite>{case}</testsuite>")
+            output = io.StringIO()
+            with contextlib.redirect_stdout(output):
+                load_count().main(
+                    ["--report", str(report), "--known-red", f"{name}/none", "--test-status", "1"]
+                )
+        told = output.getvalue().splitlines()
+        self.assertEqual("0 passed, 1 failed", told[-1])
+        self.assertEqual([f"    line {number}" for number in range(25, 40)], told[-16:-1])
+
 
 if __name__ == "__main__":
     unittest.main()
