--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -5,6 +5,8 @@
 import struct
 import typing as t
 
+from tests.stream_server import StreamServer
+
 _PIECE_BYTES = 64 * 1024
 
 
@@ -17,15 +19,15 @@
         self.silent = False
 
 
-class Proxy:
+class Proxy(StreamServer):
     """Forwards connections to one address; its faults are attributes that may be set at any time.
 
     :param target: ``ip:port`` to forward to.
     """
 
     def __init__(self, target: str) -> None:
+        super().__init__()
         self.target = target
-        self.address = ""
         #: Seconds by which each piece is held up, either way.
         self.delay_s = 0.0
         #: Whether new connections are reset.
@@ -34,20 +36,6 @@
         self.cut_up = False
         self.cut_down = False
         self._links: t.Set[_Link] = set()
-        self._tasks: t.Set[asyncio.Task[None]] = set()
-
-    async def __aenter__(self) -> "Proxy":
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()[:2]
-        self.address = f"{host}:{port}"
-        return self
-
-    async def __aexit__(self, *_error: t.Any) -> None:
-        self._server.close()
-        for task in self._tasks:
-            task.cancel()
-        if self._tasks:
-            await asyncio.wait(self._tasks)
 
     def heal(self) -> None:
         """Be sound to connections that are not silenced."""
@@ -65,12 +53,7 @@
         for link in self._links:
             link.silent = True
 
-    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.create_task(self._serve(reader, writer))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.refusing:
             _reset(writer)
             return
--- /dev/null
+++ b/tests/stream_server.py
@@ -0,0 +1,35 @@
+"""A server of streams on loopback: the part that stand-ins which speak raw bytes share."""
+
+import asyncio
+import typing as t
+
+
+class StreamServer:
+    """Serves each connection by :meth:`serve`, from ``async with`` on; its tasks end with it."""
+
+    def __init__(self) -> None:
+        self._tasks: t.Set[asyncio.Task[None]] = set()
+        #: ``host:port``, once it listens.
+        self.address = ""
+
+    async def __aenter__(self) -> t.Self:
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+        return self
+
+    async def __aexit__(self, *_error: t.Any) -> None:
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection until it is over."""
+        raise NotImplementedError
+
+    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.create_task(self.serve(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/tests/traffic/raw_target.py
+++ b/tests/traffic/raw_target.py
@@ -5,6 +5,8 @@
 import struct
 import typing as t
 
+from tests.stream_server import StreamServer
+
 Script = t.Callable[["Turn"], t.Awaitable[None]]
 
 
@@ -55,40 +57,23 @@
         self._writer.transport.abort()
 
 
-class RawTarget:
+class RawTarget(StreamServer):
     """Serves connections, one request after the other.
 
     :param script: answers each request.
     """
 
     def __init__(self, script: Script) -> None:
+        super().__init__()
         self._script = script
-        self._tasks: t.Set[asyncio.Task[None]] = set()
         self.turns: t.List[Turn] = []
         #: Set with each request.
         self.asked = asyncio.Event()
         self.connections = 0
         #: Set when a caller closed its connection while its request was being answered.
         self.left = asyncio.Event()
-        self.address = ""
-
-    async def __aenter__(self) -> "RawTarget":
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()[:2]
-        self.address = f"{host}:{port}"
-        return self
-
-    async def __aexit__(self, *_error: t.Any) -> None:
-        self._server.close()
-        for task in self._tasks:
-            task.cancel()
-        if self._tasks:
-            await asyncio.wait(self._tasks)
-
-    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._tasks.add(asyncio.create_task(self._serve(reader, writer)))
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         try:
             while True:
--- /dev/null
+++ b/tests/traffic/test_members.py
@@ -0,0 +1,317 @@
+"""Tests of who is alive: suspicions, their refutation, what it costs, and look-ups."""
+
+import typing as t
+import unittest
+
+import msgspec
+from parameterized import parameterized
+
+from coralfall import defaults
+from coralfall.ids import EntryId, EntryState, Incarnation, RegionId, ZoneId
+from coralfall.process.clock import ManualClock
+from coralfall.traffic.lookup import Lookup
+from coralfall.traffic.members import Members
+from coralfall.traffic.messages import News, Suspicion
+from coralfall.traffic.model import DesiredState, EntryRecord
+from coralfall.traffic.translator import LookupQuestion
+from tests.traffic.known import Known
+from tests.traffic.makers import (
+    COSTA,
+    NORTE,
+    PUERTO,
+    SIERRA,
+    make_record,
+    make_route,
+    make_settings,
+    make_state,
+    seeded,
+)
+
+
+def suspicion(name: str, beat: int) -> Suspicion:
+    return Suspicion(EntryId(name), Incarnation(1), beat)
+
+
+class MembersTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock(100.0)
+        self.members = Members(make_record("e1"), self.clock, seeded())
+
+    def alive(self) -> t.List[str]:
+        return [record.entry_id for record in self.members.alive()]
+
+    @parameterized.expand(
+        [
+            ("no answer", lambda members: members.missed(make_record("e2").peer_address)),
+            ("told by another", lambda members: members.doubt([suspicion("e2", 1)])),
+        ]
+    )
+    def test_a_suspicion_is_death_in_time_and_a_new_beat_is_life(
+        self, _name: str, suspect: t.Callable[[Members], None]
+    ) -> None:
+        self.members.hear([make_record("e2")])
+        self.clock.advance(60.0)
+        self.members.look()
+        self.assertEqual(["e2"], self.alive())
+        suspect(self.members)
+        self.clock.advance(defaults.ENTRY_SUSPECT_S - 0.1)
+        # What others said before they knew is no refutation, and no new suspicion either.
+        self.members.hear([make_record("e2")])
+        suspect(self.members)
+        self.assertEqual(["e2"], self.alive())
+        self.clock.advance(0.2)
+        self.assertEqual([], self.alive())
+        self.members.hear([make_record("e2", beat=2)])
+        self.assertEqual(["e2"], self.alive())
+
+    def test_a_suspicion_of_what_an_entry_said_before_is_passed_over(self) -> None:
+        self.members.hear([make_record("e2", beat=5)])
+        self.members.doubt([suspicion("e2", 4)])
+        self.clock.advance(defaults.ENTRY_SUSPECT_S)
+        self.assertEqual(["e2"], self.alive())
+
+    @parameterized.expand([("of this beat", 1, 2), ("of one to come", 7, 8), ("of the past", 0, 1)])
+    def test_a_suspect_refutes(self, _name: str, suspected: int, beat: int) -> None:
+        told = []
+        self.members.on_news = lambda: told.append(self.members.own)
+        self.members.doubt([suspicion("e1", suspected)])
+        self.assertEqual(beat, self.members.own.beat)
+        self.assertEqual(beat > 1, bool(told))
+
+    def test_news_are_told_for_a_while_and_all_on_demand(self) -> None:
+        self.members.hear([make_record("e2"), make_record("e3")])
+        self.members.missed(make_record("e3").peer_address)
+        self.assertEqual(3, len(self.members.recent()))
+        self.assertEqual((suspicion("e3", 1),), self.members.recent_suspicions())
+        self.clock.advance(defaults.GOSSIP_NEWS_S)
+        self.assertEqual(["e1"], [record.entry_id for record in self.members.recent()])
+        self.assertEqual((), self.members.recent_suspicions())
+        told = [record.entry_id for record in self.members.all_records()]
+        self.assertEqual(["e1", "e2"], told)
+        self.assertEqual((suspicion("e3", 1),), self.members.all_suspicions())
+
+    def test_the_sum_tells_whether_two_know_the_same(self) -> None:
+        other = Members(make_record("e2"), self.clock, seeded())
+        other.hear([make_record("e3"), make_record("e1")])
+        self.members.hear([make_record("e2")])
+        self.assertNotEqual(other.sum(), self.members.sum())
+        self.members.hear([make_record("e3")])
+        self.assertEqual(other.sum(), self.members.sum())
+        self.members.hear([make_record("e3", beat=2)])
+        self.assertNotEqual(other.sum(), self.members.sum())
+
+    @parameterized.expand(
+        [
+            ("leaving", {"state": EntryState.LEAVING}),
+            ("not ready", {"ready": False}),
+        ]
+    )
+    def test_not_serving(self, _name: str, changes: t.Dict[str, t.Any]) -> None:
+        self.members.hear([make_record("e2", **changes)])
+        self.assertEqual(["e1"], [record.entry_id for record in self.members.serving()])
+
+    def test_an_older_record_does_not_undo_a_newer(self) -> None:
+        self.members.hear([make_record("e2", beat=5, state=EntryState.LEAVING)])
+        self.members.hear([make_record("e2", beat=4)])
+        self.assertEqual(["e1"], [record.entry_id for record in self.members.serving()])
+
+    def test_a_restarted_entry_whose_clock_fell_back_outlives_its_past(self) -> None:
+        self.members.hear([make_record("e1", incarnation=Incarnation(9), beat=70)])
+        self.assertEqual(10, self.members.own.incarnation)
+
+    def test_a_pause_of_this_process_is_nobody_s_death(self) -> None:
+        self.members.look()
+        self.members.hear([make_record("e2")])
+        self.members.missed(make_record("e2").peer_address)
+        self.clock.advance(20.0)
+        self.members.look()
+        self.assertEqual(["e2"], self.alive())
+        self.clock.advance(defaults.ENTRY_SUSPECT_S)
+        self.assertEqual([], self.alive())
+
+    def test_one_entry_has_the_first_rank(self) -> None:
+        names = [f"e{number}" for number in range(8)]
+        ranks = []
+        for name in names:
+            members = Members(make_record(name), self.clock, seeded())
+            members.hear([make_record(other) for other in names])
+            ranks.append(members.rank())
+        self.assertEqual(list(range(8)), sorted(ranks))
+
+    def test_entries_of_the_store_are_not_alive_until_heard(self) -> None:
+        self.members.register(make_record("e2"))
+        self.assertEqual([], self.members.alive())
+        self.assertEqual({"e1", "e2"}, self.members.all_ids())
+        self.assertIn("e2", [record.entry_id for record in self.members.choose(3)])
+
+
+class LookupTest(unittest.TestCase):
+    def lookup(self, *records: EntryRecord, state: t.Optional[DesiredState] = None) -> Lookup:
+        known = Known()
+        known.members.set_own(ready=False)
+        known.members.hear(records)
+        if state is not None:
+            known.learn_state(1, "state/a", state)
+        return Lookup(make_settings(), known.members, known.belief)
+
+    @parameterized.expand(
+        [
+            ("zone and as many outside", [NORTE] * 2 + [ZoneId("valle")] * 2, [0, 1, 2, 3]),
+            ("region if the zone has few", [NORTE, ZoneId("valle"), PUERTO], [0, 1]),
+            ("a zone that is lost", [ZoneId("valle"), ZoneId("valle"), PUERTO], [0, 1]),
+            ("any if the region has none", [PUERTO, PUERTO], [0, 1]),
+            ("nobody", [], []),
+        ]
+    )
+    def test_addresses(self, _name: str, zones: t.List[ZoneId], expected: t.List[int]) -> None:
+        regions = {NORTE: SIERRA, ZoneId("valle"): SIERRA, PUERTO: COSTA}
+        records = [
+            make_record(f"e{n}x", zone=zone, region=regions[zone]) for n, zone in enumerate(zones)
+        ]
+        found = self.lookup(*records).addresses(LookupQuestion("a.example", SIERRA, NORTE))
+        self.assertEqual(sorted([records[n].caller_address for n in expected]), sorted(found))
+
+    def test_a_zone_s_callers_are_told_of_few_others_and_not_all_of_the_same(self) -> None:
+        zones = [ZoneId(f"z{number}") for number in range(6)]
+        records = [make_record(f"e{z}{n}", zone=z) for z in zones for n in range(3)]
+        lookup = self.lookup(*records)
+        outside = set()
+        for zone in zones:
+            found = lookup.addresses(LookupQuestion("a.example", SIERRA, zone))
+            own = {record.caller_address for record in records if record.zone == zone}
+            self.assertEqual((6, own), (len(found), own & set(found)))
+            outside |= set(found) - own
+        self.assertGreater(len(outside), 6)
+
+    def test_regions_of_the_routes_go_before_others(self) -> None:
+        far = make_record("far", zone=ZoneId("loja"), region=RegionId("austro"))
+        home = make_record("home", zone=PUERTO, region=COSTA)
+        state = make_state(1, make_route(allowed_regions=frozenset({COSTA})))
+        lookup = self.lookup(far, home, state=state)
+        found = lookup.addresses(LookupQuestion("a.example", SIERRA, NORTE))
+        self.assertEqual([home.caller_address], found)
+
+
+class MemberFleet:
+    """Entries that ask each other in rounds, a few of which can be reached by nobody.
+
+    News are carried by hand, so that a few hundred entries can be played.
+    """
+
+    def __init__(self, count: int) -> None:
+        self.clock = ManualClock(100.0)
+        self.known = {f"e{n}": Known(f"e{n}", self.clock, seed=n) for n in range(count)}
+        self.gone: t.Set[str] = set()
+        self.cuts: t.Set[t.FrozenSet[str]] = set()
+        self.sent: t.List[int] = []
+        for known in self.known.values():
+            known.members.hear([make_record(name) for name in self.known if name != "e0"])
+            known.members.on_news = self._pusher(known)
+        #: One that nobody but its neighbour has heard of.
+        self.known["e1"].members.hear([make_record("e0")])
+
+    def _pusher(self, known: Known) -> t.Callable[[], None]:
+        def push() -> None:
+            self.pushes.append(known)
+
+        return push
+
+    pushes: t.List[Known] = []
+
+    def can_reach(self, one: str, other: str) -> bool:
+        return other not in self.gone and frozenset((one, other)) not in self.cuts
+
+    def round(self) -> None:
+        self.clock.advance(defaults.GOSSIP_S)
+        for name, known in self.known.items():
+            if name in self.gone:
+                continue
+            known.members.look()
+            for record in known.members.choose(defaults.GOSSIP_FANOUT):
+                self._ask(known, record)
+        while self.pushes:
+            known = self.pushes.pop()
+            others = [record.entry_id for record in known.members.alive()]
+            self._relay(known.members.own.entry_id, known.exchange.news(), others)
+
+    def _relay(self, sender: str, news: News, names: t.Sequence[str]) -> None:
+        parts = min(defaults.RELAY_FANOUT, len(names))
+        for number in range(parts):
+            part = names[number::parts]
+            while part and not self.can_reach(sender, part[0]):
+                part = part[1:]
+            if part:
+                self._tell(self.known[part[0]], news)
+                self._relay(part[0], news, part[1:])
+
+    def _ask(self, known: Known, record: EntryRecord) -> None:
+        if not self.can_reach(known.members.own.entry_id, record.entry_id):
+            known.members.missed(record.peer_address)
+            return
+        other = self.known[record.entry_id]
+        news = known.exchange.news(address=record.peer_address)
+        self._tell(other, news)
+        self._tell(known, other.exchange.answer(news))
+
+    def _tell(self, known: Known, news: News) -> None:
+        self.sent.append(len(msgspec.msgpack.encode(news)))
+        known.exchange.take(news, self.clock.monotonic())
+
+    def believed_alive(self) -> t.Set[t.FrozenSet[str]]:
+        """What those that run hold alive, themselves included; one set if they agree."""
+        return {
+            frozenset({known.members.own.entry_id} | {r.entry_id for r in known.members.alive()})
+            for name, known in self.known.items()
+            if name not in self.gone
+        }
+
+
+class MemberFleetTest(unittest.TestCase):
+    def setUp(self) -> None:
+        MemberFleet.pushes = []
+
+    @parameterized.expand([("today", 12, 1), ("grown", 89, 15), ("nearly all", 12, 10)])
+    def test_all_agree_on_who_lives(self, _name: str, count: int, gone: int) -> None:
+        fleet = MemberFleet(count)
+        for _ in range(20):
+            fleet.round()
+        self.assertEqual({frozenset(fleet.known)}, fleet.believed_alive())
+        fleet.gone = {f"e{number}" for number in range(2, 2 + gone)}
+        rounds = 0
+        while fleet.believed_alive() != {frozenset(fleet.known) - fleet.gone}:
+            fleet.round()
+            rounds += 1
+            self.assertLess(rounds * defaults.GOSSIP_S, 3.0)
+
+    def test_two_that_can_t_reach_each_other_stay_alive_by_a_third(self) -> None:
+        fleet = MemberFleet(12)
+        fleet.cuts = {frozenset((f"e{a}", f"e{b}")) for a in (1, 2) for b in (3, 4)}
+        for number in range(100):
+            fleet.round()
+            if number > 20:
+                self.assertEqual({frozenset(fleet.known)}, fleet.believed_alive())
+
+    def test_one_that_slept_learns_who_died(self) -> None:
+        fleet = MemberFleet(89)
+        for _ in range(20):
+            fleet.round()
+        fleet.gone = {"e5", "e6"}
+        for _ in range(20):
+            fleet.round()
+        fleet.gone = {"e5"}
+        rounds = 0
+        while fleet.believed_alive() != {frozenset(fleet.known) - fleet.gone}:
+            fleet.round()
+            rounds += 1
+            self.assertLess(rounds * defaults.GOSSIP_S, 6.0)
+
+    @parameterized.expand([("today", 12), ("grown", 89), ("the letter's", 530)])
+    def test_a_quiet_round_costs_the_same_at_any_size(self, _name: str, count: int) -> None:
+        fleet = MemberFleet(count)
+        for _ in range(12):
+            fleet.round()
+        fleet.sent.clear()
+        for _ in range(5):
+            fleet.round()
+        per_entry_s = sum(fleet.sent) / count / (5 * defaults.GOSSIP_S)
+        self.assertLess(per_entry_s, 2000)
