Tell in logs, metrics and explain of suspects and dead connections

A suspicion changes what an entry believes, and had a debug line only: it is a line at info now, with the evidence (its own question, or told), and a gauge, coralfall_peers_suspected. explain had no words for the result stale of a send on a kept connection that was dead.

--- a/src/coralfall/reporting/explain.py
+++ b/src/coralfall/reporting/explain.py
@@ -41,6 +41,7 @@
     "no-state": "the entry knew no desired state yet: see store and peer lines after its start",
     "connect": "no target could be connected; nothing was sent",
     "time": "a target had the request and gave no whole answer in time; it may have run",
+    "stale": "a connection kept from before was dead; a request that may run twice is sent again",
     "broken": "the connection ended within the exchange; the target may have run the request",
     "mixed": "a target sent another request's answer; nothing of it was passed on",
     "unsigned": "a target's success had no signature or id; nothing of it was passed on",
--- a/src/coralfall/traffic/members.py
+++ b/src/coralfall/traffic/members.py
@@ -128,7 +128,7 @@
         """Note that an entry was asked and gave no answer."""
         for known in self._known.values():
             if known.record.peer_address == address and known.suspected_at is None:
-                self._suspect(known)
+                self._suspect(known, "own")
                 self.on_news()
 
     def doubt(self, suspicions: t.Iterable[Suspicion]) -> None:
@@ -140,7 +140,7 @@
                 continue
             known = self._known.get(suspicion.entry_id)
             if known is not None and known.suspected_at is None and mark >= known.mark:
-                self._suspect(known)
+                self._suspect(known, "told")
 
     def recent(self) -> "t.Tuple[EntryRecord, ...]":
         """The own record and the newest ones that are news still."""
@@ -189,6 +189,14 @@
         now = self._clock.monotonic()
         return [known.record for known in self._known.values() if self._is_alive(known, now)]
 
+    def suspected_count(self) -> int:
+        """How many entries are suspected and not held dead yet."""
+        now = self._clock.monotonic()
+        return sum(
+            known.suspected_at is not None and self._is_alive(known, now)
+            for known in self._known.values()
+        )
+
     def serving(self) -> "t.List[EntryRecord]":
         """Entries that callers may be sent to, this one included if it is one of them."""
         found = [record for record in (self.own, *self.alive()) if _serves(record)]
@@ -247,9 +255,10 @@
         log.info("entry.suspected", beat=own.beat)
         self._tell(own, max(own.beat, mark[1]) + 1)
 
-    def _suspect(self, known: _Known) -> None:
+    def _suspect(self, known: _Known, evidence: str) -> None:
         known.suspected_at = self._clock.monotonic()
-        log.debug("peer.suspected", peer=known.record.entry_id, beat=known.record.beat)
+        record = known.record
+        log.info("peer.suspected", peer=record.entry_id, beat=record.beat, evidence=evidence)
 
     def _outlive(self, record: "EntryRecord") -> None:
         # An earlier lifetime of this entry, started by a clock that ran ahead.
--- a/src/coralfall/traffic/telemetry.py
+++ b/src/coralfall/traffic/telemetry.py
@@ -129,6 +129,7 @@
     gauge("state_age_seconds", belief.state_age(now), "Age of the desired state.")
     gauge("targets_age_seconds", belief.targets_age(now), "Age of what is known of the targets.")
     gauge("peers_alive", len(node.members.alive()), "Other entries that are alive.")
+    gauge("peers_suspected", node.members.suspected_count(), "Those that gave no answer lately.")
     gauge("requests_in_hand", node.callers.in_hand, "Requests being served.")
     gauge("connections_opened", node.pool.opened, "Connections opened to targets.")
     gauge("log_lines_dropped", log.dropped_lines(), "Log lines that were not written.")
--- a/tests/traffic/test_members.py
+++ b/tests/traffic/test_members.py
@@ -83,9 +83,11 @@
         self.members.missed(make_record("e3").peer_address)
         self.assertEqual(3, len(self.members.recent()))
         self.assertEqual((suspicion("e3", 1),), self.members.recent_suspicions())
+        self.assertEqual(1, self.members.suspected_count())
         self.clock.advance(defaults.GOSSIP_NEWS_S)
         self.assertEqual(["e1"], [record.entry_id for record in self.members.recent()])
         self.assertEqual((), self.members.recent_suspicions())
+        self.assertEqual(0, self.members.suspected_count())
         told = [record.entry_id for record in self.members.all_records()]
         self.assertEqual(["e1", "e2"], told)
         self.assertEqual((suspicion("e3", 1),), self.members.all_suspicions())
