Keep suspicions from becoming a storm

Busy entries answered late, which made more suspicions.

Now: pushes of news of entries are paced, so that an entry receives five a second of all others together, but for coming and going; 8 records and 16 suspicions a message, the rest found by the sum; a second question before a suspicion, and none by an entry that is late itself; patience that grows by half with each fourfold fleet; a suspicion carries its age, so that what is told late does not start anew.

Ruled out: pace and short messages alone (20 KB, but 74 different views of who lives at a tenth lost).

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -203,18 +203,30 @@
 #: Seconds between two rounds of gossip, and how many entries are asked in one.
 GOSSIP_S = 0.4
 GOSSIP_FANOUT = 2
-#: Most records of entries that are news in one message, and seconds for which they are.
-GOSSIP_RECORDS = 48
+#: Most records and suspicions that are news in one message, and seconds for which they are news.
+#: What does not fit is found by the sum, so that many changes at once do not make messages long.
+GOSSIP_RECORDS = 8
+GOSSIP_SUSPICIONS = 16
 GOSSIP_NEWS_S = 3.0
+#: Pushes of news of entries that one entry may receive in a second, of all others together.
+MEMBER_PUSHES_PER_S = 5.0
 #: Seconds for which two entries know different things before one asks the other for everything.
 GOSSIP_DIFFER_S = 0.8
-#: Seconds after which a suspected entry that did not refute it is held dead, and seconds without
-#: a word after which a dead one is forgotten.
+#: Seconds after which a suspected entry that did not refute it is held dead, in a fleet of
+#: ``SUSPECT_ENTRIES``, and the part of that which each fourfold fleet adds: news take rounds.
 ENTRY_SUSPECT_S = 1.5
+SUSPECT_ENTRIES = 12
+SUSPECT_GROWTH = 0.5
 #: How many more entries are asked in a round while others are suspected, at the most.
-MAX_EXTRA_ASKED = 8
-#: How many of all entries ask a suspect in a round.
+MAX_EXTRA_ASKED = 2
+#: How many of all entries ask a suspect in a round, and how many suspects one entry asks.
 SUSPECT_ASKERS = 3
+MAX_SUSPECTS_ASKED = 2
+#: Questions in a row without an answer after which one entry suspects another.
+SUSPECT_MISSES = 2
+#: Multiple of a round after which this process is so late itself that it suspects nobody.
+BUSY_ROUNDS = 1.5
+#: Seconds without a word after which a dead entry is forgotten.
 ENTRY_FORGET_S = 120.0
 #: How many entries one entry hands a change on to.
 RELAY_FANOUT = 8
--- a/src/coralfall/traffic/gossip.py
+++ b/src/coralfall/traffic/gossip.py
@@ -30,7 +30,7 @@
 
 
 #: Entries for which one more time of patience passes before all of them are asked for.
-_MEMBERS_PER_PATIENCE = 100
+_MEMBERS_PER_PATIENCE = 20
 #: Seconds for which news of entries are gathered before they are pushed.
 _GATHER_S = 0.05
 
@@ -50,6 +50,7 @@
         self._clock = clock
         #: Since when what is known of the entries differs from what others know.
         self._differs_since: t.Optional[float] = None
+        members.on_pause = self._ask_for_all
 
     def news(
         self,
@@ -113,6 +114,9 @@
         elif self._differs_since is None:
             self._differs_since = self._clock.monotonic()
 
+    def _ask_for_all(self) -> None:
+        self._differs_since = -float("inf")
+
     def _wants_all(self, now: float) -> bool:
         """Whether others have gone on knowing other things, for longer than news take to spread."""
         patience = defaults.GOSSIP_DIFFER_S * (1 + self._members.count() / _MEMBERS_PER_PATIENCE)
@@ -193,6 +197,7 @@
         self._tasks: t.Set[asyncio.Task[None]] = set()
         self._asking: t.Set[str] = set()
         self._pushing: t.Optional[asyncio.TimerHandle] = None
+        self._may_push_at = -float("inf")
         members.on_news = self._push_soon
 
     async def run(self) -> None:
@@ -236,12 +241,21 @@
                 push = Push(news=news, relay=tuple(part[1:]))
                 self._spawn(self._post(address, push))
 
-    def _push_soon(self) -> None:
-        if self._pushing is None:
-            self._pushing = asyncio.get_running_loop().call_later(_GATHER_S, self._push_members)
+    def _push_soon(self, at_once: bool) -> None:
+        """Push news of entries; while many change at once they wait, and rounds carry them."""
+        if self._pushing is not None:
+            if not at_once:
+                return
+            self._pushing.cancel()
+        wait_s = _GATHER_S
+        if not at_once:
+            wait_s = max(wait_s, self._may_push_at - self._clock.monotonic())
+        self._pushing = asyncio.get_running_loop().call_later(wait_s, self._push_members)
 
     def _push_members(self) -> None:
         self._pushing = None
+        pause = (len(self._members.alive()) + 1) / defaults.MEMBER_PUSHES_PER_S
+        self._may_push_at = self._clock.monotonic() + pause
         belief = self._exchange.belief
         self.push(belief.state_rows.revision, belief.target_rows.revision)
 
@@ -267,6 +281,7 @@
                     defaults.GOSSIP_TIMEOUT_S,
                     kept_s=defaults.GOSSIP_KEPT_S,
                 )
+                self._members.reached(address)
                 if not self._exchange.take(answer.message, self._clock.monotonic()):
                     return
         except PeerError as error:
--- a/src/coralfall/traffic/members.py
+++ b/src/coralfall/traffic/members.py
@@ -12,6 +12,7 @@
 """
 
 import hashlib
+import math
 import random
 import typing as t
 
@@ -30,7 +31,7 @@
 
 
 class _Known:
-    __slots__ = ("alive", "digest", "heard_at", "learnt_at", "record", "suspected_at")
+    __slots__ = ("alive", "digest", "heard_at", "learnt_at", "misses", "record", "suspected_at")
 
     def __init__(self, record: "EntryRecord", now: float) -> None:
         #: When it was last heard of, by itself or by others.
@@ -48,14 +49,17 @@
         #: When this record was new here.
         self.learnt_at = self.heard_at = now
         self.suspected_at = None
+        #: Questions of this entry in a row that it gave no answer to.
+        self.misses = 0
 
     @property
     def mark(self) -> _Mark:
         return self.record.incarnation, self.record.beat
 
-    def suspicion(self) -> Suspicion:
+    def suspicion(self, now: float) -> Suspicion:
         record = self.record
-        return Suspicion(record.entry_id, record.incarnation, record.beat)
+        age_s = now - (self.suspected_at if self.suspected_at is not None else now)
+        return Suspicion(record.entry_id, record.incarnation, record.beat, age_s)
 
 
 class Members:
@@ -72,17 +76,23 @@
         self._rng = rng
         self._known: t.Dict[EntryId, _Known] = {}
         self._looked_at = clock.monotonic()
-        #: Called when there is something to tell the others at once.
-        self.on_news: t.Callable[[], None] = lambda: None
+        #: Whether this process was late itself when it last looked at the time.
+        self._busy = False
+        #: Called when there is something to tell the others: at once, or when there is room.
+        self.on_news: t.Callable[[bool], None] = lambda at_once: None
+        #: Called when this process has slept and may have missed anything.
+        self.on_pause: t.Callable[[], None] = lambda: None
 
     def look(self) -> None:
         """Look at the time, once a round; after a pause of this process, nobody dies of it."""
         now = self._clock.monotonic()
         pause = now - self._looked_at - defaults.GOSSIP_S
         self._looked_at = now
+        self._busy = pause > defaults.GOSSIP_S * (defaults.BUSY_ROUNDS - 1)
         if pause > defaults.ENTRY_SUSPECT_S / 2:
             log.warning("process.paused", seconds=round(pause, 3))
             self._excuse(now, pause)
+            self.on_pause()
         self._forget(now)
         for known in self._known.values():
             self._note(known, now)
@@ -97,7 +107,7 @@
             changed = msgspec.structs.replace(changed, ready=ready)
         if changed == own:
             return False
-        self._tell(changed, own.beat + 1)
+        self._tell(changed, own.beat + 1, at_once=True)
         return True
 
     def register(self, record: "EntryRecord") -> None:
@@ -108,7 +118,7 @@
         if record.entry_id not in self._known:
             now = self._clock.monotonic()
             known = self._known[record.entry_id] = _Known(record, now)
-            known.suspected_at = now - defaults.ENTRY_SUSPECT_S
+            known.suspected_at = now - self._patience()
 
     def hear(self, records: "t.Iterable[EntryRecord]") -> None:
         """Take in records that another entry told."""
@@ -125,11 +135,26 @@
             self._note(known, now)
 
     def missed(self, address: str) -> None:
-        """Note that an entry was asked and gave no answer."""
+        """Note that an entry was asked and gave no answer; it is asked again, then suspected.
+
+        An entry that is late itself blames nobody.
+        """
+        now = self._clock.monotonic()
+        if self._busy or now - self._looked_at > defaults.GOSSIP_S * defaults.BUSY_ROUNDS:
+            return
+        for known in self._known.values():
+            if known.record.peer_address != address or known.suspected_at is not None:
+                continue
+            known.misses += 1
+            if known.misses >= defaults.SUSPECT_MISSES:
+                self._suspect(known, 0.0, "own")
+                self.on_news(False)
+
+    def reached(self, address: str) -> None:
+        """Note that an entry has answered."""
         for known in self._known.values():
-            if known.record.peer_address == address and known.suspected_at is None:
-                self._suspect(known, "own")
-                self.on_news()
+            if known.record.peer_address == address:
+                known.misses = 0
 
     def doubt(self, suspicions: t.Iterable[Suspicion]) -> None:
         """Take in suspicions that another entry told."""
@@ -140,7 +165,7 @@
                 continue
             known = self._known.get(suspicion.entry_id)
             if known is not None and known.suspected_at is None and mark >= known.mark:
-                self._suspect(known, "told")
+                self._suspect(known, suspicion.age_s, "told")
 
     def recent(self) -> "t.Tuple[EntryRecord, ...]":
         """The own record and the newest ones that are news still."""
@@ -156,15 +181,19 @@
 
     def recent_suspicions(self) -> t.Tuple[Suspicion, ...]:
         """Suspicions that are news still."""
-        since = self._clock.monotonic() - defaults.GOSSIP_NEWS_S
+        now = self._clock.monotonic()
+        since = now - defaults.GOSSIP_NEWS_S
         found = [k for k in self._known.values() if k.suspected_at and k.suspected_at > since]
-        return tuple([known.suspicion() for known in found[: defaults.GOSSIP_RECORDS]])
+        if len(found) > defaults.GOSSIP_SUSPICIONS:
+            found = self._rng.sample(found, defaults.GOSSIP_SUSPICIONS)
+        return tuple([known.suspicion(now) for known in found])
 
     def suspicions_of(self, address: str) -> t.Tuple[Suspicion, ...]:
         """What the entry at an address is to be told that it is suspected of, if it is."""
+        now = self._clock.monotonic()
         return tuple(
             [
-                known.suspicion()
+                known.suspicion(now)
                 for known in self._known.values()
                 if known.record.peer_address == address and known.suspected_at is not None
             ]
@@ -172,8 +201,9 @@
 
     def all_suspicions(self) -> t.Tuple[Suspicion, ...]:
         """Suspicions, and who is held dead."""
+        now = self._clock.monotonic()
         found = [known for known in self._known.values() if known.suspected_at is not None]
-        return tuple([known.suspicion() for known in found])
+        return tuple([known.suspicion(now) for known in found])
 
     def sum(self) -> int:
         """A number that two entries share if they agree on who lives and what these last said."""
@@ -225,11 +255,13 @@
         # Where some were lost, others may have been lost with them.
         count += min(len(living) - len(trusted), defaults.MAX_EXTRA_ASKED)
         chosen = self._rng.sample(trusted, min(count, len(trusted)))
-        for known in living:
-            if known.suspected_at is None:
-                continue
+        missed = [k.record for k in living if k.misses and k.suspected_at is None]
+        chosen += [record for record in missed if record not in chosen][: defaults.MAX_EXTRA_ASKED]
+        suspects = [known.record for known in living if known.suspected_at is not None]
+        self._rng.shuffle(suspects)
+        for record in suspects[: defaults.MAX_SUSPECTS_ASKED]:
             if self._rng.random() < defaults.SUSPECT_ASKERS / len(living):
-                chosen.append(known.record)
+                chosen.append(record)
         silent = [known.record for known in self._known.values() if not known.alive]
         if silent:
             chosen.append(self._rng.choice(silent))
@@ -244,9 +276,9 @@
                 rank += 1
         return rank
 
-    def _tell(self, own: "EntryRecord", beat: int) -> None:
+    def _tell(self, own: "EntryRecord", beat: int, at_once: bool = False) -> None:
         self.own = msgspec.structs.replace(own, beat=beat)
-        self.on_news()
+        self.on_news(at_once)
 
     def _refute(self, mark: _Mark) -> None:
         own = self.own
@@ -255,10 +287,12 @@
         log.info("entry.suspected", beat=own.beat)
         self._tell(own, max(own.beat, mark[1]) + 1)
 
-    def _suspect(self, known: _Known, evidence: str) -> None:
-        known.suspected_at = self._clock.monotonic()
+    def _suspect(self, known: _Known, age_s: float, evidence: str) -> None:
+        now = self._clock.monotonic()
+        known.suspected_at = now - age_s
         record = known.record
         log.info("peer.suspected", peer=record.entry_id, beat=record.beat, evidence=evidence)
+        self._note(known, now)
 
     def _outlive(self, record: "EntryRecord") -> None:
         # An earlier lifetime of this entry, started by a clock that ran ahead.
@@ -268,7 +302,12 @@
 
     def _is_alive(self, known: _Known, now: float) -> bool:
         since = known.suspected_at
-        return since is None or now - since < defaults.ENTRY_SUSPECT_S
+        return since is None or now - since < self._patience()
+
+    def _patience(self) -> float:
+        """Seconds in which a refutation comes, if there is one; more in a larger fleet."""
+        fourfolds = math.log(max(1.0, self.count() / defaults.SUSPECT_ENTRIES), 4)
+        return defaults.ENTRY_SUSPECT_S * (1 + defaults.SUSPECT_GROWTH * fourfolds)
 
     def _note(self, known: _Known, now: float) -> None:
         alive = self._is_alive(known, now)
--- a/src/coralfall/traffic/messages.py
+++ b/src/coralfall/traffic/messages.py
@@ -16,6 +16,8 @@
     entry_id: EntryId
     incarnation: Incarnation
     beat: int
+    #: Seconds since its sender began to suspect it.
+    age_s: float
 
 
 class News(Message, frozen=True, tag=32):
