--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -79,15 +79,18 @@
     version_at: t.Dict[int, float] = dataclasses.field(default_factory=dict)
     #: When the store took a target's word that it leaves, by target.
     leaving_at: t.Dict[str, float] = dataclasses.field(default_factory=dict)
-    #: Times at which entries, their peers or the store were disturbed: from, to.
-    disturbances: t.List[t.Tuple[float, float]] = dataclasses.field(default_factory=list)
+    #: Times at which the ways of an entry, or of all of them (""), were disturbed: from, to, whose.
+    disturbances: t.List[t.Tuple[float, float, str]] = dataclasses.field(default_factory=list)
     #: What the run itself found, beside what the rules find.
     faults: t.List[str] = dataclasses.field(default_factory=list)
 
-    def calm(self, since: float, until: float, stable_s: float) -> bool:
-        """Whether nothing was disturbed from a while before one moment until another."""
-        for began, ended in self.disturbances:
-            if began < until and ended + stable_s > since:
+    def calm(self, entry: str, since: float, until: float, stable_s: float) -> bool:
+        """Whether an entry was not disturbed from a while before one moment until another."""
+        for began, ended, whose in self.disturbances:
+            if whose in ("", entry) and began < until and ended + stable_s > since:
+                return False
+        for lifetime in self.lifetimes:
+            if lifetime.entry == entry and since - stable_s < lifetime.began < until:
                 return False
         return True
 
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -75,16 +75,18 @@
         taken_at = record.version_at[attempt.version]
         if attempt.sent_at < taken_at + CONFIG_S + SLOW_S:
             continue
-        if record.calm(taken_at, attempt.ended_at, STABLE_S):
+        if record.calm(attempt.entry, taken_at, attempt.ended_at, STABLE_S):
             yield f"CONFIG {_text(attempt)}: {attempt.sent_at - taken_at:.2f} s after its time"
 
 
 def drains(record: Record) -> t.Iterator[str]:
     """A target that leaves gets nothing new after a while, where nothing was disturbed."""
+    entries = {attempt.request_id: attempt.entry for attempt in record.attempts}
     for arrival in record.arrivals:
         left_at = record.leaving_at.get(arrival.target, float("inf"))
         late = arrival.at - left_at - DRAIN_S - SLOW_S
-        if late > 0 and record.calm(left_at, arrival.at, STABLE_S):
+        entry = entries.get(arrival.request_id, "")
+        if late > 0 and record.calm(entry, left_at, arrival.at, STABLE_S):
             yield f"DRAIN {arrival.request_id} at {arrival.target} {late:.2f} s too late"
 
 
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -23,14 +23,15 @@
 
 
 @contextlib.asynccontextmanager
-async def _disturbance(world: World) -> t.AsyncIterator[None]:
+async def _disturbance(world: World, entry: str = "") -> t.AsyncIterator[None]:
+    """What happens within disturbs an entry, or all of them."""
     began = time.monotonic()
     place = len(world.record.disturbances)
-    world.record.disturbances.append((began, float("inf")))
+    world.record.disturbances.append((began, float("inf"), entry))
     try:
         yield
     finally:
-        world.record.disturbances[place] = (began, time.monotonic())
+        world.record.disturbances[place] = (began, time.monotonic(), entry)
 
 
 def _entry(world: World, rng: random.Random) -> t.Optional[SoakEntry]:
@@ -66,13 +67,11 @@
 
 
 async def kill(world: World, rng: random.Random) -> None:
-    async with _disturbance(world):
-        await _restart(world, rng, signal.SIGKILL)
+    await _restart(world, rng, signal.SIGKILL)
 
 
 async def kill_all(world: World, rng: random.Random) -> None:
-    async with _disturbance(world):
-        await asyncio.gather(*[_restart(world, rng, signal.SIGKILL) for _ in world.entries])
+    await asyncio.gather(*[_restart(world, rng, signal.SIGKILL) for _ in world.entries])
 
 
 async def pause(world: World, rng: random.Random) -> None:
@@ -80,7 +79,7 @@
     entry = _entry(world, rng)
     if entry is None:
         return
-    async with _disturbance(world):
+    async with _disturbance(world, entry.name):
         entry.disturb()
         with contextlib.suppress(ProcessLookupError):
             entry.signal(signal.SIGSTOP)
@@ -116,13 +115,15 @@
 
 
 async def break_store_link(world: World, rng: random.Random) -> None:
-    async with _disturbance(world):
-        await _break(rng.choice(world.entries).store_proxy, rng)
+    entry = rng.choice(world.entries)
+    async with _disturbance(world, entry.name):
+        await _break(entry.store_proxy, rng)
 
 
 async def break_peer_link(world: World, rng: random.Random) -> None:
-    async with _disturbance(world):
-        await _break(rng.choice(world.entries).peer_proxy, rng)
+    entry = rng.choice(world.entries)
+    async with _disturbance(world, entry.name):
+        await _break(entry.peer_proxy, rng)
 
 
 async def break_all_links(world: World, rng: random.Random) -> None:
