--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -121,11 +121,11 @@
 
     def test_bounds_in_time_wait_for_calm(self) -> None:
         record = self.record(attempt(sort=Sort.SINCE, version=2, status=404))
-        record.disturbances.append((1.0, 3.0, "e0"))
+        record.disturbances.append((5.0, 7.0, "e0"))
         self.assertEqual([], broken(record, TIMED))
-        record.disturbances[0] = (1.0, 3.0, "e1")
+        record.disturbances[0] = (5.0, 7.0, "e1")
         self.assertEqual(1, len(broken(record, TIMED)))
-        record.lifetimes.append(Lifetime("e0", 1.5))
+        record.lifetimes.append(Lifetime("e0", 6.5))
         self.assertEqual([], broken(record, TIMED))
 
     def test_what_the_run_found_is_told(self) -> None:
