Let the soak see requests that nobody sent

The record of a run was closed by dropping all arrivals whose id no finished attempt had, so a request that no caller sent would have been dropped with those that the end of the run cut off, and the rule UNASKED could not have seen it in a run (its own test does not pass there). Only those of unfinished attempts are dropped now.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -111,6 +111,6 @@
 def _close_record(world: World) -> None:
     """Attempts that were cut off by the end of the run say nothing."""
     record: Record = world.record
+    cut_off = {attempt.request_id for attempt in record.attempts if not attempt.ended_at}
     record.attempts = [attempt for attempt in record.attempts if attempt.ended_at]
-    known = {attempt.request_id for attempt in record.attempts}
-    record.arrivals = [arrival for arrival in record.arrivals if arrival.request_id in known]
+    record.arrivals = [one for one in record.arrivals if one.request_id not in cut_off]
