Take back the count of what was not done in time

In the first seconds all objects are met for the first time, many requests are not done in time, and those that would queue at their home in the region go to the one outside instead, then return.

--- a/src/coralfall/traffic/admission.py
+++ b/src/coralfall/traffic/admission.py
@@ -18,10 +18,6 @@
 #: The quantile of durations that counts as typical, and the part by which each one moves it.
 _QUANTILE = 0.3
 _STEP = 0.05
-#: Weight of the newest duration in the mean of those that requests took by themselves.
-_MEAN_STEP = 0.06
-#: Multiple of the mean that must fit into the time left where a request has to queue.
-_MARGIN = 1.5
 #: Multiple of the typical duration after which an answer is overdue, and the least time for it.
 _OVERDUE = 3.0
 _OVERDUE_MIN_S = 0.3
@@ -33,7 +29,6 @@
     def __init__(self) -> None:
         self._limit_by_route: t.Dict["RouteId", float] = {}
         self._typical_by_service: t.Dict["ServiceId", float] = {}
-        self._mean_by_service: t.Dict["ServiceId", float] = {}
 
     def note_arrival(self, route: "Route", left_s: float) -> None:
         """Take in how long a caller will wait; on its first attempt that is its whole limit."""
@@ -55,34 +50,12 @@
         weight = _QUANTILE if seconds > typical else _QUANTILE - 1
         self._typical_by_service[service] = typical * (1 + _STEP * weight)
 
-    def note_outcome(self, service: "ServiceId", seconds: float, crowding: float) -> None:
-        """Take in how long a request took, or had taken when its time was over.
-
-        :param crowding: see :meth:`crowding`; of the target when it was sent.
-        """
-        alone = seconds / crowding
-        mean = self._mean_by_service.get(service, alone)
-        self._mean_by_service[service] = mean + (alone - mean) * _MEAN_STEP
-
-    @staticmethod
-    def crowding(state: "TargetState") -> float:
-        """By how much one more request takes longer at a target for those that it has in hand."""
-        queued = max(0.0, state.load() + 1 - state.target.slots)
-        return 1 + queued / state.target.slots
-
     def overdue_s(self, service: "ServiceId") -> float:
         """Seconds after which an answer should have come."""
         return max(_OVERDUE_MIN_S, _OVERDUE * self._typical_by_service.get(service, _OVERDUE_MIN_S))
 
     def predict(self, state: "TargetState") -> float:
-        """Seconds that must be left for a target to take one more request.
-
-        Where it would queue, the mean with a margin counts: whatever is not done in time is work
-        that the target does in vain, while others wait for it. Where it would not, some time that
-        was enough before is enough, so that there are always requests to learn from.
-        """
-        service = state.target.service
-        crowding = self.crowding(state)
-        if crowding == 1:
-            return self._typical_by_service.get(service, 0.0)
-        return _MARGIN * self._mean_by_service.get(service, 0.0) * crowding
+        """Seconds that a target would take with one more request, queueing included."""
+        typical = self._typical_by_service.get(state.target.service, 0.0)
+        queued = max(0.0, state.load() + 1 - state.target.slots)
+        return typical * (1 + queued / state.target.slots)
--- a/src/coralfall/traffic/affinity.py
+++ b/src/coralfall/traffic/affinity.py
@@ -41,12 +41,10 @@
     :param state: the target.
     """
 
-    __slots__ = ("_number", "crowding", "state")
+    __slots__ = ("_number", "state")
 
     def __init__(self, state: "TargetState") -> None:
         self.state = state
-        #: By how much the request takes longer for those that are there already.
-        self.crowding = Admission.crowding(state)
         self._number = state.begin()
 
     def release(self) -> None:
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -237,9 +237,6 @@
             send.result = str(error.fields.get("reason", error.code))
             if send.result == _STALE:
                 raise
-            if isinstance(error, TargetTimeoutError):
-                seconds = self._clock.monotonic() - began
-                self._steering.admission.note_outcome(request.service, seconds, place.crowding)
             silent = began if isinstance(error, TargetTimeoutError) else None
             state.fail(reached=True, silent_since=silent)
             raise
@@ -251,7 +248,6 @@
             place.release()
         state.succeed()
         self._steering.admission.note_duration(request.service, send.seconds)
-        self._steering.admission.note_outcome(request.service, send.seconds, place.crowding)
         send.result = str(answer.status)
         return answer
 
--- a/tests/traffic/test_decisions.py
+++ b/tests/traffic/test_decisions.py
@@ -261,7 +261,6 @@
     ) -> None:
         steered = Steered(make_target(1, slots=4))
         steered.steering.admission.note_duration(PEDIDOS, 0.2)
-        steered.steering.admission.note_outcome(PEDIDOS, 0.2, 1.0)
         steered.targets.by_id[TargetId("t1")].report(load, 0)
         got: t.Optional[str] = None
         try:
@@ -270,48 +269,6 @@
             got = error.fields["reason"]
         self.assertEqual(reason, got)
 
-    @parameterized.expand(
-        [
-            # the time that requests took, load at the target, time left, what becomes of it
-            ("all in time, and it queues", (0.2,), 6, 0.8, None),
-            ("many not in time, and it queues", (0.2, 0.8), 6, 0.8, "no-time"),
-            ("many not in time, and it need not queue", (0.2, 0.8), 3, 0.8, None),
-            ("none in time, and it need not queue", (0.8, 0.8), 3, 0.8, None),
-        ]
-    )
-    def test_where_requests_queue_those_count_that_were_not_done_in_time(
-        self,
-        _name: str,
-        took: t.Sequence[float],
-        load: int,
-        left_s: float,
-        reason: t.Optional[str],
-    ) -> None:
-        steered = Steered(make_target(1, slots=4))
-        admission = steered.steering.admission
-        admission.note_duration(PEDIDOS, 0.2)
-        for _ in range(50):
-            for seconds in took:
-                admission.note_outcome(PEDIDOS, seconds, 1.0)
-        steered.targets.by_id[TargetId("t1")].report(load, 0)
-        got: t.Optional[str] = None
-        try:
-            steered.steering.choose(make_route(), PEDIDOS, b"x", (), left_s)
-        except RefusedError as error:
-            got = error.fields["reason"]
-        self.assertEqual(reason, got)
-
-    def test_a_request_among_others_says_how_long_it_would_take_alone(self) -> None:
-        steered = Steered(make_target(1, slots=4))
-        admission = steered.steering.admission
-        state = steered.targets.by_id[TargetId("t1")]
-        state.report(7, 0)
-        place = steered.steering.choose(make_route(), PEDIDOS, b"x", ())
-        self.assertEqual(2.0, place.crowding)
-        for _ in range(200):
-            admission.note_outcome(PEDIDOS, 0.8, place.crowding)
-        self.assertAlmostEqual(1.5 * 0.4 * 2.0, admission.predict(state))
-
     def test_if_all_rest_they_are_tried_all_the_same(self) -> None:
         steered = Steered(make_target(1), make_target(2))
         for state in steered.targets.by_id.values():
--- a/tests/traffic/test_forwarder.py
+++ b/tests/traffic/test_forwarder.py
@@ -293,23 +293,6 @@
         self.assertEqual("time", request.sends[0].result)
         self.assertEqual(0, len(targets[1].turns))
 
-    @parameterized.expand([("never", never, 0.3), ("ok", ok, 5.0)])
-    def test_what_a_request_took_is_learnt_though_its_time_was_over(
-        self, _name: str, script: Script, seconds: float
-    ) -> None:
-        async def main() -> t.Tuple[float, float]:
-            async with RawTarget(script) as target:
-                path = Path([target.address])
-                await path.forward(path.request("unsafe", seconds=seconds))
-                path.pool.close()
-                state = path.targets.by_id[TargetId("t0")]
-                state.report(6, 0)
-                return path.steering.admission.predict(state), seconds
-
-        predicted, limit = asyncio.run(main())
-        self.assertGreater(predicted, 0.0)
-        self.assertEqual(script is never, predicted > limit)
-
     def test_a_second_failure_passes_the_first_on(self) -> None:
         reply, _, _ = play("safe", own_failure, close)
         self.assertEqual((500, b"failed"), (reply.status, reply.body))
