Let a lease lapse between the count of slots and taking one

The steering counts the free slots, chooses a target and then takes a slot of it; slots count as free only while the lease holds, and the time is asked for anew. A pause of the process, or the lapse itself, between the two met an assertion, which uvicorn turned into a 500.

Ruled out by reading: hedges and watches of callers, whose cancellations are taken back where they are made; aborted exchanges, whose errors are turned at once.

Before: the new test raises that assertion. After: it passes; the request waits as for any busy slot, and what was counted for the target is put back.

--- a/src/coralfall/balancing/routing.py
+++ b/src/coralfall/balancing/routing.py
@@ -184,6 +184,11 @@
             raise self._refused(allowed)
         return self._take(best)
 
+    def put_back(self, candidate: Candidate) -> None:
+        """Count a request as not sent to the target chosen for it after all."""
+        self.governor.put_back(candidate.region)
+        self.finished(candidate.target_id)
+
     def refuse(self) -> None:
         """Count a request as given up before any target saw it."""
         self.governor.refuse()
--- a/src/coralfall/balancing/shift.py
+++ b/src/coralfall/balancing/shift.py
@@ -313,6 +313,12 @@
         account.credit -= 1.0
         account.taken += 1
 
+    def put_back(self, region: RegionId) -> None:
+        """Count the request that was last taken for ``region`` as not sent after all."""
+        account = self._by_region[region]
+        account.credit += 1.0
+        account.taken -= 1
+
     def refuse(self) -> t.Optional[RegionId]:
         """Count the request as refused, in the name of whoever has the largest credit.
 
--- a/src/coralfall/reporting/fleet.py
+++ b/src/coralfall/reporting/fleet.py
@@ -311,7 +311,10 @@
         target_id = candidate.target_id
         target = self._effective_by_partner[service_state.partner].targets[target_id]
         slot = self._slots.acquire(target_id)
-        assert slot is not None, "a target that was counted as free has no slot"
+        if slot is None:
+            # The lease lapsed since the slots were counted: the process was paused in between.
+            router.put_back(candidate)
+            raise router.busy()
         self.drains.start(target_id)
         if len(free_by_id) == 1 and free_by_id[target_id] == 1:
             # The last free slot is gone: ask before the next request has to wait.
--- a/tests/balancing/test_queue.py
+++ b/tests/balancing/test_queue.py
@@ -7,6 +7,7 @@
 
 from parameterized import parameterized
 
+from coralfall.balancing.routing import Candidate
 from coralfall.balancing.slots import SlotTable
 from coralfall.balancing.steering import AttemptResult
 from coralfall.bundles.bundle import Head, VersionRef
@@ -30,8 +31,8 @@
     """One entry with one target, all of whose slots are in use."""
 
     async def asyncSetUp(self) -> None:
-        clock = ManualClock(100)
-        lease = Lease(LeaseSettings(), clock)
+        self.clock = clock = ManualClock(100)
+        self.lease = lease = Lease(LeaseSettings(), clock)
         lease.renewed(100)
         roster = Roster()
         roster.apply([put("a", 1)])
@@ -126,6 +127,28 @@
         self.assertEqual(self.steering.drains.in_flight(self.held[0].target_id), 1)
         await self._reserve()
 
+    async def test_a_lease_that_lapses_between_choice_and_hold_is_no_error(self) -> None:
+        """Time passes between the two, by much if the process is paused just there."""
+        self._finish(self.held[0])
+        router = self.steering.routers()[COSECHA, SERVICE]
+        chosen = router.choose
+
+        def choose_and_pause(*arguments: t.Any, **options: t.Any) -> Candidate:
+            candidate = chosen(*arguments, **options)
+            self.clock.advance(LeaseSettings().ttl_s + 1.0)
+            return candidate
+
+        in_flight = router.by_id[self.held[0].target_id].in_flight
+        with mock.patch.object(router, "choose", choose_and_pause):
+            tasks = await self._wait(1)
+        self.assertFalse(tasks[0].done())
+        self.assertEqual(router.by_id[self.held[0].target_id].in_flight, in_flight)
+        self.assertEqual(self.steering.drains.in_flight(self.held[0].target_id), 1)
+        self.lease.renewed(self.clock.monotonic())
+        self.steering.wake_all()
+        await tasks[0]
+        self.assertEqual(self.served, [1])
+
     async def test_bounded(self) -> None:
         tasks = await self._wait(*range(20))
         refused = [task for task in tasks if task.done()]
