Count the age of knowledge by the store's clock, so that no message makes it younger

A message told how old knowledge was when it was sent, and its receiver counted from when it came: its way made the knowledge younger. Entries that tell each other several times a second kept each other's knowledge young for ever, and the reader, young as well, did not read. On links of 35 ms and 10 Mbit/s a second of talk made about a second.

Ruled out: the store (the feed gave everything at once when it was asked), pushes that are lost, a reader that hangs (no call failed), processor time (0.05 cores at the most).

Now rows carry the time that the store's own clock showed; each entry keeps a bound on that clock, learnt from the store's answers and from entries' answers to questions of its own. An answer that took longer than it was asked to wait counts from before that, since the pages do not say when a slow store stamps it. PEER_PROTOCOL rises, since the message changed.

Before: test_knowledge_is_never_called_younger_than_the_last_read fails with 3.95 s and 4.3 s made up in 5 s (0.15 and 0.4 s a way). After: nothing is made up.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -1,7 +1,7 @@
 """Constants that operators rarely change; settings and bundles override some of them."""
 
 #: Version of the messages between entries; entries of different versions do not talk.
-PEER_PROTOCOL = 1
+PEER_PROTOCOL = 2
 #: Version of the bundle format.
 BUNDLE_FORMAT = 1
 
--- a/src/coralfall/traffic/belief.py
+++ b/src/coralfall/traffic/belief.py
@@ -10,6 +10,7 @@
 from .replica import Replica
 from .routes import RouteTable
 from .split import Split
+from .store_clock import StoreClock
 from .translator import Evacuation, StateRow
 
 if t.TYPE_CHECKING:
@@ -19,6 +20,9 @@
     from .targets import TargetBook
     from .translator import Translator
 
+#: Age in seconds of what was never known.
+_NEVER_S = 1e6
+
 
 class Belief:
     """What an entry steers by.
@@ -41,6 +45,8 @@
         self._steering = steering
         self._targets = targets
         self._clock = clock
+        #: Tells how old the rows are.
+        self.store_clock = StoreClock(clock)
         self.state_rows: Replica[StateRow] = Replica("state", translator.state_row)
         self.target_rows: Replica["Target"] = Replica("targets", translator.target_row)
         self.state: t.Optional[DesiredState] = None
@@ -62,13 +68,13 @@
         """Whether enough is known to serve callers."""
         return self.state is not None and self.target_rows.known
 
-    def state_age(self, now: float) -> float:
-        """Seconds since the desired state was known to be the newest."""
-        return min(now - self.state_rows.read_at, 1e6)
+    def state_age(self) -> float:
+        """Seconds since the desired state was known to be the newest, at the most."""
+        return min(self.store_clock.age(self.state_rows.read_s), _NEVER_S)
 
-    def targets_age(self, now: float) -> float:
-        """Seconds since the targets were known to be as they are here."""
-        return min(now - self.target_rows.read_at, 1e6)
+    def targets_age(self) -> float:
+        """Seconds since the targets were known to be as they are here, at the most."""
+        return min(self.store_clock.age(self.target_rows.read_s), _NEVER_S)
 
     def note_gap(self, age_s: float) -> None:
         """Before rows are taken in: how long nothing was heard of them.
@@ -120,7 +126,7 @@
         if now < self._linger_until:
             self._linger(present)
         self._drop_returned(present)
-        self._targets.update({**self._lingering, **present}, self.target_rows.read_at)
+        self._targets.update({**self._lingering, **present})
         self.on_learnt()
 
     def tick(self) -> None:
@@ -130,7 +136,7 @@
         log.info("targets.not-returned", targets=",".join(sorted(self._lingering)))
         self._lingering.clear()
         present = {target.target_id: target for target in self.target_rows.values().values()}
-        self._targets.update(present, self.target_rows.read_at)
+        self._targets.update(present)
 
     def _linger(self, present: "t.Mapping[TargetId, Target]") -> None:
         for target_id, state in self._targets.by_id.items():
--- a/src/coralfall/traffic/callers.py
+++ b/src/coralfall/traffic/callers.py
@@ -187,8 +187,8 @@
             ms=round((now - began) * 1000),
             sends=",".join([str(send) for send in request.sends]) or "none",
             version=belief.version,
-            state_age_ms=round(belief.state_age(now) * 1000),
-            targets_age_ms=round(belief.targets_age(now) * 1000),
+            state_age_ms=round(belief.state_age() * 1000),
+            targets_age_ms=round(belief.targets_age() * 1000),
         )
 
 
--- a/src/coralfall/traffic/follower.py
+++ b/src/coralfall/traffic/follower.py
@@ -19,6 +19,7 @@
     from ..stores.store import Changes, Feed
     from .members import Members
     from .replica import Replica
+    from .store_clock import StoreClock
 
 #: Seconds between two looks at the age of what is known.
 _LOOK_S = 0.05
@@ -35,6 +36,7 @@
     :param feed: the platform's store.
     :param members: tells this entry's rank.
     :param clock: tells the time.
+    :param store_clock: tells how old knowledge is.
     :param rng: varies the pauses.
     :param wait_s: seconds for which the store may hold a read until something changes.
     :param before: told how old the knowledge was, before rows are taken in.
@@ -48,6 +50,7 @@
         feed: "Feed",
         members: "Members",
         clock: "Clock",
+        store_clock: "StoreClock",
         rng: random.Random,
         wait_s: float,
         before: t.Callable[[float], None],
@@ -60,6 +63,7 @@
         self._feed = feed
         self._members = members
         self._clock = clock
+        self._store_clock = store_clock
         self._rng = rng
         self._wait_s = wait_s
         self._before = before
@@ -85,41 +89,46 @@
 
         :raises PlatformError: if the store gave no answer.
         """
-        began = self._clock.monotonic()
         since = self._replica.revision
+        if not since:
+            await self._read_all(since)
+            return
+        began = self._clock.monotonic()
+        wait_s = self._wait()
         self.reads += 1
-        snapshot = not since
         try:
-            if snapshot:
-                changes = await self._feed.snapshot(self._prefix)
-            else:
-                changes = await self._feed.follow(self._prefix, since, self._wait())
+            changes = await self._feed.follow(self._prefix, since, wait_s)
         except HistoryLostError:
             log.info("store.history-lost", rows=self._replica.name, since=since)
-            snapshot = True
-            self.reads += 1
-            began = self._clock.monotonic()
-            changes = await self._feed.snapshot(self._prefix)
-        self._note_success()
-        self._take(changes, snapshot, since, began)
+            await self._read_all(since)
+            return
+        self._before(self._age())
+        read_s = self._note_answer(changes, began, wait_s)
+        changed = self._replica.apply_changes(changes.rows, changes.revision, read_s)
+        self._changed(changed, since)
+
+    async def _read_all(self, since: "Revision") -> None:
+        began = self._clock.monotonic()
+        self.reads += 1
+        changes = await self._feed.snapshot(self._prefix)
+        self._before(self._age())
+        read_s = self._note_answer(changes, began, 0.0)
+        changed = self._replica.apply_snapshot(changes.rows, changes.revision, read_s)
+        self._changed(changed, since)
 
     def _wait(self) -> float:
         return self._wait_s if self._members.rank() == 0 else 0.0
 
-    def _take(self, changes: "Changes", snapshot: bool, since: "Revision", began: float) -> None:
-        now = self._clock.monotonic()
-        self._before(now - self._replica.read_at)
-        # The store held the read until something happened, so it is as good as the answer's time.
-        read_at = max(began, now - 0.1) if not snapshot else began
-        if snapshot:
-            changed = self._replica.apply_snapshot(changes.rows, changes.revision, read_at)
-        else:
-            changed = self._replica.apply_changes(changes.rows, changes.revision, read_at)
-        self._changed(changed, since)
+    def _note_answer(self, changes: "Changes", began: float, wait_s: float) -> float:
+        """Time of the store's clock at which the rows of an answer were so."""
+        self._note_success()
+        self._store_clock.observe(began, changes.now)
+        # The pages don't say whether a slow store stamps its answer when it looks or when it sends.
+        return changes.now - max(0.0, self._clock.monotonic() - began - wait_s)
 
     async def _wait_for_turn(self) -> None:
         while True:
-            age = self._clock.monotonic() - self._replica.read_at
+            age = self._age()
             rank = self._members.rank()
             due = defaults.READ_INTERVAL_S - self._wait_s
             if rank:
@@ -129,6 +138,9 @@
                 return
             await asyncio.sleep(max(_LOOK_S, due - age))
 
+    def _age(self) -> float:
+        return self._store_clock.age(self._replica.read_s)
+
     def _note_failure(self, error: PlatformError) -> None:
         self._failures += 1
         self.failed_reads += 1
--- a/src/coralfall/traffic/gossip.py
+++ b/src/coralfall/traffic/gossip.py
@@ -75,8 +75,9 @@
             wants_all=self._wants_all(now),
             state_revision=belief.state_rows.revision,
             targets_revision=belief.target_rows.revision,
-            state_age_s=belief.state_age(now),
-            targets_age_s=belief.targets_age(now),
+            state_read_s=belief.state_rows.read_s,
+            targets_read_s=belief.target_rows.read_s,
+            store_s=belief.store_clock.latest(),
             state=_delta(belief.state_rows, state_since),
             targets=_delta(belief.target_rows, targets_since),
         )
@@ -86,20 +87,23 @@
         address = news.records[0].peer_address if news.records else ""
         return self.news(news.state_revision, news.targets_revision, news.wants_all, address)
 
-    def take(self, news: News, sent_at: float) -> bool:
-        """Take in news that were true at a monotonic time; whether the sender knows more still."""
+    def take(self, news: News, asked_at: t.Optional[float] = None) -> bool:
+        """Take in news; whether the sender knows more still.
+
+        :param asked_at: monotonic time at which the question was sent, if this is an answer.
+        """
         belief = self.belief
         self._take_members(news)
-        state_at = sent_at - news.state_age_s
-        targets_at = sent_at - news.targets_age_s
-        keys = _apply(belief.state_rows, news.state, state_at)
+        if asked_at is not None and news.store_s is not None:
+            belief.store_clock.observe(asked_at, news.store_s)
+        keys = _apply(belief.state_rows, news.state, news.state_read_s)
         belief.state_changed(keys)
         if news.targets is not None:
-            belief.note_gap(self._clock.monotonic() - belief.target_rows.read_at)
-        keys = _apply(belief.target_rows, news.targets, targets_at)
+            belief.note_gap(belief.targets_age())
+        keys = _apply(belief.target_rows, news.targets, news.targets_read_s)
         belief.targets_changed(keys)
-        belief.state_rows.confirm(news.state_revision, state_at)
-        belief.target_rows.confirm(news.targets_revision, targets_at)
+        belief.state_rows.confirm(news.state_revision, news.state_read_s)
+        belief.target_rows.confirm(news.targets_revision, news.targets_read_s)
         return (
             news.state_revision > belief.state_rows.revision
             or news.targets_revision > belief.target_rows.revision
@@ -142,7 +146,6 @@
         exchange: Exchange,
         relay: "t.Callable[[News, t.Sequence[EntryId]], None]",
         pull: "t.Callable[[EntryId], None]",
-        clock: "Clock",
         traffic: Traffic,
         metrics: "Metrics",
     ) -> None:
@@ -150,17 +153,15 @@
         self._exchange = exchange
         self._relay = relay
         self._pull = pull
-        self._clock = clock
 
     def answer(self, peer: "Hello", message: "AnyMessage") -> t.Optional["AnyMessage"]:
-        now = self._clock.monotonic()
         if isinstance(message, News):
-            if self._exchange.take(message, now):
+            if self._exchange.take(message):
                 self._pull(peer.entry_id)
             return self._exchange.answer(message)
         if isinstance(message, Push):
             self._relay(message.news, message.relay)
-            if self._exchange.take(message.news, now):
+            if self._exchange.take(message.news):
                 self._pull(peer.entry_id)
             return None
         raise PeerFrameError(f"{peer.entry_id} sent {type(message).__name__} unasked")
@@ -274,6 +275,7 @@
     async def _exchange_news(self, address: str) -> None:
         try:
             for _ in range(3):
+                asked_at = self._clock.monotonic()
                 answer = await self._links.exchange(
                     address,
                     self._exchange.news(address=address),
@@ -282,7 +284,7 @@
                     kept_s=defaults.GOSSIP_KEPT_S,
                 )
                 self._members.reached(address)
-                if not self._exchange.take(answer.message, self._clock.monotonic()):
+                if not self._exchange.take(answer.message, asked_at):
                     return
         except PeerError as error:
             self._members.missed(address)
@@ -309,7 +311,7 @@
     return replica.delta(since)
 
 
-def _apply(replica: "Replica[t.Any]", delta: "t.Optional[Delta]", read_at: float) -> t.Set[str]:
+def _apply(replica: "Replica[t.Any]", delta: "t.Optional[Delta]", read_s: float) -> t.Set[str]:
     if delta is None or delta.revision <= replica.revision or not replica.can_take(delta):
         return set()
-    return replica.apply_delta(delta, read_at)
+    return replica.apply_delta(delta, read_s)
--- a/src/coralfall/traffic/messages.py
+++ b/src/coralfall/traffic/messages.py
@@ -32,9 +32,11 @@
     wants_all: bool
     state_revision: Revision
     targets_revision: Revision
-    #: Seconds since these revisions were known to be the newest.
-    state_age_s: float
-    targets_age_s: float
+    #: Times of the store's clock at which these revisions were known to be the newest.
+    state_read_s: float
+    targets_read_s: float
+    #: What the store's clock may show at the most when this is sent, if the sender knows it.
+    store_s: t.Optional[float] = None
     #: What the receiver does not know, if that is known.
     state: t.Optional[Delta] = None
     targets: t.Optional[Delta] = None
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -202,7 +202,6 @@
             self.exchange,
             self.gossip.relay,
             self.gossip.pull,
-            self.clock,
             traffic,
             self.metrics,
         )
@@ -218,7 +217,7 @@
             belief.targets_changed(keys)
             self.gossip.push(belief.state_rows.revision, since)
 
-        shared = (self._store.feed, self.members, self.clock, self._rng)
+        shared = (self._store.feed, self.members, self.clock, belief.store_clock, self._rng)
         return [
             Follower(
                 self._translator.state_prefix,
--- a/src/coralfall/traffic/replica.py
+++ b/src/coralfall/traffic/replica.py
@@ -62,8 +62,8 @@
         #: Deltas since older revisions than this can't be made.
         self._horizon = Revision(0)
         self.revision = Revision(0)
-        #: Monotonic time at which the rows were so in the store.
-        self.read_at = -float("inf")
+        #: Time of the store's clock at which the rows were so.
+        self.read_s = -float("inf")
 
     @property
     def known(self) -> bool:
@@ -80,7 +80,7 @@
         return held.value if held is not None else None
 
     def apply_snapshot(
-        self, rows: "t.Iterable[Row]", revision: Revision, read_at: float
+        self, rows: "t.Iterable[Row]", revision: Revision, read_s: float
     ) -> t.Set[str]:
         """Take in all rows as of a revision; the keys whose meaning changed."""
         if revision < self.revision:
@@ -93,17 +93,17 @@
         for key in list(self._held):
             if key not in seen and self._held[key].revision <= revision:
                 self._remove(key, revision, changed)
-        self._advance(revision, read_at)
+        self._advance(revision, read_s)
         return changed
 
     def apply_changes(
-        self, rows: "t.Iterable[Row]", revision: Revision, read_at: float
+        self, rows: "t.Iterable[Row]", revision: Revision, read_s: float
     ) -> t.Set[str]:
         """Take in rows that were written up to a revision; the keys whose meaning changed."""
         changed: t.Set[str] = set()
         for row in rows:
             self._put(row.key, row.revision, row.value, changed)
-        self._advance(revision, read_at)
+        self._advance(revision, read_s)
         return changed
 
     def delta(self, since: Revision) -> Delta:
@@ -125,24 +125,24 @@
         """Whether nothing is missing between what is known and the delta."""
         return delta.since == 0 or delta.since <= self.revision
 
-    def apply_delta(self, delta: Delta, read_at: float) -> t.Set[str]:
+    def apply_delta(self, delta: Delta, read_s: float) -> t.Set[str]:
         """Take in another entry's delta; the keys whose meaning changed."""
         rows = t.cast("t.Iterable[Row]", delta.rows)
         if delta.since == 0:
-            return self.apply_snapshot(rows, delta.revision, read_at)
-        return self.apply_changes(rows, delta.revision, read_at)
+            return self.apply_snapshot(rows, delta.revision, read_s)
+        return self.apply_changes(rows, delta.revision, read_s)
 
-    def _advance(self, revision: Revision, read_at: float) -> None:
+    def _advance(self, revision: Revision, read_s: float) -> None:
         if self.revision == 0:
             self._horizon = revision
         if revision >= self.revision:
             self.revision = revision
-            self.read_at = max(self.read_at, read_at)
+            self.read_s = max(self.read_s, read_s)
 
-    def confirm(self, revision: Revision, read_at: float) -> None:
+    def confirm(self, revision: Revision, read_s: float) -> None:
         """Note that rows of a revision were still all there was at a later time."""
         if revision == self.revision:
-            self.read_at = max(self.read_at, read_at)
+            self.read_s = max(self.read_s, read_s)
 
     def _put(
         self, key: str, revision: Revision, data: t.Optional[bytes], changed: t.Set[str]
--- a/src/coralfall/traffic/targets.py
+++ b/src/coralfall/traffic/targets.py
@@ -125,17 +125,17 @@
         #: Seconds for which targets of a zone are held cold once its evacuation is over.
         self.warmup_s_by_service: t.Mapping["ServiceId", float] = {}
 
-    def update(self, targets: "t.Mapping[TargetId, Target]", read_at: float) -> None:
-        """Take in all targets as they were read at a monotonic time."""
+    def update(self, targets: "t.Mapping[TargetId, Target]") -> None:
+        """Take in all targets as they are known now."""
         for target_id in list(self.by_id):
             if target_id not in targets:
                 del self.by_id[target_id]
                 log.info("target.removed", target=target_id)
         for target in targets.values():
-            self._update_one(target, read_at)
+            self._update_one(target)
         self._index()
 
-    def _update_one(self, target: "Target", read_at: float) -> None:
+    def _update_one(self, target: "Target") -> None:
         state = self.by_id.get(target.target_id)
         if state is None:
             state = self.by_id[target.target_id] = TargetState(target, self._clock)
@@ -153,7 +153,8 @@
         else:
             return
         if target.cold_s > 0:
-            state.cold_until = max(state.cold_until, read_at + target.cold_s)
+            # Counted from now and not from when it was so, since its row may be older still.
+            state.cold_until = max(state.cold_until, self._clock.monotonic() + target.cold_s)
 
     def evacuate(self, zones: "t.FrozenSet[ZoneId]") -> None:
         """Use no targets in these zones; those of zones that are given back are held cold."""
--- a/src/coralfall/traffic/telemetry.py
+++ b/src/coralfall/traffic/telemetry.py
@@ -121,13 +121,12 @@
 
 def set_gauges(telemetry: Telemetry, node: "Node") -> None:
     """Set each gauge to its value now."""
-    now = node.clock.monotonic()
     belief = node.belief
     gauge = telemetry.gauge
     gauge("ready", float(node.ready), "Whether callers are sent here.")
     gauge("state_version", belief.version, "Version of the desired state in force.")
-    gauge("state_age_seconds", belief.state_age(now), "Age of the desired state.")
-    gauge("targets_age_seconds", belief.targets_age(now), "Age of what is known of the targets.")
+    gauge("state_age_seconds", belief.state_age(), "Age of the desired state.")
+    gauge("targets_age_seconds", belief.targets_age(), "Age of what is known of the targets.")
     gauge("peers_alive", len(node.members.alive()), "Other entries that are alive.")
     gauge("peers_suspected", node.members.suspected_count(), "Those that gave no answer lately.")
     gauge("requests_in_hand", node.callers.in_hand, "Requests being served.")
--- a/tests/platform_adapter/standins.py
+++ b/tests/platform_adapter/standins.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import time
 import typing as t
 import urllib.parse
 
@@ -152,7 +153,8 @@
         self._changed.set()
 
     def _stamp(self) -> t.Dict[str, t.Any]:
-        return {"ver": self.ver, "nowS": 1.0}
+        # Some clock that only rises; it need not show what anybody else's shows.
+        return {"ver": self.ver, "nowS": time.monotonic() + 1000.0}
 
 
 def _key_of(row: t.Dict[str, t.Any]) -> RowKey:
--- a/tests/traffic/known.py
+++ b/tests/traffic/known.py
@@ -68,7 +68,7 @@
         rows = self.belief.state_rows
         data = None if value is None else msgspec.json.encode(value)
         row = Row(key, data, Revision(revision))
-        at = self.clock.monotonic()
+        at = self._read_now()
         self.belief.state_changed(rows.apply_changes([row], Revision(revision), at))
 
     def learn_targets(self, revision: int, *targets: Target) -> None:
@@ -77,6 +77,12 @@
             Row(f"targets/{target.target_id}", msgspec.json.encode(target), Revision(revision))
             for target in targets
         ]
-        at = self.clock.monotonic()
-        self.belief.note_gap(at - rows.read_at)
+        self.belief.note_gap(self.belief.targets_age())
+        at = self._read_now()
         self.belief.targets_changed(rows.apply_snapshot(listed, Revision(revision), at))
+
+    def _read_now(self) -> float:
+        """The time of the store's clock, which shows the same as this entry's."""
+        now = self.clock.monotonic()
+        self.belief.store_clock.observe(now, now)
+        return now
--- a/tests/traffic/makers.py
+++ b/tests/traffic/makers.py
@@ -118,7 +118,7 @@
     def set_targets(self, *targets: Target) -> None:
         """Let these be all targets that there are."""
         by_id = {target.target_id: target for target in targets}
-        self.targets.update(by_id, self.clock.monotonic())
+        self.targets.update(by_id)
 
 
 def seeded() -> random.Random:
--- a/tests/traffic/test_forwarder.py
+++ b/tests/traffic/test_forwarder.py
@@ -46,7 +46,7 @@
         self.steering = AffinitySteering(make_settings(), self.targets, clock)
         self.steering.set_state(make_state())
         listed = [make_target(number, address=address) for number, address in enumerate(addresses)]
-        self.targets.update({target.target_id: target for target in listed}, clock.monotonic())
+        self.targets.update({target.target_id: target for target in listed})
         self.pool = ConnectionPool()
         budget = SendBudget(bounds or BoundSettings(), clock)
         self.forwarder = Forwarder(HEADERS, self.steering, self.targets, self.pool, budget, clock)
--- a/tests/traffic/test_knowledge.py
+++ b/tests/traffic/test_knowledge.py
@@ -29,9 +29,15 @@
 
 
 class RowsFeed(Feed):
-    """A store in memory with one counter, as the platform's."""
+    """A store in memory with one counter and one clock, as the platform's.
 
-    def __init__(self) -> None:
+    :param clock: tells the time, by which the store's own is 5000 s ahead.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        #: When it last answered.
+        self.read_at = -float("inf")
         self.rows: t.Dict[str, Row] = {}
         self.revision = 0
         self.kept_from = 0
@@ -46,7 +52,7 @@
     async def snapshot(self, prefix: str) -> Changes:
         self._read()
         rows = [row for key, row in self.rows.items() if key.startswith(prefix) and row.value]
-        return Changes(tuple(rows), Revision(self.revision), 0.0)
+        return Changes(tuple(rows), Revision(self.revision), self._stamp())
 
     async def follow(self, prefix: str, since: Revision, wait_s: float) -> Changes:
         self._read()
@@ -56,12 +62,16 @@
         if not found and wait_s:
             await asyncio.sleep(wait_s)
             found = self._after(prefix, since)
-        return Changes(tuple(found), Revision(self.revision), 0.0)
+        return Changes(tuple(found), Revision(self.revision), self._stamp())
 
     def _after(self, prefix: str, since: Revision) -> t.List[Row]:
         rows = [row for row in self.rows.values() if row.key.startswith(prefix)]
         return sorted([row for row in rows if row.revision > since], key=lambda row: row.revision)
 
+    def _stamp(self) -> float:
+        self.read_at = self._clock.monotonic()
+        return self.read_at + 5000.0
+
     def _read(self) -> None:
         self.reads += 1
         if self.down:
@@ -200,18 +210,20 @@
         self.assertFalse(behind.exchange.take(answer, behind.clock.monotonic()))
         self.assertEqual(4, behind.belief.version)
         self.assertIn(TargetId("t1"), behind.steered.targets.by_id)
-        self.assertAlmostEqual(2.0, behind.belief.state_age(behind.clock.monotonic()))
+        # A bound: never too young, and too old by no more than clocks may drift.
+        self.assertGreaterEqual(behind.belief.state_age(), 2.0)
+        self.assertLess(behind.belief.state_age(), 2.001)
         self.assertEqual({"e1", "e2"}, behind.members.all_ids())
 
     def test_the_one_ahead_is_asked_by_the_one_that_hears_of_it(self) -> None:
         ahead, behind = Known("e1"), Known("e2")
         ahead.learn_state(3, "state/a", make_state(4))
-        self.assertTrue(behind.exchange.take(ahead.exchange.news(), 100.0))
+        self.assertTrue(behind.exchange.take(ahead.exchange.news()))
 
     def test_nothing_new_is_not_sent(self) -> None:
         one, other = Known("e1"), Known("e2")
         one.learn_state(3, "state/a", make_state(4))
-        other.exchange.take(one.exchange.answer(other.exchange.news()), 100.0)
+        other.exchange.take(one.exchange.answer(other.exchange.news()))
         answer = one.exchange.answer(other.exchange.news())
         self.assertEqual((None, None), (answer.state, answer.targets))
 
@@ -225,10 +237,10 @@
         self.assertEqual([], one.members.alive())
         asker, other = (one, dead) if asks else (dead, one)
         news = asker.exchange.news(address=other.members.own.peer_address)
-        other.exchange.take(news, 160.0)
-        asker.exchange.take(other.exchange.answer(news), 160.0)
+        other.exchange.take(news)
+        asker.exchange.take(other.exchange.answer(news))
         if not asks:
-            one.exchange.take(dead.exchange.news(), 160.0)
+            one.exchange.take(dead.exchange.news())
         self.assertEqual(["e2"], [record.entry_id for record in one.members.alive()])
 
     def test_news_are_carried_by_msgpack(self) -> None:
@@ -242,7 +254,7 @@
     """Entries that follow one store and are told at once of what another one read."""
 
     def __init__(self, clock: Clock, count: int) -> None:
-        self.feed = RowsFeed()
+        self.feed = RowsFeed(clock)
         self.known = [Known(f"e{number}", clock) for number in range(count)]
         self.cut: t.Set[int] = set()
         self.followers = [
@@ -252,6 +264,7 @@
                 self.feed,
                 known.members,
                 clock,
+                known.belief.store_clock,
                 seeded(),
                 wait_s=defaults.READ_INTERVAL_S,
                 before=lambda age: None,
@@ -269,10 +282,27 @@
             news = known.exchange.news(since, Revision(0))
             for other, told in enumerate(self.known):
                 if other != number and not {other, number} & self.cut:
-                    told.exchange.take(news, told.clock.monotonic())
+                    told.exchange.take(news)
 
         return changed
 
+    async def talk(self, way_s: float) -> None:
+        """Let all exchange news all the while, with messages that take ``way_s`` each way."""
+        rng = seeded()
+        while True:
+            pairs = [rng.sample(range(len(self.known)), 2) for _ in self.known]
+            questions = [self.known[asker].exchange.news() for asker, _ in pairs]
+            asked_at = self.known[0].clock.monotonic()
+            await asyncio.sleep(way_s)
+            answers = []
+            for (_, asked), question in zip(pairs, questions, strict=True):
+                self.known[asked].exchange.take(question)
+                answers.append(self.known[asked].exchange.answer(question))
+            await asyncio.sleep(way_s)
+            for (asker, _), answer in zip(pairs, answers, strict=True):
+                self.known[asker].exchange.take(answer, asked_at)
+            await asyncio.sleep(0.05)
+
     async def run(self, seconds: float) -> None:
         tasks = [asyncio.create_task(follower.run()) for follower in self.followers]
         await asyncio.sleep(seconds)
@@ -315,6 +345,28 @@
 
         self.assertEqual([2] * 12, run_virtual(main))
 
+    @parameterized.expand([(0.0,), (0.15,), (0.4,)])
+    def test_knowledge_is_never_called_younger_than_the_last_read(self, way_s: float) -> None:
+        """Messages take their time; entries that tell each other all the while make nothing new."""
+
+        async def main(clock: LoopClock) -> t.List[float]:
+            fleet = Fleet(clock, 12)
+            fleet.feed.put("state/a", make_state(1))
+            await fleet.run(2.0)
+            fleet.feed.down = True
+            too_young = []
+            work = [asyncio.create_task(fleet.run(5.0)), asyncio.create_task(fleet.talk(way_s))]
+            for _ in range(50):
+                await asyncio.sleep(0.1)
+                since_read = clock.monotonic() - fleet.feed.read_at
+                ages = [known.belief.state_age() for known in fleet.known]
+                too_young.append(since_read - min(ages))
+            for task in work:
+                task.cancel()
+            return too_young
+
+        self.assertLess(max(run_virtual(main)), 0.001)
+
     def test_lost_history_is_made_up_by_a_snapshot(self) -> None:
         async def main(clock: LoopClock) -> Fleet:
             fleet = Fleet(clock, 1)
--- a/tests/traffic/test_members.py
+++ b/tests/traffic/test_members.py
@@ -293,7 +293,7 @@
 
     def _tell(self, known: Known, news: News) -> None:
         self.sent.append(len(msgspec.msgpack.encode(news)))
-        known.exchange.take(news, self.clock.monotonic())
+        known.exchange.take(news)
 
     def believed_alive(self) -> t.Set[t.FrozenSet[str]]:
         """What those that run hold alive, themselves included; one set if they agree."""
