Let only the first entries in rank hand on what they read

Weighed: to hand on only what is new; but after a change all read it at once, so all would hand it on.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -196,6 +196,8 @@
 READ_STALE_S = 0.85
 READ_RANK_S = 0.12
 MAX_READ_RANK_S = 0.4
+#: How many entries, the first in rank, hand on what they read to all others.
+HANDING_RANKS = 3
 #: Seconds after an outage of the store for which targets that are missing are still used.
 RETURN_GRACE_S = 2.2
 #: Seconds without an answer of the store that count as an outage.
--- a/src/coralfall/traffic/follower.py
+++ b/src/coralfall/traffic/follower.py
@@ -2,7 +2,8 @@
 
 There is no election. Each entry waits until what it knows has reached an age that depends on its
 rank among the live entries, then reads for itself and hands what it read to the others. As long as
-the first in rank reads, nobody else's knowledge grows old; when it stops, the next one's does.
+the first in rank reads, nobody else's knowledge grows old; when it stops, the next one's does. One
+far down reads when word reaches it late, over a choked link say; what it read is no news to others.
 """
 
 import asyncio
@@ -40,7 +41,8 @@
     :param rng: varies the pauses.
     :param wait_s: seconds for which the store may hold a read until something changes.
     :param before: told how old the knowledge was, before rows are taken in.
-    :param changed: told which keys changed, and the revision before.
+    :param changed: told which keys changed.
+    :param hand_on: told the revision before, when the others are to learn what was read.
     """
 
     def __init__(
@@ -54,7 +56,8 @@
         rng: random.Random,
         wait_s: float,
         before: t.Callable[[float], None],
-        changed: "t.Callable[[t.Set[str], Revision], None]",
+        changed: t.Callable[[t.Set[str]], None],
+        hand_on: "t.Callable[[Revision], None]",
     ) -> None:
         #: What logs and metrics call it.
         self.name = replica.name
@@ -68,6 +71,7 @@
         self._wait_s = wait_s
         self._before = before
         self._changed = changed
+        self._hand_on = hand_on
         self._failures = 0
         #: Reads so far, and those that failed.
         self.reads = 0
@@ -104,8 +108,7 @@
             return
         self._before(self._age())
         read_s = self._note_answer(changes, began, wait_s)
-        changed = self._replica.apply_changes(changes.rows, changes.revision, read_s)
-        self._changed(changed, since)
+        self._tell(self._replica.apply_changes(changes.rows, changes.revision, read_s), since)
 
     async def _read_all(self, since: "Revision") -> None:
         began = self._clock.monotonic()
@@ -113,8 +116,12 @@
         changes = await self._feed.snapshot(self._prefix)
         self._before(self._age())
         read_s = self._note_answer(changes, began, 0.0)
-        changed = self._replica.apply_snapshot(changes.rows, changes.revision, read_s)
-        self._changed(changed, since)
+        self._tell(self._replica.apply_snapshot(changes.rows, changes.revision, read_s), since)
+
+    def _tell(self, changed: t.Set[str], since: "Revision") -> None:
+        self._changed(changed)
+        if self._members.rank() < defaults.HANDING_RANKS:
+            self._hand_on(since)
 
     def _wait(self) -> float:
         return self._wait_s if self._members.rank() == 0 else 0.0
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -209,12 +209,10 @@
     def _make_followers(self) -> t.List[Follower]:
         belief = self.belief
 
-        def state_changed(keys: t.Set[str], since: "Revision") -> None:
-            belief.state_changed(keys)
+        def push_state(since: "Revision") -> None:
             self.gossip.push(since, belief.target_rows.revision)
 
-        def targets_changed(keys: t.Set[str], since: "Revision") -> None:
-            belief.targets_changed(keys)
+        def push_targets(since: "Revision") -> None:
             self.gossip.push(belief.state_rows.revision, since)
 
         shared = (self._store.feed, self.members, self.clock, belief.store_clock, self._rng)
@@ -225,7 +223,8 @@
                 *shared,
                 wait_s=defaults.READ_INTERVAL_S,
                 before=lambda age_s: None,
-                changed=state_changed,
+                changed=belief.state_changed,
+                hand_on=push_state,
             ),
             Follower(
                 self._translator.target_prefix,
@@ -233,7 +232,8 @@
                 *shared,
                 wait_s=0.0,
                 before=belief.note_gap,
-                changed=targets_changed,
+                changed=belief.targets_changed,
+                hand_on=push_targets,
             ),
         ]
 
--- a/tests/traffic/test_knowledge.py
+++ b/tests/traffic/test_knowledge.py
@@ -1,6 +1,7 @@
 """Tests of what an entry knows: replicas, belief, members, who reads, and what entries exchange."""
 
 import asyncio
+import functools
 import typing as t
 import unittest
 
@@ -251,10 +252,16 @@
 
 
 class Fleet:
-    """Entries that follow one store and are told at once of what another one read."""
+    """Entries that follow one store and are told of what another one read.
 
-    def __init__(self, clock: Clock, count: int) -> None:
+    :param way_s: seconds that what one hands on is under way to the others.
+    """
+
+    def __init__(self, clock: Clock, count: int, way_s: float = 0.0) -> None:
         self.feed = RowsFeed(clock)
+        #: How often one has handed on what it read.
+        self.handed_on = 0
+        self._way_s = way_s
         self.known = [Known(f"e{number}", clock) for number in range(count)]
         self.cut: t.Set[int] = set()
         self.followers = [
@@ -268,23 +275,26 @@
                 seeded(),
                 wait_s=defaults.READ_INTERVAL_S,
                 before=lambda age: None,
-                changed=self._tell(number),
+                changed=known.belief.state_changed,
+                hand_on=functools.partial(self._hand_on, number),
             )
             for number, known in enumerate(self.known)
         ]
         for known in self.known:
             known.members.hear([other.members.own for other in self.known])
 
-    def _tell(self, number: int) -> t.Callable[[t.Set[str], Revision], None]:
-        def changed(keys: t.Set[str], since: Revision) -> None:
-            known = self.known[number]
-            known.belief.state_changed(keys)
-            news = known.exchange.news(since, Revision(0))
-            for other, told in enumerate(self.known):
-                if other != number and not {other, number} & self.cut:
-                    told.exchange.take(news)
+    def _hand_on(self, number: int, since: Revision) -> None:
+        self.handed_on += 1
+        news = self.known[number].exchange.news(since, Revision(0))
+        if not self._way_s:
+            self._arrive(number, news)
+            return
+        asyncio.get_running_loop().call_later(self._way_s, self._arrive, number, news)
 
-        return changed
+    def _arrive(self, number: int, news: News) -> None:
+        for other, told in enumerate(self.known):
+            if other != number and not {other, number} & self.cut:
+                told.exchange.take(news)
 
     async def talk(self, way_s: float) -> None:
         """Let all exchange news all the while, with messages that take ``way_s`` each way."""
@@ -345,6 +355,22 @@
 
         self.assertEqual([2] * 12, run_virtual(main))
 
+    @parameterized.expand([("at once", 0.0, 6), ("late", 0.6, 12), ("far too late", 1.5, 12)])
+    def test_what_comes_late_makes_no_storm(self, _name: str, way_s: float, most: int) -> None:
+        """All read for themselves then; what each learns is no news that all others need."""
+
+        async def main(clock: LoopClock) -> Fleet:
+            fleet = Fleet(clock, 74, way_s)
+            fleet.feed.put("state/a", make_state(1))
+            await fleet.run(2.0)
+            fleet.handed_on = 0
+            await fleet.run(10.0)
+            return fleet
+
+        fleet = run_virtual(main)
+        self.assertLess(fleet.handed_on / 10.0, most)
+        self.assertLess(max(known.belief.state_age() for known in fleet.known), 1.5)
+
     @parameterized.expand([(0.0,), (0.15,), (0.4,)])
     def test_knowledge_is_never_called_younger_than_the_last_read(self, way_s: float) -> None:
         """Messages take their time; entries that tell each other all the while make nothing new."""
