--- a/src/coralfall/balancing/lending.py
+++ b/src/coralfall/balancing/lending.py
@@ -20,7 +20,8 @@
 from .. import defaults
 from ..ids import EntryId, RegionId, ServiceId
 from ..peering.messages import LentSlot, LoanAnswer, LoanRequest, LoanReturn
-from .slots import Slot, SlotTable
+from .slot import Slot
+from .slots import SlotTable
 
 if t.TYPE_CHECKING:
     from ..cluster.lease import Lease
--- a/src/coralfall/balancing/slots.py
+++ b/src/coralfall/balancing/slots.py
@@ -9,9 +9,12 @@
 
 from .. import defaults
 from ..ids import EntryId, RegionId, Revision, ServiceId, TargetId
-from .demand import PeakDemand
 from .handover import Ack, Handover, Settled
-from .ownership import owned_indices, owners_of, wins
+from .holdings import Holdings
+from .owner_counts import OwnerCounts
+from .ownership import owned_indices, wins
+from .slot import NEVER, Slot, may_use
+from .usage import SlotUsage
 
 if t.TYPE_CHECKING:
     from ..cluster.lease import Lease
@@ -23,60 +26,10 @@
 
 #: Targets worked through in one step of :meth:`SlotTable.update`.
 TARGETS_PER_STEP = 8
-#: Members times targets that one call of :meth:`SlotTable.owners` works through at most.
-MEMBERS_PER_CALL = 5000
-#: Seconds for which the peak of a service's demand is remembered.
-DEMAND_WINDOW_S = 2.0
-
-_NEVER = float("inf")
 #: Stands for any member, until it is worked out which one blocks a slot.
 _UNSETTLED = EntryId("")
 
 
-class Slot:
-    """One unit of a target's capacity, owned or borrowed; only :class:`SlotTable` changes it."""
-
-    __slots__ = (
-        "blocker",
-        "busy",
-        "index",
-        "lent_until",
-        "loan",
-        "region",
-        "rests_from",
-        "runs_until",
-        "service",
-        "target_id",
-        "used_at",
-        "valid_until",
-    )
-
-    def __init__(self, target_id: TargetId, index: int, limit: "TargetLimit") -> None:
-        self.target_id = target_id
-        self.index = index
-        self.service = limit.service
-        self.region = limit.region
-        #: Whether a request holds it.
-        self.busy = False
-        #: When the request that holds it must be over.
-        self.runs_until = -_NEVER
-        #: When a request last took it or gave it back.
-        self.used_at = -_NEVER
-        #: Last moment at which an earlier owner may have dispatched into it.
-        self.rests_from = -_NEVER
-        #: Member that may still own it by an older roster.
-        self.blocker: t.Optional[EntryId] = None
-        #: When the last request of a borrower must be over.
-        self.lent_until = -_NEVER
-        #: End of a borrowed slot's time; an owned slot has none.
-        self.valid_until = _NEVER
-        #: Lender and number of the loan, if it is borrowed.
-        self.loan: t.Optional[t.Tuple[EntryId, int]] = None
-
-    def __repr__(self) -> str:
-        return f"Slot({self.target_id!r}, {self.index})"
-
-
 class SlotTable:
     """The slots that this entry owns or has borrowed, and the requests that hold them.
 
@@ -98,20 +51,12 @@
         self._handover = Handover(entry_id)
         self._others: t.Set[EntryId] = set()
         self._first = False
-        self._changed_at = -_NEVER
+        self._changed_at = -NEVER
         self._acknowledged = Revision(0)
         self._unscanned: t.Dict[TargetId, None] = {}
-        self._owned_by_target: t.Dict[TargetId, t.Dict[int, Slot]] = {}
-        self._borrowed_by_target: t.Dict[TargetId, t.List[Slot]] = {}
-        #: Slots owned no longer on which a request or a loan is still out.
-        self._lost: t.Dict[t.Tuple[TargetId, int], Slot] = {}
-        #: Worked out when asked for, and forgotten with each change of what is held.
-        self._held_by_service: t.Dict[ServiceId, t.List[t.Tuple[Slot, "TargetLimit"]]] = {}
-        self._in_flight_by_target: t.Dict[TargetId, int] = {}
-        self._in_flight_by_service: t.Dict[ServiceId, int] = {}
-        self._demand_by_service: t.Dict[ServiceId, PeakDemand] = {}
-        #: Worked out when asked for, and forgotten when the roster or a target's limit changes.
-        self._owners_by_target: t.Dict[TargetId, t.Dict[EntryId, int]] = {}
+        self._holdings = Holdings()
+        self._usage = SlotUsage()
+        self._owners = OwnerCounts(entry_id)
 
     # What the table is told.
 
@@ -157,7 +102,7 @@
     def acknowledged(self) -> Revision:
         """What to state as applied in heartbeats and the lease row."""
         now = self._clock.monotonic()
-        for slot in self._lost.values():
+        for slot in self._holdings.lost_by_key.values():
             limit = self._limits.get(slot.target_id)
             if limit is not None and slot.busy and slot.runs_until > now + limit.deadline_s:
                 # The new owner expects no request to run for that long.
@@ -175,7 +120,7 @@
         limit = self._limits.get(target_id)
         if limit is None:
             return None
-        self._record_demand(limit.service)
+        self._usage.want(limit.service, self._clock.monotonic())
         for slot in self._free(target_id, below):
             self._hold(slot, limit)
             return slot
@@ -199,8 +144,8 @@
         if limit is None or slot.index >= limit.usable:
             return False
         if slot.loan is None:
-            owned = self._owned_by_target.get(slot.target_id, {})
-            if owned.get(slot.index) is not slot or not self._lease.may_dispatch():
+            owned = self._holdings.owned(slot.target_id, slot.index)
+            if owned is not slot or not self._lease.may_dispatch():
                 return False
         slot.runs_until = now + limit.deadline_s
         return now < slot.valid_until
@@ -211,11 +156,8 @@
             return
         slot.busy = False
         slot.used_at = self._clock.monotonic()
-        self._in_flight_by_target[slot.target_id] -= 1
-        self._in_flight_by_service[slot.service] -= 1
-        if not self._in_flight_by_target[slot.target_id]:
-            del self._in_flight_by_target[slot.target_id]
-        if slot.lent_until <= slot.used_at and self._lost.get(_key(slot)) is slot:
+        self._usage.end(slot)
+        if slot.lent_until <= slot.used_at:
             self._forget_lost(slot)
 
     # What the table tells.
@@ -229,27 +171,26 @@
         free_by_target: t.Dict[TargetId, int] = {}
         now = self._clock.monotonic()
         leased = self._lease.may_dispatch()
-        for slot, limit in self._held(service):
-            if not slot.busy and _may_use(slot, limit, limit.usable, now, leased):
+        for slot, limit in self._holdings.of_service(service, self._limits):
+            if not slot.busy and may_use(slot, limit, limit.usable, now, leased):
                 free_by_target[slot.target_id] = free_by_target.get(slot.target_id, 0) + 1
         return free_by_target
 
     def in_flight(self, target_id: TargetId) -> int:
         """Requests of this entry that hold a slot of the target."""
-        return self._in_flight_by_target.get(target_id, 0)
+        return self._usage.in_flight(target_id)
 
     def owned(self, target_id: TargetId) -> int:
         """Slots of the target that this entry owns, in whatever state."""
-        return len(self._owned_by_target.get(target_id, ()))
+        return len(self._holdings.owned_by_target.get(target_id, ()))
 
     def in_use(self, service: ServiceId) -> int:
         """Requests of this entry that hold a slot of the service."""
-        return self._in_flight_by_service.get(service, 0)
+        return self._usage.in_use(service)
 
     def demand(self, service: ServiceId) -> int:
         """Most slots of the service that were wanted at once in the last seconds."""
-        peak = self._demand_by_service.get(service)
-        return 0 if peak is None else peak.peak(self._clock.monotonic())
+        return self._usage.demand(service, self._clock.monotonic())
 
     def idle(self, service: ServiceId) -> int:
         """Owned slots of the service that could be used or lent now."""
@@ -260,18 +201,18 @@
         idle = []
         now = self._clock.monotonic()
         leased = self._lease.may_dispatch()
-        for slot, limit in self._held(service):
+        for slot, limit in self._holdings.of_service(service, self._limits):
             if slot.busy or slot.loan is not None:
                 continue
-            if _may_use(slot, limit, limit.usable, now, leased):
+            if may_use(slot, limit, limit.usable, now, leased):
                 idle.append(slot)
         return idle
 
     def busy_slots(self) -> t.List[Slot]:
         """Slots that requests of this entry hold, owned no longer or not."""
-        slots = list(self._lost.values())
-        for target_id in {**self._owned_by_target, **self._borrowed_by_target}:
-            slots += self._slots(target_id)
+        slots = list(self._holdings.lost_by_key.values())
+        for target_id in self._holdings.target_ids():
+            slots += self._holdings.of_target(target_id)
         return [slot for slot in slots if slot.busy]
 
     def held_by_region(self) -> t.Dict[RegionId, int]:
@@ -279,12 +220,12 @@
         now = self._clock.monotonic()
         leased = self._lease.may_dispatch()
         held: t.Dict[RegionId, int] = {}
-        for target_id in {**self._owned_by_target, **self._borrowed_by_target}:
+        for target_id in self._holdings.target_ids():
             limit = self._limits.get(target_id)
             if limit is None:
                 continue
-            for slot in self._slots(target_id):
-                if slot.busy or _may_use(slot, limit, limit.usable, now, leased):
+            for slot in self._holdings.of_target(target_id):
+                if slot.busy or may_use(slot, limit, limit.usable, now, leased):
                     held[slot.region] = held.get(slot.region, 0) + 1
         return held
 
@@ -297,18 +238,7 @@
 
         :param regions: regions whose targets count; empty for any.
         """
-        counts: t.Dict[EntryId, int] = {}
-        unknown = max(1, MEMBERS_PER_CALL // (len(self._others) + 1))
-        for target_id, limit in self._limits.items():
-            if limit.service != service or (regions and limit.region not in regions):
-                continue
-            if target_id not in self._owners_by_target:
-                unknown -= 1
-                if unknown < 0:
-                    continue
-            for entry_id, count in self._owners(target_id, limit).items():
-                counts[entry_id] = counts.get(entry_id, 0) + count
-        return counts
+        return self._owners.of_service(service, regions, self._limits)
 
     def lend(self, slot: Slot, seconds: float) -> None:
         """Leave an idle slot to a borrower who may dispatch for ``seconds`` from now."""
@@ -318,8 +248,8 @@
 
     def take_back(self, slot: Slot) -> None:
         """Use a lent slot again: the borrower has nothing on it and will not use it."""
-        slot.lent_until = -_NEVER
-        if not slot.busy and self._lost.get(_key(slot)) is slot:
+        slot.lent_until = -NEVER
+        if not slot.busy:
             self._forget_lost(slot)
 
     def borrow(
@@ -337,29 +267,24 @@
         slot.loan = loan
         slot.valid_until = valid_until
         slot.used_at = self._clock.monotonic()
-        self._borrowed_by_target.setdefault(lent.target, []).append(slot)
-        self._held_by_service = {}
+        self._holdings.borrow(slot)
         return slot
 
     def give_back(self, slot: Slot) -> None:
         """Forget a borrowed slot that no request holds."""
-        borrowed = self._borrowed_by_target[slot.target_id]
-        borrowed.remove(slot)
-        self._held_by_service = {}
-        if not borrowed:
-            del self._borrowed_by_target[slot.target_id]
+        self._holdings.give_back(slot)
 
     # Changes of roster and limits.
 
     def _take_limits(self, limits: "Limits") -> None:
         before = self._limits
         self._limits = limits
-        self._held_by_service = {}
+        self._holdings.forget_services()
         for target_id, limit in limits.items():
             old = before.get(target_id)
             if old is limit:
                 continue
-            self._owners_by_target.pop(target_id, None)
+            self._owners.forget(target_id)
             same_place = old is not None and old.service == limit.service
             same_place = same_place and old is not None and old.region == limit.region
             if not same_place:
@@ -372,19 +297,19 @@
             if target_id not in limits:
                 self._drop_from(target_id, 0)
                 self._unscanned.pop(target_id, None)
-                self._owners_by_target.pop(target_id, None)
+                self._owners.forget(target_id)
 
     def _take_roster(self, roster: "Roster") -> None:
         now = self._clock.monotonic()
         lives, others = self._handover.lives, self._others
         settled = self._handover.update(roster)
-        self._owners_by_target = {}
         self._changed_at = now
-        for slot in list(self._lost.values()):
+        for slot in list(self._holdings.lost_by_key.values()):
             if not slot.busy and slot.lent_until <= now:
                 self._forget_lost(slot)
         incarnation = self._handover.incarnation
         self._others = {name for name in roster.by_id if name != self._entry_id}
+        self._owners.set_others(self._others)
         if incarnation is None:
             self._drop_all()
             self._unscanned = {}
@@ -404,7 +329,7 @@
         if not settled.acked and not settled.removed:
             return
         now = self._clock.monotonic()
-        for target_id, owned in self._owned_by_target.items():
+        for target_id, owned in self._holdings.owned_by_target.items():
             for slot in owned.values():
                 anyone = slot.blocker is _UNSETTLED
                 if slot.blocker in settled.removed or (anyone and settled.removed):
@@ -422,73 +347,56 @@
         if self._handover.incarnation is None:
             return
         for index in owned_indices(target_id, limit.reserved, self._entry_id, self._others):
-            slot = self._owned_by_target.get(target_id, {}).get(index)
+            slot = self._holdings.owned(target_id, index)
             slot = slot or self._gain(target_id, index, limit)
             if slot is not None and slot.blocker is _UNSETTLED:
                 slot.blocker = self._handover.blocker(target_id, index)
 
     def _gain(self, target_id: TargetId, index: int, limit: "TargetLimit") -> t.Optional[Slot]:
-        slot = self._lost.get((target_id, index))
+        slot = self._holdings.lost_by_key.get((target_id, index))
         if slot is None:
             slot = Slot(target_id, index, limit)
         elif (slot.service, slot.region) != (limit.service, limit.region):
             return None
-        self._lost.pop((target_id, index), None)
         if not self._first:
             slot.rests_from = self._changed_at + self._lapse_s
         slot.blocker = _UNSETTLED
-        self._owned_by_target.setdefault(target_id, {})[index] = slot
-        self._held_by_service = {}
+        self._holdings.own(slot)
         return slot
 
     def _drop_all(self) -> None:
-        for target_id in list(self._owned_by_target):
+        for target_id in list(self._holdings.owned_by_target):
             self._drop_from(target_id, 0)
 
     def _drop_lost_to(self, joined: t.Set[EntryId]) -> None:
         if not joined:
             return
-        for target_id, owned in list(self._owned_by_target.items()):
+        for target_id, owned in list(self._holdings.owned_by_target.items()):
             kept = wins(target_id, owned, self._entry_id, joined)
             for index in set(owned).difference(kept):
                 self._drop(target_id, index)
 
     def _drop_from(self, target_id: TargetId, reserved: int) -> None:
-        for index in list(self._owned_by_target.get(target_id, ())):
+        for index in list(self._holdings.owned_by_target.get(target_id, ())):
             if index >= reserved:
                 self._drop(target_id, index)
 
     def _drop(self, target_id: TargetId, index: int) -> None:
-        owned = self._owned_by_target[target_id]
-        slot = owned.pop(index)
-        self._held_by_service = {}
-        if not owned:
-            del self._owned_by_target[target_id]
+        slot = self._holdings.disown(target_id, index)
         if slot.busy or slot.lent_until > self._clock.monotonic():
-            self._lost[_key(slot)] = slot
+            self._holdings.lost_by_key[slot.key] = slot
 
     def _forget_lost(self, slot: Slot) -> None:
-        del self._lost[_key(slot)]
+        """Forget a slot with nothing out on it any more, if it was lost."""
+        if self._holdings.lost_by_key.get(slot.key) is not slot:
+            return
+        del self._holdings.lost_by_key[slot.key]
         if slot.target_id in self._limits:
             # It may be owned again, and have been passed over while it was out.
             self._unscanned[slot.target_id] = None
 
     # Looking for slots.
 
-    def _owners(self, target_id: TargetId, limit: "TargetLimit") -> t.Dict[EntryId, int]:
-        owners = self._owners_by_target.get(target_id)
-        if owners is None:
-            members = {*self._others, self._entry_id}
-            owners = owners_of(target_id, min(limit.usable, limit.reserved), members)
-            owners.pop(self._entry_id, None)
-            self._owners_by_target[target_id] = owners
-        return owners
-
-    def _slots(self, target_id: TargetId) -> t.List[Slot]:
-        owned = self._owned_by_target.get(target_id)
-        borrowed = self._borrowed_by_target.get(target_id)
-        return [*(owned.values() if owned else ()), *(borrowed or ())]
-
     def _free(self, target_id: TargetId, below: t.Optional[int]) -> t.Iterator[Slot]:
         limit = self._limits.get(target_id)
         if limit is None:
@@ -496,53 +404,13 @@
         ceiling = limit.usable if below is None else min(limit.usable, below)
         now = self._clock.monotonic()
         leased = self._lease.may_dispatch()
-        for slot in self._slots(target_id):
-            if not slot.busy and _may_use(slot, limit, ceiling, now, leased):
+        for slot in self._holdings.of_target(target_id):
+            if not slot.busy and may_use(slot, limit, ceiling, now, leased):
                 yield slot
 
-    def _held(self, service: ServiceId) -> t.List[t.Tuple[Slot, "TargetLimit"]]:
-        """Slots of a service, free or not, with the limits of their targets."""
-        held = self._held_by_service.get(service)
-        if held is not None:
-            return held
-        held = []
-        for target_id in {**self._owned_by_target, **self._borrowed_by_target}:
-            limit = self._limits.get(target_id)
-            if limit is not None and limit.service == service:
-                held += [(slot, limit) for slot in self._slots(target_id)]
-        self._held_by_service[service] = held
-        return held
-
     def _hold(self, slot: Slot, limit: "TargetLimit") -> None:
         now = self._clock.monotonic()
         slot.busy = True
         slot.used_at = now
         slot.runs_until = now + limit.deadline_s
-        targets = self._in_flight_by_target
-        services = self._in_flight_by_service
-        targets[slot.target_id] = targets.get(slot.target_id, 0) + 1
-        services[slot.service] = services.get(slot.service, 0) + 1
-
-    def _record_demand(self, service: ServiceId) -> None:
-        peak = self._demand_by_service.get(service)
-        if peak is None:
-            peak = self._demand_by_service[service] = PeakDemand(DEMAND_WINDOW_S)
-        peak.record(self.in_use(service) + 1, self._clock.monotonic())
-
-
-def _may_use(slot: Slot, limit: "TargetLimit", ceiling: int, now: float, leased: bool) -> bool:
-    """Whether the slot is this entry's to use now, busy or not.
-
-    :param leased: whether the entry's lease counts, which borrowed slots do not need.
-    """
-    if slot.index >= ceiling or now >= slot.valid_until:
-        return False
-    if slot.loan is not None:
-        return True
-    if slot.blocker is not None or now < slot.lent_until or not leased:
-        return False
-    return now >= slot.rests_from + limit.timeout_s + defaults.HANDOVER_MARGIN_S
-
-
-def _key(slot: Slot) -> t.Tuple[TargetId, int]:
-    return slot.target_id, slot.index
+        self._usage.begin(slot)
--- a/src/coralfall/reporting/fleet.py
+++ b/src/coralfall/reporting/fleet.py
@@ -11,7 +11,8 @@
 from ..balancing.link import LinkAllowance, link_rates
 from ..balancing.routing import Router
 from ..balancing.shift import Shares, ShiftGovernor, planned_shares
-from ..balancing.slots import Slot, SlotTable
+from ..balancing.slot import Slot
+from ..balancing.slots import SlotTable
 from ..balancing.steering import AttemptResult, Reservation, Steering
 from ..bundles.bundle import Bundle, Service
 from ..bundles.rollout import PartnerRollout
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -17,7 +17,8 @@
 from coralfall.balancing.handover import Ack
 from coralfall.balancing.lending import Ask, Borrower, Lender, Return
 from coralfall.balancing.limits import CapacityLimits
-from coralfall.balancing.slots import Slot, SlotTable
+from coralfall.balancing.slot import Slot
+from coralfall.balancing.slots import SlotTable
 from coralfall.bundles.bundle import Bundle
 from coralfall.bundles.removal import LeaseObserver, removable
 from coralfall.cluster.lease import Lease
