Name all entries of a large zone in look-ups

Cause, found by reading: an answer named the first 16 entries by id.

Weighed: 16 drawn anew for each answer; but callers leave the entries that a new answer does not name, each second.

Before (the bound of 16 put back): test_no_entry_of_a_zone_is_left_out fails for 15, 38 and 70 entries in a zone. After: it passes; a second test, of a region without entries, asks for the bound itself and was not seen red. nearest moves to its only user.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -245,8 +245,10 @@
 STEER_TTL_S = 1.0
 #: Seconds for which a stopping entry still takes what callers send to it.
 LEAVE_S = 3.0
-#: Most addresses in an answer to a look-up.
-MAX_LOOKUP_ADDRESSES = 16
+#: Most addresses in an answer to a look-up; callers take no more.
+MAX_LOOKUP_ADDRESSES = 64
+#: Addresses up to which a zone's own are made up with as many others of its region.
+LOOKUP_BESIDE = 16
 
 #: How many targets hold an object, in the order of their hashes.
 AFFINITY_HOMES = 2
--- a/src/coralfall/traffic/lookup.py
+++ b/src/coralfall/traffic/lookup.py
@@ -1,12 +1,12 @@
 """Look-ups: which entries a caller is told to connect to."""
 
+import hashlib
 import typing as t
 
 from .. import defaults
-from .members import nearest
 
 if t.TYPE_CHECKING:
-    from ..ids import RegionId
+    from ..ids import RegionId, ZoneId
     from .belief import Belief
     from .members import Members
     from .model import EntryRecord
@@ -42,10 +42,10 @@
         found = nearest(serving, question.zone, question.region)
         if not found:
             homes = self._homes(question.host)
-            found = [record for record in serving if record.region in homes]
+            found = _in_order(question.zone, [r for r in serving if r.region in homes])
         if not found:
-            found = list(serving)
-        return [record.caller_address for record in _spread(found)]
+            found = _in_order(question.zone, serving)
+        return [record.caller_address for record in found[: defaults.MAX_LOOKUP_ADDRESSES]]
 
     def _homes(self, host: str) -> "t.Set[RegionId]":
         if self._belief.routes is None:
@@ -56,5 +56,31 @@
         return homes
 
 
-def _spread(records: "t.Sequence[EntryRecord]") -> "t.Sequence[EntryRecord]":
-    return records[: defaults.MAX_LOOKUP_ADDRESSES]
+def nearest(
+    records: "t.Sequence[EntryRecord]", zone: "ZoneId", region: "RegionId"
+) -> "t.List[EntryRecord]":
+    """Entries of a zone, all of them lest some carry it alone, and some others of its region.
+
+    Callers of a zone that is lost can't ask again: those whom they would ask are lost with it.
+    Which others they are told of differs by zone. It stays the same from answer to answer, since
+    callers leave the entries that a new answer does not name.
+    """
+    in_zone = [record for record in records if record.zone == zone]
+    beside = [record for record in records if record.region == region and record.zone != zone]
+    count = min(len(in_zone), defaults.LOOKUP_BESIDE - len(in_zone))
+    beside = _in_order(zone, beside)[: max(_LEAST_OUTSIDE, count)]
+    return _in_order(zone, in_zone) + beside
+
+
+def _in_order(zone: "ZoneId", records: "t.Iterable[EntryRecord]") -> "t.List[EntryRecord]":
+    """Records in an order that is the zone's own."""
+
+    def weight(record: "EntryRecord") -> bytes:
+        text = f"{zone} {record.entry_id}"
+        return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
+    return sorted(records, key=weight)
+
+
+#: Entries outside their zone that callers should be told of at the least.
+_LEAST_OUTSIDE = 2
--- a/src/coralfall/traffic/members.py
+++ b/src/coralfall/traffic/members.py
@@ -19,7 +19,7 @@
 import msgspec
 
 from .. import defaults
-from ..ids import EntryId, EntryState, Incarnation, RegionId, ZoneId
+from ..ids import EntryId, EntryState, Incarnation
 from ..process import log
 from .messages import Suspicion
 
@@ -345,21 +345,3 @@
 def _digest(record: "EntryRecord") -> int:
     text = f"{record.entry_id} {record.incarnation} {record.beat}"
     return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
-
-
-def nearest(
-    records: "t.Sequence[EntryRecord]", zone: ZoneId, region: RegionId
-) -> "t.List[EntryRecord]":
-    """Entries of a zone, and as many of the other zones of its region.
-
-    Callers of a zone that is lost can't ask again: those whom they would ask are lost with it.
-    Which others they are told of differs by zone.
-    """
-    in_zone = [record for record in records if record.zone == zone]
-    beside = [record for record in records if record.region == region and record.zone != zone]
-    beside.sort(key=lambda record: _weight(EntryId(f"{zone} {record.entry_id}")))
-    return in_zone + beside[: max(_LEAST_OUTSIDE, len(in_zone))]
-
-
-#: Entries outside their zone that callers should be told of at the least.
-_LEAST_OUTSIDE = 2
--- a/tests/traffic/test_members.py
+++ b/tests/traffic/test_members.py
@@ -210,6 +210,37 @@
             outside |= set(found) - own
         self.assertGreater(len(outside), 6)
 
+    @parameterized.expand(
+        [
+            # entries of the zone, others in all, those of the others that are named
+            ("today's", 2, 2, 2),
+            ("one alone", 1, 5, 2),
+            ("grown", 9, 18, 7),
+            ("grown more", 15, 15, 2),
+            ("the letter's", 38, 80, 2),
+            ("beyond what callers take", 70, 0, -6),
+        ]
+    )
+    def test_no_entry_of_a_zone_is_left_out(
+        self, _name: str, inside: int, others: int, outside: int
+    ) -> None:
+        """Or else those that are named carry the load of those that are not."""
+        records = [make_record(f"e{n}in", zone=NORTE) for n in range(inside)]
+        records += [make_record(f"e{n}out", zone=ZoneId("valle")) for n in range(others)]
+        found = self.lookup(*records).addresses(LookupQuestion("a.example", SIERRA, NORTE))
+        self.assertEqual(inside + outside, len(set(found)))
+        if outside >= 0:
+            named = {record.caller_address for record in records[:inside]}
+            self.assertEqual(set(), named - set(found))
+
+    def test_a_region_without_entries_is_told_of_as_many_as_callers_take(self) -> None:
+        records = [make_record(f"e{n}x", zone=PUERTO, region=COSTA) for n in range(80)]
+        lookup = self.lookup(*records)
+        zones = [ZoneId(f"z{number}") for number in range(20)]
+        told = [set(lookup.addresses(LookupQuestion("a.example", SIERRA, z))) for z in zones]
+        self.assertEqual({defaults.MAX_LOOKUP_ADDRESSES}, {len(found) for found in told})
+        self.assertEqual(80, len(set.union(*told)))
+
     def test_regions_of_the_routes_go_before_others(self) -> None:
         far = make_record("far", zone=ZoneId("loja"), region=RegionId("austro"))
         home = make_record("home", zone=PUERTO, region=COSTA)
