Put the fleet's steering with the steering, and its queue and the shift's plan beside it

reporting/fleet.py was no report: it steers requests of the bundle-driven product. Nothing is decided otherwise. tests.balancing, reporting, cluster, bundles and layers: 692 passed.

--- a/benchmarks/deciders.py
+++ b/benchmarks/deciders.py
@@ -6,6 +6,7 @@
 import typing as t
 
 from coralfall import defaults
+from coralfall.balancing.fleet_steering import FleetSteering
 from coralfall.balancing.handover import Ack
 from coralfall.balancing.lending import Borrower, Lender
 from coralfall.balancing.slots import SlotTable
@@ -33,7 +34,6 @@
 )
 from coralfall.peering.messages import LoanReturn
 from coralfall.process.clock import ManualClock, PlatformClock
-from coralfall.reporting.fleet import FleetSteering
 from coralfall.settings import LeaseSettings
 
 from .fleet_model import FakeTarget, way_s
--- a/src/coralfall/reporting/fleet.py
+++ b/src/coralfall/balancing/fleet_steering.py
@@ -4,25 +4,27 @@
 import typing as t
 
 from .. import defaults
-from ..balancing.capacity import idle_connections
-from ..balancing.drain import DrainTracker
-from ..balancing.health import ServiceHealth
-from ..balancing.limits import CapacityLimits
-from ..balancing.link import LinkAllowance, link_rates
-from ..balancing.routing import Router
-from ..balancing.shift import Shares, ShiftGovernor, planned_shares
-from ..balancing.slot import Slot
-from ..balancing.slots import SlotTable
-from ..balancing.steering import AttemptResult, Reservation, Steering
 from ..bundles.bundle import Bundle, Service
 from ..bundles.rollout import PartnerRollout
 from ..exceptions import RefusedError
 from ..ids import BundleVersion, PartnerId, RegionId, ServiceId, TargetId, TargetState
+from .capacity import idle_connections
+from .drain import DrainTracker
+from .health import ServiceHealth
+from .limits import CapacityLimits
+from .link import LinkAllowance, link_rates
+from .routing import Router
+from .shift import ShiftGovernor
+from .shift_plan import Shares, planned_shares
+from .slot import Slot
+from .slots import SlotTable
+from .steering import AttemptResult, Reservation, Steering
+from .waiters import Waiters, woken
 
 if t.TYPE_CHECKING:
-    from ..balancing.limits import Limits
     from ..cluster.roster import Roster
     from ..process.clock import Clock, PlatformClock
+    from .limits import Limits
 
 #: Requests of one service that may wait for a slot at a time, for each slot held.
 _QUEUE_PER_SLOT = 2
@@ -50,19 +52,8 @@
     def __init__(self, partner: PartnerId, router: Router) -> None:
         self.partner = partner
         self.router = router
-        #: Requests that wait, the oldest first; each is woken when its turn has come.
-        self.waiters: t.List[asyncio.Event] = []
-
-    def wake(self) -> None:
-        """Let the oldest waiting request look for a slot; when it has one, the next will."""
-        if self.waiters:
-            self.waiters[0].set()
-
-    def wake_after(self, waiter: asyncio.Event) -> None:
-        """Let the request behind ``waiter`` look."""
-        place = self.waiters.index(waiter) + 1
-        if place < len(self.waiters):
-            self.waiters[place].set()
+        #: Requests that wait for a slot.
+        self.waiters = Waiters()
 
 
 class FleetSteering(Steering):
@@ -115,7 +106,7 @@
         if not tried:
             service_state.router.offer()
             # The offer may be what a waiting request lacked.
-            service_state.wake()
+            service_state.waiters.wake()
         try:
             return await self._reserve(service_state, service, rules, tried, deadline)
         except RefusedError:
@@ -163,7 +154,7 @@
         service_state = self._state_by_service.get((reservation.partner, reservation.service))
         if service_state is not None:
             service_state.router.finished(reservation.target_id)
-            service_state.wake()
+            service_state.waiters.wake()
 
     def service(self, partner: PartnerId, service: ServiceId) -> t.Optional[Service]:
         if partner not in self._rollouts:
@@ -231,12 +222,12 @@
         """
         for (_, service_id), service_state in self._state_by_service.items():
             if service_id == service:
-                service_state.wake()
+                service_state.waiters.wake()
 
     def wake_all(self) -> None:
         """Let all waiting requests look again, after slots may have become usable."""
         for service_state in self._state_by_service.values():
-            service_state.wake()
+            service_state.waiters.wake()
 
     async def _reserve(
         self,
@@ -268,11 +259,10 @@
         give_up_at: float,
     ) -> FleetReservation:
         """Wait for a slot behind the requests that wait already."""
-        waiter = asyncio.Event()
-        service_state.waiters.append(waiter)
+        waiter = service_state.waiters.join()
         self._ask_for(service_state, service, tried)
         try:
-            while await _woken(waiter, give_up_at - self._clock.monotonic()):
+            while await woken(waiter, give_up_at - self._clock.monotonic()):
                 waiter.clear()
                 self._refresh_router(service_state, service, rules)
                 try:
@@ -282,12 +272,11 @@
                         raise
                 if tried:
                     # It may go to fewer places than the one behind it.
-                    service_state.wake_after(waiter)
+                    service_state.waiters.wake_after(waiter)
                 self._ask_for(service_state, service, tried)
             raise service_state.router.busy()
         finally:
-            service_state.waiters.remove(waiter)
-            service_state.wake()
+            service_state.waiters.leave(waiter)
 
     def _ask_for(
         self, service_state: _ServiceState, service: ServiceId, tried: t.Collection[TargetId]
@@ -354,7 +343,7 @@
         now = self._clock.monotonic()
         for key in list(self._state_by_service):
             if key[0] == partner and key[1] not in bundle.services:
-                self._state_by_service.pop(key).wake()
+                self._state_by_service.pop(key).waiters.wake()
         for service_id, service in bundle.services.items():
             service_state = self._state_by_service.get((partner, service_id))
             if service_state is None:
@@ -385,18 +374,6 @@
         self.drains.mark(leaving, present, self._clock.monotonic())
 
 
-async def _woken(waiter: asyncio.Event, seconds: float) -> bool:
-    """Whether the waiter was woken within ``seconds``."""
-    if waiter.is_set():
-        return True
-    try:
-        async with asyncio.timeout(max(0.0, seconds)):
-            await waiter.wait()
-    except TimeoutError:
-        return False
-    return True
-
-
 def _tell_health(
     health: ServiceHealth,
     target_id: TargetId,
--- a/src/coralfall/balancing/shift.py
+++ b/src/coralfall/balancing/shift.py
@@ -1,26 +1,15 @@
 """Shift: how much of a service's traffic may go to each region now, under its shift cap.
 
-Every entry holds the same line of shares, which moves with the platform's time from where it
-stood when the bundle was accepted to the bundle's weights, and a governor that keeps what the
+Every entry holds the same line of shares (:mod:`.shift_plan`), and a governor that keeps what the
 entry itself sends close to that line. Nothing is agreed between entries on the way.
 """
 
 import typing as t
 
-from .. import defaults
-from ..bundles.bundle import Bundle, Head, Service
+from ..bundles.bundle import Service
 from ..ids import RegionId, ServiceId
+from .shift_plan import TINY, Shares, normalised, split_cap
 
-Shares = t.Dict[RegionId, float]
-
-#: Part of the cap within which a policy may prefer one region over another.
-BAND_PART = 0.1
-#: Part of the cap by which single requests may leave the line, to be made good by later ones.
-STRETCH_PART = 0.3
-#: Part of the cap that a region may take at once when it comes back.
-RETURN_PART = 0.1
-#: Part of the cap kept for requests being whole numbers.
-COUNT_PART = 0.05
 #: Most by which a region's count exceeds its ceiling over any run of one entry's requests,
 #: when there are too few of them for ``STRETCH_PART`` to allow as much.
 COUNT_SLACK = 3
@@ -30,94 +19,6 @@
 FULL_SHARE = 0.02
 FULL_MEMORY_S = 1.0
 
-_TINY = 1e-9
-
-
-class CapParts(t.NamedTuple):
-    """What a shift cap is split into; see :class:`ShiftGovernor` for the sum."""
-
-    #: Share by which regions together may be above the line, for the policy to choose.
-    band: float
-    #: Share that the line may move within two windows and the clocks' skew.
-    move: float
-    #: Share that the line moves in a second.
-    rate: float
-    #: Share that a region may take at once when it comes back after a window.
-    back: float
-    #: Share of a window's requests that may leave the line, all regions together.
-    stretch: float
-
-
-def split_cap(service: Service) -> CapParts:
-    """The parts of the cap of ``service``."""
-    band = service.shift_cap * BAND_PART
-    back = service.shift_cap * RETURN_PART / (1 + band)
-    stretch = service.shift_cap * STRETCH_PART
-    part = 1 - BAND_PART - STRETCH_PART - RETURN_PART - COUNT_PART
-    move = service.shift_cap * part / (1 + band)
-    span = 2 * service.shift_window_s + defaults.MAX_CLOCK_SKEW_S
-    return CapParts(band, move, move / span, back, stretch)
-
-
-def planned_shares(
-    head: Head, service_id: ServiceId, service: Service, now_platform: float
-) -> Shares:
-    """Where the shares of a service stand, by the bundle line alone.
-
-    They move straight from ``head.shares_at_accept`` to the weights, from
-    ``head.accepted_at`` on. An entry that restarts finds the same line again, and two entries
-    whose clocks differ are apart by no more than the skew at the line's rate, which
-    :func:`split_cap` has counted in.
-
-    :param service: the service as accepted with ``head``. Not what is met with a staged bundle:
-        another cap or window would give another line.
-    :param now_platform: platform's wall time in seconds.
-    :return: share of each region; they add up to 1.
-    """
-    weights = normalised(service.weights)
-    start = normalised(head.shares_at_accept.get(service_id, {}))
-    if not start:
-        return weights
-    distance = moved_share(start, weights)
-    if distance <= _TINY:
-        return weights
-    way = split_cap(service).rate * max(0.0, now_platform - head.accepted_at)
-    done = min(1.0, way / distance)
-    shares: Shares = {}
-    for region in sorted({*start, *weights}):
-        share = (1 - done) * start.get(region, 0.0) + done * weights.get(region, 0.0)
-        if share > 0:
-            shares[region] = share
-    return shares
-
-
-def shares_at(head: Head, bundle: Bundle, now_platform: float) -> t.Dict[ServiceId, Shares]:
-    """Where all services of an accepted bundle stand, for the head that follows it.
-
-    :param head: head by which ``bundle`` is accepted.
-    :param now_platform: platform's wall time in seconds.
-    """
-    shares_by_service: t.Dict[ServiceId, Shares] = {}
-    for service_id, service in bundle.services.items():
-        shares_by_service[service_id] = planned_shares(head, service_id, service, now_platform)
-    return shares_by_service
-
-
-def normalised(shares: t.Mapping[RegionId, float]) -> Shares:
-    """The positive ones of ``shares``, scaled so that they add up to 1; empty if none is."""
-    total = sum(share for share in shares.values() if share > 0)
-    if total <= 0:
-        return {}
-    return {region: share / total for region, share in shares.items() if share > 0}
-
-
-def moved_share(before: t.Mapping[RegionId, float], after: t.Mapping[RegionId, float]) -> float:
-    """Sum of what the regions have gained; between whole splits, the total variation."""
-    moved = 0.0
-    for region, share in after.items():
-        moved += max(0.0, share - before.get(region, 0.0))
-    return moved
-
 
 class _Account:
     """What a governor knows of one region."""
@@ -342,7 +243,7 @@
         for account in self._by_region.values():
             if account.serving:
                 placed += account.share
-        rate = max(self._parts.rate, _TINY)
+        rate = max(self._parts.rate, TINY)
         return min(max((1 - placed) / rate, 0.1), self._service.shift_window_s)
 
     def _measure_rate(self, seconds: float) -> None:
@@ -362,7 +263,7 @@
 
     def _share_on_return(self, lost: float) -> float:
         if lost <= 1:
-            return self._parts.back / max(lost, _TINY)
+            return self._parts.back / max(lost, TINY)
         return self._parts.back * max(0.0, 2 - lost)
 
     def _note_serving(self, account: _Account, serving: bool) -> None:
@@ -413,7 +314,7 @@
             if share > account.share:
                 wanted[region] = share - account.share
         total_wanted = sum(wanted.values())
-        if total_wanted <= _TINY:
+        if total_wanted <= TINY:
             return
         part = min(1.0, budget / total_wanted)
         for region, share in wanted.items():
--- a/src/coralfall/cluster/control.py
+++ b/src/coralfall/cluster/control.py
@@ -19,10 +19,10 @@
 from .rows import LeaseRow, Member, lease_key
 
 if t.TYPE_CHECKING:
+    from ..balancing.fleet_steering import FleetSteering
     from ..balancing.slots import SlotTable
     from ..bundles.staging import Staging
     from ..lookups.lookup import Lookup
-    from ..reporting.fleet import FleetSteering
 
 #: Intervals between two reads of the roster after which every entry has read a change.
 READS_UNTIL_KNOWN = 2
--- a/src/coralfall/cluster/conversation.py
+++ b/src/coralfall/cluster/conversation.py
@@ -14,11 +14,11 @@
 from .rows import Member
 
 if t.TYPE_CHECKING:
+    from ..balancing.fleet_steering import FleetSteering
     from ..balancing.slots import SlotTable
     from ..bundles.staging import Staging
     from ..peering.peers import PeerNetwork
     from ..process.clock import Clock
-    from ..reporting.fleet import FleetSteering
     from .control import Control
     from .lease import Lease
     from .membership import Membership
--- a/src/coralfall/cluster/coordinator.py
+++ b/src/coralfall/cluster/coordinator.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..balancing.shift import shares_at
+from ..balancing.shift_plan import shares_at
 from ..bundles import line
 from ..bundles.bundle import VersionRef
 from ..bundles.remover import Remover
--- a/src/coralfall/cluster/node.py
+++ b/src/coralfall/cluster/node.py
@@ -10,6 +10,7 @@
 import random
 import typing as t
 
+from ..balancing.fleet_steering import FleetSteering
 from ..balancing.lending import Borrower, Lender
 from ..balancing.slots import SlotTable
 from ..bundles.rollout import PartnerRollout
@@ -18,7 +19,6 @@
 from ..ids import RegionId, ServiceId
 from ..lookups.lookup import Lookup
 from ..process.clock import Clock
-from ..reporting.fleet import FleetSteering
 from ..settings import EntrySettings
 from ..stores.store import Platform
 from .control import Control
@@ -30,7 +30,7 @@
 from .rows import Member
 
 if t.TYPE_CHECKING:
-    from ..reporting.fleet import AskLoan
+    from ..balancing.fleet_steering import AskLoan
 
 
 class NodeCallbacks(t.NamedTuple):
--- a/tests/balancing/test_queue.py
+++ b/tests/balancing/test_queue.py
@@ -7,6 +7,7 @@
 
 from parameterized import parameterized
 
+from coralfall.balancing.fleet_steering import FleetReservation, FleetSteering
 from coralfall.balancing.routing import Candidate
 from coralfall.balancing.slots import SlotTable
 from coralfall.balancing.steering import AttemptResult
@@ -18,7 +19,6 @@
 from coralfall.exceptions import RefusedError
 from coralfall.ids import BundleVersion, Digest, EntryId, RegionId, ServiceId
 from coralfall.process.clock import ManualClock, PlatformClock
-from coralfall.reporting.fleet import FleetReservation, FleetSteering
 from coralfall.settings import LeaseSettings
 from tests.bundle_makers import COSECHA, make_bundle, make_target
 from tests.cluster.test_roster import put
--- a/tests/balancing/test_shift.py
+++ b/tests/balancing/test_shift.py
@@ -7,13 +7,8 @@
 from parameterized import parameterized
 
 from coralfall import defaults
-from coralfall.balancing.shift import (
-    COUNT_SLACK,
-    ShiftGovernor,
-    moved_share,
-    planned_shares,
-    split_cap,
-)
+from coralfall.balancing.shift import COUNT_SLACK, ShiftGovernor
+from coralfall.balancing.shift_plan import moved_share, planned_shares, split_cap
 from coralfall.bundles.bundle import Bundle, Head, Service
 from coralfall.ids import BundleVersion, PartnerId, PolicyName, RegionId, ServiceId
 
--- a/tests/balancing/test_shift_history.py
+++ b/tests/balancing/test_shift_history.py
@@ -9,15 +9,8 @@
 from parameterized import parameterized
 
 from coralfall import defaults
-from coralfall.balancing.shift import (
-    COUNT_SLACK,
-    MAX_STRETCH,
-    Shares,
-    ShiftGovernor,
-    moved_share,
-    planned_shares,
-    shares_at,
-)
+from coralfall.balancing.shift import COUNT_SLACK, MAX_STRETCH, ShiftGovernor
+from coralfall.balancing.shift_plan import Shares, moved_share, planned_shares, shares_at
 from coralfall.bundles.bundle import Head, Service
 from coralfall.ids import RegionId
 
