Let entries with wider links read the store and hand on first

Now an entry's record says how wide its link is (link_mbps of its settings, from the template), and rank and the order of relays go by that, then by the hash. Where all links are alike nothing changes.

--- a/src/coralfall/platform/run.py
+++ b/src/coralfall/platform/run.py
@@ -49,7 +49,11 @@
     )
     root = node.make_tree(ResolveApp(node.lookup, node.telemetry), ReadinessApp(lambda: node.ready))
     log.info(
-        "entry.starting", zone=settings.zone, region=settings.region, seeds=len(settings.seeds)
+        "entry.starting",
+        zone=settings.zone,
+        region=settings.region,
+        link_mbps=settings.link_mbps,
+        seeds=len(settings.seeds),
     )
     reload = Reload(path, settings, node.apply)
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
--- a/src/coralfall/traffic/gossip.py
+++ b/src/coralfall/traffic/gossip.py
@@ -26,6 +26,7 @@
     from ..process.metrics import Metrics
     from .belief import Belief
     from .members import Members
+    from .model import EntryRecord
     from .replica import Delta, Replica
 
 
@@ -226,9 +227,8 @@
     def push(self, state_since: "Revision", targets_since: "Revision") -> None:
         """Tell all live entries what came after these revisions."""
         news = self._exchange.news(state_since, targets_since)
-        others = [record.entry_id for record in self._members.alive()]
-        self._rng.shuffle(others)
-        self.relay(news, others)
+        alive = self._members.alive()
+        self.relay(news, [record.entry_id for record in in_relay_order(alive, self._rng)])
 
     def relay(self, news: News, entry_ids: "t.Sequence[EntryId]") -> None:
         """Hand news on to these entries, through a few of them."""
@@ -305,6 +305,12 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def in_relay_order(records: "t.Sequence[EntryRecord]", rng: random.Random) -> "t.List[EntryRecord]":
+    """Entries in the order in which they get a push: the first hand it on, so links count."""
+    shuffled = rng.sample(records, len(records))
+    return sorted(shuffled, key=lambda record: -record.link_mbps)
+
+
 def _delta(replica: "Replica[t.Any]", since: "t.Optional[Revision]") -> "t.Optional[Delta]":
     if since is None or since >= replica.revision:
         return None
--- a/src/coralfall/traffic/members.py
+++ b/src/coralfall/traffic/members.py
@@ -268,11 +268,14 @@
         return chosen
 
     def rank(self) -> int:
-        """This entry's place in the order in which entries read the store for all."""
-        own = _weight(self.own.entry_id)
+        """This entry's place in the order in which entries read the store for all.
+
+        Those with wider links come first: what a choked one reads comes late to all.
+        """
+        own = _place(self.own)
         rank = 0
         for record in self.alive():
-            if record.state is EntryState.SERVING and _weight(record.entry_id) < own:
+            if record.state is EntryState.SERVING and _place(record) < own:
                 rank += 1
         return rank
 
@@ -338,8 +341,9 @@
     return record.ready and record.state is EntryState.SERVING
 
 
-def _weight(entry_id: EntryId) -> bytes:
-    return hashlib.blake2b(entry_id.encode(), digest_size=8).digest()
+def _place(record: "EntryRecord") -> t.Tuple[float, bytes]:
+    digest = hashlib.blake2b(record.entry_id.encode(), digest_size=8).digest()
+    return -record.link_mbps, digest
 
 
 def _digest(record: "EntryRecord") -> int:
--- a/src/coralfall/traffic/model.py
+++ b/src/coralfall/traffic/model.py
@@ -90,7 +90,7 @@
     zone: ZoneId
     slots: int
     leaving: bool = False
-    #: Seconds for which it stays cold, counted from when the row was read.
+    #: Seconds for which it stays cold, counted from when that is learnt.
     cold_s: float = 0.0
 
 
@@ -109,6 +109,8 @@
     ready: bool = False
     #: Rises whenever the entry has something new to say of itself, or refutes a suspicion.
     beat: int = 0
+    #: Rate of its VM's link in Mbit/s, 0 if unknown.
+    link_mbps: float = 0.0
 
     def is_newer_than(self, other: "EntryRecord") -> bool:
         """Whether this tells more recent things of the entry than ``other``."""
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -271,6 +271,7 @@
         zone=settings.zone,
         caller_address=settings.caller_address,
         peer_address=settings.announced_peer_address or settings.peer_address,
+        link_mbps=settings.link_mbps,
     )
 
 
--- a/src/coralfall/traffic/settings.py
+++ b/src/coralfall/traffic/settings.py
@@ -58,6 +58,9 @@
     peer_address: str
     #: ``ip:port`` that other entries are told to use, if the one above is not what they reach.
     announced_peer_address: t.Optional[str] = None
+    #: Rate of the VM's own link in Mbit/s. Entries with wider links read the store for all and hand
+    #: on what they read before others do.
+    link_mbps: float = 0.0
     #: ``ip:port`` to serve metrics on; without it none are served.
     metrics_address: t.Optional[str] = None
     #: The platform's store.
--- a/tests/platform_adapter/test_adapter.py
+++ b/tests/platform_adapter/test_adapter.py
@@ -59,7 +59,7 @@
 
     def test_the_template_fills_in_valid_toml(self) -> None:
         text = (ROOT / "deploy" / "entry.toml").read_text()
-        text = re.sub(r"\{\{#\w+\}\}(.*?)\{\{/\w+\}\}", r"\1", text, flags=re.DOTALL)
+        text = re.sub(r"\{\{#[\w.]+\}\}(.*?)\{\{/[\w.]+\}\}", r"\1", text, flags=re.DOTALL)
         text = re.sub(r'"\{\{[^}]*\}\}:\{\{[^}]*\}\}"', '"1"', text)
         text = text.replace("{{,}}", "").replace('"{{@}}"', "zone")
         text = re.sub(r"\{\{[^}]*\}\}", "1", text)
--- a/tests/traffic/test_members.py
+++ b/tests/traffic/test_members.py
@@ -9,6 +9,7 @@
 from coralfall import defaults
 from coralfall.ids import EntryId, EntryState, Incarnation, RegionId, ZoneId
 from coralfall.process.clock import ManualClock
+from coralfall.traffic.gossip import in_relay_order
 from coralfall.traffic.lookup import Lookup
 from coralfall.traffic.members import Members
 from coralfall.traffic.messages import News, Suspicion
@@ -165,6 +166,25 @@
             ranks.append(members.rank())
         self.assertEqual(list(range(8)), sorted(ranks))
 
+    def test_wider_links_come_first(self) -> None:
+        links = {"e1": 10.0, "e2": 200.0, "e3": 10.0, "e4": 0.0, "e5": 200.0}
+        records = [make_record(name, link_mbps=link) for name, link in links.items()]
+        rank_by_name = {}
+        for record in records:
+            members = Members(record, self.clock, seeded())
+            members.hear(records)
+            rank_by_name[record.entry_id] = members.rank()
+        self.assertEqual({0, 1}, {rank_by_name["e2"], rank_by_name["e5"]})
+        self.assertEqual({2, 3}, {rank_by_name["e1"], rank_by_name["e3"]})
+        relays = [record.link_mbps for record in in_relay_order(records, seeded())]
+        self.assertEqual([200.0, 200.0, 10.0, 10.0, 0.0], relays)
+
+    def test_relays_of_like_links_take_turns(self) -> None:
+        records = [make_record(f"e{number}", link_mbps=10.0) for number in range(8)]
+        rng = seeded()
+        first = {in_relay_order(records, rng)[0].entry_id for _ in range(100)}
+        self.assertEqual(8, len(first))
+
     def test_entries_of_the_store_are_not_alive_until_heard(self) -> None:
         self.members.register(make_record("e2"))
         self.assertEqual([], self.members.alive())
