Turn what an aborted exchange meets as its answer comes

Cause, found by asking what a pause of the process does to an exchange: once it goes on, the loop finds the head of the answer and the timer of the deadline together, takes in the head, and runs the timer before the task that waits for the head. A whole answer was passed on though the attempt counted as failed.

Before: the new test's two rows fail, one with that error.

--- a/src/coralfall/forwarding/upstream.py
+++ b/src/coralfall/forwarding/upstream.py
@@ -141,6 +141,9 @@
         response = await outgoing.send(connection)
         self._response = response
         await response.start(connection)
+        if self._finished:
+            # Aborted between the arrival of the head and now; the body would be waited for in vain.
+            raise ConnectionAbortedError("exchange was aborted as its answer came")
         self.status = response.status
         self.headers = response.raw_headers
         length = response.headers.get("content-length")
--- a/tests/forwarding/test_upstream.py
+++ b/tests/forwarding/test_upstream.py
@@ -4,7 +4,9 @@
 import math
 import typing as t
 import unittest
+from unittest import mock
 
+from aiohttp.client_proto import ResponseHandler
 from parameterized import parameterized
 
 from coralfall import defaults
@@ -184,6 +186,35 @@
                 await self.ask(address)
         self.assertEqual(self.steering.loads, ["6/6"])
 
+    @parameterized.expand(
+        [
+            ("of which a part has come", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"),
+            ("of which all has come", OK),
+        ]
+    )
+    async def test_time_that_is_over_as_an_answer_comes(self, _name: str, answer: bytes) -> None:
+        """So it is after a pause of the process: the head and the timer are found together."""
+        read = ResponseHandler.read
+
+        async def read_and_expire(handler: ResponseHandler) -> t.Any:
+            message = await read(handler)
+            for exchange in list(self.upstream._exchanges):
+                exchange._expire()
+            return message
+
+        async def stall(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer)
+            await writer.drain()
+            await reader.read()
+
+        with mock.patch.object(ResponseHandler, "read", read_and_expire):
+            async with loopback.raw_target(stall) as address:
+                async with asyncio.timeout(5.0):
+                    with self.assertRaises(TargetTimeoutError):
+                        await self.ask(address, "POST")
+        self.assertEqual([FAILED], self.steering.results)
+
     async def test_refused_connection(self) -> None:
         with self.assertRaises(TargetNotRunError):
             await self.ask("127.0.0.1:1", "POST")
