--- a/src/coralfall/forwarding/carrier.py
+++ b/src/coralfall/forwarding/carrier.py
@@ -13,9 +13,9 @@
 )
 from ..ids import Outcome, TargetId
 from .answer import Answer
+from .exchange import TargetRequest
 from .headers import headers_to_caller, headers_to_target
 from .hedge import Hedge, ReadLatency
-from .upstream import TargetRequest
 
 if t.TYPE_CHECKING:
     from ..balancing.steering import Steering
--- a/tests/forwarding/test_upstream.py
+++ b/tests/forwarding/test_upstream.py
@@ -19,8 +19,9 @@
     TargetTimeoutError,
     TargetUnknownError,
 )
+from coralfall.forwarding.exchange import Exchange, TargetRequest
 from coralfall.forwarding.request import MemoryAccount, RequestBody
-from coralfall.forwarding.upstream import Exchange, TargetRequest, Upstream
+from coralfall.forwarding.upstream import Upstream
 from coralfall.process.clock import Clock, ManualClock, SystemClock
 from tests import loopback
 
