--- a/tests/traffic/test_knowledge.py
+++ b/tests/traffic/test_knowledge.py
@@ -42,6 +42,8 @@
         self.rows: t.Dict[str, Row] = {}
         self.revision = 0
         self.kept_from = 0
+        #: Seconds between the look at the rows and the answer, which is stamped as it is sent.
+        self.slow_s = 0.0
         self.down = False
         self.reads = 0
 
@@ -60,6 +62,9 @@
         if since < self.kept_from:
             raise HistoryLostError("compacted")
         found = self._after(prefix, since)
+        if self.slow_s:
+            await asyncio.sleep(self.slow_s)
+            return Changes(tuple(found), Revision(self.revision), self._stamp())
         if not found and wait_s:
             await asyncio.sleep(wait_s)
             found = self._after(prefix, since)
@@ -441,6 +446,20 @@
 
         self.assertLess(max(run_virtual(main)), 0.001)
 
+    def test_rows_of_a_slow_answer_are_as_old_as_its_question(self) -> None:
+        """The store may stamp its answer when it sends it, long after it looked."""
+
+        async def main(clock: LoopClock) -> float:
+            fleet = Fleet(clock, 1)
+            fleet.feed.put("state/a", make_state(1))
+            await fleet.followers[0].read()
+            fleet.feed.slow_s = defaults.READ_INTERVAL_S + 0.8
+            await fleet.followers[0].read()
+            return fleet.known[0].belief.state_age()
+
+        # What it was asked to wait for is no delay.
+        self.assertGreater(run_virtual(main), 0.79)
+
     def test_lost_history_is_made_up_by_a_snapshot(self) -> None:
         async def main(clock: LoopClock) -> Fleet:
             fleet = Fleet(clock, 1)
