Take the users' bounds on drains, desired state, stops and shifts from the settings

Cause: read for installations that nobody here has seen. The pace of reading (0.5 s), the time that a stopping entry serves on (3 s) and the speed of shares (0.05 a second) were constants that fit the bounds of both sites and the grown ones; an installation with tighter bounds would break DRAIN, CONFIG, LOST or SHIFT by design.

Bounds that are looser than two seconds lengthen nothing (slow links need the rest), so nothing changes on the known sites. A reload takes all of them in.

--- a/benchmarks/trouble_days.py
+++ b/benchmarks/trouble_days.py
@@ -60,7 +60,7 @@
     }
     lines = ["[[day]]"]
     for key, value in day.items():
-        lines.append(f"{key} = {_text(value)}")
+        lines.append(f"{key} = {text_of(value)}")
     return "\n".join(lines) + "\n"
 
 
@@ -81,12 +81,13 @@
         yield name, day_of(site, name, seed * 1000 + 500 + number, both)
 
 
-def _text(value: t.Any) -> str:
+def text_of(value: t.Any) -> str:
+    """A value as TOML."""
     if isinstance(value, dict):
-        fields = ", ".join([f"{json.dumps(key)} = {_text(item)}" for key, item in value.items()])
+        fields = ", ".join([f"{json.dumps(key)} = {text_of(item)}" for key, item in value.items()])
         return f"{{ {fields} }}"
     if isinstance(value, list):
-        return "[" + ", ".join([_text(item) for item in value]) + "]"
+        return "[" + ", ".join([text_of(item) for item in value]) + "]"
     return json.dumps(value)
 
 
@@ -98,10 +99,10 @@
     parser.add_argument("--pairs", type=int, default=30)
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
-    site = tomllib.loads(options.site.read_text())
+    site = tomllib.loads(options.site.readtext_of())
     options.folder.mkdir(parents=True, exist_ok=True)
     for name, text in days_of(site, options.pairs, options.seed):
-        (options.folder / f"{name}.toml").write_text(text)
+        (options.folder / f"{name}.toml").writetext_of(text)
 
 
 if __name__ == "__main__":
--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -189,6 +189,8 @@
 #: Seconds that the store may take on a connection that was used before, beside what it was asked
 #: to wait; then the call is made again on a new one.
 STORE_KEPT_S = 0.5
+#: The users' bound, in seconds, that the next four constants are made for.
+PACED_BOUND_S = 2.0
 #: Seconds between two reads of the store by the entry that reads for all.
 READ_INTERVAL_S = 0.5
 #: Age in seconds at which the first other entry reads for itself, what each next one adds to it,
@@ -244,8 +246,12 @@
 GOSSIP_KEPT_S = 0.3
 #: Seconds for which callers may keep an answer to a look-up.
 STEER_TTL_S = 1.0
-#: Seconds for which a stopping entry still takes what callers send to it.
+#: Seconds for which a stopping entry still takes what callers send to it, and the most of the time
+#: until it is killed that this may take: what was taken last has to be finished in the rest.
 LEAVE_S = 3.0
+LEAVE_PART = 0.5
+#: Multiple of their time for which some callers keep an answer to a look-up.
+LOOKUP_KEPT = 3.0
 #: Most addresses in an answer to a look-up; callers take no more.
 MAX_LOOKUP_ADDRESSES = 64
 #: Addresses up to which a zone's own are made up with as many others of its region.
@@ -258,8 +264,9 @@
 AFFINITY_LIMITS = (1.5, 3.0)
 #: The same for requests whose callers have waited for longer than the answer is worth most.
 LATE_LIMITS = (1.0,)
-#: Part of a region's objects that may change its home region in a second.
-SHARE_PER_S = 0.05
+#: Part of what may shift between regions that an entry uses, and the seconds that it is counted in.
+SHIFT_USED = 2 / 3
+SHIFT_WINDOW_S = 2.0
 #: Seconds after which half of a target's word on its load is replaced by an entry's own knowledge.
 LOAD_HALF_LIFE_S = 1.5
 #: Most objects whose order of targets is kept.
--- a/src/coralfall/traffic/affinity.py
+++ b/src/coralfall/traffic/affinity.py
@@ -203,7 +203,7 @@
         part = self._parts.get((service, regions))
         if part is None:
             part = self._parts[service, regions] = SlowPart(now, aim)
-        return part.follow(now, aim)
+        return part.follow(now, aim, self.settings.bounds.shares_per_s())
 
     def _slots_by_region(self, service: "ServiceId", regions: _Regions) -> SlotsByRegion:
         known = self._slots.get((service, regions))
--- a/src/coralfall/traffic/follower.py
+++ b/src/coralfall/traffic/follower.py
@@ -19,6 +19,7 @@
     from ..process.clock import Clock
     from ..stores.store import Changes, Feed
     from .members import Members
+    from .pace import Pace
     from .replica import Replica
     from .store_clock import StoreClock
 
@@ -39,7 +40,8 @@
     :param clock: tells the time.
     :param store_clock: tells how old knowledge is.
     :param rng: varies the pauses.
-    :param wait_s: seconds for which the store may hold a read until something changes.
+    :param pace: ages at which rows are read.
+    :param held: whether the store may hold a read until something changes.
     :param before: told how old the knowledge was, before rows are taken in.
     :param changed: told which keys changed.
     :param hand_on: told the revision before, when the others are to learn what was read.
@@ -54,7 +56,8 @@
         clock: "Clock",
         store_clock: "StoreClock",
         rng: random.Random,
-        wait_s: float,
+        pace: "Pace",
+        held: bool,
         before: t.Callable[[float], None],
         changed: t.Callable[[t.Set[str]], None],
         hand_on: "t.Callable[[Revision], None]",
@@ -68,7 +71,9 @@
         self._clock = clock
         self._store_clock = store_clock
         self._rng = rng
-        self._wait_s = wait_s
+        #: Ages at which rows are read.
+        self.pace = pace
+        self._held = held
         self._before = before
         self._changed = changed
         self._hand_on = hand_on
@@ -124,7 +129,7 @@
             self._hand_on(since)
 
     def _wait(self) -> float:
-        return self._wait_s if self._members.rank() == 0 else 0.0
+        return self.pace.interval_s if self._held and self._members.rank() == 0 else 0.0
 
     def _note_answer(self, changes: "Changes", began: float, wait_s: float) -> float:
         """Time of the store's clock at which the rows of an answer were so."""
@@ -136,11 +141,7 @@
     async def _wait_for_turn(self) -> None:
         while True:
             age = self._age()
-            rank = self._members.rank()
-            due = defaults.READ_INTERVAL_S - self._wait_s
-            if rank:
-                late = min(defaults.READ_RANK_S * rank, defaults.MAX_READ_RANK_S)
-                due = defaults.READ_STALE_S + late
+            due = self.pace.due_s(self._members.rank(), self._held)
             if age >= due:
                 return
             await asyncio.sleep(max(_LOOK_S, due - age))
--- a/src/coralfall/traffic/lookup.py
+++ b/src/coralfall/traffic/lookup.py
@@ -30,7 +30,7 @@
     def set_bounds(self, bounds: "BoundSettings") -> None:
         """Keep to these bounds from now on."""
         #: Seconds for which callers may keep an answer.
-        self.ttl_s = min(defaults.STEER_TTL_S, bounds.max_ttl_s)
+        self.ttl_s = bounds.lookup_ttl_s()
 
     def addresses(self, question: "LookupQuestion") -> t.List[str]:
         """Callers' addresses of entries, none if no entry can serve.
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -5,7 +5,6 @@
 import random
 import typing as t
 
-from .. import defaults
 from ..http.server import HttpServer
 from ..ids import EntryState, Incarnation
 from ..peering.channel import Traffic
@@ -27,6 +26,7 @@
 from .lookup import Lookup
 from .members import Members
 from .model import DesiredState, EntryRecord
+from .pace import Pace, pace_of
 from .pool import ConnectionPool
 from .registry import Registry
 from .targets import TargetBook
@@ -37,7 +37,7 @@
     from ..ids import Revision
     from ..process.clock import Clock
     from ..stores.store import Feed, Table
-    from .settings import SteerSettings
+    from .settings import BoundSettings, SteerSettings
     from .translator import Translator
     from .wire import HeaderNames
 
@@ -146,6 +146,8 @@
         self.budget.bounds = settings.bounds
         self.lookup.set_bounds(settings.bounds)
         self.gossip.seeds = settings.seeds
+        for follower, pace in zip(self.followers, _paces(settings.bounds), strict=True):
+            follower.pace = pace
 
     async def leave(self) -> None:
         """Tell all that this entry stops, and serve on while callers still come."""
@@ -153,7 +155,7 @@
         self._callers_server.close_connections_after_answers()
         log.info("entry.leaving", in_hand=self.callers.in_hand)
         unregister = asyncio.create_task(self.registry.unregister())
-        await asyncio.sleep(defaults.LEAVE_S)
+        await asyncio.sleep(self.settings.bounds.leave_s())
         unregister.cancel()
 
     async def _tick(self) -> None:
@@ -217,12 +219,14 @@
             self.gossip.push(belief.state_rows.revision, since)
 
         shared = (self._store.feed, self.members, self.clock, belief.store_clock, self._rng)
+        state_pace, targets_pace = _paces(self.settings.bounds)
         return [
             Follower(
                 self._translator.state_prefix,
                 belief.state_rows,
                 *shared,
-                wait_s=defaults.READ_INTERVAL_S,
+                pace=state_pace,
+                held=True,
                 before=lambda age_s: None,
                 changed=belief.state_changed,
                 hand_on=push_state,
@@ -231,7 +235,8 @@
                 self._translator.target_prefix,
                 belief.target_rows,
                 *shared,
-                wait_s=0.0,
+                pace=targets_pace,
+                held=False,
                 before=belief.note_gap,
                 changed=belief.targets_changed,
                 hand_on=push_targets,
@@ -263,6 +268,11 @@
         await self._node.leave()
 
 
+def _paces(bounds: "BoundSettings") -> t.Tuple[Pace, Pace]:
+    """Of what the operators write, and of the targets."""
+    return pace_of(bounds.state_bound_s()), pace_of(bounds.drain_s)
+
+
 def _own_record(settings: "SteerSettings", clock: "Clock") -> EntryRecord:
     return EntryRecord(
         entry_id=settings.entry_id,
--- /dev/null
+++ b/src/coralfall/traffic/pace.py
@@ -0,0 +1,41 @@
+"""Pace: how often rows are read, so that what they say is in force in time.
+
+The pauses in :mod:`coralfall.defaults` are made for a bound of two seconds, of which they use 1.4
+in the worst case. A tighter bound shortens all of them alike. A looser one lengthens none: what
+is known sooner serves callers better, and slow links need the rest.
+"""
+
+import typing as t
+
+from .. import defaults
+
+
+class Pace(t.NamedTuple):
+    """Ages of knowledge, in seconds, at which it is read anew."""
+
+    #: For the entry that reads for all.
+    interval_s: float
+    #: For the first of the others, what each next one adds, and the most that is added.
+    stale_s: float
+    rank_s: float
+    max_rank_s: float
+
+    def due_s(self, rank: int, held: bool) -> float:
+        """The age at which an entry of this rank reads.
+
+        :param held: whether the store holds a read of the first in rank for an interval.
+        """
+        if not rank:
+            return 0.0 if held else self.interval_s
+        return self.stale_s + min(self.rank_s * rank, self.max_rank_s)
+
+
+def pace_of(bound_s: float) -> Pace:
+    """The pace for a bound on the time from the store's word until it is in force."""
+    part = min(1.0, bound_s / defaults.PACED_BOUND_S)
+    return Pace(
+        defaults.READ_INTERVAL_S * part,
+        defaults.READ_STALE_S * part,
+        defaults.READ_RANK_S * part,
+        defaults.MAX_READ_RANK_S * part,
+    )
--- a/src/coralfall/traffic/settings.py
+++ b/src/coralfall/traffic/settings.py
@@ -33,9 +33,34 @@
     max_ttl_s: float = 5.0
     #: From being told to stop until being killed.
     grace_s: float = 6.0
+    #: From the store's word that a target leaves until nothing reaches it any more.
+    drain_s: float = 2.0
+    #: From the store's word on a desired state until it is in force.
+    config_s: float = 2.0
+    #: From the store's word on an evacuation until nothing reaches the zone any more.
+    evacuation_s: float = 5.0
+    #: Part of a region's requests that may change the region they run in within two seconds.
+    max_shift: float = 0.15
     #: Between two writes of a target's row.
     target_beat_s: float = 1.5
 
+    def state_bound_s(self) -> float:
+        """Seconds within which what the operator writes must be in force."""
+        return min(self.config_s, self.evacuation_s)
+
+    def leave_s(self) -> float:
+        """Seconds for which a stopping entry still takes what callers send to it."""
+        return min(defaults.LEAVE_S, self.grace_s * defaults.LEAVE_PART)
+
+    def lookup_ttl_s(self) -> float:
+        """Seconds for which callers may keep an answer to a look-up; a stop waits for them."""
+        kept_s = self.leave_s() / defaults.LOOKUP_KEPT
+        return min(defaults.STEER_TTL_S, self.max_ttl_s, kept_s)
+
+    def shares_per_s(self) -> float:
+        """Part of a region's objects that may change its home region in a second."""
+        return self.max_shift * defaults.SHIFT_USED / defaults.SHIFT_WINDOW_S
+
 
 class SteerSettings(Settings, frozen=True, kw_only=True):
     """Settings of ``coralfall steer``."""
--- a/src/coralfall/traffic/shares.py
+++ b/src/coralfall/traffic/shares.py
@@ -11,8 +11,6 @@
 import math
 import typing as t
 
-from .. import defaults
-
 if t.TYPE_CHECKING:
     from ..ids import RegionId, TargetId
     from .targets import TargetState
@@ -61,9 +59,9 @@
         self._at = now
         self.value = aim
 
-    def follow(self, now: float, aim: float) -> float:
-        """The part now, moved towards ``aim``."""
-        most = defaults.SHARE_PER_S * (now - self._at)
+    def follow(self, now: float, aim: float, per_s: float) -> float:
+        """The part now, moved towards ``aim`` by ``per_s`` a second at the most."""
+        most = per_s * (now - self._at)
         self._at = now
         self.value += min(max(aim - self.value, -most), most)
         return self.value
--- a/tests/platform_adapter/test_adapter.py
+++ b/tests/platform_adapter/test_adapter.py
@@ -9,6 +9,7 @@
 import typing as t
 import unittest
 
+import msgspec
 from parameterized import parameterized
 
 from coralfall import defaults
@@ -26,7 +27,7 @@
 from coralfall.stores.store import Check, Write
 from coralfall.traffic.connection import connect
 from coralfall.traffic.model import DesiredState, RequestKind
-from coralfall.traffic.settings import StoreSettings
+from coralfall.traffic.settings import BoundSettings, StoreSettings
 from coralfall.traffic.translator import Evacuation
 from tests.platform_adapter.standins import StoreStandin, config
 from tests.traffic.makers import make_record
@@ -41,6 +42,18 @@
 )
 
 
+def filled_in(section: str) -> t.Dict[str, t.Any]:
+    """The template of an entry's settings with each value as 1.
+
+    :param section: what becomes of a section, with its content as the first group.
+    """
+    text = (ROOT / "deploy" / "entry.toml").read_text()
+    text = re.sub(r"\{\{#[\w.]+\}\}(.*?)\{\{/[\w.]+\}\}", section, text, flags=re.DOTALL)
+    text = re.sub(r'"\{\{[^}]*\}\}:\{\{[^}]*\}\}"', '"1"', text)
+    text = text.replace("{{,}}", "").replace('"{{@}}"', "zone")
+    return tomllib.loads(re.sub(r"\{\{[^}]*\}\}", "1", text))
+
+
 class FolderTest(unittest.TestCase):
     def test_nothing_outside_knows_the_platform_s_names(self) -> None:
         found = []
@@ -58,12 +71,14 @@
         self.assertLess(lines, 600)
 
     def test_the_template_fills_in_valid_toml(self) -> None:
-        text = (ROOT / "deploy" / "entry.toml").read_text()
-        text = re.sub(r"\{\{#[\w.]+\}\}(.*?)\{\{/[\w.]+\}\}", r"\1", text, flags=re.DOTALL)
-        text = re.sub(r'"\{\{[^}]*\}\}:\{\{[^}]*\}\}"', '"1"', text)
-        text = text.replace("{{,}}", "").replace('"{{@}}"', "zone")
-        text = re.sub(r"\{\{[^}]*\}\}", "1", text)
-        self.assertIn("entry_id", tomllib.loads(text))
+        filled = filled_in(r"\1")
+        self.assertIn("entry_id", filled)
+        fields = {field.name for field in msgspec.structs.fields(BoundSettings)}
+        self.assertEqual(fields, set(filled["bounds"]))
+
+    def test_a_bound_that_an_installation_does_not_have_is_left_out(self) -> None:
+        """Which bounds there are depends on the rules in force; the rest have their defaults."""
+        self.assertEqual({}, filled_in("")["bounds"])
 
 
 class RowsTest(unittest.TestCase):
--- a/tests/platform_adapter/test_processes.py
+++ b/tests/platform_adapter/test_processes.py
@@ -337,7 +337,10 @@
                 return line in entry.log.read_text()
 
             for changed, line in (
-                (text + "[bounds]\nmax_ttl_s = 0.5\n", "applied=bounds at_next_start=none"),
+                (
+                    text + "[bounds]\nmax_ttl_s = 0.5\nconfig_s = 1.0\n",
+                    "applied=bounds at_next_start=none",
+                ),
                 (text.replace('zone = "s', 'zone = "t'), "at_next_start=zone"),
                 (text + "[bounds]\nmax_ttl = 0.5\n", "did you mean 'max_ttl_s'?"),
             ):
--- a/tests/traffic/test_decisions.py
+++ b/tests/traffic/test_decisions.py
@@ -15,6 +15,7 @@
 from coralfall.traffic import cold
 from coralfall.traffic.budget import SendBudget
 from coralfall.traffic.model import Backend, RouteId
+from coralfall.traffic.pace import pace_of
 from coralfall.traffic.routes import RouteTable
 from coralfall.traffic.settings import BoundSettings
 from coralfall.traffic.split import Split
@@ -290,6 +291,45 @@
             self.assertEqual(TargetId("t2"), self.choose(steered, str(key)))
 
 
+class BoundsTest(unittest.TestCase):
+    """What the users hold the system to sets the times that follow from it."""
+
+    @parameterized.expand(
+        [
+            ("today", {}, 3.0, 1.0, 0.05),
+            ("a short grace", {"grace_s": 3.0}, 1.5, 0.5, 0.05),
+            ("a long grace", {"grace_s": 30.0}, 3.0, 1.0, 0.05),
+            ("short answers to look-ups", {"max_ttl_s": 0.2}, 3.0, 0.2, 0.05),
+            ("little may shift", {"max_shift": 0.03}, 3.0, 1.0, 0.01),
+        ]
+    )
+    def test_times_that_follow(
+        self, _name: str, changes: t.Dict[str, t.Any], leave_s: float, ttl_s: float, per_s: float
+    ) -> None:
+        bounds = BoundSettings(**changes)
+        found = (bounds.leave_s(), bounds.lookup_ttl_s(), bounds.shares_per_s())
+        for expected, value in zip((leave_s, ttl_s, per_s), found, strict=True):
+            self.assertAlmostEqual(expected, value)
+
+    @parameterized.expand(
+        [
+            ("today", 2.0, 0.5, 1.25),
+            ("tight", 1.0, 0.25, 0.625),
+            ("loose, which is no reason to know things later", 8.0, 0.5, 1.25),
+        ]
+    )
+    def test_the_pace_of_reading(
+        self, _name: str, bound_s: float, interval_s: float, last_s: float
+    ) -> None:
+        pace = pace_of(bound_s)
+        self.assertAlmostEqual(interval_s, pace.due_s(0, held=False))
+        self.assertEqual(0.0, pace.due_s(0, held=True))
+        self.assertAlmostEqual(last_s, pace.due_s(500, held=False))
+
+    def test_what_the_operator_writes_is_bound_by_the_tighter_of_two(self) -> None:
+        self.assertEqual(1.5, BoundSettings(config_s=4.0, evacuation_s=1.5).state_bound_s())
+
+
 class SharesTest(unittest.TestCase):
     """Where the objects of sierra's callers have their first home."""
 
--- a/tests/traffic/test_knowledge.py
+++ b/tests/traffic/test_knowledge.py
@@ -17,6 +17,7 @@
 from coralfall.stores.store import Changes, Feed, Row
 from coralfall.traffic.follower import Follower
 from coralfall.traffic.messages import News
+from coralfall.traffic.pace import pace_of
 from coralfall.traffic.replica import Replica
 from tests.traffic.known import Known
 from tests.traffic.makers import (
@@ -281,9 +282,10 @@
     """Entries that follow one store and are told of what another one read.
 
     :param way_s: seconds that what one hands on is under way to the others.
+    :param bound_s: seconds within which all have to know.
     """
 
-    def __init__(self, clock: Clock, count: int, way_s: float = 0.0) -> None:
+    def __init__(self, clock: Clock, count: int, way_s: float = 0.0, bound_s: float = 2.0) -> None:
         self.feed = RowsFeed(clock)
         #: Numbers of entries that the store turns away.
         self.refused: t.Set[int] = set()
@@ -301,7 +303,8 @@
                 clock,
                 known.belief.store_clock,
                 seeded(),
-                wait_s=defaults.READ_INTERVAL_S,
+                pace=pace_of(bound_s),
+                held=True,
                 before=lambda age: None,
                 changed=known.belief.state_changed,
                 hand_on=functools.partial(self._hand_on, number),
@@ -362,13 +365,20 @@
         self.assertLess(fleet.feed.reads, 12 + 2 * 20 + 10)
 
     @parameterized.expand(
-        [("the reader is cut off", 0), ("somebody else is", 5), ("nobody is", None)]
+        [
+            ("the reader is cut off", 0, 2.0),
+            ("somebody else is", 5, 2.0),
+            ("nobody is", None, 2.0),
+            ("the reader is cut off, and the bound is tight", 0, 1.0),
+            ("somebody else is, and the bound is tight", 5, 1.0),
+            ("the reader is cut off, and the bound is loose", 0, 8.0),
+        ]
     )
     def test_a_change_is_in_force_everywhere_in_time(
-        self, _name: str, rank: t.Optional[int]
+        self, _name: str, rank: t.Optional[int], bound_s: float
     ) -> None:
         async def main(clock: LoopClock) -> t.List[int]:
-            fleet = Fleet(clock, 12)
+            fleet = Fleet(clock, 12, bound_s=bound_s)
             fleet.feed.put("state/a", make_state(1))
             work = asyncio.create_task(fleet.run(20.0))
             await asyncio.sleep(5.03)
@@ -376,7 +386,7 @@
                 ranks = [known.members.rank() for known in fleet.known]
                 fleet.cut = {ranks.index(rank)}
             fleet.feed.put("state/a", make_state(2))
-            await asyncio.sleep(1.4)
+            await asyncio.sleep(0.7 * min(bound_s, 2.0))
             versions = [known.belief.version for known in fleet.known]
             work.cancel()
             return versions
