Let slow targets keep a part of their objects only

Change: an entry times each target by requests for objects that it knows and that met no queue, those that ran out of time included, and compares the targets of a service within a region. One that takes over 1.25 times as long as the fast ones keeps that part of its objects, chosen by a hash, so that entries agree without talking; the rest go to the next in order in the same region, so nothing shifts between regions.

Ruled out: weights of the rendezvous by speed, since entries that measured a little apart would order all objects apart; telling others of the times, for its bytes: not tried.

--- a/src/coralfall/traffic/affinity.py
+++ b/src/coralfall/traffic/affinity.py
@@ -16,6 +16,7 @@
 from .admission import Admission
 from .cold import share_of
 from .shares import SlotsByRegion, SlowPart, interleaved, kept_part, place_of, score, spare_weight
+from .speed import SpeedComparison
 
 if t.TYPE_CHECKING:
     from ..ids import EntryId, RegionId, ServiceId, TargetId
@@ -27,26 +28,40 @@
 _Regions = t.FrozenSet["RegionId"]
 
 
-class _Ranked(t.NamedTuple):
+class _Ranked:
     """The targets of one object, the first home first, in its callers' region and elsewhere."""
 
-    place: float
-    near: t.Tuple["TargetState", ...]
-    far: t.Tuple["TargetState", ...]
+    __slots__ = ("far", "last", "near", "place")
+
+    def __init__(
+        self, place: float, near: t.Sequence["TargetState"], far: t.Sequence["TargetState"]
+    ) -> None:
+        self.place = place
+        self.near = near
+        self.far = far
+        #: The target that had the object's last request, of this entry.
+        self.last: t.Optional["TargetState"] = None
 
 
 class Place:
     """One request's place at a target.
 
     :param state: the target.
+    :param telling: whether the time that it takes tells how fast the target is.
     """
 
-    __slots__ = ("_number", "state")
+    __slots__ = ("_number", "_telling", "state")
 
-    def __init__(self, state: "TargetState") -> None:
+    def __init__(self, state: "TargetState", telling: bool) -> None:
         self.state = state
+        self._telling = telling
         self._number = state.begin()
 
+    def note(self, now: float, seconds: float) -> None:
+        """Take in how long the target took, or has taken so far without an answer."""
+        if self._telling:
+            self.state.durations.note(now, seconds)
+
     def release(self) -> None:
         """Give it back; more than once does no harm."""
         self.state.end(self._number)
@@ -72,6 +87,7 @@
         self._region_count = len(set(settings.regions_by_zone.values()))
         self._generation = -1
         self._cold_per_s: t.Dict["ServiceId", float] = {}
+        self._speed = SpeedComparison(targets, self._region_of, clock)
         #: Estimates of how long targets take, and of how long callers wait.
         self.admission = Admission()
         #: All entries that may be running, this one included.
@@ -102,7 +118,8 @@
         :param late: whether the request may only take room that nobody else needs.
         :raises RefusedError: if none has room, or none could answer in time.
         """
-        homes = self._homes(route, service, key, tried)
+        ranked = self._ranked_of(route, service, key)
+        homes = self._homes(ranked, route, service, key, tried)
         if not homes:
             message = f"no target of {service} can be used now"
             raise RefusedError(message, defaults.COME_BACK_S, service=service, reason="no-target")
@@ -111,7 +128,7 @@
         for limit in limits:
             for state in in_time:
                 if state.load() < limit * state.target.slots:
-                    return self._take(state)
+                    return self._take(state, ranked, route)
         if not in_time:
             message = f"no target of {service} for this object would answer in time"
             raise RefusedError(message, defaults.COME_BACK_S, service=service, reason="no-time")
@@ -124,19 +141,27 @@
             loads=",".join([f"{s.target.target_id}:{s.load():.1f}" for s in homes]),
         )
 
-    def _take(self, state: "TargetState") -> "Place":
-        if state.is_cold():
+    def _take(self, state: "TargetState", ranked: _Ranked, route: "Route") -> "Place":
+        cold = state.is_cold()
+        if cold:
             state.cold.note(self._clock.monotonic())
-        return Place(state)
+        known = ranked.last is state or not route.session_affinity
+        ranked.last = state
+        return Place(state, known and not cold and state.load() < state.target.slots)
 
     def _homes(
-        self, route: "Route", service: "ServiceId", key: bytes, tried: "t.Collection[TargetId]"
+        self,
+        ranked: _Ranked,
+        route: "Route",
+        service: "ServiceId",
+        key: bytes,
+        tried: "t.Collection[TargetId]",
     ) -> t.List["TargetState"]:
-        open_to = [
-            state
-            for state in self._rank(route, service, key)
-            if state.target.target_id not in tried
-        ]
+        near = self._fast_first(ranked.near, key)
+        far = self._fast_first(ranked.far, key)
+        stays = ranked.place < self._kept_part(service, route.allowed_regions)
+        in_order = interleaved(near, far) if stays else interleaved(far, near)
+        open_to = [state for state in in_order if state.target.target_id not in tried]
         overdue_s = self.admission.overdue_s(service)
         homes = self._first([s for s in open_to if s.usable() and not s.is_quiet(overdue_s)])
         if homes:
@@ -163,8 +188,22 @@
         most = share_of(self.settings.entry_id, self.entries, target.target_id, per_s)
         return state.cold.has_room(self._clock.monotonic(), most)
 
-    def _rank(self, route: "Route", service: "ServiceId", key: bytes) -> t.Iterator["TargetState"]:
-        """Targets in the order in which they are an object's homes, of regions in turn."""
+    def _fast_first(
+        self, states: t.Sequence["TargetState"], key: bytes
+    ) -> t.Sequence["TargetState"]:
+        """The same, but for a first one that is too slow to keep the object.
+
+        The next of its region that does keep it goes first then, so nothing moves between regions.
+        """
+        if not states or self._speed.keeps(states[0], key):
+            return states
+        region = self._region_of(states[0])
+        for state in states[1:]:
+            if self._region_of(state) == region and self._speed.keeps(state, key):
+                return [state, *[other for other in states if other is not state]]
+        return states
+
+    def _ranked_of(self, route: "Route", service: "ServiceId", key: bytes) -> _Ranked:
         if self._generation != self._targets.generation:
             self._generation = self._targets.generation
             self._ranked.clear()
@@ -175,9 +214,7 @@
             ranked = self._ranked[service, key, regions] = self._make_ranked(service, key, regions)
             if len(self._ranked) > defaults.AFFINITY_CACHE:
                 self._ranked.popitem(last=False)
-        if ranked.place < self._kept_part(service, regions):
-            return interleaved(ranked.near, ranked.far)
-        return interleaved(ranked.far, ranked.near)
+        return ranked
 
     def _make_ranked(self, service: "ServiceId", key: bytes, regions: _Regions) -> _Ranked:
         slots = self._slots_by_region(service, regions)
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -238,6 +238,8 @@
             if send.result == _STALE:
                 raise
             silent = began if isinstance(error, TargetTimeoutError) else None
+            if silent is not None:
+                place.note(self._clock.monotonic(), self._clock.monotonic() - began)
             state.fail(reached=True, silent_since=silent)
             raise
         except asyncio.CancelledError:
@@ -248,6 +250,7 @@
             place.release()
         state.succeed()
         self._steering.admission.note_duration(request.service, send.seconds)
+        place.note(self._clock.monotonic(), send.seconds)
         send.result = str(answer.status)
         return answer
 
--- a/src/coralfall/traffic/targets.py
+++ b/src/coralfall/traffic/targets.py
@@ -5,6 +5,7 @@
 from .. import defaults
 from ..process import log
 from .cold import ColdGate
+from .speed import Durations
 
 if t.TYPE_CHECKING:
     from ..ids import ServiceId, TargetId, ZoneId
@@ -27,6 +28,8 @@
         self._begun_count = 0
         self._answered_at = -float("inf")
         self.cold = ColdGate()
+        #: Of requests for objects that it knew, without a queue.
+        self.durations = Durations()
         self.cold_until = 0.0
         #: Whether its own address says that this lifetime is over.
         self.gone = False
--- a/tests/traffic/makers.py
+++ b/tests/traffic/makers.py
@@ -107,10 +107,15 @@
 class Steered:
     """A steering with targets on a clock that is moved by hand."""
 
-    def __init__(self, *targets: Target, entries: t.Sequence[str] = ("e1",)) -> None:
+    def __init__(
+        self,
+        *targets: Target,
+        entries: t.Sequence[str] = ("e1",),
+        settings: t.Optional[SteerSettings] = None,
+    ) -> None:
         self.clock = ManualClock(100.0)
         self.targets = TargetBook(self.clock)
-        self.steering = AffinitySteering(make_settings(), self.targets, self.clock)
+        self.steering = AffinitySteering(settings or make_settings(), self.targets, self.clock)
         self.steering.set_state(make_state())
         self.steering.entries = [EntryId(name) for name in entries]
         self.set_targets(*targets)
--- a/tests/traffic/test_forwarder.py
+++ b/tests/traffic/test_forwarder.py
@@ -293,6 +293,22 @@
         self.assertEqual("time", request.sends[0].result)
         self.assertEqual(0, len(targets[1].turns))
 
+    @parameterized.expand([("answered", ok, 2.0, 0.0), ("not in time", never, 0.1, 0.05)])
+    def test_how_long_a_target_takes_is_noted(
+        self, _name: str, script: Script, seconds: float, least_s: float
+    ) -> None:
+        async def main() -> t.Optional[float]:
+            async with RawTarget(script) as target:
+                path = Path([target.address])
+                for number in range(6):
+                    await path.forward(path.request("safe", number, seconds=seconds))
+                state = path.targets.by_id[TargetId("t0")]
+                return state.durations.typical(path.clock.monotonic())
+
+        typical = asyncio.run(main())
+        assert typical is not None
+        self.assertGreaterEqual(typical, least_s)
+
     def test_a_second_failure_passes_the_first_on(self) -> None:
         reply, _, _ = play("safe", own_failure, close)
         self.assertEqual((500, b"failed"), (reply.status, reply.body))
