Let streams between entries stay, and bring all rows to one that starts once and packed

Read and counted: one that starts asked up to eight others at a time, each of which answered with all rows (1 MB at 3,000 targets); each round asked other entries and each push had other relays, so that nearly each message needed a connection and a handshake of its own (35 a second and entry); and an entry wrote a line for each of thousands of targets, and went through all of them for each request.

--- a/benchmarks/other_sites.py
+++ b/benchmarks/other_sites.py
@@ -108,6 +108,16 @@
     site["contracts"] = ["base", "drain", "config", "cost", "platform"]
 
 
+def _many(site: Site) -> None:
+    """Ten times the machines and twenty times the targets, for the same requests."""
+    for machine in site["machines"]:
+        machine["count"] *= 9
+    for service in site["services"]:
+        for group in service["servers"]:
+            group["count"] *= 20
+    site["platform"].update(writes_per_s=4000.0, reads_per_s=20000.0, part_writes_per_s=4000.0)
+
+
 KINDS: t.Dict[str, t.Callable[[Site], None]] = {
     "untold": _untold,
     "uneven": _uneven,
@@ -120,6 +130,7 @@
     "weak": _weak,
     "few-files": _few_files,
     "tight": _tight,
+    "many": _many,
     "few-rules": _few_rules,
 }
 
--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -1,7 +1,7 @@
 """Constants that operators rarely change; settings and bundles override some of them."""
 
 #: Version of the messages between entries; entries of different versions do not talk.
-PEER_PROTOCOL = 2
+PEER_PROTOCOL = 3
 #: Version of the bundle format.
 BUNDLE_FORMAT = 1
 
@@ -208,6 +208,8 @@
 #: Seconds between two rounds of gossip, and how many entries are asked in one.
 GOSSIP_S = 0.4
 GOSSIP_FANOUT = 2
+#: How many entries one asks in turn, so that streams to them are used again.
+GOSSIP_NEIGHBOURS = 12
 #: Most records and suspicions that are news in one message, and seconds for which they are news.
 #: What does not fit is found by the sum, so that many changes at once do not make messages long.
 GOSSIP_RECORDS = 8
@@ -240,6 +242,8 @@
 RECONCILE_ROWS = 50
 #: How many entries one entry hands a change on to.
 RELAY_FANOUT = 8
+#: Seconds for which the same entries hand on what one pushes.
+RELAY_TURN_S = 30.0
 #: Seconds that an exchange between entries may take.
 GOSSIP_TIMEOUT_S = 0.8
 #: Seconds that an answer may take on a stream that was open before the same is asked on a new one.
@@ -280,6 +284,15 @@
 #: Seconds for which it rests, at first and at most.
 REST_S = 0.3
 MAX_REST_S = 2.0
+#: Files that a process may have open, and those of them that callers' connections don't get: the
+#: platform keeps two hundred for files, and the store, other entries and listeners need some.
+MAX_FILES = 4096
+RESERVED_FILES = 296
+#: Part of the rest that callers' connections get; most of those in use need one to a target.
+CALLER_FILES = 0.6
+#: Most connections of callers, and the fewest that are let in.
+MAX_CALLER_CONNECTIONS = 3000
+MIN_CALLER_CONNECTIONS = 32
 #: Seconds for which an idle connection to a target is used again.
 TARGET_IDLE_S = 3.0
 #: Seconds that a request must have left to be sent to a target.
--- a/src/coralfall/process/log.py
+++ b/src/coralfall/process/log.py
@@ -102,6 +102,11 @@
             warning("library.message", **fields)
 
 
+#: Up to how many things that happen at once get a line each.
+SINGLE_LINES = 8
+#: Names in one line of :func:`many`.
+_NAMES_A_LINE = 200
+
 _logger = eliot.Logger()
 _library_handler = _LibraryHandler(logging.WARNING)
 _destination: t.Union[_LineDestination, _DescriptorDestination, None] = None
@@ -174,6 +179,16 @@
     _write(event, "info", fields)
 
 
+def many(event: str, field: str, names: t.Sequence[str], /, **fields: t.Any) -> None:
+    """Log the same of many things in few lines, each with some of their names.
+
+    :param field: what the names are called.
+    """
+    for first in range(0, len(names), _NAMES_A_LINE):
+        some = names[first : first + _NAMES_A_LINE]
+        info(event, count=len(some), **fields, **{field: ",".join(some)})
+
+
 def warning(event: str, /, **fields: t.Any) -> None:
     """Log what went wrong but was dealt with."""
     if _rank > _WARNING:
--- a/src/coralfall/traffic/affinity.py
+++ b/src/coralfall/traffic/affinity.py
@@ -157,17 +157,20 @@
         key: bytes,
         tried: "t.Collection[TargetId]",
     ) -> t.List["TargetState"]:
+        overdue_s = self.admission.overdue_s(service)
         near = self._fast_first(ranked.near, key)
         far = self._fast_first(ranked.far, key)
         stays = ranked.place < self._kept_part(service, route.allowed_regions)
-        in_order = interleaved(near, far) if stays else interleaved(far, near)
-        open_to = [state for state in in_order if state.target.target_id not in tried]
-        overdue_s = self.admission.overdue_s(service)
-        homes = self._first([s for s in open_to if s.usable() and not s.is_quiet(overdue_s)])
-        if homes:
-            return homes
+        first, second = (near, far) if stays else (far, near)
+
+        def open_to() -> t.Iterator["TargetState"]:
+            for state in interleaved(first, second):
+                if state.target.target_id not in tried:
+                    yield state
+
+        homes = self._first(s for s in open_to() if s.usable() and not s.is_quiet(overdue_s))
         # If all seem unwell, the fault may be on this side; and somebody has to find out.
-        return self._first([state for state in open_to if not state.gone])
+        return homes or self._first(state for state in open_to() if not state.gone)
 
     def _first(self, states: t.Iterable["TargetState"]) -> t.List["TargetState"]:
         homes: t.List["TargetState"] = []
--- a/src/coralfall/traffic/belief.py
+++ b/src/coralfall/traffic/belief.py
@@ -68,6 +68,11 @@
         """Whether enough is known to serve callers."""
         return self.state is not None and self.target_rows.known
 
+    @property
+    def knows_rows(self) -> bool:
+        """Whether the rows were learnt once, so that from now on only what changed is needed."""
+        return self.state_rows.known and self.target_rows.known
+
     def state_age(self) -> float:
         """Seconds since the desired state was known to be the newest, at the most."""
         return min(self.store_clock.age(self.state_rows.read_s), _NEVER_S)
--- a/src/coralfall/traffic/gossip.py
+++ b/src/coralfall/traffic/gossip.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import hashlib
 import random
 import typing as t
 
@@ -25,9 +26,10 @@
     from ..process.clock import Clock
     from ..process.metrics import Metrics
     from .belief import Belief
+    from .delta import Delta
     from .members import Members
     from .model import EntryRecord
-    from .replica import Delta, Replica
+    from .replica import Replica
 
 
 #: Entries for which one more time of patience passes before all of them are asked for.
@@ -59,11 +61,13 @@
         targets_since: "t.Optional[Revision]" = None,
         all_members: bool = False,
         address: str = "",
+        wants_rows: bool = True,
     ) -> News:
         """What is known here, with what came after the revisions given.
 
         :param all_members: whether to tell of all entries, and not only what is news.
         :param address: of the entry that this is for; it is told if it is suspected.
+        :param wants_rows: whether it is to answer with the rows that are not known here.
         """
         now = self._clock.monotonic()
         belief = self.belief
@@ -74,6 +78,7 @@
             suspicions=suspicions + members.suspicions_of(address),
             members_sum=members.sum(),
             wants_all=self._wants_all(now),
+            wants_rows=wants_rows,
             state_revision=belief.state_rows.revision,
             targets_revision=belief.target_rows.revision,
             state_read_s=belief.state_rows.read_s,
@@ -86,6 +91,8 @@
     def answer(self, news: News) -> News:
         """What the sender of ``news`` does not know."""
         address = news.records[0].peer_address if news.records else ""
+        if not news.wants_rows:
+            return self.news(all_members=news.wants_all, address=address)
         return self.news(news.state_revision, news.targets_revision, news.wants_all, address)
 
     def take(self, news: News, asked_at: t.Optional[float] = None) -> bool:
@@ -198,6 +205,8 @@
         self._rng = rng
         self._tasks: t.Set[asyncio.Task[None]] = set()
         self._asking: t.Set[str] = set()
+        #: Whether an exchange is under way that is to bring all rows.
+        self._pulling = False
         self._pushing: t.Optional[asyncio.TimerHandle] = None
         self._may_push_at = -float("inf")
         members.on_news = self._push_soon
@@ -227,8 +236,9 @@
     def push(self, state_since: "Revision", targets_since: "Revision") -> None:
         """Tell all live entries what came after these revisions."""
         news = self._exchange.news(state_since, targets_since)
-        alive = self._members.alive()
-        self.relay(news, [record.entry_id for record in in_relay_order(alive, self._rng)])
+        turn = int(self._clock.monotonic() / defaults.RELAY_TURN_S)
+        ordered = in_relay_order(self._members.alive(), self._members.own.entry_id, turn)
+        self.relay(news, [record.entry_id for record in ordered])
 
     def relay(self, news: News, entry_ids: "t.Sequence[EntryId]") -> None:
         """Hand news on to these entries, through a few of them."""
@@ -273,25 +283,40 @@
         self._spawn(self._exchange_news(address))
 
     async def _exchange_news(self, address: str) -> None:
+        wants_rows = self._exchange.belief.knows_rows
         try:
             for _ in range(3):
-                asked_at = self._clock.monotonic()
-                answer = await self._links.exchange(
-                    address,
-                    self._exchange.news(address=address),
-                    News,
-                    defaults.GOSSIP_TIMEOUT_S,
-                    kept_s=defaults.GOSSIP_KEPT_S,
-                )
-                self._members.reached(address)
-                if not self._exchange.take(answer.message, asked_at):
+                if not await self._exchange_once(address, wants_rows):
                     return
+                # All rows are long: they are asked of one entry at a time, which has just answered.
+                if not wants_rows and self._pulling:
+                    return
+                wants_rows = True
         except PeerError as error:
             self._members.missed(address)
             log.debug("peer.not-asked", address=address, code=error.code, error=error.message)
         finally:
             self._asking.discard(address)
 
+    async def _exchange_once(self, address: str, wants_rows: bool) -> bool:
+        """Ask an entry once; whether it knows more still."""
+        pulling = wants_rows and not self._exchange.belief.knows_rows
+        self._pulling |= pulling
+        asked_at = self._clock.monotonic()
+        try:
+            answer = await self._links.exchange(
+                address,
+                self._exchange.news(address=address, wants_rows=wants_rows),
+                News,
+                defaults.GOSSIP_TIMEOUT_S,
+                kept_s=defaults.GOSSIP_KEPT_S,
+            )
+        finally:
+            if pulling:
+                self._pulling = False
+        self._members.reached(address)
+        return self._exchange.take(answer.message, asked_at)
+
     async def _post(self, address: str, push: Push) -> None:
         try:
             await self._links.post(address, push)
@@ -305,10 +330,23 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def in_relay_order(records: "t.Sequence[EntryRecord]", rng: random.Random) -> "t.List[EntryRecord]":
-    """Entries in the order in which they get a push: the first hand it on, so links count."""
-    shuffled = rng.sample(records, len(records))
-    return sorted(shuffled, key=lambda record: -record.link_mbps)
+def in_relay_order(
+    records: "t.Sequence[EntryRecord]", root: "EntryId", turn: int
+) -> "t.List[EntryRecord]":
+    """Entries in the order in which they get a push: the first hand it on, so links count.
+
+    It stays the same for a while, so that streams are used again, and then others take their turn.
+
+    :param root: the entry that pushes.
+    :param turn: number of the while.
+    """
+    text = f"{root} {turn}"
+
+    def place(record: "EntryRecord") -> t.Tuple[float, bytes]:
+        digest = hashlib.blake2b(f"{text} {record.entry_id}".encode(), digest_size=8).digest()
+        return -record.link_mbps, digest
+
+    return sorted(records, key=place)
 
 
 def _delta(replica: "Replica[t.Any]", since: "t.Optional[Revision]") -> "t.Optional[Delta]":
--- a/src/coralfall/traffic/members.py
+++ b/src/coralfall/traffic/members.py
@@ -12,6 +12,7 @@
 """
 
 import hashlib
+import heapq
 import math
 import random
 import typing as t
@@ -31,9 +32,19 @@
 
 
 class _Known:
-    __slots__ = ("alive", "digest", "heard_at", "learnt_at", "misses", "record", "suspected_at")
-
-    def __init__(self, record: "EntryRecord", now: float) -> None:
+    __slots__ = (
+        "alive",
+        "digest",
+        "distance",
+        "heard_at",
+        "learnt_at",
+        "misses",
+        "place",
+        "record",
+        "suspected_at",
+    )
+
+    def __init__(self, record: "EntryRecord", now: float, distance: bytes) -> None:
         #: When it was last heard of, by itself or by others.
         self.heard_at = now
         #: Since when it is suspected, if it is.
@@ -41,11 +52,14 @@
         self.take(record, now)
         #: Whether it was alive when that was last looked at.
         self.alive = False
+        #: The same for both of two entries; a lower one is nearer.
+        self.distance = distance
 
     def take(self, record: "EntryRecord", now: float) -> None:
         """Let this be what it said last."""
         self.record = record
         self.digest = _digest(record)
+        self.place = _place(record)
         #: When this record was new here.
         self.learnt_at = self.heard_at = now
         self.suspected_at = None
@@ -94,8 +108,7 @@
             self._excuse(now, pause)
             self.on_pause()
         self._forget(now)
-        for known in self._known.values():
-            self._note(known, now)
+        self._note_all(self._known.values(), now)
 
     def set_own(self, *, ready: t.Optional[bool] = None, leaving: bool = False) -> bool:
         """Change what this entry says of itself; whether that is news."""
@@ -117,22 +130,24 @@
             return
         if record.entry_id not in self._known:
             now = self._clock.monotonic()
-            known = self._known[record.entry_id] = _Known(record, now)
+            known = self._known[record.entry_id] = self._new(record, now)
             known.suspected_at = now - self._patience()
 
     def hear(self, records: "t.Iterable[EntryRecord]") -> None:
         """Take in records that another entry told."""
         now = self._clock.monotonic()
+        heard: t.List[_Known] = []
         for record in records:
             if record.entry_id == self.own.entry_id:
                 self._outlive(record)
                 continue
             known = self._known.get(record.entry_id)
             if known is None:
-                known = self._known[record.entry_id] = _Known(record, now)
+                known = self._known[record.entry_id] = self._new(record, now)
             elif record.is_newer_than(known.record):
                 known.take(record, now)
-            self._note(known, now)
+            heard.append(known)
+        self._note_all(heard, now)
 
     def missed(self, address: str) -> None:
         """Note that an entry was asked and gave no answer; it is asked again, then suspected.
@@ -207,17 +222,22 @@
 
     def sum(self) -> int:
         """A number that two entries share if they agree on who lives and what these last said."""
-        now = self._clock.monotonic()
         total = _digest(self.own)
-        for known in self._known.values():
-            if self._is_alive(known, now):
-                total ^= known.digest
+        for known in self._living():
+            total ^= known.digest
         return total
 
     def alive(self) -> "t.List[EntryRecord]":
         """Other entries that are alive, leaving ones included."""
+        return [known.record for known in self._living()]
+
+    def _living(self) -> "t.List[_Known]":
         now = self._clock.monotonic()
-        return [known.record for known in self._known.values() if self._is_alive(known, now)]
+        return [
+            known
+            for known in self._known.values()
+            if known.suspected_at is None or self._is_alive(known, now)
+        ]
 
     def suspected_count(self) -> int:
         """How many entries are suspected and not held dead yet."""
@@ -251,9 +271,10 @@
         Each suspect is asked by a few of all entries, so that it hears of the suspicion.
         """
         living = [known for known in self._known.values() if known.alive]
-        trusted = [known.record for known in living if known.suspected_at is None]
+        trusted = self._neighbours([known for known in living if known.suspected_at is None])
         # Where some were lost, others may have been lost with them.
-        count += min(len(living) - len(trusted), defaults.MAX_EXTRA_ASKED)
+        suspected = sum(known.suspected_at is not None for known in living)
+        count += min(suspected, defaults.MAX_EXTRA_ASKED)
         chosen = self._rng.sample(trusted, min(count, len(trusted)))
         missed = [k.record for k in living if k.misses and k.suspected_at is None]
         chosen += [record for record in missed if record not in chosen][: defaults.MAX_EXTRA_ASKED]
@@ -267,6 +288,18 @@
             chosen.append(self._rng.choice(silent))
         return chosen
 
+    def _neighbours(self, trusted: "t.Sequence[_Known]") -> "t.List[EntryRecord]":
+        """The nearest of them; they have this entry as a neighbour too, for the most part."""
+        nearest = heapq.nsmallest(
+            defaults.GOSSIP_NEIGHBOURS, trusted, key=lambda known: known.distance
+        )
+        return [known.record for known in nearest]
+
+    def _new(self, record: "EntryRecord", now: float) -> _Known:
+        pair = " ".join(sorted((self.own.entry_id, record.entry_id)))
+        distance = hashlib.blake2b(pair.encode(), digest_size=8).digest()
+        return _Known(record, now, distance)
+
     def rank(self) -> int:
         """This entry's place in the order in which entries read the store for all.
 
@@ -274,8 +307,8 @@
         """
         own = _place(self.own)
         rank = 0
-        for record in self.alive():
-            if record.state is EntryState.SERVING and _place(record) < own:
+        for known in self._living():
+            if known.place < own and known.record.state is EntryState.SERVING:
                 rank += 1
         return rank
 
@@ -295,7 +328,7 @@
         known.suspected_at = now - age_s
         record = known.record
         log.info("peer.suspected", peer=record.entry_id, beat=record.beat, evidence=evidence)
-        self._note(known, now)
+        self._note_all((known,), now)
 
     def _outlive(self, record: "EntryRecord") -> None:
         # An earlier lifetime of this entry, started by a clock that ran ahead.
@@ -312,18 +345,23 @@
         fourfolds = math.log(max(1.0, self.count() / defaults.SUSPECT_ENTRIES), 4)
         return defaults.ENTRY_SUSPECT_S * (1 + defaults.SUSPECT_GROWTH * fourfolds)
 
-    def _note(self, known: _Known, now: float) -> None:
-        alive = self._is_alive(known, now)
-        if alive == known.alive:
+    def _note_all(self, some: "t.Iterable[_Known]", now: float) -> None:
+        """Log who came to life and who fell silent."""
+        risen: t.List[_Known] = []
+        for known in some:
+            alive = known.suspected_at is None or self._is_alive(known, now)
+            if alive == known.alive:
+                continue
+            known.alive = alive
+            if alive:
+                risen.append(known)
+            else:
+                _log_one("peer.silent", known, now)
+        if len(risen) > log.SINGLE_LINES:
+            log.many("peer.alive", "peers", [known.record.entry_id for known in risen])
             return
-        known.alive = alive
-        event = "peer.alive" if alive else "peer.silent"
-        log.info(
-            event,
-            peer=known.record.entry_id,
-            zone=known.record.zone,
-            age_s=round(now - known.heard_at, 2),
-        )
+        for known in risen:
+            _log_one("peer.alive", known, now)
 
     def _excuse(self, now: float, pause: float) -> None:
         for known in self._known.values():
@@ -337,6 +375,15 @@
                 del self._known[entry_id]
 
 
+def _log_one(event: str, known: _Known, now: float) -> None:
+    log.info(
+        event,
+        peer=known.record.entry_id,
+        zone=known.record.zone,
+        age_s=round(now - known.heard_at, 2),
+    )
+
+
 def _serves(record: "EntryRecord") -> bool:
     return record.ready and record.state is EntryState.SERVING
 
--- a/src/coralfall/traffic/messages.py
+++ b/src/coralfall/traffic/messages.py
@@ -6,8 +6,8 @@
 
 from ..ids import EntryId, Incarnation, Revision
 from ..peering.message import Message
+from .delta import Delta
 from .model import EntryRecord
-from .replica import Delta
 
 
 class Suspicion(msgspec.Struct, frozen=True, array_like=True):
@@ -30,6 +30,8 @@
     members_sum: int
     #: Whether the sender wants to be told of all entries.
     wants_all: bool
+    #: Whether the sender wants the rows that it lacks, and not only to know that there are some.
+    wants_rows: bool
     state_revision: Revision
     targets_revision: Revision
     #: Times of the store's clock at which these revisions were known to be the newest.
--- a/src/coralfall/traffic/replica.py
+++ b/src/coralfall/traffic/replica.py
@@ -7,11 +7,10 @@
 
 import typing as t
 
-import msgspec
-
 from ..exceptions import DesiredStateError
 from ..ids import Revision
 from ..process import log
+from .delta import Delta, DeltaRow, pack
 
 if t.TYPE_CHECKING:
     from ..stores.store import Row
@@ -22,22 +21,6 @@
 _MAX_REMOVED = 2048
 
 
-class DeltaRow(msgspec.Struct, frozen=True, array_like=True):
-    """A row of a delta; ``value`` is ``None`` if it was deleted."""
-
-    key: str
-    revision: Revision
-    value: t.Optional[bytes]
-
-
-class Delta(msgspec.Struct, frozen=True, array_like=True):
-    """What changed between two revisions, or all rows if ``since`` is 0."""
-
-    since: Revision
-    revision: Revision
-    rows: t.Tuple[DeltaRow, ...]
-
-
 class _Held(t.Generic[ValueT]):
     __slots__ = ("data", "revision", "value")
 
@@ -110,7 +93,7 @@
         """What one who knows ``since`` does not know."""
         if since < self._horizon or since == 0:
             rows = [DeltaRow(key, held.revision, held.data) for key, held in self._held.items()]
-            return Delta(Revision(0), self.revision, tuple(rows))
+            return pack(Revision(0), self.revision, rows)
         rows = [
             DeltaRow(key, held.revision, held.data)
             for key, held in self._held.items()
@@ -119,15 +102,18 @@
         for key, revision in self._removed.items():
             if revision > since:
                 rows.append(DeltaRow(key, revision, None))
-        return Delta(since, self.revision, tuple(rows))
+        return pack(since, self.revision, rows)
 
     def can_take(self, delta: Delta) -> bool:
         """Whether nothing is missing between what is known and the delta."""
         return delta.since == 0 or delta.since <= self.revision
 
     def apply_delta(self, delta: Delta, read_s: float) -> t.Set[str]:
-        """Take in another entry's delta; the keys whose meaning changed."""
-        rows = t.cast("t.Iterable[Row]", delta.rows)
+        """Take in another entry's delta; the keys whose meaning changed.
+
+        :raises PeerFrameError: if its rows can't be read.
+        """
+        rows = t.cast("t.Iterable[Row]", delta.unpack())
         if delta.since == 0:
             return self.apply_snapshot(rows, delta.revision, read_s)
         return self.apply_changes(rows, delta.revision, read_s)
--- a/src/coralfall/traffic/targets.py
+++ b/src/coralfall/traffic/targets.py
@@ -134,30 +134,26 @@
             if target_id not in targets:
                 del self.by_id[target_id]
                 log.info("target.removed", target=target_id)
-        for target in targets.values():
-            self._update_one(target)
+        added = [target for target in targets.values() if self._update_one(target)]
+        _log_added(added)
         self._index()
 
-    def _update_one(self, target: "Target") -> None:
+    def _update_one(self, target: "Target") -> bool:
+        """Take in a target; whether it was not known before."""
         state = self.by_id.get(target.target_id)
+        added = state is None
         if state is None:
             state = self.by_id[target.target_id] = TargetState(target, self._clock)
-            log.info(
-                "target.added",
-                target=target.target_id,
-                service=target.service,
-                zone=target.zone,
-                cold_s=target.cold_s,
-            )
-        elif state.target != target:
+        elif state.target is target or state.target == target:
+            return False
+        else:
             if target.leaving and not state.target.leaving:
                 log.info("target.leaving", target=target.target_id, service=target.service)
             state.target = target
-        else:
-            return
         if target.cold_s > 0:
             # Counted from now and not from when it was so, since its row may be older still.
             state.cold_until = max(state.cold_until, self._clock.monotonic() + target.cold_s)
+        return added
 
     def evacuate(self, zones: "t.FrozenSet[ZoneId]") -> None:
         """Use no targets in these zones; those of zones that are given back are held cold."""
@@ -220,6 +216,25 @@
         self._by_service = by_service
 
 
+def _log_added(added: "t.Sequence[Target]") -> None:
+    """One line for each; when there are many, as at the start, one for many of a service."""
+    if len(added) > log.SINGLE_LINES:
+        ids_by_service: t.Dict["ServiceId", t.List[str]] = {}
+        for target in added:
+            ids_by_service.setdefault(target.service, []).append(target.target_id)
+        for service, ids in ids_by_service.items():
+            log.many("target.added", "targets", ids, service=service)
+        return
+    for target in added:
+        log.info(
+            "target.added",
+            target=target.target_id,
+            service=target.service,
+            zone=target.zone,
+            cold_s=target.cold_s,
+        )
+
+
 def _ids(
     by_service: "t.Mapping[ServiceId, t.Sequence[TargetState]]",
 ) -> "t.Set[TargetId]":
--- a/tests/process/test_log.py
+++ b/tests/process/test_log.py
@@ -116,6 +116,19 @@
         seen = [line.split()[1].removeprefix("level=") for line in lines]
         self.assertEqual(seen, LEVELS[LEVELS.index(level) :])
 
+    @parameterized.expand([("none", 0, []), ("some", 3, [3]), ("many", 450, [200, 200, 50])])
+    def test_many_names_take_few_lines(self, _name: str, count: int, expected: t.List[int]) -> None:
+        stream = io.StringIO()
+        log.configure(LogSettings(), stream)
+        names = [f"t{number}" for number in range(count)]
+        log.many("target.added", "targets", names, service="s1")
+        lines = stream.getvalue().splitlines()
+        told = [line.partition(" targets=")[2].split(",") for line in lines]
+        self.assertEqual(expected, [len(some) for some in told])
+        self.assertEqual(names, [name for some in told for name in some])
+        for line, number in zip(lines, expected, strict=True):
+            self.assertIn(f"event=target.added count={number} service=s1", line)
+
     def test_field_names_of_the_library_are_kept_apart(self) -> None:
         log.configure(LogSettings(), self.stream)
         log.info("a.b", timestamp=1, message_type="x", event=2)
--- /dev/null
+++ b/tests/traffic/test_lines.py
@@ -0,0 +1,52 @@
+"""Tests of how many lines an entry writes about what it learns at once."""
+
+import io
+import typing as t
+import unittest
+
+from parameterized import parameterized
+
+from coralfall.process import log
+from coralfall.process.clock import ManualClock
+from coralfall.settings import LogSettings
+from coralfall.traffic.members import Members
+from tests.traffic.makers import Steered, make_record, make_target, seeded
+
+
+class LinesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        # What other tests logged before the first stream comes out here.
+        log.configure(LogSettings(), io.StringIO())
+        self.stream = io.StringIO()
+        log.configure(LogSettings(), self.stream)
+        self.addCleanup(log.configure, LogSettings(level="error"), io.StringIO())
+
+    def lines(self, event: str) -> t.List[str]:
+        return [line for line in self.stream.getvalue().splitlines() if f"event={event} " in line]
+
+    @parameterized.expand([("few", 8, 8), ("many", 300, 2)])
+    def test_targets_that_are_new(self, _name: str, count: int, lines: int) -> None:
+        Steered(*[make_target(number) for number in range(count)])
+        found = self.lines("target.added")
+        self.assertEqual(lines, len(found))
+        for number in range(count):
+            self.assertIn(f"t{number}", "".join(found))
+
+    @parameterized.expand([("few", 8, 8), ("many", 300, 2)])
+    def test_entries_that_come_to_life(self, _name: str, count: int, lines: int) -> None:
+        members = Members(make_record("own"), ManualClock(100.0), seeded())
+        members.hear([make_record(f"e{number}") for number in range(count)])
+        self.assertEqual(lines, len(self.lines("peer.alive")))
+
+    def test_entries_that_fall_silent_have_a_line_each(self) -> None:
+        """Their ages point to the moment at which a machine or a link was lost."""
+        clock = ManualClock(100.0)
+        members = Members(make_record("own"), clock, seeded())
+        members.hear([make_record(f"e{number}") for number in range(30)])
+        for number in range(30):
+            for _ in range(2):
+                members.missed(make_record(f"e{number}").peer_address)
+        for _ in range(20):
+            clock.advance(0.4)
+            members.look()
+        self.assertEqual(30, len(self.lines("peer.silent")))
