Blame no target for this entry's own shortage of connections

Read: callers' connections were bounded by a constant (3,000) that knows nothing of the machine, and a connection to a target that failed for want of files rested the target as unreachable.

Tests: the row without files failed before (the target rested).

--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -20,6 +20,7 @@
 from ..forwarding.headers import HOP_BY_HOP
 from .connection import BrokenAnswerError, ServerAnswer, head_of
 from .model import RequestKind
+from .pool import NO_FILES
 from .reply import Reply, reply_of_answer, reply_of_error
 from .wire import HeaderNames, parse_load
 
@@ -179,6 +180,9 @@
                 answer = await self._send(request, place)
             except TargetError as error:
                 failure = _weightier(failure, error)
+                if error.fields.get("reason") == NO_FILES and failed is None:
+                    # Another target can't be reached either.
+                    raise failure from error
                 if error.fields.get("reason") == "connect":
                     unreached += 1
                     if unreached < _MAX_UNREACHED and self._has_time(request):
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -44,7 +44,6 @@
 _TICK_S = 0.2
 #: Seconds by which an idle connection of a caller is kept longer than its limit.
 _IDLE_MARGIN_S = 5.0
-_MAX_CONNECTIONS = 3000
 
 
 class Store(t.NamedTuple):
@@ -110,7 +109,7 @@
             "callers",
             self.callers,
             settings.caller_address,
-            HttpSettings(max_connections=_MAX_CONNECTIONS, max_idle_connections=_MAX_CONNECTIONS),
+            self._http_settings(),
             metrics=self.metrics,
         )
         children: t.List[Child] = [
@@ -178,15 +177,17 @@
     def _apply_limits(self, state: DesiredState) -> None:
         limits = state.limits
         self._callers_server.set_settings(
-            HttpSettings(
+            self._http_settings(
                 header_timeout_s=limits.header_timeout_s,
                 max_header_bytes=limits.max_header_bytes,
                 idle_timeout_s=limits.idle_timeout_s + _IDLE_MARGIN_S,
-                max_connections=_MAX_CONNECTIONS,
-                max_idle_connections=_MAX_CONNECTIONS,
             )
         )
 
+    def _http_settings(self, **limits: t.Any) -> HttpSettings:
+        most = self.settings.caller_connections()
+        return HttpSettings(max_connections=most, max_idle_connections=most, **limits)
+
     def _make_peers(self) -> None:
         settings = self.settings
         fleet_key = _fleet_key(settings)
--- a/src/coralfall/traffic/pool.py
+++ b/src/coralfall/traffic/pool.py
@@ -1,6 +1,7 @@
 """Connections to targets: kept ones for requests that may run twice, new ones for all others."""
 
 import asyncio
+import errno
 import typing as t
 
 from .. import defaults
@@ -13,6 +14,9 @@
 #: Largest answer of a target that is passed on, in bytes.
 _MAX_ANSWER_BYTES = 64 * 1024 * 1024
 _MAX_IDLE = 8
+#: Reason of a send that this entry could open no connection for.
+NO_FILES = "no-files"
+_OWN_SHORTAGES = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.EADDRNOTAVAIL))
 
 
 class ConnectionPool:
@@ -38,6 +42,10 @@
         try:
             return await connect(target.address, seconds, _MAX_ANSWER_BYTES)
         except (OSError, asyncio.TimeoutError) as error:
+            if isinstance(error, OSError) and error.errno in _OWN_SHORTAGES:
+                # The target has no part in it.
+                message = f"this entry can open no more connections: {error}"
+                raise TargetNotRunError(message, reason=NO_FILES) from error
             message = f"target can't be connected: {error or type(error).__name__}"
             raise TargetNotRunError(message, reason="connect") from error
 
--- a/src/coralfall/traffic/settings.py
+++ b/src/coralfall/traffic/settings.py
@@ -86,6 +86,8 @@
     #: Rate of the VM's own link in Mbit/s. Entries with wider links read the store for all and hand
     #: on what they read before others do.
     link_mbps: float = 0.0
+    #: Files and connections that the process may have open at a time.
+    max_files: int = defaults.MAX_FILES
     #: ``ip:port`` to serve metrics on; without it none are served.
     metrics_address: t.Optional[str] = None
     #: The platform's store.
@@ -99,6 +101,12 @@
     #: Where statsd metrics go.
     metrics: MetricsSettings = MetricsSettings()
 
+    def caller_connections(self) -> int:
+        """How many connections of callers are kept open, so that some are left for targets."""
+        free = (self.max_files - defaults.RESERVED_FILES) * defaults.CALLER_FILES
+        most = min(defaults.MAX_CALLER_CONNECTIONS, int(free))
+        return max(defaults.MIN_CALLER_CONNECTIONS, most)
+
     def cold_per_s(self, warmup_per_s: float) -> float:
         """Requests in a second that a cold target may get, of all entries together."""
         return warmup_per_s * self.bounds.cold_overage + self.bounds.cold_slack
--- a/tests/traffic/test_decisions.py
+++ b/tests/traffic/test_decisions.py
@@ -26,6 +26,7 @@
     PUERTO,
     Steered,
     make_route,
+    make_settings,
     make_state,
     make_target,
     seeded,
@@ -326,6 +327,14 @@
         self.assertEqual(0.0, pace.due_s(0, held=True))
         self.assertAlmostEqual(last_s, pace.due_s(500, held=False))
 
+    @parameterized.expand(
+        [("today", 4100, 2282), ("few", 420, 74), ("hardly any", 100, 32), ("many", 65536, 3000)]
+    )
+    def test_connections_of_callers_leave_some_for_targets(
+        self, _name: str, max_files: int, expected: int
+    ) -> None:
+        self.assertEqual(expected, make_settings(max_files=max_files).caller_connections())
+
     def test_what_the_operator_writes_is_bound_by_the_tighter_of_two(self) -> None:
         self.assertEqual(1.5, BoundSettings(config_s=4.0, evacuation_s=1.5).state_bound_s())
 
--- a/tests/traffic/test_forwarder.py
+++ b/tests/traffic/test_forwarder.py
@@ -1,8 +1,10 @@
 """Tests of forwarding: whole answers, evidence of what became of a request, and what follows."""
 
 import asyncio
+import errno
 import typing as t
 import unittest
+from unittest import mock
 
 from parameterized import parameterized
 
@@ -10,6 +12,7 @@
 from coralfall.ids import Outcome, TargetId
 from coralfall.platform.names import HEADERS
 from coralfall.process.clock import SystemClock
+from coralfall.traffic import pool
 from coralfall.traffic.affinity import AffinitySteering
 from coralfall.traffic.budget import SendBudget
 from coralfall.traffic.forwarder import Forwarder, SteeredRequest
@@ -256,6 +259,27 @@
         reply, arrivals = asyncio.run(main())
         self.assertEqual((200, 1), (reply.status, arrivals))
 
+    @parameterized.expand(
+        [
+            ("the entry has no files left", errno.EMFILE, "no-files", True),
+            ("the target refuses", errno.ECONNREFUSED, "no-target", False),
+        ]
+    )
+    def test_a_shortage_of_this_entry_is_not_the_target_s_fault(
+        self, _name: str, number: int, reason: str, usable: bool
+    ) -> None:
+        async def main() -> t.Tuple[Reply, bool]:
+            path = Path(["127.0.0.1:1"])
+            with mock.patch.object(pool, "connect", side_effect=OSError(number, "no")):
+                reply = await path.forward(path.request("unsafe"))
+            return reply, path.targets.by_id[TargetId("t0")].usable()
+
+        reply, found = asyncio.run(main())
+        self.assertEqual(
+            (503, Outcome.NOT_RUN, reason), (reply.status, reply.outcome, reply.reason)
+        )
+        self.assertEqual(usable, found)
+
     @parameterized.expand([(shed, 503, Outcome.NOT_RUN), (close, 502, Outcome.UNKNOWN)])
     def test_when_all_fail(self, script: Script, status: int, outcome: Outcome) -> None:
         reply, request, _ = play("safe", script, script)
