--- a/src/coralfall/balancing/fleet_steering.py
+++ b/src/coralfall/balancing/fleet_steering.py
@@ -1,30 +1,26 @@
-"""Steering by what the whole fleet knows: bundles, roster, slots, shares and health together."""
+"""Steering by what the whole fleet knows: a slot for each request, and a queue for those without.
+
+What the fleet knows (bundles, roster, slots, shares and health together) is in :mod:`.served`.
+"""
 
 import asyncio
 import typing as t
 
 from .. import defaults
-from ..bundles.bundle import Bundle, Service
+from ..bundles.bundle import Service
 from ..bundles.rollout import PartnerRollout
 from ..exceptions import RefusedError
-from ..ids import BundleVersion, PartnerId, RegionId, ServiceId, TargetId, TargetState
+from ..ids import BundleVersion, PartnerId, RegionId, ServiceId, TargetId
 from .capacity import idle_connections
-from .drain import DrainTracker
-from .health import ServiceHealth
-from .limits import CapacityLimits
-from .link import LinkAllowance, link_rates
-from .routing import Router
-from .shift import ShiftGovernor
-from .shift_plan import Shares, planned_shares
+from .served import ServedService, ServedServices
 from .slot import Slot
 from .slots import SlotTable
 from .steering import AttemptResult, Reservation, Steering
-from .waiters import Waiters, woken
+from .waiters import woken
 
 if t.TYPE_CHECKING:
     from ..cluster.roster import Roster
     from ..process.clock import Clock, PlatformClock
-    from .limits import Limits
 
 #: Requests of one service that may wait for a slot at a time, for each slot held.
 _QUEUE_PER_SLOT = 2
@@ -35,7 +31,6 @@
 #: Results of attempts that the target may be running for a moment longer.
 _MAY_STILL_RUN = frozenset((AttemptResult.CANCELLED, AttemptResult.FAILED))
 
-ServiceKey = t.Tuple[PartnerId, ServiceId]
 #: Asks peers for slots of a service: how many, and in which regions they are of use.
 AskLoan = t.Callable[[ServiceId, int, t.Sequence[RegionId]], None]
 
@@ -46,16 +41,6 @@
     slot: Slot
 
 
-class _ServiceState:
-    """What the steering of one service needs between requests."""
-
-    def __init__(self, partner: PartnerId, router: Router) -> None:
-        self.partner = partner
-        self.router = router
-        #: Requests that wait for a slot.
-        self.waiters = Waiters()
-
-
 class FleetSteering(Steering):
     """The steering of an entry.
 
@@ -80,15 +65,9 @@
         self._roster = roster
         self._slots = slots
         self._clock = clock
-        self._platform_clock = platform_clock
         self._ask_loan = ask_loan
-        self._limits = CapacityLimits(clock)
-        self._effective_by_partner: t.Dict[PartnerId, Bundle] = {}
-        self._state_by_service: t.Dict[ServiceKey, _ServiceState] = {}
-        self.drains = DrainTracker()
-        self.links = LinkAllowance(clock)
-        #: What all entries together may do with each target, as of the last refresh.
-        self.limits: "Limits" = {}
+        #: The services that are served, as of the last refresh.
+        self.served = ServedServices(rollouts, roster, slots, clock, platform_clock)
 
     async def reserve(
         self,
@@ -100,7 +79,7 @@
         body_bytes: int,
     ) -> FleetReservation:
         rules = self.service(partner, service)
-        service_state = self._state_by_service.get((partner, service))
+        service_state = self.served.by_key.get((partner, service))
         if rules is None or service_state is None:
             raise RefusedError("the service is not in force here", defaults.RETRY_AFTER_S)
         if not tried:
@@ -116,7 +95,7 @@
 
     def check(self, reservation: Reservation) -> None:
         assert isinstance(reservation, FleetReservation)
-        if not self.drains.allows(reservation.target_id):
+        if not self.served.drains.allows(reservation.target_id):
             raise RefusedError("the target is leaving", defaults.RETRY_AFTER_S)
         if not self._slots.confirm(reservation.slot):
             raise RefusedError(
@@ -125,7 +104,7 @@
             )
 
     def pace(self, reservation: Reservation, size: int) -> float:
-        return self.links.reserve(reservation.region, size)
+        return self.served.links.reserve(reservation.region, size)
 
     def finish(
         self,
@@ -135,12 +114,11 @@
         load: t.Optional[str],
     ) -> None:
         assert isinstance(reservation, FleetReservation)
-        service_state = self._state_by_service.get((reservation.partner, reservation.service))
+        service_state = self.served.by_key.get((reservation.partner, reservation.service))
         if service_state is not None:
             now = self._clock.monotonic()
-            _tell_health(
-                service_state.router.health, reservation.target_id, result, seconds, load, now
-            )
+            health = service_state.router.health
+            health.attempted(reservation.target_id, result, seconds, load, now)
         if result in _MAY_STILL_RUN:
             # The target learns of a closed connection or a passed deadline after this entry.
             loop = asyncio.get_running_loop()
@@ -150,8 +128,8 @@
 
     def _free(self, reservation: FleetReservation) -> None:
         self._slots.release(reservation.slot)
-        self.drains.finish(reservation.target_id, self._clock.monotonic())
-        service_state = self._state_by_service.get((reservation.partner, reservation.service))
+        self.served.drains.finish(reservation.target_id, self._clock.monotonic())
+        service_state = self.served.by_key.get((reservation.partner, reservation.service))
         if service_state is not None:
             service_state.router.finished(reservation.target_id)
             service_state.waiters.wake()
@@ -159,7 +137,7 @@
     def service(self, partner: PartnerId, service: ServiceId) -> t.Optional[Service]:
         if partner not in self._rollouts:
             return None
-        bundle = self._effective_by_partner.get(partner)
+        bundle = self.served.bundle_by_partner.get(partner)
         if bundle is None:
             message = f"no bundle of {partner} is in force here yet"
             raise RefusedError(message, defaults.RETRY_AFTER_S)
@@ -169,50 +147,9 @@
         rollout = self._rollouts.get(partner)
         return BundleVersion(0) if rollout is None else rollout.in_force_version()
 
-    def bundles(self) -> t.Mapping[PartnerId, Bundle]:
-        """The bundles that are served under, by partner."""
-        return self._effective_by_partner
-
-    def service_ids(self) -> t.List[ServiceId]:
-        """All services in force, of all partners."""
-        return [service for _, service in self._state_by_service]
-
-    def routers(self) -> t.Dict[ServiceKey, Router]:
-        """The routers of all services, for status and metrics."""
-        return {key: service_state.router for key, service_state in self._state_by_service.items()}
-
     def refresh(self) -> None:
-        """Take in bundles, roster and time as they are now.
-
-        Slots that are lost are given up before this returns. Go on with
-        :meth:`coralfall.balancing.slots.SlotTable.steps` for those that are gained.
-        """
-        accepted: t.Dict[PartnerId, Bundle] = {}
-        staged: t.Dict[PartnerId, Bundle] = {}
-        accepted_at: t.Dict[PartnerId, float] = {}
-        for partner, rollout in self._rollouts.items():
-            bundle = rollout.accepted()
-            if bundle is None:
-                continue
-            accepted[partner] = bundle
-            accepted_at[partner] = rollout.head.accepted_at
-            other = rollout.staged()
-            if other is not None:
-                staged[partner] = other
-        platform_now = self._platform_clock.now()
-        limits = self._limits.update(accepted, staged, accepted_at, platform_now)
-        self.limits = limits
-        self._slots.update(self._roster, limits)
-        self.links.set_rates(link_rates([accepted, staged], limits, self._slots.held_by_region()))
-        for partner, rollout in self._rollouts.items():
-            effective = rollout.effective()
-            if effective is None:
-                self._effective_by_partner.pop(partner, None)
-                continue
-            if self._effective_by_partner.get(partner) is not effective:
-                self._effective_by_partner[partner] = effective
-                self._take_bundle(partner, effective)
-        self._mark_drains()
+        """Take in bundles, roster and time as they are now; see :meth:`ServedServices.refresh`."""
+        self.served.refresh()
 
     def slots_arrived(self, service: ServiceId) -> None:
         """Let requests that wait for a slot of ``service`` look.
@@ -220,18 +157,15 @@
         To be called when slots were borrowed or given back, and also when a request for a loan
         brought none, so that another owner is asked.
         """
-        for (_, service_id), service_state in self._state_by_service.items():
-            if service_id == service:
-                service_state.waiters.wake()
+        self.served.wake(service)
 
     def wake_all(self) -> None:
         """Let all waiting requests look again, after slots may have become usable."""
-        for service_state in self._state_by_service.values():
-            service_state.waiters.wake()
+        self.served.wake()
 
     async def _reserve(
         self,
-        service_state: _ServiceState,
+        service_state: ServedService,
         service: ServiceId,
         rules: Service,
         tried: t.Collection[TargetId],
@@ -252,7 +186,7 @@
 
     async def _queue(
         self,
-        service_state: _ServiceState,
+        service_state: ServedService,
         service: ServiceId,
         rules: Service,
         tried: t.Collection[TargetId],
@@ -279,7 +213,7 @@
             service_state.waiters.leave(waiter)
 
     def _ask_for(
-        self, service_state: _ServiceState, service: ServiceId, tried: t.Collection[TargetId]
+        self, service_state: ServedService, service: ServiceId, tried: t.Collection[TargetId]
     ) -> None:
         governor = service_state.router.governor
         regions = governor.allowed(bool(tried))
@@ -287,25 +221,25 @@
             regions += [region for region in governor.stretched() if region not in regions]
         self._ask_loan(service, len(service_state.waiters), regions)
 
-    def _queue_is_full(self, service_state: _ServiceState, service: ServiceId) -> bool:
+    def _queue_is_full(self, service_state: ServedService, service: ServiceId) -> bool:
         most = max(_MIN_QUEUE, _QUEUE_PER_SLOT * self._slots.in_use(service))
         return len(service_state.waiters) >= most
 
     def _take(
-        self, service_state: _ServiceState, service: ServiceId, tried: t.Collection[TargetId]
+        self, service_state: ServedService, service: ServiceId, tried: t.Collection[TargetId]
     ) -> FleetReservation:
         now = self._clock.monotonic()
         router = service_state.router
         free_by_id = self._slots.free_by_target(service)
         candidate = router.choose(free_by_id, tried, now)
         target_id = candidate.target_id
-        target = self._effective_by_partner[service_state.partner].targets[target_id]
+        target = self.served.bundle_by_partner[service_state.partner].targets[target_id]
         slot = self._slots.acquire(target_id)
         if slot is None:
             # The lease lapsed since the slots were counted: the process was paused in between.
             router.put_back(candidate)
             raise router.busy()
-        self.drains.start(target_id)
+        self.served.drains.start(target_id)
         if len(free_by_id) == 1 and free_by_id[target_id] == 1:
             # The last free slot is gone: ask before the next request has to wait.
             self._ask_loan(service, 1, ())
@@ -321,80 +255,13 @@
         )
 
     def _refresh_router(
-        self, service_state: _ServiceState, service: ServiceId, rules: Service
+        self, service_state: ServedService, service: ServiceId, rules: Service
     ) -> None:
         now = self._clock.monotonic()
         if not service_state.router.due(now):
             return
-        planned = self._planned(service_state.partner, service, rules)
+        planned = self.served.planned(service_state.partner, service, rules)
         in_use = self._slots.in_use(service)
         free = sum(self._slots.free_by_target(service).values())
         prior = in_use / (in_use + free) if in_use else 0.0
         service_state.router.refresh(rules, planned, prior, now)
-
-    def _planned(self, partner: PartnerId, service_id: ServiceId, rules: Service) -> Shares:
-        rollout = self._rollouts[partner]
-        bundle = rollout.accepted()
-        accepted = None if bundle is None else bundle.services.get(service_id)
-        now = self._platform_clock.now()
-        return planned_shares(rollout.head, service_id, accepted or rules, now)
-
-    def _take_bundle(self, partner: PartnerId, bundle: Bundle) -> None:
-        now = self._clock.monotonic()
-        for key in list(self._state_by_service):
-            if key[0] == partner and key[1] not in bundle.services:
-                self._state_by_service.pop(key).waiters.wake()
-        for service_id, service in bundle.services.items():
-            service_state = self._state_by_service.get((partner, service_id))
-            if service_state is None:
-                service_state = self._new_state(partner, service_id, service, now)
-                self._state_by_service[partner, service_id] = service_state
-            serving = {}
-            for target_id, target in bundle.targets.items():
-                if target.service == service_id and target.state is not TargetState.LEAVING:
-                    serving[target_id] = target
-            service_state.router.set_targets(serving, now)
-
-    def _new_state(
-        self, partner: PartnerId, service_id: ServiceId, service: Service, now: float
-    ) -> _ServiceState:
-        planned = self._planned(partner, service_id, service)
-        governor = ShiftGovernor(service_id, service, planned, now)
-        health = ServiceHealth(service.ramp_s)
-        return _ServiceState(partner, Router(service_id, service, governor, health, now))
-
-    def _mark_drains(self) -> None:
-        leaving: t.List[TargetId] = []
-        present: t.Set[TargetId] = set()
-        for bundle in self._effective_by_partner.values():
-            for target_id, target in bundle.targets.items():
-                present.add(target_id)
-                if target.state is TargetState.LEAVING:
-                    leaving.append(target_id)
-        self.drains.mark(leaving, present, self._clock.monotonic())
-
-
-def _tell_health(
-    health: ServiceHealth,
-    target_id: TargetId,
-    result: AttemptResult,
-    seconds: float,
-    load: t.Optional[str],
-    now: float,
-) -> None:
-    known = health.by_id.get(target_id)
-    if known is None:
-        return
-    if load is not None:
-        in_flight, _, slots = load.partition("/")
-        if in_flight.isdigit() and slots.isdigit():
-            known.report(int(in_flight), int(slots), now)
-    if result is AttemptResult.ANSWERED:
-        health.answered(target_id, seconds, now)
-        return
-    if result is AttemptResult.NOT_RUN and load is not None:
-        # The target's own word; without a load report nobody was reached.
-        known.shed(now)
-        return
-    if result is not AttemptResult.CANCELLED:
-        health.failed(target_id, now)
--- a/src/coralfall/balancing/health.py
+++ b/src/coralfall/balancing/health.py
@@ -11,6 +11,7 @@
 from ..bundles.bundle import Target
 from ..ids import RegionId, TargetId, ZoneId
 from .ramp import backoff, ramped_slots
+from .steering import AttemptResult
 
 #: Weight of one new latency in a target's mean, and of one in its zone's.
 LATENCY_WEIGHT = 0.1
@@ -224,6 +225,36 @@
         """Regions that can serve."""
         return self._serving
 
+    def attempted(
+        self,
+        target_id: TargetId,
+        result: AttemptResult,
+        seconds: float,
+        load: t.Optional[str],
+        now: float,
+    ) -> None:
+        """Take in what an attempt says of its target.
+
+        :param seconds: how long it took.
+        :param load: the target's own word on its load, as ``in-flight/slots``, if it gave one.
+        """
+        known = self.by_id.get(target_id)
+        if known is None:
+            return
+        if load is not None:
+            in_flight, _, slots = load.partition("/")
+            if in_flight.isdigit() and slots.isdigit():
+                known.report(int(in_flight), int(slots), now)
+        if result is AttemptResult.ANSWERED:
+            self.answered(target_id, seconds, now)
+            return
+        if result is AttemptResult.NOT_RUN and load is not None:
+            # The target's own word; without a load report nobody was reached.
+            known.shed(now)
+            return
+        if result is not AttemptResult.CANCELLED:
+            self.failed(target_id, now)
+
     def answered(self, target_id: TargetId, seconds: float, now: float) -> None:
         """Take in an answer of a target."""
         health = self.by_id.get(target_id)
--- /dev/null
+++ b/src/coralfall/balancing/served.py
@@ -0,0 +1,170 @@
+"""Served: the services that an entry serves, as bundles, roster and time say at the moment.
+
+It works out from them what all entries together may do with each target, which slots this entry
+may use, how fast it may send into each region, where each service's requests go, and which targets
+leave.
+"""
+
+import typing as t
+
+from ..bundles.bundle import Bundle, Service
+from ..bundles.rollout import PartnerRollout
+from ..ids import PartnerId, ServiceId, TargetId, TargetState
+from .drain import DrainTracker
+from .health import ServiceHealth
+from .limits import CapacityLimits
+from .link import LinkAllowance, link_rates
+from .routing import Router
+from .shift import ShiftGovernor
+from .shift_plan import Shares, planned_shares
+from .waiters import Waiters
+
+if t.TYPE_CHECKING:
+    from ..cluster.roster import Roster
+    from ..process.clock import Clock, PlatformClock
+    from .limits import Limits
+    from .slots import SlotTable
+
+ServiceKey = t.Tuple[PartnerId, ServiceId]
+
+
+class ServedService:
+    """What the steering of one service needs between requests.
+
+    :param partner: whose service it is.
+    :param router: chooses its targets.
+    """
+
+    def __init__(self, partner: PartnerId, router: Router) -> None:
+        self.partner = partner
+        self.router = router
+        #: Requests that wait for a slot.
+        self.waiters = Waiters()
+
+
+class ServedServices:
+    """The services of all partners that are served.
+
+    :param rollouts: the partners' lines, by partner.
+    :param roster: the roster.
+    :param slots: the slots that this entry may use.
+    :param clock: the VM's clocks.
+    :param platform_clock: the platform's time, in which shifts and ramps are reckoned.
+    """
+
+    def __init__(
+        self,
+        rollouts: t.Mapping[PartnerId, PartnerRollout],
+        roster: "Roster",
+        slots: "SlotTable",
+        clock: "Clock",
+        platform_clock: "PlatformClock",
+    ) -> None:
+        self._rollouts = rollouts
+        self._roster = roster
+        self._slots = slots
+        self._clock = clock
+        self._platform_clock = platform_clock
+        self._limits = CapacityLimits(clock)
+        #: The bundles that are served under, by partner.
+        self.bundle_by_partner: t.Dict[PartnerId, Bundle] = {}
+        self.by_key: t.Dict[ServiceKey, ServedService] = {}
+        self.drains = DrainTracker()
+        self.links = LinkAllowance(clock)
+        #: What all entries together may do with each target, as of the last refresh.
+        self.limits: "Limits" = {}
+
+    def service_ids(self) -> t.List[ServiceId]:
+        """All services in force, of all partners."""
+        return [service for _, service in self.by_key]
+
+    def routers(self) -> t.Dict[ServiceKey, Router]:
+        """The routers of all services, for status and metrics."""
+        return {key: served.router for key, served in self.by_key.items()}
+
+    def wake(self, service: t.Optional[ServiceId] = None) -> None:
+        """Let requests that wait for a slot look again.
+
+        :param service: whose requests; by default those of all services.
+        """
+        for (_, service_id), served in self.by_key.items():
+            if service is None or service_id == service:
+                served.waiters.wake()
+
+    def refresh(self) -> None:
+        """Take in bundles, roster and time as they are now.
+
+        Slots that are lost are given up before this returns. Go on with
+        :meth:`coralfall.balancing.slots.SlotTable.steps` for those that are gained.
+        """
+        self._refresh_limits()
+        for partner, rollout in self._rollouts.items():
+            effective = rollout.effective()
+            if effective is None:
+                self.bundle_by_partner.pop(partner, None)
+                continue
+            if self.bundle_by_partner.get(partner) is not effective:
+                self.bundle_by_partner[partner] = effective
+                self._take_bundle(partner, effective)
+        self._mark_drains()
+
+    def _refresh_limits(self) -> None:
+        accepted: t.Dict[PartnerId, Bundle] = {}
+        staged: t.Dict[PartnerId, Bundle] = {}
+        accepted_at: t.Dict[PartnerId, float] = {}
+        for partner, rollout in self._rollouts.items():
+            bundle = rollout.accepted()
+            if bundle is None:
+                continue
+            accepted[partner] = bundle
+            accepted_at[partner] = rollout.head.accepted_at
+            other = rollout.staged()
+            if other is not None:
+                staged[partner] = other
+        now = self._platform_clock.now()
+        self.limits = self._limits.update(accepted, staged, accepted_at, now)
+        self._slots.update(self._roster, self.limits)
+        held_by_region = self._slots.held_by_region()
+        self.links.set_rates(link_rates([accepted, staged], self.limits, held_by_region))
+
+    def planned(self, partner: PartnerId, service_id: ServiceId, rules: Service) -> Shares:
+        """The shares of a service's regions as its bundle plans them for this moment."""
+        rollout = self._rollouts[partner]
+        bundle = rollout.accepted()
+        accepted = None if bundle is None else bundle.services.get(service_id)
+        now = self._platform_clock.now()
+        return planned_shares(rollout.head, service_id, accepted or rules, now)
+
+    def _take_bundle(self, partner: PartnerId, bundle: Bundle) -> None:
+        now = self._clock.monotonic()
+        for key in list(self.by_key):
+            if key[0] == partner and key[1] not in bundle.services:
+                self.by_key.pop(key).waiters.wake()
+        for service_id, service in bundle.services.items():
+            served = self.by_key.get((partner, service_id))
+            if served is None:
+                served = self._new(partner, service_id, service, now)
+                self.by_key[partner, service_id] = served
+            serving = {}
+            for target_id, target in bundle.targets.items():
+                if target.service == service_id and target.state is not TargetState.LEAVING:
+                    serving[target_id] = target
+            served.router.set_targets(serving, now)
+
+    def _new(
+        self, partner: PartnerId, service_id: ServiceId, service: Service, now: float
+    ) -> ServedService:
+        planned = self.planned(partner, service_id, service)
+        governor = ShiftGovernor(service_id, service, planned, now)
+        health = ServiceHealth(service.ramp_s)
+        return ServedService(partner, Router(service_id, service, governor, health, now))
+
+    def _mark_drains(self) -> None:
+        leaving: t.List[TargetId] = []
+        present: t.Set[TargetId] = set()
+        for bundle in self.bundle_by_partner.values():
+            for target_id, target in bundle.targets.items():
+                present.add(target_id)
+                if target.state is TargetState.LEAVING:
+                    leaving.append(target_id)
+        self.drains.mark(leaving, present, self._clock.monotonic())
--- a/src/coralfall/cluster/gauges.py
+++ b/src/coralfall/cluster/gauges.py
@@ -41,10 +41,10 @@
             gauge(f"bundle.{partner}.in_force", rollout.in_force_version())
         for region, held in self._node.slots.held_by_region().items():
             gauge(f"slots.{region}.held", held)
-        for partner, service in self._node.steering.routers():
+        for partner, service in self._node.steering.served.routers():
             gauge(f"slots.{partner}.{service}.in_flight", self._node.slots.in_use(service))
         gauge("drains.open", self._open_drains())
 
     def _open_drains(self) -> int:
-        reports = self._node.steering.drains.reports().values()
+        reports = self._node.steering.served.drains.reports().values()
         return sum(1 for report in reports if report.seconds is None)
--- a/src/coralfall/cluster/node.py
+++ b/src/coralfall/cluster/node.py
@@ -130,7 +130,7 @@
             self.borrower,
         )
         self.conversation.control = self.control
-        self.conversation.services = self.steering.service_ids
+        self.conversation.services = self.steering.served.service_ids
         self.conversation.slots_arrived = self.steering.slots_arrived
 
     def _follow_roster(self) -> None:
--- a/src/coralfall/reporting/status_builder.py
+++ b/src/coralfall/reporting/status_builder.py
@@ -73,7 +73,7 @@
             regions=self._regions(targets),
             targets=targets,
             drains=self._drains(),
-            burns=self._levels.reports(self._node.steering.bundles()),
+            burns=self._levels.reports(self._node.steering.served.bundle_by_partner),
             outcomes=self._levels.outcomes(),
             resident_bytes=resident_bytes(),
             processor_s=usage.ru_utime + usage.ru_stime,
@@ -131,10 +131,10 @@
 
     def _targets(self) -> t.Tuple[TargetStatus, ...]:
         now = self._clock.monotonic()
-        bundles = self._node.steering.bundles()
-        routers = self._node.steering.routers()
+        bundles = self._node.steering.served.bundle_by_partner
+        routers = self._node.steering.served.routers()
         targets = []
-        for target_id, limit in self._node.steering.limits.items():
+        for target_id, limit in self._node.steering.served.limits.items():
             bundle = bundles.get(limit.partner)
             target = None if bundle is None else bundle.targets.get(target_id)
             router = routers.get((limit.partner, limit.service))
@@ -178,7 +178,7 @@
     def _drains(self) -> t.Tuple[DrainStatus, ...]:
         now = self._clock.monotonic()
         drains = []
-        for report in self._node.steering.drains.reports().values():
+        for report in self._node.steering.served.drains.reports().values():
             drains.append(
                 DrainStatus(
                     target_id=report.target_id,
--- a/tests/balancing/test_queue.py
+++ b/tests/balancing/test_queue.py
@@ -120,17 +120,17 @@
             loop, "call_later", lambda after, work, *args: later.append((after, work, *args))
         ):
             self.steering.finish(self.held[0], result, 0.1, None)
-        self.assertEqual(self.steering.drains.in_flight(self.held[0].target_id), 2 - at_once)
+        self.assertEqual(self.steering.served.drains.in_flight(self.held[0].target_id), 2 - at_once)
         self.assertEqual([entry[0] for entry in later], [] if at_once else [CANCEL_REST_S])
         for _, work, *args in later:
             work(*args)
-        self.assertEqual(self.steering.drains.in_flight(self.held[0].target_id), 1)
+        self.assertEqual(self.steering.served.drains.in_flight(self.held[0].target_id), 1)
         await self._reserve()
 
     async def test_a_lease_that_lapses_between_choice_and_hold_is_no_error(self) -> None:
         """Time passes between the two, by much if the process is paused just there."""
         self._finish(self.held[0])
-        router = self.steering.routers()[COSECHA, SERVICE]
+        router = self.steering.served.routers()[COSECHA, SERVICE]
         chosen = router.choose
 
         def choose_and_pause(*arguments: t.Any, **options: t.Any) -> Candidate:
@@ -143,7 +143,7 @@
             tasks = await self._wait(1)
         self.assertFalse(tasks[0].done())
         self.assertEqual(router.by_id[self.held[0].target_id].in_flight, in_flight)
-        self.assertEqual(self.steering.drains.in_flight(self.held[0].target_id), 1)
+        self.assertEqual(self.steering.served.drains.in_flight(self.held[0].target_id), 1)
         self.lease.renewed(self.clock.monotonic())
         self.steering.wake_all()
         await tasks[0]
