Give the slots that an entry owns a module beside the table of slots

slots.py had two jobs: what requests and borrowers do with slots, and which ones the entry owns as roster and limits change. Tests of slots, handover, lending, queue and cluster pass.

--- a/src/coralfall/balancing/slots.py
+++ b/src/coralfall/balancing/slots.py
@@ -1,18 +1,16 @@
 """Slots: which units of the targets' capacity this entry may use now.
 
-Who owns a slot is said in :mod:`coralfall.balancing.ownership`; when a new owner may begin to use
-it, in
-:mod:`coralfall.balancing.handover`.
+Which ones it owns is in :mod:`coralfall.balancing.owned_slots`; what requests and borrowers do with
+them is here.
 """
 
 import typing as t
 
 from .. import defaults
 from ..ids import EntryId, RegionId, Revision, ServiceId, TargetId
-from .handover import Ack, Handover, Settled
+from .handover import Ack
 from .holdings import Holdings
-from .owner_counts import OwnerCounts
-from .ownership import owned_indices, wins
+from .owned_slots import OwnedSlots
 from .slot import NEVER, Slot, may_use
 from .usage import SlotUsage
 
@@ -24,11 +22,6 @@
     from ..settings import LeaseSettings
     from .limits import Limits, TargetLimit
 
-#: Targets worked through in one step of :meth:`SlotTable.update`.
-TARGETS_PER_STEP = 8
-#: Stands for any member, until it is worked out which one blocks a slot.
-_UNSETTLED = EntryId("")
-
 
 class SlotTable:
     """The slots that this entry owns or has borrowed, and the requests that hold them.
@@ -42,21 +35,14 @@
     def __init__(
         self, entry_id: EntryId, lease: "Lease", clock: "Clock", settings: "LeaseSettings"
     ) -> None:
-        self._entry_id = entry_id
         self._lease = lease
         self._clock = clock
-        # A loan ends before its owner's lease, or else after no more than its own time.
-        self._lapse_s = max(settings.ttl_s, defaults.LOAN_S)
-        self._limits: "Limits" = {}
-        self._handover = Handover(entry_id)
-        self._others: t.Set[EntryId] = set()
-        self._first = False
-        self._changed_at = -NEVER
         self._acknowledged = Revision(0)
-        self._unscanned: t.Dict[TargetId, None] = {}
         self._holdings = Holdings()
         self._usage = SlotUsage()
-        self._owners = OwnerCounts(entry_id)
+        # A loan ends before its owner's lease, or else after no more than its own time.
+        lapse_s = max(settings.ttl_s, defaults.LOAN_S)
+        self._owned_slots = OwnedSlots(entry_id, self._holdings, clock, lapse_s)
 
     # What the table is told.
 
@@ -70,44 +56,37 @@
         :param limits: of :class:`coralfall.balancing.limits.CapacityLimits`; not to be changed
             later.
         """
-        if limits is not self._limits:
-            self._take_limits(limits)
-        if roster.revision != self._handover.revision:
-            self._take_roster(roster)
+        self._owned_slots.update(roster, limits)
 
     def take_acks(self, acks: t.Iterable[Ack]) -> None:
         """Take in which rosters other members have applied, from lease rows or heartbeats.
 
         Go on with :meth:`steps`.
         """
-        self._settle(self._handover.take(acks))
+        self._owned_slots.take_acks(acks)
 
     def steps(self) -> t.Iterator[None]:
         """Work through what is left to do, a few milliseconds a step, and then end.
 
         The loop may do other work in between; what comes in meanwhile is worked through too.
         """
-        while self._unscanned:
-            for _ in range(min(TARGETS_PER_STEP, len(self._unscanned))):
-                target_id, _ = self._unscanned.popitem()
-                self._scan(target_id)
-            yield
+        return self._owned_slots.steps()
 
     @property
     def awaited(self) -> t.Collection[EntryId]:
         """Members whose acknowledgement is needed; while there are any, read lease rows."""
-        return self._handover.awaited.keys()
+        return self._owned_slots.awaited
 
     @property
     def acknowledged(self) -> Revision:
         """What to state as applied in heartbeats and the lease row."""
         now = self._clock.monotonic()
         for slot in self._holdings.lost_by_key.values():
-            limit = self._limits.get(slot.target_id)
+            limit = self._owned_slots.limits.get(slot.target_id)
             if limit is not None and slot.busy and slot.runs_until > now + limit.deadline_s:
                 # The new owner expects no request to run for that long.
                 return self._acknowledged
-        self._acknowledged = self._handover.revision
+        self._acknowledged = self._owned_slots.revision
         return self._acknowledged
 
     # What requests ask of the table.
@@ -117,7 +96,7 @@
 
         :param below: use only slots with an index below this.
         """
-        limit = self._limits.get(target_id)
+        limit = self._owned_slots.limits.get(target_id)
         if limit is None:
             return None
         self._usage.want(limit.service, self._clock.monotonic())
@@ -140,7 +119,7 @@
         The request must be over within the service's timeout from now.
         """
         now = self._clock.monotonic()
-        limit = self._limits.get(slot.target_id)
+        limit = self._owned_slots.limits.get(slot.target_id)
         if limit is None or slot.index >= limit.usable:
             return False
         if slot.loan is None:
@@ -158,7 +137,7 @@
         slot.used_at = self._clock.monotonic()
         self._usage.end(slot)
         if slot.lent_until <= slot.used_at:
-            self._forget_lost(slot)
+            self._owned_slots.forget_lost(slot)
 
     # What the table tells.
 
@@ -171,7 +150,7 @@
         free_by_target: t.Dict[TargetId, int] = {}
         now = self._clock.monotonic()
         leased = self._lease.may_dispatch()
-        for slot, limit in self._holdings.of_service(service, self._limits):
+        for slot, limit in self._holdings.of_service(service, self._owned_slots.limits):
             if not slot.busy and may_use(slot, limit, limit.usable, now, leased):
                 free_by_target[slot.target_id] = free_by_target.get(slot.target_id, 0) + 1
         return free_by_target
@@ -201,7 +180,7 @@
         idle = []
         now = self._clock.monotonic()
         leased = self._lease.may_dispatch()
-        for slot, limit in self._holdings.of_service(service, self._limits):
+        for slot, limit in self._holdings.of_service(service, self._owned_slots.limits):
             if slot.busy or slot.loan is not None:
                 continue
             if may_use(slot, limit, limit.usable, now, leased):
@@ -221,7 +200,7 @@
         leased = self._lease.may_dispatch()
         held: t.Dict[RegionId, int] = {}
         for target_id in self._holdings.target_ids():
-            limit = self._limits.get(target_id)
+            limit = self._owned_slots.limits.get(target_id)
             if limit is None:
                 continue
             for slot in self._holdings.of_target(target_id):
@@ -238,11 +217,11 @@
 
         :param regions: regions whose targets count; empty for any.
         """
-        return self._owners.of_service(service, regions, self._limits)
+        return self._owned_slots.owners(service, regions)
 
     def lend(self, slot: Slot, seconds: float) -> None:
         """Leave an idle slot to a borrower who may dispatch for ``seconds`` from now."""
-        timeout_s = self._limits[slot.target_id].timeout_s
+        timeout_s = self._owned_slots.limits[slot.target_id].timeout_s
         until = self._clock.monotonic() + seconds + timeout_s + defaults.HANDOVER_MARGIN_S
         slot.lent_until = until
 
@@ -250,7 +229,7 @@
         """Use a lent slot again: the borrower has nothing on it and will not use it."""
         slot.lent_until = -NEVER
         if not slot.busy:
-            self._forget_lost(slot)
+            self._owned_slots.forget_lost(slot)
 
     def borrow(
         self, lent: "LentSlot", loan: t.Tuple[EntryId, int], valid_until: float
@@ -260,7 +239,7 @@
         :param loan: lender and number of the loan.
         :param valid_until: monotonic time after which it may not be dispatched into.
         """
-        limit = self._limits.get(lent.target)
+        limit = self._owned_slots.limits.get(lent.target)
         if limit is None or lent.index >= limit.usable:
             return None
         slot = Slot(lent.target, lent.index, limit)
@@ -274,131 +253,10 @@
         """Forget a borrowed slot that no request holds."""
         self._holdings.give_back(slot)
 
-    # Changes of roster and limits.
-
-    def _take_limits(self, limits: "Limits") -> None:
-        before = self._limits
-        self._limits = limits
-        self._holdings.forget_services()
-        for target_id, limit in limits.items():
-            old = before.get(target_id)
-            if old is limit:
-                continue
-            self._owners.forget(target_id)
-            same_place = old is not None and old.service == limit.service
-            same_place = same_place and old is not None and old.region == limit.region
-            if not same_place:
-                self._drop_from(target_id, 0)
-            elif old is not None and limit.reserved < old.reserved:
-                self._drop_from(target_id, limit.reserved)
-            if old is None or not same_place or limit.reserved > old.reserved:
-                self._unscanned[target_id] = None
-        for target_id in before:
-            if target_id not in limits:
-                self._drop_from(target_id, 0)
-                self._unscanned.pop(target_id, None)
-                self._owners.forget(target_id)
-
-    def _take_roster(self, roster: "Roster") -> None:
-        now = self._clock.monotonic()
-        lives, others = self._handover.lives, self._others
-        settled = self._handover.update(roster)
-        self._changed_at = now
-        for slot in list(self._holdings.lost_by_key.values()):
-            if not slot.busy and slot.lent_until <= now:
-                self._forget_lost(slot)
-        incarnation = self._handover.incarnation
-        self._others = {name for name in roster.by_id if name != self._entry_id}
-        self._owners.set_others(self._others)
-        if incarnation is None:
-            self._drop_all()
-            self._unscanned = {}
-            return
-        self._first = roster.only_ever(self._entry_id, incarnation)
-        if self._handover.lives != lives:
-            self._drop_all()
-            self._unscanned = dict.fromkeys(self._limits)
-            return
-        self._drop_lost_to(self._others - others)
-        if others - self._others:
-            self._unscanned = dict.fromkeys(self._limits)
-        self._settle(settled)
-
-    def _settle(self, settled: Settled) -> None:
-        """Rest the slots of members that were waited for, now that they are settled."""
-        if not settled.acked and not settled.removed:
-            return
-        now = self._clock.monotonic()
-        for target_id, owned in self._holdings.owned_by_target.items():
-            for slot in owned.values():
-                anyone = slot.blocker is _UNSETTLED
-                if slot.blocker in settled.removed or (anyone and settled.removed):
-                    slot.rests_from = max(slot.rests_from, now + self._lapse_s)
-                elif slot.blocker in settled.acked or (anyone and settled.acked):
-                    slot.rests_from = max(slot.rests_from, now + defaults.LOAN_S)
-                else:
-                    continue
-                slot.blocker = _UNSETTLED
-                self._unscanned[target_id] = None
-
-    def _scan(self, target_id: TargetId) -> None:
-        """Find the slots of a target that are gained, and who blocks those that are held."""
-        limit = self._limits[target_id]
-        if self._handover.incarnation is None:
-            return
-        for index in owned_indices(target_id, limit.reserved, self._entry_id, self._others):
-            slot = self._holdings.owned(target_id, index)
-            slot = slot or self._gain(target_id, index, limit)
-            if slot is not None and slot.blocker is _UNSETTLED:
-                slot.blocker = self._handover.blocker(target_id, index)
-
-    def _gain(self, target_id: TargetId, index: int, limit: "TargetLimit") -> t.Optional[Slot]:
-        slot = self._holdings.lost_by_key.get((target_id, index))
-        if slot is None:
-            slot = Slot(target_id, index, limit)
-        elif (slot.service, slot.region) != (limit.service, limit.region):
-            return None
-        if not self._first:
-            slot.rests_from = self._changed_at + self._lapse_s
-        slot.blocker = _UNSETTLED
-        self._holdings.own(slot)
-        return slot
-
-    def _drop_all(self) -> None:
-        for target_id in list(self._holdings.owned_by_target):
-            self._drop_from(target_id, 0)
-
-    def _drop_lost_to(self, joined: t.Set[EntryId]) -> None:
-        if not joined:
-            return
-        for target_id, owned in list(self._holdings.owned_by_target.items()):
-            kept = wins(target_id, owned, self._entry_id, joined)
-            for index in set(owned).difference(kept):
-                self._drop(target_id, index)
-
-    def _drop_from(self, target_id: TargetId, reserved: int) -> None:
-        for index in list(self._holdings.owned_by_target.get(target_id, ())):
-            if index >= reserved:
-                self._drop(target_id, index)
-
-    def _drop(self, target_id: TargetId, index: int) -> None:
-        slot = self._holdings.disown(target_id, index)
-        if slot.busy or slot.lent_until > self._clock.monotonic():
-            self._holdings.lost_by_key[slot.key] = slot
-
-    def _forget_lost(self, slot: Slot) -> None:
-        """Forget a slot with nothing out on it any more, if it was lost."""
-        if self._holdings.lost_by_key.get(slot.key) is not slot:
-            return
-        del self._holdings.lost_by_key[slot.key]
-        if slot.target_id in self._limits:
-            # It may be owned again, and have been passed over while it was out.
-            self._unscanned[slot.target_id] = None
-
     # Looking for slots.
 
     def _free(self, target_id: TargetId, below: t.Optional[int]) -> t.Iterator[Slot]:
-        limit = self._limits.get(target_id)
+        limit = self._owned_slots.limits.get(target_id)
         if limit is None:
             return
         ceiling = limit.usable if below is None else min(limit.usable, below)
