See the check of a packed delta's end red

Taken out, no test failed: what is cut off in the middle can't be read as rows either. A delta that lacks only its checksum can, and the new row fails without the check.

--- a/tests/traffic/test_gossip.py
+++ b/tests/traffic/test_gossip.py
@@ -166,6 +166,7 @@
         [
             ("not packed", Delta(Revision(0), Revision(1), b"no rows", False)),
             ("cut off", Delta(Revision(0), Revision(1), MANY.rows[:-9], True)),
+            ("whole but for its checksum", Delta(Revision(0), Revision(1), MANY.rows[:-2], True)),
             ("longer than anybody sends", Delta(Revision(0), Revision(1), HUGE, True)),
             ("not compressed at all", Delta(Revision(0), Revision(1), b"no rows", True)),
         ]
