Give the decisions a package of their own

Cause: traffic/ was one room of 31 modules, and the decisions on where a request runs stood among sockets, gossip and the store. What decides moves to placement/ unchanged (git mv): affinity, shares, speed, cold, admission, budget, split, targets.

--- a/src/coralfall/traffic/admission.py
+++ b/src/coralfall/placement/admission.py
@@ -9,7 +9,7 @@
 
 if t.TYPE_CHECKING:
     from ..ids import ServiceId
-    from .model import Route, RouteId
+    from ..traffic.model import Route, RouteId
     from .targets import TargetState
 
 #: How far an estimate moves towards a longer and a shorter time limit.
--- a/src/coralfall/traffic/affinity.py
+++ b/src/coralfall/placement/affinity.py
@@ -21,8 +21,8 @@
 if t.TYPE_CHECKING:
     from ..ids import EntryId, RegionId, ServiceId, TargetId
     from ..process.clock import Clock
-    from .model import DesiredState, Route
-    from .settings import SteerSettings
+    from ..traffic.model import DesiredState, Route
+    from ..traffic.settings import SteerSettings
     from .targets import TargetBook, TargetState
 
 _Regions = t.FrozenSet["RegionId"]
--- a/src/coralfall/traffic/budget.py
+++ b/src/coralfall/placement/budget.py
@@ -6,7 +6,7 @@
 if t.TYPE_CHECKING:
     from ..ids import ServiceId
     from ..process.clock import Clock
-    from .settings import BoundSettings
+    from ..traffic.settings import BoundSettings
 
 #: Part of what is allowed that is used; entries do not see each other's windows.
 _USED = 0.7
--- a/src/coralfall/traffic/split.py
+++ b/src/coralfall/placement/split.py
@@ -5,7 +5,7 @@
 
 if t.TYPE_CHECKING:
     from ..ids import ServiceId
-    from .model import Backend, Route, RouteId
+    from ..traffic.model import Backend, Route, RouteId
 
 #: Fractional part of the golden ratio: its multiples fill the unit interval most evenly.
 _STEP = 0.6180339887498949
--- a/src/coralfall/traffic/targets.py
+++ b/src/coralfall/placement/targets.py
@@ -10,7 +10,7 @@
 if t.TYPE_CHECKING:
     from ..ids import ServiceId, TargetId, ZoneId
     from ..process.clock import Clock
-    from .model import Target
+    from ..traffic.model import Target
 
 
 class TargetState:
--- a/src/coralfall/traffic/belief.py
+++ b/src/coralfall/traffic/belief.py
@@ -5,19 +5,19 @@
 
 from .. import defaults
 from ..ids import TargetId
+from ..placement.split import Split
 from ..process import log
 from .model import DesiredState
 from .replica import Replica
 from .routes import RouteTable
-from .split import Split
 from .store_clock import StoreClock
 from .translator import Evacuation, StateRow
 
 if t.TYPE_CHECKING:
+    from ..placement.affinity import AffinitySteering
+    from ..placement.targets import TargetBook
     from ..process.clock import Clock
-    from .affinity import AffinitySteering
     from .model import Target
-    from .targets import TargetBook
     from .translator import Translator
 
 #: Age in seconds of what was never known.
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -27,13 +27,13 @@
 if t.TYPE_CHECKING:
     from ..forwarding.request import RequestBody
     from ..ids import ServiceId, TargetId
+    from ..placement.affinity import AffinitySteering, Place
+    from ..placement.budget import SendBudget
+    from ..placement.targets import TargetBook, TargetState
     from ..process.clock import Clock
-    from .affinity import AffinitySteering, Place
-    from .budget import SendBudget
     from .connection import Headers
     from .model import Route
     from .pool import ConnectionPool
-    from .targets import TargetBook, TargetState
 
 _FIRST_SERVER_ERROR = 500
 _PROMISES = frozenset((408, 421, 429, 503))
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -11,14 +11,15 @@
 from ..peering.cipher import FLEET_KEY_BYTES, FleetKey
 from ..peering.messages import Hello
 from ..peering.peer_links import PeerLinks
+from ..placement.affinity import AffinitySteering
+from ..placement.budget import SendBudget
+from ..placement.targets import TargetBook
 from ..process import log
 from ..process.child import PERIODIC_JITTER, Child, FunctionChild, PeriodicChild
 from ..process.metrics import Metrics
 from ..process.supervisor import Supervisor
 from ..settings import HttpSettings
-from .affinity import AffinitySteering
 from .belief import Belief
-from .budget import SendBudget
 from .callers import CallersApp
 from .follower import Follower
 from .forwarder import Forwarder
@@ -29,7 +30,6 @@
 from .pace import Pace, pace_of
 from .pool import ConnectionPool
 from .registry import Registry
-from .targets import TargetBook
 from .telemetry import MetricsApp, Telemetry
 
 if t.TYPE_CHECKING:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -50,7 +50,8 @@
             ("process", set()),
             ("http", {"process"}),
             ("stores", {"process", "bundles"}),
-            ("traffic", {"process", "http", "stores", "peering", "forwarding"}),
+            ("placement", {"process"}),
+            ("traffic", {"process", "http", "stores", "peering", "forwarding", "placement"}),
             ("platform", {"process", "stores", "traffic"}),
         ]
     )
--- a/tests/traffic/makers.py
+++ b/tests/traffic/makers.py
@@ -4,8 +4,9 @@
 import typing as t
 
 from coralfall.ids import EntryId, Incarnation, RegionId, ServiceId, TargetId, ZoneId
+from coralfall.placement.affinity import AffinitySteering
+from coralfall.placement.targets import TargetBook
 from coralfall.process.clock import ManualClock
-from coralfall.traffic.affinity import AffinitySteering
 from coralfall.traffic.model import (
     Backend,
     CallerLimits,
@@ -18,7 +19,6 @@
     Target,
 )
 from coralfall.traffic.settings import SteerSettings, StoreSettings
-from coralfall.traffic.targets import TargetBook
 
 PEDIDOS = ServiceId("pedidos")
 NORTE = ZoneId("sierra-norte")
--- a/tests/traffic/test_decisions.py
+++ b/tests/traffic/test_decisions.py
@@ -11,14 +11,14 @@
 from coralfall import defaults
 from coralfall.exceptions import RefusedError
 from coralfall.ids import EntryId, ServiceId, TargetId
+from coralfall.placement import cold
+from coralfall.placement.budget import SendBudget
+from coralfall.placement.split import Split
 from coralfall.process.clock import ManualClock
-from coralfall.traffic import cold
-from coralfall.traffic.budget import SendBudget
 from coralfall.traffic.model import Backend, RouteId
 from coralfall.traffic.pace import pace_of
 from coralfall.traffic.routes import RouteTable
 from coralfall.traffic.settings import BoundSettings
-from coralfall.traffic.split import Split
 from tests.traffic.makers import (
     COSTA,
     NORTE,
--- a/tests/traffic/test_forwarder.py
+++ b/tests/traffic/test_forwarder.py
@@ -10,17 +10,17 @@
 
 from coralfall.forwarding.request import MemoryAccount, RequestBody
 from coralfall.ids import Outcome, TargetId
+from coralfall.placement.affinity import AffinitySteering
+from coralfall.placement.budget import SendBudget
+from coralfall.placement.targets import TargetBook
 from coralfall.platform.names import HEADERS
 from coralfall.process.clock import SystemClock
 from coralfall.traffic import pool
-from coralfall.traffic.affinity import AffinitySteering
-from coralfall.traffic.budget import SendBudget
 from coralfall.traffic.forwarder import Forwarder, SteeredRequest
 from coralfall.traffic.model import RequestKind
 from coralfall.traffic.pool import ConnectionPool
 from coralfall.traffic.reply import Reply
 from coralfall.traffic.settings import BoundSettings
-from coralfall.traffic.targets import TargetBook
 from tests.traffic.makers import (
     PEDIDOS,
     make_route,
