Tell lifetimes of a target apart, and use no target whose row can't be read

A target may start again under its id; the entry kept the old one's load, speed, rests, cold gate and connections. A row of another writer was decoded with an unknown state as usable, without slots as a division by none, and one that could not be read left the row before it in force; a value that is no base64 ended the whole read.

Change: rows are decoded strictly (types, states, ip:port, whole numbers); for targets the newest row counts also if it names none, through deltas too and after an outage; `born` or another address makes a new lifetime; a target that told `born` once must go on. After a refused connection, or two rests without one, a target is held cold until its row would tell (beat and drain bound): it may be back cold under its id before anybody read so. Ruled out: an order by `sequence`, which starts anew.

--- a/src/coralfall/placement/targets.py
+++ b/src/coralfall/placement/targets.py
@@ -13,16 +13,23 @@
     from ..traffic.model import Target
 
 
+#: Rests in a row without a connection from which on a target counts as one that went down: one
+#: lost packet can cost a connection, and a first rest, too.
+_DOUBTED_RESTS = 2
+
+
 class TargetState:
     """One lifetime of a target, and how it has done.
 
     :param target: its row.
     :param clock: tells the time.
+    :param row_delay_s: seconds from a target's start until its row is known to tell of it.
     """
 
-    def __init__(self, target: "Target", clock: "Clock") -> None:
+    def __init__(self, target: "Target", clock: "Clock", row_delay_s: float = 0.0) -> None:
         self.target = target
         self._clock = clock
+        self._row_delay_s = row_delay_s
         #: When each request of this entry that it has in hand was begun, the oldest first.
         self._begun: t.Dict[int, float] = {}
         self._begun_count = 0
@@ -89,13 +96,18 @@
         self._failures = 0
         self._rests = 0
 
-    def fail(self, reached: bool, silent_since: t.Optional[float] = None) -> None:
+    def fail(
+        self, reached: bool, silent_since: t.Optional[float] = None, refused: bool = False
+    ) -> None:
         """Note a failure; it rests after some in a row, or at once if it gives no sign of life.
 
         :param reached: whether a connection was open.
+        :param refused: whether nothing listens at its address.
         :param silent_since: when the request began, if its time was over without an answer.
         """
         self._failures += 1
+        if refused or (not reached and self._rests >= _DOUBTED_RESTS):
+            self._doubt()
         silent = silent_since is not None and silent_since > self._answered_at
         if reached and not silent and self._failures < defaults.REST_FAILURES:
             return
@@ -111,15 +123,28 @@
             seconds=seconds,
         )
 
+    def _doubt(self) -> None:
+        """Hold it cold until its row would tell of a new lifetime: its process is down.
+
+        It may start anew under its id, cold, and then bears a few requests a second; entries that
+        find it back before they read its row would send it all that is its own.
+        """
+        until = self._clock.monotonic() + self._row_delay_s
+        self.cold_until = max(self.cold_until, until)
+
 
 class TargetBook:
     """All targets, by id and by service.
 
     :param clock: tells the time.
+    :param row_delay_s: seconds from a target's start until its row is known to tell of it.
     """
 
-    def __init__(self, clock: "Clock") -> None:
+    def __init__(self, clock: "Clock", row_delay_s: float = 0.0) -> None:
         self._clock = clock
+        self._row_delay_s = row_delay_s
+        #: Called with the row of a lifetime that is over, as another has begun under its id.
+        self.on_restart: "t.Callable[[Target], None]" = lambda target: None
         self.by_id: t.Dict["TargetId", TargetState] = {}
         self._by_service: t.Dict["ServiceId", t.List[TargetState]] = {}
         self._evacuated: t.FrozenSet["ZoneId"] = frozenset()
@@ -142,8 +167,12 @@
         """Take in a target; whether it was not known before."""
         state = self.by_id.get(target.target_id)
         added = state is None
+        if state is not None and not target.is_same_lifetime(state.target):
+            self._end_lifetime(state, target)
+            state = None
         if state is None:
-            state = self.by_id[target.target_id] = TargetState(target, self._clock)
+            state = TargetState(target, self._clock, self._row_delay_s)
+            self.by_id[target.target_id] = state
         elif state.target is target or state.target == target:
             return False
         else:
@@ -155,6 +184,19 @@
             state.cold_until = max(state.cold_until, self._clock.monotonic() + target.cold_s)
         return added
 
+    def _end_lifetime(self, state: TargetState, target: "Target") -> None:
+        """Believe nothing of a lifetime that is over."""
+        log.info(
+            "target.restarted",
+            target=target.target_id,
+            service=target.service,
+            born=target.born,
+            previous=state.target.born,
+            address=target.address,
+        )
+        state.gone = True
+        self.on_restart(state.target)
+
     def evacuate(self, zones: "t.FrozenSet[ZoneId]") -> None:
         """Use no targets in these zones; those of zones that are given back are held cold."""
         returned = self._evacuated - zones
@@ -211,7 +253,7 @@
         for state in self.by_id.values():
             if self.may_use(state):
                 by_service.setdefault(state.target.service, []).append(state)
-        if _ids(by_service) != _ids(self._by_service):
+        if _lifetimes(by_service) != _lifetimes(self._by_service):
             self.generation += 1
         self._by_service = by_service
 
@@ -235,7 +277,11 @@
         )
 
 
-def _ids(
+def _lifetimes(
     by_service: "t.Mapping[ServiceId, t.Sequence[TargetState]]",
-) -> "t.Set[TargetId]":
-    return {state.target.target_id for states in by_service.values() for state in states}
+) -> "t.Set[t.Tuple[TargetId, t.Optional[int], str]]":
+    return {
+        (state.target.target_id, state.target.born, state.target.address)
+        for states in by_service.values()
+        for state in states
+    }
--- a/src/coralfall/platform/rows.py
+++ b/src/coralfall/platform/rows.py
@@ -1,5 +1,6 @@
 """Rows of the platform's store in the product's words."""
 
+import ipaddress
 import typing as t
 
 import msgspec
@@ -21,6 +22,7 @@
 from . import names
 
 _DRAINING = "draining"
+_MAX_PORT = 65535
 _KINDS = {"safe": RequestKind.SAFE, "unsafe": RequestKind.UNSAFE, "upload": RequestKind.UPLOAD}
 
 
@@ -65,21 +67,29 @@
     limits: _Limits
 
 
+_Count = t.Annotated[int, msgspec.Meta(ge=0)]
+
+
 class _Info(msgspec.Struct):
     service: str
     zone: str
-    concurrency: int
+    concurrency: t.Annotated[int, msgspec.Meta(ge=1)]
+    version: str = ""
 
 
 class _Status(msgspec.Struct, rename="camel"):
-    state: str
-    warmup_left_s: float = 0.0
+    state: t.Literal["ready", "draining"]
+    #: Rises with each write of one lifetime and starts anew with the next, so that it orders rows
+    #: of one lifetime alone. Rows are ordered by the store's revisions here.
+    sequence: _Count
+    warmup_left_s: t.Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class _Server(msgspec.Struct):
     address: str
     info: _Info
     status: _Status
+    born: t.Union[_Count, msgspec.UnsetType] = msgspec.UNSET
 
 
 _config_decoder = msgspec.json.Decoder(_Config)
@@ -94,6 +104,10 @@
     target_prefix = f"{names.TARGET_TABLE}/"
     entry_prefix = f"{names.ENTRY_TABLE}/"
 
+    def __init__(self) -> None:
+        #: Keys of targets that told when their lifetime began, and so always do.
+        self._born_keys: t.Set[str] = set()
+
     def state_row(self, key: str, data: bytes) -> StateRow:
         name = key.removeprefix(self.state_prefix)
         if name.startswith(names.EVACUATION_PREFIX):
@@ -104,14 +118,20 @@
 
     def target_row(self, key: str, data: bytes) -> Target:
         server = _decode(_server_decoder, key, data)
+        born = None if server.born is msgspec.UNSET else server.born
+        if born is not None:
+            self._born_keys.add(key)
+        elif key in self._born_keys:
+            raise DesiredStateError(f"{key} can't be read: it lacks `born`", key=key, field="born")
         return Target(
             target_id=TargetId(key.removeprefix(self.target_prefix)),
             service=ServiceId(server.info.service),
-            address=server.address,
+            address=_address(key, server.address),
             zone=ZoneId(server.info.zone),
             slots=server.info.concurrency,
             leaving=server.status.state == _DRAINING,
             cold_s=server.status.warmup_left_s,
+            born=born,
         )
 
     def entry_row(self, record: EntryRecord) -> t.Tuple[str, bytes]:
@@ -131,9 +151,21 @@
 def _decode(decoder: _Decoder[DecodedT], key: str, data: bytes) -> DecodedT:
     try:
         return decoder.decode(data)
-    except msgspec.MsgspecError as error:
-        message = f"{key}: {error}; the last good state stays in force"
-        raise DesiredStateError(message, key=key) from error
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise DesiredStateError(f"{key} can't be read: {error}", key=key) from error
+
+
+def _address(key: str, address: str) -> str:
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+        valid = 0 < int(port) <= _MAX_PORT
+    except ValueError:
+        valid = False
+    if not valid:
+        message = f"{key} can't be read: address {address!r} is no ip:port - at `$.address`"
+        raise DesiredStateError(message, key=key, field="address")
+    return address
 
 
 def _desired_state(config: _Config) -> DesiredState:
--- a/src/coralfall/platform/store.py
+++ b/src/coralfall/platform/store.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import base64
+import binascii
 import typing as t
 import urllib.parse
 
@@ -19,6 +20,7 @@
     PlatformUnknownError,
 )
 from ..ids import Revision
+from ..process import log
 from ..stores.store import Changes, Check, Feed, Row, Table, TransactResult, Write
 from ..traffic.connection import BrokenAnswerError, ServerAnswer, ServerConnection, connect, head_of
 from ..traffic.settings import StoreSettings
@@ -192,8 +194,15 @@
 
 
 def _row(row: _Row) -> Row:
-    value = None if row.deleted or row.value is None else base64.b64decode(row.value)
-    return Row(f"{row.table}/{row.key}", value, Revision(row.ver))
+    key = f"{row.table}/{row.key}"
+    if row.deleted or row.value is None:
+        return Row(key, None, Revision(row.ver))
+    try:
+        return Row(key, base64.b64decode(row.value, validate=True), Revision(row.ver))
+    except binascii.Error as error:
+        # One row must not hide the others; its reader finds nothing to read in it.
+        log.warning("row.not-base64", key=key, revision=row.ver, error=str(error))
+        return Row(key, b"", Revision(row.ver))
 
 
 def _transaction(writes: t.Sequence[Write], checks: t.Sequence[Check]) -> t.Dict[str, t.Any]:
--- a/src/coralfall/traffic/belief.py
+++ b/src/coralfall/traffic/belief.py
@@ -48,7 +48,10 @@
         #: Tells how old the rows are.
         self.store_clock = StoreClock(clock)
         self.state_rows: Replica[StateRow] = Replica("state", translator.state_row)
-        self.target_rows: Replica["Target"] = Replica("targets", translator.target_row)
+        self.target_rows: Replica["Target"] = Replica(
+            "targets", translator.target_row, drops_unreadable=True
+        )
+        self._target_prefix = translator.target_prefix
         self.state: t.Optional[DesiredState] = None
         self.routes: t.Optional[RouteTable] = None
         self.split = Split(rng)
@@ -130,7 +133,7 @@
         present = {target.target_id: target for target in self.target_rows.values().values()}
         if now < self._linger_until:
             self._linger(present)
-        self._drop_returned(present)
+        self._drop_decided(present)
         self._targets.update({**self._lingering, **present})
         self.on_learnt()
 
@@ -148,6 +151,9 @@
             if target_id not in present and not state.target.leaving:
                 self._lingering[target_id] = state.target
 
-    def _drop_returned(self, present: "t.Mapping[TargetId, Target]") -> None:
-        for target_id in present:
-            self._lingering.pop(target_id, None)
+    def _drop_decided(self, present: "t.Mapping[TargetId, Target]") -> None:
+        """Wait no longer for targets that are back, or whose rows name none that can be used."""
+        for target_id in list(self._lingering):
+            unreadable = self._target_prefix + target_id in self.target_rows.unreadable
+            if target_id in present or unreadable:
+                del self._lingering[target_id]
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -235,7 +235,7 @@
         except TargetNotRunError as error:
             send.result = str(error.fields.get("reason", "not-run"))
             if send.result == "connect":
-                state.fail(reached=False)
+                state.fail(reached=False, refused=bool(error.fields.get("refused")))
             raise
         except TargetUnknownError as error:
             send.result = str(error.fields.get("reason", error.code))
--- a/src/coralfall/traffic/model.py
+++ b/src/coralfall/traffic/model.py
@@ -92,6 +92,12 @@
     leaving: bool = False
     #: Seconds for which it stays cold, counted from when that is learnt.
     cold_s: float = 0.0
+    #: When this lifetime began, in milliseconds of the Unix epoch; ``None`` if it is not told.
+    born: t.Optional[int] = None
+
+    def is_same_lifetime(self, other: "Target") -> bool:
+        """Whether this row and another of the same id tell of one lifetime."""
+        return self.born == other.born and self.address == other.address
 
 
 class EntryRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -80,12 +80,13 @@
         self._rng = rng
         self.telemetry = Telemetry()
         self.metrics = Metrics(settings.metrics)
-        self.targets = TargetBook(clock)
+        self.targets = TargetBook(clock, settings.bounds.target_row_s())
         self.steering = AffinitySteering(settings, self.targets, clock)
         self.belief = Belief(translator, self.steering, self.targets, clock, rng)
         self.members = Members(_own_record(settings, clock), clock, rng)
         self.budget = SendBudget(settings.bounds, clock)
         self.pool = ConnectionPool()
+        self.targets.on_restart = self.pool.forget
         self.forwarder = Forwarder(
             names, self.steering, self.targets, self.pool, self.budget, clock
         )
--- a/src/coralfall/traffic/pool.py
+++ b/src/coralfall/traffic/pool.py
@@ -47,7 +47,8 @@
                 message = f"this entry can open no more connections: {error}"
                 raise TargetNotRunError(message, reason=NO_FILES) from error
             message = f"target can't be connected: {error or type(error).__name__}"
-            raise TargetNotRunError(message, reason="connect") from error
+            refused = isinstance(error, ConnectionRefusedError)
+            raise TargetNotRunError(message, reason="connect", refused=refused) from error
 
     def give(self, target: "Target", connection: ServerConnection) -> None:
         """Take back a connection after a whole answer."""
--- a/src/coralfall/traffic/replica.py
+++ b/src/coralfall/traffic/replica.py
@@ -35,11 +35,18 @@
 
     :param name: what logs call it.
     :param decode: makes a value of a row's key and bytes; raises ``DesiredStateError``.
+    :param drops_unreadable: whether a row that can't be read ends the good one before it, and does
+        not leave it in force.
     """
 
-    def __init__(self, name: str, decode: t.Callable[[str, bytes], ValueT]) -> None:
+    def __init__(
+        self, name: str, decode: t.Callable[[str, bytes], ValueT], drops_unreadable: bool = False
+    ) -> None:
         self.name = name
         self._decode = decode
+        self._drops_unreadable = drops_unreadable
+        #: Keys whose newest row could not be read.
+        self.unreadable: t.Set[str] = set()
         self._held: t.Dict[str, _Held[ValueT]] = {}
         self._removed: t.Dict[str, Revision] = {}
         #: Deltas since older revisions than this can't be made.
@@ -145,14 +152,24 @@
             value = self._decode(key, data)
         except DesiredStateError as error:
             log.error("row.unreadable", key=key, revision=revision, error=error.message)
+            self._note_unreadable(key, revision, changed)
             return
+        self.unreadable.discard(key)
         if held is not None and held.value == value:
             return
         self._held[key] = _Held(data, revision, value)
         self._removed.pop(key, None)
         changed.add(key)
 
+    def _note_unreadable(self, key: str, revision: Revision, changed: t.Set[str]) -> None:
+        if not self._drops_unreadable:
+            return
+        self._remove(key, revision, changed)
+        self.unreadable.add(key)
+        changed.add(key)
+
     def _remove(self, key: str, revision: Revision, changed: t.Set[str]) -> None:
+        self.unreadable.discard(key)
         held = self._held.get(key)
         if held is not None:
             if held.revision > revision:
--- a/src/coralfall/traffic/settings.py
+++ b/src/coralfall/traffic/settings.py
@@ -48,6 +48,10 @@
         """Seconds within which what the operator writes must be in force."""
         return min(self.config_s, self.evacuation_s)
 
+    def target_row_s(self) -> float:
+        """Seconds from a target's start until its row tells of it here."""
+        return self.target_beat_s + self.drain_s
+
     def leave_s(self) -> float:
         """Seconds for which a stopping entry still takes what callers send to it."""
         return min(defaults.LEAVE_S, self.grace_s * defaults.LEAVE_PART)
--- a/tests/platform_adapter/test_adapter.py
+++ b/tests/platform_adapter/test_adapter.py
@@ -9,6 +9,8 @@
 import typing as t
 import unittest
 
+import hypothesis
+import hypothesis.strategies as st
 import msgspec
 from parameterized import parameterized
 
@@ -24,9 +26,10 @@
 from coralfall.ids import Revision
 from coralfall.platform.rows import PlatformTranslator
 from coralfall.platform.store import RowStore
-from coralfall.stores.store import Check, Write
+from coralfall.stores.store import Check, Row, Write
 from coralfall.traffic.connection import connect
 from coralfall.traffic.model import DesiredState, RequestKind
+from coralfall.traffic.replica import Replica
 from coralfall.traffic.settings import BoundSettings, StoreSettings
 from coralfall.traffic.translator import Evacuation
 from tests.platform_adapter.standins import StoreStandin, config
@@ -132,12 +135,113 @@
             (target.target_id, target.service, target.slots, target.leaving, target.cold_s),
         )
 
+    @parameterized.expand(
+        [
+            ("no address", ("address",), None, "address"),
+            ("a name for an address", ("address",), "host:80", "$.address"),
+            ("no port", ("address",), "10.0.0.1", "$.address"),
+            ("a port beyond all", ("address",), "10.0.0.1:70000", "$.address"),
+            ("an address that is a number", ("address",), 7, "$.address"),
+            ("no service", ("info", "service"), None, "service"),
+            ("a service that is a list", ("info", "service"), ["s"], "$.info.service"),
+            ("no slots", ("info", "concurrency"), None, "concurrency"),
+            ("no slot", ("info", "concurrency"), 0, "$.info.concurrency"),
+            ("slots as text", ("info", "concurrency"), "6", "$.info.concurrency"),
+            ("slots as a truth", ("info", "concurrency"), True, "$.info.concurrency"),
+            ("a zone that is no text", ("info", "zone"), 1, "$.info.zone"),
+            ("a version that is no text", ("info", "version"), 1, "$.info.version"),
+            ("an unknown state", ("status", "state"), "resting", "$.status.state"),
+            ("no state", ("status", "state"), None, "state"),
+            ("no sequence", ("status", "sequence"), None, "sequence"),
+            ("half a sequence", ("status", "sequence"), 1.5, "$.status.sequence"),
+            ("a sequence below none", ("status", "sequence"), -1, "$.status.sequence"),
+            ("warm before its start", ("status", "warmupLeftS"), -1.0, "$.status.warmupLeftS"),
+            ("no status", ("status",), None, "status"),
+            ("a birth as text", ("born",), "1700000000000", "$.born"),
+            ("half a birth", ("born",), 1.5, "$.born"),
+        ]
+    )
+    def test_a_target_that_can_t_be_read(
+        self, _name: str, path: t.Sequence[str], value: t.Any, told: str
+    ) -> None:
+        row = target_row(born=1_700_000_000_000)
+        place = row
+        for name in path[:-1]:
+            place = place[name]
+        place[path[-1]] = value
+        if value is None:
+            del place[path[-1]]
+        with self.assertRaises(DesiredStateError) as caught:
+            self.translator.target_row("servers/i-1", json.dumps(row).encode())
+        self.assertIn(told, caught.exception.message)
+
+    def test_a_target_that_told_its_birth_always_does(self) -> None:
+        translator = PlatformTranslator()
+        plain = json.dumps(target_row()).encode()
+        self.assertIsNone(translator.target_row("servers/i-1", plain).born)
+        born = json.dumps(target_row(born=5)).encode()
+        self.assertEqual(5, translator.target_row("servers/i-1", born).born)
+        with self.assertRaises(DesiredStateError):
+            translator.target_row("servers/i-1", plain)
+        self.assertIsNone(translator.target_row("servers/i-2", plain).born)
+
+    @hypothesis.given(
+        data=st.one_of(
+            st.binary(max_size=200),
+            st.recursive(
+                st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=9),
+                lambda inner: st.lists(inner, max_size=3)
+                | st.dictionaries(
+                    st.sampled_from(("address", "info", "status", "born", "version", "routes")),
+                    inner,
+                    max_size=5,
+                ),
+            ).map(lambda value: json.dumps(value).encode()),
+        )
+    )
+    @hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+    def test_whatever_bytes_come_a_row_is_read_or_refused(self, data: bytes) -> None:
+        for read in (
+            lambda: self.translator.target_row("servers/i-1", data),
+            lambda: self.translator.state_row("op/config", data),
+            lambda: self.translator.read_entry_row("entries/e1", data),
+        ):
+            try:
+                read()
+            except DesiredStateError as error:
+                self.assertIn("can't be read", error.message)
+
+    @hypothesis.given(position=st.integers(0, 200), byte=st.integers(0, 255))
+    @hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+    def test_one_changed_byte_hides_no_other_row(self, position: int, byte: int) -> None:
+        good = json.dumps(target_row(born=5)).encode()
+        at = position % len(good)
+        foreign = good[:at] + bytes([byte]) + good[at + 1 :]
+        replica = Replica("targets", PlatformTranslator().target_row, drops_unreadable=True)
+        rows = [
+            Row("servers/i-1", good, Revision(1)),
+            Row("servers/i-2", foreign, Revision(2)),
+            Row("servers/i-3", good, Revision(3)),
+        ]
+        replica.apply_changes(rows, Revision(3), 1.0)
+        self.assertLessEqual({"servers/i-1", "servers/i-3"}, set(replica.values()))
+
     def test_an_entry_s_own_row(self) -> None:
         record = make_record("e1")
         key, data = self.translator.entry_row(record)
         self.assertEqual(record, self.translator.read_entry_row(key, data))
 
 
+def target_row(**fields: t.Any) -> t.Dict[str, t.Any]:
+    """A target's row as it writes it, with further fields."""
+    return {
+        "address": "10.0.0.1:1",
+        "info": {"service": "s", "version": "v", "zone": "z", "concurrency": 6},
+        "status": {"state": "ready", "sequence": 3, "warmupLeftS": 0},
+        **fields,
+    }
+
+
 Work = t.Callable[[StoreStandin, RowStore], t.Awaitable[t.Any]]
 
 
--- a/tests/traffic/makers.py
+++ b/tests/traffic/makers.py
@@ -114,7 +114,7 @@
         settings: t.Optional[SteerSettings] = None,
     ) -> None:
         self.clock = ManualClock(100.0)
-        self.targets = TargetBook(self.clock)
+        self.targets = TargetBook(self.clock, make_settings().bounds.target_row_s())
         self.steering = AffinitySteering(settings or make_settings(), self.targets, self.clock)
         self.steering.set_state(make_state())
         self.steering.entries = [EntryId(name) for name in entries]
--- a/tests/traffic/test_decisions.py
+++ b/tests/traffic/test_decisions.py
@@ -271,6 +271,32 @@
             got = error.fields["reason"]
         self.assertEqual(reason, got)
 
+    @parameterized.expand(
+        [
+            ("nothing listens", True, 1, True),
+            ("one lost packet", False, 1, False),
+            ("silent for long", False, 4, True),
+        ]
+    )
+    def test_a_target_that_was_down_is_cold_until_its_row_would_tell(
+        self, _name: str, refused: bool, failures: int, cold: bool
+    ) -> None:
+        steered = Steered(make_target(1))
+        state = steered.targets.by_id[TargetId("t1")]
+        for _ in range(failures):
+            state.fail(reached=False, refused=refused)
+        self.assertEqual(cold, state.is_cold())
+        steered.clock.advance(make_settings().bounds.target_row_s())
+        self.assertFalse(state.is_cold())
+
+    def test_kept_connections_of_a_lifetime_that_is_over_are_dropped(self) -> None:
+        steered = Steered(make_target(1, born=1))
+        ended: t.List[t.Optional[int]] = []
+        steered.targets.on_restart = lambda target: ended.append(target.born)
+        steered.set_targets(make_target(1, born=1, cold_s=1.0))
+        steered.set_targets(make_target(1, born=2))
+        self.assertEqual([1], ended)
+
     def test_if_all_rest_they_are_tried_all_the_same(self) -> None:
         steered = Steered(make_target(1), make_target(2))
         for state in steered.targets.by_id.values():
--- a/tests/traffic/test_knowledge.py
+++ b/tests/traffic/test_knowledge.py
@@ -85,7 +85,7 @@
             raise PlatformUnavailableError("down")
 
 
-def text_replica() -> "Replica[str]":
+def text_replica(drops_unreadable: bool = False) -> "Replica[str]":
     """A replica of texts, in which ``bad`` can't be read and case means nothing."""
 
     def decode(key: str, data: bytes) -> str:
@@ -93,7 +93,7 @@
             raise DesiredStateError(f"{key} is bad")
         return data.decode().lower()
 
-    return Replica("texts", decode)
+    return Replica("texts", decode, drops_unreadable)
 
 
 class ReplicaTest(unittest.TestCase):
@@ -116,6 +116,18 @@
         changed = replica.apply_changes([Row("k", b"bad", Revision(2))], Revision(2), 1.0)
         self.assertEqual((set(), "good"), (changed, replica.get("k")))
 
+    def test_what_can_t_be_read_ends_the_good_row_if_told_so(self) -> None:
+        replica = text_replica(drops_unreadable=True)
+        replica.apply_changes([Row("k", b"good", Revision(1))], Revision(1), 1.0)
+        changed = replica.apply_changes([Row("k", b"bad", Revision(2))], Revision(2), 1.0)
+        self.assertEqual(({"k"}, None), (changed, replica.get("k")))
+        other = text_replica(drops_unreadable=True)
+        other.apply_changes([Row("k", b"good", Revision(1))], Revision(1), 1.0)
+        other.apply_delta(replica.delta(Revision(1)), 1.0)
+        self.assertIsNone(other.get("k"))
+        replica.apply_changes([Row("k", b"again", Revision(3))], Revision(3), 1.0)
+        self.assertEqual(("again", set()), (replica.get("k"), replica.unreadable))
+
     def test_a_write_that_says_nothing_new_is_passed_over(self) -> None:
         replica = text_replica()
         replica.apply_changes([Row("k", b"a", Revision(1))], Revision(1), 1.0)
@@ -206,6 +218,40 @@
         known.learn_targets(2, make_target(2))
         self.assertNotIn(TargetId("t1"), known.steered.targets.by_id)
 
+    @parameterized.expand([("before the outage", False), ("after it", True)])
+    def test_a_target_whose_row_can_t_be_read_gets_nothing(self, _name: str, late: bool) -> None:
+        known = Known()
+        known.learn_targets(1, make_target(1), make_target(2))
+        if late:
+            t.cast(ManualClock, known.clock).advance(10.0)
+            known.learn_targets(2, make_target(2))
+            self.assertIn(TargetId("t1"), known.steered.targets.by_id)
+        rows = known.belief.target_rows
+        row = Row("targets/t1", b"{", Revision(3))
+        known.belief.targets_changed(rows.apply_changes([row], Revision(3), 1.0))
+        self.assertEqual({TargetId("t2")}, set(known.steered.targets.by_id))
+
+    @parameterized.expand([("newest first", (4, 3)), ("in order", (3, 4))])
+    def test_a_new_lifetime_under_an_id_starts_with_nothing(
+        self, _name: str, order: t.Sequence[int]
+    ) -> None:
+        """An entry that was away hears of both lifetimes by deltas, in any order."""
+        known = Known()
+        known.learn_targets(1, make_target(1, born=100), make_target(2))
+        before = known.steered.targets.by_id[TargetId("t1")]
+        before.report(4, 9)
+        before.fail(reached=False)
+        born_by_revision = {3: 100, 4: 200}
+        for revision in order:
+            target = make_target(1, born=born_by_revision[revision], cold_s=3.0)
+            row = Row("targets/t1", msgspec.json.encode(target), Revision(revision))
+            rows = known.belief.target_rows
+            known.belief.targets_changed(rows.apply_changes([row], Revision(4), 1.0))
+        state = known.steered.targets.by_id[TargetId("t1")]
+        self.assertEqual(200, state.target.born)
+        self.assertEqual((0.0, True, True), (state.load(), state.usable(), state.is_cold()))
+        self.assertFalse(known.steered.targets.may_use(before))
+
 
 class ExchangeTest(unittest.TestCase):
     def test_the_one_behind_learns_and_ages_are_kept(self) -> None:
