Let a second home learn an object only where it has room

A request beyond 1.5 times the first home's slots went to the second one, which had to learn the object (3.3 times the work); that made it full, so that its requests spilled, too, and targets forgot what they were taught.

Change: what a target knows (this entry sent it the object in the last 20 s) is kept by lifetime; a second home that does not know the object takes it below 0.7 of its slots only (1.0 once the first is at three times its own).

The test's rows of learning fail on the code before.

--- a/src/coralfall/placement/affinity.py
+++ b/src/coralfall/placement/affinity.py
@@ -27,11 +27,16 @@
 
 _Regions = t.FrozenSet["RegionId"]
 
+#: Instead of a limit for a target that does not know the object and is not its first home. To learn
+#: one takes three times as long as to serve a known one: under load each request that spills to
+#: such a target makes more spill, and the targets end up learning what they forgot for others.
+_LEARNING_LIMITS = {defaults.AFFINITY_LIMITS[0]: 0.7, defaults.AFFINITY_LIMITS[1]: 1.0}
+
 
 class _Ranked:
     """The targets of one object, the first home first, in its callers' region and elsewhere."""
 
-    __slots__ = ("far", "last", "near", "place")
+    __slots__ = ("far", "near", "place")
 
     def __init__(
         self, place: float, near: t.Sequence["TargetState"], far: t.Sequence["TargetState"]
@@ -39,8 +44,6 @@
         self.place = place
         self.near = near
         self.far = far
-        #: The target that had the object's last request, of this entry.
-        self.last: t.Optional["TargetState"] = None
 
 
 class Place:
@@ -127,8 +130,9 @@
         in_time = [state for state in homes if self.admission.predict(state) < left_s]
         for limit in limits:
             for state in in_time:
-                if state.load() < limit * state.target.slots:
-                    return self._take(state, ranked, route)
+                most = min(limit, self._most_of(state, state is homes[0], key, limit, route))
+                if state.load() < most * state.target.slots:
+                    return self._take(state, key, route)
         if not in_time:
             message = f"no target of {service} for this object would answer in time"
             raise RefusedError(message, defaults.COME_BACK_S, service=service, reason="no-time")
@@ -141,12 +145,21 @@
             loads=",".join([f"{s.target.target_id}:{s.load():.1f}" for s in homes]),
         )
 
-    def _take(self, state: "TargetState", ranked: _Ranked, route: "Route") -> "Place":
+    def _most_of(
+        self, state: "TargetState", first: bool, key: bytes, limit: float, route: "Route"
+    ) -> float:
+        """Slots, as a multiple of its own, up to which a target takes a request of this object."""
+        if first or not route.session_affinity or state.knows(key):
+            return limit
+        return _LEARNING_LIMITS.get(limit, limit)
+
+    def _take(self, state: "TargetState", key: bytes, route: "Route") -> "Place":
         cold = state.is_cold()
         if cold:
             state.cold.note(self._clock.monotonic())
-        known = ranked.last is state or not route.session_affinity
-        ranked.last = state
+        known = state.knows(key) or not route.session_affinity
+        if route.session_affinity:
+            state.note_object(key)
         return Place(state, known and not cold and state.load() < state.target.slots)
 
     def _homes(
--- a/src/coralfall/placement/targets.py
+++ b/src/coralfall/placement/targets.py
@@ -1,5 +1,6 @@
 """Targets: what an entry knows of each one, from the platform's rows and from its own requests."""
 
+import collections
 import typing as t
 
 from .. import defaults
@@ -13,6 +14,9 @@
     from ..traffic.model import Target
 
 
+#: Seconds for which a target is thought to know an object, and how many objects of each are kept.
+_KNOWN_S = 20.0
+_MAX_OBJECTS = 512
 #: Rests in a row without a connection from which on a target counts as one that went down: one
 #: lost packet can cost a connection, and a first rest, too.
 _DOUBTED_RESTS = 2
@@ -34,6 +38,8 @@
         self._begun: t.Dict[int, float] = {}
         self._begun_count = 0
         self._answered_at = -float("inf")
+        #: When this entry last sent a request of each object, the object longest unsent first.
+        self._sent_by_object: "collections.OrderedDict[bytes, float]" = collections.OrderedDict()
         self.cold = ColdGate()
         #: Of requests for objects that it knew, without a queue.
         self.durations = Durations()
@@ -61,6 +67,18 @@
         """Note that a request is over, however it ended."""
         self._begun.pop(number, None)
 
+    def knows(self, key: bytes) -> bool:
+        """Whether this entry sent it a request of this object lately, so that it is fast with it."""
+        sent_at = self._sent_by_object.get(key)
+        return sent_at is not None and self._clock.monotonic() - sent_at < _KNOWN_S
+
+    def note_object(self, key: bytes) -> None:
+        """Note that a request of this object is sent to it."""
+        self._sent_by_object[key] = self._clock.monotonic()
+        self._sent_by_object.move_to_end(key)
+        if len(self._sent_by_object) > _MAX_OBJECTS:
+            self._sent_by_object.popitem(last=False)
+
     def is_quiet(self, seconds: float) -> bool:
         """Whether a request waits for longer than that and none was answered since it began."""
         if not self._begun:
--- a/tests/traffic/test_decisions.py
+++ b/tests/traffic/test_decisions.py
@@ -160,6 +160,27 @@
         self.assertEqual("full", caught.exception.fields["reason"])
         self.assertGreater(caught.exception.retry_after, 0)
 
+    @parameterized.expand(
+        [
+            # slots of the second home that are taken, whether it knows the object, where it goes
+            ("an object to learn waits at home", 0, False, 4, "first"),
+            ("a full home, and room to learn", 2, False, 6, "second"),
+            ("a full home, and little room to learn", 3, False, 6, "first"),
+        ]
+    )
+    def test_a_second_home_learns_only_where_it_has_room(
+        self, _name: str, taken: int, known: bool, load: int, expected: str
+    ) -> None:
+        steered = Steered(make_target(1), make_target(2))
+        first = steered.targets.by_id[self.choose(steered, "x")]
+        (second,) = [one for one in steered.targets.by_id.values() if one is not first]
+        if known:
+            second.note_object(b"x")
+        second.report(taken, 0)
+        first.report(4, load - 4)
+        chosen = steered.targets.by_id[self.choose(steered, "x")]
+        self.assertIs({"first": first, "second": second}[expected], chosen)
+
     def test_a_released_target_is_chosen_again(self) -> None:
         steered = Steered(make_target(1, slots=1))
         held = [steered.steering.choose(make_route(), PEDIDOS, b"x", ()) for _ in range(3)]
