Take targets for six tenths busy when a region's part of its objects is reckoned

Change: a region is thought to need 0.6 of its even part of all slots. What is beyond its room spills to the second home. Ruled out: following the measured load by entry (entries would differ in the part, and each object between their parts has two homes more); none of it survives a restart of all, while this follows from the targets' rows alone, which all entries know.

--- a/src/coralfall/placement/shares.py
+++ b/src/coralfall/placement/shares.py
@@ -27,10 +27,10 @@
     :param slots: of the targets that may be used, by region.
     :param regions: how many regions have callers.
     """
-    total = sum(slots.values())
-    if not total:
+    needed = _needed(slots, regions)
+    if not needed:
         return 0.0
-    return min(1.0, slots.get(region, 0) / (total / max(1, regions)))
+    return min(1.0, slots.get(region, 0) / needed)
 
 
 def spare_weight(region: "RegionId", slots: SlotsByRegion, regions: int) -> float:
@@ -38,10 +38,17 @@
     own = slots.get(region, 0)
     if not own:
         return 0.0
-    fair = sum(slots.values()) / max(1, regions)
-    return max(_LEAST_SPARE, (own - fair) / own)
+    return max(_LEAST_SPARE, (own - _needed(slots, regions)) / own)
 
 
+def _needed(slots: SlotsByRegion, regions: int) -> float:
+    """Slots that the callers of one region keep busy, if regions ask alike."""
+    return _BUSY_PART * sum(slots.values()) / max(1, regions)
+
+
+#: Part of all slots that is thought to be busy. Targets that are fuller than this have queues, and
+#: what is kept beyond the room spills to the second home.
+_BUSY_PART = 0.6
 #: Part of a full region that still takes what others can't.
 _LEAST_SPARE = 0.02
 
