Open connections to distant targets ahead of requests that may run once

Cause: such a request gets a new connection each time, which costs a trip there and back: payments to another region took 171 ms at the entry (p50) of an aim of 200 ms from the caller's first byte.

Change: where opening takes 5 ms or more, the next connection is opened as one is taken, if the last was taken within 2.5 s; it is used once, within 2.5 s, and never carried a request. At most one a target, 128 in all. Ruled out: to use kept ones (the target may close them just then, and the request could not be sent again); opening them to near targets (1 ms).

--- a/src/coralfall/traffic/pool.py
+++ b/src/coralfall/traffic/pool.py
@@ -14,18 +14,34 @@
 #: Largest answer of a target that is passed on, in bytes.
 _MAX_ANSWER_BYTES = 64 * 1024 * 1024
 _MAX_IDLE = 8
+#: Seconds that opening a connection takes from which on it is opened ahead: a trip to another
+#: region, which a request that may run once would wait for twice.
+_DISTANT_S = 0.005
+#: Seconds for which one that was opened ahead is used, well below the time after which targets
+#: close idle connections, and how many there are at the most.
+_AHEAD_S = 2.5
+_MAX_AHEAD = 128
 #: Reason of a send that this entry could open no connection for.
 NO_FILES = "no-files"
 _OWN_SHORTAGES = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.EADDRNOTAVAIL))
 
 
 class ConnectionPool:
-    """Opens connections to targets and keeps some of them for a while."""
+    """Opens connections to targets and keeps some of them for a while.
+
+    A connection that carried a request is used again for requests that may run twice alone: its
+    target may close it just then. One that was opened ahead and carried none is as good as new.
+    """
 
     def __init__(self) -> None:
         self._idle: t.Dict[str, t.List[ServerConnection]] = {}
-        #: Connections opened so far.
+        #: Connections to distant targets that were opened ahead, by address.
+        self._ahead: t.Dict[str, ServerConnection] = {}
+        self._opening: t.Dict[str, "asyncio.Task[None]"] = {}
+        self._asked_at: t.Dict[str, float] = {}
+        #: Connections opened so far, and those of them that were opened ahead.
         self.opened = 0
+        self.opened_ahead = 0
 
     async def take(self, target: "Target", kept: bool, seconds: float) -> ServerConnection:
         """A connection to a target.
@@ -38,9 +54,21 @@
             connection = self._take_idle(target.address)
             if connection is not None:
                 return connection
+            return await self._open(target.address, seconds)
+        ahead = self._ahead.pop(target.address, None)
+        if ahead is not None and self._is_fresh(ahead):
+            self._open_ahead(target)
+            return ahead
+        began = _now()
+        connection = await self._open(target.address, seconds)
+        if _now() - began >= _DISTANT_S:
+            self._open_ahead(target)
+        return connection
+
+    async def _open(self, address: str, seconds: float) -> ServerConnection:
         self.opened += 1
         try:
-            return await connect(target.address, seconds, _MAX_ANSWER_BYTES)
+            connection = await connect(address, seconds, _MAX_ANSWER_BYTES)
         except (OSError, asyncio.TimeoutError) as error:
             if isinstance(error, OSError) and error.errno in _OWN_SHORTAGES:
                 # The target has no part in it.
@@ -49,6 +77,36 @@
             message = f"target can't be connected: {error or type(error).__name__}"
             refused = isinstance(error, ConnectionRefusedError)
             raise TargetNotRunError(message, reason="connect", refused=refused) from error
+        connection.used_at = _now()
+        return connection
+
+    def _open_ahead(self, target: "Target") -> None:
+        """Open the connection of the next request, if one is likely before it is too old."""
+        address = target.address
+        asked_at = self._asked_at.get(address, -float("inf"))
+        self._asked_at[address] = _now()
+        likely = _now() - asked_at < _AHEAD_S
+        full = len(self._ahead) + len(self._opening) >= _MAX_AHEAD
+        if not likely or full or address in self._ahead or address in self._opening:
+            return
+        self._opening[address] = asyncio.create_task(self._keep_ahead(address))
+
+    async def _keep_ahead(self, address: str) -> None:
+        try:
+            connection = await self._open(address, defaults.TARGET_CONNECT_S)
+        except TargetNotRunError:
+            # Nobody waits for it; the next request opens its own, and tells what it meets.
+            return
+        finally:
+            self._opening.pop(address, None)
+        self.opened_ahead += 1
+        self._ahead[address] = connection
+
+    def _is_fresh(self, connection: ServerConnection) -> bool:
+        if connection.reusable and _now() - connection.used_at < _AHEAD_S:
+            return True
+        connection.abort()
+        return False
 
     def give(self, target: "Target", connection: ServerConnection) -> None:
         """Take back a connection after a whole answer."""
@@ -63,10 +121,17 @@
         """Close the idle connections to a target; one of them was found dead."""
         for connection in self._idle.pop(target.address, ()):
             connection.abort()
+        ahead = self._ahead.pop(target.address, None)
+        if ahead is not None:
+            ahead.abort()
 
     def close_idle(self) -> None:
         """Close those that were idle for too long."""
-        now = asyncio.get_running_loop().time()
+        now = _now()
+        for address, connection in list(self._ahead.items()):
+            if not self._is_fresh(connection):
+                del self._ahead[address]
+        self._asked_at = {a: at for a, at in self._asked_at.items() if now - at < _AHEAD_S}
         for address, idle in list(self._idle.items()):
             kept = []
             for connection in idle:
@@ -85,10 +150,15 @@
             for connection in idle:
                 connection.abort()
         self._idle.clear()
+        for task in self._opening.values():
+            task.cancel()
+        for connection in self._ahead.values():
+            connection.abort()
+        self._ahead.clear()
 
     def _take_idle(self, address: str) -> t.Optional[ServerConnection]:
         idle = self._idle.get(address)
-        now = asyncio.get_running_loop().time()
+        now = _now()
         while idle:
             connection = idle.pop()
             if connection.reusable and not _is_old(connection, now):
@@ -97,6 +167,10 @@
         return None
 
 
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def _is_old(connection: ServerConnection, now: float) -> bool:
     most = defaults.TARGET_IDLE_S
     if connection.keep_s is not None:
--- a/tests/traffic/test_forwarder.py
+++ b/tests/traffic/test_forwarder.py
@@ -387,6 +387,56 @@
         self.assertEqual([200, 200], [reply.status for reply in replies])
         self.assertEqual(most, target.connections)
 
+    @parameterized.expand(
+        [
+            # kind, whether the target is distant, requests, connections when the last one ended
+            ("what may run once, far", "unsafe", True, 3, 4),
+            ("what may run once, near", "unsafe", False, 3, 3),
+            ("what may run twice", "safe", True, 3, 1),
+            ("once in a while", "unsafe", True, 1, 1),
+        ]
+    )
+    def test_connections_are_opened_ahead(
+        self, _name: str, kind: str, distant: bool, requests: int, connections: int
+    ) -> None:
+        """From the second of a row of requests on there is one connection more than they use."""
+
+        async def main() -> t.Tuple[t.List[int], int, int]:
+            async with RawTarget(ok) as target:
+                path = Path([target.address])
+                statuses = []
+                for number in range(requests):
+                    reply = await path.forward(path.request(kind, number))
+                    statuses.append(reply.status)
+                    await asyncio.sleep(0.05)
+                path.pool.close()
+                return statuses, target.connections, path.pool.opened_ahead
+
+        with mock.patch.object(pool, "_DISTANT_S", 0.0 if distant else 60.0):
+            statuses, opened, ahead = asyncio.run(main())
+        self.assertEqual(([200] * requests, connections), (statuses, opened))
+        self.assertEqual(2 if connections == 4 else 0, ahead)
+
+    def test_a_connection_opened_ahead_that_ended_is_not_used(self) -> None:
+        async def main() -> t.Tuple[t.List[int], int]:
+            async with RawTarget(ok) as target:
+                path = Path([target.address])
+                statuses = []
+                for number in range(4):
+                    reply = await path.forward(path.request("unsafe", number))
+                    statuses.append(reply.status)
+                    await asyncio.sleep(0.05)
+                    path.pool.close_idle()
+                path.pool.close()
+                return statuses, path.pool.opened
+
+        with (
+            mock.patch.object(pool, "_DISTANT_S", 0.0),
+            mock.patch.object(pool, "_AHEAD_S", 0.04),
+        ):
+            statuses, opened = asyncio.run(main())
+        self.assertEqual(([200] * 4, 4), (statuses, opened))
+
     @parameterized.expand([("within_the_budget", 64.0, 200), ("without_budget", 0.0, 502)])
     def test_a_kept_connection_that_is_dead_says_nothing_of_its_target(
         self, _name: str, slack: float, status: int
