Call a target silent by what was expected of it, and callers back once its queue is gone

Cause: a target that learned an object behind a queue (0.48 s and more) was passed over as silent after three times the typical 0.12 s, and a third one learned the object.

Change: an answer is overdue by twice what was expected at the send (learning and queue included), or three times the typical time, whichever is later; a refusal for want of room names the time in which the shortest queue of the object's targets is worked off, from 0.1 to 1 s.

--- a/src/coralfall/placement/admission.py
+++ b/src/coralfall/placement/admission.py
@@ -18,8 +18,13 @@
 #: The quantile of durations that counts as typical, and the part by which each one moves it.
 _QUANTILE = 0.3
 _STEP = 0.05
-#: Multiple of the typical duration after which an answer is overdue, and the least time for it.
+#: The same for durations with objects that a target has to learn.
+_LEARNING_QUANTILE = 0.5
+#: Multiples of the typical and of the expected duration after which an answer is overdue, and the
+#: least time for it. A target that learns behind a queue is slow and not silent: to pass over it
+#: makes a third one learn the object, too.
 _OVERDUE = 3.0
+_OVERDUE_EXPECTED = 2.0
 _OVERDUE_MIN_S = 0.3
 
 
@@ -29,6 +34,7 @@
     def __init__(self) -> None:
         self._limit_by_route: t.Dict["RouteId", float] = {}
         self._typical_by_service: t.Dict["ServiceId", float] = {}
+        self._learning_by_service: t.Dict["ServiceId", float] = {}
 
     def note_arrival(self, route: "Route", left_s: float) -> None:
         """Take in how long a caller will wait; on its first attempt that is its whole limit."""
@@ -41,21 +47,47 @@
         limit = self._limit_by_route.get(route.route_id, left_s)
         return limit - left_s > route.latency_target_s
 
-    def note_duration(self, service: "ServiceId", seconds: float) -> None:
-        """Take in how long a target took to answer."""
-        typical = self._typical_by_service.get(service)
-        if typical is None:
-            self._typical_by_service[service] = seconds
-            return
-        weight = _QUANTILE if seconds > typical else _QUANTILE - 1
-        self._typical_by_service[service] = typical * (1 + _STEP * weight)
+    def note_duration(self, service: "ServiceId", seconds: float, known: bool = True) -> None:
+        """Take in how long a target took to answer.
 
-    def overdue_s(self, service: "ServiceId") -> float:
-        """Seconds after which an answer should have come."""
-        return max(_OVERDUE_MIN_S, _OVERDUE * self._typical_by_service.get(service, _OVERDUE_MIN_S))
+        :param known: whether it knew the object.
+        """
+        _follow(self._typical_by_service, service, seconds, _QUANTILE)
+        if not known:
+            _follow(self._learning_by_service, service, seconds, _LEARNING_QUANTILE)
 
-    def predict(self, state: "TargetState") -> float:
+    def overdue_s(self, state: "TargetState", known: bool) -> float:
+        """Seconds after which the answer of a target that gets a request now should have come."""
+        typical = self._typical_by_service.get(state.target.service, _OVERDUE_MIN_S)
+        expected = self.predict(state, known)
+        return max(_OVERDUE_MIN_S, _OVERDUE * typical, _OVERDUE_EXPECTED * expected)
+
+    def predict(self, state: "TargetState", known: bool = True) -> float:
         """Seconds that a target would take with one more request, queueing included."""
         typical = self._typical_by_service.get(state.target.service, 0.0)
-        queued = max(0.0, state.load() + 1 - state.target.slots)
-        return typical * (1 + queued / state.target.slots)
+        work = typical
+        if not known:
+            work = max(typical, self._learning_by_service.get(state.target.service, 0.0))
+        return work + typical * _queued(state) / state.target.slots
+
+    def drained_s(self, state: "TargetState") -> float:
+        """Seconds until a target has worked off its queue, if no more comes."""
+        typical = self._typical_by_service.get(state.target.service, 0.0)
+        return typical * _queued(state) / state.target.slots
+
+
+def _queued(state: "TargetState") -> float:
+    """How many requests would wait at a target that gets one more."""
+    return max(0.0, state.load() + 1 - state.target.slots)
+
+
+def _follow(
+    estimates: t.Dict["ServiceId", float], service: "ServiceId", seconds: float, quantile: float
+) -> None:
+    """Move a service's estimate of a quantile towards a duration."""
+    estimate = estimates.get(service)
+    if estimate is None:
+        estimates[service] = seconds
+        return
+    weight = quantile if seconds > estimate else quantile - 1
+    estimates[service] = estimate * (1 + _STEP * weight)
--- a/src/coralfall/placement/affinity.py
+++ b/src/coralfall/placement/affinity.py
@@ -27,6 +27,8 @@
 
 _Regions = t.FrozenSet["RegionId"]
 
+#: Longest time, in seconds, after which a refused caller is told to come back.
+_MAX_COME_BACK_S = 1.0
 #: Instead of a limit for a target that does not know the object and is not its first home. To learn
 #: one takes three times as long as to serve a known one: under load each request that spills to
 #: such a target makes more spill, and the targets end up learning what they forgot for others.
@@ -50,15 +52,26 @@
     """One request's place at a target.
 
     :param state: the target.
+    :param known: whether it knows the object.
     :param telling: whether the time that it takes tells how fast the target is.
+    :param admission: estimates, which learn from it.
     """
 
-    __slots__ = ("_number", "_telling", "state")
+    __slots__ = ("_admission", "_number", "_telling", "known", "state")
 
-    def __init__(self, state: "TargetState", telling: bool) -> None:
+    def __init__(
+        self, state: "TargetState", known: bool, telling: bool, admission: Admission
+    ) -> None:
         self.state = state
+        self.known = known
         self._telling = telling
-        self._number = state.begin()
+        self._admission = admission
+        self._number = state.begin(admission.overdue_s(state, known))
+
+    def answered(self, now: float, seconds: float) -> None:
+        """Take in how long the target took."""
+        self._admission.note_duration(self.state.target.service, seconds, self.known)
+        self.note(now, seconds)
 
     def note(self, now: float, seconds: float) -> None:
         """Take in how long the target took, or has taken so far without an answer."""
@@ -135,16 +148,22 @@
                     return self._take(state, key, route)
         if not in_time:
             message = f"no target of {service} for this object would answer in time"
-            raise RefusedError(message, defaults.COME_BACK_S, service=service, reason="no-time")
+            come_back_s = self._come_back_s(homes)
+            raise RefusedError(message, come_back_s, service=service, reason="no-time")
         message = f"all targets of {service} for this object are full"
         raise RefusedError(
             message,
-            defaults.COME_BACK_S,
+            self._come_back_s(homes),
             service=service,
             reason="full-late" if late else "full",
             loads=",".join([f"{s.target.target_id}:{s.load():.1f}" for s in homes]),
         )
 
+    def _come_back_s(self, homes: t.Sequence["TargetState"]) -> float:
+        """Seconds after which one of the targets should have room."""
+        drained_s = min([self.admission.drained_s(state) for state in homes])
+        return min(max(defaults.COME_BACK_S, drained_s), _MAX_COME_BACK_S)
+
     def _most_of(
         self, state: "TargetState", first: bool, key: bytes, limit: float, route: "Route"
     ) -> float:
@@ -160,7 +179,8 @@
         known = state.knows(key) or not route.session_affinity
         if route.session_affinity:
             state.note_object(key)
-        return Place(state, known and not cold and state.load() < state.target.slots)
+        telling = known and not cold and state.load() < state.target.slots
+        return Place(state, known, telling, self.admission)
 
     def _homes(
         self,
@@ -170,7 +190,6 @@
         key: bytes,
         tried: "t.Collection[TargetId]",
     ) -> t.List["TargetState"]:
-        overdue_s = self.admission.overdue_s(service)
         near = self._fast_first(ranked.near, key)
         far = self._fast_first(ranked.far, key)
         stays = ranked.place < self._kept_part(service, route.allowed_regions)
@@ -181,7 +200,7 @@
                 if state.target.target_id not in tried:
                     yield state
 
-        homes = self._first(s for s in open_to() if s.usable() and not s.is_quiet(overdue_s))
+        homes = self._first(s for s in open_to() if s.usable() and not s.is_quiet())
         # If all seem unwell, the fault may be on this side; and somebody has to find out.
         return homes or self._first(state for state in open_to() if not state.gone)
 
--- a/src/coralfall/placement/targets.py
+++ b/src/coralfall/placement/targets.py
@@ -34,8 +34,8 @@
         self.target = target
         self._clock = clock
         self._row_delay_s = row_delay_s
-        #: When each request of this entry that it has in hand was begun, the oldest first.
-        self._begun: t.Dict[int, float] = {}
+        #: When each request of this entry that it has in hand was begun and when it is overdue.
+        self._begun: t.Dict[int, t.Tuple[float, float]] = {}
         self._begun_count = 0
         self._answered_at = -float("inf")
         #: When this entry last sent a request of each object, the object longest unsent first.
@@ -57,10 +57,14 @@
         """Requests of this entry that it has in hand."""
         return len(self._begun)
 
-    def begin(self) -> int:
-        """Note that it gets a request; the number that :meth:`end` wants."""
+    def begin(self, overdue_s: float) -> int:
+        """Note that it gets a request; the number that :meth:`end` wants.
+
+        :param overdue_s: seconds after which it should have been answered.
+        """
+        now = self._clock.monotonic()
         self._begun_count += 1
-        self._begun[self._begun_count] = self._clock.monotonic()
+        self._begun[self._begun_count] = (now, now + overdue_s)
         return self._begun_count
 
     def end(self, number: int) -> None:
@@ -79,12 +83,13 @@
         if len(self._sent_by_object) > _MAX_OBJECTS:
             self._sent_by_object.popitem(last=False)
 
-    def is_quiet(self, seconds: float) -> bool:
-        """Whether a request waits for longer than that and none was answered since it began."""
-        if not self._begun:
-            return False
-        oldest = next(iter(self._begun.values()))
-        return oldest > self._answered_at and self._clock.monotonic() - oldest > seconds
+    def is_quiet(self) -> bool:
+        """Whether a request is overdue and none was answered since it began."""
+        now = self._clock.monotonic()
+        for began, overdue_at in self._begun.values():
+            if began > self._answered_at and now > overdue_at:
+                return True
+        return False
 
     def load(self) -> float:
         """Requests that it has in hand, of all entries, as far as known here.
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -253,8 +253,7 @@
             send.seconds = self._clock.monotonic() - began
             place.release()
         state.succeed()
-        self._steering.admission.note_duration(request.service, send.seconds)
-        place.note(self._clock.monotonic(), send.seconds)
+        place.answered(self._clock.monotonic(), send.seconds)
         send.result = str(answer.status)
         return answer
 
--- a/tests/traffic/test_decisions.py
+++ b/tests/traffic/test_decisions.py
@@ -181,6 +181,24 @@
         chosen = steered.targets.by_id[self.choose(steered, "x")]
         self.assertIs({"first": first, "second": second}[expected], chosen)
 
+    def test_callers_come_back_when_the_queue_is_gone(self) -> None:
+        steered = Steered(make_target(1))
+        steered.steering.admission.note_duration(PEDIDOS, 0.4)
+        steered.targets.by_id[TargetId("t1")].report(4, 8)
+        with self.assertRaises(RefusedError) as caught:
+            self.choose(steered, "x")
+        self.assertAlmostEqual(0.9, caught.exception.retry_after)
+
+    def test_a_target_that_learns_behind_a_queue_is_not_quiet(self) -> None:
+        steered = Steered(make_target(1), make_target(2))
+        steered.steering.admission.note_duration(PEDIDOS, 0.12)
+        steered.steering.admission.note_duration(PEDIDOS, 0.5, known=False)
+        place = steered.steering.choose(make_route(), PEDIDOS, b"x", ())
+        steered.clock.advance(0.8)
+        self.assertFalse(place.state.is_quiet())
+        steered.clock.advance(0.3)
+        self.assertTrue(place.state.is_quiet())
+
     def test_a_released_target_is_chosen_again(self) -> None:
         steered = Steered(make_target(1, slots=1))
         held = [steered.steering.choose(make_route(), PEDIDOS, b"x", ()) for _ in range(3)]
