Split lost requests by cause from log lines, and let late callers come back last

Cause: which requests are late, and why, could be told by a program on the side alone: lines named targets and times, but neither the route's aim, nor how full a target was, whether it knew the object, nor whether the request left its region.

A late caller who is refused is told 1 s, of which callers heed a third of the time that they have left.

--- a/src/coralfall/cli.py
+++ b/src/coralfall/cli.py
@@ -6,7 +6,7 @@
 
 import typer
 
-from .exceptions import CoralfallError, InputError
+from .exceptions import CoralfallError, Fault, InputError
 
 #: Exit codes: refused or failed, and bad input.
 EXIT_FAILED = 1
@@ -55,21 +55,36 @@
 
 @app.command()
 def explain(
-    request_id: t.Annotated[str, typer.Argument(help="The request's id, as its caller sent it.")],
-    logs: t.Annotated[
-        t.Optional[t.List[pathlib.Path]],
-        typer.Argument(help="Files with the entries' log lines; standard input without any."),
+    words: t.Annotated[
+        t.Optional[t.List[str]],
+        typer.Argument(
+            metavar="[ID] [FILE]...",
+            help="The request's id, as its caller sent it (not with --lost), and files with the"
+            " entries' log lines; standard input without any.",
+        ),
     ] = None,
+    lost: t.Annotated[
+        bool, typer.Option("--lost", help="Split all requests that were not in aim by cause.")
+    ] = False,
 ) -> None:
     """Tell from log lines what became of a request, and why."""
     from .reporting.explain import explain as story_of
+    from .reporting.lost import lost_lines, lost_of
 
+    files = list(words or ())
+    if not lost and not files:
+        raise InputError("no request is named", [Fault("ID", "missing", "name its id, or --lost")])
+    request_id = "" if lost else files.pop(0)
     lines: t.List[str] = []
-    for path in logs or ():
-        lines += path.read_text(errors="replace").splitlines()
-    if not logs:
+    for name in files:
+        lines += pathlib.Path(name).read_text(errors="replace").splitlines()
+    if not files:
         lines = sys.stdin.read().splitlines()
-    print(story_of(request_id, lines))
+    if not lost:
+        print(story_of(request_id, lines))
+        return
+    for line in lost_lines(lost_of(lines)):
+        print(line)
 
 
 @standin_app.command("platform")
--- a/src/coralfall/placement/affinity.py
+++ b/src/coralfall/placement/affinity.py
@@ -27,7 +27,8 @@
 
 _Regions = t.FrozenSet["RegionId"]
 
-#: Longest time, in seconds, after which a refused caller is told to come back.
+#: Longest time, in seconds, after which a refused caller is told to come back. Those whose answer
+#: is late already are told so at once: they lose nothing, and the room is for others first.
 _MAX_COME_BACK_S = 1.0
 #: Instead of a limit for a target that does not know the object and is not its first home. To learn
 #: one takes three times as long as to serve a known one: under load each request that spills to
@@ -53,17 +54,21 @@
 
     :param state: the target.
     :param known: whether it knows the object.
+    :param near: whether it is in the entry's own region.
     :param telling: whether the time that it takes tells how fast the target is.
     :param admission: estimates, which learn from it.
     """
 
-    __slots__ = ("_admission", "_number", "_telling", "known", "state")
+    __slots__ = ("_admission", "_number", "_telling", "known", "load", "near", "state")
 
     def __init__(
-        self, state: "TargetState", known: bool, telling: bool, admission: Admission
+        self, state: "TargetState", known: bool, near: bool, telling: bool, admission: Admission
     ) -> None:
         self.state = state
         self.known = known
+        self.near = near
+        #: Requests that the target had in hand before this one.
+        self.load = state.load()
         self._telling = telling
         self._admission = admission
         self._number = state.begin(admission.overdue_s(state, known))
@@ -158,7 +163,7 @@
         message = f"all targets of {service} for this object are full"
         raise RefusedError(
             message,
-            self._come_back_s(homes),
+            _MAX_COME_BACK_S if late else self._come_back_s(homes),
             service=service,
             reason="full-late" if late else "full",
             loads=",".join([f"{s.target.target_id}:{s.load():.1f}" for s in homes]),
@@ -172,7 +177,11 @@
     def _most_of(
         self, state: "TargetState", first: bool, key: bytes, limit: float, route: "Route"
     ) -> float:
-        """Slots, as a multiple of its own, up to which a target takes a request of this object."""
+        """Slots, as a multiple of its own, up to which a target takes a request of this object.
+
+        :param first: whether it is the first home of the object that can be used.
+        :param limit: the multiple for a target that knows the object.
+        """
         if first or not route.session_affinity or state.knows(key):
             return limit
         return _LEARNING_LIMITS.get(limit, limit)
@@ -185,7 +194,8 @@
         if route.session_affinity:
             state.note_object(key)
         telling = known and not cold and state.load() < state.target.slots
-        return Place(state, known, telling, self.admission)
+        near = self._region_of(state) == self.settings.region
+        return Place(state, known, near, telling, self.admission)
 
     def _homes(
         self,
--- a/src/coralfall/placement/targets.py
+++ b/src/coralfall/placement/targets.py
@@ -16,7 +16,7 @@
 
 #: Seconds for which a target is thought to know an object, and how many objects of each are kept.
 _KNOWN_S = 20.0
-_MAX_OBJECTS = 512
+_MAX_OBJECTS = 128
 #: Seconds for which an answer says that a target serves some of its requests.
 _SERVES_S = 1.0
 #: Rests in a row without a connection from which on a target counts as one that went down: one
--- a/src/coralfall/reporting/explain.py
+++ b/src/coralfall/reporting/explain.py
@@ -67,6 +67,20 @@
     code = "explain"
 
 
+class LoggedSend(t.NamedTuple):
+    """One try to send a request to a target, as its line tells of it."""
+
+    target: str
+    result: str
+    milliseconds: float
+    #: Requests that the target had in hand by what the entry knew, and its slots; 0 if not told.
+    load: float = 0.0
+    slots: int = 0
+    #: Whether the entry thought that it knows the object, and whether it is in the entry's region.
+    known: bool = True
+    near: bool = True
+
+
 class LogEvent(t.NamedTuple):
     """One parsed line."""
 
@@ -127,12 +141,15 @@
             f" {fields.get('version')} in force, known as newest {fields.get('state_age_ms')} ms"
             f" before, targets {fields.get('targets_age_ms')} ms before"
         )
-    sends = _sends_of(fields)
-    for number, (target, result, milliseconds) in enumerate(sends, start=1):
-        meaning = cause_of(result)
+    sends = sends_of(fields)
+    for number, send in enumerate(sends, start=1):
+        meaning = cause_of(send.result)
         told = f"; {meaning}" if meaning else ""
-        parts.append(f"  send {number} to {target}: {result} after {milliseconds} ms{told}")
-    context = _context(end, events, entry, {target for target, _, _ in sends})
+        parts.append(
+            f"  send {number} to {send.target}: {send.result} after {send.milliseconds:.0f} ms"
+            f"{_met(send)}{told}"
+        )
+    context = _context(end, events, entry, {send.target for send in sends})
     parts.append("  what the entry learnt shortly before:" if context else "  nothing new before")
     for event in context:
         told = " ".join(
@@ -145,15 +162,44 @@
 _LEADING = frozenset(("time", "level", "event", "entry"))
 
 
-def _sends_of(fields: t.Mapping[str, str]) -> t.List[t.Tuple[str, str, str]]:
+def _met(send: LoggedSend) -> str:
+    if not send.slots:
+        return ""
+    where = "own region" if send.near else "another region"
+    knew = "knew the object" if send.known else "had to learn the object"
+    return f" ({send.load:g} in hand of {send.slots} slots, {where}, {knew})"
+
+
+def sends_of(fields: t.Mapping[str, str]) -> t.List[LoggedSend]:
+    """The sends that a line of an ended request tells of; those that can't be read are left out."""
     sends = []
-    for send in fields.get("sends", "none").split(","):
-        parts = send.split(":")
-        if len(parts) == 3:
-            sends.append((parts[0], parts[1], parts[2]))
+    for text in fields.get("sends", "none").split(","):
+        send = _send_of(text.split(":"))
+        if send is not None:
+            sends.append(send)
     return sends
 
 
+def _send_of(parts: t.Sequence[str]) -> t.Optional[LoggedSend]:
+    try:
+        target, result, milliseconds, *met = parts
+        if not met:
+            return LoggedSend(target, result, float(milliseconds))
+        full, knew, where = met
+        load, _, slots = full.partition("/")
+        return LoggedSend(
+            target,
+            result,
+            float(milliseconds),
+            float(load),
+            int(slots),
+            knew == "known",
+            where == "near",
+        )
+    except ValueError:
+        return None
+
+
 def _context(
     end: LogEvent, events: t.Sequence[LogEvent], entry: str, targets: t.Set[str]
 ) -> t.List[LogEvent]:
--- a/src/coralfall/traffic/callers.py
+++ b/src/coralfall/traffic/callers.py
@@ -185,6 +185,7 @@
             outcome=reply.outcome if reply else "caller-gone",
             reason=reply.reason if reply else "caller-gone",
             ms=round((now - began) * 1000),
+            aim_ms=round(request.route.latency_target_s * 1000),
             sends=",".join([str(send) for send in request.sends]) or "none",
             version=belief.version,
             state_age_ms=round(belief.state_age() * 1000),
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -50,17 +50,22 @@
 class Send:
     """One try to send a request to a target, for the log."""
 
-    __slots__ = ("result", "seconds", "sent", "target_id")
-
-    def __init__(self, target_id: "TargetId") -> None:
-        self.target_id = target_id
+    __slots__ = ("_met", "result", "seconds", "sent", "target_id")
+
+    def __init__(self, place: "Place") -> None:
+        target = place.state.target
+        self.target_id = target.target_id
+        known = "known" if place.known else "new"
+        where = "near" if place.near else "far"
+        #: What the request meets, as far as known here: load and slots, object, region.
+        self._met = f"{place.load:.1f}/{target.slots}:{known}:{where}"
         #: Whether a byte may have left.
         self.sent = False
         self.result = "?"
         self.seconds = 0.0
 
     def __str__(self) -> str:
-        return f"{self.target_id}:{self.result}:{self.seconds * 1000:.0f}"
+        return f"{self.target_id}:{self.result}:{self.seconds * 1000:.0f}:{self._met}"
 
 
 class SteeredRequest:
@@ -236,7 +241,7 @@
         :raises TargetUnknownError: if it may have.
         """
         state = place.state
-        send = Send(state.target.target_id)
+        send = Send(place)
         request.sends.append(send)
         began = self._clock.monotonic()
         try:
--- a/tests/reporting/test_explain.py
+++ b/tests/reporting/test_explain.py
@@ -19,7 +19,8 @@
  version=7 state_age_ms=120 targets_age_ms=2400
 not a line of ours
   18.5 edge-1 time=2026-08-30T10:00:13.000Z level=info event=request.ended entry=e1 id=abd route=r1\
- service=s1 status=200 outcome=done reason=answered ms=31 sends=i-2:200:30 version=7
+ service=s1 status=200 outcome=done reason=answered ms=31 sends=i-2:200:30:3.5/6:new:far\
+ version=7
   18.6 edge-2 time=2026-08-30T10:00:14.000Z level=info event=request.refused entry=e2 id=abe\
  path=/x status=404 reason=unknown-route version=7
 """.splitlines()
@@ -33,6 +34,11 @@
             ("belief", "abc", "version 7 in force, known as newest 120 ms before, targets 2400 ms"),
             ("first send", "abc", "send 1 to i-1: connect after 300 ms; no target could be"),
             ("second send", "abc", "send 2 to i-2: broken after 10 ms"),
+            (
+                "what it met",
+                "abd",
+                "(3.5 in hand of 6 slots, another region, had to learn the object)",
+            ),
             ("lost store", "abc", "-2.000 s  store.lost rows=targets"),
             ("its target", "abc", "-1.000 s  target.resting target=i-1"),
             ("no route", "abe", "cause: no route of the version in force matches"),
--- a/tests/traffic/test_decisions.py
+++ b/tests/traffic/test_decisions.py
@@ -209,6 +209,15 @@
             self.choose(steered, "x")
         self.assertAlmostEqual(0.9, caught.exception.retry_after)
 
+    def test_late_callers_come_back_last(self) -> None:
+        steered = Steered(make_target(1))
+        steered.targets.by_id[TargetId("t1")].report(4, 0)
+        with self.assertRaises(RefusedError) as caught:
+            steered.steering.choose(make_route(), PEDIDOS, b"x", (), late=True)
+        self.assertEqual(
+            ("full-late", 1.0), (caught.exception.fields["reason"], caught.exception.retry_after)
+        )
+
     def test_a_target_that_learns_behind_a_queue_is_not_quiet(self) -> None:
         steered = Steered(make_target(1), make_target(2))
         steered.steering.admission.note_duration(PEDIDOS, 0.12)
