Ask a target that shed at random again once, and only where it knows more than others

Cause, found by reading the change: the target that may be asked again stayed so after its second answer, so that a safe request that it then failed went to it a third time; and where a route has no affinity the same target was asked though others had free slots and nothing to learn.

Change: it is asked again for the next send alone, and on routes with affinity alone.

Tests: both rows failed before ((500, t0 t0 t0) in place of (200, t0 t0 t1); the same target chosen).

--- a/src/coralfall/placement/affinity.py
+++ b/src/coralfall/placement/affinity.py
@@ -144,7 +144,7 @@
         """
         ranked = self._ranked_of(route, service, key)
         homes = self._homes(ranked, route, service, key, tried)
-        if again is not None:
+        if again is not None and route.session_affinity:
             homes = [state for state in homes if state.knows(key)] + [again]
         if not homes:
             message = f"no target of {service} can be used now"
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -179,6 +179,7 @@
         while True:
             try:
                 place = self._choose(request, tried, again)
+                again = None
             except RefusedError as refusal:
                 if failed is not None:
                     return failed
--- a/tests/traffic/test_decisions.py
+++ b/tests/traffic/test_decisions.py
@@ -184,11 +184,14 @@
 
     @parameterized.expand(
         [
-            ("another target has it", True, False),
-            ("another target would learn it", False, True),
+            ("another target has it", True, True, False),
+            ("another target would learn it", True, False, True),
+            ("all targets are alike", False, False, False),
         ]
     )
-    def test_after_a_shed_without_shortage(self, _name: str, known: bool, same: bool) -> None:
+    def test_after_a_shed_without_shortage(
+        self, _name: str, affinity: bool, known: bool, same: bool
+    ) -> None:
         steered = Steered(make_target(1), make_target(2))
         shed = steered.targets.by_id[self.choose(steered, "x")]
         shed.succeed()
@@ -197,7 +200,7 @@
         if known:
             other.note_object(b"x")
         tried = {shed.target.target_id}
-        route = make_route()
+        route = make_route(session_affinity=affinity)
         place = steered.steering.choose(route, PEDIDOS, b"x", tried, again=shed)
         self.assertIs(shed if same else other, place.state)
 
--- a/tests/traffic/test_forwarder.py
+++ b/tests/traffic/test_forwarder.py
@@ -61,6 +61,7 @@
         seconds: float = 2.0,
         body: t.Optional[bytes] = None,
         first: t.Optional[str] = None,
+        max_attempts: int = 2,
     ) -> SteeredRequest:
         """A request; ``first`` names the target that its object's first home must be."""
         key = b"object"
@@ -75,7 +76,7 @@
             "a.example",
             [(b"x-request-id", f"id{number}".encode()), (b"x-kept", b"1"), (b"te", b"x")],
             held,
-            make_route(kind=KINDS[kind]),
+            make_route(kind=KINDS[kind], max_attempts=max_attempts),
             PEDIDOS,
             f"id{number}",
             key,
@@ -247,6 +248,30 @@
             for target in targets:
                 self.assertEqual([body] * len(target.turns), [turn.body for turn in target.turns])
 
+    def test_after_a_shed_and_a_failure_another_target_is_asked(self) -> None:
+        """The target sheds at random, is asked again, and then fails the request itself."""
+
+        async def script(turn: Turn) -> None:
+            if turn.header("x-request-id") != "id2":
+                await ok(turn)
+            elif shed_once:
+                await own_failure(turn)
+            else:
+                shed_once.append(turn)
+                await shed(turn)
+
+        async def main() -> t.Tuple[int, t.List[str]]:
+            async with RawTarget(script) as target, RawTarget(ok) as other:
+                path = Path([target.address, other.address])
+                await path.forward(path.request("safe", 1, first="t0"))
+                request = path.request("safe", 2, first="t0", max_attempts=3)
+                reply = await path.forward(request)
+                path.pool.close()
+                return reply.status, [send.target_id for send in request.sends]
+
+        shed_once: t.List[Turn] = []
+        self.assertEqual((200, ["t0", "t0", "t1"]), asyncio.run(main()))
+
     @parameterized.expand([("safe",), ("unsafe",)])
     def test_a_target_that_can_t_be_reached_costs_no_budget(self, kind: str) -> None:
         async def main() -> t.Tuple[Reply, int]:
