Let entries that start at the same moment find each other

Its log has the cause: all three entries registered within 3 ms (00:33:36.764, .766, .767), each with entries=0. Each read the rows before any other had written its own, and so nobody knew of anybody for 150 s, until the first reconciling. Ruled out: load (all three were ready within 15 ms of their start) and gossip (an entry that is known to one is told on).

Change: an entry reads the rows, writes its own and reads again: of any two, the one that wrote last finds the other. The first read stays, since its own row of a former life tells what it has to outlive. One call of the store more a start.

Test: two entries whose first reads are both over before either writes; it failed before ({e1}, {e2}).

--- a/src/coralfall/traffic/registry.py
+++ b/src/coralfall/traffic/registry.py
@@ -60,18 +60,25 @@
         pause = _MIN_PAUSE_S
         while True:
             try:
-                rows = await self._read()
-                for row in rows:
-                    self._introduce(row)
+                await self._meet()
                 key, data = self._translator.entry_row(self._members.own)
                 await self._table.transact([Write(key, data)])
-                log.info("entry.registered", entries=len(rows))
+                # Others that start now may have read before this row was there, and this entry
+                # before theirs were: of any two, the one that wrote last finds the other.
+                log.info("entry.registered", entries=await self._meet() - 1)
                 return
             except PlatformError as error:
                 log.info("entry.not-registered", code=error.code, error=error.message)
                 await asyncio.sleep(pause * self._rng.uniform(0.8, 1.2))
                 pause = min(pause * 2, _MAX_PAUSE_S)
 
+    async def _meet(self) -> int:
+        """Make all entries that have rows known; how many there are."""
+        rows = await self._read()
+        for row in rows:
+            self._introduce(row)
+        return len(rows)
+
     async def unregister(self) -> None:
         """Take this entry's row away."""
         key, _ = self._translator.entry_row(self._members.own)
--- a/tests/traffic/test_registry.py
+++ b/tests/traffic/test_registry.py
@@ -32,6 +32,22 @@
         raise AssertionError("not asked for")
 
 
+class TogetherFeed(TableFeed):
+    """Lets the first reads of two entries pass before either writes."""
+
+    def __init__(self, table: MemoryTable) -> None:
+        super().__init__(table)
+        self._barrier = asyncio.Barrier(2)
+        self._reads = 0
+
+    async def snapshot(self, prefix: str) -> Changes:
+        changes = await super().snapshot(prefix)
+        self._reads += 1
+        if self._reads <= 2:
+            await self._barrier.wait()
+        return changes
+
+
 class RegistryTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.clock = ManualClock(100.0)
@@ -43,6 +59,16 @@
             for name, known in self.known.items()
         }
 
+    async def test_entries_that_start_at_the_same_moment_know_of_each_other(self) -> None:
+        feed = TogetherFeed(self.table)
+        registries = [
+            Registry(feed, self.table, PlainTranslator(), self.known[name].members, seeded())
+            for name in ("e1", "e2")
+        ]
+        await asyncio.gather(*[registry.register() for registry in registries])
+        ids = [set(self.known[name].members.all_ids()) for name in ("e1", "e2")]
+        self.assertIn({EntryId("e1"), EntryId("e2")}, ids)
+
     async def register(self, *names: str) -> None:
         for name in names:
             await self.registries[name].register()
