Let an entry that starts learn all rows from its seeds

Cause: seeds are addresses of the listener control, on which nothing listened: entries took messages of each other at another port. No seed ever answered.

Change: entries listen for each other at control. One that starts asks its seeds for all entries and rows, ten times a second until it has them, and reads the store after 0.5 s (2 s at the first start of the whole installation), at once if every seed is gone, or if it is a seed itself. Entries are read once, after the own row is written. The first read of all rows is no longer handed on: whoever lacks them asks.

Tests: SeedsTest (seeds gone, silent, store away, 195 and 530 at once: three read for all, all know all rows within a second of virtual time); with each wait taken out one by one they fail.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -208,6 +208,13 @@
 #: Seconds between two rounds of gossip, and how many entries are asked in one.
 GOSSIP_S = 0.4
 GOSSIP_FANOUT = 2
+#: Seconds between two rounds of an entry that starts and knows no rows yet.
+GOSSIP_START_S = 0.1
+#: Seconds for which an entry that starts waits for the rows that its seeds know before it reads the
+#: store: four trips there and back between distant regions. A first start has time until callers
+#: come, and its seeds have to read before they can tell.
+START_S = 0.5
+FIRST_START_S = 2.0
 #: How many entries one asks in turn, so that streams to them are used again.
 GOSSIP_NEIGHBOURS = 12
 #: Most records and suspicions that are news in one message, and seconds for which they are news.
--- a/src/coralfall/traffic/follower.py
+++ b/src/coralfall/traffic/follower.py
@@ -45,6 +45,8 @@
     :param before: told how old the knowledge was, before rows are taken in.
     :param changed: told which keys changed.
     :param hand_on: told the revision before, when the others are to learn what was read.
+    :param patience_s: seconds for which a start waits for others to tell the rows.
+    :param may_be_told: whether any of those that are asked at a start may answer yet.
     """
 
     def __init__(
@@ -61,6 +63,8 @@
         before: t.Callable[[float], None],
         changed: t.Callable[[t.Set[str]], None],
         hand_on: "t.Callable[[Revision], None]",
+        patience_s: float = 0.0,
+        may_be_told: t.Callable[[], bool] = lambda: True,
     ) -> None:
         #: What logs and metrics call it.
         self.name = replica.name
@@ -77,6 +81,8 @@
         self._before = before
         self._changed = changed
         self._hand_on = hand_on
+        self._patience_s = patience_s
+        self._may_be_told = may_be_told
         self._failures = 0
         #: Reads so far, and those that failed.
         self.reads = 0
@@ -84,6 +90,7 @@
 
     async def run(self) -> None:
         """Read when it is this entry's turn, for ever."""
+        await self._wait_for_others()
         while True:
             await self._wait_for_turn()
             try:
@@ -125,7 +132,9 @@
 
     def _tell(self, changed: t.Set[str], since: "Revision") -> None:
         self._changed(changed)
-        if self._members.rank() < defaults.HANDING_RANKS:
+        # All rows are long; whoever lacks them asks for them once. Handed on by each that starts,
+        # they came to every entry up to HANDING_RANKS times.
+        if since and self._members.rank() < defaults.HANDING_RANKS:
             self._hand_on(since)
 
     def _wait(self) -> float:
@@ -138,6 +147,14 @@
         # The pages don't say whether a slow store stamps its answer when it looks or when it sends.
         return changes.now - max(0.0, self._clock.monotonic() - began - wait_s)
 
+    async def _wait_for_others(self) -> None:
+        """Give others, who may know the rows, the time to tell them."""
+        until = self._clock.monotonic() + self._patience_s
+        while not self._replica.known and self._clock.monotonic() < until:
+            if not self._may_be_told():
+                return
+            await asyncio.sleep(_LOOK_S)
+
     async def _wait_for_turn(self) -> None:
         while True:
             age = self._age()
--- a/src/coralfall/traffic/gossip.py
+++ b/src/coralfall/traffic/gossip.py
@@ -130,7 +130,12 @@
         self._differs_since = -float("inf")
 
     def _wants_all(self, now: float) -> bool:
-        """Whether others have gone on knowing other things, for longer than news take to spread."""
+        """Whether others know more entries, as at a start, or have gone on knowing other things.
+
+        The latter counts once it has lasted for longer than news take to spread.
+        """
+        if not self._members.alive():
+            return True
         patience = defaults.GOSSIP_DIFFER_S * (1 + self._members.count() / _MEMBERS_PER_PATIENCE)
         if self._differs_since is None or now - self._differs_since < patience:
             return False
@@ -205,6 +210,8 @@
         self._rng = rng
         self._tasks: t.Set[asyncio.Task[None]] = set()
         self._asking: t.Set[str] = set()
+        #: Seeds that could not be asked the last time.
+        self._away: t.Set[str] = set()
         #: Whether an exchange is under way that is to bring all rows.
         self._pulling = False
         self._pushing: t.Optional[asyncio.TimerHandle] = None
@@ -219,7 +226,7 @@
                     self._ask(record.peer_address)
                 if not self._members.alive():
                     self._ask_all()
-                await asyncio.sleep(defaults.GOSSIP_S * self._rng.uniform(0.9, 1.1))
+                await asyncio.sleep(self._pause_s() * self._rng.uniform(0.9, 1.1))
         finally:
             if self._pushing is not None:
                 self._pushing.cancel()
@@ -227,6 +234,15 @@
                 task.cancel()
             await self._links.close()
 
+    def _pause_s(self) -> float:
+        if self._exchange.belief.knows_rows:
+            return defaults.GOSSIP_S
+        return defaults.GOSSIP_START_S
+
+    def may_be_told(self) -> bool:
+        """Whether any seed may answer: false once all of them were asked in vain."""
+        return not self._away.issuperset(self.seeds)
+
     def pull(self, entry_id: "EntryId") -> None:
         """Ask an entry that knows more."""
         address = self._members.address_of(entry_id)
@@ -293,6 +309,8 @@
                     return
                 wants_rows = True
         except PeerError as error:
+            if address in self.seeds:
+                self._away.add(address)
             self._members.missed(address)
             log.debug("peer.not-asked", address=address, code=error.code, error=error.message)
         finally:
@@ -314,6 +332,7 @@
         finally:
             if pulling:
                 self._pulling = False
+        self._away.discard(address)
         self._members.reached(address)
         return self._exchange.take(answer.message, asked_at)
 
--- a/src/coralfall/traffic/registry.py
+++ b/src/coralfall/traffic/registry.py
@@ -60,11 +60,10 @@
         pause = _MIN_PAUSE_S
         while True:
             try:
-                await self._meet()
                 key, data = self._translator.entry_row(self._members.own)
                 await self._table.transact([Write(key, data)])
-                # Others that start now may have read before this row was there, and this entry
-                # before theirs were: of any two, the one that wrote last finds the other.
+                # Of any two that start at the same moment, the one that wrote last finds the other;
+                # those that were here before are told of by the seeds, too.
                 log.info("entry.registered", entries=await self._meet() - 1)
                 return
             except PlatformError as error:
--- a/src/coralfall/traffic/settings.py
+++ b/src/coralfall/traffic/settings.py
@@ -105,13 +105,21 @@
     store: StoreSettings
     #: What the users hold the system to.
     bounds: BoundSettings = BoundSettings()
-    #: ``ip:port`` at which other entries may answer, for a start while the store is away.
+    #: ``peer_address`` of a few other entries, which tell one that starts what they know.
     seeds: t.Tuple[str, ...] = ()
+    #: Whether the whole installation starts for the first time, so that no caller waits yet.
+    first_start: bool = False
     #: What is logged.
     log: LogSettings = LogSettings()
     #: Where statsd metrics go.
     metrics: MetricsSettings = MetricsSettings()
 
+    def start_patience_s(self) -> float:
+        """Seconds for which a start waits for the rows that seeds know; 0 for a seed itself."""
+        if not self.seeds or self.peer_address in self.seeds:
+            return 0.0
+        return defaults.FIRST_START_S if self.first_start else defaults.START_S
+
     def caller_connections(self) -> int:
         """How many connections of callers are kept open, so that some are left for targets."""
         free = (self.max_files - defaults.RESERVED_FILES) * defaults.CALLER_FILES
--- a/tests/platform_adapter/test_template.py
+++ b/tests/platform_adapter/test_template.py
@@ -41,7 +41,9 @@
 
 def render(number_by_name: t.Mapping[str, t.Any]) -> str:
     """The template filled in; sections of what is not given are left out."""
-    text = re.sub(r"\{\{#seeds\}\}.*?\{\{/seeds\}\}", "", TEMPLATE.read_text())
+    text = re.sub(
+        r"\{\{#(seeds|bootstrap)\}\}.*?\{\{/\1\}\}", "", TEMPLATE.read_text(), flags=re.DOTALL
+    )
     text = re.sub(r"\{\{#zones\}\}\n.*?\{\{/zones\}\}", 'z = "r"', text, flags=re.DOTALL)
     for name in NUMBERS:
         section = re.compile(r"\{\{#" + re.escape(name) + r"\}\}(.*?)\{\{/[\w.]+\}\}", re.DOTALL)
@@ -85,6 +87,14 @@
     def test_a_fraction_is_taken(self, name: str) -> None:
         load({name: FRACTION})
 
+    def test_entries_listen_where_seeds_are_asked(self) -> None:
+        """Seeds are the addresses of the machines' listener ``control``."""
+        self.assertIn("\npeer_address = {{listen.control|json}}\n", TEMPLATE.read_text())
+
+    def test_only_a_first_start_has_time(self) -> None:
+        text = TEMPLATE.read_text()
+        self.assertIn("{{#bootstrap}}first_start = true\n{{/bootstrap}}", text)
+
     @parameterized.expand(
         [
             ("negative", "bounds.retrySlack", -1, "bounds.budget_slack: found -1"),
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -179,6 +179,15 @@
         """What a process has printed."""
         return (self.folder / f"{name}.log").read_text(errors="replace")
 
+    def unhandled(self, names: t.Iterable[str]) -> t.List[str]:
+        """Errors that nobody handled, as the libraries of these entries logged them."""
+        lines = []
+        for name in names:
+            for line in self.log_of(name).splitlines():
+                if "level=error event=library.message" in line:
+                    lines.append(f"{name}: {line}")
+        return lines
+
     # Operators.
 
     def cli(self, *arguments: str, expect: int = 0) -> "subprocess.CompletedProcess[str]":
--- a/tests/reporting/test_report_processes.py
+++ b/tests/reporting/test_report_processes.py
@@ -41,8 +41,8 @@
         for number in range(READS):
             url = self.fleet.url(ENTRIES[number % 3], "catalogo", f"menu-{number}?bytes=100")
             async with self.session.get(url) as answer:
-                self.assertEqual(200, answer.status)
-                await answer.read()
+                body = await answer.read()
+                self.assertEqual(200, answer.status, body)
         for number in range(ORDERS):
             done = await self.post(ENTRIES[number % 3], "pedidos", b"kit", f"order-{number}")
             self.assertEqual((200, "done"), done[:2])
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -119,21 +119,12 @@
         await asyncio.to_thread(self.fleet.roll_out)
         self.load.events.append(Event(Kind.IN_FORCE, "", version=self.fleet.version))
 
-    def unhandled(self) -> t.List[str]:
-        """Errors that nobody handled, as the entries' libraries logged them."""
-        lines = []
-        for entry in self.names:
-            for line_of_log in self.fleet.log_of(entry).splitlines():
-                if "level=error event=library.message" in line_of_log:
-                    lines.append(f"{entry}: {line_of_log}")
-        return lines
-
     async def stop_and_check(self, *more: Rule, recorded: bool = True) -> None:
         try:
             await self.load.stop()
         finally:
             # First, since it tells the cause of what callers saw.
-            self.assertEqual(self.unhandled(), [])
+            self.assertEqual(self.fleet.unhandled(self.names), [])
         rules = (*ALWAYS, *more)
         if recorded:
             faults = await self.load.check(self.targets, rules)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -137,7 +137,7 @@
         self.assertEqual(await self.fleet.exit_status("e1"), 0)
         stop.set()
         await asyncio.gather(*callers)
-        self.assertEqual(failures, [])
+        self.assertEqual((failures, self.fleet.unhandled(ENTRIES)), ([], []))
         status, outcome, receipt = await upload
         self.assertEqual((status, outcome), (200, "done"))
         self.assertEqual(receipt["sha256"], hashlib.sha256(UPLOAD).hexdigest())
--- a/tests/traffic/test_gossip.py
+++ b/tests/traffic/test_gossip.py
@@ -1,6 +1,7 @@
 """Tests of whom an entry talks with, and of what all rows cost one that starts."""
 
 import asyncio
+import random
 import typing as t
 import unittest
 import zlib
@@ -12,13 +13,16 @@
 from coralfall.ids import EntryId, Revision
 from coralfall.peering.messages import Hello
 from coralfall.peering.peer_links import Answer
-from coralfall.process.clock import ManualClock
+from coralfall.process.clock import Clock, ManualClock
 from coralfall.traffic.delta import Delta, DeltaRow, pack
+from coralfall.traffic.follower import Follower
 from coralfall.traffic.gossip import Gossip, in_relay_order
 from coralfall.traffic.members import Members
 from coralfall.traffic.messages import News
+from coralfall.traffic.pace import pace_of
 from tests.traffic.known import Known
-from tests.traffic.makers import make_record, make_state, make_target, seeded
+from tests.traffic.makers import make_record, make_settings, make_state, make_target, seeded
+from tests.traffic.test_knowledge import RowsFeed
 from tests.virtual_loop import LoopClock, run_virtual
 
 TARGETS = 300
@@ -36,6 +40,8 @@
         self.brought_all = 0
         #: Addresses that take a question and never answer.
         self.silent: t.Set[str] = set()
+        #: Addresses that nothing listens at.
+        self.refusing: t.Set[str] = set()
         self.asked: t.List[str] = []
 
     async def exchange(
@@ -43,9 +49,12 @@
     ) -> "Answer[News]":
         self.asked.append(address)
         await asyncio.sleep(self.way_s)
+        if address in self.refusing or address not in self.others:
+            raise PeerUnreachableError("nothing listens")
         if address in self.silent:
             await asyncio.sleep(defaults.GOSSIP_TIMEOUT_S)
             raise PeerUnreachableError("no answer")
+        self.others[address].exchange.take(message)
         answer = self.others[address].exchange.answer(message)
         if answer.targets is not None and not answer.targets.since:
             self.brought_all += 1
@@ -87,6 +96,166 @@
             self.assertLess(took_s, 0.12)
 
 
+class Starting:
+    """An entry that starts: its gossip, and the follower of its targets' rows."""
+
+    def __init__(
+        self,
+        name: str,
+        clock: Clock,
+        feed: RowsFeed,
+        links: CarryingLinks,
+        seeds: t.Sequence[str],
+        first_start: bool = False,
+        seed: int = 0,
+    ) -> None:
+        self.known = Known(name, clock, seed=seed)
+        own = self.known.members.own
+        settings = make_settings(
+            peer_address=own.peer_address, seeds=tuple(seeds), first_start=first_start
+        )
+        self.gossip = Gossip(
+            self.known.exchange,
+            self.known.members,
+            t.cast(t.Any, links),
+            seeds,
+            clock,
+            random.Random(seed),
+        )
+        self._settings = settings
+        self.followers = [self._follower(prefix, feed) for prefix in ("state/", "targets/")]
+
+    def _follower(self, prefix: str, feed: RowsFeed) -> Follower:
+        belief = self.known.belief
+        of_state = prefix == "state/"
+        return Follower(
+            prefix,
+            belief.state_rows if of_state else belief.target_rows,
+            feed,
+            self.known.members,
+            self.known.clock,
+            belief.store_clock,
+            seeded(),
+            pace=pace_of(2.0),
+            held=of_state,
+            before=lambda age: None,
+            changed=belief.state_changed if of_state else belief.targets_changed,
+            hand_on=lambda since: None,
+            patience_s=self._settings.start_patience_s(),
+            may_be_told=lambda: self._settings.first_start or self.gossip.may_be_told(),
+        )
+
+    async def run(self) -> None:
+        await asyncio.gather(self.gossip.run(), *[follower.run() for follower in self.followers])
+
+    def ready(self) -> bool:
+        return self.known.belief.complete
+
+
+def filled_feed(clock: Clock, targets: int) -> RowsFeed:
+    """A store with a desired state and targets."""
+    feed = RowsFeed(clock)
+    feed.put("state/a", make_state(3))
+    for number in range(targets):
+        feed.put(f"targets/t{number}", make_target(number))
+    return feed
+
+
+class SeedsTest(unittest.TestCase):
+    """Entries that start learn all rows from their seeds, and read the store only without them."""
+
+    def start_one(
+        self, silent: int, refusing: int, seeds: int = 3, down: bool = False
+    ) -> t.Tuple[float, int]:
+        """Start one entry beside three that know all; seconds until it is ready, its snapshots."""
+
+        async def main(clock: LoopClock) -> t.Tuple[float, int]:
+            feed = filled_feed(clock, 20)
+            links = CarryingLinks([], 0.03)
+            starting = [Starting(f"s{n}", clock, feed, links, []) for n in range(3)]
+            addresses = [one.known.members.own.peer_address for one in starting]
+            links.others = {
+                address: one.known for address, one in zip(addresses, starting, strict=True)
+            }
+            work = [asyncio.create_task(one.run()) for one in starting]
+            await asyncio.sleep(1.0)
+            links.silent = set(addresses[:silent])
+            links.refusing = set(addresses[silent : silent + refusing])
+            feed.down = down
+            before = feed.snapshots
+            new = Starting("new", clock, feed, links, addresses[:seeds], seed=7)
+            work.append(asyncio.create_task(new.run()))
+            began = clock.monotonic()
+            while not new.ready() and clock.monotonic() < began + 5.0:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            took_s, snapshots = clock.monotonic() - began, feed.snapshots - before
+            for task in work:
+                task.cancel()
+            return took_s, snapshots
+
+        return run_virtual(main)
+
+    @parameterized.expand(
+        [
+            ("all seeds answer", 0, 0, 3, False, 0.3, 0),
+            ("one is silent", 1, 0, 3, False, 0.3, 0),
+            ("one is gone", 0, 1, 3, False, 0.3, 0),
+            ("the store is away", 0, 0, 3, True, 0.3, 0),
+            ("all are gone: nothing is waited for", 0, 3, 3, False, 0.15, 2),
+            ("all are silent", 3, 0, 3, False, defaults.START_S + 0.1, 2),
+            ("there are none", 0, 0, 0, False, 0.05, 2),
+        ]
+    )
+    def test_one_that_starts(
+        self,
+        _name: str,
+        silent: int,
+        refusing: int,
+        seeds: int,
+        down: bool,
+        within_s: float,
+        snapshots: int,
+    ) -> None:
+        took_s, made = self.start_one(silent, refusing, seeds, down)
+        self.assertLess(took_s, within_s)
+        self.assertEqual(snapshots, made)
+
+    @parameterized.expand([("large", 195), ("the letter's", 530)])
+    def test_all_start_at_once_for_the_first_time(self, _name: str, count: int) -> None:
+        """The seeds read for all; the others know all rows and most entries within a second."""
+
+        async def main(clock: LoopClock) -> t.Tuple[float, int, int]:
+            feed = filled_feed(clock, 3)
+            links = CarryingLinks([], 0.012)
+            names = [f"e{number}" for number in range(count)]
+            addresses = [make_record(name).peer_address for name in names]
+            fleet = [
+                Starting(name, clock, feed, links, addresses[:3], True, seed=number)
+                for number, name in enumerate(names)
+            ]
+            rng = seeded()
+            work = []
+            for one, address in sorted(
+                zip(fleet, addresses, strict=True), key=lambda _: rng.random()
+            ):
+                work.append(asyncio.create_task(one.run()))
+                links.others[address] = one.known
+                await asyncio.sleep(0.3 / count)
+            began = clock.monotonic()
+            while not all(one.ready() for one in fleet):  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+            took_s = clock.monotonic() - began
+            fewest = min(len(one.known.members.alive()) for one in fleet)
+            for task in work:
+                task.cancel()
+            return took_s, feed.snapshots, fewest
+
+        took_s, snapshots, fewest = run_virtual(main)
+        self.assertLess(took_s, 1.0)
+        self.assertEqual(3 * 2, snapshots)
+        self.assertGreater(fewest, 3)
+
+
 class NeighboursTest(unittest.TestCase):
     def asked_by(self, name: str, others: t.Sequence[str], rounds: int) -> t.Set[str]:
         members = Members(make_record(name), ManualClock(100.0), seeded())
--- a/tests/traffic/test_knowledge.py
+++ b/tests/traffic/test_knowledge.py
@@ -47,6 +47,8 @@
         self.slow_s = 0.0
         self.down = False
         self.reads = 0
+        #: Reads of all rows below a prefix.
+        self.snapshots = 0
 
     def put(self, key: str, value: t.Any) -> None:
         self.revision += 1
@@ -55,6 +57,7 @@
 
     async def snapshot(self, prefix: str) -> Changes:
         self._read()
+        self.snapshots += 1
         rows = [row for key, row in self.rows.items() if key.startswith(prefix) and row.value]
         return Changes(tuple(rows), Revision(self.revision), self._stamp())
 
@@ -337,6 +340,8 @@
         self.refused: t.Set[int] = set()
         #: How often one has handed on what it read.
         self.handed_on = 0
+        #: Revisions after which rows were handed on.
+        self.handed_on_since: t.List[Revision] = []
         self._way_s = way_s
         self.known = [Known(f"e{number}", clock) for number in range(count)]
         self.cut: t.Set[int] = set()
@@ -362,6 +367,7 @@
 
     def _hand_on(self, number: int, since: Revision) -> None:
         self.handed_on += 1
+        self.handed_on_since.append(since)
         news = self.known[number].exchange.news(since, Revision(0))
         if not self._way_s:
             self._arrive(number, news)
@@ -410,6 +416,17 @@
         # Everybody reads at the start; then it is twice a second, and not twelve times that.
         self.assertLess(fleet.feed.reads, 12 + 2 * 20 + 10)
 
+    def test_a_start_hands_on_no_rows_that_all_can_ask_for(self) -> None:
+        async def main(clock: LoopClock) -> t.List[Revision]:
+            fleet = Fleet(clock, 12)
+            fleet.feed.put("state/a", make_state(1))
+            await fleet.run(3.0)
+            return fleet.handed_on_since
+
+        handed_on_since = run_virtual(main)
+        self.assertTrue(handed_on_since)
+        self.assertEqual(1, min(handed_on_since))
+
     @parameterized.expand(
         [
             ("the reader is cut off", 0, 2.0),
