--- a/src/coralfall/cli.py
+++ b/src/coralfall/cli.py
@@ -65,32 +65,48 @@
         t.Optional[t.List[str]],
         typer.Argument(
             metavar="[ID] [FILE]...",
-            help="The request's id, as its caller sent it (not with --lost), and files with the"
-            " entries' log lines; standard input without any.",
+            help="The request's id, as its caller sent it (not with --lost or --entries), and files"
+            " with the entries' log lines; standard input without any.",
         ),
     ] = None,
     lost: t.Annotated[
         bool, typer.Option("--lost", help="Split all requests that were not in aim by cause.")
     ] = False,
+    entries: t.Annotated[
+        bool, typer.Option("--entries", help="Tell which entries differ from all others.")
+    ] = False,
 ) -> None:
     """Tell from log lines what became of a request, and why."""
     from .reporting.explain import explain as story_of
     from .reporting.lost import lost_lines, lost_of
+    from .reporting.outliers import entries_of, outlier_lines
 
     files = list(words or ())
-    if not lost and not files:
-        raise InputError("no request is named", [Fault("ID", "missing", "name its id, or --lost")])
-    request_id = "" if lost else files.pop(0)
-    lines: t.List[str] = []
+    of_all = lost or entries
+    if not of_all and not files:
+        remedy = "name its id, or --lost, or --entries"
+        raise InputError("no request is named", [Fault("ID", "missing", remedy)])
+    request_id = "" if of_all else files.pop(0)
+    lines = _lines_of(files)
+    if entries:
+        print("\n".join(outlier_lines(entries_of(lines))))
+    elif lost:
+        print("\n".join(lost_lines(lost_of(lines))))
+    else:
+        print(story_of(request_id, lines))
+
+
+def _lines_of(files: t.Sequence[str]) -> t.Iterator[str]:
+    """Lines of files, one at a time: those of a large fleet are more than memory holds."""
     for name in files:
-        lines += pathlib.Path(name).read_text(errors="replace").splitlines()
+        try:
+            with open(name, errors="replace") as file:
+                yield from file
+        except OSError as error:
+            fault = Fault(name, "unreadable", "name a file that can be read")
+            raise InputError(f"{name} can't be read: {error.strerror}", [fault]) from error
     if not files:
-        lines = sys.stdin.read().splitlines()
-    if not lost:
-        print(story_of(request_id, lines))
-        return
-    for line in lost_lines(lost_of(lines)):
-        print(line)
+        yield from sys.stdin
 
 
 @standin_app.command("platform")
