--- /dev/null
+++ b/src/coralfall/traffic/exchange.py
@@ -0,0 +1,134 @@
+"""Exchange: what an entry tells another one, and what it does with what it is told."""
+
+import typing as t
+
+from .. import defaults
+from .messages import News
+
+if t.TYPE_CHECKING:
+    from ..ids import Revision
+    from ..process.clock import Clock
+    from .belief import Belief
+    from .delta import Delta
+    from .members import Members
+    from .replica import Replica
+
+#: Entries for which one more time of patience passes before all of them are asked for.
+_MEMBERS_PER_PATIENCE = 20
+
+
+class Exchange:
+    """What an entry tells others, and what it does with what they tell.
+
+    :param members: the entries.
+    :param belief: the rows.
+    :param clock: tells the time.
+    """
+
+    def __init__(self, members: "Members", belief: "Belief", clock: "Clock") -> None:
+        self._members = members
+        #: The rows.
+        self.belief = belief
+        self._clock = clock
+        #: Since when what is known of the entries differs from what others know.
+        self._differs_since: t.Optional[float] = None
+        members.on_pause = self._ask_for_all
+
+    def news(
+        self,
+        state_since: "t.Optional[Revision]" = None,
+        targets_since: "t.Optional[Revision]" = None,
+        all_members: bool = False,
+        address: str = "",
+        wants_rows: bool = True,
+    ) -> News:
+        """What is known here, with what came after the revisions given.
+
+        :param all_members: whether to tell of all entries, and not only what is news.
+        :param address: of the entry that this is for; it is told if it is suspected.
+        :param wants_rows: whether it is to answer with the rows that are not known here.
+        """
+        now = self._clock.monotonic()
+        belief = self.belief
+        members = self._members
+        suspicions = members.all_suspicions() if all_members else members.recent_suspicions()
+        return News(
+            records=members.all_records() if all_members else members.recent(),
+            suspicions=suspicions + members.suspicions_of(address),
+            members_sum=members.sum(),
+            wants_all=self._wants_all(now),
+            wants_rows=wants_rows,
+            state_revision=belief.state_rows.revision,
+            targets_revision=belief.target_rows.revision,
+            state_read_s=belief.state_rows.read_s,
+            targets_read_s=belief.target_rows.read_s,
+            store_s=belief.store_clock.latest(),
+            state=_delta(belief.state_rows, state_since),
+            targets=_delta(belief.target_rows, targets_since),
+        )
+
+    def answer(self, news: News) -> News:
+        """What the sender of ``news`` does not know."""
+        address = news.records[0].peer_address if news.records else ""
+        if not news.wants_rows:
+            return self.news(all_members=news.wants_all, address=address)
+        return self.news(news.state_revision, news.targets_revision, news.wants_all, address)
+
+    def take(self, news: News, asked_at: t.Optional[float] = None) -> bool:
+        """Take in news; whether the sender knows more still.
+
+        :param asked_at: monotonic time at which the question was sent, if this is an answer.
+        """
+        belief = self.belief
+        self._take_members(news)
+        if asked_at is not None and news.store_s is not None:
+            belief.store_clock.observe(asked_at, news.store_s)
+        keys = _apply(belief.state_rows, news.state, news.state_read_s)
+        belief.state_changed(keys)
+        if news.targets is not None:
+            belief.note_gap(belief.targets_age())
+        keys = _apply(belief.target_rows, news.targets, news.targets_read_s)
+        belief.targets_changed(keys)
+        belief.state_rows.confirm(news.state_revision, news.state_read_s)
+        belief.target_rows.confirm(news.targets_revision, news.targets_read_s)
+        return (
+            news.state_revision > belief.state_rows.revision
+            or news.targets_revision > belief.target_rows.revision
+        )
+
+    def _take_members(self, news: News) -> None:
+        members = self._members
+        members.hear(news.records)
+        members.doubt(news.suspicions)
+        if news.members_sum == members.sum():
+            self._differs_since = None
+        elif self._differs_since is None:
+            self._differs_since = self._clock.monotonic()
+
+    def _ask_for_all(self) -> None:
+        self._differs_since = -float("inf")
+
+    def _wants_all(self, now: float) -> bool:
+        """Whether others know more entries, as at a start, or have gone on knowing other things.
+
+        The latter counts once it has lasted for longer than news take to spread.
+        """
+        if not self._members.alive():
+            return True
+        patience = defaults.GOSSIP_DIFFER_S * (1 + self._members.count() / _MEMBERS_PER_PATIENCE)
+        if self._differs_since is None or now - self._differs_since < patience:
+            return False
+        self._differs_since = now
+        return True
+
+
+def _delta(replica: "Replica[t.Any]", since: "t.Optional[Revision]") -> "t.Optional[Delta]":
+    if since is None or since >= replica.revision:
+        return None
+    return replica.delta(since)
+
+
+def _apply(replica: "Replica[t.Any]", delta: "t.Optional[Delta]", read_s: float) -> t.Set[str]:
+    if delta is None or delta.revision <= replica.revision or not replica.can_take(delta):
+        return set()
+    return replica.apply_delta(delta, read_s)
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -21,9 +21,10 @@
 from ..settings import HttpSettings
 from .belief import Belief
 from .callers import CallersApp
+from .exchange import Exchange
 from .follower import Follower
 from .forwarder import Forwarder
-from .gossip import Exchange, Gossip, GossipServer
+from .gossip import Gossip, GossipServer
 from .lookup import Lookup
 from .members import Members
 from .model import DesiredState, EntryRecord
--- a/tests/traffic/known.py
+++ b/tests/traffic/known.py
@@ -10,7 +10,7 @@
 from coralfall.process.clock import Clock, ManualClock
 from coralfall.stores.store import Row
 from coralfall.traffic.belief import Belief
-from coralfall.traffic.gossip import Exchange
+from coralfall.traffic.exchange import Exchange
 from coralfall.traffic.members import Members
 from coralfall.traffic.model import DesiredState, EntryRecord, Target
 from coralfall.traffic.translator import Evacuation, StateRow, Translator
