--- a/tests/traffic/test_members.py
+++ b/tests/traffic/test_members.py
@@ -413,7 +413,13 @@
         MemberFleet.pushes = []
 
     @parameterized.expand(
-        [("today", 12, 1, 3.5), ("grown", 89, 15, 5.0), ("nearly all", 12, 10, 4.5)]
+        [
+            ("today", 12, 1, 3.5),
+            ("grown", 89, 15, 5.0),
+            ("nearly all", 12, 10, 4.5),
+            ("large, a sixth", 195, 32, 6.0),
+            ("large, a region", 195, 65, 6.0),
+        ]
     )
     def test_all_agree_on_who_lives(
         self, _name: str, count: int, gone: int, bound_s: float
@@ -459,6 +465,8 @@
             ("grown, few lost", 74, 0.02, 15, True),
             ("grown, a tenth lost", 74, 0.1, 25, True),
             ("grown, a third lost", 74, 0.3, 25, False),
+            ("large, few lost", 195, 0.03, 15, True),
+            ("large, a tenth lost", 195, 0.1, 25, True),
         ]
     )
     def test_lost_answers_cause_no_storm(
