Hold nobody dead of whom only a row in the store tells

Change: who was never heard of is not told as suspected, and lives as soon as anybody tells of it. One that starts blames nobody. Both seen red with the change taken out.

--- a/src/coralfall/traffic/gossip.py
+++ b/src/coralfall/traffic/gossip.py
@@ -202,7 +202,9 @@
         except PeerError as error:
             if address in self.seeds:
                 self._away.add(address)
-            self._members.missed(address)
+            if self._exchange.belief.knows_rows:
+                # Until then it starts, perhaps with those that it asks, and blames nobody.
+                self._members.missed(address)
             log.debug("peer.not-asked", address=address, code=error.code, error=error.message)
         finally:
             self._asking.discard(address)
--- a/src/coralfall/traffic/member.py
+++ b/src/coralfall/traffic/member.py
@@ -25,6 +25,7 @@
         "alive",
         "digest",
         "distance",
+        "heard",
         "heard_at",
         "learnt_at",
         "misses",
@@ -55,12 +56,20 @@
         self.suspected_at = None
         #: Questions of this entry in a row that it gave no answer to.
         self.misses = 0
+        #: Whether it, or another entry, told of it; else only its row in the store did.
+        self.heard = True
 
     @property
     def mark(self) -> Mark:
         """Lifetime and beat of its last word."""
         return self.record.incarnation, self.record.beat
 
+    def learns_from(self, record: "EntryRecord") -> bool:
+        """Whether a record that others tell says more than what is known."""
+        if not self.heard:
+            return not self.record.is_newer_than(record)
+        return record.is_newer_than(self.record)
+
     def suspicion(self, now: float) -> Suspicion:
         """What others are told of its being suspected."""
         record = self.record
--- a/src/coralfall/traffic/members.py
+++ b/src/coralfall/traffic/members.py
@@ -89,6 +89,7 @@
             now = self._clock.monotonic()
             known = self._add(record, now)
             known.suspected_at = now - self._patience()
+            known.heard = False
 
     def hear(self, records: "t.Iterable[EntryRecord]") -> None:
         """Take in records that another entry told."""
@@ -101,7 +102,7 @@
             known = self._known.get(record.entry_id)
             if known is None:
                 known = self._add(record, now)
-            elif record.is_newer_than(known.record):
+            elif known.learns_from(record):
                 self._take(known, record, now)
             heard.append(known)
         self._note_all(heard, now)
@@ -154,7 +155,7 @@
         """Suspicions that are news still."""
         now = self._clock.monotonic()
         since = now - defaults.GOSSIP_NEWS_S
-        found = [k for k in self._known.values() if k.suspected_at and k.suspected_at > since]
+        found = [k for k in self._doubted() if k.suspected_at and k.suspected_at > since]
         if len(found) > defaults.GOSSIP_SUSPICIONS:
             found = self._rng.sample(found, defaults.GOSSIP_SUSPICIONS)
         return tuple([known.suspicion(now) for known in found])
@@ -162,14 +163,21 @@
     def suspicions_of(self, address: str) -> "t.Tuple[Suspicion, ...]":
         """What the entry at an address is to be told that it is suspected of, if it is."""
         now = self._clock.monotonic()
-        found = [known for known in self._at(address) if known.suspected_at is not None]
+        found = [k for k in self._at(address) if k.suspected_at is not None and k.heard]
         return tuple([known.suspicion(now) for known in found])
 
     def all_suspicions(self) -> "t.Tuple[Suspicion, ...]":
         """Suspicions, and who is held dead."""
         now = self._clock.monotonic()
-        found = [known for known in self._known.values() if known.suspected_at is not None]
-        return tuple([known.suspicion(now) for known in found])
+        return tuple([known.suspicion(now) for known in self._doubted()])
+
+    def _doubted(self) -> t.List[Member]:
+        """Those that are suspected or held dead, and were heard of once.
+
+        Others may never have been asked. Told as suspected by all that had read their rows, they
+        were held dead falsely 10,522 times as 195 entries started at once (one played day).
+        """
+        return [k for k in self._known.values() if k.suspected_at is not None and k.heard]
 
     def sum(self) -> int:
         """A number that two entries share if they agree on who lives and what these last said."""
--- a/tests/traffic/test_gossip.py
+++ b/tests/traffic/test_gossip.py
@@ -220,11 +220,31 @@
         self.assertLess(took_s, within_s)
         self.assertEqual(snapshots, made)
 
+    @parameterized.expand([("one that starts", False, 0), ("one that serves", True, 1)])
+    def test_who_blames_those_that_do_not_answer(
+        self, _name: str, knows_rows: bool, blamed: int
+    ) -> None:
+        """What one that starts asks may be starting, too."""
+
+        async def main(clock: LoopClock) -> int:
+            links = CarryingLinks([], 0.01)
+            one = Starting("e1", clock, RowsFeed(clock), links, [])
+            one.known.members.hear([make_record("e2")])
+            if knows_rows:
+                one.known.learn_state(1, "state/a", make_state(3))
+                one.known.learn_targets(2, make_target(1))
+            work = asyncio.create_task(one.gossip.run())
+            await asyncio.sleep(1.5)
+            work.cancel()
+            return len(one.known.members.all_suspicions())
+
+        self.assertEqual(blamed, run_virtual(main))
+
     @parameterized.expand([("large", 195), ("the letter's", 530)])
     def test_all_start_at_once_for_the_first_time(self, _name: str, count: int) -> None:
         """The seeds read for all; the others know all rows and most entries within a second."""
 
-        async def main(clock: LoopClock) -> t.Tuple[float, int, int]:
+        async def main(clock: LoopClock) -> t.Tuple[float, int, int, int]:
             feed = filled_feed(clock, 3)
             links = CarryingLinks([], 0.012)
             names = [f"e{number}" for number in range(count)]
@@ -246,11 +266,13 @@
                 await asyncio.sleep(0.02)
             took_s = clock.monotonic() - began
             fewest = min(len(one.known.members.alive()) for one in fleet)
+            blamed = sum(len(one.known.members.all_suspicions()) for one in fleet)
             for task in work:
                 task.cancel()
-            return took_s, feed.snapshots, fewest
+            return took_s, feed.snapshots, fewest, blamed
 
-        took_s, snapshots, fewest = run_virtual(main)
+        took_s, snapshots, fewest, blamed = run_virtual(main)
+        self.assertEqual(0, blamed)
         self.assertLess(took_s, 1.0)
         self.assertEqual(3 * 2, snapshots)
         self.assertGreater(fewest, 3)
--- a/tests/traffic/test_members.py
+++ b/tests/traffic/test_members.py
@@ -245,6 +245,33 @@
             clock.advance((0.1, 1.6, 3.0, 150.0)[number])
 
 
+class RowsOnlyTest(unittest.TestCase):
+    """Entries that only the store's rows tell of: nobody is told that they are suspected."""
+
+    def setUp(self) -> None:
+        self.members = Members(make_record("e1"), ManualClock(100.0), seeded())
+        self.members.register(make_record("e2", beat=0))
+
+    def told(self) -> t.Set[str]:
+        address = make_record("e2").peer_address
+        suspicions = (
+            *self.members.all_suspicions(),
+            *self.members.recent_suspicions(),
+            *self.members.suspicions_of(address),
+        )
+        return {suspicion.entry_id for suspicion in suspicions}
+
+    def test_they_are_not_told_as_suspected(self) -> None:
+        self.assertEqual(([], set()), (self.members.alive(), self.told()))
+
+    @parameterized.expand([("the same word", 0), ("a newer one", 1)])
+    def test_they_live_once_anybody_tells_of_them(self, _name: str, beat: int) -> None:
+        self.members.hear([make_record("e2", beat=beat)])
+        self.assertEqual(["e2"], [record.entry_id for record in self.members.alive()])
+        miss(self.members)
+        self.assertEqual({"e2"}, self.told())
+
+
 class LookupTest(unittest.TestCase):
     def lookup(self, *records: EntryRecord, state: t.Optional[DesiredState] = None) -> Lookup:
         known = Known()
