Tell nobody that an entry lives of which only a row tells

Found by reading the commit before the last: recent() told records that came from the store's rows as news, and since that commit two entries that read the row of a lost machine would have made it live for each other. Seen red: test_they_are_not_told_as_living.

--- a/src/coralfall/traffic/members.py
+++ b/src/coralfall/traffic/members.py
@@ -142,7 +142,7 @@
     def recent(self) -> "t.Tuple[EntryRecord, ...]":
         """The own record and the newest ones that are news still."""
         since = self._clock.monotonic() - defaults.GOSSIP_NEWS_S
-        found = [known for known in self._known.values() if known.learnt_at > since]
+        found = [k for k in self._known.values() if k.learnt_at > since and k.heard]
         found.sort(key=lambda known: known.learnt_at, reverse=True)
         newest = found[: defaults.GOSSIP_RECORDS]
         return (self.own, *[known.record for known in newest])
--- a/tests/traffic/test_members.py
+++ b/tests/traffic/test_members.py
@@ -264,6 +264,11 @@
     def test_they_are_not_told_as_suspected(self) -> None:
         self.assertEqual(([], set()), (self.members.alive(), self.told()))
 
+    def test_they_are_not_told_as_living(self) -> None:
+        """A row outlives its machine; two that read it would make it live for each other."""
+        told = [record.entry_id for record in self.members.recent()]
+        self.assertEqual(["e1"], told)
+
     @parameterized.expand([("the same word", 0), ("a newer one", 1)])
     def test_they_live_once_anybody_tells_of_them(self, _name: str, beat: int) -> None:
         self.members.hear([make_record("e2", beat=beat)])
