--- a/.ci/count.py
+++ b/.ci/count.py
@@ -2,8 +2,8 @@
 
 The last line printed is ``N passed, N failed``. Tests listed in the file of known failures are
 printed and passed over, as long as they exist, still fail and are at most three. One whose cause
-begins with "once:" failed a single time and has no known cause: it is printed so that nobody forgets
-it, it has to pass, and a second failure fails the run, with what it said.
+begins with "once:" failed a single time and has no known cause: it is printed so that nobody
+forgets it, it has to pass, and a second failure fails the run, with what it said.
 """
 
 import argparse
