--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -13,7 +13,12 @@
 from coralfall.reporting import report_cli
 from tests.processes import ROOT
 
-PAGES = [*ROOT.glob("*.md"), *ROOT.glob("docs/**/*.md"), *ROOT.glob("examples/*.md")]
+PAGES = [
+    *ROOT.glob("*.md"),
+    *ROOT.glob("docs/**/*.md"),
+    *ROOT.glob("examples/*.md"),
+    *ROOT.glob("deploy/*.md"),
+]
 _LINK = re.compile(r"\]\(([^)#\s]*)(?:#([^)\s]*))?\)")
 _COMMAND = re.compile(r"coralfall (bundle|keys) ([a-z]+)((?: [^`\n]*)?)")
 _SINGLE_COMMAND = re.compile(
