Give a request and its sends a module of their own

The forwarder's module held three things: what a request is, the record of its sends, and how it is sent.

--- a/src/coralfall/traffic/callers.py
+++ b/src/coralfall/traffic/callers.py
@@ -8,8 +8,8 @@
 from ..forwarding.request import MemoryAccount, RequestBody, pieces_of
 from ..http.caller_watch import CallerWatch
 from ..process import log
-from .forwarder import SteeredRequest
 from .reply import Reply, reply_of_error
+from .steered_request import SteeredRequest
 
 if t.TYPE_CHECKING:
     from starlette.types import Receive, Scope, Send
--- /dev/null
+++ b/src/coralfall/traffic/steered_request.py
@@ -0,0 +1,95 @@
+"""A caller's request with its route, and what became of each try to send it to a target."""
+
+import typing as t
+
+from .model import RequestKind
+
+if t.TYPE_CHECKING:
+    from ..forwarding.request import RequestBody
+    from ..ids import ServiceId
+    from ..placement.affinity import Place
+    from .connection import Headers
+    from .model import Route
+
+
+class Send:
+    """One try to send a request to a target, for the log."""
+
+    __slots__ = ("_met", "result", "seconds", "sent", "target_id")
+
+    def __init__(self, place: "Place") -> None:
+        target = place.state.target
+        self.target_id = target.target_id
+        known = "known" if place.known else "new"
+        where = "near" if place.near else "far"
+        #: What the request meets, as far as known here: load and slots, object, region.
+        self._met = f"{place.load:.1f}/{target.slots}:{known}:{where}"
+        #: Whether a byte may have left.
+        self.sent = False
+        self.result = "?"
+        self.seconds = 0.0
+
+    def __str__(self) -> str:
+        return f"{self.target_id}:{self.result}:{self.seconds * 1000:.0f}:{self._met}"
+
+
+class SteeredRequest:
+    """A caller's request with its route.
+
+    :param deadline: monotonic time at which it gets its final answer.
+    :param left_s: seconds for which its caller said, when it asked, that it would wait.
+    """
+
+    __slots__ = (
+        "body",
+        "deadline",
+        "headers",
+        "host",
+        "key",
+        "late",
+        "left_s",
+        "method",
+        "path",
+        "request_id",
+        "route",
+        "sends",
+        "service",
+    )
+
+    def __init__(
+        self,
+        method: str,
+        path: str,
+        host: str,
+        headers: "Headers",
+        body: "t.Optional[RequestBody]",
+        route: "Route",
+        service: "ServiceId",
+        request_id: str,
+        key: bytes,
+        deadline: float,
+        left_s: t.Optional[float] = None,
+    ) -> None:
+        self.method = method
+        self.path = path
+        self.host = host
+        self.headers = headers
+        self.body = body
+        self.route = route
+        self.service = service
+        self.request_id = request_id
+        self.key = key
+        self.deadline = deadline
+        self.left_s = left_s
+        #: Whether its caller has waited for longer than the answer is worth most.
+        self.late = False
+        self.sends: t.List[Send] = []
+
+    def sent_count(self) -> int:
+        """To how many targets it was sent."""
+        return sum(send.sent for send in self.sends)
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may run more than once."""
+        return self.route.kind is RequestKind.SAFE
--- a/src/coralfall/traffic/telemetry.py
+++ b/src/coralfall/traffic/telemetry.py
@@ -13,9 +13,9 @@
 if t.TYPE_CHECKING:
     from starlette.types import Receive, Scope, Send
 
-    from .forwarder import SteeredRequest
     from .node import Node
     from .reply import Reply
+    from .steered_request import SteeredRequest
 
 #: Upper ends of the histograms' buckets, in seconds.
 _REQUEST_BUCKETS = (0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 3.0, 6.0, 10.0)
--- a/tests/traffic/test_forwarder.py
+++ b/tests/traffic/test_forwarder.py
@@ -16,11 +16,12 @@
 from coralfall.platform.names import HEADERS
 from coralfall.process.clock import SystemClock
 from coralfall.traffic import pool
-from coralfall.traffic.forwarder import Forwarder, SteeredRequest
+from coralfall.traffic.forwarder import Forwarder
 from coralfall.traffic.model import RequestKind
 from coralfall.traffic.pool import ConnectionPool
 from coralfall.traffic.reply import Reply
 from coralfall.traffic.settings import BoundSettings
+from coralfall.traffic.steered_request import SteeredRequest
 from tests.traffic.makers import (
     PEDIDOS,
     make_route,
