Tell a target that went down from one that lost an answer, and a request that comes again

Lines could not tell the hypotheses of the crashing-request incident apart: an ended connection was 'broken' or 'stale' whether the target lost one answer or its process was gone, and a request that came again had a new id and nothing else. What is sent where did not change.

--- a/src/coralfall/traffic/callers.py
+++ b/src/coralfall/traffic/callers.py
@@ -144,6 +144,7 @@
             key if key is not None else request_id.encode(),
             began + (route.timeout_s if left is None else min(left, route.timeout_s)),
             left,
+            scope["client"][0] if scope.get("client") else "",
         )
 
     def _seconds_of(self, headers: t.Sequence[t.Tuple[bytes, bytes]]) -> t.Optional[float]:
@@ -187,12 +188,20 @@
             ms=round((now - began) * 1000),
             aim_ms=round(request.route.latency_target_s * 1000),
             sends=",".join([str(send) for send in request.sends]) or "none",
+            **_identity(request),
             version=belief.version,
             state_age_ms=round(belief.state_age() * 1000),
             targets_age_ms=round(belief.targets_age() * 1000),
         )
 
 
+def _identity(request: SteeredRequest) -> t.Dict[str, str]:
+    """What tells that it came before; only those that a target went silent under are looked at."""
+    if request.fingerprint is None:
+        return {}
+    return {"fingerprint": str(request.fingerprint), "caller": request.caller}
+
+
 def _header(headers: t.Sequence[t.Tuple[bytes, bytes]], name: bytes) -> t.Optional[bytes]:
     for field, value in headers:
         if field == name:
--- a/src/coralfall/traffic/connection.py
+++ b/src/coralfall/traffic/connection.py
@@ -61,6 +61,8 @@
         self.exchanges = 0
         #: Whether any byte came since the last request was sent.
         self.heard = False
+        #: Whether it ended, by the server or on the way, while an answer was due.
+        self.lost = False
         self._writable = asyncio.Event()
         self._writable.set()
         #: When the connection was last used, on the loop's clock.
@@ -190,6 +192,7 @@
     def connection_lost(self, exc: t.Optional[Exception]) -> None:
         self._reusable = False
         self._writable.set()
+        self.lost = self._answered is not None and not self._answered.done()
         self._fail(f"connection lost: {exc}" if exc else "connection closed")
 
     # httptools
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -18,7 +18,9 @@
     TargetUnknownError,
 )
 from ..forwarding.headers import HOP_BY_HOP
+from ..placement.fingerprint import caller_digest, fingerprint, head_digest
 from .connection import BrokenAnswerError, ServerAnswer, head_of
+from .crashes import CutOff
 from .pool import NO_FILES
 from .reply import Reply, reply_of_answer, reply_of_error
 from .steered_request import Send, SteeredRequest
@@ -29,8 +31,11 @@
     from ..ids import TargetId
     from ..placement.affinity import AffinitySteering, Place
     from ..placement.budget import SendBudget
+    from ..placement.fingerprint import Fingerprint, HeadDigest
     from ..placement.targets import TargetBook, TargetState
     from ..process.clock import Clock
+    from .connection import Headers
+    from .crashes import CrashWatch
     from .pool import ConnectionPool
 
 _FIRST_SERVER_ERROR = 500
@@ -53,6 +58,7 @@
     :param targets: what is known of them.
     :param pool: connections to them.
     :param budget: bounds second sends.
+    :param crashes: told of connections that end under a request.
     :param clock: for deadlines.
     """
 
@@ -63,6 +69,7 @@
         targets: "TargetBook",
         pool: "ConnectionPool",
         budget: "SendBudget",
+        crashes: "CrashWatch",
         clock: "Clock",
     ) -> None:
         self._names = names
@@ -70,6 +77,7 @@
         self._targets = targets
         self._pool = pool
         self._budget = budget
+        self._crashes = crashes
         self._clock = clock
         self._dropped = _REPLACED | {names.time_left, names.expected_target}
 
@@ -209,6 +217,8 @@
             message = "no whole answer before the request's time was over"
             raise TargetTimeoutError(message, reason="time") from error
         except (BrokenAnswerError, OSError) as error:
+            if connection.lost:
+                self._note_cut_off(request, state)
             stale = connection.exchanges > 0 and not connection.heard
             if stale:
                 self._pool.forget(state.target)
@@ -221,6 +231,29 @@
             connection.abort()
         return answer
 
+    def _note_cut_off(self, request: SteeredRequest, state: "TargetState") -> None:
+        found = self._fingerprint_of(request)
+        if found is not None:
+            self._crashes.cut_off(state, CutOff(found, caller_digest(request.caller)))
+
+    def _fingerprint_of(self, request: SteeredRequest) -> "t.Optional[Fingerprint]":
+        """What a request is known by when it comes again; nothing if its body is not held whole."""
+        if request.fingerprint is None:
+            body = request.body.whole if request.body is not None else b""
+            if body is None:
+                return None
+            request.fingerprint = fingerprint(self._head_digest(request), body)
+        return request.fingerprint
+
+    def _head_digest(self, request: SteeredRequest) -> "HeadDigest":
+        return head_digest(
+            request.method,
+            request.host,
+            request.path,
+            self._names.affinity_of(request.headers),
+            _first(request.headers, b"authorization"),
+        )
+
     def _check(self, answer: ServerAnswer, request: SteeredRequest, state: "TargetState") -> None:
         names = self._names
         echoed = answer.header(names.request_id)
@@ -267,6 +300,13 @@
         return head_of(request.method, request.path, request.host, fields), whole, rest
 
 
+def _first(headers: "Headers", name: bytes) -> t.Optional[bytes]:
+    for field, value in headers:
+        if field == name:
+            return value
+    return None
+
+
 async def _chunked(body: "RequestBody") -> t.AsyncIterator[bytes]:
     async for piece in body:
         yield b"%x\r\n%b\r\n" % (len(piece), piece)
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -21,6 +21,7 @@
 from ..settings import HttpSettings
 from .belief import Belief
 from .callers import CallersApp
+from .crashes import CrashWatch
 from .exchange import Exchange
 from .follower import Follower
 from .forwarder import Forwarder
@@ -88,8 +89,10 @@
         self.budget = SendBudget(settings.bounds, clock)
         self.pool = ConnectionPool()
         self.targets.on_restart = self.pool.forget
+        self.crashes = CrashWatch(self.targets, self.pool, clock)
+        self.crashes.on_crash = lambda crash: self.telemetry.crash(crash.target.service)
         self.forwarder = Forwarder(
-            names, self.steering, self.targets, self.pool, self.budget, clock
+            names, self.steering, self.targets, self.pool, self.budget, self.crashes, clock
         )
         self.callers = CallersApp(names, self.belief, self.forwarder, self.telemetry, clock)
         self.lookup = Lookup(settings, self.members, self.belief)
@@ -165,6 +168,7 @@
         self._tick_due = now + _TICK_S * (1 + PERIODIC_JITTER)
         self.belief.tick()
         self.pool.close_idle()
+        self.crashes.forget()
         self.budget.entries = self.members.count()
         self.steering.cold_shares.set_entries(self.members.all_ids())
 
@@ -253,6 +257,7 @@
         try:
             await asyncio.Event().wait()
         finally:
+            self.crashes.close()
             self.pool.close()
 
 
--- a/src/coralfall/traffic/pool.py
+++ b/src/coralfall/traffic/pool.py
@@ -27,6 +27,16 @@
 _OWN_SHORTAGES = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.EADDRNOTAVAIL))
 
 
+class Opening(t.NamedTuple):
+    """What a try to open a connection says of its address."""
+
+    address: str
+    #: When it began, on the loop's clock.
+    began: float
+    #: Whether anything listens there.
+    listening: bool
+
+
 class ConnectionPool:
     """Opens connections to targets and keeps some of them for a while.
 
@@ -43,6 +53,8 @@
         #: Connections opened so far, and those of them that were opened ahead.
         self.opened = 0
         self.opened_ahead = 0
+        #: Called when a connection was opened or refused.
+        self.on_opening: t.Callable[[Opening], None] = lambda opening: None
 
     async def take(self, target: "Target", kept: bool, seconds: float) -> ServerConnection:
         """A connection to a target.
@@ -68,6 +80,7 @@
 
     async def _open(self, address: str, seconds: float) -> ServerConnection:
         self.opened += 1
+        began = _now()
         try:
             connection = await connect(address, seconds, _MAX_ANSWER_BYTES)
         except (OSError, asyncio.TimeoutError) as error:
@@ -77,10 +90,21 @@
                 raise TargetNotRunError(message, reason=NO_FILES) from error
             message = f"target can't be connected: {error or type(error).__name__}"
             refused = isinstance(error, ConnectionRefusedError)
+            if refused:
+                self.on_opening(Opening(address, began, False))
             raise TargetNotRunError(message, reason="connect", refused=refused) from error
         connection.used_at = _now()
+        self.on_opening(Opening(address, began, True))
         return connection
 
+    async def check(self, target: "Target", seconds: float) -> None:
+        """Open a new connection to a target and close it, to see whether it listens.
+
+        :raises TargetNotRunError: if none can be had.
+        """
+        connection = await self._open(target.address, seconds)
+        connection.abort()
+
     def _open_ahead(self, target: "Target") -> None:
         """Open the connection of the next request, if one is likely before it is too old."""
         address = target.address
--- a/src/coralfall/traffic/steered_request.py
+++ b/src/coralfall/traffic/steered_request.py
@@ -8,6 +8,7 @@
     from ..forwarding.request import RequestBody
     from ..ids import ServiceId
     from ..placement.affinity import Place
+    from ..placement.fingerprint import Fingerprint
     from .connection import Headers
     from .model import Route
 
@@ -38,11 +39,14 @@
 
     :param deadline: monotonic time at which it gets its final answer.
     :param left_s: seconds for which its caller said, when it asked, that it would wait.
+    :param caller: IP number that it came from.
     """
 
     __slots__ = (
         "body",
+        "caller",
         "deadline",
+        "fingerprint",
         "headers",
         "host",
         "key",
@@ -69,6 +73,7 @@
         key: bytes,
         deadline: float,
         left_s: t.Optional[float] = None,
+        caller: str = "",
     ) -> None:
         self.method = method
         self.path = path
@@ -81,6 +86,9 @@
         self.key = key
         self.deadline = deadline
         self.left_s = left_s
+        self.caller = caller
+        #: What it is known by when it comes again, once somebody asked.
+        self.fingerprint: t.Optional["Fingerprint"] = None
         #: Whether its caller has waited for longer than the answer is worth most.
         self.late = False
         self.sends: t.List[Send] = []
--- a/src/coralfall/traffic/telemetry.py
+++ b/src/coralfall/traffic/telemetry.py
@@ -13,6 +13,7 @@
 if t.TYPE_CHECKING:
     from starlette.types import Receive, Scope, Send
 
+    from ..ids import ServiceId
     from .node import Node
     from .reply import Reply
     from .steered_request import SteeredRequest
@@ -42,6 +43,9 @@
         self._second_sends = self._counter(
             "second_sends", "Sends of a request beyond its first.", ("service",)
         )
+        self._crashes = self._counter(
+            "target_crashes", "Targets that went down under requests of this entry.", ("service",)
+        )
         self._lookups = self._counter("lookups", "Look-ups of callers.", ("result",))
         self._loop_delay = prometheus_client.Histogram(
             "coralfall_loop_delay_seconds",
@@ -71,6 +75,10 @@
         reason = reply.reason if reply is not None else "caller-gone"
         self._requests.labels("none", status, reason).inc()
 
+    def crash(self, service: "ServiceId") -> None:
+        """Count a target that went down under requests of this entry."""
+        self._crashes.labels(service).inc()
+
     def lookup(self, found: bool) -> None:
         """Count a look-up."""
         self._lookups.labels("answered" if found else "refused").inc()
--- a/tests/stream_server.py
+++ b/tests/stream_server.py
@@ -25,6 +25,10 @@
         if self._tasks:
             await asyncio.wait(self._tasks)
 
+    def stop_listening(self) -> None:
+        """Refuse new connections; open ones stay."""
+        self._server.close()
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection until it is over."""
         raise NotImplementedError
--- a/tests/traffic/test_forwarder.py
+++ b/tests/traffic/test_forwarder.py
@@ -16,6 +16,7 @@
 from coralfall.platform.names import HEADERS
 from coralfall.process.clock import SystemClock
 from coralfall.traffic import pool
+from coralfall.traffic.crashes import CrashWatch
 from coralfall.traffic.forwarder import Forwarder
 from coralfall.traffic.model import RequestKind
 from coralfall.traffic.pool import ConnectionPool
@@ -53,7 +54,10 @@
         self.targets.update({target.target_id: target for target in listed})
         self.pool = ConnectionPool()
         budget = SendBudget(bounds or BoundSettings(), clock)
-        self.forwarder = Forwarder(HEADERS, self.steering, self.targets, self.pool, budget, clock)
+        self.crashes = CrashWatch(self.targets, self.pool, clock)
+        self.forwarder = Forwarder(
+            HEADERS, self.steering, self.targets, self.pool, budget, self.crashes, clock
+        )
 
     def request(
         self,
