--- a/tests/stream_server.py
+++ b/tests/stream_server.py
@@ -9,6 +9,7 @@
 
     def __init__(self) -> None:
         self._tasks: t.Set[asyncio.Task[None]] = set()
+        self._writers: t.Set[asyncio.StreamWriter] = set()
         #: ``host:port``, once it listens.
         self.address = ""
 
@@ -29,6 +30,22 @@
         """Refuse new connections; open ones stay."""
         self._server.close()
 
+    @property
+    def listening(self) -> bool:
+        """Whether new connections are taken."""
+        return self._server.is_serving()
+
+    def go_down(self) -> None:
+        """Refuse new connections and end all open ones, as when a process ends."""
+        self.stop_listening()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def come_back(self) -> None:
+        """Listen again at the same address."""
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._accept, host, int(port))
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection until it is over."""
         raise NotImplementedError
@@ -36,4 +53,6 @@
     def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.create_task(self.serve(reader, writer))
         self._tasks.add(task)
+        self._writers.add(writer)
         task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(lambda _: self._writers.discard(writer))
