Send a request that targets end of to no more of them, at any entry

Cause: an entry knew a request by its id alone, took each attempt for a new request, and kept what it saw of an ended connection to itself. Class: failures were counted by who suffers them (the target rests, the budget shrinks) and never by what brings them about.

Change: what a target had in hand as its process ended is suspected by its fingerprint. Entries tell each other (with the news of gossip, at once from the second crash on, and all of it to one whose sum differs, so that a cut, a pause or a start loses nothing). In hand at three crashes where nobody else was at as many, or at five in all: refused at once with 503, reason quarantined, at each entry, before each send and once more with the connection open, until it came no more for quarantine_s. An answer by a target clears it; a like request of another caller goes on while one caller's alone was seen.

Ruled out: by path (holds good requests back); on one entry's word (a convoy of requests of one object meets the same ends); forgetting after seconds (a slow one needs three crashes each time anew); the platform's store as the channel (calls at rest, and gossip is there within a second).

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -226,6 +226,19 @@
 GOSSIP_NEWS_S = 3.0
 #: Pushes of news of entries that one entry may receive in a second, of all others together.
 MEMBER_PUSHES_PER_S = 5.0
+#: Most suspected requests that are news in one message, and most that an entry remembers. A mass
+#: failure takes along many that come once; what matters is told first.
+GOSSIP_SUSPECTS = 24
+MAX_SUSPECTS = 1024
+#: Targets that must have ended with a request in hand until it is sent to no more of them, if
+#: nobody else was in hand at as many; and if somebody was. The users allow it to reach targets
+#: three times more once three ended of it and the entries had time to tell each other.
+QUARANTINE_CRASHES = 3
+QUARANTINE_UNSURE_CRASHES = 5
+#: Seconds for which a suspected request is remembered once it comes no more, and after which the
+#: caller of one that is refused may ask whether it still is: sooner, so that it stays refused.
+QUARANTINE_S = 600.0
+QUARANTINE_COME_BACK_S = 300.0
 #: Seconds for which two entries know different things before one asks the other for everything.
 GOSSIP_DIFFER_S = 0.8
 #: Seconds after which a suspected entry that did not refute it is held dead, in a fleet of
--- a/src/coralfall/traffic/exchange.py
+++ b/src/coralfall/traffic/exchange.py
@@ -7,6 +7,7 @@
 
 if t.TYPE_CHECKING:
     from ..ids import Revision
+    from ..placement.quarantine import Quarantine, Suspect
     from ..process.clock import Clock
     from .belief import Belief
     from .delta import Delta
@@ -22,13 +23,18 @@
 
     :param members: the entries.
     :param belief: the rows.
+    :param quarantine: requests that targets end of.
     :param clock: tells the time.
     """
 
-    def __init__(self, members: "Members", belief: "Belief", clock: "Clock") -> None:
+    def __init__(
+        self, members: "Members", belief: "Belief", quarantine: "Quarantine", clock: "Clock"
+    ) -> None:
         self._members = members
         #: The rows.
         self.belief = belief
+        #: Requests that targets end of.
+        self.quarantine = quarantine
         self._clock = clock
         #: Since when what is known of the entries differs from what others know.
         self._differs_since: t.Optional[float] = None
@@ -41,11 +47,13 @@
         all_members: bool = False,
         address: str = "",
         wants_rows: bool = True,
+        suspects: "t.Optional[t.Tuple[Suspect, ...]]" = None,
     ) -> News:
         """What is known here, with what came after the revisions given.
 
         :param all_members: whether to tell of all entries, and not only what is news.
         :param address: of the entry that this is for; it is told if it is suspected.
+        :param suspects: the suspected requests to tell of, in place of those that are news.
         :param wants_rows: whether it is to answer with the rows that are not known here.
         """
         now = self._clock.monotonic()
@@ -65,14 +73,24 @@
             store_s=belief.store_clock.latest(),
             state=_delta(belief.state_rows, state_since),
             targets=_delta(belief.target_rows, targets_since),
+            suspects=self.quarantine.recent() if suspects is None else suspects,
+            suspects_sum=self.quarantine.sum(),
         )
 
     def answer(self, news: News) -> News:
         """What the sender of ``news`` does not know."""
         address = news.records[0].peer_address if news.records else ""
+        agreed = news.suspects_sum == self.quarantine.sum()
+        suspects = None if agreed else self.quarantine.all()
         if not news.wants_rows:
-            return self.news(all_members=news.wants_all, address=address)
-        return self.news(news.state_revision, news.targets_revision, news.wants_all, address)
+            return self.news(all_members=news.wants_all, address=address, suspects=suspects)
+        return self.news(
+            news.state_revision,
+            news.targets_revision,
+            news.wants_all,
+            address,
+            suspects=suspects,
+        )
 
     def take(self, news: News, asked_at: t.Optional[float] = None) -> bool:
         """Take in news; whether the sender knows more still.
@@ -81,6 +99,7 @@
         """
         belief = self.belief
         self._take_members(news)
+        self.quarantine.hear(news.suspects)
         if asked_at is not None and news.store_s is not None:
             belief.store_clock.observe(asked_at, news.store_s)
         keys = _apply(belief.state_rows, news.state, news.state_read_s)
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -32,6 +32,7 @@
     from ..placement.affinity import AffinitySteering, Place
     from ..placement.budget import SendBudget
     from ..placement.fingerprint import Fingerprint, HeadDigest
+    from ..placement.quarantine import Quarantine
     from ..placement.targets import TargetBook, TargetState
     from ..process.clock import Clock
     from .connection import Headers
@@ -45,6 +46,8 @@
 _STALE = "stale"
 #: First part of the result of a send that the target turned away.
 _SHED = "shed-"
+#: Reason of a request that targets end of, and that is sent to no more of them.
+QUARANTINED = "quarantined"
 #: Most targets that are tried in vain to be connected for one request.
 _MAX_UNREACHED = 4
 _REPLACED = HOP_BY_HOP | {b"content-length", b"host", b"expect"}
@@ -59,6 +62,7 @@
     :param pool: connections to them.
     :param budget: bounds second sends.
     :param crashes: told of connections that end under a request.
+    :param quarantine: knows requests that targets end of.
     :param clock: for deadlines.
     """
 
@@ -70,6 +74,7 @@
         pool: "ConnectionPool",
         budget: "SendBudget",
         crashes: "CrashWatch",
+        quarantine: "Quarantine",
         clock: "Clock",
     ) -> None:
         self._names = names
@@ -78,11 +83,14 @@
         self._pool = pool
         self._budget = budget
         self._crashes = crashes
+        self._quarantine = quarantine
         self._clock = clock
         self._dropped = _REPLACED | {names.time_left, names.expected_target}
 
     async def forward(self, request: SteeredRequest) -> Reply:
         """The reply to a request; failures are replies too."""
+        if self._is_quarantined(request):
+            return reply_of_error(_quarantined())
         self._budget.request(request.service)
         if request.left_s is not None:
             admission = self._steering.admission
@@ -153,6 +161,8 @@
             return False
         if request.body is not None and not request.body.replayable:
             return False
+        if self._is_quarantined(request):
+            return False
         return self._budget.take(request.service)
 
     def _has_time(self, request: SteeredRequest) -> bool:
@@ -191,6 +201,7 @@
             send.seconds = self._clock.monotonic() - began
             place.release()
         state.succeed()
+        self._note_answer(request, answer)
         place.answered(self._clock.monotonic(), send.seconds)
         send.result = str(answer.status)
         return answer
@@ -207,6 +218,9 @@
             self._pool.give(state.target, connection)
             reason = "late" if left < defaults.MIN_SEND_S else "withdrawn"
             raise TargetNotRunError("not sent", reason=reason)
+        if self._is_quarantined(request):
+            self._pool.give(state.target, connection)
+            raise TargetNotRunError("not sent", reason=QUARANTINED)
         send.sent = True
         head, body, rest = self._outgoing(request, state, left)
         try:
@@ -236,23 +250,42 @@
         if found is not None:
             self._crashes.cut_off(state, CutOff(found, caller_digest(request.caller)))
 
+    def _note_answer(self, request: SteeredRequest, answer: ServerAnswer) -> None:
+        suspect = self._suspect_of(request)
+        if suspect is not None and answer.status < _FIRST_SERVER_ERROR:
+            self._quarantine.note_answer(suspect)
+
+    def _is_quarantined(self, request: SteeredRequest) -> bool:
+        suspect = self._suspect_of(request)
+        if suspect is None:
+            return False
+        return self._quarantine.refuses(suspect, caller_digest(request.caller))
+
+    def _suspect_of(self, request: SteeredRequest) -> "t.Optional[Fingerprint]":
+        """Its fingerprint, if one like it is suspected; bodies of others are not looked at."""
+        if self._quarantine.empty or not self._quarantine.has_head(self._head_of(request)):
+            return None
+        return self._fingerprint_of(request)
+
     def _fingerprint_of(self, request: SteeredRequest) -> "t.Optional[Fingerprint]":
         """What a request is known by when it comes again; nothing if its body is not held whole."""
         if request.fingerprint is None:
             body = request.body.whole if request.body is not None else b""
             if body is None:
                 return None
-            request.fingerprint = fingerprint(self._head_digest(request), body)
+            request.fingerprint = fingerprint(self._head_of(request), body)
         return request.fingerprint
 
-    def _head_digest(self, request: SteeredRequest) -> "HeadDigest":
-        return head_digest(
-            request.method,
-            request.host,
-            request.path,
-            self._names.affinity_of(request.headers),
-            _first(request.headers, b"authorization"),
-        )
+    def _head_of(self, request: SteeredRequest) -> "HeadDigest":
+        if request.head is None:
+            request.head = head_digest(
+                request.method,
+                request.host,
+                request.path,
+                self._names.affinity_of(request.headers),
+                _first(request.headers, b"authorization"),
+            )
+        return request.head
 
     def _check(self, answer: ServerAnswer, request: SteeredRequest, state: "TargetState") -> None:
         names = self._names
@@ -300,6 +333,11 @@
         return head_of(request.method, request.path, request.host, fields), whole, rest
 
 
+def _quarantined() -> RefusedError:
+    message = "targets ended each time that they began to run this request; it is sent to no more"
+    return RefusedError(message, defaults.QUARANTINE_COME_BACK_S, reason=QUARANTINED)
+
+
 def _first(headers: "Headers", name: bytes) -> t.Optional[bytes]:
     for field, value in headers:
         if field == name:
--- a/src/coralfall/traffic/messages.py
+++ b/src/coralfall/traffic/messages.py
@@ -6,6 +6,7 @@
 
 from ..ids import EntryId, Incarnation, Revision
 from ..peering.message import Message
+from ..placement.quarantine import Suspect
 from .delta import Delta
 from .model import EntryRecord
 
@@ -42,6 +43,10 @@
     #: What the receiver does not know, if that is known.
     state: t.Optional[Delta] = None
     targets: t.Optional[Delta] = None
+    #: Suspected requests that are news, or all that matter if the receiver's sum is another one.
+    suspects: t.Tuple[Suspect, ...] = ()
+    #: See :meth:`..placement.quarantine.Quarantine.sum`.
+    suspects_sum: int = 0
 
 
 class Push(Message, frozen=True, tag=33):
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -13,6 +13,7 @@
 from ..peering.peer_links import PeerLinks
 from ..placement.affinity import AffinitySteering
 from ..placement.budget import SendBudget
+from ..placement.quarantine import Quarantine, crash_digest
 from ..placement.targets import TargetBook
 from ..process import log
 from ..process.child import PERIODIC_JITTER, Child, FunctionChild, PeriodicChild
@@ -21,7 +22,7 @@
 from ..settings import HttpSettings
 from .belief import Belief
 from .callers import CallersApp
-from .crashes import CrashWatch
+from .crashes import Crash, CrashWatch
 from .exchange import Exchange
 from .follower import Follower
 from .forwarder import Forwarder
@@ -90,9 +91,17 @@
         self.pool = ConnectionPool()
         self.targets.on_restart = self.pool.forget
         self.crashes = CrashWatch(self.targets, self.pool, clock)
-        self.crashes.on_crash = lambda crash: self.telemetry.crash(crash.target.service)
+        self.crashes.on_crash = self._note_crash
+        self.quarantine = Quarantine(settings.quarantine_s, clock)
         self.forwarder = Forwarder(
-            names, self.steering, self.targets, self.pool, self.budget, self.crashes, clock
+            names,
+            self.steering,
+            self.targets,
+            self.pool,
+            self.budget,
+            self.crashes,
+            self.quarantine,
+            clock,
         )
         self.callers = CallersApp(names, self.belief, self.forwarder, self.telemetry, clock)
         self.lookup = Lookup(settings, self.members, self.belief)
@@ -148,6 +157,7 @@
         log.set_level(settings.log)
         self.steering.settings = settings
         self.budget.bounds = settings.bounds
+        self.quarantine.set_hold(settings.quarantine_s)
         self.lookup.set_bounds(settings.bounds)
         self.gossip.seeds = settings.seeds
         for follower, pace in zip(self.followers, _paces(settings.bounds), strict=True):
@@ -169,9 +179,16 @@
         self.belief.tick()
         self.pool.close_idle()
         self.crashes.forget()
+        self.quarantine.forget()
         self.budget.entries = self.members.count()
         self.steering.cold_shares.set_entries(self.members.all_ids())
 
+    def _note_crash(self, crash: Crash) -> None:
+        target = crash.target
+        self.telemetry.crash(target.service)
+        requests = [(request.fingerprint, request.caller) for request in crash.requests]
+        self.quarantine.note_crash(crash_digest(target.target_id, target.born), requests)
+
     def note_readiness(self) -> None:
         """Let callers come as soon as enough is known and the callers' port is open."""
         if not self.belief.complete or not self._callers_server.bound_address:
@@ -200,7 +217,7 @@
         own = self.members.own
         hello = Hello(entry_id=own.entry_id, incarnation=own.incarnation)
         traffic = Traffic()
-        self.exchange = Exchange(self.members, self.belief, self.clock)
+        self.exchange = Exchange(self.members, self.belief, self.quarantine, self.clock)
         links = PeerLinks(fleet_key, hello, traffic)
         self.gossip = Gossip(
             self.exchange, self.members, links, settings.seeds, self.clock, self._rng
--- a/src/coralfall/traffic/reload.py
+++ b/src/coralfall/traffic/reload.py
@@ -11,7 +11,7 @@
 from .settings import SteerSettings
 
 #: Settings that are taken in while the entry runs; all others need a new start.
-LIVE = ("bounds", "log", "seeds")
+LIVE = ("bounds", "log", "quarantine_s", "seeds")
 
 
 class Reload:
--- a/src/coralfall/traffic/settings.py
+++ b/src/coralfall/traffic/settings.py
@@ -109,6 +109,9 @@
     seeds: t.Tuple[str, ...] = ()
     #: Whether the whole installation starts for the first time, so that no caller waits yet.
     first_start: bool = False
+    #: Seconds for which a request that ended the targets that ran it is refused, counted from when
+    #: it came last; 0 to refuse none. All that is refused is let go of as this changes to 0.
+    quarantine_s: Amount = defaults.QUARANTINE_S
     #: What is logged.
     log: LogSettings = LogSettings()
     #: Where statsd metrics go.
--- a/src/coralfall/traffic/steered_request.py
+++ b/src/coralfall/traffic/steered_request.py
@@ -8,7 +8,7 @@
     from ..forwarding.request import RequestBody
     from ..ids import ServiceId
     from ..placement.affinity import Place
-    from ..placement.fingerprint import Fingerprint
+    from ..placement.fingerprint import Fingerprint, HeadDigest
     from .connection import Headers
     from .model import Route
 
@@ -47,6 +47,7 @@
         "caller",
         "deadline",
         "fingerprint",
+        "head",
         "headers",
         "host",
         "key",
@@ -87,7 +88,8 @@
         self.deadline = deadline
         self.left_s = left_s
         self.caller = caller
-        #: What it is known by when it comes again, once somebody asked.
+        #: What it is known by when it comes again, without its body and with it, once it was asked.
+        self.head: t.Optional["HeadDigest"] = None
         self.fingerprint: t.Optional["Fingerprint"] = None
         #: Whether its caller has waited for longer than the answer is worth most.
         self.late = False
--- a/src/coralfall/traffic/telemetry.py
+++ b/src/coralfall/traffic/telemetry.py
@@ -139,6 +139,8 @@
     gauge("peers_suspected", node.members.suspected_count(), "Those that gave no answer lately.")
     gauge("requests_in_hand", node.callers.in_hand, "Requests being served.")
     gauge("connections_opened", node.pool.opened, "Connections opened to targets.")
+    quarantined = node.quarantine.refused_count()
+    gauge("requests_quarantined", quarantined, "Requests that are sent to no target.")
     gauge("log_lines_dropped", log.dropped_lines(), "Log lines that were not written.")
     for state, count in node.targets.count_by_state().items():
         gauge("targets", count, "Targets by state.", state=state)
--- a/tests/platform_adapter/test_crashing_request.py
+++ b/tests/platform_adapter/test_crashing_request.py
@@ -5,7 +5,7 @@
 of every target that began it. Its caller sent it again under another id at any entry, each
 attempt went on to a second target, and what else a target had in hand ended with it. Nobody told
 anybody: an entry knew a request by its id alone, and a connection that ended looked the same
-whether one answer was lost or the process was gone. 40 targets of a service with 20 ended in
+whether one answer was lost or the process was gone. 40 targets of a service with 20 ended in some
 fifteen seconds, and the request still reached targets 15 times when the first three had been gone
 for four seconds. These lines settled it:
 
--- a/tests/traffic/known.py
+++ b/tests/traffic/known.py
@@ -5,8 +5,10 @@
 
 import msgspec
 
+from coralfall import defaults
 from coralfall.exceptions import DesiredStateError
 from coralfall.ids import Revision, ZoneId
+from coralfall.placement.quarantine import Quarantine
 from coralfall.process.clock import Clock, ManualClock
 from coralfall.stores.store import Row
 from coralfall.traffic.belief import Belief
@@ -62,7 +64,8 @@
             PlainTranslator(), self.steered.steering, self.steered.targets, self.clock, seeded()
         )
         self.members = Members(make_record(name), self.clock, rng)
-        self.exchange = Exchange(self.members, self.belief, self.clock)
+        self.quarantine = Quarantine(defaults.QUARANTINE_S, self.clock)
+        self.exchange = Exchange(self.members, self.belief, self.quarantine, self.clock)
 
     def learn_state(self, revision: int, key: str, value: t.Any) -> None:
         rows = self.belief.state_rows
--- a/tests/traffic/test_crashes.py
+++ b/tests/traffic/test_crashes.py
@@ -6,12 +6,24 @@
 
 from parameterized import parameterized
 
-from coralfall.ids import TargetId
-from coralfall.placement.fingerprint import fingerprint, head_digest
+from coralfall.ids import Outcome, TargetId
+from coralfall.placement.fingerprint import caller_digest, fingerprint, head_digest
+from coralfall.placement.quarantine import crash_digest
 from coralfall.traffic.crashes import Crash
+from coralfall.traffic.reply import Reply
 from tests.traffic.makers import make_target
 from tests.traffic.raw_target import RawTarget, Turn
-from tests.traffic.test_forwarder import Path, close, garbage, never, ok, reset, short
+from tests.traffic.test_forwarder import (
+    Path,
+    close,
+    garbage,
+    never,
+    ok,
+    own_failure,
+    reset,
+    shed,
+    short,
+)
 
 #: Longer than it takes to find out whether a target listens.
 _SETTLED_S = 0.2
@@ -121,3 +133,98 @@
             "credentials": None,
         }
         self.assertEqual(same, named(**usual) == named(**{**usual, **changes}))
+
+
+class QuarantineTest(unittest.TestCase):
+    """What the forwarder does with a request that targets ended of."""
+
+    def suspect(self, path: Path, *targets: str) -> None:
+        """Let targets have ended with a GET of /p/1?q=2 in hand, as ``path.request`` makes them."""
+        head = head_digest("GET", "a.example", "/p/1?q=2", None, None)
+        for target in targets:
+            crash = crash_digest(TargetId(target), None)
+            cut_off = [(fingerprint(head, b""), caller_digest(""))]
+            path.quarantine.note_crash(crash, cut_off)
+
+    @parameterized.expand(
+        [
+            ("the same", {}, 503),
+            ("another path", {"path": "/p/2"}, 200),
+            ("another method", {"method": "PUT"}, 200),
+            ("another caller", {"caller": "10.0.0.9"}, 200),
+            ("another object", {"headers": [(b"cookie", b"X-Affinity-Key=9")]}, 200),
+            ("another's credentials", {"headers": [(b"authorization", b"x")]}, 200),
+        ]
+    )
+    def test_it_is_refused_at_once_and_others_are_not(
+        self, _name: str, changes: t.Dict[str, t.Any], status: int
+    ) -> None:
+        async def main() -> t.Tuple[Reply, int]:
+            async with RawTarget(ok) as target:
+                path = Path([target.address])
+                self.suspect(path, "a", "b", "c")
+                request = path.request("safe")
+                for name, value in changes.items():
+                    extra = [(b"x-request-id", b"id1")] if name == "headers" else []
+                    setattr(request, name, value + extra if extra else value)
+                reply = await path.forward(request)
+                path.pool.close()
+                return reply, len(target.turns)
+
+        reply, arrivals = asyncio.run(main())
+        self.assertEqual((status, int(status == 200)), (reply.status, arrivals))
+        if status == 503:
+            self.assertEqual((Outcome.NOT_RUN, "quarantined"), (reply.outcome, reply.reason))
+            self.assertIn((b"retry-after", b"300.000"), reply.headers)
+
+    @parameterized.expand([("the same body", b"body", 503), ("another body", b"bodx", 200)])
+    def test_bodies_tell_requests_apart(self, _name: str, body: bytes, status: int) -> None:
+        async def main() -> int:
+            async with RawTarget(ok) as target:
+                path = Path([target.address])
+                head = head_digest("POST", "a.example", "/p/1?q=2", None, None)
+                cut_off = [(fingerprint(head, b"body"), caller_digest(""))]
+                for name in "abc":
+                    path.quarantine.note_crash(crash_digest(TargetId(name), None), cut_off)
+                reply = await path.forward(path.request("upload", body=body))
+                path.pool.close()
+                return reply.status
+
+        self.assertEqual(status, asyncio.run(main()))
+
+    def test_no_second_send_of_what_was_found_at_fault_meanwhile(self) -> None:
+        async def main() -> t.Tuple[int, int]:
+            async def third(turn: Turn) -> None:
+                self.suspect(path, "c")
+                turn.close()
+
+            async with RawTarget(third) as target, RawTarget(ok) as other:
+                path = Path([target.address, other.address])
+                self.suspect(path, "a", "b")
+                reply = await path.forward(path.request("safe", first="t0"))
+                path.pool.close()
+                return reply.status, len(other.turns)
+
+        # The first send may have run, so nobody may promise that it did not.
+        self.assertEqual((502, 0), asyncio.run(main()))
+
+    @parameterized.expand(
+        [
+            ("answered", ok, True),
+            ("failed by the target itself", own_failure, False),
+            ("turned away", shed, False),
+        ]
+    )
+    def test_what_an_answer_says(
+        self, _name: str, script: t.Callable[[Turn], t.Awaitable[None]], clears: bool
+    ) -> None:
+        async def main() -> bool:
+            async with RawTarget(script) as target:
+                path = Path([target.address])
+                self.suspect(path, "a", "b")
+                await path.forward(path.request("safe"))
+                self.suspect(path, "c")
+                path.pool.close()
+                return path.quarantine.refused_count() == 0
+
+        self.assertEqual(clears, asyncio.run(main()))
--- a/tests/traffic/test_forwarder.py
+++ b/tests/traffic/test_forwarder.py
@@ -8,10 +8,12 @@
 
 from parameterized import parameterized
 
+from coralfall import defaults
 from coralfall.forwarding.request import MemoryAccount, RequestBody
 from coralfall.ids import Outcome, TargetId
 from coralfall.placement.affinity import AffinitySteering
 from coralfall.placement.budget import SendBudget
+from coralfall.placement.quarantine import Quarantine
 from coralfall.placement.targets import TargetBook
 from coralfall.platform.names import HEADERS
 from coralfall.process.clock import SystemClock
@@ -55,8 +57,16 @@
         self.pool = ConnectionPool()
         budget = SendBudget(bounds or BoundSettings(), clock)
         self.crashes = CrashWatch(self.targets, self.pool, clock)
+        self.quarantine = Quarantine(defaults.QUARANTINE_S, clock)
         self.forwarder = Forwarder(
-            HEADERS, self.steering, self.targets, self.pool, budget, self.crashes, clock
+            HEADERS,
+            self.steering,
+            self.targets,
+            self.pool,
+            budget,
+            self.crashes,
+            self.quarantine,
+            clock,
         )
 
     def request(
--- /dev/null
+++ b/tests/traffic/test_quarantine.py
@@ -0,0 +1,224 @@
+"""Tests of which requests are refused as targets end of them, and of how entries agree on it."""
+
+import typing as t
+import unittest
+
+from parameterized import parameterized
+
+from coralfall import defaults
+from coralfall.ids import TargetId
+from coralfall.placement.fingerprint import CallerDigest, Fingerprint, HeadDigest, caller_digest
+from coralfall.placement.quarantine import Quarantine, crash_digest
+from coralfall.process.clock import ManualClock
+from tests.traffic.known import Known
+from tests.traffic.makers import make_record
+
+ANA, BEA = caller_digest("10.0.0.1"), caller_digest("10.0.0.2")
+
+
+def named(name: str) -> Fingerprint:
+    """A request of its own for each name."""
+    return Fingerprint(HeadDigest(sum(name.encode())), 7)
+
+
+def crash(quarantine: Quarantine, target: str, *requests: str, caller: CallerDigest = ANA) -> None:
+    """Let a target end with these requests in hand."""
+    listed = [(named(request), caller) for request in requests]
+    quarantine.note_crash(crash_digest(TargetId(target), 1), listed)
+
+
+def refused(quarantine: Quarantine, *requests: str, caller: CallerDigest = ANA) -> t.Set[str]:
+    return {request for request in requests if quarantine.refuses(named(request), caller)}
+
+
+class FaultTest(unittest.TestCase):
+    @parameterized.expand(
+        [
+            # what each target had in hand as it ended, and who is at fault
+            ("one, three times", ["x", "x", "x"], "x"),
+            ("one, twice", ["x", "x"], ""),
+            ("another beside it each time", ["xa", "xb", "xc"], "x"),
+            ("one beside it twice", ["xa", "xa", "x"], "x"),
+            # Nobody can say yet which of them it is; two more sends tell.
+            ("one beside it each time", ["xa", "xa", "xa"], ""),
+            ("one beside it but the last time", ["xa", "xa", "xa", "x"], "x"),
+            ("as long as can be borne", ["xa", "xa", "xa", "xa", "xa"], "xa"),
+            ("one beside it three times of many", ["xa", "xa", "xa", "x", "x", "x"], "x"),
+            ("two at fault at a time", ["xy", "x", "y", "x", "y", "x", "y"], "xy"),
+            ("many, each of them once", ["abc", "def", "ghi", "xyz"], ""),
+        ]
+    )
+    def test_who_is_at_fault(self, _name: str, in_hand: t.Sequence[str], found: str) -> None:
+        quarantine = Quarantine(600.0, ManualClock(100.0))
+        for number, requests in enumerate(in_hand):
+            crash(quarantine, f"t{number}", *requests)
+        self.assertEqual(set(found), refused(quarantine, *"abcdefghixyz"))
+
+    def test_two_entries_that_saw_one_crash_count_it_once(self) -> None:
+        quarantine = Quarantine(600.0, ManualClock(100.0))
+        for _ in range(5):
+            crash(quarantine, "t1", "x")
+        self.assertEqual(set(), refused(quarantine, "x"))
+
+    def test_an_answered_request_is_not_at_fault(self) -> None:
+        quarantine = Quarantine(600.0, ManualClock(100.0))
+        for number in range(9):
+            crash(quarantine, f"t{number}", "x")
+            quarantine.note_answer(named("x"))
+        self.assertEqual(set(), refused(quarantine, "x"))
+        for number in range(10, 13):
+            crash(quarantine, f"t{number}", "x")
+        self.assertEqual({"x"}, refused(quarantine, "x"))
+
+    def test_another_caller_s_like_request_is_not_held_back(self) -> None:
+        quarantine = Quarantine(600.0, ManualClock(100.0))
+        for number in range(3):
+            crash(quarantine, f"t{number}", "x")
+        self.assertEqual(set(), refused(quarantine, "x", caller=BEA))
+        # Once a target ends of that, too, it is the request and not its caller.
+        crash(quarantine, "t3", "x", caller=BEA)
+        self.assertEqual({"x"}, refused(quarantine, "x", caller=caller_digest("10.0.0.3")))
+
+    @parameterized.expand(
+        [
+            ("it comes still", 500.0, 10, True),
+            ("it comes no more", 601.0, 1, False),
+        ]
+    )
+    def test_how_long_it_is_refused(
+        self, _name: str, pause_s: float, times: int, still: bool
+    ) -> None:
+        clock = ManualClock(100.0)
+        quarantine = Quarantine(600.0, clock)
+        for number in range(3):
+            crash(quarantine, f"t{number}", "x")
+        for _ in range(times):
+            clock.advance(pause_s)
+            quarantine.forget()
+            self.assertEqual({"x"} if still else set(), refused(quarantine, "x"))
+        self.assertEqual(not still, quarantine.empty)
+
+    def test_slow_ones_are_found_too(self) -> None:
+        clock = ManualClock(100.0)
+        quarantine = Quarantine(600.0, clock)
+        for number in range(3):
+            crash(quarantine, f"t{number}", "x")
+            clock.advance(400.0)
+            quarantine.forget()
+        self.assertEqual({"x"}, refused(quarantine, "x"))
+
+    def test_an_operator_lets_all_go(self) -> None:
+        quarantine = Quarantine(600.0, ManualClock(100.0))
+        for number in range(3):
+            crash(quarantine, f"t{number}", "x")
+        quarantine.set_hold(0.0)
+        crash(quarantine, "t4", "x")
+        quarantine.set_hold(600.0)
+        self.assertEqual(set(), refused(quarantine, "x"))
+        self.assertTrue(quarantine.empty)
+
+    def test_what_a_mass_failure_takes_along_is_bounded(self) -> None:
+        quarantine = Quarantine(600.0, ManualClock(100.0))
+        for number in range(3):
+            crash(quarantine, f"t{number}", "x")
+        for number in range(defaults.MAX_SUSPECTS + 300):
+            quarantine.note_crash(
+                crash_digest(TargetId(f"m{number}"), 1),
+                [(Fingerprint(HeadDigest(number + 10_000), 1), ANA)],
+            )
+        quarantine.forget()
+        self.assertEqual({"x"}, refused(quarantine, "x"))
+        self.assertLessEqual(len(quarantine.recent()), defaults.GOSSIP_SUSPECTS)
+        self.assertEqual(1, len(quarantine.all()))
+
+
+class AgreementTest(unittest.TestCase):
+    """Entries that tell each other by hand, on one clock."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock(100.0)
+        self.fleet = [self.entry(f"e{number}") for number in range(4)]
+
+    def entry(self, name: str) -> Known:
+        known = Known(name, self.clock)
+        known.members.hear([make_record(f"e{number}") for number in range(4)])
+        return known
+
+    def ask(self, one: Known, other: Known) -> None:
+        """One asks the other, as in a round of gossip."""
+        other.exchange.take(one.exchange.news())
+        one.exchange.take(other.exchange.answer(one.exchange.news()))
+
+    def know(self, *entries: Known) -> t.List[bool]:
+        return [bool(refused(known.quarantine, "x")) for known in entries]
+
+    def end_three(self) -> None:
+        """Each of three entries sees one target end, and tells the next."""
+        for number in range(3):
+            crash(self.fleet[number].quarantine, f"t{number}", "x")
+            self.ask(self.fleet[number + 1], self.fleet[number])
+
+    def test_what_each_saw_counts_together(self) -> None:
+        self.end_three()
+        self.assertEqual([False, False, True, True], self.know(*self.fleet))
+        self.ask(self.fleet[0], self.fleet[3])
+        self.assertEqual([True], self.know(self.fleet[0]))
+
+    @parameterized.expand(
+        [
+            ("one that was cut off or stood still", 30.0, False),
+            ("one that was away for minutes", 500.0, False),
+            ("one that was started anew", 30.0, True),
+        ]
+    )
+    def test_who_missed_it_learns_it_from_the_first_that_it_asks(
+        self, _name: str, away_s: float, anew: bool
+    ) -> None:
+        away = self.fleet[0]
+        self.end_three()
+        # Longer than news are told.
+        self.clock.advance(away_s)
+        if anew:
+            away = self.entry("e0")
+        self.ask(away, self.fleet[3])
+        self.assertEqual([True], self.know(away))
+
+    def test_what_one_forgets_sooner_comes_back_as_old_as_it_is(self) -> None:
+        self.end_three()
+        for known in self.fleet:
+            self.ask(known, self.fleet[3])
+        self.clock.advance(400.0)
+        self.assertEqual([True], self.know(self.fleet[1]))
+        self.clock.advance(300.0)
+        for known in self.fleet:
+            known.quarantine.forget()
+        self.assertEqual([False, True, False, False], self.know(*self.fleet))
+        self.ask(self.fleet[2], self.fleet[1])
+        self.assertEqual([True], self.know(self.fleet[2]))
+
+    def test_those_that_agree_tell_no_more_of_it(self) -> None:
+        self.end_three()
+        for known in self.fleet * 2:
+            self.ask(known, self.fleet[3])
+        self.assertEqual(1, len({known.quarantine.sum() for known in self.fleet}))
+        self.clock.advance(defaults.GOSSIP_NEWS_S + 1)
+        answer = self.fleet[0].exchange.answer(self.fleet[1].exchange.news())
+        self.assertEqual((), answer.suspects)
+
+    def test_an_answer_clears_it_everywhere(self) -> None:
+        crash(self.fleet[0].quarantine, "t0", "x")
+        crash(self.fleet[0].quarantine, "t1", "x")
+        self.ask(self.fleet[1], self.fleet[0])
+        self.fleet[1].quarantine.note_answer(named("x"))
+        self.ask(self.fleet[0], self.fleet[1])
+        crash(self.fleet[0].quarantine, "t2", "x")
+        self.assertEqual([False], self.know(self.fleet[0]))
+
+    def test_what_is_seen_again_is_told_at_once(self) -> None:
+        told: t.List[bool] = []
+        quarantine = self.fleet[0].quarantine
+        quarantine.on_news = told.append
+        crash(quarantine, "t0", "x", "a")
+        crash(quarantine, "t1", "b")
+        crash(quarantine, "t2", "x", "c")
+        self.assertEqual([False, False, True], told)
