Let connections to targets age while the VM is suspended

Cause: the pool told the age of a kept connection by the loop's clock, which stands still while a VM is suspended. Targets close what is idle meanwhile, and a request that may run once went out on one that was opened ahead and looked fresh: lost, with 502. Change: the pool reads the entry's clock, which goes on.

--- a/src/coralfall/traffic/connection.py
+++ b/src/coralfall/traffic/connection.py
@@ -65,7 +65,7 @@
         self.lost = False
         self._writable = asyncio.Event()
         self._writable.set()
-        #: When the connection was last used, on the loop's clock.
+        #: When whoever keeps it got it, or got it back.
         self.used_at = 0.0
         #: Seconds for which the server keeps it idle, if it said so.
         self.keep_s: t.Optional[float] = None
@@ -120,7 +120,6 @@
             raise
         finally:
             self._answered = None
-        self.used_at = loop.time()
         self.exchanges += 1
         if self._reusable:
             self._reset_answer()
--- a/src/coralfall/traffic/crashes.py
+++ b/src/coralfall/traffic/crashes.py
@@ -50,7 +50,6 @@
 class _Question(t.NamedTuple):
     """Whether anything listens at an address still."""
 
-    #: On the loop's clock.
     asked_at: float
     listening: "asyncio.Future[bool]"
 
@@ -116,8 +115,9 @@
 
     async def _is_down(self, state: "TargetState") -> bool:
         address = state.target.address
-        loop = asyncio.get_running_loop()
-        question = self._questions.setdefault(address, _Question(loop.time(), loop.create_future()))
+        listening = asyncio.get_running_loop().create_future()
+        question = _Question(self._clock.monotonic(), listening)
+        question = self._questions.setdefault(address, question)
         try:
             await asyncio.wait({question.listening}, timeout=_WAIT_S)
             if not question.listening.done():
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -88,7 +88,7 @@
         self.belief = Belief(translator, self.steering, self.targets, clock, rng)
         self.members = Members(_own_record(settings, clock), clock, rng)
         self.budget = SendBudget(settings.bounds, clock)
-        self.pool = ConnectionPool()
+        self.pool = ConnectionPool(clock)
         self.targets.on_restart = self.pool.forget
         self.crashes = CrashWatch(self.targets, self.pool, clock)
         self.crashes.on_crash = self._note_crash
--- a/src/coralfall/traffic/pool.py
+++ b/src/coralfall/traffic/pool.py
@@ -9,6 +9,7 @@
 from .connection import ServerConnection, connect
 
 if t.TYPE_CHECKING:
+    from ..process.clock import Clock
     from .model import Target
 
 #: Largest answer of a target that is passed on, in bytes.
@@ -31,7 +32,7 @@
     """What a try to open a connection says of its address."""
 
     address: str
-    #: When it began, on the loop's clock.
+    #: When it began.
     began: float
     #: Whether anything listens there.
     listening: bool
@@ -42,9 +43,13 @@
 
     A connection that carried a request is used again for requests that may run twice alone: its
     target may close it just then. One that was opened ahead and carried none is as good as new.
+
+    :param clock: tells how long a connection was idle, and goes on while the VM is suspended:
+        targets close what is idle meanwhile.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: "Clock") -> None:
+        self._clock = clock
         self._idle: t.Dict[str, t.List[ServerConnection]] = {}
         #: Connections to distant targets that were opened ahead, by address.
         self._ahead: t.Dict[str, ServerConnection] = {}
@@ -72,15 +77,15 @@
         if ahead is not None and self._is_fresh(ahead):
             self._open_ahead(target)
             return ahead
-        began = _now()
+        began = self._clock.monotonic()
         connection = await self._open(target.address, seconds)
-        if _now() - began >= _DISTANT_S:
+        if self._clock.monotonic() - began >= _DISTANT_S:
             self._open_ahead(target)
         return connection
 
     async def _open(self, address: str, seconds: float) -> ServerConnection:
         self.opened += 1
-        began = _now()
+        began = self._clock.monotonic()
         try:
             connection = await connect(address, seconds, _MAX_ANSWER_BYTES)
         except (OSError, asyncio.TimeoutError) as error:
@@ -93,7 +98,7 @@
             if refused:
                 self.on_opening(Opening(address, began, False))
             raise TargetNotRunError(message, reason="connect", refused=refused) from error
-        connection.used_at = _now()
+        connection.used_at = self._clock.monotonic()
         self.on_opening(Opening(address, began, True))
         return connection
 
@@ -109,8 +114,8 @@
         """Open the connection of the next request, if one is likely before it is too old."""
         address = target.address
         asked_at = self._asked_at.get(address, -float("inf"))
-        self._asked_at[address] = _now()
-        likely = _now() - asked_at < _AHEAD_S
+        self._asked_at[address] = self._clock.monotonic()
+        likely = self._clock.monotonic() - asked_at < _AHEAD_S
         full = len(self._ahead) + len(self._opening) >= _MAX_AHEAD
         if not likely or full or address in self._ahead or address in self._opening:
             return
@@ -128,7 +133,7 @@
         self._ahead[address] = connection
 
     def _is_fresh(self, connection: ServerConnection) -> bool:
-        if connection.reusable and _now() - connection.used_at < _AHEAD_S:
+        if connection.reusable and self._clock.monotonic() - connection.used_at < _AHEAD_S:
             return True
         connection.abort()
         return False
@@ -137,6 +142,7 @@
         """Take back a connection after a whole answer."""
         if not connection.reusable:
             return
+        connection.used_at = self._clock.monotonic()
         idle = self._idle.setdefault(target.address, [])
         idle.append(connection)
         if len(idle) > _MAX_IDLE:
@@ -152,7 +158,7 @@
 
     def close_idle(self) -> None:
         """Close those that were idle for too long."""
-        now = _now()
+        now = self._clock.monotonic()
         for address, connection in list(self._ahead.items()):
             if not self._is_fresh(connection):
                 del self._ahead[address]
@@ -183,7 +189,7 @@
 
     def _take_idle(self, address: str) -> t.Optional[ServerConnection]:
         idle = self._idle.get(address)
-        now = _now()
+        now = self._clock.monotonic()
         while idle:
             connection = idle.pop()
             if connection.reusable and not _is_old(connection, now):
@@ -192,10 +198,6 @@
         return None
 
 
-def _now() -> float:
-    return asyncio.get_running_loop().time()
-
-
 def _is_old(connection: ServerConnection, now: float) -> bool:
     most = defaults.TARGET_IDLE_S
     if connection.keep_s is not None:
--- a/tests/traffic/test_forwarder.py
+++ b/tests/traffic/test_forwarder.py
@@ -16,7 +16,7 @@
 from coralfall.placement.quarantine import Quarantine
 from coralfall.placement.targets import TargetBook
 from coralfall.platform.names import HEADERS
-from coralfall.process.clock import SystemClock
+from coralfall.process.clock import Clock, SystemClock
 from coralfall.traffic import pool
 from coralfall.traffic.crashes import CrashWatch
 from coralfall.traffic.forwarder import Forwarder
@@ -45,16 +45,19 @@
     """A forwarder before some targets."""
 
     def __init__(
-        self, addresses: t.Sequence[str], bounds: t.Optional[BoundSettings] = None
+        self,
+        addresses: t.Sequence[str],
+        bounds: t.Optional[BoundSettings] = None,
+        clock: t.Optional[Clock] = None,
     ) -> None:
-        clock = SystemClock()
+        clock = clock or SystemClock()
         self.clock = clock
         self.targets = TargetBook(clock)
         self.steering = AffinitySteering(make_settings(), self.targets, clock)
         self.steering.set_state(make_state())
         listed = [make_target(number, address=address) for number, address in enumerate(addresses)]
         self.targets.update({target.target_id: target for target in listed})
-        self.pool = ConnectionPool()
+        self.pool = ConnectionPool(clock)
         budget = SendBudget(bounds or BoundSettings(), clock)
         self.crashes = CrashWatch(self.targets, self.pool, clock)
         self.quarantine = Quarantine(defaults.QUARANTINE_S, clock)
