Let the soak send requests that end the targets that run them

One such request after the other, each for four to nine seconds at any entry beside all other troubles; targets end with all that they have in hand and are back a second later under another id. The rule is the users': once three have ended, three arrivals at most later than stableS after, from entries that nothing disturbed; it has rows that break and keep it.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -86,7 +86,19 @@
 
     async def send(self, address: str, sort: t.Optional[Sort] = None) -> Attempt:
         """Send one request; a connection that can't be had is noted as status 0."""
-        attempt = self._draw(sort or self._rng.choice(_SORTS), address)
+        return await self._send(self._draw(sort or self._rng.choice(_SORTS), address), address)
+
+    async def send_path(self, address: str, path: str) -> Attempt:
+        """Send a read of a certain path, always of the same object."""
+        self._sent += 1
+        request_id = f"{self._name}-{self._sent}"
+        entry = self._names[address]
+        attempt = Attempt(request_id, Sort.READ, path, b"", entry, time.monotonic())
+        return await self._send(attempt, address, object_key=1)
+
+    async def _send(
+        self, attempt: Attempt, address: str, object_key: t.Optional[int] = None
+    ) -> Attempt:
         self._record.attempts.append(attempt)
         connection = self._open.pop(address, None) if self._keeps else None
         try:
@@ -94,7 +106,7 @@
                 if connection is None or not connection.usable:
                     host, _, port = address.rpartition(":")
                     connection = Connection(*await asyncio.open_connection(host, int(port)))
-                await connection.exchange(attempt, self._rng.randrange(12))
+                await connection.exchange(attempt, self._object(object_key))
         except (OSError, TimeoutError):
             attempt.status = 0
         attempt.ended_at = time.monotonic()
@@ -106,6 +118,9 @@
             connection.close()
         return attempt
 
+    def _object(self, object_key: t.Optional[int]) -> int:
+        return self._rng.randrange(12) if object_key is None else object_key
+
     def _draw(self, sort: Sort, address: str) -> Attempt:
         self._sent += 1
         request_id = f"{self._name}-{self._sent}"
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -9,6 +9,10 @@
 PROMISES = frozenset((408, 421, 429, 503))
 
 
+#: How the path of a request begins that ends each target that runs it.
+DEADLY = "/read/deadly-"
+
+
 class Sort(enum.Enum):
     """What a request is, by its path's beginning."""
 
@@ -81,6 +85,8 @@
     leaving_at: t.Dict[str, float] = dataclasses.field(default_factory=dict)
     #: Times at which the ways of an entry, or of all of them (""), were disturbed: from, to, whose.
     disturbances: t.List[t.Tuple[float, float, str]] = dataclasses.field(default_factory=list)
+    #: When targets ended under a request, by its path.
+    ended_at: t.Dict[str, t.List[float]] = dataclasses.field(default_factory=dict)
     #: What the run itself found, beside what the rules find.
     faults: t.List[str] = dataclasses.field(default_factory=list)
 
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -11,6 +11,9 @@
 DRAIN_S = 2.0
 CONFIG_S = 2.0
 GRACE_S = 6.0
+#: Targets that a request ends until it must be known, and how often it may arrive later.
+DEADLY_ENDS = 3
+DEADLY_LATER = 3
 #: What a busy machine may add to a bound before it counts, in seconds.
 SLOW_S = 0.7
 
@@ -92,6 +95,24 @@
             yield f"DRAIN {arrival.request_id} at {arrival.target} {late:.2f} s too late"
 
 
+def quarantined(record: Record) -> t.Iterator[str]:
+    """A request that ended three targets reaches few more, where nothing was disturbed."""
+    entries = {attempt.request_id: attempt.entry for attempt in record.attempts}
+    for path, ended_at in record.ended_at.items():
+        if len(ended_at) < DEADLY_ENDS:
+            continue
+        known_at = sorted(ended_at)[DEADLY_ENDS - 1] + STABLE_S + SLOW_S
+        later = []
+        for arrival in record.arrivals:
+            if arrival.path != path or arrival.at <= known_at:
+                continue
+            entry = entries.get(arrival.request_id, "")
+            if record.calm(entry, arrival.at, arrival.at + SLOW_S, STABLE_S + SLOW_S):
+                later.append(arrival)
+        if len(later) > DEADLY_LATER:
+            yield f"BUDGET {path}: {len(later)} arrivals later than {known_at:.2f}"
+
+
 def lost(record: Record) -> t.Iterator[str]:
     """A process that is told to stop answers what it passed on, and then ends by itself."""
     passed_on = {arrival.request_id for arrival in record.arrivals}
@@ -111,7 +132,7 @@
 
 #: What holds however busy the machine is, and what has a bound in time besides.
 TIMELESS: t.Tuple[Rule, ...] = (mixed, unasked, twice, refused, reverts)
-TIMED: t.Tuple[Rule, ...] = (in_force, drains, lost)
+TIMED: t.Tuple[Rule, ...] = (in_force, drains, quarantined, lost)
 
 
 def broken(record: Record, rules: t.Iterable[Rule]) -> t.List[str]:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,13 +1,14 @@
 """One run of the soak: a world, its callers, troubles drawn from a seed, and what the rules say."""
 
 import asyncio
+import itertools
 import pathlib
 import random
 import time
 import typing as t
 
 from tests.soak.callers import Caller
-from tests.soak.record import Record, Sort
+from tests.soak.record import DEADLY, Record, Sort
 from tests.soak.rules import TIMED, TIMELESS, broken
 from tests.soak.troubles import TROUBLES
 from tests.soak.world import World
@@ -19,6 +20,9 @@
 #: troubles meet each other; between sparse ones bounds in time can be judged.
 _WARM_UP_S = 1.0
 _MOST_GAPS_S = (1.2, 3.0, 6.0)
+#: Seconds for which a request that ends targets comes again, and between two times.
+_DEADLY_S = (4.0, 9.0)
+_DEADLY_GAP_S = (0.1, 0.5)
 #: Seconds for which a request may fail once all is well again, and the pause between two tries.
 _WELL_S = 20.0
 _TRY_S = 0.1
@@ -33,9 +37,12 @@
     troubles: t.List[str]
 
 
-async def run(seed: int, seconds: float, folder: pathlib.Path, timed: bool) -> Outcome:
+async def run(
+    seed: int, seconds: float, folder: pathlib.Path, timed: bool, deadly: bool = False
+) -> Outcome:
     """Play one seed.
 
+    :param deadly: whether some requests end each target that runs them, beside the troubles.
     :param timed: whether bounds in time are judged too, which want a machine that is not busy.
     """
     rng = random.Random(seed)
@@ -47,6 +54,8 @@
         callers = _callers(world, seed)
         calling = [asyncio.create_task(caller.run()) for caller in callers]
         await asyncio.sleep(_WARM_UP_S)
+        if deadly:
+            calling.append(asyncio.create_task(_send_deadly(world, callers[0], seed)))
         await _play(world, rng, seconds, played)
         await _check_all_is_well(world, callers[0])
         for task in calling:
@@ -78,6 +87,21 @@
     return lambda: world.version
 
 
+async def _send_deadly(world: World, caller: Caller, seed: int) -> None:
+    """Send one request after the other for a while each, again and again at any entry."""
+    rng = random.Random(f"{seed}-deadly")
+    for number in itertools.count():
+        until = time.monotonic() + rng.uniform(*_DEADLY_S)
+        pause_s = rng.uniform(*_DEADLY_GAP_S)
+        sent: t.Set["asyncio.Task[t.Any]"] = set()
+        while time.monotonic() < until:
+            entry = rng.choice(world.entries)
+            path = f"{DEADLY}{number}"
+            sent.add(asyncio.create_task(caller.send_path(entry.caller_address, path)))
+            await asyncio.sleep(pause_s)
+        await asyncio.gather(*sent)
+
+
 async def _play(world: World, rng: random.Random, seconds: float, played: t.List[str]) -> None:
     began = time.monotonic()
     under_way = []
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -7,10 +7,12 @@
 
 from tests.platform_adapter.standins import InstanceStandin
 from tests.soak.proxy import Proxy
-from tests.soak.record import Arrival, Record, answer_to
+from tests.soak.record import DEADLY, Arrival, Record, answer_to
 from tests.traffic.raw_target import Turn
 
 SLOTS = 6
+#: Seconds after which a process that ended is back.
+_BACK_S = 1.0
 _QUEUE = 6
 
 
@@ -37,6 +39,10 @@
         #: Share of the answers that are cut short, or followed by another one.
         self.garble = 0.0
         self.proxy = Proxy("")
+        #: Called once it is back under another id, with the one that it had.
+        self.on_restart: t.Callable[[str], None] = lambda instance_id: None
+        self._restarts = 0
+        self._restarting: t.Optional["asyncio.Task[None]"] = None
 
     async def __aenter__(self) -> "SoakTarget":
         await super().__aenter__()
@@ -66,6 +72,9 @@
         self._in_hand += 1
         try:
             await asyncio.sleep(self.work_s * self._rng.uniform(0.5, 1.5))
+            if _path_of(turn).startswith(DEADLY):
+                self._end_under(_path_of(turn))
+                return
             await self._answer(turn)
         except OSError:
             # Its caller is gone.
@@ -73,6 +82,21 @@
         finally:
             self._in_hand -= 1
 
+    def _end_under(self, path: str) -> None:
+        if not self.proxy.listening:
+            return
+        self._record.ended_at.setdefault(path, []).append(time.monotonic())
+        self.proxy.go_down()
+        self._restarting = asyncio.create_task(self._restart())
+
+    async def _restart(self) -> None:
+        await asyncio.sleep(_BACK_S)
+        previous = self.instance_id
+        self._restarts += 1
+        self.instance_id = f"{previous.partition('-again')[0]}-again{self._restarts}"
+        await self.proxy.come_back()
+        self.on_restart(previous)
+
     async def _answer(self, turn: Turn) -> None:
         if self._rng.random() < self.lose:
             turn.reset()
@@ -92,13 +116,13 @@
         await turn.answer(200, b"another", x_response_signature=signature)
 
     def _note(self, turn: Turn, ran: bool) -> None:
-        method, path, _ = turn.head.decode("latin-1").split(" ", 2)
+        method = turn.head.decode("latin-1").partition(" ")[0]
         request_id = turn.header("x-request-id") or ""
         self._record.arrivals.append(
             Arrival(
                 request_id,
                 method,
-                path,
+                _path_of(turn),
                 turn.body,
                 self.instance_id,
                 self.service,
@@ -106,3 +130,7 @@
                 ran,
             )
         )
+
+
+def _path_of(turn: Turn) -> str:
+    return turn.head.decode("latin-1").split(" ", 2)[1]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -3,11 +3,12 @@
 import asyncio
 import pathlib
 import tempfile
+import typing as t
 import unittest
 
 from parameterized import parameterized
 
-from tests.soak.record import Arrival, Attempt, Lifetime, Record, Sort, answer_to
+from tests.soak.record import DEADLY, Arrival, Attempt, Lifetime, Record, Sort, answer_to
 from tests.soak.rules import TIMED, TIMELESS, broken
 from tests.soak.run import run
 
@@ -15,16 +16,19 @@
 class SoakTest(unittest.TestCase):
     @parameterized.expand(
         [
-            ("first", 1, 5.0),
-            ("second", 2, 5.0),
+            ("first", 1, 5.0, False),
+            ("second", 2, 5.0, False),
             # Signals ended entries that were still starting.
-            ("signals while starting", 201, 10.0),
+            ("signals while starting", 201, 10.0, False),
+            ("requests that end targets", 3, 10.0, True),
         ]
     )
-    def test_promises_hold_under_faults(self, _name: str, seed: int, seconds: float) -> None:
+    def test_promises_hold_under_faults(
+        self, _name: str, seed: int, seconds: float, deadly: bool
+    ) -> None:
         """Bounds in time are judged by hand only: here the machine may be busy."""
         with tempfile.TemporaryDirectory() as folder:
-            outcome = asyncio.run(run(seed, seconds, pathlib.Path(folder), timed=False))
+            outcome = asyncio.run(run(seed, seconds, pathlib.Path(folder), False, deadly))
         self.assertEqual([], outcome.faults[:5])
         self.assertGreater(outcome.served, 0)
 
@@ -46,6 +50,16 @@
     return made
 
 
+def deadly(count: int, at: float) -> t.List[object]:
+    """Arrivals of a request that ended its third target at 7.0."""
+    seen: t.List[object] = []
+    for number in range(count):
+        name = f"c-{number}"
+        seen.append(attempt(name, Sort.READ, path=DEADLY, status=502))
+        seen.append(arrival(name, method="GET", path=DEADLY, at=at))
+    return seen
+
+
 class RulesTest(unittest.TestCase):
     """A rule that sees nothing would make the soak worthless."""
 
@@ -53,6 +67,7 @@
         record = Record(version_at={1: 1.0, 2: 2.0, 3: 9.0}, leaving_at={"i-9": 5.0})
         record.attempts = [one for one in seen if isinstance(one, Attempt)]
         record.arrivals = [one for one in seen if isinstance(one, Arrival)]
+        record.ended_at = {DEADLY: [5.0, 6.0, 7.0]}
         record.lifetimes = [one for one in seen if isinstance(one, Lifetime)]
         return record
 
@@ -112,6 +127,9 @@
                 [Lifetime("e0", 9.0, 10.1, 11.0, status=-15), attempt(), arrival()],
                 "LOST",
             ),
+            ("a deadly request comes on", [*deadly(4, 14.0)], "BUDGET"),
+            ("a deadly request comes thrice", [*deadly(3, 14.0)], ""),
+            ("a deadly request is not known yet", [*deadly(9, 10.0)], ""),
             ("does not end", [Lifetime("e0", 0.0, told_at=1.0, gone_at=9.5, status=0)], "LOST"),
         ]
     )
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -125,9 +125,16 @@
         target = SoakTarget(f"i-{self._numbers}", service, zone, self.record, self._rng)
         await self._enter(target)
         self.targets.append(target)
+        target.on_restart = lambda previous: self._restarted(target, previous)
         self.store.put("servers", target.instance_id, target.listing())
         return target
 
+    def _restarted(self, target: SoakTarget, previous: str) -> None:
+        """Let a target that is back register itself, unless it was to leave."""
+        if target in self.targets:
+            self.store.remove("servers", previous)
+            self.store.put("servers", target.instance_id, target.listing(warmupLeftS=1.0))
+
     def leave(self, target: SoakTarget) -> None:
         """Let a target report that it leaves; it goes on serving."""
         self.store.put("servers", target.instance_id, target.listing(state="draining"))
