--- a/src/coralfall/peering/cipher.py
+++ b/src/coralfall/peering/cipher.py
@@ -58,7 +58,8 @@
         """
         if not hmac.compare_digest(received, self.expected_proof):
             raise PeerAuthError(
-                "the other side does not hold the fleet's key; compare fleet_key_file, or fleet and the store's address, on both"
+                "the other side does not hold the fleet's key;"
+                " compare fleet_key_file, or fleet and the store's address, on both"
             )
 
 
