--- a/tests/traffic/test_quarantine.py
+++ b/tests/traffic/test_quarantine.py
@@ -3,16 +3,27 @@
 import typing as t
 import unittest
 
+import msgspec
 from parameterized import parameterized
 
 from coralfall import defaults
 from coralfall.ids import TargetId
+from coralfall.peering.message import Message
 from coralfall.placement.fingerprint import CallerDigest, Fingerprint, HeadDigest, caller_digest
 from coralfall.placement.quarantine import Quarantine, crash_digest
 from coralfall.process.clock import ManualClock
+from coralfall.traffic.messages import News
+from coralfall.traffic.model import EntryRecord
 from tests.traffic.known import Known
 from tests.traffic.makers import make_record
 
+
+class EarlierNews(Message, frozen=True, tag=32):
+    """The first fields of news, as a version that knows no more of them takes them."""
+
+    records: t.Tuple[EntryRecord, ...]
+
+
 ANA, BEA = caller_digest("10.0.0.1"), caller_digest("10.0.0.2")
 
 
@@ -229,6 +240,16 @@
         self.ask(self.fleet[1], self.fleet[0])
         self.assertFalse(self.fleet[1].quarantine.may_try(named("x")))
 
+    def test_entries_of_the_version_before_are_understood_and_understand(self) -> None:
+        self.end_three()
+        news = self.fleet[3].exchange.news()
+        encoded = msgspec.msgpack.encode(news)
+        before = msgspec.msgpack.decode(encoded)[:-2]
+        told = msgspec.msgpack.decode(msgspec.msgpack.encode(before), type=News)
+        self.assertEqual(((), 0), (told.suspects, told.suspects_sum))
+        self.assertEqual(before, msgspec.msgpack.decode(encoded)[: len(before)])
+        self.assertEqual(news.records, msgspec.msgpack.decode(encoded, type=EarlierNews).records)
+
     def test_one_entry_makes_it(self) -> None:
         names = [f"request{number}" for number in range(40)]
         for known in self.fleet:
