--- a/tests/platform_adapter/standins.py
+++ b/tests/platform_adapter/standins.py
@@ -192,8 +192,12 @@
         super().__init__(self._run)
         self.instance_id = instance_id
         self.ran: t.List[str] = []
+        #: When each request came.
+        self.reached_at: t.List[float] = []
         #: Seconds that a request takes.
         self.work_s = 0.0
+        #: Requests a second that it takes from all entries together, as its answers name them.
+        self.limit_per_s: t.Optional[float] = None
 
     def row(self, service: str, zone: str, **status: t.Any) -> t.Dict[str, t.Any]:
         """Its row in the store."""
@@ -207,9 +211,12 @@
         if turn.header("x-expected-instance") != self.instance_id:
             await turn.answer(421, b"", x_response_signature="")
             return
+        self.reached_at.append(time.monotonic())
         self.ran.append(turn.header("x-request-id") or "")
         await asyncio.sleep(self.work_s)
-        await turn.answer(200, turn.body or b"read", x_server_load="1,0,6")
+        limit = "" if self.limit_per_s is None else f"{self.limit_per_s:g}"
+        fields = {"x_server_load": "1,0,6", "server_limit": limit}
+        await turn.answer(200, turn.body or b"read", **fields)
 
 
 def config(version: int, **changes: t.Any) -> t.Dict[str, t.Any]:
