Extract owners, leases and permits from quotas, for limits of any kind

No change of behaviour. traffic/quotas.py (595 lines) held the choice of owners, leases, permit requests, transport and what a tenant is told; it is now owners, leases, permits and quotas, and the ledger knows limits by a key with a kind and a region in place of a tenant's name. A want carries the limit that its sender works out, as an owner that does not know the tenant did by itself before. Tests: quotas, ledger, histories, gossip, layers and the processes with tenants (111) pass, with names changed in them and nothing else; the fallback limit in the table of late leases is another one than the owner's now, so that it shows which of them counts.

--- a/src/coralfall/peering/messages.py
+++ b/src/coralfall/peering/messages.py
@@ -22,7 +22,7 @@
     ServiceId,
     TargetId,
 )
-from ..traffic.messages import News, Push, QuotaAnswer, QuotaRequest
+from ..traffic.messages import News, PermitReply, PermitRequest, Push
 from .message import Message as Message
 
 
@@ -124,6 +124,6 @@
     LoanReturn,
     News,
     Push,
-    QuotaRequest,
-    QuotaAnswer,
+    PermitRequest,
+    PermitReply,
 ]
--- a/src/coralfall/placement/quota.py
+++ b/src/coralfall/placement/quota.py
@@ -1,67 +1,35 @@
-"""Quotas: how many requests of a tenant all entries together may send, in touch or not.
+"""Quotas: the token bucket of a tenant's limit."""
 
-Every entry holds the same share of every limit and lends it, for a short time, to an entry that
-counts for the tenant, one of its owners. An owner's bucket fills as fast, and holds as much, as the
-shares allow that are lent to it. An entry lends a share to another owner only once the first can't
-use it any more, so no share is ever used twice: whoever is cut off, paused, killed or believes
-something else about the fleet, all owners together grant no more than all shares allow. A load that
-comes to one entry or to a few gets what the whole limit allows, since the others' shares lie with
-the same owners.
-
-Buckets start empty: nothing is known after a restart of what was granted before it.
-"""
-
-import math
 import typing as t
-import zlib
-
-import msgspec
 
-from .. import defaults
+from .ledger import UNLIMITED, Limit, LimitKey, LimitKind
 
 if t.TYPE_CHECKING:
-    from ..ids import EntryId, TenantId
-    from ..process.clock import Clock
+    from ..ids import TenantId
     from ..traffic.model import Tenant
     from ..traffic.settings import BoundSettings
 
-#: Tenants are dealt to this many slots by their names; entries lend and count by slot.
-SLOTS = 32
-#: Seconds in which changes of the shares are taken together.
-_STEP_S = 0.05
 #: Part of what the users allow beyond a limit that is used. The rest is for requests that reach
 #: their targets closer together than they were granted.
 _EXCESS_USED = 0.75
 #: Tokens on top of a burst that buckets hold together, if the users allow as much: parts of a
 #: bucket that hold less than one token are good for nothing.
 _SPLIT_TOKENS = 3.0
-#: Part of the shares that have to stay when others end, lest buckets that nobody asked for yet
-#: start to fill up anew.
-_FEW_LEFT = 0.5
-#: Seconds without a question after which a full bucket is let go of.
-_IDLE_S = 10.0
-#: Longest time, in seconds, after which a refused caller is told to come back.
-_MAX_WAIT_S = 5.0
-#: Adding up many parts of a token leaves it this much short of a whole one.
-_ROUNDING = 1e-6
 
-Slot = t.NewType("Slot", int)
 
-
-class Limit(msgspec.Struct, frozen=True):
-    """What all shares of a tenant's limit allow together."""
-
-    #: Tokens a second, and tokens that buckets hold.
-    rate_per_s: float
-    burst: float
+def key_of(tenant_id: "TenantId") -> LimitKey:
+    """Names the limit of a tenant."""
+    return LimitKey(LimitKind.TENANT, tenant_id)
 
 
 def limit_of(tenant: "Tenant", bounds: "BoundSettings") -> Limit:
-    """The limit of a tenant that has one.
+    """The limit of a tenant.
 
     In a window there may be (rate x window + burst) x (1 + overage) + slack requests. What full
     buckets let go at once is a part of it, and the rest comes over the window.
     """
+    if not tenant.rate_per_s:
+        return UNLIMITED
     window_s = max(bounds.quota_window_s, 1.0)
     asked = tenant.rate_per_s * window_s
     excess = (asked + tenant.burst) * bounds.quota_overage + bounds.quota_slack
@@ -69,214 +37,3 @@
     burst = max(1.0, tenant.burst)
     burst += min(_SPLIT_TOKENS, max(0.0, most - asked - burst))
     return Limit((most - burst) / window_s, burst)
-
-
-class Grant(msgspec.Struct, frozen=True, array_like=True):
-    """An owner's word on what was asked."""
-
-    count: int
-    #: Seconds until a token should be there for who got none, and is to ask again.
-    wait_s: float
-    #: What the owner knew: tokens in its bucket, and the part of all shares that is lent to it, as
-    #: far as that has been so for a second.
-    level: float
-    part: float
-
-
-class _Lease:
-    __slots__ = ("share", "until")
-
-    def __init__(self, share: float, until: float) -> None:
-        self.share = share
-        self.until = until
-
-
-class _Shares:
-    """The shares of one slot that were lent here.
-
-    :param now: monotonic time.
-    """
-
-    __slots__ = ("_at", "_by_lender", "_empty_lent_s", "_lowest", "buckets", "lent_s")
-
-    def __init__(self, now: float) -> None:
-        self._by_lender: t.Dict["EntryId", _Lease] = {}
-        self._at = now
-        #: The part of all shares that was lent, added up over time.
-        self.lent_s = 0.0
-        self.buckets: t.Dict["TenantId", _Bucket] = {}
-        #: Where buckets that nobody asked for yet began to fill up, and the least part since.
-        self._empty_lent_s = 0.0
-        self._lowest = 1.0
-
-    def lend(self, lender: "EntryId", share: float, now: float, until: float) -> None:
-        """Use an entry's share until then, or for longer if it is used already."""
-        lease = self._by_lender.get(lender)
-        if lease is not None and lease.until >= now and lease.share == share:
-            lease.until = max(lease.until, until)
-            return
-        self.add_up(now)
-        if until > now:
-            self._by_lender[lender] = _Lease(share, until)
-
-    def end(self, lender: "EntryId", now: float) -> None:
-        """Use an entry's share no more."""
-        lease = self._by_lender.get(lender)
-        if lease is not None:
-            lease.until = min(lease.until, now)
-            self.add_up(now)
-
-    def part(self) -> float:
-        """Part of all shares that is lent now."""
-        return min(1.0, sum([lease.share for lease in self._by_lender.values()]))
-
-    def known_part(self, limit: Limit) -> float:
-        """The part that is lent, less while buckets have hardly begun to fill up."""
-        filled_s = self.lent_s - self._empty_lent_s
-        if filled_s * limit.rate_per_s < 1.0:
-            return 0.0
-        return min(self.part(), filled_s)
-
-    def bucket(self, tenant_id: "TenantId", limit: Limit, now: float) -> "_Bucket":
-        """A tenant's bucket, filled up."""
-        if now - self._at >= _STEP_S:
-            self.add_up(now)
-        part = self.part()
-        bucket = self.buckets.get(tenant_id)
-        if bucket is None:
-            bucket = self.buckets[tenant_id] = _Bucket(limit, self._empty_lent_s)
-            bucket.refill(self.lent_s, min(part, self._lowest))
-        bucket.limit = limit
-        bucket.refill(self.lent_s, part)
-        bucket.asked_at = now
-        return bucket
-
-    def add_up(self, now: float) -> None:
-        """Add up what was lent until now."""
-        ended = []
-        for lender, lease in self._by_lender.items():
-            self.lent_s += lease.share * max(0.0, min(now, lease.until) - self._at)
-            if lease.until <= now:
-                ended.append(lender)
-        self._at = now
-        for lender in ended:
-            del self._by_lender[lender]
-        if ended:
-            self._drop_surplus()
-
-    def _drop_surplus(self) -> None:
-        """Keep no tokens that came of shares which are used elsewhere from now on."""
-        part = self.part()
-        for bucket in self.buckets.values():
-            bucket.refill(self.lent_s, part)
-        if part < self._lowest * _FEW_LEFT:
-            self._empty_lent_s = self.lent_s
-            self._lowest = 1.0
-        else:
-            self._lowest = min(self._lowest, part)
-
-
-class _Bucket:
-    __slots__ = ("asked_at", "free_at", "lent_s", "limit", "tokens")
-
-    def __init__(self, limit: Limit, lent_s: float) -> None:
-        self.limit = limit
-        self.tokens = 0.0
-        #: What had been lent of its slot when tokens were added last.
-        self.lent_s = lent_s
-        self.asked_at = -math.inf
-        #: When a token will be there for the next who is refused.
-        self.free_at = -math.inf
-
-    def refill(self, lent_s: float, part: float) -> None:
-        """Add what came since the last time.
-
-        :param part: of all shares that is lent now.
-        """
-        came = self.limit.rate_per_s * (lent_s - self.lent_s)
-        self.tokens = min(self.limit.burst * part, self.tokens + came)
-        self.lent_s = lent_s
-
-    def is_full(self, part: float) -> bool:
-        """Whether it holds all that it can."""
-        return self.tokens >= self.limit.burst * part
-
-
-class Ledger:
-    """What was lent to one entry, and what it granted.
-
-    :param clock: tells the time; it goes on while the VM is suspended.
-    """
-
-    def __init__(self, clock: "Clock") -> None:
-        self._clock = clock
-        self._shares: t.Dict[Slot, _Shares] = {}
-
-    def lend(
-        self, lender: "EntryId", slots: t.Iterable[Slot], share: float, seconds: float
-    ) -> None:
-        """Use an entry's share of these slots for some time."""
-        now = self._clock.monotonic()
-        for slot in slots:
-            self._of(slot, now).lend(lender, share, now, now + seconds)
-
-    def end(self, lender: "EntryId") -> None:
-        """Use nothing more that an entry lent."""
-        now = self._clock.monotonic()
-        for shares in self._shares.values():
-            shares.end(lender, now)
-
-    def take(self, tenant_id: "TenantId", limit: Limit, count: int) -> Grant:
-        """Take tokens of a tenant, fewer than ``count`` if there are no more."""
-        now = self._clock.monotonic()
-        shares = self._of(slot_of(tenant_id), now)
-        bucket = shares.bucket(tenant_id, limit, now)
-        part = shares.part()
-        level = bucket.tokens
-        granted = min(count, math.floor(level + _ROUNDING))
-        bucket.tokens -= granted
-        wait_s = 0.0
-        if granted < count:
-            wait_s = _wait_s(bucket, limit.rate_per_s * part, now)
-        return Grant(granted, wait_s, level, shares.known_part(limit))
-
-    def give_back(self, tenant_id: "TenantId", count: int) -> None:
-        """Put back tokens whose requests did not run."""
-        shares = self._of(slot_of(tenant_id), self._clock.monotonic())
-        bucket = shares.buckets.get(tenant_id)
-        if bucket is not None:
-            bucket.tokens += count
-            bucket.refill(shares.lent_s, shares.part())
-
-    def tick(self) -> None:
-        """Add up what is lent, and let go of full buckets, which new ones stand for as well."""
-        now = self._clock.monotonic()
-        for shares in self._shares.values():
-            shares.add_up(now)
-            part = shares.part()
-            for tenant_id, bucket in list(shares.buckets.items()):
-                if now - bucket.asked_at < _IDLE_S:
-                    continue
-                bucket.refill(shares.lent_s, part)
-                if bucket.is_full(part):
-                    del shares.buckets[tenant_id]
-
-    def _of(self, slot: Slot, now: float) -> _Shares:
-        shares = self._shares.get(slot)
-        if shares is None:
-            shares = self._shares[slot] = _Shares(now)
-        return shares
-
-
-def slot_of(tenant_id: "TenantId") -> Slot:
-    """The slot of a tenant; all entries agree on it."""
-    return Slot(zlib.crc32(tenant_id.encode()) % SLOTS)
-
-
-def _wait_s(bucket: _Bucket, rate_per_s: float, now: float) -> float:
-    """Seconds until a token should be there; who is refused comes back one after the other."""
-    if rate_per_s <= 0:
-        return defaults.QUOTA_ASK_S
-    first = now + max(0.0, 1.0 - bucket.tokens) / rate_per_s
-    bucket.free_at = min(max(bucket.free_at + 1 / rate_per_s, first), now + _MAX_WAIT_S)
-    return bucket.free_at - now
--- a/src/coralfall/traffic/gossip.py
+++ b/src/coralfall/traffic/gossip.py
@@ -17,7 +17,7 @@
 from ..peering.peer_server import PeerListener
 from ..process import log
 from ..process.child import Child
-from .messages import News, Push, QuotaRequest
+from .messages import News, PermitRequest, Push
 
 if t.TYPE_CHECKING:
     from ..ids import EntryId, Revision
@@ -28,7 +28,7 @@
     from .exchange import Exchange
     from .members import Members
     from .model import EntryRecord
-    from .quotas import Quotas
+    from .permits import Permits
 
 
 #: Seconds for which news of entries are gathered before they are pushed.
@@ -41,7 +41,7 @@
     :param exchange: what to tell and what to take in.
     :param relay: hands a push on.
     :param pull: asks an entry that knows more.
-    :param quotas: grants what others ask for.
+    :param permits: grants what others ask for.
     """
 
     def __init__(
@@ -52,7 +52,7 @@
         exchange: "Exchange",
         relay: "t.Callable[[News, t.Sequence[EntryId]], None]",
         pull: "t.Callable[[EntryId], None]",
-        quotas: "Quotas",
+        permits: "Permits",
         traffic: Traffic,
         metrics: "Metrics",
     ) -> None:
@@ -60,7 +60,7 @@
         self._exchange = exchange
         self._relay = relay
         self._pull = pull
-        self._quotas = quotas
+        self._permits = permits
 
     def answer(self, peer: "Hello", message: "AnyMessage") -> t.Optional["AnyMessage"]:
         if isinstance(message, News):
@@ -72,8 +72,8 @@
             if self._exchange.take(message.news):
                 self._pull(peer.entry_id)
             return None
-        if isinstance(message, QuotaRequest):
-            return self._quotas.answer(peer, message)
+        if isinstance(message, PermitRequest):
+            return self._permits.answer(peer, message)
         raise PeerFrameError(f"{peer.entry_id} sent {type(message).__name__} unasked")
 
 
--- a/src/coralfall/traffic/messages.py
+++ b/src/coralfall/traffic/messages.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from ..ids import EntryId, Incarnation, Revision, TenantId
+from ..ids import EntryId, Incarnation, Revision
 from ..peering.message import Message
+from ..placement.ledger import Grant, Limit, LimitKey, Slot
 from ..placement.quarantine import Suspect
-from ..placement.quota import Grant
 from .delta import Delta
 from .model import EntryRecord
 
@@ -58,37 +58,36 @@
 
 
 class Want(msgspec.Struct, frozen=True, array_like=True):
-    """Requests of a tenant that wait at the sender, and some that it had leave for and gave up."""
+    """Tokens of one limit that the sender asks for, and some that it returns."""
 
-    tenant_id: TenantId
+    key: LimitKey
     count: int
-    #: Requests that had leave and did not run.
+    #: Tokens that were granted and whose requests were not sent.
     unused: int
     #: The limit as the sender knows it; the owner's own knowledge goes first.
-    rate_per_s: float
-    burst: float
+    limit: Limit
 
 
-class QuotaRequest(Message, frozen=True, tag=34):
-    """Asks an owner of tenants' limits for leave to send requests, and lends it shares."""
+class PermitRequest(Message, frozen=True, tag=34):
+    """Asks an owner of limits for tokens, and leases it shares."""
 
     wants: t.Tuple[Want, ...]
-    #: Slots whose shares are lent, the share of each, and for how many seconds.
-    slots: t.Tuple[int, ...] = ()
+    #: Slots whose shares are leased, the share of each, and for how many seconds.
+    slots: t.Tuple[Slot, ...] = ()
     share: float = 0.0
     seconds: float = 0.0
-    #: What the owner's clock showed in the answer that the sender got last. Leases count from
-    #: then, so that a message that took long lends nothing that its sender uses itself by now.
+    #: What the owner's clock showed in the reply that the sender got last. Leases count from
+    #: then, so that a message that took long leases nothing that its sender uses itself by now.
     answered_s: float = 0.0
-    #: Lifetime of the owner that gave that answer.
+    #: Lifetime of the owner that sent that reply.
     incarnation: t.Optional[Incarnation] = None
 
 
-class QuotaAnswer(Message, frozen=True, tag=35):
+class PermitReply(Message, frozen=True, tag=35):
     """What the owner grants of each want, in their order."""
 
     grants: t.Tuple[Grant, ...]
     #: What the owner's clock shows.
     now_s: float
-    #: Whether it counts for nobody any more and has let go of all that was lent to it.
+    #: Whether it counts for nobody any more and has let go of all that was leased to it.
     closed: bool = False
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -13,8 +13,8 @@
 from ..peering.peer_links import PeerLinks
 from ..placement.affinity import AffinitySteering
 from ..placement.budget import SendBudget
+from ..placement.ledger import Ledger
 from ..placement.quarantine import Quarantine, crash_digest
-from ..placement.quota import Ledger
 from ..placement.target_limits import TargetLimits
 from ..placement.targets import TargetBook
 from ..process import log
@@ -33,6 +33,7 @@
 from .members import Members
 from .model import DesiredState, EntryRecord
 from .pace import Pace, pace_of
+from .permits import Permits
 from .pool import ConnectionPool
 from .quotas import Quotas
 from .registry import Registry
@@ -146,7 +147,7 @@
             FunctionChild("pool", self._keep_pool),
             self._peer_server,
             self.gossip,
-            self.quotas,
+            self.permits,
             FunctionChild("register", self.registry.register, temporary=True),
             HttpServer("readiness", readiness, settings.readiness_address),
             HttpServer("lookup", lookup, settings.lookup_address),
@@ -199,6 +200,7 @@
         self.pool.close_idle()
         self.crashes.forget()
         self.quarantine.forget()
+        self.quotas.forget()
         self.budget.entries = self.members.count()
         self.steering.cold_shares.set_entries(self.members.all_ids())
 
@@ -237,14 +239,10 @@
         hello = Hello(entry_id=own.entry_id, incarnation=own.incarnation)
         traffic = Traffic()
         self.exchange = Exchange(self.members, self.belief, self.quarantine, self.clock)
-        self.quotas = Quotas(
-            self.members,
-            self.belief,
-            PeerLinks(fleet_key, hello, traffic),
-            Ledger(self.clock),
-            settings.bounds,
-            self.clock,
-        )
+        permit_links = PeerLinks(fleet_key, hello, traffic)
+        self.permits = Permits(self.members, permit_links, Ledger(self.clock), self.clock)
+        self.quotas = Quotas(self.permits, self.belief, settings.bounds, self.clock)
+        self.permits.sources.append(self.quotas)
         links = PeerLinks(fleet_key, hello, traffic)
         self.gossip = Gossip(
             self.exchange, self.members, links, settings.seeds, self.clock, self._rng
@@ -256,7 +254,7 @@
             self.exchange,
             self.gossip.relay,
             self.gossip.pull,
-            self.quotas,
+            self.permits,
             traffic,
             self.metrics,
         )
--- a/tests/traffic/quota_fleet.py
+++ b/tests/traffic/quota_fleet.py
@@ -16,10 +16,11 @@
 )
 from coralfall.ids import EntryId, EntryState, Incarnation, RegionId
 from coralfall.peering.messages import Hello
-from coralfall.placement.quota import Ledger
+from coralfall.placement.ledger import Ledger
 from coralfall.process.clock import Clock
-from coralfall.traffic.messages import QuotaAnswer, QuotaRequest
+from coralfall.traffic.messages import PermitReply, PermitRequest
 from coralfall.traffic.model import EntryRecord, Tenant
+from coralfall.traffic.permits import Permits
 from coralfall.traffic.quotas import Quotas
 from coralfall.traffic.settings import BoundSettings
 from coralfall.traffic.tenants import TenantTable
@@ -73,7 +74,7 @@
     async def exchange(
         self,
         address: str,
-        message: QuotaRequest,
+        message: PermitRequest,
         _answer_type: t.Any,
         timeout_s: float,
         expected: t.Optional[EntryId] = None,
@@ -107,7 +108,7 @@
     """As the product's links give it."""
 
     peer: Hello
-    message: QuotaAnswer
+    message: PermitReply
 
 
 class QuotaEntry:
@@ -139,16 +140,18 @@
         self.members = FakeMembers(self.record)
         self.members.met = False
         self.belief = FakeBelief(self._fleet.tenant)
-        self.quotas = Quotas(
+        self.permits = Permits(
             t.cast(t.Any, self.members),
-            t.cast(t.Any, self.belief),
             t.cast(t.Any, FakeLinks(self._fleet, self)),
             Ledger(self._clock),
-            self._fleet.bounds,
             self._clock,
         )
+        self.quotas = Quotas(
+            self.permits, t.cast(t.Any, self.belief), self._fleet.bounds, self._clock
+        )
+        self.permits.sources.append(self.quotas)
         self.running = True
-        self._work = asyncio.create_task(self.quotas.run())
+        self._work = asyncio.create_task(self.permits.run())
 
     def kill(self) -> None:
         self.running = False
@@ -165,9 +168,9 @@
             state=EntryState.LEAVING,
         )
 
-    def answer(self, sender: "QuotaEntry", message: QuotaRequest) -> QuotaAnswer:
+    def answer(self, sender: "QuotaEntry", message: PermitRequest) -> PermitReply:
         hello = Hello(entry_id=sender.entry_id, incarnation=sender.incarnation)
-        return self.quotas.answer(hello, message)
+        return self.permits.answer(hello, message)
 
 
 class QuotaFleet:
@@ -197,7 +200,7 @@
         self.unsure_at: t.List[float] = []
         self.waits_s: t.List[float] = []
         #: Leases in messages that their senders gave up; they may arrive at any later time.
-        self.late: t.List[t.Tuple[QuotaEntry, QuotaEntry, QuotaRequest]] = []
+        self.late: t.List[t.Tuple[QuotaEntry, QuotaEntry, PermitRequest]] = []
         self.by_address: t.Dict[str, QuotaEntry] = {}
         self.entries: t.List[QuotaEntry] = []
         self._tasks: t.Set["asyncio.Task[None]"] = set()
--- a/tests/traffic/test_quota_ledger.py
+++ b/tests/traffic/test_quota_ledger.py
@@ -8,9 +8,11 @@
 from coralfall.exceptions import OverLimitError
 from coralfall.ids import EntryId, Incarnation, TenantId
 from coralfall.peering.messages import Hello
-from coralfall.placement.quota import SLOTS, Ledger, Limit, Slot, limit_of, slot_of
+from coralfall.placement.ledger import SLOTS, Ledger, Limit, Slot, slot_of
+from coralfall.placement.quota import key_of, limit_of
 from coralfall.process.clock import ManualClock
-from coralfall.traffic.messages import QuotaRequest, Want
+from coralfall.traffic.messages import PermitRequest, Want
+from coralfall.traffic.permits import Permits
 from coralfall.traffic.quotas import Quotas
 from coralfall.traffic.reply import reply_of_error
 from tests.traffic.makers import make_record, make_tenant
@@ -22,7 +24,7 @@
     most_of,
 )
 
-ACME = TenantId("acme")
+ACME = key_of(TenantId("acme"))
 ALL = [Slot(number) for number in range(SLOTS)]
 LIMIT = Limit(rate_per_s=10.0, burst=20.0)
 
@@ -167,7 +169,7 @@
         owner.lend(10)
         owner.wait(60.0)
         for number in range(100):
-            owner.ledger.take(TenantId(f"t{number}"), LIMIT, 1)
+            owner.ledger.take(key_of(TenantId(f"t{number}")), LIMIT, 1)
         shares = owner.ledger._shares.values()
         self.assertEqual(100, sum([len(one.buckets) for one in shares]))
         owner.wait(12.0)
@@ -180,14 +182,10 @@
     def grant(self, **changes: t.Any) -> t.Tuple[int, bool]:
         clock = ManualClock(100.0)
         own = make_record("e1", incarnation=Incarnation(7), **changes.pop("own", {}))
-        quotas = Quotas(
-            t.cast(t.Any, FakeMembers(own)),
-            t.cast(t.Any, FakeBelief(make_tenant(rate_per_s=10.0, burst=20.0))),
-            t.cast(t.Any, None),
-            Ledger(clock),
-            BOUNDS,
-            clock,
-        )
+        ledger = Ledger(clock)
+        permits = Permits(t.cast(t.Any, FakeMembers(own)), t.cast(t.Any, None), ledger, clock)
+        belief = FakeBelief(make_tenant(rate_per_s=10.0, burst=20.0))
+        permits.sources.append(Quotas(permits, t.cast(t.Any, belief), BOUNDS, clock))
         peer = Hello(entry_id=EntryId("e2"), incarnation=Incarnation(1))
         lending: t.Dict[str, t.Any] = {
             "wants": (),
@@ -197,12 +195,12 @@
             "answered_s": 100.0,
             "incarnation": Incarnation(7),
         }
-        quotas.answer(peer, QuotaRequest(**{**lending, **changes}))
+        permits.answer(peer, PermitRequest(**{**lending, **changes}))
         for _ in range(600):
             clock.advance(0.1)
-            quotas._ledger.tick()
-        want = Want(ACME, 50, 0, 10.0, 20.0)
-        answer = quotas.answer(peer, QuotaRequest(wants=(want,)))
+            ledger.tick()
+        want = Want(ACME, 50, 0, Limit(1.0, 1.0))
+        answer = permits.answer(peer, PermitRequest(wants=(want,)))
         return answer.grants[0].count, answer.closed
 
     @parameterized.expand(
@@ -212,7 +210,7 @@
             ("never answered", {"incarnation": None}, (0, False)),
             ("so old that it is over", {"answered_s": -900.0}, (0, False)),
             ("from what is still to come", {"answered_s": 101.0}, (0, False)),
-            ("of a slot that is none", {"slots": (SLOTS, -1)}, (0, False)),
+            ("of a slot that is none", {"slots": (Slot(SLOTS), Slot(-1))}, (0, False)),
         ]
     )
     def test_what_is_lent(self, _name: str, changes: t.Any, expected: t.Tuple[int, bool]) -> None:
--- a/tests/traffic/test_quotas.py
+++ b/tests/traffic/test_quotas.py
@@ -6,7 +6,8 @@
 
 from parameterized import parameterized
 
-from coralfall.placement.quota import slot_of
+from coralfall.placement.ledger import slot_of
+from coralfall.placement.quota import key_of
 from coralfall.traffic.settings import BoundSettings
 from tests.traffic.makers import make_tenant
 from tests.traffic.quota_fleet import BOUNDS, STRICT_BOUNDS, QuotaEntry, QuotaFleet
@@ -177,11 +178,11 @@
 
 def owner_of(fleet: QuotaFleet) -> QuotaEntry:
     """An entry that most entries think counts for the tenant."""
-    slot = slot_of(fleet.tenant.tenant_id)
+    slot = slot_of(key_of(fleet.tenant.tenant_id))
     seen: t.List[t.Any] = []
     for entry in fleet.entries:
         if entry.running:
-            seen += entry.quotas._owners_of(slot)
+            seen += entry.permits.owners.of(slot)
     owner_id = max(seen, key=seen.count)
     return next(entry for entry in fleet.entries if entry.entry_id == owner_id)
 
