Keep all entries together within the limits that targets name

What callers saw: a target in need went on getting what it got before, up to 73 requests in 4 s where 23 are allowed (the test of processes). Cause: what a target says of itself was read, if at all, by the entry that asked, and a limit for all entries together was read by none. Change: entries tell each other of limits by gossip, with a revision for each change, and each send needs a token. Tokens are granted by an owner in the target's region, which holds the leased shares of all entries (the mechanism of tenants' quotas): a cut, a pause, a kill or a start uses no share twice. A target without a token is passed over at once.

The test on entries of the version before cuts the message where the fields that it is about begin; new fields follow them now.

--- a/src/coralfall/placement/affinity.py
+++ b/src/coralfall/placement/affinity.py
@@ -17,6 +17,7 @@
 from .cold import ColdShares
 from .shares import SlotsByRegion, SlowPart, interleaved, kept_part, place_of, score, spare_weight
 from .speed import SpeedComparison
+from .target_limits import TargetLimits
 
 if t.TYPE_CHECKING:
     from ..ids import RegionId, ServiceId, TargetId
@@ -111,6 +112,8 @@
         self._speed = SpeedComparison(targets, self._region_of, clock)
         #: Estimates of how long targets take, and of how long callers wait.
         self.admission = Admission()
+        #: Limits that targets named.
+        self.limits = TargetLimits(clock)
         #: How many requests each cold target may get from this entry.
         self.cold_shares = ColdShares(settings.entry_id)
 
@@ -151,8 +154,7 @@
         if again is not None and route.session_affinity:
             homes = [state for state in homes if state.knows(key)] + [again]
         if not homes:
-            message = f"no target of {service} can be used now"
-            raise RefusedError(message, defaults.COME_BACK_S, service=service, reason="no-target")
+            raise self._nothing_usable(service, ranked)
         limits = defaults.LATE_LIMITS if late else defaults.AFFINITY_LIMITS
         in_time = [state for state in homes if self.admission.predict(state) < left_s]
         for limit in limits:
@@ -173,6 +175,16 @@
             loads=",".join([f"{s.target.target_id}:{s.load():.1f}" for s in homes]),
         )
 
+    def _nothing_usable(self, service: "ServiceId", ranked: _Ranked) -> RefusedError:
+        waits_s = [self.limits.wait_s(state.target) for state in (*ranked.near, *ranked.far)]
+        limited = [wait_s for wait_s in waits_s if wait_s > 0]
+        if not limited:
+            message = f"no target of {service} can be used now"
+            return RefusedError(message, defaults.COME_BACK_S, service=service, reason="no-target")
+        message = f"{len(limited)} targets of {service} have had what their limits allow"
+        come_back_s = min(max(defaults.COME_BACK_S, min(limited)), _MAX_COME_BACK_S)
+        return RefusedError(message, come_back_s, service=service, reason="limited")
+
     def _come_back_s(self, homes: t.Sequence["TargetState"]) -> float:
         """Seconds after which one of the targets should have room."""
         drained_s = min([self.admission.drained_s(state) for state in homes])
@@ -228,6 +240,8 @@
         for state in states:
             if state.is_cold() and not self._may_warm(state):
                 continue
+            if self.limits.wait_s(state.target):
+                continue
             homes.append(state)
             if len(homes) == defaults.AFFINITY_HOMES:
                 break
--- a/src/coralfall/reporting/explain.py
+++ b/src/coralfall/reporting/explain.py
@@ -52,6 +52,7 @@
     "late": "the time was over before the request could be sent",
     "caller-gone": "the caller closed its connection; the send was cancelled",
     "quarantined": "targets ended each time that they began this same request; it goes to no more",
+    "limited": "its target, or all of the service, had what the limits that targets name allow",
     "shed": "the target said that it did not run the request: full, leaving, or out of time",
     "cancelled": "the caller left first",
     "unknown-key": "no tenant of the version in force has the key: see when it was taken away",
--- a/src/coralfall/traffic/exchange.py
+++ b/src/coralfall/traffic/exchange.py
@@ -8,6 +8,7 @@
 if t.TYPE_CHECKING:
     from ..ids import Revision
     from ..placement.quarantine import Quarantine, Suspect
+    from ..placement.target_limits import NamedLimit, TargetLimits
     from ..process.clock import Clock
     from .belief import Belief
     from .delta import Delta
@@ -24,17 +25,25 @@
     :param members: the entries.
     :param belief: the rows.
     :param quarantine: requests that targets end of.
+    :param limits: limits that targets named.
     :param clock: tells the time.
     """
 
     def __init__(
-        self, members: "Members", belief: "Belief", quarantine: "Quarantine", clock: "Clock"
+        self,
+        members: "Members",
+        belief: "Belief",
+        quarantine: "Quarantine",
+        limits: "TargetLimits",
+        clock: "Clock",
     ) -> None:
         self._members = members
         #: The rows.
         self.belief = belief
         #: Requests that targets end of.
         self.quarantine = quarantine
+        #: Limits that targets named.
+        self.limits = limits
         self._clock = clock
         #: Since when what is known of the entries differs from what others know.
         self._differs_since: t.Optional[float] = None
@@ -48,12 +57,14 @@
         address: str = "",
         wants_rows: bool = True,
         suspects: "t.Optional[t.Tuple[Suspect, ...]]" = None,
+        limits: "t.Optional[t.Tuple[NamedLimit, ...]]" = None,
     ) -> News:
         """What is known here, with what came after the revisions given.
 
         :param all_members: whether to tell of all entries, and not only what is news.
         :param address: of the entry that this is for; it is told if it is suspected.
         :param suspects: the suspected requests to tell of, in place of those that are news.
+        :param limits: the targets' limits to tell of, in place of those that are news.
         :param wants_rows: whether it is to answer with the rows that are not known here.
         """
         now = self._clock.monotonic()
@@ -75,6 +86,8 @@
             targets=_delta(belief.target_rows, targets_since),
             suspects=self.quarantine.recent() if suspects is None else suspects,
             suspects_sum=self.quarantine.sum(),
+            limits=self.limits.recent() if limits is None else limits,
+            limits_sum=self.limits.sum(),
         )
 
     def answer(self, news: News) -> News:
@@ -82,14 +95,18 @@
         address = news.records[0].peer_address if news.records else ""
         agreed = news.suspects_sum == self.quarantine.sum()
         suspects = None if agreed else self.quarantine.all()
+        limits = None if news.limits_sum == self.limits.sum() else self.limits.all()
         if not news.wants_rows:
-            return self.news(all_members=news.wants_all, address=address, suspects=suspects)
+            return self.news(
+                all_members=news.wants_all, address=address, suspects=suspects, limits=limits
+            )
         return self.news(
             news.state_revision,
             news.targets_revision,
             news.wants_all,
             address,
             suspects=suspects,
+            limits=limits,
         )
 
     def take(self, news: News, asked_at: t.Optional[float] = None) -> bool:
@@ -100,6 +117,7 @@
         belief = self.belief
         self._take_members(news, asked_at is not None)
         self.quarantine.hear(news.suspects)
+        self.limits.hear(news.limits)
         if asked_at is not None and news.store_s is not None:
             belief.store_clock.observe(asked_at, news.store_s)
         keys = _apply(belief.state_rows, news.state, news.state_read_s)
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -24,6 +24,7 @@
 from .pool import NO_FILES
 from .reply import Reply, reply_of_answer, reply_of_error
 from .steered_request import Send, SteeredRequest
+from .target_permits import LIMITED
 from .wire import HeaderNames, parse_limit, parse_load
 
 if t.TYPE_CHECKING:
@@ -33,11 +34,11 @@
     from ..placement.budget import SendBudget
     from ..placement.fingerprint import Fingerprint, HeadDigest
     from ..placement.quarantine import Quarantine
-    from ..placement.target_limits import TargetLimits
     from ..placement.targets import TargetBook, TargetState
     from ..process.clock import Clock
     from .crashes import CrashWatch
     from .pool import ConnectionPool
+    from .target_permits import TargetPermits
 
 _FIRST_SERVER_ERROR = 500
 _PROMISES = frozenset((408, 421, 429, 503))
@@ -50,6 +51,9 @@
 QUARANTINED = "quarantined"
 #: Most targets that are tried in vain to be connected for one request.
 _MAX_UNREACHED = 4
+#: Most targets that are asked in vain for a token for one request; then those with a limit are
+#: passed over.
+_MAX_LIMITED = 3
 _REPLACED = HOP_BY_HOP | {b"content-length", b"host", b"expect"}
 
 
@@ -63,7 +67,7 @@
     :param budget: bounds second sends.
     :param crashes: told of connections that end under a request.
     :param quarantine: knows requests that targets end of.
-    :param limits: told of the limits that targets name.
+    :param permits: for sends to targets with a limit; told of the limits that answers name.
     :param clock: for deadlines.
     """
 
@@ -76,7 +80,7 @@
         budget: "SendBudget",
         crashes: "CrashWatch",
         quarantine: "Quarantine",
-        limits: "TargetLimits",
+        permits: "TargetPermits",
         clock: "Clock",
     ) -> None:
         self._names = names
@@ -86,7 +90,7 @@
         self._budget = budget
         self._crashes = crashes
         self._quarantine = quarantine
-        self._limits = limits
+        self._permits = permits
         self._clock = clock
         self._dropped = _REPLACED | {
             names.time_left,
@@ -112,6 +116,7 @@
     async def _forward(self, request: SteeredRequest) -> Reply:
         tried: t.Set["TargetId"] = set()
         unreached = 0
+        limited = 0
         again: "t.Optional[TargetState]" = None
         failed: t.Optional[Reply] = None
         failure: t.Optional[CoralfallError] = None
@@ -131,6 +136,11 @@
                 if error.fields.get("reason") == NO_FILES and failed is None:
                     # Another target can't be reached either.
                     raise failure from error
+                if error.fields.get("reason") == LIMITED and self._has_time(request):
+                    limited += 1
+                    if limited == _MAX_LIMITED:
+                        tried.update(self._permits.limits.in_force())
+                    continue
                 if error.fields.get("reason") == "connect":
                     unreached += 1
                     if unreached < _MAX_UNREACHED and self._has_time(request):
@@ -190,10 +200,12 @@
         :raises TargetUnknownError: if it may have.
         """
         state = place.state
-        send = Send(place, self._limits.rate_of(state.target))
+        send = Send(place, self._permits.limits.rate_of(state.target))
         request.sends.append(send)
         began = self._clock.monotonic()
         try:
+            send.permit = await self._permits.take(state.target, request.deadline)
+            began = self._clock.monotonic()
             answer = await self._exchange(request, state, send)
         except TargetNotRunError as error:
             send.not_run = True
@@ -216,6 +228,8 @@
         finally:
             send.seconds = self._clock.monotonic() - began
             place.release()
+            if not send.sent:
+                self._permits.give_back(send.permit)
         state.succeed()
         self._note_answer(request, answer)
         place.answered(self._clock.monotonic(), send.seconds)
@@ -229,6 +243,13 @@
         if seconds <= 0:
             raise TargetNotRunError("no time left to send", reason="late")
         connection = await self._pool.take(state.target, request.repeatable, seconds)
+        if send.permit is None:
+            # The limit may have been learnt of while the connection was opened.
+            try:
+                send.permit = await self._permits.take(state.target, request.deadline)
+            except BaseException:
+                self._pool.give(state.target, connection)
+                raise
         left = request.deadline - self._clock.monotonic()
         if left < defaults.MIN_SEND_S or not self._targets.may_use(state):
             self._pool.give(state.target, connection)
@@ -344,11 +365,11 @@
         if named is None:
             signed = answer.header(self._names.signature) is not None
             if signed and answer.status < _FIRST_SERVER_ERROR:
-                self._limits.note_answer(state.target, None, sent_at)
+                self._permits.limits.note_answer(state.target, None, sent_at)
             return
         rate_per_s = parse_limit(named)
         if rate_per_s is not None:
-            self._limits.note_answer(state.target, rate_per_s, sent_at)
+            self._permits.limits.note_answer(state.target, rate_per_s, sent_at)
 
     def _outgoing(
         self, request: SteeredRequest, state: "TargetState", left: float
--- a/src/coralfall/traffic/gossip.py
+++ b/src/coralfall/traffic/gossip.py
@@ -113,6 +113,7 @@
         self._may_push_at = -float("inf")
         members.on_news = self._push_soon
         exchange.quarantine.on_news = self._push_soon
+        exchange.limits.on_news = self._push_soon
 
     async def run(self) -> None:
         try:
--- a/src/coralfall/traffic/messages.py
+++ b/src/coralfall/traffic/messages.py
@@ -8,6 +8,7 @@
 from ..peering.message import Message
 from ..placement.ledger import Grant, Limit, LimitKey, Slot
 from ..placement.quarantine import Suspect
+from ..placement.target_limits import NamedLimit
 from .delta import Delta
 from .model import EntryRecord
 
@@ -48,6 +49,10 @@
     suspects: t.Tuple[Suspect, ...] = ()
     #: See :meth:`..placement.quarantine.Quarantine.sum`.
     suspects_sum: int = 0
+    #: Limits of targets that are news, or all if the receiver's sum is another one.
+    limits: t.Tuple[NamedLimit, ...] = ()
+    #: See :meth:`..placement.target_limits.TargetLimits.sum`.
+    limits_sum: int = 0
 
 
 class Push(Message, frozen=True, tag=33):
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -15,7 +15,6 @@
 from ..placement.budget import SendBudget
 from ..placement.ledger import Ledger
 from ..placement.quarantine import Quarantine, crash_digest
-from ..placement.target_limits import TargetLimits
 from ..placement.targets import TargetBook
 from ..process import log
 from ..process.child import PERIODIC_JITTER, Child, FunctionChild, PeriodicChild
@@ -37,6 +36,7 @@
 from .pool import ConnectionPool
 from .quotas import Quotas
 from .registry import Registry
+from .target_permits import TargetPermits
 from .telemetry import MetricsApp, Telemetry
 from .tenants import Identification
 
@@ -87,6 +87,7 @@
         self.clock = clock
         self._rng = rng
         self.telemetry = Telemetry()
+        self._traffic = Traffic()
         self.metrics = Metrics(settings.metrics)
         self.targets = TargetBook(clock, settings.bounds.target_row_s())
         self.steering = AffinitySteering(settings, self.targets, clock)
@@ -98,7 +99,7 @@
         self.crashes = CrashWatch(self.targets, self.pool, clock)
         self.crashes.on_crash = self._note_crash
         self.quarantine = Quarantine(settings.quarantine_s, clock)
-        self.target_limits = TargetLimits(clock)
+        self._make_permits()
         self.forwarder = Forwarder(
             names,
             self.steering,
@@ -107,7 +108,7 @@
             self.budget,
             self.crashes,
             self.quarantine,
-            self.target_limits,
+            self.target_permits,
             clock,
         )
         self.identification = Identification(names, self.belief, settings.bounds)
@@ -201,6 +202,7 @@
         self.crashes.forget()
         self.quarantine.forget()
         self.quotas.forget()
+        self.steering.limits.tick(self.targets.by_id)
         self.budget.entries = self.members.count()
         self.steering.cold_shares.set_entries(self.members.all_ids())
 
@@ -232,17 +234,27 @@
         most = self.settings.caller_connections()
         return HttpSettings(max_connections=most, max_idle_connections=most, **limits)
 
+    def _make_permits(self) -> None:
+        settings = self.settings
+        own = self.members.own
+        hello = Hello(entry_id=own.entry_id, incarnation=own.incarnation)
+        links = PeerLinks(_fleet_key(settings), hello, self._traffic)
+        self.permits = Permits(self.members, links, Ledger(self.clock), self.clock)
+        self.quotas = Quotas(self.permits, self.belief, settings.bounds, self.clock)
+        self.target_permits = TargetPermits(
+            self.permits, self.steering.limits, self.targets, settings, self.clock
+        )
+        self.permits.sources += [self.quotas, self.target_permits]
+
     def _make_peers(self) -> None:
         settings = self.settings
         fleet_key = _fleet_key(settings)
         own = self.members.own
         hello = Hello(entry_id=own.entry_id, incarnation=own.incarnation)
-        traffic = Traffic()
-        self.exchange = Exchange(self.members, self.belief, self.quarantine, self.clock)
-        permit_links = PeerLinks(fleet_key, hello, traffic)
-        self.permits = Permits(self.members, permit_links, Ledger(self.clock), self.clock)
-        self.quotas = Quotas(self.permits, self.belief, settings.bounds, self.clock)
-        self.permits.sources.append(self.quotas)
+        traffic = self._traffic
+        self.exchange = Exchange(
+            self.members, self.belief, self.quarantine, self.steering.limits, self.clock
+        )
         links = PeerLinks(fleet_key, hello, traffic)
         self.gossip = Gossip(
             self.exchange, self.members, links, settings.seeds, self.clock, self._rng
--- a/src/coralfall/traffic/permits.py
+++ b/src/coralfall/traffic/permits.py
@@ -185,6 +185,10 @@
                 if acquisition.granted is not None or acquisition.known_part() >= enough_part:
                     return acquisition
             await acquisition.wait(until - self._clock.monotonic())
+        except asyncio.CancelledError:
+            if acquisition.granted is not None:
+                self.give_back(key, limit, acquisition.granted.owner_id)
+            raise
         finally:
             acquisition.closed = True
         return acquisition
--- a/src/coralfall/traffic/steered_request.py
+++ b/src/coralfall/traffic/steered_request.py
@@ -11,6 +11,7 @@
     from ..placement.fingerprint import Fingerprint, HeadDigest
     from .connection import Headers
     from .model import Route, Tenant
+    from .target_permits import TargetPermit
 
 
 class Send:
@@ -20,7 +21,16 @@
     :param limit_per_s: limit that the target had named.
     """
 
-    __slots__ = ("_met", "limit_per_s", "not_run", "result", "seconds", "sent", "target_id")
+    __slots__ = (
+        "_met",
+        "limit_per_s",
+        "not_run",
+        "permit",
+        "result",
+        "seconds",
+        "sent",
+        "target_id",
+    )
 
     def __init__(self, place: "Place", limit_per_s: t.Optional[float] = None) -> None:
         target = place.state.target
@@ -33,6 +43,8 @@
         self.limit_per_s = limit_per_s
         if limit_per_s is not None:
             self._met += f":{limit_per_s:g}/s"
+        #: Token of the target's limit, if the send needed one.
+        self.permit: t.Optional["TargetPermit"] = None
         #: Whether a byte may have left.
         self.sent = False
         #: Whether there is evidence that the target did not run it.
--- a/src/coralfall/traffic/telemetry.py
+++ b/src/coralfall/traffic/telemetry.py
@@ -163,7 +163,7 @@
     gauge("connections_opened", node.pool.opened, "Connections opened to targets.")
     quarantined = node.quarantine.refused_count()
     gauge("requests_quarantined", quarantined, "Requests that are sent to no target.")
-    limited = node.target_limits.count()
+    limited = len(node.steering.limits.in_force())
     gauge("targets_limited", limited, "Targets that name a limit for all entries together.")
     gauge("log_lines_dropped", log.dropped_lines(), "Log lines that were not written.")
     for state, count in node.targets.count_by_state().items():
--- a/tests/traffic/quota_fleet.py
+++ b/tests/traffic/quota_fleet.py
@@ -57,6 +57,12 @@
         return self._all
 
 
+def make_permits(clock: Clock) -> Permits:
+    """Permits of an entry that is alone and counts for all limits itself."""
+    members = FakeMembers(make_record("e1"))
+    return Permits(t.cast(t.Any, members), t.cast(t.Any, None), Ledger(clock), clock)
+
+
 class FakeBelief:
     """The tenants that an entry knows."""
 
@@ -176,6 +182,8 @@
 class QuotaFleet:
     """Entries, the network between them, and what they let go."""
 
+    entry_type = QuotaEntry
+
     def __init__(
         self,
         count: int,
@@ -209,7 +217,7 @@
         self.tell_all()
 
     def add(self) -> QuotaEntry:
-        entry = QuotaEntry(len(self.entries), self.clock, self)
+        entry = self.entry_type(len(self.entries), self.clock, self)
         self.entries.append(entry)
         self.by_address[entry.record.peer_address] = entry
         return entry
--- a/tests/traffic/test_forwarder.py
+++ b/tests/traffic/test_forwarder.py
@@ -14,7 +14,6 @@
 from coralfall.placement.affinity import AffinitySteering
 from coralfall.placement.budget import SendBudget
 from coralfall.placement.quarantine import Quarantine
-from coralfall.placement.target_limits import TargetLimits
 from coralfall.placement.targets import TargetBook
 from coralfall.platform.names import HEADERS
 from coralfall.process.clock import Clock, SystemClock
@@ -26,6 +25,7 @@
 from coralfall.traffic.reply import Reply
 from coralfall.traffic.settings import BoundSettings
 from coralfall.traffic.steered_request import SteeredRequest
+from coralfall.traffic.target_permits import TargetPermits
 from tests.traffic.makers import (
     PEDIDOS,
     make_route,
@@ -33,6 +33,7 @@
     make_state,
     make_target,
 )
+from tests.traffic.quota_fleet import make_permits
 from tests.traffic.raw_target import RawTarget, Script, Turn
 
 KINDS = {
@@ -62,7 +63,12 @@
         budget = SendBudget(bounds or BoundSettings(), clock)
         self.crashes = CrashWatch(self.targets, self.pool, clock)
         self.quarantine = Quarantine(defaults.QUARANTINE_S, clock)
-        self.limits = TargetLimits(clock)
+        self.permits = make_permits(clock)
+        self.limits = self.steering.limits
+        target_permits = TargetPermits(
+            self.permits, self.limits, self.targets, self.steering.settings, clock
+        )
+        self.permits.sources.append(target_permits)
         self.forwarder = Forwarder(
             HEADERS,
             self.steering,
@@ -71,7 +77,7 @@
             budget,
             self.crashes,
             self.quarantine,
-            self.limits,
+            target_permits,
             clock,
         )
 
@@ -596,6 +602,10 @@
     await turn.answer(421, b"", x_response_signature="", server_limit="3.6")
 
 
+#: Bound that only keeps a broken forwarder from hanging.
+_PATIENCE_S = 30.0
+
+
 class LimitsTest(unittest.TestCase):
     @parameterized.expand(
         [
@@ -624,9 +634,91 @@
             async with RawTarget(next_answer) as target:
                 path = Path([target.address])
                 state = path.targets.by_id[TargetId("t0")]
-                for number in range(len(scripts)):
-                    await path.forward(path.request("unsafe", number, max_attempts=1))
+                async with asyncio.timeout(_PATIENCE_S):
+                    while answers:
+                        await path.forward(path.request("unsafe", len(answers), max_attempts=1))
+                        # Until there is a token for the next one.
+                        await asyncio.sleep(0.02)
                 path.pool.close()
                 return path.limits.rate_of(state.target)
 
         self.assertEqual(expected, asyncio.run(main()))
+
+    @parameterized.expand(
+        [
+            # kind, targets without a limit beside the limited one, status and reason
+            ("safe", 1, 200, "answered"),
+            ("unsafe", 1, 200, "answered"),
+            ("upload", 1, 200, "answered"),
+            ("safe", 0, 503, "limited"),
+            ("unsafe", 0, 503, "limited"),
+        ]
+    )
+    def test_a_target_without_a_token_is_passed_over_at_once(
+        self, kind: str, others: int, status: int, reason: str
+    ) -> None:
+        async def main() -> t.Tuple[t.List[Reply], t.List[int]]:
+            targets = [RawTarget(ok) for _ in range(1 + others)]
+            for target in targets:
+                await target.__aenter__()
+            # No second send is within this budget: none must be counted.
+            path = Path([one.address for one in targets], BoundSettings(budget_slack=0))
+            first = path.targets.by_id[TargetId("t0")]
+            path.limits.note_answer(first.target, 0.2, 0.0)
+            requests = [path.request(kind, number, first="t0") for number in range(4)]
+            replies = [await path.forward(request) for request in requests]
+            path.pool.close()
+            for target in targets:
+                await target.__aexit__()
+            self.assertEqual("limited", requests[0].sends[0].result)
+            self.assertTrue(str(requests[0].sends[0]).endswith(":0.2/s"))
+            return replies, [len(target.turns) for target in targets]
+
+        replies, arrived = asyncio.run(main())
+        self.assertEqual([(status, reason)] * 4, [(one.status, one.reason) for one in replies])
+        self.assertEqual([0, *[4] * others], arrived)
+        for reply in replies:
+            waits = [float(value) for name, value in reply.headers if name == b"retry-after"]
+            self.assertEqual(status == 503, len(waits) == 1)
+            self.assertTrue(all(0 < wait_s <= 1.0 for wait_s in waits))
+
+    def test_a_token_whose_request_was_not_sent_is_returned(self) -> None:
+        async def main() -> t.Tuple[int, int]:
+            path = Path(["127.0.0.1:1"])
+            state = path.targets.by_id[TargetId("t0")]
+            path.limits.note_answer(state.target, 50.0, 0.0)
+            acquired = unconnected = 0
+            give_back = mock.Mock(wraps=path.permits.give_back)
+            async with asyncio.timeout(_PATIENCE_S):
+                with mock.patch.object(path.permits, "give_back", give_back):
+                    while not unconnected:
+                        request = path.request("unsafe", max_attempts=1)
+                        await path.forward(request)
+                        results = [send.result for send in request.sends]
+                        acquired += sum(result != "limited" for result in results)
+                        unconnected += results.count("connect")
+                        await asyncio.sleep(0.02)
+            path.pool.close()
+            return acquired, give_back.call_count
+
+        self.assertEqual((1, 1), asyncio.run(main()))
+
+    def test_a_limit_that_is_learnt_while_the_connection_is_opened_binds(self) -> None:
+        async def main() -> t.Tuple[Reply, int]:
+            async with RawTarget(ok) as target:
+                path = Path([target.address])
+                state = path.targets.by_id[TargetId("t0")]
+                opened = path.pool.take
+
+                async def take(*arguments: t.Any) -> t.Any:
+                    connection = await opened(*arguments)
+                    path.limits.note_answer(state.target, 0.2, path.clock.monotonic())
+                    return connection
+
+                with mock.patch.object(path.pool, "take", take):
+                    reply = await path.forward(path.request("unsafe"))
+                path.pool.close()
+                return reply, len(target.turns)
+
+        reply, arrived = asyncio.run(main())
+        self.assertEqual((503, "limited", 0), (reply.status, reply.reason, arrived))
--- a/tests/traffic/test_quarantine.py
+++ b/tests/traffic/test_quarantine.py
@@ -244,7 +244,9 @@
         self.end_three()
         news = self.fleet[3].exchange.news()
         encoded = msgspec.msgpack.encode(news)
-        before = msgspec.msgpack.decode(encoded)[:-2]
+        whole = msgspec.msgpack.decode(encoded)
+        # The first element is the message's tag.
+        before = whole[: 1 + News.__struct_fields__.index("suspects")]
         told = msgspec.msgpack.decode(msgspec.msgpack.encode(before), type=News)
         self.assertEqual(((), 0), (told.suspects, told.suspects_sum))
         self.assertEqual(before, msgspec.msgpack.decode(encoded)[: len(before)])
--- a/tests/traffic/test_target_limits.py
+++ b/tests/traffic/test_target_limits.py
@@ -3,11 +3,16 @@
 import typing as t
 import unittest
 
+import msgspec
 from parameterized import parameterized
 
+from coralfall import defaults
 from coralfall.placement.target_limits import TargetLimits
+from coralfall.placement.targets import TargetBook
 from coralfall.process.clock import ManualClock
+from coralfall.traffic.messages import News
 from coralfall.traffic.wire import parse_limit
+from tests.traffic.known import Known
 from tests.traffic.makers import make_target
 
 #: Seconds at which each answer comes, at which its request was sent, and the limit that it names.
@@ -40,7 +45,7 @@
             clock.now = at
             limits.note_answer(target, rate_per_s, sent_at)
         self.assertEqual(expected, limits.rate_of(target))
-        self.assertEqual(int(expected is not None), limits.count())
+        self.assertEqual(int(expected is not None), len(limits.in_force()))
 
     def test_another_lifetime_under_the_same_id_has_no_limit(self) -> None:
         limits = TargetLimits(ManualClock(0.0))
@@ -48,6 +53,84 @@
         self.assertIsNone(limits.rate_of(make_target(born=2000)))
 
 
+class AgreementTest(unittest.TestCase):
+    """Entries that tell each other, by the messages of gossip."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock(100.0)
+        self.fleet = [Known(f"e{number}", self.clock) for number in range(3)]
+        self.target = make_target()
+        self.name(0, 3.6)
+
+    def name(self, number: int, rate_per_s: t.Optional[float]) -> None:
+        """An entry gets an answer to what it sent right now."""
+        limits = self.fleet[number].limits
+        limits.note_answer(self.target, rate_per_s, self.clock.monotonic())
+
+    def ask(self, asker: int, asked: int) -> None:
+        """One exchange of news."""
+        answer = self.fleet[asked].exchange.answer(self.fleet[asker].exchange.news())
+        self.fleet[asker].exchange.take(answer, self.clock.monotonic())
+
+    def known(self, number: int) -> t.Optional[float]:
+        return self.fleet[number].limits.rate_of(self.target)
+
+    def tick(self) -> None:
+        states = TargetBook(self.clock)
+        states.update({self.target.target_id: self.target})
+        for one in self.fleet:
+            one.limits.tick(states.by_id)
+
+    def test_a_limit_is_told_on(self) -> None:
+        self.ask(1, 0)
+        self.ask(2, 1)
+        self.assertEqual([3.6, 3.6], [self.known(1), self.known(2)])
+
+    def test_one_that_missed_the_news_hears_of_all_limits(self) -> None:
+        self.clock.advance(defaults.GOSSIP_NEWS_S + 1.0)
+        self.tick()
+        self.assertEqual((), self.fleet[0].limits.recent())
+        self.ask(1, 0)
+        self.assertEqual(3.6, self.known(1))
+        self.assertEqual(self.fleet[0].limits.sum(), self.fleet[1].limits.sum())
+
+    @parameterized.expand(
+        [
+            # changes at entries 0 and 1, that do not know of each other's, and what holds then
+            ("one took it back", [(0, None)], None),
+            ("one raised it", [(0, 7.0)], 7.0),
+            ("one took it back, one lowered it", [(0, None), (1, 2.0)], 2.0),
+            ("one took it back later", [(1, 2.0), (0, 3.0), (0, None)], None),
+        ]
+    )
+    def test_all_agree_on_what_came_last(
+        self, _name: str, changes: t.Any, expected: t.Optional[float]
+    ) -> None:
+        self.ask(1, 0)
+        self.ask(2, 0)
+        for number, rate_per_s in changes:
+            self.clock.advance(0.1)
+            self.name(number, rate_per_s)
+        for asker, asked in ((0, 1), (1, 0), (2, 1), (0, 2)):
+            self.ask(asker, asked)
+        self.assertEqual([expected] * 3, [self.known(number) for number in range(3)])
+        self.assertEqual(1, len({one.limits.sum() for one in self.fleet}))
+
+    def test_a_limit_whose_target_is_known_no_more_is_forgotten(self) -> None:
+        self.clock.advance(10.0)
+        self.fleet[0].limits.tick({})
+        self.assertEqual((0, 0), (len(self.fleet[0].limits.in_force()), self.fleet[0].limits.sum()))
+        self.clock.advance(60.0)
+        self.fleet[0].limits.tick({})
+        self.assertEqual((), self.fleet[0].limits.all())
+
+    def test_entries_of_the_version_before_are_understood_and_understand(self) -> None:
+        whole = msgspec.msgpack.decode(msgspec.msgpack.encode(self.fleet[0].exchange.news()))
+        before = whole[: 1 + News.__struct_fields__.index("limits")]
+        told = msgspec.msgpack.decode(msgspec.msgpack.encode(before), type=News)
+        self.assertEqual(((), 0), (told.limits, told.limits_sum))
+
+
 class ParseTest(unittest.TestCase):
     @parameterized.expand(
         [
