Let a target that was sent nothing learn nothing, and play limits in the model

Cause: a place that was chosen counted as if its target had been sent the object, whether the send found no token or no connection; with limits that is frequent, and lines called objects known that the target never got. Kept as the lines are true now.

--- a/src/coralfall/placement/affinity.py
+++ b/src/coralfall/placement/affinity.py
@@ -54,22 +54,30 @@
     """One request's place at a target.
 
     :param state: the target.
+    :param key: names the object that the request concerns.
     :param known: whether it knows the object.
     :param near: whether it is in the entry's own region.
     :param telling: whether the time that it takes tells how fast the target is.
     :param admission: estimates, which learn from it.
     """
 
-    __slots__ = ("_admission", "_number", "_telling", "known", "load", "near", "state")
+    __slots__ = ("_admission", "_key", "_number", "_telling", "known", "load", "near", "state")
 
     def __init__(
-        self, state: "TargetState", known: bool, near: bool, telling: bool, admission: Admission
+        self,
+        state: "TargetState",
+        key: bytes,
+        known: bool,
+        near: bool,
+        telling: bool,
+        admission: Admission,
     ) -> None:
         self.state = state
         self.known = known
         self.near = near
         #: Requests that the target had in hand before this one.
         self.load = state.load()
+        self._key = key
         self._telling = telling
         self._admission = admission
         self._number = state.begin(admission.overdue_s(state, known))
@@ -88,6 +96,12 @@
         """Give it back; more than once does no harm."""
         self.state.end(self._number)
 
+    def withdraw(self) -> None:
+        """Give it back unused: the target was sent nothing, and learns nothing of the object."""
+        self.release()
+        if not self.known:
+            self.state.forget_object(self._key)
+
 
 class AffinitySteering:
     """Chooses the target of each send.
@@ -211,7 +225,7 @@
             state.note_object(key)
         telling = known and not cold and state.load() < state.target.slots
         near = self._region_of(state) == self.settings.region
-        return Place(state, known, near, telling, self.admission)
+        return Place(state, key, known, near, telling, self.admission)
 
     def _homes(
         self,
--- a/src/coralfall/placement/targets.py
+++ b/src/coralfall/placement/targets.py
@@ -85,6 +85,10 @@
         if len(self._sent_by_object) > _MAX_OBJECTS:
             self._sent_by_object.popitem(last=False)
 
+    def forget_object(self, key: bytes) -> None:
+        """Note that a request of this object was not sent to it after all."""
+        self._sent_by_object.pop(key, None)
+
     def is_quiet(self) -> bool:
         """Whether a request is overdue and none was answered since it began."""
         now = self._clock.monotonic()
--- a/src/coralfall/simulation/entries.py
+++ b/src/coralfall/simulation/entries.py
@@ -125,10 +125,16 @@
         except RefusedError as refusal:
             attempt.answer(False, False, refusal.retry_after)
             return
-        attempt.sends += 1
         attempt.again = None
         attempt.tried.add(place.state.target.target_id)
         target = self._targets_by_id[place.state.target.target_id]
+        wait_s = target.take_token()
+        if wait_s:
+            self.steering.limits.exhaust(place.state.target, wait_s)
+            place.withdraw()
+            self._send(attempt)
+            return
+        attempt.sends += 1
         trip_s = self._trip_s(target)
         connect_s = self._connect_s(attempt, target, trip_s)
         if not target.listening:
--- a/src/coralfall/simulation/scenario.py
+++ b/src/coralfall/simulation/scenario.py
@@ -29,6 +29,8 @@
     SILENT = "silent"
     #: Targets refuse connections, and come back cold and knowing nothing under their ids.
     RESTART = "restart"
+    #: Targets take ``times`` requests a second from all entries together, and say so.
+    LIMIT = "limit"
     #: Targets are taken away for good.
     LEAVE = "leave"
     #: Callers ask ``times`` as often.
--- a/src/coralfall/simulation/targets.py
+++ b/src/coralfall/simulation/targets.py
@@ -4,6 +4,8 @@
 import functools
 import typing as t
 
+from ..placement.target_limits import bucket_for
+
 if t.TYPE_CHECKING:
     import random
 
@@ -62,6 +64,10 @@
         #: Work takes this many times as long, and this share of requests is turned away.
         self.slowness = 1.0
         self.shed_share = 0.0
+        #: Requests a second that it takes from all entries, and the tokens of that.
+        self.limit_per_s: t.Optional[float] = None
+        self._tokens = 0.0
+        self._tokens_at = 0.0
         self.silent = False
         self.listening = True
         #: Requests that met an object that was not known, and all that ran.
@@ -84,6 +90,28 @@
         self._waiting.append(job)
         self._start()
 
+    def limit(self, per_s: t.Optional[float]) -> None:
+        """Take so many requests a second from now on; any if ``None``."""
+        self.limit_per_s = per_s
+        self._tokens = 0.0
+        self._tokens_at = self._agenda.now
+
+    def take_token(self) -> float:
+        """Take a token of its limit; seconds until there is one if there is none now.
+
+        Entries lease their shares of the limit to one of them, so all see the same bucket.
+        """
+        if self.limit_per_s is None:
+            return 0.0
+        bucket = bucket_for(self.limit_per_s)
+        came = bucket.rate_per_s * (self._agenda.now - self._tokens_at)
+        self._tokens = min(bucket.burst, self._tokens + came)
+        self._tokens_at = self._agenda.now
+        if self._tokens < 1:
+            return (1 - self._tokens) / bucket.rate_per_s
+        self._tokens -= 1
+        return 0.0
+
     def drop(self, job: Job) -> None:
         """Note that nobody waits for a request any more."""
         if job.over:
--- a/src/coralfall/simulation/world.py
+++ b/src/coralfall/simulation/world.py
@@ -212,14 +212,24 @@
             target.silent = True
         elif event.kind is Trouble.RESTART:
             target.listening = False
+        elif event.kind is Trouble.LIMIT:
+            self._limit(target, event.times)
         elif event.kind is Trouble.LEAVE:
             self._left.add(target.target_id)
             return
         self.agenda.after(event.for_s, lambda: self._heal(target, event))
 
+    def _limit(self, target: SimulatedTarget, per_s: t.Optional[float]) -> None:
+        target.limit(per_s)
+        row = self._row(target)
+        for entry in self.entries:
+            entry.steering.limits.note_answer(row, per_s, self.agenda.clock.now)
+
     def _heal(self, target: SimulatedTarget, event: "EventSettings") -> None:
         target.slowness = 1.0
         target.shed_share = 0.0
+        if event.kind is Trouble.LIMIT:
+            self._limit(target, None)
         if event.kind not in (Trouble.SILENT, Trouble.RESTART):
             return
         target.silent = False
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -227,8 +227,10 @@
             raise
         finally:
             send.seconds = self._clock.monotonic() - began
-            place.release()
-            if not send.sent:
+            if send.sent:
+                place.release()
+            else:
+                place.withdraw()
                 self._permits.give_back(send.permit)
         state.succeed()
         self._note_answer(request, answer)
--- a/tests/simulation/test_world.py
+++ b/tests/simulation/test_world.py
@@ -157,6 +157,7 @@
             ("silent", Trouble.SILENT, 1.0),
             ("restart", Trouble.RESTART, 1.0),
             ("burst", Trouble.BURST, 3.0),
+            ("limit", Trouble.LIMIT, 2.0),
         ]
     )
     def test_troubles_cost(self, _name: str, kind: Trouble, times: float) -> None:
@@ -165,6 +166,15 @@
         windows = world.score.by_window
         self.assertLess(min(windows[4].part, windows[5].part), windows[3].part - 0.03)
 
+    def test_targets_with_a_limit_run_no_more_than_that(self) -> None:
+        seconds, per_s = 40.0, 2.0
+        events = (EventSettings(kind=Trouble.LIMIT, at=0.0, for_s=60.0, times=per_s),)
+        (world,) = play(make_scenario(seconds=seconds, events=events), (1,))
+        for target in world.targets_by_id.values():
+            # What a bucket holds comes on top.
+            self.assertLessEqual(target.ran, seconds * per_s + 6)
+            self.assertGreaterEqual(target.ran, 0.9 * seconds * per_s)
+
     def test_worth_counts_from_the_first_attempt_and_prices_what_is_kept_in_vain(self) -> None:
         (world,) = play(make_scenario((1, 1, 1), seconds=4.0), seeds=(1,))
         score = world.score
--- a/tests/traffic/test_forwarder.py
+++ b/tests/traffic/test_forwarder.py
@@ -682,6 +682,18 @@
             self.assertEqual(status == 503, len(waits) == 1)
             self.assertTrue(all(0 < wait_s <= 1.0 for wait_s in waits))
 
+    def test_a_target_that_was_sent_nothing_learns_nothing_of_the_object(self) -> None:
+        async def main() -> t.Tuple[t.List[str], bool]:
+            path = Path(["127.0.0.1:1"])
+            state = path.targets.by_id[TargetId("t0")]
+            path.limits.note_answer(state.target, 0.2, 0.0)
+            request = path.request("unsafe")
+            await path.forward(request)
+            path.pool.close()
+            return [send.result for send in request.sends], state.knows(request.key)
+
+        self.assertEqual((["limited"], False), asyncio.run(main()))
+
     def test_a_token_whose_request_was_not_sent_is_returned(self) -> None:
         async def main() -> t.Tuple[int, int]:
             path = Path(["127.0.0.1:1"])
