Keep half of a target limit's tokens for objects that the target knows

What callers saw: where all targets of a service name a limit, most of what they run is late. A target without a token is passed over, so its objects' requests went on to other targets with limits, which spent their tokens on objects that they had to learn, at three times the work. Change: a send for an object that the target does not know needs a token beyond half of the bucket. The rate that a target is given stays the same.

--- a/src/coralfall/placement/affinity.py
+++ b/src/coralfall/placement/affinity.py
@@ -168,7 +168,7 @@
         if again is not None and route.session_affinity:
             homes = [state for state in homes if state.knows(key)] + [again]
         if not homes:
-            raise self._nothing_usable(service, ranked)
+            raise self._nothing_usable(service, ranked, key)
         limits = defaults.LATE_LIMITS if late else defaults.AFFINITY_LIMITS
         in_time = [state for state in homes if self.admission.predict(state) < left_s]
         for limit in limits:
@@ -189,8 +189,11 @@
             loads=",".join([f"{s.target.target_id}:{s.load():.1f}" for s in homes]),
         )
 
-    def _nothing_usable(self, service: "ServiceId", ranked: _Ranked) -> RefusedError:
-        waits_s = [self.limits.wait_s(state.target) for state in (*ranked.near, *ranked.far)]
+    def _nothing_usable(self, service: "ServiceId", ranked: _Ranked, key: bytes) -> RefusedError:
+        waits_s = [
+            self.limits.wait_s(state.target, state.knows(key))
+            for state in (*ranked.near, *ranked.far)
+        ]
         limited = [wait_s for wait_s in waits_s if wait_s > 0]
         if not limited:
             message = f"no target of {service} can be used now"
@@ -245,16 +248,16 @@
                 if state.target.target_id not in tried:
                     yield state
 
-        homes = self._first(s for s in open_to() if s.usable() and not s.is_quiet())
+        homes = self._first((s for s in open_to() if s.usable() and not s.is_quiet()), key)
         # If all seem unwell, the fault may be on this side; and somebody has to find out.
-        return homes or self._first(state for state in open_to() if not state.gone)
+        return homes or self._first((state for state in open_to() if not state.gone), key)
 
-    def _first(self, states: t.Iterable["TargetState"]) -> t.List["TargetState"]:
+    def _first(self, states: t.Iterable["TargetState"], key: bytes) -> t.List["TargetState"]:
         homes: t.List["TargetState"] = []
         for state in states:
             if state.is_cold() and not self._may_warm(state):
                 continue
-            if self.limits.wait_s(state.target):
+            if self.limits.wait_s(state.target, state.knows(key)):
                 continue
             homes.append(state)
             if len(homes) == defaults.AFFINITY_HOMES:
--- a/src/coralfall/placement/ledger.py
+++ b/src/coralfall/placement/ledger.py
@@ -230,18 +230,22 @@
         for shares in self._shares.values():
             shares.end(lender, now)
 
-    def take(self, key: LimitKey, limit: Limit, count: int) -> Grant:
-        """Take tokens of a limit, fewer than ``count`` if there are no more."""
+    def take(self, key: LimitKey, limit: Limit, count: int, reserved_part: float = 0.0) -> Grant:
+        """Take tokens of a limit, fewer than ``count`` if there are no more.
+
+        :param reserved_part: part of the bucket that stays for others.
+        """
         now = self._clock.monotonic()
         shares = self._of(slot_of(key), now)
         bucket = shares.bucket(key, limit, now)
         part = shares.part()
         level = bucket.tokens
-        granted = min(count, math.floor(level + _ROUNDING))
+        reserved = limit.burst * part * reserved_part
+        granted = min(count, max(0, math.floor(level - reserved + _ROUNDING)))
         bucket.tokens -= granted
         wait_s = 0.0
         if granted < count:
-            wait_s = _wait_s(bucket, limit.rate_per_s * part, now)
+            wait_s = _wait_s(bucket, limit.rate_per_s * part, now, reserved)
         return Grant(granted, wait_s, level, shares.known_part(limit))
 
     def give_back(self, key: LimitKey, count: int) -> None:
@@ -277,10 +281,15 @@
     return Slot(zlib.crc32(key.name.encode()) % SLOTS, key.region)
 
 
-def _wait_s(bucket: _Bucket, rate_per_s: float, now: float) -> float:
-    """Seconds until a token should be there; who is refused comes back one after the other."""
+def _wait_s(bucket: _Bucket, rate_per_s: float, now: float, reserved: float) -> float:
+    """Seconds until a token should be there; who is refused comes back one after the other.
+
+    :param reserved: tokens that are for others; who needs one beyond them queues behind nobody.
+    """
     if rate_per_s <= 0:
         return defaults.QUOTA_ASK_S
-    first = now + max(0.0, 1.0 - bucket.tokens) / rate_per_s
+    first = now + max(0.0, 1.0 + reserved - bucket.tokens) / rate_per_s
+    if reserved:
+        return min(first - now, _MAX_WAIT_S)
     bucket.free_at = min(max(bucket.free_at + 1 / rate_per_s, first), now + _MAX_WAIT_S)
     return bucket.free_at - now
--- a/src/coralfall/placement/target_limits.py
+++ b/src/coralfall/placement/target_limits.py
@@ -25,6 +25,9 @@
 #: a part of the shares need more than one to hold a whole one.
 _SAVED_S = 0.5
 _SAVED_TOKENS = 4.0
+#: Part of a bucket that is kept for objects that the target knows: it serves these several times
+#: faster, and what it learns in their place is of no use once its tokens go to others.
+RESERVED_PART = 0.5
 #: Rate in requests a second that is kept for targets that take next to nothing, as only an answer
 #: can show that their limit has changed.
 _LEAST_RATE_PER_S = 0.1
@@ -57,14 +60,16 @@
 class _Record:
     """One limit as this entry knows it, and whether requests wait for tokens of it."""
 
-    __slots__ = ("changed_at", "exhausted_until", "limit", "seen_at")
+    __slots__ = ("changed_at", "exhausted_until", "limit", "reserved_until", "seen_at")
 
     def __init__(self, limit: NamedLimit, now: float) -> None:
         self.limit = limit
         #: When this entry learnt of it, and when its target was last among those that there are.
         self.changed_at = now
         self.seen_at = now
+        #: Until when there is no token, and none for objects that the target does not know.
         self.exhausted_until = -float("inf")
+        self.reserved_until = -float("inf")
 
 
 class TargetLimits:
@@ -103,18 +108,29 @@
         """Targets that have a limit."""
         return self._in_force
 
-    def exhaust(self, target: "Target", seconds: float) -> None:
-        """Note that the limit has no token for some time, or until it changes."""
+    def exhaust(self, target: "Target", seconds: float, known: bool = True) -> None:
+        """Note that the limit has no token for some time, or until it changes.
+
+        :param known: whether there is none even for objects that the target knows.
+        """
         record = self._by_target.get(target.target_id)
-        if record is not None:
-            record.exhausted_until = self._clock.monotonic() + seconds
+        if record is None:
+            return
+        until = self._clock.monotonic() + seconds
+        record.reserved_until = max(record.reserved_until, until)
+        if known:
+            record.exhausted_until = until
 
-    def wait_s(self, target: "Target") -> float:
-        """Seconds until a token of a target's limit should be there; 0 if it needs none."""
+    def wait_s(self, target: "Target", known: bool = True) -> float:
+        """Seconds until a token of a target's limit should be there; 0 if it needs none.
+
+        :param known: whether the target knows the object that the token is for.
+        """
         if target.target_id not in self._in_force or self.rate_of(target) is None:
             return 0.0
         record = self._by_target[target.target_id]
-        return max(0.0, record.exhausted_until - self._clock.monotonic())
+        until = record.exhausted_until if known else record.reserved_until
+        return max(0.0, until - self._clock.monotonic())
 
     def note_answer(self, target: "Target", rate_per_s: t.Optional[float], sent_at: float) -> None:
         """Take in what an answer of a target says.
--- a/src/coralfall/simulation/entries.py
+++ b/src/coralfall/simulation/entries.py
@@ -128,9 +128,9 @@
         attempt.again = None
         attempt.tried.add(place.state.target.target_id)
         target = self._targets_by_id[place.state.target.target_id]
-        wait_s = target.take_token()
+        wait_s = target.take_token(place.known)
         if wait_s:
-            self.steering.limits.exhaust(place.state.target, wait_s)
+            self.steering.limits.exhaust(place.state.target, wait_s, place.known)
             place.withdraw()
             self._send(attempt)
             return
--- a/src/coralfall/simulation/targets.py
+++ b/src/coralfall/simulation/targets.py
@@ -4,7 +4,7 @@
 import functools
 import typing as t
 
-from ..placement.target_limits import bucket_for
+from ..placement.target_limits import RESERVED_PART, bucket_for
 
 if t.TYPE_CHECKING:
     import random
@@ -96,10 +96,12 @@
         self._tokens = 0.0
         self._tokens_at = self._agenda.now
 
-    def take_token(self) -> float:
+    def take_token(self, known: bool) -> float:
         """Take a token of its limit; seconds until there is one if there is none now.
 
         Entries lease their shares of the limit to one of them, so all see the same bucket.
+
+        :param known: whether the target knows the request's object.
         """
         if self.limit_per_s is None:
             return 0.0
@@ -107,8 +109,9 @@
         came = bucket.rate_per_s * (self._agenda.now - self._tokens_at)
         self._tokens = min(bucket.burst, self._tokens + came)
         self._tokens_at = self._agenda.now
-        if self._tokens < 1:
-            return (1 - self._tokens) / bucket.rate_per_s
+        needed = 1.0 if known else 1.0 + bucket.burst * RESERVED_PART
+        if self._tokens < needed:
+            return (needed - self._tokens) / bucket.rate_per_s
         self._tokens -= 1
         return 0.0
 
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -38,7 +38,7 @@
     from ..process.clock import Clock
     from .crashes import CrashWatch
     from .pool import ConnectionPool
-    from .target_permits import TargetPermits
+    from .target_permits import TargetPermit, TargetPermits
 
 _FIRST_SERVER_ERROR = 500
 _PROMISES = frozenset((408, 421, 429, 503))
@@ -204,9 +204,9 @@
         request.sends.append(send)
         began = self._clock.monotonic()
         try:
-            send.permit = await self._permits.take(state.target, request.deadline)
+            send.permit = await self._take_permit(request, place)
             began = self._clock.monotonic()
-            answer = await self._exchange(request, state, send)
+            answer = await self._exchange(request, place, send)
         except TargetNotRunError as error:
             send.not_run = True
             send.result = str(error.fields.get("reason", "not-run"))
@@ -238,9 +238,8 @@
         send.result = str(answer.status)
         return answer
 
-    async def _exchange(
-        self, request: SteeredRequest, state: "TargetState", send: Send
-    ) -> ServerAnswer:
+    async def _exchange(self, request: SteeredRequest, place: "Place", send: Send) -> ServerAnswer:
+        state = place.state
         seconds = min(defaults.TARGET_CONNECT_S, request.deadline - self._clock.monotonic())
         if seconds <= 0:
             raise TargetNotRunError("no time left to send", reason="late")
@@ -248,7 +247,7 @@
         if send.permit is None:
             # The limit may have been learnt of while the connection was opened.
             try:
-                send.permit = await self._permits.take(state.target, request.deadline)
+                send.permit = await self._take_permit(request, place)
             except BaseException:
                 self._pool.give(state.target, connection)
                 raise
@@ -285,6 +284,11 @@
             connection.abort()
         return answer
 
+    async def _take_permit(
+        self, request: SteeredRequest, place: "Place"
+    ) -> "t.Optional[TargetPermit]":
+        return await self._permits.take(place.state.target, request.deadline, place.known)
+
     def _note_cut_off(self, request: SteeredRequest, state: "TargetState") -> None:
         found = self._fingerprint_of(request)
         if found is not None:
--- a/src/coralfall/traffic/messages.py
+++ b/src/coralfall/traffic/messages.py
@@ -71,6 +71,8 @@
     unused: int
     #: The limit as the sender knows it; the owner's own knowledge goes first.
     limit: Limit
+    #: Part of the bucket that has to stay for others.
+    reserved_part: float = 0.0
 
 
 class PermitRequest(Message, frozen=True, tag=34):
--- a/src/coralfall/traffic/permits.py
+++ b/src/coralfall/traffic/permits.py
@@ -65,13 +65,24 @@
 
     :param key: names the limit.
     :param limit: the limit as it is known here.
+    :param reserved_part: part of the bucket that has to stay for others.
     """
 
-    __slots__ = ("_changed", "closed", "granted", "key", "limit", "open", "refusals")
-
-    def __init__(self, key: "LimitKey", limit: "Limit") -> None:
+    __slots__ = (
+        "_changed",
+        "closed",
+        "granted",
+        "key",
+        "limit",
+        "open",
+        "refusals",
+        "reserved_part",
+    )
+
+    def __init__(self, key: "LimitKey", limit: "Limit", reserved_part: float = 0.0) -> None:
         self.key = key
         self.limit = limit
+        self.reserved_part = reserved_part
         #: Owners that were asked and have not replied.
         self.open = 0
         self.granted: t.Optional[Answer] = None
@@ -170,14 +181,20 @@
             await self._links.close()
 
     async def acquire(
-        self, key: "LimitKey", limit: "Limit", until: float, enough_part: float = float("inf")
+        self,
+        key: "LimitKey",
+        limit: "Limit",
+        until: float,
+        enough_part: float = float("inf"),
+        reserved_part: float = 0.0,
     ) -> Acquisition:
         """Acquire a token, trying owners in their order with hedged requests.
 
         :param until: monotonic time after which nothing is waited for.
         :param enough_part: part of all shares whose owners' refusals are final.
+        :param reserved_part: part of the bucket that has to stay for others.
         """
-        acquisition = Acquisition(key, limit)
+        acquisition = Acquisition(key, limit, reserved_part)
         try:
             for owner_id in tuple(self.owners.of(slot_of(key))):
                 self._ask_one(owner_id, acquisition)
@@ -221,7 +238,7 @@
             return Grant(want.count, 0.0, 0.0, 1.0)
         if want.unused:
             self._ledger.give_back(want.key, want.unused)
-        return self._ledger.take(want.key, limit, want.count)
+        return self._ledger.take(want.key, limit, want.count, want.reserved_part)
 
     def _limit_of(self, key: "LimitKey") -> "t.Optional[Limit]":
         for source in self.sources:
@@ -238,7 +255,9 @@
             slot = slot_of(acquisition.key)
             if self.owners.of(slot)[0] == owner_id:
                 self._leases.keep([slot])
-            grant = self._ledger.take(acquisition.key, acquisition.limit, 1)
+            grant = self._ledger.take(
+                acquisition.key, acquisition.limit, 1, acquisition.reserved_part
+            )
             acquisition.take(Answer(grant, owner_id, self._clock.monotonic()))
             return
         owner = self.owners.by_id.get(owner_id)
@@ -272,10 +291,11 @@
         asked = [one for one in queue.waiting if not one.closed]
         queue.waiting = []
         unused, queue.unused = queue.unused, {}
-        by_key: t.Dict["LimitKey", t.List[Acquisition]] = {}
+        by_want: t.Dict[t.Tuple["LimitKey", float], t.List[Acquisition]] = {}
         for acquisition in asked:
-            by_key.setdefault(acquisition.key, []).append(acquisition)
-        wants = [_want(key, some, unused.pop(key, None)) for key, some in by_key.items()]
+            wanted = (acquisition.key, acquisition.reserved_part)
+            by_want.setdefault(wanted, []).append(acquisition)
+        wants = [_want(some, unused.pop(key, None)) for (key, _), some in by_want.items()]
         wants += [Want(key, 0, one.tokens, one.limit) for key, one in unused.items()]
         request = self._request(owner, tuple(wants))
         try:
@@ -291,7 +311,7 @@
             return
         self._note_reply(owner, reply.message, reply.peer.incarnation)
         now = self._clock.monotonic()
-        for some, grant in zip(by_key.values(), reply.message.grants, strict=False):
+        for some, grant in zip(by_want.values(), reply.message.grants, strict=False):
             unused_count = _deal(some, Answer(grant, owner.entry_id, now))
             if unused_count:
                 queue.note_unused(some[0].key, some[0].limit, unused_count)
@@ -366,8 +386,10 @@
         return any(not self._leases.is_leased_to(slot, entry_id) for slot in slots)
 
 
-def _want(key: "LimitKey", waiting: t.Sequence[Acquisition], unused: t.Optional[_Unused]) -> Want:
-    return Want(key, len(waiting), unused.tokens if unused is not None else 0, waiting[0].limit)
+def _want(waiting: t.Sequence[Acquisition], unused: t.Optional[_Unused]) -> Want:
+    first = waiting[0]
+    returned = unused.tokens if unused is not None else 0
+    return Want(first.key, len(waiting), returned, first.limit, first.reserved_part)
 
 
 def _deal(waiting: t.Sequence[Acquisition], answer: Answer) -> int:
--- a/src/coralfall/traffic/target_permits.py
+++ b/src/coralfall/traffic/target_permits.py
@@ -13,7 +13,7 @@
 from ..exceptions import TargetNotRunError
 from ..ids import EntryId, TargetId
 from ..placement.ledger import Limit, LimitKey, LimitKind, slot_of
-from ..placement.target_limits import key_of
+from ..placement.target_limits import RESERVED_PART, key_of
 from .permits import LimitSource
 
 if t.TYPE_CHECKING:
@@ -86,9 +86,12 @@
         """Whether a send to a target needs a token."""
         return self.limits.rate_of(target) is not None
 
-    async def take(self, target: "Target", until: float) -> t.Optional[TargetPermit]:
+    async def take(
+        self, target: "Target", until: float, known: bool = True
+    ) -> t.Optional[TargetPermit]:
         """Acquire a token for one send; ``None`` if it needs none.
 
+        :param known: whether the target knows the request's object.
         :param until: monotonic time at which the request's time is over.
         :raises TargetNotRunError: if there is none.
         """
@@ -97,12 +100,13 @@
             return None
         key = key_of(target.target_id, self._region_of(target))
         until = min(until, self._clock.monotonic() + defaults.QUOTA_HEDGE_S)
-        acquisition = await self._permits.acquire(key, limit, until, _KNOWN_PART)
+        reserved_part = 0.0 if known else RESERVED_PART
+        acquisition = await self._permits.acquire(key, limit, until, _KNOWN_PART, reserved_part)
         if acquisition.granted is not None:
             return TargetPermit(key, limit, acquisition.granted.owner_id)
-        self.limits.exhaust(target, _backoff_s(acquisition))
+        self.limits.exhaust(target, _backoff_s(acquisition), known)
         message = f"target {target.target_id} allows {limit.rate_per_s:g} requests/s in all"
-        wait_s = max(self.limits.wait_s(target), defaults.COME_BACK_S)
+        wait_s = max(self.limits.wait_s(target, known), defaults.COME_BACK_S)
         raise TargetNotRunError(message, reason=LIMITED, come_back_s=wait_s)
 
     def give_back(self, permit: t.Optional[TargetPermit]) -> None:
--- a/tests/simulation/test_world.py
+++ b/tests/simulation/test_world.py
@@ -82,7 +82,8 @@
     """Floors lie between what the decisions earn and what is earned with one of them taken out.
 
     Taken out: room for a second home to learn (0.668, 0.893 and 0.769 in rows 1, 2 and 4), asking a
-    target that sheds again (0.769 in row 3), what is expected of a target (0.732, 0.897 and 0.789).
+    target that sheds again (0.769 in row 3), what is expected of a target (0.732, 0.897 and 0.789),
+    half of a bucket for objects that targets know (0.461 and 308 learnt in row 6).
     """
 
     @parameterized.expand(
@@ -111,6 +112,13 @@
                 0.895,
                 180,
             ),
+            (
+                "limits_of_a_third_of_the_load",
+                (2, 4, 6),
+                (EventSettings(kind=Trouble.LIMIT, at=4.0, for_s=9.0, times=4.5),),
+                0.49,
+                200,
+            ),
         ]
     )
     def test_load(
--- a/tests/traffic/test_quota_ledger.py
+++ b/tests/traffic/test_quota_ledger.py
@@ -101,6 +101,33 @@
         owner.wait(seconds)
         self.assertEqual(expected, owner.take())
 
+    @parameterized.expand(
+        [
+            ("nothing saved up", 0.0, 0, 0),
+            ("less than what is reserved", 0.9, 0, 9),
+            ("more than that", 1.5, 5, 15),
+            ("a full bucket", 60.0, 10, 20),
+        ]
+    )
+    def test_a_part_of_the_bucket_may_be_reserved(
+        self, _name: str, seconds: float, others: int, all_tokens: int
+    ) -> None:
+        owner = Owner()
+        owner.lend(10)
+        owner.wait(seconds)
+        self.assertEqual(others, owner.ledger.take(ACME, LIMIT, 1000, 0.5).count)
+        self.assertEqual(all_tokens - others, owner.take())
+
+    def test_who_may_not_take_what_is_reserved_is_told_when_there_is_more(self) -> None:
+        owner = Owner()
+        owner.lend(10)
+        owner.take(0)
+        waits = [owner.ledger.take(ACME, LIMIT, 1, 0.5).wait_s for _ in range(3)]
+        for wait in waits:
+            self.assertAlmostEqual(1.1, wait)
+        # Those that may are not told to queue behind.
+        self.assertAlmostEqual(0.1, owner.ledger.take(ACME, LIMIT, 1).wait_s)
+
     def test_often_asked_grants_as_much_as_seldom(self) -> None:
         owner = Owner()
         owner.lend(10)
