--- a/tests/traffic/test_target_fleet.py
+++ b/tests/traffic/test_target_fleet.py
@@ -101,6 +101,26 @@
     await fleet.play(4.0, per_s)
 
 
+async def owners_change(fleet: LimitFleet, per_s: float) -> None:
+    """Entries take turns at being told that the owner serves no more, while it does."""
+    for number in range(40):
+        owner = owner_of(fleet)
+        entries = fleet.entries[number % 2 :: 2]
+        for entry in entries:
+            serving = [one for one in entry.members.serving() if one.entry_id != owner.entry_id]
+            entry.members.hear(serving, len(fleet.entries))
+        await fleet.play(0.3, per_s)
+        fleet.tell_all()
+        await fleet.play(0.3, per_s)
+
+
+async def rest_and_return(fleet: LimitFleet, per_s: float) -> None:
+    """Callers come back once all tokens are saved up that there may be."""
+    await fleet.play(1.0, per_s)
+    await asyncio.sleep(40.0)
+    await fleet.play(6.0, per_s)
+
+
 async def add_many(fleet: LimitFleet, per_s: float) -> None:
     await fleet.play(3.0, per_s)
     for _ in range(len(fleet.entries) // 2):
@@ -137,6 +157,8 @@
                         kill_all,
                         stop_owners,
                         add_many,
+                        owners_change,
+                        rest_and_return,
                     )
                     for limit, count in ((3.6, 12), (0.6, 24))
                 ],
--- a/tests/traffic/test_target_limits.py
+++ b/tests/traffic/test_target_limits.py
@@ -7,12 +7,13 @@
 from parameterized import parameterized
 
 from coralfall import defaults
-from coralfall.placement.target_limits import TargetLimits
+from coralfall.placement.target_limits import TargetLimits, bucket_for
 from coralfall.placement.targets import TargetBook
 from coralfall.process.clock import ManualClock
 from coralfall.traffic.messages import News
 from coralfall.traffic.wire import parse_limit
 from tests.traffic.known import Known
+from tests.traffic.limit_fleet import WINDOW_S, most_of
 from tests.traffic.makers import make_target
 
 #: Seconds at which each answer comes, at which its request was sent, and the limit that it names.
@@ -53,6 +54,17 @@
         self.assertIsNone(limits.rate_of(make_target(born=2000)))
 
 
+class BucketTest(unittest.TestCase):
+    @parameterized.expand([(0.0,), (0.05,), (0.4,), (1.9,), (3.6,), (40.0,), (1000.0,)])
+    def test_a_window_holds_less_than_the_users_allow(self, rate_per_s: float) -> None:
+        bucket = bucket_for(rate_per_s)
+        filled = bucket.rate_per_s * WINDOW_S + bucket.burst
+        self.assertLessEqual(filled, most_of(rate_per_s))
+        self.assertGreaterEqual(bucket.rate_per_s, rate_per_s)
+        # A region's part of it, where its owner is lost, still holds a token.
+        self.assertGreaterEqual(bucket.burst / 4, 1.0)
+
+
 class AgreementTest(unittest.TestCase):
     """Entries that tell each other, by the messages of gossip."""
 
