--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -94,6 +94,16 @@
     status: t.Optional[int] = None
 
 
+@dataclasses.dataclass
+class NamedLimit:
+    """A target's limit, and for how long its answers name it."""
+
+    target: str
+    per_s: float
+    began: float
+    ended: float = float("inf")
+
+
 @dataclasses.dataclass
 class Record:
     """Everything that was seen in one run."""
@@ -109,6 +119,8 @@
     disturbances: t.List[t.Tuple[float, float, str]] = dataclasses.field(default_factory=list)
     #: When targets ended under a request, by its path.
     ended_at: t.Dict[str, t.List[float]] = dataclasses.field(default_factory=dict)
+    #: Limits that targets named.
+    limits: t.List[NamedLimit] = dataclasses.field(default_factory=list)
     #: What the run itself found, beside what the rules find.
     faults: t.List[str] = dataclasses.field(default_factory=list)
 
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -25,6 +25,12 @@
 WINDOW_S = 5.0
 OVERAGE = 0.1
 SLACK = 20.0
+#: Of limits that targets name: seconds of a window, by what factor and number it may be exceeded,
+#: and seconds after which an entry that passed on such an answer counts as told.
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+TOLD_S = 0.5
 #: Targets that a request ends until it must be known, and how often it may arrive later.
 DEADLY_ENDS = 3
 DEADLY_LATER = 3
@@ -76,6 +82,31 @@
             return
 
 
+def beyond_named_limit(record: Record) -> t.Iterator[str]:
+    """All entries that passed on a target's limit keep it, but for those that were disturbed."""
+    attempts = {attempt.request_id: attempt for attempt in record.attempts}
+    for limit in record.limits:
+        told_at: t.Dict[str, float] = {}
+        times = []
+        arrivals = [one for one in record.arrivals if one.target == limit.target]
+        for arrival in sorted(arrivals, key=lambda one: one.at):
+            attempt = attempts.get(arrival.request_id)
+            if attempt is None or not limit.began <= arrival.at < limit.ended:
+                continue
+            entry = attempt.entry
+            calm = record.calm(entry, arrival.at, arrival.at + SLOW_S, STABLE_S)
+            if calm and told_at.get(entry, arrival.at) + TOLD_S < arrival.at:
+                times.append(arrival.at)
+            if attempt.status == 200:
+                told_at[entry] = min(told_at.get(entry, attempt.ended_at), attempt.ended_at)
+        most = limit.per_s * LIMIT_WINDOW_S * LIMIT_FACTOR + LIMIT_SLACK
+        for first, at in enumerate(times):
+            count = bisect.bisect_left(times, at + LIMIT_WINDOW_S) - first
+            if count > most and at + LIMIT_WINDOW_S >= limit.began + STABLE_S:
+                yield f"LIMIT {count} at {limit.target} from {at:.2f}, {most:g} allowed"
+                break
+
+
 def twice(record: Record) -> t.Iterator[str]:
     """What may run once runs once."""
     runs = collections.Counter(a.request_id for a in record.arrivals if a.ran)
@@ -167,7 +198,16 @@
 
 
 #: What holds however busy the machine is, and what has a bound in time besides.
-TIMELESS: t.Tuple[Rule, ...] = (mixed, unasked, without_key, over_limit, twice, refused, reverts)
+TIMELESS: t.Tuple[Rule, ...] = (
+    mixed,
+    unasked,
+    without_key,
+    over_limit,
+    beyond_named_limit,
+    twice,
+    refused,
+    reverts,
+)
 TIMED: t.Tuple[Rule, ...] = (in_force, drains, quarantined, lost)
 
 
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -67,7 +67,8 @@
             await turn.answer(421, b"", x_response_signature="")
             return
         if not room:
-            await turn.answer(503, b"", x_not_executed="1", x_response_signature="")
+            fields = {"x_not_executed": "1", "x_response_signature": ""}
+            await turn.answer(503, b"", **fields, server_limit=self._named_limit())
             return
         self._in_hand += 1
         try:
@@ -106,7 +107,8 @@
         signature = f"signed-{self.instance_id}-{request_id}"
         load = f"{self._in_hand},0,{SLOTS}"
         if self._rng.random() >= self.garble:
-            await turn.answer(200, body, x_response_signature=signature, x_server_load=load)
+            fields = {"x_response_signature": signature, "x_server_load": load}
+            await turn.answer(200, body, **fields, server_limit=self._named_limit())
             return
         if self._rng.random() < 0.5:
             await turn.answer(200, body[:99], length=len(body), x_response_signature=signature)
@@ -115,6 +117,9 @@
         await turn.answer(200, body, x_response_signature=signature)
         await turn.answer(200, b"another", x_response_signature=signature)
 
+    def _named_limit(self) -> str:
+        return "" if self.limit_per_s is None else f"{self.limit_per_s:g}"
+
     def _note(self, turn: Turn, ran: bool) -> None:
         method = turn.head.decode("latin-1").partition(" ")[0]
         request_id = turn.header("x-request-id") or ""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,6 +13,7 @@
     Arrival,
     Attempt,
     Lifetime,
+    NamedLimit,
     Record,
     Sort,
     Tenant,
@@ -30,6 +31,7 @@
             # Signals ended entries that were still starting.
             ("signals while starting", 201, 10.0, False),
             ("requests that end targets", 3, 10.0, True),
+            ("targets with limits", 5, 12.0, False),
         ]
     )
     def test_promises_hold_under_faults(
@@ -79,6 +81,17 @@
     return seen
 
 
+def beyond_limit(count: int, at: float = 14.0) -> t.List[object]:
+    """Requests to a target that named a limit of 2 a second; an answer at 10.3 told of it."""
+    seen: t.List[object] = []
+    for number in range(1 + count):
+        came_at = at if number else 10.2
+        name = f"c-{number}"
+        seen.append(attempt(name, sent_at=came_at - 0.1, ended_at=came_at + 0.1))
+        seen.append(arrival(name, target="i-8", at=came_at))
+    return seen
+
+
 class RulesTest(unittest.TestCase):
     """A rule that sees nothing would make the soak worthless."""
 
@@ -87,6 +100,7 @@
         record.attempts = [one for one in seen if isinstance(one, Attempt)]
         record.arrivals = [one for one in seen if isinstance(one, Arrival)]
         record.ended_at = {DEADLY: [5.0, 6.0, 7.0]}
+        record.limits = [NamedLimit("i-8", 2.0, 9.0, 20.0)]
         record.lifetimes = [one for one in seen if isinstance(one, Lifetime)]
         return record
 
@@ -109,6 +123,10 @@
             ("within a limit", hot(33), ""),
             ("over a limit", hot(34), "QUOTA"),
             ("over a limit, and not run", hot(34, ran=False), ""),
+            ("within a target's limit", beyond_limit(17), ""),
+            ("beyond a target's limit", beyond_limit(18), "LIMIT"),
+            ("beyond it before it was told", beyond_limit(18, at=10.6), ""),
+            ("beyond it once it is over", beyond_limit(18, at=20.5), ""),
             ("ran twice", [attempt(), arrival(), arrival(target="i-2")], "TWICE"),
             ("arrived twice, ran once", [attempt(), arrival(), arrival(ran=False)], ""),
             ("refused and ran", [attempt(status=503), arrival()], "REFUSED"),
@@ -167,6 +185,11 @@
         faults = broken(self.record(*seen), TIMELESS + TIMED)
         self.assertEqual([rule] if rule else [], [fault.split(" ")[0] for fault in faults])
 
+    def test_an_entry_that_was_disturbed_is_excused_from_a_limit(self) -> None:
+        record = self.record(*beyond_limit(18))
+        record.disturbances.append((12.0, 13.0, "e0"))
+        self.assertEqual([], broken(record, TIMELESS))
+
     def test_bounds_in_time_wait_for_calm(self) -> None:
         record = self.record(attempt(sort=Sort.SINCE, version=2, status=404))
         record.disturbances.append((5.0, 7.0, "e0"))
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -8,6 +8,7 @@
 import typing as t
 
 from tests.soak.proxy import Proxy
+from tests.soak.record import NamedLimit
 from tests.soak.targets import SoakTarget
 from tests.soak.world import SERVICES, SoakEntry, World
 
@@ -20,6 +21,8 @@
 _BOOT_S = 0.4
 #: Seconds for which a leaving target serves on, and after which its address may be another's.
 _LEAVES_S = 7.0
+#: Seconds for which a target names a limit; it binds a few of them after it was first named.
+_LIMITED_S = (2.0, 12.0)
 
 
 @contextlib.asynccontextmanager
@@ -229,3 +232,16 @@
     slow_target,
     bad_answers,
 )
+
+
+async def limit(world: World, rng: random.Random) -> None:
+    """A target takes few requests a second from all entries together, and says so."""
+    target = rng.choice(world.targets)
+    if target.limit_per_s is not None:
+        return
+    target.limit_per_s = rng.choice((0.4, 2.0, 4.0))
+    named = NamedLimit(target.instance_id, target.limit_per_s, time.monotonic())
+    world.record.limits.append(named)
+    await asyncio.sleep(rng.uniform(*_LIMITED_S))
+    target.limit_per_s = None
+    named.ended = time.monotonic()
