--- a/src/coralfall/traffic/quotas.py
+++ b/src/coralfall/traffic/quotas.py
@@ -14,9 +14,10 @@
     from ..ids import EntryId
     from ..placement.ledger import Limit, LimitKey
     from ..process.clock import Clock
+    from .acquisition import Acquisition, Answer
     from .belief import Belief
     from .model import Tenant
-    from .permits import Acquisition, Answer, Permits
+    from .permits import Permits
     from .settings import BoundSettings
 
 #: Reason of a request beyond its tenant's limit, and of one for which no owner could be asked.
--- a/src/coralfall/traffic/target_permits.py
+++ b/src/coralfall/traffic/target_permits.py
@@ -22,8 +22,9 @@
     from ..placement.target_limits import TargetLimits
     from ..placement.targets import TargetBook
     from ..process.clock import Clock
+    from .acquisition import Acquisition
     from .model import Target
-    from .permits import Acquisition, Permits
+    from .permits import Permits
     from .settings import SteerSettings
 
 #: Reason of a send that its target's limit has no token for.
