--- a/tests/reporting/test_explain.py
+++ b/tests/reporting/test_explain.py
@@ -87,7 +87,13 @@
         self.assertIn(expected, explain(request_id, LINES))
 
     @parameterized.expand(
-        [("shed-503", "did not run"), ("full-late", "beyond the aim"), ("200", ""), ("odd", "")]
+        [
+            ("shed-503", "did not run"),
+            ("full-late", "beyond the aim"),
+            ("limited", "limits"),
+            ("200", ""),
+            ("odd", ""),
+        ]
     )
     def test_causes(self, reason: str, expected: str) -> None:
         found = cause_of(reason)
