--- a/src/coralfall/placement/ledger.py
+++ b/src/coralfall/placement/ledger.py
@@ -34,7 +34,7 @@
 #: Part of the shares that have to stay when others end, lest buckets that nobody asked for yet
 #: start to fill up anew.
 _FEW_LEFT = 0.5
-#: Seconds without a question after which a full bucket is let go of.
+#: Seconds without a permit request after which a full bucket is dropped.
 _IDLE_S = 10.0
 #: Longest time, in seconds, after which a refused caller is told to come back.
 _MAX_WAIT_S = 5.0
@@ -280,7 +280,7 @@
             bucket.refill(shares.lent_s, shares.part())
 
     def tick(self) -> None:
-        """Add up what is lent, and let go of full buckets, which new ones stand for as well."""
+        """Adds up what is leased, and drops full buckets, as new ones start as full."""
         now = self._clock.monotonic()
         for shares in self._shares.values():
             shares.add_up(now)
--- a/src/coralfall/traffic/messages.py
+++ b/src/coralfall/traffic/messages.py
@@ -96,5 +96,5 @@
     grants: t.Tuple[Grant, ...]
     #: What the owner's clock shows.
     now_s: float
-    #: Whether it counts for nobody any more and has let go of all that was leased to it.
+    #: Whether it grants nothing any more, and has ended all leases that it held.
     closed: bool = False
--- a/src/coralfall/traffic/quotas.py
+++ b/src/coralfall/traffic/quotas.py
@@ -94,7 +94,7 @@
         self._permits.give_back(key_of(tenant.tenant_id), limit, owner_id)
 
     def forget(self) -> None:
-        """Let go of backoffs that are over."""
+        """Drops backoffs that are over."""
         now = self._clock.monotonic()
         self._over = {name: one for name, one in self._over.items() if now < one.until}
 
