--- a/tests/platform_adapter/standins.py
+++ b/tests/platform_adapter/standins.py
@@ -192,12 +192,18 @@
         super().__init__(self._run)
         self.instance_id = instance_id
         self.ran: t.List[str] = []
-        #: When each request came.
+        #: When each request came, and their ids.
         self.reached_at: t.List[float] = []
+        self.reached_by: t.List[str] = []
         #: Seconds that a request takes.
         self.work_s = 0.0
         #: Requests a second that it takes from all entries together, as its answers name them.
         self.limit_per_s: t.Optional[float] = None
+        #: Whether its answers say that it leaves.
+        self.leaving = False
+        #: Seconds without requests that it asks for with each request that it rejects, which are
+        #: all while this is set.
+        self.cooldown_s: t.Optional[float] = None
 
     def row(self, service: str, zone: str, **status: t.Any) -> t.Dict[str, t.Any]:
         """Its row in the store."""
@@ -211,11 +217,20 @@
         if turn.header("x-expected-instance") != self.instance_id:
             await turn.answer(421, b"", x_response_signature="")
             return
+        request_id = turn.header("x-request-id") or ""
         self.reached_at.append(time.monotonic())
-        self.ran.append(turn.header("x-request-id") or "")
+        self.reached_by.append(request_id)
+        fields = {
+            "x_server_load": "1,0,6",
+            "server_limit": "" if self.limit_per_s is None else f"{self.limit_per_s:g}",
+            "server_leaving": "1" if self.leaving else "",
+        }
+        if self.cooldown_s is not None:
+            fields["retry_after"] = f"{self.cooldown_s:g}"
+            await turn.answer(503, b"", x_not_executed="1", x_response_signature="", **fields)
+            return
+        self.ran.append(request_id)
         await asyncio.sleep(self.work_s)
-        limit = "" if self.limit_per_s is None else f"{self.limit_per_s:g}"
-        fields = {"x_server_load": "1,0,6", "server_limit": limit}
         await turn.answer(200, turn.body or b"read", **fields)
 
 
