Send nothing to a target that said in an answer that it leaves

What callers saw: nothing at once; a target that had told an entry that it leaves went on getting its requests for as long as its row said "ready", 13 s in the incident, and would have cut them off at its end. Cause: entries knew of leaving by rows alone, and the store was away. Change: an answer that says so, also one that is not passed on or whose body is cut off, ends the use of that lifetime at once at the entry that heard it, by the same check as a row's word, which is made last before each send. The word is kept by lifetime (id, start, address): a row that is stale, is written again, or vanishes and returns undoes nothing, and a new lifetime under the id or at the address is used at once. A 421 says nothing, as it is another target's. Entries tell each other by gossip.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -229,6 +229,8 @@
 GOSSIP_SUSPECTS = 24
 #: Most limits of targets that are news in one message.
 GOSSIP_LIMITS = 64
+#: Most departures of targets that are news in one message.
+GOSSIP_DEPARTURES = 64
 MAX_SUSPECTS = 1024
 #: Targets that must have ended with a request in hand until it is sent to no more of them, if
 #: nobody else was in hand at as many; and if somebody was. The users allow it to reach targets
--- a/src/coralfall/placement/affinity.py
+++ b/src/coralfall/placement/affinity.py
@@ -164,7 +164,7 @@
             regions = route.allowed_regions
         ranked = self._ranked_of(service, key, regions)
         homes = self._homes(ranked, service, key, regions, tried)
-        if again is not None and route.session_affinity:
+        if again is not None and route.session_affinity and self._targets.may_use(again):
             homes = [state for state in homes if state.knows(key)] + [again]
         if not homes:
             raise self._nothing_usable(service, ranked, key)
--- a/src/coralfall/placement/departures.py
+++ b/src/coralfall/placement/departures.py
@@ -1,11 +1,13 @@
 """Departures: lifetimes of targets that said in an answer that they leave.
 
 A lifetime that leaves does not come back, so this is a set that only grows, until its targets have
-been unknown for long.
+been unknown for long. Entries tell each other: what is news goes with each message, and two whose
+sums differ tell each other all (anti-entropy over a grow-only set).
 """
 
 import typing as t
 
+from .. import defaults
 from ..process import log
 from .lifetime import Lifetime, lifetime_of
 
@@ -30,8 +32,14 @@
         self._clock = clock
         #: When the target of each was last among those that there are.
         self._seen_at: t.Dict[Lifetime, float] = {}
+        #: When this entry learnt of those that are news.
+        self._news: t.Dict[Lifetime, float] = {}
         #: Those that this entry learnt of by an answer, by service.
         self.heard_by_service: t.Dict[str, int] = {}
+        #: Called when more lifetimes leave.
+        self.on_change: t.Callable[[], None] = lambda: None
+        #: Called when there is something to tell the others: at once, or when there is room.
+        self.on_news: t.Callable[[bool], None] = lambda at_once: None
 
     def includes(self, target: "Target") -> bool:
         """Whether a target's lifetime leaves."""
@@ -42,13 +50,54 @@
         lifetime = lifetime_of(target)
         if lifetime in self._seen_at:
             return
-        self._seen_at[lifetime] = self._clock.monotonic()
         self.heard_by_service[target.service] = self.heard_by_service.get(target.service, 0) + 1
         log.info("target.leaving", target=target.target_id, service=target.service, evidence="own")
+        self._add([lifetime])
+        self.on_news(False)
+
+    def hear(self, lifetimes: t.Iterable[Lifetime]) -> None:
+        """Takes in what another entry knows."""
+        new = [lifetime for lifetime in lifetimes if lifetime not in self._seen_at]
+        if not new:
+            return
+        if len(new) > log.SINGLE_LINES:
+            ids = [lifetime.target_id for lifetime in new]
+            log.many("target.leaving", "targets", ids, evidence="told")
+        else:
+            for lifetime in new:
+                log.info("target.leaving", target=lifetime.target_id, evidence="told")
+        self._add(new)
+
+    def recent(self) -> t.Tuple[Lifetime, ...]:
+        """What is news still, the latest first."""
+        latest = sorted(self._news, key=lambda lifetime: self._news[lifetime], reverse=True)
+        return tuple(latest[: defaults.GOSSIP_DEPARTURES])
+
+    def all(self) -> t.Tuple[Lifetime, ...]:
+        """Those whose targets are among the ones that there are."""
+        since = self._clock.monotonic() - defaults.GOSSIP_NEWS_S
+        return tuple([lifetime for lifetime, seen_at in self._seen_at.items() if seen_at > since])
+
+    def sum(self) -> int:
+        """A number that two entries share if they agree on :meth:`all`."""
+        total = 0
+        for lifetime in self.all():
+            total ^= lifetime.digest()
+        return total
+
+    def _add(self, lifetimes: t.Iterable[Lifetime]) -> None:
+        now = self._clock.monotonic()
+        for lifetime in lifetimes:
+            self._seen_at[lifetime] = now
+            self._news[lifetime] = now
+        self.on_change()
 
     def tick(self, targets: "t.Mapping[TargetId, TargetState]") -> None:
         """Compares the departures with the targets that there are."""
         now = self._clock.monotonic()
+        for lifetime, learnt_at in list(self._news.items()):
+            if now - learnt_at >= defaults.GOSSIP_NEWS_S:
+                del self._news[lifetime]
         for lifetime, seen_at in list(self._seen_at.items()):
             state = targets.get(lifetime.target_id)
             if state is not None and lifetime_of(state.target) == lifetime:
--- a/src/coralfall/placement/targets.py
+++ b/src/coralfall/placement/targets.py
@@ -31,12 +31,16 @@
     :param target: its row.
     :param clock: tells the time.
     :param row_delay_s: seconds from a target's start until its row is known to tell of it.
+    :param reports: what targets say of themselves.
     """
 
-    def __init__(self, target: "Target", clock: "Clock", row_delay_s: float = 0.0) -> None:
+    def __init__(
+        self, target: "Target", clock: "Clock", row_delay_s: float, reports: TargetReports
+    ) -> None:
         self.target = target
         self._clock = clock
         self._row_delay_s = row_delay_s
+        self._reports = reports
         #: When each request of this entry that it has in hand was begun and when it is overdue.
         self._begun: t.Dict[int, t.Tuple[float, float]] = {}
         self._begun_count = 0
@@ -55,6 +59,11 @@
         self._rests = 0
         self._rests_until = -float("inf")
 
+    @property
+    def leaving(self) -> bool:
+        """Whether its lifetime ends soon, by its row or by its own word."""
+        return self.target.leaving or self._reports.departures.includes(self.target)
+
     @property
     def in_hand(self) -> int:
         """Requests of this entry that it has in hand."""
@@ -186,6 +195,7 @@
         self.on_restart: "t.Callable[[Target], None]" = lambda target: None
         #: What the targets say of themselves.
         self.reports = TargetReports(clock)
+        self.reports.departures.on_change = self._index
         self.by_id: t.Dict["TargetId", TargetState] = {}
         self._by_service: t.Dict["ServiceId", t.List[TargetState]] = {}
         self._evacuated: t.FrozenSet["ZoneId"] = frozenset()
@@ -212,7 +222,7 @@
             self._end_lifetime(state, target)
             state = None
         if state is None:
-            state = TargetState(target, self._clock, self._row_delay_s)
+            state = TargetState(target, self._clock, self._row_delay_s, self.reports)
             self.by_id[target.target_id] = state
         elif state.target is target or state.target == target:
             return False
@@ -259,10 +269,9 @@
 
     def may_use(self, state: TargetState) -> bool:
         """The last check before a request is sent: its row is there, it stays, its zone is used."""
-        target = state.target
-        if target.leaving or target.zone in self._evacuated or state.gone:
+        if state.leaving or state.target.zone in self._evacuated or state.gone:
             return False
-        return self.by_id.get(target.target_id) is state
+        return self.by_id.get(state.target.target_id) is state
 
     def of_service(self, service: "ServiceId") -> t.Sequence[TargetState]:
         """Targets of a service that may be used."""
@@ -278,7 +287,7 @@
     def _name_of(self, state: TargetState) -> str:
         if state.gone:
             return "gone"
-        if state.target.leaving:
+        if state.leaving:
             return "leaving"
         if state.target.zone in self._evacuated:
             return "evacuated"
--- a/src/coralfall/traffic/belief.py
+++ b/src/coralfall/traffic/belief.py
@@ -152,7 +152,7 @@
 
     def _linger(self, present: "t.Mapping[TargetId, Target]") -> None:
         for target_id, state in self._targets.by_id.items():
-            if target_id not in present and not state.target.leaving:
+            if target_id not in present and not state.leaving:
                 self._lingering[target_id] = state.target
 
     def _drop_decided(self, present: "t.Mapping[TargetId, Target]") -> None:
--- a/src/coralfall/traffic/exchange.py
+++ b/src/coralfall/traffic/exchange.py
@@ -7,8 +7,10 @@
 
 if t.TYPE_CHECKING:
     from ..ids import Revision
+    from ..placement.lifetime import Lifetime
     from ..placement.quarantine import Quarantine, Suspect
-    from ..placement.target_limits import NamedLimit, TargetLimits
+    from ..placement.target_limits import NamedLimit
+    from ..placement.target_reports import TargetReports
     from ..process.clock import Clock
     from .belief import Belief
     from .delta import Delta
@@ -25,7 +27,7 @@
     :param members: the entries.
     :param belief: the rows.
     :param quarantine: requests that targets end of.
-    :param limits: limits that targets named.
+    :param reports: what targets say of themselves.
     :param clock: tells the time.
     """
 
@@ -34,7 +36,7 @@
         members: "Members",
         belief: "Belief",
         quarantine: "Quarantine",
-        limits: "TargetLimits",
+        reports: "TargetReports",
         clock: "Clock",
     ) -> None:
         self._members = members
@@ -42,8 +44,8 @@
         self.belief = belief
         #: Requests that targets end of.
         self.quarantine = quarantine
-        #: Limits that targets named.
-        self.limits = limits
+        #: What targets say of themselves.
+        self.reports = reports
         self._clock = clock
         #: Since when what is known of the entries differs from what others know.
         self._differs_since: t.Optional[float] = None
@@ -58,6 +60,7 @@
         wants_rows: bool = True,
         suspects: "t.Optional[t.Tuple[Suspect, ...]]" = None,
         limits: "t.Optional[t.Tuple[NamedLimit, ...]]" = None,
+        departures: "t.Optional[t.Tuple[Lifetime, ...]]" = None,
     ) -> News:
         """What is known here, with what came after the revisions given.
 
@@ -65,6 +68,7 @@
         :param address: of the entry that this is for; it is told if it is suspected.
         :param suspects: the suspected requests to tell of, in place of those that are news.
         :param limits: the targets' limits to tell of, in place of those that are news.
+        :param departures: the lifetimes that leave to tell of, in place of those that are news.
         :param wants_rows: whether it is to answer with the rows that are not known here.
         """
         now = self._clock.monotonic()
@@ -86,28 +90,26 @@
             targets=_delta(belief.target_rows, targets_since),
             suspects=self.quarantine.recent() if suspects is None else suspects,
             suspects_sum=self.quarantine.sum(),
-            limits=self.limits.recent() if limits is None else limits,
-            limits_sum=self.limits.sum(),
+            limits=self.reports.limits.recent() if limits is None else limits,
+            limits_sum=self.reports.limits.sum(),
+            departures=self.reports.departures.recent() if departures is None else departures,
+            departures_sum=self.reports.departures.sum(),
         )
 
     def answer(self, news: News) -> News:
         """What the sender of ``news`` does not know."""
         address = news.records[0].peer_address if news.records else ""
-        agreed = news.suspects_sum == self.quarantine.sum()
-        suspects = None if agreed else self.quarantine.all()
-        limits = None if news.limits_sum == self.limits.sum() else self.limits.all()
+        reports = self.reports
+        known: t.Dict[str, t.Any] = {"all_members": news.wants_all, "address": address}
+        if news.suspects_sum != self.quarantine.sum():
+            known["suspects"] = self.quarantine.all()
+        if news.limits_sum != reports.limits.sum():
+            known["limits"] = reports.limits.all()
+        if news.departures_sum != reports.departures.sum():
+            known["departures"] = reports.departures.all()
         if not news.wants_rows:
-            return self.news(
-                all_members=news.wants_all, address=address, suspects=suspects, limits=limits
-            )
-        return self.news(
-            news.state_revision,
-            news.targets_revision,
-            news.wants_all,
-            address,
-            suspects=suspects,
-            limits=limits,
-        )
+            return self.news(**known)
+        return self.news(news.state_revision, news.targets_revision, **known)
 
     def take(self, news: News, asked_at: t.Optional[float] = None) -> bool:
         """Take in news; whether the sender knows more still.
@@ -117,7 +119,8 @@
         belief = self.belief
         self._take_members(news, asked_at is not None)
         self.quarantine.hear(news.suspects)
-        self.limits.hear(news.limits)
+        self.reports.limits.hear(news.limits)
+        self.reports.departures.hear(news.departures)
         if asked_at is not None and news.store_s is not None:
             belief.store_clock.observe(asked_at, news.store_s)
         keys = _apply(belief.state_rows, news.state, news.state_read_s)
--- a/src/coralfall/traffic/gossip.py
+++ b/src/coralfall/traffic/gossip.py
@@ -113,7 +113,8 @@
         self._may_push_at = -float("inf")
         members.on_news = self._push_soon
         exchange.quarantine.on_news = self._push_soon
-        exchange.limits.on_news = self._push_soon
+        exchange.reports.limits.on_news = self._push_soon
+        exchange.reports.departures.on_news = self._push_soon
 
     async def run(self) -> None:
         try:
--- a/src/coralfall/traffic/messages.py
+++ b/src/coralfall/traffic/messages.py
@@ -7,6 +7,7 @@
 from ..ids import EntryId, Incarnation, Revision
 from ..peering.message import Message
 from ..placement.ledger import Grant, Limit, LimitKey, SlotGroup
+from ..placement.lifetime import Lifetime
 from ..placement.quarantine import Suspect
 from ..placement.target_limits import NamedLimit
 from .delta import Delta
@@ -53,6 +54,11 @@
     limits: t.Tuple[NamedLimit, ...] = ()
     #: See :meth:`..placement.target_limits.TargetLimits.sum`.
     limits_sum: int = 0
+    #: Targets' lifetimes that leave, as far as they are news, or all if the receiver's sum is
+    #: another one.
+    departures: t.Tuple[Lifetime, ...] = ()
+    #: See :meth:`..placement.departures.Departures.sum`.
+    departures_sum: int = 0
 
 
 class Push(Message, frozen=True, tag=33):
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -253,7 +253,7 @@
         hello = Hello(entry_id=own.entry_id, incarnation=own.incarnation)
         traffic = self._traffic
         self.exchange = Exchange(
-            self.members, self.belief, self.quarantine, self.steering.limits, self.clock
+            self.members, self.belief, self.quarantine, self.targets.reports, self.clock
         )
         links = PeerLinks(fleet_key, hello, traffic)
         self.gossip = Gossip(
--- a/tests/traffic/known.py
+++ b/tests/traffic/known.py
@@ -9,7 +9,7 @@
 from coralfall.exceptions import DesiredStateError
 from coralfall.ids import Revision, ZoneId
 from coralfall.placement.quarantine import Quarantine
-from coralfall.placement.target_limits import TargetLimits
+from coralfall.placement.target_reports import TargetReports
 from coralfall.process.clock import Clock, ManualClock
 from coralfall.stores.store import Row
 from coralfall.traffic.belief import Belief
@@ -66,9 +66,10 @@
         )
         self.members = Members(make_record(name), self.clock, rng)
         self.quarantine = Quarantine(defaults.QUARANTINE_S, self.clock)
-        self.limits = TargetLimits(self.clock)
+        self.reports = TargetReports(self.clock)
+        self.limits = self.reports.limits
         self.exchange = Exchange(
-            self.members, self.belief, self.quarantine, self.limits, self.clock
+            self.members, self.belief, self.quarantine, self.reports, self.clock
         )
 
     def learn_state(self, revision: int, key: str, value: t.Any) -> None:
--- /dev/null
+++ b/tests/traffic/test_departures.py
@@ -0,0 +1,203 @@
+"""Tests of targets that say in an answer that they leave, whatever their rows say."""
+
+import asyncio
+import typing as t
+import unittest
+
+import msgspec
+from parameterized import parameterized
+
+from coralfall import defaults
+from coralfall.ids import TargetId
+from coralfall.placement.target_reports import TargetReport
+from coralfall.process.clock import ManualClock
+from coralfall.traffic.messages import News
+from coralfall.traffic.model import Target
+from tests.traffic.known import Known
+from tests.traffic.makers import PEDIDOS, Steered, make_route, make_target
+from tests.traffic.raw_target import RawTarget, Script, Turn
+from tests.traffic.test_forwarder import Path, ok
+
+_LEAVES = TargetReport(leaving=True)
+
+
+def say_leaving(steered: Steered, target: Target) -> None:
+    steered.targets.reports.note(steered.targets.by_id[target.target_id], _LEAVES, 0.0)
+
+
+class RowsTest(unittest.TestCase):
+    """A target that said that it leaves, beside another one."""
+
+    def setUp(self) -> None:
+        self.target = make_target(1, born=1000)
+        self.other = make_target(2, born=1000)
+        self.steered = Steered(self.target, self.other)
+        say_leaving(self.steered, self.target)
+
+    def chosen(self) -> t.Set[str]:
+        """All targets that are chosen for some objects."""
+        ids = set()
+        for number in range(40):
+            place = self.steered.steering.choose(make_route(), PEDIDOS, b"%d" % number, ())
+            place.release()
+            ids.add(place.state.target.target_id)
+        return ids
+
+    @parameterized.expand(
+        [
+            ("its row stays as it was", [{}], False),
+            ("its row is written again", [{"cold_s": 1.0}], False),
+            ("its row vanishes and returns", [None, {}], False),
+            ("its row says so, and then not", [{"leaving": True}, {}], False),
+            ("a new lifetime under its id", [{"born": 2000, "address": "127.0.0.1:7"}], True),
+            ("a new lifetime under its id and at its address", [{"born": 2000}], True),
+            ("a new lifetime, and then its old row", [{"born": 2000}, {}], False),
+            ("a new lifetime at its address", [{"target_id": TargetId("t3")}], True),
+        ]
+    )
+    def test_after_its_row_changed(
+        self, _name: str, rows: t.Sequence[t.Optional[t.Dict[str, t.Any]]], used: bool
+    ) -> None:
+        self.assertEqual({"t2"}, self.chosen())
+        for changes in rows:
+            row = [] if changes is None else [msgspec.structs.replace(self.target, **changes)]
+            self.steered.set_targets(self.other, *row)
+            self.steered.clock.advance(1.0)
+            self.steered.targets.reports.tick(self.steered.targets.by_id)
+        self.assertEqual(used, bool(self.chosen() - {"t2"}))
+
+    def test_it_counts_as_leaving(self) -> None:
+        counts = self.steered.targets.count_by_state()
+        self.assertEqual((1, 1), (counts["leaving"], counts["usable"]))
+
+    def test_it_is_not_waited_for_in_an_outage(self) -> None:
+        known = Known()
+        known.learn_targets(1, self.target, self.other)
+        say_leaving(known.steered, self.target)
+        known.clock.advance(20.0)
+        known.learn_targets(2, self.other)
+        self.assertEqual({"t2"}, set(known.steered.targets.by_id))
+
+    def test_after_a_shed_it_is_not_asked_again(self) -> None:
+        shed = self.steered.targets.by_id[self.target.target_id]
+        shed.succeed()
+        place = self.steered.steering.choose(make_route(), PEDIDOS, b"x", ("t1",), again=shed)
+        self.assertEqual("t2", place.state.target.target_id)
+
+
+async def leaves(turn: Turn) -> None:
+    await turn.answer(server_leaving="1")
+
+
+async def leaves_and_sheds(turn: Turn) -> None:
+    await turn.answer(503, b"", x_not_executed="1", x_response_signature="", server_leaving="1")
+
+
+async def leaves_and_fails(turn: Turn) -> None:
+    await turn.answer(500, b"failed", server_leaving="1")
+
+
+async def leaves_unsigned(turn: Turn) -> None:
+    await turn.answer(x_response_signature="", server_leaving="1")
+
+
+async def leaves_for_another(turn: Turn) -> None:
+    await turn.answer(x_request_id="somebody-else", server_leaving="1")
+
+
+async def leaves_within_its_answer(turn: Turn) -> None:
+    await turn.answer(length=100, server_leaving="1")
+    turn.close()
+
+
+async def another_leaves(turn: Turn) -> None:
+    await turn.answer(421, b"", x_response_signature="", server_leaving="1")
+
+
+class AnswersTest(unittest.TestCase):
+    @parameterized.expand(
+        [
+            (leaves, True),
+            (leaves_and_sheds, True),
+            (leaves_and_fails, True),
+            (leaves_unsigned, True),
+            (leaves_for_another, True),
+            (leaves_within_its_answer, True),
+            (another_leaves, False),
+            (ok, False),
+        ]
+    )
+    def test_what_an_answer_says(self, script: Script, leaving: bool) -> None:
+        async def main() -> bool:
+            async with RawTarget(script) as target:
+                path = Path([target.address])
+                state = path.targets.by_id[TargetId("t0")]
+                await path.forward(path.request("unsafe"))
+                path.pool.close()
+                return state.leaving
+
+        self.assertEqual(leaving, asyncio.run(main()))
+
+
+class GossipTest(unittest.TestCase):
+    """Entries that tell each other, by the messages of gossip."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock(100.0)
+        self.fleet = [Known(f"e{number}", self.clock) for number in range(3)]
+        self.target = make_target(born=1000)
+        self.fleet[0].reports.departures.note(self.target)
+
+    def ask(self, asker: int, asked: int) -> None:
+        """One exchange of news, over the wire."""
+        question = self.fleet[asker].exchange.news()
+        answer = self.fleet[asked].exchange.answer(_sent(question))
+        self.fleet[asker].exchange.take(_sent(answer), self.clock.monotonic())
+
+    def tick(self, *targets: Target) -> None:
+        steered = Steered(*targets)
+        for one in self.fleet:
+            one.reports.tick(steered.targets.by_id)
+
+    def known(self) -> t.List[bool]:
+        return [one.reports.departures.includes(self.target) for one in self.fleet]
+
+    def sums(self) -> t.Set[int]:
+        return {one.reports.departures.sum() for one in self.fleet}
+
+    def test_others_hear_who_leaves(self) -> None:
+        self.ask(1, 0)
+        self.ask(2, 1)
+        self.assertEqual([True] * 3, self.known())
+        self.assertEqual(1, len(self.sums()))
+
+    def test_one_that_missed_the_news_hears_of_all(self) -> None:
+        self.clock.advance(defaults.GOSSIP_NEWS_S - 1.0)
+        self.tick(self.target)
+        self.clock.advance(2.0)
+        self.tick(self.target)
+        self.assertEqual((), self.fleet[0].reports.departures.recent())
+        self.ask(1, 0)
+        self.assertEqual([True, True, False], self.known())
+
+    def test_once_its_row_is_gone_nothing_is_told(self) -> None:
+        self.clock.advance(defaults.GOSSIP_NEWS_S + 1.0)
+        self.tick()
+        self.assertEqual({0}, self.sums())
+        self.ask(1, 0)
+        self.assertEqual([True, False, False], self.known())
+
+    def test_a_new_lifetime_is_nobody_s_news(self) -> None:
+        self.ask(1, 0)
+        anew = make_target(born=2000)
+        self.assertFalse(self.fleet[1].reports.departures.includes(anew))
+
+    def test_entries_of_the_version_before_are_understood(self) -> None:
+        whole = msgspec.msgpack.decode(msgspec.msgpack.encode(self.fleet[0].exchange.news()))
+        before = whole[: 1 + News.__struct_fields__.index("departures")]
+        told = msgspec.msgpack.decode(msgspec.msgpack.encode(before), type=News)
+        self.assertEqual(((), 0), (told.departures, told.departures_sum))
+
+
+def _sent(news: News) -> News:
+    return msgspec.msgpack.decode(msgspec.msgpack.encode(news), type=News)
