Let a request whose target is withdrawn before it was sent go elsewhere for free

What callers saw: 503 at once, "withdrawn", where the budget of second sends was used up, though nothing had been sent of their request. Cause: a try that is given up before a byte left (its target left while the connection or a token was waited for) was counted as a send. Change: it goes on to the next target, as one that finds no token does.

--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -47,6 +47,8 @@
 _STALE = "stale"
 #: Reason of a request that targets end of, and that is sent to no more of them.
 QUARANTINED = "quarantined"
+#: Reason of a send that was given up before a byte left, as its target is in use no more.
+WITHDRAWN = "withdrawn"
 #: Most targets that are tried in vain to be connected for one request.
 _MAX_UNREACHED = 4
 #: Most targets that are asked in vain for a token for one request; then those with a limit are
@@ -142,6 +144,8 @@
                     if limited == _MAX_LIMITED:
                         tried.update(self._permits.limits.in_force())
                     continue
+                if error.fields.get("reason") == WITHDRAWN and self._has_time(request):
+                    continue
                 if error.fields.get("reason") == "connect":
                     unreached += 1
                     if unreached < _MAX_UNREACHED and self._has_time(request):
@@ -256,7 +260,7 @@
         left = request.deadline - self._clock.monotonic()
         if left < defaults.MIN_SEND_S or not self._targets.may_use(state):
             self._pool.give(state.target, connection)
-            reason = "late" if left < defaults.MIN_SEND_S else "withdrawn"
+            reason = "late" if left < defaults.MIN_SEND_S else WITHDRAWN
             raise TargetNotRunError("not sent", reason=reason)
         if not request.on_trial and self._is_quarantined(request):
             self._pool.give(state.target, connection)
