Leave a target alone for the time that it asks for as it rejects a request

What callers saw: 503 for 8 s, up to 84 of 236 reads a second, while 14 of 20 targets had room: they came back after 0.02 s to the same home, which rejected them again, and each attempt was sent there twice. Cause: a target's Retry-After was dropped with the answer that was not passed on. A rejection with slots free was taken for a chance one, and repeated. Change: the time that a 503 or 429 names (seconds, fractions, or an HTTP date; nonsense names none) binds this entry until the last end that it heard, for that lifetime, whether or not the answer proves that nothing ran, is passed on or comes whole. Such a target is no home, no fallback and no second try, and is checked last before a send, after waits for a connection or a token. Where all targets of a service cool down requests are refused at once; Retry-After is the first end and half of the time that passed, so that callers who were refused evenly return evenly, in their order, at twice the rate, rather than at one moment.

--- a/src/coralfall/placement/affinity.py
+++ b/src/coralfall/placement/affinity.py
@@ -17,6 +17,7 @@
 from .cold import ColdShares
 from .shares import SlotsByRegion, SlowPart, interleaved, kept_part, place_of, score, spare_weight
 from .speed import SpeedComparison
+from .targets import COOLDOWN
 
 if t.TYPE_CHECKING:
     from ..ids import RegionId, ServiceId, TargetId
@@ -127,6 +128,7 @@
         self.admission = Admission()
         #: Limits that targets named.
         self.limits = targets.reports.limits
+        self._cooldowns = targets.reports.cooldowns
         #: How many requests each cold target may get from this entry.
         self.cold_shares = ColdShares(settings.entry_id)
 
@@ -188,12 +190,28 @@
             loads=",".join([f"{s.target.target_id}:{s.load():.1f}" for s in homes]),
         )
 
-    def _nothing_usable(self, service: "ServiceId", ranked: _Ranked, key: bytes) -> RefusedError:
-        waits_s = [
-            self.limits.wait_s(state.target, state.knows(key))
-            for state in (*ranked.near, *ranked.far)
+    def come_back_s(self, state: "TargetState", service: "ServiceId", regions: _Regions) -> float:
+        """Seconds after which a caller may come back whom a target rejected."""
+        if not state.cooldown_s():
+            return self.admission.come_back_s(state)
+        allowed = [
+            other
+            for other in self._targets.of_service(service)
+            if not regions or self._region_of(other) in regions
         ]
-        limited = [wait_s for wait_s in waits_s if wait_s > 0]
+        waits_s = [self._cooldowns.come_back_s(other.target) for other in allowed]
+        return max(self.admission.come_back_s(state), min(waits_s, default=0.0))
+
+    def _nothing_usable(self, service: "ServiceId", ranked: _Ranked, key: bytes) -> RefusedError:
+        states = (*ranked.near, *ranked.far)
+        cooldowns_s = [self._cooldowns.come_back_s(state.target) for state in states]
+        limits_s = [self.limits.wait_s(state.target, state.knows(key)) for state in states]
+        waits_s = [max(pair) for pair in zip(cooldowns_s, limits_s, strict=True)]
+        if any(cooldowns_s) and all(waits_s):
+            message = f"{len(states)} targets of {service} take no requests for a while"
+            come_back_s = max(defaults.COME_BACK_S, min(waits_s))
+            return RefusedError(message, come_back_s, service=service, reason=COOLDOWN)
+        limited = [wait_s for wait_s in limits_s if wait_s > 0]
         if not limited:
             message = f"no target of {service} can be used now"
             return RefusedError(message, defaults.COME_BACK_S, service=service, reason="no-target")
@@ -249,7 +267,7 @@
 
         homes = self._first((s for s in open_to() if s.usable() and not s.is_quiet()), key)
         # If all seem unwell, the fault may be on this side; and somebody has to find out.
-        return homes or self._first((state for state in open_to() if not state.gone), key)
+        return homes or self._first((state for state in open_to() if state.accepts()), key)
 
     def _first(self, states: t.Iterable["TargetState"], key: bytes) -> t.List["TargetState"]:
         homes: t.List["TargetState"] = []
--- a/src/coralfall/placement/cooldowns.py
+++ b/src/coralfall/placement/cooldowns.py
@@ -13,6 +13,8 @@
     from ..process.clock import Clock
     from ..traffic.model import Target
 
+#: Part of a cooldown's time over which the callers that it held off return.
+_RETURN_PART = 0.5
 #: Seconds by which the end of a cooldown must move to be logged again.
 _LOGGED_S = 1.0
 
@@ -69,10 +71,17 @@
             return 0.0
         return max(0.0, cooldown.until - self._clock.monotonic())
 
-    def seconds_of(self, target: "Target") -> float:
-        """Seconds that a target named for its cooldown; 0 if it has none."""
+    def come_back_s(self, target: "Target") -> float:
+        """Seconds after which a caller may come back whom a cooldown holds off; 0 if there is none.
+
+        Callers return after its end in the order in which they were rejected, within a part of the
+        time that it took, so that they do not all meet the target at once.
+        """
         cooldown = self._of(target)
-        return cooldown.seconds if cooldown is not None else 0.0
+        if cooldown is None:
+            return 0.0
+        left_s = max(0.0, cooldown.until - self._clock.monotonic())
+        return left_s + _RETURN_PART * (cooldown.seconds - left_s) if left_s else 0.0
 
     def tick(self) -> None:
         """Forgets those that are over."""
--- a/src/coralfall/placement/targets.py
+++ b/src/coralfall/placement/targets.py
@@ -15,6 +15,11 @@
     from ..traffic.model import Target
 
 
+#: Why a request that was about to be sent is not: its target is in use no more, or wants none.
+WITHDRAWN = "withdrawn"
+COOLDOWN = "cooldown"
+#: Names of states that targets are counted by.
+_STATES = ("usable", "resting", COOLDOWN, "cold", "leaving", "evacuated", "gone")
 #: Seconds for which a target is thought to know an object, and how many objects of each are kept.
 _KNOWN_S = 20.0
 _MAX_OBJECTS = 128
@@ -64,6 +69,10 @@
         """Whether its lifetime ends soon, by its row or by its own word."""
         return self.target.leaving or self._reports.departures.includes(self.target)
 
+    def cooldown_s(self) -> float:
+        """Seconds until it takes requests from this entry again; 0 if it does now."""
+        return self._reports.cooldowns.left_s(self.target)
+
     @property
     def in_hand(self) -> int:
         """Requests of this entry that it has in hand."""
@@ -123,11 +132,15 @@
     def sheds_at_random(self) -> bool:
         """Whether it turns requests away without a shortage, while it serves others."""
         answered = self._clock.monotonic() - self._answered_at < _SERVES_S
-        return answered and self.has_room()
+        return answered and self.has_room() and not self.cooldown_s()
+
+    def accepts(self) -> bool:
+        """Whether a request may be sent to it now, however unwell it seems."""
+        return not self.gone and not self.cooldown_s()
 
     def usable(self) -> bool:
-        """Whether a request may be sent to it now, as far as its health goes."""
-        return not self.gone and self._clock.monotonic() >= self._rests_until
+        """Whether a request should be sent to it now, as far as its health goes."""
+        return self.accepts() and self._clock.monotonic() >= self._rests_until
 
     def is_cold(self) -> bool:
         """Whether it bears only a few requests a second."""
@@ -268,18 +281,24 @@
         self._index()
 
     def may_use(self, state: TargetState) -> bool:
-        """The last check before a request is sent: its row is there, it stays, its zone is used."""
+        """Whether a target counts among those in use: it is there, it stays, its zone is used."""
         if state.leaving or state.target.zone in self._evacuated or state.gone:
             return False
         return self.by_id.get(state.target.target_id) is state
 
+    def objection(self, state: TargetState) -> t.Optional[str]:
+        """The last check before a request is sent: why it may not be, in a word."""
+        if not self.may_use(state):
+            return WITHDRAWN
+        return COOLDOWN if state.cooldown_s() else None
+
     def of_service(self, service: "ServiceId") -> t.Sequence[TargetState]:
         """Targets of a service that may be used."""
         return self._by_service.get(service, ())
 
     def count_by_state(self) -> t.Dict[str, int]:
         """How many targets are in each state."""
-        counts = dict.fromkeys(("usable", "resting", "cold", "leaving", "evacuated", "gone"), 0)
+        counts = dict.fromkeys(_STATES, 0)
         for state in self.by_id.values():
             counts[self._name_of(state)] += 1
         return counts
@@ -291,6 +310,8 @@
             return "leaving"
         if state.target.zone in self._evacuated:
             return "evacuated"
+        if state.cooldown_s():
+            return COOLDOWN
         if not state.usable():
             return "resting"
         return "cold" if state.is_cold() else "usable"
--- a/src/coralfall/reporting/explain.py
+++ b/src/coralfall/reporting/explain.py
@@ -49,6 +49,7 @@
     "unproved": "a target promised not to have run it, without the mark that proves it",
     "misdirected": "another target is at the address; the request was not run",
     "withdrawn": "the target was leaving, evacuated or gone when the request was about to be sent",
+    "cooldown": "its target, or all of the service, had asked for a time without requests",
     "late": "the time was over before the request could be sent",
     "caller-gone": "the caller closed its connection; the send was cancelled",
     "quarantined": "targets ended each time that they began this same request; it goes to no more",
--- a/src/coralfall/traffic/answer_check.py
+++ b/src/coralfall/traffic/answer_check.py
@@ -65,7 +65,7 @@
         self._targets.reports.note(state, self._reader.read(answer, state.target), sent_at)
         if answer.header(names.not_run) is not None:
             reason = f"{SHED}{answer.status}"
-            come_back_s = self._steering.admission.come_back_s(state)
+            come_back_s = self._steering.come_back_s(state, request.service, request.regions)
             raise TargetNotRunError("target did not run it", reason=reason, come_back_s=come_back_s)
         if answer.status in _PROMISES:
             raise TargetUnknownError("target promises what it can't", reason="unproved")
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -19,6 +19,7 @@
 )
 from ..forwarding.headers import HOP_BY_HOP
 from ..placement.fingerprint import caller_digest, fingerprint, head_digest
+from ..placement.targets import COOLDOWN, WITHDRAWN
 from .answer_check import SHED, AnswerCheck
 from .answer_report import AnswerReader
 from .connection import BrokenAnswerError, ServerAnswer, ServerConnection, head_of
@@ -47,8 +48,8 @@
 _STALE = "stale"
 #: Reason of a request that targets end of, and that is sent to no more of them.
 QUARANTINED = "quarantined"
-#: Reason of a send that was given up before a byte left, as its target is in use no more.
-WITHDRAWN = "withdrawn"
+#: Reasons of sends that were given up before a byte left, as their targets want none.
+_UNWANTED = frozenset((WITHDRAWN, COOLDOWN))
 #: Most targets that are tried in vain to be connected for one request.
 _MAX_UNREACHED = 4
 #: Most targets that are asked in vain for a token for one request; then those with a limit are
@@ -144,7 +145,7 @@
                     if limited == _MAX_LIMITED:
                         tried.update(self._permits.limits.in_force())
                     continue
-                if error.fields.get("reason") == WITHDRAWN and self._has_time(request):
+                if error.fields.get("reason") in _UNWANTED and self._has_time(request):
                     continue
                 if error.fields.get("reason") == "connect":
                     unreached += 1
@@ -258,10 +259,10 @@
                 self._pool.give(state.target, connection)
                 raise
         left = request.deadline - self._clock.monotonic()
-        if left < defaults.MIN_SEND_S or not self._targets.may_use(state):
+        objection = "late" if left < defaults.MIN_SEND_S else self._targets.objection(state)
+        if objection is not None:
             self._pool.give(state.target, connection)
-            reason = "late" if left < defaults.MIN_SEND_S else WITHDRAWN
-            raise TargetNotRunError("not sent", reason=reason)
+            raise TargetNotRunError("not sent", reason=objection)
         if not request.on_trial and self._is_quarantined(request):
             self._pool.give(state.target, connection)
             raise TargetNotRunError("not sent", reason=QUARANTINED)
--- /dev/null
+++ b/tests/traffic/test_cooldowns.py
@@ -0,0 +1,298 @@
+"""Tests of targets that want no requests for a while, at the entry that was told so."""
+
+import asyncio
+import typing as t
+import unittest
+from unittest import mock
+
+import msgspec
+from parameterized import parameterized
+
+from coralfall import defaults
+from coralfall.exceptions import RefusedError
+from coralfall.ids import TargetId
+from coralfall.placement.target_reports import TargetReport
+from coralfall.placement.targets import TargetState
+from coralfall.traffic.model import Target
+from coralfall.traffic.reply import Reply
+from tests.traffic.makers import COSTA, PEDIDOS, PUERTO, Steered, make_route, make_target
+from tests.traffic.raw_target import RawTarget, Script, Turn
+from tests.traffic.test_forwarder import Path, ok
+
+_SECONDS = 3.0
+_RESTS = TargetReport(cooldown_s=_SECONDS)
+
+
+class SteeringTest(unittest.TestCase):
+    """Some targets, of which all but the last want no requests for three seconds."""
+
+    def setUp(self) -> None:
+        self.resting = [make_target(number, born=1000) for number in (1, 2)]
+        self.spare = make_target(3, born=1000)
+        self.steered = Steered(*self.resting, self.spare)
+        for target in self.resting:
+            self.say(target, _RESTS)
+
+    def say(self, target: Target, report: TargetReport) -> None:
+        self.steered.targets.reports.note(self.state_of(target), report, 0.0)
+
+    def state_of(self, target: Target) -> TargetState:
+        return self.steered.targets.by_id[target.target_id]
+
+    def chosen(self, **options: t.Any) -> t.Set[str]:
+        """All targets that are chosen for some objects."""
+        ids = set()
+        for number in range(40):
+            key = b"%d" % number
+            place = self.steered.steering.choose(make_route(), PEDIDOS, key, (), **options)
+            place.release()
+            ids.add(str(place.state.target.target_id))
+        return ids
+
+    def refusal(self, tried: t.Collection[TargetId] = ()) -> RefusedError:
+        with self.assertRaises(RefusedError) as caught:
+            self.steered.steering.choose(make_route(), PEDIDOS, b"x", tried)
+        return caught.exception
+
+    def test_others_are_used_until_its_end(self) -> None:
+        self.assertEqual({"t3"}, self.chosen())
+        self.steered.clock.advance(_SECONDS - 0.01)
+        self.assertEqual({"t3"}, self.chosen())
+        self.steered.clock.advance(0.01)
+        self.assertEqual({"t1", "t2", "t3"}, self.chosen())
+
+    @parameterized.expand(
+        [
+            ("its row is written again", [{"cold_s": 0.5}], False),
+            ("its row vanishes and returns", [None, {}], False),
+            ("a new lifetime under its id", [{"born": 2000}], True),
+            ("a new lifetime at its address", [{"target_id": TargetId("t9")}], True),
+        ]
+    )
+    def test_after_its_row_changed(
+        self, _name: str, rows: t.Sequence[t.Optional[t.Dict[str, t.Any]]], used: bool
+    ) -> None:
+        for changes in rows:
+            row = [] if changes is None else [msgspec.structs.replace(self.resting[0], **changes)]
+            self.steered.set_targets(self.spare, *row)
+            self.steered.clock.advance(1.0)
+            self.steered.targets.reports.tick(self.steered.targets.by_id)
+        self.assertEqual(used, bool(self.chosen() - {"t3"}))
+
+    def test_others_that_seem_unwell_go_first(self) -> None:
+        state = self.state_of(self.spare)
+        state.fail(reached=False)
+        self.assertFalse(state.usable())
+        self.assertEqual({"t3"}, self.chosen())
+
+    def test_after_a_shed_it_is_not_asked_again(self) -> None:
+        state = self.state_of(self.resting[0])
+        state.succeed()
+        self.assertFalse(state.sheds_at_random())
+
+    def test_it_counts_as_cooling_down(self) -> None:
+        counts = self.steered.targets.count_by_state()
+        self.assertEqual((2, 1), (counts["cooldown"], counts["usable"]))
+
+    @parameterized.expand(
+        [
+            # when the caller is refused, when it may come back
+            ("at the start", 0.0, 3.0),
+            ("in the middle", 1.5, 1.5 + 0.75),
+            ("near the end", 2.8, 0.2 + 1.4),
+        ]
+    )
+    def test_if_all_cool_down_callers_return_in_order_after_the_end(
+        self, _name: str, at_s: float, come_back_s: float
+    ) -> None:
+        self.say(self.spare, _RESTS)
+        self.steered.clock.advance(at_s)
+        refusal = self.refusal()
+        self.assertEqual("cooldown", refusal.fields["reason"])
+        self.assertAlmostEqual(come_back_s, refusal.retry_after)
+
+    def test_there_is_no_herd_at_the_end(self) -> None:
+        """Callers that come evenly return evenly, at twice the rate."""
+        self.say(self.spare, _RESTS)
+        end = self.steered.clock.now + _SECONDS
+        returns = []
+        for _ in range(299):
+            returns.append(self.steered.clock.now + self.refusal().retry_after)
+            self.steered.clock.advance(0.01)
+        self.assertGreaterEqual(min(returns), end)
+        for window in range(30):
+            since = end + 0.1 * window
+            count = len([at for at in returns if since <= at < since + 0.1])
+            self.assertLessEqual(count, 21)
+
+    def test_the_first_end_counts(self) -> None:
+        self.say(self.spare, TargetReport(cooldown_s=1.0))
+        self.assertAlmostEqual(1.0, self.refusal().retry_after)
+
+    def test_an_end_that_is_near_keeps_the_least_pause(self) -> None:
+        self.say(self.spare, TargetReport(cooldown_s=0.01))
+        self.assertAlmostEqual(defaults.COME_BACK_S, self.refusal().retry_after)
+
+    def test_one_that_was_tried_may_serve_the_next_attempt(self) -> None:
+        refusal = self.refusal(tried=(self.spare.target_id,))
+        self.assertEqual(
+            ("no-target", defaults.COME_BACK_S), (refusal.fields["reason"], refusal.retry_after)
+        )
+
+    def test_a_cooldown_and_a_limit(self) -> None:
+        """The target with a limit has a token sooner than the others end their cooldown."""
+        reports = self.steered.targets.reports
+        reports.limits.note_answer(self.spare, 2.0, 0.0)
+        reports.limits.exhaust(self.spare, 0.5)
+        refusal = self.refusal()
+        self.assertEqual("cooldown", refusal.fields["reason"])
+        self.assertAlmostEqual(0.5, refusal.retry_after)
+
+    @parameterized.expand(
+        [
+            ("others have room", frozenset(), False, 0.02),
+            ("others are elsewhere than it may go", frozenset({COSTA}), False, 3.0),
+            ("all cool down", frozenset(), True, 3.0),
+        ]
+    )
+    def test_when_a_caller_comes_back_that_was_rejected(
+        self, _name: str, regions: t.FrozenSet[t.Any], all_rest: bool, come_back_s: float
+    ) -> None:
+        state = self.state_of(self.resting[0])
+        if all_rest:
+            self.say(self.spare, _RESTS)
+        if regions:
+            far = make_target(1, born=1000, zone=PUERTO)
+            self.steered.set_targets(far, self.spare)
+            state = self.state_of(far)
+            self.say(far, _RESTS)
+        found = self.steered.steering.come_back_s(state, PEDIDOS, regions)
+        self.assertAlmostEqual(come_back_s, found)
+
+
+def rejecting(seconds: str, **fields: str) -> Script:
+    """A target that turns every request away and asks for some seconds without any."""
+
+    async def script(turn: Turn) -> None:
+        headers = {"x_not_executed": "1", "x_response_signature": "", **fields}
+        await turn.answer(503, b"", **headers, retry_after=seconds)
+
+    return script
+
+
+async def rejects_within_its_answer(turn: Turn) -> None:
+    await turn.answer(503, length=100, x_response_signature="", retry_after="3")
+    turn.close()
+
+
+async def rejects_another(turn: Turn) -> None:
+    await turn.answer(503, x_request_id="somebody-else", retry_after="3")
+
+
+async def rejects_another_s_address(turn: Turn) -> None:
+    await turn.answer(421, x_response_signature="", retry_after="3")
+
+
+async def fails(turn: Turn) -> None:
+    await turn.answer(500, retry_after="3")
+
+
+Seen = t.Tuple[t.List[Reply], t.List[int]]
+
+
+def play(kind: str, *scripts: Script, count: int = 4) -> Seen:
+    """Forward some requests, one after the other, whose first home is the first target."""
+
+    async def main() -> Seen:
+        targets = [RawTarget(script) for script in scripts]
+        for target in targets:
+            await target.__aenter__()
+        path = Path([target.address for target in targets])
+        requests = [path.request(kind, number, first="t0") for number in range(count)]
+        replies = [await path.forward(request) for request in requests]
+        path.pool.close()
+        for target in targets:
+            await target.__aexit__()
+        return replies, [len(target.turns) for target in targets]
+
+    return asyncio.run(main())
+
+
+def retry_after(reply: Reply) -> t.Optional[float]:
+    values = [float(value) for name, value in reply.headers if name == b"retry-after"]
+    return values[0] if values else None
+
+
+class ForwardingTest(unittest.TestCase):
+    @parameterized.expand(
+        [
+            # script of the first target, kind, statuses, requests at both targets
+            ("proved", rejecting("3"), "unsafe", [200] * 4, [1, 4]),
+            ("proved, of a read", rejecting("3"), "safe", [200] * 4, [1, 4]),
+            ("a fraction", rejecting("2.5"), "unsafe", [200] * 4, [1, 4]),
+            ("unproved", rejecting("3", x_not_executed=""), "unsafe", [502] + [200] * 3, [1, 3]),
+            ("unproved, of a read", rejecting("3", x_not_executed=""), "safe", [200] * 4, [1, 4]),
+            ("cut off", rejects_within_its_answer, "unsafe", [502] + [200] * 3, [1, 3]),
+            ("for another request", rejects_another, "unsafe", [502] + [200] * 3, [1, 3]),
+            ("nonsense", rejecting("soon"), "unsafe", [200] * 4, [4, 4]),
+            ("no time", rejecting("0"), "unsafe", [200] * 4, [4, 4]),
+            ("with a failure of its own", fails, "unsafe", [500] * 4, [4, 0]),
+        ]
+    )
+    def test_after_a_rejection_others_serve(
+        self, _name: str, script: Script, kind: str, statuses: t.List[int], arrivals: t.List[int]
+    ) -> None:
+        replies, arrived = play(kind, script, ok)
+        self.assertEqual((statuses, arrivals), ([reply.status for reply in replies], arrived))
+
+    @parameterized.expand([("safe",), ("unsafe",), ("upload",)])
+    def test_if_all_cool_down_requests_are_rejected_at_once_with_a_time_that_holds(
+        self, kind: str
+    ) -> None:
+        replies, arrived = play(kind, rejecting("3"), rejecting("3"))
+        self.assertEqual([1, 1], arrived)
+        self.assertEqual([503] * 4, [reply.status for reply in replies])
+        for reply in replies:
+            self.assertAlmostEqual(3.0, retry_after(reply) or 0.0, delta=0.5)
+
+    def test_one_at_another_s_address_asks_for_nothing(self) -> None:
+        async def main() -> float:
+            async with RawTarget(rejects_another_s_address) as target:
+                path = Path([target.address])
+                state = path.targets.by_id[TargetId("t0")]
+                await path.forward(path.request("unsafe"))
+                path.pool.close()
+                return state.cooldown_s()
+
+        self.assertEqual(0.0, asyncio.run(main()))
+
+    @parameterized.expand([("safe",), ("unsafe",), ("upload",)])
+    def test_a_request_that_waits_goes_elsewhere(self, kind: str) -> None:
+        """Its target asks for a cooldown meanwhile; no second send is counted."""
+        for waits_for in ("a connection", "a token"):
+            with self.subTest(waits_for=waits_for):
+                reply, results, arrivals = asyncio.run(self.wait(kind, waits_for))
+                self.assertEqual(
+                    (200, ["cooldown", "200"], [0, 1]), (reply.status, results, arrivals)
+                )
+
+    async def wait(self, kind: str, waits_for: str) -> t.Tuple[Reply, t.List[str], t.List[int]]:
+        async with RawTarget(ok) as target, RawTarget(ok) as other:
+            path = Path([target.address, other.address])
+            path.forwarder._budget.take = mock.Mock(return_value=False)  # type: ignore
+            state = path.targets.by_id[TargetId("t0")]
+            request = path.request(kind, first="t0")
+            waited = path.forwarder._permits if waits_for == "a token" else path.pool
+            take = waited.take
+
+            async def take_slowly(*arguments: t.Any) -> t.Any:
+                taken = await take(*arguments)
+                if arguments[0] is state.target:
+                    path.targets.reports.note(state, _RESTS, 0.0)
+                return taken
+
+            with mock.patch.object(waited, "take", take_slowly):
+                reply = await path.forward(request)
+            path.pool.close()
+            results = [send.result for send in request.sends]
+            return reply, results, [len(target.turns), len(other.turns)]
