Show that no history of rows and answers breaks what targets said

Nothing is sent in spite of what was heard, callers are told no time that ends too soon, and a target that asked for nothing is used.

--- /dev/null
+++ b/tests/traffic/test_report_histories.py
@@ -0,0 +1,200 @@
+"""Any history of rows, answers and failures keeps to what targets said of themselves."""
+
+import collections
+import random
+import typing as t
+import unittest
+
+from coralfall.exceptions import RefusedError
+from coralfall.ids import TargetId
+from coralfall.placement.affinity import Place
+from coralfall.placement.target_reports import TargetReport
+from coralfall.placement.targets import TargetState
+from coralfall.traffic.model import Target
+from tests.traffic.makers import PEDIDOS, Steered, make_route, make_target
+
+_SEEDS = 250
+_STEPS = 60
+_TARGETS = 4
+#: Fewer than targets, so that one takes over another's.
+_ADDRESSES = 3
+_SECONDS = (0.05, 0.3, 0.5, 1.0, 3.0)
+_COOLDOWNS_S = (0.05, 0.5, 1.0, 3.0, 10.0)
+#: By how much a time that a caller is told may end too soon.
+_ROUNDING_S = 1e-6
+
+_Lifetime = t.Tuple[str, t.Optional[int], str]
+
+
+class History:
+    """One entry, targets that come, go and speak, and requests that wait before they are sent.
+
+    :param rng: draws what happens.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.steered = Steered()
+        self.rows: t.Dict[TargetId, Target] = {}
+        self.born = 1000
+        #: Lifetimes that said to this entry that they leave, and ends of cooldowns.
+        self.left: t.Set[_Lifetime] = set()
+        self.cool_until: t.Dict[_Lifetime, float] = {}
+        #: Requests that have a place and wait for a connection or a token.
+        self.waiting: t.List[Place] = []
+        #: Requests that were sent and not answered yet.
+        self.sent: t.List[Place] = []
+        #: What was seen, to show that histories are not empty.
+        self.counts: t.Counter[str] = collections.Counter()
+        for number in range(2):
+            self._start(number, number)
+
+    def play(self, steps: int) -> None:
+        events = (
+            [self.ask] * 5 + [self.send] * 5 + [self.answer] * 5 + [self.wait] * 3 + [self.fail]
+        )
+        events += [self.start, self.write_again, self.vanish]
+        for _ in range(steps):
+            self.rng.choice(events)()
+            self.check_that_free_targets_are_used()
+
+    @property
+    def now(self) -> float:
+        return self.steered.clock.now
+
+    def start(self) -> None:
+        """A new lifetime, under an id and at an address that others may have had."""
+        self._start(self._number(), self.rng.randrange(_ADDRESSES))
+
+    def _start(self, number: int, address: int) -> None:
+        self.born += 1
+        target = make_target(number, address=f"127.0.0.1:{address + 1}", born=self.born)
+        self.rows[target.target_id] = target
+        self._tell_rows()
+
+    def write_again(self) -> None:
+        """A row that says something else of the same lifetime, perhaps out of date."""
+        number = self._number()
+        target = self.rows.get(TargetId(f"t{number}"))
+        if target is None:
+            return
+        self.rows[target.target_id] = make_target(
+            number,
+            address=target.address,
+            born=target.born,
+            cold_s=self.rng.choice((0.0, 0.0, 0.5)),
+            leaving=self.rng.random() < 0.2,
+        )
+        self._tell_rows()
+
+    def vanish(self) -> None:
+        """A row is lost, for good or for a moment."""
+        target = self.rows.pop(TargetId(f"t{self._number()}"), None)
+        self._tell_rows()
+        if target is not None and self.rng.random() < 0.7:
+            self.rows[target.target_id] = target
+            self._tell_rows()
+
+    def wait(self) -> None:
+        self.steered.clock.advance(self.rng.choice(_SECONDS))
+        self.steered.targets.reports.tick(self.steered.targets.by_id)
+
+    def fail(self) -> None:
+        """A target seems unwell, so that fallbacks count."""
+        state = self.steered.targets.by_id.get(TargetId(f"t{self._number()}"))
+        if state is not None:
+            state.fail(reached=False)
+
+    def ask(self) -> None:
+        """Requests come, or go on after a target turned them away."""
+        shed = self.steered.targets.by_id.get(TargetId(f"t{self._number()}"))
+        if shed is not None and not shed.sheds_at_random():
+            shed = None
+        tried = () if shed is None else (shed.target.target_id,)
+        key = b"%d" % self.rng.randrange(5)
+        for _ in range(self.rng.randint(1, 4)):
+            try:
+                place = self.steered.steering.choose(make_route(), PEDIDOS, key, tried, again=shed)
+            except RefusedError as refusal:
+                self._check_refusal(refusal)
+                return
+            self.waiting.append(place)
+
+    def send(self) -> None:
+        """Requests that waited are sent, unless the last check objects."""
+        for _ in range(min(self.rng.randint(1, 4), len(self.waiting))):
+            place = self.waiting.pop(0)
+            expected = self._restriction(place.state)
+            if self.steered.targets.objection(place.state) is not None:
+                self.counts[f"held back, {expected}"] += 1
+                place.withdraw()
+                continue
+            assert expected is None, f"sent to {place.state.target}, which {expected}"
+            self.counts["sent"] += 1
+            self.sent.append(place)
+
+    def answer(self) -> None:
+        """A target answers, and may say something of itself."""
+        if not self.sent:
+            return
+        place = self.sent.pop(self.rng.randrange(len(self.sent)))
+        leaving = self.rng.random() < 0.1
+        cooldown_s = self.rng.choice(_COOLDOWNS_S) if self.rng.random() < 0.4 else None
+        report = TargetReport(leaving=leaving, cooldown_s=cooldown_s)
+        self.steered.targets.reports.note(place.state, report, self.now)
+        place.state.succeed()
+        place.release()
+        named = _lifetime(place.state.target)
+        if leaving:
+            self.left.add(named)
+        if cooldown_s is not None:
+            until = self.now + cooldown_s
+            self.cool_until[named] = max(self.cool_until.get(named, 0.0), until)
+
+    def check_that_free_targets_are_used(self) -> None:
+        """A target that is there and asked for nothing is used, whatever others asked for."""
+        for state in self.steered.targets.by_id.values():
+            free = self._restriction(state) is None and not state.target.leaving
+            well = state.usable() and not state.is_cold() and not state.is_quiet()
+            if not free or not well or not state.has_room():
+                continue
+            place = self.steered.steering.choose(make_route(), PEDIDOS, b"probe", ())
+            place.withdraw()
+            assert self._restriction(place.state) is None, f"chose {place.state.target}"
+            return
+
+    def _number(self) -> int:
+        return self.rng.randrange(_TARGETS)
+
+    def _check_refusal(self, refusal: RefusedError) -> None:
+        self.counts[f"refused, {refusal.fields['reason']}"] += 1
+        if refusal.fields["reason"] != "cooldown":
+            return
+        states = self.steered.targets.of_service(PEDIDOS)
+        ends = [self.cool_until[_lifetime(state.target)] for state in states]
+        assert self.now + refusal.retry_after >= min(ends) - _ROUNDING_S
+
+    def _restriction(self, state: TargetState) -> t.Optional[str]:
+        named = _lifetime(state.target)
+        if named in self.left:
+            return "leaves"
+        return "cools down" if self.cool_until.get(named, 0.0) > self.now else None
+
+    def _tell_rows(self) -> None:
+        self.steered.targets.update(self.rows)
+
+
+def _lifetime(target: Target) -> _Lifetime:
+    return target.target_id, target.born, target.address
+
+
+class HistoriesTest(unittest.TestCase):
+    def test_any_history(self) -> None:
+        counts: t.Counter[str] = collections.Counter()
+        for seed in range(_SEEDS):
+            with self.subTest(seed=seed):
+                history = History(random.Random(seed))
+                history.play(_STEPS)
+                counts += history.counts
+        for seen in ("sent", "held back, leaves", "held back, cools down", "refused, cooldown"):
+            self.assertGreater(counts[seen], 100, seen)
