Keep the sum over departures until they change

Each message of gossip hashed all lifetimes that leave; a release of a large service has hundreds of them. The sum and what it is over are worked out when a departure is learnt of, and in each look at the targets. Not measured: no figure rests on it. Tests of departures pass as before.

--- a/src/coralfall/placement/departures.py
+++ b/src/coralfall/placement/departures.py
@@ -34,6 +34,9 @@
         self._seen_at: t.Dict[Lifetime, float] = {}
         #: When this entry learnt of those that are news.
         self._news: t.Dict[Lifetime, float] = {}
+        #: Those whose targets are among the ones that there are, and the sum over them.
+        self._present: t.Tuple[Lifetime, ...] = ()
+        self._sum = 0
         #: Those that this entry learnt of by an answer, by service.
         self.heard_by_service: t.Dict[str, int] = {}
         #: Called when more lifetimes leave.
@@ -75,25 +78,34 @@
 
     def all(self) -> t.Tuple[Lifetime, ...]:
         """Those whose targets are among the ones that there are."""
-        since = self._clock.monotonic() - defaults.GOSSIP_NEWS_S
-        return tuple([lifetime for lifetime, seen_at in self._seen_at.items() if seen_at > since])
+        return self._present
 
     def sum(self) -> int:
         """A number that two entries share if they agree on :meth:`all`."""
-        total = 0
-        for lifetime in self.all():
-            total ^= lifetime.digest()
-        return total
+        return self._sum
 
     def _add(self, lifetimes: t.Iterable[Lifetime]) -> None:
         now = self._clock.monotonic()
         for lifetime in lifetimes:
             self._seen_at[lifetime] = now
             self._news[lifetime] = now
+        self._index(now)
         self.on_change()
 
+    def _index(self, now: float) -> None:
+        since = now - defaults.GOSSIP_NEWS_S
+        present = tuple([one for one, seen_at in self._seen_at.items() if seen_at > since])
+        if present == self._present:
+            return
+        self._present = present
+        self._sum = 0
+        for lifetime in present:
+            self._sum ^= lifetime.digest()
+
     def tick(self, targets: "t.Mapping[TargetId, TargetState]") -> None:
         """Compares the departures with the targets that there are."""
+        if not self._seen_at:
+            return
         now = self._clock.monotonic()
         for lifetime, learnt_at in list(self._news.items()):
             if now - learnt_at >= defaults.GOSSIP_NEWS_S:
@@ -104,3 +116,4 @@
                 self._seen_at[lifetime] = now
             elif now - seen_at >= _FORGET_S:
                 del self._seen_at[lifetime]
+        self._index(now)
