Let targets of the soak leave by word alone and ask for cooldowns

Targets say in answers that they leave some seconds before their rows do, and one, or all of a service, rejects what comes and asks for 0.25 to 3 s without requests, with proof that nothing ran or without. Two rules judge it by what callers and targets saw: nothing later than 2 s after an answer that was passed on (timeless; only a start excuses), and two requests at most in a cooldown (in calm).

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -37,6 +37,7 @@
             length = int(fields.get("content-length", 0))
             attempt.answer = await self._reader.readexactly(length)
             attempt.signature = fields.get("x-response-signature", "")
+            attempt.leaving = fields.get("server-leaving") == "1"
             attempt.status = int(head.split(" ", 2)[1])
             self.usable = fields.get("connection", "").lower() != "close"
         except (asyncio.IncompleteReadError, OSError):
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -57,6 +57,8 @@
     status: t.Optional[int] = None
     answer: bytes = b""
     signature: str = ""
+    #: Whether the answer said that its target leaves.
+    leaving: bool = False
     #: The version that a request of that sort asks for.
     version: int = 0
     tenant: Tenant = Tenant.CALM
@@ -78,6 +80,18 @@
     #: The tenant that the target was told, and whether it saw a key.
     tenant: str = Tenant.CALM.value
     keyed: bool = False
+    #: Whether the target that it reached is the one that was meant.
+    meant: bool = True
+
+
+@dataclasses.dataclass
+class Rejection:
+    """A target's word, as it rejected a request, that it wants none for some seconds."""
+
+    request_id: str
+    target: str
+    at: float
+    seconds: float
 
 
 @dataclasses.dataclass
@@ -115,15 +129,22 @@
     version_at: t.Dict[int, float] = dataclasses.field(default_factory=dict)
     #: When the store took a target's word that it leaves, by target.
     leaving_at: t.Dict[str, float] = dataclasses.field(default_factory=dict)
-    #: Times at which the ways of an entry, or of all of them (""), were disturbed: from, to, whose.
+    #: Times at which the ways of an entry or a target, or of all (""), were disturbed: from, to,
+    #: whose.
     disturbances: t.List[t.Tuple[float, float, str]] = dataclasses.field(default_factory=list)
     #: When targets ended under a request, by its path.
     ended_at: t.Dict[str, t.List[float]] = dataclasses.field(default_factory=dict)
     #: Limits that targets named.
     limits: t.List[NamedLimit] = dataclasses.field(default_factory=list)
+    #: Times without requests that targets asked for.
+    rejections: t.List[Rejection] = dataclasses.field(default_factory=list)
     #: What the run itself found, beside what the rules find.
     faults: t.List[str] = dataclasses.field(default_factory=list)
 
+    def started(self, entry: str, since: float, until: float) -> bool:
+        """Whether a process of an entry began between two moments."""
+        return any(one.entry == entry and since <= one.began <= until for one in self.lifetimes)
+
     def calm(self, entry: str, since: float, until: float, stable_s: float) -> bool:
         """Whether an entry was not disturbed from a while before one moment until another."""
         for began, ended, whose in self.disturbances:
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -31,6 +31,8 @@
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
 TOLD_S = 0.5
+#: Requests that may reach a target from an entry while it asked that entry for none.
+COOLDOWN_SLACK = 2
 #: Targets that a request ends until it must be known, and how often it may arrive later.
 DEADLY_ENDS = 3
 DEADLY_LATER = 3
@@ -107,6 +109,51 @@
                 break
 
 
+def after_leaving(record: Record) -> t.Iterator[str]:
+    """An entry that passed on that a target leaves sends it nothing more, for its lifetime."""
+    attempts = {attempt.request_id: attempt for attempt in record.attempts}
+    told_at: t.Dict[t.Tuple[str, str], t.List[float]] = {}
+    for arrival in record.arrivals:
+        attempt = attempts.get(arrival.request_id)
+        if attempt is not None and attempt.leaving and arrival.ran:
+            told_at.setdefault((attempt.entry, arrival.target), []).append(attempt.ended_at)
+    for arrival in record.arrivals:
+        attempt = attempts.get(arrival.request_id)
+        if attempt is None or not arrival.meant:
+            continue
+        for at in told_at.get((attempt.entry, arrival.target), ()):
+            late = attempt.sent_at - at - DRAIN_S
+            if late > 0 and not record.started(attempt.entry, at, arrival.at):
+                yield f"DRAIN {_text(attempt)} at {arrival.target}, told {late + DRAIN_S:.2f} s ago"
+                break
+
+
+def in_cooldown(record: Record) -> t.Iterator[str]:
+    """An entry that a target rejected leaves it alone for as long as it was asked to."""
+    attempts = {attempt.request_id: attempt for attempt in record.attempts}
+    for rejection in record.rejections:
+        rejected = attempts.get(rejection.request_id)
+        if rejected is None:
+            continue
+        entry = rejected.entry
+        since, until = rejection.at + TOLD_S + SLOW_S, rejection.at + rejection.seconds
+        calm = record.calm(entry, rejection.at, until, SLOW_S)
+        if not calm or not record.calm(rejection.target, rejection.at, until, SLOW_S):
+            continue
+        during = [
+            arrival
+            for arrival in record.arrivals
+            if arrival.target == rejection.target
+            and arrival.meant
+            and since < arrival.at < until
+            and arrival.request_id in attempts
+            and attempts[arrival.request_id].entry == entry
+        ]
+        if len(during) > COOLDOWN_SLACK:
+            named = f"{rejection.target}, which had asked {entry} for {rejection.seconds:g} s"
+            yield f"BUDGET {len(during)} at {named} at {rejection.at:.2f}"
+
+
 def twice(record: Record) -> t.Iterator[str]:
     """What may run once runs once."""
     runs = collections.Counter(a.request_id for a in record.arrivals if a.ran)
@@ -204,11 +251,12 @@
     without_key,
     over_limit,
     beyond_named_limit,
+    after_leaving,
     twice,
     refused,
     reverts,
 )
-TIMED: t.Tuple[Rule, ...] = (in_force, drains, quarantined, lost)
+TIMED: t.Tuple[Rule, ...] = (in_force, drains, in_cooldown, quarantined, lost)
 
 
 def broken(record: Record, rules: t.Iterable[Rule]) -> t.List[str]:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,7 +10,7 @@
 from tests.soak.callers import Caller
 from tests.soak.record import DEADLY, Record, Sort, Tenant
 from tests.soak.rules import TIMED, TIMELESS, broken
-from tests.soak.troubles import TROUBLES, limit
+from tests.soak.troubles import TROUBLES, WORDS, Trouble
 from tests.soak.world import World, strangers
 
 #: Seconds that entries may take to be ready at the start and once all troubles are over.
@@ -25,8 +25,8 @@
 #: Seconds for which a request that ends targets comes again, and between two times.
 _DEADLY_S = (4.0, 9.0)
 _DEADLY_GAP_S = (0.1, 0.5)
-#: Seconds between two targets that name a limit.
-_LIMIT_GAP_S = (0.5, 5.0)
+#: Seconds between two targets that say the same of themselves.
+_WORD_GAP_S = (0.5, 5.0)
 #: Seconds for which a request may fail once all is well again, and the pause between two tries.
 _WELL_S = 20.0
 _TRY_S = 0.1
@@ -59,7 +59,8 @@
         calling = [asyncio.create_task(caller.run()) for caller in callers]
         await asyncio.sleep(_WARM_UP_S)
         # Drawn from a seed of their own, so that the other troubles of each seed stay as they were.
-        calling.append(asyncio.create_task(_name_limits(world, seed)))
+        for word in WORDS:
+            calling.append(asyncio.create_task(_speak(world, word, seed)))
         if deadly:
             calling.append(asyncio.create_task(_send_deadly(world, callers[0], seed)))
         await _play(world, rng, seconds, played)
@@ -97,14 +98,14 @@
     return lambda: world.version
 
 
-async def _name_limits(world: World, seed: int) -> None:
-    """Let one target after the other name a limit for a while; some of them overlap."""
-    rng = random.Random(f"{seed}-limits")
+async def _speak(world: World, word: Trouble, seed: int) -> None:
+    """Let one target after the other say something for a while; some of them overlap."""
+    rng = random.Random(f"{seed}-{word.__name__}s")
     under_way: t.Set["asyncio.Task[None]"] = set()
     try:
         while True:
-            under_way.add(asyncio.create_task(limit(world, random.Random(rng.random()))))
-            await asyncio.sleep(rng.uniform(*_LIMIT_GAP_S))
+            under_way.add(asyncio.create_task(word(world, random.Random(rng.random()))))
+            await asyncio.sleep(rng.uniform(*_WORD_GAP_S))
     finally:
         for task in under_way:
             task.cancel()
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -7,7 +7,7 @@
 
 from tests.platform_adapter.standins import InstanceStandin
 from tests.soak.proxy import Proxy
-from tests.soak.record import DEADLY, KEY, Arrival, Record, answer_to
+from tests.soak.record import DEADLY, KEY, Arrival, Record, Rejection, answer_to
 from tests.traffic.raw_target import Turn
 
 SLOTS = 6
@@ -38,6 +38,8 @@
         self.lose = 0.0
         #: Share of the answers that are cut short, or followed by another one.
         self.garble = 0.0
+        #: Whether what it rejects while it asks for a cooldown is proved not to have run.
+        self.proves = True
         self.proxy = Proxy("")
         #: Called once it is back under another id, with the one that it had.
         self.on_restart: t.Callable[[str], None] = lambda instance_id: None
@@ -62,13 +64,12 @@
     async def _run(self, turn: Turn) -> None:
         meant = turn.header("x-expected-instance") == self.instance_id
         room = self._in_hand < SLOTS + _QUEUE
-        self._note(turn, meant and room)
+        self._note(turn, meant, meant and room and self.cooldown_s is None)
         if not meant:
             await turn.answer(421, b"", x_response_signature="")
             return
-        if not room:
-            fields = {"x_not_executed": "1", "x_response_signature": ""}
-            await turn.answer(503, b"", **fields, server_limit=self._named_limit())
+        if not room or self.cooldown_s is not None:
+            await self._reject(turn)
             return
         self._in_hand += 1
         try:
@@ -83,6 +84,17 @@
         finally:
             self._in_hand -= 1
 
+    async def _reject(self, turn: Turn) -> None:
+        """Turn a request away, with proof that it did not run or without."""
+        proof = "1" if self.proves or self.cooldown_s is None else ""
+        fields = {"x_not_executed": proof, "x_response_signature": "", **self._said()}
+        if self.cooldown_s is not None:
+            fields["retry_after"] = f"{self.cooldown_s:g}"
+            request_id = turn.header("x-request-id") or ""
+            rejection = Rejection(request_id, self.instance_id, time.monotonic(), self.cooldown_s)
+            self._record.rejections.append(rejection)
+        await turn.answer(503, b"", **fields)
+
     def _end_under(self, path: str) -> None:
         if not self.proxy.listening:
             return
@@ -95,6 +107,7 @@
         previous = self.instance_id
         self._restarts += 1
         self.instance_id = f"{previous.partition('-again')[0]}-again{self._restarts}"
+        self.leaving = False
         await self.proxy.come_back()
         self.on_restart(previous)
 
@@ -108,7 +121,7 @@
         load = f"{self._in_hand},0,{SLOTS}"
         if self._rng.random() >= self.garble:
             fields = {"x_response_signature": signature, "x_server_load": load}
-            await turn.answer(200, body, **fields, server_limit=self._named_limit())
+            await turn.answer(200, body, **fields, **self._said())
             return
         if self._rng.random() < 0.5:
             await turn.answer(200, body[:99], length=len(body), x_response_signature=signature)
@@ -117,10 +130,12 @@
         await turn.answer(200, body, x_response_signature=signature)
         await turn.answer(200, b"another", x_response_signature=signature)
 
-    def _named_limit(self) -> str:
-        return "" if self.limit_per_s is None else f"{self.limit_per_s:g}"
+    def _said(self) -> t.Dict[str, str]:
+        """What each answer says of the target itself."""
+        limit = "" if self.limit_per_s is None else f"{self.limit_per_s:g}"
+        return {"server_limit": limit, "server_leaving": "1" if self.leaving else ""}
 
-    def _note(self, turn: Turn, ran: bool) -> None:
+    def _note(self, turn: Turn, meant: bool, ran: bool) -> None:
         method = turn.head.decode("latin-1").partition(" ")[0]
         request_id = turn.header("x-request-id") or ""
         self._record.arrivals.append(
@@ -135,6 +150,7 @@
                 ran,
                 turn.header("x-tenant") or "",
                 KEY in turn.head.decode("latin-1"),
+                meant,
             )
         )
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,6 +15,7 @@
     Lifetime,
     NamedLimit,
     Record,
+    Rejection,
     Sort,
     Tenant,
     answer_to,
@@ -32,6 +33,7 @@
             ("signals while starting", 201, 10.0, False),
             ("requests that end targets", 3, 10.0, True),
             ("targets with limits", 5, 12.0, False),
+            ("targets that leave and reject", 6, 12.0, False),
         ]
     )
     def test_promises_hold_under_faults(
@@ -92,6 +94,27 @@
     return seen
 
 
+def told_of_leaving(sent_at: float, **fields: object) -> t.List[object]:
+    """An answer at 10.5 said that i-1 leaves, and a request after it."""
+    later = attempt("c-2", sent_at=sent_at, ended_at=sent_at + 0.4)
+    came = arrival("c-2", at=sent_at + 0.2, **fields)
+    return [attempt(leaving=True), arrival(), later, came]
+
+
+def rejected(count: int, at: float) -> t.List[object]:
+    """A request that i-1 rejected at 10.2, asking for 3 s, and others from the same entry."""
+    seen: t.List[object] = [
+        attempt(status=503),
+        arrival(ran=False),
+        Rejection("c-1", "i-1", 10.2, 3.0),
+    ]
+    for number in range(count):
+        name = f"c-{number + 2}"
+        seen.append(attempt(name, sent_at=at - 0.1, ended_at=at + 0.1, status=503))
+        seen.append(arrival(name, at=at, ran=False))
+    return seen
+
+
 class RulesTest(unittest.TestCase):
     """A rule that sees nothing would make the soak worthless."""
 
@@ -101,6 +124,7 @@
         record.arrivals = [one for one in seen if isinstance(one, Arrival)]
         record.ended_at = {DEADLY: [5.0, 6.0, 7.0]}
         record.limits = [NamedLimit("i-8", 2.0, 9.0, 20.0)]
+        record.rejections = [one for one in seen if isinstance(one, Rejection)]
         record.lifetimes = [one for one in seen if isinstance(one, Lifetime)]
         return record
 
@@ -154,6 +178,16 @@
             ("late", [attempt(sort=Sort.SINCE, version=2, status=404)], "CONFIG"),
             ("not late yet", [attempt(sort=Sort.SINCE, version=3, status=404)], ""),
             ("leaving", [attempt(), arrival(target="i-9")], "DRAIN"),
+            ("sent on though it said that it leaves", told_of_leaving(12.6), "DRAIN"),
+            ("soon after it said so", told_of_leaving(12.4), ""),
+            ("another at its address", told_of_leaving(12.6, meant=False, ran=False), ""),
+            ("another target", told_of_leaving(12.6, target="i-2"), ""),
+            ("an entry that started since", [*told_of_leaving(12.6), Lifetime("e0", 11.0)], ""),
+            ("in a cooldown", rejected(3, 12.0), "BUDGET"),
+            ("a few in a cooldown", rejected(2, 12.0), ""),
+            ("before it could know", rejected(9, 10.6), ""),
+            ("after a cooldown", rejected(9, 13.3), ""),
+            ("an entry that started within it", [*rejected(3, 12.0), Lifetime("e0", 11.0)], ""),
             (
                 "cut off by a stop",
                 [
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -23,6 +23,13 @@
 _LEAVES_S = 7.0
 #: Seconds for which a target names a limit; it binds a few of them after it was first named.
 _LIMITED_S = (2.0, 12.0)
+#: Seconds for which a target says that it leaves while its row does not.
+_UNHEARD_S = (1.0, 6.0)
+#: Seconds for which a target rejects all that comes, and those that it asks for each time.
+_REJECTS_S = (0.5, 6.0)
+_COOLDOWNS_S = (0.25, 1.0, 3.0)
+#: Part of such troubles that strike all targets of a service.
+_ALL_REJECT = 0.2
 
 
 @contextlib.asynccontextmanager
@@ -140,7 +147,9 @@
 
 
 async def break_target_link(world: World, rng: random.Random) -> None:
-    await _break(rng.choice(world.targets).proxy, rng)
+    target = rng.choice(world.targets)
+    async with _disturbance(world, target.instance_id):
+        await _break(target.proxy, rng)
 
 
 async def break_store(world: World, rng: random.Random) -> None:
@@ -245,3 +254,38 @@
     await asyncio.sleep(rng.uniform(*_LIMITED_S))
     target.limit_per_s = None
     named.ended = time.monotonic()
+
+
+async def leave_unheard(world: World, rng: random.Random) -> None:
+    """A target says in its answers that it leaves, some time before its row does."""
+    target = _spare(world, rng)
+    if target is None or target.leaving:
+        return
+    target.leaving = True
+    await asyncio.sleep(rng.uniform(*_UNHEARD_S))
+    if target not in world.targets or not target.leaving:
+        return
+    world.leave(target)
+    await asyncio.sleep(_LEAVES_S)
+    world.store.remove("servers", target.instance_id)
+    await world.add_target(target.service)
+
+
+async def reject(world: World, rng: random.Random) -> None:
+    """A target, or all of a service, rejects what comes and asks for a time without requests."""
+    chosen = rng.choice(world.targets)
+    struck = [chosen]
+    if rng.random() < _ALL_REJECT:
+        struck = [target for target in world.targets if target.service == chosen.service]
+    for target in struck:
+        target.cooldown_s = rng.choice(_COOLDOWNS_S)
+        target.proves = rng.random() < 0.7
+    try:
+        await asyncio.sleep(rng.uniform(*_REJECTS_S))
+    finally:
+        for target in struck:
+            target.cooldown_s = None
+
+
+#: What targets say of themselves, beside all other troubles.
+WORDS: t.Tuple[Trouble, ...] = (limit, leave_unheard, reject)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -141,6 +141,7 @@
 
     def leave(self, target: SoakTarget) -> None:
         """Let a target report that it leaves; it goes on serving."""
+        target.leaving = True
         self.store.put("servers", target.instance_id, target.listing(state="draining"))
         self.record.leaving_at[target.instance_id] = time.monotonic()
         self.targets.remove(target)
