Let the stand-in of the store tell rows and revision of one moment

Cause, in the stand-in: a write that was applied as the wait of a feed ended was counted in `ver` but not among its rows, so the entries went on after it. The users' store is linearizable.

--- a/tests/platform_adapter/standins.py
+++ b/tests/platform_adapter/standins.py
@@ -137,7 +137,8 @@
                         await self._changed.wait()
                         rows = self._after(query["table"], after)
             except TimeoutError:
-                pass
+                # Something may have been written since: rows and `ver` are of one moment.
+                rows = self._after(query["table"], after)
         await _answer(send, 200, {**self._stamp(), "rows": rows})
 
     def _after(self, table: str, after: int) -> t.List[t.Dict[str, t.Any]]:
--- a/tests/platform_adapter/test_adapter.py
+++ b/tests/platform_adapter/test_adapter.py
@@ -5,6 +5,7 @@
 import pathlib
 import re
 import socket
+import time
 import tomllib
 import typing as t
 import unittest
@@ -315,6 +316,25 @@
     return asyncio.run(main())
 
 
+class StandinTest(unittest.TestCase):
+    """What the stand-in of the store tells is of one moment."""
+
+    def test_a_write_as_the_wait_of_a_feed_ends_is_told(self) -> None:
+        async def work(standin: StoreStandin, store: RowStore) -> t.Any:
+            standin.put("op", "config", config(1))
+            following = asyncio.create_task(store.follow("op/", Revision(1), 0.1))
+            while not standin.calls:  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+            loop = asyncio.get_running_loop()
+            # The loop stands still until both are due: the end of the wait, then the write.
+            loop.call_later(0.15, standin.put, "op", "config", config(2))
+            loop.call_later(0.02, time.sleep, 0.2)
+            return await following
+
+        changes = with_store(work, timeout_s=5.0)
+        self.assertEqual(changes.revision, max([row.revision for row in changes.rows], default=1))
+
+
 class SilentConnectionsTest(unittest.TestCase):
     """Open connections to the store go silent for good, while new ones work."""
 
