--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -156,6 +156,11 @@
         return True
 
 
+def signature_of(target: str, request_id: str) -> str:
+    """What a target signs its answer to a request with."""
+    return f"signed-{target}-{request_id}"
+
+
 def answer_to(request_id: str, body: bytes) -> bytes:
     """The whole answer that a target gives to a request; a few kilobytes that only it has."""
     return hashlib.sha256(request_id.encode() + body).hexdigest().encode() * 50
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -14,6 +14,7 @@
     Sort,
     Tenant,
     answer_to,
+    signature_of,
 )
 
 #: Bounds of the pages, in seconds, as the soak's settings have them.
@@ -115,7 +116,10 @@
     told_at: t.Dict[t.Tuple[str, str], t.List[float]] = {}
     for arrival in record.arrivals:
         attempt = attempts.get(arrival.request_id)
-        if attempt is not None and attempt.leaving and arrival.ran:
+        if attempt is None or not attempt.leaving:
+            continue
+        # A retry may have been answered by another target than the first that ran it.
+        if attempt.signature == signature_of(arrival.target, attempt.request_id):
             told_at.setdefault((attempt.entry, arrival.target), []).append(attempt.ended_at)
     for arrival in record.arrivals:
         attempt = attempts.get(arrival.request_id)
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -7,7 +7,7 @@
 
 from tests.platform_adapter.standins import InstanceStandin
 from tests.soak.proxy import Proxy
-from tests.soak.record import DEADLY, KEY, Arrival, Record, Rejection, answer_to
+from tests.soak.record import DEADLY, KEY, Arrival, Record, Rejection, answer_to, signature_of
 from tests.traffic.raw_target import Turn
 
 SLOTS = 6
@@ -117,7 +117,7 @@
             return
         request_id = turn.header("x-request-id") or ""
         body = answer_to(request_id, turn.body)
-        signature = f"signed-{self.instance_id}-{request_id}"
+        signature = signature_of(self.instance_id, request_id)
         load = f"{self._in_hand},0,{SLOTS}"
         if self._rng.random() >= self.garble:
             fields = {"x_response_signature": signature, "x_server_load": load}
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -19,6 +19,7 @@
     Sort,
     Tenant,
     answer_to,
+    signature_of,
 )
 from tests.soak.rules import TIMED, TIMELESS, broken
 from tests.soak.run import run
@@ -96,9 +97,10 @@
 
 def told_of_leaving(sent_at: float, **fields: object) -> t.List[object]:
     """An answer at 10.5 said that i-1 leaves, and a request after it."""
+    told = attempt(leaving=True, signature=signature_of("i-1", "c-1"))
     later = attempt("c-2", sent_at=sent_at, ended_at=sent_at + 0.4)
     came = arrival("c-2", at=sent_at + 0.2, **fields)
-    return [attempt(leaving=True), arrival(), later, came]
+    return [told, arrival(), later, came]
 
 
 def rejected(count: int, at: float) -> t.List[object]:
@@ -182,6 +184,17 @@
             ("soon after it said so", told_of_leaving(12.4), ""),
             ("another at its address", told_of_leaving(12.6, meant=False, ran=False), ""),
             ("another target", told_of_leaving(12.6, target="i-2"), ""),
+            (
+                "the answer was another target's",
+                [
+                    attempt(leaving=True, signature=signature_of("i-2", "c-1"), sort=Sort.READ),
+                    arrival(path="/read/c-1"),
+                    arrival(path="/read/c-1", target="i-2"),
+                    attempt("c-2", sent_at=12.6, ended_at=13.0),
+                    arrival("c-2", at=12.8),
+                ],
+                "",
+            ),
             ("an entry that started since", [*told_of_leaving(12.6), Lifetime("e0", 11.0)], ""),
             ("in a cooldown", rejected(3, 12.0), "BUDGET"),
             ("a few in a cooldown", rejected(2, 12.0), ""),
