--- a/src/coralfall/simulation/entries.py
+++ b/src/coralfall/simulation/entries.py
@@ -11,6 +11,7 @@
 from ..ids import EntryId, RegionId, ServiceId, TargetId, ZoneId
 from ..placement.affinity import AffinitySteering
 from ..placement.budget import SendBudget
+from ..placement.target_reports import TargetReport
 from ..placement.targets import TargetBook
 from ..traffic.model import CallerLimits, DesiredState, Route, ServiceRules, Target
 from ..traffic.settings import SteerSettings, StoreSettings
@@ -155,15 +156,18 @@
     ) -> None:
         began = self._agenda.now
 
-        def end(ran: bool, running: int, waiting: int) -> None:
+        def end(ran: bool, report: TargetReport) -> None:
             if done:
                 return
             done.append(True)
-            self._answered(attempt, place, self._agenda.now - began, ran, running, waiting)
+            self._answered(attempt, place, self._agenda.now - began, ran, report)
 
         def reply(ran: bool) -> None:
-            running, waiting = target.running, target.waiting
-            self._agenda.after(back_s, lambda: end(ran, running, waiting))
+            report = TargetReport(
+                load=(target.running, target.waiting),
+                cooldown_s=None if ran else target.cooldown_s,
+            )
+            self._agenda.after(back_s, lambda: end(ran, report))
 
         def give_up() -> None:
             if done:
@@ -187,17 +191,17 @@
         place: "Place",
         seconds: float,
         ran: bool,
-        running: int,
-        waiting: int,
+        report: TargetReport,
     ) -> None:
-        place.state.report(running, waiting)
+        self._book.reports.note(place.state, report, self._agenda.clock.now - seconds)
         place.release()
         if ran:
             place.state.succeed()
             place.answered(self._agenda.clock.now, seconds)
             attempt.answer(True, True, 0.0)
             return
-        come_back_s = self.steering.admission.come_back_s(place.state)
+        service = attempt.route.backends[0].service
+        come_back_s = self.steering.come_back_s(place.state, service, frozenset())
         if place.state.sheds_at_random():
             attempt.again = place.state
         self._send_again(attempt, come_back_s)
--- a/src/coralfall/simulation/scenario.py
+++ b/src/coralfall/simulation/scenario.py
@@ -31,6 +31,8 @@
     RESTART = "restart"
     #: Targets take ``times`` requests a second from all entries together, and say so.
     LIMIT = "limit"
+    #: Targets reject all that comes, and ask for ``times`` seconds without requests.
+    COOLDOWN = "cooldown"
     #: Targets are taken away for good.
     LEAVE = "leave"
     #: Callers ask ``times`` as often.
--- a/src/coralfall/simulation/targets.py
+++ b/src/coralfall/simulation/targets.py
@@ -69,11 +69,14 @@
         self.limit_per_s: t.Optional[float] = None
         self._tokens = 0.0
         self._tokens_at = 0.0
+        #: Seconds without requests that it asks for as it rejects all that comes.
+        self.cooldown_s: t.Optional[float] = None
         self.silent = False
         self.listening = True
-        #: Requests that met an object that was not known, and all that ran.
+        #: Requests that met an object that was not known, all that ran, and all that it rejected.
         self.learnt = 0
         self.ran = 0
+        self.rejected = 0
 
     @property
     def waiting(self) -> int:
@@ -84,8 +87,10 @@
         """Take in a request, or turn it away."""
         if self.silent:
             return
-        if self._rng.random() < self.shed_share or len(self._waiting) >= self.settings.queue:
+        rejects = self.cooldown_s is not None or self._rng.random() < self.shed_share
+        if rejects or len(self._waiting) >= self.settings.queue:
             job.over = True
+            self.rejected += 1
             job.answer(False)
             return
         self._waiting.append(job)
--- a/src/coralfall/simulation/world.py
+++ b/src/coralfall/simulation/world.py
@@ -214,6 +214,8 @@
             target.listening = False
         elif event.kind is Trouble.LIMIT:
             self._limit(target, event.times)
+        elif event.kind is Trouble.COOLDOWN:
+            target.cooldown_s = event.times
         elif event.kind is Trouble.LEAVE:
             self._left.add(target.target_id)
             return
@@ -228,6 +230,7 @@
     def _heal(self, target: SimulatedTarget, event: "EventSettings") -> None:
         target.slowness = 1.0
         target.shed_share = 0.0
+        target.cooldown_s = None
         if event.kind is Trouble.LIMIT:
             self._limit(target, None)
         if event.kind not in (Trouble.SILENT, Trouble.RESTART):
--- a/tests/simulation/test_world.py
+++ b/tests/simulation/test_world.py
@@ -166,6 +166,7 @@
             ("restart", Trouble.RESTART, 1.0),
             ("burst", Trouble.BURST, 3.0),
             ("limit", Trouble.LIMIT, 2.0),
+            ("cooldown", Trouble.COOLDOWN, 1.0),
         ]
     )
     def test_troubles_cost(self, _name: str, kind: Trouble, times: float) -> None:
@@ -183,6 +184,14 @@
             self.assertLessEqual(target.ran, seconds * per_s + 6)
             self.assertGreaterEqual(target.ran, 0.9 * seconds * per_s)
 
+    def test_targets_that_ask_for_a_cooldown_are_left_alone(self) -> None:
+        """What an entry sends before it hears of a cooldown is all that a target rejects."""
+        event = EventSettings(kind=Trouble.COOLDOWN, at=2.0, for_s=2.9, times=3.0, share=0.5)
+        (world,) = play(make_scenario(seconds=6.0, events=(event,)), (1,))
+        struck = [one.rejected for one in world.targets_by_id.values() if one.rejected]
+        self.assertNotEqual([], struck)
+        self.assertLessEqual(max(struck), 2 * len(world.entries))
+
     def test_worth_counts_from_the_first_attempt_and_prices_what_is_kept_in_vain(self) -> None:
         (world,) = play(make_scenario((1, 1, 1), seconds=4.0), seeds=(1,))
         score = world.score
