Show that other entries hear who leaves while the store is away

Two entries as processes, the store silent: what one hears in an answer the other heeds before it asked that target itself. Red with the news not taken in ("never: the other entry hears of it").

--- a/tests/platform_adapter/test_target_reports.py
+++ b/tests/platform_adapter/test_target_reports.py
@@ -72,6 +72,27 @@
 
         play(scene, entries=1)
 
+    def test_other_entries_hear_who_leaves_while_the_store_is_away(self) -> None:
+        async def scene(installation: Installation, instances: t.List[InstanceStandin]) -> None:
+            # Entries of one region agree on the object's home.
+            first, second = [one for one in installation.entries if one.region == "sierra"]
+            home = await home_of(Callers(installation, [first, second]), instances)
+            installation.store.mode = "silent"
+            home.leaving = True
+            await Callers(installation, [first]).send(0.5)
+
+            async def told() -> bool:
+                return f"event=target.leaving entry={second.name}" in second.log.read_text()
+
+            await installation.until("the other entry hears of it", told)
+            before = len(home.reached_by)
+            callers = Callers(installation, [second])
+            await callers.send(1.0)
+            self.assertEqual([], home.reached_by[before:])
+            self.assertEqual({200}, set(callers.statuses))
+
+        play(scene, entries=2)
+
     def test_a_target_that_asks_for_a_cooldown_is_left_alone_for_it(self) -> None:
         async def scene(installation: Installation, instances: t.List[InstanceStandin]) -> None:
             (entry,) = installation.entries
