Close the descriptor of an abandoned connection once, on uvloop

What callers saw: 500 "Internal Server Error" from `coralfall entry`. Cause: aiohttp makes connections of sockets that it connected. If a task is cancelled meanwhile, uvloop closes the descriptor, and the socket object closes the same number once more as it is dropped. By then it may be another connection's, which goes dead, and the next socket of that number is refused for as long as the dead transport stays. Change: the loop detaches the socket if the making of its connection is cancelled (not with TLS, where uvloop has taken the socket over by then). `coralfall steer` opens its connections by address and is not concerned.

--- a/src/coralfall/process/fastloop.py
+++ b/src/coralfall/process/fastloop.py
@@ -1,5 +1,6 @@
-"""uvloop's event loop, kept from starting threads to look up addresses that are numbers."""
+"""uvloop's event loop, without threads for look-ups and descriptors that are closed twice."""
 
+import asyncio
 import socket
 import typing as t
 
@@ -11,8 +12,30 @@
 
     uvloop asks for an address without its type when it connects a socket, as aiohttp does it.
     It then does not see that the address is a number and hands it to libuv's threads.
+
+    A connection that is made of a socket and given up meanwhile, uvloop closes by its descriptor.
+    The socket object does not know, and closes the same number again when it is dropped, which may
+    be another connection's by then.
     """
 
+    async def create_connection(
+        self,
+        protocol_factory: t.Callable[[], t.Any],
+        host: t.Any = None,
+        port: t.Any = None,
+        *,
+        sock: t.Optional[socket.socket] = None,
+        **options: t.Any,
+    ) -> t.Any:
+        try:
+            return await super().create_connection(
+                protocol_factory, host, port, sock=sock, **options
+            )
+        except asyncio.CancelledError:
+            if sock is not None and not options.get("ssl"):
+                sock.detach()
+            raise
+
     async def getaddrinfo(
         self,
         host: t.Any,
--- a/tests/process/test_loop.py
+++ b/tests/process/test_loop.py
@@ -3,6 +3,7 @@
 import asyncio
 import io
 import os
+import socket
 import subprocess
 import sys
 import typing as t
@@ -11,7 +12,7 @@
 
 from parameterized import parameterized
 
-from coralfall.process import log, loop
+from coralfall.process import fastloop, log, loop
 from coralfall.settings import LogSettings
 
 #: Bound that only keeps a broken test from hanging.
@@ -38,6 +39,42 @@
 """
 
 
+class AbandonedConnectionTest(unittest.TestCase):
+    """A task that is cancelled while a connection is made of its socket."""
+
+    @parameterized.expand([("uvloop's", fastloop.Loop), ("asyncio's", asyncio.new_event_loop)])
+    def test_its_descriptor_is_closed_once(
+        self, _name: str, make_loop: t.Callable[[], asyncio.AbstractEventLoop]
+    ) -> None:
+        async def main() -> bytes:
+            server = await asyncio.start_server(_echo, "127.0.0.1", 0)
+            address = server.sockets[0].getsockname()
+            loop = asyncio.get_running_loop()
+            abandoned = socket.socket()
+            abandoned.setblocking(False)
+            await loop.sock_connect(abandoned, address)
+            making = asyncio.ensure_future(loop.create_connection(asyncio.Protocol, sock=abandoned))
+            await asyncio.sleep(0)
+            making.cancel()
+            await asyncio.gather(making, return_exceptions=True)
+            # The next connection gets the number of the descriptor that is free now.
+            reader, writer = await asyncio.open_connection(*address)
+            abandoned.close()
+            writer.write(b"still open")
+            answer = await reader.read(10)
+            writer.close()
+            server.close()
+            return answer
+
+        with asyncio.Runner(loop_factory=make_loop) as runner:
+            self.assertEqual(b"still open", runner.run(asyncio.wait_for(main(), PATIENCE_S)))
+
+
+async def _echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    writer.write(await reader.read(10))
+    writer.close()
+
+
 class LoopTest(unittest.TestCase):
     def setUp(self) -> None:
         self.stream = io.StringIO()
