--- a/src/coralfall/traffic/answer_check.py
+++ b/src/coralfall/traffic/answer_check.py
@@ -12,7 +12,7 @@
     from .steered_request import SteeredRequest
     from .wire import HeaderNames
 
-#: First part of the result of a send that the target turned away.
+#: First part of the result of a send that the target rejected.
 SHED = "shed-"
 _MISDIRECTED = 421
 _PROMISES = frozenset((408, 421, 429, 503))
--- a/src/coralfall/traffic/answer_report.py
+++ b/src/coralfall/traffic/answer_report.py
@@ -20,7 +20,7 @@
     from .model import Target
     from .wire import HeaderNames
 
-#: Statuses with which a target turns a request away and may name a cooldown.
+#: Statuses with which a target rejects a request and may name a cooldown.
 _REJECTIONS = frozenset((429, 503))
 _FIRST_SERVER_ERROR = 500
 _DECIMAL = re.compile(rb"\s*\d+(\.\d*)?\s*")
