--- a/src/coralfall/traffic/messages.py
+++ b/src/coralfall/traffic/messages.py
@@ -7,6 +7,13 @@
 from ..ids import EntryId, Incarnation, Revision
 from ..peering.message import Message
 from ..placement.buckets import Grant, Limit, LimitKey, SlotGroup
+from ..placement.dispatch import (
+    AskNumber,
+    DispatchAnswer,
+    DispatchAsk,
+    DispatchRelease,
+    ServiceLoad,
+)
 from ..placement.lifetime import Lifetime
 from ..placement.quarantine import Suspect
 from ..placement.target_limits import ReportedLimit
@@ -105,3 +112,26 @@
     now_s: float
     #: Whether the owner has stopped granting and has ended all leases that it held.
     closed: bool = False
+
+
+class DispatchRequest(Message, frozen=True, tag=36):
+    """Asks the dispatcher of some targets for slots, and ends assignments and asks."""
+
+    asks: t.Tuple[DispatchAsk, ...] = ()
+    releases: t.Tuple[DispatchRelease, ...] = ()
+    #: Queued asks that are not needed any more, and assignments whose answer came too late.
+    cancels: t.Tuple[AskNumber, ...] = ()
+
+
+class DispatchReply(Message, frozen=True, tag=37):
+    """Answers to the asks of a request, in their order."""
+
+    answers: t.Tuple[DispatchAnswer, ...] = ()
+    #: Loads by service; empty if the entry was told recently.
+    loads: t.Tuple[ServiceLoad, ...] = ()
+
+
+class DispatchNotice(Message, frozen=True, tag=38):
+    """Answers to asks that were queued; it is not answered itself."""
+
+    answers: t.Tuple[DispatchAnswer, ...]
