--- a/src/coralfall/simulation/entries.py
+++ b/src/coralfall/simulation/entries.py
@@ -18,7 +18,7 @@
 from .targets import Job
 
 if t.TYPE_CHECKING:
-    from ..placement.affinity import TargetReservation
+    from ..placement.reservation import TargetReservation
     from ..placement.targets import TargetState
     from .agenda import Agenda
     from .scenario import Scenario, ServiceSettings
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -33,9 +33,10 @@
 if t.TYPE_CHECKING:
     from ..forwarding.request import RequestBody
     from ..ids import TargetId
-    from ..placement.affinity import AffinitySteering, TargetReservation
+    from ..placement.affinity import AffinitySteering
     from ..placement.fingerprint import Fingerprint, HeadDigest
     from ..placement.quarantine import Quarantine
+    from ..placement.reservation import TargetReservation
     from ..placement.retry_budget import SharedRetryBudget
     from ..placement.targets import TargetRegistry, TargetState
     from ..process.clock import Clock
--- a/src/coralfall/traffic/steered_request.py
+++ b/src/coralfall/traffic/steered_request.py
@@ -7,8 +7,8 @@
 if t.TYPE_CHECKING:
     from ..forwarding.request import RequestBody
     from ..ids import RegionId, ServiceId
-    from ..placement.affinity import TargetReservation
     from ..placement.fingerprint import Fingerprint, HeadDigest
+    from ..placement.reservation import TargetReservation
     from .connection import Headers
     from .model import Route, Tenant
     from .target_permits import TargetPermit
--- a/tests/traffic/test_report_histories.py
+++ b/tests/traffic/test_report_histories.py
@@ -7,7 +7,7 @@
 
 from coralfall.exceptions import RefusedError
 from coralfall.ids import TargetId
-from coralfall.placement.affinity import TargetReservation
+from coralfall.placement.reservation import TargetReservation
 from coralfall.placement.target_reports import TargetReport
 from coralfall.placement.targets import TargetState
 from coralfall.traffic.model import Target
