--- a/src/coralfall/placement/affinity.py
+++ b/src/coralfall/placement/affinity.py
@@ -9,35 +9,25 @@
 gains, since each new target has to load the object.
 """
 
-import collections
 import typing as t
 
 from .. import defaults
 from ..exceptions import RefusedError
 from .admission import Admission
 from .cold_targets import ColdTargetShares
-from .locality import (
-    RateLimitedFraction,
-    SlotsByRegion,
-    hash_position,
-    interleave,
-    local_fraction,
-    remote_weight,
-    rendezvous_score,
-)
+from .locality import interleave
+from .object_rankings import ObjectRankings, Ranking, Regions
 from .reservation import TargetReservation
 from .slow_targets import SlowTargetDetector
 from .targets import COOLDOWN
 
 if t.TYPE_CHECKING:
-    from ..ids import RegionId, ServiceId, TargetId
+    from ..ids import ServiceId, TargetId
     from ..process.clock import Clock
     from ..traffic.model import DesiredState, Route
     from ..traffic.settings import SteerSettings
     from .targets import TargetRegistry, TargetState
 
-_Regions = t.FrozenSet["RegionId"]
-
 #: Longest time, in seconds, after which a rejected caller is told to retry. Callers that have
 #: already missed their latency target are told this one: they lose nothing by it, and the
 #: capacity goes to others first.
@@ -49,19 +39,6 @@
 _UNCACHED_LOAD_LIMITS = dict(zip(defaults.AFFINITY_LOAD_LIMITS, (0.0, 0.7, 1.0), strict=True))
 
 
-class _Ranking:
-    """The targets of one object by descending score, in the entry's own region and in others."""
-
-    __slots__ = ("local", "position", "remote")
-
-    def __init__(
-        self, position: float, local: t.Sequence["TargetState"], remote: t.Sequence["TargetState"]
-    ) -> None:
-        self.position = position
-        self.local = local
-        self.remote = remote
-
-
 class AffinitySteering:
     """Selects the target of each send.
 
@@ -73,18 +50,13 @@
     def __init__(
         self, settings: "SteerSettings", targets: "TargetRegistry", clock: "Clock"
     ) -> None:
-        self.settings = settings
+        self._settings = settings
         self._targets = targets
         self._clock = clock
-        self._rankings: "collections.OrderedDict[t.Tuple[ServiceId, bytes, _Regions], _Ranking]" = (
-            collections.OrderedDict()
-        )
-        self._local_fractions: t.Dict[t.Tuple["ServiceId", _Regions], RateLimitedFraction] = {}
-        self._slots: t.Dict[t.Tuple["ServiceId", _Regions], SlotsByRegion] = {}
-        self._region_count = len(set(settings.regions_by_zone.values()))
-        self._generation = -1
+        #: Order of the targets for each object.
+        self.rankings = ObjectRankings(settings, targets, clock)
         self._cold_per_s: t.Dict["ServiceId", float] = {}
-        self._slow_targets = SlowTargetDetector(targets, self._region_of, clock)
+        self._slow_targets = SlowTargetDetector(targets, self.rankings.region_of, clock)
         #: Estimates of the latencies of targets and of the time limits of callers.
         self.admission = Admission()
         #: Rate limits that targets reported.
@@ -93,10 +65,20 @@
         #: Requests a second that this entry may send to each cold target.
         self.cold_shares = ColdTargetShares(settings.entry_id)
 
+    @property
+    def settings(self) -> "SteerSettings":
+        """Settings of the entry, which may be replaced while it runs."""
+        return self._settings
+
+    @settings.setter
+    def settings(self, settings: "SteerSettings") -> None:
+        self._settings = settings
+        self.rankings.settings = settings
+
     def set_state(self, state: "DesiredState") -> None:
         """Applies a new desired state."""
         for service, rules in state.services.items():
-            self._cold_per_s[service] = self.settings.cold_limit_per_s(rules.warmup_per_s)
+            self._cold_per_s[service] = self._settings.cold_limit_per_s(rules.warmup_per_s)
         self._targets.warmup_s_by_service = {
             service: rules.warmup_s for service, rules in state.services.items()
         }
@@ -110,7 +92,7 @@
         left_s: float = float("inf"),
         late: bool = False,
         again: "t.Optional[TargetState]" = None,
-        regions: t.Optional[_Regions] = None,
+        regions: t.Optional[Regions] = None,
     ) -> TargetReservation:
         """Selects and reserves the target of one send.
 
@@ -125,7 +107,7 @@
         """
         if regions is None:
             regions = route.allowed_regions
-        ranking = self._ranking_of(service, key, regions)
+        ranking = self.rankings.ranking_of(service, key, regions)
         candidates = self._candidates(ranking, service, key, regions, tried)
         if again is not None and route.session_affinity and self._targets.may_use(again):
             candidates = [state for state in candidates if state.has_cached(key)] + [again]
@@ -155,19 +137,19 @@
             loads=",".join([f"{s.target.target_id}:{s.load():.1f}" for s in candidates]),
         )
 
-    def retry_after_s(self, state: "TargetState", service: "ServiceId", regions: _Regions) -> float:
+    def retry_after_s(self, state: "TargetState", service: "ServiceId", regions: Regions) -> float:
         """Seconds after which a caller may retry a request that a target rejected."""
         if not state.cooldown_s():
             return self.admission.retry_after_s(state)
         allowed = [
             other
             for other in self._targets.of_service(service)
-            if not regions or self._region_of(other) in regions
+            if not regions or self.rankings.region_of(other) in regions
         ]
         waits_s = [self._cooldowns.retry_after_s(other.target) for other in allowed]
         return max(self.admission.retry_after_s(state), min(waits_s, default=0.0))
 
-    def _no_target_error(self, service: "ServiceId", ranking: _Ranking, key: bytes) -> RefusedError:
+    def _no_target_error(self, service: "ServiceId", ranking: Ranking, key: bytes) -> RefusedError:
         states = (*ranking.local, *ranking.remote)
         cooldowns_s = [self._cooldowns.retry_after_s(state.target) for state in states]
         limits_s = [self.limits.wait_s(state.target, state.has_cached(key)) for state in states]
@@ -211,20 +193,20 @@
         if route.session_affinity:
             state.record_object(key)
         is_speed_sample = known and not cold and state.load() < state.target.slots
-        near = self._region_of(state) == self.settings.region
+        near = self.rankings.region_of(state) == self._settings.region
         return TargetReservation(state, key, known, near, is_speed_sample, self.admission)
 
     def _candidates(
         self,
-        ranking: _Ranking,
+        ranking: Ranking,
         service: "ServiceId",
         key: bytes,
-        regions: _Regions,
+        regions: Regions,
         tried: "t.Collection[TargetId]",
     ) -> t.List["TargetState"]:
         near = self._prefer_fast(ranking.local, key)
         remote = self._prefer_fast(ranking.remote, key)
-        prefers_local = ranking.position < self._local_fraction(service, regions)
+        prefers_local = ranking.position < self.rankings.local_fraction(service, regions)
         first, second = (near, remote) if prefers_local else (remote, near)
 
         def untried() -> t.Iterator["TargetState"]:
@@ -252,9 +234,6 @@
                 break
         return candidates
 
-    def _region_of(self, state: "TargetState") -> "t.Optional[RegionId]":
-        return self.settings.regions_by_zone.get(state.target.zone)
-
     def _may_send_to_cold(self, state: "TargetState") -> bool:
         target = state.target
         per_s = self._cold_per_s.get(target.service, 1.0)
@@ -271,66 +250,10 @@
         """
         if not states or self._slow_targets.keeps_object(states[0], key):
             return states
-        region = self._region_of(states[0])
+        region = self.rankings.region_of(states[0])
         for state in states[1:]:
-            if self._region_of(state) == region and self._slow_targets.keeps_object(state, key):
+            if self.rankings.region_of(state) == region and self._slow_targets.keeps_object(
+                state, key
+            ):
                 return [state, *[other for other in states if other is not state]]
         return states
-
-    def _ranking_of(self, service: "ServiceId", key: bytes, regions: _Regions) -> _Ranking:
-        if self._generation != self._targets.generation:
-            self._generation = self._targets.generation
-            self._rankings.clear()
-            self._slots.clear()
-        ranking = self._rankings.get((service, key, regions))
-        if ranking is None:
-            ranking = self._rankings[service, key, regions] = self._rank(service, key, regions)
-            if len(self._rankings) > defaults.AFFINITY_CACHE_OBJECTS:
-                self._rankings.popitem(last=False)
-        return ranking
-
-    def _rank(self, service: "ServiceId", key: bytes, regions: _Regions) -> _Ranking:
-        slots = self._slots_by_region(service, regions)
-        region_count = self._region_count
-        near: t.List[t.Tuple[float, "TargetState"]] = []
-        remote: t.List[t.Tuple[float, "TargetState"]] = []
-        for state in self._targets.of_service(service):
-            region = self._region_of(state)
-            if region is None or (regions and region not in regions):
-                continue
-            target = state.target
-            if region == self.settings.region:
-                near.append((rendezvous_score(target.target_id, key, target.slots), state))
-                continue
-            weight = target.slots * remote_weight(region, slots, region_count)
-            remote.append((rendezvous_score(target.target_id, key, weight), state))
-        return _Ranking(
-            hash_position(key), _by_descending_score(near), _by_descending_score(remote)
-        )
-
-    def _local_fraction(self, service: "ServiceId", regions: _Regions) -> float:
-        slots = self._slots_by_region(service, regions)
-        goal = local_fraction(self.settings.region, slots, self._region_count)
-        now = self._clock.monotonic()
-        fraction = self._local_fractions.get((service, regions))
-        if fraction is None:
-            fraction = self._local_fractions[service, regions] = RateLimitedFraction(now, goal)
-        return fraction.follow(now, goal, self.settings.bounds.home_shift_per_s())
-
-    def _slots_by_region(self, service: "ServiceId", regions: _Regions) -> SlotsByRegion:
-        known = self._slots.get((service, regions))
-        if known is not None:
-            return known
-        slots: t.Dict["RegionId", int] = {}
-        for state in self._targets.of_service(service):
-            region = self._region_of(state)
-            if region is not None and (not regions or region in regions):
-                slots[region] = slots.get(region, 0) + state.target.slots
-        self._slots[service, regions] = slots
-        return slots
-
-
-def _by_descending_score(
-    scored: t.List[t.Tuple[float, "TargetState"]],
-) -> t.Tuple["TargetState", ...]:
-    return tuple([state for _, state in sorted(scored, key=lambda pair: -pair[0])])
