--- a/src/coralfall/peering/peer_links.py
+++ b/src/coralfall/peering/peer_links.py
@@ -113,19 +113,27 @@
 
 
 class PeerLinks:
-    """The streams that this entry has opened, at most ``MAX_PEER_LINKS`` of them.
+    """The streams that this entry has opened, in bounded number.
 
     The one that was not used for longest is closed to make room.
 
     :param fleet_key: the key that all entries hold.
     :param hello: what to say of ourselves.
     :param traffic: counts the bytes of all streams.
+    :param max_links: most streams that are open at a time; ``MAX_PEER_LINKS`` if ``None``.
     """
 
-    def __init__(self, fleet_key: "FleetKey", hello: "Hello", traffic: Traffic) -> None:
+    def __init__(
+        self,
+        fleet_key: "FleetKey",
+        hello: "Hello",
+        traffic: Traffic,
+        max_links: t.Optional[int] = None,
+    ) -> None:
         self._fleet_key = fleet_key
         self._hello = hello
         self._traffic = traffic
+        self._max_links = max_links
         self._links_by_address: "collections.OrderedDict[str, Link]" = collections.OrderedDict()
         self._closing: t.Set[asyncio.Task[None]] = set()
 
@@ -196,7 +204,8 @@
         return link
 
     def _make_room(self) -> None:
-        if len(self._links_by_address) < defaults.MAX_PEER_LINKS:
+        limit = defaults.MAX_PEER_LINKS if self._max_links is None else self._max_links
+        if len(self._links_by_address) < limit:
             return
         for address, link in self._links_by_address.items():
             if link.users:
@@ -204,7 +213,7 @@
             del self._links_by_address[address]
             self._close(link)
             return
-        raise PeerUnreachableError(f"all {defaults.MAX_PEER_LINKS} streams to peers are in use")
+        raise PeerUnreachableError(f"all {limit} streams to peers are in use")
 
     def _close(self, link: Link) -> None:
         task = asyncio.create_task(link.close())
--- a/tests/peering/test_peers.py
+++ b/tests/peering/test_peers.py
@@ -335,6 +335,14 @@
                 await asked
         self.assertEqual(2 if answered else 1, streams)
 
+    async def test_a_given_number_of_streams(self) -> None:
+        fleet = await self.start(Fleet(2))
+        self.links = PeerLinks(KEY, HELLO, channel.Traffic(), max_links=1)
+        self.addAsyncCleanup(self.links.close)
+        for node in fleet.nodes:
+            await self.ask(node.server.bound_address)
+        self.assertEqual(len(self.links), 1)
+
     async def test_streams_are_reused_and_bounded(self) -> None:
         fleet = await self.start(Fleet(4))
         addresses = [node.server.bound_address for node in fleet.nodes]
