--- a/src/coralfall/peering/messages.py
+++ b/src/coralfall/peering/messages.py
@@ -22,7 +22,15 @@
     ServiceId,
     TargetId,
 )
-from ..traffic.messages import GossipMessage, PermitReply, PermitRequest, Push
+from ..traffic.messages import (
+    DispatchNotice,
+    DispatchReply,
+    DispatchRequest,
+    GossipMessage,
+    PermitReply,
+    PermitRequest,
+    Push,
+)
 from .message import Message as Message
 
 
@@ -126,4 +134,7 @@
     Push,
     PermitRequest,
     PermitReply,
+    DispatchRequest,
+    DispatchReply,
+    DispatchNotice,
 ]
