--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -310,6 +310,34 @@
 QUOTA_OWNER_COOLDOWN_S = 1.0
 #: Maximum time for which an entry rejects a tenant's requests without asking an owner again.
 MAX_QUOTA_REJECT_S = 0.1
+#: Time that the dispatcher of a target has to answer, in the entry's region and in another one.
+DISPATCH_TIMEOUT_S = 0.15
+DISPATCH_FAR_TIMEOUT_S = 0.3
+#: Time after which a dispatcher that did not answer is probed; it is not asked before.
+DISPATCH_COOLDOWN_S = 1.0
+#: Time for which a release waits for an ask to the same dispatcher, and for which what a failed
+#: exchange left over waits.
+DISPATCH_RELEASE_DELAY_S = 0.01
+DISPATCH_RETRY_DELAY_S = 0.1
+#: Maximum number of releases that wait for one dispatcher: what 84 entries have in flight at 16
+#: targets is below that. Beyond it the oldest are dropped, and their assignments expire.
+MAX_DISPATCH_RELEASES = 256
+#: Maximum number of targets whose dispatchers' ranks are kept.
+MAX_DISPATCH_RANKS = 4096
+#: Maximum number of streams to dispatchers, and to entries that wait for notices: 16 dispatchers
+#: for each of up to eight regions.
+MAX_DISPATCH_LINKS = 128
+#: Time between two runs of a dispatcher's ledger while it has work.
+DISPATCH_TICK_S = 0.05
+#: Time between two checks of an entry for dispatchers that are gone.
+DISPATCH_CHECK_S = 0.25
+#: Shortest time between two load reports to one entry, the time over which they are averaged, and
+#: the age beyond which they are not used.
+DISPATCH_LOAD_INTERVAL_S = 1.0
+DISPATCH_LOAD_AVERAGE_S = 2.0
+DISPATCH_LOAD_MAX_AGE_S = 5.0
+#: Time for which a stopping entry waits until its last messages of dispatch are sent.
+DISPATCH_STOP_S = 0.5
 #: Time for which callers may cache a look-up answer.
 STEER_LOOKUP_TTL_S = 1.0
 #: Time for which a stopping entry still accepts requests, and its maximum as a fraction of the time
