--- a/src/coralfall/traffic/telemetry.py
+++ b/src/coralfall/traffic/telemetry.py
@@ -20,6 +20,7 @@
 
 #: Upper bounds of the histograms' buckets, in seconds.
 _REQUEST_BUCKETS = (0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 3.0, 6.0, 10.0)
+_ASK_BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.6)
 _DELAY_BUCKETS = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 3.0)
 #: Most tenants that get a label of their own, and the label that all others share: a scraper keeps
 #: one time series for each label.
@@ -64,6 +65,13 @@
             buckets=_DELAY_BUCKETS,
             registry=self.registry,
         )
+        self._asks = self._counter("dispatch_asks", "Asks for slots of targets.", ("result",))
+        self._ask_seconds = prometheus_client.Histogram(
+            "coralfall_dispatch_ask_seconds",
+            "Time from an ask for a slot to its answer, or to giving up.",
+            buckets=_ASK_BUCKETS,
+            registry=self.registry,
+        )
         self._gauges: t.Dict[str, prometheus_client.Gauge] = {}
 
     def count_request(
@@ -109,6 +117,14 @@
         """
         self._lookups.labels("answered" if found else "refused").inc()
 
+    def count_ask(self, result: str, seconds: float) -> None:
+        """Counts an ask for a slot of a target.
+
+        :param result: the dispatcher's verdict; ``none`` if no dispatcher answered.
+        """
+        self._asks.labels(result).inc()
+        self._ask_seconds.observe(seconds)
+
     def observe_loop_delay(self, seconds: float) -> None:
         """Records by how many seconds the event loop served a timer late."""
         self._loop_delay.observe(seconds)
