--- a/src/coralfall/traffic/gossip.py
+++ b/src/coralfall/traffic/gossip.py
@@ -18,7 +18,7 @@
 from ..peering.peer_server import PeerListener
 from ..process import log
 from ..process.child import Child
-from .messages import GossipMessage, PermitRequest, Push
+from .messages import DispatchNotice, DispatchRequest, GossipMessage, PermitRequest, Push
 
 if t.TYPE_CHECKING:
     from ..ids import EntryId, Revision
@@ -26,6 +26,8 @@
     from ..peering.messages import AnyMessage, Hello
     from ..process.clock import Clock
     from ..process.metrics import Metrics
+    from .dispatch_client import DispatchClient
+    from .dispatch_server import DispatchServer
     from .gossip_exchange import GossipExchange
     from .members import Members
     from .model import EntryRecord
@@ -43,6 +45,8 @@
     :param relay: passes a pushed message on to other entries.
     :param pull: exchanges messages with an entry that has newer rows.
     :param permits: answers requests for permits.
+    :param dispatch_server: answers asks for slots of targets.
+    :param dispatch_client: receives notices for its asks.
     """
 
     def __init__(
@@ -54,6 +58,8 @@
         relay: "t.Callable[[GossipMessage, t.Sequence[EntryId]], None]",
         pull: "t.Callable[[EntryId], None]",
         permits: "Permits",
+        dispatch_server: "DispatchServer",
+        dispatch_client: "DispatchClient",
         traffic: Traffic,
         metrics: "Metrics",
     ) -> None:
@@ -62,6 +68,8 @@
         self._relay = relay
         self._pull = pull
         self._permits = permits
+        self._dispatch_server = dispatch_server
+        self._dispatch_client = dispatch_client
 
     def answer(self, peer: "Hello", message: "AnyMessage") -> t.Optional["AnyMessage"]:
         if isinstance(message, GossipMessage):
@@ -75,6 +83,11 @@
             return None
         if isinstance(message, PermitRequest):
             return self._permits.handle_request(peer, message)
+        if isinstance(message, DispatchRequest):
+            return self._dispatch_server.handle_request(peer, message)
+        if isinstance(message, DispatchNotice):
+            self._dispatch_client.handle_notice(peer, message)
+            return None
         raise PeerFrameError(f"unexpected message {type(message).__name__} from {peer.entry_id}")
 
 
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -5,6 +5,7 @@
 import random
 import typing as t
 
+from .. import defaults
 from ..http.server import HttpServer
 from ..ids import EntryState, Incarnation
 from ..peering.channel import Traffic
@@ -23,6 +24,9 @@
 from ..settings import HttpSettings
 from .callers import CallersApp
 from .crash_detector import Crash, CrashDetector
+from .dispatch_client import DispatchClient
+from .dispatch_server import DispatchServer, build_ledger
+from .dispatchers import Dispatchers
 from .follower import Follower
 from .forwarder import Forwarder
 from .gossip import Gossip, GossipServer
@@ -101,6 +105,7 @@
         self.crash_detector.on_crash = self._note_crash
         self.quarantine = Quarantine(settings.quarantine_s, clock)
         self._build_permits()
+        self._build_dispatch()
         self.forwarder = Forwarder(
             names,
             self.steering,
@@ -150,6 +155,8 @@
             self._peer_server,
             self.gossip,
             self.permits,
+            self.dispatch_server,
+            self.dispatch_client,
             FunctionChild("register", self.registry.register, temporary=True),
             HttpServer("readiness", readiness, settings.readiness_address),
             HttpServer("lookup", lookup, settings.lookup_address),
@@ -188,6 +195,7 @@
     async def drain(self) -> None:
         """Announces that this entry leaves, and goes on serving while callers still arrive."""
         self.members.update_own(leaving=True)
+        self.dispatch_server.close()
         self._callers_server.close_connections_after_answers()
         log.info("entry.leaving", in_hand=self.callers.in_flight)
         unregister = asyncio.create_task(self.registry.unregister())
@@ -247,6 +255,26 @@
         )
         self.permits.sources += [self.quotas, self.target_permits]
 
+    def _build_dispatch(self) -> None:
+        settings = self.settings
+        own = self.members.own_record
+        hello = Hello(entry_id=own.entry_id, incarnation=own.incarnation)
+        ledger = build_ledger(own.entry_id, self.targets, self.steering.admission, self.clock)
+        # Apart from each other, so that no notice waits for an answer on the same stream.
+        notice_links, ask_links = [
+            PeerLinks(_fleet_key(settings), hello, self._traffic, defaults.MAX_DISPATCH_LINKS)
+            for _ in range(2)
+        ]
+        self.dispatch_server = DispatchServer(self.members, ledger, notice_links, self.clock)
+        self.dispatch_client = DispatchClient(
+            self.members,
+            Dispatchers(self.members, settings, self.clock),
+            self.dispatch_server,
+            ask_links,
+            self.telemetry,
+            self.clock,
+        )
+
     def _build_peers(self) -> None:
         settings = self.settings
         fleet_key = _fleet_key(settings)
@@ -268,6 +296,8 @@
             self.gossip.relay,
             self.gossip.pull,
             self.permits,
+            self.dispatch_server,
+            self.dispatch_client,
             traffic,
             self.metrics,
         )
--- a/src/coralfall/traffic/telemetry.py
+++ b/src/coralfall/traffic/telemetry.py
@@ -193,6 +193,8 @@
         gauge("target_departures", count, "Targets that said so as they left.", service=service)
     for service, count in reports.cooldowns.started_by_service.items():
         gauge("target_cooldowns", count, "Cooldowns that targets began.", service=service)
+    silent = node.dispatch_client.silent_count()
+    gauge("dispatchers_silent", silent, "Dispatchers that are not asked as they did not answer.")
     unread = len(node.forwarder.report_reader.unread_headers)
     gauge("unread_headers", unread, "Names of headers of answers that no module reads.")
     gauge("log_lines_dropped", log.dropped_lines(), "Log lines that were not written.")
