--- a/tests/traffic/quota_fleet.py
+++ b/tests/traffic/quota_fleet.py
@@ -97,7 +97,7 @@
                 answer = other.answer(own, message)
                 await self._cross_network(other, own)
         except TimeoutError as error:
-            if message.slots:
+            if isinstance(message, PermitRequest) and message.slots:
                 self._fleet.late_leases.append((own, other, message))
             raise PeerTimeoutError("no answer") from error
         return PeerAnswer(Hello(entry_id=other.entry_id, incarnation=other.incarnation), answer)
