--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -18,23 +18,23 @@
     TargetTimeoutError,
     TargetUnknownError,
 )
-from ..forwarding.headers import HOP_BY_HOP
-from ..placement.fingerprint import caller_digest, fingerprint, head_digest
+from ..placement.fingerprint import caller_digest
 from ..placement.targets import COOLDOWN, WITHDRAWN
-from .connection import BrokenResponseError, ServerConnection, ServerResponse, encode_head
+from .connection import BrokenResponseError, ServerConnection, ServerResponse
 from .crash_detector import InterruptedRequest
 from .pool import NO_SOCKETS
 from .reply import Reply, reply_from_error, reply_from_response
+from .request_encoder import RequestEncoder
+from .request_fingerprints import RequestFingerprints
 from .response_check import REJECTED_PREFIX, ResponseCheck
 from .steered_request import Attempt, SteeredRequest
 from .target_permits import LIMITED
 from .target_report_reader import TargetReportReader
 
 if t.TYPE_CHECKING:
-    from ..forwarding.request import RequestBody
     from ..ids import TargetId
     from ..placement.affinity import AffinitySteering
-    from ..placement.fingerprint import Fingerprint, HeadDigest
+    from ..placement.fingerprint import Fingerprint
     from ..placement.quarantine import Quarantine
     from ..placement.reservation import TargetReservation
     from ..placement.retry_budget import SharedRetryBudget
@@ -43,6 +43,7 @@
     from .crash_detector import CrashDetector
     from .pool import ConnectionPool
     from .target_permits import TargetPermit, TargetPermits
+    from .target_selection import TargetSelector
     from .wire import HeaderNames
 
 _FIRST_SERVER_ERROR = 500
@@ -56,14 +57,14 @@
 _MAX_CONNECT_FAILURES = 4
 #: Targets without a token after which a request skips all targets that have a limit.
 _MAX_TOKEN_REFUSALS = 3
-_REPLACED_HEADERS = HOP_BY_HOP | {b"content-length", b"host", b"expect"}
 
 
 class Forwarder:
     """Forwards requests to targets, with retries.
 
     :param names: header names.
-    :param steering: chooses targets.
+    :param selector: selects the target of each attempt.
+    :param steering: tells which requests are late and when rejected callers may retry.
     :param targets: state of the targets.
     :param pool: connections to targets.
     :param budget: bounds the number of retries.
@@ -76,6 +77,7 @@
     def __init__(
         self,
         names: "HeaderNames",
+        selector: "TargetSelector",
         steering: "AffinitySteering",
         targets: "TargetRegistry",
         pool: "ConnectionPool",
@@ -85,7 +87,7 @@
         permits: "TargetPermits",
         clock: "Clock",
     ) -> None:
-        self._names = names
+        self._selector = selector
         self._steering = steering
         self._targets = targets
         self._pool = pool
@@ -97,12 +99,8 @@
         #: Reads what responses report about their targets.
         self.report_reader = TargetReportReader(names, clock)
         self._response_check = ResponseCheck(names, self.report_reader, targets, steering)
-        self._stripped_headers = _REPLACED_HEADERS | {
-            names.time_left,
-            names.expected_target,
-            names.credential,
-            names.tenant,
-        }
+        self._request_encoder = RequestEncoder(names)
+        self._fingerprints = RequestFingerprints(names)
 
     async def forward(self, request: SteeredRequest) -> Reply:
         """Forwards a request and returns the reply to its caller, also if it failed."""
@@ -127,7 +125,7 @@
         failure: t.Optional[CoralfallError] = None
         while True:
             try:
-                reservation = self._choose_target(request, tried, retry_target)
+                reservation = await self._selector.select(request, tried, retry_target)
                 retry_target = None
             except RefusedError as refusal:
                 if failed_reply is not None:
@@ -170,24 +168,6 @@
             if not request.is_idempotent or not self._may_retry(request, None):
                 return failed_reply
 
-    def _choose_target(
-        self,
-        request: SteeredRequest,
-        tried: "t.Set[TargetId]",
-        retry_target: "t.Optional[TargetState]",
-    ) -> "TargetReservation":
-        time_left_s = request.deadline - self._clock.monotonic()
-        return self._steering.choose(
-            request.route,
-            request.service,
-            request.object_key,
-            tried,
-            time_left_s,
-            request.is_late,
-            retry_target,
-            request.allowed_regions,
-        )
-
     def _may_retry(self, request: SteeredRequest, failure: t.Optional[CoralfallError]) -> bool:
         if request.sent_count() >= request.route.max_attempts or not self._has_time(request):
             return False
@@ -204,6 +184,17 @@
 
     async def _attempt(
         self, request: SteeredRequest, reservation: "TargetReservation"
+    ) -> ServerResponse:
+        try:
+            response = await self._attempt_reserved(request, reservation)
+        except BaseException as error:
+            self._selector.finish(request, reservation, error)
+            raise
+        self._selector.finish(request, reservation, None)
+        return response
+
+    async def _attempt_reserved(
+        self, request: SteeredRequest, reservation: "TargetReservation"
     ) -> ServerResponse:
         """Makes one attempt; the place is released in every case.
 
@@ -285,7 +276,7 @@
             raise TargetNotRunError("not sent", reason=QUARANTINED)
         attempt.sent = True
         sent_at = self._clock.monotonic()
-        head, body, body_stream = self._encode_request(request, state, time_left_s)
+        head, body, body_stream = self._request_encoder.encode(request, state.target, time_left_s)
         bodiless = request.method == "HEAD"
         try:
             async with asyncio.timeout(time_left_s):
@@ -336,7 +327,7 @@
         )
 
     def _note_interrupted(self, request: SteeredRequest, state: "TargetState") -> None:
-        request_fingerprint = self._fingerprint_of(request)
+        request_fingerprint = self._fingerprints.fingerprint_of(request)
         if request_fingerprint is not None:
             self._crash_detector.note_interrupted(
                 state, InterruptedRequest(request_fingerprint, caller_digest(request.caller))
@@ -364,55 +355,10 @@
         Bodies of other requests are not hashed.
         """
         if self._quarantine.is_empty or not self._quarantine.has_suspect_head(
-            self._head_of(request)
+            self._fingerprints.head_of(request)
         ):
             return None
-        return self._fingerprint_of(request)
-
-    def _fingerprint_of(self, request: SteeredRequest) -> "t.Optional[Fingerprint]":
-        """Returns the hash that identifies repeats; ``None`` if the body is not buffered whole."""
-        if request.fingerprint is None:
-            body = request.body.whole if request.body is not None else b""
-            if body is None:
-                return None
-            request.fingerprint = fingerprint(self._head_of(request), body)
-        return request.fingerprint
-
-    def _head_of(self, request: SteeredRequest) -> "HeadDigest":
-        if request.head_digest is None:
-            request.head_digest = head_digest(
-                request.method,
-                request.host,
-                request.path,
-                self._names.affinity_key(request.headers),
-                _credentials_of(request),
-            )
-        return request.head_digest
-
-    def _encode_request(
-        self, request: SteeredRequest, state: "TargetState", time_left_s: float
-    ) -> t.Tuple[bytes, bytes, t.Optional[t.AsyncIterator[bytes]]]:
-        names = self._names
-        fields = [field for field in request.headers if field[0] not in self._stripped_headers]
-        fields.append((names.time_left, str(max(1, int(time_left_s * 1000))).encode()))
-        fields.append((names.expected_target, state.target.target_id.encode()))
-        if request.tenant is not None:
-            fields.append((names.tenant, request.tenant.tenant_id.encode()))
-        body = request.body
-        body_stream: t.Optional[t.AsyncIterator[bytes]] = None
-        whole = b""
-        if body is not None:
-            held = body.whole
-            if held is not None:
-                whole = held
-                fields.append((b"content-length", str(len(held)).encode()))
-            elif body.length is not None:
-                fields.append((b"content-length", str(body.length).encode()))
-                body_stream = aiter(body)
-            else:
-                fields.append((b"transfer-encoding", b"chunked"))
-                body_stream = _chunked(body)
-        return encode_head(request.method, request.path, request.host, fields), whole, body_stream
+        return self._fingerprints.fingerprint_of(request)
 
 
 def _quarantine_error() -> RefusedError:
@@ -420,22 +366,6 @@
     return RefusedError(message, defaults.QUARANTINE_RETRY_AFTER_S, reason=QUARANTINED)
 
 
-def _credentials_of(request: SteeredRequest) -> t.Optional[bytes]:
-    """Returns what tells a target who the caller is: the tenant's id or the credentials."""
-    if request.tenant is not None:
-        return request.tenant.tenant_id.encode()
-    for field, value in request.headers:
-        if field == b"authorization":
-            return value
-    return None
-
-
-async def _chunked(body: "RequestBody") -> t.AsyncIterator[bytes]:
-    async for piece in body:
-        yield b"%x\r\n%b\r\n" % (len(piece), piece)
-    yield b"0\r\n\r\n"
-
-
 def _may_retry_same_target(error: CoralfallError, state: "TargetState") -> bool:
     """Whether the target of a failed attempt may well serve the request at a second attempt."""
     rejected = str(error.fields.get("reason", "")).startswith(REJECTED_PREFIX)
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -37,6 +37,7 @@
 from .registry import Registry
 from .state_view import StateView
 from .target_permits import TargetPermits
+from .target_selection import LocalSelector, TargetSelector
 from .telemetry import MetricsApp, Telemetry
 from .tenants import TenantAuthenticator
 
@@ -103,6 +104,7 @@
         self._build_permits()
         self.forwarder = Forwarder(
             names,
+            self._build_selector(),
             self.steering,
             self.targets,
             self.pool,
@@ -247,6 +249,9 @@
         )
         self.permits.sources += [self.quotas, self.target_permits]
 
+    def _build_selector(self) -> TargetSelector:
+        return LocalSelector(self.steering, self.clock)
+
     def _build_peers(self) -> None:
         settings = self.settings
         fleet_key = _fleet_key(settings)
--- a/tests/traffic/test_forwarder.py
+++ b/tests/traffic/test_forwarder.py
@@ -26,6 +26,7 @@
 from coralfall.traffic.settings import BoundSettings
 from coralfall.traffic.steered_request import SteeredRequest
 from coralfall.traffic.target_permits import TargetPermits
+from coralfall.traffic.target_selection import LocalSelector
 from tests.traffic.makers import (
     PEDIDOS,
     make_route,
@@ -71,6 +72,7 @@
         self.permits.sources.append(target_permits)
         self.forwarder = Forwarder(
             HEADERS,
+            LocalSelector(self.steering, clock),
             self.steering,
             self.targets,
             self.pool,
