--- a/docs/settings_reference.py
+++ b/docs/settings_reference.py
@@ -14,7 +14,7 @@
 from coralfall.bundles.trust import TrustSettings
 from coralfall.settings import EntrySettings, PlatformStandinSettings, TargetStandinSettings
 
-from coralfall.traffic.settings import SteerSettings
+from coralfall.platform.contracts import EntryFile
 
 PAGE = pathlib.Path(__file__).with_name("SETTINGS.md")
 _INTRODUCTION = """# Settings
@@ -24,11 +24,12 @@
 and exit code 2. Times are in seconds unless the name says otherwise.
 
 This page is written by `docs/settings_reference.py` from the definitions in
-`src/coralfall/settings.py` and `src/coralfall/traffic/settings.py`; change them, not it.
+`src/coralfall/settings.py`, `src/coralfall/dispatch_settings.py`, `src/coralfall/traffic/settings.py` and
+`src/coralfall/platform/contracts.py`; change them, not it.
 """
 _PROCESSES = {
     "`coralfall entry --settings FILE`": EntrySettings,
-    "`coralfall steer --settings FILE`": SteerSettings,
+    "`coralfall steer --settings FILE`": EntryFile,
     "`coralfall standin platform --settings FILE`": PlatformStandinSettings,
     "`coralfall standin target --settings FILE`": TargetStandinSettings,
     "Trust file of `coralfall bundle submit --trust FILE`": TrustSettings,
@@ -85,6 +86,8 @@
         return f"list of {_type_text(shape.item_type)}s"
     if isinstance(shape, msgspec.inspect.LiteralType):
         return "one of " + ", ".join(f'`"{value}"`' for value in shape.values)
+    if isinstance(shape, msgspec.inspect.EnumType):
+        return "one of " + ", ".join(f'`"{value.value}"`' for value in shape.cls)
     if isinstance(shape, msgspec.inspect.UnionType):
         known = [part for part in shape.types if not isinstance(part, msgspec.inspect.NoneType)]
         return " or ".join(_type_text(part) for part in known)
@@ -102,10 +105,18 @@
 
 
 def _meanings(model: t.Type[msgspec.Struct]) -> t.Dict[str, str]:
-    """The ``#:`` comment above each field.
+    """The ``#:`` comment above each field, inherited ones included.
 
     :raises ValueError: if a field has none.
     """
+    meanings: t.Dict[str, str] = {}
+    for base in reversed(model.__mro__):
+        if issubclass(base, msgspec.Struct) and base is not msgspec.Struct:
+            meanings.update(_own_meanings(base))
+    return meanings
+
+
+def _own_meanings(model: t.Type[msgspec.Struct]) -> t.Dict[str, str]:
     source = inspect.getsource(model)
     lines = source.splitlines()
     (definition,) = ast.parse(source).body
--- a/src/coralfall/placement/target_reports.py
+++ b/src/coralfall/placement/target_reports.py
@@ -15,6 +15,7 @@
 from .target_limits import TargetLimits
 
 if t.TYPE_CHECKING:
+    from ..ids import ServiceId
     from ..process.clock import Clock
     from ..traffic.model import Target
     from .targets import TargetState
@@ -25,6 +26,8 @@
 
     #: Numbers of running and of queued requests.
     load: t.Optional[t.Tuple[int, int]] = None
+    #: How long work takes on the target's machine, in percent of the usual time.
+    pace: t.Optional[int] = None
     #: Requests a second that the target accepts from all entries together.
     limit_per_s: t.Optional[float] = None
     #: Whether the answer shows that the target has no limit.
@@ -52,6 +55,8 @@
         self.departures = Departures(clock)
         #: Times for which targets accept no requests from this entry.
         self.cooldowns = Cooldowns(clock)
+        #: Called with the service of a target that reported its pace.
+        self.on_pace: "t.Callable[[ServiceId], None]" = lambda service: None
 
     def record(self, state: "TargetState", report: TargetReport, sent_at: float) -> None:
         """Records the report of an answer.
@@ -61,6 +66,8 @@
         target = state.target
         if report.load is not None:
             state.record_load(*report.load)
+        if report.pace is not None:
+            self.on_pace(target.service)
         if report.limit_per_s is not None or report.unlimited:
             self.limits.record_answer(target, report.limit_per_s, sent_at)
         if report.leaving:
--- a/src/coralfall/platform/run.py
+++ b/src/coralfall/platform/run.py
@@ -11,10 +11,10 @@
 from ..process.clock import SystemClock
 from ..process.signals import early
 from ..process.supervisor import supervise
-from ..settings import load_settings
 from ..traffic.node import Node, Store
 from ..traffic.settings import SteerSettings
 from ..traffic.settings_reloader import SettingsReloader
+from .contracts import load_entry_file
 from .http import ReadinessApp, ResolveApp
 from .names import HEADERS
 from .rows import PlatformRowCodec
@@ -30,7 +30,7 @@
     :param path: settings file; by default the one that the platform provides.
     """
     path = _settings_path(path)
-    settings = load_settings(path, SteerSettings)
+    settings = load_entry_file(path)
     log.configure(settings.log)
     log.identify(entry=settings.entry_id)
     return loop.run(_run(settings, path))
@@ -43,7 +43,7 @@
     :raises SettingsError: with every fault found in the file.
     """
     path = _settings_path(path)
-    settings = load_settings(path, SteerSettings)
+    settings = load_entry_file(path)
     return f"{path}: good, for entry {settings.entry_id} in {settings.zone}"
 
 
@@ -55,14 +55,8 @@
 
 async def _run(settings: SteerSettings, path: pathlib.Path) -> int:
     store = RowStore(settings.store)
-    node = Node(
-        settings,
-        HEADERS,
-        PlatformRowCodec(),
-        Store(store, store),
-        SystemClock(),
-        random.Random(),
-    )
+    stores = Store(store, store)
+    node = Node(settings, HEADERS, PlatformRowCodec(), stores, SystemClock(), random.Random())
     root = node.build_supervisor(
         ResolveApp(node.lookup, node.telemetry), ReadinessApp(lambda: node.ready)
     )
@@ -73,7 +67,7 @@
         link_mbps=settings.link_mbps,
         seeds=len(settings.seeds),
     )
-    reload = SettingsReloader(path, settings, node.apply_settings)
+    reload = SettingsReloader(path, settings, load_entry_file, node.apply_settings)
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
     if early.hung_up:
         reload()
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -13,6 +13,7 @@
 from ..peering.peer_links import PeerLinks
 from ..placement.affinity import AffinitySteering
 from ..placement.buckets import TokenBuckets
+from ..placement.contention import Contention
 from ..placement.quarantine import Quarantine, crash_digest
 from ..placement.retry_budget import SharedRetryBudget
 from ..placement.targets import TargetRegistry
@@ -92,6 +93,8 @@
         self._traffic = Traffic()
         self.metrics = Metrics(settings.metrics)
         self.targets = TargetRegistry(clock, settings.bounds.target_visibility_s())
+        self.contention = Contention(settings.dispatch, clock)
+        self.targets.reports.on_pace = self.contention.record_pace
         self.steering = AffinitySteering(settings, self.targets, clock)
         self.state_view = StateView(row_codec, self.steering, self.targets, clock, rng)
         self.members = Members(_own_record(settings, clock), clock, rng)
@@ -178,6 +181,7 @@
         self.settings = settings
         log.set_level(settings.log)
         self.steering.settings = settings
+        self.contention.settings = settings.dispatch
         self.budget.bounds = settings.bounds
         self.tenant_authenticator.bounds = settings.bounds
         self.quotas.bounds = settings.bounds
--- a/src/coralfall/traffic/settings.py
+++ b/src/coralfall/traffic/settings.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from .. import defaults
+from ..dispatch_settings import DispatchSettings
 from ..ids import EntryId, RegionId, ZoneId
 from ..settings import LogSettings, MetricsSettings, Settings
 
@@ -82,6 +83,10 @@
         """Returns the share of a region's objects that may change their home region in a second."""
         return self.max_shift * defaults.SHIFT_BUDGET_FRACTION / defaults.SHIFT_WINDOW_S
 
+    def spill_fraction(self) -> float:
+        """Returns the share of a contended service's requests that may spill to another region."""
+        return self.max_shift * defaults.SPILL_BUDGET_FRACTION
+
 
 class SteerSettings(Settings, frozen=True, kw_only=True):
     """Settings of ``coralfall steer``."""
@@ -119,6 +124,8 @@
     store: StoreSettings
     #: Guarantees that the system has to keep.
     bounds: BoundSettings = BoundSettings()
+    #: Assignment of targets' slots by dispatchers.
+    dispatch: DispatchSettings = DispatchSettings()
     #: ``peer_address`` of a few other entries, which an entry contacts when it starts.
     seeds: t.Tuple[str, ...] = ()
     #: Whether the whole installation starts for the first time, so that no caller is waiting.
@@ -131,6 +138,11 @@
     #: Destination of statsd metrics.
     metrics: MetricsSettings = MetricsSettings()
 
+    def as_contended(self) -> "SteerSettings":
+        """Returns the same settings for a contended installation."""
+        dispatch = msgspec.structs.replace(self.dispatch, contended=True)
+        return msgspec.structs.replace(self, dispatch=dispatch)
+
     def first_start_wait_s(self) -> float:
         """Returns the seconds for which a first start waits for rows from the seeds.
 
--- a/src/coralfall/traffic/settings_reloader.py
+++ b/src/coralfall/traffic/settings_reloader.py
@@ -7,11 +7,10 @@
 
 from ..exceptions import SettingsError
 from ..process import log
-from ..settings import load_settings
 from .settings import SteerSettings
 
 #: Settings that can change while the entry runs; all others take effect at the next start.
-RELOADABLE = ("bounds", "log", "quarantine_s", "seeds")
+RELOADABLE = ("bounds", "dispatch", "log", "quarantine_s", "seeds")
 
 
 class SettingsReloader:
@@ -21,6 +20,7 @@
 
     :param path: the settings file.
     :param settings: the settings in force.
+    :param load: reads the file.
     :param apply: called with the new settings, of which only reloadable ones differ.
     """
 
@@ -28,15 +28,17 @@
         self,
         path: pathlib.Path,
         settings: SteerSettings,
+        load: t.Callable[[pathlib.Path], SteerSettings],
         apply: t.Callable[[SteerSettings], None],
     ) -> None:
         self._path = path
         self._settings = settings
+        self._load = load
         self._apply = apply
 
     def __call__(self) -> None:
         try:
-            found = load_settings(self._path, SteerSettings)
+            found = self._load(self._path)
         except SettingsError as error:
             log.error("settings.refused", error=error.message)
             return
--- a/src/coralfall/validation.py
+++ b/src/coralfall/validation.py
@@ -5,6 +5,7 @@
 """
 
 import difflib
+import enum
 import typing as t
 
 import msgspec
@@ -78,6 +79,8 @@
     except msgspec.ValidationError as error:
         detail = str(error).split(" - at ")[0]
         code = "wrong-type" if detail.startswith("Expected") else "wrong-value"
+        if isinstance(model, type) and issubclass(model, enum.Enum):
+            detail += f"; allowed are {', '.join([repr(value.value) for value in model])}"
         return [Fault(path, code, f"found {raw!r}: {detail}")]
     return []
 
--- a/tests/platform_adapter/test_template.py
+++ b/tests/platform_adapter/test_template.py
@@ -16,6 +16,7 @@
 from coralfall import cli
 from coralfall.exceptions import SettingsError
 from coralfall.placement.retry_budget import SharedRetryBudget
+from coralfall.platform.contracts import EntryFile, load_entry_file
 from coralfall.process.clock import ManualClock
 from coralfall.settings import parse_settings
 from coralfall.traffic.poll_intervals import poll_intervals_for
@@ -41,7 +42,10 @@
 def render(number_by_name: t.Mapping[str, t.Any]) -> str:
     """Renders the template; sections without a given value are left out."""
     text = re.sub(
-        r"\{\{#(seeds|bootstrap)\}\}.*?\{\{/\1\}\}", "", TEMPLATE.read_text(), flags=re.DOTALL
+        r"\{\{#(seeds|bootstrap|contracts)\}\}.*?\{\{/\1\}\}",
+        "",
+        TEMPLATE.read_text(),
+        flags=re.DOTALL,
     )
     text = re.sub(r"\{\{#zones\}\}\n.*?\{\{/zones\}\}", 'z = "r"', text, flags=re.DOTALL)
     for name in NUMBERS:
@@ -56,7 +60,7 @@
 
 
 def load(number_by_name: t.Mapping[str, t.Any]) -> SteerSettings:
-    return parse_settings(tomllib.loads(render(number_by_name)), SteerSettings, "entry.toml")
+    return parse_settings(tomllib.loads(render(number_by_name)), EntryFile, "entry.toml")
 
 
 class TemplateTest(unittest.TestCase):
@@ -115,6 +119,55 @@
         self.assertNotIn("\n", message)
 
 
+class ContractsTest(unittest.TestCase):
+    """Guards against an installation that is served as uncontended although its terms say so."""
+
+    @parameterized.expand(
+        [
+            ("absent", None, "", False),
+            ("empty", "[]", "", False),
+            ("unknown", '["tides"]', "", False),
+            ("pressure", '["tides", "pressure"]', "", True),
+            ("own setting", "[]", "contended = true", True),
+        ]
+    )
+    def test_words(
+        self, _name: str, words: t.Optional[str], dispatch: str, contended: bool
+    ) -> None:
+        self.assertEqual(contended, self._load(words, dispatch).dispatch.contended)
+
+    @parameterized.expand(
+        [
+            ("words", '"pressure"', "", "contracts", "wrong-type", "Expected `array`"),
+            (
+                "mode",
+                "[]",
+                'mode = "never"',
+                "dispatch.mode",
+                "wrong-value",
+                "'auto', 'on', 'off'",
+            ),
+            ("contended", "[]", "contended = 1", "dispatch.contended", "wrong-type", "`bool`"),
+            ("unknown", "[]", "modes = 1", "dispatch.modes", "unknown-field", "mode"),
+        ]
+    )
+    def test_bad_value_is_reported_with_field_code_and_remedy(
+        self, _name: str, words: str, dispatch: str, field: str, code: str, remedy: str
+    ) -> None:
+        with self.assertRaises(SettingsError) as caught:
+            self._load(words, dispatch)
+        (fault,) = caught.exception.faults
+        self.assertEqual((field, code), (fault.path, fault.code))
+        self.assertIn(remedy, fault.message)
+
+    def _load(self, words: t.Optional[str], dispatch: str) -> SteerSettings:
+        line = "" if words is None else f"contracts = {words}\n"
+        path = make_folder(self) / "entry.toml"
+        text = render({}).replace("contracts = []\n", line)
+        path.write_text(f"{text}\n[dispatch]\n{dispatch}\n")
+        return load_entry_file(path)
+
+
 class CheckCommandTest(unittest.TestCase):
     @parameterized.expand([("good", FRACTION, True), ("bad", -1, False)])
     def test_settings_are_validated_without_a_start(
