--- a/src/coralfall/placement/admission.py
+++ b/src/coralfall/placement/admission.py
@@ -55,8 +55,11 @@
 
     def is_late(self, route: "Route", left_s: float) -> bool:
         """Whether a caller has waited for longer than the latency target of its route."""
-        limit = self._limit_by_route.get(route.route_id, left_s)
-        return limit - left_s > route.latency_target_s
+        return self.waited_s(route, left_s) > route.latency_target_s
+
+    def waited_s(self, route: "Route", left_s: float) -> float:
+        """Estimated seconds that a caller had waited before it sent this request."""
+        return self._limit_by_route.get(route.route_id, left_s) - left_s
 
     def record_duration(self, service: "ServiceId", seconds: float, known: bool = True) -> None:
         """Records how long a target took to answer.
--- a/src/coralfall/placement/affinity.py
+++ b/src/coralfall/placement/affinity.py
@@ -31,7 +31,7 @@
 #: Longest time, in seconds, after which a rejected caller is told to retry. Callers that have
 #: already missed their latency target are told this one: they lose nothing by it, and the
 #: capacity goes to others first.
-_MAX_RETRY_AFTER_S = 1.0
+MAX_RETRY_AFTER_S = 1.0
 #: Load limits of targets that have not cached the object and are not its first candidate, by the
 #: regular limit. Loading an object takes three times as long as serving a cached one: under load
 #: each request that spills to such a target causes more spilling, and the targets end up reloading
@@ -123,7 +123,7 @@
                     limit, self._load_limit_of(state, state is candidates[0], key, limit, route)
                 )
                 if state.load() < max_load * state.target.slots:
-                    return self._reserve(state, key, route)
+                    return self.reserve(state, key, route)
         if not in_time:
             message = f"no target of {service} for this object would answer in time"
             retry_after_s = self._retry_after_s(candidates)
@@ -131,12 +131,51 @@
         message = f"all targets of {service} for this object are full"
         raise RefusedError(
             message,
-            _MAX_RETRY_AFTER_S if late else self._retry_after_s(candidates),
+            MAX_RETRY_AFTER_S if late else self._retry_after_s(candidates),
             service=service,
             reason="full-late" if late else "full",
             loads=",".join([f"{s.target.target_id}:{s.load():.1f}" for s in candidates]),
         )
 
+    def may_send(self, state: "TargetState", key: bytes) -> bool:
+        """Whether a target can be sent a request by the entry's own knowledge, at whatever load."""
+        if not state.is_usable() or state.is_unresponsive():
+            return False
+        if state.is_cold() and not self._may_send_to_cold(state):
+            return False
+        return not self.limits.wait_s(state.target, state.has_cached(key))
+
+    def reserve_assigned(
+        self,
+        state: "TargetState",
+        key: bytes,
+        route: "Route",
+        known: bool,
+        load: float,
+        is_counted: bool,
+    ) -> TargetReservation:
+        """Reserves a target that its dispatcher assigned to the request.
+
+        :param known: whether the target has the object cached, by the dispatcher's knowledge.
+        :param load: requests in flight at the target before this one, by the same knowledge.
+        :param is_counted: whether the reservation counts the request as in flight.
+        """
+        known = known or not route.session_affinity
+        return self._reserve(state, key, route, known, load, is_counted)
+
+    def has_free_slot(
+        self, state: "TargetState", first: bool, key: bytes, route: "Route", left_s: float
+    ) -> bool:
+        """Whether a target has a slot for a request now, by the entry's own knowledge.
+
+        :param first: whether the target is the first usable candidate of the object.
+        :param left_s: seconds until the deadline of the request.
+        """
+        limit = defaults.AFFINITY_LOAD_LIMITS[0]
+        limit = min(limit, self._load_limit_of(state, first, key, limit, route))
+        in_time = self.admission.predict_latency_s(state) < left_s
+        return in_time and state.load() < limit * state.target.slots
+
     def retry_after_s(self, state: "TargetState", service: "ServiceId", regions: Regions) -> float:
         """Seconds after which a caller may retry a request that a target rejected."""
         if not state.cooldown_s():
@@ -165,13 +204,13 @@
                 message, defaults.STEER_RETRY_AFTER_S, service=service, reason="no-target"
             )
         message = f"{len(limited)} targets of {service} have had what their limits allow"
-        retry_after_s = min(max(defaults.STEER_RETRY_AFTER_S, min(limited)), _MAX_RETRY_AFTER_S)
+        retry_after_s = min(max(defaults.STEER_RETRY_AFTER_S, min(limited)), MAX_RETRY_AFTER_S)
         return RefusedError(message, retry_after_s, service=service, reason="limited")
 
     def _retry_after_s(self, candidates: t.Sequence["TargetState"]) -> float:
         """Seconds after which one of the targets should have capacity again."""
         drain_s = min([self.admission.queue_drain_s(state) for state in candidates])
-        return min(max(defaults.STEER_RETRY_AFTER_S, drain_s), _MAX_RETRY_AFTER_S)
+        return min(max(defaults.STEER_RETRY_AFTER_S, drain_s), MAX_RETRY_AFTER_S)
 
     def _load_limit_of(
         self, state: "TargetState", first: bool, key: bytes, limit: float, route: "Route"
@@ -185,16 +224,32 @@
             return limit
         return _UNCACHED_LOAD_LIMITS.get(limit, limit)
 
-    def _reserve(self, state: "TargetState", key: bytes, route: "Route") -> TargetReservation:
+    def reserve(self, state: "TargetState", key: bytes, route: "Route") -> TargetReservation:
+        """Reserves a target by the entry's own knowledge."""
+        known = state.has_cached(key) or not route.session_affinity
+        return self._reserve(state, key, route, known, state.load(), True)
+
+    def _reserve(
+        self,
+        state: "TargetState",
+        key: bytes,
+        route: "Route",
+        known: bool,
+        load: float,
+        is_counted: bool,
+    ) -> TargetReservation:
         cold = state.is_cold()
         if cold:
             state.cold_limiter.record(self._clock.monotonic())
-        known = state.has_cached(key) or not route.session_affinity
         if route.session_affinity:
             state.record_object(key)
-        is_speed_sample = known and not cold and state.load() < state.target.slots
+        is_speed_sample = known and not cold and load < state.target.slots
         near = self.rankings.region_of(state) == self._settings.region
-        return TargetReservation(state, key, known, near, is_speed_sample, self.admission)
+        reservation = TargetReservation(
+            state, key, known, near, is_speed_sample, self.admission, is_counted=is_counted
+        )
+        reservation.load = load
+        return reservation
 
     def _candidates(
         self,
--- a/src/coralfall/placement/reservation.py
+++ b/src/coralfall/placement/reservation.py
@@ -16,6 +16,8 @@
     :param near: whether the target is in the entry's own region.
     :param is_speed_sample: whether the latency of the request is a sample of the target's speed.
     :param admission: estimates, updated with the latency of the request.
+    :param is_counted: whether the request counts as in flight by this reservation. It does not if
+        the entry itself dispatches the target: then the assignment counts it already.
     """
 
     __slots__ = (
@@ -37,6 +39,8 @@
         near: bool,
         is_speed_sample: bool,
         admission: "Admission",
+        *,
+        is_counted: bool = True,
     ) -> None:
         self.state = state
         self.known = known
@@ -46,7 +50,9 @@
         self._key = key
         self._is_speed_sample = is_speed_sample
         self._admission = admission
-        self._request_number = state.start_request(admission.overdue_after_s(state, known))
+        self._request_number: t.Optional[int] = None
+        if is_counted:
+            self._request_number = state.start_request(admission.overdue_after_s(state, known))
 
     def record_answer(self, now: float, seconds: float) -> None:
         """Records how long the target took to answer."""
@@ -60,7 +66,8 @@
 
     def release(self) -> None:
         """Ends the reservation; idempotent."""
-        self.state.end_request(self._request_number)
+        if self._request_number is not None:
+            self.state.end_request(self._request_number)
 
     def cancel(self) -> None:
         """Ends the reservation of a request that was not sent.
--- a/src/coralfall/placement/targets.py
+++ b/src/coralfall/placement/targets.py
@@ -219,6 +219,8 @@
         self.by_id: t.Dict["TargetId", TargetState] = {}
         self._by_service: t.Dict["ServiceId", t.List[TargetState]] = {}
         self._evacuated: t.FrozenSet["ZoneId"] = frozenset()
+        #: Called when the set of usable lifetimes has changed.
+        self.on_usable_changed: t.Callable[[], None] = lambda: None
         #: Incremented whenever the set of usable lifetimes changes.
         self.generation = 0
         #: Seconds for which targets of a zone are treated as cold after its evacuation ends.
@@ -336,9 +338,11 @@
         for state in self.by_id.values():
             if self.may_use(state):
                 by_service.setdefault(state.target.service, []).append(state)
-        if _lifetimes(by_service) != _lifetimes(self._by_service):
-            self.generation += 1
+        changed = _lifetimes(by_service) != _lifetimes(self._by_service)
         self._by_service = by_service
+        if changed:
+            self.generation += 1
+            self.on_usable_changed()
 
 
 def _log_added(added: "t.Sequence[Target]") -> None:
