--- a/src/coralfall/traffic/callers.py
+++ b/src/coralfall/traffic/callers.py
@@ -7,6 +7,7 @@
 from ..exceptions import CallerGoneError, CoralfallError, RefusedError, RequestError
 from ..forwarding.request import MemoryAccount, RequestBody, pieces_of
 from ..http.caller_watch import CallerWatch
+from ..placement.dispatch import object_key_of
 from ..process import log
 from .reply import Reply, reply_from_error
 from .steered_request import SteeredRequest
@@ -15,6 +16,7 @@
 if t.TYPE_CHECKING:
     from starlette.types import Receive, Scope, Send
 
+    from ..placement.contention import Contention
     from ..process.clock import Clock
     from .forwarder import Forwarder
     from .quotas import Quotas
@@ -36,6 +38,7 @@
     :param quotas: enforces the tenants' limits.
     :param forwarder: forwards requests to targets.
     :param telemetry: counts requests.
+    :param contention: tells which services are contended.
     :param clock: measures deadlines.
     """
 
@@ -47,6 +50,7 @@
         quotas: "Quotas",
         forwarder: "Forwarder",
         telemetry: "Telemetry",
+        contention: "Contention",
         clock: "Clock",
     ) -> None:
         self._names = names
@@ -55,6 +59,7 @@
         self._quotas = quotas
         self._forwarder = forwarder
         self._telemetry = telemetry
+        self._contention = contention
         self._clock = clock
         self._memory = MemoryAccount(defaults.MAX_BUFFERED_BYTES)
         #: Number of requests in flight.
@@ -150,6 +155,12 @@
         request_id = (_header(headers, self._names.request_id) or b"").decode("latin-1")
         key = self._names.affinity_key(headers) if route.session_affinity else None
         time_left_s = self._time_left_of(headers)
+        if key is None:
+            key = request_id.encode()
+        service = self._state_view.split.choose(route)
+        contended = self._contention.is_contended(service)
+        if contended:
+            key = object_key_of(route.route_id, key)
         return SteeredRequest(
             method,
             path,
@@ -157,15 +168,16 @@
             headers,
             body,
             route,
-            self._state_view.split.choose(route),
+            service,
             request_id,
-            key if key is not None else request_id.encode(),
+            key,
             started_at
             + (route.timeout_s if time_left_s is None else min(time_left_s, route.timeout_s)),
             time_left_s,
             scope["client"][0] if scope.get("client") else "",
             tenant,
             allowed_regions_for(route, tenant),
+            contended,
         )
 
     def _time_left_of(self, headers: t.Sequence[t.Tuple[bytes, bytes]]) -> t.Optional[float]:
@@ -210,6 +222,7 @@
             ms=round((now - started_at) * 1000),
             aim_ms=round(request.route.latency_target_s * 1000),
             sends=",".join([str(send) for send in request.attempts]) or "none",
+            **_dispatch_fields(request),
             **_fingerprint_fields(request),
             **({"quota": reply.detail} if reply is not None and reply.detail else {}),
             version=state_view.version,
@@ -218,6 +231,13 @@
         )
 
 
+def _dispatch_fields(request: SteeredRequest) -> t.Dict[str, str]:
+    """Returns the log field of the answers of dispatchers; only contended services have any."""
+    if not request.asks:
+        return {}
+    return {"dispatch": ",".join([str(ask) for ask in request.asks])}
+
+
 def _fingerprint_fields(request: SteeredRequest) -> t.Dict[str, str]:
     """Returns the log fields that identify repeats; only suspected requests have a fingerprint."""
     if request.fingerprint is None:
--- /dev/null
+++ b/src/coralfall/traffic/dispatch_selection.py
@@ -0,0 +1,365 @@
+"""Dispatch selection: targets of contended services are assigned by their dispatchers.
+
+The dispatchers of an object's candidates are asked for a slot one after the other. If all of them
+are busy, the request queues at the one with the earliest predicted completion. What dispatchers
+don't answer is decided by the entry's own knowledge (:class:`.target_selection.LocalSelector`).
+"""
+
+import typing as t
+
+from .. import defaults
+from ..exceptions import RefusedError
+from ..placement.affinity import MAX_RETRY_AFTER_S
+from ..placement.contended_candidates import contended_candidates
+from ..placement.dispatch import (
+    DispatchAsk,
+    Ticket,
+    Verdict,
+    level_of,
+    object_code_of,
+    object_key_of,
+    route_code_of,
+    tenant_code_of,
+)
+from ..placement.spill_limit import SpillLimit
+from .dispatch_asker import NoticeWaits, release_unsent
+from .dispatch_outcome import release_of
+from .model import RequestKind
+from .steered_request import AskRecord
+from .target_selection import TargetSelector
+
+if t.TYPE_CHECKING:
+    from ..ids import TargetId
+    from ..placement.affinity import AffinitySteering
+    from ..placement.dispatch import DispatchAnswer
+    from ..placement.reservation import TargetReservation
+    from ..placement.targets import TargetRegistry, TargetState
+    from ..process.clock import Clock
+    from .dispatch_asker import DispatchAsker
+    from .steered_request import SteeredRequest
+
+#: Reasons of rejecting requests: no slot in time for one that may queue, and for one that is late.
+NO_SLOT = "no-slot"
+FULL_LATE = "full-late"
+#: Seconds after a request's deadline for which its assignment lasts if it is not released.
+_EXPIRY_MARGIN_S = 0.5
+#: Times that the candidates are asked, if the target of a queued ask is withdrawn or its dispatcher
+#: stops; after that the entry decides by its own knowledge.
+_MAX_ROUNDS = 3
+#: Verdicts that are as good as no answer.
+_SILENT = frozenset((Verdict.NOT_DISPATCHER,))
+
+
+class _Candidate(t.NamedTuple):
+    """A target whose dispatcher may be asked."""
+
+    state: "TargetState"
+    #: Whether it is in another region than the first candidate of the object.
+    is_remote: bool
+
+
+class _Busy(t.NamedTuple):
+    """A candidate that had no slot in time."""
+
+    candidate: _Candidate
+    answer: "DispatchAnswer"
+    is_first: bool
+    #: Whether queueing there counts toward the spill limit.
+    spills: bool = False
+
+
+class DispatchSelector(TargetSelector):
+    """Selects the targets of contended services by asking their dispatchers.
+
+    Requests of other services are passed to the local selector before anything else.
+
+    :param local: decides by the entry's own knowledge.
+    :param client: asks dispatchers.
+    :param steering: ranks targets and reserves them.
+    :param targets: known targets.
+    :param clock: time source.
+    """
+
+    def __init__(
+        self,
+        local: TargetSelector,
+        client: "DispatchAsker",
+        steering: "AffinitySteering",
+        targets: "TargetRegistry",
+        clock: "Clock",
+    ) -> None:
+        self._local = local
+        self._client = client
+        self._steering = steering
+        self._targets = targets
+        self._clock = clock
+        self._spill_limit = SpillLimit(steering.settings.entry_id, clock)
+        self._ticket_by_reservation: t.Dict["TargetReservation", Ticket] = {}
+        self._waits = NoticeWaits(client, targets)
+
+    async def select(
+        self,
+        request: "SteeredRequest",
+        tried: "t.Collection[TargetId]",
+        retry_target: "t.Optional[TargetState]",
+    ) -> "TargetReservation":
+        if not request.contended:
+            return await self._local.select(request, tried, retry_target)
+        if not request.attempts:
+            self._spill_limit.record_request(request.service)
+        excluded = set(tried)
+        late = request.is_late or self._clock.monotonic() > request.objective_at()
+        for _ in range(_MAX_ROUNDS):
+            busy: t.List[_Busy] = []
+            candidates = self._candidates(request, excluded, retry_target)
+            reservation = await self._ask_in_order(request, candidates, late, busy)
+            if reservation is not None:
+                return reservation
+            if not busy:
+                break
+            if late:
+                message = f"no target of {request.service} has a free slot for a late request"
+                raise RefusedError(
+                    message, MAX_RETRY_AFTER_S, service=request.service, reason=FULL_LATE
+                )
+            best = self._best_to_queue_at(request, busy)
+            try:
+                reservation = await self._queue(request, best, excluded)
+            finally:
+                if reservation is None and best.spills:
+                    self._spill_limit.undo(request.service)
+            if reservation is not None:
+                return reservation
+        return await self._local.select(request, tried, retry_target)
+
+    def finish(
+        self,
+        request: "SteeredRequest",
+        reservation: "TargetReservation",
+        error: t.Optional[BaseException],
+    ) -> None:
+        ticket = self._ticket_by_reservation.pop(reservation, None)
+        if ticket is None:
+            return
+        now = self._clock.monotonic()
+        number = ticket.answer.number
+        self._client.release(ticket, release_of(number, request.attempts[-1], error, now))
+
+    def _candidates(
+        self,
+        request: "SteeredRequest",
+        excluded: "t.Collection[TargetId]",
+        retry_target: "t.Optional[TargetState]",
+    ) -> t.List[_Candidate]:
+        steering = self._steering
+        is_upload = request.route.kind is RequestKind.UPLOAD
+        key = request.object_key
+        states = contended_candidates(
+            steering, is_upload, request.service, key, request.allowed_regions
+        )
+        if not states:
+            return []
+        home = steering.rankings.region_of(states[0])
+        states = [state for state in states if state.target.target_id not in excluded]
+        if (
+            retry_target is not None
+            and request.route.session_affinity
+            and self._targets.may_use(retry_target)
+        ):
+            # As in AffinitySteering.choose: it is better than a target that has to load the object.
+            states = [state for state in states if state.has_cached(key)] + [retry_target]
+        return [_Candidate(state, steering.rankings.region_of(state) != home) for state in states]
+
+    async def _ask_in_order(
+        self,
+        request: "SteeredRequest",
+        candidates: t.Sequence[_Candidate],
+        late: bool,
+        busy: t.List[_Busy],
+    ) -> "t.Optional[TargetReservation]":
+        """Asks for a slot of one candidate after the other.
+
+        :param late: whether the request may only use a free slot.
+        :param busy: receives the candidates that had no slot in time.
+        """
+        for candidate in candidates:
+            left_s = self._left_s(request)
+            if left_s < defaults.MIN_SEND_TIME_LEFT_S:
+                return None
+            spills = bool(busy) and candidate.is_remote
+            if spills and not self._try_spill(request):
+                continue
+            within_s = left_s
+            if not late:
+                within_s = min(left_s, request.objective_at() - self._clock.monotonic())
+            if busy:
+                # Any sooner completion is worth it, also one that misses the objective.
+                sooner_s = (min([other.answer.expected_ms for other in busy]) - 1) / 1000
+                within_s = min(left_s, sooner_s)
+            is_first = not busy or not request.route.session_affinity
+            ticket = await self._ask(request, candidate.state, within_s, 0.0, is_first, False)
+            reservation = None
+            if ticket is None or not self._release_if_queued(candidate.state, ticket, late):
+                reservation = self._reservation_for(request, candidate.state, ticket, is_first)
+            if reservation is not None:
+                return reservation
+            if spills:
+                self._spill_limit.undo(request.service)
+            if ticket is not None and ticket.answer.verdict in (Verdict.BUSY, Verdict.ASSIGNED):
+                busy.append(_Busy(candidate, ticket.answer, is_first))
+        return None
+
+    def _reservation_for(
+        self,
+        request: "SteeredRequest",
+        state: "TargetState",
+        ticket: t.Optional[Ticket],
+        is_first: bool,
+    ) -> "t.Optional[TargetReservation]":
+        """Reserves a target if it is assigned, or if only the entry's own knowledge can tell."""
+        if ticket is None or ticket.answer.verdict in _SILENT:
+            left_s = self._left_s(request)
+            key, route = request.object_key, request.route
+            if not self._steering.has_free_slot(state, is_first, key, route, left_s):
+                return None
+            return self._steering.reserve(state, key, route)
+        if ticket.answer.verdict is not Verdict.ASSIGNED:
+            return None
+        reservation = self._steering.reserve_assigned(
+            state,
+            request.object_key,
+            request.route,
+            known=ticket.answer.cached,
+            load=ticket.answer.load,
+            is_counted=ticket.dispatcher_id != self._steering.settings.entry_id,
+        )
+        self._ticket_by_reservation[reservation] = ticket
+        return reservation
+
+    def _release_if_queued(self, state: "TargetState", ticket: Ticket, late: bool) -> bool:
+        """Releases the assignment of a late request that would be queued at the target."""
+        if not late or ticket.answer.verdict is not Verdict.ASSIGNED:
+            return False
+        if ticket.answer.load < state.target.slots:
+            return False
+        release_unsent(self._client, ticket)
+        return True
+
+    def _best_to_queue_at(self, request: "SteeredRequest", busy: t.Sequence[_Busy]) -> _Busy:
+        """Returns the candidate that completes soonest; a remote one only within the spill limit.
+
+        The first one that was busy is in the region of the object, unless nothing there can be
+        used; so there is always one.
+        """
+        for other in sorted(busy, key=lambda one: one.answer.expected_ms):
+            if other is busy[0] or not other.candidate.is_remote:
+                return other
+            if self._try_spill(request):
+                return other._replace(spills=True)
+        return busy[0]
+
+    async def _queue(
+        self, request: "SteeredRequest", best: _Busy, excluded: "t.Set[TargetId]"
+    ) -> "t.Optional[TargetReservation]":
+        """Asks for a slot and waits for it.
+
+        :param excluded: receives the target if it can't be used any more.
+        :return: ``None`` if the target can't be used any more or its dispatcher is gone.
+        :raises RefusedError: if no slot can be had in time.
+        """
+        state = best.candidate.state
+        admission = self._steering.admission
+        work_s = admission.predict_latency_s(state, best.answer.cached) - admission.queue_drain_s(
+            state
+        )
+        left_s = self._left_s(request)
+        start_within_s = left_s - max(work_s, defaults.MIN_SEND_TIME_LEFT_S)
+        if start_within_s <= 0:
+            raise _no_slot_error(request, best.answer, work_s)
+        until = self._clock.monotonic() + start_within_s
+        ticket = await self._ask(request, state, left_s, start_within_s, best.is_first, True)
+        if ticket is not None and ticket.answer.verdict is Verdict.QUEUED:
+            queued_at = self._clock.monotonic()
+            answer = await self._waits.wait(state, ticket, until)
+            self._record(request, state, answer, queued_at, "expired")
+            if answer is None:
+                raise _no_slot_error(request, ticket.answer, work_s)
+            ticket = Ticket(ticket.dispatcher_id, answer)
+        if ticket is not None and ticket.answer.verdict in (Verdict.REFUSED, Verdict.BUSY):
+            raise _no_slot_error(request, ticket.answer, work_s)
+        if ticket is not None and ticket.answer.verdict in _SILENT:
+            # The next in rank has taken over: it is asked in the next round.
+            return None
+        reservation = self._reservation_for(request, state, ticket, best.is_first)
+        if reservation is None:
+            excluded.add(state.target.target_id)
+        return reservation
+
+    async def _ask(
+        self,
+        request: "SteeredRequest",
+        state: "TargetState",
+        within_s: float,
+        start_within_s: float,
+        is_first: bool,
+        may_queue: bool,
+    ) -> t.Optional[Ticket]:
+        asked_at = self._clock.monotonic()
+        ask = DispatchAsk(
+            number=self._client.new_number(),
+            target_id=state.target.target_id,
+            object_code=object_code_of(_cache_key_of(request)),
+            route_code=route_code_of(request.route.route_id),
+            level=level_of(request.route, request.tenant),
+            tenant_code=tenant_code_of(
+                request.tenant.tenant_id if request.tenant is not None else None
+            ),
+            within_ms=_milliseconds(within_s),
+            start_within_ms=_milliseconds(start_within_s),
+            expires_ms=_milliseconds(self._left_s(request) + _EXPIRY_MARGIN_S),
+            primary=is_first,
+            may_queue=may_queue,
+        )
+        ticket = await self._client.ask(state.target, ask)
+        self._record(request, state, ticket.answer if ticket is not None else None, asked_at)
+        return ticket
+
+    def _record(
+        self,
+        request: "SteeredRequest",
+        state: "TargetState",
+        answer: "t.Optional[DispatchAnswer]",
+        since: float,
+        otherwise: str = "silent",
+    ) -> None:
+        verdict = otherwise if answer is None else answer.verdict.name.lower()
+        expected_ms = 0 if answer is None else answer.expected_ms
+        took_ms = round((self._clock.monotonic() - since) * 1000)
+        request.asks.append(AskRecord(state.target.target_id, verdict, expected_ms, took_ms))
+
+    def _try_spill(self, request: "SteeredRequest") -> bool:
+        fraction = self._steering.settings.bounds.spill_fraction()
+        return self._spill_limit.try_spill(request.service, fraction)
+
+    def _left_s(self, request: "SteeredRequest") -> float:
+        return request.deadline - self._clock.monotonic()
+
+
+def _cache_key_of(request: "SteeredRequest") -> bytes:
+    """Key by which a target's cache is known; one for all requests of a route without objects."""
+    if request.route.session_affinity:
+        return request.object_key
+    return object_key_of(request.route.route_id, b"")
+
+
+def _no_slot_error(
+    request: "SteeredRequest", answer: "DispatchAnswer", work_s: float
+) -> RefusedError:
+    message = f"no target of {request.service} for this object has a slot in time"
+    wait_s = answer.expected_ms / 1000 - work_s
+    retry_after_s = min(max(defaults.STEER_RETRY_AFTER_S, wait_s), MAX_RETRY_AFTER_S)
+    return RefusedError(message, retry_after_s, service=request.service, reason=NO_SLOT)
+
+
+def _milliseconds(seconds: float) -> int:
+    return max(0, round(seconds * 1000))
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -110,6 +110,7 @@
         if request.remaining_s is not None:
             admission = self._steering.admission
             admission.record_arrival(request.route, request.remaining_s)
+            request.waited_s = max(0.0, admission.waited_s(request.route, request.remaining_s))
             request.is_late = admission.is_late(request.route, request.remaining_s)
         try:
             return await self._forward(request)
@@ -275,7 +276,7 @@
             self._pool.release(state.target, connection)
             raise TargetNotRunError("not sent", reason=QUARANTINED)
         attempt.sent = True
-        sent_at = self._clock.monotonic()
+        attempt.sent_at = self._clock.monotonic()
         head, body, body_stream = self._request_encoder.encode(request, state.target, time_left_s)
         bodiless = request.method == "HEAD"
         try:
@@ -295,7 +296,7 @@
                 self._pool.discard_connections(state.target)
             reason = _STALE if stale else "broken"
             raise TargetUnknownError(f"exchange broke off: {error}", reason=reason) from error
-        self._response_check.check(response, request, state, sent_at)
+        self._response_check.check(response, request, attempt, state)
         if request.is_idempotent:
             self._pool.release(state.target, connection)
         else:
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -24,6 +24,8 @@
 from ..settings import HttpSettings
 from .callers import CallersApp
 from .crash_detector import Crash, CrashDetector
+from .dispatch_asker import DispatchAsker
+from .dispatch_selection import DispatchSelector
 from .follower import Follower
 from .forwarder import Forwarder
 from .gossip import Gossip, GossipServer
@@ -107,7 +109,7 @@
         self._build_permits()
         self.forwarder = Forwarder(
             names,
-            self._build_selector(),
+            self._build_selector(None),
             self.steering,
             self.targets,
             self.pool,
@@ -129,6 +131,7 @@
             self.quotas,
             self.forwarder,
             self.telemetry,
+            self.contention,
             clock,
         )
         self._tick_due_at = clock.monotonic() + _TICK_S
@@ -253,8 +256,15 @@
         )
         self.permits.sources += [self.quotas, self.target_permits]
 
-    def _build_selector(self) -> TargetSelector:
-        return LocalSelector(self.steering, self.clock)
+    def _build_selector(self, client: t.Optional[DispatchAsker]) -> TargetSelector:
+        """Returns the selector of targets.
+
+        :param client: asks dispatchers; without it all services are served as uncontended.
+        """
+        local = LocalSelector(self.steering, self.clock)
+        if client is None:
+            return local
+        return DispatchSelector(local, client, self.steering, self.targets, self.clock)
 
     def _build_peers(self) -> None:
         settings = self.settings
--- a/src/coralfall/traffic/response_check.py
+++ b/src/coralfall/traffic/response_check.py
@@ -12,7 +12,7 @@
     from ..placement.affinity import AffinitySteering
     from ..placement.targets import TargetRegistry, TargetState
     from .connection import ServerResponse
-    from .steered_request import SteeredRequest
+    from .steered_request import Attempt, SteeredRequest
     from .target_report_reader import TargetReportReader
     from .wire import HeaderNames
 
@@ -48,12 +48,12 @@
         self,
         response: "ServerResponse",
         request: "SteeredRequest",
+        attempt: "Attempt",
         state: "TargetState",
-        sent_at: float,
     ) -> None:
         """Records a response's report and checks that the response may be passed on.
 
-        :param sent_at: monotonic time at which the request was sent.
+        :param attempt: the attempt that the response belongs to; the report is kept with it.
         :raises TargetNotRunError: if it proves that the target did not run the request.
         :raises TargetUnknownError: if it belongs to another request or can't be trusted.
         """
@@ -66,7 +66,8 @@
             # The response reports about the other target, so its report is not recorded.
             self._targets.mark_replaced(state)
             raise TargetNotRunError("another target is at the address", reason="misdirected")
-        self._targets.reports.record(state, self._reader.read(response, state.target), sent_at)
+        attempt.report = self._reader.read(response, state.target)
+        self._targets.reports.record(state, attempt.report, attempt.sent_at)
         if response.header(names.not_run) is not None:
             reason = f"{REJECTED_PREFIX}{response.status}"
             come_back_s = self._steering.retry_after_s(
--- a/src/coralfall/traffic/steered_request.py
+++ b/src/coralfall/traffic/steered_request.py
@@ -6,9 +6,10 @@
 
 if t.TYPE_CHECKING:
     from ..forwarding.request import RequestBody
-    from ..ids import RegionId, ServiceId
+    from ..ids import RegionId, ServiceId, TargetId
     from ..placement.fingerprint import Fingerprint, HeadDigest
     from ..placement.reservation import TargetReservation
+    from ..placement.target_reports import TargetReport
     from .connection import Headers
     from .model import Route, Tenant
     from .target_permits import TargetPermit
@@ -28,8 +29,10 @@
         "limit_per_s",
         "not_run",
         "permit",
+        "report",
         "result",
         "sent",
+        "sent_at",
         "target_id",
     )
 
@@ -55,6 +58,10 @@
         self.permit: t.Optional["TargetPermit"] = None
         #: Whether a byte may have been sent.
         self.sent = False
+        #: Monotonic time at which the first byte was sent.
+        self.sent_at = 0.0
+        #: What the target reported in its answer to this request.
+        self.report: t.Optional["TargetReport"] = None
         #: Whether there is evidence that the target did not run the request.
         self.not_run = False
         self.result = "?"
@@ -64,6 +71,22 @@
         return f"{self.target_id}:{self.result}:{self.duration_s * 1000:.0f}:{self._context}"
 
 
+class AskRecord(t.NamedTuple):
+    """One answer of a dispatcher, as recorded for the log."""
+
+    target_id: "TargetId"
+    #: The verdict in lower case; ``silent`` if no dispatcher answered, ``withdrawn`` if the target
+    #: was withdrawn while the request was queued, ``expired`` if no notice came in time.
+    verdict: str
+    #: Predicted milliseconds until completion.
+    expected_ms: int
+    #: Milliseconds until the answer or the notice came.
+    took_ms: int
+
+    def __str__(self) -> str:
+        return f"{self.target_id}:{self.verdict}:{self.expected_ms}:{self.took_ms}"
+
+
 class SteeredRequest:
     """A caller's request with its route.
 
@@ -73,13 +96,16 @@
     :param caller: IP address of the caller.
     :param tenant: tenant of the request, if it has to carry a key.
     :param allowed_regions: regions that may serve the request; any if empty.
+    :param contended: whether the service is contended, so that dispatchers assign its targets.
     """
 
     __slots__ = (
         "allowed_regions",
+        "asks",
         "attempts",
         "body",
         "caller",
+        "contended",
         "deadline",
         "fingerprint",
         "head_digest",
@@ -95,6 +121,7 @@
         "route",
         "service",
         "tenant",
+        "waited_s",
     )
 
     def __init__(
@@ -113,6 +140,7 @@
         caller: str = "",
         tenant: "t.Optional[Tenant]" = None,
         allowed_regions: "t.Optional[t.FrozenSet[RegionId]]" = None,
+        contended: bool = False,
     ) -> None:
         self.method = method
         self.path = path
@@ -128,6 +156,11 @@
         self.caller = caller
         self.tenant = tenant
         self.allowed_regions = route.allowed_regions if allowed_regions is None else allowed_regions
+        self.contended = contended
+        #: Estimated seconds that the caller had waited before it sent this request.
+        self.waited_s = 0.0
+        #: Answers of dispatchers.
+        self.asks: t.List[AskRecord] = []
         #: Hashes that identify repeats, without and with the body; computed on demand.
         self.head_digest: t.Optional["HeadDigest"] = None
         self.fingerprint: t.Optional["Fingerprint"] = None
@@ -137,6 +170,13 @@
         self.is_trial = False
         self.attempts: t.List[Attempt] = []
 
+    def objective_at(self) -> float:
+        """Returns the monotonic time after which the reply misses the latency objective."""
+        allowed_s = self.route.timeout_s
+        if self.remaining_s is not None:
+            allowed_s = min(allowed_s, self.remaining_s)
+        return self.deadline - allowed_s + self.route.latency_target_s - self.waited_s
+
     def sent_count(self) -> int:
         """Returns the number of attempts that sent the request."""
         return sum(send.sent for send in self.attempts)
--- /dev/null
+++ b/tests/traffic/test_target_selection.py
@@ -0,0 +1,394 @@
+"""Tests of the selection of targets of contended services, with a fake client of dispatchers."""
+
+import asyncio
+import contextlib
+import typing as t
+import unittest
+from unittest import mock
+
+from parameterized import parameterized
+
+from coralfall.dispatch_settings import DispatchMode, DispatchSettings
+from coralfall.exceptions import RefusedError
+from coralfall.ids import EntryId, ZoneId
+from coralfall.placement.contended_candidates import contended_candidates
+from coralfall.placement.contention import Contention
+from coralfall.placement.dispatch import (
+    AskNumber,
+    AttemptOutcome,
+    DispatchAnswer,
+    ReportedLoad,
+    Ticket,
+    Verdict,
+)
+from coralfall.placement.spill_limit import SpillLimit
+from coralfall.placement.target_reports import TargetReport
+from coralfall.platform.names import HEADERS
+from coralfall.process.clock import ManualClock
+from coralfall.traffic.callers import CallersApp, _dispatch_fields
+from coralfall.traffic.dispatch_selection import DispatchSelector
+from coralfall.traffic.model import RequestKind, RouteId, Target
+from coralfall.traffic.steered_request import SteeredRequest
+from coralfall.traffic.target_selection import LocalSelector
+from tests.traffic import makers
+from tests.traffic import test_forwarder as scripts
+from tests.traffic.makers import NORTE, PEDIDOS, PUERTO, SteeringFixture, make_route, make_target
+from tests.traffic.scripted_target import ScriptedTarget
+
+SUR = ZoneId("sierra-sur")
+#: Verdicts in scripts such as ``B500/5 - A100``: verdict, predicted ms, load; ``-`` is silence.
+VERDICTS = {verdict.name[0]: verdict for verdict in Verdict}
+SLOTS = 4
+
+
+class FakeClient:
+    """Answers asks and waits from a script, and records what it is called with."""
+
+    def __init__(self, script: str = "", dispatcher: str = "e2") -> None:
+        self.steps = script.split()
+        self.dispatcher = EntryId(dispatcher)
+        self.asks: t.List[t.Any] = []
+        self.releases: t.List[t.Any] = []
+        #: The result of a wait if the script has no step for it.
+        self.notice: "t.Optional[asyncio.Future[DispatchAnswer]]" = None
+
+    def new_number(self) -> AskNumber:
+        return AskNumber(len(self.asks) + 1)
+
+    async def ask(self, target: Target, ask: t.Any) -> t.Optional[Ticket]:
+        self.asks.append(ask)
+        answer = self._next(ask.number)
+        return Ticket(self.dispatcher, answer) if answer is not None else None
+
+    async def wait(self, ticket: Ticket, until: float) -> t.Optional[DispatchAnswer]:
+        if self.notice is None:
+            return self._next(ticket.answer.number)
+        notice, self.notice = self.notice, None
+        return await notice
+
+    def release(self, ticket: Ticket, release: t.Any) -> None:
+        self.releases.append(release)
+
+    def _next(self, number: AskNumber) -> t.Optional[DispatchAnswer]:
+        step = self.steps.pop(0)
+        if step == "-":
+            return None
+        expected_ms, _, load = step[1:].partition("/")
+        verdict = VERDICTS[step[0]]
+        return DispatchAnswer(number, verdict, int(expected_ms or 0), False, int(load or 0))
+
+    def outcomes(self) -> t.List[AttemptOutcome]:
+        return [release.outcome for release in self.releases]
+
+
+class SelectionTest(unittest.TestCase):
+    """Two targets in the entry's region, and one in another."""
+
+    def setUp(self) -> None:
+        self.fixture = SteeringFixture(
+            make_target(1), make_target(2), make_target(3, zone=PUERTO), entries=("e1",)
+        )
+        self.request = self.make_request()
+        states = contended_candidates(
+            self.fixture.steering, False, PEDIDOS, self.request.object_key, frozenset()
+        )
+        self.ids = [state.target.target_id for state in states]
+
+    def make_request(self, contended: bool = True, **route: t.Any) -> SteeredRequest:
+        deadline = self.fixture.clock.monotonic() + 1.0
+        arguments = ("GET", "/p/1", "a.example", [], None, make_route(**route), PEDIDOS, "id1")
+        tenant = makers.make_tenant(priority=0)
+        return SteeredRequest(
+            *arguments, b"object", deadline, None, "", tenant, contended=contended
+        )
+
+    def selector(self, client: FakeClient) -> DispatchSelector:
+        fixture = self.fixture
+        local = LocalSelector(fixture.steering, fixture.clock)
+        return DispatchSelector(local, client, fixture.steering, fixture.targets, fixture.clock)
+
+    def select(self, client: FakeClient) -> t.Any:
+        return asyncio.run(self.selector(client).select(self.request, (), None))
+
+    @parameterized.expand(
+        [
+            ("assigned", "A100", 0, "0"),
+            ("busy: a queue forms while the next is idle", "B500 A100", 1, "01"),
+            ("unavailable: sent to a dead target", "U A100", 1, "01"),
+            ("all unavailable: refused though it may be served", "U U U", 0, "012"),
+            ("silent: waits for a dead dispatcher", "-", 0, "0"),
+            ("stopping: as silent", "N", 0, "0"),
+            ("queued: refused though a slot is free soon", "B500 B300 Q300 A100", 1, "011"),
+            ("a slot was free by then", "B500 B600 A100", 0, "010"),
+            ("target gone while queued: waits in vain", "B300 B500 Q300 U A100", 1, "0101"),
+            ("dispatcher gone while queued: as before", "B300 B500 Q300 N A100", 0, "0100"),
+        ]
+    )
+    def test_chosen(self, _name: str, script: str, chosen: int, asked: str) -> None:
+        client = FakeClient(script)
+        reservation = self.select(client)
+        self.assertEqual(self.ids[chosen], reservation.state.target.target_id)
+        self.assertEqual([self.ids[int(n)] for n in asked], [a.target_id for a in client.asks])
+        self.assertEqual([], client.steps)
+        may_queue = [ask.may_queue for ask in client.asks]
+        self.assertEqual(script.count("B") == 2, may_queue[2:3] == [True])
+        self.assertEqual({0}, {ask.level for ask in client.asks}, "the tenant's priority is lost")
+
+    @parameterized.expand(
+        [
+            ("refused", "B700 B900 R650", 0.0, 0.65),
+            ("queued, refused", "B700 B900 Q650 R650", 0.0, 0.65),
+            ("notice lost", "B700 B900 Q650 -", 0.0, 0.65),
+            ("asked though a start is of no use", "B2700 B2900", 2.0, 0.7),
+        ]
+    )
+    def test_refused_with_the_predicted_wait(
+        self, _name: str, script: str, work_s: float, wait_s: float
+    ) -> None:
+        """Guards against a refusal that names a time at which there is no slot either."""
+        self.fixture.steering.admission.record_duration(PEDIDOS, work_s)
+        with self.assertRaises(RefusedError) as caught:
+            self.select(FakeClient(script))
+        self.assertEqual("no-slot", caught.exception.fields["reason"])
+        self.assertAlmostEqual(wait_s, caught.exception.retry_after)
+
+    def test_spill(self) -> None:
+        """Guards against spills beyond the limit, and spills that count though none was sent."""
+        client = FakeClient("B500 B400 U A100 B500 B400 A100 B500 B400 A100")
+        selector = self.selector(client)
+        chosen = []
+        with mock.patch.object(SpillLimit, "_rounding", return_value=1.0):
+            for _ in range(3):
+                reservation = asyncio.run(selector.select(self.request, (), None))
+                chosen.append(self.ids.index(reservation.state.target.target_id))
+        self.assertEqual([1, 2, 1], chosen)
+        (field,) = _dispatch_fields(self.request).values()
+        first, second, *_ = self.ids
+        self.assertTrue(field.startswith(f"{first}:busy:500:0,{second}:busy:400:0,"), field)
+
+    def test_retry_of_a_rejection_at_random(self) -> None:
+        """Guards against loading the object elsewhere when its target rejects at random."""
+        state = self.fixture.targets.by_id[self.ids[0]]
+        selection = self.selector(FakeClient("A100")).select(self.request, self.ids[:1], state)
+        self.assertIs(state, asyncio.run(selection).state)
+
+    def test_next_candidate_has_to_be_sooner(self) -> None:
+        """Guards against loading the object at a target that is as slow as the first one."""
+        client = FakeClient("B250 A100")
+        self.select(client)
+        self.assertEqual([300, 249], [ask.within_ms for ask in client.asks])
+        self.assertEqual([True, False], [ask.primary for ask in client.asks])
+
+    def test_silent_dispatcher_of_a_full_target(self) -> None:
+        """Guards against blind sends to a target that is full by the entry's own knowledge."""
+        self.fixture.targets.by_id[self.ids[0]].record_load(SLOTS, 0)
+        reservation = self.select(FakeClient("- A100"))
+        self.assertEqual(self.ids[1], reservation.state.target.target_id)
+
+    @parameterized.expand(
+        [("free slot", SLOTS - 1, True), ("only the excess is free", SLOTS, False)]
+    )
+    def test_late_request(self, _name: str, load: int, assigned: bool) -> None:
+        """Guards against late requests that take slots from, or queue before, those in time."""
+        self.request.is_late = True
+        client = FakeClient(f"A100/{load} B200")
+        if assigned:
+            self.select(client)
+            return
+        with self.assertRaises(RefusedError) as caught:
+            self.select(client)
+        self.assertEqual("full-late", caught.exception.fields["reason"])
+        self.assertEqual(1.0, caught.exception.retry_after)
+        self.assertEqual([AttemptOutcome.CANCELLED], client.outcomes())
+        self.assertNotIn(True, [ask.may_queue for ask in client.asks])
+
+    @parameterized.expand([("e1", 0), ("e2", 1)])
+    def test_own_dispatcher_counts_the_request_once(self, dispatcher: str, counted: int) -> None:
+        """Guards against targets that look twice as busy where the entry dispatches them."""
+        reservation = self.select(FakeClient("A100", dispatcher))
+        self.assertEqual(counted, reservation.state.in_flight)
+        reservation.release()
+        self.assertEqual(0, reservation.state.in_flight)
+
+    def test_service_that_is_not_contended(self) -> None:
+        """Guards against asks, pauses and other choices for services that are not contended."""
+        self.request = self.make_request(contended=False)
+        client = FakeClient()
+        selection = self.selector(client).select(self.request, (), None)
+        with self.assertRaises(StopIteration) as caught:
+            selection.send(None)
+        expected = self.fixture.steering.choose(make_route(), PEDIDOS, b"object", ())
+        self.assertIs(expected.state, caught.exception.value.state)
+        self.assertEqual([], client.asks)
+
+    @parameterized.expand([("caller", False), ("caller as it is assigned", True)])
+    def test_caller_leaves_while_queued(self, _name: str, assigned: bool) -> None:
+        """Guards against slots that stay assigned, and waits that last, after the caller left."""
+        client, waiting = self._leave(lambda task, _state: task.cancel(), assigned)
+        self.assertTrue(waiting.cancelled())
+        self.assertEqual([AttemptOutcome.CANCELLED] * assigned, client.outcomes())
+
+    def test_target_is_withdrawn_while_queued(self) -> None:
+        """Guards against requests that wait for a target which this entry knows to be leaving."""
+        reports = self.fixture.targets.reports
+        leaving = TargetReport(leaving=True)
+        _client, waiting = self._leave(
+            lambda _task, state: reports.record(state, leaving, 0.0), False
+        )
+        self.assertEqual(self.ids[1], waiting.result().state.target.target_id)
+
+    def _leave(
+        self, leave: t.Callable[[t.Any, t.Any], t.Any], assigned: bool
+    ) -> t.Tuple[FakeClient, "asyncio.Task[t.Any]"]:
+        client = FakeClient("B300 B500 Q300 A100")
+
+        async def main() -> "asyncio.Task[t.Any]":
+            notice = client.notice = asyncio.get_running_loop().create_future()
+            task = asyncio.ensure_future(self.selector(client).select(self.request, (), None))
+            await asyncio.sleep(0.01)
+            if assigned:
+                notice.set_result(DispatchAnswer(AskNumber(3), Verdict.ASSIGNED))
+                await asyncio.sleep(0)
+            leave(task, self.fixture.targets.by_id[self.ids[0]])
+            await asyncio.wait([task])
+            return task
+
+        return client, asyncio.run(main())
+
+
+async def loaded(received: t.Any) -> None:
+    await received.answer(x_server_load="2,1,4")
+
+
+class ReleaseTest(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("answer", loaded, AttemptOutcome.ANSWERED),
+            ("rejection", scripts.shed, AttemptOutcome.REJECTED),
+            ("another target", scripts.misdirected, AttemptOutcome.MISDIRECTED),
+            ("broken", scripts.truncated, AttemptOutcome.BROKEN),
+            ("not signed", scripts.unsigned, AttemptOutcome.BROKEN),
+            ("time-out", None, AttemptOutcome.TIMED_OUT),
+            ("caller gone, or stop", None, AttemptOutcome.CANCELLED),
+            ("nothing listens", scripts.ok, AttemptOutcome.CONNECTION_REFUSED),
+            ("withdrawn before the send", scripts.ok, AttemptOutcome.CANCELLED),
+        ]
+    )
+    def test_once_with_the_outcome(
+        self, name: str, script: t.Any, expected: AttemptOutcome
+    ) -> None:
+        """Guards against slots that are lost, or freed twice, however an attempt ends."""
+        client = FakeClient("A100")
+
+        async def hang(_received: t.Any) -> None:
+            await asyncio.sleep(5.0)
+
+        async def main() -> None:
+            async with ScriptedTarget(script or hang) as target:
+                address = "127.0.0.1:1" if name == "nothing listens" else target.address
+                harness = scripts.ForwarderHarness([address])
+                local = LocalSelector(harness.steering, harness.clock)
+                harness.forwarder._selector = DispatchSelector(
+                    local, client, harness.steering, harness.targets, harness.clock
+                )
+                request = harness.request("safe", seconds=0.2, max_attempts=1)
+                request.contended = True
+                if name.startswith("withdrawn"):
+                    harness.targets.block_reason = mock.Mock(return_value="late")  # type: ignore
+                task = asyncio.ensure_future(harness.forward(request))
+                if name.startswith("caller"):
+                    await asyncio.sleep(0.05)
+                    task.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await task
+                harness.pool.close()
+
+        asyncio.run(main())
+        self.assertEqual([expected], client.outcomes())
+        load = ReportedLoad(2, 1) if script is loaded else None
+        self.assertEqual(load, client.releases[0].load)
+
+
+class PartsTest(unittest.TestCase):
+    @parameterized.expand(
+        [
+            (DispatchMode.AUTO, False, None, False),
+            (DispatchMode.AUTO, True, None, True),
+            (DispatchMode.AUTO, False, 59.0, True),
+            (DispatchMode.AUTO, False, 61.0, False),
+            (DispatchMode.ON, False, None, True),
+            (DispatchMode.OFF, True, 1.0, False),
+        ]
+    )
+    def test_contention(
+        self, mode: DispatchMode, contended: bool, age_s: t.Optional[float], expected: bool
+    ) -> None:
+        """Guards against new behaviour for others, and old behaviour for contended services."""
+        fixture = SteeringFixture(make_target())
+        contention = Contention(DispatchSettings(mode=mode, contended=contended), fixture.clock)
+        fixture.targets.reports.on_pace = contention.record_pace
+        (state,) = fixture.targets.by_id.values()
+        pace = None if age_s is None else 100
+        fixture.targets.reports.record(state, TargetReport(load=(1, 0), pace=pace), 0.0)
+        fixture.clock.advance(age_s or 0.0)
+        self.assertEqual(expected, contention.is_contended(PEDIDOS))
+
+    def test_spilled_share_of_all_entries(self) -> None:
+        """Guards against spills that shift more of a region's requests than the bound allows."""
+        clock = ManualClock(0.0)
+        limits = [SpillLimit(EntryId(f"e{number}"), clock) for number in range(28)]
+        spilled = []
+        for _ in range(40):
+            clock.advance(2.0)
+            spilled.append(0)
+            for limit in limits:
+                for _ in range(24):
+                    limit.record_request(PEDIDOS)
+                    spilled[-1] += limit.try_spill(PEDIDOS, 0.03)
+        self.assertLess(sum(spilled) / (40 * 28 * 24), 0.032)
+        self.assertGreater(sum(spilled), 0)
+
+    @parameterized.expand([(RequestKind.UPLOAD, {NORTE}), (RequestKind.SAFE, {NORTE, SUR})])
+    def test_zone_of_the_first_candidate(self, kind: RequestKind, expected: t.Set[ZoneId]) -> None:
+        """Guards against uploads that cross zones though their own zone has targets."""
+        targets = [make_target(n, zone=(NORTE, SUR, SUR, PUERTO)[n % 4]) for n in range(12)]
+        regions = {**makers.REGIONS_BY_ZONE, SUR: makers.SIERRA}
+        fixture = SteeringFixture(*targets, settings=makers.make_settings(regions_by_zone=regions))
+        firsts = set()
+        for number in range(50):
+            found = contended_candidates(
+                fixture.steering,
+                kind is RequestKind.UPLOAD,
+                PEDIDOS,
+                str(number).encode(),
+                frozenset(),
+            )
+            places = [regions[state.target.zone] for state in found]
+            self.assertEqual([makers.SIERRA, makers.SIERRA, makers.COSTA], places)
+            firsts.add(found[0].target.zone)
+        self.assertEqual(expected, firsts)
+
+    @parameterized.expand([(True, 2), (False, 1)])
+    def test_two_routes_with_the_same_key(self, contended: bool, objects: int) -> None:
+        """Guards against taking another route's object for cached."""
+        view = mock.Mock()
+        view.routes.find = lambda _host, path: make_route(route_id=RouteId(path))
+        view.split.choose.return_value = PEDIDOS
+        contention = Contention(DispatchSettings(contended=contended), ManualClock(0.0))
+        quotas = forwarder = telemetry = tenants = mock.Mock()
+        tenants.authenticate.return_value = None
+        app = CallersApp(
+            HEADERS, view, tenants, quotas, forwarder, telemetry, contention, ManualClock(0.0)
+        )
+        keys = set()
+        for path in (b"/a", b"/b"):
+            headers = [(b"host", b"a.example"), (b"cookie", b"X-Affinity-Key=k")]
+            scope = {"method": "GET", "headers": headers, "raw_path": path, "query_string": b""}
+            request = app._build_request(t.cast(t.Any, scope), None, 0.0)
+            self.assertEqual(contended, request.contended)
+            keys.add(request.object_key)
+        self.assertEqual(objects, len(keys))
+
+
+if __name__ == "__main__":
+    unittest.main()
