--- a/src/coralfall/traffic/telemetry.py
+++ b/src/coralfall/traffic/telemetry.py
@@ -54,6 +54,9 @@
         self._limited_sends = self._counter(
             "limited_sends", "Sends to targets that had named a limit.", ("service",)
         )
+        self._dispatch_answers = self._counter(
+            "dispatch_answers", "Answers of dispatchers.", ("service", "verdict")
+        )
         self._crashes = self._counter(
             "target_crashes", "Targets that went down under requests of this entry.", ("service",)
         )
@@ -81,6 +84,8 @@
             self._sends.labels(service, send.result).inc()
             if send.sent and send.limit_per_s is not None:
                 self._limited_sends.labels(service).inc()
+        for ask in request.asks:
+            self._dispatch_answers.labels(service, ask.verdict).inc()
         if request.sent_count() > 1:
             self._second_sends.labels(service).inc(request.sent_count() - 1)
 
--- a/tests/traffic/test_target_selection.py
+++ b/tests/traffic/test_target_selection.py
@@ -30,6 +30,7 @@
 from coralfall.traffic.model import RequestKind, RouteId, Target
 from coralfall.traffic.steered_request import SteeredRequest
 from coralfall.traffic.target_selection import LocalSelector
+from coralfall.traffic.telemetry import Telemetry
 from tests.traffic import makers
 from tests.traffic import test_forwarder as scripts
 from tests.traffic.makers import NORTE, PEDIDOS, PUERTO, SteeringFixture, make_route, make_target
@@ -161,6 +162,9 @@
         (field,) = _dispatch_fields(self.request).values()
         first, second, *_ = self.ids
         self.assertTrue(field.startswith(f"{first}:busy:500:0,{second}:busy:400:0,"), field)
+        telemetry = Telemetry()
+        telemetry.count_request(self.request, None, 0.0)
+        self.assertIn(b'{service="pedidos",verdict="busy"} 6.0', telemetry.render())
 
     def test_retry_of_a_rejection_at_random(self) -> None:
         """Guards against loading the object elsewhere when its target rejects at random."""
