--- a/tests/traffic/test_target_selection.py
+++ b/tests/traffic/test_target_selection.py
@@ -10,7 +10,7 @@
 
 from coralfall.dispatch_settings import DispatchMode, DispatchSettings
 from coralfall.exceptions import RefusedError
-from coralfall.ids import EntryId, ZoneId
+from coralfall.ids import EntryId, RegionId, ZoneId
 from coralfall.placement.contended_candidates import contended_candidates
 from coralfall.placement.contention import Contention
 from coralfall.placement.dispatch import (
@@ -37,6 +37,7 @@
 from tests.traffic.scripted_target import ScriptedTarget
 
 SUR = ZoneId("sierra-sur")
+SELVA = ZoneId("selva-uno")
 #: Verdicts in scripts such as ``B500/5 - A100``: verdict, predicted ms, load; ``-`` is silence.
 VERDICTS = {verdict.name[0]: verdict for verdict in Verdict}
 SLOTS = 4
@@ -349,21 +350,29 @@
             spilled += limits[number % 28].try_spill(PEDIDOS, 0.03)
         self.assertTrue(0.01 < spilled / (40 * 28 * 24) < 0.032, spilled)
 
-    @parameterized.expand([(RequestKind.UPLOAD, {NORTE}), (RequestKind.SAFE, {NORTE, SUR})])
-    def test_zone_of_the_first_candidate(self, kind: RequestKind, expected: t.Set[ZoneId]) -> None:
-        """Guards against uploads that cross zones though their own zone has targets."""
-        targets = [make_target(n, zone=(NORTE, SUR, SUR, PUERTO)[n % 4]) for n in range(12)]
-        regions = {**makers.REGIONS_BY_ZONE, SUR: makers.SIERRA}
+    @parameterized.expand(
+        [
+            (RequestKind.UPLOAD, (NORTE, SUR, SUR, PUERTO), {NORTE}),
+            (RequestKind.SAFE, (NORTE, SUR, SUR, PUERTO), {NORTE, SUR}),
+            (RequestKind.SAFE, (PUERTO, SELVA), {PUERTO, SELVA}),
+        ]
+    )
+    def test_candidates(
+        self, kind: RequestKind, zones: t.Tuple[ZoneId, ...], firsts: t.Set[ZoneId]
+    ) -> None:
+        """Guards against uploads that cross zones, and second candidates in another region."""
+        targets = [make_target(n, zone=zones[n % len(zones)]) for n in range(12)]
+        regions = {**makers.REGIONS_BY_ZONE, SUR: makers.SIERRA, SELVA: RegionId("selva")}
         fixture = SteeringFixture(*targets, settings=makers.make_settings(regions_by_zone=regions))
-        firsts = set()
+        found = set()
         for number in range(50):
             key = str(number).encode()
             upload = kind is RequestKind.UPLOAD
-            found = contended_candidates(fixture.steering, upload, PEDIDOS, key, frozenset())
-            places = [regions[state.target.zone] for state in found]
-            self.assertEqual([makers.SIERRA, makers.SIERRA, makers.COSTA], places)
-            firsts.add(found[0].target.zone)
-        self.assertEqual(expected, firsts)
+            states = contended_candidates(fixture.steering, upload, PEDIDOS, key, frozenset())
+            first, second, third = [regions[state.target.zone] for state in states]
+            self.assertTrue(first == second != third)
+            found.add(states[0].target.zone)
+        self.assertEqual(firsts, found)
 
     @parameterized.expand([(True, 2), (False, 1)])
     def test_two_routes_with_the_same_key(self, contended: bool, objects: int) -> None:
