--- a/src/coralfall/traffic/dispatch_asker.py
+++ b/src/coralfall/traffic/dispatch_asker.py
@@ -44,7 +44,7 @@
     def __init__(self, client: DispatchAsker, targets: "TargetRegistry") -> None:
         self._client = client
         self._targets = targets
-        self._state_by_wait: t.Dict["asyncio.Future[t.Any]", "TargetState"] = {}
+        self._state_by_task: t.Dict["asyncio.Task[t.Any]", "TargetState"] = {}
         targets.on_usable_changed = self._end_waits_for_withdrawn
 
     async def wait(
@@ -54,39 +54,27 @@
 
         :return: ``UNAVAILABLE`` if the target was withdrawn meanwhile.
         """
-        wait = asyncio.ensure_future(self._client.wait(ticket, until))
-        self._state_by_wait[wait] = state
+        task = asyncio.current_task()
+        assert task is not None
+        cancelling = task.cancelling()
+        self._state_by_task[task] = state
         try:
-            return await wait
+            return await self._client.wait(ticket, until)
         except asyncio.CancelledError:
-            if wait not in self._state_by_wait and not _is_cancelling():
-                return DispatchAnswer(ticket.answer.number, Verdict.UNAVAILABLE)
-            self._release_unused(wait, ticket)
-            raise
+            # As in asyncio.timeout(): only a cancellation of our own ends here.
+            if task in self._state_by_task or task.uncancel() > cancelling:
+                raise
+            return DispatchAnswer(ticket.answer.number, Verdict.UNAVAILABLE)
         finally:
-            self._state_by_wait.pop(wait, None)
-
-    def _release_unused(
-        self, wait: "asyncio.Future[t.Optional[DispatchAnswer]]", ticket: Ticket
-    ) -> None:
-        """Releases a slot that was assigned in the same moment in which the caller left."""
-        if not wait.done() or wait.cancelled() or wait.exception() is not None:
-            return
-        answer = wait.result()
-        if answer is not None and answer.verdict is Verdict.ASSIGNED:
-            release_unsent(self._client, Ticket(ticket.dispatcher_id, answer))
+            self._state_by_task.pop(task, None)
 
     def _end_waits_for_withdrawn(self) -> None:
-        for wait, state in list(self._state_by_wait.items()):
-            if not self._targets.may_use(state) and wait.cancel():
-                del self._state_by_wait[wait]
+        for task, state in list(self._state_by_task.items()):
+            if not self._targets.may_use(state):
+                del self._state_by_task[task]
+                task.cancel()
 
 
 def release_unsent(client: DispatchAsker, ticket: Ticket) -> None:
     """Ends an assignment with which nothing was sent."""
     client.release(ticket, DispatchRelease(ticket.answer.number, AttemptOutcome.CANCELLED, 0))
-
-
-def _is_cancelling() -> bool:
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
