--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -14,6 +14,7 @@
 from ..peering.peer_links import PeerLinks
 from ..placement.affinity import AffinitySteering
 from ..placement.buckets import TokenBuckets
+from ..placement.contention import Contention
 from ..placement.quarantine import Quarantine, crash_digest
 from ..placement.retry_budget import SharedRetryBudget
 from ..placement.targets import TargetRegistry
@@ -25,6 +26,7 @@
 from .callers import CallersApp
 from .crash_detector import Crash, CrashDetector
 from .dispatch_client import DispatchClient
+from .dispatch_selection import DispatchSelector
 from .dispatch_server import DispatchServer, build_ledger
 from .dispatchers import Dispatchers
 from .follower import Follower
@@ -41,6 +43,7 @@
 from .registry import Registry
 from .state_view import StateView
 from .target_permits import TargetPermits
+from .target_selection import LocalSelector, TargetSelector
 from .telemetry import MetricsApp, Telemetry
 from .tenants import TenantAuthenticator
 
@@ -95,6 +98,8 @@
         self._traffic = Traffic()
         self.metrics = Metrics(settings.metrics)
         self.targets = TargetRegistry(clock, settings.bounds.target_visibility_s())
+        self.contention = Contention(settings.dispatch, clock)
+        self.targets.reports.on_pace = self.contention.record_pace
         self.steering = AffinitySteering(settings, self.targets, clock)
         self.state_view = StateView(row_codec, self.steering, self.targets, clock, rng)
         self.members = Members(_own_record(settings, clock), clock, rng)
@@ -108,6 +113,7 @@
         self._build_dispatch()
         self.forwarder = Forwarder(
             names,
+            self._build_selector(),
             self.steering,
             self.targets,
             self.pool,
@@ -129,6 +135,7 @@
             self.quotas,
             self.forwarder,
             self.telemetry,
+            self.contention,
             clock,
         )
         self._tick_due_at = clock.monotonic() + _TICK_S
@@ -183,6 +190,7 @@
         self.settings = settings
         log.set_level(settings.log)
         self.steering.settings = settings
+        self.contention.settings = settings.dispatch
         self.budget.bounds = settings.bounds
         self.tenant_authenticator.bounds = settings.bounds
         self.quotas.bounds = settings.bounds
@@ -275,6 +283,12 @@
             self.clock,
         )
 
+    def _build_selector(self) -> TargetSelector:
+        local = LocalSelector(self.steering, self.clock)
+        return DispatchSelector(
+            local, self.dispatch_client, self.steering, self.targets, self.clock
+        )
+
     def _build_peers(self) -> None:
         settings = self.settings
         fleet_key = _fleet_key(settings)
