--- a/src/coralfall/placement/target_reports.py
+++ b/src/coralfall/placement/target_reports.py
@@ -25,6 +25,8 @@
 
     #: Numbers of running and of queued requests.
     load: t.Optional[t.Tuple[int, int]] = None
+    #: How long work takes on the target's machine, in percent of the usual time.
+    pace: t.Optional[int] = None
     #: Requests a second that the target accepts from all entries together.
     limit_per_s: t.Optional[float] = None
     #: Whether the answer shows that the target has no limit.
@@ -61,6 +63,8 @@
         target = state.target
         if report.load is not None:
             state.record_load(*report.load)
+        if report.pace is not None:
+            state.record_pace(report.pace)
         if report.limit_per_s is not None or report.unlimited:
             self.limits.record_answer(target, report.limit_per_s, sent_at)
         if report.leaving:
--- a/src/coralfall/placement/targets.py
+++ b/src/coralfall/placement/targets.py
@@ -9,6 +9,7 @@
 from .. import defaults
 from ..process import log
 from .cold_targets import SlidingWindowLimiter
+from .load_reports import LoadReports
 from .slow_targets import LatencySamples
 from .target_reports import TargetReports
 
@@ -64,6 +65,8 @@
         self.has_ended = False
         self._reported_load = 0
         self._reported_at = -float("inf")
+        #: Load reports for the dispatcher of the target.
+        self.load_reports = LoadReports()
         self._failures = 0
         self._ejections = 0
         self._ejected_until = -float("inf")
@@ -146,6 +149,15 @@
         """Whether it accepts requests and is not ejected."""
         return self.accepts_requests() and self._clock.monotonic() >= self._ejected_until
 
+    def ejected_s(self) -> float:
+        """Seconds until its ejection ends; 0 if it is not ejected."""
+        return max(0.0, self._ejected_until - self._clock.monotonic())
+
+    @property
+    def awaits_answer(self) -> bool:
+        """Whether it was ejected and has not answered since."""
+        return self._ejections > 0
+
     def is_cold(self) -> bool:
         """Whether it is warming up and can serve only a few requests a second."""
         return self._clock.monotonic() < self.cold_until
@@ -154,6 +166,13 @@
         """Records the load that the target reports."""
         self._reported_load = running + waiting
         self._reported_at = self._clock.monotonic()
+        self.load_reports.record_load(self._reported_at, running + waiting, self.in_flight)
+
+    def record_pace(self, pace: int) -> None:
+        """Records the pace that the target reports to this entry."""
+        now = self._clock.monotonic()
+        self.load_reports.record_pace(now, pace)
+        self.load_reports.pace_reported_at = now
 
     def record_success(self) -> None:
         """Records an answer, which ends a series of failures."""
--- a/src/coralfall/traffic/target_report_reader.py
+++ b/src/coralfall/traffic/target_report_reader.py
@@ -13,7 +13,7 @@
 
 from ..placement.target_reports import TargetReport
 from ..process import log
-from .wire import parse_flag, parse_limit, parse_load
+from .wire import parse_flag, parse_limit, parse_load, parse_pace
 
 if t.TYPE_CHECKING:
     from ..process.clock import Clock
@@ -83,6 +83,7 @@
         is_signed = response.header(names.signature) is not None
         return TargetReport(
             load=parse_load(load) if load is not None else None,
+            pace=parse_pace(load) if load is not None else None,
             limit_per_s=parse_limit(limit) if limit is not None else None,
             unlimited=limit is None and is_signed and response.status < _FIRST_SERVER_ERROR,
             leaving=leaving is not None and parse_flag(leaving),
--- a/src/coralfall/traffic/wire.py
+++ b/src/coralfall/traffic/wire.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+#: Highest pace, in percent, that is believed: predictions are multiplied by it.
+_MAX_PACE = 10_000
 _FALSE_VALUES = frozenset((b"", b"0", b"false", b"no"))
 
 
@@ -21,7 +23,7 @@
     expected_target: bytes
     #: Set by a target that did not run the request.
     not_run: bytes
-    #: Load of a target: running requests, waiting requests, slots.
+    #: Load of a target: running requests, waiting requests, slots, and maybe its pace.
     load: bytes
     #: Requests per second that a target accepts from all entries together.
     limit: bytes
@@ -71,6 +73,16 @@
         return None
 
 
+def parse_pace(value: bytes) -> t.Optional[int]:
+    """Returns the pace of ``running,waiting,slots,pace``; ``None`` if missing or malformed."""
+    parts = value.split(b",")
+    try:
+        pace = int(parts[3])
+    except (ValueError, IndexError):
+        return None
+    return pace if 0 < pace <= _MAX_PACE else None
+
+
 def parse_flag(value: bytes) -> bool:
     """Whether a flag is set, which any value does that is neither empty nor negative."""
     return value.strip().lower() not in _FALSE_VALUES
