--- a/src/coralfall/placement/admission.py
+++ b/src/coralfall/placement/admission.py
@@ -13,6 +13,7 @@
 if t.TYPE_CHECKING:
     from ..ids import ServiceId
     from ..traffic.model import Route, RouteId
+    from .dispatch import RouteCode
     from .targets import TargetState
 
 #: Weights by which the estimate of a time limit moves towards a longer and a shorter one.
@@ -23,6 +24,8 @@
 _QUANTILE_STEP = 0.05
 #: Quantile for requests whose object the target did not have cached.
 _UNCACHED_QUANTILE = 0.5
+#: Quantile of the work of requests: the few requests that take many times as long don't move it.
+_WORK_QUANTILE = 0.5
 #: An answer is overdue after these multiples of the typical and of the expected duration, whichever
 #: is longer, and never before the minimum. A target that loads an object while it has a queue is
 #: slow but responsive: skipping it would make a third target load the object, too.
@@ -30,6 +33,9 @@
 _OVERDUE_EXPECTED_MULTIPLE = 2.0
 _OVERDUE_MIN_S = 0.3
 
+#: Service, route and whether the object is cached.
+_WorkKind = t.Tuple["ServiceId", "RouteCode", bool]
+_Key = t.TypeVar("_Key")
 
 #: Seconds before the retry of a request that a target with free slots rejected: such a rejection
 #: does not depend on load, so the next attempt may well meet the latency target.
@@ -43,6 +49,8 @@
         self._limit_by_route: t.Dict["RouteId", float] = {}
         self._typical_by_service: t.Dict["ServiceId", float] = {}
         self._uncached_by_service: t.Dict["ServiceId", float] = {}
+        self._work_by_kind: t.Dict[_WorkKind, float] = {}
+        self._work_samples: t.Dict[_WorkKind, int] = {}
 
     def record_arrival(self, route: "Route", left_s: float) -> None:
         """Records how long a caller will wait.
@@ -67,10 +75,42 @@
         if not known:
             _update_quantile(self._uncached_by_service, service, seconds, _UNCACHED_QUANTILE)
 
-    def overdue_after_s(self, state: "TargetState", known: bool) -> float:
-        """Seconds after which the answer to a request that is sent now counts as overdue."""
+    def record_work(
+        self, service: "ServiceId", route_code: "RouteCode", cached: bool, seconds: float
+    ) -> None:
+        """Records the time of one request at usual pace, without the time in a queue."""
+        kind = (service, route_code, cached)
+        samples = self._work_samples.get(kind, 0)
+        self._work_samples[kind] = samples + 1
+        start_s = self.work_s(*kind)
+        if samples == 0 and start_s > 0:
+            self._work_by_kind[kind] = start_s
+        # The first of the samples may be one of the few very long ones.
+        step = max(_QUANTILE_STEP, 1 / (samples + 2))
+        _update_quantile(self._work_by_kind, kind, seconds, _WORK_QUANTILE, step)
+
+    def work_s(self, service: "ServiceId", route_code: "RouteCode", cached: bool) -> float:
+        """Typical seconds of work of a request; 0 if nothing is known of the service.
+
+        Until the route has samples, they are estimated from all durations of the service.
+        """
+        work_s = self._work_by_kind.get((service, route_code, cached))
+        if work_s is not None:
+            return work_s
+        typical_s = self._typical_by_service.get(service, 0.0)
+        return typical_s if cached else max(typical_s, self._uncached_by_service.get(service, 0.0))
+
+    def uncached_work_s(self, service: "ServiceId", route_code: "RouteCode") -> t.Optional[float]:
+        """Measured seconds of work of a request for an uncached object, if there are samples."""
+        return self._work_by_kind.get((service, route_code, False))
+
+    def overdue_after_s(self, state: "TargetState", known: bool, expected_s: float = 0.0) -> float:
+        """Seconds after which the answer to a request that is sent now counts as overdue.
+
+        :param expected_s: predicted duration of the request, if a dispatcher has predicted it.
+        """
         typical = self._typical_by_service.get(state.target.service, _OVERDUE_MIN_S)
-        expected = self.predict_latency_s(state, known)
+        expected = max(expected_s, self.predict_latency_s(state, known))
         return max(
             _OVERDUE_MIN_S,
             _OVERDUE_TYPICAL_MULTIPLE * typical,
@@ -101,12 +141,16 @@
 
 
 def _update_quantile(
-    estimates: t.Dict["ServiceId", float], service: "ServiceId", seconds: float, quantile: float
+    estimates: t.Dict[_Key, float],
+    key: _Key,
+    seconds: float,
+    quantile: float,
+    step: float = _QUANTILE_STEP,
 ) -> None:
-    """Moves the quantile estimate of a service towards a duration."""
-    estimate = estimates.get(service)
+    """Moves the quantile estimate of a key, such as a service, towards a duration."""
+    estimate = estimates.get(key)
     if estimate is None:
-        estimates[service] = seconds
+        estimates[key] = seconds
         return
     weight = quantile if seconds > estimate else quantile - 1
-    estimates[service] = estimate * (1 + _QUANTILE_STEP * weight)
+    estimates[key] = estimate * (1 + step * weight)
--- a/src/coralfall/placement/reservation.py
+++ b/src/coralfall/placement/reservation.py
@@ -16,6 +16,7 @@
     :param near: whether the target is in the entry's own region.
     :param is_speed_sample: whether the latency of the request is a sample of the target's speed.
     :param admission: estimates, updated with the latency of the request.
+    :param expected_s: predicted duration of the request, if a dispatcher has predicted it.
     """
 
     __slots__ = (
@@ -37,6 +38,7 @@
         near: bool,
         is_speed_sample: bool,
         admission: "Admission",
+        expected_s: float = 0.0,
     ) -> None:
         self.state = state
         self.known = known
@@ -46,7 +48,9 @@
         self._key = key
         self._is_speed_sample = is_speed_sample
         self._admission = admission
-        self._request_number = state.start_request(admission.overdue_after_s(state, known))
+        self._request_number = state.start_request(
+            admission.overdue_after_s(state, known, expected_s)
+        )
 
     def record_answer(self, now: float, seconds: float) -> None:
         """Records how long the target took to answer."""
