--- /dev/null
+++ b/src/coralfall/placement/dispatch_evidence.py
@@ -0,0 +1,110 @@
+"""Dispatch evidence: records what the releases of assignments show about targets.
+
+What the forwarder records of an entry's own requests is recorded here for those of other entries;
+the work of requests and the contents of caches are known to the ledger alone, and are recorded for
+all of them.
+"""
+
+import typing as t
+
+from .dispatch import AttemptOutcome
+
+if t.TYPE_CHECKING:
+    from ..process.clock import Clock
+    from .admission import Admission
+    from .dispatch import DispatchRelease
+    from .dispatched_target import Assignment
+    from .targets import TargetRegistry
+
+#: Difference from the usual pace up to which a request's time is a sample of its work.
+_USUAL_PACE_MARGIN = 0.1
+#: Shortest duration in seconds: estimates are moved by multiplication and would stay at zero.
+_MIN_DURATION_S = 0.001
+#: Outcomes of requests that the target did not run, so it has not loaded their object.
+_NOT_RUN = frozenset(
+    (
+        AttemptOutcome.REJECTED,
+        AttemptOutcome.UNREACHABLE,
+        AttemptOutcome.CONNECTION_REFUSED,
+        AttemptOutcome.MISDIRECTED,
+        AttemptOutcome.CANCELLED,
+    )
+)
+
+
+class DispatchEvidence:
+    """Records the outcomes of assignments.
+
+    :param targets: known targets.
+    :param admission: estimates of the work of requests.
+    :param clock: time source.
+    """
+
+    def __init__(self, targets: "TargetRegistry", admission: "Admission", clock: "Clock") -> None:
+        self._targets = targets
+        self._admission = admission
+        self._clock = clock
+
+    def record(self, assignment: "Assignment", release: "DispatchRelease") -> None:
+        """Records another entry's request; its reservation is still in force."""
+        state = assignment.row.state
+        outcome = release.outcome
+        now = self._clock.monotonic()
+        seconds = _duration_s(release)
+        if outcome is AttemptOutcome.MISDIRECTED:
+            # A report in such an answer is about the other target.
+            self._targets.mark_replaced(state)
+            return
+        if release.load is not None:
+            state.record_load(release.load.running, release.load.waiting)
+            state.load_reports.record_pace(now, release.load.pace)
+        if outcome is AttemptOutcome.ANSWERED:
+            state.record_success()
+            assignment.reservation.record_answer(now, seconds)
+        elif outcome is AttemptOutcome.TIMED_OUT:
+            assignment.reservation.record_latency(now, seconds)
+            state.record_failure(reached=True, silent_since=now - seconds)
+        elif outcome is AttemptOutcome.BROKEN:
+            state.record_failure(reached=True)
+        elif outcome is AttemptOutcome.UNREACHABLE:
+            state.record_failure(reached=False)
+        elif outcome is AttemptOutcome.CONNECTION_REFUSED:
+            state.record_failure(reached=False, refused=True)
+
+    def learn(self, assignment: "Assignment", release: "DispatchRelease") -> None:
+        """Updates the cache model and the estimates of work; the reservation has ended."""
+        if release.outcome in _NOT_RUN:
+            self._learn_not_run(assignment, release)
+        elif release.outcome is AttemptOutcome.ANSWERED and self._is_sample(assignment):
+            self._learn_work(assignment, _duration_s(release))
+
+    def _learn_not_run(self, assignment: "Assignment", release: "DispatchRelease") -> None:
+        row = assignment.row
+        if not assignment.cached:
+            row.cache.forget(assignment.ask.object_code)
+        if release.outcome is AttemptOutcome.REJECTED and release.load is None:
+            # Without a report that shows free slots, a rejection means that there are none.
+            row.state.load_reports.record_load(
+                self._clock.monotonic(), row.load_limit(), row.state.in_flight
+            )
+
+    def _is_sample(self, assignment: "Assignment") -> bool:
+        """Whether the time of a request shows its work: at usual pace, and not warming up."""
+        state = assignment.row.state
+        pace = state.load_reports.pace(self._clock.monotonic())
+        deviation = max(abs(pace - 1), abs(assignment.pace - 1))
+        return deviation <= _USUAL_PACE_MARGIN and not state.is_cold()
+
+    def _learn_work(self, assignment: "Assignment", seconds: float) -> None:
+        row = assignment.row
+        service = row.state.target.service
+        route_code = assignment.ask.route_code
+        work_s = max(_MIN_DURATION_S, seconds - assignment.wait_s)
+        self._admission.record_work(service, route_code, assignment.cached, work_s)
+        uncached_s = self._admission.uncached_work_s(service, route_code)
+        if assignment.cached and uncached_s and assignment.load < row.slots:
+            row.cache.record_expected(seconds, uncached_s)
+
+
+def _duration_s(release: "DispatchRelease") -> float:
+    return max(_MIN_DURATION_S, release.duration_ms / 1000)
--- /dev/null
+++ b/src/coralfall/placement/dispatched_target.py
@@ -0,0 +1,224 @@
+"""Dispatched target: the assignments, the queue and the predictions for one target."""
+
+import typing as t
+
+import msgspec
+
+from .cache_model import CacheModel
+from .dispatch_queue import DispatchQueue
+
+if t.TYPE_CHECKING:
+    from ..ids import EntryId
+    from ..process.clock import Clock
+    from .admission import Admission
+    from .dispatch import AskNumber, DispatchAsk
+    from .reservation import TargetReservation
+    from .targets import TargetState
+
+#: Identifies an ask: the entry that asks, and its number.
+AskKey = t.Tuple["EntryId", "AskNumber"]
+
+#: Load, as a multiple of its slots, below which a target that has not cached an object and is not
+#: its first candidate takes a request for it; see ``affinity._UNCACHED_LOAD_LIMITS``. The second
+#: one is for the last ask of a request, which found all candidates busy.
+_UNCACHED_LOAD_LIMIT = 0.7
+_UNCACHED_LAST_LOAD_LIMIT = 1.0
+#: Seconds until a target may be asked for again whose overdue request has no known end.
+_UNRESPONSIVE_S = 0.3
+#: Seconds until a target may be asked for again while one request tries it after an ejection.
+_TRIAL_S = 0.05
+
+
+class Assignment(msgspec.Struct):
+    """A slot that is granted for one attempt."""
+
+    key: AskKey
+    row: "DispatchedTarget"
+    ask: "DispatchAsk"
+    reservation: "TargetReservation"
+    #: Whether the target was expected to have the object cached.
+    cached: bool
+    #: Predicted seconds of work at usual pace, and in the target's queue.
+    work_s: float
+    wait_s: float
+    #: Load of the target before it was granted.
+    load: float
+    #: Pace of the target when the slot was granted, as a multiple of the usual time.
+    pace: float
+    #: Monotonic time at which it expires.
+    expires_at: float
+
+
+class QueuedAsk(t.NamedTuple):
+    """An ask that waits for a slot, and the monotonic time after which a start is of no use."""
+
+    ask: "DispatchAsk"
+    start_before: float
+
+
+class Prediction(t.NamedTuple):
+    """What is expected of a request that asks for a slot."""
+
+    cached: bool
+    #: Seconds of work at usual pace.
+    work_s: float
+    #: Seconds in the target's queue, and with the work, both at the present pace.
+    wait_s: float
+    total_s: float
+    load: float
+    pace: float
+    #: Load from which on the target has no room for the request.
+    load_limit: float
+
+
+class Block(t.NamedTuple):
+    """Why a target can't be used, and the seconds after which it may be asked for again."""
+
+    reason: str
+    seconds: float
+
+
+class DispatchedTarget:
+    """One lifetime of a target at its dispatcher.
+
+    :param state: load and health of the target.
+    :param admission: estimates of the work of requests.
+    :param clock: time source.
+    """
+
+    __slots__ = (
+        "_admission",
+        "_clock",
+        "_work_sum_s",
+        "asked_at",
+        "assignments",
+        "cache",
+        "is_available",
+        "queue",
+        "state",
+        "trial_key",
+        "waiting",
+    )
+
+    def __init__(self, state: "TargetState", admission: "Admission", clock: "Clock") -> None:
+        self.state = state
+        self._admission = admission
+        self._clock = clock
+        self.cache = CacheModel()
+        self.queue = DispatchQueue(self.slots)
+        self.assignments: t.Dict[AskKey, Assignment] = {}
+        #: Queued asks.
+        self.waiting: t.Dict[AskKey, QueuedAsk] = {}
+        #: Sum of the predicted work of the assignments, in seconds.
+        self._work_sum_s = 0.0
+        #: Monotonic time of the last ask.
+        self.asked_at = -float("inf")
+        #: Assignment that tries the target after an ejection.
+        self.trial_key: t.Optional[AskKey] = None
+        #: Whether the target was usable when it was last looked at, for logs.
+        self.is_available = True
+
+    @property
+    def slots(self) -> int:
+        """Requests that the target processes at a time."""
+        return max(1, self.state.target.slots)
+
+    def load(self) -> float:
+        """Requests at the target: those in flight from here, and those that are not known here."""
+        now = self._clock.monotonic()
+        return self.state.in_flight + self.state.load_reports.unknown_load(now)
+
+    def load_limit(self) -> int:
+        """Load below which a slot is assigned.
+
+        The excess keeps the target from idling while a notice is in transit.
+        """
+        return self.slots + max(1, self.slots // 4)
+
+    def has_room(self) -> bool:
+        """Whether a queued ask may be assigned a slot."""
+        return self.load() < self.load_limit()
+
+    def block(self) -> t.Optional[Block]:
+        """Why it can't be used now by its health, if so."""
+        state = self.state
+        if not state.is_usable():
+            cooldown_s = state.cooldown_s()
+            return Block(
+                "cooldown" if cooldown_s else "ejected", max(cooldown_s, state.ejected_s())
+            )
+        if state.is_unresponsive():
+            return Block("unresponsive", _UNRESPONSIVE_S)
+        if state.awaits_answer and self.trial_key in self.assignments:
+            return Block("trial", _TRIAL_S)
+        return None
+
+    def predict(self, ask: "DispatchAsk", in_queue: bool = True) -> Prediction:
+        """Predicts the completion of a request.
+
+        :param in_queue: whether the request would be the last of its tenant in the queue; one that
+            was taken from the queue has those that still wait behind it.
+        """
+        target = self.state.target
+        pace = self.state.load_reports.pace(self._clock.monotonic())
+        cached = ask.object_code in self.cache
+        work_s = self._admission.work_s(target.service, ask.route_code, cached)
+        load = self.load()
+        limit: float = self.load_limit()
+        mean_s = self.mean_work_s(work_s) * pace
+        wait_s = self._wait_s(load, self.slots, mean_s)
+        if not cached and not ask.primary:
+            part = _UNCACHED_LAST_LOAD_LIMIT if ask.may_queue else _UNCACHED_LOAD_LIMIT
+            limit = part * self.slots
+            if load >= limit:
+                wait_s = self._wait_s(load, limit, mean_s)
+        if in_queue and self.queue:
+            wait_s = max(wait_s, self.queue.wait_of(ask.level, ask.tenant_code, wait_s, mean_s))
+        total_s = wait_s + work_s * pace
+        return Prediction(cached, work_s, wait_s, total_s, load, pace, limit)
+
+    def mean_work_s(self, otherwise_s: float) -> float:
+        """Mean work of the requests in flight at usual pace, in seconds.
+
+        :param otherwise_s: returned if there are none.
+        """
+        if not self.assignments:
+            return otherwise_s
+        return max(0.0, self._work_sum_s) / len(self.assignments)
+
+    def queue_outlook(self) -> t.Tuple[float, float]:
+        """Seconds until a slot is free, and that a request takes, at the present pace."""
+        pace = self.state.load_reports.pace(self._clock.monotonic())
+        first = next(iter(self.waiting.values()), None)
+        otherwise_s = 0.0
+        if first is not None:
+            service = self.state.target.service
+            otherwise_s = self._admission.work_s(service, first.ask.route_code, True)
+        mean_s = self.mean_work_s(otherwise_s) * pace
+        return self._wait_s(self.load(), self.slots, mean_s), mean_s
+
+    def may_be_useless(self, free_in_s: float, work_s: float) -> bool:
+        """Whether a queued ask may start too late: whether the first to expire would, as the last.
+
+        It spares most ticks the planning of all starts, which copies the queue.
+        """
+        last_start = self._clock.monotonic() + free_in_s + len(self.waiting) * work_s / self.slots
+        return min([queued.start_before for queued in self.waiting.values()]) < last_start
+
+    def _wait_s(self, load: float, limit: float, mean_s: float) -> float:
+        """Seconds until one more request is within a load limit."""
+        return max(0.0, load + 1 - limit) * mean_s / self.slots
+
+    def add(self, assignment: Assignment) -> None:
+        """Adds an assignment."""
+        self.assignments[assignment.key] = assignment
+        self._work_sum_s += assignment.work_s
+        self.cache.use(assignment.ask.object_code)
+        if self.state.awaits_answer:
+            self.trial_key = assignment.key
+
+    def remove(self, assignment: Assignment) -> None:
+        """Removes an assignment."""
+        del self.assignments[assignment.key]
+        # Set to zero when it is known to be, as rounding errors would add up.
+        self._work_sum_s = self._work_sum_s - assignment.work_s if self.assignments else 0.0
