--- a/src/coralfall/placement/reservation.py
+++ b/src/coralfall/placement/reservation.py
@@ -16,6 +16,7 @@
     :param near: whether the target is in the entry's own region.
     :param is_speed_sample: whether the latency of the request is a sample of the target's speed.
     :param admission: estimates, updated with the latency of the request.
+    :param expected_s: predicted duration of the request, if a dispatcher has predicted it.
     :param is_counted: whether the request counts as in flight by this reservation. It does not if
         the entry itself dispatches the target: then the assignment counts it already.
     """
@@ -39,6 +40,7 @@
         near: bool,
         is_speed_sample: bool,
         admission: "Admission",
+        expected_s: float = 0.0,
         *,
         is_counted: bool = True,
     ) -> None:
@@ -52,7 +54,8 @@
         self._admission = admission
         self._request_number: t.Optional[int] = None
         if is_counted:
-            self._request_number = state.start_request(admission.overdue_after_s(state, known))
+            overdue_after_s = admission.overdue_after_s(state, known, expected_s)
+            self._request_number = state.start_request(overdue_after_s)
 
     def record_answer(self, now: float, seconds: float) -> None:
         """Records how long the target took to answer."""
--- a/src/coralfall/placement/target_reports.py
+++ b/src/coralfall/placement/target_reports.py
@@ -67,6 +67,7 @@
         if report.load is not None:
             state.record_load(*report.load)
         if report.pace is not None:
+            state.record_pace(report.pace)
             self.on_pace(target.service)
         if report.limit_per_s is not None or report.unlimited:
             self.limits.record_answer(target, report.limit_per_s, sent_at)
--- a/src/coralfall/traffic/dispatch_server.py
+++ b/src/coralfall/traffic/dispatch_server.py
@@ -20,9 +20,7 @@
     from ..ids import EntryId, Incarnation
     from ..peering.messages import Hello
     from ..peering.peer_links import PeerLinks
-    from ..placement.admission import Admission
     from ..placement.dispatch import AskNumber, DispatchAsk, DispatchRelease, ServiceLoad
-    from ..placement.targets import TargetRegistry
     from ..process.clock import Clock
     from .members import Members
 
@@ -59,41 +57,6 @@
         """Refuses all queued asks."""
 
 
-class NoLedger:
-    """A ledger that dispatches no target, so that entries decide by their own knowledge."""
-
-    def __init__(self) -> None:
-        self.on_notice: "t.Callable[[EntryId, DispatchAnswer], None]" = lambda *_: None
-
-    def ask(self, entry_id: "EntryId", ask: "DispatchAsk") -> DispatchAnswer:
-        return DispatchAnswer(ask.number, Verdict.NOT_DISPATCHER)
-
-    def release(self, entry_id: "EntryId", release: "DispatchRelease") -> None:
-        return
-
-    def cancel(self, entry_id: "EntryId", number: "AskNumber") -> None:
-        return
-
-    def drop_entry(self, entry_id: "EntryId") -> None:
-        return
-
-    def tick(self) -> None:
-        return
-
-    def service_loads(self) -> "t.Tuple[ServiceLoad, ...]":
-        return ()
-
-    def close(self) -> None:
-        return
-
-
-def build_ledger(
-    own_id: "EntryId", targets: "TargetRegistry", admission: "Admission", clock: "Clock"
-) -> Ledger:
-    """Returns the ledger of an entry."""
-    return NoLedger()
-
-
 class _Peer:
     """An entry that asks."""
 
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -15,6 +15,7 @@
 from ..placement.affinity import AffinitySteering
 from ..placement.buckets import TokenBuckets
 from ..placement.contention import Contention
+from ..placement.dispatch_ledger import DispatchLedger
 from ..placement.quarantine import Quarantine, crash_digest
 from ..placement.retry_budget import SharedRetryBudget
 from ..placement.targets import TargetRegistry
@@ -27,7 +28,7 @@
 from .crash_detector import Crash, CrashDetector
 from .dispatch_client import DispatchClient
 from .dispatch_selection import DispatchSelector
-from .dispatch_server import DispatchServer, build_ledger
+from .dispatch_server import DispatchServer
 from .dispatchers import Dispatchers
 from .follower import Follower
 from .forwarder import Forwarder
@@ -267,7 +268,7 @@
         settings = self.settings
         own = self.members.own_record
         hello = Hello(entry_id=own.entry_id, incarnation=own.incarnation)
-        ledger = build_ledger(own.entry_id, self.targets, self.steering.admission, self.clock)
+        ledger = DispatchLedger(own.entry_id, self.targets, self.steering.admission, self.clock)
         # Apart from each other, so that no notice waits for an answer on the same stream.
         notice_links, ask_links = [
             PeerLinks(_fleet_key(settings), hello, self._traffic, defaults.MAX_DISPATCH_LINKS)
