--- a/tests/traffic/test_dispatch_protocol.py
+++ b/tests/traffic/test_dispatch_protocol.py
@@ -17,7 +17,7 @@
 from coralfall.placement.dispatch import AskNumber, DispatchAnswer, Verdict
 from coralfall.process.clock import Clock
 from coralfall.traffic.dispatch_client import DispatchClient
-from coralfall.traffic.dispatch_server import DispatchServer, NoLedger
+from coralfall.traffic.dispatch_server import DispatchServer
 from coralfall.traffic.dispatchers import Dispatchers
 from coralfall.traffic.gossip import GossipServer
 from coralfall.traffic.member import LiveView
@@ -31,6 +31,34 @@
 DELAY_S = 0.004
 
 
+class NoLedger:
+    """A ledger that dispatches no target."""
+
+    def __init__(self) -> None:
+        self.on_notice: t.Callable[[EntryId, DispatchAnswer], None] = lambda *_: None
+
+    def ask(self, entry_id: EntryId, ask: dispatch.DispatchAsk) -> DispatchAnswer:
+        return DispatchAnswer(ask.number, Verdict.NOT_DISPATCHER)
+
+    def release(self, entry_id: EntryId, release: dispatch.DispatchRelease) -> None:
+        return
+
+    def cancel(self, entry_id: EntryId, number: AskNumber) -> None:
+        return
+
+    def drop_entry(self, entry_id: EntryId) -> None:
+        return
+
+    def tick(self) -> None:
+        return
+
+    def service_loads(self) -> t.Tuple[dispatch.ServiceLoad, ...]:
+        return ()
+
+    def close(self) -> None:
+        return
+
+
 class FakeLedger(NoLedger):
     """Assigns one slot to one ask at a time, and queues others in the order of arrival."""
 
