--- a/src/coralfall/placement/locality.py
+++ b/src/coralfall/placement/locality.py
@@ -66,9 +66,12 @@
         self._updated_at = now
         self.value = goal
 
-    def follow(self, now: float, goal: float, per_s: float) -> float:
-        """Moves the value towards ``goal`` by at most ``per_s`` a second, and returns it."""
-        max_change = per_s * (now - self._updated_at)
+    def follow(self, now: float, goal: float, per_s: float, max_step: float = math.inf) -> float:
+        """Moves the value towards ``goal`` by at most ``per_s`` a second, and returns it.
+
+        :param max_step: greatest change in one call, however long ago the last one was.
+        """
+        max_change = min(max_step, per_s * (now - self._updated_at))
         self._updated_at = now
         self.value += min(max(goal - self.value, -max_change), max_change)
         return self.value
--- a/src/coralfall/placement/object_rankings.py
+++ b/src/coralfall/placement/object_rankings.py
@@ -16,6 +16,7 @@
     rendezvous_score,
 )
 from .locality import local_fraction as equal_demand_fraction
+from .region_load import RegionLoad
 
 if t.TYPE_CHECKING:
     from ..ids import RegionId, ServiceId
@@ -57,6 +58,8 @@
         self._rankings: "collections.OrderedDict[t.Tuple[ServiceId, bytes, Regions], Ranking]" = (
             collections.OrderedDict()
         )
+        #: Measured load of the region's targets, by which contended services are distributed.
+        self.region_load = RegionLoad(clock)
         self._local_fractions: t.Dict[t.Tuple["ServiceId", Regions], RateLimitedFraction] = {}
         self._slots: t.Dict[t.Tuple["ServiceId", Regions], SlotsByRegion] = {}
         self._region_count = len(set(settings.regions_by_zone.values()))
@@ -104,7 +107,14 @@
         fraction = self._local_fractions.get((service, regions))
         if fraction is None:
             fraction = self._local_fractions[service, regions] = RateLimitedFraction(now, goal)
-        return fraction.follow(now, goal, self.settings.bounds.home_shift_per_s())
+        per_s = self.settings.bounds.home_shift_per_s()
+        own_slots = slots.get(self.settings.region, 0)
+        # With targets in one region only, there is nothing to balance.
+        has_choice = 0 < own_slots < sum(slots.values())
+        if has_choice and self.region_load.is_contended(service):
+            return self.region_load.follow((service, regions), fraction, goal, per_s)
+        self.region_load.forget((service, regions))
+        return fraction.follow(now, goal, per_s)
 
     def _slots_by_region(self, service: "ServiceId", regions: Regions) -> SlotsByRegion:
         known = self._slots.get((service, regions))
--- a/src/coralfall/traffic/telemetry.py
+++ b/src/coralfall/traffic/telemetry.py
@@ -177,6 +177,9 @@
         gauge("target_departures", count, "Targets that said so as they left.", service=service)
     for service, count in reports.cooldowns.started_by_service.items():
         gauge("target_cooldowns", count, "Cooldowns that targets began.", service=service)
+    for service, fraction in node.steering.rankings.region_load.fractions_by_service().items():
+        text = "Fraction of its objects that the region keeps, for contended services."
+        gauge("local_fraction", fraction, text, service=service)
     unread = len(node.forwarder.report_reader.unread_headers)
     gauge("unread_headers", unread, "Names of headers of answers that no module reads.")
     gauge("log_lines_dropped", log.dropped_lines(), "Log lines that were not written.")
