--- a/src/coralfall/traffic/dispatch_client.py
+++ b/src/coralfall/traffic/dispatch_client.py
@@ -70,6 +70,7 @@
         self._pending: t.Dict[_AskKey, PendingAsk] = {}
         self._outboxes_by_id: t.Dict["EntryId", Outbox] = {}
         self._loads = LoadReports()
+        self._remote_loads = LoadReports()
         self._tasks: t.Set["asyncio.Task[None]"] = set()
         self._stopping = False
         server.on_own_notice = self._note_own_notice
@@ -156,6 +157,10 @@
         """Returns the load of a service's targets in this entry's region; ``None`` if unknown."""
         return self._loads.share_of(service, self._now())
 
+    def remote_load(self, service: "ServiceId") -> "t.Optional[LoadShare]":
+        """Returns the load of a service's targets in all other regions; ``None`` if unknown."""
+        return self._remote_loads.share_of(service, self._now())
+
     def silent_count(self) -> int:
         """Returns how many dispatchers are not asked as they did not answer."""
         return self._dispatchers.unresponsive_count()
@@ -332,8 +337,10 @@
 
     def _note_reply(self, outbox: Outbox, batch: Batch, reply: DispatchReply) -> None:
         dispatcher = outbox.dispatcher
-        if reply.loads and dispatcher.region == self._members.own_record.region:
-            self._loads.add(dispatcher.entry_id, reply.loads, self._now())
+        if reply.loads:
+            is_near = dispatcher.region == self._members.own_record.region
+            loads = self._loads if is_near else self._remote_loads
+            loads.add(dispatcher.entry_id, reply.loads, self._now())
         answers_by_number = {answer.number: answer for answer in reply.answers}
         for pending in batch.asks:
             answer = answers_by_number.get(pending.ask.number)
@@ -360,6 +367,7 @@
         outbox.fail_asks()
         self._end_waits(entry_id)
         self._loads.drop(entry_id)
+        self._remote_loads.drop(entry_id)
         del self._outboxes_by_id[entry_id]
 
     def _drop_gone(self) -> None:
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -283,6 +283,10 @@
             self.telemetry,
             self.clock,
         )
+        region_load = self.steering.rankings.region_load
+        region_load.is_contended = self.contention.is_contended
+        region_load.service_load = self.dispatch_client.service_load
+        region_load.remote_load = self.dispatch_client.remote_load
 
     def _build_selector(self) -> TargetSelector:
         local = LocalSelector(self.steering, self.clock)
