--- a/src/coralfall/placement/contended_candidates.py
+++ b/src/coralfall/placement/contended_candidates.py
@@ -5,6 +5,7 @@
 these play no part here. Targets that this entry can't use by its own knowledge are left out.
 """
 
+import itertools
 import typing as t
 
 if t.TYPE_CHECKING:
@@ -32,46 +33,46 @@
     """
     rankings = steering.rankings
     ranking = rankings.ranking_of(service, key, regions)
-    local = [state for state in ranking.local if steering.may_send(state, key)]
-    remote = [state for state in ranking.remote if steering.may_send(state, key)]
+    # Lazy, as a service may have hundreds of targets and a request needs three of them.
+    local: t.Iterator["TargetState"] = (
+        state for state in ranking.local if steering.may_send(state, key)
+    )
+    remote = (state for state in ranking.remote if steering.may_send(state, key))
     if is_upload:
         local = _best_of_own_zone_first(local, steering)
     prefers_local = ranking.position < rankings.local_fraction(service, regions)
-    ranked = local + remote if prefers_local else remote + local
-    if not ranked:
-        return []
-    home = rankings.region_of(ranked[0])
-    return _of_region(ranked, home, steering) + _first_elsewhere(ranked, home, steering)
+    ordered = itertools.chain(local, remote) if prefers_local else itertools.chain(remote, local)
+    return _take(ordered, steering)
 
 
 def _best_of_own_zone_first(
-    local: t.List["TargetState"], steering: "AffinitySteering"
-) -> t.List["TargetState"]:
-    """Puts the best target of the entry's zone first, and the best of other zones second.
+    local: t.Iterable["TargetState"], steering: "AffinitySteering"
+) -> t.Iterator["TargetState"]:
+    """Yields the best target of the entry's zone first, and the best of other zones second.
 
     Bytes between zones are paid for, and uploads have most of them; a copy of an object in each
     zone is cheap for the few objects of uploads.
     """
-    own = [state for state in local if state.target.zone == steering.settings.zone]
-    others = [state for state in local if state.target.zone != steering.settings.zone]
-    return own[:1] + others + own[1:]
-
-
-def _of_region(
-    ranked: t.Sequence["TargetState"],
-    region: "t.Optional[RegionId]",
-    steering: "AffinitySteering",
-) -> t.List["TargetState"]:
-    found = [state for state in ranked if steering.rankings.region_of(state) == region]
-    return found[:_SAME_REGION_CANDIDATES]
+    states = list(local)
+    own = [state for state in states if state.target.zone == steering.settings.zone]
+    others = [state for state in states if state.target.zone != steering.settings.zone]
+    yield from own[:1] + others + own[1:]
 
 
-def _first_elsewhere(
-    ranked: t.Sequence["TargetState"],
-    region: "t.Optional[RegionId]",
-    steering: "AffinitySteering",
+def _take(
+    ordered: t.Iterable["TargetState"], steering: "AffinitySteering"
 ) -> t.List["TargetState"]:
-    for state in ranked:
-        if steering.rankings.region_of(state) != region:
-            return [state]
-    return []
+    """Returns the first targets of the first one's region, and the first of another region."""
+    same_region: t.List["TargetState"] = []
+    elsewhere: t.List["TargetState"] = []
+    home: t.Optional["RegionId"] = None
+    for state in ordered:
+        region = steering.rankings.region_of(state)
+        home = home or region
+        if region != home:
+            elsewhere = elsewhere or [state]
+        elif len(same_region) < _SAME_REGION_CANDIDATES:
+            same_region.append(state)
+        if elsewhere and len(same_region) == _SAME_REGION_CANDIDATES:
+            break
+    return same_region + elsewhere
--- a/src/coralfall/placement/dispatch_ledger.py
+++ b/src/coralfall/placement/dispatch_ledger.py
@@ -247,6 +247,9 @@
         """Whether a slot is assigned at once; those who waited have got theirs."""
         if prediction.load >= prediction.load_limit:
             return False
+        if ask.primary and prediction.load < row.slots and not row.queue:
+            # No other target serves the object sooner, unless it has happened to cache it.
+            return True
         if ask.may_queue:
             return prediction.wait_s * 1000 <= ask.start_within_ms
         return prediction.total_s * 1000 <= ask.within_ms
--- a/src/coralfall/placement/dispatched_target.py
+++ b/src/coralfall/placement/dispatched_target.py
@@ -1,5 +1,6 @@
 """Dispatched target: the assignments, the queue and the predictions for one target."""
 
+import math
 import typing as t
 
 import msgspec
@@ -23,6 +24,9 @@
 #: one is for the last ask of a request, which found all candidates busy.
 _UNCACHED_LOAD_LIMIT = 0.7
 _UNCACHED_LAST_LOAD_LIMIT = 1.0
+#: Requests beyond the slots that a target gets, as a fraction of its slots: messages about a request
+#: take up to two thirds of the work of a cached object where links are narrow.
+_EXCESS_FRACTION = 2 / 3
 #: Seconds until a target may be asked for again whose overdue request has no known end.
 _UNRESPONSIVE_S = 0.3
 #: Seconds until a target may be asked for again while one request tries it after an ejection.
@@ -131,9 +135,10 @@
     def load_limit(self) -> int:
         """Load below which a slot is assigned.
 
-        The excess keeps the target from idling while a notice is in transit.
+        A request counts as in flight until its release has arrived, so without an excess a slot
+        would stand idle while messages are in transit.
         """
-        return self.slots + max(1, self.slots // 4)
+        return self.slots + max(1, math.ceil(self.slots * _EXCESS_FRACTION))
 
     def has_room(self) -> bool:
         """Whether a queued ask may be assigned a slot."""
@@ -147,7 +152,7 @@
             return Block(
                 "cooldown" if cooldown_s else "ejected", max(cooldown_s, state.ejected_s())
             )
-        if state.is_unresponsive():
+        if state.is_silent():
             return Block("unresponsive", _UNRESPONSIVE_S)
         if state.awaits_answer and self.trial_key in self.assignments:
             return Block("trial", _TRIAL_S)
--- a/src/coralfall/placement/targets.py
+++ b/src/coralfall/placement/targets.py
@@ -30,6 +30,10 @@
 _MAX_OBJECTS = 128
 #: Seconds after an answer for which a target counts as serving requests.
 _SERVING_S = 1.0
+#: Requests that are overdue at a target that counts as silent, and the multiple of the time after
+#: which a request is overdue from which on one suffices.
+_MIN_OVERDUE = 2
+_LONG_OVERDUE_MULTIPLE = 3.0
 #: Consecutive ejections without a connection after which a target counts as down: a single lost
 #: packet can make a connection fail, and so cause a first ejection.
 _DOWN_EJECTIONS = 2
@@ -123,6 +127,22 @@
                 return True
         return False
 
+    def is_silent(self) -> bool:
+        """Whether several requests are overdue, or one by far, and none was answered since.
+
+        For its dispatcher, who withdraws the target from all entries: of a few percent of requests
+        that take many times as long as others, one is often overdue on a target that is well.
+        """
+        now = self._clock.monotonic()
+        overdue_count = 0
+        for started, overdue_at in self._started.values():
+            if started <= self._answered_at or now <= overdue_at:
+                continue
+            overdue_count += 1
+            if now - started > _LONG_OVERDUE_MULTIPLE * (overdue_at - started):
+                return True
+        return overdue_count >= _MIN_OVERDUE
+
     def load(self) -> float:
         """Estimated number of running and queued requests of all entries.
 
--- a/src/coralfall/traffic/dispatchers.py
+++ b/src/coralfall/traffic/dispatchers.py
@@ -1,6 +1,6 @@
 """Chooses the dispatcher of each target: the entry that assigns its slots. No consensus is needed.
 
-The entries with the widest links of the target's region are ranked by rendezvous hashing of target
+The entries of the target's region whose links are among the widest are ranked by rendezvous hashing of target
 and entry. Two entries with different views of the fleet choose different dispatchers, each of which
 counts a part of the load; what the target reports corrects both.
 """
@@ -23,6 +23,11 @@
 #: the entries of a larger region.
 _MIN_DISPATCHERS = 16
 _ENTRIES_PER_DISPATCHER = 8
+#: Fewest dispatchers of a region, if it has that many entries, and the least width of their links
+#: as a fraction of the widest one: on a link of 10 Mbit/s a message waits 50 ms behind an upload of
+#: 60 KB, a third of the work of a request.
+_LEAST_DISPATCHERS = 2
+_MIN_LINK_FRACTION = 0.5
 #: Failures in a row after which a dispatcher is unresponsive; one may be a lost packet.
 _MAX_FAILURES = 2
 
@@ -111,7 +116,7 @@
         for record in sorted(serving, key=read_order_key):
             by_region.setdefault(record.region, []).append(record)
         groups = {
-            region: [record.entry_id for record in records[: _group_size(len(records))]]
+            region: [record.entry_id for record in _group_of(records)]
             for region, records in by_region.items()
         }
         if groups != self._groups_by_region:
@@ -171,5 +176,12 @@
         return rank
 
 
-def _group_size(count: int) -> int:
-    return max(_MIN_DISPATCHERS, count // _ENTRIES_PER_DISPATCHER)
+def _group_of(records: "t.Sequence[EntryRecord]") -> "t.Sequence[EntryRecord]":
+    """Returns the entries of a region that dispatch its targets.
+
+    :param records: the region's entries, the widest link first.
+    """
+    min_mbps = records[0].link_mbps * _MIN_LINK_FRACTION
+    wide_count = len([record for record in records if record.link_mbps >= min_mbps])
+    count = max(_MIN_DISPATCHERS, len(records) // _ENTRIES_PER_DISPATCHER)
+    return records[: max(_LEAST_DISPATCHERS, min(count, wide_count))]
