--- a/src/coralfall/placement/contended_candidates.py
+++ b/src/coralfall/placement/contended_candidates.py
@@ -5,6 +5,7 @@
 these play no part here. Targets that this entry can't use by its own knowledge are left out.
 """
 
+import itertools
 import typing as t
 
 if t.TYPE_CHECKING:
@@ -13,8 +14,9 @@
     from .object_rankings import Regions
     from .targets import TargetState
 
-#: Number of candidates in the region of the first one.
-_SAME_REGION_CANDIDATES = 2
+#: Number of candidates in the region of the first one, and in others.
+_SAME_REGION = 2
+_ELSEWHERE = 1
 
 
 def contended_candidates(
@@ -32,16 +34,27 @@
     """
     rankings = steering.rankings
     ranking = rankings.ranking_of(service, key, regions)
-    local = [state for state in ranking.local if steering.may_send(state, key)]
-    remote = [state for state in ranking.remote if steering.may_send(state, key)]
+    local = ranking.local
     if is_upload:
-        local = _best_of_own_zone_first(local, steering)
+        usable = [state for state in local if steering.may_send(state, key)]
+        local = _best_of_own_zone_first(usable, steering)
     prefers_local = ranking.position < rankings.local_fraction(service, regions)
-    ranked = local + remote if prefers_local else remote + local
-    if not ranked:
-        return []
-    home = rankings.region_of(ranked[0])
-    return _of_region(ranked, home, steering) + _first_elsewhere(ranked, home, steering)
+    ranked = (local, ranking.remote) if prefers_local else (ranking.remote, local)
+    home: "t.Optional[RegionId]" = None
+    same_region: t.List["TargetState"] = []
+    elsewhere: t.List["TargetState"] = []
+    # Ends early, as a check of all targets for each request would take too much processor time.
+    for state in itertools.chain(*ranked):
+        is_home = not same_region or rankings.region_of(state) == home
+        found, count = (same_region, _SAME_REGION) if is_home else (elsewhere, _ELSEWHERE)
+        if len(found) == count or not steering.may_send(state, key):
+            continue
+        if not same_region:
+            home = rankings.region_of(state)
+        found.append(state)
+        if len(same_region) == _SAME_REGION and len(elsewhere) == _ELSEWHERE:
+            break
+    return same_region + elsewhere
 
 
 def _best_of_own_zone_first(
@@ -55,23 +68,3 @@
     own = [state for state in local if state.target.zone == steering.settings.zone]
     others = [state for state in local if state.target.zone != steering.settings.zone]
     return own[:1] + others + own[1:]
-
-
-def _of_region(
-    ranked: t.Sequence["TargetState"],
-    region: "t.Optional[RegionId]",
-    steering: "AffinitySteering",
-) -> t.List["TargetState"]:
-    found = [state for state in ranked if steering.rankings.region_of(state) == region]
-    return found[:_SAME_REGION_CANDIDATES]
-
-
-def _first_elsewhere(
-    ranked: t.Sequence["TargetState"],
-    region: "t.Optional[RegionId]",
-    steering: "AffinitySteering",
-) -> t.List["TargetState"]:
-    for state in ranked:
-        if steering.rankings.region_of(state) != region:
-            return [state]
-    return []
