--- a/src/coralfall/placement/contended_candidates.py
+++ b/src/coralfall/placement/contended_candidates.py
@@ -14,8 +14,9 @@
     from .object_rankings import Regions
     from .targets import TargetState
 
-#: Number of candidates in the region of the first one.
-_SAME_REGION_CANDIDATES = 2
+#: Number of candidates in the region of the first one, and in others.
+_SAME_REGION = 2
+_ELSEWHERE = 1
 
 
 def contended_candidates(
@@ -33,46 +34,37 @@
     """
     rankings = steering.rankings
     ranking = rankings.ranking_of(service, key, regions)
-    # Lazy, as a service may have hundreds of targets and a request needs three of them.
-    local: t.Iterator["TargetState"] = (
-        state for state in ranking.local if steering.may_send(state, key)
-    )
-    remote = (state for state in ranking.remote if steering.may_send(state, key))
+    local = ranking.local
     if is_upload:
-        local = _best_of_own_zone_first(local, steering)
+        usable = [state for state in local if steering.may_send(state, key)]
+        local = _best_of_own_zone_first(usable, steering)
     prefers_local = ranking.position < rankings.local_fraction(service, regions)
-    ordered = itertools.chain(local, remote) if prefers_local else itertools.chain(remote, local)
-    return _take(ordered, steering)
+    ranked = (local, ranking.remote) if prefers_local else (ranking.remote, local)
+    home: "t.Optional[RegionId]" = None
+    same_region: t.List["TargetState"] = []
+    elsewhere: t.List["TargetState"] = []
+    # Ends early, as a check of all targets for each request would take too much processor time.
+    for state in itertools.chain(*ranked):
+        is_home = not same_region or rankings.region_of(state) == home
+        found, count = (same_region, _SAME_REGION) if is_home else (elsewhere, _ELSEWHERE)
+        if len(found) == count or not steering.may_send(state, key):
+            continue
+        if not same_region:
+            home = rankings.region_of(state)
+        found.append(state)
+        if len(same_region) == _SAME_REGION and len(elsewhere) == _ELSEWHERE:
+            break
+    return same_region + elsewhere
 
 
 def _best_of_own_zone_first(
-    local: t.Iterable["TargetState"], steering: "AffinitySteering"
-) -> t.Iterator["TargetState"]:
-    """Yields the best target of the entry's zone first, and the best of other zones second.
+    local: t.List["TargetState"], steering: "AffinitySteering"
+) -> t.List["TargetState"]:
+    """Puts the best target of the entry's zone first, and the best of other zones second.
 
     Bytes between zones are paid for, and uploads have most of them; a copy of an object in each
     zone is cheap for the few objects of uploads.
     """
-    states = list(local)
-    own = [state for state in states if state.target.zone == steering.settings.zone]
-    others = [state for state in states if state.target.zone != steering.settings.zone]
-    yield from own[:1] + others + own[1:]
-
-
-def _take(
-    ordered: t.Iterable["TargetState"], steering: "AffinitySteering"
-) -> t.List["TargetState"]:
-    """Returns the first targets of the first one's region, and the first of another region."""
-    same_region: t.List["TargetState"] = []
-    elsewhere: t.List["TargetState"] = []
-    home: t.Optional["RegionId"] = None
-    for state in ordered:
-        region = steering.rankings.region_of(state)
-        home = home or region
-        if region != home:
-            elsewhere = elsewhere or [state]
-        elif len(same_region) < _SAME_REGION_CANDIDATES:
-            same_region.append(state)
-        if elsewhere and len(same_region) == _SAME_REGION_CANDIDATES:
-            break
-    return same_region + elsewhere
+    own = [state for state in local if state.target.zone == steering.settings.zone]
+    others = [state for state in local if state.target.zone != steering.settings.zone]
+    return own[:1] + others + own[1:]
--- a/src/coralfall/placement/dispatch.py
+++ b/src/coralfall/placement/dispatch.py
@@ -31,6 +31,8 @@
 
 #: Tenant code of a request without a tenant.
 NO_TENANT = TenantCode(0)
+#: Added to the level of late requests; more than any priority that operators use.
+_LATE_LEVELS = 100
 #: Number of bits of a route code: the few routes of a service rarely collide, and one that does
 #: only shares an estimate.
 _ROUTE_CODE_MASK = 0xFFFF
@@ -187,8 +189,13 @@
     return TenantCode(zlib.crc32(tenant_id.encode()) or 1)
 
 
-def level_of(route: "Route", tenant: "t.Optional[Tenant]") -> Level:
-    """Urgency of a request: its tenant's priority if that has one, else its route's."""
+def level_of(route: "Route", tenant: "t.Optional[Tenant]", late: bool = False) -> Level:
+    """Urgency of a request: its tenant's priority if that has one, else its route's.
+
+    :param late: whether the request has missed its latency objective. Its answer is worth less than
+        that of any request in time.
+    """
+    level = route.priority
     if tenant is not None and tenant.priority is not None:
-        return Level(tenant.priority)
-    return Level(route.priority)
+        level = tenant.priority
+    return Level(level + (_LATE_LEVELS if late else 0))
--- a/src/coralfall/placement/dispatch_ledger.py
+++ b/src/coralfall/placement/dispatch_ledger.py
@@ -268,7 +268,8 @@
             True,
             is_speed_sample,
             self._admission,
-            prediction.total_s,
+            # Before the first answers nothing is known of the work: what its caller expects counts.
+            prediction.total_s or ask.within_ms / 1000,
         )
         assignment = Assignment(
             key,
--- a/src/coralfall/placement/dispatched_target.py
+++ b/src/coralfall/placement/dispatched_target.py
@@ -24,8 +24,8 @@
 #: one is for the last ask of a request, which found all candidates busy.
 _UNCACHED_LOAD_LIMIT = 0.7
 _UNCACHED_LAST_LOAD_LIMIT = 1.0
-#: Requests beyond the slots that a target gets, as a fraction of its slots: messages about a request
-#: take up to two thirds of the work of a cached object where links are narrow.
+#: Requests beyond the slots that a target gets, as a fraction of its slots: messages about a
+#: request take up to two thirds of the work of a cached object where links are narrow.
 _EXCESS_FRACTION = 2 / 3
 #: Seconds until a target may be asked for again whose overdue request has no known end.
 _UNRESPONSIVE_S = 0.3
@@ -66,8 +66,10 @@
     cached: bool
     #: Seconds of work at usual pace.
     work_s: float
-    #: Seconds in the target's queue, and with the work, both at the present pace.
+    #: Seconds in the target's queue at the present pace.
     wait_s: float
+    #: Seconds until completion. If another target should have the object cached, it includes the
+    #: time that loading the object costs other requests.
     total_s: float
     load: float
     pace: float
@@ -180,6 +182,10 @@
         if in_queue and self.queue:
             wait_s = max(wait_s, self.queue.wait_of(ask.level, ask.tenant_code, wait_s, mean_s))
         total_s = wait_s + work_s * pace
+        if not cached and not ask.primary:
+            # To load the object once more keeps a slot from others for as long as this.
+            cached_work_s = self._admission.work_s(target.service, ask.route_code, True)
+            total_s += max(0.0, work_s - cached_work_s) * pace
         return Prediction(cached, work_s, wait_s, total_s, load, pace, limit)
 
     def mean_work_s(self, otherwise_s: float) -> float:
--- a/src/coralfall/placement/region_load.py
+++ b/src/coralfall/placement/region_load.py
@@ -22,12 +22,13 @@
     from .dispatch import LoadShare
     from .locality import RateLimitedFraction
 
-#: Requests for each slot that the feedback aims at: targets with more have queues.
-TARGET_LOAD = 0.6
+#: Requests for each slot that the feedback aims at. Dispatchers count a request from its assignment
+#: to the arrival of its release, some 0.15 of a slot more than targets are busy.
+TARGET_LOAD = 0.75
 #: Loads between which the fraction stays. The average over 2 s of a region of 51 slots has a
 #: standard deviation of 0.02 (seeded model), so noise alone does not leave this range.
-MIN_LOAD = 0.45
-MAX_LOAD = 0.7
+MIN_LOAD = 0.5
+MAX_LOAD = 0.95
 #: Least fraction that a region keeps, so that its caches remain of use and the load measurable.
 MIN_FRACTION = 0.1
 #: Time constant of the averages, in seconds: the window in which shifts are counted.
--- a/src/coralfall/placement/targets.py
+++ b/src/coralfall/placement/targets.py
@@ -34,6 +34,9 @@
 #: which a request is overdue from which on one suffices.
 _MIN_OVERDUE = 2
 _LONG_OVERDUE_MULTIPLE = 3.0
+#: Fewest seconds without an answer after which a target counts as silent for all entries: the first
+#: requests after a start load their objects, and nothing is known of their work yet.
+_MIN_SILENT_S = 0.8
 #: Consecutive ejections without a connection after which a target counts as down: a single lost
 #: packet can make a connection fail, and so cause a first ejection.
 _DOWN_EJECTIONS = 2
@@ -136,7 +139,7 @@
         now = self._clock.monotonic()
         overdue_count = 0
         for started, overdue_at in self._started.values():
-            if started <= self._answered_at or now <= overdue_at:
+            if started <= self._answered_at or now <= max(overdue_at, started + _MIN_SILENT_S):
                 continue
             overdue_count += 1
             if now - started > _LONG_OVERDUE_MULTIPLE * (overdue_at - started):
--- a/src/coralfall/traffic/callers.py
+++ b/src/coralfall/traffic/callers.py
@@ -7,7 +7,6 @@
 from ..exceptions import CallerGoneError, CoralfallError, RefusedError, RequestError
 from ..forwarding.request import MemoryAccount, RequestBody, pieces_of
 from ..http.caller_watch import CallerWatch
-from ..placement.dispatch import object_key_of
 from ..process import log
 from .reply import Reply, reply_from_error
 from .steered_request import SteeredRequest
@@ -155,12 +154,7 @@
         request_id = (_header(headers, self._names.request_id) or b"").decode("latin-1")
         key = self._names.affinity_key(headers) if route.session_affinity else None
         time_left_s = self._time_left_of(headers)
-        if key is None:
-            key = request_id.encode()
         service = self._state_view.split.choose(route)
-        contended = self._contention.is_contended(service)
-        if contended:
-            key = object_key_of(route.route_id, key)
         return SteeredRequest(
             method,
             path,
@@ -170,14 +164,14 @@
             route,
             service,
             request_id,
-            key,
+            key if key is not None else request_id.encode(),
             started_at
             + (route.timeout_s if time_left_s is None else min(time_left_s, route.timeout_s)),
             time_left_s,
             scope["client"][0] if scope.get("client") else "",
             tenant,
             allowed_regions_for(route, tenant),
-            contended,
+            self._contention.is_contended(service),
         )
 
     def _time_left_of(self, headers: t.Sequence[t.Tuple[bytes, bytes]]) -> t.Optional[float]:
--- a/src/coralfall/traffic/dispatch_asker.py
+++ b/src/coralfall/traffic/dispatch_asker.py
@@ -3,7 +3,7 @@
 import asyncio
 import typing as t
 
-from ..placement.dispatch import AttemptOutcome, DispatchAnswer, DispatchRelease, Ticket, Verdict
+from ..placement.dispatch import DispatchAnswer, DispatchRelease, Ticket, Verdict
 
 if t.TYPE_CHECKING:
     from ..placement.dispatch import AskNumber, DispatchAsk
@@ -73,8 +73,3 @@
             if not self._targets.may_use(state):
                 del self._state_by_task[task]
                 task.cancel()
-
-
-def release_unsent(client: DispatchAsker, ticket: Ticket) -> None:
-    """Ends an assignment with which nothing was sent."""
-    client.release(ticket, DispatchRelease(ticket.answer.number, AttemptOutcome.CANCELLED, 0))
--- a/src/coralfall/traffic/dispatch_selection.py
+++ b/src/coralfall/traffic/dispatch_selection.py
@@ -22,7 +22,7 @@
     tenant_code_of,
 )
 from ..placement.spill_limit import SpillLimit
-from .dispatch_asker import NoticeWaits, release_unsent
+from .dispatch_asker import NoticeWaits
 from .dispatch_outcome import release_of
 from .model import RequestKind
 from .steered_request import AskRecord
@@ -38,9 +38,8 @@
     from .dispatch_asker import DispatchAsker
     from .steered_request import SteeredRequest
 
-#: Reasons of rejecting requests: no slot in time for one that may queue, and for one that is late.
+#: Reason of rejecting a request for which no target has a slot in time.
 NO_SLOT = "no-slot"
-FULL_LATE = "full-late"
 #: Seconds after a request's deadline for which its assignment lasts if it is not released.
 _EXPIRY_MARGIN_S = 0.5
 #: Times that the candidates are asked, if the target of a queued ask is withdrawn or its dispatcher
@@ -117,14 +116,9 @@
                 return reservation
             if not busy:
                 break
-            if late:
-                message = f"no target of {request.service} has a free slot for a late request"
-                raise RefusedError(
-                    message, MAX_RETRY_AFTER_S, service=request.service, reason=FULL_LATE
-                )
             best = self._best_to_queue_at(request, busy)
             try:
-                reservation = await self._queue(request, best, excluded)
+                reservation = await self._queue(request, best, excluded, late)
             finally:
                 if reservation is None and best.spills:
                     self._spill_limit.undo(request.service)
@@ -179,7 +173,7 @@
     ) -> "t.Optional[TargetReservation]":
         """Asks for a slot of one candidate after the other.
 
-        :param late: whether the request may only use a free slot.
+        :param late: whether the request may only use a free slot of the first candidate.
         :param busy: receives the candidates that had no slot in time.
         """
         for candidate in candidates:
@@ -189,23 +183,21 @@
             spills = bool(busy) and candidate.is_remote
             if spills and not self._try_spill(request):
                 continue
-            within_s = left_s
+            within_s = 0.0
             if not late:
                 within_s = min(left_s, request.objective_at() - self._clock.monotonic())
-            if busy:
+            if busy and not late:
                 # Any sooner completion is worth it, also one that misses the objective.
                 sooner_s = (min([other.answer.expected_ms for other in busy]) - 1) / 1000
                 within_s = min(left_s, sooner_s)
             is_first = not busy or not request.route.session_affinity
-            ticket = await self._ask(request, candidate.state, within_s, 0.0, is_first, False)
-            reservation = None
-            if ticket is None or not self._release_if_queued(candidate.state, ticket, late):
-                reservation = self._reservation_for(request, candidate.state, ticket, is_first)
+            ticket = await self._ask(request, candidate.state, within_s, is_first, late)
+            reservation = self._reservation_for(request, candidate.state, ticket, is_first)
             if reservation is not None:
                 return reservation
             if spills:
                 self._spill_limit.undo(request.service)
-            if ticket is not None and ticket.answer.verdict in (Verdict.BUSY, Verdict.ASSIGNED):
+            if ticket is not None and ticket.answer.verdict is Verdict.BUSY:
                 busy.append(_Busy(candidate, ticket.answer, is_first))
         return None
 
@@ -236,15 +228,6 @@
         self._ticket_by_reservation[reservation] = ticket
         return reservation
 
-    def _release_if_queued(self, state: "TargetState", ticket: Ticket, late: bool) -> bool:
-        """Releases the assignment of a late request that would be queued at the target."""
-        if not late or ticket.answer.verdict is not Verdict.ASSIGNED:
-            return False
-        if ticket.answer.load < state.target.slots:
-            return False
-        release_unsent(self._client, ticket)
-        return True
-
     def _best_to_queue_at(self, request: "SteeredRequest", busy: t.Sequence[_Busy]) -> _Busy:
         """Returns the candidate that completes soonest; a remote one only within the spill limit.
 
@@ -259,10 +242,11 @@
         return busy[0]
 
     async def _queue(
-        self, request: "SteeredRequest", best: _Busy, excluded: "t.Set[TargetId]"
+        self, request: "SteeredRequest", best: _Busy, excluded: "t.Set[TargetId]", late: bool
     ) -> "t.Optional[TargetReservation]":
         """Asks for a slot and waits for it.
 
+        :param late: whether the request waits behind all that are in time.
         :param excluded: receives the target if it can't be used any more.
         :return: ``None`` if the target can't be used any more or its dispatcher is gone.
         :raises RefusedError: if no slot can be had in time.
@@ -277,7 +261,7 @@
         if start_within_s <= 0:
             raise _no_slot_error(request, best.answer, work_s)
         until = self._clock.monotonic() + start_within_s
-        ticket = await self._ask(request, state, left_s, start_within_s, best.is_first, True)
+        ticket = await self._ask(request, state, left_s, best.is_first, late, start_within_s)
         if ticket is not None and ticket.answer.verdict is Verdict.QUEUED:
             queued_at = self._clock.monotonic()
             answer = await self._waits.wait(state, ticket, until)
@@ -300,9 +284,9 @@
         request: "SteeredRequest",
         state: "TargetState",
         within_s: float,
-        start_within_s: float,
         is_first: bool,
-        may_queue: bool,
+        late: bool,
+        start_within_s: float = 0.0,
     ) -> t.Optional[Ticket]:
         asked_at = self._clock.monotonic()
         ask = DispatchAsk(
@@ -310,7 +294,7 @@
             target_id=state.target.target_id,
             object_code=object_code_of(_cache_key_of(request)),
             route_code=route_code_of(request.route.route_id),
-            level=level_of(request.route, request.tenant),
+            level=level_of(request.route, request.tenant, late),
             tenant_code=tenant_code_of(
                 request.tenant.tenant_id if request.tenant is not None else None
             ),
@@ -318,7 +302,7 @@
             start_within_ms=_milliseconds(start_within_s),
             expires_ms=_milliseconds(self._left_s(request) + _EXPIRY_MARGIN_S),
             primary=is_first,
-            may_queue=may_queue,
+            may_queue=start_within_s > 0,
         )
         ticket = await self._client.ask(state.target, ask)
         self._record(request, state, ticket.answer if ticket is not None else None, asked_at)
@@ -346,10 +330,13 @@
 
 
 def _cache_key_of(request: "SteeredRequest") -> bytes:
-    """Key by which a target's cache is known; one for all requests of a route without objects."""
-    if request.route.session_affinity:
-        return request.object_key
-    return object_key_of(request.route.route_id, b"")
+    """Key of an object in a target's cache, which keeps the objects of each route separately.
+
+    One for all requests of a route without objects. Targets are ranked by the object's key alone,
+    so that objects stay where they are when a service becomes contended.
+    """
+    key = request.object_key if request.route.session_affinity else b""
+    return object_key_of(request.route.route_id, key)
 
 
 def _no_slot_error(
--- a/src/coralfall/traffic/dispatchers.py
+++ b/src/coralfall/traffic/dispatchers.py
@@ -1,8 +1,8 @@
 """Chooses the dispatcher of each target: the entry that assigns its slots. No consensus is needed.
 
-The entries of the target's region whose links are among the widest are ranked by rendezvous hashing of target
-and entry. Two entries with different views of the fleet choose different dispatchers, each of which
-counts a part of the load; what the target reports corrects both.
+Those entries of the target's region whose links are among the widest are ranked by rendezvous
+hashing of target and entry. Two entries with different views of the fleet choose different
+dispatchers, each of which counts a part of the load; what the target reports corrects both.
 """
 
 import typing as t
