--- a/src/coralfall/traffic/permits.py
+++ b/src/coralfall/traffic/permits.py
@@ -116,19 +116,35 @@
         until: float,
         quorum_share: float = float("inf"),
         spare_only: bool = False,
+        in_turn: t.Optional[int] = None,
     ) -> Acquisition:
         """Tries to acquire a token from the owners in their order, with hedged requests.
 
         :param until: monotonic time at which waiting ends.
         :param quorum_share: fraction of all shares whose owners' refusals are conclusive.
         :param spare_only: whether the reserved part of the bucket is left to others.
+        :param in_turn: number of owners that are asked one after the other, all if it is not given.
+            The others are asked at once, and tokens beyond the first are returned.
         """
         acquisition = Acquisition(key, limit, spare_only)
         try:
-            for owner_id in tuple(self.owners.for_slot(slot_of(key))):
+            for place, owner_id in enumerate(tuple(self.owners.for_slot(slot_of(key)))):
                 self._request_from(owner_id, acquisition)
+                # Refusals without a share are those of owners that have just begun to count. Then
+                # tokens are so few that asking for several of them would take those of others.
+                is_refused = not in_turn or acquisition.refused_share() > 0
+                is_at_once = in_turn is not None and place >= in_turn and is_refused
+                if is_at_once and acquisition.granted is None:
+                    continue
                 await acquisition.wait(defaults.QUOTA_HEDGE_DELAY_S)
-                if acquisition.granted is not None or acquisition.refused_share() >= quorum_share:
+                if acquisition.granted is not None:
+                    return acquisition
+                if in_turn is None and acquisition.refused_share() >= quorum_share:
+                    return acquisition
+            if in_turn is not None:
+                # An owner that is silent does not delay the refusal of the others.
+                await acquisition.wait(defaults.QUOTA_HEDGE_DELAY_S)
+                if acquisition.refused_share() >= quorum_share:
                     return acquisition
             await acquisition.wait(until - self._clock.monotonic())
         except asyncio.CancelledError:
--- a/src/coralfall/traffic/quotas.py
+++ b/src/coralfall/traffic/quotas.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import typing as t
 
 from .. import defaults
@@ -27,6 +28,9 @@
 #: Reasons of a request beyond its tenant's limit, and of one for which too few owners replied.
 OVER_LIMIT = "over-limit"
 NO_OWNER = "no-quota-owner"
+#: Seconds after a refusal in which a contended installation asks all owners of a tenant's limit at
+#: once, as the tenant is likely still beyond it.
+_REFUSED_LATELY_S = 1.0
 #: Fraction of all shares that refusing owners must hold to prove that a tenant is over its limit.
 _QUORUM_SHARE = 0.5
 
@@ -57,6 +61,10 @@
         self.bounds = bounds
         self._clock = clock
         self._backoffs: t.Dict["TenantId", _Backoff] = {}
+        #: Number of requests of each tenant that wait for owners' replies.
+        self._waiting: t.Counter["TenantId"] = collections.Counter()
+        #: Whether the installation is contended, so that refusals must not be slow.
+        self.contended = False
 
     def slots(self) -> "t.Collection[Slot]":
         return _SLOTS if self._state_view.tenants.has_limits else ()
@@ -83,13 +91,42 @@
         backoff = self._backoffs.get(tenant.tenant_id)
         if backoff is not None and now < backoff.until:
             raise _over_limit(tenant, backoff.reply, now)
-        reply = await self._acquire_token(tenant, limit, now + defaults.QUOTA_WAIT_TIMEOUT_S)
+        if self.contended:
+            self._check_waiting(tenant, limit)
+        self._waiting[tenant.tenant_id] += 1
+        try:
+            reply = await self._acquire_token(tenant, limit, now + defaults.QUOTA_WAIT_TIMEOUT_S)
+        finally:
+            self._waiting[tenant.tenant_id] -= 1
         if reply.grant.count:
             return reply.owner_id
         backoff_s = min(reply.grant.wait_s, defaults.MAX_QUOTA_REJECT_S)
         self._backoffs[tenant.tenant_id] = _Backoff(reply.received_at + backoff_s, reply)
         raise _over_limit(tenant, reply, reply.received_at)
 
+    def check_backoff(self, tenant: "t.Optional[Tenant]") -> None:
+        """Refuses a request of a contended installation before its body is read.
+
+        :raises OverLimitError: if the owners' last refusal is still valid for the tenant.
+        """
+        if tenant is None or not self.contended:
+            return
+        now = self._clock.monotonic()
+        backoff = self._backoffs.get(tenant.tenant_id)
+        if backoff is not None and now < backoff.until:
+            raise _over_limit(tenant, backoff.reply, now)
+
+    def _check_waiting(self, tenant: "Tenant", limit: "Limit") -> None:
+        """Refuses a request behind as many as the limit can grant while they wait.
+
+        :raises OverLimitError: if there are that many.
+        """
+        waiting = self._waiting[tenant.tenant_id]
+        if waiting < limit.burst + limit.rate_per_s * defaults.QUOTA_WAIT_TIMEOUT_S:
+            return
+        message = f"{waiting} requests of {tenant.tenant_id} wait for its limit already"
+        raise OverLimitError(message, defaults.QUOTA_WAIT_TIMEOUT_S, reason=OVER_LIMIT)
+
     def return_token(self, tenant: "t.Optional[Tenant]", owner_id: "t.Optional[EntryId]") -> None:
         """Returns the token of a request that did not run to its owner."""
         if tenant is None or owner_id is None:
@@ -98,11 +135,12 @@
         self._permits.return_token(tenant_limit_key(tenant.tenant_id), limit, owner_id)
 
     def drop_expired(self) -> None:
-        """Drops backoffs that have ended."""
-        now = self._clock.monotonic()
+        """Drops backoffs that have ended, and counts of tenants without requests."""
+        since = self._clock.monotonic() - (_REFUSED_LATELY_S if self.contended else 0.0)
         self._backoffs = {
-            name: backoff for name, backoff in self._backoffs.items() if now < backoff.until
+            name: backoff for name, backoff in self._backoffs.items() if since < backoff.until
         }
+        self._waiting = +self._waiting
 
     async def _acquire_token(self, tenant: "Tenant", limit: "Limit", until: float) -> "OwnerReply":
         """Asks the owners until one grants a token or the refusals are conclusive.
@@ -114,7 +152,7 @@
         """
         key = tenant_limit_key(tenant.tenant_id)
         while True:
-            acquisition = await self._permits.acquire(key, limit, until)
+            acquisition = await self._ask(tenant, key, limit, until)
             reply = _final_reply(acquisition)
             if reply is not None:
                 return reply
@@ -123,6 +161,20 @@
                 raise RefusedError(message, defaults.QUOTA_TIMEOUT_S, reason=NO_OWNER)
             await asyncio.sleep(defaults.QUOTA_RENEW_INTERVAL_S)
 
+    async def _ask(
+        self, tenant: "Tenant", key: "LimitKey", limit: "Limit", until: float
+    ) -> "Acquisition":
+        if not self.contended:
+            return await self._permits.acquire(key, limit, until)
+        # Once an owner has refused, the tenant is likely beyond its limit, and asking the others in
+        # turn would only make the refusal later. Asking all of them for each request of a tenant
+        # within its limit would take three tokens for one, and leave too few for a burst.
+        backoff = self._backoffs.get(tenant.tenant_id)
+        now = self._clock.monotonic()
+        refused_lately = backoff is not None and now < backoff.until + _REFUSED_LATELY_S
+        in_turn = 0 if refused_lately else 1
+        return await self._permits.acquire(key, limit, until, _QUORUM_SHARE, in_turn=in_turn)
+
 
 def _final_reply(acquisition: "Acquisition") -> "t.Optional[OwnerReply]":
     """Returns a grant, or the refusal of owners that hold enough shares; ``None`` if undecided."""
--- a/tests/traffic/quota_fleet.py
+++ b/tests/traffic/quota_fleet.py
@@ -208,6 +208,7 @@
         self.rejected_at: t.List[float] = []
         self.unavailable_at: t.List[float] = []
         self.waits_s: t.List[float] = []
+        self.refusal_waits_s: t.List[float] = []
         #: Messages with leases whose senders have given up; they may arrive at any later time.
         self.late_leases: t.List[t.Tuple[QuotaEntry, QuotaEntry, PermitRequest]] = []
         self.by_address: t.Dict[str, QuotaEntry] = {}
@@ -305,6 +306,7 @@
             await entry.quotas.acquire(entry.state_view.tenants.by_id[self.tenant.tenant_id])
         except OverLimitError:
             self.rejected_at.append(asked_at)
+            self.refusal_waits_s.append(self.clock.monotonic() - asked_at)
             return
         except RefusedError:
             self.unavailable_at.append(asked_at)
--- a/tests/traffic/test_quotas.py
+++ b/tests/traffic/test_quotas.py
@@ -6,6 +6,7 @@
 
 from parameterized import parameterized
 
+from coralfall.exceptions import OverLimitError
 from coralfall.placement.buckets import slot_of
 from coralfall.placement.tenant_limits import tenant_limit_key
 from coralfall.traffic.settings import BoundSettings
@@ -40,6 +41,11 @@
     return run_virtual(main)
 
 
+def set_contended(fleet: QuotaFleet, contended: bool) -> None:
+    for entry in fleet.entries:
+        entry.quotas.contended = contended
+
+
 class CalmTest(unittest.TestCase):
     @parameterized.expand(
         [
@@ -56,8 +62,10 @@
         # At worst the owners of all three regions are asked one after the other.
         self.assertLess(max(fleet.waits_s), 6.1 * fleet.one_way_delay_s)
 
-    def test_a_burst_is_let_go_at_once(self) -> None:
+    @parameterized.expand([("usual", False), ("contended", True)])
+    def test_a_burst_is_let_go_at_once(self, _name: str, contended: bool) -> None:
         async def scenario(fleet: QuotaFleet) -> None:
+            set_contended(fleet, contended)
             for _ in range(9):
                 fleet.send_request(fleet.rng.choice(fleet.entries))
 
@@ -66,14 +74,22 @@
 
 
 class StartTest(unittest.TestCase):
-    @parameterized.expand([("a small tenant", 3.0, 30), ("a larger one", 40.0, 30)])
+    @parameterized.expand(
+        [
+            ("a small tenant", 3.0, 30),
+            ("a larger one", 40.0, 30),
+            ("a small tenant, contended", 3.0, 30, True),
+            ("a larger one, contended", 40.0, 30, True),
+        ]
+    )
     def test_callers_wait_until_all_have_met_again(
-        self, _name: str, rate: float, count: int
+        self, _name: str, rate: float, count: int, contended: bool = False
     ) -> None:
         """After a restart of all entries no share is leased yet, which must not reject callers."""
 
         async def scenario(fleet: QuotaFleet) -> None:
             await restart(fleet, fleet.entries, discovery_s=0.2)
+            set_contended(fleet, contended)
             await fleet.send_evenly(4.0, rate * 0.6)
 
         fleet = run_scenario(scenario, count, rate, rate)
@@ -103,6 +119,73 @@
         self.assertGreater(len(fleet.granted_at), 0.98 * rate * 12.0)
 
 
+class ContendedTest(unittest.TestCase):
+    """Limits of an installation whose settings say that it is contended."""
+
+    @parameterized.expand(
+        [
+            ("all entries", 75, 60.0, 60.0, 75, 5),
+            ("one entry", 75, 60.0, 60.0, 1, 5),
+            ("a small one that entries see seldom", 75, 3.0, 3.0, 75, 7),
+            ("an owner is silent", 12, 20.0, 20.0, 12, 17),
+        ]
+    )
+    def test_refusals_are_fast(
+        self, name: str, count: int, rate: float, burst: float, among: int, delays: int
+    ) -> None:
+        """Guards against refusals that wait for each owner in turn or for a silent one, and
+        against tokens that are lost or granted twice as all owners are asked at once."""
+
+        async def scenario(fleet: QuotaFleet) -> None:
+            set_contended(fleet, True)
+            await fleet.send_randomly(1.0, rate * 10, fleet.entries[:among])
+            fleet.refusal_waits_s.clear()
+            if name == "an owner is silent":
+                owner_of(fleet).paused_until = fleet.clock.monotonic() + 0.55
+                await fleet.send_randomly(0.5, rate * 10)
+                return
+            await fleet.send_randomly(12.0, rate * 10, fleet.entries[:among])
+            self.assertGreater(len(fleet.granted_at), 0.98 * rate * 13.0)
+
+        fleet = run_scenario(scenario, count, rate, burst)
+        self.assertLessEqual(fleet.worst_window_ratio(), 1.0)
+        self.assertEqual(0, len(fleet.unavailable_at))
+        # The exchange that is in flight with an owner, one with the owners, another one where no
+        # refusal was seen lately, or the delay of a hedge; and a margin of one crossing.
+        self.assertLess(max(fleet.refusal_waits_s), delays * fleet.one_way_delay_s)
+
+    def test_waiting_requests_are_bounded(self) -> None:
+        """Guards against requests of one tenant that pile up while owners do not reply."""
+
+        async def scenario(fleet: QuotaFleet) -> None:
+            entry = fleet.entries[0]
+            entry.quotas.contended = True
+            entry.group = 1
+            for _ in range(200):
+                fleet.send_request(entry)
+            await asyncio.sleep(0.001)
+            self.assertAlmostEqual(200 - 23 - 0.9 * 20, len(fleet.rejected_at), delta=10)
+
+        run_scenario(scenario, 12, 20.0, 20.0)
+
+    def test_valid_refusal_is_repeated_before_the_body_is_read(self) -> None:
+        """Guards against an upload that is read although its tenant was just refused."""
+
+        async def scenario(fleet: QuotaFleet) -> None:
+            quotas = fleet.entries[0].quotas
+            with self.assertRaises(OverLimitError):
+                while True:
+                    await quotas.acquire(fleet.tenant)
+            quotas.check_backoff(fleet.tenant)
+            quotas.contended = True
+            with self.assertRaises(OverLimitError):
+                quotas.check_backoff(fleet.tenant)
+            await asyncio.sleep(0.2)
+            quotas.check_backoff(fleet.tenant)
+
+        run_scenario(scenario, 3, 20.0, 20.0)
+
+
 async def partition_some(fleet: QuotaFleet) -> None:
     fleet.partition(fleet.entries[: len(fleet.entries) // 3])
     await fleet.send_randomly(8.0, fleet.overload_per_s)
