--- a/src/coralfall/http/protocol.py
+++ b/src/coralfall/http/protocol.py
@@ -12,11 +12,9 @@
 
 import httptools
 import msgspec
-from uvicorn.protocols.http.httptools_impl import (
-    STATUS_LINE,
-    HttpToolsProtocol,
-    RequestResponseCycle,
-)
+from uvicorn.protocols.http.httptools_impl import STATUS_LINE, RequestResponseCycle
+
+from .drain import DrainingProtocol
 
 if t.TYPE_CHECKING:
     from ..process.metrics import Metrics
@@ -124,7 +122,7 @@
             await self._none_left.wait()
 
 
-class CallerProtocol(HttpToolsProtocol):
+class CallerProtocol(DrainingProtocol):
     """One caller's connection.
 
     :param shared: what all connections of the server share.
--- a/src/coralfall/reporting/explain.py
+++ b/src/coralfall/reporting/explain.py
@@ -40,6 +40,7 @@
     "no-time": "no target for the object could have answered within the time that was left",
     "no-target": "no target of the service could be used: see which rested, left, were evacuated",
     "no-state": "the entry knew no desired state yet: see store and peer lines after its start",
+    "memory": "too many bytes of answers waited at the entry for callers to read them",
     "connect": "no target could be connected; nothing was sent",
     "time": "a target had the request and gave no whole answer in time; it may have run",
     "stale": "a connection kept from before was dead; a request that may run twice is sent again",
--- a/src/coralfall/traffic/callers.py
+++ b/src/coralfall/traffic/callers.py
@@ -7,7 +7,9 @@
 from ..exceptions import CallerGoneError, CoralfallError, RefusedError, RequestError
 from ..forwarding.request import MemoryAccount, RequestBody, pieces_of
 from ..http.caller_watch import CallerWatch
+from ..http.drain import DRAIN_EXTENSION
 from ..process import log
+from .answer_memory import AnswerMemory, HeldAnswer
 from .reply import Reply, reply_from_error
 from .steered_request import SteeredRequest
 from .tenants import allowed_regions_for
@@ -15,6 +17,7 @@
 if t.TYPE_CHECKING:
     from starlette.types import Receive, Scope, Send
 
+    from ..ids import ServiceId
     from ..process.clock import Clock
     from .forwarder import Forwarder
     from .quotas import Quotas
@@ -27,6 +30,13 @@
 _MAX_MILLISECONDS_DIGITS = 9
 
 
+class ContentionView(t.Protocol):
+    """Tells which services are contended."""
+
+    def is_contended(self, service: "ServiceId") -> bool:
+        """Whether a service is contended now."""
+
+
 class CallersApp:
     """Serves the port for callers.
 
@@ -57,18 +67,33 @@
         self._telemetry = telemetry
         self._clock = clock
         self._memory = MemoryAccount(defaults.MAX_BUFFERED_BYTES)
+        #: Bytes of answers that wait for their callers.
+        self.answer_memory = AnswerMemory(self._memory)
+        #: Decides which services are contended; none is if it is not set.
+        self.contention: t.Optional[ContentionView] = None
         #: Number of requests in flight.
         self.in_flight = 0
 
     async def __call__(self, scope: "Scope", receive: "Receive", send: "Send") -> None:
         if scope["type"] != "http":
             return
+        answer = HeldAnswer(self.answer_memory, _caller_of(scope))
+        try:
+            await self._answer(scope, receive, send, answer)
+        finally:
+            answer.release()
+
+    async def _answer(
+        self, scope: "Scope", receive: "Receive", send: "Send", answer: HeldAnswer
+    ) -> None:
         started_at = self._clock.monotonic()
         self.in_flight += 1
         request: t.Optional[SteeredRequest] = None
         body = _request_body(scope, receive, self._memory)
         try:
             request = self._build_request(scope, body, started_at)
+            request.held_answer = answer
+            self._refuse_at_once(request, answer)
             reply = await self._serve(request, receive)
         except CallerGoneError:
             self._log(scope, request, None, started_at)
@@ -87,6 +112,9 @@
             {"type": "http.response.start", "status": reply.status, "headers": reply.headers}
         )
         await send({"type": "http.response.body", "body": reply.body})
+        wait_drained = scope.get("extensions", {}).get(DRAIN_EXTENSION)
+        if answer.held and wait_drained is not None:
+            await wait_drained(answer.contended)
 
     async def _serve(self, request: SteeredRequest, receive: "Receive") -> Reply:
         if request.body is not None:
@@ -104,6 +132,17 @@
         finally:
             watch.stop()
 
+    def _refuse_at_once(self, request: SteeredRequest, answer: HeldAnswer) -> None:
+        """Refuses a request before its body is read, if it is known that it can't be served.
+
+        :raises RefusedError: if too many bytes of answers wait for their callers.
+        :raises OverLimitError: if the owners refused its tenant just now.
+        """
+        self._quotas.check_backoff(request.tenant)
+        if self.contention is not None and self.contention.is_contended(request.service):
+            self.answer_memory.check_room(request.caller)
+            answer.contended = True
+
     async def _forward(self, request: SteeredRequest) -> Reply:
         owner_id = await self._quotas.acquire(request.tenant)
         try:
@@ -163,7 +202,7 @@
             started_at
             + (route.timeout_s if time_left_s is None else min(time_left_s, route.timeout_s)),
             time_left_s,
-            scope["client"][0] if scope.get("client") else "",
+            _caller_of(scope),
             tenant,
             allowed_regions_for(route, tenant),
         )
@@ -225,6 +264,11 @@
     return {"fingerprint": str(request.fingerprint), "caller": request.caller}
 
 
+def _caller_of(scope: "Scope") -> str:
+    client = scope.get("client")
+    return str(client[0]) if client else ""
+
+
 def _header(headers: t.Sequence[t.Tuple[bytes, bytes]], name: bytes) -> t.Optional[bytes]:
     for field, value in headers:
         if field == name:
--- a/src/coralfall/traffic/connection.py
+++ b/src/coralfall/traffic/connection.py
@@ -71,6 +71,7 @@
         #: Idle timeout of the server, if it sent a ``Keep-Alive`` header.
         self.keep_alive_s: t.Optional[float] = None
         self._bodiless = False
+        self._on_body_bytes: t.Optional[t.Callable[[int], None]] = None
         self._reset_parser()
 
     def _reset_parser(self) -> None:
@@ -95,6 +96,7 @@
         body: bytes,
         body_stream: t.Optional[t.AsyncIterator[bytes]] = None,
         bodiless: bool = False,
+        on_body_bytes: t.Optional[t.Callable[[int], None]] = None,
     ) -> ServerResponse:
         """Sends a request and returns the complete response; callers have to set a timeout.
 
@@ -102,6 +104,7 @@
 
         :param body_stream: chunks of the body that follow ``body``, sent as they arrive.
         :param bodiless: whether the response has no body, whatever its head says.
+        :param on_body_bytes: called with the size of each part of the body that was received.
         :raises BrokenResponseError: if the response is incomplete; the request may have run.
         """
         transport = self._transport
@@ -109,6 +112,7 @@
         loop = asyncio.get_running_loop()
         self._response_future = loop.create_future()
         self._bodiless = bodiless
+        self._on_body_bytes = on_body_bytes
         response_future = self._response_future
         self.has_received = False
         try:
@@ -260,6 +264,8 @@
             self._fail("body too long")
             return
         self._body += body
+        if self._on_body_bytes is not None:
+            self._on_body_bytes(len(body))
 
     def on_message_complete(self) -> None:
         if self._head_complete and not self._body_until_close:
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -290,7 +290,7 @@
         try:
             async with asyncio.timeout(time_left_s):
                 response = await self._exchange_on_connection(
-                    connection, state, head, body, body_stream, bodiless
+                    connection, request, state, head, body, body_stream, bodiless
                 )
         except TimeoutError as error:
             self._pool.discard_connections(state.target)
@@ -314,15 +314,21 @@
     async def _exchange_on_connection(
         self,
         connection: ServerConnection,
+        request: SteeredRequest,
         state: "TargetState",
         head: bytes,
         body: bytes,
         body_stream: t.Optional[t.AsyncIterator[bytes]],
         bodiless: bool,
     ) -> ServerResponse:
+        answer = request.held_answer
+        held = answer.held if answer is not None else 0
+        take = answer.take if answer is not None else None
         try:
-            return await connection.exchange(head, body, body_stream, bodiless)
+            return await connection.exchange(head, body, body_stream, bodiless, take)
         except BaseException:
+            if answer is not None:
+                answer.shrink_to(held)
             partial = connection.partial_response()
             if partial is not None:
                 self._response_check.note_restrictions(partial, state)
--- a/src/coralfall/traffic/steered_request.py
+++ b/src/coralfall/traffic/steered_request.py
@@ -9,6 +9,7 @@
     from ..ids import RegionId, ServiceId
     from ..placement.fingerprint import Fingerprint, HeadDigest
     from ..placement.reservation import TargetReservation
+    from .answer_memory import HeldAnswer
     from .connection import Headers
     from .model import Route, Tenant
     from .target_permits import TargetPermit
@@ -84,6 +85,7 @@
         "fingerprint",
         "head_digest",
         "headers",
+        "held_answer",
         "host",
         "is_late",
         "is_trial",
@@ -136,6 +138,8 @@
         #: Whether it is the trial that shows if a quarantined request still crashes targets.
         self.is_trial = False
         self.attempts: t.List[Attempt] = []
+        #: Counts the bytes of its answer, if they are counted.
+        self.held_answer: "t.Optional[HeldAnswer]" = None
 
     def sent_count(self) -> int:
         """Returns the number of attempts that sent the request."""
--- a/src/coralfall/traffic/telemetry.py
+++ b/src/coralfall/traffic/telemetry.py
@@ -167,6 +167,8 @@
     gauge("peers_alive", len(node.members.alive_records()), "Other entries that are alive.")
     gauge("peers_suspected", node.members.suspected_count(), "Those that gave no answer lately.")
     gauge("requests_in_hand", node.callers.in_flight, "Requests being served.")
+    held = node.callers.answer_memory.held
+    gauge("answer_bytes_held", held, "Bytes of answers that callers have not taken.")
     gauge("connections_opened", node.pool.opened_count, "Connections opened to targets.")
     quarantined = node.quarantine.refused_count()
     gauge("requests_quarantined", quarantined, "Requests that are sent to no target.")
