--- a/src/coralfall/traffic/steered_request.py
+++ b/src/coralfall/traffic/steered_request.py
@@ -10,6 +10,7 @@
     from ..placement.fingerprint import Fingerprint, HeadDigest
     from ..placement.reservation import TargetReservation
     from ..placement.target_reports import TargetReport
+    from .answer_memory import HeldAnswer
     from .connection import Headers
     from .model import Route, Tenant
     from .target_permits import TargetPermit
@@ -110,6 +111,7 @@
         "fingerprint",
         "head_digest",
         "headers",
+        "held_answer",
         "host",
         "is_late",
         "is_trial",
@@ -169,6 +171,8 @@
         #: Whether it is the trial that shows if a quarantined request still crashes targets.
         self.is_trial = False
         self.attempts: t.List[Attempt] = []
+        #: Counts the bytes of its answer, if they are counted.
+        self.held_answer: "t.Optional[HeldAnswer]" = None
 
     def objective_at(self) -> float:
         """Returns the monotonic time after which the reply misses the latency objective."""
