--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,16 +3,20 @@
 import asyncio
 import json
 import random
+import socket
 import time
 import typing as t
 
-from tests.soak.record import KEY, Attempt, Record, Sort, Tenant
+from tests.soak.record import KEY, SLOW, Attempt, Record, Sort, Tenant
 
 #: Seconds that a caller waits for an answer, and those that it tells.
 PATIENCE_S = 4.0
 TOLD_MS = 2000
 _LOOKUP_S = 1.0
 _UPLOAD_BYTES = 40_000
+#: Bytes that a slow caller has room for and reads at a time, and seconds between two reads.
+_SLOW_BYTES = 16 * 1024
+_SLOW_PAUSE_S = 0.1
 #: How often each sort of request is sent.
 _SORTS = (Sort.READ,) * 5 + (Sort.COMMAND,) * 4 + (Sort.UPLOAD,) + (Sort.SINCE,) * 3
 
@@ -35,7 +39,14 @@
                 name, _, value = line.partition(": ")
                 fields[name.lower()] = value
             length = int(fields.get("content-length", 0))
-            attempt.answer = await self._reader.readexactly(length)
+            pieces = []
+            piece_bytes = _SLOW_BYTES if attempt.request_id.startswith(SLOW) else length
+            while length:
+                pieces.append(await self._reader.readexactly(min(length, piece_bytes)))
+                length -= len(pieces[-1])
+                if length:
+                    await asyncio.sleep(_SLOW_PAUSE_S)
+            attempt.answer = b"".join(pieces)
             attempt.signature = fields.get("x-response-signature", "")
             attempt.leaving = fields.get("server-leaving") == "1"
             attempt.status = int(head.split(" ", 2)[1])
@@ -109,8 +120,7 @@
         try:
             async with asyncio.timeout(PATIENCE_S):
                 if connection is None or not connection.usable:
-                    host, _, port = address.rpartition(":")
-                    connection = Connection(*await asyncio.open_connection(host, int(port)))
+                    connection = await self._connect(address)
                 await connection.exchange(attempt, self._object(object_key))
         except (OSError, TimeoutError):
             attempt.status = 0
@@ -123,6 +133,21 @@
             connection.close()
         return attempt
 
+    async def _connect(self, address: str) -> Connection:
+        host, _, port = address.rpartition(":")
+        if not self._name.startswith(SLOW):
+            return Connection(*await asyncio.open_connection(host, int(port)))
+        # With a small window, most of an answer stays at the entry until it is read.
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _SLOW_BYTES)
+        sock.setblocking(False)
+        try:
+            await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+        except BaseException:
+            sock.close()
+            raise
+        return Connection(*await asyncio.open_connection(sock=sock, limit=_SLOW_BYTES // 2))
+
     def _object(self, object_key: t.Optional[int]) -> int:
         return self._rng.randrange(12) if object_key is None else object_key
 
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -13,6 +13,12 @@
 DEADLY = "/read/deadly-"
 
 
+#: How the ids of requests begin whose answers are long, and how many times longer they are: those
+#: of callers that read slowly, so that entries hold what is not read yet.
+SLOW = "slow"
+_SLOW_TIMES = 100
+
+
 #: Begins each key of a caller; a target must never see one.
 KEY = "soak-key-"
 
@@ -163,4 +169,5 @@
 
 def answer_to(request_id: str, body: bytes) -> bytes:
     """The whole answer that a target gives to a request; a few kilobytes that only it has."""
-    return hashlib.sha256(request_id.encode() + body).hexdigest().encode() * 50
+    answer = hashlib.sha256(request_id.encode() + body).hexdigest().encode() * 50
+    return answer * _SLOW_TIMES if request_id.startswith(SLOW) else answer
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,14 +8,15 @@
 import typing as t
 
 from tests.soak.callers import Caller
-from tests.soak.record import DEADLY, Record, Sort, Tenant
+from tests.soak.record import DEADLY, SLOW, Record, Sort, Tenant
 from tests.soak.rules import TIMED, TIMELESS, broken
-from tests.soak.troubles import TROUBLES, WORDS, Trouble
+from tests.soak.troubles import LOADS, TROUBLES, WORDS, Trouble
 from tests.soak.world import World, strangers
 
 #: Seconds that entries may take to be ready at the start and once all troubles are over.
 READY_S = 40.0
 _CALLERS = 8
+_SLOW_CALLERS = 2
 #: Whose key callers send that are not the calm tenant's.
 _TENANTS = {5: Tenant.NOBODY, 6: Tenant.HOT, 7: Tenant.HOT}
 #: Seconds of calm before the first trouble, and the most between two: a seed has its own. Dense
@@ -27,6 +28,8 @@
 _DEADLY_GAP_S = (0.1, 0.5)
 #: Seconds between two targets that say the same of themselves.
 _WORD_GAP_S = (0.5, 5.0)
+#: Seconds between two loads of the same kind.
+_LOAD_GAP_S = (2.0, 8.0)
 #: Seconds for which a request may fail once all is well again, and the pause between two tries.
 _WELL_S = 20.0
 _TRY_S = 0.1
@@ -60,7 +63,9 @@
         await asyncio.sleep(_WARM_UP_S)
         # Drawn from a seed of their own, so that the other troubles of each seed stay as they were.
         for word in WORDS:
-            calling.append(asyncio.create_task(_speak(world, word, seed)))
+            calling.append(asyncio.create_task(_repeat(world, word, seed, _WORD_GAP_S)))
+        for load in LOADS:
+            calling.append(asyncio.create_task(_repeat(world, load, seed, _LOAD_GAP_S)))
         if deadly:
             calling.append(asyncio.create_task(_send_deadly(world, callers[0], seed)))
         await _play(world, rng, seconds, played)
@@ -83,14 +88,13 @@
     lookups = {entry.name: entry.lookup_address for entry in world.entries}
     names = {entry.caller_address: entry.name for entry in world.entries}
     callers = []
-    for number in range(_CALLERS):
+    for number in range(_CALLERS + _SLOW_CALLERS):
         rng = random.Random(f"{seed}-{number}")
+        name = f"c{number}" if number < _CALLERS else f"{SLOW}{number}"
         keeps = number % 2 == 0
         newest = _newest(world)
         tenant = _TENANTS.get(number, Tenant.CALM)
-        callers.append(
-            Caller(f"c{number}", world.record, lookups, names, newest, keeps, rng, tenant)
-        )
+        callers.append(Caller(name, world.record, lookups, names, newest, keeps, rng, tenant))
     return callers
 
 
@@ -98,14 +102,14 @@
     return lambda: world.version
 
 
-async def _speak(world: World, word: Trouble, seed: int) -> None:
-    """Let one target after the other say something for a while; some of them overlap."""
-    rng = random.Random(f"{seed}-{word.__name__}s")
+async def _repeat(world: World, trouble: Trouble, seed: int, gap_s: t.Tuple[float, float]) -> None:
+    """Play a trouble again and again; some of its times overlap."""
+    rng = random.Random(f"{seed}-{trouble.__name__}s")
     under_way: t.Set["asyncio.Task[None]"] = set()
     try:
         while True:
-            under_way.add(asyncio.create_task(word(world, random.Random(rng.random()))))
-            await asyncio.sleep(rng.uniform(*_WORD_GAP_S))
+            under_way.add(asyncio.create_task(trouble(world, random.Random(rng.random()))))
+            await asyncio.sleep(rng.uniform(*gap_s))
     finally:
         for task in under_way:
             task.cancel()
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -34,6 +34,9 @@
         self._rng = rng
         self._in_hand = 0
         self.service_time_s = 0.03
+        #: How long work takes on its machine now, in percent, and whether its answers say so.
+        self.pace = 100
+        self.reports_pace = False
         #: Share of the requests that run and whose answer is lost.
         self.lose = 0.0
         #: Share of the answers that are cut short, or followed by another one.
@@ -73,7 +76,8 @@
             return
         self._in_hand += 1
         try:
-            await asyncio.sleep(self.service_time_s * self._rng.uniform(0.5, 1.5))
+            work_s = self.service_time_s * self._rng.uniform(0.5, 1.5)
+            await asyncio.sleep(work_s * self.pace / 100)
             if _path_of(received).startswith(DEADLY):
                 self._end_under(_path_of(received))
                 return
@@ -118,7 +122,7 @@
         request_id = received.header("x-request-id") or ""
         body = answer_to(request_id, received.body)
         signature = signature_of(self.instance_id, request_id)
-        load = f"{self._in_hand},0,{SLOTS}"
+        load = f"{self._in_hand},0,{SLOTS}" + (f",{self.pace}" if self.reports_pace else "")
         if self._rng.random() >= self.garble:
             fields = {"x_response_signature": signature, "x_server_load": load}
             await received.answer(200, body, **fields, **self._said())
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -7,9 +7,10 @@
 import time
 import typing as t
 
+from tests.soak.callers import Caller
 from tests.soak.proxy import Proxy
-from tests.soak.record import ReportedLimit
-from tests.soak.targets import SoakTarget
+from tests.soak.record import ReportedLimit, Sort, Tenant
+from tests.soak.targets import SLOTS, SoakTarget
 from tests.soak.world import SERVICES, SoakEntry, World
 
 Trouble = t.Callable[[World, random.Random], t.Awaitable[None]]
@@ -31,6 +32,14 @@
 #: Part of such troubles that strike all targets of a service.
 _ALL_REJECT = 0.2
 
+#: Seconds for which machines are busy with other work.
+_MOMENT_S = (0.3, 1.5)
+#: Seconds of a burst, between two requests of one of its senders, and how many times as long the
+#: work takes meanwhile.
+_BURST_S = (1.0, 5.0)
+_BURST_PAUSE_S = (0.05, 0.3)
+_BURST_WORK = 4
+
 
 @contextlib.asynccontextmanager
 async def _disturbance(world: World, entry: str = "") -> t.AsyncIterator[None]:
@@ -289,3 +298,57 @@
 
 #: What targets say of themselves, beside all other troubles.
 WORDS: t.Tuple[Trouble, ...] = (limit, leave_unheard, reject)
+
+
+async def slow_moment(world: World, rng: random.Random) -> None:
+    """The machines of some targets are busy with other work."""
+    struck = rng.sample(world.targets, min(len(world.targets), rng.randint(1, 3)))
+    for target in struck:
+        target.pace = rng.randint(150, 400)
+    try:
+        await asyncio.sleep(rng.uniform(*_MOMENT_S))
+    finally:
+        for target in struck:
+            target.pace = 100
+
+
+async def burst(world: World, rng: random.Random) -> None:
+    """Twice the requests that the slots of a service take, or a tenant at six times its rate."""
+    service = rng.choice(SERVICES)
+    struck = [target for target in world.targets if target.service == service]
+    count, tenant = rng.choice(((2 * SLOTS * len(struck), Tenant.CALM), (6, Tenant.HOT)))
+    name = f"b{rng.getrandbits(40):x}"
+    addresses = {entry.caller_address: entry.name for entry in world.entries}
+    caller = Caller(name, world.record, {}, addresses, lambda: world.version, True, rng, tenant)
+    until = time.monotonic() + rng.uniform(*_BURST_S)
+
+    async def send() -> None:
+        while time.monotonic() < until:
+            await caller.send(rng.choice(list(addresses)), rng.choice((Sort.READ, Sort.COMMAND)))
+            await asyncio.sleep(rng.uniform(*_BURST_PAUSE_S))
+
+    # Slower targets are full with requests as few as one test process can send.
+    for target in struck:
+        target.service_time_s *= _BURST_WORK
+    try:
+        await asyncio.gather(*[send() for _ in range(count)])
+    finally:
+        for target in struck:
+            target.service_time_s /= _BURST_WORK
+
+
+async def replace(world: World, rng: random.Random) -> None:
+    """Another target, of any service, is at a target's address at once; its row says so later."""
+    target = _spare(world, rng)
+    if target is None or target.leaving:
+        return
+    world.targets.remove(target)
+    successor = await world.add_target(rng.choice(SERVICES))
+    target.proxy.target = successor.proxy.target
+    target.proxy.reset_all()
+    await asyncio.sleep(rng.uniform(*_UNHEARD_S))
+    world.store.remove("servers", target.instance_id)
+
+
+#: Loads of services beside all other troubles.
+LOADS: t.Tuple[Trouble, ...] = (slow_moment, burst, replace)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -90,6 +90,12 @@
         self.entries = [SoakEntry(folder, number, self.record) for number in range(_ENTRIES)]
         self.targets: t.List[SoakTarget] = []
         self._rng = random.Random(seed)
+        # Drawn from a generator of their own, so that all else of each seed stays as it was.
+        drawn = random.Random(f"{seed}-loads")
+        #: Services whose targets report their pace, and levels of routes and of the hot tenant.
+        self._pace_services = [service for service in SERVICES if drawn.random() < 0.5]
+        self._levels = drawn.sample((0, 1, drawn.randint(0, 1)), 3)
+        self._hot_level = drawn.choice((None, 0, 1))
         self._numbers = 0
         self.version = 0
         self._stack: t.List[t.Any] = []
@@ -127,6 +133,7 @@
         self._numbers += 1
         zone = ZONES[self._numbers % len(ZONES)]
         target = SoakTarget(f"i-{self._numbers}", service, zone, self.record, self._rng)
+        target.reports_pace = service in self._pace_services
         await self._enter(target)
         self.targets.append(target)
         target.on_restart = lambda previous: self._restarted(target, previous)
@@ -162,12 +169,15 @@
                 "service": SERVICES[self.version % len(SERVICES)],
             },
         ]
+        for route, level in zip(routes, self._levels, strict=True):
+            route["priority"] = level
         for version in range(1, self.version + 1):
             prefix = f"{Sort.SINCE.value}{version}/"
             routes.append({**model, "name": f"since{version}", "prefix": prefix})
+        hot = {"priority": self._hot_level, **HOT_LIMIT}
         tenants = [
             {"name": Tenant.CALM.value, "apiKeys": [KEY + Tenant.CALM.value]},
-            {"name": Tenant.HOT.value, "apiKeys": [KEY + Tenant.HOT.value], **HOT_LIMIT},
+            {"name": Tenant.HOT.value, "apiKeys": [KEY + Tenant.HOT.value], **hot},
         ]
         self.store.put("op", "config", {**state, "routes": routes, "tenants": tenants})
         self.record.version_at[self.version] = time.monotonic()
