--- a/src/coralfall/placement/admission.py
+++ b/src/coralfall/placement/admission.py
@@ -6,6 +6,8 @@
 only use capacity that no other request needs. Latencies are estimated by online quantile tracking.
 """
 
+import collections
+import statistics
 import typing as t
 
 from .. import defaults
@@ -24,8 +26,9 @@
 _QUANTILE_STEP = 0.05
 #: Quantile for requests whose object the target did not have cached.
 _UNCACHED_QUANTILE = 0.5
-#: Quantile of the work of requests: the few requests that take many times as long don't move it.
-_WORK_QUANTILE = 0.5
+#: Latest requests of a kind whose median is its typical work: the few requests that take many times
+#: as long don't move it, and a wrong start is forgotten within as many requests.
+_WORK_SAMPLES = 15
 #: An answer is overdue after these multiples of the typical and of the expected duration, whichever
 #: is longer, and never before the minimum. A target that loads an object while it has a queue is
 #: slow but responsive: skipping it would make a third target load the object, too.
@@ -35,7 +38,6 @@
 
 #: Service, route and whether the object is cached.
 _WorkKind = t.Tuple["ServiceId", "RouteCode", bool]
-_Key = t.TypeVar("_Key")
 
 #: Seconds before the retry of a request that a target with free slots rejected: such a rejection
 #: does not depend on load, so the next attempt may well meet the latency target.
@@ -50,7 +52,7 @@
         self._typical_by_service: t.Dict["ServiceId", float] = {}
         self._uncached_by_service: t.Dict["ServiceId", float] = {}
         self._work_by_kind: t.Dict[_WorkKind, float] = {}
-        self._work_samples: t.Dict[_WorkKind, int] = {}
+        self._work_samples: t.Dict[_WorkKind, t.Deque[float]] = {}
 
     def record_arrival(self, route: "Route", left_s: float) -> None:
         """Records how long a caller will wait.
@@ -83,25 +85,21 @@
     ) -> None:
         """Records the time of one request at usual pace, without the time in a queue."""
         kind = (service, route_code, cached)
-        samples = self._work_samples.get(kind, 0)
-        self._work_samples[kind] = samples + 1
-        start_s = self.work_s(*kind)
-        if samples == 0 and start_s > 0:
-            self._work_by_kind[kind] = start_s
-        # The first of the samples may be one of the few very long ones.
-        step = max(_QUANTILE_STEP, 1 / (samples + 2))
-        _update_quantile(self._work_by_kind, kind, seconds, _WORK_QUANTILE, step)
+        samples = self._work_samples.get(kind)
+        if samples is None:
+            samples = self._work_samples[kind] = collections.deque(maxlen=_WORK_SAMPLES)
+        samples.append(seconds)
+        self._work_by_kind[kind] = statistics.median(samples)
 
     def work_s(self, service: "ServiceId", route_code: "RouteCode", cached: bool) -> float:
-        """Typical seconds of work of a request; 0 if nothing is known of the service.
+        """Typical seconds of work of a request; 0 if nothing is known of its route.
 
-        Until the route has samples, they are estimated from all durations of the service.
+        Routes of one service differ by orders of magnitude, so no other route stands in for it.
         """
         work_s = self._work_by_kind.get((service, route_code, cached))
-        if work_s is not None:
-            return work_s
-        typical_s = self._typical_by_service.get(service, 0.0)
-        return typical_s if cached else max(typical_s, self._uncached_by_service.get(service, 0.0))
+        if work_s is None:
+            work_s = self._work_by_kind.get((service, route_code, not cached), 0.0)
+        return work_s
 
     def uncached_work_s(self, service: "ServiceId", route_code: "RouteCode") -> t.Optional[float]:
         """Measured seconds of work of a request for an uncached object, if there are samples."""
@@ -144,16 +142,12 @@
 
 
 def _update_quantile(
-    estimates: t.Dict[_Key, float],
-    key: _Key,
-    seconds: float,
-    quantile: float,
-    step: float = _QUANTILE_STEP,
+    estimates: t.Dict["ServiceId", float], service: "ServiceId", seconds: float, quantile: float
 ) -> None:
-    """Moves the quantile estimate of a key, such as a service, towards a duration."""
-    estimate = estimates.get(key)
+    """Moves the quantile estimate of a service towards a duration."""
+    estimate = estimates.get(service)
     if estimate is None:
-        estimates[key] = seconds
+        estimates[service] = seconds
         return
     weight = quantile if seconds > estimate else quantile - 1
-    estimates[key] = estimate * (1 + step * weight)
+    estimates[service] = estimate * (1 + _QUANTILE_STEP * weight)
--- a/src/coralfall/placement/dispatch_evidence.py
+++ b/src/coralfall/placement/dispatch_evidence.py
@@ -99,10 +99,13 @@
         row = assignment.row
         service = row.state.target.service
         route_code = assignment.ask.route_code
-        work_s = max(_MIN_DURATION_S, seconds - assignment.wait_s)
-        self._admission.record_work(service, route_code, assignment.cached, work_s)
+        has_queue = assignment.load >= row.slots
+        if not has_queue or not self._admission.work_s(service, route_code, assignment.cached):
+            # The time in a queue is only predicted, so it blurs what is known without one.
+            work_s = max(_MIN_DURATION_S, seconds - assignment.wait_s)
+            self._admission.record_work(service, route_code, assignment.cached, work_s)
         uncached_s = self._admission.uncached_work_s(service, route_code)
-        if assignment.cached and uncached_s and assignment.load < row.slots:
+        if assignment.cached and uncached_s and not has_queue:
             row.cache.record_expected(seconds, uncached_s)
 
 
--- a/src/coralfall/traffic/dispatch_selection.py
+++ b/src/coralfall/traffic/dispatch_selection.py
@@ -7,6 +7,8 @@
 
 import typing as t
 
+import msgspec
+
 from .. import defaults
 from ..exceptions import RefusedError
 from ..placement.affinity import MAX_RETRY_AFTER_S
@@ -180,27 +182,45 @@
             left_s = self._left_s(request)
             if left_s < defaults.MIN_SEND_TIME_LEFT_S:
                 return None
+            objective_s = 0.0 if late else request.objective_at() - self._clock.monotonic()
+            within_s = min(left_s, objective_s)
             spills = bool(busy) and candidate.is_remote
-            if spills and not self._try_spill(request):
-                continue
-            within_s = 0.0
-            if not late:
-                within_s = min(left_s, request.objective_at() - self._clock.monotonic())
-            if busy and not late:
-                # Any sooner completion is worth it, also one that misses the objective.
-                sooner_s = (min([other.answer.expected_ms for other in busy]) - 1) / 1000
-                within_s = min(left_s, sooner_s)
+            if busy:
+                soonest_s = min([other.answer.expected_ms for other in busy]) / 1000
+                if spills and (soonest_s <= objective_s or not self._try_spill(request)):
+                    continue
+                if not late:
+                    # Any sooner completion is worth it, also one that misses the objective.
+                    within_s = min(left_s, soonest_s - 0.001)
             is_first = not busy or not request.route.session_affinity
-            ticket = await self._ask(request, candidate.state, within_s, is_first, late)
+            start_within_s = self._first_start_within_s(candidate.state, min(left_s, objective_s))
+            ticket = await self._ask_and_wait(
+                request, candidate.state, within_s, is_first, late, start_within_s
+            )
             reservation = self._reservation_for(request, candidate.state, ticket, is_first)
             if reservation is not None:
                 return reservation
             if spills:
                 self._spill_limit.undo(request.service)
-            if ticket is not None and ticket.answer.verdict is Verdict.BUSY:
+            if ticket is not None and ticket.answer.verdict in (Verdict.BUSY, Verdict.REFUSED):
                 busy.append(_Busy(candidate, ticket.answer, is_first))
         return None
 
+    def _first_start_within_s(self, state: "TargetState", within_s: float) -> float:
+        """Returns the seconds for which the first ask for a target may be queued.
+
+        None in the entry's own region, where other candidates are asked first. A dispatcher in
+        another region takes as long to answer as a queued request to start.
+        """
+        steering = self._steering
+        if steering.rankings.region_of(state) == steering.settings.region:
+            return 0.0
+        return max(0.0, within_s - self._work_s(state, True))
+
+    def _work_s(self, state: "TargetState", cached: bool) -> float:
+        admission = self._steering.admission
+        return admission.predict_latency_s(state, cached) - admission.queue_drain_s(state)
+
     def _reservation_for(
         self,
         request: "SteeredRequest",
@@ -252,23 +272,14 @@
         :raises RefusedError: if no slot can be had in time.
         """
         state = best.candidate.state
-        admission = self._steering.admission
-        work_s = admission.predict_latency_s(state, best.answer.cached) - admission.queue_drain_s(
-            state
-        )
+        work_s = self._work_s(state, best.answer.cached)
         left_s = self._left_s(request)
         start_within_s = left_s - max(work_s, defaults.MIN_SEND_TIME_LEFT_S)
         if start_within_s <= 0:
             raise _no_slot_error(request, best.answer, work_s)
-        until = self._clock.monotonic() + start_within_s
-        ticket = await self._ask(request, state, left_s, best.is_first, late, start_within_s)
-        if ticket is not None and ticket.answer.verdict is Verdict.QUEUED:
-            queued_at = self._clock.monotonic()
-            answer = await self._waits.wait(state, ticket, until)
-            self._record(request, state, answer, queued_at, "expired")
-            if answer is None:
-                raise _no_slot_error(request, ticket.answer, work_s)
-            ticket = Ticket(ticket.dispatcher_id, answer)
+        ticket = await self._ask_and_wait(
+            request, state, left_s, best.is_first, late, start_within_s
+        )
         if ticket is not None and ticket.answer.verdict in (Verdict.REFUSED, Verdict.BUSY):
             raise _no_slot_error(request, ticket.answer, work_s)
         if ticket is not None and ticket.answer.verdict in _SILENT:
@@ -279,6 +290,31 @@
             excluded.add(state.target.target_id)
         return reservation
 
+    async def _ask_and_wait(
+        self,
+        request: "SteeredRequest",
+        state: "TargetState",
+        within_s: float,
+        is_first: bool,
+        late: bool,
+        start_within_s: float,
+    ) -> t.Optional[Ticket]:
+        """Asks for a slot and waits for the notice if the ask is queued.
+
+        :param start_within_s: seconds for which the ask may be queued; 0 if it may not.
+        :return: ``None`` if no dispatcher answered; ``REFUSED`` if no notice came in time.
+        """
+        until = self._clock.monotonic() + start_within_s
+        ticket = await self._ask(request, state, within_s, is_first, late, start_within_s)
+        if ticket is None or ticket.answer.verdict is not Verdict.QUEUED:
+            return ticket
+        queued_at = self._clock.monotonic()
+        answer = await self._waits.wait(state, ticket, until)
+        self._record(request, state, answer, queued_at, "expired")
+        if answer is None:
+            answer = msgspec.structs.replace(ticket.answer, verdict=Verdict.REFUSED)
+        return Ticket(ticket.dispatcher_id, answer)
+
     async def _ask(
         self,
         request: "SteeredRequest",
@@ -286,7 +322,7 @@
         within_s: float,
         is_first: bool,
         late: bool,
-        start_within_s: float = 0.0,
+        start_within_s: float,
     ) -> t.Optional[Ticket]:
         asked_at = self._clock.monotonic()
         ask = DispatchAsk(
