--- a/src/coralfall/placement/dispatched_target.py
+++ b/src/coralfall/placement/dispatched_target.py
@@ -20,10 +20,11 @@
 AskKey = t.Tuple["EntryId", "AskNumber"]
 
 #: Load, as a multiple of its slots, below which a target that has not cached an object and is not
-#: its first candidate takes a request for it; see ``affinity._UNCACHED_LOAD_LIMITS``. The second
-#: one is for the last ask of a request, which found all candidates busy.
-_UNCACHED_LOAD_LIMIT = 0.7
-_UNCACHED_LAST_LOAD_LIMIT = 1.0
+#: its first candidate takes a request for it. Loading takes three times the work of a cached object,
+#: so under load it would cause more requests to spill, and more loading. The second limit is for the
+#: last ask of a request, which found all candidates busy.
+_UNCACHED_LOAD_LIMIT = 0.35
+_UNCACHED_LAST_LOAD_LIMIT = 0.7
 #: Requests beyond the slots that a target gets, as a fraction of its slots: messages about a
 #: request take up to two thirds of the work of a cached object where links are narrow.
 _EXCESS_FRACTION = 2 / 3
