--- a/src/coralfall/placement/spill_limit.py
+++ b/src/coralfall/placement/spill_limit.py
@@ -47,11 +47,19 @@
         spilled.append(self._clock.monotonic())
         return True
 
-    def undo(self, service: "ServiceId") -> None:
-        """Takes back the last spilled request, as it was not assigned."""
+    def undo(self, service: "ServiceId", since: float) -> None:
+        """Takes back a spilled request that was not assigned.
+
+        :param since: monotonic time just before it was recorded. If that is before the window, it
+            is not counted any more, and the records in the window are those of other requests.
+        """
         spilled = self._recent(self._spilled_at, service)
-        if spilled:
-            spilled.pop()
+        if since <= self._clock.monotonic() - defaults.SHIFT_WINDOW_S:
+            return
+        for number, spilled_at in enumerate(spilled):
+            if spilled_at >= since:
+                del spilled[number]
+                return
 
     def _recent(
         self, times: t.Dict["ServiceId", t.Deque[float]], service: "ServiceId"
--- a/src/coralfall/traffic/dispatch_selection.py
+++ b/src/coralfall/traffic/dispatch_selection.py
@@ -65,8 +65,8 @@
     candidate: _Candidate
     answer: "DispatchAnswer"
     is_first: bool
-    #: Whether queueing there counts toward the spill limit.
-    spills: bool = False
+    #: Time at which queueing there was counted toward the spill limit, if it was.
+    spilled_at: t.Optional[float] = None
 
 
 class DispatchSelector(TargetSelector):
@@ -122,8 +122,8 @@
             try:
                 reservation = await self._queue(request, best, excluded, late)
             finally:
-                if reservation is None and best.spills:
-                    self._spill_limit.undo(request.service)
+                if reservation is None and best.spilled_at is not None:
+                    self._spill_limit.undo(request.service, best.spilled_at)
             if reservation is not None:
                 return reservation
         return await self._local.select(request, tried, retry_target)
@@ -184,24 +184,30 @@
                 return None
             objective_s = 0.0 if late else request.objective_at() - self._clock.monotonic()
             within_s = min(left_s, objective_s)
-            spills = bool(busy) and candidate.is_remote
+            spilled_at: t.Optional[float] = None
             if busy:
                 soonest_s = min([other.answer.expected_ms for other in busy]) / 1000
-                if spills and (soonest_s <= objective_s or not self._try_spill(request)):
-                    continue
+                if candidate.is_remote:
+                    if soonest_s > objective_s:
+                        spilled_at = self._try_spill(request)
+                    if spilled_at is None:
+                        continue
                 if not late:
                     # Any sooner completion is worth it, also one that misses the objective.
                     within_s = min(left_s, soonest_s - 0.001)
             is_first = not busy or not request.route.session_affinity
             start_within_s = self._first_start_within_s(candidate.state, min(left_s, objective_s))
-            ticket = await self._ask_and_wait(
-                request, candidate.state, within_s, is_first, late, start_within_s
-            )
-            reservation = self._reservation_for(request, candidate.state, ticket, is_first)
+            reservation: "t.Optional[TargetReservation]" = None
+            try:
+                ticket = await self._ask_and_wait(
+                    request, candidate.state, within_s, is_first, late, start_within_s
+                )
+                reservation = self._reservation_for(request, candidate.state, ticket, is_first)
+            finally:
+                if reservation is None and spilled_at is not None:
+                    self._spill_limit.undo(request.service, spilled_at)
             if reservation is not None:
                 return reservation
-            if spills:
-                self._spill_limit.undo(request.service)
             if ticket is not None and ticket.answer.verdict in (Verdict.BUSY, Verdict.REFUSED):
                 busy.append(_Busy(candidate, ticket.answer, is_first))
         return None
@@ -257,8 +263,9 @@
         for other in sorted(busy, key=lambda one: one.answer.expected_ms):
             if other is busy[0] or not other.candidate.is_remote:
                 return other
-            if self._try_spill(request):
-                return other._replace(spills=True)
+            spilled_at = self._try_spill(request)
+            if spilled_at is not None:
+                return other._replace(spilled_at=spilled_at)
         return busy[0]
 
     async def _queue(
@@ -357,9 +364,11 @@
         took_ms = round((self._clock.monotonic() - since) * 1000)
         request.asks.append(AskRecord(state.target.target_id, verdict, expected_ms, took_ms))
 
-    def _try_spill(self, request: "SteeredRequest") -> bool:
+    def _try_spill(self, request: "SteeredRequest") -> t.Optional[float]:
+        """Returns the time at which a spill was counted; ``None`` beyond the limit."""
         fraction = self._steering.settings.bounds.spill_fraction()
-        return self._spill_limit.try_spill(request.service, fraction)
+        now = self._clock.monotonic()
+        return now if self._spill_limit.try_spill(request.service, fraction) else None
 
     def _left_s(self, request: "SteeredRequest") -> float:
         return request.deadline - self._clock.monotonic()
--- /dev/null
+++ b/tests/traffic/test_selection_review.py
@@ -0,0 +1,77 @@
+"""Tests of faults that a review of the selection of targets of contended services found."""
+
+import asyncio
+import typing as t
+import unittest
+from unittest import mock
+
+from parameterized import parameterized
+
+from coralfall.exceptions import RefusedError
+from coralfall.placement.dispatch import DispatchAnswer, Ticket
+from coralfall.placement.spill_limit import SpillLimit
+from coralfall.process.clock import Clock
+from coralfall.traffic.dispatch_selection import DispatchSelector
+from coralfall.traffic.steered_request import SteeredRequest
+from coralfall.traffic.target_selection import LocalSelector
+from tests.traffic.makers import PEDIDOS, PUERTO, SteeringFixture, make_route, make_target
+from tests.traffic.test_target_selection import FakeClient
+
+
+class Selection:
+    """A selector with two targets in the entry's region and one in another, and a request."""
+
+    def __init__(self, client: t.Any, seconds: float, clock: t.Optional[Clock] = None) -> None:
+        targets = (make_target(1), make_target(2), make_target(3, zone=PUERTO))
+        self.fixture = SteeringFixture(*targets)
+        self.clock: t.Any = clock or self.fixture.clock
+        steering, registry = self.fixture.steering, self.fixture.targets
+        local = LocalSelector(steering, self.clock)
+        self.selector = DispatchSelector(local, client, steering, registry, self.clock)
+        route = make_route(timeout_s=seconds)
+        arguments: t.Any = ("GET", "/p/1", "a.example", [], None, route, PEDIDOS, "id1", b"object")
+        deadline = self.clock.monotonic() + seconds
+        self.request = SteeredRequest(*arguments, deadline, contended=True)
+
+    async def select(self) -> t.Any:
+        return await self.selector.select(self.request, (), None)
+
+
+class SpillTest(unittest.TestCase):
+    @parameterized.expand([("within the window", 1.0, True), ("for longer", 2.5, False)])
+    def test_refused_after_a_wait(self, _name: str, waited_s: float, has_room: bool) -> None:
+        """Guards against spills beyond the limit: a request that was refused after the window took
+        back the spill of another one."""
+        client = FakeClient("B500 B600 B100 Q100")
+        selection = Selection(client, 9.0)
+        limit = selection.selector._spill_limit
+
+        async def wait(ticket: Ticket, until: float) -> t.Optional[DispatchAnswer]:
+            selection.clock.advance(waited_s)
+            if not has_room:
+                self.assertTrue(limit.try_spill(PEDIDOS, 0.0))
+            return None
+
+        client.wait = wait  # type: ignore[method-assign]
+        with mock.patch.object(SpillLimit, "_rounding", return_value=1.0):
+            with self.assertRaises(RefusedError):
+                asyncio.run(selection.select())
+            self.assertEqual(has_room, limit.try_spill(PEDIDOS, 0.0))
+
+    def test_caller_gone_during_the_ask(self) -> None:
+        """Guards against a spill that counts though its caller left before the answer."""
+        client = FakeClient("B500 B600")
+        selection = Selection(client, 9.0)
+        limit = selection.selector._spill_limit
+        answer = client.ask
+
+        async def ask(target: t.Any, ask: t.Any) -> t.Optional[Ticket]:
+            if not client.steps:
+                raise asyncio.CancelledError
+            return await answer(target, ask)
+
+        client.ask = ask  # type: ignore[method-assign]
+        with mock.patch.object(SpillLimit, "_rounding", return_value=1.0):
+            with self.assertRaises(asyncio.CancelledError):
+                asyncio.run(selection.select())
+            self.assertTrue(limit.try_spill(PEDIDOS, 0.0))
