--- a/src/coralfall/traffic/dispatch_selection.py
+++ b/src/coralfall/traffic/dispatch_selection.py
@@ -5,6 +5,7 @@
 don't answer is decided by the entry's own knowledge (:class:`.target_selection.LocalSelector`).
 """
 
+import asyncio
 import typing as t
 
 import msgspec
@@ -347,10 +348,24 @@
             primary=is_first,
             may_queue=start_within_s > 0,
         )
-        ticket = await self._client.ask(state.target, ask)
+        ticket = await self._ask_in_time(request, state, ask)
         self._record(request, state, ticket.answer if ticket is not None else None, asked_at)
         return ticket
 
+    async def _ask_in_time(
+        self, request: "SteeredRequest", state: "TargetState", ask: DispatchAsk
+    ) -> t.Optional[Ticket]:
+        """Asks, and counts the dispatcher as silent once the request's time to be sent is over."""
+        send_within_s = self._left_s(request) - defaults.MIN_SEND_TIME_LEFT_S
+        if send_within_s >= defaults.DISPATCH_FAR_TIMEOUT_S:
+            # The client's own time-out is shorter; this spares most asks a second timer.
+            return await self._client.ask(state.target, ask)
+        try:
+            async with asyncio.timeout(send_within_s):
+                return await self._client.ask(state.target, ask)
+        except TimeoutError:
+            return None
+
     def _record(
         self,
         request: "SteeredRequest",
--- a/tests/traffic/test_selection_review.py
+++ b/tests/traffic/test_selection_review.py
@@ -1,12 +1,14 @@
 """Tests of faults that a review of the selection of targets of contended services found."""
 
 import asyncio
+import contextlib
 import typing as t
 import unittest
 from unittest import mock
 
 from parameterized import parameterized
 
+from coralfall import defaults
 from coralfall.exceptions import RefusedError
 from coralfall.placement.dispatch import DispatchAnswer, Ticket
 from coralfall.placement.spill_limit import SpillLimit
@@ -16,6 +18,7 @@
 from coralfall.traffic.target_selection import LocalSelector
 from tests.traffic.makers import PEDIDOS, PUERTO, SteeringFixture, make_route, make_target
 from tests.traffic.test_target_selection import FakeClient
+from tests.virtual_loop import run_virtual
 
 
 class Selection:
@@ -75,3 +78,31 @@
             with self.assertRaises(asyncio.CancelledError):
                 asyncio.run(selection.select())
             self.assertTrue(limit.try_spill(PEDIDOS, 0.0))
+
+
+class SilentClient(FakeClient):
+    """Dispatchers that do not answer until the client's time-out."""
+
+    async def ask(self, target: t.Any, ask: t.Any) -> t.Optional[Ticket]:
+        await asyncio.sleep(0.0 if self.dispatcher == "answers" else defaults.DISPATCH_TIMEOUT_S)
+        return await super().ask(target, ask)
+
+
+class DeadlineTest(unittest.TestCase):
+    @parameterized.expand(
+        [("silent", "- - -", 0.06), ("answers", "A30", 0.06), ("silent", "A30", 1)]
+    )
+    def test_silent_dispatcher(self, dispatcher: str, script: str, seconds: float) -> None:
+        """Guards against a reply after the deadline, as the last ask waits for a silent dispatcher
+        beyond it."""
+
+        async def main(clock: Clock) -> t.Tuple[float, bool]:
+            client = SilentClient(script, dispatcher)
+            selection = Selection(client, seconds, clock)
+            with contextlib.suppress(RefusedError):
+                await selection.select()
+            return clock.monotonic(), bool(selection.selector._ticket_by_reservation)
+
+        ended_at, is_assigned = run_virtual(main)
+        self.assertLess(ended_at, seconds)
+        self.assertEqual("A" in script, is_assigned)
