--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -186,9 +186,14 @@
     async def _attempt(
         self, request: SteeredRequest, reservation: "TargetReservation"
     ) -> ServerResponse:
+        answer = request.held_answer
+        held = answer.held if answer is not None else 0
         try:
             response = await self._attempt_reserved(request, reservation)
         except BaseException as error:
+            if answer is not None:
+                # Also what was read of an answer that the check refused.
+                answer.shrink_to(held)
             self._selector.finish(request, reservation, error)
             raise
         self._selector.finish(request, reservation, None)
@@ -313,14 +318,10 @@
         body_stream: t.Optional[t.AsyncIterator[bytes]],
         bodiless: bool,
     ) -> ServerResponse:
-        answer = request.held_answer
-        held = answer.held if answer is not None else 0
-        take = answer.take if answer is not None else None
+        take = request.held_answer.take if request.held_answer is not None else None
         try:
             return await connection.exchange(head, body, body_stream, bodiless, take)
         except BaseException:
-            if answer is not None:
-                answer.shrink_to(held)
             partial = connection.partial_response()
             if partial is not None:
                 self._response_check.note_restrictions(partial, state)
--- a/tests/traffic/test_selection_review.py
+++ b/tests/traffic/test_selection_review.py
@@ -10,13 +10,17 @@
 
 from coralfall import defaults
 from coralfall.exceptions import RefusedError
+from coralfall.forwarding.request import MemoryAccount
 from coralfall.placement.dispatch import DispatchAnswer, Ticket
 from coralfall.placement.spill_limit import SpillLimit
 from coralfall.process.clock import Clock
+from coralfall.traffic.answer_memory import AnswerMemory, HeldAnswer
 from coralfall.traffic.dispatch_selection import DispatchSelector
 from coralfall.traffic.steered_request import SteeredRequest
 from coralfall.traffic.target_selection import LocalSelector
+from tests.traffic import test_forwarder as scripts
 from tests.traffic.makers import PEDIDOS, PUERTO, SteeringFixture, make_route, make_target
+from tests.traffic.scripted_target import ScriptedTarget
 from tests.traffic.test_target_selection import FakeClient
 from tests.virtual_loop import run_virtual
 
@@ -106,3 +110,32 @@
         ended_at, is_assigned = run_virtual(main)
         self.assertLess(ended_at, seconds)
         self.assertEqual("A" in script, is_assigned)
+
+
+class HeldAnswerTest(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("no proof of a rejection", scripts.rejection_without_proof, 0),
+            ("not signed", scripts.unsigned, 0),
+            ("broken", scripts.truncated, 0),
+            ("answered", scripts.ok, 5),
+        ]
+    )
+    def test_answer_of_a_failed_attempt(self, _name: str, script: t.Any, held: int) -> None:
+        """Guards against an answer that is not passed on, but counts toward the entry's memory
+        until the caller has read the answer of another attempt."""
+        memory = AnswerMemory(MemoryAccount(100))
+        answer = HeldAnswer(memory, "caller")
+        most = mock.Mock(side_effect=answer.take)
+
+        async def main() -> None:
+            async with ScriptedTarget(script) as target:
+                harness = scripts.ForwarderHarness([target.address])
+                request = harness.request("safe", max_attempts=1)
+                request.held_answer = mock.Mock(wraps=answer, held=0, take=most)
+                await harness.forward(request)
+                harness.pool.close()
+
+        asyncio.run(main())
+        most.assert_called()
+        self.assertEqual(held, memory.held)
