--- a/src/coralfall/placement/dispatch_ledger.py
+++ b/src/coralfall/placement/dispatch_ledger.py
@@ -252,7 +252,11 @@
             return True
         if ask.may_queue:
             return prediction.wait_s * 1000 <= ask.start_within_ms
-        return prediction.total_s * 1000 <= ask.within_ms
+        total_s = prediction.total_s
+        if ask.primary and not prediction.cached:
+            # The object has to be loaded, and to ask elsewhere would not make it sooner.
+            total_s = prediction.wait_s + row.cached_work_s(ask) * prediction.pace
+        return total_s * 1000 <= ask.within_ms
 
     def _assign(
         self, row: DispatchedTarget, key: "AskKey", ask: DispatchAsk, prediction: "Prediction"
--- a/src/coralfall/placement/dispatched_target.py
+++ b/src/coralfall/placement/dispatched_target.py
@@ -20,9 +20,9 @@
 AskKey = t.Tuple["EntryId", "AskNumber"]
 
 #: Load, as a multiple of its slots, below which a target that has not cached an object and is not
-#: its first candidate takes a request for it. Loading takes three times the work of a cached object,
-#: so under load it would cause more requests to spill, and more loading. The second limit is for the
-#: last ask of a request, which found all candidates busy.
+#: its first candidate takes a request for it. Loading takes three times the work of a cached
+#: object, so under load it would cause more requests to spill, and more loading. The second limit
+#: is for the last ask of a request, which found all candidates busy.
 _UNCACHED_LOAD_LIMIT = 0.35
 _UNCACHED_LAST_LOAD_LIMIT = 0.7
 #: Requests beyond the slots that a target gets, as a fraction of its slots: messages about a
@@ -185,10 +185,13 @@
         total_s = wait_s + work_s * pace
         if not cached and not ask.primary:
             # To load the object once more keeps a slot from others for as long as this.
-            cached_work_s = self._admission.work_s(target.service, ask.route_code, True)
-            total_s += max(0.0, work_s - cached_work_s) * pace
+            total_s += max(0.0, work_s - self.cached_work_s(ask)) * pace
         return Prediction(cached, work_s, wait_s, total_s, load, pace, limit)
 
+    def cached_work_s(self, ask: "DispatchAsk") -> float:
+        """Typical work of a request if its object is cached, in seconds."""
+        return self._admission.work_s(self.state.target.service, ask.route_code, True)
+
     def mean_work_s(self, otherwise_s: float) -> float:
         """Mean work of the requests in flight at usual pace, in seconds.
 
--- a/src/coralfall/traffic/dispatch_selection.py
+++ b/src/coralfall/traffic/dispatch_selection.py
@@ -5,30 +5,20 @@
 don't answer is decided by the entry's own knowledge (:class:`.target_selection.LocalSelector`).
 """
 
-import asyncio
 import typing as t
 
-import msgspec
-
 from .. import defaults
 from ..exceptions import RefusedError
 from ..placement.affinity import MAX_RETRY_AFTER_S
 from ..placement.contended_candidates import contended_candidates
 from ..placement.dispatch import (
-    DispatchAsk,
     Ticket,
     Verdict,
-    level_of,
-    object_code_of,
-    object_key_of,
-    route_code_of,
-    tenant_code_of,
 )
 from ..placement.spill_limit import SpillLimit
-from .dispatch_asker import NoticeWaits
 from .dispatch_outcome import release_of
 from .model import RequestKind
-from .steered_request import AskRecord
+from .slot_asks import SlotAsks
 from .target_selection import TargetSelector
 
 if t.TYPE_CHECKING:
@@ -43,8 +33,6 @@
 
 #: Reason of rejecting a request for which no target has a slot in time.
 NO_SLOT = "no-slot"
-#: Seconds after a request's deadline for which its assignment lasts if it is not released.
-_EXPIRY_MARGIN_S = 0.5
 #: Times that the candidates are asked, if the target of a queued ask is withdrawn or its dispatcher
 #: stops; after that the entry decides by its own knowledge.
 _MAX_ROUNDS = 3
@@ -97,7 +85,7 @@
         self._clock = clock
         self._spill_limit = SpillLimit(steering.settings.entry_id, clock)
         self._ticket_by_reservation: t.Dict["TargetReservation", Ticket] = {}
-        self._waits = NoticeWaits(client, targets)
+        self._asks = SlotAsks(client, targets, clock)
 
     async def select(
         self,
@@ -158,6 +146,7 @@
             return []
         home = steering.rankings.region_of(states[0])
         states = [state for state in states if state.target.target_id not in excluded]
+        states = [state for state in states if not self._asks.is_unavailable(state)]
         if (
             retry_target is not None
             and request.route.session_affinity
@@ -200,7 +189,7 @@
             start_within_s = self._first_start_within_s(candidate.state, min(left_s, objective_s))
             reservation: "t.Optional[TargetReservation]" = None
             try:
-                ticket = await self._ask_and_wait(
+                ticket = await self._asks.ask_and_wait(
                     request, candidate.state, within_s, is_first, late, start_within_s
                 )
                 reservation = self._reservation_for(request, candidate.state, ticket, is_first)
@@ -211,6 +200,9 @@
                 return reservation
             if ticket is not None and ticket.answer.verdict in (Verdict.BUSY, Verdict.REFUSED):
                 busy.append(_Busy(candidate, ticket.answer, is_first))
+                if late:
+                    # It takes no free slot of another target, which would have to load the object.
+                    break
         return None
 
     def _first_start_within_s(self, state: "TargetState", within_s: float) -> float:
@@ -285,7 +277,7 @@
         start_within_s = left_s - max(work_s, defaults.MIN_SEND_TIME_LEFT_S)
         if start_within_s <= 0:
             raise _no_slot_error(request, best.answer, work_s)
-        ticket = await self._ask_and_wait(
+        ticket = await self._asks.ask_and_wait(
             request, state, left_s, best.is_first, late, start_within_s
         )
         if ticket is not None and ticket.answer.verdict in (Verdict.REFUSED, Verdict.BUSY):
@@ -298,87 +290,6 @@
             excluded.add(state.target.target_id)
         return reservation
 
-    async def _ask_and_wait(
-        self,
-        request: "SteeredRequest",
-        state: "TargetState",
-        within_s: float,
-        is_first: bool,
-        late: bool,
-        start_within_s: float,
-    ) -> t.Optional[Ticket]:
-        """Asks for a slot and waits for the notice if the ask is queued.
-
-        :param start_within_s: seconds for which the ask may be queued; 0 if it may not.
-        :return: ``None`` if no dispatcher answered; ``REFUSED`` if no notice came in time.
-        """
-        until = self._clock.monotonic() + start_within_s
-        ticket = await self._ask(request, state, within_s, is_first, late, start_within_s)
-        if ticket is None or ticket.answer.verdict is not Verdict.QUEUED:
-            return ticket
-        queued_at = self._clock.monotonic()
-        answer = await self._waits.wait(state, ticket, until)
-        self._record(request, state, answer, queued_at, "expired")
-        if answer is None:
-            answer = msgspec.structs.replace(ticket.answer, verdict=Verdict.REFUSED)
-        return Ticket(ticket.dispatcher_id, answer)
-
-    async def _ask(
-        self,
-        request: "SteeredRequest",
-        state: "TargetState",
-        within_s: float,
-        is_first: bool,
-        late: bool,
-        start_within_s: float,
-    ) -> t.Optional[Ticket]:
-        asked_at = self._clock.monotonic()
-        ask = DispatchAsk(
-            number=self._client.new_number(),
-            target_id=state.target.target_id,
-            object_code=object_code_of(_cache_key_of(request)),
-            route_code=route_code_of(request.route.route_id),
-            level=level_of(request.route, request.tenant, late),
-            tenant_code=tenant_code_of(
-                request.tenant.tenant_id if request.tenant is not None else None
-            ),
-            within_ms=_milliseconds(within_s),
-            start_within_ms=_milliseconds(start_within_s),
-            expires_ms=_milliseconds(self._left_s(request) + _EXPIRY_MARGIN_S),
-            primary=is_first,
-            may_queue=start_within_s > 0,
-        )
-        ticket = await self._ask_in_time(request, state, ask)
-        self._record(request, state, ticket.answer if ticket is not None else None, asked_at)
-        return ticket
-
-    async def _ask_in_time(
-        self, request: "SteeredRequest", state: "TargetState", ask: DispatchAsk
-    ) -> t.Optional[Ticket]:
-        """Asks, and counts the dispatcher as silent once the request's time to be sent is over."""
-        send_within_s = self._left_s(request) - defaults.MIN_SEND_TIME_LEFT_S
-        if send_within_s >= defaults.DISPATCH_FAR_TIMEOUT_S:
-            # The client's own time-out is shorter; this spares most asks a second timer.
-            return await self._client.ask(state.target, ask)
-        try:
-            async with asyncio.timeout(send_within_s):
-                return await self._client.ask(state.target, ask)
-        except TimeoutError:
-            return None
-
-    def _record(
-        self,
-        request: "SteeredRequest",
-        state: "TargetState",
-        answer: "t.Optional[DispatchAnswer]",
-        since: float,
-        otherwise: str = "silent",
-    ) -> None:
-        verdict = otherwise if answer is None else answer.verdict.name.lower()
-        expected_ms = 0 if answer is None else answer.expected_ms
-        took_ms = round((self._clock.monotonic() - since) * 1000)
-        request.asks.append(AskRecord(state.target.target_id, verdict, expected_ms, took_ms))
-
     def _try_spill(self, request: "SteeredRequest") -> t.Optional[float]:
         """Returns the time at which a spill was counted; ``None`` beyond the limit."""
         fraction = self._steering.settings.bounds.spill_fraction()
@@ -389,16 +300,6 @@
         return request.deadline - self._clock.monotonic()
 
 
-def _cache_key_of(request: "SteeredRequest") -> bytes:
-    """Key of an object in a target's cache, which keeps the objects of each route separately.
-
-    One for all requests of a route without objects. Targets are ranked by the object's key alone,
-    so that objects stay where they are when a service becomes contended.
-    """
-    key = request.object_key if request.route.session_affinity else b""
-    return object_key_of(request.route.route_id, key)
-
-
 def _no_slot_error(
     request: "SteeredRequest", answer: "DispatchAnswer", work_s: float
 ) -> RefusedError:
@@ -406,7 +307,3 @@
     wait_s = answer.expected_ms / 1000 - work_s
     retry_after_s = min(max(defaults.STEER_RETRY_AFTER_S, wait_s), MAX_RETRY_AFTER_S)
     return RefusedError(message, retry_after_s, service=request.service, reason=NO_SLOT)
-
-
-def _milliseconds(seconds: float) -> int:
-    return max(0, round(seconds * 1000))
