--- a/src/coralfall/placement/dispatch_ledger.py
+++ b/src/coralfall/placement/dispatch_ledger.py
@@ -181,12 +181,9 @@
 
     def service_loads(self) -> t.Tuple[ServiceLoad, ...]:
         """Load and slots of the targets that were asked for lately, by service."""
-        since = self._clock.monotonic() - _LATELY_S
         busy: t.Counter["ServiceId"] = collections.Counter()
         slots: t.Counter["ServiceId"] = collections.Counter()
-        for row in self._rows.values():
-            if row.asked_at < since:
-                continue
+        for row in self._rows_asked_lately():
             service = row.state.target.service
             busy[service] += round(row.load()) + len(row.queue)
             slots[service] += row.slots
@@ -194,6 +191,14 @@
             [ServiceLoad(service, busy[service], count) for service, count in slots.items()]
         )
 
+    def target_count(self) -> int:
+        """Number of targets that were asked for lately."""
+        return len(self._rows_asked_lately())
+
+    def _rows_asked_lately(self) -> t.List[DispatchedTarget]:
+        since = self._clock.monotonic() - _LATELY_S
+        return [row for row in self._rows.values() if row.asked_at >= since]
+
     def close(self) -> None:
         """Refuses all queued asks and all further ones."""
         self._is_closed = True
--- a/src/coralfall/traffic/dispatch_client.py
+++ b/src/coralfall/traffic/dispatch_client.py
@@ -112,8 +112,7 @@
         """
         asked_at = self._now()
         ticket = await self._ask_in_order(target, ask, asked_at)
-        result = "none" if ticket is None else ticket.answer.verdict.name.lower()
-        self._telemetry.count_ask(result, self._now() - asked_at)
+        self._telemetry.observe_ask(self._now() - asked_at)
         return ticket
 
     async def wait(self, ticket: Ticket, until: float) -> t.Optional[DispatchAnswer]:
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -270,7 +270,9 @@
         settings = self.settings
         own = self.members.own_record
         hello = Hello(entry_id=own.entry_id, incarnation=own.incarnation)
-        ledger = DispatchLedger(own.entry_id, self.targets, self.steering.admission, self.clock)
+        admission = self.steering.admission
+        ledger = DispatchLedger(own.entry_id, self.targets, admission, self.clock)
+        self.dispatch_ledger = ledger
         # Apart from each other, so that no notice waits for an answer on the same stream.
         notice_links, ask_links = [
             PeerLinks(_fleet_key(settings), hello, self._traffic, defaults.MAX_DISPATCH_LINKS)
--- a/src/coralfall/traffic/telemetry.py
+++ b/src/coralfall/traffic/telemetry.py
@@ -68,7 +68,6 @@
             buckets=_DELAY_BUCKETS,
             registry=self.registry,
         )
-        self._asks = self._counter("dispatch_asks", "Asks for slots of targets.", ("result",))
         self._ask_seconds = prometheus_client.Histogram(
             "coralfall_dispatch_ask_seconds",
             "Time from an ask for a slot to its answer, or to giving up.",
@@ -122,12 +121,8 @@
         """
         self._lookups.labels("answered" if found else "refused").inc()
 
-    def count_ask(self, result: str, seconds: float) -> None:
-        """Counts an ask for a slot of a target.
-
-        :param result: the dispatcher's verdict; ``none`` if no dispatcher answered.
-        """
-        self._asks.labels(result).inc()
+    def observe_ask(self, seconds: float) -> None:
+        """Records how long an ask for a slot of a target took."""
         self._ask_seconds.observe(seconds)
 
     def observe_loop_delay(self, seconds: float) -> None:
@@ -202,6 +197,11 @@
         gauge("target_cooldowns", count, "Cooldowns that targets began.", service=service)
     silent = node.dispatch_client.silent_count()
     gauge("dispatchers_silent", silent, "Dispatchers that are not asked as they did not answer.")
+    ledger = node.dispatch_ledger
+    gauge("dispatch_targets", ledger.target_count(), "Targets whose slots this entry assigns.")
+    gauge("dispatch_assigned", ledger.assigned, "Assignments of slots in force here.")
+    gauge("dispatch_queued", ledger.queued, "Asks that wait here for a slot.")
+    gauge("dispatch_expired", ledger.expired_count, "Assignments that expired without a release.")
     for service, fraction in node.steering.rankings.region_load.fractions_by_service().items():
         text = "Fraction of its objects that the region keeps, for contended services."
         gauge("local_fraction", fraction, text, service=service)
--- a/tests/traffic/test_dispatch_ledger.py
+++ b/tests/traffic/test_dispatch_ledger.py
@@ -19,6 +19,7 @@
 from coralfall.placement.target_reports import TargetReport
 from coralfall.placement.targets import TargetRegistry
 from coralfall.process.clock import ManualClock
+from coralfall.traffic.telemetry import Telemetry, update_gauges
 from tests.traffic.makers import PEDIDOS, make_target
 
 OWN, OTHER, THIRD = EntryId("e1"), EntryId("e2"), EntryId("e3")
@@ -365,11 +366,27 @@
     def test_what_telemetry_and_regions_read(self) -> None:
         self.fill(LIMIT, OWN)
         self.ask(9, **QUEUE)
-        self.assertEqual((dispatch.ServiceLoad(PEDIDOS, LIMIT + 1, 4),), self.ledger.service_loads())
+        self.assertEqual(
+            (dispatch.ServiceLoad(PEDIDOS, LIMIT + 1, 4),), self.ledger.service_loads()
+        )
         self.assertEqual(LIMIT, self.ledger.asks_by_verdict[ASSIGNED])
         self.assertIs(self.state, self.ledger.reservation_of(OWN, 1).state)
+        gauges = self.gauges()
+        self.assertEqual({"targets": 1, "assigned": LIMIT, "queued": 1, "expired": 0}, gauges)
         self.clock.advance(11.0)
         self.assertEqual((), self.ledger.service_loads())
+        self.ledger.tick()
+        gauges = self.gauges()
+        self.assertEqual({"targets": 0, "assigned": 0, "queued": 0, "expired": LIMIT}, gauges)
+
+    def gauges(self) -> t.Dict[str, float]:
+        """The gauges of the ledger, as operators read them."""
+        telemetry = Telemetry()
+        update_gauges(telemetry, unittest.mock.MagicMock(dispatch_ledger=self.ledger))
+        lines = telemetry.render().decode().splitlines()
+        start = "coralfall_dispatch_"
+        pairs = [line[len(start) :].split() for line in lines if line.startswith(start)]
+        return {name: float(value) for name, value in pairs if not name.startswith("ask_")}
 
     @settings(max_examples=60, deadline=None)
     @given(st.lists(st.tuples(st.integers(0, 5), st.integers(0, 30)), max_size=120))
--- a/tests/traffic/test_dispatch_protocol.py
+++ b/tests/traffic/test_dispatch_protocol.py
@@ -254,6 +254,30 @@
         ranked = list(Dispatchers(members, make_settings(), mock.Mock()).for_target(TARGET))
         self.assertEqual((16, False), (len(ranked), "e3" in ranked))
 
+    @parameterized.expand(
+        [
+            ("few of many", [10.0] * 20, 16),
+            ("few of very many", [10.0] * 200, 25),
+            ("narrow links", [100.0] * 3 + [10.0] * 17, 3),
+            ("just too narrow", [100.0] * 4 + [49.0] * 16, 4),
+            ("half as wide", [100.0] * 4 + [50.0] * 16, 16),
+            ("one for all", [100.0] + [10.0] * 19, 2),
+            ("a single entry", [10.0], 1),
+            ("unknown widths", [0.0] * 20, 16),
+        ]
+    )
+    def test_dispatchers_of_a_region(self, _name, widths, count) -> None:
+        """Guards against answers that wait behind uploads, and against one entry for all."""
+        records = [
+            make_record(f"e{number}", link_mbps=width) for number, width in enumerate(widths)
+        ]
+        members: t.Any = mock.Mock(own_record=records[0])
+        members.serving_records = mock.Mock(return_value=records)
+        ranked = list(Dispatchers(members, make_settings(), mock.Mock()).for_target(TARGET))
+        self.assertEqual(count, len(ranked))
+        narrowest = min(record.link_mbps for record in records if record.entry_id in ranked)
+        self.assertGreaterEqual(narrowest, sorted(widths, reverse=True)[count - 1])
+
     @parameterized.expand(
         [
             ("waits for a dead process", "killed", "222", 4, 1),
@@ -487,10 +511,13 @@
     async def test_batches(self, fleet) -> None:
         """Guards against a message for each ask, and against asks that wait to be batched."""
 
+        verdicts = []
+
         async def ask(after_s: float) -> float:
             await asyncio.sleep(after_s)
             began = fleet.clock.monotonic()
-            await fleet.asking.ask()
+            ticket = await fleet.asking.ask()
+            verdicts.append(ticket.answer.verdict)
             return fleet.clock.monotonic() - began
 
         waits = await asyncio.gather(*[ask(0.0001 * number) for number in range(20)])
@@ -499,7 +526,12 @@
         self.assertLess(max(waits), 4 * DELAY_S)
         # What waited 7 ms for the exchange before it has as much less time left.
         self.assertEqual([300, 293], [m.asks[0].within_ms for m in fleet.sent])
-        self.assertIn(b'_asks_total{result="busy"} 19.0', fleet.asking.telemetry.render())
+        self.assertEqual(19, verdicts.count(Verdict.BUSY))
+        rendered = fleet.asking.telemetry.render()
+        self.assertIn(b"_dispatch_ask_seconds_count 20.0", rendered)
+        # The first took as long as the way there and back, 8 ms; all others up to twice that.
+        self.assertIn(b'_dispatch_ask_seconds_bucket{le="0.01"} 1.0', rendered)
+        self.assertIn(b'_dispatch_ask_seconds_bucket{le="0.02"} 20.0', rendered)
 
     @on_fleet
     async def test_a_stopping_entry(self, fleet) -> None:
@@ -527,7 +559,10 @@
         fleet.other.members.own_record = make_record("far", region="costa")
         await fleet.other.ask()
         self.assertTrue(fleet.replies[-1].loads)
+        # The dispatcher is in another region than this entry.
         self.assertIsNone(fleet.other.client.service_load(PEDIDOS))
+        self.assertEqual((1.0, 1), fleet.other.client.remote_load(PEDIDOS))
+        self.assertIsNone(client.remote_load(PEDIDOS))
         for _ in range(2):
             held.append(())
             await asyncio.sleep(1.0)
@@ -536,6 +571,7 @@
         held.clear()
         await asyncio.sleep(5.0)
         self.assertIsNone(client.service_load(PEDIDOS))
+        self.assertIsNone(fleet.other.client.remote_load(PEDIDOS))
 
     def test_messages(self) -> None:
         """Guards against messages that peers can't decode, and against the cost of control."""
--- a/tests/traffic/test_target_selection.py
+++ b/tests/traffic/test_target_selection.py
@@ -124,9 +124,7 @@
             ("dispatcher gone while queued: as before", "B300 B500 Q300 N A100", 0, "0100", "2"),
         ]
     )
-    def test_chosen(
-        self, _name: str, script: str, chosen: int, asked: str, may_queue: str
-    ) -> None:
+    def test_chosen(self, _name: str, script: str, chosen: int, asked: str, may_queue: str) -> None:
         client = FakeClient(script)
         reservation = self.select(client)
         self.assertEqual(self.ids[chosen], reservation.state.target.target_id)
