--- a/src/coralfall/placement/admission.py
+++ b/src/coralfall/placement/admission.py
@@ -29,6 +29,10 @@
 #: Latest requests of a kind whose median is its typical work: the few requests that take many times
 #: as long don't move it, and a wrong start is forgotten within as many requests.
 _WORK_SAMPLES = 15
+#: Part of the latest requests for cached objects that is quicker than the time that shows caching,
+#: and that time as a multiple of the work of uncached ones.
+_QUICK_PART = 0.2
+_QUICK_UP_TO = 0.65
 #: An answer is overdue after these multiples of the typical and of the expected duration, whichever
 #: is longer, and never before the minimum. A target that loads an object while it has a queue is
 #: slow but responsive: skipping it would make a third target load the object, too.
@@ -105,6 +109,19 @@
         """Measured seconds of work of a request for an uncached object, if there are samples."""
         return self._work_by_kind.get((service, route_code, False))
 
+    def is_caching_visible(self, service: "ServiceId", route_code: "RouteCode") -> bool:
+        """Whether requests for cached objects are known to take less than those for uncached ones.
+
+        They do not seem to at a new dispatcher, which takes all objects that targets have cached
+        for uncached ones at first. A low quantile is compared, as most requests for objects that
+        are taken for cached are slow while the size of caches is overestimated.
+        """
+        cached = self._work_samples.get((service, route_code, True))
+        uncached_s = self.uncached_work_s(service, route_code)
+        if not cached or uncached_s is None:
+            return False
+        return sorted(cached)[int(len(cached) * _QUICK_PART)] < _QUICK_UP_TO * uncached_s
+
     def overdue_after_s(self, state: "TargetState", known: bool, expected_s: float = 0.0) -> float:
         """Seconds after which the answer to a request that is sent now counts as overdue.
 
--- a/src/coralfall/placement/dispatch_evidence.py
+++ b/src/coralfall/placement/dispatch_evidence.py
@@ -105,7 +105,9 @@
             work_s = max(_MIN_DURATION_S, seconds - assignment.wait_s)
             self._admission.record_work(service, route_code, assignment.cached, work_s)
         uncached_s = self._admission.uncached_work_s(service, route_code)
-        if assignment.cached and uncached_s and not has_queue:
+        if not assignment.cached or not uncached_s or has_queue:
+            return
+        if self._admission.is_caching_visible(service, route_code):
             row.cache.record_expected(seconds, uncached_s)
 
 
--- /dev/null
+++ b/tests/traffic/test_dispatch_review.py
@@ -0,0 +1,62 @@
+"""Tests of faults that a review of the dispatch ledger found, each by what it did to requests."""
+
+import collections
+import random
+import typing as t
+import unittest
+
+from parameterized import parameterized
+
+from coralfall.ids import EntryId, TargetId
+from coralfall.placement import dispatch
+from coralfall.placement.admission import Admission
+from coralfall.placement.dispatch import AttemptOutcome, DispatchAnswer, Verdict
+from coralfall.placement.dispatch_ledger import DispatchLedger
+from coralfall.placement.targets import TargetRegistry
+from coralfall.process.clock import ManualClock
+from tests.traffic.makers import make_target
+
+OWN, OTHER = EntryId("e1"), EntryId("e2")
+ROUTE = dispatch.RouteCode(1)
+#: Fields of an ask that a test does not change.
+ASK: t.Dict[str, t.Any] = {
+    **{"target_id": "t1", "object_code": 7, "route_code": ROUTE, "level": 0, "tenant_code": 0},
+    **{"within_ms": 1000, "start_within_ms": 1000, "expires_ms": 3000},
+}
+
+
+class DispatchReviewTest(unittest.TestCase):
+    """A ledger with one target of four slots, and no estimates."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock(100.0)
+        self.targets = TargetRegistry(self.clock, 3.0)
+        self.targets.update({TargetId("t1"): make_target()})
+        self.admission = Admission()
+        self.ledger = DispatchLedger(OWN, self.targets, self.admission, self.clock)
+
+    def ask(self, number: int, **changes: t.Any) -> DispatchAnswer:
+        return self.ledger.ask(OTHER, dispatch.DispatchAsk(number, **{**ASK, **changes}))
+
+    def release(self, number: int, *fields: t.Any) -> None:
+        """Releases an assignment with an outcome, a duration in milliseconds, and a load."""
+        fields += (AttemptOutcome.ANSWERED, 200, None)[len(fields) :]
+        self.ledger.release(OTHER, dispatch.DispatchRelease(number, *fields))
+
+    @parameterized.expand([("new dispatcher", 80, 80), ("small cache", 12, 0)])
+    def test_cache_model_approaches_the_cache(self, _: str, size: int, cached_before: int) -> None:
+        """Guards against a model that stays at its least size, as all requests seem uncached."""
+        randomness = random.Random(1)
+        cache = collections.OrderedDict.fromkeys(range(cached_before))
+        for number in range(1, 1500):
+            self.clock.advance(0.15)
+            code = int(randomness.expovariate(1 / 25))
+            self.assertIs(Verdict.ASSIGNED, self.ask(number, object_code=code).verdict)
+            work_ms = (190 if code in cache else 600) * randomness.uniform(0.8, 1.25)
+            cache[code] = None
+            cache.move_to_end(code)
+            while len(cache) > size:
+                cache.popitem(last=False)
+            self.release(number, AttemptOutcome.ANSWERED, round(work_ms))
+        estimate = self.ledger._rows[TargetId("t1")].cache.cached_objects_max
+        self.assertTrue(size / 2 <= estimate <= 2 * size, estimate)
