--- a/src/coralfall/placement/dispatch.py
+++ b/src/coralfall/placement/dispatch.py
@@ -16,7 +16,7 @@
 
 if t.TYPE_CHECKING:
     from ..ids import EntryId, TenantId
-    from ..traffic.model import Route, RouteId, Tenant
+    from ..traffic.model import Route, RouteId, Target, Tenant
 
 #: Urgency of a request; 0 is the most urgent.
 Level = t.NewType("Level", int)
@@ -26,16 +26,22 @@
 RouteCode = t.NewType("RouteCode", int)
 #: Hash of a tenant; 0 if the request has none.
 TenantCode = t.NewType("TenantCode", int)
+#: Hash of a lifetime of a target; 0 if it is not told.
+LifetimeCode = t.NewType("LifetimeCode", int)
 #: Number of an ask, unique in one run of the process that sends it.
 AskNumber = t.NewType("AskNumber", int)
 
 #: Tenant code of a request without a tenant.
 NO_TENANT = TenantCode(0)
+#: Lifetime code of an ask that does not tell the lifetime.
+ANY_LIFETIME = LifetimeCode(0)
 #: Added to the level of late requests; more than any priority that operators use.
 _LATE_LEVELS = 100
 #: Number of bits of a route code: the few routes of a service rarely collide, and one that does
 #: only shares an estimate.
 _ROUTE_CODE_MASK = 0xFFFF
+#: Number of bits of a lifetime code: it only tells the few lifetimes of one target apart.
+_LIFETIME_CODE_MASK = 0xFFFF
 
 
 class Verdict(enum.Enum):
@@ -104,6 +110,8 @@
     primary: bool = True
     #: Whether the ask may be queued.
     may_queue: bool = False
+    #: The lifetime that the request would be sent to: the outcome shows nothing of another one.
+    lifetime_code: LifetimeCode = ANY_LIFETIME
 
 
 class DispatchAnswer(msgspec.Struct, frozen=True, array_like=True):
@@ -182,6 +190,12 @@
     return RouteCode(zlib.crc32(route_id.encode()) & _ROUTE_CODE_MASK)
 
 
+def lifetime_code_of(target: "Target") -> LifetimeCode:
+    """Hash of what tells the lifetimes of a target apart, the same at all entries."""
+    code = zlib.crc32(f"{target.born} {target.address}".encode()) & _LIFETIME_CODE_MASK
+    return LifetimeCode(code or 1)
+
+
 def tenant_code_of(tenant_id: "t.Optional[TenantId]") -> TenantCode:
     """Hash of a tenant, the same at all entries."""
     if tenant_id is None:
--- a/src/coralfall/placement/dispatch_ledger.py
+++ b/src/coralfall/placement/dispatch_ledger.py
@@ -13,6 +13,7 @@
 
 from ..process import log
 from .dispatch import (
+    ANY_LIFETIME,
     AskNumber,
     DispatchAnswer,
     DispatchAsk,
@@ -118,6 +119,9 @@
         if key in self._assignments or key in self._waiting:
             # Numbers are unique, so the sender restarted, or doesn't keep to the protocol.
             return _unavailable(ask.number, _WITHDRAWN_S)
+        if ask.lifetime_code not in (ANY_LIFETIME, row.lifetime_code):
+            # One of the two rows is stale, and the request would go to another address.
+            return _unavailable(ask.number, _WITHDRAWN_S)
         row.asked_at = self._clock.monotonic()
         block = self._check(row)
         if block is not None:
--- a/src/coralfall/placement/dispatched_target.py
+++ b/src/coralfall/placement/dispatched_target.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from .cache_model import CacheModel
+from .dispatch import lifetime_code_of
 from .dispatch_queue import DispatchQueue
 
 if t.TYPE_CHECKING:
@@ -100,6 +101,7 @@
         "assignments",
         "cache",
         "is_available",
+        "lifetime_code",
         "queue",
         "state",
         "trial_key",
@@ -108,6 +110,7 @@
 
     def __init__(self, state: "TargetState", admission: "Admission", clock: "Clock") -> None:
         self.state = state
+        self.lifetime_code = lifetime_code_of(state.target)
         self._admission = admission
         self._clock = clock
         self.cache = CacheModel()
--- a/src/coralfall/traffic/dispatch_selection.py
+++ b/src/coralfall/traffic/dispatch_selection.py
@@ -18,6 +18,7 @@
     Ticket,
     Verdict,
     level_of,
+    lifetime_code_of,
     object_code_of,
     object_key_of,
     route_code_of,
@@ -339,6 +340,7 @@
             expires_ms=_milliseconds(self._left_s(request) + _EXPIRY_MARGIN_S),
             primary=is_first,
             may_queue=start_within_s > 0,
+            lifetime_code=lifetime_code_of(state.target),
         )
         ticket = await self._client.ask(state.target, ask)
         self._record(request, state, ticket.answer if ticket is not None else None, asked_at)
--- a/tests/traffic/test_dispatch_review.py
+++ b/tests/traffic/test_dispatch_review.py
@@ -43,6 +43,21 @@
         fields += (AttemptOutcome.ANSWERED, 200, None)[len(fields) :]
         self.ledger.release(OTHER, dispatch.DispatchRelease(number, *fields))
 
+    @parameterized.expand(
+        [
+            ("same lifetime", {}, Verdict.ASSIGNED),
+            ("other address", {"address": "10.0.0.9:80"}, Verdict.UNAVAILABLE),
+            ("other start", {"born": 1}, Verdict.UNAVAILABLE),
+        ]
+    )
+    def test_stale_row(self, _: str, changes: t.Any, verdict: Verdict) -> None:
+        """Guards against a target that stays withdrawn after a 421 from its previous address."""
+        code = dispatch.lifetime_code_of(make_target(**changes))
+        self.assertIs(verdict, self.ask(1, lifetime_code=code).verdict)
+        if verdict is Verdict.UNAVAILABLE:
+            self.release(1, AttemptOutcome.MISDIRECTED)
+            self.assertIs(Verdict.ASSIGNED, self.ask(2).verdict)
+
     @parameterized.expand([("new dispatcher", 80, 80), ("small cache", 12, 0)])
     def test_cache_model_approaches_the_cache(self, _: str, size: int, cached_before: int) -> None:
         """Guards against a model that stays at its least size, as all requests seem uncached."""
