--- a/src/coralfall/placement/dispatch_evidence.py
+++ b/src/coralfall/placement/dispatch_evidence.py
@@ -14,7 +14,7 @@
     from .admission import Admission
     from .dispatch import DispatchRelease
     from .dispatched_target import Assignment
-    from .targets import TargetRegistry
+    from .targets import TargetRegistry, TargetState
 
 #: Difference from the usual pace up to which a request's time is a sample of its work.
 _USUAL_PACE_MARGIN = 0.1
@@ -61,15 +61,25 @@
         if outcome is AttemptOutcome.ANSWERED:
             state.record_success()
             assignment.reservation.record_answer(now, seconds)
-        elif outcome is AttemptOutcome.TIMED_OUT:
+            return
+        if outcome is AttemptOutcome.TIMED_OUT:
             assignment.reservation.record_latency(now, seconds)
-            state.record_failure(reached=True, silent_since=now - seconds)
-        elif outcome is AttemptOutcome.BROKEN:
-            state.record_failure(reached=True)
-        elif outcome is AttemptOutcome.UNREACHABLE:
-            state.record_failure(reached=False)
-        elif outcome is AttemptOutcome.CONNECTION_REFUSED:
-            state.record_failure(reached=False, refused=True)
+        if not self._is_known_failure(assignment, outcome):
+            _record_failure(state, outcome, now - seconds)
+            if state.ejected_s():
+                assignment.row.ejected_at = now
+
+    @staticmethod
+    def _is_known_failure(assignment: "Assignment", outcome: AttemptOutcome) -> bool:
+        """Whether a request was sent before the failure that it would show had its target ejected.
+
+        What is in flight from all entries fails together. If each request counted, one moment
+        without a connection would eject a target for the longest time and treat it as restarted.
+        """
+        row = assignment.row
+        if outcome is AttemptOutcome.CONNECTION_REFUSED and not row.state.is_cold():
+            return False
+        return bool(row.state.ejected_s()) or assignment.granted_at <= row.ejected_at
 
     def learn(self, assignment: "Assignment", release: "DispatchRelease") -> None:
         """Updates the cache model and the estimates of work; the reservation has ended."""
@@ -111,5 +121,17 @@
             row.cache.record_expected(seconds, uncached_s)
 
 
+def _record_failure(state: "TargetState", outcome: AttemptOutcome, sent_at: float) -> None:
+    """Records the failure of a request, if its outcome is one."""
+    if outcome is AttemptOutcome.TIMED_OUT:
+        state.record_failure(reached=True, silent_since=sent_at)
+    elif outcome is AttemptOutcome.BROKEN:
+        state.record_failure(reached=True)
+    elif outcome is AttemptOutcome.UNREACHABLE:
+        state.record_failure(reached=False)
+    elif outcome is AttemptOutcome.CONNECTION_REFUSED:
+        state.record_failure(reached=False, refused=True)
+
+
 def _duration_s(release: "DispatchRelease") -> float:
     return max(_MIN_DURATION_S, release.duration_ms / 1000)
--- a/src/coralfall/placement/dispatch_ledger.py
+++ b/src/coralfall/placement/dispatch_ledger.py
@@ -13,7 +13,6 @@
 
 from ..process import log
 from .dispatch import (
-    ANY_LIFETIME,
     AskNumber,
     DispatchAnswer,
     DispatchAsk,
@@ -119,7 +118,7 @@
         if key in self._assignments or key in self._waiting:
             # Numbers are unique, so the sender restarted, or doesn't keep to the protocol.
             return _unavailable(ask.number, _WITHDRAWN_S)
-        if ask.lifetime_code not in (ANY_LIFETIME, row.lifetime_code):
+        if not row.is_meant_by(ask):
             # One of the two rows is stale, and the request would go to another address.
             return _unavailable(ask.number, _WITHDRAWN_S)
         row.asked_at = self._clock.monotonic()
@@ -275,6 +274,7 @@
             # Before the first answers nothing is known of the work: what its caller expects counts.
             prediction.total_s or ask.within_ms / 1000,
         )
+        now = self._clock.monotonic()
         assignment = Assignment(
             key,
             row,
@@ -285,7 +285,8 @@
             prediction.wait_s,
             prediction.load,
             prediction.pace,
-            self._clock.monotonic() + ask.expires_ms / 1000,
+            now,
+            now + ask.expires_ms / 1000,
         )
         row.add(assignment)
         self._assignments[key] = assignment
--- a/src/coralfall/placement/dispatched_target.py
+++ b/src/coralfall/placement/dispatched_target.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from .cache_model import CacheModel
-from .dispatch import lifetime_code_of
+from .dispatch import ANY_LIFETIME, lifetime_code_of
 from .dispatch_queue import DispatchQueue
 
 if t.TYPE_CHECKING:
@@ -50,7 +50,8 @@
     load: float
     #: Pace of the target when the slot was granted, as a multiple of the usual time.
     pace: float
-    #: Monotonic time at which it expires.
+    #: Monotonic times at which it was granted, and expires.
+    granted_at: float
     expires_at: float
 
 
@@ -96,12 +97,13 @@
     __slots__ = (
         "_admission",
         "_clock",
+        "_lifetime_code",
         "_work_sum_s",
         "asked_at",
         "assignments",
         "cache",
+        "ejected_at",
         "is_available",
-        "lifetime_code",
         "queue",
         "state",
         "trial_key",
@@ -110,7 +112,7 @@
 
     def __init__(self, state: "TargetState", admission: "Admission", clock: "Clock") -> None:
         self.state = state
-        self.lifetime_code = lifetime_code_of(state.target)
+        self._lifetime_code = lifetime_code_of(state.target)
         self._admission = admission
         self._clock = clock
         self.cache = CacheModel()
@@ -122,6 +124,8 @@
         self._work_sum_s = 0.0
         #: Monotonic time of the last ask.
         self.asked_at = -float("inf")
+        #: Monotonic time at which another entry's request last had it ejected.
+        self.ejected_at = -float("inf")
         #: Assignment that tries the target after an ejection.
         self.trial_key: t.Optional[AskKey] = None
         #: Whether the target was usable when it was last looked at, for logs.
@@ -132,6 +136,10 @@
         """Requests that the target processes at a time."""
         return max(1, self.state.target.slots)
 
+    def is_meant_by(self, ask: "DispatchAsk") -> bool:
+        """Whether an ask is for this lifetime of the target, as far as it tells."""
+        return ask.lifetime_code in (ANY_LIFETIME, self._lifetime_code)
+
     def load(self) -> float:
         """Requests at the target: those in flight from here, and those that are not known here."""
         now = self._clock.monotonic()
--- a/tests/traffic/test_dispatch_review.py
+++ b/tests/traffic/test_dispatch_review.py
@@ -58,6 +58,31 @@
             self.release(1, AttemptOutcome.MISDIRECTED)
             self.assertIs(Verdict.ASSIGNED, self.ask(2).verdict)
 
+    @parameterized.expand(
+        [
+            (AttemptOutcome.UNREACHABLE, 0.3, False),
+            (AttemptOutcome.TIMED_OUT, 0.3, False),
+            (AttemptOutcome.BROKEN, 0.3, False),
+            (AttemptOutcome.CONNECTION_REFUSED, 0.3, True),
+        ]
+    )
+    def test_requests_that_fail_together(
+        self, outcome: AttemptOutcome, ejected_s: float, is_cold: bool
+    ) -> None:
+        """Guards against long ejections, and cold treatment, by one failure of many requests."""
+        state = self.targets.by_id[TargetId("t1")]
+        for number in range(1, 7):
+            self.assertIs(Verdict.ASSIGNED, self.ask(number).verdict)
+        for number in range(1, 6):
+            self.release(number, outcome, 5)
+        self.assertEqual((ejected_s, is_cold), (round(state.ejected_s(), 3), state.is_cold()))
+        self.clock.advance(0.4)
+        self.release(6, outcome, 5)
+        self.assertEqual(0, state.ejected_s(), "sent before the ejection")
+        self.ask(7)
+        self.release(7, outcome, 5)
+        self.assertEqual(0.6, round(state.ejected_s(), 3), "the request that tried it")
+
     @parameterized.expand([("new dispatcher", 80, 80), ("small cache", 12, 0)])
     def test_cache_model_approaches_the_cache(self, _: str, size: int, cached_before: int) -> None:
         """Guards against a model that stays at its least size, as all requests seem uncached."""
