--- a/tests/traffic/test_dispatch_review.py
+++ b/tests/traffic/test_dispatch_review.py
@@ -83,6 +83,20 @@
         self.release(7, outcome, 5)
         self.assertEqual(0.6, round(state.ejected_s(), 3), "the request that tried it")
 
+    @parameterized.expand([("all usable", 0, 1, 12), ("a third ejected", 1, 1, 8)])
+    def test_service_load(self, _: str, ejected: int, busy: int, slots: int) -> None:
+        """Guards against a region that seems idle, and keeps its objects, as its targets fail."""
+        ids = [TargetId(f"t{number}") for number in range(1, 4)]
+        self.targets.update({one: make_target(target_id=one) for one in ids})
+        for number, target_id in enumerate(ids):
+            self.ask(number, target_id=target_id)
+            outcome = AttemptOutcome.UNREACHABLE if number < ejected else AttemptOutcome.ANSWERED
+            if number != 1:
+                self.release(number, outcome)
+        self.clock.advance(0.1)
+        loads = self.ledger.service_loads()
+        self.assertEqual([(busy, slots)], [(load.busy, load.slots) for load in loads])
+
     @parameterized.expand([("new dispatcher", 80, 80), ("small cache", 12, 0)])
     def test_cache_model_approaches_the_cache(self, _: str, size: int, cached_before: int) -> None:
         """Guards against a model that stays at its least size, as all requests seem uncached."""
