--- a/src/coralfall/placement/dispatched_target.py
+++ b/src/coralfall/placement/dispatched_target.py
@@ -210,6 +210,8 @@
 
     def queue_outlook(self) -> t.Tuple[float, float]:
         """Seconds until a slot is free, and that a request takes, at the present pace."""
+        # A new row may change the slots of a lifetime.
+        self.queue.slots = self.slots
         pace = self.state.load_reports.pace(self._clock.monotonic())
         first = next(iter(self.waiting.values()), None)
         otherwise_s = 0.0
--- a/tests/traffic/test_dispatch_review.py
+++ b/tests/traffic/test_dispatch_review.py
@@ -97,6 +97,15 @@
         loads = self.ledger.service_loads()
         self.assertEqual([(busy, slots)], [(load.busy, load.slots) for load in loads])
 
+    @parameterized.expand([(2, 8), (12, 48)])
+    def test_slots_that_change(self, slots: int, max_queued: int) -> None:
+        """Guards against a queue that is planned by the slots of an earlier row."""
+        self.ask(0)
+        self.targets.update({TargetId("t1"): make_target(slots=slots)})
+        for number in range(1, 100):
+            self.ask(number, may_queue=True)
+        self.assertEqual(max_queued, self.ledger.queued)
+
     @parameterized.expand([("new dispatcher", 80, 80), ("small cache", 12, 0)])
     def test_cache_model_approaches_the_cache(self, _: str, size: int, cached_before: int) -> None:
         """Guards against a model that stays at its least size, as all requests seem uncached."""
