--- a/src/coralfall/placement/admission.py
+++ b/src/coralfall/placement/admission.py
@@ -41,7 +41,7 @@
 _OVERDUE_MIN_S = 0.3
 
 #: Service, route and whether the object is cached.
-_WorkKind = t.Tuple["ServiceId", "RouteCode", bool]
+WorkKind = t.Tuple["ServiceId", "RouteCode", bool]
 
 #: Seconds before the retry of a request that a target with free slots rejected: such a rejection
 #: does not depend on load, so the next attempt may well meet the latency target.
@@ -55,8 +55,8 @@
         self._limit_by_route: t.Dict["RouteId", float] = {}
         self._typical_by_service: t.Dict["ServiceId", float] = {}
         self._uncached_by_service: t.Dict["ServiceId", float] = {}
-        self._work_by_kind: t.Dict[_WorkKind, float] = {}
-        self._work_samples: t.Dict[_WorkKind, t.Deque[float]] = {}
+        self._work_by_kind: t.Dict[WorkKind, float] = {}
+        self._work_samples: t.Dict[WorkKind, t.Deque[float]] = {}
 
     def record_arrival(self, route: "Route", left_s: float) -> None:
         """Records how long a caller will wait.
@@ -105,6 +105,10 @@
             work_s = self._work_by_kind.get((service, route_code, not cached), 0.0)
         return work_s
 
+    def has_work_samples(self, service: "ServiceId", route_code: "RouteCode", cached: bool) -> bool:
+        """Whether the work of just this kind of request has been measured."""
+        return (service, route_code, cached) in self._work_samples
+
     def uncached_work_s(self, service: "ServiceId", route_code: "RouteCode") -> t.Optional[float]:
         """Measured seconds of work of a request for an uncached object, if there are samples."""
         return self._work_by_kind.get((service, route_code, False))
--- a/src/coralfall/placement/dispatch_evidence.py
+++ b/src/coralfall/placement/dispatch_evidence.py
@@ -11,13 +11,15 @@
 
 if t.TYPE_CHECKING:
     from ..process.clock import Clock
-    from .admission import Admission
+    from .admission import Admission, WorkKind
     from .dispatch import DispatchRelease
     from .dispatched_target import Assignment
     from .targets import TargetRegistry, TargetState
 
 #: Difference from the usual pace up to which a request's time is a sample of its work.
 _USUAL_PACE_MARGIN = 0.1
+#: Least pace by which times are divided: a report of zero is possible.
+_MIN_PACE = 0.1
 #: Shortest duration in seconds: estimates are moved by multiplication and would stay at zero.
 _MIN_DURATION_S = 0.001
 #: Outcomes of requests that the target did not run, so it has not loaded their object.
@@ -44,6 +46,8 @@
         self._targets = targets
         self._admission = admission
         self._clock = clock
+        #: Kinds of work of which no request at usual pace has been seen.
+        self._off_pace_kinds: t.Set["WorkKind"] = set()
 
     def record(self, assignment: "Assignment", release: "DispatchRelease") -> None:
         """Records another entry's request; its reservation is still in force."""
@@ -85,8 +89,11 @@
         """Updates the cache model and the estimates of work; the reservation has ended."""
         if release.outcome in _NOT_RUN:
             self._learn_not_run(assignment, release)
-        elif release.outcome is AttemptOutcome.ANSWERED and self._is_sample(assignment):
-            self._learn_work(assignment, _duration_s(release))
+        elif release.outcome is AttemptOutcome.ANSWERED and not assignment.row.state.is_cold():
+            if self._is_at_usual_pace(assignment):
+                self._learn_work(assignment, _duration_s(release))
+            else:
+                self._learn_work_off_pace(assignment, _duration_s(release))
 
     def _learn_not_run(self, assignment: "Assignment", release: "DispatchRelease") -> None:
         row = assignment.row
@@ -98,18 +105,29 @@
                 self._clock.monotonic(), row.load_limit(), row.state.in_flight
             )
 
-    def _is_sample(self, assignment: "Assignment") -> bool:
-        """Whether the time of a request shows its work: at usual pace, and not warming up."""
-        state = assignment.row.state
-        pace = state.load_reports.pace(self._clock.monotonic())
-        deviation = max(abs(pace - 1), abs(assignment.pace - 1))
-        return deviation <= _USUAL_PACE_MARGIN and not state.is_cold()
+    def _is_at_usual_pace(self, assignment: "Assignment") -> bool:
+        pace = assignment.row.state.load_reports.pace(self._clock.monotonic())
+        return max(abs(pace - 1), abs(assignment.pace - 1)) <= _USUAL_PACE_MARGIN
+
+    def _learn_work_off_pace(self, assignment: "Assignment", seconds: float) -> None:
+        """Estimates work by its time at another pace, while there is nothing better.
+
+        Targets that always report another pace would otherwise never have an estimate.
+        """
+        row = assignment.row
+        kind = _kind_of(assignment)
+        if not self._admission.has_work_samples(*kind):
+            self._off_pace_kinds.add(kind)
+        if kind not in self._off_pace_kinds or assignment.load >= row.slots:
+            return
+        pace = row.state.load_reports.pace(self._clock.monotonic())
+        self._admission.record_work(*kind, max(_MIN_DURATION_S, seconds / max(pace, _MIN_PACE)))
 
     def _learn_work(self, assignment: "Assignment", seconds: float) -> None:
         row = assignment.row
-        service = row.state.target.service
-        route_code = assignment.ask.route_code
+        service, route_code, _ = kind = _kind_of(assignment)
         has_queue = assignment.load >= row.slots
+        self._off_pace_kinds.discard(kind)
         if not has_queue or not self._admission.work_s(service, route_code, assignment.cached):
             # The time in a queue is only predicted, so it blurs what is known without one.
             work_s = max(_MIN_DURATION_S, seconds - assignment.wait_s)
@@ -121,6 +139,11 @@
             row.cache.record_expected(seconds, uncached_s)
 
 
+def _kind_of(assignment: "Assignment") -> "WorkKind":
+    service = assignment.row.state.target.service
+    return service, assignment.ask.route_code, assignment.cached
+
+
 def _record_failure(state: "TargetState", outcome: AttemptOutcome, sent_at: float) -> None:
     """Records the failure of a request, if its outcome is one."""
     if outcome is AttemptOutcome.TIMED_OUT:
--- a/tests/traffic/test_dispatch_review.py
+++ b/tests/traffic/test_dispatch_review.py
@@ -10,11 +10,11 @@
 from coralfall.ids import EntryId, TargetId
 from coralfall.placement import dispatch
 from coralfall.placement.admission import Admission
-from coralfall.placement.dispatch import AttemptOutcome, DispatchAnswer, Verdict
+from coralfall.placement.dispatch import AttemptOutcome, DispatchAnswer, ReportedLoad, Verdict
 from coralfall.placement.dispatch_ledger import DispatchLedger
 from coralfall.placement.targets import TargetRegistry
 from coralfall.process.clock import ManualClock
-from tests.traffic.makers import make_target
+from tests.traffic.makers import PEDIDOS, make_target
 
 OWN, OTHER = EntryId("e1"), EntryId("e2")
 ROUTE = dispatch.RouteCode(1)
@@ -106,6 +106,17 @@
             self.ask(number, may_queue=True)
         self.assertEqual(max_queued, self.ledger.queued)
 
+    @parameterized.expand([(40,), (120,), (250,)])
+    def test_work_at_another_pace(self, pace: int) -> None:
+        """Guards against targets that never get an estimate, as their pace is never usual."""
+        for number in range(20):
+            self.clock.advance(0.5)
+            work_ms = 2 * pace if self.ask(number).cached else 6 * pace
+            load = ReportedLoad(1, 0, pace)
+            self.release(number, AttemptOutcome.ANSWERED, work_ms, load)
+        for cached, work_s in ((True, 0.2), (False, 0.6)):
+            self.assertAlmostEqual(work_s, self.admission.work_s(PEDIDOS, ROUTE, cached), 2)
+
     @parameterized.expand([("new dispatcher", 80, 80), ("small cache", 12, 0)])
     def test_cache_model_approaches_the_cache(self, _: str, size: int, cached_before: int) -> None:
         """Guards against a model that stays at its least size, as all requests seem uncached."""
