--- a/src/coralfall/placement/dispatch_evidence.py
+++ b/src/coralfall/placement/dispatch_evidence.py
@@ -20,6 +20,8 @@
 _USUAL_PACE_MARGIN = 0.1
 #: Least pace by which times are divided: a report of zero is possible.
 _MIN_PACE = 0.1
+#: Seconds without a sample after which requests that were in the target's queue are samples, too.
+_SATURATED_S = 2.0
 #: Shortest duration in seconds: estimates are moved by multiplication and would stay at zero.
 _MIN_DURATION_S = 0.001
 #: Outcomes of requests that the target did not run, so it has not loaded their object.
@@ -48,6 +50,8 @@
         self._clock = clock
         #: Kinds of work of which no request at usual pace has been seen.
         self._off_pace_kinds: t.Set["WorkKind"] = set()
+        #: Monotonic time of the last sample without a queue.
+        self._sampled_at: t.Dict["WorkKind", float] = {}
 
     def record(self, assignment: "Assignment", release: "DispatchRelease") -> None:
         """Records another entry's request; its reservation is still in force."""
@@ -128,10 +132,16 @@
         service, route_code, _ = kind = _kind_of(assignment)
         has_queue = assignment.load >= row.slots
         self._off_pace_kinds.discard(kind)
-        if not has_queue or not self._admission.work_s(service, route_code, assignment.cached):
+        now = self._clock.monotonic()
+        predicted_s = assignment.wait_s + assignment.work_s
+        if not has_queue or not self._admission.work_s(*kind):
             # The time in a queue is only predicted, so it blurs what is known without one.
             work_s = max(_MIN_DURATION_S, seconds - assignment.wait_s)
-            self._admission.record_work(service, route_code, assignment.cached, work_s)
+            self._admission.record_work(*kind, work_s)
+            self._sampled_at[kind] = now
+        elif predicted_s and now - self._sampled_at.setdefault(kind, now) > _SATURATED_S:
+            # The wait was predicted from the work of others, which is as wrong as this one.
+            self._admission.record_work(*kind, assignment.work_s * seconds / predicted_s)
         uncached_s = self._admission.uncached_work_s(service, route_code)
         if not assignment.cached or not uncached_s or has_queue:
             return
--- a/tests/traffic/test_dispatch_review.py
+++ b/tests/traffic/test_dispatch_review.py
@@ -1,5 +1,6 @@
 """Tests of faults that a review of the dispatch ledger found, each by what it did to requests."""
 
+import bisect
 import collections
 import random
 import typing as t
@@ -117,6 +118,31 @@
         for cached, work_s in ((True, 0.2), (False, 0.6)):
             self.assertAlmostEqual(work_s, self.admission.work_s(PEDIDOS, ROUTE, cached), 2)
 
+    @parameterized.expand([(0.2, 0.5), (0.5, 0.2)])
+    def test_work_in_saturation(self, before_s: float, work_s: float) -> None:
+        """Guards against estimates that stay wrong while a target always has a queue."""
+        self.admission.record_work(PEDIDOS, ROUTE, True, before_s)
+        free_at = [self.clock.now] * 4
+        running: t.List[t.Tuple[float, int, float]] = []
+
+        def start(answer: DispatchAnswer) -> None:
+            if answer.verdict is Verdict.ASSIGNED:
+                end = max(self.clock.now, free_at.pop(0)) + work_s
+                bisect.insort(free_at, end)
+                bisect.insort(running, (end, answer.number, self.clock.now))
+
+        self.ledger.on_notice = lambda entry_id, answer: start(answer)
+        for number in range(600):
+            self.clock.advance(0.02)
+            # The first ones, without a queue, are of another route.
+            route_code = 9 if number < 5 else ROUTE
+            start(self.ask(number, object_code=0, may_queue=True, route_code=route_code))
+            while running and running[0][0] <= self.clock.now:
+                _, ended, since = running.pop(0)
+                self.release(ended, AttemptOutcome.ANSWERED, round((self.clock.now - since) * 1000))
+        estimate_s = self.admission.work_s(PEDIDOS, ROUTE, True)
+        self.assertTrue(0.8 * work_s < estimate_s < 1.25 * work_s, estimate_s)
+
     @parameterized.expand([("new dispatcher", 80, 80), ("small cache", 12, 0)])
     def test_cache_model_approaches_the_cache(self, _: str, size: int, cached_before: int) -> None:
         """Guards against a model that stays at its least size, as all requests seem uncached."""
