--- a/src/coralfall/placement/dispatch_evidence.py
+++ b/src/coralfall/placement/dispatch_evidence.py
@@ -93,7 +93,7 @@
         """Updates the cache model and the estimates of work; the reservation has ended."""
         if release.outcome in _NOT_RUN:
             self._learn_not_run(assignment, release)
-        elif release.outcome is AttemptOutcome.ANSWERED and not assignment.row.state.is_cold():
+        elif release.outcome is AttemptOutcome.ANSWERED and _shows_work(assignment):
             if self._is_at_usual_pace(assignment):
                 self._learn_work(assignment, _duration_s(release))
             else:
@@ -149,6 +149,10 @@
             row.cache.record_expected(seconds, uncached_s)
 
 
+def _shows_work(assignment: "Assignment") -> bool:
+    return not assignment.joins_load and not assignment.row.state.is_cold()
+
+
 def _kind_of(assignment: "Assignment") -> "WorkKind":
     service = assignment.row.state.target.service
     return service, assignment.ask.route_code, assignment.cached
--- a/src/coralfall/placement/dispatch_ledger.py
+++ b/src/coralfall/placement/dispatch_ledger.py
@@ -12,13 +12,7 @@
 import typing as t
 
 from ..process import log
-from .dispatch import (
-    AskNumber,
-    DispatchAnswer,
-    DispatchAsk,
-    ServiceLoad,
-    Verdict,
-)
+from .dispatch import AskNumber, DispatchAnswer, DispatchAsk, ServiceLoad, Verdict
 from .dispatch_evidence import DispatchEvidence
 from .dispatch_queue import Waiter
 from .dispatched_target import Assignment, Block, DispatchedTarget, QueuedAsk
--- a/src/coralfall/placement/dispatched_target.py
+++ b/src/coralfall/placement/dispatched_target.py
@@ -13,7 +13,7 @@
     from ..ids import EntryId
     from ..process.clock import Clock
     from .admission import Admission
-    from .dispatch import AskNumber, DispatchAsk
+    from .dispatch import AskNumber, DispatchAsk, ObjectCode
     from .reservation import TargetReservation
     from .targets import TargetState
 
@@ -53,6 +53,8 @@
     #: Monotonic times at which it was granted, and expires.
     granted_at: float
     expires_at: float
+    #: Whether the object was being loaded by another request, so its time shows no cached work.
+    joins_load: bool = False
 
 
 class QueuedAsk(t.NamedTuple):
@@ -235,12 +237,19 @@
 
     def add(self, assignment: Assignment) -> None:
         """Adds an assignment."""
+        assignment.joins_load = assignment.cached and self._is_loading(assignment.ask.object_code)
         self.assignments[assignment.key] = assignment
         self._work_sum_s += assignment.work_s
         self.cache.use(assignment.ask.object_code)
         if self.state.awaits_answer:
             self.trial_key = assignment.key
 
+    def _is_loading(self, code: "ObjectCode") -> bool:
+        for other in self.assignments.values():
+            if not other.cached and other.ask.object_code == code:
+                return True
+        return False
+
     def remove(self, assignment: Assignment) -> None:
         """Removes an assignment."""
         del self.assignments[assignment.key]
--- a/tests/traffic/test_dispatch_review.py
+++ b/tests/traffic/test_dispatch_review.py
@@ -143,6 +143,21 @@
         estimate_s = self.admission.work_s(PEDIDOS, ROUTE, True)
         self.assertTrue(0.8 * work_s < estimate_s < 1.25 * work_s, estimate_s)
 
+    def test_requests_for_an_object_that_is_being_loaded(self) -> None:
+        """Guards against a model that shrinks, as such requests count as missing the cache."""
+        for cached, work_s in ((True, 0.2), (False, 0.6)):
+            self.admission.record_work(PEDIDOS, ROUTE, cached, work_s)
+        for code in range(10):
+            numbers = range(3 * code, 3 * code + 3)
+            for number in numbers:
+                self.ask(number, object_code=code)
+            self.clock.advance(0.6)
+            for number in numbers:
+                self.release(number, AttemptOutcome.ANSWERED, 600)
+        row = self.ledger._rows[TargetId("t1")]
+        self.assertEqual(128, row.cache.cached_objects_max)
+        self.assertEqual(0.2, self.admission.work_s(PEDIDOS, ROUTE, True))
+
     @parameterized.expand([("new dispatcher", 80, 80), ("small cache", 12, 0)])
     def test_cache_model_approaches_the_cache(self, _: str, size: int, cached_before: int) -> None:
         """Guards against a model that stays at its least size, as all requests seem uncached."""
