--- a/src/coralfall/placement/dispatched_target.py
+++ b/src/coralfall/placement/dispatched_target.py
@@ -160,13 +160,14 @@
         return self.load() < self.load_limit()
 
     def block(self) -> t.Optional[Block]:
-        """Why it can't be used now by its health, if so."""
+        """Why it can't be used now by its health, if so.
+
+        A cooldown is no reason: it binds the entry alone that was rejected, which knows of it.
+        """
         state = self.state
-        if not state.is_usable():
-            cooldown_s = state.cooldown_s()
-            return Block(
-                "cooldown" if cooldown_s else "ejected", max(cooldown_s, state.ejected_s())
-            )
+        ejected_s = state.ejected_s()
+        if state.has_ended or ejected_s:
+            return Block("ejected", ejected_s)
         if state.is_silent():
             return Block("unresponsive", _UNRESPONSIVE_S)
         if state.awaits_answer and self.trial_key in self.assignments:
--- a/tests/traffic/test_dispatch_review.py
+++ b/tests/traffic/test_dispatch_review.py
@@ -13,6 +13,7 @@
 from coralfall.placement.admission import Admission
 from coralfall.placement.dispatch import AttemptOutcome, DispatchAnswer, ReportedLoad, Verdict
 from coralfall.placement.dispatch_ledger import DispatchLedger
+from coralfall.placement.target_reports import TargetReport
 from coralfall.placement.targets import TargetRegistry
 from coralfall.process.clock import ManualClock
 from tests.traffic.makers import PEDIDOS, make_target
@@ -158,6 +159,12 @@
         self.assertEqual(128, row.cache.cached_objects_max)
         self.assertEqual(0.2, self.admission.work_s(PEDIDOS, ROUTE, True))
 
+    def test_cooldown_of_the_dispatcher(self) -> None:
+        """Guards against a target that no entry uses, as it rejected one of the dispatcher."""
+        state = self.targets.by_id[TargetId("t1")]
+        self.targets.reports.record(state, TargetReport(cooldown_s=30.0), self.clock.now)
+        self.assertIs(Verdict.ASSIGNED, self.ask(1).verdict)
+
     @parameterized.expand([("new dispatcher", 80, 80), ("small cache", 12, 0)])
     def test_cache_model_approaches_the_cache(self, _: str, size: int, cached_before: int) -> None:
         """Guards against a model that stays at its least size, as all requests seem uncached."""
