--- a/src/coralfall/placement/admission.py
+++ b/src/coralfall/placement/admission.py
@@ -29,6 +29,10 @@
 #: Latest requests of a kind whose median is its typical work: the few requests that take many times
 #: as long don't move it, and a wrong start is forgotten within as many requests.
 _WORK_SAMPLES = 15
+#: Part of the latest requests for cached objects that is quicker than the time that shows caching,
+#: and that time as a multiple of the work of uncached ones.
+_QUICK_PART = 0.2
+_QUICK_UP_TO = 0.65
 #: An answer is overdue after these multiples of the typical and of the expected duration, whichever
 #: is longer, and never before the minimum. A target that loads an object while it has a queue is
 #: slow but responsive: skipping it would make a third target load the object, too.
@@ -37,7 +41,7 @@
 _OVERDUE_MIN_S = 0.3
 
 #: Service, route and whether the object is cached.
-_WorkKind = t.Tuple["ServiceId", "RouteCode", bool]
+WorkKind = t.Tuple["ServiceId", "RouteCode", bool]
 
 #: Seconds before the retry of a request that a target with free slots rejected: such a rejection
 #: does not depend on load, so the next attempt may well meet the latency target.
@@ -51,8 +55,8 @@
         self._limit_by_route: t.Dict["RouteId", float] = {}
         self._typical_by_service: t.Dict["ServiceId", float] = {}
         self._uncached_by_service: t.Dict["ServiceId", float] = {}
-        self._work_by_kind: t.Dict[_WorkKind, float] = {}
-        self._work_samples: t.Dict[_WorkKind, t.Deque[float]] = {}
+        self._work_by_kind: t.Dict[WorkKind, float] = {}
+        self._work_samples: t.Dict[WorkKind, t.Deque[float]] = {}
 
     def record_arrival(self, route: "Route", left_s: float) -> None:
         """Records how long a caller will wait.
@@ -101,10 +105,27 @@
             work_s = self._work_by_kind.get((service, route_code, not cached), 0.0)
         return work_s
 
+    def has_work_samples(self, service: "ServiceId", route_code: "RouteCode", cached: bool) -> bool:
+        """Whether the work of just this kind of request has been measured."""
+        return (service, route_code, cached) in self._work_samples
+
     def uncached_work_s(self, service: "ServiceId", route_code: "RouteCode") -> t.Optional[float]:
         """Measured seconds of work of a request for an uncached object, if there are samples."""
         return self._work_by_kind.get((service, route_code, False))
 
+    def is_caching_visible(self, service: "ServiceId", route_code: "RouteCode") -> bool:
+        """Whether requests for cached objects are known to take less than those for uncached ones.
+
+        They do not seem to at a new dispatcher, which takes all objects that targets have cached
+        for uncached ones at first. A low quantile is compared, as most requests for objects that
+        are taken for cached are slow while the size of caches is overestimated.
+        """
+        cached = self._work_samples.get((service, route_code, True))
+        uncached_s = self.uncached_work_s(service, route_code)
+        if not cached or uncached_s is None:
+            return False
+        return sorted(cached)[int(len(cached) * _QUICK_PART)] < _QUICK_UP_TO * uncached_s
+
     def overdue_after_s(self, state: "TargetState", known: bool, expected_s: float = 0.0) -> float:
         """Seconds after which the answer to a request that is sent now counts as overdue.
 
--- a/src/coralfall/placement/dispatch_ledger.py
+++ b/src/coralfall/placement/dispatch_ledger.py
@@ -12,13 +12,7 @@
 import typing as t
 
 from ..process import log
-from .dispatch import (
-    AskNumber,
-    DispatchAnswer,
-    DispatchAsk,
-    ServiceLoad,
-    Verdict,
-)
+from .dispatch import AskNumber, DispatchAnswer, DispatchAsk, ServiceLoad, Verdict
 from .dispatch_evidence import DispatchEvidence
 from .dispatch_queue import Waiter
 from .dispatched_target import Assignment, Block, DispatchedTarget, QueuedAsk
@@ -118,6 +112,9 @@
         if key in self._assignments or key in self._waiting:
             # Numbers are unique, so the sender restarted, or doesn't keep to the protocol.
             return _unavailable(ask.number, _WITHDRAWN_S)
+        if not row.is_meant_by(ask):
+            # One of the two rows is stale, and the request would go to another address.
+            return _unavailable(ask.number, _WITHDRAWN_S)
         row.asked_at = self._clock.monotonic()
         block = self._check(row)
         if block is not None:
@@ -180,10 +177,21 @@
             self._serve(row)
 
     def service_loads(self) -> t.Tuple[ServiceLoad, ...]:
+<<<<<<< HEAD
         """Load and slots of the targets that were asked for lately, by service."""
         busy: t.Counter["ServiceId"] = collections.Counter()
         slots: t.Counter["ServiceId"] = collections.Counter()
         for row in self._rows_asked_lately():
+=======
+        """Load and slots of the usable targets that were asked for lately, by service."""
+        since = self._clock.monotonic() - _LATELY_S
+        busy: t.Counter["ServiceId"] = collections.Counter()
+        slots: t.Counter["ServiceId"] = collections.Counter()
+        for row in self._rows.values():
+            if row.asked_at < since or row.block() is not None:
+                # The slots of a target that can't be used would make the others seem idle.
+                continue
+>>>>>>> review1
             service = row.state.target.service
             busy[service] += round(row.load()) + len(row.queue)
             slots[service] += row.slots
@@ -280,6 +288,7 @@
             # Before the first answers nothing is known of the work: what its caller expects counts.
             prediction.total_s or ask.within_ms / 1000,
         )
+        now = self._clock.monotonic()
         assignment = Assignment(
             key,
             row,
@@ -290,7 +299,8 @@
             prediction.wait_s,
             prediction.load,
             prediction.pace,
-            self._clock.monotonic() + ask.expires_ms / 1000,
+            now,
+            now + ask.expires_ms / 1000,
         )
         row.add(assignment)
         self._assignments[key] = assignment
--- a/src/coralfall/placement/dispatched_target.py
+++ b/src/coralfall/placement/dispatched_target.py
@@ -6,13 +6,14 @@
 import msgspec
 
 from .cache_model import CacheModel
+from .dispatch import ANY_LIFETIME, lifetime_code_of
 from .dispatch_queue import DispatchQueue
 
 if t.TYPE_CHECKING:
     from ..ids import EntryId
     from ..process.clock import Clock
     from .admission import Admission
-    from .dispatch import AskNumber, DispatchAsk
+    from .dispatch import AskNumber, DispatchAsk, ObjectCode
     from .reservation import TargetReservation
     from .targets import TargetState
 
@@ -50,8 +51,11 @@
     load: float
     #: Pace of the target when the slot was granted, as a multiple of the usual time.
     pace: float
-    #: Monotonic time at which it expires.
+    #: Monotonic times at which it was granted, and expires.
+    granted_at: float
     expires_at: float
+    #: Whether the object was being loaded by another request, so its time shows no cached work.
+    joins_load: bool = False
 
 
 class QueuedAsk(t.NamedTuple):
@@ -96,10 +100,12 @@
     __slots__ = (
         "_admission",
         "_clock",
+        "_lifetime_code",
         "_work_sum_s",
         "asked_at",
         "assignments",
         "cache",
+        "ejected_at",
         "is_available",
         "queue",
         "state",
@@ -109,6 +115,7 @@
 
     def __init__(self, state: "TargetState", admission: "Admission", clock: "Clock") -> None:
         self.state = state
+        self._lifetime_code = lifetime_code_of(state.target)
         self._admission = admission
         self._clock = clock
         self.cache = CacheModel()
@@ -120,6 +127,8 @@
         self._work_sum_s = 0.0
         #: Monotonic time of the last ask.
         self.asked_at = -float("inf")
+        #: Monotonic time at which another entry's request last had it ejected.
+        self.ejected_at = -float("inf")
         #: Assignment that tries the target after an ejection.
         self.trial_key: t.Optional[AskKey] = None
         #: Whether the target was usable when it was last looked at, for logs.
@@ -130,6 +139,10 @@
         """Requests that the target processes at a time."""
         return max(1, self.state.target.slots)
 
+    def is_meant_by(self, ask: "DispatchAsk") -> bool:
+        """Whether an ask is for this lifetime of the target, as far as it tells."""
+        return ask.lifetime_code in (ANY_LIFETIME, self._lifetime_code)
+
     def load(self) -> float:
         """Requests at the target: those in flight from here, and those that are not known here."""
         now = self._clock.monotonic()
@@ -148,13 +161,14 @@
         return self.load() < self.load_limit()
 
     def block(self) -> t.Optional[Block]:
-        """Why it can't be used now by its health, if so."""
+        """Why it can't be used now by its health, if so.
+
+        A cooldown is no reason: it binds the entry alone that was rejected, which knows of it.
+        """
         state = self.state
-        if not state.is_usable():
-            cooldown_s = state.cooldown_s()
-            return Block(
-                "cooldown" if cooldown_s else "ejected", max(cooldown_s, state.ejected_s())
-            )
+        ejected_s = state.ejected_s()
+        if state.has_ended or ejected_s:
+            return Block("ejected", ejected_s)
         if state.is_silent():
             return Block("unresponsive", _UNRESPONSIVE_S)
         if state.awaits_answer and self.trial_key in self.assignments:
@@ -203,6 +217,8 @@
 
     def queue_outlook(self) -> t.Tuple[float, float]:
         """Seconds until a slot is free, and that a request takes, at the present pace."""
+        # A new row may change the slots of a lifetime.
+        self.queue.slots = self.slots
         pace = self.state.load_reports.pace(self._clock.monotonic())
         first = next(iter(self.waiting.values()), None)
         otherwise_s = 0.0
@@ -226,12 +242,19 @@
 
     def add(self, assignment: Assignment) -> None:
         """Adds an assignment."""
+        assignment.joins_load = assignment.cached and self._is_loading(assignment.ask.object_code)
         self.assignments[assignment.key] = assignment
         self._work_sum_s += assignment.work_s
         self.cache.use(assignment.ask.object_code)
         if self.state.awaits_answer:
             self.trial_key = assignment.key
 
+    def _is_loading(self, code: "ObjectCode") -> bool:
+        for other in self.assignments.values():
+            if not other.cached and other.ask.object_code == code:
+                return True
+        return False
+
     def remove(self, assignment: Assignment) -> None:
         """Removes an assignment."""
         del self.assignments[assignment.key]
