--- a/src/coralfall/placement/dispatch_ledger.py
+++ b/src/coralfall/placement/dispatch_ledger.py
@@ -177,21 +177,13 @@
             self._serve(row)
 
     def service_loads(self) -> t.Tuple[ServiceLoad, ...]:
-<<<<<<< HEAD
-        """Load and slots of the targets that were asked for lately, by service."""
-        busy: t.Counter["ServiceId"] = collections.Counter()
-        slots: t.Counter["ServiceId"] = collections.Counter()
-        for row in self._rows_asked_lately():
-=======
         """Load and slots of the usable targets that were asked for lately, by service."""
-        since = self._clock.monotonic() - _LATELY_S
         busy: t.Counter["ServiceId"] = collections.Counter()
         slots: t.Counter["ServiceId"] = collections.Counter()
-        for row in self._rows.values():
-            if row.asked_at < since or row.block() is not None:
+        for row in self._rows_asked_lately():
+            if row.block() is not None:
                 # The slots of a target that can't be used would make the others seem idle.
                 continue
->>>>>>> review1
             service = row.state.target.service
             busy[service] += round(row.load()) + len(row.queue)
             slots[service] += row.slots
--- a/src/coralfall/traffic/dispatch_selection.py
+++ b/src/coralfall/traffic/dispatch_selection.py
@@ -14,15 +14,6 @@
 from ..placement.dispatch import (
     Ticket,
     Verdict,
-<<<<<<< HEAD
-=======
-    level_of,
-    lifetime_code_of,
-    object_code_of,
-    object_key_of,
-    route_code_of,
-    tenant_code_of,
->>>>>>> review1
 )
 from ..placement.spill_limit import SpillLimit
 from .dispatch_outcome import release_of
@@ -299,80 +290,8 @@
             excluded.add(state.target.target_id)
         return reservation
 
-<<<<<<< HEAD
     def _try_spill(self, request: "SteeredRequest") -> t.Optional[float]:
         """Returns the time at which a spill was counted; ``None`` beyond the limit."""
-=======
-    async def _ask_and_wait(
-        self,
-        request: "SteeredRequest",
-        state: "TargetState",
-        within_s: float,
-        is_first: bool,
-        late: bool,
-        start_within_s: float,
-    ) -> t.Optional[Ticket]:
-        """Asks for a slot and waits for the notice if the ask is queued.
-
-        :param start_within_s: seconds for which the ask may be queued; 0 if it may not.
-        :return: ``None`` if no dispatcher answered; ``REFUSED`` if no notice came in time.
-        """
-        until = self._clock.monotonic() + start_within_s
-        ticket = await self._ask(request, state, within_s, is_first, late, start_within_s)
-        if ticket is None or ticket.answer.verdict is not Verdict.QUEUED:
-            return ticket
-        queued_at = self._clock.monotonic()
-        answer = await self._waits.wait(state, ticket, until)
-        self._record(request, state, answer, queued_at, "expired")
-        if answer is None:
-            answer = msgspec.structs.replace(ticket.answer, verdict=Verdict.REFUSED)
-        return Ticket(ticket.dispatcher_id, answer)
-
-    async def _ask(
-        self,
-        request: "SteeredRequest",
-        state: "TargetState",
-        within_s: float,
-        is_first: bool,
-        late: bool,
-        start_within_s: float,
-    ) -> t.Optional[Ticket]:
-        asked_at = self._clock.monotonic()
-        ask = DispatchAsk(
-            number=self._client.new_number(),
-            target_id=state.target.target_id,
-            object_code=object_code_of(_cache_key_of(request)),
-            route_code=route_code_of(request.route.route_id),
-            level=level_of(request.route, request.tenant, late),
-            tenant_code=tenant_code_of(
-                request.tenant.tenant_id if request.tenant is not None else None
-            ),
-            within_ms=_milliseconds(within_s),
-            start_within_ms=_milliseconds(start_within_s),
-            expires_ms=_milliseconds(self._left_s(request) + _EXPIRY_MARGIN_S),
-            primary=is_first,
-            may_queue=start_within_s > 0,
-            lifetime_code=lifetime_code_of(state.target),
-        )
-        ticket = await self._client.ask(state.target, ask)
-        self._record(request, state, ticket.answer if ticket is not None else None, asked_at)
-        return ticket
-
-    def _record(
-        self,
-        request: "SteeredRequest",
-        state: "TargetState",
-        answer: "t.Optional[DispatchAnswer]",
-        since: float,
-        otherwise: str = "silent",
-    ) -> None:
-        verdict = otherwise if answer is None else answer.verdict.name.lower()
-        expected_ms = 0 if answer is None else answer.expected_ms
-        took_ms = round((self._clock.monotonic() - since) * 1000)
-        request.asks.append(AskRecord(state.target.target_id, verdict, expected_ms, took_ms))
-
-    def _try_spill(self, request: "SteeredRequest") -> bool:
->>>>>>> review1
         fraction = self._steering.settings.bounds.spill_fraction()
         now = self._clock.monotonic()
         return now if self._spill_limit.try_spill(request.service, fraction) else None
--- a/src/coralfall/traffic/slot_asks.py
+++ b/src/coralfall/traffic/slot_asks.py
@@ -11,6 +11,7 @@
     Ticket,
     Verdict,
     level_of,
+    lifetime_code_of,
     object_code_of,
     object_key_of,
     route_code_of,
@@ -104,6 +105,7 @@
             ),
             primary=is_first,
             may_queue=start_within_s > 0,
+            lifetime_code=lifetime_code_of(state.target),
         )
         ticket = await self._ask_in_time(request, state, ask)
         self._record(request, state, ticket.answer if ticket is not None else None, asked_at)
