--- a/src/coralfall/placement/contended_candidates.py
+++ b/src/coralfall/placement/contended_candidates.py
@@ -40,19 +40,23 @@
         local = _best_of_own_zone_first(usable, steering)
     prefers_local = ranking.position < rankings.local_fraction(service, regions)
     ranked = (local, ranking.remote) if prefers_local else (ranking.remote, local)
+    same_region_count = _SAME_REGION
+    if prefers_local and rankings.region_load.is_overloaded((service, regions)):
+        # The region's other targets are as full, and would have to load the object.
+        same_region_count = 1
     home: "t.Optional[RegionId]" = None
     same_region: t.List["TargetState"] = []
     elsewhere: t.List["TargetState"] = []
     # Ends early, as a check of all targets for each request would take too much processor time.
     for state in itertools.chain(*ranked):
         is_home = not same_region or rankings.region_of(state) == home
-        found, count = (same_region, _SAME_REGION) if is_home else (elsewhere, _ELSEWHERE)
+        found, count = (same_region, same_region_count) if is_home else (elsewhere, _ELSEWHERE)
         if len(found) == count or not steering.may_send(state, key):
             continue
         if not same_region:
             home = rankings.region_of(state)
         found.append(state)
-        if len(same_region) == _SAME_REGION and len(elsewhere) == _ELSEWHERE:
+        if len(same_region) == same_region_count and len(elsewhere) == _ELSEWHERE:
             break
     return same_region + elsewhere
 
--- a/src/coralfall/placement/dispatch_ledger.py
+++ b/src/coralfall/placement/dispatch_ledger.py
@@ -238,7 +238,7 @@
             row.is_available = False
             self._unavailable_rows.add(row)
             self._log(row.state, "dispatch.target-unavailable", reason=block.reason)
-        elif block is None and not row.is_available and not row.state.awaits_answer:
+        elif block is None and not row.is_available and not row.awaits_proof():
             row.is_available = True
             self._unavailable_rows.discard(row)
             self._log(row.state, "dispatch.target-available")
--- a/src/coralfall/placement/dispatched_target.py
+++ b/src/coralfall/placement/dispatched_target.py
@@ -31,6 +31,8 @@
 _EXCESS_FRACTION = 2 / 3
 #: Seconds until a target may be asked for again whose overdue request has no known end.
 _UNRESPONSIVE_S = 0.3
+#: Seconds between two requests that try a silent target.
+_SILENCE_TRIAL_S = 1.0
 #: Seconds until a target may be asked for again while one request tries it after an ejection.
 _TRIAL_S = 0.05
 
@@ -101,6 +103,7 @@
         "_admission",
         "_clock",
         "_lifetime_code",
+        "_silence_tried_at",
         "_work_sum_s",
         "asked_at",
         "assignments",
@@ -131,6 +134,8 @@
         self.ejected_at = -float("inf")
         #: Assignment that tries the target after an ejection.
         self.trial_key: t.Optional[AskKey] = None
+        #: Monotonic time at which a silent target was last tried, or found silent.
+        self._silence_tried_at: t.Optional[float] = None
         #: Whether the target was usable when it was last looked at, for logs.
         self.is_available = True
 
@@ -169,12 +174,28 @@
         ejected_s = state.ejected_s()
         if state.has_ended or ejected_s:
             return Block("ejected", ejected_s)
-        if state.is_silent():
+        if not state.is_silent():
+            self._silence_tried_at = None
+        elif not self._may_try_silent():
             return Block("unresponsive", _UNRESPONSIVE_S)
         if state.awaits_answer and self.trial_key in self.assignments:
             return Block("trial", _TRIAL_S)
         return None
 
+    def awaits_proof(self) -> bool:
+        """Whether it has not answered since it was found ejected or silent."""
+        return self.state.awaits_answer or self._silence_tried_at is not None
+
+    def _may_try_silent(self) -> bool:
+        """Whether a request may try a silent target: one each interval, the first one after it.
+
+        A release that was lost makes a target seem silent that is well.
+        """
+        now = self._clock.monotonic()
+        if self._silence_tried_at is None:
+            self._silence_tried_at = now
+        return now - self._silence_tried_at >= _SILENCE_TRIAL_S
+
     def predict(self, ask: "DispatchAsk", in_queue: bool = True) -> Prediction:
         """Predicts the completion of a request.
 
@@ -248,6 +269,8 @@
         self.cache.use(assignment.ask.object_code)
         if self.state.awaits_answer:
             self.trial_key = assignment.key
+        if self._silence_tried_at is not None:
+            self._silence_tried_at = self._clock.monotonic()
 
     def _is_loading(self, code: "ObjectCode") -> bool:
         for other in self.assignments.values():
--- a/src/coralfall/placement/region_load.py
+++ b/src/coralfall/placement/region_load.py
@@ -170,6 +170,11 @@
         self._fractions[key] = value
         return value
 
+    def is_overloaded(self, key: FractionKey) -> bool:
+        """Whether the targets of the entry's region have more load than the region may keep."""
+        feedback = self._feedback.get(key)
+        return feedback is not None and feedback.load is not None and feedback.load > MAX_LOAD
+
     def forget(self, key: FractionKey) -> None:
         """Drops the averages of a service that is not contended."""
         if key in self._feedback:
--- a/src/coralfall/traffic/dispatch_selection.py
+++ b/src/coralfall/traffic/dispatch_selection.py
@@ -33,9 +33,6 @@
 
 #: Reason of rejecting a request for which no target has a slot in time.
 NO_SLOT = "no-slot"
-#: Part of the time to spare until the latency objective for which a first ask may be queued; the
-#: rest is for asks elsewhere, and for predictions that are too short.
-_QUEUED_FRACTION = 0.6
 #: Times that the candidates are asked, if the target of a queued ask is withdrawn or its dispatcher
 #: stops; after that the entry decides by its own knowledge.
 _MAX_ROUNDS = 3
@@ -211,10 +208,13 @@
     def _first_start_within_s(self, state: "TargetState", within_s: float) -> float:
         """Returns the seconds for which the first ask for a target may be queued.
 
-        A request that completes in time after a short wait is not worth further asks, each of
-        which takes a round trip.
+        None in the entry's own region, where other candidates are asked first. A dispatcher in
+        another region takes as long to answer as a queued request to start.
         """
-        return max(0.0, within_s - self._work_s(state, True)) * _QUEUED_FRACTION
+        steering = self._steering
+        if steering.rankings.region_of(state) == steering.settings.region:
+            return 0.0
+        return max(0.0, within_s - self._work_s(state, True))
 
     def _work_s(self, state: "TargetState", cached: bool) -> float:
         admission = self._steering.admission
--- a/tests/traffic/test_dispatch_review.py
+++ b/tests/traffic/test_dispatch_review.py
@@ -182,3 +182,18 @@
             self.release(number, AttemptOutcome.ANSWERED, round(work_ms))
         estimate = self.ledger._rows[TargetId("t1")].cache.cached_objects_max
         self.assertTrue(size / 2 <= estimate <= 2 * size, estimate)
+
+    def test_a_lost_release_withdraws_no_idle_target(self) -> None:
+        """Guards against a target that all entries avoid because the end of one request is lost."""
+        self.ask(1, expires_ms=10_500)
+        verdicts = []
+        for number in range(2, 102):
+            self.clock.advance(0.1)
+            verdicts.append(self.ask(number).verdict)
+            if verdicts[-1] is Verdict.ASSIGNED and Verdict.UNAVAILABLE in verdicts:
+                self.release(number)
+                self.assertIs(Verdict.ASSIGNED, self.ask(number + 1000).verdict)
+                self.assertLessEqual(verdicts.count(Verdict.UNAVAILABLE), 11)
+                return
+            self.ledger.cancel(OTHER, dispatch.AskNumber(number))
+        self.fail(f"no request tried the target: {verdicts}")
