--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -363,7 +363,7 @@
 SHIFT_BUDGET_FRACTION = 2 / 3
 SHIFT_WINDOW_S = 2.0
 #: Fraction of the allowed shift that an entry uses for single requests of contended services that
-#: spill to a region other than that of their object: 0.03 of the requests at the usual bound.
+#: spill to a region other than that of their object: 0.05 of the requests at the usual bound.
 SPILL_BUDGET_FRACTION = 1 / 3
 #: Half-life of a target's load report: the time after which it counts for half, against the
 #: entry's own count.
