--- a/src/coralfall/placement/affinity.py
+++ b/src/coralfall/placement/affinity.py
@@ -22,7 +22,7 @@
 from .targets import COOLDOWN
 
 if t.TYPE_CHECKING:
-    from ..ids import ServiceId, TargetId
+    from ..ids import ServiceId, TargetId, ZoneId
     from ..process.clock import Clock
     from ..traffic.model import DesiredState, Route
     from ..traffic.settings import SteerSettings
@@ -93,6 +93,7 @@
         late: bool = False,
         again: "t.Optional[TargetState]" = None,
         regions: t.Optional[Regions] = None,
+        own_zone_first: bool = False,
     ) -> TargetReservation:
         """Selects and reserves the target of one send.
 
@@ -103,12 +104,13 @@
         :param again: a target that rejected the request and may be retried, which is better than
             one that would have to load the object.
         :param regions: regions that may serve the request, any if empty; the route's by default.
+        :param own_zone_first: whether a target in the entry's zone is preferred in its region.
         :raises RefusedError: if no candidate has capacity, or none could answer in time.
         """
         if regions is None:
             regions = route.allowed_regions
         ranking = self.rankings.ranking_of(service, key, regions)
-        candidates = self._candidates(ranking, service, key, regions, tried)
+        candidates = self._candidates(ranking, service, key, regions, tried, own_zone_first)
         if again is not None and route.session_affinity and self._targets.may_use(again):
             candidates = [state for state in candidates if state.has_cached(key)] + [again]
         if not candidates:
@@ -258,8 +260,11 @@
         key: bytes,
         regions: Regions,
         tried: "t.Collection[TargetId]",
+        own_zone_first: bool,
     ) -> t.List["TargetState"]:
         near = self._prefer_fast(ranking.local, key)
+        if own_zone_first:
+            near = _of_zone_first(near, self._settings.zone)
         remote = self._prefer_fast(ranking.remote, key)
         prefers_local = ranking.position < self.rankings.local_fraction(service, regions)
         first, second = (near, remote) if prefers_local else (remote, near)
@@ -312,3 +317,15 @@
             ):
                 return [state, *[other for other in states if other is not state]]
         return states
+
+
+def _of_zone_first(states: t.Sequence["TargetState"], zone: "ZoneId") -> t.Sequence["TargetState"]:
+    """Moves the first target of a zone to the front.
+
+    Bytes between zones are paid for, and uploads have most of them; a copy of an object in each
+    zone is cheap for the few objects of uploads.
+    """
+    for state in states:
+        if state.target.zone == zone:
+            return [state, *[other for other in states if other is not state]]
+    return states
--- a/src/coralfall/placement/contended_candidates.py
+++ b/src/coralfall/placement/contended_candidates.py
@@ -21,23 +21,18 @@
 
 def contended_candidates(
     steering: "AffinitySteering",
-    is_upload: bool,
     service: "ServiceId",
     key: bytes,
     regions: "Regions",
 ) -> t.List["TargetState"]:
     """Returns the candidates of an object, the best first.
 
-    :param is_upload: whether the requests have large bodies.
     :param key: identifies the object.
     :param regions: regions that may serve the request; any if empty.
     """
     rankings = steering.rankings
     ranking = rankings.ranking_of(service, key, regions)
     local = ranking.local
-    if is_upload:
-        usable = [state for state in local if steering.may_send(state, key)]
-        local = _best_of_own_zone_first(usable, steering)
     prefers_local = ranking.position < rankings.local_fraction(service, regions)
     ranked = (local, ranking.remote) if prefers_local else (ranking.remote, local)
     same_region_count = _SAME_REGION
@@ -59,16 +54,3 @@
         if len(same_region) == same_region_count and len(elsewhere) == _ELSEWHERE:
             break
     return same_region + elsewhere
-
-
-def _best_of_own_zone_first(
-    local: t.List["TargetState"], steering: "AffinitySteering"
-) -> t.List["TargetState"]:
-    """Puts the best target of the entry's zone first, and the best of other zones second.
-
-    Bytes between zones are paid for, and uploads have most of them; a copy of an object in each
-    zone is cheap for the few objects of uploads.
-    """
-    own = [state for state in local if state.target.zone == steering.settings.zone]
-    others = [state for state in local if state.target.zone != steering.settings.zone]
-    return own[:1] + others + own[1:]
--- a/src/coralfall/traffic/dispatch_selection.py
+++ b/src/coralfall/traffic/dispatch_selection.py
@@ -93,7 +93,8 @@
         tried: "t.Collection[TargetId]",
         retry_target: "t.Optional[TargetState]",
     ) -> "TargetReservation":
-        if not request.contended:
+        if not request.contended or request.route.kind is RequestKind.UPLOAD:
+            # Bodies of uploads fill the entry's link, and asks would wait behind them.
             return await self._local.select(request, tried, retry_target)
         if not request.attempts:
             self._spill_limit.record_request(request.service)
@@ -137,11 +138,8 @@
         retry_target: "t.Optional[TargetState]",
     ) -> t.List[_Candidate]:
         steering = self._steering
-        is_upload = request.route.kind is RequestKind.UPLOAD
         key = request.object_key
-        states = contended_candidates(
-            steering, is_upload, request.service, key, request.allowed_regions
-        )
+        states = contended_candidates(steering, request.service, key, request.allowed_regions)
         if not states:
             return []
         home = steering.rankings.region_of(states[0])
--- a/src/coralfall/traffic/target_selection.py
+++ b/src/coralfall/traffic/target_selection.py
@@ -7,6 +7,8 @@
 import abc
 import typing as t
 
+from .model import RequestKind
+
 if t.TYPE_CHECKING:
     from ..ids import TargetId
     from ..placement.affinity import AffinitySteering
@@ -76,6 +78,7 @@
             request.is_late,
             retry_target,
             request.allowed_regions,
+            request.contended and request.route.kind is RequestKind.UPLOAD,
         )
 
     def finish(
