--- a/tests/traffic/test_target_selection.py
+++ b/tests/traffic/test_target_selection.py
@@ -30,7 +30,7 @@
 from coralfall.process.clock import ManualClock
 from coralfall.traffic.callers import CallersApp, _dispatch_fields
 from coralfall.traffic.dispatch_selection import DispatchSelector
-from coralfall.traffic.model import RequestKind, RouteId, Target
+from coralfall.traffic.model import RequestKind, Route, RouteId, Target
 from coralfall.traffic.steered_request import SteeredRequest
 from coralfall.traffic.target_selection import LocalSelector
 from coralfall.traffic.telemetry import Telemetry
@@ -94,11 +94,13 @@
         self.fixture = SteeringFixture(*targets)
         self.request = self.make_request()
         steering = self.fixture.steering
-        states = contended_candidates(steering, False, PEDIDOS, b"object", frozenset())
+        states = contended_candidates(steering, PEDIDOS, b"object", frozenset())
         self.ids = [state.target.target_id for state in states]
 
-    def make_request(self, contended: bool = True) -> SteeredRequest:
-        route, tenant = make_route(), makers.make_tenant(priority=0)
+    def make_request(
+        self, contended: bool = True, route: t.Optional[Route] = None
+    ) -> SteeredRequest:
+        route, tenant = route or make_route(), makers.make_tenant(priority=0)
         arguments: t.Any = ("GET", "/p/1", "a.example", [], None, route, PEDIDOS, "id1", b"object")
         deadline = self.fixture.clock.monotonic() + 1.0
         return SteeredRequest(*arguments, deadline, None, "", tenant, contended=contended)
@@ -473,28 +475,51 @@
 
     @parameterized.expand(
         [
-            (RequestKind.UPLOAD, (NORTE, SUR, SUR, PUERTO), {NORTE}),
-            (RequestKind.SAFE, (NORTE, SUR, SUR, PUERTO), {NORTE, SUR}),
-            (RequestKind.SAFE, (PUERTO, SELVA), {PUERTO, SELVA}),
+            ((NORTE, SUR, SUR, PUERTO), {NORTE, SUR}),
+            ((PUERTO, SELVA), {PUERTO, SELVA}),
         ]
     )
-    def test_candidates(
-        self, kind: RequestKind, zones: t.Tuple[ZoneId, ...], firsts: t.Set[ZoneId]
-    ) -> None:
-        """Guards against uploads that cross zones, and second candidates in another region."""
+    def test_candidates(self, zones: t.Tuple[ZoneId, ...], firsts: t.Set[ZoneId]) -> None:
+        """Guards against second candidates in another region."""
         targets = [make_target(n, zone=zones[n % len(zones)]) for n in range(12)]
         regions = {**makers.REGIONS_BY_ZONE, SUR: makers.SIERRA, SELVA: RegionId("selva")}
         fixture = SteeringFixture(*targets, settings=makers.make_settings(regions_by_zone=regions))
         found = set()
         for number in range(50):
             key = str(number).encode()
-            upload = kind is RequestKind.UPLOAD
-            states = contended_candidates(fixture.steering, upload, PEDIDOS, key, frozenset())
+            states = contended_candidates(fixture.steering, PEDIDOS, key, frozenset())
             first, second, third = [regions[state.target.zone] for state in states]
             self.assertTrue(first == second != third)
             found.add(states[0].target.zone)
         self.assertEqual(firsts, found)
 
+    @parameterized.expand(
+        [
+            ("contended", True, RequestKind.UPLOAD, {NORTE}),
+            ("other kinds", True, RequestKind.UNSAFE, None),
+            ("not contended", False, RequestKind.UPLOAD, {NORTE, SUR}),
+        ]
+    )
+    def test_uploads(
+        self, _: str, contended: bool, kind: RequestKind, zones: t.Optional[t.Set[ZoneId]]
+    ) -> None:
+        """Guards against uploads that cross zones, and whose asks wait behind their own bodies."""
+        targets = [make_target(n, zone=(NORTE, SUR, SUR)[n % 3]) for n in range(12)]
+        regions = {**makers.REGIONS_BY_ZONE, SUR: makers.SIERRA}
+        self.fixture = SteeringFixture(
+            *targets, settings=makers.make_settings(regions_by_zone=regions)
+        )
+        found = set()
+        for number in range(50):
+            self.request = self.make_request(contended=contended, route=make_route(kind=kind))
+            self.request.object_key = str(number).encode()
+            client = FakeClient("A100")
+            reservation = self.select(client)
+            self.assertEqual(zones is None, bool(client.asks))
+            found.add(reservation.state.target.zone)
+            reservation.release()
+        self.assertEqual(zones or {NORTE, SUR}, found)
+
     @parameterized.expand(
         [("unknown", None, 2), ("at the limit", 0.95, 2), ("above it", 0.96, 1), ("full", 3.0, 1)]
     )
@@ -512,7 +537,7 @@
         counts = set()
         for number in range(50):
             key = str(number).encode()
-            states = contended_candidates(fixture.steering, False, PEDIDOS, key, frozenset())
+            states = contended_candidates(fixture.steering, PEDIDOS, key, frozenset())
             zones = [state.target.zone for state in states]
             # An object of another region has two candidates there, whatever its load.
             expected = near_count if zones[0] == NORTE else 2
