--- a/tests/traffic/test_target_selection.py
+++ b/tests/traffic/test_target_selection.py
@@ -332,6 +332,33 @@
         reservation.release()
         self.assertEqual(0, reservation.state.in_flight)
 
+    @parameterized.expand(
+        [
+            ("contended", True, RequestKind.UPLOAD, {NORTE}),
+            ("other kinds", True, RequestKind.UNSAFE, None),
+            ("not contended", False, RequestKind.UPLOAD, {NORTE, SUR}),
+        ]
+    )
+    def test_uploads(
+        self, _: str, contended: bool, kind: RequestKind, zones: t.Optional[t.Set[ZoneId]]
+    ) -> None:
+        """Guards against uploads that cross zones, and whose asks wait behind their own bodies."""
+        targets = [make_target(n, zone=(NORTE, SUR, SUR)[n % 3]) for n in range(12)]
+        regions = {**makers.REGIONS_BY_ZONE, SUR: makers.SIERRA}
+        self.fixture = SteeringFixture(
+            *targets, settings=makers.make_settings(regions_by_zone=regions)
+        )
+        found = set()
+        for number in range(50):
+            self.request = self.make_request(contended=contended, route=make_route(kind=kind))
+            self.request.object_key = str(number).encode()
+            client = FakeClient("A100")
+            reservation = self.select(client)
+            self.assertEqual(zones is None, bool(client.asks))
+            found.add(reservation.state.target.zone)
+            reservation.release()
+        self.assertEqual(zones or {NORTE, SUR}, found)
+
     def test_service_that_is_not_contended(self) -> None:
         """Guards against asks, pauses and other choices for services that are not contended."""
         self.request = self.make_request(contended=False)
@@ -493,33 +520,6 @@
             found.add(states[0].target.zone)
         self.assertEqual(firsts, found)
 
-    @parameterized.expand(
-        [
-            ("contended", True, RequestKind.UPLOAD, {NORTE}),
-            ("other kinds", True, RequestKind.UNSAFE, None),
-            ("not contended", False, RequestKind.UPLOAD, {NORTE, SUR}),
-        ]
-    )
-    def test_uploads(
-        self, _: str, contended: bool, kind: RequestKind, zones: t.Optional[t.Set[ZoneId]]
-    ) -> None:
-        """Guards against uploads that cross zones, and whose asks wait behind their own bodies."""
-        targets = [make_target(n, zone=(NORTE, SUR, SUR)[n % 3]) for n in range(12)]
-        regions = {**makers.REGIONS_BY_ZONE, SUR: makers.SIERRA}
-        self.fixture = SteeringFixture(
-            *targets, settings=makers.make_settings(regions_by_zone=regions)
-        )
-        found = set()
-        for number in range(50):
-            self.request = self.make_request(contended=contended, route=make_route(kind=kind))
-            self.request.object_key = str(number).encode()
-            client = FakeClient("A100")
-            reservation = self.select(client)
-            self.assertEqual(zones is None, bool(client.asks))
-            found.add(reservation.state.target.zone)
-            reservation.release()
-        self.assertEqual(zones or {NORTE, SUR}, found)
-
     @parameterized.expand(
         [("unknown", None, 2), ("at the limit", 0.95, 2), ("above it", 0.96, 1), ("full", 3.0, 1)]
     )
