--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -15,7 +15,6 @@
 from ..placement.affinity import AffinitySteering
 from ..placement.buckets import TokenBuckets
 from ..placement.contention import Contention
-from ..placement.dispatch_ledger import DispatchLedger
 from ..placement.quarantine import Quarantine, crash_digest
 from ..placement.retry_budget import SharedRetryBudget
 from ..placement.targets import TargetRegistry
@@ -26,10 +25,7 @@
 from ..settings import HttpSettings
 from .callers import CallersApp
 from .crash_detector import Crash, CrashDetector
-from .dispatch_client import DispatchClient
-from .dispatch_selection import DispatchSelector
-from .dispatch_server import DispatchServer
-from .dispatchers import Dispatchers
+from .dispatch_parts import build_dispatch
 from .follower import Follower
 from .forwarder import Forwarder
 from .gossip import Gossip, GossipServer
@@ -44,7 +40,6 @@
 from .registry import Registry
 from .state_view import StateView
 from .target_permits import TargetPermits
-from .target_selection import LocalSelector, TargetSelector
 from .telemetry import MetricsApp, Telemetry
 from .tenants import TenantAuthenticator
 
@@ -111,10 +106,18 @@
         self.crash_detector.on_crash = self._note_crash
         self.quarantine = Quarantine(settings.quarantine_s, clock)
         self._build_permits()
-        self._build_dispatch()
+        self.dispatch = build_dispatch(
+            self.members,
+            self.targets,
+            self.steering,
+            self.contention,
+            self._make_dispatch_links,
+            self.telemetry,
+            clock,
+        )
         self.forwarder = Forwarder(
             names,
-            self._build_selector(),
+            self.dispatch.selector,
             self.steering,
             self.targets,
             self.pool,
@@ -163,8 +166,8 @@
             self._peer_server,
             self.gossip,
             self.permits,
-            self.dispatch_server,
-            self.dispatch_client,
+            self.dispatch.server,
+            self.dispatch.client,
             FunctionChild("register", self.registry.register, temporary=True),
             HttpServer("readiness", readiness, settings.readiness_address),
             HttpServer("lookup", lookup, settings.lookup_address),
@@ -205,7 +208,7 @@
     async def drain(self) -> None:
         """Announces that this entry leaves, and goes on serving while callers still arrive."""
         self.members.update_own(leaving=True)
-        self.dispatch_server.close()
+        self.dispatch.server.close()
         self._callers_server.close_connections_after_answers()
         log.info("entry.leaving", in_hand=self.callers.in_flight)
         unregister = asyncio.create_task(self.registry.unregister())
@@ -266,37 +269,11 @@
         )
         self.permits.sources += [self.quotas, self.target_permits]
 
-    def _build_dispatch(self) -> None:
-        settings = self.settings
+    def _make_dispatch_links(self) -> PeerLinks:
         own = self.members.own_record
         hello = Hello(entry_id=own.entry_id, incarnation=own.incarnation)
-        admission = self.steering.admission
-        ledger = DispatchLedger(own.entry_id, self.targets, admission, self.clock)
-        self.dispatch_ledger = ledger
-        # Apart from each other, so that no notice waits for an answer on the same stream.
-        notice_links, ask_links = [
-            PeerLinks(_fleet_key(settings), hello, self._traffic, defaults.MAX_DISPATCH_LINKS)
-            for _ in range(2)
-        ]
-        self.dispatch_server = DispatchServer(self.members, ledger, notice_links, self.clock)
-        self.dispatch_client = DispatchClient(
-            self.members,
-            Dispatchers(self.members, settings, self.clock),
-            self.dispatch_server,
-            ask_links,
-            self.telemetry,
-            self.clock,
-        )
-        region_load = self.steering.rankings.region_load
-        region_load.is_contended = self.contention.is_contended
-        region_load.service_load = self.dispatch_client.service_load
-        region_load.remote_load = self.dispatch_client.remote_load
-
-    def _build_selector(self) -> TargetSelector:
-        local = LocalSelector(self.steering, self.clock)
-        return DispatchSelector(
-            local, self.dispatch_client, self.steering, self.targets, self.clock
-        )
+        key = _fleet_key(self.settings)
+        return PeerLinks(key, hello, self._traffic, defaults.MAX_DISPATCH_LINKS)
 
     def _build_peers(self) -> None:
         settings = self.settings
@@ -319,8 +296,8 @@
             self.gossip.relay,
             self.gossip.pull,
             self.permits,
-            self.dispatch_server,
-            self.dispatch_client,
+            self.dispatch.server,
+            self.dispatch.client,
             traffic,
             self.metrics,
         )
--- a/src/coralfall/traffic/telemetry.py
+++ b/src/coralfall/traffic/telemetry.py
@@ -195,9 +195,9 @@
         gauge("target_departures", count, "Targets that said so as they left.", service=service)
     for service, count in reports.cooldowns.started_by_service.items():
         gauge("target_cooldowns", count, "Cooldowns that targets began.", service=service)
-    silent = node.dispatch_client.silent_count()
+    silent = node.dispatch.client.silent_count()
     gauge("dispatchers_silent", silent, "Dispatchers that are not asked as they did not answer.")
-    ledger = node.dispatch_ledger
+    ledger = node.dispatch.ledger
     gauge("dispatch_targets", ledger.target_count(), "Targets whose slots this entry assigns.")
     gauge("dispatch_assigned", ledger.assigned, "Assignments of slots in force here.")
     gauge("dispatch_queued", ledger.queued, "Asks that wait here for a slot.")
--- a/tests/traffic/test_dispatch_ledger.py
+++ b/tests/traffic/test_dispatch_ledger.py
@@ -404,7 +404,7 @@
     def gauges(self) -> t.Dict[str, float]:
         """The gauges of the ledger, as operators read them."""
         telemetry = Telemetry()
-        update_gauges(telemetry, unittest.mock.MagicMock(dispatch_ledger=self.ledger))
+        update_gauges(telemetry, unittest.mock.MagicMock(**{"dispatch.ledger": self.ledger}))
         lines = telemetry.render().decode().splitlines()
         start = "coralfall_dispatch_"
         pairs = [line[len(start) :].split() for line in lines if line.startswith(start)]
