--- a/src/coralfall/traffic/callers.py
+++ b/src/coralfall/traffic/callers.py
@@ -107,8 +107,8 @@
         )
         await send({"type": "http.response.body", "body": reply.body})
         wait_drained = scope.get("extensions", {}).get(DRAIN_EXTENSION)
-        if answer.held and wait_drained is not None:
-            await wait_drained(answer.contended)
+        if answer.contended and answer.held and wait_drained is not None:
+            await wait_drained(True)
 
     async def _serve(self, request: SteeredRequest, receive: "Receive") -> Reply:
         if request.body is not None:
