--- a/src/coralfall/dispatch_settings.py
+++ b/src/coralfall/dispatch_settings.py
@@ -21,6 +21,10 @@
 
     #: `auto`: the services of a contended installation, and those whose targets report the pace of
     #: their machines; `on`: all services; `off`: none.
-    mode: DispatchMode = DispatchMode.AUTO
+    mode: DispatchMode = DispatchMode.OFF
     #: Whether the installation is contended, so that all of its services are.
     contended: bool = False
+
+    def is_installation_contended(self) -> bool:
+        """Whether the whole installation is treated as contended."""
+        return self.contended and self.mode is not DispatchMode.OFF
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -198,7 +198,7 @@
         self.budget.bounds = settings.bounds
         self.tenant_authenticator.bounds = settings.bounds
         self.quotas.bounds = settings.bounds
-        self.quotas.contended = settings.dispatch.contended
+        self.quotas.contended = settings.dispatch.is_installation_contended()
         self.quarantine.set_retention(settings.quarantine_s)
         self.lookup.set_bounds(settings.bounds)
         self.gossip.seeds = settings.seeds
@@ -263,7 +263,7 @@
         links = PeerLinks(_fleet_key(settings), hello, self._traffic)
         self.permits = Permits(self.members, links, TokenBuckets(self.clock), self.clock)
         self.quotas = Quotas(self.permits, self.state_view, settings.bounds, self.clock)
-        self.quotas.contended = settings.dispatch.contended
+        self.quotas.contended = settings.dispatch.is_installation_contended()
         self.target_permits = TargetPermits(
             self.permits, self.steering.limits, self.targets, settings, self.clock
         )
--- a/tests/traffic/test_target_selection.py
+++ b/tests/traffic/test_target_selection.py
@@ -546,13 +546,30 @@
             counts.add((zones[0], expected))
         self.assertEqual({(NORTE, near_count), (PUERTO, 2)}, counts)
 
+    @parameterized.expand(
+        [
+            ("default", DispatchSettings(contended=True), False, False),
+            ("auto", DispatchSettings(mode=DispatchMode.AUTO, contended=True), True, True),
+            ("on", DispatchSettings(mode=DispatchMode.ON), True, False),
+        ]
+    )
+    def test_what_settings_switch_on(
+        self, _: str, dispatch: DispatchSettings, contended: bool, installation: bool
+    ) -> None:
+        """Guards against installations that are served otherwise without being set to be."""
+        contention = Contention(dispatch, ManualClock(0.0))
+        contention.record_pace(PEDIDOS)
+        self.assertEqual(contended, contention.is_contended(PEDIDOS))
+        self.assertEqual(installation, dispatch.is_installation_contended())
+
     @parameterized.expand([(True,), (False,)])
     def test_two_routes_with_the_same_key(self, contended: bool) -> None:
         """Guards against objects that move to other targets when a service becomes contended."""
         view = mock.Mock()
         view.routes.find = lambda _host, path: make_route(route_id=RouteId(path))
         view.split.choose.return_value = PEDIDOS
-        contention = Contention(DispatchSettings(contended=contended), ManualClock(0.0))
+        dispatch = DispatchSettings(mode=DispatchMode.AUTO, contended=contended)
+        contention = Contention(dispatch, ManualClock(0.0))
         other: t.Any = mock.Mock()
         other.authenticate.return_value = None
         app = CallersApp(HEADERS, view, other, other, other, other, contention, ManualClock(0.0))
