Tell from one entry's log which services it can't connect to

Change: service.unreached and service.reached, coralfall_connects_total by result, coralfall_services_unreached, and refused= in target.resting. The pool tells of each attempt to connect, also of one without an answer. No decision changes.

--- a/src/coralfall/placement/targets.py
+++ b/src/coralfall/placement/targets.py
@@ -229,6 +229,7 @@
             target=self.target.target_id,
             failures=self._failures,
             reached=reached,
+            refused=refused,
             silent=silent,
             seconds=seconds,
         )
--- a/src/coralfall/reporting/explain.py
+++ b/src/coralfall/reporting/explain.py
@@ -27,6 +27,7 @@
     "entry.",
     "targets.",
     "row.",
+    "service.",
     "process.",
     "quota.",
     "log.dropped",
--- a/src/coralfall/traffic/crash_detector.py
+++ b/src/coralfall/traffic/crash_detector.py
@@ -13,6 +13,7 @@
 from .. import defaults
 from ..exceptions import TargetNotRunError
 from ..process import log
+from .pool import ConnectResult
 
 if t.TYPE_CHECKING:
     from ..placement.fingerprint import CallerDigest, Fingerprint
@@ -72,7 +73,7 @@
         self._tasks: t.Set["asyncio.Task[None]"] = set()
         #: Called for each crash.
         self.on_crash: t.Callable[[Crash], None] = lambda crash: None
-        pool.on_connect_attempt = self._note_connect_attempt
+        pool.connect_listeners.append(self._note_connect_attempt)
 
     def note_interrupted(self, state: "TargetState", request: InterruptedRequest) -> None:
         """Records that a connection ended before the response to a request was complete."""
@@ -129,13 +130,14 @@
         return probe.listening.done() and not probe.listening.result()
 
     def _note_connect_attempt(self, attempt: "ConnectAttempt") -> None:
-        probe = self._probes.get(attempt.address)
-        if probe is None or probe.listening.done():
+        probe = self._probes.get(attempt.target.address)
+        if probe is None or probe.listening.done() or attempt.result is ConnectResult.FAILED:
             return
-        if attempt.is_listening and attempt.started_at < probe.requested_at:
+        is_listening = attempt.result is ConnectResult.CONNECTED
+        if is_listening and attempt.started_at < probe.requested_at:
             # The connection may have been accepted just before the process ended.
             return
-        probe.listening.set_result(attempt.is_listening)
+        probe.listening.set_result(is_listening)
 
     def _report(self, state: "TargetState", requests: t.Sequence[InterruptedRequest]) -> None:
         target = state.target
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -16,6 +16,7 @@
 from ..placement.buckets import TokenBuckets
 from ..placement.contention import Contention
 from ..placement.quarantine import Quarantine, crash_digest
+from ..placement.reachability import Reachability
 from ..placement.retry_budget import SharedRetryBudget
 from ..placement.targets import TargetRegistry
 from ..process import log
@@ -35,7 +36,7 @@
 from .model import DesiredState, EntryRecord
 from .permits import Permits
 from .poll_intervals import PollIntervals, poll_intervals_for
-from .pool import ConnectionPool
+from .pool import ConnectAttempt, ConnectionPool, ConnectResult
 from .quotas import Quotas
 from .registry import Registry
 from .state_view import StateView
@@ -104,6 +105,8 @@
         self.targets.on_restart = self.pool.discard_connections
         self.crash_detector = CrashDetector(self.targets, self.pool, clock)
         self.crash_detector.on_crash = self._note_crash
+        self.reachability = Reachability(self.targets, clock)
+        self.pool.connect_listeners.append(self._note_connect_attempt)
         self.quarantine = Quarantine(settings.quarantine_s, clock)
         self._build_permits()
         self.dispatch = build_dispatch(
@@ -228,6 +231,15 @@
         self.budget.entry_count = self.members.fleet_size()
         self.steering.cold_shares.set_entries(self.members.known_ids())
 
+    def _note_connect_attempt(self, attempt: ConnectAttempt) -> None:
+        target = attempt.target
+        self.telemetry.count_connect(target.service, attempt.result)
+        if attempt.result is ConnectResult.CONNECTED:
+            self.reachability.record_success(target.service)
+            return
+        refused = attempt.result is ConnectResult.REFUSED
+        self.reachability.record_failure(target.service, target.target_id, refused)
+
     def _note_crash(self, crash: Crash) -> None:
         target = crash.target
         self.telemetry.count_crash(target.service)
--- a/src/coralfall/traffic/pool.py
+++ b/src/coralfall/traffic/pool.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import enum
 import errno
 import typing as t
 
@@ -31,14 +32,23 @@
 _LOCAL_ERRNOS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.EADDRNOTAVAIL))
 
 
+class ConnectResult(enum.Enum):
+    """What became of an attempt to connect."""
+
+    CONNECTED = "connected"
+    #: The address answered that nothing listens there.
+    REFUSED = "refused"
+    #: The connection was reset, or there was no answer in time.
+    FAILED = "failed"
+
+
 class ConnectAttempt(t.NamedTuple):
-    """Outcome of an attempt to connect to an address."""
+    """An attempt to connect to a target that has ended."""
 
-    address: str
+    target: "Target"
     #: Monotonic time at which it began.
     started_at: float
-    #: Whether a process listens on the address.
-    is_listening: bool
+    result: ConnectResult
 
 
 class ConnectionPool:
@@ -62,8 +72,8 @@
         #: Connections opened so far, and the number of them that were opened in advance.
         self.opened_count = 0
         self.preconnected_count = 0
-        #: Called when a connection was established or refused.
-        self.on_connect_attempt: t.Callable[[ConnectAttempt], None] = lambda attempt: None
+        #: Called after each attempt to connect, unless it failed for want of sockets.
+        self.connect_listeners: t.List[t.Callable[[ConnectAttempt], None]] = []
 
     async def acquire(self, target: "Target", reusable: bool, timeout_s: float) -> ServerConnection:
         """Returns a connection to a target.
@@ -76,22 +86,22 @@
             connection = self._acquire_idle(target.address)
             if connection is not None:
                 return connection
-            return await self._open(target.address, timeout_s)
+            return await self._open(target, timeout_s)
         preconnected = self._preconnected.pop(target.address, None)
         if preconnected is not None and self._is_fresh(preconnected):
             self._preconnect(target)
             return preconnected
         began = self._clock.monotonic()
-        connection = await self._open(target.address, timeout_s)
+        connection = await self._open(target, timeout_s)
         if self._clock.monotonic() - began >= _DISTANT_CONNECT_S:
             self._preconnect(target)
         return connection
 
-    async def _open(self, address: str, timeout_s: float) -> ServerConnection:
+    async def _open(self, target: "Target", timeout_s: float) -> ServerConnection:
         self.opened_count += 1
         began = self._clock.monotonic()
         try:
-            connection = await connect(address, timeout_s, _MAX_ANSWER_BYTES)
+            connection = await connect(target.address, timeout_s, _MAX_ANSWER_BYTES)
         except (OSError, asyncio.TimeoutError) as error:
             if isinstance(error, OSError) and error.errno in _LOCAL_ERRNOS:
                 # The cause is on this entry, not at the target.
@@ -99,19 +109,23 @@
                 raise TargetNotRunError(message, reason=NO_SOCKETS) from error
             message = f"target can't be connected: {error or type(error).__name__}"
             refused = isinstance(error, ConnectionRefusedError)
-            if refused:
-                self.on_connect_attempt(ConnectAttempt(address, began, False))
+            result = ConnectResult.REFUSED if refused else ConnectResult.FAILED
+            self._notify(ConnectAttempt(target, began, result))
             raise TargetNotRunError(message, reason="connect", refused=refused) from error
         connection.last_used_at = self._clock.monotonic()
-        self.on_connect_attempt(ConnectAttempt(address, began, True))
+        self._notify(ConnectAttempt(target, began, ConnectResult.CONNECTED))
         return connection
 
+    def _notify(self, attempt: ConnectAttempt) -> None:
+        for listener in self.connect_listeners:
+            listener(attempt)
+
     async def probe(self, target: "Target", timeout_s: float) -> None:
         """Opens and closes a new connection, to find out whether a target listens.
 
         :raises TargetNotRunError: if no connection can be made.
         """
-        connection = await self._open(target.address, timeout_s)
+        connection = await self._open(target, timeout_s)
         connection.abort()
 
     def _preconnect(self, target: "Target") -> None:
@@ -128,11 +142,12 @@
             or address in self._pending_preconnects
         ):
             return
-        self._pending_preconnects[address] = asyncio.create_task(self._open_preconnected(address))
+        self._pending_preconnects[address] = asyncio.create_task(self._open_preconnected(target))
 
-    async def _open_preconnected(self, address: str) -> None:
+    async def _open_preconnected(self, target: "Target") -> None:
+        address = target.address
         try:
-            connection = await self._open(address, defaults.TARGET_CONNECT_S)
+            connection = await self._open(target, defaults.TARGET_CONNECT_S)
         except TargetNotRunError:
             # No request waits for it. The next one opens its own connection and reports the error.
             return
--- a/src/coralfall/traffic/telemetry.py
+++ b/src/coralfall/traffic/telemetry.py
@@ -15,6 +15,7 @@
 
     from ..ids import ServiceId
     from .node import Node
+    from .pool import ConnectResult
     from .reply import Reply
     from .steered_request import SteeredRequest
 
@@ -61,6 +62,9 @@
         self._crashes = self._counter(
             "target_crashes", "Targets that went down under requests of this entry.", ("service",)
         )
+        self._connects = self._counter(
+            "connects", "Attempts to connect to targets.", ("service", "result")
+        )
         self._lookups = self._counter("lookups", "Look-ups of callers.", ("result",))
         self._loop_delay = prometheus_client.Histogram(
             "coralfall_loop_delay_seconds",
@@ -114,6 +118,10 @@
         """Counts a target that crashed while it ran requests of this entry."""
         self._crashes.labels(service).inc()
 
+    def count_connect(self, service: "ServiceId", result: "ConnectResult") -> None:
+        """Counts an attempt to connect to a target."""
+        self._connects.labels(service, result.value).inc()
+
     def count_lookup(self, found: bool) -> None:
         """Counts a look-up.
 
@@ -186,6 +194,8 @@
     held = node.callers.answer_memory.held
     gauge("answer_bytes_held", held, "Bytes of answers that callers have not taken.")
     gauge("connections_opened", node.pool.opened_count, "Connections opened to targets.")
+    unreached = len(node.reachability.unreached_services())
+    gauge("services_unreached", unreached, "Services of which no target can be connected.")
     quarantined = node.quarantine.refused_count()
     gauge("requests_quarantined", quarantined, "Requests that are sent to no target.")
     limited = len(node.steering.limits.in_force())
