--- a/tests/platform_adapter/test_processes.py
+++ b/tests/platform_adapter/test_processes.py
@@ -39,6 +39,10 @@
 class EntryProcess:
     """One entry as a process, with its settings file, ports and log."""
 
+    #: What the interpreter runs, and variables of its environment beside the settings file.
+    command: t.Sequence[str] = ("-m", "coralfall", "steer")
+    variables: t.Mapping[str, str] = {}
+
     def __init__(self, folder: pathlib.Path, number: int, store: str) -> None:
         self.name = f"e{number}"
         self.zone = ZONES[number % len(ZONES)]
@@ -54,14 +58,15 @@
     def start(self) -> None:
         with open(self.log, "ab") as output:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "coralfall", "steer"],
+                [sys.executable, *self.command],
                 stdout=output,
                 stderr=subprocess.STDOUT,
                 stdin=subprocess.DEVNULL,
                 env={
                     **os.environ,
-                    "PYTHONPATH": str(ROOT / "src"),
+                    "PYTHONPATH": os.pathsep.join((str(ROOT / "src"), str(ROOT))),
                     "CORALFALL_SETTINGS": str(self.settings),
+                    **self.variables,
                 },
             )
 
@@ -80,9 +85,11 @@
 class Installation:
     """Store and entries of an installation, and a client for them."""
 
+    entry_type: t.Type[EntryProcess] = EntryProcess
+
     def __init__(self, folder: pathlib.Path, store: StoreStandin, count: int) -> None:
         self.store = store
-        self.entries = [EntryProcess(folder, number, store.address) for number in range(count)]
+        self.entries = [self.entry_type(folder, number, store.address) for number in range(count)]
         self.session = aiohttp.ClientSession()
         self._sent = 0
 
@@ -437,7 +444,7 @@
             path = pathlib.Path(folder) / "settings.toml"
             path.write_text('entry_id = "e1"\nzon = "z"\n')
             result = subprocess.run(
-                [sys.executable, "-m", "coralfall", "steer"],
+                [sys.executable, *self.command],
                 capture_output=True,
                 env={
                     **os.environ,
