Serve through entries that reach the targets while this one is cut off from them

Cause: an entry takes each failed connection for a fault of that target. Cut off, it ejects one target after the other and counts them as cold, waits 0.35 s for each connect, and refuses the rest (no-target), while callers keep coming. Nothing compares what it reaches with what others reach, and no request can leave it but by its own links. Change: a failed or slow connect to a target, with no other connect of the service since, starts a check: probes to three targets, then indirect probes by up to four other entries, more the next time (SWIM). If one of them reaches targets that this entry does not, the entry is cut off from the service: its failures since the last success are forgotten, no crash is reported, its record says so, and each send goes through an entry that is not cut off. The first entry still decides all (target, quota, budget, limits, retries); the other one makes the last checks and sends, once. Probes that succeed for 0.8 s, longer after relapses, end it. If nobody reaches the targets, nothing changes. One exchange with a target now stands in one module for both (target_exchange).

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -401,3 +401,45 @@
 MAX_BUFFERED_UPLOAD_BYTES = 2 * 1024 * 1024
 #: Maximum size of the head (status line and headers) of a target's answer.
 MAX_ANSWER_HEAD_BYTES = 64 * 1024
+#: Time that a connection to a target may take before its service is suspected to be unreachable.
+REACH_SLOW_CONNECT_S = 0.15
+#: Time that a suspicion waits for a connection to any target of the service, time limit of a probe,
+#: and time for which a request that could not be connected waits for the end of a check.
+REACH_GRACE_S = 0.02
+REACH_PROBE_S = 0.25
+REACH_SETTLE_S = 0.1
+#: Time limit of another entry's answer whether it reaches some targets, and the age up to which it
+#: answers by its last connection to a target instead of a new one.
+REACH_ASK_S = 0.5
+REACH_KNOWN_S = 1.0
+#: Number of entries that a check asks, first and at most.
+REACH_ASKED_ENTRIES = 4
+MAX_REACH_ASKED_ENTRIES = 32
+#: Shortest time between two checks of a service that is reached, and the time after a check in
+#: which nobody reached it, first and longest.
+REACH_CHECK_INTERVAL_S = 0.5
+REACH_RECHECK_S = 0.3
+MAX_REACH_RECHECK_S = 2.0
+#: Time between two rounds of probes of an entry that is cut off, and rounds between two questions
+#: to others whether they still reach the service.
+REACH_ROUND_S = 0.4
+REACH_ROUNDS_PER_ASK = 5
+#: Time for which probes have to succeed until an entry uses its own connections again, first and
+#: longest, and the time after its return within which being cut off again doubles it.
+REACH_HOLD_S = 0.8
+MAX_REACH_HOLD_S = 8.0
+REACH_RELAPSE_S = 30.0
+#: Maximum number of requests in transit from one entry to another, those that an entry carries for
+#: all others together, and the bytes of their bodies and answers.
+MAX_TRANSITS_BY_ENTRY = 48
+MAX_TRANSITS = 128
+MAX_TRANSIT_BYTES = 16 * 1024 * 1024
+#: Time limit for opening a stream to an entry that carries requests, time for which an entry that
+#: could not carry one is not chosen, and the time after which a stream without requests is closed.
+TRANSIT_CONNECT_S = 0.3
+TRANSIT_AVOID_S = 1.0
+TRANSIT_IDLE_S = 30.0
+#: Time without any answer on a stream after which its entry is not chosen for further requests.
+TRANSIT_SILENT_S = 1.0
+#: Retry-After of requests that no entry can carry.
+TRANSIT_RETRY_AFTER_S = 0.5
--- a/src/coralfall/peering/messages.py
+++ b/src/coralfall/peering/messages.py
@@ -30,6 +30,11 @@
     PermitReply,
     PermitRequest,
     Push,
+    ReachReply,
+    ReachRequest,
+    TransitCancel,
+    TransitReply,
+    TransitRequest,
 )
 from .message import Message as Message
 
@@ -137,4 +142,9 @@
     DispatchRequest,
     DispatchReply,
     DispatchNotice,
+    ReachRequest,
+    ReachReply,
+    TransitRequest,
+    TransitCancel,
+    TransitReply,
 ]
--- a/src/coralfall/peering/peer_server.py
+++ b/src/coralfall/peering/peer_server.py
@@ -150,16 +150,26 @@
         finally:
             self._channels.pop(channel, None)
             channel.abort()
+            self.drop(channel)
 
     async def _take_turn(self, channel: Channel) -> None:
         async with asyncio.timeout(defaults.PEER_IDLE_S):
             message = await channel.receive()
         if channel in self._channels:
             self._channels.move_to_end(channel)
+        if self.take(channel, message):
+            return
         answer = self.answer(channel.peer, message)
         if answer is not None:
             await channel.send(answer)
 
+    def take(self, channel: Channel, message: "AnyMessage") -> bool:
+        """Whether a message is answered later, on the same channel; by default none is."""
+        return False
+
+    def drop(self, channel: Channel) -> None:
+        """Called when a channel has ended."""
+
     @abc.abstractmethod
     def answer(self, peer: "Hello", message: "AnyMessage") -> t.Optional["AnyMessage"]:
         """What to send back for a message, if anything.
--- a/src/coralfall/placement/targets.py
+++ b/src/coralfall/placement/targets.py
@@ -77,6 +77,12 @@
         self._failures = 0
         self._ejections = 0
         self._ejected_until = -float("inf")
+        #: Monotonic time of the first failure in a row, and when the target stops to count as cold
+        #: for its failures alone.
+        self._failing_since = float("inf")
+        self._suspected_cold_until = -float("inf")
+        #: Monotonic time at which this entry last connected to it.
+        self.connected_at = -float("inf")
 
     @property
     def leaving(self) -> bool:
@@ -183,7 +189,7 @@
 
     def is_cold(self) -> bool:
         """Whether it is warming up and can serve only a few requests a second."""
-        return self._clock.monotonic() < self.cold_until
+        return self._clock.monotonic() < max(self.cold_until, self._suspected_cold_until)
 
     def record_load(self, running: int, waiting: int) -> None:
         """Records the load that the target reports."""
@@ -202,6 +208,20 @@
         self._answered_at = self._clock.monotonic()
         self._failures = 0
         self._ejections = 0
+        self._failing_since = float("inf")
+
+    def forget_failures(self, since: float) -> None:
+        """Undoes the failures of a series that began at a time or later.
+
+        They turned out to be no evidence about the target. Requests in flight count as if they had
+        been sent now.
+        """
+        if self._failing_since >= since:
+            self._failures = 0
+            self._ejections = 0
+            self._ejected_until = self._suspected_cold_until = -float("inf")
+            self._failing_since = float("inf")
+        self._answered_at = self._clock.monotonic()
 
     def record_failure(
         self, reached: bool, silent_since: t.Optional[float] = None, refused: bool = False
@@ -216,6 +236,7 @@
         :param silent_since: start of the request, if it timed out without an answer.
         """
         self._failures += 1
+        self._failing_since = min(self._failing_since, self._clock.monotonic())
         if refused or (not reached and self._ejections >= _DOWN_EJECTIONS):
             self._treat_as_restarted()
         silent = silent_since is not None and silent_since > self._answered_at
@@ -240,8 +261,7 @@
         It may restart cold under the same id, and then can serve only a few requests a second;
         entries that reach it again before they read its new row would send it its full load.
         """
-        until = self._clock.monotonic() + self._row_delay_s
-        self.cold_until = max(self.cold_until, until)
+        self._suspected_cold_until = self._clock.monotonic() + self._row_delay_s
 
 
 class TargetRegistry:
--- a/src/coralfall/reporting/explain.py
+++ b/src/coralfall/reporting/explain.py
@@ -14,6 +14,9 @@
 #: Seconds before the end of a request whose events belong to its story.
 CONTEXT_S = 8.0
 
+#: Begins the part of a send that names the entry which carried it.
+_VIA = "via="
+
 _PAIR = re.compile(r'([A-Za-z0-9_.-]+)=("(?:[^"\\]|\\.)*"|\S*)')
 _ESCAPED = re.compile(r"\\(u[0-9a-f]{4}|U[0-9a-f]{8}|.)")
 _PLAIN_BY_ESCAPE = {"n": "\n", "r": "\r", "t": "\t"}
@@ -45,6 +48,9 @@
     "memory": "too many bytes of answers waited at the entry for callers to read them",
     "connect": "no target could be connected; nothing was sent",
     "time": "a target had the request and gave no whole answer in time; it may have run",
+    "no-path": "this entry was cut off from the targets, and no other could carry the request",
+    "transit-body": "the body was too long to be carried by another entry; nothing was sent",
+    "too-long": "the answer was too long to be carried by another entry; the target had run it",
     "stale": "a connection kept from before was dead; a request that may run twice is sent again",
     "broken": "the connection ended within the exchange; the target may have run the request",
     "mixed": "a target sent another request's answer; nothing of it was passed on",
@@ -96,6 +102,8 @@
     limit_per_s: t.Optional[float] = None
     #: Why the target wanted no request by its own word: ``leaving``, ``cooldown``, or empty.
     restriction: str = ""
+    #: Entry that carried the request, if the one of the line was cut off from the target.
+    via: str = ""
 
 
 class LogEvent(t.NamedTuple):
@@ -266,7 +274,8 @@
     knew = "knew the object" if send.known else "had to learn the object"
     limit = "" if send.limit_per_s is None else f", limited to {send.limit_per_s:g} requests/s"
     unwanted = _RESTRICTIONS.get(send.restriction, "")
-    return f" ({send.load:g} in hand of {send.slots} slots, {where}, {knew}{limit}{unwanted})"
+    via = f", by way of entry {send.via}" if send.via else ""
+    return f" ({send.load:g} in hand of {send.slots} slots, {where}, {knew}{limit}{unwanted}{via})"
 
 
 def sends_of(fields: t.Mapping[str, str]) -> t.List[LoggedSend]:
@@ -288,6 +297,7 @@
         load, _, slots = full.partition("/")
         limits = [float(word.removesuffix("/s")) for word in words if word.endswith("/s")]
         restrictions = [word for word in words if word in _RESTRICTIONS]
+        carriers = [word.removeprefix(_VIA) for word in words if word.startswith(_VIA)]
         return LoggedSend(
             target,
             result,
@@ -298,6 +308,7 @@
             where == "near",
             limits[0] if limits else None,
             restrictions[0] if restrictions else "",
+            carriers[0] if carriers else "",
         )
     except ValueError:
         return None
--- a/src/coralfall/traffic/crash_detector.py
+++ b/src/coralfall/traffic/crash_detector.py
@@ -73,6 +73,8 @@
         self._tasks: t.Set["asyncio.Task[None]"] = set()
         #: Called for each crash.
         self.on_crash: t.Callable[[Crash], None] = lambda crash: None
+        #: Tells whether a target that refused a connection is down, or just not reached from here.
+        self.confirm_down: t.Callable[["Target"], t.Awaitable[bool]] = _confirm
         pool.connect_listeners.append(self._note_connect_attempt)
 
     def note_interrupted(self, state: "TargetState", request: InterruptedRequest) -> None:
@@ -89,6 +91,12 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    def note_crashed(self, state: "TargetState", request: InterruptedRequest) -> None:
+        """Records a request during which the target crashed, as the entry that carried it tells."""
+        if self._is_unplanned(state):
+            self._crashed_at[state] = self._clock.monotonic()
+            self._report(state, [request])
+
     def drop_expired(self) -> None:
         """Drops crashes to which no further connection can be attributed."""
         since = self._clock.monotonic() - _SAME_CRASH_WINDOW_S
@@ -106,15 +114,17 @@
         return is_listed and not target.leaving
 
     async def _investigate(self, state: "TargetState") -> None:
-        is_down = await self._is_down(state)
+        is_down = await self.is_down(state)
         if is_down:
             await asyncio.sleep(_COLLECT_S)
+            is_down = await self.confirm_down(state.target)
         requests = self._interrupted.pop(state)
         if is_down:
             self._crashed_at[state] = self._clock.monotonic()
             self._report(state, requests)
 
-    async def _is_down(self, state: "TargetState") -> bool:
+    async def is_down(self, state: "TargetState") -> bool:
+        """Whether nothing listens at the address of a target whose connection ended."""
         address = state.target.address
         listening = asyncio.get_running_loop().create_future()
         probe = _Probe(self._clock.monotonic(), listening)
@@ -152,3 +162,7 @@
             ),
         )
         self.on_crash(Crash(target, requests))
+
+
+async def _confirm(_target: "Target") -> bool:
+    return True
--- a/src/coralfall/traffic/dispatch_outcome.py
+++ b/src/coralfall/traffic/dispatch_outcome.py
@@ -5,14 +5,17 @@
 from ..exceptions import TargetNotRunError, TargetTimeoutError, TargetUnknownError
 from ..placement.dispatch import AskNumber, AttemptOutcome, DispatchRelease, ReportedLoad
 from .response_check import REJECTED_PREFIX
+from .target_connections import NO_PATH
+from .target_exchange import STALE
 
 if t.TYPE_CHECKING:
     from .steered_request import Attempt
 
 #: Pace, in percent, of targets that report none.
 _USUAL_PACE = 100
-#: Results that are no evidence about the target: only the reused connection is known to be dead.
-_NO_EVIDENCE = frozenset(("stale",))
+#: Results that are no evidence about the target: the reused connection is dead, or the path to the
+#: target is lost.
+_NO_EVIDENCE = frozenset((STALE, NO_PATH))
 
 
 def release_of(
@@ -31,11 +34,11 @@
     """Returns the outcome of an attempt that ended with an error; ``None`` if it was answered."""
     if error is None:
         return AttemptOutcome.ANSWERED
-    if isinstance(error, TargetTimeoutError):
-        return AttemptOutcome.TIMED_OUT
     if isinstance(error, TargetUnknownError):
-        unknown = error.fields.get("reason") in _NO_EVIDENCE
-        return AttemptOutcome.CANCELLED if unknown else AttemptOutcome.BROKEN
+        if error.fields.get("reason") in _NO_EVIDENCE:
+            return AttemptOutcome.CANCELLED
+        timed_out = isinstance(error, TargetTimeoutError)
+        return AttemptOutcome.TIMED_OUT if timed_out else AttemptOutcome.BROKEN
     if not isinstance(error, TargetNotRunError):
         return AttemptOutcome.CANCELLED
     reason = str(error.fields.get("reason", ""))
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -20,7 +20,6 @@
 )
 from ..placement.fingerprint import caller_digest
 from ..placement.targets import COOLDOWN, WITHDRAWN
-from .connection import BrokenResponseError, ServerConnection, ServerResponse
 from .crash_detector import InterruptedRequest
 from .pool import NO_SOCKETS
 from .reply import Reply, reply_from_error, reply_from_response
@@ -28,6 +27,8 @@
 from .request_fingerprints import RequestFingerprints
 from .response_check import REJECTED_PREFIX, ResponseCheck
 from .steered_request import Attempt, SteeredRequest
+from .target_connections import NO_PATH, TargetConnection
+from .target_exchange import STALE, OutgoingRequest, time_left_to_send
 from .target_permits import LIMITED
 from .target_report_reader import TargetReportReader
 
@@ -40,19 +41,20 @@
     from ..placement.retry_budget import SharedRetryBudget
     from ..placement.targets import TargetRegistry, TargetState
     from ..process.clock import Clock
+    from .connection import ServerResponse
     from .crash_detector import CrashDetector
-    from .pool import ConnectionPool
+    from .target_connections import TargetConnections
     from .target_permits import TargetPermit, TargetPermits
     from .target_selection import TargetSelector
     from .wire import HeaderNames
 
 _FIRST_SERVER_ERROR = 500
-#: Result of an attempt on a reused connection that ended before any byte of a response.
-_STALE = "stale"
 #: Reason of rejecting a request that crashes targets and is therefore no longer forwarded.
 QUARANTINED = "quarantined"
 #: Reasons of attempts abandoned before a byte was sent because the target accepts no requests.
 _NOT_ACCEPTING = frozenset((WITHDRAWN, COOLDOWN))
+#: Reasons of attempts that did not reach the target.
+_CONNECT_FAILURES = frozenset(("connect", NO_PATH))
 #: Failed connects of one request from which on another attempt needs the retry budget.
 _MAX_CONNECT_FAILURES = 4
 #: Targets without a token after which a request skips all targets that have a limit.
@@ -66,7 +68,7 @@
     :param selector: selects the target of each attempt.
     :param steering: tells which requests are late and when rejected callers may retry.
     :param targets: state of the targets.
-    :param pool: connections to targets.
+    :param connections: opens connections to targets.
     :param budget: bounds the number of retries.
     :param crash_detector: is notified of connections that end during a request.
     :param quarantine: knows the requests that crash targets.
@@ -80,7 +82,7 @@
         selector: "TargetSelector",
         steering: "AffinitySteering",
         targets: "TargetRegistry",
-        pool: "ConnectionPool",
+        connections: "TargetConnections",
         budget: "SharedRetryBudget",
         crash_detector: "CrashDetector",
         quarantine: "Quarantine",
@@ -90,7 +92,7 @@
         self._selector = selector
         self._steering = steering
         self._targets = targets
-        self._pool = pool
+        self._connections = connections
         self._budget = budget
         self._crash_detector = crash_detector
         self._quarantine = quarantine
@@ -98,7 +100,8 @@
         self._clock = clock
         #: Reads what responses report about their targets.
         self.report_reader = TargetReportReader(names, clock)
-        self._response_check = ResponseCheck(names, self.report_reader, targets, steering)
+        #: Checks responses, and records what they report.
+        self.response_check = ResponseCheck(names, self.report_reader, targets, steering)
         self._request_encoder = RequestEncoder(names)
         self._fingerprints = RequestFingerprints(names)
 
@@ -135,6 +138,10 @@
             tried.add(reservation.state.target.target_id)
             try:
                 response = await self._attempt(request, reservation)
+            except RefusedError as refusal:
+                if failed_reply is not None:
+                    return failed_reply
+                raise _more_severe(failure, refusal) from refusal
             except TargetError as error:
                 failure = _more_severe(failure, error)
                 if error.fields.get("reason") == NO_SOCKETS and failed_reply is None:
@@ -147,15 +154,17 @@
                     continue
                 if error.fields.get("reason") in _NOT_ACCEPTING and self._has_time(request):
                     continue
-                if error.fields.get("reason") == "connect":
+                if error.fields.get("reason") in _CONNECT_FAILURES and not _may_have_run(error):
                     connect_failures += 1
+                    if error.fields["reason"] == NO_PATH:
+                        tried.discard(reservation.state.target.target_id)
                     if connect_failures < _MAX_CONNECT_FAILURES and self._has_time(request):
                         continue
                 if not self._may_retry(request, failure):
                     if failed_reply is not None:
                         return failed_reply
                     raise failure from error
-                if error.fields.get("reason") == _STALE:
+                if error.fields.get("reason") == STALE:
                     # Only the reused connection is known to be dead, not the target.
                     tried.discard(reservation.state.target.target_id)
                 retry_target = (
@@ -185,7 +194,7 @@
 
     async def _attempt(
         self, request: SteeredRequest, reservation: "TargetReservation"
-    ) -> ServerResponse:
+    ) -> "ServerResponse":
         answer = request.held_answer
         held = answer.held if answer is not None else 0
         try:
@@ -201,7 +210,7 @@
 
     async def _attempt_reserved(
         self, request: SteeredRequest, reservation: "TargetReservation"
-    ) -> ServerResponse:
+    ) -> "ServerResponse":
         """Makes one attempt; the place is released in every case.
 
         :raises TargetNotRunError: if there is evidence that the target did not run the request.
@@ -219,12 +228,13 @@
         except TargetNotRunError as error:
             attempt.not_run = True
             attempt.result = str(error.fields.get("reason", "not-run"))
-            if attempt.result == "connect":
+            attempt.sent &= not error.fields.get("unsent", False)
+            if attempt.result == "connect" and self._is_evidence(attempt, state, error):
                 state.record_failure(reached=False, refused=bool(error.fields.get("refused")))
             raise
         except TargetUnknownError as error:
             attempt.result = str(error.fields.get("reason", error.code))
-            if attempt.result == _STALE:
+            if attempt.result == STALE or not self._is_evidence(attempt, state, error):
                 raise
             unanswered_since = started_at if isinstance(error, TargetTimeoutError) else None
             if unanswered_since is not None:
@@ -233,6 +243,9 @@
                 )
             state.record_failure(reached=True, silent_since=unanswered_since)
             raise
+        except RefusedError as error:
+            attempt.result = str(error.fields.get("reason", error.code))
+            raise
         except asyncio.CancelledError:
             attempt.result = "cancelled"
             raise
@@ -251,82 +264,60 @@
 
     async def _exchange(
         self, request: SteeredRequest, reservation: "TargetReservation", attempt: Attempt
-    ) -> ServerResponse:
+    ) -> "ServerResponse":
         state = reservation.state
         connect_timeout_s = min(
             defaults.TARGET_CONNECT_S, request.deadline - self._clock.monotonic()
         )
         if connect_timeout_s <= 0:
             raise TargetNotRunError("no time left to send", reason="late")
-        connection = await self._pool.acquire(
-            state.target, request.is_idempotent, connect_timeout_s
+        connection = await self._connections.acquire(
+            state, request.is_idempotent, request.allowed_regions, connect_timeout_s
         )
-        if attempt.permit is None:
-            # The entry may have learnt of a limit while the connection was being opened.
-            try:
+        attempt.via = connection.via
+        try:
+            if attempt.permit is None:
+                # The entry may have learnt of a limit while the connection was being opened.
                 attempt.permit = await self._take_permit(request, reservation)
-            except BaseException:
-                self._pool.release(state.target, connection)
-                raise
-        time_left_s = request.deadline - self._clock.monotonic()
-        objection = (
-            "late"
-            if time_left_s < defaults.MIN_SEND_TIME_LEFT_S
-            else self._targets.block_reason(state)
-        )
-        if objection is not None:
-            self._pool.release(state.target, connection)
-            raise TargetNotRunError("not sent", reason=objection)
-        if not request.is_trial and self._is_quarantined(request):
-            self._pool.release(state.target, connection)
-            raise TargetNotRunError("not sent", reason=QUARANTINED)
+            time_left_s = time_left_to_send(self._targets, state, request.deadline, self._clock)
+            if not request.is_trial and self._is_quarantined(request):
+                raise TargetNotRunError("not sent", reason=QUARANTINED)
+        except BaseException:
+            connection.release()
+            raise
         attempt.sent = True
         attempt.sent_at = self._clock.monotonic()
-        head, body, body_stream = self._request_encoder.encode(request, state.target, time_left_s)
-        bodiless = request.method == "HEAD"
-        try:
-            async with asyncio.timeout(time_left_s):
-                response = await self._exchange_on_connection(
-                    connection, request, state, head, body, body_stream, bodiless
-                )
-        except TimeoutError as error:
-            self._pool.discard_connections(state.target)
-            message = "no whole answer before the request's time was over"
-            raise TargetTimeoutError(message, reason="time") from error
-        except (BrokenResponseError, OSError) as error:
-            if connection.lost_in_exchange:
-                self._note_interrupted(request, state)
-            stale = connection.completed_exchanges > 0 and not connection.has_received
-            if stale:
-                self._pool.discard_connections(state.target)
-            reason = _STALE if stale else "broken"
-            raise TargetUnknownError(f"exchange broke off: {error}", reason=reason) from error
-        self._response_check.check(response, request, attempt, state)
+        response = await self._exchange_on_connection(connection, request, state, time_left_s)
+        self.response_check.check(response, request, attempt, state)
         if request.is_idempotent:
-            self._pool.release(state.target, connection)
+            connection.release()
         else:
             connection.abort()
         return response
 
     async def _exchange_on_connection(
         self,
-        connection: ServerConnection,
+        connection: TargetConnection,
         request: SteeredRequest,
         state: "TargetState",
-        head: bytes,
-        body: bytes,
-        body_stream: t.Optional[t.AsyncIterator[bytes]],
-        bodiless: bool,
-    ) -> ServerResponse:
+        time_left_s: float,
+    ) -> "ServerResponse":
+        head, body, body_stream = self._request_encoder.encode(request, state.target, time_left_s)
         take = request.held_answer.take if request.held_answer is not None else None
+        outgoing = OutgoingRequest(head, body, body_stream, request.method == "HEAD", take)
         try:
-            return await connection.exchange(head, body, body_stream, bodiless, take)
-        except BaseException:
+            return await connection.exchange(outgoing, time_left_s)
+        except BaseException as error:
             partial = connection.partial_response()
             if partial is not None:
-                self._response_check.note_restrictions(partial, state)
+                self.response_check.note_restrictions(partial, state)
+            if isinstance(error, TargetUnknownError) and connection.is_interrupted:
+                self._note_interrupted(request, state, connection)
             raise
 
+    def _is_evidence(self, attempt: Attempt, state: "TargetState", error: CoralfallError) -> bool:
+        return self._connections.is_evidence(state, error, is_direct=attempt.via is None)
+
     async def _take_permit(
         self, request: SteeredRequest, reservation: "TargetReservation"
     ) -> "t.Optional[TargetPermit]":
@@ -334,14 +325,21 @@
             reservation.state.target, request.deadline, reservation.known
         )
 
-    def _note_interrupted(self, request: SteeredRequest, state: "TargetState") -> None:
+    def _note_interrupted(
+        self, request: SteeredRequest, state: "TargetState", connection: TargetConnection
+    ) -> None:
+        if connection.via is None:
+            self._connections.note_interrupted(state)
         request_fingerprint = self._fingerprints.fingerprint_of(request)
-        if request_fingerprint is not None:
-            self._crash_detector.note_interrupted(
-                state, InterruptedRequest(request_fingerprint, caller_digest(request.caller))
-            )
+        if request_fingerprint is None:
+            return
+        interrupted = InterruptedRequest(request_fingerprint, caller_digest(request.caller))
+        if connection.is_target_crashed:
+            self._crash_detector.note_crashed(state, interrupted)
+        elif connection.via is None:
+            self._crash_detector.note_interrupted(state, interrupted)
 
-    def _note_response(self, request: SteeredRequest, response: ServerResponse) -> None:
+    def _note_response(self, request: SteeredRequest, response: "ServerResponse") -> None:
         suspect = self._suspect_of(request)
         if suspect is not None and response.status < _FIRST_SERVER_ERROR:
             self._quarantine.record_answer(suspect)
@@ -369,6 +367,11 @@
         return self._fingerprints.fingerprint_of(request)
 
 
+def _may_have_run(error: CoralfallError) -> bool:
+    """Whether the target may have run the request despite an error."""
+    return isinstance(error, TargetUnknownError)
+
+
 def _quarantine_error() -> RefusedError:
     message = "targets ended each time that they began to run this request; it is sent to no more"
     return RefusedError(message, defaults.QUARANTINE_RETRY_AFTER_S, reason=QUARANTINED)
--- a/src/coralfall/traffic/gossip.py
+++ b/src/coralfall/traffic/gossip.py
@@ -18,10 +18,20 @@
 from ..peering.peer_server import PeerListener
 from ..process import log
 from ..process.child import Child
-from .messages import DispatchNotice, DispatchRequest, GossipMessage, PermitRequest, Push
+from .messages import (
+    DispatchNotice,
+    DispatchRequest,
+    GossipMessage,
+    PermitRequest,
+    Push,
+    ReachRequest,
+    TransitCancel,
+    TransitRequest,
+)
 
 if t.TYPE_CHECKING:
     from ..ids import EntryId, Revision
+    from ..peering.channel import Channel
     from ..peering.cipher import FleetKey
     from ..peering.messages import AnyMessage, Hello
     from ..process.clock import Clock
@@ -32,6 +42,8 @@
     from .members import Members
     from .model import EntryRecord
     from .permits import Permits
+    from .reach_checks import ReachChecks
+    from .transit_server import TransitServer
 
 
 #: Seconds for which membership updates are collected before one push carries them.
@@ -47,6 +59,8 @@
     :param permits: answers requests for permits.
     :param dispatch_server: answers asks for slots of targets.
     :param dispatch_client: receives notices for its asks.
+    :param reach_checks: answers which targets this entry reaches.
+    :param transit_server: carries requests of entries that are cut off.
     """
 
     def __init__(
@@ -60,6 +74,8 @@
         permits: "Permits",
         dispatch_server: "DispatchServer",
         dispatch_client: "DispatchClient",
+        reach_checks: "ReachChecks",
+        transit_server: "TransitServer",
         traffic: Traffic,
         metrics: "Metrics",
     ) -> None:
@@ -70,6 +86,36 @@
         self._permits = permits
         self._dispatch_server = dispatch_server
         self._dispatch_client = dispatch_client
+        self._reach_checks = reach_checks
+        self._transit_server = transit_server
+        self._tasks_by_channel: t.Dict["Channel", t.Set["asyncio.Task[None]"]] = {}
+
+    def take(self, channel: "Channel", message: "AnyMessage") -> bool:
+        if isinstance(message, ReachRequest):
+            task = asyncio.create_task(self._answer_reach(channel, message))
+            tasks = self._tasks_by_channel.setdefault(channel, set())
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            return True
+        if isinstance(message, TransitRequest):
+            self._transit_server.start_request(channel, message)
+            return True
+        if isinstance(message, TransitCancel):
+            self._transit_server.cancel(channel, message)
+            return True
+        return False
+
+    def drop(self, channel: "Channel") -> None:
+        self._transit_server.drop(channel)
+        for task in self._tasks_by_channel.pop(channel, ()):
+            task.cancel()
+
+    async def _answer_reach(self, channel: "Channel", request: ReachRequest) -> None:
+        reply = await self._reach_checks.answer(request)
+        try:
+            await channel.send(reply)
+        except PeerError as error:
+            log.debug("reach.reply-lost", peer=channel.peer.entry_id, code=error.code)
 
     def answer(self, peer: "Hello", message: "AnyMessage") -> t.Optional["AnyMessage"]:
         if isinstance(message, GossipMessage):
--- a/src/coralfall/traffic/members.py
+++ b/src/coralfall/traffic/members.py
@@ -24,6 +24,7 @@
 from .member import LiveView, Member, RecordVersion, rendezvous_hash
 
 if t.TYPE_CHECKING:
+    from ..ids import ServiceId
     from ..process.clock import Clock
     from .messages import Suspicion
     from .model import EntryRecord
@@ -75,7 +76,13 @@
         self._forget_dead(now)
         self._log_transitions(self._members_by_id.values(), now)
 
-    def update_own(self, *, ready: t.Optional[bool] = None, leaving: bool = False) -> bool:
+    def update_own(
+        self,
+        *,
+        ready: t.Optional[bool] = None,
+        leaving: bool = False,
+        cut_off_from: "t.Optional[t.Tuple[ServiceId, ...]]" = None,
+    ) -> bool:
         """Changes this entry's record; returns whether anything changed."""
         own_record = self.own_record
         changed = own_record
@@ -83,6 +90,8 @@
             changed = msgspec.structs.replace(changed, state=EntryState.LEAVING)
         if ready is not None:
             changed = msgspec.structs.replace(changed, ready=ready)
+        if cut_off_from is not None:
+            changed = msgspec.structs.replace(changed, cut_off_from=cut_off_from)
         if changed == own_record:
             return False
         self._publish_own(changed, own_record.beat + 1, at_once=True)
--- a/src/coralfall/traffic/messages.py
+++ b/src/coralfall/traffic/messages.py
@@ -1,10 +1,11 @@
 """Messages between entries that steer by a desired state; see :mod:`coralfall.peering.messages`."""
 
+import enum
 import typing as t
 
 import msgspec
 
-from ..ids import EntryId, Incarnation, Revision
+from ..ids import EntryId, Incarnation, Revision, TargetId
 from ..peering.message import Message
 from ..placement.buckets import Grant, Limit, LimitKey, SlotGroup
 from ..placement.dispatch import (
@@ -135,3 +136,73 @@
     """Answers to asks that were queued; it is not answered itself."""
 
     answers: t.Tuple[DispatchAnswer, ...]
+
+
+class ReachRequest(Message, frozen=True, tag=39):
+    """Asks whether the receiver can connect to some targets."""
+
+    target_ids: t.Tuple[TargetId, ...]
+    #: Seconds for which the sender has failed to; a connection counts that was established since.
+    failing_s: float
+
+
+class ReachReply(Message, frozen=True, tag=40):
+    """The targets of a request that the sender can connect to."""
+
+    reached_ids: t.Tuple[TargetId, ...]
+
+
+class TransitRequest(Message, frozen=True, tag=41):
+    """Asks the receiver to exchange one request with a target, at most once.
+
+    The sender has chosen the target and counted the request; the receiver only carries it, and
+    never passes it on to another entry.
+    """
+
+    #: Identifies the request on its stream.
+    number: int
+    target: Lifetime
+    #: Request line and headers as the target gets them; the receiver updates the time left.
+    head: bytes
+    body: bytes
+    #: Milliseconds until the request's deadline.
+    time_left_ms: int
+    #: Whether it may be sent on a connection that was used before.
+    reusable: bool = False
+    #: Whether the answer has no body, whatever its head says.
+    bodiless: bool = False
+
+
+class TransitCancel(Message, frozen=True, tag=42):
+    """Ends a request in transit, as its caller has left."""
+
+    number: int
+
+
+class TransitOutcome(enum.Enum):
+    """What became of a request in transit."""
+
+    ANSWERED = "answered"
+    #: Nothing was sent to the target.
+    NOT_SENT = "not-sent"
+    #: The target may have run it.
+    UNKNOWN = "unknown"
+    #: The target gave no whole answer before the deadline.
+    TIMED_OUT = "timed-out"
+
+
+class TransitReply(Message, frozen=True, tag=43):
+    """The end of a request in transit."""
+
+    number: int
+    outcome: TransitOutcome
+    #: The target's answer.
+    status: int = 0
+    headers: t.Tuple[t.Tuple[bytes, bytes], ...] = ()
+    body: bytes = b""
+    #: Reason of a request that was not answered, as in the log.
+    reason: str = ""
+    #: Whether nothing listened at the target's address.
+    refused: bool = False
+    #: Whether the target's process has ended while it had the request.
+    crashed: bool = False
--- a/src/coralfall/traffic/model.py
+++ b/src/coralfall/traffic/model.py
@@ -151,6 +151,10 @@
     beat: int = 0
     #: Rate of its VM's link in Mbit/s, 0 if unknown.
     link_mbps: float = 0.0
+    #: Whether it carries requests of other entries to targets.
+    transit: bool = False
+    #: Services whose targets others reach and this entry does not.
+    cut_off_from: t.Tuple[ServiceId, ...] = ()
 
     def is_newer_than(self, other: "EntryRecord") -> bool:
         """Whether this record supersedes another one of the same entry."""
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -16,7 +16,6 @@
 from ..placement.buckets import TokenBuckets
 from ..placement.contention import Contention
 from ..placement.quarantine import Quarantine, crash_digest
-from ..placement.reachability import Reachability
 from ..placement.retry_budget import SharedRetryBudget
 from ..placement.targets import TargetRegistry
 from ..process import log
@@ -36,13 +35,14 @@
 from .model import DesiredState, EntryRecord
 from .permits import Permits
 from .poll_intervals import PollIntervals, poll_intervals_for
-from .pool import ConnectAttempt, ConnectionPool, ConnectResult
+from .pool import ConnectAttempt, ConnectionPool
 from .quotas import Quotas
 from .registry import Registry
 from .state_view import StateView
 from .target_permits import TargetPermits
 from .telemetry import MetricsApp, Telemetry
 from .tenants import TenantAuthenticator
+from .transit_parts import FleetAccess, TransitParts
 
 if t.TYPE_CHECKING:
     from ..http.server import Application
@@ -105,10 +105,19 @@
         self.targets.on_restart = self.pool.discard_connections
         self.crash_detector = CrashDetector(self.targets, self.pool, clock)
         self.crash_detector.on_crash = self._note_crash
-        self.reachability = Reachability(self.targets, clock)
-        self.pool.connect_listeners.append(self._note_connect_attempt)
+        self.pool.connect_listeners.append(self._count_connect_attempt)
         self.quarantine = Quarantine(settings.quarantine_s, clock)
+        self._access = FleetAccess(_fleet_key(settings), self._hello(), self._traffic)
         self._build_permits()
+        self.transit = TransitParts(
+            self.targets,
+            self.pool,
+            self.members,
+            self._access,
+            PeerLinks(*self._access),
+            clock,
+            rng,
+        )
         self.dispatch = build_dispatch(
             self.members,
             self.targets,
@@ -123,13 +132,16 @@
             self.dispatch.selector,
             self.steering,
             self.targets,
-            self.pool,
+            self.transit.connections,
             self.budget,
             self.crash_detector,
             self.quarantine,
             self.target_permits,
             clock,
         )
+        self.transit_server = self.transit.build_server(
+            names, self.forwarder.response_check, self.crash_detector
+        )
         self.tenant_authenticator = TenantAuthenticator(names, self.state_view, settings.bounds)
         self.lookup = Lookup(settings, self.members, self.state_view)
         self.registry = Registry(store.feed, store.table, row_codec, self.members, rng)
@@ -171,6 +183,9 @@
             self.permits,
             self.dispatch.server,
             self.dispatch.client,
+            self.transit.checks,
+            self.transit.client,
+            self.transit_server,
             FunctionChild("register", self.registry.register, temporary=True),
             HttpServer("readiness", readiness, settings.readiness_address),
             HttpServer("lookup", lookup, settings.lookup_address),
@@ -231,14 +246,8 @@
         self.budget.entry_count = self.members.fleet_size()
         self.steering.cold_shares.set_entries(self.members.known_ids())
 
-    def _note_connect_attempt(self, attempt: ConnectAttempt) -> None:
-        target = attempt.target
-        self.telemetry.count_connect(target.service, attempt.result)
-        if attempt.result is ConnectResult.CONNECTED:
-            self.reachability.record_success(target.service)
-            return
-        refused = attempt.result is ConnectResult.REFUSED
-        self.reachability.record_failure(target.service, target.target_id, refused)
+    def _count_connect_attempt(self, attempt: ConnectAttempt) -> None:
+        self.telemetry.count_connect(attempt.target.service, attempt.result)
 
     def _note_crash(self, crash: Crash) -> None:
         target = crash.target
@@ -270,9 +279,7 @@
 
     def _build_permits(self) -> None:
         settings = self.settings
-        own = self.members.own_record
-        hello = Hello(entry_id=own.entry_id, incarnation=own.incarnation)
-        links = PeerLinks(_fleet_key(settings), hello, self._traffic)
+        links = PeerLinks(*self._access)
         self.permits = Permits(self.members, links, TokenBuckets(self.clock), self.clock)
         self.quotas = Quotas(self.permits, self.state_view, settings.bounds, self.clock)
         self.quotas.contended = settings.dispatch.is_installation_contended()
@@ -282,35 +289,34 @@
         self.permits.sources += [self.quotas, self.target_permits]
 
     def _make_dispatch_links(self) -> PeerLinks:
+        return PeerLinks(*self._access, defaults.MAX_DISPATCH_LINKS)
+
+    def _hello(self) -> Hello:
         own = self.members.own_record
-        hello = Hello(entry_id=own.entry_id, incarnation=own.incarnation)
-        key = _fleet_key(self.settings)
-        return PeerLinks(key, hello, self._traffic, defaults.MAX_DISPATCH_LINKS)
+        return Hello(entry_id=own.entry_id, incarnation=own.incarnation)
 
     def _build_peers(self) -> None:
         settings = self.settings
-        fleet_key = _fleet_key(settings)
-        own = self.members.own_record
-        hello = Hello(entry_id=own.entry_id, incarnation=own.incarnation)
-        traffic = self._traffic
         self.exchange = GossipExchange(
             self.members, self.state_view, self.quarantine, self.targets.reports, self.clock
         )
-        links = PeerLinks(fleet_key, hello, traffic)
+        links = PeerLinks(*self._access)
         self.gossip = Gossip(
             self.exchange, self.members, links, settings.seeds, self.clock, self._rng
         )
         self._peer_server = GossipServer(
             settings.peer_address,
-            fleet_key,
-            hello,
+            self._access.fleet_key,
+            self._access.hello,
             self.exchange,
             self.gossip.relay,
             self.gossip.pull,
             self.permits,
             self.dispatch.server,
             self.dispatch.client,
-            traffic,
+            self.transit.checks,
+            self.transit_server,
+            self._access.traffic,
             self.metrics,
         )
 
@@ -394,6 +400,7 @@
         caller_address=settings.caller_address,
         peer_address=settings.announced_peer_address or settings.peer_address,
         link_mbps=settings.link_mbps,
+        transit=True,
     )
 
 
--- a/src/coralfall/traffic/pool.py
+++ b/src/coralfall/traffic/pool.py
@@ -74,6 +74,8 @@
         self.preconnected_count = 0
         #: Called after each attempt to connect, unless it failed for want of sockets.
         self.connect_listeners: t.List[t.Callable[[ConnectAttempt], None]] = []
+        #: Called when an attempt to connect takes long.
+        self.on_slow_connect: "t.Callable[[Target], None]" = lambda target: None
 
     async def acquire(self, target: "Target", reusable: bool, timeout_s: float) -> ServerConnection:
         """Returns a connection to a target.
@@ -100,6 +102,9 @@
     async def _open(self, target: "Target", timeout_s: float) -> ServerConnection:
         self.opened_count += 1
         began = self._clock.monotonic()
+        slow = asyncio.get_running_loop().call_later(
+            defaults.REACH_SLOW_CONNECT_S, self.on_slow_connect, target
+        )
         try:
             connection = await connect(target.address, timeout_s, _MAX_ANSWER_BYTES)
         except (OSError, asyncio.TimeoutError) as error:
@@ -112,6 +117,8 @@
             result = ConnectResult.REFUSED if refused else ConnectResult.FAILED
             self._notify(ConnectAttempt(target, began, result))
             raise TargetNotRunError(message, reason="connect", refused=refused) from error
+        finally:
+            slow.cancel()
         connection.last_used_at = self._clock.monotonic()
         self._notify(ConnectAttempt(target, began, ConnectResult.CONNECTED))
         return connection
--- a/src/coralfall/traffic/request_encoder.py
+++ b/src/coralfall/traffic/request_encoder.py
@@ -60,3 +60,13 @@
     async for piece in body:
         yield b"%x\r\n%b\r\n" % (len(piece), piece)
     yield b"0\r\n\r\n"
+
+
+def replace_time_left(head: bytes, name: bytes, time_left_s: float) -> bytes:
+    """Returns an encoded head with another time left.
+
+    :param name: name of the header, in lower case.
+    """
+    start = head.index(b"\r\n" + name + b": ") + len(name) + 4
+    end = head.index(b"\r\n", start)
+    return b"%b%d%b" % (head[:start], max(1, int(time_left_s * 1000)), head[end:])
--- a/src/coralfall/traffic/steered_request.py
+++ b/src/coralfall/traffic/steered_request.py
@@ -6,7 +6,7 @@
 
 if t.TYPE_CHECKING:
     from ..forwarding.request import RequestBody
-    from ..ids import RegionId, ServiceId, TargetId
+    from ..ids import EntryId, RegionId, ServiceId, TargetId
     from ..placement.fingerprint import Fingerprint, HeadDigest
     from ..placement.reservation import TargetReservation
     from ..placement.target_reports import TargetReport
@@ -35,6 +35,7 @@
         "sent",
         "sent_at",
         "target_id",
+        "via",
     )
 
     def __init__(
@@ -67,9 +68,12 @@
         self.not_run = False
         self.result = "?"
         self.duration_s = 0.0
+        #: Entry that carried the request, if this one is cut off from the target's service.
+        self.via: t.Optional["EntryId"] = None
 
     def __str__(self) -> str:
-        return f"{self.target_id}:{self.result}:{self.duration_s * 1000:.0f}:{self._context}"
+        via = f":via={self.via}" if self.via is not None else ""
+        return f"{self.target_id}:{self.result}:{self.duration_s * 1000:.0f}:{self._context}{via}"
 
 
 class AskRecord(t.NamedTuple):
--- a/src/coralfall/traffic/telemetry.py
+++ b/src/coralfall/traffic/telemetry.py
@@ -194,8 +194,13 @@
     held = node.callers.answer_memory.held
     gauge("answer_bytes_held", held, "Bytes of answers that callers have not taken.")
     gauge("connections_opened", node.pool.opened_count, "Connections opened to targets.")
-    unreached = len(node.reachability.unreached_services())
+    reachability = node.transit.reachability
+    unreached = len(reachability.unreached_services())
     gauge("services_unreached", unreached, "Services of which no target can be connected.")
+    cut_off = len(reachability.cut_off_services())
+    gauge("services_cut_off", cut_off, "Those of which other entries reach targets.")
+    gauge("transits_sent", node.transit.client.load, "Requests that other entries carry.")
+    gauge("transits_carried", node.transit_server.load, "Requests carried for other entries.")
     quarantined = node.quarantine.refused_count()
     gauge("requests_quarantined", quarantined, "Requests that are sent to no target.")
     limited = len(node.steering.limits.in_force())
--- /dev/null
+++ b/src/coralfall/traffic/transit_parts.py
@@ -0,0 +1,77 @@
+"""Transit parts: builds the parts of an entry that find out which targets it reaches, that send
+requests through other entries, and that carry theirs.
+"""
+
+import random
+import typing as t
+
+from ..placement.reachability import Reachability
+from .reach_checks import ReachChecks
+from .target_connections import TargetConnections
+from .transit_client import TransitClient
+from .transit_server import TransitServer
+
+if t.TYPE_CHECKING:
+    from ..peering.channel import Traffic
+    from ..peering.cipher import FleetKey
+    from ..peering.messages import Hello
+    from ..peering.peer_links import PeerLinks
+    from ..placement.targets import TargetRegistry
+    from ..process.clock import Clock
+    from .crash_detector import CrashDetector
+    from .members import Members
+    from .pool import ConnectionPool
+    from .response_check import ResponseCheck
+    from .wire import HeaderNames
+
+
+class FleetAccess(t.NamedTuple):
+    """What opens streams to other entries."""
+
+    fleet_key: "FleetKey"
+    hello: "Hello"
+    traffic: "Traffic"
+
+
+class TransitParts:
+    """The parts of one entry.
+
+    :param access: opens streams to other entries.
+    :param links: streams for questions about targets.
+    """
+
+    def __init__(
+        self,
+        targets: "TargetRegistry",
+        pool: "ConnectionPool",
+        members: "Members",
+        access: FleetAccess,
+        links: "PeerLinks",
+        clock: "Clock",
+        rng: random.Random,
+    ) -> None:
+        self._targets = targets
+        self._pool = pool
+        self._clock = clock
+        self.reachability = Reachability(targets, clock)
+        self.checks = ReachChecks(self.reachability, targets, pool, members, links, clock, rng)
+        self.client = TransitClient(members, *access, clock, rng)
+        self.connections = TargetConnections(pool, self.reachability, self.checks, self.client)
+
+    def build_server(
+        self,
+        names: "HeaderNames",
+        response_check: "ResponseCheck",
+        crash_detector: "CrashDetector",
+    ) -> TransitServer:
+        """Returns the part that carries requests of other entries."""
+        crash_detector.confirm_down = self.checks.confirm_down
+        return TransitServer(
+            names,
+            self._targets,
+            self._pool,
+            self.reachability,
+            response_check,
+            crash_detector,
+            self._clock,
+        )
--- a/tests/traffic/makers.py
+++ b/tests/traffic/makers.py
@@ -4,10 +4,14 @@
 import typing as t
 
 from coralfall.ids import EntryId, Incarnation, RegionId, ServiceId, TargetId, TenantId, ZoneId
+from coralfall.peering.channel import Traffic
+from coralfall.peering.cipher import FLEET_KEY_BYTES, FleetKey
+from coralfall.peering.messages import Hello
 from coralfall.placement.affinity import AffinitySteering
 from coralfall.placement.cold_targets import ColdTargetShares
 from coralfall.placement.targets import TargetRegistry
 from coralfall.process.clock import ManualClock
+from coralfall.traffic.members import Members
 from coralfall.traffic.model import (
     Backend,
     CallerLimits,
@@ -21,6 +25,7 @@
     Tenant,
 )
 from coralfall.traffic.settings import SteerSettings, StoreSettings
+from coralfall.traffic.transit_parts import FleetAccess
 
 PEDIDOS = ServiceId("pedidos")
 NORTE = ZoneId("sierra-norte")
@@ -115,6 +120,13 @@
     return EntryRecord(**{**fields, **changes})
 
 
+def make_access(members: "Members") -> FleetAccess:
+    """Returns what the entry of ``members`` opens streams to others of its fleet with."""
+    own = members.own_record
+    hello = Hello(entry_id=own.entry_id, incarnation=own.incarnation)
+    return FleetAccess(FleetKey(bytes(FLEET_KEY_BYTES)), hello, Traffic())
+
+
 def cold_share_of(
     entry_id: EntryId, entries: t.Collection[EntryId], target_id: TargetId, per_s: float
 ) -> int:
--- a/tests/traffic/test_forwarder.py
+++ b/tests/traffic/test_forwarder.py
@@ -11,6 +11,7 @@
 from coralfall import defaults
 from coralfall.forwarding.request import MemoryAccount, RequestBody
 from coralfall.ids import Outcome, TargetId
+from coralfall.peering.peer_links import PeerLinks
 from coralfall.placement.affinity import AffinitySteering
 from coralfall.placement.quarantine import Quarantine
 from coralfall.placement.retry_budget import SharedRetryBudget
@@ -20,6 +21,7 @@
 from coralfall.traffic import pool
 from coralfall.traffic.crash_detector import CrashDetector
 from coralfall.traffic.forwarder import Forwarder
+from coralfall.traffic.members import Members
 from coralfall.traffic.model import RequestKind
 from coralfall.traffic.pool import ConnectionPool
 from coralfall.traffic.reply import Reply
@@ -27,12 +29,16 @@
 from coralfall.traffic.steered_request import SteeredRequest
 from coralfall.traffic.target_permits import TargetPermits
 from coralfall.traffic.target_selection import LocalSelector
+from coralfall.traffic.transit_parts import TransitParts
 from tests.traffic.makers import (
     PEDIDOS,
+    make_access,
+    make_record,
     make_route,
     make_settings,
     make_state,
     make_target,
+    seeded_rng,
 )
 from tests.traffic.quota_fleet import make_permits
 from tests.traffic.scripted_target import ReceivedRequest, Script, ScriptedTarget
@@ -63,6 +69,17 @@
         self.pool = ConnectionPool(clock)
         budget = SharedRetryBudget(bounds or BoundSettings(), clock)
         self.crash_detector = CrashDetector(self.targets, self.pool, clock)
+        self.members = Members(make_record("e1"), clock, seeded_rng())
+        access = make_access(self.members)
+        self.transit = TransitParts(
+            self.targets,
+            self.pool,
+            self.members,
+            access,
+            PeerLinks(*access),
+            clock,
+            seeded_rng(),
+        )
         self.quarantine = Quarantine(defaults.QUARANTINE_S, clock)
         self.permits = make_permits(clock)
         self.limits = self.steering.limits
@@ -75,7 +92,7 @@
             LocalSelector(self.steering, clock),
             self.steering,
             self.targets,
-            self.pool,
+            self.transit.connections,
             budget,
             self.crash_detector,
             self.quarantine,
