Let the model cut entries off from all targets

coralfall model plays the trouble 'cut': a part of the entries, of a region or of all, loses its links to the targets. Reachability and the choice of the carrying entry are those of production; probes and questions are delays.

--- a/src/coralfall/simulation/entries.py
+++ b/src/coralfall/simulation/entries.py
@@ -15,6 +15,7 @@
 from ..placement.targets import TargetRegistry
 from ..traffic.model import CallerLimits, DesiredState, Route, ServiceRules, Target
 from ..traffic.settings import SteerSettings, StoreSettings
+from .links import EntryLinks
 from .targets import Job
 
 if t.TYPE_CHECKING:
@@ -83,6 +84,8 @@
         self._settings = _settings(name, region, scenario)
         self._last_used: t.Dict[TargetId, float] = {}
         self.forget()
+        #: Links to all targets.
+        self.links = EntryLinks(self._settings, self._book, scenario, agenda)
 
     def forget(self) -> None:
         """Start anew."""
@@ -135,6 +138,12 @@
             reservation.cancel()
             self._send(attempt)
             return
+        if self.links.reachability.is_cut_off(service):
+            self._send_through_other(attempt, reservation, target)
+            return
+        if self.links.lost:
+            self._lose(attempt, reservation)
+            return
         attempt.sends += 1
         trip_s = self._trip_s(target)
         connect_s = self._connect_s(attempt, target, trip_s)
@@ -148,8 +157,49 @@
                 _CONNECT_S, lambda: self._not_reached(attempt, reservation, refused=False)
             )
             return
+        self.links.reachability.record_success(service, target.target_id)
         self._exchange(attempt, reservation, target, connect_s + trip_s, trip_s)
 
+    def _lose(self, attempt: Attempt, reservation: "TargetReservation") -> None:
+        """Fails to connect, or to get an answer on a kept connection, as the links are lost."""
+        target = reservation.state.target
+        self.links.note_connect(target.service, target.target_id)
+
+        def fail() -> None:
+            if self.links.reachability.is_cut_off(target.service):
+                reservation.release()
+                self._send(attempt)
+            else:
+                self._not_reached(attempt, reservation, refused=False)
+
+        self._agenda.after(_CONNECT_S + defaults.REACH_SETTLE_S, fail)
+
+    def _send_through_other(
+        self, attempt: Attempt, reservation: "TargetReservation", target: "SimulatedTarget"
+    ) -> None:
+        """Sends a request through an entry that reaches the targets."""
+        carrier = self.links.choose_carrier(attempt.route.backends[0].service)
+        if carrier is None:
+            reservation.cancel()
+            attempt.answer(False, False, defaults.TRANSIT_RETRY_AFTER_S)
+            return
+        way_s = self.links.trip_to_s(carrier.region)
+        end_transit = self.links.start_transit(carrier)
+        if carrier.lost:
+
+            def refuse() -> None:
+                end_transit()
+                reservation.cancel()
+                attempt.tried.discard(target.target_id)
+                self._send(attempt)
+
+            self._agenda.after(2 * way_s + _CONNECT_S, refuse)
+            return
+        attempt.sends += 1
+        there_s = way_s + 3 * carrier.trip_to_s(target.region)
+        back_s = carrier.trip_to_s(target.region) + way_s
+        self._exchange(attempt, reservation, target, there_s, back_s, end_transit)
+
     def _exchange(
         self,
         attempt: Attempt,
@@ -157,6 +207,7 @@
         target: "SimulatedTarget",
         there_s: float,
         back_s: float,
+        on_end: t.Callable[[], None] = lambda: None,
     ) -> None:
         began = self._agenda.now
 
@@ -164,6 +215,7 @@
             if done:
                 return
             done.append(True)
+            on_end()
             self._answered(attempt, reservation, self._agenda.now - began, ran, report)
 
         def reply(ran: bool) -> None:
@@ -177,6 +229,7 @@
             if done:
                 return
             done.append(True)
+            on_end()
             target.drop(job)
             reservation.record_latency(self._agenda.clock.now, self._agenda.now - began)
             reservation.release()
--- a/src/coralfall/simulation/scenario.py
+++ b/src/coralfall/simulation/scenario.py
@@ -39,6 +39,8 @@
     BURST = "burst"
     #: All entries forget what they learnt.
     ENTRIES = "entries"
+    #: Entries lose their links to all targets, which the other entries reach.
+    CUT = "cut"
 
 
 class RegionSettings(Settings, frozen=True):
@@ -104,7 +106,7 @@
     for_s: float = 5.0
     service: t.Optional[str] = None
     region: t.Optional[str] = None
-    #: Part of the targets, of the service and region if these are named.
+    #: Part of the targets, or entries, of the service and region if these are named.
     share: Share = 1.0
     #: How strong: see :class:`Trouble`.
     times: Positive = 1.0
--- a/src/coralfall/simulation/world.py
+++ b/src/coralfall/simulation/world.py
@@ -63,6 +63,9 @@
             SimulatedEntry(name, region, scenario, self.targets_by_id, self.agenda, ids)
             for name, region in names
         ]
+        links_by_id = dict(zip(ids, [entry.links for entry in self.entries], strict=True))
+        for links in links_by_id.values():
+            links.fleet = links_by_id
 
     def play(self) -> Score:
         """Play it all; what callers got."""
@@ -186,11 +189,26 @@
                 entry.forget()
             self._tell_rows()
             return
+        if event.kind is Trouble.CUT:
+            self._cut(event)
+            return
         for target in self._struck(event):
             self._strike(target, event)
         if event.kind is Trouble.LEAVE:
             self.agenda.after(_ROW_S, self._tell_rows)
 
+    def _cut(self, event: "EventSettings") -> None:
+        fitting = [entry for entry in self.entries if event.region in (None, entry.region)]
+        struck = self._rng.sample(fitting, math.ceil(event.share * len(fitting)))
+        for entry in struck:
+            entry.links.lost = True
+
+        def heal() -> None:
+            for entry in struck:
+                entry.links.lost = False
+
+        self.agenda.after(event.for_s, heal)
+
     def _end_burst(self) -> None:
         self._burst = 1.0
 
--- a/tests/simulation/test_world.py
+++ b/tests/simulation/test_world.py
@@ -255,3 +255,33 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class CutTest(Quiet):
+    @parameterized.expand(
+        [
+            ("a third of the entries", 1 / 3, None),
+            ("all of a region", 1.0, "middle"),
+            ("all but one", 11 / 12, None),
+        ]
+    )
+    def test_cut_off_entries_serve_as_the_others(
+        self, _name: str, share: float, region: t.Optional[str]
+    ) -> None:
+        """Between the seconds within which a cut has to be known, and its end."""
+        event = EventSettings(kind=Trouble.CUT, at=4.0, for_s=8.0, share=share, region=region)
+        served: t.List[float] = []
+        for events in ((), (event,)):
+            results = []
+            for world in play(make_scenario((6, 6, 6), events=events)):
+                results += [one for one in world.score.results if 7.0 <= one.asked_s < 11.0]
+            well = [one for one in results if one.outcome in ("aim", "late")]
+            served.append(len(well) / len(results))
+        self.assertGreater(served[1], served[0] - 0.02)
+
+    def test_all_are_cut_off(self) -> None:
+        event = EventSettings(kind=Trouble.CUT, at=4.0, for_s=4.0)
+        (world,) = play(make_scenario((6, 6, 6), events=(event,)), (1,))
+        after = [one for one in world.score.results if one.asked_s >= 11.0]
+        well = [one for one in after if one.outcome in ("aim", "late")]
+        self.assertGreater(len(well), 0.95 * len(after))
