Tell a cut-off entry of replaced targets, and let leaving entries carry requests at last

A carrying entry that knew that another target is at the address answered 'withdrawn', so the first one chose that target for each request of its objects until its row was gone; it now answers 'misdirected', which ends the lifetime at the first entry too. While all entries that reach the targets were leaving, requests were refused as no-path for up to 3 s although these still served; they are now chosen if there is no other, and refuse once they stop.

--- a/src/coralfall/placement/transit_choice.py
+++ b/src/coralfall/placement/transit_choice.py
@@ -2,8 +2,8 @@
 
 The nearest entries come first, as bytes between zones and regions are paid for. A zone, and then a
 region, is left as soon as more of its entries are cut off than reach the service, so that no entry
-carries more than about its own load for others while there are more of them. Of two entries drawn
-at random, the one with fewer requests in transit is chosen.
+carries more than about its own load for others while there are more of them. Entries that leave are
+the last resort. Of two entries drawn at random, the one with fewer requests in transit is chosen.
 """
 
 import random
@@ -35,31 +35,32 @@
     :param avoided: entries that are not to be chosen.
     """
     allowed = [
-        record
-        for record in records
-        if not regions or record.region in regions
-        if record.state is EntryState.SERVING and record.ready
+        record for record in records if record.ready and (not regions or record.region in regions)
     ]
+    serving = [record for record in allowed if record.state is EntryState.SERVING]
+    in_region = [record for record in serving if record.region == own.region]
+    in_zone = [record for record in in_region if record.zone == own.zone]
     chosen: t.List["EntryRecord"] = []
-    for is_near in (
-        lambda record: record.zone == own.zone,
-        lambda record: record.region == own.region,
-        lambda record: True,
-    ):
-        near = [record for record in allowed if is_near(record)]
-        cut_off = sum(service in record.cut_off_from for record in near) + 1
-        usable = [
-            record
-            for record in near
-            if record.transit
-            and service not in record.cut_off_from
-            and record.entry_id not in avoided
-            and loads_by_id.get(record.entry_id, 0) < defaults.MAX_TRANSITS_BY_ENTRY
-        ]
+    for level in (in_zone, in_region, serving):
+        cut_off = sum(service in record.cut_off_from for record in level) + 1
+        usable = [one for one in level if _is_usable(one, service, loads_by_id, avoided)]
         chosen = usable or chosen
         if len(usable) >= cut_off:
             break
+    if not chosen:
+        chosen = [one for one in allowed if _is_usable(one, service, loads_by_id, avoided)]
     if not chosen:
         return None
     pair = rng.sample(chosen, min(2, len(chosen)))
     return min(pair, key=lambda record: loads_by_id.get(record.entry_id, 0))
+
+
+def _is_usable(
+    record: "EntryRecord",
+    service: "ServiceId",
+    loads_by_id: "t.Mapping[EntryId, int]",
+    avoided: "t.Collection[EntryId]",
+) -> bool:
+    if not record.transit or service in record.cut_off_from or record.entry_id in avoided:
+        return False
+    return loads_by_id.get(record.entry_id, 0) < defaults.MAX_TRANSITS_BY_ENTRY
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -229,6 +229,8 @@
             attempt.not_run = True
             attempt.result = str(error.fields.get("reason", "not-run"))
             attempt.sent &= not error.fields.get("unsent", False)
+            if attempt.result == "misdirected":
+                self._targets.mark_replaced(state)
             if attempt.result == "connect" and self._is_evidence(attempt, state, error):
                 state.record_failure(reached=False, refused=bool(error.fields.get("refused")))
             raise
--- a/src/coralfall/traffic/transit_server.py
+++ b/src/coralfall/traffic/transit_server.py
@@ -67,6 +67,7 @@
         self._response_check = response_check
         self._crash_detector = crash_detector
         self._clock = clock
+        self._closed = False
         self._tasks: t.Dict["Channel", t.Dict[int, "asyncio.Task[None]"]] = {}
         #: Requests that this entry carries now, and that it has carried.
         self.load = 0
@@ -82,6 +83,7 @@
                 self.drop(channel)
 
     async def stop(self) -> None:
+        self._closed = True
         tasks = [task for tasks in self._tasks.values() for task in tasks.values()]
         if tasks:
             await asyncio.wait(tasks)
@@ -125,6 +127,8 @@
     ) -> TransitReply:
         deadline = self._clock.monotonic() + request.time_left_ms / 1000
         try:
+            if self._closed:
+                raise TargetNotRunError("this entry is stopping", reason=NO_PATH)
             if self.load > defaults.MAX_TRANSITS or self.bytes_held > defaults.MAX_TRANSIT_BYTES:
                 raise TargetNotRunError("too many requests in transit", reason=NO_PATH)
             response = await self._exchange(request, deadline, hold)
@@ -162,6 +166,8 @@
         state = self._targets.by_id.get(request.target.target_id)
         if state is None or lifetime_of(state.target) != request.target:
             raise TargetNotRunError("this entry does not know the target", reason="withdrawn")
+        if state.has_ended:
+            raise TargetNotRunError("another target is at the address", reason="misdirected")
         connection = await self._connect(state, request.reusable, deadline)
         try:
             time_left_s = time_left_to_send(self._targets, state, deadline, self._clock)
