Use the only entry that can carry requests also while it is busy or slow to answer

Found while reading: an entry that had refused one request as too many was avoided for 1 s, so that with one carrying entry left all requests were refused in pulses; and one that answered nothing for 1 s was not chosen at all, although a single long request looks like that. A busy one is avoided for 0.1 s now, and one without answers for 0.5 s only while there are others.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -410,7 +410,7 @@
 REACH_SETTLE_S = 0.1
 #: Time limit of another entry's answer whether it reaches some targets, and the age up to which it
 #: answers by its last connection to a target instead of a new one.
-REACH_ASK_S = 0.5
+REACH_ASK_S = 0.8
 REACH_KNOWN_S = 1.0
 #: Number of entries that a check asks, first and at most.
 REACH_ASKED_ENTRIES = 4
@@ -434,12 +434,16 @@
 MAX_TRANSITS_BY_ENTRY = 48
 MAX_TRANSITS = 128
 MAX_TRANSIT_BYTES = 16 * 1024 * 1024
-#: Time limit for opening a stream to an entry that carries requests, time for which an entry that
-#: could not carry one is not chosen, and the time after which a stream without requests is closed.
-TRANSIT_CONNECT_S = 0.3
+#: Time limit for opening a stream to an entry that carries requests, times for which an entry that
+#: could not carry one is not chosen (it reached no target, it carries as many as it may), and the
+#: time after which a stream without requests is closed.
+TRANSIT_CONNECT_S = 0.6
 TRANSIT_AVOID_S = 1.0
+TRANSIT_BUSY_S = 0.1
 TRANSIT_IDLE_S = 30.0
-#: Time without any answer on a stream after which its entry is not chosen for further requests.
-TRANSIT_SILENT_S = 1.0
+#: Time without any answer on a stream after which other entries are preferred, and after which its
+#: requests are given up if the entry is not alive.
+TRANSIT_SILENT_S = 0.5
+TRANSIT_LOST_S = 1.0
 #: Retry-After of requests that no entry can carry.
 TRANSIT_RETRY_AFTER_S = 0.5
--- a/src/coralfall/traffic/reach_checks.py
+++ b/src/coralfall/traffic/reach_checks.py
@@ -182,7 +182,7 @@
                 ReachReply,
                 defaults.REACH_ASK_S,
                 record.entry_id,
-                defaults.REACH_ASK_S * 0.7,
+                defaults.GOSSIP_REUSED_TIMEOUT_S,
             )
         except PeerError as error:
             log.debug("reach.not-answered", entry=record.entry_id, code=error.code)
--- a/src/coralfall/traffic/target_connections.py
+++ b/src/coralfall/traffic/target_connections.py
@@ -22,6 +22,8 @@
 
 #: Reason of an attempt that failed on the way to the target, which says nothing about the target.
 NO_PATH = "no-path"
+#: Reason of an entry that carries as many requests of others as it may.
+BUSY = "busy"
 
 
 class TargetConnection(abc.ABC):
--- a/src/coralfall/traffic/transit_client.py
+++ b/src/coralfall/traffic/transit_client.py
@@ -26,7 +26,7 @@
 from ..process.child import Child
 from .connection import ServerResponse
 from .messages import TransitCancel, TransitOutcome, TransitReply, TransitRequest
-from .target_connections import NO_PATH, TargetConnection
+from .target_connections import BUSY, NO_PATH, TargetConnection
 from .target_exchange import OutgoingRequest
 
 if t.TYPE_CHECKING:
@@ -41,6 +41,8 @@
 #: Entries to which a stream is opened in vain before a request is given up.
 _MAX_DIALS = 2
 _CHECK_S = 0.25
+#: Seconds for which an entry is avoided, by the reason for which it did not carry a request.
+_AVOID_S_BY_REASON = {NO_PATH: defaults.TRANSIT_AVOID_S, BUSY: defaults.TRANSIT_BUSY_S}
 #: Entry, and the service that it could not carry requests to.
 _AvoidKey = t.Tuple[EntryId, "ServiceId"]
 
@@ -123,9 +125,12 @@
         if reply.outcome is TransitOutcome.UNKNOWN:
             self._crashed = reply.crashed
             raise TargetUnknownError(message, reason=reply.reason)
-        if reply.reason == NO_PATH:
-            self._client.avoid(self._entry_id, self._state.target.service)
-        raise TargetNotRunError(message, reason=reply.reason, refused=reply.refused, unsent=True)
+        reason = reply.reason
+        if reason in _AVOID_S_BY_REASON:
+            service = self._state.target.service
+            self._client.avoid(self._entry_id, service, _AVOID_S_BY_REASON[reason])
+            reason = NO_PATH
+        raise TargetNotRunError(message, reason=reason, refused=reply.refused, unsent=True)
 
 
 class TransitClient(Child):
@@ -174,10 +179,9 @@
         """Number of requests of this entry that others carry."""
         return sum(stream.load for stream in self._streams_by_id.values())
 
-    def avoid(self, entry_id: EntryId, service: "ServiceId") -> None:
+    def avoid(self, entry_id: EntryId, service: "ServiceId", seconds: float) -> None:
         """Chooses an entry no more for a while, as it could not carry a request."""
-        until = self._clock.monotonic() + defaults.TRANSIT_AVOID_S
-        self._avoided_until[entry_id, service] = until
+        self._avoided_until[entry_id, service] = self._clock.monotonic() + seconds
 
     async def acquire(
         self, state: "TargetState", reusable: bool, regions: "t.Collection[RegionId]"
@@ -200,7 +204,7 @@
                 stream = await self._stream_to(record)
             except PeerError as error:
                 log.info("transit.unreachable", peer=record.entry_id, code=error.code)
-                self.avoid(record.entry_id, service)
+                self.avoid(record.entry_id, service, defaults.TRANSIT_AVOID_S)
                 continue
             return TransitConnection(self, record.entry_id, stream, state, reusable)
         message = f"no entry that reaches the targets of {service} answers"
@@ -216,20 +220,25 @@
             for (entry_id, other), until in self._avoided_until.items()
             if other == service and until > now
         }
-        loads_by_id = {}
-        for entry_id, stream in self._streams_by_id.items():
-            loads_by_id[entry_id] = stream.load
-            if stream.silent_s > defaults.TRANSIT_SILENT_S:
-                avoided.add(entry_id)
-        return choose_transit(
-            self._members.own_record,
-            self._members.alive_records(),
-            service,
-            regions,
-            loads_by_id,
-            avoided,
-            self._rng,
-        )
+        loads_by_id = {entry_id: one.load for entry_id, one in self._streams_by_id.items()}
+        silent = {
+            entry_id
+            for entry_id, stream in self._streams_by_id.items()
+            if stream.silent_s > defaults.TRANSIT_SILENT_S
+        }
+        for excluded in (avoided | silent, avoided):
+            record = choose_transit(
+                self._members.own_record,
+                self._members.alive_records(),
+                service,
+                regions,
+                loads_by_id,
+                excluded,
+                self._rng,
+            )
+            if record is not None:
+                return record
+        return None
 
     async def _stream_to(self, record: "EntryRecord") -> CallStream[TransitReply]:
         """Returns an open stream to an entry.
@@ -255,7 +264,7 @@
         now = self._clock.monotonic()
         alive = {record.entry_id for record in self._members.alive_records()}
         for entry_id, stream in list(self._streams_by_id.items()):
-            is_gone = entry_id not in alive and stream.silent_s > defaults.TRANSIT_SILENT_S
+            is_gone = entry_id not in alive and stream.silent_s > defaults.TRANSIT_LOST_S
             if stream.closed or is_gone or stream.idle_s > defaults.TRANSIT_IDLE_S:
                 stream.close()
                 del self._streams_by_id[entry_id]
--- a/src/coralfall/traffic/transit_server.py
+++ b/src/coralfall/traffic/transit_server.py
@@ -21,7 +21,7 @@
 from ..process.child import Child
 from .messages import TransitCancel, TransitOutcome, TransitReply, TransitRequest
 from .request_encoder import replace_time_left
-from .target_connections import NO_PATH, DirectConnection
+from .target_connections import BUSY, NO_PATH, DirectConnection
 from .target_exchange import OutgoingRequest, time_left_to_send
 
 if t.TYPE_CHECKING:
@@ -130,7 +130,7 @@
             if self._closed:
                 raise TargetNotRunError("this entry is stopping", reason=NO_PATH)
             if self.load > defaults.MAX_TRANSITS or self.bytes_held > defaults.MAX_TRANSIT_BYTES:
-                raise TargetNotRunError("too many requests in transit", reason=NO_PATH)
+                raise TargetNotRunError("too many requests in transit", reason=BUSY)
             response = await self._exchange(request, deadline, hold)
         except TargetError as error:
             return _reply_from_error(request.number, error)
--- a/tests/traffic/test_transit.py
+++ b/tests/traffic/test_transit.py
@@ -9,7 +9,7 @@
 from parameterized import parameterized
 
 from coralfall import defaults
-from coralfall.ids import TargetId
+from coralfall.ids import EntryId, TargetId
 from coralfall.peering.channel import Channel, Traffic
 from coralfall.peering.messages import AnyMessage, Hello
 from coralfall.peering.peer_server import PeerListener
@@ -177,6 +177,28 @@
             for state in fleet.first.targets.by_id.values():
                 self.assertTrue(state.is_usable())
 
+    async def test_an_entry_without_answers_for_a_while_is_the_last_choice(self) -> None:
+        async def slow(received: ReceivedRequest) -> None:
+            if len(fleet.targets[0].received) > 1:
+                await received.answer()
+            else:
+                await asyncio.sleep(5.0)
+
+        async with cut_fleet(slow) as fleet:
+            first = fleet.first.request("safe", first="t0", seconds=5.0)
+            work = asyncio.create_task(fleet.first.forward(first))
+            await fleet.targets[0].request_received.wait()
+            with mock.patch.object(defaults, "TRANSIT_SILENT_S", 0.0):
+                for is_alone in (False, True):
+                    if is_alone:
+                        other = {EntryId("c0"), EntryId("c1")} - {first.attempts[0].via}
+                        fleet.first.transit.client.avoid(other.pop(), PEDIDOS, 60.0)
+                    request = fleet.first.request("safe", first="t0")
+                    self.assertEqual(200, (await fleet.first.forward(request)).status)
+                    same = request.attempts[0].via == first.attempts[0].via
+                    self.assertEqual(is_alone, same)
+            work.cancel()
+
     async def test_a_caller_that_leaves_ends_the_work_at_the_target(self) -> None:
         async with cut_fleet(never_answers) as fleet:
             work = asyncio.create_task(fleet.first.forward(fleet.first.request("safe", first="t0")))
