--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -124,6 +124,15 @@
     ended: float = float("inf")
 
 
+@dataclasses.dataclass
+class Cut:
+    """A time in which an entry had lost its links to all targets, or to those of one service."""
+
+    entry: str
+    began: float
+    ended: float = float("inf")
+
+
 @dataclasses.dataclass
 class Record:
     """Everything that was seen in one run."""
@@ -144,6 +153,8 @@
     limits: t.List[ReportedLimit] = dataclasses.field(default_factory=list)
     #: Times without requests that targets asked for.
     rejections: t.List[Rejection] = dataclasses.field(default_factory=list)
+    #: Times in which entries had lost their links to targets.
+    cuts: t.List[Cut] = dataclasses.field(default_factory=list)
     #: What the run itself found, beside what the rules find.
     faults: t.List[str] = dataclasses.field(default_factory=list)
 
@@ -151,6 +162,11 @@
         """Whether a process of an entry began between two moments."""
         return any(one.entry == entry and since <= one.began <= until for one in self.lifetimes)
 
+    def is_cut(self, entry: str, since: float, until: float) -> bool:
+        """Whether an entry had lost links to targets at any time between two moments."""
+        cuts = [cut for cut in self.cuts if cut.entry == entry]
+        return any(cut.began < until and cut.ended > since for cut in cuts)
+
     def calm(self, entry: str, since: float, until: float, stable_s: float) -> bool:
         """Whether an entry was not disturbed from a while before one moment until another."""
         for began, ended, whose in self.disturbances:
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -6,6 +6,7 @@
 import typing as t
 
 from tests.soak.record import (
+    DEADLY,
     HOT_PER_S,
     PROMISES,
     Attempt,
@@ -37,6 +38,14 @@
 #: Targets that a request ends until it must be known, and how often it may arrive later.
 DEADLY_ENDS = 3
 DEADLY_LATER = 3
+#: Part of the others' share of served first tries that entries without links to targets have to
+#: serve, unless they miss no more than a number and a part of their first tries.
+CUT_PART = 2 / 3
+CUT_SLACK = 10
+CUT_SLACK_PART = 50
+_FIRST_FAILURE = 429
+#: Parts of answers to requests that were refused as targets had named a limit or a cooldown.
+_ASKED_BY_TARGETS = (b"limits allow", b"take no requests")
 #: What a busy machine may add to a bound before it counts, in seconds.
 SLOW_S = 0.7
 
@@ -231,6 +240,56 @@
             yield f"BUDGET {path}: {len(later)} arrivals later than {known_at:.2f}"
 
 
+def served_while_cut(record: Record) -> t.Iterator[str]:
+    """Entries that lost their links to targets serve first tries nearly as often as the others.
+
+    Each sort of request is judged by itself, as the services have troubles of their own.
+    """
+    count: t.Counter[t.Tuple[float, Sort, bool]] = collections.Counter()
+    served: t.Counter[t.Tuple[float, Sort, bool]] = collections.Counter()
+    for attempt in record.attempts:
+        if attempt.tenant is not Tenant.CALM or attempt.status == 404 or attempt.path == DEADLY:
+            continue
+        if any(text in attempt.answer for text in _ASKED_BY_TARGETS):
+            continue
+        for began, is_cut in _cuts_during(attempt, record):
+            count[began, attempt.sort, is_cut] += 1
+            is_served = attempt.status is not None and attempt.status < _FIRST_FAILURE
+            served[began, attempt.sort, is_cut] += is_served
+    for (began, sort, is_cut), sent in count.items():
+        others = count[began, sort, False]
+        missed = sent - served[began, sort, is_cut]
+        if not is_cut or not others or missed <= CUT_SLACK + sent / CUT_SLACK_PART:
+            continue
+        rate, other_rate = (sent - missed) / sent, served[began, sort, False] / others
+        if rate < CUT_PART * other_rate:
+            rates = f"{rate:.2f} of {sent}, the others {other_rate:.2f} of {others}"
+            yield f"RECOVER {sort.name} while cut from {began:.2f}: {rates}"
+
+
+def _cuts_during(attempt: Attempt, record: Record) -> t.Iterator[t.Tuple[float, bool]]:
+    """Cuts within which a request is judged: when each began, and whether it hit the entry.
+
+    Only requests count that were sent while a cut was known and another entry was sound.
+    """
+    sent_at, ended_at, entry = attempt.sent_at, attempt.ended_at, attempt.entry
+    if not record.calm(entry, sent_at, ended_at, STABLE_S):
+        return
+    struck: t.Dict[float, t.Set[str]] = {}
+    for cut in record.cuts:
+        if cut.began + STABLE_S + SLOW_S <= sent_at and ended_at <= cut.ended:
+            struck.setdefault(cut.began, set()).add(cut.entry)
+    entries = {lifetime.entry for lifetime in record.lifetimes}
+    sound = set()
+    for one in entries:
+        is_sound = not record.is_cut(one, sent_at - STABLE_S, ended_at)
+        if is_sound and record.calm(one, sent_at, ended_at, STABLE_S):
+            sound.add(one)
+    for began, names in struck.items():
+        if entry in sound or (entry in names and sound):
+            yield began, entry in names
+
+
 def lost(record: Record) -> t.Iterator[str]:
     """A process that is told to stop answers what it passed on, and then ends by itself."""
     passed_on = {arrival.request_id for arrival in record.arrivals}
@@ -260,7 +319,7 @@
     refused,
     reverts,
 )
-TIMED: t.Tuple[Rule, ...] = (in_force, drains, in_cooldown, quarantined, lost)
+TIMED: t.Tuple[Rule, ...] = (in_force, drains, in_cooldown, quarantined, served_while_cut, lost)
 
 
 def broken(record: Record, rules: t.Iterable[Rule]) -> t.List[str]:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,7 +10,7 @@
 from tests.soak.callers import Caller
 from tests.soak.record import DEADLY, SLOW, Record, Sort, Tenant
 from tests.soak.rules import TIMED, TIMELESS, broken
-from tests.soak.troubles import LOADS, TROUBLES, WORDS, Trouble
+from tests.soak.troubles import CUTS, LOADS, TROUBLES, WORDS, Trouble
 from tests.soak.world import World, strangers
 
 #: Seconds that entries may take to be ready at the start and once all troubles are over.
@@ -30,6 +30,8 @@
 _WORD_GAP_S = (0.5, 5.0)
 #: Seconds between two loads of the same kind.
 _LOAD_GAP_S = (2.0, 8.0)
+#: Seconds between two cuts of entries from targets.
+_CUT_GAP_S = (2.0, 12.0)
 #: Seconds for which a request may fail once all is well again, and the pause between two tries.
 _WELL_S = 20.0
 _TRY_S = 0.1
@@ -64,6 +66,8 @@
         # Drawn from a seed of their own, so that the other troubles of each seed stay as they were.
         for word in WORDS:
             calling.append(asyncio.create_task(_repeat(world, word, seed, _WORD_GAP_S)))
+        for cut in CUTS:
+            calling.append(asyncio.create_task(_repeat(world, cut, seed, _CUT_GAP_S)))
         for load in LOADS:
             calling.append(asyncio.create_task(_repeat(world, load, seed, _LOAD_GAP_S)))
         if deadly:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,6 +12,7 @@
     DEADLY,
     Arrival,
     Attempt,
+    Cut,
     Lifetime,
     Record,
     Rejection,
@@ -95,6 +96,18 @@
     return seen
 
 
+def while_cut(count: int, served: int, at: float = 10.0, status: int = 200) -> t.List[object]:
+    """Requests to e0, cut off from 5.0 to 20.0, and to e1, which is not."""
+    seen: t.List[object] = [Cut("e0", 5.0, 20.0), Lifetime("e0", 0.0), Lifetime("e1", 0.0)]
+    for number in range(count):
+        name = f"c-{number}"
+        times = {"sent_at": at, "ended_at": at + 0.1}
+        is_served = number < served
+        seen.append(attempt(name, Sort.READ, status=200 if is_served else 503, **times))
+        seen.append(attempt(f"o-{number}", Sort.READ, entry="e1", status=status, **times))
+    return seen
+
+
 def told_of_leaving(sent_at: float, **fields: object) -> t.List[object]:
     """An answer at 10.5 said that i-1 leaves, and a request after it."""
     told = attempt(leaving=True, signature=signature_of("i-1", "c-1"))
@@ -127,6 +140,7 @@
         record.ended_at = {DEADLY: [5.0, 6.0, 7.0]}
         record.limits = [ReportedLimit("i-8", 2.0, 9.0, 20.0)]
         record.rejections = [one for one in seen if isinstance(one, Rejection)]
+        record.cuts = [one for one in seen if isinstance(one, Cut)]
         record.lifetimes = [one for one in seen if isinstance(one, Lifetime)]
         return record
 
@@ -153,6 +167,10 @@
             ("beyond a target's limit", beyond_limit(18), "LIMIT"),
             ("beyond it before it was told", beyond_limit(18, at=10.6), ""),
             ("beyond it once it is over", beyond_limit(18, at=20.5), ""),
+            ("served while cut off", while_cut(30, 20), ""),
+            ("seldom served while cut off", while_cut(30, 19), "RECOVER"),
+            ("seldom served, as by the others", while_cut(30, 0, status=503), ""),
+            ("as a cut began", while_cut(30, 0, at=7.0), ""),
             ("ran twice", [attempt(), arrival(), arrival(target="i-2")], "TWICE"),
             ("arrived twice, ran once", [attempt(), arrival(), arrival(ran=False)], ""),
             ("refused and ran", [attempt(status=503), arrival()], "REFUSED"),
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -7,9 +7,10 @@
 import time
 import typing as t
 
+from tests.linked_entry import Loss
 from tests.soak.callers import Caller
 from tests.soak.proxy import Proxy
-from tests.soak.record import ReportedLimit, Sort, Tenant
+from tests.soak.record import Cut, ReportedLimit, Sort, Tenant
 from tests.soak.targets import SLOTS, SoakTarget
 from tests.soak.world import SERVICES, SoakEntry, World
 
@@ -39,6 +40,9 @@
 _BURST_S = (1.0, 5.0)
 _BURST_PAUSE_S = (0.05, 0.3)
 _BURST_WORK = 4
+#: Seconds for which entries lose their links to targets, and after which they may lose them again.
+_CUT_S = (0.5, 6.0)
+_MENDED_S = (0.1, 2.0)
 
 
 @contextlib.asynccontextmanager
@@ -350,5 +354,29 @@
     world.store.remove("servers", target.instance_id)
 
 
+async def cut_from_targets(world: World, rng: random.Random) -> None:
+    """Some entries, at times all but one or all, lose their links to targets, at times twice."""
+    struck = rng.sample(world.entries, rng.randint(1, len(world.entries)))
+    loss = rng.choice([loss for loss in Loss if loss is not Loss.NONE])
+    service = rng.choice((None, None, *SERVICES))
+    addresses = [one.address for one in world.targets if one.service == service]
+    for _ in range(rng.randint(1, 2)):
+        began = time.monotonic()
+        cuts = [Cut(entry.name, began) for entry in struck]
+        world.record.cuts += cuts
+        try:
+            for entry in struck:
+                entry.links.set(loss, addresses)
+            await asyncio.sleep(rng.uniform(*_CUT_S))
+        finally:
+            for entry, cut in zip(struck, cuts, strict=True):
+                entry.links.set(Loss.NONE)
+                cut.ended = time.monotonic()
+        await asyncio.sleep(rng.uniform(*_MENDED_S))
+
+
+#: Losses of links between entries and targets beside all other troubles.
+CUTS: t.Tuple[Trouble, ...] = (cut_from_targets,)
+
 #: Loads of services beside all other troubles.
 LOADS: t.Tuple[Trouble, ...] = (slow_moment, burst, replace)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -8,6 +8,7 @@
 import time
 import typing as t
 
+from tests.linked_entry import LINKS_VARIABLE, LinkFile
 from tests.platform_adapter.standins import StoreStandin, config
 from tests.platform_adapter.test_processes import ZONES, EntryProcess
 from tests.soak.proxy import Proxy
@@ -23,13 +24,20 @@
 
 
 class SoakEntry(EntryProcess):
-    """An entry whose ways to the store and from its peers lead through proxies."""
+    """An entry whose ways to the store and from its peers lead through proxies.
+
+    Its links to the targets may be lost while those of other entries work.
+    """
+
+    command = ("-m", "tests.linked_entry")
 
     def __init__(self, folder: pathlib.Path, number: int, record: Record) -> None:
         super().__init__(folder, number, "unused")
         self._record = record
         self.store_proxy = Proxy("")
         self.peer_proxy = Proxy(f"127.0.0.1:{self.ports['peer']}")
+        self.links = LinkFile(folder / f"{self.name}.links")
+        self.variables = {LINKS_VARIABLE: str(self.links.path)}
         self.lifetime: t.Optional[Lifetime] = None
         self.stopping = False
 
