Build what opens streams to other entries in one place

The key, the greeting and the count of bytes were passed one by one to five parts; they are one FleetAccess now.

--- a/src/coralfall/traffic/gossip.py
+++ b/src/coralfall/traffic/gossip.py
@@ -13,7 +13,6 @@
 
 from .. import defaults
 from ..exceptions import PeerError, PeerFrameError
-from ..peering.channel import Traffic
 from ..peering.peer_links import PeerLinks
 from ..peering.peer_server import PeerListener
 from ..process import log
@@ -32,12 +31,12 @@
 if t.TYPE_CHECKING:
     from ..ids import EntryId, Revision
     from ..peering.channel import Channel
-    from ..peering.cipher import FleetKey
     from ..peering.messages import AnyMessage, Hello
     from ..process.clock import Clock
     from ..process.metrics import Metrics
     from .dispatch_client import DispatchClient
     from .dispatch_server import DispatchServer
+    from .fleet_access import FleetAccess
     from .gossip_exchange import GossipExchange
     from .members import Members
     from .model import EntryRecord
@@ -53,6 +52,7 @@
 class GossipServer(PeerListener):
     """Answers messages of other entries.
 
+    :param access: opens the streams of other entries.
     :param exchange: builds and applies gossip messages.
     :param relay: passes a pushed message on to other entries.
     :param pull: exchanges messages with an entry that has newer rows.
@@ -66,8 +66,7 @@
     def __init__(
         self,
         address: str,
-        fleet_key: "FleetKey",
-        hello: "Hello",
+        access: "FleetAccess",
         exchange: "GossipExchange",
         relay: "t.Callable[[GossipMessage, t.Sequence[EntryId]], None]",
         pull: "t.Callable[[EntryId], None]",
@@ -76,10 +75,9 @@
         dispatch_client: "DispatchClient",
         reach_checks: "ReachChecks",
         transit_server: "TransitServer",
-        traffic: Traffic,
         metrics: "Metrics",
     ) -> None:
-        super().__init__(address, fleet_key, hello, traffic, metrics)
+        super().__init__(address, *access, metrics)
         self._exchange = exchange
         self._relay = relay
         self._pull = pull
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -1,16 +1,12 @@
 """Node: builds the parts of an entry that steers by a desired state, and their supervisor tree."""
 
 import asyncio
-import hashlib
 import random
 import typing as t
 
 from .. import defaults
 from ..http.server import HttpServer
 from ..ids import EntryState, Incarnation
-from ..peering.channel import Traffic
-from ..peering.cipher import FLEET_KEY_BYTES, FleetKey
-from ..peering.messages import Hello
 from ..peering.peer_links import PeerLinks
 from ..placement.affinity import AffinitySteering
 from ..placement.buckets import TokenBuckets
@@ -26,6 +22,7 @@
 from .callers import CallersApp
 from .crash_detector import Crash, CrashDetector
 from .dispatch_parts import build_dispatch
+from .fleet_access import fleet_access
 from .follower import Follower
 from .forwarder import Forwarder
 from .gossip import Gossip, GossipServer
@@ -42,7 +39,7 @@
 from .target_permits import TargetPermits
 from .telemetry import MetricsApp, Telemetry
 from .tenants import TenantAuthenticator
-from .transit_parts import FleetAccess, TransitParts
+from .transit_parts import TransitParts
 
 if t.TYPE_CHECKING:
     from ..http.server import Application
@@ -92,7 +89,6 @@
         self.clock = clock
         self._rng = rng
         self.telemetry = Telemetry()
-        self._traffic = Traffic()
         self.metrics = Metrics(settings.metrics)
         self.targets = TargetRegistry(clock, settings.bounds.target_visibility_s())
         self.contention = Contention(settings.dispatch, clock)
@@ -107,14 +103,13 @@
         self.crash_detector.on_crash = self._note_crash
         self.pool.connect_listeners.append(self._count_connect_attempt)
         self.quarantine = Quarantine(settings.quarantine_s, clock)
-        self._access = FleetAccess(_fleet_key(settings), self._hello(), self._traffic)
+        self._access = fleet_access(settings, self.members.own_record)
         self._build_permits()
         self.transit = TransitParts(
             self.targets,
             self.pool,
             self.members,
             self._access,
-            PeerLinks(*self._access),
             clock,
             rng,
         )
@@ -291,10 +286,6 @@
     def _make_dispatch_links(self) -> PeerLinks:
         return PeerLinks(*self._access, defaults.MAX_DISPATCH_LINKS)
 
-    def _hello(self) -> Hello:
-        own = self.members.own_record
-        return Hello(entry_id=own.entry_id, incarnation=own.incarnation)
-
     def _build_peers(self) -> None:
         settings = self.settings
         self.exchange = GossipExchange(
@@ -306,8 +297,7 @@
         )
         self._peer_server = GossipServer(
             settings.peer_address,
-            self._access.fleet_key,
-            self._access.hello,
+            self._access,
             self.exchange,
             self.gossip.relay,
             self.gossip.pull,
@@ -316,7 +306,6 @@
             self.dispatch.client,
             self.transit.checks,
             self.transit_server,
-            self._access.traffic,
             self.metrics,
         )
 
@@ -402,10 +391,3 @@
         link_mbps=settings.link_mbps,
         transit=True,
     )
-
-
-def _fleet_key(settings: "SteerSettings") -> FleetKey:
-    # The platform gives its processes no secret, so the key is derived from public values. It keeps
-    # fleets apart and does not protect against attackers.
-    name = settings.fleet or settings.store.address
-    return FleetKey(hashlib.blake2b(name.encode(), digest_size=FLEET_KEY_BYTES).digest())
--- a/src/coralfall/traffic/transit_parts.py
+++ b/src/coralfall/traffic/transit_parts.py
@@ -5,6 +5,7 @@
 import random
 import typing as t
 
+from ..peering.peer_links import PeerLinks
 from ..placement.reachability import Reachability
 from .reach_checks import ReachChecks
 from .target_connections import TargetConnections
@@ -12,32 +13,20 @@
 from .transit_server import TransitServer
 
 if t.TYPE_CHECKING:
-    from ..peering.channel import Traffic
-    from ..peering.cipher import FleetKey
-    from ..peering.messages import Hello
-    from ..peering.peer_links import PeerLinks
     from ..placement.targets import TargetRegistry
     from ..process.clock import Clock
     from .crash_detector import CrashDetector
+    from .fleet_access import FleetAccess
     from .members import Members
     from .pool import ConnectionPool
     from .response_check import ResponseCheck
     from .wire import HeaderNames
 
 
-class FleetAccess(t.NamedTuple):
-    """What opens streams to other entries."""
-
-    fleet_key: "FleetKey"
-    hello: "Hello"
-    traffic: "Traffic"
-
-
 class TransitParts:
     """The parts of one entry.
 
     :param access: opens streams to other entries.
-    :param links: streams for questions about targets.
     """
 
     def __init__(
@@ -45,8 +34,7 @@
         targets: "TargetRegistry",
         pool: "ConnectionPool",
         members: "Members",
-        access: FleetAccess,
-        links: "PeerLinks",
+        access: "FleetAccess",
         clock: "Clock",
         rng: random.Random,
     ) -> None:
@@ -54,6 +42,7 @@
         self._pool = pool
         self._clock = clock
         self.reachability = Reachability(targets, clock)
+        links = PeerLinks(*access)
         self.checks = ReachChecks(self.reachability, targets, pool, members, links, clock, rng)
         self.client = TransitClient(members, *access, clock, rng)
         self.connections = TargetConnections(pool, self.reachability, self.checks, self.client)
--- a/tests/traffic/makers.py
+++ b/tests/traffic/makers.py
@@ -11,6 +11,7 @@
 from coralfall.placement.cold_targets import ColdTargetShares
 from coralfall.placement.targets import TargetRegistry
 from coralfall.process.clock import ManualClock
+from coralfall.traffic.fleet_access import FleetAccess
 from coralfall.traffic.members import Members
 from coralfall.traffic.model import (
     Backend,
@@ -25,7 +26,6 @@
     Tenant,
 )
 from coralfall.traffic.settings import SteerSettings, StoreSettings
-from coralfall.traffic.transit_parts import FleetAccess
 
 PEDIDOS = ServiceId("pedidos")
 NORTE = ZoneId("sierra-norte")
--- a/tests/traffic/test_dispatch_protocol.py
+++ b/tests/traffic/test_dispatch_protocol.py
@@ -19,6 +19,7 @@
 from coralfall.traffic.dispatch_client import DispatchClient
 from coralfall.traffic.dispatch_server import DispatchServer
 from coralfall.traffic.dispatchers import Dispatchers
+from coralfall.traffic.fleet_access import FleetAccess
 from coralfall.traffic.gossip import GossipServer
 from coralfall.traffic.member import LiveView
 from coralfall.traffic.messages import DispatchNotice, DispatchReply, DispatchRequest
@@ -590,8 +591,9 @@
     def test_the_listener_passes_messages_on(self) -> None:
         """Guards against streams that end as the message is unexpected."""
         parts = [mock.Mock() for _ in range(9)]
-        server = GossipServer("", *parts, *[mock.Mock() for _ in range(3)])
+        access = FleetAccess(mock.Mock(), mock.Mock(), mock.Mock())
+        server = GossipServer("", access, *parts)
         asked, notice = server.answer(mock.Mock(), DispatchRequest()), DispatchNotice(answers=())
-        self.assertIs(parts[6].handle_request.return_value, asked)
+        self.assertIs(parts[4].handle_request.return_value, asked)
         self.assertIsNone(server.answer(mock.sentinel.peer, notice))
-        parts[7].handle_notice.assert_called_once_with(mock.sentinel.peer, notice)
+        parts[5].handle_notice.assert_called_once_with(mock.sentinel.peer, notice)
--- a/tests/traffic/test_forwarder.py
+++ b/tests/traffic/test_forwarder.py
@@ -11,7 +11,6 @@
 from coralfall import defaults
 from coralfall.forwarding.request import MemoryAccount, RequestBody
 from coralfall.ids import Outcome, TargetId
-from coralfall.peering.peer_links import PeerLinks
 from coralfall.placement.affinity import AffinitySteering
 from coralfall.placement.quarantine import Quarantine
 from coralfall.placement.retry_budget import SharedRetryBudget
@@ -72,13 +71,7 @@
         self.members = Members(make_record("e1"), clock, seeded_rng())
         access = make_access(self.members)
         self.transit = TransitParts(
-            self.targets,
-            self.pool,
-            self.members,
-            access,
-            PeerLinks(*access),
-            clock,
-            seeded_rng(),
+            self.targets, self.pool, self.members, access, clock, seeded_rng()
         )
         self.quarantine = Quarantine(defaults.QUARANTINE_S, clock)
         self.permits = make_permits(clock)
