Tell a cut-off entry of cooldowns that the carrying entry was given

The reply tells the seconds that are left; the first entry notes them as its own, chooses another target, and refuses as cooldown with the true Retry-After. A test fails without it.

--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -229,8 +229,7 @@
             attempt.not_run = True
             attempt.result = str(error.fields.get("reason", "not-run"))
             attempt.sent &= not error.fields.get("unsent", False)
-            if attempt.result == "misdirected":
-                self._targets.mark_replaced(state)
+            self._note_refusal(state, attempt, error)
             if attempt.result == "connect" and self._is_evidence(attempt, state, error):
                 state.record_failure(reached=False, refused=bool(error.fields.get("refused")))
             raise
@@ -327,6 +326,15 @@
             reservation.state.target, request.deadline, reservation.known
         )
 
+    def _note_refusal(
+        self, state: "TargetState", attempt: Attempt, error: TargetNotRunError
+    ) -> None:
+        """Records what the entry that carried the request knows of its target."""
+        if attempt.result == "misdirected":
+            self._targets.mark_replaced(state)
+        if cooldown_s := error.fields.get("cooldown_s", 0.0):
+            self._targets.reports.cooldowns.record(state.target, cooldown_s)
+
     def _note_interrupted(
         self, request: SteeredRequest, state: "TargetState", connection: TargetConnection
     ) -> None:
--- a/src/coralfall/traffic/messages.py
+++ b/src/coralfall/traffic/messages.py
@@ -206,3 +206,5 @@
     refused: bool = False
     #: Whether the target's process has ended while it had the request.
     crashed: bool = False
+    #: Seconds for which the target accepts no requests from the sender.
+    cooldown_s: float = 0.0
--- a/src/coralfall/traffic/transit_client.py
+++ b/src/coralfall/traffic/transit_client.py
@@ -130,7 +130,13 @@
             service = self._state.target.service
             self._client.avoid(self._entry_id, service, _AVOID_S_BY_REASON[reason])
             reason = NO_PATH
-        raise TargetNotRunError(message, reason=reason, refused=reply.refused, unsent=True)
+        raise TargetNotRunError(
+            message,
+            reason=reason,
+            refused=reply.refused,
+            unsent=True,
+            cooldown_s=reply.cooldown_s,
+        )
 
 
 class TransitClient(Child):
--- a/src/coralfall/traffic/transit_server.py
+++ b/src/coralfall/traffic/transit_server.py
@@ -171,8 +171,9 @@
         connection = await self._connect(state, request.reusable, deadline)
         try:
             time_left_s = time_left_to_send(self._targets, state, deadline, self._clock)
-        except TargetNotRunError:
+        except TargetNotRunError as error:
             connection.release()
+            error.fields["cooldown_s"] = state.cooldown_s()
             raise
         head = replace_time_left(request.head, self._names.time_left, time_left_s)
         outgoing = OutgoingRequest(head, request.body, None, request.bodiless, hold)
@@ -220,4 +221,5 @@
         reason=str(error.fields.get("reason", error.code)),
         refused=bool(error.fields.get("refused")),
         crashed=bool(error.fields.get("crashed")),
+        cooldown_s=float(error.fields.get("cooldown_s", 0.0)),
     )
--- a/tests/traffic/test_transit.py
+++ b/tests/traffic/test_transit.py
@@ -234,6 +234,16 @@
             self.assertEqual(200, reply.status)
             self.assertTrue(fleet.first.targets.by_id[TargetId("t0")].has_ended)
 
+    async def test_a_cooldown_of_the_carrying_entries_tells_when_to_retry(self) -> None:
+        async with cut_fleet() as fleet:
+            for carrier in fleet.carriers:
+                for state in carrier.harness.targets.by_id.values():
+                    carrier.harness.targets.reports.cooldowns.record(state.target, 2.0)
+            reply = await fleet.first.forward(fleet.first.request("unsafe"))
+            self.assertEqual((503, "cooldown"), (reply.status, reply.reason))
+            self.assertGreater(float(dict(reply.headers)[b"retry-after"]), 1.0)
+            self.assertEqual(0, fleet.arrivals())
+
     async def test_a_request_that_ends_its_target_becomes_a_suspect(self) -> None:
         async def end(received: ReceivedRequest) -> None:
             for target in fleet.targets:
