Judge services that work in the soak's rule of cuts, and let mixed builds find its entries

The rule is for services of which the others serve at least half. tests.mixed_builds told 0 starts of either build, as the soak's entries run by another module since they can be cut; it sees them by the word steer again.

--- a/tests/linked_entry.py
+++ b/tests/linked_entry.py
@@ -1,6 +1,6 @@
 """An entry process whose links to the targets can be lost while all its other links work.
 
-``python -m tests.linked_entry`` runs ``coralfall steer``. What is lost is read from the file that
+``python -m tests.linked_entry steer`` runs ``coralfall steer``. What is lost is read from the file that
 the environment variable ``LINKS_FILE`` names: the kind of loss, and the addresses that it concerns.
 """
 
@@ -14,7 +14,6 @@
 import json
 import os
 import pathlib
-import sys
 import typing as t
 
 from coralfall import __main__, defaults
@@ -144,5 +143,4 @@
 if __name__ == "__main__":
     links = _Links(pathlib.Path(os.environ[LINKS_VARIABLE]))
     pool.connect = links.connect
-    sys.argv = ["coralfall", "steer"]
     __main__.main()
--- a/tests/mixed_builds/builds.py
+++ b/tests/mixed_builds/builds.py
@@ -67,7 +67,8 @@
 
             def __init__(self, arguments: t.Sequence[str], **options: t.Any) -> None:
                 environment = dict(options.get("env") or os.environ)
-                environment["PYTHONPATH"] = sources[build_of(arguments, environment)]
+                source = sources[build_of(arguments, environment)]
+                environment["PYTHONPATH"] = os.pathsep.join((source, str(NEW_ROOT)))
                 super().__init__(arguments, **{**options, "env": environment})
 
         sources = self._sources
--- a/tests/platform_adapter/test_cut_entries.py
+++ b/tests/platform_adapter/test_cut_entries.py
@@ -30,7 +30,7 @@
 class LinkedEntry(EntryProcess):
     """An entry whose links to targets may be lost."""
 
-    command = ("-m", "tests.linked_entry")
+    command = ("-m", "tests.linked_entry", "steer")
 
     def __init__(self, folder: pathlib.Path, number: int, store: str) -> None:
         super().__init__(folder, number, store)
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -42,6 +42,8 @@
 #: serve, unless they miss no more than a number and a part of their first tries.
 CUT_PART = 2 / 3
 CUT_SLACK = 10
+#: Part of its first tries that the others have to serve for a service to count as working.
+CUT_WORKING = 0.5
 CUT_SLACK_PART = 50
 _FIRST_FAILURE = 429
 #: Parts of answers to requests that were refused as targets had named a limit or a cooldown.
@@ -262,7 +264,7 @@
         if not is_cut or not others or missed <= CUT_SLACK + sent / CUT_SLACK_PART:
             continue
         rate, other_rate = (sent - missed) / sent, served[began, sort, False] / others
-        if rate < CUT_PART * other_rate:
+        if other_rate >= CUT_WORKING and rate < CUT_PART * other_rate:
             rates = f"{rate:.2f} of {sent}, the others {other_rate:.2f} of {others}"
             yield f"RECOVER {sort.name} while cut from {began:.2f}: {rates}"
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -29,7 +29,7 @@
     Its links to the targets may be lost while those of other entries work.
     """
 
-    command = ("-m", "tests.linked_entry")
+    command = ("-m", "tests.linked_entry", "steer")
 
     def __init__(self, folder: pathlib.Path, number: int, record: Record) -> None:
         super().__init__(folder, number, "unused")
