--- a/tests/linked_entry.py
+++ b/tests/linked_entry.py
@@ -1,7 +1,8 @@
 """An entry process whose links to the targets can be lost while all its other links work.
 
-``python -m tests.linked_entry steer`` runs ``coralfall steer``. What is lost is read from the file that
-the environment variable ``LINKS_FILE`` names: the kind of loss, and the addresses that it concerns.
+``python -m tests.linked_entry steer`` runs ``coralfall steer``. What is lost is read from the file
+that the environment variable ``LINKS_FILE`` names: the kind of loss, and the addresses that it
+concerns.
 """
 
 from coralfall.process.signals import early
