Ask leaving entries about targets if no others are left

Leaving entries, which still serve, are asked now if there are no others, and without anybody to ask an entry stays cut off and refuses at once.

--- a/src/coralfall/traffic/reach_checks.py
+++ b/src/coralfall/traffic/reach_checks.py
@@ -193,15 +193,18 @@
         return Witness(record.entry_id, frozenset(request.target_ids) - reached_ids)
 
     def _entries_to_ask(self, service: "ServiceId") -> "t.List[EntryRecord]":
-        """Returns some entries at random: one half of the own region, if it has as many."""
+        """Returns some entries at random: one half of the own region, if it has as many.
+
+        Entries that leave are asked only if there are no others.
+        """
         own = self._members.own_record
         records = [
             record
             for record in self._members.alive_records()
-            if record.transit
-            and record.state is EntryState.SERVING
-            and service not in record.cut_off_from
+            if record.transit and service not in record.cut_off_from
         ]
+        serving = [record for record in records if record.state is EntryState.SERVING]
+        records = serving or records
         self._rng.shuffle(records)
         count = self._reachability.entries_to_ask(service)
         near = [record for record in records if record.region == own.region][: (count + 1) // 2]
@@ -210,7 +213,8 @@
     async def _probe_round(self, service: "ServiceId", asks: bool) -> None:
         states = self._reachability.targets_to_probe(service, self._rng)
         succeeded = await self._probe_all(states)
-        if asks and not succeeded and await self._find_witness(service) is None:
+        may_be_down = asks and not succeeded and bool(self._entries_to_ask(service))
+        if may_be_down and await self._find_witness(service) is None:
             self._reachability.conclude_down(service)
         else:
             self._reachability.record_probes(service, succeeded)
--- a/tests/traffic/test_transit.py
+++ b/tests/traffic/test_transit.py
@@ -9,7 +9,7 @@
 from parameterized import parameterized
 
 from coralfall import defaults
-from coralfall.ids import EntryId, TargetId
+from coralfall.ids import EntryId, EntryState, TargetId
 from coralfall.peering.channel import Channel, Traffic
 from coralfall.peering.messages import AnyMessage, Hello
 from coralfall.peering.peer_server import PeerListener
@@ -106,6 +106,29 @@
             await fleet.close()
 
 
+class AskedEntriesTest(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("those that serve", [{}, {"state": EntryState.LEAVING}], {"c0"}),
+            ("those that leave if there is no other", [{"state": EntryState.LEAVING}], {"c0"}),
+            ("none that is cut off", [{"cut_off_from": (PEDIDOS,)}], set()),
+            ("no older build", [{"transit": False}], set()),
+        ]
+    )
+    def test_entries_that_are_asked_about_targets(
+        self, _name: str, records: t.List[t.Dict[str, t.Any]], asked: t.Set[str]
+    ) -> None:
+        harness = ForwarderHarness([])
+        harness.members.merge_records(
+            [
+                make_record(f"c{number}", **{"transit": True, **fields})
+                for number, fields in enumerate(records)
+            ]
+        )
+        found = harness.transit.checks._entries_to_ask(PEDIDOS)
+        self.assertEqual(asked, {record.entry_id for record in found})
+
+
 class TransitTest(unittest.IsolatedAsyncioTestCase):
     async def test_the_answer_is_that_of_the_target(self) -> None:
         async with cut_fleet() as fleet:
