Ask leaving entries about targets beside those that serve

Leaving entries were asked only if no other was left, but those that served were all cut off and not known to be: each check found nobody, and 124 first tries at them failed within 4.6 s, 14 of 14 at the other were served. Leaving entries are asked last now, within the number that a check asks. CutOffTest.fail hid TestCase.fail and so the messages of failures; renamed.

--- a/src/coralfall/traffic/reach_checks.py
+++ b/src/coralfall/traffic/reach_checks.py
@@ -195,7 +195,7 @@
     def _entries_to_ask(self, service: "ServiceId") -> "t.List[EntryRecord]":
         """Returns some entries at random: one half of the own region, if it has as many.
 
-        Entries that leave are asked only if there are no others.
+        Entries that leave come last, but are asked too: those that serve may all be cut off.
         """
         own = self._members.own_record
         records = [
@@ -203,9 +203,8 @@
             for record in self._members.alive_records()
             if record.transit and service not in record.cut_off_from
         ]
-        serving = [record for record in records if record.state is EntryState.SERVING]
-        records = serving or records
         self._rng.shuffle(records)
+        records.sort(key=lambda record: record.state is not EntryState.SERVING)
         count = self._reachability.entries_to_ask(service)
         near = [record for record in records if record.region == own.region][: (count + 1) // 2]
         return near + [record for record in records if record not in near][: count - len(near)]
--- a/tests/traffic/test_reachability.py
+++ b/tests/traffic/test_reachability.py
@@ -43,14 +43,14 @@
         self.clock = self.fixture.clock
         self.reachability = Reachability(self.fixture.targets, self.clock)
 
-    def fail(self, *numbers: int) -> None:  # type: ignore[override]
+    def record_failures(self, *numbers: int) -> None:
         for number in numbers:
             state = self.fixture.targets.by_id[TargetId(f"t{number}")]
             self.reachability.record_failure(PEDIDOS, state.target.target_id, refused=True)
             state.record_failure(reached=False, refused=True)
 
     def cut_off(self, *unreached: int) -> None:
-        self.fail(1, 2, 3)
+        self.record_failures(1, 2, 3)
         ids = frozenset([TargetId(f"t{number}") for number in unreached])
         self.reachability.conclude_cut_off(PEDIDOS, Witness(EntryId("w"), ids))
 
@@ -68,7 +68,7 @@
         self.assertEqual([False, False, True], [state.is_cold() for state in states])
 
     def test_failures_before_the_last_connection_still_count(self) -> None:
-        self.fail(4)
+        self.record_failures(4)
         self.clock.advance(0.1)
         self.reachability.record_success(PEDIDOS, TargetId("t5"))
         self.clock.advance(0.1)
@@ -96,7 +96,7 @@
         self.assertTrue(self.reachability.is_cut_off(PEDIDOS))
 
     def test_targets_that_nobody_reaches_are_down(self) -> None:
-        self.fail(1, 2, 3)
+        self.record_failures(1, 2, 3)
         self.reachability.conclude_down(PEDIDOS)
         self.assertFalse(self.reachability.is_cut_off(PEDIDOS))
         self.assertFalse(self.fixture.targets.by_id[TargetId("t1")].is_usable())
@@ -105,7 +105,7 @@
         asked: t.List[int] = []
         waits: t.List[float] = []
         for _ in range(8):
-            self.fail(1, 2, 3)
+            self.record_failures(1, 2, 3)
             asked.append(self.reachability.entries_to_ask(PEDIDOS))
             self.reachability.conclude_down(PEDIDOS)
             began = self.clock.monotonic()
@@ -117,8 +117,8 @@
         self.assertLessEqual(waits[-1], defaults.MAX_REACH_RECHECK_S + 0.1)
 
     def test_targets_not_tried_are_probed_first(self) -> None:
-        self.fail(1, 2)
+        self.record_failures(1, 2)
         states = self.reachability.targets_to_probe(PEDIDOS, seeded_rng())
         self.assertEqual(set(), {state.target.target_id for state in states} & {"t1", "t2"})
-        self.fail(3)
+        self.record_failures(3)
         self.assertEqual([], self.reachability.targets_to_probe(PEDIDOS, seeded_rng()))
--- a/tests/traffic/test_transit.py
+++ b/tests/traffic/test_transit_client.py
@@ -1,7 +1,7 @@
-"""Tests of requests that another entry carries for one that is cut off from the targets."""
+"""Tests of what callers of an entry that is cut off get, and of the entries that it chooses."""
 
 import asyncio
-import contextlib
+import types
 import typing as t
 import unittest
 from unittest import mock
@@ -9,127 +9,17 @@
 from parameterized import parameterized
 
 from coralfall import defaults
-from coralfall.ids import EntryId, EntryState, TargetId
-from coralfall.peering.channel import Channel, Traffic
-from coralfall.peering.messages import AnyMessage, Hello
-from coralfall.peering.peer_server import PeerListener
+from coralfall.ids import EntryId, TargetId
 from coralfall.placement.reachability import Witness
-from coralfall.platform.names import HEADERS
-from coralfall.traffic.crash_detector import Crash
-from coralfall.traffic.messages import TransitCancel, TransitRequest
 from coralfall.traffic.reply import Reply
+from coralfall.traffic.transit_client import TransitClient
 from tests.traffic.makers import NORTE, PEDIDOS, make_record
-from tests.traffic.scripted_target import ReceivedRequest, Script, ScriptedTarget
-from tests.traffic.test_forwarder import ForwarderHarness, never_answers, ok, reset, shed
+from tests.traffic.scripted_target import ReceivedRequest
+from tests.traffic.test_forwarder import ForwarderHarness, never_answers, reset, shed
+from tests.traffic.transit_fleet import cut_fleet
 
 
-class Carrier(PeerListener):
-    """The peer server of an entry that carries requests."""
-
-    def __init__(self, addresses: t.Sequence[str]) -> None:
-        self.harness = ForwarderHarness(addresses)
-        parts = self.harness.transit
-        self.server = parts.build_server(
-            HEADERS, self.harness.forwarder.response_check, self.harness.crash_detector
-        )
-        self.received: t.List[TransitRequest] = []
-        access = parts.client
-        super().__init__("127.0.0.1:0", access._fleet_key, access._hello, Traffic(), mock.Mock())
-
-    def take(self, channel: Channel, message: AnyMessage) -> bool:
-        if isinstance(message, TransitCancel):
-            self.server.cancel(channel, message)
-            return True
-        assert isinstance(message, TransitRequest)
-        self.received.append(message)
-        self.server.start_request(channel, message)
-        return True
-
-    def drop(self, channel: Channel) -> None:
-        self.server.drop(channel)
-
-    def answer(self, peer: Hello, message: AnyMessage) -> None:
-        raise AssertionError(f"unexpected {message}")
-
-    def lose(self) -> None:
-        """Ends as a process does that is killed."""
-        self._close_listener()
-        for channel in list(self._channels):
-            channel.abort()
-
-
-class CutFleet:
-    """An entry that is cut off, two that carry its requests, and two targets."""
-
-    def __init__(self, targets: t.Sequence[ScriptedTarget]) -> None:
-        self.targets = targets
-        addresses = [target.address for target in targets]
-        self.first = ForwarderHarness(addresses)
-        self.carriers = [Carrier(addresses) for _ in range(2)]
-        self.crashes: t.List[Crash] = []
-        self.first.crash_detector.on_crash = self.crashes.append
-
-    async def start(self, transit: bool = True) -> None:
-        records = []
-        for number, carrier in enumerate(self.carriers):
-            await carrier.start()
-            # Entries are expected under the name that they greet with.
-            address = carrier.bound_address
-            records.append(make_record(f"c{number}", peer_address=address, transit=transit))
-        self.first.members.merge_records(records)
-        witness = Witness(records[0].entry_id, frozenset())
-        self.first.transit.reachability.conclude_cut_off(PEDIDOS, witness)
-
-    async def close(self) -> None:
-        for stream in self.first.transit.client._streams_by_id.values():
-            stream.close()
-        for carrier in self.carriers:
-            carrier.lose()
-            carrier.harness.pool.close()
-        self.first.pool.close()
-
-    def arrivals(self) -> int:
-        return sum(len(target.received) for target in self.targets)
-
-    def carried(self) -> t.List[TransitRequest]:
-        return [one for carrier in self.carriers for one in carrier.received]
-
-
-@contextlib.asynccontextmanager
-async def cut_fleet(script: Script = ok, transit: bool = True) -> t.AsyncIterator[CutFleet]:
-    async with ScriptedTarget(script) as first, ScriptedTarget(script) as second:
-        fleet = CutFleet((first, second))
-        await fleet.start(transit)
-        try:
-            yield fleet
-        finally:
-            await fleet.close()
-
-
-class AskedEntriesTest(unittest.TestCase):
-    @parameterized.expand(
-        [
-            ("those that serve", [{}, {"state": EntryState.LEAVING}], {"c0"}),
-            ("those that leave if there is no other", [{"state": EntryState.LEAVING}], {"c0"}),
-            ("none that is cut off", [{"cut_off_from": (PEDIDOS,)}], set()),
-            ("no older build", [{"transit": False}], set()),
-        ]
-    )
-    def test_entries_that_are_asked_about_targets(
-        self, _name: str, records: t.List[t.Dict[str, t.Any]], asked: t.Set[str]
-    ) -> None:
-        harness = ForwarderHarness([])
-        harness.members.merge_records(
-            [
-                make_record(f"c{number}", **{"transit": True, **fields})
-                for number, fields in enumerate(records)
-            ]
-        )
-        found = harness.transit.checks._entries_to_ask(PEDIDOS)
-        self.assertEqual(asked, {record.entry_id for record in found})
-
-
-class TransitTest(unittest.IsolatedAsyncioTestCase):
+class TransitClientTest(unittest.IsolatedAsyncioTestCase):
     async def test_the_answer_is_that_of_the_target(self) -> None:
         async with cut_fleet() as fleet:
             for kind in ("safe", "unsafe"):
@@ -200,31 +90,45 @@
             for state in fleet.first.targets.by_id.values():
                 self.assertTrue(state.is_usable())
 
-    async def test_an_entry_without_answers_for_a_while_is_the_last_choice(self) -> None:
-        async def slow(received: ReceivedRequest) -> None:
-            if len(fleet.targets[0].received) > 1:
-                await received.answer()
-            else:
-                await asyncio.sleep(5.0)
-
-        async with cut_fleet(slow) as fleet:
-            first = fleet.first.request("safe", first="t0", seconds=5.0)
-            work = asyncio.create_task(fleet.first.forward(first))
-            await fleet.targets[0].request_received.wait()
-            with mock.patch.object(defaults, "TRANSIT_SILENT_S", 0.0):
-                for is_alone in (False, True):
-                    if is_alone:
-                        other = {EntryId("c0"), EntryId("c1")} - {first.attempts[0].via}
-                        fleet.first.transit.client.avoid(other.pop(), PEDIDOS, 60.0)
-                    request = fleet.first.request("safe", first="t0")
-                    self.assertEqual(200, (await fleet.first.forward(request)).status)
-                    same = request.attempts[0].via == first.attempts[0].via
-                    self.assertEqual(is_alone, same)
-            work.cancel()
+    @parameterized.expand(
+        [
+            ("another one answers", {"c0": (1, 9.0), "c1": (3, 0.0)}, (), {"c1"}),
+            ("all are silent", {"c0": (1, 9.0), "c1": (1, 9.0)}, (), {"c0", "c1"}),
+            ("the other one was refused by", {"c0": (1, 9.0)}, ("c1",), {"c0"}),
+        ]
+    )
+    def test_an_entry_without_answers_for_a_while_is_the_last_choice(
+        self,
+        _name: str,
+        streams: t.Dict[str, t.Tuple[int, float]],
+        avoided: t.Sequence[str],
+        chosen: t.Set[str],
+    ) -> None:
+        harness = ForwarderHarness([])
+        harness.members.merge_records([make_record(one, transit=True) for one in ("c0", "c1")])
+        client: TransitClient = harness.transit.client
+        for name, (load, silent_s) in streams.items():
+            stream = types.SimpleNamespace(load=load, silent_s=silent_s)
+            client._streams_by_id[EntryId(name)] = t.cast(t.Any, stream)
+        for name in avoided:
+            client.avoid(EntryId(name), PEDIDOS, 60.0)
+        records = [client._choose(PEDIDOS, ()) for _ in range(20)]
+        self.assertEqual(chosen, {record.entry_id for record in records if record is not None})
+
+    async def test_busy_entries_are_chosen_again_soon(self) -> None:
+        async with cut_fleet() as fleet:
+            with mock.patch.object(defaults, "MAX_TRANSITS", 0):
+                refused = await fleet.first.forward(fleet.first.request("unsafe"))
+            self.assertEqual(503, refused.status)
+            await asyncio.sleep(defaults.TRANSIT_BUSY_S * 1.5)
+            served = await fleet.first.forward(fleet.first.request("unsafe", 2))
+            self.assertEqual(200, served.status)
 
     async def test_a_caller_that_leaves_ends_the_work_at_the_target(self) -> None:
         async with cut_fleet(never_answers) as fleet:
-            work = asyncio.create_task(fleet.first.forward(fleet.first.request("safe", first="t0")))
+            work = asyncio.create_task(
+                fleet.first.forward(fleet.first.request("safe", first="t0", seconds=90.0))
+            )
             await fleet.targets[0].request_received.wait()
             work.cancel()
             async with asyncio.timeout(30.0):
