--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -10,6 +10,7 @@
 import time
 import typing as t
 
+import msgspec
 from tests.platform_adapter.standins import config
 from tests.traffic.makers import (
     PEDIDOS,
@@ -23,6 +24,7 @@
 
 from coralfall.ids import EntryId, RegionId, Revision, TargetId, ZoneId
 from coralfall.placement.cold_targets import ColdTargetShares
+from coralfall.placement.transit_choice import choose_transit
 from coralfall.platform.rows import PlatformRowCodec
 from coralfall.process.clock import ManualClock
 from coralfall.traffic.delta import DeltaRow, pack
@@ -150,6 +152,17 @@
     return call
 
 
+def choose_carrier(count: int) -> Call:
+    """The entry that carries a request while a third of the entries is cut off."""
+    records = []
+    for number in range(1, count):
+        cut_off_from = (PEDIDOS,) if number % 3 == 0 else ()
+        record = make_entry(number)
+        records.append(msgspec.structs.replace(record, transit=True, cut_off_from=cut_off_from))
+    rng = random.Random(1)
+    return lambda number: choose_transit(make_entry(0), records, PEDIDOS, (), {}, (), rng)
+
+
 ROWS: t.Tuple[t.Tuple[str, t.Callable[[int], Call], t.Tuple[int, ...]], ...] = (
     ("cold share of a target", cold_share, ENTRIES),
     ("rank among readers", rank, ENTRIES),
@@ -160,6 +173,7 @@
     ("desired state taken in", take_state, ROUTES),
     ("desired state handed on", hand_on_state, ROUTES),
     ("place of a new object", place, TARGETS),
+    ("carrier while cut off", choose_carrier, ENTRIES),
 )
 
 
--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -414,7 +414,7 @@
 REACH_KNOWN_S = 1.0
 #: Number of entries that a check asks, first and at most.
 REACH_ASKED_ENTRIES = 4
-MAX_REACH_ASKED_ENTRIES = 32
+MAX_REACH_ASKED_ENTRIES = 16
 #: Shortest time between two checks of a service that is reached, and the time after a check in
 #: which nobody reached it, first and longest.
 REACH_CHECK_INTERVAL_S = 0.5
