Say why an entry refused a request, and what a target has in flight beyond its limit

Cause: two failures of `coralfall entry` could not be traced. A 503 said only that every target is busy, and a target only how many requests it had had.

Change: a refusal carries its reason and how long it waited, and the entry writes a bounded `slot.refused` line with the states of its slots, the regions that the request could go to and the last loan requests. With the setting `trace_slots` targets are told by which slot, lease, roster and loan a request was sent; the stand-in records all requests in flight whenever it passes its limit, and whether the server knew already that their connections had ended. Tests on processes print both.

--- a/src/coralfall/balancing/fleet_steering.py
+++ b/src/coralfall/balancing/fleet_steering.py
@@ -13,6 +13,7 @@
 from ..exceptions import RefusedError
 from ..ids import BundleVersion, PartnerId, RegionId, ServiceId, TargetId
 from .capacity import idle_connections
+from .refusals import RefusalLog, RefusalReason
 from .served_services import ServedService, ServedServices
 from .slot import Slot
 from .slots import SlotTable
@@ -51,6 +52,7 @@
     :param clock: clocks of the VM.
     :param platform_clock: the platform's time, by which shifts and ramps progress.
     :param start_loan_request: called when a service has no free slot left.
+    :param trace_slots: whether :meth:`describe` tells by which slot a request is sent.
     """
 
     def __init__(
@@ -61,7 +63,10 @@
         clock: "Clock",
         platform_clock: "PlatformClock",
         start_loan_request: StartLoanRequest,
+        trace_slots: bool = False,
     ) -> None:
+        self._trace_slots = trace_slots
+        self.refusal_log = RefusalLog(slots, clock)
         self._rollouts = rollouts
         self._roster = roster
         self._slots = slots
@@ -87,22 +92,38 @@
             service_state.router.count_request()
             # The credit of this request may be what a waiting request lacked.
             service_state.wait_queue.wake_first()
+        began = self._clock.monotonic()
         try:
             return await self._reserve(service_state, service, rules, tried, deadline)
-        except RefusedError:
+        except RefusedError as refusal:
             if not tried:
                 service_state.router.count_refused()
+            waited_s = self._clock.monotonic() - began
+            refusal.fields["waited_ms"] = round(waited_s * 1000, 1)
+            self.refusal_log.write(
+                partner,
+                service,
+                refusal,
+                waited_s,
+                len(service_state.wait_queue),
+                service_state.router.shift_limiter.allowed_regions(bool(tried)),
+            )
             raise
 
     def check(self, reservation: Reservation) -> None:
         assert isinstance(reservation, FleetReservation)
         if not self.served.drains.allows(reservation.target_id):
-            raise RefusedError("the target is leaving", defaults.RETRY_AFTER_S)
+            message = "the target is leaving"
+            raise self._send_refusal(reservation, message, RefusalReason.TARGET_LEAVING)
         if not self._slots.confirm(reservation.slot):
-            raise RefusedError(
-                "the slot passed to another entry before the request was sent",
-                defaults.RETRY_AFTER_S,
-            )
+            message = "the slot passed to another entry before the request was sent"
+            raise self._send_refusal(reservation, message, RefusalReason.SLOT_LOST)
+
+    def describe(self, reservation: Reservation) -> t.Optional[str]:
+        if not self._trace_slots:
+            return None
+        assert isinstance(reservation, FleetReservation)
+        return self._slots.describe(reservation.slot)
 
     def pace(self, reservation: Reservation, size: int) -> float:
         return self.served.link_limiter.reserve(reservation.region, size)
@@ -180,7 +201,7 @@
                 if not service_state.router.shift_limiter.allowed_regions(bool(tried)):
                     raise
         if self._queue_is_full(service_state, service):
-            raise service_state.router.busy_error()
+            raise service_state.router.busy_error(RefusalReason.QUEUE_FULL)
         now = self._clock.monotonic()
         seconds = min(defaults.MAX_QUEUE_WAIT_S, (deadline - now) * _MAX_QUEUE_FRACTION)
         return await self._wait_for_slot(service_state, service, rules, tried, now + seconds)
@@ -224,6 +245,13 @@
             ]
         self._ask_loan(service, len(service_state.wait_queue), regions)
 
+    def _send_refusal(
+        self, reservation: Reservation, message: str, reason: RefusalReason
+    ) -> RefusedError:
+        refusal = RefusedError(message, defaults.RETRY_AFTER_S, reason=reason.value)
+        self.refusal_log.write(reservation.partner, reservation.service, refusal, 0.0, 0)
+        return refusal
+
     def _queue_is_full(self, service_state: ServedService, service: ServiceId) -> bool:
         most = max(_MIN_QUEUE, _QUEUE_PER_SLOT * self._slots.in_use(service))
         return len(service_state.wait_queue) >= most
--- a/src/coralfall/balancing/lending.py
+++ b/src/coralfall/balancing/lending.py
@@ -12,6 +12,7 @@
     owner: see :mod:`coralfall.balancing.handover`.
 """
 
+import collections
 import random
 import typing as t
 
@@ -29,6 +30,8 @@
 
 #: Seconds for which a peer's count of idle slots is used.
 MAX_IDLE_AGE_S = 5.0
+#: Latest replies to loan requests of a service that :meth:`Borrower.describe` tells of.
+_DESCRIBED_REPLIES = 4
 #: Number of lenders picked at random; of these the one with the most idle slots is asked.
 _LENDER_SAMPLE_SIZE = 2
 
@@ -153,6 +156,17 @@
     wait_s: float
 
 
+class _Reply(t.NamedTuple):
+    """How a loan request ended."""
+
+    peer: EntryId
+    #: Slots that were granted; ``None`` if no answer came.
+    slots: t.Optional[int]
+    #: Monotonic time at which it ended, and the seconds that it took.
+    ended_at: float
+    seconds: float
+
+
 class _IdleSlots(msgspec.Struct):
     """Idle slots that a peer stated in its heartbeat."""
 
@@ -176,6 +190,7 @@
         self._pending_by_service: t.Dict[ServiceId, t.List[PendingLoanRequest]] = {}
         self._refusals: t.Dict[t.Tuple[EntryId, ServiceId], _Refusal] = {}
         self._borrowed: t.List[Slot] = []
+        self._replies_by_service: t.Dict[ServiceId, t.Deque[_Reply]] = {}
 
     def record_heartbeat(self, peer: EntryId, idle: t.Mapping[ServiceId, int]) -> None:
         """Records the idle slots of a peer's heartbeat."""
@@ -221,7 +236,7 @@
         :return: slots to return at once, because the answer came too late or a limit known to this
             entry does not allow them.
         """
-        self.discard_request(pending_request)
+        self._end_request(pending_request, len(answer.slots))
         self._record_refusal(pending_request, answer)
         valid_until = pending_request.sent_at + answer.seconds
         rejected = []
@@ -245,6 +260,16 @@
 
     def discard_request(self, pending_request: PendingLoanRequest) -> None:
         """Removes a request that gets no answer."""
+        self._end_request(pending_request, None)
+
+    def _end_request(self, pending_request: PendingLoanRequest, slots: t.Optional[int]) -> None:
+        service = pending_request.request.service
+        now = self._clock.monotonic()
+        reply = _Reply(pending_request.peer, slots, now, now - pending_request.sent_at)
+        replies = self._replies_by_service.setdefault(
+            service, collections.deque(maxlen=_DESCRIBED_REPLIES)
+        )
+        replies.append(reply)
         pending = self._pending_by_service.get(pending_request.request.service, [])
         if pending_request in pending:
             pending.remove(pending_request)
@@ -272,6 +297,23 @@
             returns.append(OutgoingReturn(peer, LoanReturn(loan_id=loan_id, slots=tuple(lent))))
         return returns
 
+    def describe(self, service: ServiceId) -> str:
+        """Returns the loan requests of a service, for logs.
+
+        ``asked:PEER:MS`` is one that was sent so long ago and has no answer yet, and
+        ``PEER:SLOTS:MS:AGO`` one that ended ``AGO`` milliseconds ago, after ``MS``, with so many
+        slots, or ``lost`` if there was no answer.
+        """
+        now = self._clock.monotonic()
+        parts = []
+        for pending in self._pending_by_service.get(service, []):
+            parts.append(f"asked:{pending.peer}:{_milliseconds(now - pending.sent_at)}")
+        for reply in self._replies_by_service.get(service, ()):
+            slots = "lost" if reply.slots is None else reply.slots
+            took, ago = _milliseconds(reply.seconds), _milliseconds(now - reply.ended_at)
+            parts.append(f"{reply.peer}:{slots}:{took}:{ago}")
+        return ",".join(parts) or "none"
+
     def borrowed_count(self) -> int:
         """Returns the number of borrowed slots, in use or not."""
         return len(self._borrowed)
@@ -323,3 +365,7 @@
             if idle.heard_at >= recent and count > 0:
                 counts[peer] = count
         return counts
+
+
+def _milliseconds(seconds: float) -> int:
+    return round(seconds * 1000)
--- a/src/coralfall/balancing/owned_slots.py
+++ b/src/coralfall/balancing/owned_slots.py
@@ -37,7 +37,8 @@
     def __init__(
         self, entry_id: EntryId, inventory: "SlotInventory", clock: "Clock", expiry_s: float
     ) -> None:
-        self._entry_id = entry_id
+        #: Id of this entry.
+        self.entry_id = entry_id
         self._inventory = inventory
         self._clock = clock
         self._expiry_s = expiry_s
@@ -131,13 +132,13 @@
             if not slot.busy and slot.lent_until <= now:
                 self.discard_lost(slot)
         incarnation = self._handover.incarnation
-        self._others = {name for name in roster.by_id if name != self._entry_id}
+        self._others = {name for name in roster.by_id if name != self.entry_id}
         self._owner_counts.set_others(self._others)
         if incarnation is None:
             self._remove_all()
             self._unscanned_targets = {}
             return
-        self._is_only_member_ever = roster.only_ever(self._entry_id, incarnation)
+        self._is_only_member_ever = roster.only_ever(self.entry_id, incarnation)
         if self._handover.join_count != join_count:
             self._remove_all()
             self._unscanned_targets = dict.fromkeys(self.limits)
@@ -171,7 +172,7 @@
         limit = self.limits[target_id]
         if self._handover.incarnation is None:
             return
-        for index in owned_indices(target_id, limit.reserved, self._entry_id, self._others):
+        for index in owned_indices(target_id, limit.reserved, self.entry_id, self._others):
             slot = self._inventory.owned_slot(target_id, index)
             slot = slot or self._gain(target_id, index, limit)
             if slot is not None and slot.blocking_member is _UNRESOLVED:
@@ -197,7 +198,7 @@
         if not joined:
             return
         for target_id, owned in list(self._inventory.owned_by_target.items()):
-            kept = retained_indices(target_id, owned, self._entry_id, joined)
+            kept = retained_indices(target_id, owned, self.entry_id, joined)
             for index in set(owned).difference(kept):
                 self._remove(target_id, index)
 
--- a/src/coralfall/balancing/routing.py
+++ b/src/coralfall/balancing/routing.py
@@ -12,6 +12,7 @@
 from ..exceptions import RefusedError
 from ..ids import PolicyName, RegionId, ServiceId, TargetId, ZoneId
 from .health import ServiceHealth
+from .refusals import RefusalReason
 from .shift import ShiftLimiter
 
 #: Interval in seconds for updating slowly changing values (load, latency, shares).
@@ -247,16 +248,23 @@
         candidate.load += 1 / candidate.slots
         return candidate
 
-    def busy_error(self) -> RefusedError:
+    def busy_error(self, reason: RefusalReason = RefusalReason.NO_SLOT) -> RefusedError:
         """Returns the error for a request that found no free slot in time."""
         message = "every target that may take the request is busy; retry later"
-        return RefusedError(message, self._busy_retry_after_s(), service=self.service_id)
+        return RefusedError(
+            message, self._busy_retry_after_s(), service=self.service_id, reason=reason.value
+        )
 
     def _refusal(self, allowed_regions: t.Collection[RegionId]) -> RefusedError:
         if allowed_regions:
             return self.busy_error()
         message = "no region may take more of the service's requests yet; retry later"
-        return RefusedError(message, self.shift_limiter.retry_after_s(), service=self.service_id)
+        return RefusedError(
+            message,
+            self.shift_limiter.retry_after_s(),
+            service=self.service_id,
+            reason=RefusalReason.SHIFT_CAP.value,
+        )
 
     def _busy_retry_after_s(self) -> float:
         seconds = 0.05
--- a/src/coralfall/balancing/slot.py
+++ b/src/coralfall/balancing/slot.py
@@ -1,5 +1,6 @@
 """A slot, one unit of a target's capacity, and the rule for when an entry may use it."""
 
+import enum
 import typing as t
 
 from .. import defaults
@@ -14,6 +15,26 @@
 SlotKey = t.Tuple[TargetId, int]
 
 
+class SlotState(enum.Enum):
+    """Whether an entry may use a slot now, and if not, why."""
+
+    FREE = "free"
+    #: A request of this entry holds it.
+    BUSY = "busy"
+    #: Its index is above what the bundles or the target's ramp allow.
+    WITHHELD = "withheld"
+    #: It was borrowed, and the loan is over.
+    LOAN_EXPIRED = "loan-expired"
+    #: It is lent to another entry.
+    LENT = "lent"
+    #: The entry's lease has lapsed.
+    UNLEASED = "unleased"
+    #: A member that may own it by an older roster has not acknowledged this one.
+    UNACKNOWLEDGED = "unacknowledged"
+    #: Requests of an earlier owner may still run.
+    HANDOVER = "handover"
+
+
 class Slot:
     """One unit of a target's capacity, owned or borrowed; only the slot table changes it."""
 
@@ -76,3 +97,23 @@
     if slot.blocking_member is not None or now < slot.lent_until or not leased:
         return False
     return now >= slot.prior_dispatch_until + limit.timeout_s + defaults.HANDOVER_MARGIN_S
+
+
+def state_of(slot: Slot, limit: "TargetLimit", now: float, leased: bool) -> SlotState:
+    """Returns the state of a slot by the rule of :func:`may_use`, for logs.
+
+    :param leased: whether the entry's lease is valid.
+    """
+    if slot.busy:
+        return SlotState.BUSY
+    if slot.index >= limit.usable:
+        return SlotState.WITHHELD
+    if now >= slot.valid_until:
+        return SlotState.LOAN_EXPIRED
+    if may_use(slot, limit, limit.usable, now, leased):
+        return SlotState.FREE
+    if slot.blocking_member is not None:
+        return SlotState.UNACKNOWLEDGED
+    if now < slot.lent_until:
+        return SlotState.LENT
+    return SlotState.HANDOVER if leased else SlotState.UNLEASED
--- a/src/coralfall/balancing/slots.py
+++ b/src/coralfall/balancing/slots.py
@@ -9,12 +9,12 @@
 from ..ids import EntryId, RegionId, Revision, ServiceId, TargetId
 from .handover import Ack
 from .owned_slots import OwnedSlots
-from .slot import INFINITY, Slot, may_use
+from .slot import INFINITY, Slot, SlotState, may_use, state_of
 from .slot_inventory import SlotInventory
 from .usage import SlotUsage
 
 if t.TYPE_CHECKING:
-    from ..cluster.lease import Lease
+    from ..cluster.lease import Lease, LeaseState
     from ..cluster.roster import Roster
     from ..peering.messages import LentSlot
     from ..process.clock import Clock
@@ -206,6 +206,37 @@
                     held[slot.region] = held.get(slot.region, 0) + 1
         return held
 
+    def states(self, service: ServiceId) -> t.Dict[SlotState, int]:
+        """Returns the number of owned and borrowed slots of a service by state."""
+        counts: t.Dict[SlotState, int] = {}
+        now = self._clock.monotonic()
+        leased = self._lease.may_dispatch()
+        for slot, limit in self._inventory.of_service(service, self._owned_slots.limits):
+            state = state_of(slot, limit, now, leased)
+            counts[state] = counts.get(state, 0) + 1
+        return counts
+
+    def lease_state(self) -> "LeaseState":
+        """Returns the state of the lease by which owned slots are used."""
+        return self._lease.state()
+
+    def describe(self, slot: Slot) -> str:
+        """Returns the slot, lease, roster and loan by which a request is sent now."""
+        lease = self._lease
+        parts = [
+            f"entry={self._owned_slots.entry_id}",
+            f"slot={slot.target_id}/{slot.index}",
+            f"lease={lease.state().value}",
+            f"lease_s={lease.remaining_s():.3f}",
+            f"roster={self._owned_slots.revision}",
+            f"acknowledged={self._acknowledged_revision}",
+        ]
+        if slot.loan is not None:
+            lender, loan_id = slot.loan
+            loan_s = slot.valid_until - self._clock.monotonic()
+            parts.append(f"loan={lender}/{loan_id} loan_s={loan_s:.3f}")
+        return " ".join(parts)
+
     # Lending; see :mod:`coralfall.balancing.lending`.
 
     def slots_by_owner(
--- a/src/coralfall/balancing/steering.py
+++ b/src/coralfall/balancing/steering.py
@@ -76,6 +76,13 @@
         :raises RefusedError: if not; the reservation must still be finished.
         """
 
+    def describe(self, reservation: Reservation) -> t.Optional[str]:
+        """Returns by what right a request is sent, to be told to the target, if that is wanted.
+
+        To be called right after :meth:`check`. The default tells nothing.
+        """
+        return None
+
     def pace(self, reservation: Reservation, size: int) -> float:
         """Returns the seconds to wait before sending the next ``size`` bytes of a body.
 
--- a/src/coralfall/cluster/node.py
+++ b/src/coralfall/cluster/node.py
@@ -88,6 +88,7 @@
             clock,
             self.membership.platform_clock,
             self._ask_loan,
+            settings.trace_slots,
         )
         trust = trust_of(settings.partners)
         self.staging = Staging(platform.objects, callbacks.peer_fetch, trust)
@@ -132,6 +133,7 @@
         self.conversation.control = self.control
         self.conversation.services = self.steering.served.service_ids
         self.conversation.wake_waiters = self.steering.wake_waiters
+        self.steering.refusal_log.describe_loans = self.borrower.describe
 
     def _follow_roster(self) -> None:
         self._callbacks.roster_changed()
--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -187,6 +187,8 @@
 HEADER_TARGET_DEADLINE = "deadline-ms"
 #: Request header to targets: Unix time in milliseconds after which the request must not be run.
 HEADER_TARGET_DEADLINE_AT = "deadline-at-ms"
+#: Header that tells a target by which slot, lease, roster and loan a request was sent to it.
+HEADER_TARGET_SLOT = "coralfall-slot"
 #: Answer header of targets: ``not-run`` if the target shed the request without running it.
 HEADER_TARGET_OUTCOME = "outcome"
 #: Answer header of targets: ``in-flight/slots``.
--- a/src/coralfall/forwarding/headers.py
+++ b/src/coralfall/forwarding/headers.py
@@ -36,6 +36,7 @@
         defaults.HEADER_DEADLINE.encode(),
         defaults.HEADER_TARGET_DEADLINE.encode(),
         defaults.HEADER_TARGET_DEADLINE_AT.encode(),
+        defaults.HEADER_TARGET_SLOT.encode(),
     )
 )
 _REPLACED_TO_CALLER = frozenset(
--- a/src/coralfall/forwarding/upstream.py
+++ b/src/coralfall/forwarding/upstream.py
@@ -93,6 +93,9 @@
         # If the process is paused between here and the send, only the target can notice.
         ends_at_ms = int((self._clock.wall() + seconds) * 1000)
         outgoing.headers[defaults.HEADER_TARGET_DEADLINE_AT] = str(ends_at_ms)
+        described = self._steering.describe(reservation)
+        if described is not None:
+            outgoing.headers[defaults.HEADER_TARGET_SLOT] = described
         await exchange.send(outgoing, connection, seconds)
         return exchange
 
--- a/src/coralfall/settings.py
+++ b/src/coralfall/settings.py
@@ -152,6 +152,8 @@
     lookup_ttl_s: float = defaults.LOOKUP_TTL_S
     #: Timing of the claims on idempotency keys.
     claims: ClaimSettings = ClaimSettings()
+    #: Whether targets are told by which slot, lease, roster and loan each request was sent.
+    trace_slots: bool = False
 
 
 class PlatformStandinSettings(Settings, frozen=True):
@@ -172,6 +174,8 @@
     address: str
     #: Maximum number of concurrent requests; more are shed.
     slots: int = 6
+    #: Concurrent requests beyond which it records what is in flight; 0 for never.
+    limit: int = 0
     #: Mean service time of a request, in milliseconds.
     service_ms: float = 5.0
     #: Seconds after the start during which the target is cold and requests take longer.
--- a/src/coralfall/standins/standin_target.py
+++ b/src/coralfall/standins/standin_target.py
@@ -21,6 +21,7 @@
 from .. import defaults
 from ..forwarding.request import READ_METHODS
 from ..ids import Outcome
+from ..process import log
 
 if t.TYPE_CHECKING:
     from starlette.requests import Request
@@ -32,6 +33,8 @@
 _PIECE_BYTES = 64 * 1024
 #: Service times are spread evenly around their mean by this share of it.
 _SPREAD = 0.5
+#: Overruns that are recorded.
+_MAX_OVERRUNS = 8
 
 
 class Faults(msgspec.Struct, forbid_unknown_fields=True):
@@ -65,6 +68,28 @@
     done: bool = False
 
 
+class InFlight(msgspec.Struct):
+    """A request that the stand-in has in flight."""
+
+    method: str
+    path: str
+    #: What the entry said of the slot that it was sent by, and of its lease, roster and loan.
+    slot: str
+    #: Wall times in seconds at which it came and by which it must be over.
+    since: float
+    until: float
+    #: Whether the server knows that the connection has ended.
+    disconnected: bool = False
+
+
+class Overrun(msgspec.Struct):
+    """A moment at which the stand-in had more requests in flight than its limit."""
+
+    #: Wall time in seconds.
+    at: float
+    in_flight: t.List[InFlight]
+
+
 class Effects(msgspec.Struct):
     """What the stand-in did so far."""
 
@@ -74,6 +99,8 @@
     cancelled: int
     in_flight: int
     max_in_flight: int
+    #: The first times that the limit was passed.
+    overruns: t.List[Overrun] = []
 
 
 class _EndConnectionError(Exception):
@@ -98,6 +125,7 @@
         self._started: t.Optional[float] = None
         self._loads: t.List[t.Tuple[float, str]] = [(0.0, f"0/{settings.slots}")]
         self._frozen = ""
+        self._in_flight: "t.Set[_Work]" = set()
         self._control: "ASGIApp" = Starlette(
             routes=[
                 Route("/health", self._get_health),
@@ -167,10 +195,12 @@
             self.state.shed += 1
             await work.answer(503, b"", self._reported_load(), Outcome.NOT_RUN)
             return
+        self._in_flight.add(work)
         self._move(+1)
         try:
             await self._run(work, fault)
         finally:
+            self._in_flight.remove(work)
             self._move(-1)
 
     async def _run(self, work: "_Work", fault: str) -> None:
@@ -227,12 +257,20 @@
         state = self.state
         state.in_flight += step
         state.max_in_flight = max(state.max_in_flight, state.in_flight)
+        if step > 0 and 0 < self.settings.limit < state.in_flight:
+            self._record_overrun()
         now = asyncio.get_running_loop().time()
         self._loads.append((now, f"{state.in_flight}/{self.settings.slots}"))
         oldest = now - self.faults.load_lag_s
         while len(self._loads) > 1 and self._loads[1][0] <= oldest:
             del self._loads[0]
 
+    def _record_overrun(self) -> None:
+        overrun = Overrun(time.time(), [work.in_flight() for work in self._in_flight])
+        if len(self.state.overruns) < _MAX_OVERRUNS:
+            self.state.overruns.append(overrun)
+        log.warning("target.overrun", limit=self.settings.limit, requests=overrun.in_flight)
+
     def _reported_load(self) -> str:
         if self.faults.load == "wrong":
             return self.faults.load_value
@@ -265,6 +303,19 @@
         if ends_at is not None:
             seconds = min(seconds, float(ends_at) / 1000 - time.time())
         self._deadline = asyncio.get_running_loop().time() + seconds
+        self._since = time.time()
+
+    def in_flight(self) -> InFlight:
+        """What is known of it now."""
+        cycle = getattr(self._send, "__self__", None)
+        return InFlight(
+            self.method,
+            self.path,
+            self.header(defaults.HEADER_TARGET_SLOT.encode()) or "",
+            self._since,
+            time.time() + self.seconds_left(),
+            getattr(cycle, "disconnected", False),
+        )
 
     def header(self, name: bytes) -> t.Optional[str]:
         value = self._headers.get(name)
--- a/tests/balancing/test_wait_queue.py
+++ b/tests/balancing/test_wait_queue.py
@@ -8,6 +8,7 @@
 from parameterized import parameterized
 
 from coralfall.balancing.fleet_steering import FleetReservation, FleetSteering
+from coralfall.balancing.refusals import RefusalReason
 from coralfall.balancing.routing import Candidate
 from coralfall.balancing.slots import SlotTable
 from coralfall.balancing.steering import AttemptResult
@@ -90,6 +91,8 @@
         with self.assertRaises(RefusedError) as refused:
             await self._reserve()
         self.assertGreater(refused.exception.retry_after, 0.0)
+        self.assertEqual(refused.exception.fields["reason"], RefusalReason.NO_SLOT.value)
+        self.assertIn("waited_ms", refused.exception.fields)
         self._finish(self.held[1])
         await self._reserve()
 
--- a/tests/forwarding/test_upstream.py
+++ b/tests/forwarding/test_upstream.py
@@ -76,6 +76,13 @@
         self.clock.advance(60.0)
 
 
+class DescribingSteering(loopback.LineSteering):
+    """Tells targets by which slot they are sent a request."""
+
+    def describe(self, reservation: Reservation) -> str:
+        return f"slot={reservation.target_id}/0"
+
+
 class PausedClock(SystemClock):
     """A VM that was paused for a while after its last look at the clock."""
 
@@ -273,6 +280,21 @@
         self.assertRegex(script.requests[0], rb"(?i)\r\ndeadline-ms: \d{1,3}\r\n")
         self.assertEqual(self.steering.results, [FAILED])
 
+    @parameterized.expand(
+        [("told", DescribingSteering, True), ("not_told", loopback.LineSteering, False)]
+    )
+    async def test_target_is_told_the_slot(
+        self, _: str, make: t.Type[loopback.LineSteering], told: bool
+    ) -> None:
+        self.steering = make([], loopback.service())
+        self.upstream = Upstream(self.steering, CLOCK)
+        self.addAsyncCleanup(self.upstream.close)
+        script = Script(OK)
+        async with loopback.raw_target(script) as address:
+            await self.ask(address)
+        expected = f"coralfall-slot: slot={address}/0\r\n".encode()
+        self.assertEqual(expected in script.requests[0], told)
+
     async def test_body_that_the_caller_breaks_off(self) -> None:
         async def pieces() -> t.AsyncIterator[bytes]:
             yield b"some"
--- a/tests/load.py
+++ b/tests/load.py
@@ -96,7 +96,10 @@
         for target in targets:
             done = await self._fleet.effects(self._session, target)
             if done["max_in_flight"] > self._fleet.slots:
-                faults.append(f"{target} had {done['max_in_flight']} requests in flight")
+                overruns = "; ".join(str(overrun) for overrun in done["overruns"])
+                faults.append(
+                    f"{target} had {done['max_in_flight']} requests in flight: {overruns}"
+                )
             for effect in done["effects"]:
                 request = effect["path"].strip("/")
                 if not request.startswith(f"{self._name}-"):
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -142,7 +142,7 @@
         settings = self.folder / f"{name}.toml"
         settings.write_text(
             f'address = "{address}"\nslots = {self.slots + self.spare_slots}\n'
-            f"service_ms = {service_ms}\n"
+            f"service_ms = {service_ms}\nlimit = {self.slots}\n"
         )
         self.start(name, "standin", "target", "--settings", str(settings))
 
@@ -360,6 +360,7 @@
 peer_address = "{addresses[1]}"
 operator_address = "{addresses[2]}"
 grace_s = 10.0
+trace_slots = true
 lookup_ttl_s = {self.lookup_ttl_s}
 [platform]
 url = "{self.platform_url()}"
--- a/tests/reporting/test_report_processes.py
+++ b/tests/reporting/test_report_processes.py
@@ -37,12 +37,18 @@
             )
         return counts
 
+    def refusal(self, number: int, body: bytes) -> str:
+        """What a caller and the entry's log were told of a read that was not served."""
+        lines = self.fleet.log_of(ENTRIES[number % 3]).splitlines()
+        refused = [line for line in lines if "event=slot.refused" in line]
+        return "\n".join([repr(body), *refused[-5:]])
+
     async def load(self) -> None:
         for number in range(READS):
             url = self.fleet.url(ENTRIES[number % 3], "catalogo", f"menu-{number}?bytes=100")
             async with self.session.get(url) as answer:
                 body = await answer.read()
-                self.assertEqual(200, answer.status, body)
+                self.assertEqual(200, answer.status, self.refusal(number, body))
         for number in range(ORDERS):
             done = await self.post(ENTRIES[number % 3], "pedidos", b"kit", f"order-{number}")
             self.assertEqual((200, "done"), done[:2])
--- a/tests/standins/test_standin_target.py
+++ b/tests/standins/test_standin_target.py
@@ -61,6 +61,21 @@
             await until(lambda: standin.state.in_flight == 0)
             self.assertEqual(standin.state.cancelled, 1)
 
+    async def test_tells_what_is_in_flight_beyond_its_limit(self) -> None:
+        async with loopback.target(slots=9, limit=2, service_ms=50.0) as (address, standin):
+            headers = {"coralfall-slot": "entry=e1 slot=t/1", "deadline-ms": "5000"}
+            await asks(address, "GET", ["/x"] * 2)
+            self.assertEqual(standin.state.overruns, [])
+            one_more = asyncio.ensure_future(ask(address, "GET", "/y", headers=headers))
+            await asks(address, "GET", ["/x"] * 2)
+            await one_more
+            (overrun,) = standin.state.overruns
+            self.assertEqual(sorted(found.path for found in overrun.in_flight), ["/x", "/x", "/y"])
+            (found,) = [found for found in overrun.in_flight if found.path == "/y"]
+            self.assertEqual(found.slot, headers["coralfall-slot"])
+            self.assertAlmostEqual(found.until - found.since, 5.0, delta=0.5)
+            self.assertFalse(found.disconnected)
+
     @parameterized.expand([("cold", 60.0, 10.0), ("warm", 0.0, 1.0)])
     async def test_cold_start(self, _: str, cold_s: float, factor: float) -> None:
         async with loopback.target(cold_s=cold_s, cold_factor=10.0) as (_address, standin):
