Reserve another slot if one is lost just before a request is sent

Cause: a borrowed slot may be chosen up to the last moment of its loan. Opening the connection takes longer than that when processes lack cores, and the last check before the send then refuses the request.

The request counts as not sent to the region meanwhile. An entry whose lease lapsed is refused as before, by the next reservation.

The tests fail without the change (no such error; the request is refused).

--- a/src/coralfall/balancing/fleet_steering.py
+++ b/src/coralfall/balancing/fleet_steering.py
@@ -10,7 +10,7 @@
 from .. import defaults
 from ..bundles.bundle import Service
 from ..bundles.rollout import PartnerRollout
-from ..exceptions import RefusedError
+from ..exceptions import RefusedError, SlotLostError
 from ..ids import BundleVersion, PartnerId, RegionId, ServiceId, TargetId
 from .capacity import idle_connections
 from .refusals import RefusalLog, RefusalReason
@@ -62,6 +62,8 @@
     """A reservation with the slot that it holds."""
 
     slot: Slot
+    #: Whether it is the first of its request.
+    is_first: bool = True
 
 
 class FleetSteering(Steering):
@@ -133,13 +135,17 @@
             raise
 
     def check(self, reservation: Reservation) -> None:
+        """See :meth:`Steering.check`.
+
+        :raises SlotLostError: if another slot may be reserved in its place.
+        """
         assert isinstance(reservation, FleetReservation)
         if not self.served.drains.allows(reservation.target_id):
             message = "the target is leaving"
-            raise self._send_refusal(reservation, message, RefusalReason.TARGET_LEAVING)
+            raise self._lose(reservation, message, RefusalReason.TARGET_LEAVING)
         if not self._slots.confirm(reservation.slot):
             message = "the slot passed to another entry before the request was sent"
-            raise self._send_refusal(reservation, message, RefusalReason.SLOT_LOST)
+            raise self._lose(reservation, message, RefusalReason.SLOT_LOST)
 
     def describe(self, reservation: Reservation) -> t.Optional[str]:
         if not self._trace_slots:
@@ -286,12 +292,17 @@
             ]
         self._ask_loan(service, len(service_state.wait_queue), regions, True)
 
-    def _send_refusal(
-        self, reservation: Reservation, message: str, reason: RefusalReason
-    ) -> RefusedError:
-        refusal = RefusedError(message, defaults.RETRY_AFTER_S, reason=reason.value)
-        self.refusal_log.write(reservation.partner, reservation.service, refusal, 0.0, 0)
-        return refusal
+    def _lose(
+        self, reservation: FleetReservation, message: str, reason: RefusalReason
+    ) -> SlotLostError:
+        """Returns the error for a lost slot, whose request counts as not sent from now on."""
+        partner, service = reservation.partner, reservation.service
+        service_state = self.served.service_by_key.get((partner, service))
+        if service_state is not None:
+            service_state.router.undo_request(reservation.region, reservation.is_first)
+        error = SlotLostError(message, defaults.RETRY_AFTER_S, reason=reason.value)
+        self.refusal_log.write(partner, service, error, 0.0, 0)
+        return error
 
     def _queue_is_full(self, service_state: ServedService, service: ServiceId) -> bool:
         most = max(_MIN_QUEUE, _QUEUE_PER_SLOT * self._slots.in_use(service))
@@ -324,6 +335,7 @@
             address=target.address,
             connections=max(2, 2 * (self._slots.in_flight(target_id) + spare)),
             slot=slot,
+            is_first=not tried,
         )
 
     def _refresh_router(
--- a/src/coralfall/balancing/routing.py
+++ b/src/coralfall/balancing/routing.py
@@ -195,6 +195,15 @@
         self.shift_limiter.refund(candidate.region)
         self.count_finished(candidate.target_id)
 
+    def undo_request(self, region: RegionId, is_first: bool) -> None:
+        """Counts a request as not sent to a region after all, so that it can be chosen for anew.
+
+        :param is_first: whether :meth:`count_request` was called for it and will be again.
+        """
+        self.shift_limiter.refund(region)
+        if is_first:
+            self.shift_limiter.discount_request()
+
     def count_refused(self) -> None:
         """Counts a request as refused before it reached any target."""
         self.shift_limiter.count_refused()
--- a/src/coralfall/balancing/shift.py
+++ b/src/coralfall/balancing/shift.py
@@ -172,6 +172,13 @@
         refusals = self._refusals
         refusals.credit = min(refusals.credit + refusals.credit_per_request, self._max_credit)
 
+    def discount_request(self) -> None:
+        """Undoes :meth:`count_request` for a request that will be counted again."""
+        self._request_count -= 1
+        for account in self._account_by_region.values():
+            account.credit -= account.credit_per_request
+        self._refusals.credit -= self._refusals.credit_per_request
+
     def allowed_regions(self, retry: bool = False) -> t.List[RegionId]:
         """Returns the regions that the request may go to.
 
--- a/src/coralfall/exceptions.py
+++ b/src/coralfall/exceptions.py
@@ -248,6 +248,10 @@
     code = "refused"
 
 
+class SlotLostError(RefusedError):
+    """A reserved slot may not be used any more; nothing was sent, and another slot may be had."""
+
+
 class OverLimitError(RetryLaterError):
     """A request exceeds its tenant's rate limit; it was rejected before it reached any target."""
 
--- a/src/coralfall/forwarding/carrier.py
+++ b/src/coralfall/forwarding/carrier.py
@@ -7,6 +7,7 @@
 from ..exceptions import (
     CoralfallError,
     RefusedError,
+    SlotLostError,
     TargetError,
     TargetNotRunError,
     TargetUnknownError,
@@ -21,6 +22,7 @@
     from ..balancing.steering import Steering
     from ..ids import PartnerId, ServiceId
     from ..process.clock import Clock
+    from .exchange import Exchange
     from .request import CallerRequest
     from .upstream import Upstream
 
@@ -174,18 +176,7 @@
         if self._clock.monotonic() >= delivery.deadline:
             message = "deadline passed before the request was dispatched"
             raise RefusedError(message, defaults.RETRY_AFTER_S)
-        request = delivery.request
-        reservation = await self._steering.reserve(
-            request.partner,
-            request.service,
-            tried=delivery.tried,
-            deadline=delivery.deadline,
-            body_bytes=delivery.body_bytes(),
-        )
-        delivery.tried.add(reservation.target_id)
-        exchange = await self._upstream.exchange(
-            reservation, delivery.outgoing(), delivery.deadline
-        )
+        exchange = await self._send(delivery)
         first = await exchange.read(defaults.MAX_BUFFERED_ANSWER_BYTES)
         passed = headers_to_caller(exchange.headers)
         answer = Answer(exchange.status, passed, first, Outcome.DONE)
@@ -196,6 +187,29 @@
             passed.append((b"content-length", str(len(first)).encode()))
         return answer
 
+    async def _send(self, delivery: Delivery) -> "Exchange":
+        request = delivery.request
+        slots_lost = 0
+        while True:
+            reservation = await self._steering.reserve(
+                request.partner,
+                request.service,
+                tried=delivery.tried,
+                deadline=delivery.deadline,
+                body_bytes=delivery.body_bytes(),
+            )
+            delivery.tried.add(reservation.target_id)
+            try:
+                return await self._upstream.exchange(
+                    reservation, delivery.outgoing(), delivery.deadline
+                )
+            except SlotLostError:
+                # Nothing was sent, so this target may be tried again by another slot.
+                delivery.tried.discard(reservation.target_id)
+                slots_lost += 1
+                if slots_lost >= defaults.MAX_ATTEMPTS:
+                    raise
+
     def latency_of(self, partner: "PartnerId", service: "ServiceId") -> ReadLatency:
         """Latencies of a service's reads as they are known here."""
         return self._shared_of(partner, service).latency
--- a/tests/balancing/test_wait_queue.py
+++ b/tests/balancing/test_wait_queue.py
@@ -16,7 +16,7 @@
 from coralfall.bundles.rollout import PartnerRollout
 from coralfall.cluster.lease import Lease
 from coralfall.cluster.roster import Roster
-from coralfall.exceptions import RefusedError
+from coralfall.exceptions import RefusedError, SlotLostError
 from coralfall.ids import BundleVersion, Digest, EntryId, RegionId, ServiceId
 from coralfall.process.clock import ManualClock, PlatformClock
 from coralfall.settings import LeaseSettings
@@ -124,6 +124,19 @@
         self.assertEqual(self.steering.served.drains.in_flight(held.target_id), 1)
         await self._reserve()
 
+    async def test_a_lost_slot_counts_as_not_sent(self) -> None:
+        router = self.steering.served.routers()[COSECHA, SERVICE]
+        self._finish(self.held[0])
+        (credit,) = router.shift_limiter._credits()
+        held = await self._reserve()
+        self.clock.advance(LeaseSettings().ttl_s)
+        with self.assertRaises(SlotLostError) as lost:
+            self.steering.check(held)
+        self.assertEqual(lost.exception.fields["reason"], RefusalReason.SLOT_LOST.value)
+        self._finish(held)
+        # The bound on credits may take a little of what the request added.
+        self.assertAlmostEqual(router.shift_limiter._credits()[0], credit, delta=0.05)
+
     async def test_a_lease_that_lapses_between_choice_and_hold_is_no_error(self) -> None:
         """Guards against a failure if the process is paused between choice and reservation."""
         self._finish(self.held[0])
--- a/tests/forwarding/test_carrier.py
+++ b/tests/forwarding/test_carrier.py
@@ -9,8 +9,9 @@
 from hypothesis import strategies as st
 from parameterized import parameterized
 
+from coralfall import defaults
 from coralfall.balancing.steering import AttemptResult, Reservation
-from coralfall.exceptions import TargetNotRunError, TargetUnknownError
+from coralfall.exceptions import SlotLostError, TargetNotRunError, TargetUnknownError
 from coralfall.forwarding.answer import Answer
 from coralfall.forwarding.carrier import Carrier, Delivery
 from coralfall.forwarding.hedge import Hedge
@@ -77,10 +78,20 @@
         self.steering = steering
         self.plans = plans
         self.attempts: t.List[str] = []
+        #: Attempts whose slot is lost before anything is sent.
+        self.lost_left = 0
+
+    def lose(self, count: int) -> None:
+        self.lost_left = count
 
     async def exchange(
         self, reservation: Reservation, request: t.Any, deadline: float
     ) -> PlannedExchange:
+        if self.lost_left:
+            self.lost_left -= 1
+            self.steering.finish(reservation, AttemptResult.CANCELLED, 0.0, None)
+            self.steering.release(reservation)
+            raise SlotLostError("planned", 1.0)
         plan = self.plans[reservation.address]
         self.attempts.append(reservation.address)
         result = AttemptResult.CANCELLED
@@ -178,6 +189,22 @@
 
         run_virtual(main)
 
+    def test_slot_that_is_lost_before_the_send_is_replaced(self) -> None:
+        """Guards against a refusal for a loan that ended between the choice and the send."""
+
+        async def main(clock: LoopClock) -> None:
+            for lost, answer in ((1, "a"), (defaults.MAX_ATTEMPTS, None)):
+                fleet = Fleet(clock, 0, {"a": FAST})
+                fleet.upstream.lose(lost)
+                if answer is None:
+                    with self.assertRaises(SlotLostError):
+                        await fleet.carry("POST")
+                else:
+                    self.assertEqual(await fleet.carry("POST"), answer)
+                self.assertEqual((fleet.steering.in_use, fleet.upstream.lost_left), (0, 0))
+
+        run_virtual(main)
+
     def test_no_hedge_while_waiting_for_a_slot(self) -> None:
         async def main(clock: LoopClock) -> None:
             fleet = Fleet(clock, 9, {"a": FAST, "b": FAST})
