Use slots of others only once their target was seen alive after their deadlines

Cause (found by looking for the same fault elsewhere): slots that change their owner, and loans that were not returned, were used again a fixed time after the last deadline of the other entry's requests. A target that is stopped ends nothing at a deadline.

Change: such a slot also needs a sign of life of its target that was sent after that deadline. Answers to this entry's own requests are signs; where there are none, the entry opens a connection without a request, ends its half, and waits for the target's. A refused connection shows that the process is gone.

Test fixtures of other conditions let targets always answer; their expectations are unchanged.

--- a/benchmarks/deciders.py
+++ b/benchmarks/deciders.py
@@ -211,6 +211,9 @@
         """What an entry does several times a second."""
         self.steering.refresh()
         collections.deque(self.slots.update_steps(), maxlen=0)
+        for target_id in self.slots.unproved_targets():
+            # Targets that are checked answer, at worst by refusing a connection.
+            self.slots.record_life(target_id, self.clock.now)
 
     async def live(self, others: EntriesById) -> None:
         self.others = others
--- a/src/coralfall/balancing/fleet_steering.py
+++ b/src/coralfall/balancing/fleet_steering.py
@@ -165,10 +165,12 @@
     ) -> None:
         assert isinstance(reservation, FleetReservation)
         service_state = self.served.service_by_key.get((reservation.partner, reservation.service))
+        now = self._clock.monotonic()
         if service_state is not None:
-            now = self._clock.monotonic()
             health = service_state.router.health
             health.record_attempt(reservation.target_id, result, seconds, load, now)
+        if result is AttemptResult.ANSWERED:
+            self._slots.record_life(reservation.target_id, now - seconds)
 
     def has_target(self, reservation: Reservation) -> bool:
         return reservation.target_id in self.served.limits
@@ -199,6 +201,21 @@
         """Applies the current bundles, roster and time; see :meth:`ServedServices.refresh`."""
         self.served.refresh()
 
+    def unproved_addresses(self) -> t.Dict[TargetId, str]:
+        """Returns the addresses of targets whose slots wait for a sign of life."""
+        addresses = {}
+        for target_id in self._slots.unproved_targets():
+            for bundle in self.served.bundle_by_partner.values():
+                target = bundle.targets.get(target_id)
+                if target is not None:
+                    addresses[target_id] = target.address
+        return addresses
+
+    def record_life(self, target_id: TargetId, sent_at: float) -> None:
+        """Records that a target answered what was sent to it at a monotonic time, or is gone."""
+        self._slots.record_life(target_id, sent_at)
+        self.wake_all_waiters()
+
     def wake_waiters(self, service: ServiceId) -> None:
         """Wakes requests that wait for a slot of ``service``.
 
--- a/src/coralfall/balancing/handover.py
+++ b/src/coralfall/balancing/handover.py
@@ -16,6 +16,10 @@
     end.  The same wait covers slots that M has lent, since a loan ends before its owner's lease.
     If N awaited M's acknowledgement and M is removed instead, the wait starts again.
 
+    *Deadlines.*  Each of these waits ends with the last deadline of M's requests.  A target that is
+    paused serves them for longer, so N also needs a sign of life of the target that was sent after
+    that deadline: see :func:`coralfall.balancing.slot.others_end_by`.
+
     An acknowledgement of a roster newer than this entry's own does not count until this entry
     has that roster: it may come from a member that owns the slot again by the newer one.
 
--- a/src/coralfall/balancing/owned_slots.py
+++ b/src/coralfall/balancing/owned_slots.py
@@ -122,6 +122,7 @@
                 self._remove_from_index(target_id, 0)
                 self._unscanned_targets.pop(target_id, None)
                 self._owner_counts.discard(target_id)
+        self._inventory.forget_lives(limits)
 
     def _apply_roster(self, roster: "Roster") -> None:
         now = self._clock.monotonic()
@@ -181,7 +182,7 @@
     def _gain(self, target_id: TargetId, index: int, limit: "TargetLimit") -> t.Optional[Slot]:
         slot = self._inventory.lost_by_key.get((target_id, index))
         if slot is None:
-            slot = Slot(target_id, index, limit)
+            slot = Slot(target_id, index, limit, self._inventory.life_of(target_id))
         elif (slot.service, slot.region) != (limit.service, limit.region):
             return None
         if not self._is_only_member_ever:
--- a/src/coralfall/balancing/slot.py
+++ b/src/coralfall/balancing/slot.py
@@ -33,6 +33,18 @@
     UNACKNOWLEDGED = "unacknowledged"
     #: Requests of an earlier owner may still run.
     HANDOVER = "handover"
+    #: Requests of others are past their deadlines, but the target was not seen alive since.
+    UNPROVED = "unproved"
+
+
+class TargetLife:
+    """When a target was last seen alive; shared by the slots of the target."""
+
+    __slots__ = ("proved_at",)
+
+    def __init__(self) -> None:
+        #: Monotonic time at which the latest message was sent that the target has answered.
+        self.proved_at = -INFINITY
 
 
 class Slot:
@@ -43,6 +55,7 @@
         "busy",
         "index",
         "lent_until",
+        "life",
         "loan",
         "prior_dispatch_until",
         "region",
@@ -53,8 +66,15 @@
         "valid_until",
     )
 
-    def __init__(self, target_id: TargetId, index: int, limit: "TargetLimit") -> None:
+    def __init__(
+        self,
+        target_id: TargetId,
+        index: int,
+        limit: "TargetLimit",
+        life: t.Optional[TargetLife] = None,
+    ) -> None:
         self.target_id = target_id
+        self.life = life or TargetLife()
         self.index = index
         self.service = limit.service
         self.region = limit.region
@@ -94,9 +114,27 @@
         return False
     if slot.loan is not None:
         return True
-    if slot.blocking_member is not None or now < slot.lent_until or not leased:
+    if slot.blocking_member is not None or not leased:
+        return False
+    ended_by = others_end_by(slot, limit)
+    return now >= ended_by + defaults.HANDOVER_MARGIN_S and slot.life.proved_at >= ended_by
+
+
+def others_end_by(slot: Slot, limit: "TargetLimit") -> float:
+    """Returns the last deadline of requests of earlier owners and borrowers of an owned slot.
+
+    A target that is paused goes on serving them after that, until it is seen alive again.
+    """
+    lent_until = slot.lent_until - defaults.HANDOVER_MARGIN_S
+    return max(slot.prior_dispatch_until + limit.timeout_s, lent_until)
+
+
+def needs_proof(slot: Slot, limit: "TargetLimit", now: float) -> bool:
+    """Returns whether only a sign of life of its target is missing for the use of an owned slot."""
+    ended_by = others_end_by(slot, limit)
+    if slot.blocking_member is not None or now < ended_by + defaults.HANDOVER_MARGIN_S:
         return False
-    return now >= slot.prior_dispatch_until + limit.timeout_s + defaults.HANDOVER_MARGIN_S
+    return slot.life.proved_at < ended_by
 
 
 def state_of(slot: Slot, limit: "TargetLimit", now: float, leased: bool) -> SlotState:
@@ -116,4 +154,6 @@
         return SlotState.UNACKNOWLEDGED
     if now < slot.lent_until:
         return SlotState.LENT
-    return SlotState.HANDOVER if leased else SlotState.UNLEASED
+    if not leased:
+        return SlotState.UNLEASED
+    return SlotState.UNPROVED if needs_proof(slot, limit, now) else SlotState.HANDOVER
--- a/src/coralfall/balancing/slot_inventory.py
+++ b/src/coralfall/balancing/slot_inventory.py
@@ -3,7 +3,7 @@
 import typing as t
 
 from ..ids import ServiceId, TargetId
-from .slot import Slot, SlotKey
+from .slot import Slot, SlotKey, TargetLife
 
 if t.TYPE_CHECKING:
     from .limits import Limits, TargetLimit
@@ -15,11 +15,25 @@
     def __init__(self) -> None:
         self.owned_by_target: t.Dict[TargetId, t.Dict[int, Slot]] = {}
         self._borrowed_by_target: t.Dict[TargetId, t.List[Slot]] = {}
+        self._life_by_target: t.Dict[TargetId, TargetLife] = {}
         #: Slots no longer owned that are still held by a request or lent out.
         self.lost_by_key: t.Dict[SlotKey, Slot] = {}
         # Cache, cleared with each change of the inventory.
         self._by_service: t.Dict[ServiceId, t.List[t.Tuple[Slot, TargetLimit]]] = {}
 
+    def life_of(self, target_id: TargetId) -> TargetLife:
+        """Returns when a target was last seen alive."""
+        life = self._life_by_target.get(target_id)
+        if life is None:
+            life = self._life_by_target[target_id] = TargetLife()
+        return life
+
+    def forget_lives(self, target_ids: t.Container[TargetId]) -> None:
+        """Forgets targets other than these."""
+        for target_id in list(self._life_by_target):
+            if target_id not in target_ids and target_id not in self.owned_by_target:
+                del self._life_by_target[target_id]
+
     def target_ids(self) -> t.Iterable[TargetId]:
         """Returns the targets with an owned or borrowed slot."""
         return {**self.owned_by_target, **self._borrowed_by_target}
--- a/src/coralfall/balancing/slots.py
+++ b/src/coralfall/balancing/slots.py
@@ -9,7 +9,7 @@
 from ..ids import EntryId, RegionId, Revision, ServiceId, TargetId
 from .handover import Ack
 from .owned_slots import OwnedSlots
-from .slot import INFINITY, Slot, SlotState, may_use, state_of
+from .slot import INFINITY, Slot, SlotState, may_use, needs_proof, state_of
 from .slot_inventory import SlotInventory
 from .usage import SlotUsage
 
@@ -137,6 +137,28 @@
         if slot.lent_until <= slot.used_at:
             self._owned_slots.discard_lost(slot)
 
+    # Signs of life of targets, without which slots that others may have used stay unused.
+
+    def record_life(self, target_id: TargetId, sent_at: float) -> None:
+        """Records that a target is alive, or that its process is gone.
+
+        :param sent_at: monotonic time at which the message was sent that shows it.
+        """
+        life = self._inventory.life_of(target_id)
+        life.proved_at = max(life.proved_at, sent_at)
+
+    def unproved_targets(self) -> t.List[TargetId]:
+        """Returns the targets of slots that lack nothing but a sign of life."""
+        now = self._clock.monotonic()
+        found = []
+        for target_id, owned in self._inventory.owned_by_target.items():
+            limit = self._owned_slots.limits.get(target_id)
+            if limit is None:
+                continue
+            if any(needs_proof(slot, limit, now) for slot in owned.values()):
+                found.append(target_id)
+        return found
+
     # Queries.
 
     def free(self, target_id: TargetId, below: t.Optional[int] = None) -> int:
--- a/src/coralfall/cluster/entry.py
+++ b/src/coralfall/cluster/entry.py
@@ -14,6 +14,7 @@
 from ..forwarding.callers import CallersApp
 from ..forwarding.dispatch import Dispatcher
 from ..forwarding.retry import RetryBudget
+from ..forwarding.target_check import TargetChecks
 from ..forwarding.upstream import Upstream
 from ..http.server import HttpServer
 from ..idempotency.claims import ClaimBook
@@ -93,6 +94,7 @@
         )
         self._make_peers(rng)
         self.upstream = Upstream(node.steering, clock)
+        self.target_checks = TargetChecks(node.steering, clock)
         dispatcher = Dispatcher(node.steering, self.upstream, self.claims, RetryBudget, clock)
         self.levels = ServiceLevels(clock, self.metrics)
         self._status_builder = StatusBuilder(
@@ -152,6 +154,7 @@
             await asyncio.Event().wait()
         finally:
             await self.loans.close()
+            await self.target_checks.close()
             await self.upstream.close()
 
     async def _refresh_steering(self) -> None:
@@ -159,6 +162,7 @@
         node.steering.refresh()
         for _ in node.slots.update_steps():
             await asyncio.sleep(0)
+        self.target_checks.start_due()
         self.loans.give_back_due()
         node.steering.wake_all_waiters()
 
--- a/src/coralfall/forwarding/half_closed.py
+++ b/src/coralfall/forwarding/half_closed.py
@@ -16,7 +16,7 @@
 from .. import defaults
 from ..process import log
 from ..process.sockets import detect_dead_peer
-from ..settings import split_address
+from .target_check import is_serving_or_gone
 
 
 class HalfClosedConnections:
@@ -78,7 +78,7 @@
     async def _check(self, connection: "_HalfClosed") -> None:
         while connection.waiting.is_wanted():
             await asyncio.sleep(defaults.VANISHED_TARGET_CHECK_S)
-            if await _is_serving_or_gone(connection.address):
+            if await is_serving_or_gone(connection.address):
                 break
         connection.waiting.ended()
 
@@ -110,42 +110,3 @@
 
     def connection_lost(self, exc: t.Optional[Exception]) -> None:
         self._owner.lost(self, exc)
-
-
-class _Check(asyncio.Protocol):
-    """A connection that carries no request."""
-
-    def __init__(self) -> None:
-        self.lost: "asyncio.Future[t.Optional[Exception]]" = (
-            asyncio.get_running_loop().create_future()
-        )
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        detect_dead_peer(transport)
-        transport.write_eof()
-
-    def connection_lost(self, exc: t.Optional[Exception]) -> None:
-        if not self.lost.done():
-            self.lost.set_result(exc)
-
-
-async def _is_serving_or_gone(address: str) -> bool:
-    """Returns whether the process at an address takes and ends connections, or there is none."""
-    host, port = split_address(address)
-    loop = asyncio.get_running_loop()
-    try:
-        async with asyncio.timeout(defaults.CONNECT_TIMEOUT_S):
-            transport, check = await loop.create_connection(_Check, host, port)
-    except ConnectionRefusedError:
-        return True
-    except (OSError, TimeoutError):
-        return False
-    try:
-        async with asyncio.timeout(defaults.DEAD_TARGET_TIMEOUT_S):
-            error = await check.lost
-    except TimeoutError:
-        return False
-    finally:
-        transport.abort()
-    return error is None or isinstance(error, ConnectionError)
--- a/tests/balancing/test_handover.py
+++ b/tests/balancing/test_handover.py
@@ -17,6 +17,7 @@
 from coralfall.process.clock import ManualClock
 from coralfall.settings import LeaseSettings
 from coralfall.stores.store import Row
+from tests.balancing.target_lives import let_targets_answer
 from tests.bundle_makers import COSECHA, make_bundle, make_target
 from tests.members import deleted, make_member, put
 
@@ -35,7 +36,7 @@
 class Entry:
     """An entry ``a`` whose lease does not expire."""
 
-    def __init__(self, limits: Limits) -> None:
+    def __init__(self, limits: Limits, targets_answer: bool = True) -> None:
         self.clock = ManualClock(100)
         settings = LeaseSettings(ttl_s=TTL_S)
         lease = Lease(settings, self.clock)
@@ -43,6 +44,8 @@
         self.roster = Roster()
         self.limits = limits
         self.slots = SlotTable(EntryId("a"), lease, self.clock, settings)
+        if targets_answer:
+            let_targets_answer(self.slots)
 
     def apply_rows(self, *rows: Row) -> None:
         self.roster.apply(rows)
--- a/tests/balancing/test_lending.py
+++ b/tests/balancing/test_lending.py
@@ -20,6 +20,7 @@
 from coralfall.peering.messages import LoanAnswer, LoanReturn
 from coralfall.process.clock import ManualClock
 from coralfall.settings import LeaseSettings
+from tests.balancing.target_lives import let_targets_answer
 from tests.balancing.test_handover import MARGIN_S, SLOTS, T0, make_limits
 from tests.bundle_makers import CENTRO, COSECHA, SIERRA, make_bundle, make_target
 from tests.members import put
@@ -38,6 +39,7 @@
         self.lease = Lease(settings, self.clock)
         self.lease.renewed(100)
         self.owned = SlotTable(OWNER, self.lease, self.clock, settings)
+        let_targets_answer(self.owned)
         roster = Roster()
         roster.apply([put("a", 1)])
         self.owned.update(roster, make_limits())
--- a/tests/balancing/test_refusals.py
+++ b/tests/balancing/test_refusals.py
@@ -72,6 +72,7 @@
             (SlotState.UNLEASED, {}, False),
             (SlotState.UNACKNOWLEDGED, {"blocking_member": EntryId("b")}),
             (SlotState.HANDOVER, {"prior_dispatch_until": 100.0}),
+            (SlotState.UNPROVED, {"prior_dispatch_until": 90.0}),
         ]
     )
     def test_state(
--- a/tests/balancing/test_slots.py
+++ b/tests/balancing/test_slots.py
@@ -8,7 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 from parameterized import parameterized
 
-from tests.fleet import Node, World
+from tests.fleet import TARGETS, Node, World
 
 OFFSET_BY_NAME = {"a": 0.0, "b": 5000.0, "c": -300.0, "d": 12.5}
 SEEDS = range(12)
@@ -159,6 +159,30 @@
         world.run(6)
 
 
+def target_stopped_beyond_loans(world: World) -> None:
+    """A target is stopped while requests on borrowed slots run there, for longer than any loan."""
+    Node(world, "c")
+    world.run(20)
+    for node in world.nodes.values():
+        node.busy = node.name == "c"
+    world.run(10)
+    world.stopped = set(TARGETS)
+    world.run(5)
+    for node in world.nodes.values():
+        node.busy = True
+    world.run(30)
+    world.stopped = set()
+
+
+def target_stopped_beyond_a_removal(world: World) -> None:
+    """An owner is killed and removed while a target with its requests is stopped."""
+    world.stopped = set(TARGETS)
+    world.run(2)
+    world.nodes["b"].dead = True
+    world.run(80)
+    world.stopped = set()
+
+
 Scenario = t.Callable[[World], None]
 SCENARIOS = (
     suspended,
@@ -168,6 +192,8 @@
     restarted_alone,
     lender_left,
     bundles_change,
+    target_stopped_beyond_loans,
+    target_stopped_beyond_a_removal,
 )
 
 
--- a/tests/cluster/loan_fleet.py
+++ b/tests/cluster/loan_fleet.py
@@ -84,6 +84,8 @@
         node = self.node
         node.lease.renewed(self.fleet.clock.monotonic())
         node.steering.refresh()
+        for target_id in node.steering.unproved_addresses():
+            node.steering.record_life(target_id, self.fleet.clock.monotonic())
         for _ in node.slots.update_steps():
             pass
         self.loans.give_back_due()
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -130,6 +130,8 @@
         self.staged_by_life: t.Dict[t.Tuple[EntryId, Incarnation], int] = {}
         self.lasts_until: t.Dict[int, float] = {}
         self.requests: t.List[Request] = []
+        #: Targets whose processes are stopped: they end no request, and answer nothing.
+        self.stopped: t.Set[TargetId] = set()
         #: Dispatches that the naive allocator would not have made.
         self.wrong: t.List[str] = []
         self.observer = LeaseObserver(SETTINGS, SkewedClock(self, 77))
@@ -152,12 +154,15 @@
         """Let time pass, with everyone doing what they can."""
         for _ in range(rounds):
             self.now += ROUND_S
-            self.requests = [request for request in self.requests if request.ends_at > self.now]
+            self.requests = [request for request in self.requests if self.is_running(request)]
             self.coordinate()
             for node in self.rng.sample(list(self.nodes.values()), len(self.nodes)):
                 if node.runs():
                     node.work()
 
+    def is_running(self, request: Request) -> bool:
+        return request.ends_at > self.now or request.slot.target_id in self.stopped
+
     def coordinate(self) -> None:
         """Observe the leases, and remove whom both pieces of evidence name."""
         rows = self.rows(LEASE_PREFIX, self.observed)
@@ -267,6 +272,9 @@
         for arrive in arrived:
             arrive()
         self.finish()
+        for target_id in TARGETS:
+            if target_id not in self.world.stopped:
+                self.slots.record_life(target_id, self.clock.monotonic())
         if not self.joined and rng.random() < 0.5:
             self.join()
         self.apply()
@@ -441,7 +449,7 @@
         self.held = []
 
     def finish(self) -> None:
-        """Notice which requests are over; targets work on each until its deadline."""
+        """Notice which requests are over; targets work on each until its deadline, or longer."""
         running = {id(request.slot) for request in self.world.requests if request.node is self}
         running |= {id(slot) for slot in self.held}
         for slot in self.slots.busy_slots():
