--- a/tests/mixed_builds/entry.py
+++ b/tests/mixed_builds/entry.py
@@ -43,6 +43,7 @@
 async def _play(builds: Builds, report: Report, folder: pathlib.Path) -> None:
     builds.others = OLD
     fleet = Fleet(folder)
+    fleet.trace_slots = False
     fleet.spare_slots = 20
     try:
         async with aiohttp.ClientSession() as session:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -105,6 +105,8 @@
         self.cap = 0.9
         #: Slots that target stand-ins have beyond the bundle's, so that too many would show.
         self.spare_slots = 0
+        #: Whether entries and targets tell by what right each request was sent; old builds can't.
+        self.trace_slots = True
         self.ttl_s = 3.0
         self.lookup_ttl_s = 5.0
         self.version = 0
@@ -142,7 +144,7 @@
         settings = self.folder / f"{name}.toml"
         settings.write_text(
             f'address = "{address}"\nslots = {self.slots + self.spare_slots}\n'
-            f"service_ms = {service_ms}\nlimit = {self.slots}\n"
+            f"service_ms = {service_ms}\n{self._trace_text(f'limit = {self.slots}')}"
         )
         self.start(name, "standin", "target", "--settings", str(settings))
 
@@ -348,6 +350,9 @@
                 seeds.append(self.address_by_name[f"{entry}-peer"])
         return seeds
 
+    def _trace_text(self, line: str) -> str:
+        return f"{line}\n" if self.trace_slots else ""
+
     def _entry_text(self, name: str, zone: str, addresses: t.Sequence[str]) -> str:
         region = zone.split("-")[0]
         return f"""
@@ -360,7 +365,7 @@
 peer_address = "{addresses[1]}"
 operator_address = "{addresses[2]}"
 grace_s = 10.0
-trace_slots = true
+{self._trace_text("trace_slots = true")}
 lookup_ttl_s = {self.lookup_ttl_s}
 [platform]
 url = "{self.platform_url()}"
