Wait for the deadline before a target whose connection timed out is checked

Cause (reading the diff): when the half-closed connection of a cancelled request times out, the target may not have heard of the cancellation, and serves the request up to its deadline. A check that shows it alive before that says nothing of the request, but freed the slot.

Change: the check begins at the request's deadline.

--- a/src/coralfall/forwarding/exchange.py
+++ b/src/coralfall/forwarding/exchange.py
@@ -88,6 +88,8 @@
         self._response: t.Optional[aiohttp.ClientResponse] = None
         self._timer: t.Optional[asyncio.TimerHandle] = None
         self._timed_out = False
+        #: Time of the loop at which the target gives the request up.
+        self._deadline = 0.0
         self.status = 0
         self.headers: RawHeaders = ()
         #: Length of the body that the target announced.
@@ -104,7 +106,9 @@
         :raises TargetNotRunError: if the target says so.
         :raises TargetUnknownError: if no answer came, or one of which no end could be told.
         """
-        self._timer = asyncio.get_running_loop().call_later(seconds, self._expire)
+        loop = asyncio.get_running_loop()
+        self._deadline = loop.time() + seconds
+        self._timer = loop.call_later(seconds, self._expire)
         self._outgoing = outgoing
         self._connection = connection
         try:
@@ -222,7 +226,7 @@
         if serving is None:
             self._steering.release(self._reservation)
             return
-        waiting = _ServedUntilClosed(self._steering, self._reservation)
+        waiting = _ServedUntilClosed(self._steering, self._reservation, self._deadline)
         self._half_closed.add(serving, self._reservation.address, waiting)
 
     def _detach(self) -> t.Optional[asyncio.Transport]:
@@ -276,9 +280,10 @@
 class _ServedUntilClosed:
     """Gives a reservation back once its target has ended the connection."""
 
-    def __init__(self, steering: "Steering", reservation: "Reservation") -> None:
+    def __init__(self, steering: "Steering", reservation: "Reservation", deadline: float) -> None:
         self._steering = steering
         self._reservation = reservation
+        self.deadline = deadline
 
     def ended(self) -> None:
         self._steering.release(self._reservation)
--- a/src/coralfall/forwarding/half_closed.py
+++ b/src/coralfall/forwarding/half_closed.py
@@ -76,6 +76,9 @@
         check.add_done_callback(self._checks.discard)
 
     async def _check(self, connection: "_HalfClosed") -> None:
+        # The target may not have heard of the end of the stream, and then stops at the deadline.
+        now = asyncio.get_running_loop().time()
+        await asyncio.sleep(max(0.0, connection.waiting.deadline - now))
         while connection.waiting.is_wanted():
             await asyncio.sleep(defaults.VANISHED_TARGET_CHECK_S)
             if await is_serving_or_gone(connection.address):
@@ -86,6 +89,9 @@
 class Waiting(t.Protocol):
     """Waits until a target has ended a connection."""
 
+    #: Time of the loop at which the target stops to serve the request of its own accord.
+    deadline: float
+
     def ended(self) -> None:
         """Takes in that the target no longer serves the request, or that nobody wants to know."""
 
--- a/tests/forwarding/test_half_closed.py
+++ b/tests/forwarding/test_half_closed.py
@@ -63,7 +63,7 @@
             with self.assertRaises(TargetTimeoutError):
                 await self.ask(address, seconds=TIMEOUT_S)
             return
-        asked = asyncio.ensure_future(self.ask(address))
+        asked = asyncio.ensure_future(self.ask(address, seconds=TIMEOUT_S))
         await until(lambda: target.requests == 1)
         asked.cancel()
         with self.assertRaises(asyncio.CancelledError):
@@ -171,6 +171,20 @@
             takes_connections.set()
             await self.is_released()
 
+    async def test_not_before_the_deadline(self) -> None:
+        """Guards against a target that has not heard of the cancellation and serves on."""
+        target = BusyTarget()
+
+        async def serving(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            if not target.requests:
+                await target(reader, writer)
+
+        async with loopback.raw_target(serving) as address:
+            began = asyncio.get_running_loop().time()
+            await self.vanish(target, address)
+            await self.is_released()
+            self.assertGreaterEqual(asyncio.get_running_loop().time() - began, TIMEOUT_S)
+
     async def test_until_nothing_listens_there(self) -> None:
         target = BusyTarget()
         async with loopback.raw_target(target) as address:
