Run the tests of the wait queue on virtual time

Cause: the queue's limit of 50 ms ran on the machine's time.

Change: a base class runs a test's loop on virtual time, and QueueTest uses it. All checks are unchanged.

--- a/tests/balancing/test_wait_queue.py
+++ b/tests/balancing/test_wait_queue.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import typing as t
-import unittest
 from unittest import mock
 
 from parameterized import parameterized
@@ -22,12 +21,13 @@
 from coralfall.settings import LeaseSettings
 from tests.bundle_makers import COSECHA, make_bundle, make_target
 from tests.cluster.test_roster import put
+from tests.virtual_loop import VirtualTimeTestCase
 
 SERVICE = ServiceId("pedidos")
 SLOTS = 2
 
 
-class QueueTest(unittest.IsolatedAsyncioTestCase):
+class QueueTest(VirtualTimeTestCase):
     """One entry with one target, all of whose slots are in use."""
 
     async def asyncSetUp(self) -> None:
--- a/tests/virtual_loop.py
+++ b/tests/virtual_loop.py
@@ -4,6 +4,7 @@
 import functools
 import selectors
 import typing as t
+import unittest
 
 from coralfall.process.clock import Clock
 
@@ -75,6 +76,14 @@
     return run
 
 
+class VirtualTimeTestCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests whose loop runs on virtual time, which a slow machine does not advance."""
+
+    def _setupAsyncioRunner(self) -> None:  # noqa: N802
+        # unittest takes a loop only from Python 3.13 on.
+        self._asyncioRunner = asyncio.Runner(debug=True, loop_factory=VirtualLoop)
+
+
 async def _within(seconds: float, work: t.Coroutine[t.Any, t.Any, ResultT]) -> ResultT:
     # In the same task: tests count the tasks that are left.
     async with asyncio.timeout(seconds):
