Draw the trouble of transit histories from the seed alone

Cause: one generator served the requests, the trouble and the targets, so the order of arrivals changed what came next; and the caller that leaves was drawn from tasks in the order of their addresses in memory.

Change: what a target does is drawn from the seed, the request and the number of its arrival; the caller that leaves is drawn from the tasks in the order of their start. Checks and bounds unchanged.

--- a/tests/traffic/test_transit_histories.py
+++ b/tests/traffic/test_transit_histories.py
@@ -27,23 +27,29 @@
     """One run: what was sent, what ran, and what callers were told."""
 
     def __init__(self, seed: int) -> None:
+        self._seed = seed
+        #: For the requests and the trouble; what targets do is drawn for each request apart, so
+        #: that the order in which requests arrive changes nothing.
         self.rng = random.Random(seed)
         self.ran: t.Dict[str, int] = {}
         self.heads: t.List[bytes] = []
         self.requests: t.Dict[str, SteeredRequest] = {}
         self.replies: t.Dict[str, Reply] = {}
         self.carriers: t.List[Carrier] = []
-        self._tasks: t.Set["asyncio.Task[None]"] = set()
+        self._tasks: t.List["asyncio.Task[None]"] = []
+        self._arrivals: t.Dict[str, int] = {}
 
     async def answer(self, received: ReceivedRequest) -> None:
         self.heads.append(received.head)
         request_id = received.header("x-request-id") or ""
-        how = self.rng.choice(("at once", "at once", "later", "reject", "lose", "reset"))
+        arrivals = self._arrivals[request_id] = self._arrivals.get(request_id, 0) + 1
+        rng = random.Random(f"{self._seed} {request_id} {arrivals}")
+        how = rng.choice(("at once", "at once", "later", "reject", "lose", "reset"))
         if how == "reject":
             await received.answer(503, b"", x_not_executed="1", x_response_signature="")
             return
         self.ran[request_id] = self.ran.get(request_id, 0) + 1
-        await asyncio.sleep(self.rng.uniform(0.0, 0.1) if how == "later" else 0.0)
+        await asyncio.sleep(rng.uniform(0.0, 0.1) if how == "later" else 0.0)
         if how == "reset":
             received.reset()
         elif how == "lose":
@@ -68,7 +74,7 @@
         request.headers.append((b"x-credential", b"secret"))
         self.requests[request.request_id] = request
         task = asyncio.create_task(self._forward(fleet, request))
-        self._tasks.add(task)
+        self._tasks.append(task)
 
     async def _forward(self, fleet: CutFleet, request: SteeredRequest) -> None:
         self.replies[request.request_id] = await fleet.first.forward(request)
@@ -84,7 +90,7 @@
         elif kind == "heal":
             reachability._contact_of(PEDIDOS).path = Path.DIRECT
         elif kind == "leave":
-            self.rng.choice(sorted(self._tasks, key=id)).cancel()
+            self.rng.choice(self._tasks).cancel()
 
     async def _restart(self, fleet: CutFleet, index: int) -> None:
         """Lets a carrying entry be killed and another process take its place."""
