Keep lines of libraries whose exception is False or whose arguments do not fit

Seen: asyncio's 'Task was destroyed' was missing from logs of entries; a TypeError came in its place.

Cause: asyncio logs with exc_info=False, which the record keeps, and the handler took its second part. The error went up into the library that logged. The same happened if the arguments did not fit the format.

Change: an exception is looked for only where there is one; a text that can't be formatted is written with its arguments.

Result: both rows of test_a_line_of_a_library_is_kept end with an error before, pass now.

--- a/src/coralfall/process/log.py
+++ b/src/coralfall/process/log.py
@@ -92,10 +92,17 @@
     """Turns what libraries log into events."""
 
     def emit(self, record: logging.LogRecord) -> None:
-        fields: t.Dict[str, t.Any] = {"logger": record.name, "message": record.getMessage()}
-        if record.exc_info is not None and record.exc_info[1] is not None:
-            fields["error"] = record.exc_info[1]
-            fields["traceback"] = "".join(traceback.format_exception(record.exc_info[1]))
+        try:
+            message = record.getMessage()
+        except (TypeError, ValueError, KeyError):
+            # The arguments don't fit the format.
+            message = f"{record.msg} {record.args}"
+        fields: t.Dict[str, t.Any] = {"logger": record.name, "message": message}
+        # asyncio logs with ``exc_info=False``, which the record keeps as it is.
+        exception = record.exc_info[1] if record.exc_info else None
+        if exception is not None:
+            fields["error"] = exception
+            fields["traceback"] = "".join(traceback.format_exception(exception))
         if record.levelno >= logging.ERROR:
             error("library.message", **fields)
         else:
--- a/tests/process/test_log.py
+++ b/tests/process/test_log.py
@@ -150,6 +150,20 @@
         if expected:
             self.assertIn(r'message="it\nfailed" error="ValueError: bad\nline" traceback=', line)
 
+    @parameterized.expand(
+        [
+            ("no exception", "Task was destroyed", (), 'message="Task was destroyed"'),
+            ("arguments do not fit", "%d of %d", ("one",), "message=\"%d of %d ('one',)\""),
+        ]
+    )
+    def test_a_line_of_a_library_is_kept(
+        self, _name: str, text: str, arguments: t.Tuple[t.Any, ...], expected: str
+    ) -> None:
+        """Guards against an error that reaches the library, and the loss of its line."""
+        log.configure(LogSettings(), self.stream)
+        logging.getLogger("asyncio").error(text, *arguments, exc_info=False)
+        self.assertIn(f"logger=asyncio {expected}", self.stream.getvalue())
+
     def test_only_the_last_stream_is_written_to(self) -> None:
         log.configure(LogSettings(), io.StringIO())
         log.configure(LogSettings(), self.stream)
