Start the clock of a time limit's test when the request is sent

Listed as red, once: test_deadline_of_caller_and_service_1_own, 503 not-run where 504 unknown is expected.

Cause: the test's limit of 0.1 s also covered the time until the request was sent. With 0.12 s put before the reservation, into the connect or between connect and send, the answer is 503 not-run each time ("deadline passed before the request was sent", or the connect's timeout); put after the send it is 504. The answers are true: nothing had been sent.

Change: the test's clock stands still, and the limit is that of any connect, so that it runs from the send on; the status and outcome asked for are unchanged. Two rows more pass the limit before the send on purpose: 503 not-run, no effect at the target, no reservation left.

A connect of over 1 s still fails them, as it does any test of the module.

--- a/tests/forwarding/test_dispatch.py
+++ b/tests/forwarding/test_dispatch.py
@@ -13,6 +13,7 @@
 from coralfall.balancing.steering import AttemptResult
 from coralfall.defaults import MAX_BUFFERED_ANSWER_BYTES
 from coralfall.ids import Outcome
+from coralfall.process.clock import SystemClock
 from coralfall.standins.standin_target import Faults, pattern
 from coralfall.stores.memory_platform import FaultMode, ServiceFault
 from tests import loopback
@@ -228,6 +229,13 @@
             self.assertEqual(second.state.effects, [])
 
 
+class StoppedClock(SystemClock):
+    """A clock on which no time passes; its wall clock is that of the VM."""
+
+    def monotonic(self) -> float:
+        return 100.0
+
+
 class TestRefusals(unittest.IsolatedAsyncioTestCase):
     """What is given up gets its final answer at once, with a code and when to come back."""
 
@@ -291,12 +299,13 @@
             self.assertEqual((got.status, got.outcome), (503, "not-run"))
             self.assertEqual(entry.steering.results, [])
 
-    @parameterized.expand([("capped", 100, "60000"), ("own", 60_000, "100")])
+    @parameterized.expand([("capped", 1000, "60000"), ("own", 60_000, "1000")])
     async def test_deadline_of_caller_and_service(self, _: str, rule: int, header: str) -> None:
         rules = loopback.service(timeout_ms=rule)
         async with (
             loopback.target() as (address, standin),
-            loopback.entry([address], rules) as entry,
+            # The time until the request is sent does not count, however slow the machine is.
+            loopback.entry([address], rules, clock=StoppedClock()) as entry,
             asyncio.timeout(20),
         ):
             standin.faults = Faults(work="hang")
@@ -304,6 +313,22 @@
             got = await ask(entry.address, "POST", "/calor/mando/x", headers=headers)
             self.assertEqual((got.status, got.outcome), (504, "unknown"))
 
+    @parameterized.expand([("capped", 100, "60000"), ("own", 60_000, "100")])
+    async def test_deadline_that_passes_before_the_request_is_sent(
+        self, _: str, rule: int, header: str
+    ) -> None:
+        rules = loopback.service(timeout_ms=rule)
+        async with (
+            loopback.target() as (address, standin),
+            loopback.entry([address], rules) as entry,
+        ):
+            entry.steering.wait_s = 0.15
+            headers = {"coralfall-deadline-ms": header}
+            got = await ask(entry.address, "POST", "/calor/mando/x", headers=headers)
+            self.assertEqual((got.status, got.outcome), (503, "not-run"))
+            self.assertEqual(standin.state.effects, [])
+            self.assertEqual(entry.steering.in_use, 0)
+
     async def test_refusal_says_when_to_come_back(self) -> None:
         async with loopback.entry([]) as entry:
             got = await ask(entry.address, "GET", "/calor/mando/x")
