--- a/benchmarks/deciders.py
+++ b/benchmarks/deciders.py
@@ -8,9 +8,10 @@
 import msgspec
 
 from coralfall import defaults
+from coralfall.balancing.borrowing import Borrower
 from coralfall.balancing.fleet_steering import FleetSteering
 from coralfall.balancing.handover import Ack
-from coralfall.balancing.lending import Borrower, Lender
+from coralfall.balancing.lending import Lender
 from coralfall.balancing.slots import SlotTable
 from coralfall.balancing.steering import AttemptResult, Reservation, Steering
 from coralfall.bundles.bundle import Bundle, Head, Service, VersionRef
--- a/src/coralfall/balancing/fleet_steering.py
+++ b/src/coralfall/balancing/fleet_steering.py
@@ -39,7 +39,7 @@
 
 
 class LoanOutlook(t.Protocol):
-    """Tells whether peers may lend slots soon; see :class:`.lending.Borrower`."""
+    """Tells whether peers may lend slots soon; see :class:`.borrowing.Borrower`."""
 
     def is_pending(self, service: ServiceId) -> bool:
         """Returns whether an answer to a loan request of the service is awaited."""
--- a/src/coralfall/cluster/conversation.py
+++ b/src/coralfall/cluster/conversation.py
@@ -5,8 +5,9 @@
 
 import msgspec
 
+from ..balancing.borrowing import Borrower, OutgoingReturn, PendingLoanRequest
 from ..balancing.handover import Ack
-from ..balancing.lending import Borrower, Lender, OutgoingReturn, PendingLoanRequest
+from ..balancing.lending import Lender
 from ..bundles.rollout import PartnerRollout
 from ..exceptions import PeerError
 from ..ids import BundleVersion, Digest, EntryId, PartnerId, RegionId, ServiceId
--- a/src/coralfall/cluster/node.py
+++ b/src/coralfall/cluster/node.py
@@ -10,8 +10,9 @@
 import random
 import typing as t
 
+from ..balancing.borrowing import Borrower
 from ..balancing.fleet_steering import FleetSteering
-from ..balancing.lending import Borrower, Lender
+from ..balancing.lending import Lender
 from ..balancing.slots import SlotTable
 from ..bundles.rollout import PartnerRollout
 from ..bundles.staging import PeerFetch, Staging
--- a/tests/balancing/test_lending.py
+++ b/tests/balancing/test_lending.py
@@ -8,8 +8,9 @@
 from parameterized import parameterized
 
 from coralfall import defaults
+from coralfall.balancing.borrowing import Borrower, OutgoingReturn, PendingLoanRequest
 from coralfall.balancing.demand import PeakDemand
-from coralfall.balancing.lending import Borrower, Lender, OutgoingReturn, PendingLoanRequest
+from coralfall.balancing.lending import Lender
 from coralfall.balancing.link_limiter import LinkLimiter, LinkRate, link_rates
 from coralfall.balancing.ownership import ranked_members
 from coralfall.balancing.slots import SlotTable
--- a/tests/cluster/test_loan_requests.py
+++ b/tests/cluster/test_loan_requests.py
@@ -5,7 +5,7 @@
 
 from parameterized import parameterized
 
-from coralfall.balancing.lending import PendingLoanRequest
+from coralfall.balancing.borrowing import PendingLoanRequest
 from coralfall.ids import RegionId, TargetId
 from coralfall.peering.messages import LoanAnswer, LoanRequest
 from tests.bundle_makers import make_bundle, make_target
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -13,9 +13,10 @@
 import msgspec
 
 from coralfall import defaults
+from coralfall.balancing.borrowing import Borrower, OutgoingReturn, PendingLoanRequest
 from coralfall.balancing.capacity import reserved_slots
 from coralfall.balancing.handover import Ack
-from coralfall.balancing.lending import Borrower, Lender, OutgoingReturn, PendingLoanRequest
+from coralfall.balancing.lending import Lender
 from coralfall.balancing.limits import CapacityLimits
 from coralfall.balancing.slot import Slot
 from coralfall.balancing.slots import SlotTable
