Tell in the logs of coralfall entry and the stand-ins when a process stood still

Cause: coralfall steer logs process.paused, coralfall entry and the stand-ins did not.

Change: a child of the supervisors of both looks at the clock each 0.1 s and logs a pause of 0.2 s or more. The messages of the tests of failures and of the report have these lines.

--- a/src/coralfall/cluster/entry.py
+++ b/src/coralfall/cluster/entry.py
@@ -30,6 +30,7 @@
 from ..process.child import Child, FunctionChild, PeriodicChild
 from ..process.clock import Clock, SystemClock
 from ..process.metrics import Metrics
+from ..process.pauses import PauseWatch
 from ..process.supervisor import Supervisor, supervise
 from ..reporting.operators import make_operators_app
 from ..reporting.service_levels import ServiceLevels
@@ -127,6 +128,7 @@
     def _make_tree(self, rng: random.Random) -> Supervisor:
         node = self.node
         children: t.List[Child] = [
+            PauseWatch(self._clock),
             FunctionChild("connections", self._keep_connections),
             self.operators_server,
             self.peer_server,
--- a/src/coralfall/standins/standin.py
+++ b/src/coralfall/standins/standin.py
@@ -6,6 +6,7 @@
 from ..process import log, loop
 from ..process.child import Child
 from ..process.clock import SystemClock
+from ..process.pauses import PauseWatch
 from ..process.supervisor import Supervisor, supervise
 from ..settings import PlatformStandinSettings, TargetStandinSettings
 from ..stores.memory_platform import Faults, MemoryPlatform
@@ -28,5 +29,6 @@
 
 
 def _serve(server: Child) -> int:
-    root = Supervisor("standin", [server], SystemClock(), random.Random())
+    clock = SystemClock()
+    root = Supervisor("standin", [PauseWatch(clock), server], clock, random.Random())
     return loop.run(supervise(root))
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -181,6 +181,15 @@
         """What a process has printed."""
         return (self.folder / f"{name}.log").read_text(errors="replace")
 
+    def pauses(self) -> t.List[str]:
+        """For how long processes stood still, as they logged it."""
+        lines = []
+        for name in self.process_by_name:
+            for line in self.log_of(name).splitlines():
+                if "event=process.paused" in line:
+                    lines.append(f"{name}: {line}")
+        return lines
+
     def unhandled(self, names: t.Iterable[str]) -> t.List[str]:
         """Errors that nobody handled, as the libraries of these entries logged them."""
         lines = []
--- a/tests/reporting/test_report_processes.py
+++ b/tests/reporting/test_report_processes.py
@@ -41,7 +41,7 @@
         """What a caller and the entry's log were told of a read that was not served."""
         lines = self.fleet.log_of(ENTRIES[number % 3]).splitlines()
         refused = [line for line in lines if "event=slot.refused" in line]
-        return "\n".join([repr(body), *refused[-5:]])
+        return "\n".join([repr(body), *refused[-5:], *self.fleet.pauses()[-5:]])
 
     async def load(self) -> None:
         for number in range(READS):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -134,7 +134,7 @@
             faults = await self.load.check(self.targets, rules)
         else:
             faults = await self.load.check(self.targets, rules, command_rules=())
-        self.assertEqual(faults[:10], [])
+        self.assertEqual(faults[:10], [], f"paused: {self.fleet.pauses()[-20:]}")
         self.assertGreater(self.load.served, 0)
 
     def note(self, text: str) -> None:
