Judge in the soak's rule on drains only requests that were meant for the target

Trace: the trouble 'replace' let i-7 take over i-1's address at once, with i-1's row left in the store for a while, and then 'drain' drew i-7. Entry e3 sent c0-17 to i-1 in the moment before it read that i-1's row was gone (4.570 s sent, 4.572 s target.removed); i-7 answered 421, and the entry's line says sends=i-1:misdirected. No entry sent i-7 anything.

Change: so does this one. What was meant for a target that leaves is judged as before.

Result: RulesTest has a row that failed before; the row 'leaving' still finds its fault.

--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -216,6 +216,9 @@
     """A target that leaves gets nothing new after a while, where nothing was disturbed."""
     entries = {attempt.request_id: attempt.entry for attempt in record.attempts}
     for arrival in record.arrivals:
+        if not arrival.meant:
+            # It was sent to the one that had the address before, and is turned away.
+            continue
         left_at = record.leaving_at.get(arrival.target, float("inf"))
         late = arrival.at - left_at - DRAIN_S - SLOW_S
         entry = entries.get(arrival.request_id, "")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -198,6 +198,7 @@
             ("late", [attempt(sort=Sort.SINCE, version=2, status=404)], "CONFIG"),
             ("not late yet", [attempt(sort=Sort.SINCE, version=3, status=404)], ""),
             ("leaving", [attempt(), arrival(target="i-9")], "DRAIN"),
+            ("leaving, another meant", [attempt(), arrival(target="i-9", meant=False)], ""),
             ("sent on though it said that it leaves", told_of_leaving(12.6), "DRAIN"),
             ("soon after it said so", told_of_leaving(12.4), ""),
             ("another at its address", told_of_leaving(12.6, meant=False, ran=False), ""),
