Reserve ports of tests across test runs

Cause: each test process drew ports from the same 20,000 and knew only its own, so two runs at once could give out one port twice before either listened on it.

Change: a port is also locked, one byte of a file that all test processes of the user share; the locks end with the process. A second, unused set of given ports is gone.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import fcntl
 import json
 import os
 import pathlib
@@ -10,6 +11,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 import typing as t
 
@@ -26,7 +28,6 @@
 PATIENCE_S = 60.0
 #: Below the range from which connections get theirs, so that a process can be started again.
 PORTS = (12000, 32000)
-_given_ports: t.Set[int] = set()
 PARTNER = PartnerId("cosecha")
 ZONES = ("sierra-1", "costa-1")
 SERVICES = ("catalogo", "pedidos", "acopio")
@@ -72,17 +73,41 @@
 """
 
 
-#: Ports that this process gave out; their users may not listen yet.
-_given_ports: t.Set[int] = set()
+class PortReservations:
+    """Ports that test processes of this machine have given out; their users may not listen yet.
+
+    Each process locks one byte a port of a shared file, and the locks end with the process.
+    """
+
+    path = pathlib.Path(tempfile.gettempdir()) / f"coralfall-test-ports-{os.getuid()}"
+
+    def __init__(self) -> None:
+        self._reserved: t.Set[int] = set()
+        self._descriptor: t.Optional[int] = None
+
+    def reserve(self, port: int) -> bool:
+        """Returns whether the port was free, and is this process's from now on."""
+        if port in self._reserved:
+            return False
+        if self._descriptor is None:
+            self._descriptor = os.open(self.path, os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.lockf(self._descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+        except OSError:
+            return False
+        self._reserved.add(port)
+        return True
+
+
+_reservations = PortReservations()
 
 
 def free_port() -> int:
     """A port that nothing listens on at the moment, of those that no connection is given."""
     while True:
         port = random.randrange(*PORTS)
-        if port in _given_ports:
+        if not _reservations.reserve(port):
             continue
-        _given_ports.add(port)
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
             return port
