Run the tests in two halves at once

New packages and modules fall into the second half by themselves. Each half writes a report; count.py takes both, and fails if one is missing or empty.

Rows of test_reports_are_counted_together cover a half that fails, is empty or has no report.

--- a/.ci/count.py
+++ b/.ci/count.py
@@ -141,7 +141,7 @@
 def main(arguments: t.Optional[t.Sequence[str]] = None) -> int:
     """Print the count; 0 only if nothing failed that is not known to."""
     parser = argparse.ArgumentParser(description="count what CI ran")
-    parser.add_argument("--report", type=pathlib.Path, required=True)
+    parser.add_argument("--report", type=pathlib.Path, action="append", required=True)
     parser.add_argument("--known-red", type=pathlib.Path, required=True)
     parser.add_argument("--test-status", type=int, required=True)
     parser.add_argument("failed_steps", nargs="*")
@@ -150,13 +150,18 @@
     outcomes_by_id: t.Dict[str, str] = {}
     causes_by_id: t.Dict[str, t.List[str]] = {}
     problems = [f"step {name} failed" for name in options.failed_steps]
-    try:
-        outcomes_by_id = read_report(options.report)
-        causes_by_id = read_causes(options.report)
-    except (OSError, ElementTree.ParseError) as error:
-        problems.append(f"no report of the tests: {error}")
-    if not outcomes_by_id:
-        problems.append("no test ran")
+    for path in options.report:
+        reported_by_id: t.Dict[str, str] = {}
+        try:
+            reported_by_id = read_report(path)
+            causes_by_id.update(read_causes(path))
+        except (OSError, ElementTree.ParseError) as error:
+            problems.append(f"no report of the tests: {error}")
+        if not reported_by_id:
+            problems.append(f"{path.name}: no test ran")
+        for test_id, outcome in reported_by_id.items():
+            if outcomes_by_id.get(test_id) != FAILED:
+                outcomes_by_id[test_id] = outcome
     known, faults = read_known_red(options.known_red)
     problems += faults + find_problems(known, outcomes_by_id)
 
--- a/Makefile
+++ b/Makefile
@@ -6,10 +6,17 @@
 SOURCES := src tests benchmarks examples .ci
 RUN_FLAGS ?=
 TEST_FLAGS ?=
+# Folder for JUnit reports; none are written unless it is set.
+TEST_REPORTS ?=
+
+# Tests run in two halves at once: those of `coralfall steer`, and all others.
+STEER_TESTS := tests.platform_adapter tests.simulation tests.traffic
+OTHER_TESTS := $(filter-out $(STEER_TESTS),$(patsubst tests/%/__init__.py,tests.%,$(wildcard tests/*/__init__.py))) \
+  $(patsubst tests/%.py,tests.%,$(wildcard tests/test_*.py))
 
 export PYTHONPATH := src
 
-.PHONY: setup run test lint format binary bench capacity
+.PHONY: setup run test test-steer test-others lint format binary bench capacity
 
 setup: $(STAMP)
 
@@ -22,7 +29,13 @@
 	$(BIN)/coralfall dev $(RUN_FLAGS)
 
 test: setup
-	$(BIN)/python -m nose2 $(TEST_FLAGS)
+	$(MAKE) --no-print-directory --output-sync=target -j2 -k test-steer test-others
+
+test-steer: TESTS := $(STEER_TESTS)
+test-others: TESTS := $(OTHER_TESTS)
+test-steer test-others: setup
+	$(BIN)/python -m nose2 $(TEST_FLAGS) $(if $(TEST_REPORTS),--plugin nose2.plugins.junitxml \
+	  --junit-xml --junit-xml-path $(TEST_REPORTS)/$@.xml) $(TESTS)
 
 lint: setup
 	$(BIN)/black --check -q $(wildcard $(SOURCES))
--- a/tests/test_ci.py
+++ b/tests/test_ci.py
@@ -103,6 +103,31 @@
             if line.count(" | ") == 2:
                 self.assertIn(line, output.getvalue())
 
+    @parameterized.expand(
+        [
+            ("both pass", PASS, FAIL.replace("<failure>f</failure>", ""), 0, "2 passed, 0 failed"),
+            ("the second fails", PASS, FAIL, 1, "1 passed, 1 failed"),
+            ("the first fails", FAIL, PASS, 1, "1 passed, 1 failed"),
+            ("a test of both fails once", PART, PASS, 1, "0 passed, 1 failed"),
+            ("none ran in the second", PASS, "", 1, "1 passed, 1 failed"),
+            ("no second report", PASS, None, 1, "1 passed, 2 failed"),
+        ]
+    )
+    def test_reports_are_counted_together(
+        self, _name: str, first: str, second: t.Optional[str], status: int, last_line: str
+    ) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            arguments = ["--known-red", f"{name}/none", "--test-status", "0"]
+            for number, cases in enumerate((first, second)):
+                report = pathlib.Path(name) / f"{number}.xml"
+                arguments += ["--report", str(report)]
+                if cases is not None:
+                    report.write_text(f"<testsuite>{cases}</testsuite>")
+            output = io.StringIO()
+            with contextlib.redirect_stdout(output):
+                self.assertEqual(load_count().main(arguments), status)
+        self.assertEqual(output.getvalue().splitlines()[-1], last_line)
+
     def test_what_a_failure_said_is_told_at_the_end(self) -> None:
         said = "\n".join([f"line {number}" for number in range(40)])
         case = FAIL.replace(">f<", f">{said}<")
