--- a/src/coralfall/balancing/limits.py
+++ b/src/coralfall/balancing/limits.py
@@ -13,7 +13,8 @@
 
 A target that is paused runs requests beyond their deadlines.  So the slots that a target lost by a
 bundle count against shared limits until it is seen alive after these deadlines, or no bundle lists
-it any more, by which its operators say that it is gone.
+it any more, by which its operators say that it is gone.  An entry that starts does not know of
+slots that targets lost before.
 """
 
 import itertools
