Say why a failed request was not sent once more

The lines of a request showed its sends, not why there was no further one, so the hypotheses on the retry budget could not be told apart.

No decision changes; the tests of the forwarder pass as they are.

--- a/src/coralfall/placement/retry_budget.py
+++ b/src/coralfall/placement/retry_budget.py
@@ -7,6 +7,8 @@
 import collections
 import typing as t
 
+from ..process import log
+
 if t.TYPE_CHECKING:
     from ..ids import ServiceId
     from ..process.clock import Clock
@@ -56,6 +58,8 @@
         self._clock = clock
         self._requests: t.Dict["ServiceId", _Window] = {}
         self._extra_sends: t.Dict["ServiceId", _Window] = {}
+        self._started_at = clock.monotonic()
+        self._exhausted_at: t.Dict["ServiceId", float] = {}
         #: Number of entries that share the budget.
         self.entry_count = 1
 
@@ -73,10 +77,25 @@
         slack = self.bounds.budget_slack / max(1, self.entry_count)
         allowed = (requests.total * self.bounds.budget_ratio + slack) * _USED_FRACTION
         if extra_sends.total + 1 > allowed:
+            self._log_exhausted(service, now)
             return False
         extra_sends.add(now)
         return True
 
+    def _log_exhausted(self, service: "ServiceId", now: float) -> None:
+        """Logs once a window that a service's budget is used up."""
+        if now < self._exhausted_at.get(service, -float("inf")) + self.bounds.budget_window_s:
+            return
+        self._exhausted_at[service] = now
+        log.info(
+            "retry.exhausted",
+            service=service,
+            requests=self._requests[service].total,
+            retries=self._extra_sends[service].total,
+            entries=self.entry_count,
+            running_s=round(now - self._started_at, 2),
+        )
+
     def _window(self, windows: "t.Dict[ServiceId, _Window]", service: "ServiceId") -> _Window:
         window = windows.get(service)
         if window is None:
--- a/src/coralfall/reporting/explain.py
+++ b/src/coralfall/reporting/explain.py
@@ -33,6 +33,7 @@
     "service.",
     "process.",
     "quota.",
+    "retry.",
     "log.dropped",
 )
 
@@ -176,6 +177,7 @@
             f"  send {number} to {send.target}: {send.result} after {send.milliseconds:.0f} ms"
             f"{_met(send)}{told}"
         )
+    parts += _no_retry(fields)
     parts += _same_request(fields, events)
     context = _context(end, events, entry, {send.target for send in sends})
     parts.append("  what the entry learnt shortly before:" if context else "  nothing new before")
@@ -213,6 +215,14 @@
     return parts
 
 
+def _no_retry(fields: t.Mapping[str, str]) -> t.List[str]:
+    """Why the request was not sent once more, if it failed."""
+    verdict = fields.get("retry")
+    if verdict is None:
+        return []
+    return [f"  not sent once more: {_RETRY_VERDICTS.get(verdict, verdict)}"]
+
+
 def _same_request(fields: t.Mapping[str, str], events: t.Sequence[LogEvent]) -> t.List[str]:
     """How often a request came that a target cut off once, and which targets ended with it."""
     fingerprint = fields.get("fingerprint")
@@ -257,6 +267,14 @@
     "silent": "no dispatcher answered",
     "expired": "no notice came while a start was of use",
 }
+_RETRY_VERDICTS = {
+    "attempts": "it was sent as often as its route allows",
+    "time": "too little time was left",
+    "may-have-run": "it may have run, and must not run twice",
+    "body": "its body was passed on as it came, and was not held any more",
+    "quarantined": "targets ended under it",
+    "budget": "the retry budget of the service was used up; see retry.exhausted lines",
+}
 #: Fields that tell why a request is refused, or no more.
 _DECIDED = ("crashes", "alone", "callers", "evidence")
 #: What a send's line says of a target that wants no request by its own word.
--- a/src/coralfall/traffic/callers.py
+++ b/src/coralfall/traffic/callers.py
@@ -11,6 +11,7 @@
 from ..process import log
 from .answer_memory import AnswerMemory, HeldAnswer
 from .reply import Reply, reply_from_error
+from .retry_policy import RetryVerdict
 from .steered_request import SteeredRequest
 from .tenants import allowed_regions_for
 
@@ -245,6 +246,7 @@
             ms=round((now - started_at) * 1000),
             aim_ms=round(request.route.latency_target_s * 1000),
             sends=",".join([str(send) for send in request.attempts]) or "none",
+            **_retry_fields(request),
             **_dispatch_fields(request),
             **_fingerprint_fields(request),
             **({"quota": reply.detail} if reply is not None and reply.detail else {}),
@@ -254,6 +256,13 @@
         )
 
 
+def _retry_fields(request: SteeredRequest) -> t.Dict[str, str]:
+    """Returns the log field that tells why a request was not sent once more, if it failed."""
+    if not request.retry_verdicts or request.retry_verdicts[-1] is RetryVerdict.ALLOWED:
+        return {}
+    return {"retry": request.retry_verdicts[-1].value}
+
+
 def _dispatch_fields(request: SteeredRequest) -> t.Dict[str, str]:
     """Returns the log field of the answers of dispatchers; only contended services have any."""
     if not request.asks:
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -26,6 +26,7 @@
 from .request_encoder import RequestEncoder
 from .request_fingerprints import RequestFingerprints
 from .response_check import REJECTED_PREFIX, ResponseCheck
+from .retry_policy import RetryPolicy
 from .steered_request import Attempt, SteeredRequest
 from .target_connections import NO_PATH, TargetConnection
 from .target_exchange import STALE, OutgoingRequest, time_left_to_send
@@ -102,6 +103,7 @@
         self.report_reader = TargetReportReader(names, clock)
         #: Checks responses, and records what they report.
         self.response_check = ResponseCheck(names, self.report_reader, targets, steering)
+        self._retry_policy = RetryPolicy(budget, self._is_quarantined, clock)
         self._request_encoder = RequestEncoder(names)
         self._fingerprints = RequestFingerprints(names)
 
@@ -147,20 +149,24 @@
                 if error.fields.get("reason") == NO_SOCKETS and failed_reply is None:
                     # This entry could not connect to any other target either.
                     raise failure from error
-                if error.fields.get("reason") == LIMITED and self._has_time(request):
+                if error.fields.get("reason") == LIMITED and self._retry_policy.has_time(request):
                     token_refusals += 1
                     if token_refusals == _MAX_TOKEN_REFUSALS:
                         tried.update(self._permits.limits.in_force())
                     continue
-                if error.fields.get("reason") in _NOT_ACCEPTING and self._has_time(request):
+                if error.fields.get("reason") in _NOT_ACCEPTING and self._retry_policy.has_time(
+                    request
+                ):
                     continue
                 if error.fields.get("reason") in _CONNECT_FAILURES and not _may_have_run(error):
                     connect_failures += 1
                     if error.fields["reason"] == NO_PATH:
                         tried.discard(reservation.state.target.target_id)
-                    if connect_failures < _MAX_CONNECT_FAILURES and self._has_time(request):
+                    if connect_failures < _MAX_CONNECT_FAILURES and self._retry_policy.has_time(
+                        request
+                    ):
                         continue
-                if not self._may_retry(request, failure):
+                if not self._retry_policy.may_retry(request, failure):
                     if failed_reply is not None:
                         return failed_reply
                     raise failure from error
@@ -175,23 +181,9 @@
             if response.status < _FIRST_SERVER_ERROR or failed_reply is not None:
                 return reply
             failed_reply = reply
-            if not request.is_idempotent or not self._may_retry(request, None):
+            if not request.is_idempotent or not self._retry_policy.may_retry(request, None):
                 return failed_reply
 
-    def _may_retry(self, request: SteeredRequest, failure: t.Optional[CoralfallError]) -> bool:
-        if request.sent_count() >= request.route.max_attempts or not self._has_time(request):
-            return False
-        if not request.is_idempotent and not isinstance(failure, TargetNotRunError):
-            return False
-        if request.body is not None and not request.body.replayable:
-            return False
-        if self._is_quarantined(request):
-            return False
-        return self._budget.try_spend(request.service)
-
-    def _has_time(self, request: SteeredRequest) -> bool:
-        return request.deadline - self._clock.monotonic() > defaults.MIN_SEND_TIME_LEFT_S
-
     async def _attempt(
         self, request: SteeredRequest, reservation: "TargetReservation"
     ) -> "ServerResponse":
--- a/src/coralfall/traffic/steered_request.py
+++ b/src/coralfall/traffic/steered_request.py
@@ -13,6 +13,7 @@
     from .answer_memory import HeldAnswer
     from .connection import Headers
     from .model import Route, Tenant
+    from .retry_policy import RetryVerdict
     from .target_permits import TargetPermit
 
 
@@ -124,6 +125,7 @@
         "path",
         "remaining_s",
         "request_id",
+        "retry_verdicts",
         "route",
         "service",
         "tenant",
@@ -175,6 +177,8 @@
         #: Whether it is the trial that shows if a quarantined request still crashes targets.
         self.is_trial = False
         self.attempts: t.List[Attempt] = []
+        #: Decisions on sending it once more, in their order.
+        self.retry_verdicts: "t.List[RetryVerdict]" = []
         #: Counts the bytes of its answer, if they are counted.
         self.held_answer: "t.Optional[HeldAnswer]" = None
 
--- a/src/coralfall/traffic/telemetry.py
+++ b/src/coralfall/traffic/telemetry.py
@@ -53,6 +53,9 @@
         self._second_sends = self._counter(
             "second_sends", "Sends of a request beyond its first.", ("service",)
         )
+        self._retries = self._counter(
+            "retries", "Decisions on sending a request once more.", ("service", "verdict")
+        )
         self._limited_sends = self._counter(
             "limited_sends", "Sends to targets that had named a limit.", ("service",)
         )
@@ -97,6 +100,8 @@
                 self._limited_sends.labels(service).inc()
         for ask in request.asks:
             self._dispatch_answers.labels(service, ask.verdict).inc()
+        for verdict in request.retry_verdicts:
+            self._retries.labels(service, verdict.value).inc()
         if request.sent_count() > 1:
             self._second_sends.labels(service).inc(request.sent_count() - 1)
 
--- a/tests/reporting/test_explain.py
+++ b/tests/reporting/test_explain.py
@@ -54,6 +54,11 @@
   20.1 edge-1 time=2026-08-30T10:00:38.000Z level=info event=request.ended entry=e1 id=w1 route=r1\
  service=s1 status=200 outcome=done reason=answered ms=40 version=7\
  sends=i-11:shed-503:1:0.5/6:known:near:3.6/s:cooldown,i-10:200:20:0.5/6:known:near:leaving
+  20.2 edge-1 time=2026-08-30T10:00:48.000Z level=info event=retry.exhausted entry=e1 service=s1\
+ requests=20
+  20.3 edge-1 time=2026-08-30T10:00:48.100Z level=info event=request.ended entry=e1 id=b1 route=r1\
+ service=s1 status=503 outcome=not-run reason=shed-503 ms=40 version=7 retry=budget\
+ sends=i-11:shed-503:1:0.5/6:known:near
 """.splitlines()
 
 
@@ -101,6 +106,8 @@
                 "limited to 3.6 requests/s, which had asked for a time without requests)",
             ),
             ("when it asked", "w1", "-0.900 s  target.cooldown target=i-11 service=s1 seconds=3.0"),
+            ("no retry", "b1", "not sent once more: the retry budget of the service was used up"),
+            ("when it was", "b1", "-0.100 s  retry.exhausted service=s1 requests=20"),
             ("no route", "abe", "cause: no route of the version in force matches"),
         ]
     )
