--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -3,6 +3,7 @@
     python -m tests.soak --seeds 50                 fifty fresh seeds, four at a time
     python -m tests.soak --first 7 --seeds 1        one seed again
     python -m tests.soak --seeds 50 --deadly        the same, with requests that end targets
+    python -m tests.soak --seeds 50 --retries       the same, with rejections and kills in series
     python -m tests.soak --seconds 60 --jobs 2      longer runs
 
 Logs of a seed that showed a fault stay in the folder that is named, with what was played. It
@@ -24,10 +25,18 @@
 _SHOWN = 8
 
 
-async def _one(seed: int, seconds: float, folder: pathlib.Path, deadly: bool) -> bool:
+async def _one(seed: int, folder: pathlib.Path, options: argparse.Namespace) -> bool:
     place = folder / f"seed-{seed}"
     place.mkdir(parents=True, exist_ok=True)
-    outcome = await run(seed, seconds, place, timed=True, deadly=deadly)
+    outcome = await run(
+        seed,
+        options.seconds,
+        place,
+        timed=True,
+        deadly=options.deadly,
+        retries=options.retries,
+        entries=options.entries,
+    )
     print(_line(seed, outcome), flush=True)
     if not outcome.faults:
         shutil.rmtree(place)
@@ -54,7 +63,7 @@
 
     async def one(seed: int) -> None:
         async with turns:
-            if not await _one(seed, options.seconds, folder, options.deadly):
+            if not await _one(seed, folder, options):
                 failed.append(seed)
 
     seeds = range(options.first, options.first + options.seeds)
@@ -70,6 +79,10 @@
     parser.add_argument("--seconds", type=float, default=15.0, help="of trouble in each")
     parser.add_argument("--jobs", type=int, default=4, help="seeds at a time")
     parser.add_argument("--deadly", action="store_true", help="with requests that end targets")
+    parser.add_argument(
+        "--retries", action="store_true", help="with rejections and kills in series"
+    )
+    parser.add_argument("--entries", type=int, default=4, help="how many entries there are")
     parser.add_argument("--folder", help="for logs of seeds that showed a fault")
     return asyncio.run(_all(parser.parse_args()))
 
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -35,6 +35,13 @@
 TOLD_S = 0.5
 #: Requests that may reach a target from an entry while it asked that entry for none.
 COOLDOWN_SLACK = 2
+#: Of the users' retry budget: seconds of a window, and by what part of a service's requests and by
+#: what number all entries together may send beyond the first of each.
+RETRY_WINDOW_S = 10.0
+RETRY_RATIO = 0.2
+RETRY_SLACK = 64
+#: Sorts of requests that some desired state sends to each service.
+SORTS_BY_SERVICE = {"s1": frozenset(Sort), "s2": frozenset((Sort.COMMAND,))}
 #: Targets that a request ends until it must be known, and how often it may arrive later.
 DEADLY_ENDS = 3
 DEADLY_LATER = 3
@@ -169,6 +176,31 @@
             yield f"BUDGET {len(during)} at {named} at {rejection.at:.2f}"
 
 
+def beyond_retry_budget(record: Record) -> t.Iterator[str]:
+    """All processes of all entries together keep the retry budget of each service."""
+    seen: t.Set[str] = set()
+    extra_at: t.Dict[str, t.List[float]] = {}
+    for arrival in sorted(record.arrivals, key=lambda one: one.at):
+        if arrival.request_id in seen:
+            extra_at.setdefault(arrival.service, []).append(arrival.at)
+        seen.add(arrival.request_id)
+    for service, times in extra_at.items():
+        sorts = SORTS_BY_SERVICE[service]
+        sent_at = sorted([a.sent_at for a in record.attempts if a.sort in sorts])
+        for at in times:
+            starts = (at, at - RETRY_WINDOW_S / 2, at - RETRY_WINDOW_S)
+            requests = max(_count(sent_at, start, RETRY_WINDOW_S) for start in starts)
+            allowed = requests * RETRY_RATIO + RETRY_SLACK
+            extra = _count(times, at, RETRY_WINDOW_S)
+            if extra > allowed:
+                yield f"BUDGET {service}: {extra} retries from {at:.2f}, {allowed:g} allowed"
+                break
+
+
+def _count(times: t.Sequence[float], since: float, seconds: float) -> int:
+    return bisect.bisect_right(times, since + seconds) - bisect.bisect_left(times, since)
+
+
 def twice(record: Record) -> t.Iterator[str]:
     """What may run once runs once."""
     runs = collections.Counter(a.request_id for a in record.arrivals if a.ran)
@@ -320,6 +352,7 @@
     over_limit,
     beyond_named_limit,
     after_leaving,
+    beyond_retry_budget,
     twice,
     refused,
     reverts,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,7 +10,7 @@
 from tests.soak.callers import Caller
 from tests.soak.record import DEADLY, SLOW, Record, Sort, Tenant
 from tests.soak.rules import TIMED, TIMELESS, broken
-from tests.soak.troubles import CUTS, LOADS, TROUBLES, WORDS, Trouble
+from tests.soak.troubles import CUTS, LOADS, RETRIES, TROUBLES, WORDS, Trouble
 from tests.soak.world import World, strangers
 
 #: Seconds that entries may take to be ready at the start and once all troubles are over.
@@ -30,6 +30,8 @@
 _WORD_GAP_S = (0.5, 5.0)
 #: Seconds between two loads of the same kind.
 _LOAD_GAP_S = (2.0, 8.0)
+#: Seconds between two troubles of a kind that make entries retry.
+_RETRY_GAP_S = (2.0, 6.0)
 #: Seconds between two cuts of entries from targets.
 _CUT_GAP_S = (2.0, 12.0)
 #: Seconds for which a request may fail once all is well again, and the pause between two tries.
@@ -47,16 +49,24 @@
 
 
 async def run(
-    seed: int, seconds: float, folder: pathlib.Path, timed: bool, deadly: bool = False
+    seed: int,
+    seconds: float,
+    folder: pathlib.Path,
+    timed: bool,
+    deadly: bool = False,
+    retries: bool = False,
+    entries: int = 4,
 ) -> Outcome:
     """Play one seed.
 
     :param deadly: whether some requests end each target that runs them, beside the troubles.
+    :param retries: whether targets reject most requests while entries are killed in series, too.
+    :param entries: how many entries there are.
     :param timed: whether bounds in time are judged too, which want a machine that is not busy.
     """
     rng = random.Random(seed)
     played: t.List[str] = []
-    async with World(folder, seed) as world:
+    async with World(folder, seed, entries) as world:
         late = await world.until_ready(READY_S)
         if late:
             return Outcome([f"not ready at the start: {late}"], 0, 0, played)
@@ -70,6 +80,10 @@
             calling.append(asyncio.create_task(_repeat(world, cut, seed, _CUT_GAP_S)))
         for load in LOADS:
             calling.append(asyncio.create_task(_repeat(world, load, seed, _LOAD_GAP_S)))
+        for trouble in RETRIES if retries else ():
+            calling.append(
+                asyncio.create_task(_repeat(world, trouble, f"{seed}-retries", _RETRY_GAP_S))
+            )
         if deadly:
             calling.append(asyncio.create_task(_send_deadly(world, callers[0], seed)))
         await _play(world, rng, seconds, played)
@@ -106,7 +120,9 @@
     return lambda: world.version
 
 
-async def _repeat(world: World, trouble: Trouble, seed: int, gap_s: t.Tuple[float, float]) -> None:
+async def _repeat(
+    world: World, trouble: Trouble, seed: t.Union[int, str], gap_s: t.Tuple[float, float]
+) -> None:
     """Play a trouble again and again; some of its times overlap."""
     rng = random.Random(f"{seed}-{trouble.__name__}s")
     under_way: t.Set["asyncio.Task[None]"] = set()
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -41,6 +41,8 @@
         self.lose = 0.0
         #: Share of the answers that are cut short, or followed by another one.
         self.garble = 0.0
+        #: Share of the requests that it rejects though it has slots.
+        self.reject_share = 0.0
         #: Whether what it rejects while it asks for a cooldown is proved not to have run.
         self.proves = True
         self.proxy = Proxy("")
@@ -66,7 +68,7 @@
 
     async def _run(self, received: ReceivedRequest) -> None:
         meant = received.header("x-expected-instance") == self.instance_id
-        room = self._in_hand < SLOTS + _QUEUE
+        room = self._in_hand < SLOTS + _QUEUE and self._rng.random() >= self.reject_share
         self._note(received, meant, meant and room and self.cooldown_s is None)
         if not meant:
             await received.answer(421, b"", x_response_signature="")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -29,21 +29,31 @@
 class SoakTest(unittest.TestCase):
     @parameterized.expand(
         [
-            ("first", 1, 5.0, False),
-            ("second", 2, 5.0, False),
+            ("first", 1, 5.0, ""),
+            ("second", 2, 5.0, ""),
             # Signals ended entries that were still starting.
-            ("signals while starting", 201, 10.0, False),
-            ("requests that end targets", 3, 10.0, True),
-            ("targets with limits", 5, 12.0, False),
-            ("targets that leave and reject", 6, 12.0, False),
+            ("signals while starting", 201, 10.0, ""),
+            ("requests that end targets", 3, 10.0, "deadly"),
+            ("targets with limits", 5, 12.0, ""),
+            ("targets that leave and reject", 6, 12.0, ""),
+            ("retries beside kills in series", 7, 12.0, "retries"),
         ]
     )
     def test_promises_hold_under_faults(
-        self, _name: str, seed: int, seconds: float, deadly: bool
+        self, _name: str, seed: int, seconds: float, beside: str
     ) -> None:
         """Bounds in time are judged by hand only: here the machine may be busy."""
         with tempfile.TemporaryDirectory() as folder:
-            outcome = asyncio.run(run(seed, seconds, pathlib.Path(folder), False, deadly))
+            outcome = asyncio.run(
+                run(
+                    seed,
+                    seconds,
+                    pathlib.Path(folder),
+                    timed=False,
+                    deadly=beside == "deadly",
+                    retries=beside == "retries",
+                )
+            )
         self.assertEqual([], outcome.faults[:5])
         self.assertGreater(outcome.served, 0)
 
@@ -96,6 +106,18 @@
     return seen
 
 
+def retried(count: int, **fields: object) -> t.List[object]:
+    """Requests of which each arrives twice at a service."""
+    seen: t.List[object] = []
+    for number in range(count):
+        name = f"c-{number}"
+        path = f"{Sort.READ.value}{name}"
+        seen.append(attempt(name, Sort.READ))
+        seen.append(arrival(name, path=path))
+        seen.append(arrival(name, path=path, target="i-2", **fields))
+    return seen
+
+
 def while_cut(count: int, served: int, at: float = 10.0, status: int = 200) -> t.List[object]:
     """Requests to e0, cut off from 5.0 to 20.0, and to e1, which is not."""
     seen: t.List[object] = [Cut("e0", 5.0, 20.0), Lifetime("e0", 0.0), Lifetime("e1", 0.0)]
@@ -160,6 +182,9 @@
                 [attempt(tenant=Tenant.NOBODY), arrival(tenant="nobody", ran=False)],
                 "ROUTE",
             ),
+            ("within the retry budget", retried(80), ""),
+            ("beyond the retry budget", retried(81), "BUDGET"),
+            ("long after its requests", retried(70, at=21.0), "BUDGET"),
             ("within a limit", hot(33), ""),
             ("over a limit", hot(34), "QUOTA"),
             ("over a limit, and not run", hot(34, ran=False), ""),
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -40,6 +40,11 @@
 _BURST_S = (1.0, 5.0)
 _BURST_PAUSE_S = (0.05, 0.3)
 _BURST_WORK = 4
+#: Seconds for which all targets of a service reject most of what comes.
+_REJECTS_MOST_S = (4.0, 12.0)
+#: Seconds of a series of kills, and between two of them.
+_SERIES_S = (3.0, 8.0)
+_SERIES_GAP_S = (0.15, 0.6)
 #: Seconds for which entries lose their links to targets, and after which they may lose them again.
 _CUT_S = (0.5, 6.0)
 _MENDED_S = (0.1, 2.0)
@@ -375,6 +380,34 @@
         await asyncio.sleep(rng.uniform(*_MENDED_S))
 
 
+async def reject_most(world: World, rng: random.Random) -> None:
+    """All targets of a service reject most of what comes, with slots free."""
+    service = rng.choice(SERVICES)
+    struck = [target for target in world.targets if target.service == service]
+    share = rng.uniform(0.5, 0.9)
+    for target in struck:
+        target.reject_share = share
+    try:
+        await asyncio.sleep(rng.uniform(*_REJECTS_MOST_S))
+    finally:
+        for target in struck:
+            target.reject_share = 0.0
+
+
+async def kill_in_series(world: World, rng: random.Random) -> None:
+    """Entries are killed one after the other, each as soon as another is back."""
+    until = time.monotonic() + rng.uniform(*_SERIES_S)
+    pause_s = rng.uniform(*_SERIES_GAP_S)
+    under_way = []
+    while time.monotonic() < until:
+        under_way.append(asyncio.create_task(kill(world, rng)))
+        await asyncio.sleep(pause_s)
+    await asyncio.gather(*under_way)
+
+
+#: What makes entries retry while they start again and again.
+RETRIES: t.Tuple[Trouble, ...] = (reject_most, burst, kill_in_series)
+
 #: Losses of links between entries and targets beside all other troubles.
 CUTS: t.Tuple[Trouble, ...] = (cut_from_targets,)
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -90,12 +90,13 @@
 
     :param folder: for settings and logs.
     :param seed: draws what targets do.
+    :param entries: how many entries there are.
     """
 
-    def __init__(self, folder: pathlib.Path, seed: int) -> None:
+    def __init__(self, folder: pathlib.Path, seed: int, entries: int = _ENTRIES) -> None:
         self.record = Record()
         self.store = StoreStandin()
-        self.entries = [SoakEntry(folder, number, self.record) for number in range(_ENTRIES)]
+        self.entries = [SoakEntry(folder, number, self.record) for number in range(entries)]
         self.targets: t.List[SoakTarget] = []
         self._rng = random.Random(seed)
         # Drawn from a generator of their own, so that all else of each seed stays as it was.
