Let an entry that starts send nothing to cold targets for its first second

Cold targets get at most a rate from all entries together, and each entry a share of it. An entry that started had a whole share at once, whatever its earlier process had sent within the second, and until it knew the others it took the whole rate for itself.

Red before, 12 entries on virtual time: 360 requests in a second (all killed each 0.4 s, the others known 0.1 s after a start), 132 (each 1.6 s, known after 1.2 s) and 120 (each 5 s) of 18.5 allowed; now none of the three exceeds it. The model lets entries send from their first moment, so real ones exceed it by less. The share begins a second after the start, once the rows or the reply of another entry named the others. Left: entries forget others after 120 s, so the halves of a fleet that was split for longer have a whole rate each; 0.6 of it is divided.

--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -69,8 +69,10 @@
 
 def cold_share(count: int) -> Call:
     """A look at a cold target, of which there are 40."""
-    shares = ColdTargetShares(EntryId("e0"))
-    shares.set_entries(make_members(count, ManualClock(100.0)).known_ids())
+    clock = ManualClock(100.0)
+    shares = ColdTargetShares(EntryId("e0"), clock)
+    shares.set_entries(make_members(count, clock).known_ids())
+    clock.advance(1.0)
     return lambda number: shares.allowance_of(TargetId(f"t{number % 40}"), 18.5)
 
 
--- a/src/coralfall/placement/affinity.py
+++ b/src/coralfall/placement/affinity.py
@@ -63,7 +63,7 @@
         self.limits = targets.reports.limits
         self._cooldowns = targets.reports.cooldowns
         #: Requests a second that this entry may send to each cold target.
-        self.cold_shares = ColdTargetShares(settings.entry_id)
+        self.cold_shares = ColdTargetShares(settings.entry_id, clock)
 
     @property
     def settings(self) -> "SteerSettings":
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -247,7 +247,8 @@
         self.quotas.drop_expired()
         self.targets.reports.tick(self.targets.by_id)
         self.retry_share.update(self.state_view.registered_ids(), self.state_view.entries_age_s())
-        self.steering.cold_shares.set_entries(self.members.known_ids())
+        if self.members.has_discovered_peers:
+            self.steering.cold_shares.set_entries(self.members.known_ids())
 
     def _count_connect_attempt(self, attempt: ConnectAttempt) -> None:
         self.telemetry.count_connect(attempt.target.service, attempt.result)
--- a/tests/traffic/makers.py
+++ b/tests/traffic/makers.py
@@ -146,8 +146,10 @@
     :param entries: the entries that share the target's limit.
     :param per_s: the limit.
     """
-    shares = ColdTargetShares(entry_id)
+    clock = ManualClock(100.0)
+    shares = ColdTargetShares(entry_id, clock)
     shares.set_entries(entries)
+    clock.advance(1.0)
     return shares.allowance_of(target_id, per_s)
 
 
@@ -165,6 +167,8 @@
         self.steering = AffinitySteering(settings or make_settings(), self.targets, self.clock)
         self.steering.set_state(make_state())
         self.steering.cold_shares.set_entries([EntryId(name) for name in entries])
+        # An entry has no share of cold targets in its first second.
+        self.clock.advance(1.0)
         self.set_targets(*targets)
 
     def set_targets(self, *targets: Target) -> None:
--- a/tests/traffic/test_decisions.py
+++ b/tests/traffic/test_decisions.py
@@ -11,6 +11,7 @@
 from coralfall import defaults
 from coralfall.exceptions import RefusedError
 from coralfall.ids import EntryId, ServiceId, TargetId
+from coralfall.placement.cold_targets import ColdTargetShares, SlidingWindowLimiter
 from coralfall.placement.retry_budget import SharedRetryBudget
 from coralfall.placement.weighted_split import WeightedSplit
 from coralfall.process.clock import ManualClock
@@ -542,6 +543,36 @@
         shares = [cold_share_of(name, names, TargetId("t1"), 18.5) for name in names]
         self.assertEqual(11, sum(shares))
 
+    @parameterized.expand(
+        [
+            # name, seconds between starts of all entries, seconds until each knows the others
+            ("killed in series", 0.4, 0.1),
+            ("slow to know the others", 1.6, 1.2),
+            ("once", 5.0, 0.1),
+        ]
+    )
+    def test_starts_do_not_renew_the_share_of_a_cold_target(
+        self, _name: str, gap_s: float, known_s: float
+    ) -> None:
+        clock = ManualClock(100.0)
+        names = [EntryId(f"e{number}") for number in range(12)]
+        sent: t.List[float] = []
+        started_at = -float("inf")
+        for _ in range(600):
+            clock.advance(0.01)
+            if clock.now - started_at >= gap_s:
+                started_at = clock.now
+                shares = [ColdTargetShares(name, clock) for name in names]
+                limiters = [SlidingWindowLimiter() for _ in names]
+            for share, limiter in zip(shares, limiters, strict=True):
+                if clock.now - started_at >= known_s:
+                    share.set_entries(names)
+                if limiter.has_room(clock.now, share.allowance_of(TargetId("t1"), 18.5)):
+                    limiter.record(clock.now)
+                    sent.append(clock.now)
+        for at in sent:
+            self.assertLessEqual(sum(at <= other < at + 1.0 for other in sent), 18.5)
+
     def test_a_cold_target_gets_its_share_in_any_second(self) -> None:
         steered = SteeringFixture(
             make_target(1, cold_s=3.0, slots=1000), make_target(2, slots=1000)
