Start the retry budget of coralfall entry without tokens

Each start of an entry by signed bundles granted a whole burst of 10 retries and hedges for each service anew, beside the ratio.

Red before: fifty starts in a row, every attempt failing, 1, 5 and 100 requests between them: 250, 650 and 5,850 attempts where the ratio and one burst allow 65, 285 and 5,510. Now the bucket is empty at first; a single process may send less than before in its first 100 requests, none after. The test that a new budget has its burst at once tested this fault; it now asks the same after requests that earn it, and the bound over starts is a test of its own.

--- a/src/coralfall/forwarding/retry.py
+++ b/src/coralfall/forwarding/retry.py
@@ -28,9 +28,10 @@
 class RetryBudget:
     """Bounds retries and hedges together to a share of the requests.
 
-    Of ``n`` requests of callers at most ``burst + ratio * n`` are sent again, whatever fails:
-    targets see at most ``1 + ratio + burst / n`` times what callers sent. Hedges are among
-    them, and have at most ``HEDGE_PART`` of both.
+    Of ``n`` requests of callers at most ``ratio * n`` are sent again since the start, whatever
+    fails, and of any ``n`` requests in a row at most ``burst + ratio * n``. It is empty at first,
+    so that an entry that starts again and again sends no more than one that runs. Hedges are
+    among them, and have at most ``HEDGE_PART`` of both.
 
     :param ratio: retries that each request earns.
     :param burst: most that is saved up.
@@ -41,8 +42,8 @@
     ) -> None:
         self._ratio = ratio
         self._burst = burst
-        self._tokens = float(burst)
-        self._hedge_tokens = burst * HEDGE_PART
+        self._tokens = 0.0
+        self._hedge_tokens = 0.0
 
     def request(self) -> None:
         """Count one request of a caller, not its retries."""
--- a/tests/forwarding/test_retry.py
+++ b/tests/forwarding/test_retry.py
@@ -35,12 +35,23 @@
 
     def test_budget_is_there_after_a_quiet_time(self) -> None:
         budget = RetryBudget()
+        for _ in range(1000):
+            budget.request()
         self.assertEqual([budget.take() for _ in range(defaults.RETRY_BURST + 1)].count(True), 10)
         for _ in range(10):
             budget.request()
         self.assertTrue(budget.take())
         self.assertFalse(budget.take())
 
+    @parameterized.expand([(1,), (5,), (100,)])
+    def test_starts_do_not_renew_the_burst(self, requests_between_starts: int) -> None:
+        attempts = requests = 0
+        for _ in range(50):
+            requests += requests_between_starts
+            attempts += attempts_in_outage(RetryBudget(), requests_between_starts, 3)[0]
+        ratio, burst = defaults.RETRY_RATIO, defaults.RETRY_BURST
+        self.assertLessEqual(attempts, requests * (1 + ratio) + burst)
+
 
 class HedgeDelayTest(unittest.TestCase):
     @parameterized.expand(
