Let a share of the retry budget settle for a whole window beyond its row

Read again, the proof had a hole: of two entries that had a share at one moment each counted the other, but what is bounded is a window. An entry that joined got its share when the others had just spent theirs by an older, shorter list.

Now rows may be 6 s old in place of 11, and a row has to be there, and is counted after it has gone, for 6 s and a window (17 s): whoever spends within a window of another is counted by it. The rows are read each 2 s. It costs the share for 6 s more after a start.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -364,8 +364,9 @@
 LATE_LOAD_LIMITS = (1.0,)
 #: Seconds that may pass until a retry that was counted arrives at its target.
 RETRY_DELAY_S = 1.0
-#: Seconds within which entries know a change of the entries' rows, while the store answers.
-ENTRIES_KNOWN_S = 10.0
+#: Seconds within which entries know a change of the entries' rows, while the store answers; an
+#: entry that knows them as of an earlier moment has no share of what the fleet may spend.
+ENTRIES_KNOWN_S = 6.0
 #: Fraction of the allowed shift between regions that an entry uses, and the window in which the
 #: shift is counted.
 SHIFT_BUDGET_FRACTION = 2 / 3
--- a/src/coralfall/placement/fleet_share.py
+++ b/src/coralfall/placement/fleet_share.py
@@ -1,17 +1,18 @@
 """Fleet share: this entry's part of what all entries together may spend, known to it or not.
 
 The entries that have a row in the store divide a whole number of units. An entry has a part only
-while its row has been there for a settling time, and while it knows the rows as of a moment no
-longer ago than that. Of two entries that have a part at the same time, each therefore counts the
-other; a row that disappears is counted for the settling time, within which its owner stops. So the
-parts never add up to more than the whole, whichever entries start, end or can't reach each other.
-An entry that can't learn of the rows has no part.
+while it knows the rows as of a recent moment, and while its own row has been there for a settling
+time, which is longer by a whole window. Of two entries that spend within one window, each therefore
+counts the other; a row that disappears is counted for the settling time, too. So what is spent in
+a window never adds up to more than the whole, whichever entries start, end or can't reach each
+other. An entry that can't learn of the rows has no part.
 """
 
 import abc
 import enum
 import typing as t
 
+from .. import defaults
 from ..process import log
 from .even_division import EvenDivision
 
@@ -53,7 +54,7 @@
     """This entry's part, by the entries' rows in the store.
 
     :param entry_id: id of this entry.
-    :param bounds: how long a row has to be there, and how old a view of the rows may be.
+    :param bounds: how long a row has to be there.
     :param clock: tells the time.
     """
 
@@ -82,7 +83,7 @@
         settle_s = self.bounds.share_settle_s()
         if self._own_row_since is None or now - self._own_row_since < settle_s:
             return ShareState.SETTLING
-        if now - self._known_as_of > settle_s:
+        if now - self._known_as_of > defaults.ENTRIES_KNOWN_S:
             return ShareState.STALE
         return ShareState.VALID
 
--- a/src/coralfall/placement/retry_budget.py
+++ b/src/coralfall/placement/retry_budget.py
@@ -7,8 +7,8 @@
   another part of the ratio for each request of the last window. Both parts together are less than
   the whole, so the sum over all processes is within the ratio of the requests of the window or of
   the one before it, whatever the number of processes and whenever they start or end.
-* Shared tokens, by a sliding-window log: this entry's share of the fixed number. Shares begin later
-  than one window after a start, so that an entry's processes never spend one twice in a window.
+* Shared tokens, by a sliding-window log: this entry's share of the fixed number, which begins later
+  than one window after a start.
 
 See docs/design/retry-budget.md for the proof.
 """
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -54,7 +54,7 @@
 #: Seconds between two runs of periodic clean-up.
 _TICK_S = 0.2
 #: Ages at which the entries' rows are read; gossip alone carries them to the other entries.
-_ENTRIES_PACE = PollIntervals(interval_s=3.0, stale_s=4.5, rank_s=0.5, max_rank_s=1.5)
+_ENTRIES_PACE = PollIntervals(interval_s=2.0, stale_s=3.0, rank_s=0.5, max_rank_s=1.0)
 #: First pause after a failed read of these rows, in seconds.
 _ENTRIES_BACKOFF_S = 2.0
 #: Seconds for which the rows are not read at a start, as registering reads them.
--- a/src/coralfall/traffic/settings.py
+++ b/src/coralfall/traffic/settings.py
@@ -86,9 +86,9 @@
     def share_settle_s(self) -> float:
         """Returns the seconds after which an entry has its share of what the fleet may spend.
 
-        By then all entries count it, and its earlier process has spent nothing within a window.
+        By then all entries have counted it for a whole window.
         """
-        return max(defaults.ENTRIES_KNOWN_S, self.retry_span_s())
+        return defaults.ENTRIES_KNOWN_S + self.retry_span_s()
 
     def home_shift_per_s(self) -> float:
         """Returns the share of a region's objects that may change their home region in a second."""
--- a/tests/traffic/test_retry_histories.py
+++ b/tests/traffic/test_retry_histories.py
@@ -12,7 +12,7 @@
 from tests.traffic.retry_fleet import RetryFleet
 
 #: Seconds between two reads of the rows, and between two ticks.
-READ_S = 4.0
+READ_S = 2.0
 TICK_S = 1.0
 
 
@@ -52,7 +52,7 @@
             ("many requests", 12, 400, 0.5, 0.0),
             ("three entries", 3, 36, 1.5, 0.0),
             ("hundreds of entries", 530, 400, 1.5, 0.0),
-            ("once, after shares were used", 12, 36, 15.0, 0.0),
+            ("once, after shares were used", 12, 36, 20.0, 0.0),
             ("late arrivals", 12, 400, 5.0, 1.0),
             ("hundreds, late arrivals", 530, 3000, 5.0, 1.0),
         ]
@@ -74,6 +74,40 @@
         self.assertIsNone(fleet.excess())
 
 
+class JoinTest(unittest.TestCase):
+    @parameterized.expand(
+        [
+            # name, entries that run, those that join or are left, whether the store is away
+            # while they join
+            ("fleet doubles", 12, 24, False),
+            ("many join a few", 3, 48, False),
+            ("half stops", 12, 6, False),
+            ("most stop", 48, 3, False),
+            ("many join while others hear nothing", 3, 48, True),
+        ]
+    )
+    def test_share_is_spent_once_a_window_however_many_divide_it(
+        self, _name: str, entries: int, others: int, cut_off: bool
+    ) -> None:
+        for spent_after_s in range(0, 40):
+            fleet = RetryFleet(entries)
+            play(fleet, 1.0, 40.0)
+            if cut_off:
+                fleet.cut_off.update(fleet.ids)
+            for number in range(others):
+                if number >= entries:
+                    fleet.start(EntryId(f"e{number}"))
+            for entry_id in fleet.ids[others:]:
+                fleet.retry(entry_id, 100)
+                fleet.stop(entry_id)
+            _pass(fleet, float(spent_after_s), retries=0)
+            for entry_id in fleet.entries_by_id:
+                fleet.retry(entry_id, 100)
+            fleet.cut_off.clear()
+            _pass(fleet, 30.0, retries=100)
+            self.assertIsNone(fleet.excess(), spent_after_s)
+
+
 _entry_numbers = st.integers(0, 15)
 _steps = st.lists(
     st.one_of(
@@ -141,14 +175,14 @@
             fleet.request(entry_id, 3 if kind == "burst" else 0)
 
 
-def _pass(fleet: RetryFleet, seconds: float) -> None:
+def _pass(fleet: RetryFleet, seconds: float, retries: int = 100) -> None:
     until = fleet.clock.now + seconds
     while fleet.clock.now < until:
         fleet.tick(min(1.0, until - fleet.clock.now))
         for entry_id in fleet.entries_by_id:
             fleet.read(entry_id)
             # Spends what time alone may have brought.
-            fleet.retry(entry_id, 100)
+            fleet.retry(entry_id, retries)
 
 
 class ShareTest(unittest.TestCase):
@@ -156,9 +190,10 @@
         [
             # name, entries, seconds since the start, expected shares of all entries
             ("at a start", 12, 1.0, 0),
-            ("settled", 12, 12.0, 64),
-            ("three", 3, 12.0, 64),
-            ("hundreds", 530, 12.0, 64),
+            ("settling", 12, 16.0, 0),
+            ("settled", 12, 18.0, 64),
+            ("three", 3, 18.0, 64),
+            ("hundreds", 530, 18.0, 64),
         ]
     )
     def test_shares_of_all_entries(
@@ -184,7 +219,7 @@
         at_most: int,
     ) -> None:
         fleet = RetryFleet(12)
-        play(fleet, 10.0, 15.0)
+        play(fleet, 10.0, 20.0)
         trouble(fleet)
         least = most = 64
 
@@ -192,14 +227,14 @@
             nonlocal least, most
             least, most = min(least, fleet.shares()), max(most, fleet.shares())
 
-        play(fleet, 10.0, 10.9, check)
+        play(fleet, 10.0, 16.9, check)
         play(fleet, 10.0, 8.0, check)
         self.assertLessEqual(most, at_most)
         self.assertGreaterEqual(least, at_least - 1)
         fleet.cut_off.clear()
         for entry_id in fleet.ids:
             fleet.rows.add(entry_id)
-        play(fleet, 10.0, 16.0)
+        play(fleet, 10.0, 20.0)
         self.assertEqual(64, fleet.shares())
 
     @parameterized.expand(
