Explain a retry whose token was lost while it waited

A retry reserves a token when it is decided and spends it when it is sent. Tokens that requests earned are lost as these leave the window, so a reservation can come to nothing; the send's result is then budget, which coralfall explain and docs/OPERATIONS.md did not know.

--- a/src/coralfall/reporting/explain.py
+++ b/src/coralfall/reporting/explain.py
@@ -65,6 +65,7 @@
     "quarantined": "targets ended each time that they began this same request; it goes to no more",
     "limited": "its target, or all of the service, had what the limits that targets name allow",
     "shed": "the target said that it did not run the request: full, leaving, or out of time",
+    "budget": "the token of its retry was lost while it waited for a target; nothing was sent",
     "cancelled": "the caller left first",
     "unknown-key": "no tenant of the version in force has the key: see when it was taken away",
     "no-key": "the request carried no key, or two",
