--- a/src/coralfall/platform/store.py
+++ b/src/coralfall/platform/store.py
@@ -1,10 +1,8 @@
 """Client for the platform's store over HTTP, as a feed and a table.
 
 Rows have the key ``table/key`` in this package; the platform's field ``part`` is always empty.
-Reads reuse connections and are retried once on a new one; writes always use a new one.
 """
 
-import asyncio
 import base64
 import binascii
 import typing as t
@@ -12,28 +10,20 @@
 
 import msgspec
 
-from .. import defaults
 from ..exceptions import (
     HistoryLostError,
     PlatformError,
     PlatformRejectedError,
     PlatformUnavailableError,
-    PlatformUnknownError,
 )
 from ..ids import Revision
 from ..process import log
 from ..stores.store import Changes, Check, Feed, Row, Table, TransactResult, Write
-from ..traffic.connection import (
-    BrokenResponseError,
-    ServerConnection,
-    ServerResponse,
-    connect,
-    encode_head,
-)
+from ..traffic.connection import ServerResponse, encode_head
 from ..traffic.settings import StoreSettings
+from ..traffic.store_connections import StoreConnections
 from . import names
 
-_MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 _ROWS_PER_PAGE = 500
 _JSON_HEADER = (b"content-type", b"application/json")
 _STATUS_HISTORY_LOST = 410
@@ -67,9 +57,12 @@
 
     def __init__(self, settings: StoreSettings) -> None:
         self._settings = settings
-        self._idle: t.List[ServerConnection] = []
-        #: Number of calls made so far.
-        self.calls = 0
+        self._connections = StoreConnections(settings.address, settings.timeout_s)
+
+    @property
+    def calls(self) -> int:
+        """Number of calls made so far."""
+        return self._connections.calls
 
     async def snapshot(self, prefix: str) -> Changes:
         rows: t.List[Row] = []
@@ -138,63 +131,12 @@
 
     async def _get(self, path: str, wait_s: float) -> ServerResponse:
         head = encode_head("GET", path, self._settings.address, [])
-        reused = self._take_idle()
-        if reused is not None:
-            try:
-                return await self._call(reused, head, b"", defaults.STORE_REUSED_TIMEOUT_S + wait_s)
-            except (BrokenResponseError, OSError):
-                # Open connections may all have been cut or no longer transmit while new ones work.
-                self._drop_idle()
-        connection = await self._connect()
-        try:
-            return await self._call(connection, head, b"", self._settings.timeout_s + wait_s)
-        except (BrokenResponseError, OSError) as error:
-            raise PlatformUnavailableError(_no_answer_message(path, error)) from error
+        return await self._connections.read(head, path, wait_s)
 
     async def _write(self, body: bytes) -> ServerResponse:
         fields = [_JSON_HEADER, (b"content-length", str(len(body)).encode())]
         head = encode_head("POST", names.ROWS_TX_PATH, self._settings.address, fields)
-        # A write can't be repeated after its answer was lost, so it is never sent on an idle
-        # connection, which may be dead.
-        connection = await self._connect()
-        try:
-            return await self._call(connection, head, body, self._settings.timeout_s)
-        except (BrokenResponseError, OSError) as error:
-            raise PlatformUnknownError(_no_answer_message(names.ROWS_TX_PATH, error)) from error
-
-    async def _call(
-        self, connection: ServerConnection, head: bytes, body: bytes, seconds: float
-    ) -> ServerResponse:
-        self.calls += 1
-        async with asyncio.timeout(seconds):
-            answer = await connection.exchange(head, body)
-        if connection.is_reusable:
-            self._idle.append(connection)
-        return answer
-
-    def _take_idle(self) -> t.Optional[ServerConnection]:
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_reusable:
-                return connection
-        return None
-
-    def _drop_idle(self) -> None:
-        for connection in self._idle:
-            connection.abort()
-        self._idle.clear()
-
-    async def _connect(self) -> ServerConnection:
-        address = self._settings.address
-        try:
-            return await connect(address, self._settings.timeout_s, _MAX_RESPONSE_BYTES)
-        except OSError as error:
-            message = f"can't connect to the store at {address}: {error or type(error).__name__}"
-            raise PlatformUnavailableError(message) from error
-
-
-def _no_answer_message(path: str, error: Exception) -> str:
-    return f"{path}: no answer: {error or type(error).__name__}"
+        return await self._connections.write(head, body, names.ROWS_TX_PATH)
 
 
 def _table_name(prefix: str) -> str:
