Log where the store stands when it has lost history, and read its era

`store.history-lost` named the version that the entry asked for only; a store that dropped its history, one that came back from an older copy and a reader with stale answers looked alike, and an answer that was ignored was not logged at all. The era is the header Store-Era of the store's answers; one that is no number fails the call with the field's name. No decision depends on it yet.

--- a/src/coralfall/ids.py
+++ b/src/coralfall/ids.py
@@ -20,6 +20,9 @@
 #: Sequence number of a write to the platform's table, from 1 upwards; 0 means that the row does not
 #: exist.
 Revision = t.NewType("Revision", int)
+#: Number of the history that a store's revisions count; it rises when the store comes back from an
+#: older copy, after which revisions that it has lost are given out again. 0 if the store has none.
+Era = t.NewType("Era", int)
 #: Generation of a process on its VM; rises with each restart.
 Incarnation = t.NewType("Incarnation", int)
 #: Key by which a caller identifies one command across retries at any entry.
--- a/src/coralfall/platform/names.py
+++ b/src/coralfall/platform/names.py
@@ -22,6 +22,8 @@
 ROWS_TX_PATH = "/v1/rows-tx"
 ROWS_GET_PATH = "/v1/rows-get"
 ROWS_FEED_PATH = "/v1/rows-feed"
+#: Header of the store's answers, in lower case.
+ERA_HEADER = b"store-era"
 
 STATE_TABLE = "op"
 STATE_KEY = "config"
--- a/src/coralfall/platform/store.py
+++ b/src/coralfall/platform/store.py
@@ -16,7 +16,7 @@
     PlatformRejectedError,
     PlatformUnavailableError,
 )
-from ..ids import Revision
+from ..ids import Era, Revision
 from ..process import log
 from ..stores.store import Changes, Check, Feed, Row, Table, TransactResult, Write
 from ..traffic.connection import ServerResponse, encode_head
@@ -28,6 +28,8 @@
 _JSON_HEADER = (b"content-type", b"application/json")
 _STATUS_HISTORY_LOST = 410
 _STATUS_CONFLICT = 412
+#: Longer numbers can't be sent to other entries.
+_MAX_ERA_DIGITS = 18
 
 
 class _Row(msgspec.Struct):
@@ -67,16 +69,19 @@
     async def snapshot(self, prefix: str) -> Changes:
         rows: t.List[Row] = []
         first_page: t.Optional[_Rows] = None
+        era = Era(0)
         after = ""
         while True:
             query = {"table": _table_name(prefix), "part": "", "limit": str(_ROWS_PER_PAGE)}
             if after:
                 query["from"] = after
-            page = await self._read(names.ROWS_GET_PATH, query, 0.0)
-            first_page = first_page or page
+            page, page_era = await self._read(names.ROWS_GET_PATH, query, 0.0)
+            if first_page is None:
+                first_page, era = page, page_era
             rows += [_row(row) for row in page.rows]
             if not page.has_more or not page.rows:
-                return Changes(tuple(rows), Revision(first_page.ver), first_page.now_s)
+                revision = Revision(first_page.ver)
+                return Changes(tuple(rows), revision, first_page.now_s, era=era)
             after = page.rows[-1].key + "\0"
 
     async def follow(self, prefix: str, since: Revision, wait_s: float) -> Changes:
@@ -85,8 +90,9 @@
             "after": str(since),
             "waitMs": str(int(wait_s * 1000)),
         }
-        page = await self._read(names.ROWS_FEED_PATH, query, wait_s)
-        return Changes(tuple([_row(row) for row in page.rows]), Revision(page.ver), page.now_s)
+        page, era = await self._read(names.ROWS_FEED_PATH, query, wait_s)
+        rows = tuple([_row(row) for row in page.rows])
+        return Changes(rows, Revision(page.ver), page.now_s, era=era)
 
     async def changes(
         self, prefixes: t.Sequence[str], since: Revision, limit: t.Optional[int] = None
@@ -102,7 +108,7 @@
         for key in keys:
             table, _, name = key.partition("/")
             query = {"table": table, "part": "", "from": name, "limit": "1"}
-            page = await self._read(names.ROWS_GET_PATH, query, 0.0)
+            page, _ = await self._read(names.ROWS_GET_PATH, query, 0.0)
             for row in page.rows:
                 if row.key == name:
                     found[key] = _row(row)
@@ -118,16 +124,18 @@
         result = _decode(answer)
         conflicts = tuple([_row(row) for row in result.rows])
         committed = answer.status == 200
-        return TransactResult(committed, Revision(result.ver), conflicts, result.now_s)
+        revision = Revision(result.ver)
+        return TransactResult(committed, revision, conflicts, result.now_s, era=_era(answer))
 
-    async def _read(self, path: str, query: t.Dict[str, str], wait_s: float) -> _Rows:
+    async def _read(self, path: str, query: t.Dict[str, str], wait_s: float) -> t.Tuple[_Rows, Era]:
+        """Returns the decoded answer, and the era that its revisions belong to."""
         target = f"{path}?{urllib.parse.urlencode(query)}"
         answer = await self._get(target, wait_s)
         if answer.status == _STATUS_HISTORY_LOST:
             raise HistoryLostError("the platform's store no longer has the changes since then")
         if answer.status != 200:
             raise _status_error(answer)
-        return _decode(answer)
+        return _decode(answer), _era(answer)
 
     async def _get(self, path: str, wait_s: float) -> ServerResponse:
         head = encode_head("GET", path, self._settings.address, [])
@@ -181,6 +189,17 @@
         raise PlatformUnavailableError(f"the store's answer can't be decoded: {error}") from error
 
 
+def _era(answer: ServerResponse) -> Era:
+    value = answer.header(names.ERA_HEADER)
+    if value is None:
+        return Era(0)
+    if not value.isdigit() or len(value) > _MAX_ERA_DIGITS:
+        text = value.decode("latin-1")
+        message = f"the store's header Store-Era is {text!r}, but has to be a whole number"
+        raise PlatformUnavailableError(message, field="Store-Era")
+    return Era(int(value))
+
+
 def _status_error(answer: ServerResponse) -> PlatformError:
     message = f"the store answered {answer.status}: {answer.body[:200]!r}"
     if answer.status in (429, 503):
--- a/src/coralfall/stores/store.py
+++ b/src/coralfall/stores/store.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ..ids import Digest, Revision, VmId, VmState, ZoneId
+from ..ids import Digest, Era, Revision, VmId, VmState, ZoneId
 
 
 class Row(msgspec.Struct, frozen=True):
@@ -43,6 +43,7 @@
     conflicts: t.Tuple[Row, ...]
     #: Platform's wall time in seconds.
     now: float
+    era: Era = Era(0)
 
 
 class Changes(msgspec.Struct, frozen=True):
@@ -54,6 +55,8 @@
     now: float
     #: Whether ``limit`` cut the answer short.
     more: bool = False
+    #: Era that ``revision`` and those of the rows belong to.
+    era: Era = Era(0)
 
 
 class Vm(msgspec.Struct, frozen=True):
--- a/src/coralfall/traffic/follower.py
+++ b/src/coralfall/traffic/follower.py
@@ -13,10 +13,10 @@
 
 from .. import defaults
 from ..exceptions import HistoryLostError, PlatformError
+from ..ids import Era, Revision
 from ..process import log
 
 if t.TYPE_CHECKING:
-    from ..ids import Revision
     from ..process.clock import Clock
     from ..stores.store import Changes, Feed
     from .members import Members
@@ -65,7 +65,7 @@
         long_poll: bool,
         before_apply: t.Callable[[float], None],
         on_changed: t.Callable[[t.Set[str]], None],
-        push_since: "t.Callable[[Revision], None]",
+        push_since: t.Callable[[Revision], None],
         initial_wait_s: float = 0.0,
         min_backoff_s: float = _MIN_BACKOFF_S,
     ) -> None:
@@ -87,6 +87,11 @@
         self._initial_wait_s = initial_wait_s
         self._min_backoff_s = min_backoff_s
         self._consecutive_failures = 0
+        #: Whether the last answer was ignored, as it is older than the rows that are held.
+        self._ignores_answers = False
+        #: Era and revision of the store's last answer.
+        self.store_era = Era(0)
+        self.store_revision = Revision(0)
         #: Reads so far, and those of them that failed.
         self.reads = 0
         self.failed_reads = 0
@@ -130,14 +135,14 @@
         try:
             changes = await self._feed.follow(self._prefix, since, wait_s)
         except HistoryLostError:
-            log.info("store.history-lost", rows=self._replica.name, since=since)
             await self._read_all(since)
+            self._log_lost_history(since)
             return
         self._before_apply(self._age_s())
         read_s = self._note_answer(changes, began, wait_s)
         self._publish(self._replica.apply_changes(changes.rows, changes.revision, read_s), since)
 
-    async def _read_all(self, since: "Revision") -> None:
+    async def _read_all(self, since: Revision) -> None:
         began = self._clock.monotonic()
         self.reads += 1
         changes = await self._feed.snapshot(self._prefix)
@@ -145,7 +150,25 @@
         read_s = self._note_answer(changes, began, 0.0)
         self._publish(self._replica.apply_snapshot(changes.rows, changes.revision, read_s), since)
 
-    def _publish(self, changed: t.Set[str], since: "Revision") -> None:
+    def _log_lost_history(self, since: Revision) -> None:
+        """Logs the first of a series of answers that history is lost.
+
+        The rows held are newer than the store if it came back from an older copy.
+        """
+        ignored = self.store_revision < since
+        if ignored and self._ignores_answers:
+            return
+        self._ignores_answers = ignored
+        log.warning(
+            "store.history-lost",
+            rows=self.name,
+            since=since,
+            revision=self.store_revision,
+            era=self.store_era,
+            ignored=ignored,
+        )
+
+    def _publish(self, changed: t.Set[str], since: Revision) -> None:
         self._on_changed(changed)
         # A first snapshot is not pushed. It is long, and an entry that lacks it requests it once;
         # pushed by every entry that starts, it reached each of 12 or 195 entries eight times if a
@@ -159,6 +182,7 @@
     def _note_answer(self, changes: "Changes", began: float, wait_s: float) -> float:
         """Returns the time of the store's clock as of which the rows of an answer are valid."""
         self._note_success()
+        self.store_era, self.store_revision = changes.era, changes.revision
         self._store_clock.observe(began, changes.now)
         # The platform does not specify whether a slow store stamps an answer when it reads the rows
         # or when it sends them, so the delay beyond the requested wait is subtracted.
--- a/tests/platform_adapter/standins.py
+++ b/tests/platform_adapter/standins.py
@@ -19,6 +19,13 @@
 RowKey = t.Tuple[str, str, str]
 
 
+class StoreCopy(t.NamedTuple):
+    """The store's rows and counter as they were at some moment."""
+
+    rows: t.Dict[RowKey, t.Dict[str, t.Any]]
+    revision: int
+
+
 class StoreStandin:
     """In-memory store with rows, transactions, feeds and selectable failures.
 
@@ -31,6 +38,8 @@
         self.mode = "ok"
         self.revision = 0
         self.oldest_revision = 0
+        #: What the header of all answers says; no header if it is ``None``.
+        self.era: t.Optional[str] = "0"
         #: Client addresses of open connections on which nothing is answered any more.
         self._silenced_addresses: t.Set[t.Any] = set()
         self._client_addresses: t.Set[t.Any] = set()
@@ -49,8 +58,7 @@
 
     async def __aexit__(self, *_error: t.Any) -> None:
         # Unanswered calls end only when their connection does.
-        for connection in list(self._server._connections.all):
-            connection.transport.abort()
+        self.end_open_connections()
         await asyncio.sleep(0.01)
         self._server._close()
 
@@ -71,6 +79,20 @@
         """Discards all history, so that feeds from older revisions get 410."""
         self.oldest_revision = self.revision
 
+    def copy(self) -> StoreCopy:
+        return StoreCopy(dict(self._rows), self.revision)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Comes back from a copy: what was written since is lost, and a new era begins."""
+        self._rows, self.revision = dict(copy.rows), copy.revision
+        self.oldest_revision = min(self.oldest_revision, self.revision)
+        self.era = str(int(self.era or 0) + 1)
+        self.end_open_connections()
+
+    def end_open_connections(self) -> None:
+        for connection in list(self._server._connections.all):
+            connection.transport.abort()
+
     def silence_open_connections(self) -> None:
         """Answers nothing on connections that are open now; new connections work."""
         self._silenced_addresses |= self._client_addresses
@@ -88,7 +110,7 @@
         self._client_addresses.add(scope["client"])
         body = await _read_body(receive)
         if self.mode in ("busy", "many"):
-            await _send_response(send, 503 if self.mode == "busy" else 429, {"error": self.mode})
+            await self._respond(send, 503 if self.mode == "busy" else 429, {"error": self.mode})
             return
         if self.mode == "silent" or scope["client"] in self._silenced_addresses:
             await _wait_disconnected(receive)
@@ -97,11 +119,11 @@
         if path == "/v1/rows-tx":
             await self._transact(json.loads(body), receive, send)
         elif path == "/v1/rows-get":
-            await _send_response(send, 200, self._get(query))
+            await self._respond(send, 200, self._get(query))
         elif path == "/v1/rows-feed":
             await self._feed(query, send)
         else:
-            await _send_response(send, 404, {})
+            await self._respond(send, 404, {})
 
     async def _transact(self, call: t.Dict[str, t.Any], receive: "Receive", send: "Send") -> None:
         if self.mode == "late":
@@ -109,15 +131,14 @@
         for expected in call["expectedRev"]:
             row = self._rows.get(_row_key(expected), {})
             if row.get("ver", 0) != expected["ver"]:
-                await _send_response(
-                    send, 412, {**self._revision_and_time(), "rows": [row] if row else []}
-                )
+                rows = [row] if row else []
+                await self._respond(send, 412, {**self._revision_and_time(), "rows": rows})
                 return
         self._apply(call["put"], call["remove"])
         if self.mode in ("lost", "late"):
             await _wait_disconnected(receive)
             return
-        await _send_response(send, 200, self._revision_and_time())
+        await self._respond(send, 200, self._revision_and_time())
 
     def _get(self, query: t.Dict[str, str]) -> t.Dict[str, t.Any]:
         rows = [
@@ -130,8 +151,8 @@
 
     async def _feed(self, query: t.Dict[str, str], send: "Send") -> None:
         after = int(query["after"])
-        if after < self.oldest_revision:
-            await _send_response(send, 410, {})
+        if not self.oldest_revision <= after <= self.revision:
+            await self._respond(send, 410, {})
             return
         rows = self._rows_after(query["table"], after)
         wait_s = int(query.get("waitMs", 0)) / 1000
@@ -145,7 +166,7 @@
             except TimeoutError:
                 # Rows may have been written since; rows and `ver` must be of the same moment.
                 rows = self._rows_after(query["table"], after)
-        await _send_response(send, 200, {**self._revision_and_time(), "rows": rows})
+        await self._respond(send, 200, {**self._revision_and_time(), "rows": rows})
 
     def _rows_after(self, table: str, after: int) -> t.List[t.Dict[str, t.Any]]:
         rows = [row for key, row in self._rows.items() if key[0] == table and row["ver"] > after]
@@ -159,6 +180,14 @@
             self._rows[_row_key(row)] = {**row, "ver": self.revision, "deleted": True}
         self._changed.set()
 
+    async def _respond(self, send: "Send", status: int, content: t.Dict[str, t.Any]) -> None:
+        body = json.dumps(content).encode()
+        headers = [(b"content-length", str(len(body)).encode())]
+        if self.era is not None:
+            headers.append((b"store-era", self.era.encode()))
+        await send({"type": "http.response.start", "status": status, "headers": headers})
+        await send({"type": "http.response.body", "body": body})
+
     def _revision_and_time(self) -> t.Dict[str, t.Any]:
         # A monotonic clock; the store's clock need not agree with any other.
         return {"ver": self.revision, "nowS": time.monotonic() + 1000.0}
@@ -182,13 +211,6 @@
         continue
 
 
-async def _send_response(send: "Send", status: int, content: t.Dict[str, t.Any]) -> None:
-    body = json.dumps(content).encode()
-    headers = [(b"content-length", str(len(body)).encode())]
-    await send({"type": "http.response.start", "status": status, "headers": headers})
-    await send({"type": "http.response.body", "body": body})
-
-
 class InstanceStandin(ScriptedTarget):
     """Instance that checks the expected target, records requests and signs its answers.
 
--- a/tests/platform_adapter/test_adapter.py
+++ b/tests/platform_adapter/test_adapter.py
@@ -430,6 +430,42 @@
 
         self.assertEqual(committed, run_with_store(scenario).committed)
 
+    @parameterized.expand(
+        [("a number", "7", 7), ("none", None, 0), ("leading zeros", "007", 7)],
+    )
+    def test_each_answer_tells_its_era(
+        self, _name: str, header: t.Optional[str], expected: int
+    ) -> None:
+        async def scenario(standin: StoreStandin, store: RowStore) -> t.Any:
+            standin.era = header
+            written = await store.transact([Write("mine/a", b"1")])
+            refused = await store.transact([Write("mine/a", b"1", Revision(99))])
+            read = await store.snapshot("mine/")
+            return written, refused, read, await store.follow("mine/", read.revision, 0.0)
+
+        eras = {answer.era for answer in run_with_store(scenario)}
+        self.assertEqual({expected}, eras)
+
+    @parameterized.expand([("a word", "new"), ("negative", "-1"), ("too long", "9" * 30)])
+    def test_an_era_that_is_no_number_is_an_error(self, _name: str, header: str) -> None:
+        async def scenario(standin: StoreStandin, store: RowStore) -> None:
+            standin.era = header
+            await store.snapshot("op/")
+
+        with self.assertRaisesRegex(PlatformUnavailableError, "Store-Era"):
+            run_with_store(scenario)
+
+    def test_a_version_that_the_store_lost_is_lost_history(self) -> None:
+        async def scenario(standin: StoreStandin, store: RowStore) -> None:
+            standin.put("op", "config", config(1))
+            copy = standin.copy()
+            standin.put("op", "config", config(2))
+            standin.restore(copy)
+            await store.follow("op/", Revision(2), 0.0)
+
+        with self.assertRaises(HistoryLostError):
+            run_with_store(scenario)
+
     def test_discarded_history(self) -> None:
         async def scenario(standin: StoreStandin, store: RowStore) -> None:
             standin.put("op", "config", config(1))
