Order the store's rows by era and revision

An entry compared revisions of two histories: after a 410 it found the whole answer older than what it held, ignored it and asked again at once.

Position (era, revision) now stands wherever revisions were compared: replica, deltas, confirmations, gossip, pushes, the reconciliation of the entries' rows. Messages of the build before tell no era and count as its oldest.

What was lost with the copy is not handled yet.

--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -22,7 +22,7 @@
     make_target,
 )
 
-from coralfall.ids import EntryId, RegionId, Revision, TargetId, ZoneId
+from coralfall.ids import EntryId, Era, Position, RegionId, Revision, TargetId, ZoneId
 from coralfall.placement.cold_targets import ColdTargetShares
 from coralfall.placement.transit_choice import choose_transit
 from coralfall.platform.rows import PlatformRowCodec
@@ -135,7 +135,8 @@
 def hand_on_state(count: int) -> Call:
     """Packing a desired state for others, and unpacking it there."""
     row = DeltaRow("op/config", Revision(2), make_state_row(count))
-    return lambda number: pack(Revision(1), Revision(2), [row]).unpack()
+    position = Position(Era(0), Revision(2))
+    return lambda number: pack(Revision(1), position, [row]).unpack()
 
 
 def place(count: int) -> Call:
--- a/src/coralfall/ids.py
+++ b/src/coralfall/ids.py
@@ -29,6 +29,20 @@
 IdempotencyKey = t.NewType("IdempotencyKey", str)
 
 
+class Position(t.NamedTuple):
+    """A moment in a store's history. Positions compare by era first, then by revision.
+
+    The same revision in two eras means two unrelated moments.
+    """
+
+    era: Era
+    revision: Revision
+
+
+#: Position of whoever has read nothing yet.
+START = Position(Era(0), Revision(0))
+
+
 class TargetState(enum.Enum):
     """State of a target according to its bundle."""
 
--- a/src/coralfall/platform/store.py
+++ b/src/coralfall/platform/store.py
@@ -78,6 +78,8 @@
             page, page_era = await self._read(names.ROWS_GET_PATH, query, 0.0)
             if first_page is None:
                 first_page, era = page, page_era
+            if page_era != era:
+                raise PlatformUnavailableError("the store began an era between two pages of rows")
             rows += [_row(row) for row in page.rows]
             if not page.has_more or not page.rows:
                 revision = Revision(first_page.ver)
--- a/src/coralfall/stores/store.py
+++ b/src/coralfall/stores/store.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ..ids import Digest, Era, Revision, VmId, VmState, ZoneId
+from ..ids import Digest, Era, Position, Revision, VmId, VmState, ZoneId
 
 
 class Row(msgspec.Struct, frozen=True):
@@ -58,6 +58,11 @@
     #: Era that ``revision`` and those of the rows belong to.
     era: Era = Era(0)
 
+    @property
+    def position(self) -> Position:
+        """Position as of which these are the rows."""
+        return Position(self.era, self.revision)
+
 
 class Vm(msgspec.Struct, frozen=True):
     """One line of the platform's VM list."""
--- a/src/coralfall/traffic/delta.py
+++ b/src/coralfall/traffic/delta.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from ..exceptions import PeerFrameError
-from ..ids import Revision
+from ..ids import START, Era, Position, Revision
 
 #: Size in bytes from which on rows are compressed, and the most that they may expand to.
 _COMPRESS_BYTES = 2048
@@ -33,7 +33,7 @@
 
 
 class Delta(msgspec.Struct, frozen=True, array_like=True):
-    """The rows that changed between two revisions, or all rows if ``since`` is 0.
+    """The rows that changed between two revisions of an era, or all rows if ``since`` is 0.
 
     Made by :func:`pack`.
     """
@@ -44,6 +44,18 @@
     rows: bytes
     #: Whether ``rows`` is compressed by zlib.
     packed: bool
+    #: Era of all revisions.
+    era: Era = Era(0)
+
+    @property
+    def position(self) -> Position:
+        """Position as of which the rows are known."""
+        return Position(self.era, self.revision)
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether it holds all rows."""
+        return self.since == START.revision
 
     def unpack(self) -> Rows:
         """Returns the decoded rows.
@@ -56,12 +68,13 @@
             raise PeerFrameError(f"can't decode the rows of a delta: {error}") from error
 
 
-def pack(since: Revision, revision: Revision, rows: t.Sequence[DeltaRow]) -> Delta:
+def pack(since: Revision, position: Position, rows: t.Sequence[DeltaRow]) -> Delta:
     """Returns a delta with these rows, compressed if they are long."""
+    era, revision = position
     content = _encoder.encode(rows)
     if len(content) < _COMPRESS_BYTES:
-        return Delta(since, revision, content, False)
-    return Delta(since, revision, zlib.compress(content, _COMPRESSION_LEVEL), True)
+        return Delta(since, revision, content, False, era)
+    return Delta(since, revision, zlib.compress(content, _COMPRESSION_LEVEL), True, era)
 
 
 def _decompressed(content: bytes) -> bytes:
--- a/src/coralfall/traffic/follower.py
+++ b/src/coralfall/traffic/follower.py
@@ -12,8 +12,8 @@
 import typing as t
 
 from .. import defaults
-from ..exceptions import HistoryLostError, PlatformError
-from ..ids import Era, Revision
+from ..exceptions import HistoryLostError, PlatformError, PlatformUnavailableError
+from ..ids import START, Position
 from ..process import log
 
 if t.TYPE_CHECKING:
@@ -47,7 +47,7 @@
     :param long_poll: whether the first in rank lets the store hold a read until a row changes.
     :param before_apply: called with the replica's age in seconds before rows are applied.
     :param on_changed: called with the keys that changed.
-    :param push_since: called with the revision before the read, to push what was read.
+    :param push_since: called with the position before the read, to push what was read.
     :param min_backoff_s: first pause in seconds after a failed read, for the first in rank.
     :param initial_wait_s: seconds for which a start waits for other entries to send the rows.
     """
@@ -65,7 +65,7 @@
         long_poll: bool,
         before_apply: t.Callable[[float], None],
         on_changed: t.Callable[[t.Set[str]], None],
-        push_since: t.Callable[[Revision], None],
+        push_since: t.Callable[[Position], None],
         initial_wait_s: float = 0.0,
         min_backoff_s: float = _MIN_BACKOFF_S,
     ) -> None:
@@ -87,11 +87,8 @@
         self._initial_wait_s = initial_wait_s
         self._min_backoff_s = min_backoff_s
         self._consecutive_failures = 0
-        #: Whether the last answer was ignored, as it is older than the rows that are held.
-        self._ignores_answers = False
-        #: Era and revision of the store's last answer.
-        self.store_era = Era(0)
-        self.store_revision = Revision(0)
+        #: Position of the store in its last answer.
+        self.store_position = START
         #: Reads so far, and those of them that failed.
         self.reads = 0
         self.failed_reads = 0
@@ -125,55 +122,64 @@
 
         :raises PlatformError: if the store did not answer.
         """
-        since = self._replica.revision
-        if not since:
+        since = self._replica.position
+        if not since.revision:
             await self._read_all(since)
             return
         began = self._clock.monotonic()
         wait_s = self._wait_s()
         self.reads += 1
         try:
-            changes = await self._feed.follow(self._prefix, since, wait_s)
+            changes = await self._feed.follow(self._prefix, since.revision, wait_s)
         except HistoryLostError:
             await self._read_all(since)
             self._log_lost_history(since)
             return
+        if changes.position < since or changes.era != since.era:
+            # The revision that was asked for means another moment in the store's present era.
+            await self._read_all(since)
+            return
         self._before_apply(self._age_s())
         read_s = self._note_answer(changes, began, wait_s)
-        self._publish(self._replica.apply_changes(changes.rows, changes.revision, read_s), since)
+        since = self._newest_of_era(since)
+        self._publish(self._replica.apply_changes(changes.rows, changes.position, read_s), since)
 
-    async def _read_all(self, since: Revision) -> None:
+    async def _read_all(self, since: Position) -> None:
         began = self._clock.monotonic()
         self.reads += 1
         changes = await self._feed.snapshot(self._prefix)
+        if changes.position < since:
+            self.store_position = changes.position
+            raise PlatformUnavailableError(
+                f"the store stands at revision {changes.revision} of era {changes.era}, before"
+                f" revision {since.revision} of era {since.era}, which it had reached"
+            )
         self._before_apply(self._age_s())
         read_s = self._note_answer(changes, began, 0.0)
-        self._publish(self._replica.apply_snapshot(changes.rows, changes.revision, read_s), since)
+        since = self._newest_of_era(since)
+        self._publish(self._replica.apply_snapshot(changes.rows, changes.position, read_s), since)
 
-    def _log_lost_history(self, since: Revision) -> None:
-        """Logs the first of a series of answers that history is lost.
+    def _newest_of_era(self, since: Position) -> Position:
+        """Returns from where to push: nothing that another entry has pushed as the era began."""
+        position = self._replica.position
+        return position if position.era != since.era else since
 
-        The rows held are newer than the store if it came back from an older copy.
-        """
-        ignored = self.store_revision < since
-        if ignored and self._ignores_answers:
-            return
-        self._ignores_answers = ignored
+    def _log_lost_history(self, since: Position) -> None:
         log.warning(
             "store.history-lost",
             rows=self.name,
-            since=since,
-            revision=self.store_revision,
-            era=self.store_era,
-            ignored=ignored,
+            since=since.revision,
+            since_era=since.era,
+            revision=self.store_position.revision,
+            era=self.store_position.era,
         )
 
-    def _publish(self, changed: t.Set[str], since: Revision) -> None:
+    def _publish(self, changed: t.Set[str], since: Position) -> None:
         self._on_changed(changed)
         # A first snapshot is not pushed. It is long, and an entry that lacks it requests it once;
         # pushed by every entry that starts, it reached each of 12 or 195 entries eight times if a
         # message takes 20 ms.
-        if since and self._members.rank() < defaults.BROADCAST_RANKS:
+        if since > START and self._members.rank() < defaults.BROADCAST_RANKS:
             self._push_since(since)
 
     def _wait_s(self) -> float:
@@ -182,7 +188,7 @@
     def _note_answer(self, changes: "Changes", began: float, wait_s: float) -> float:
         """Returns the time of the store's clock as of which the rows of an answer are valid."""
         self._note_success()
-        self.store_era, self.store_revision = changes.era, changes.revision
+        self.store_position = changes.position
         self._store_clock.observe(began, changes.now)
         # The platform does not specify whether a slow store stamps an answer when it reads the rows
         # or when it sends them, so the delay beyond the requested wait is subtracted.
--- a/src/coralfall/traffic/gossip.py
+++ b/src/coralfall/traffic/gossip.py
@@ -29,7 +29,7 @@
 )
 
 if t.TYPE_CHECKING:
-    from ..ids import EntryId, Revision
+    from ..ids import EntryId, Position
     from ..peering.channel import Channel
     from ..peering.messages import AnyMessage, Hello
     from ..process.clock import Clock
@@ -202,8 +202,8 @@
         if address is not None:
             self._start_exchange(address)
 
-    def push(self, state_since: "Revision", targets_since: "Revision") -> None:
-        """Pushes rows written after these revisions to all live entries, with recent updates."""
+    def push(self, state_since: "Position", targets_since: "Position") -> None:
+        """Pushes rows written after these positions to all live entries, with recent updates."""
         message = self._exchange.build_update(state_since, targets_since)
         turn = int(self._clock.monotonic() / defaults.RELAY_ROTATION_S)
         ordered = relay_order(
@@ -242,7 +242,7 @@
         pause_s = (len(self._members.alive_records()) + 1) / defaults.MEMBER_PUSHES_PER_S
         self._next_push_at = self._clock.monotonic() + pause_s
         state_view = self._exchange.state_view
-        self.push(state_view.state_rows.revision, state_view.target_rows.revision)
+        self.push(state_view.state_rows.position, state_view.target_rows.position)
 
     def _rejoin(self) -> None:
         for address in self.seeds:
--- a/src/coralfall/traffic/gossip_exchange.py
+++ b/src/coralfall/traffic/gossip_exchange.py
@@ -1,16 +1,17 @@
 """Builds gossip messages from what this entry knows, and merges those of other entries.
 
 Gossip carries membership, rows of the store, suspected requests, targets' limits and departures.
-Checksums and revisions tell two entries whether they differ; only then is the full data sent.
+Checksums and positions tell two entries whether they differ; only then is the full data sent.
 """
 
 import typing as t
 
 from .. import defaults
+from ..ids import START
 from .messages import GossipMessage
 
 if t.TYPE_CHECKING:
-    from ..ids import Revision
+    from ..ids import Position
     from ..placement.lifetime import Lifetime
     from ..placement.quarantine import Quarantine, Suspect
     from ..placement.target_limits import ReportedLimit
@@ -57,17 +58,17 @@
 
     def build_update(
         self,
-        state_since: "t.Optional[Revision]" = None,
-        targets_since: "t.Optional[Revision]" = None,
+        state_since: "t.Optional[Position]" = None,
+        targets_since: "t.Optional[Position]" = None,
         all_members: bool = False,
         address: str = "",
         wants_rows: bool = True,
         suspects: "t.Optional[t.Tuple[Suspect, ...]]" = None,
         limits: "t.Optional[t.Tuple[ReportedLimit, ...]]" = None,
         departures: "t.Optional[t.Tuple[Lifetime, ...]]" = None,
-        entries_since: "t.Optional[Revision]" = None,
+        entries_since: "t.Optional[Position]" = None,
     ) -> GossipMessage:
-        """Returns a message with recent updates and the rows changed after the given revisions.
+        """Returns a message with recent updates and the rows changed after the given positions.
 
         :param all_members: whether to include all entries rather than recent updates only.
         :param address: address of the receiver, which is told if it is suspected itself.
@@ -86,8 +87,8 @@
             members_sum=members.checksum(),
             wants_all=self._wants_all(now),
             wants_rows=wants_rows,
-            state_revision=state_view.state_rows.revision,
-            targets_revision=state_view.target_rows.revision,
+            state_revision=state_view.state_rows.position.revision,
+            targets_revision=state_view.target_rows.position.revision,
             state_read_s=state_view.state_rows.read_s,
             targets_read_s=state_view.target_rows.read_s,
             store_s=state_view.store_clock.latest_s(),
@@ -101,9 +102,12 @@
                 self.reports.departures.recent_updates() if departures is None else departures
             ),
             departures_sum=self.reports.departures.checksum(),
-            entries_revision=state_view.entry_rows.revision,
+            entries_revision=state_view.entry_rows.position.revision,
             entries_read_s=state_view.entry_rows.read_s,
             entries=_delta(state_view.entry_rows, entries_since),
+            state_era=state_view.state_rows.position.era,
+            targets_era=state_view.target_rows.position.era,
+            entries_era=state_view.entry_rows.position.era,
         )
 
     def build_reply(self, message: GossipMessage) -> GossipMessage:
@@ -120,8 +124,9 @@
         if not message.wants_rows:
             return self.build_update(**known)
         # An entry that has none reads them itself as it registers.
-        known["entries_since"] = message.entries_revision or None
-        return self.build_update(message.state_revision, message.targets_revision, **known)
+        if message.entries_position > START:
+            known["entries_since"] = message.entries_position
+        return self.build_update(message.state_position, message.targets_position, **known)
 
     def merge(self, message: GossipMessage, asked_at: t.Optional[float] = None) -> bool:
         """Merges a message and returns whether its sender still has newer rows.
@@ -141,13 +146,13 @@
             state_view.note_outage(state_view.targets_age_s())
         keys = _apply(state_view.target_rows, message.targets, message.targets_read_s)
         state_view.apply_target_changes(keys)
-        state_view.state_rows.confirm(message.state_revision, message.state_read_s)
-        state_view.target_rows.confirm(message.targets_revision, message.targets_read_s)
+        state_view.state_rows.confirm(message.state_position, message.state_read_s)
+        state_view.target_rows.confirm(message.targets_position, message.targets_read_s)
         _apply(state_view.entry_rows, message.entries, message.entries_read_s)
-        state_view.entry_rows.confirm(message.entries_revision, message.entries_read_s)
+        state_view.entry_rows.confirm(message.entries_position, message.entries_read_s)
         return (
-            message.state_revision > state_view.state_rows.revision
-            or message.targets_revision > state_view.target_rows.revision
+            message.state_position > state_view.state_rows.position
+            or message.targets_position > state_view.target_rows.position
         )
 
     def _merge_members(self, message: GossipMessage, answered: bool) -> None:
@@ -182,13 +187,13 @@
         return True
 
 
-def _delta(replica: "Replica[t.Any]", since: "t.Optional[Revision]") -> "t.Optional[Delta]":
-    if since is None or since >= replica.revision:
+def _delta(replica: "Replica[t.Any]", since: "t.Optional[Position]") -> "t.Optional[Delta]":
+    if since is None or since >= replica.position:
         return None
     return replica.delta(since)
 
 
 def _apply(replica: "Replica[t.Any]", delta: "t.Optional[Delta]", read_s: float) -> t.Set[str]:
-    if delta is None or delta.revision <= replica.revision or not replica.can_apply(delta):
+    if delta is None or delta.position <= replica.position or not replica.can_apply(delta):
         return set()
     return replica.apply_delta(delta, read_s)
--- a/src/coralfall/traffic/messages.py
+++ b/src/coralfall/traffic/messages.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ..ids import EntryId, Incarnation, Revision, TargetId
+from ..ids import EntryId, Era, Incarnation, Position, Revision, TargetId
 from ..peering.message import Message
 from ..placement.buckets import Grant, Limit, LimitKey, SlotGroup
 from ..placement.dispatch import (
@@ -73,6 +73,25 @@
     entries_revision: Revision = Revision(0)
     entries_read_s: float = 0.0
     entries: t.Optional[Delta] = None
+    #: Eras of the three revisions; earlier builds send none.
+    state_era: Era = Era(0)
+    targets_era: Era = Era(0)
+    entries_era: Era = Era(0)
+
+    @property
+    def state_position(self) -> Position:
+        """Position of the sender's state rows."""
+        return Position(self.state_era, self.state_revision)
+
+    @property
+    def targets_position(self) -> Position:
+        """Position of the sender's target rows."""
+        return Position(self.targets_era, self.targets_revision)
+
+    @property
+    def entries_position(self) -> Position:
+        """Position of the sender's entry rows."""
+        return Position(self.entries_era, self.entries_revision)
 
 
 class Push(Message, frozen=True, tag=33):
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -44,7 +44,7 @@
 
 if t.TYPE_CHECKING:
     from ..http.server import Application
-    from ..ids import Revision
+    from ..ids import Position
     from ..process.clock import Clock
     from ..stores.store import Feed, Table
     from .row_codec import RowCodec
@@ -328,11 +328,11 @@
     def _build_followers(self) -> t.List[Follower]:
         state_view = self.state_view
 
-        def push_state(since: "Revision") -> None:
-            self.gossip.push(since, state_view.target_rows.revision)
+        def push_state(since: "Position") -> None:
+            self.gossip.push(since, state_view.target_rows.position)
 
-        def push_targets(since: "Revision") -> None:
-            self.gossip.push(state_view.state_rows.revision, since)
+        def push_targets(since: "Position") -> None:
+            self.gossip.push(state_view.state_rows.position, since)
 
         shared = (self._store.feed, self.members, self.clock, state_view.store_clock, self._rng)
         initial_wait_s = self.settings.first_start_wait_s()
--- a/src/coralfall/traffic/registry.py
+++ b/src/coralfall/traffic/registry.py
@@ -12,7 +12,7 @@
 
 from .. import defaults
 from ..exceptions import DesiredStateError, PlatformError
-from ..ids import Revision
+from ..ids import Position, Revision
 from ..process import log
 from ..stores.store import Write
 
@@ -56,8 +56,8 @@
         self._members = members
         self._clock = clock
         self._rng = rng
-        #: Revisions of rows whose entries were unknown in the last reconciliation, by key.
-        self._unknown_rows: t.Dict[str, Revision] = {}
+        #: Positions of rows whose entries were unknown in the last reconciliation, by key.
+        self._unknown_rows: t.Dict[str, Position] = {}
         #: Called with all rows whenever they were read, and the time at which that began.
         self.on_read: "t.Callable[[Changes, float], None]" = lambda changes, began: None
 
@@ -80,7 +80,8 @@
 
     async def _add_all(self) -> int:
         """Adds all entries that have rows to the members; returns the number of rows."""
-        rows = await self._read()
+        changes = await self._read()
+        rows = [row for row in changes.rows if row.value is not None]
         for row in rows:
             self._add(row)
         self._members.has_discovered_peers = True
@@ -117,16 +118,18 @@
         self._unknown_rows = {}
         if self._members.rank() != 0:
             return
-        rows = await self._read()
+        changes = await self._read()
+        rows = [row for row in changes.rows if row.value is not None]
         writes: t.List[Write] = []
         for row in rows:
+            position = Position(changes.era, row.revision)
             record = self._decode(row)
             if record is None or record.entry_id in self._members.known_ids():
                 continue
-            if unknown_before.get(row.key) == row.revision:
+            if unknown_before.get(row.key) == position:
                 writes.append(Write(row.key, None, expected=row.revision))
                 continue
-            self._unknown_rows[row.key] = row.revision
+            self._unknown_rows[row.key] = position
             self._members.add_registered(record)
         if self._unknown_rows:
             log.info("entries.met", keys=",".join(self._unknown_rows))
@@ -154,11 +157,11 @@
                 writes.append(Write(key, data, expected=_ABSENT))
         return writes
 
-    async def _read(self) -> "t.List[Row]":
+    async def _read(self) -> "Changes":
         began = self._clock.monotonic()
         changes = await self._feed.snapshot(self._row_codec.entry_prefix)
         self.on_read(changes, began)
-        return [row for row in changes.rows if row.value is not None]
+        return changes
 
     def _add(self, row: "Row") -> None:
         record = self._decode(row)
--- a/src/coralfall/traffic/state_view.py
+++ b/src/coralfall/traffic/state_view.py
@@ -110,7 +110,7 @@
         """
         self.store_clock.observe(began, changes.now)
         read_s = changes.now - (self._clock.monotonic() - began)
-        self.entry_rows.apply_snapshot(changes.rows, changes.revision, read_s)
+        self.entry_rows.apply_snapshot(changes.rows, changes.position, read_s)
 
     def note_outage(self, age_s: float) -> None:
         """Begins a grace period if the target rows are so old that the store must have been down.
@@ -159,7 +159,7 @@
             routes=len(state.routes),
             services=len(state.services),
             tenants="none" if state.tenants is None else len(state.tenants),
-            revision=self.state_rows.revision,
+            revision=self.state_rows.position.revision,
         )
         self.on_state(state)
 
--- a/src/coralfall/traffic/telemetry.py
+++ b/src/coralfall/traffic/telemetry.py
@@ -241,6 +241,6 @@
         rows = follower.name
         gauge("store_reads", follower.reads, "Reads of the store.", rows=rows)
         gauge("store_reads_failed", follower.failed_reads, "Those without an answer.", rows=rows)
-        gauge("store_era", follower.store_era, "Era of the store's last answer.", rows=rows)
-        revision = follower.store_revision
+        era, revision = follower.store_position
+        gauge("store_era", era, "Era of the store's last answer.", rows=rows)
         gauge("store_revision", revision, "Its revision in that answer.", rows=rows)
--- a/tests/platform_adapter/test_adapter.py
+++ b/tests/platform_adapter/test_adapter.py
@@ -9,6 +9,7 @@
 import tomllib
 import typing as t
 import unittest
+import unittest.mock
 
 import hypothesis
 import hypothesis.strategies as st
@@ -34,7 +35,7 @@
 from coralfall.traffic.row_codec import Evacuation
 from coralfall.traffic.settings import BoundSettings, StoreSettings
 from tests.platform_adapter.standins import StoreStandin, config
-from tests.traffic.makers import make_record
+from tests.traffic.makers import at, make_record
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
 #: Names that may occur in the package ``platform`` only.
@@ -283,7 +284,7 @@
             Row("servers/i-2", corrupt, Revision(2)),
             Row("servers/i-3", good, Revision(3)),
         ]
-        replica.apply_changes(rows, Revision(3), 1.0)
+        replica.apply_changes(rows, at(3), 1.0)
         self.assertLessEqual({"servers/i-1", "servers/i-3"}, set(replica.values()))
 
     def test_entry_row_round_trip(self) -> None:
@@ -407,6 +408,23 @@
 
         self.assertEqual(1200, len({row.key for row in run_with_store(scenario).rows}))
 
+    def test_pages_of_two_eras_are_not_put_together(self) -> None:
+        async def scenario(standin: StoreStandin, store: RowStore) -> t.Any:
+            for number in range(600):
+                standin.put("servers", f"i-{number:05}", {})
+            pages = []
+
+            def get(query: t.Dict[str, str]) -> t.Dict[str, t.Any]:
+                pages.append(query)
+                standin.era = str(len(pages))
+                return StoreStandin._get(standin, query)
+
+            with unittest.mock.patch.object(standin, "_get", get):
+                await store.snapshot("servers/")
+
+        with self.assertRaisesRegex(PlatformUnavailableError, "between two pages"):
+            run_with_store(scenario)
+
     def test_follow_waits_for_a_change(self) -> None:
         async def scenario(standin: StoreStandin, store: RowStore) -> t.Any:
             standin.put("op", "config", config(1))
--- a/tests/traffic/entry_fixture.py
+++ b/tests/traffic/entry_fixture.py
@@ -17,11 +17,7 @@
 from coralfall.traffic.model import DesiredState, EntryRecord, Target
 from coralfall.traffic.row_codec import Evacuation, RowCodec, StateRow
 from coralfall.traffic.state_view import StateView
-from tests.traffic.makers import (
-    SteeringFixture,
-    make_record,
-    seeded_rng,
-)
+from tests.traffic.makers import SteeringFixture, at, make_record, seeded_rng
 
 
 class JsonRowCodec(RowCodec):
@@ -81,8 +77,8 @@
         rows = self.state_view.state_rows
         data = None if value is None else msgspec.json.encode(value)
         row = Row(key, data, Revision(revision))
-        at = self._read_now()
-        self.state_view.apply_state_changes(rows.apply_changes([row], Revision(revision), at))
+        read_s = self._read_now()
+        self.state_view.apply_state_changes(rows.apply_changes([row], at(revision), read_s))
 
     def learn_targets(self, revision: int, *targets: Target) -> None:
         """Applies a snapshot of the target rows, as a read of the store now."""
@@ -92,8 +88,8 @@
             for target in targets
         ]
         self.state_view.note_outage(self.state_view.targets_age_s())
-        at = self._read_now()
-        self.state_view.apply_target_changes(rows.apply_snapshot(listed, Revision(revision), at))
+        read_s = self._read_now()
+        self.state_view.apply_target_changes(rows.apply_snapshot(listed, at(revision), read_s))
 
     def _read_now(self) -> float:
         """Observes the store's clock, which shows the same as the entry's; returns its time."""
--- a/tests/traffic/makers.py
+++ b/tests/traffic/makers.py
@@ -3,7 +3,18 @@
 import random
 import typing as t
 
-from coralfall.ids import EntryId, Incarnation, RegionId, ServiceId, TargetId, TenantId, ZoneId
+from coralfall.ids import (
+    EntryId,
+    Era,
+    Incarnation,
+    Position,
+    RegionId,
+    Revision,
+    ServiceId,
+    TargetId,
+    TenantId,
+    ZoneId,
+)
 from coralfall.peering.channel import Traffic
 from coralfall.peering.cipher import FLEET_KEY_BYTES, FleetKey
 from coralfall.peering.messages import Hello
@@ -97,6 +108,11 @@
     )
 
 
+def at(revision: int, era: int = 0) -> Position:
+    """Returns a position of the store."""
+    return Position(Era(era), Revision(revision))
+
+
 def make_tenant(name: str = "acme", **changes: t.Any) -> Tenant:
     """Returns a tenant with one key, which is its name with a prefix."""
     fields: t.Dict[str, t.Any] = {
--- a/tests/traffic/store_fleet.py
+++ b/tests/traffic/store_fleet.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from coralfall.exceptions import HistoryLostError, PlatformUnavailableError
-from coralfall.ids import Era, Revision, TargetId
+from coralfall.ids import Era, Position, Revision, TargetId
 from coralfall.placement.targets import TargetState
 from coralfall.process.clock import Clock
 from coralfall.stores.store import Changes, Feed, Row
@@ -317,15 +317,13 @@
             fields["sequence"] = sequence
         self.store.put(f"targets/{target.target_id}", fields)
 
-    def push_state(self, sender: StoreEntry, since: t.Any) -> None:
-        own = sender.fixture.state_view.target_rows
-        self._push(sender, since, getattr(own, "position", own.revision))
+    def push_state(self, sender: StoreEntry, since: Position) -> None:
+        self._push(sender, since, sender.fixture.state_view.target_rows.position)
 
-    def push_targets(self, sender: StoreEntry, since: t.Any) -> None:
-        own = sender.fixture.state_view.state_rows
-        self._push(sender, getattr(own, "position", own.revision), since)
+    def push_targets(self, sender: StoreEntry, since: Position) -> None:
+        self._push(sender, sender.fixture.state_view.state_rows.position, since)
 
-    def _push(self, sender: StoreEntry, state_since: t.Any, targets_since: t.Any) -> None:
+    def _push(self, sender: StoreEntry, state_since: Position, targets_since: Position) -> None:
         message = sender.fixture.exchange.build_update(state_since, targets_since)
         self.sent_bytes += len(msgspec.msgpack.encode(message)) * (len(self.entries) - 1)
         for receiver in self.entries:
--- a/tests/traffic/test_gossip.py
+++ b/tests/traffic/test_gossip.py
@@ -21,12 +21,12 @@
 from coralfall.traffic.messages import GossipMessage
 from coralfall.traffic.poll_intervals import poll_intervals_for
 from tests.traffic.entry_fixture import EntryFixture
-from tests.traffic.makers import make_record, make_settings, make_state, make_target, seeded_rng
+from tests.traffic.makers import at, make_record, make_settings, make_state, make_target, seeded_rng
 from tests.traffic.test_replicated_state import MemoryFeed
 from tests.virtual_loop import LoopClock, run_virtual
 
 TARGETS = 300
-MANY = pack(Revision(0), Revision(1), [DeltaRow(f"t{n}", Revision(n), b"x") for n in range(900)])
+MANY = pack(Revision(0), at(1), [DeltaRow(f"t{n}", Revision(n), b"x") for n in range(900)])
 #: 70 MiB, beyond the limit, that compress to little.
 HUGE = zlib.compress(bytes(70 * 1024 * 1024), 1)
 
@@ -360,7 +360,7 @@
     def test_rows_survive_a_round_trip(self, _name: str, count: int, packed: bool) -> None:
         rows = [DeltaRow(f"targets/t{n}", Revision(n), b'{"zone":"z"}') for n in range(count)]
         rows.append(DeltaRow("targets/gone", Revision(count), None))
-        delta = pack(Revision(1), Revision(count), rows)
+        delta = pack(Revision(1), at(count), rows)
         self.assertEqual((packed, tuple(rows)), (delta.packed, delta.unpack()))
         if packed:
             self.assertLess(len(delta.rows) * 5, sum(len(row.key) + 12 for row in rows))
--- a/tests/traffic/test_replicated_state.py
+++ b/tests/traffic/test_replicated_state.py
@@ -12,7 +12,7 @@
 
 from coralfall import defaults
 from coralfall.exceptions import DesiredStateError, HistoryLostError, PlatformUnavailableError
-from coralfall.ids import Revision, TargetId
+from coralfall.ids import START, Position, Revision, TargetId
 from coralfall.process.clock import Clock, ManualClock
 from coralfall.stores.store import Changes, Feed, Row
 from coralfall.traffic.follower import Follower
@@ -22,6 +22,7 @@
 from tests.traffic.entry_fixture import EntryFixture
 from tests.traffic.makers import (
     NORTE,
+    at,
     make_record,
     make_state,
     make_target,
@@ -103,63 +104,61 @@
 class ReplicaTest(unittest.TestCase):
     def test_a_row_is_never_replaced_by_an_older_revision(self) -> None:
         replica = text_replica()
-        replica.apply_changes([Row("k", b"new", Revision(5))], Revision(5), 1.0)
-        changed = replica.apply_changes([Row("k", b"old", Revision(4))], Revision(5), 2.0)
+        replica.apply_changes([Row("k", b"new", Revision(5))], at(5), 1.0)
+        changed = replica.apply_changes([Row("k", b"old", Revision(4))], at(5), 2.0)
         self.assertEqual((set(), "new"), (changed, replica.get("k")))
 
     def test_a_deletion_is_not_undone_by_an_older_write(self) -> None:
         replica = text_replica()
-        replica.apply_changes([Row("k", b"a", Revision(3))], Revision(3), 1.0)
-        replica.apply_changes([Row("k", None, Revision(6))], Revision(6), 1.0)
-        replica.apply_changes([Row("k", b"a", Revision(5))], Revision(6), 1.0)
+        replica.apply_changes([Row("k", b"a", Revision(3))], at(3), 1.0)
+        replica.apply_changes([Row("k", None, Revision(6))], at(6), 1.0)
+        replica.apply_changes([Row("k", b"a", Revision(5))], at(6), 1.0)
         self.assertIsNone(replica.get("k"))
 
     def test_an_undecodable_row_leaves_the_last_valid_one(self) -> None:
         replica = text_replica()
-        replica.apply_changes([Row("k", b"good", Revision(1))], Revision(1), 1.0)
-        changed = replica.apply_changes([Row("k", b"bad", Revision(2))], Revision(2), 1.0)
+        replica.apply_changes([Row("k", b"good", Revision(1))], at(1), 1.0)
+        changed = replica.apply_changes([Row("k", b"bad", Revision(2))], at(2), 1.0)
         self.assertEqual((set(), "good"), (changed, replica.get("k")))
 
     def test_an_undecodable_row_deletes_the_valid_one_with_drops_unreadable(self) -> None:
         replica = text_replica(drops_unreadable=True)
-        replica.apply_changes([Row("k", b"good", Revision(1))], Revision(1), 1.0)
-        changed = replica.apply_changes([Row("k", b"bad", Revision(2))], Revision(2), 1.0)
+        replica.apply_changes([Row("k", b"good", Revision(1))], at(1), 1.0)
+        changed = replica.apply_changes([Row("k", b"bad", Revision(2))], at(2), 1.0)
         self.assertEqual(({"k"}, None), (changed, replica.get("k")))
         other = text_replica(drops_unreadable=True)
-        other.apply_changes([Row("k", b"good", Revision(1))], Revision(1), 1.0)
-        other.apply_delta(replica.delta(Revision(1)), 1.0)
+        other.apply_changes([Row("k", b"good", Revision(1))], at(1), 1.0)
+        other.apply_delta(replica.delta(at(1)), 1.0)
         self.assertIsNone(other.get("k"))
-        replica.apply_changes([Row("k", b"again", Revision(3))], Revision(3), 1.0)
+        replica.apply_changes([Row("k", b"again", Revision(3))], at(3), 1.0)
         self.assertEqual(("again", set()), (replica.get("k"), replica.unreadable_keys))
 
     def test_a_write_that_does_not_change_the_value_is_skipped(self) -> None:
         replica = text_replica()
-        replica.apply_changes([Row("k", b"a", Revision(1))], Revision(1), 1.0)
-        self.assertEqual(
-            set(), replica.apply_changes([Row("k", b"A", Revision(2))], Revision(2), 1.0)
-        )
-        self.assertEqual((), replica.delta(Revision(1)).unpack())
+        replica.apply_changes([Row("k", b"a", Revision(1))], at(1), 1.0)
+        self.assertEqual(set(), replica.apply_changes([Row("k", b"A", Revision(2))], at(2), 1.0))
+        self.assertEqual((), replica.delta(at(1)).unpack())
 
     def test_a_snapshot_deletes_rows_that_it_does_not_hold(self) -> None:
         replica = text_replica()
         rows = [Row("a", b"1", Revision(1)), Row("b", b"2", Revision(2))]
-        replica.apply_snapshot(rows, Revision(2), 1.0)
-        changed = replica.apply_snapshot(rows[:1], Revision(9), 2.0)
+        replica.apply_snapshot(rows, at(2), 1.0)
+        changed = replica.apply_snapshot(rows[:1], at(9), 2.0)
         self.assertEqual(({"b"}, {"a": "1"}), (changed, replica.values()))
 
     def test_an_older_snapshot_is_ignored(self) -> None:
         replica = text_replica()
-        replica.apply_changes([Row("a", b"1", Revision(7))], Revision(7), 1.0)
-        replica.apply_snapshot([], Revision(6), 2.0)
+        replica.apply_changes([Row("a", b"1", Revision(7))], at(7), 1.0)
+        replica.apply_snapshot([], at(6), 2.0)
         self.assertEqual({"a": "1"}, replica.values())
 
     def test_a_delta_after_a_gap_can_t_be_applied(self) -> None:
         source, other = text_replica(), text_replica()
-        source.apply_changes([Row("a", b"1", Revision(7))], Revision(7), 1.0)
-        source.apply_changes([Row("a", b"2", Revision(9))], Revision(9), 1.0)
-        other.apply_changes([Row("a", b"1", Revision(3))], Revision(3), 1.0)
-        self.assertFalse(other.can_apply(source.delta(Revision(8))))
-        self.assertTrue(other.can_apply(source.delta(Revision(3))))
+        source.apply_changes([Row("a", b"1", Revision(7))], at(7), 1.0)
+        source.apply_changes([Row("a", b"2", Revision(9))], at(9), 1.0)
+        other.apply_changes([Row("a", b"1", Revision(3))], at(3), 1.0)
+        self.assertFalse(other.can_apply(source.delta(at(8))))
+        self.assertTrue(other.can_apply(source.delta(at(3))))
 
     @hypothesis.given(
         writes=st.lists(st.tuples(st.sampled_from("abc"), st.sampled_from([b"1", b"2", None]))),
@@ -172,16 +171,16 @@
         source = text_replica()
         deltas = []
         for number, (key, value) in enumerate(writes, start=1):
-            since = source.revision
-            source.apply_changes([Row(key, value, Revision(number))], Revision(number), 1.0)
+            since = source.position
+            source.apply_changes([Row(key, value, Revision(number))], at(number), 1.0)
             deltas.append(source.delta(since))
         other = text_replica()
         order.shuffle(deltas)
         for delta in deltas + deltas:
-            if other.can_apply(delta) and delta.revision > other.revision:
+            if other.can_apply(delta) and delta.position > other.position:
                 other.apply_delta(delta, 1.0)
-        if other.revision < source.revision:
-            other.apply_delta(source.delta(other.revision), 1.0)
+        if other.position < source.position:
+            other.apply_delta(source.delta(other.position), 1.0)
         self.assertEqual(source.values(), other.values())
 
 
@@ -232,7 +231,7 @@
             self.assertIn(TargetId("t1"), entry.steered.targets.by_id)
         rows = entry.state_view.target_rows
         row = Row("targets/t1", b"{", Revision(3))
-        entry.state_view.apply_target_changes(rows.apply_changes([row], Revision(3), 1.0))
+        entry.state_view.apply_target_changes(rows.apply_changes([row], at(3), 1.0))
         self.assertEqual({TargetId("t2")}, set(entry.steered.targets.by_id))
 
     @parameterized.expand([("newest first", (4, 3)), ("in order", (3, 4))])
@@ -250,7 +249,7 @@
             target = make_target(1, born=born_by_revision[revision], cold_s=3.0)
             row = Row("targets/t1", msgspec.json.encode(target), Revision(revision))
             rows = entry.state_view.target_rows
-            entry.state_view.apply_target_changes(rows.apply_changes([row], Revision(4), 1.0))
+            entry.state_view.apply_target_changes(rows.apply_changes([row], at(4), 1.0))
         state = entry.steered.targets.by_id[TargetId("t1")]
         self.assertEqual(200, state.target.born)
         self.assertEqual((0.0, True, True), (state.load(), state.is_usable(), state.is_cold()))
@@ -303,7 +302,7 @@
     def test_messages_survive_msgpack(self) -> None:
         entry = EntryFixture()
         entry.learn_state(3, "state/a", make_state(4))
-        message = entry.exchange.build_update(Revision(0), Revision(0))
+        message = entry.exchange.build_update(START, START)
         self.assertEqual(
             message, msgspec.msgpack.decode(msgspec.msgpack.encode(message), type=GossipMessage)
         )
@@ -344,7 +343,7 @@
         #: Pushes so far, of all entries together.
         self.push_count = 0
         #: Revisions since which rows were pushed.
-        self.pushed_since: t.List[Revision] = []
+        self.pushed_since: t.List[Position] = []
         self._way_s = way_s
         self.entries = [EntryFixture(f"e{number}", clock) for number in range(count)]
         self.cut_off: t.Set[int] = set()
@@ -368,10 +367,10 @@
         for entry in self.entries:
             entry.members.merge_records([other.members.own_record for other in self.entries])
 
-    def _push(self, number: int, since: Revision) -> None:
+    def _push(self, number: int, since: Position) -> None:
         self.push_count += 1
         self.pushed_since.append(since)
-        message = self.entries[number].exchange.build_update(since, Revision(0))
+        message = self.entries[number].exchange.build_update(since, START)
         if not self._way_s:
             self._deliver(number, message)
             return
@@ -420,7 +419,7 @@
         self.assertLess(fleet.feed.reads, 12 + 2 * 20 + 10)
 
     def test_a_start_does_not_push_its_first_snapshot(self) -> None:
-        async def main(clock: LoopClock) -> t.List[Revision]:
+        async def main(clock: LoopClock) -> t.List[Position]:
             fleet = FollowerFleet(clock, 12)
             fleet.feed.put("state/a", make_state(1))
             await fleet.run(3.0)
@@ -428,7 +427,7 @@
 
         pushed_since = run_virtual(main)
         self.assertTrue(pushed_since)
-        self.assertEqual(1, min(pushed_since))
+        self.assertEqual(at(1), min(pushed_since))
 
     @parameterized.expand(
         [
