Let a start serve once another entry agrees on the rows that the store has lost

An entry that starts after the store came back from an older copy reads the copy, and has everything to serve by: for some tenths of a second it sent requests to targets that had left, by a desired state that had been replaced. StartGate waits, where others are ready, until one of them has answered with the same carried rows; 1 s at most. What a calm start takes was not measured here.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -223,6 +223,9 @@
 CARRIED_EVACUATION_S = 15.0
 #: The same for the deletion of a target's row, in beats of the target.
 DELETED_TARGET_BEATS = 4
+#: Longest time for which a starting entry that has all rows waits for another one to agree on those
+#: that the store may have lost.
+START_CONFIRM_S = 1.0
 #: Part of the bound on evacuations for which one stays lifted whose end the store has lost.
 LIFTED_EVACUATION_FRACTION = 0.5
 #: Time without an answer of the store that counts as an outage.
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -36,6 +36,7 @@
 from .pool import ConnectAttempt, ConnectionPool
 from .quotas import Quotas
 from .registry import Registry
+from .start_gate import StartGate
 from .state_view import StateView
 from .target_permits import TargetPermits
 from .telemetry import MetricsApp, Telemetry
@@ -107,6 +108,7 @@
             row_codec, self.steering, self.targets, clock, rng, settings.bounds
         )
         self.members = Members(_own_record(settings, clock), clock, rng)
+        self._start_gate = StartGate(self.state_view, self.members, clock)
         self.retry_share = FleetShare(settings.entry_id, settings.bounds, clock)
         self.budget = SharedRetryBudget(settings.bounds, self.retry_share, clock)
         self.pool = ConnectionPool(clock)
@@ -249,6 +251,7 @@
         self.telemetry.observe_loop_delay(max(0.0, now - self._tick_due_at))
         self._tick_due_at = now + _TICK_S * (1 + PERIODIC_JITTER)
         self.state_view.tick()
+        self.update_readiness()
         self.pool.close_expired()
         self.crash_detector.drop_expired()
         self.quarantine.expire()
@@ -271,7 +274,7 @@
 
     def update_readiness(self) -> None:
         """Announces this entry as ready once it has its state and the callers' port is open."""
-        if not self.state_view.is_complete or not self._callers_server.bound_address:
+        if not self._callers_server.bound_address or not self._start_gate.is_open():
             return
         if not self.members.update_own(ready=True):
             return
--- a/src/coralfall/traffic/state_view.py
+++ b/src/coralfall/traffic/state_view.py
@@ -82,6 +82,8 @@
         self.routes: t.Optional[RouteTable] = None
         self.tenants = TenantTable(None)
         self.split = WeightedSplit(rng)
+        #: Whether another entry of the same era has agreed on the rows that the store has lost.
+        self.is_confirmed = False
         #: Called with each new desired state.
         self.on_state: t.Callable[[DesiredState], None] = lambda state: None
         #: Called after any row was applied.
@@ -166,6 +168,12 @@
         )
         rows = [row for row in message.carried if row.key.startswith(self._state_prefix)]
         self.apply_state_changes(self.state_rows.merge_carried(rows, message.state_position, age_s))
+        eras = self.state_rows.position.era, self.target_rows.position.era
+        if self.is_confirmed or eras != (message.state_era, message.targets_era):
+            return
+        if message.carried_sum == self.carried_checksum():
+            self.is_confirmed = True
+            self.on_update()
 
     def note_outage(self, age_s: float) -> None:
         """Begins a grace period if the target rows are so old that the store must have been down.
--- a/tests/traffic/store_fleet.py
+++ b/tests/traffic/store_fleet.py
@@ -15,6 +15,7 @@
 from coralfall.traffic.follower import Follower
 from coralfall.traffic.messages import GossipMessage
 from coralfall.traffic.poll_intervals import PollIntervals, poll_intervals_for
+from coralfall.traffic.start_gate import StartGate
 from tests.traffic.entry_fixture import EntryFixture, JsonRowCodec
 from tests.traffic.makers import make_state, make_target
 
@@ -147,6 +148,7 @@
         self.settled_keys: t.Set[str] = set()
         #: Keys of targets that it once knew to be ready.
         self.ready_keys: t.Set[str] = set()
+        self.gate = StartGate(self.fixture.state_view, self.fixture.members, fleet.clock)
         self._fleet = fleet
         self._tasks: t.List["asyncio.Task[None]"] = []
         self._inbox: t.List[t.Callable[[], None]] = []
@@ -248,6 +250,8 @@
         while True:
             await asyncio.sleep(0.2)
             self.fixture.state_view.tick()
+            if self.gate.is_open():
+                self.fixture.members.update_own(ready=True)
 
     def _note_version(self, _state: t.Any) -> None:
         if self.version < self.highest_version:
--- a/tests/traffic/test_store_eras.py
+++ b/tests/traffic/test_store_eras.py
@@ -8,12 +8,13 @@
 from parameterized import parameterized
 
 from coralfall.ids import START, Revision
-from coralfall.process.clock import Clock
+from coralfall.process.clock import Clock, ManualClock
 from coralfall.stores.store import Row
 from coralfall.traffic.messages import GossipMessage
 from coralfall.traffic.replica import Replica
+from coralfall.traffic.start_gate import StartGate
 from tests.traffic.entry_fixture import EntryFixture
-from tests.traffic.makers import at, make_state
+from tests.traffic.makers import at, make_record, make_state
 from tests.traffic.store_fleet import BEAT_S, BOUND_S, StoreFleet
 from tests.virtual_loop import run_virtual
 
@@ -145,6 +146,59 @@
     entry.state_view.apply_state_changes(changed)
 
 
+class StartGateTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.other = self.loaded("e1")
+        row = Row("state/config", msgspec.json.encode(make_state(6)), Revision(61))
+        rows = self.other.state_view.state_rows
+        self.other.state_view.apply_state_changes(rows.apply_changes([row], at(61, 1), 1.0))
+        self.load(self.other, 40, 2)
+        self.started = self.loaded("e2", era=2)
+        view = self.started.state_view
+        self.gate = StartGate(view, self.started.members, self.started.clock)
+
+    def loaded(self, name: str, era: int = 1) -> EntryFixture:
+        """Returns an entry that has read version 4 and no targets."""
+        entry = EntryFixture(name)
+        self.load(entry, 40, era)
+        return entry
+
+    def load(self, entry: EntryFixture, revision: int, era: int) -> None:
+        learn_state(entry, revision, era, version=4)
+        targets = entry.state_view.target_rows
+        targets.apply_snapshot([], at(revision, era), entry.clock.monotonic())
+
+    def exchange(self) -> None:
+        message = self.started.exchange.build_update()
+        self.started.exchange.merge(self.other.exchange.build_reply(message), 1.0)
+
+    @parameterized.expand(
+        [
+            ("others are ready", True, False, 0.0, False, 4),
+            ("others have agreed", True, True, 0.0, True, 6),
+            ("others are ready and do not answer", True, False, 1.1, True, 4),
+            ("no other is ready", False, False, 0.0, True, 4),
+        ]
+    )
+    def test_a_start_from_the_copy_serves_once_others_have_agreed(
+        self, _name: str, ready: bool, answers: bool, wait_s: float, opens: bool, version: int
+    ) -> None:
+        record = make_record("e1", ready=ready)
+        self.started.members.merge_records([record])
+        if answers:
+            self.exchange()
+            self.exchange()
+        self.gate.is_open()
+        t.cast(ManualClock, self.started.clock).advance(wait_s)
+        self.assertEqual(opens, self.gate.is_open())
+        self.assertEqual(version, self.started.state_view.version)
+
+    def test_a_start_without_rows_does_not_serve(self) -> None:
+        entry = EntryFixture("e3")
+        gate = StartGate(entry.state_view, entry.members, entry.clock)
+        self.assertFalse(gate.is_open())
+
+
 class OlderCopyTest(unittest.TestCase):
     @parameterized.expand([("three entries", 3), ("twelve", 12)])
     def test_a_change_after_the_loss_is_in_force_in_time(self, _name: str, count: int) -> None:
