Settle the share of the retry budget anew after a time of which no rows are known

Two entries had the whole fixed number each (72 retries in a window, 64 allowed): one joined while the other did not reach the store, spent its share after 17 s, and its row was lost with the older copy before the other read the rows again; that one had settled long ago and divided by itself alone. The proof said that whoever has never seen a row began to count later, which holds for starts but not for an entry that was cut off for a window. The proof covers a store from an older copy now.

--- a/src/coralfall/placement/fleet_share.py
+++ b/src/coralfall/placement/fleet_share.py
@@ -2,8 +2,9 @@
 
 The entries that have a row in the store divide a whole number of units. An entry has a part only
 while it knows the rows as of a recent moment, and while its own row has been there for a settling
-time, which is longer by a whole window. Of two entries that spend within one window, each therefore
-counts the other; a row that disappears is counted for the settling time, too. So what is spent in
+time, which is longer by a whole window; it settles anew if it knew no rows of a whole window. Of two
+entries that spend within one window, each therefore counts the other; a row that disappears is
+counted for the settling time, too. So what is spent in
 a window never adds up to more than the whole, whichever entries start, end or can't reach each
 other. An entry that can't learn of the rows has no part.
 """
@@ -95,6 +96,9 @@
         """
         now = self._clock.monotonic()
         settle_s = self.bounds.share_settle_s()
+        if now - age_s - self._known_as_of > self.bounds.retry_span_s():
+            # A row may have come and gone in between without having been seen here.
+            self._own_row_since = None
         self._known_as_of = max(self._known_as_of, now - age_s)
         for entry_id in entry_ids:
             self._seen_at[entry_id] = now
--- a/tests/traffic/test_retry_histories.py
+++ b/tests/traffic/test_retry_histories.py
@@ -108,6 +108,27 @@
             self.assertIsNone(fleet.excess(), spent_after_s)
 
 
+class LostRowTest(unittest.TestCase):
+    """The store loses rows as it comes back from an older copy."""
+
+    @parameterized.expand([(f"{away_s} s", away_s) for away_s in (5, 10, 14, 18, 25)])
+    def test_an_entry_that_never_saw_a_lost_row_does_not_spend_its_share_too(
+        self, _name: str, away_s: int
+    ) -> None:
+        fleet = RetryFleet(1)
+        play(fleet, 1.0, 40.0)
+        fleet.cut_off.add(fleet.ids[0])
+        joined = EntryId("e1")
+        fleet.start(joined)
+        _pass(fleet, float(away_s), retries=0)
+        fleet.retry(joined, 100)
+        fleet.rows.discard(joined)
+        fleet.cut_off.add(joined)
+        fleet.cut_off.discard(fleet.ids[0])
+        _pass(fleet, 12.0, retries=100)
+        self.assertIsNone(fleet.excess())
+
+
 _entry_numbers = st.integers(0, 15)
 _steps = st.lists(
     st.one_of(
