Write an entry's row again when the store has lost it

An entry that registered in the seconds that a store from an older copy lacks had no row until the first in rank reconciled, up to 150 s later: no share of the retry budget, and entries that start then did not find it in the store. Each entry now looks once a second, as it divides its share, whether its row is there, and writes it again if an era has begun since it was written. For 30 s of an era it does so too if its row was deleted: another entry's conditional deletion may have been meant for a revision that was given out again. test_a_row_that_the_store_has_lost: two of five rows red without it.

--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -261,7 +261,11 @@
             self.steering.cold_shares.set_entries(self.members.known_ids())
 
     async def _update_share(self) -> None:
-        self.retry_share.update(self.state_view.registered_ids(), self.state_view.entries_age_s())
+        state_view = self.state_view
+        registered_ids = state_view.registered_ids()
+        self.retry_share.update(registered_ids, state_view.entries_age_s())
+        era = state_view.entry_rows.position.era
+        await self.registry.restore_row(registered_ids, era, state_view.era_age_s())
 
     def _count_connect_attempt(self, attempt: ConnectAttempt) -> None:
         self.telemetry.count_connect(attempt.target.service, attempt.result)
--- a/src/coralfall/traffic/registry.py
+++ b/src/coralfall/traffic/registry.py
@@ -12,11 +12,12 @@
 
 from .. import defaults
 from ..exceptions import DesiredStateError, PlatformError
-from ..ids import Position, Revision
+from ..ids import EntryState, Era, Position, Revision
 from ..process import log
 from ..stores.store import Write
 
 if t.TYPE_CHECKING:
+    from ..ids import EntryId
     from ..process.clock import Clock
     from ..stores.store import Changes, Feed, Row, Table
     from .members import Members
@@ -26,6 +27,8 @@
 #: Backoff between attempts to register, in seconds: first and longest pause.
 _MIN_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 1.0
+#: Time from the beginning of an era for which a missing row is written again, in seconds.
+_RESTORE_S = 30.0
 #: Revision that a write expects of a row that does not exist.
 _ABSENT = Revision(0)
 
@@ -58,6 +61,8 @@
         self._rng = rng
         #: Positions of rows whose entries were unknown in the last reconciliation, by key.
         self._unknown_rows: t.Dict[str, Position] = {}
+        #: Era in which this entry's row was written last.
+        self._row_era: t.Optional[Era] = None
         #: Called with all rows whenever they were read, and the time at which that began.
         self.on_read: "t.Callable[[Changes, float], None]" = lambda changes, began: None
 
@@ -67,7 +72,8 @@
         while True:
             try:
                 key, data = self._row_codec.encode_entry_row(self._members.own_record)
-                await self._table.transact([Write(key, data)])
+                result = await self._table.transact([Write(key, data)])
+                self._row_era = result.era
                 # Reads after it has written: of two entries that start at the same moment, the one
                 # that wrote last finds the other. Entries that were here before are also learnt
                 # from the seeds.
@@ -87,6 +93,31 @@
         self._members.has_discovered_peers = True
         return len(rows)
 
+    async def restore_row(
+        self, registered_ids: "t.Collection[EntryId]", era: Era, era_age_s: float
+    ) -> None:
+        """Writes this entry's row again if the store has lost it.
+
+        :param registered_ids: entries that have rows.
+        :param era: the store's era as of which these are known.
+        :param era_age_s: seconds since that era was first seen.
+        """
+        own = self._members.own_record
+        if own.entry_id in registered_ids or own.state is not EntryState.SERVING:
+            return
+        # Shortly after an era began, another entry's conditional deletion may have hit the row too:
+        # its revision may have been given out again.
+        if self._row_era is None or (era <= self._row_era and era_age_s > _RESTORE_S):
+            return
+        key, data = self._row_codec.encode_entry_row(own)
+        try:
+            result = await self._table.transact([Write(key, data)])
+        except PlatformError as error:
+            log.info("entry.not-registered", code=error.code, error=error.message)
+            return
+        self._row_era = result.era
+        log.warning("entry.registered-again", era=result.era, revision=result.revision)
+
     async def unregister(self) -> None:
         """Deletes this entry's row; a failure is logged and otherwise ignored."""
         key, _ = self._row_codec.encode_entry_row(self._members.own_record)
--- a/tests/traffic/test_registry.py
+++ b/tests/traffic/test_registry.py
@@ -8,7 +8,7 @@
 from parameterized import parameterized
 
 from coralfall import defaults
-from coralfall.ids import EntryId, Revision
+from coralfall.ids import EntryId, Era, Revision
 from coralfall.process.clock import ManualClock
 from coralfall.stores.memory_platform import Counters, FaultMode, MemoryTable, ServiceFault
 from coralfall.stores.store import Changes, Feed, Write
@@ -108,6 +108,30 @@
         self.assertEqual({"e1", "e3"}, self.entries["e1"].state_view.registered_ids())
         self.assertAlmostEqual(0.0, self.entries["e1"].state_view.entries_age_s(), delta=0.01)
 
+    @parameterized.expand(
+        [
+            # name, era of the rows, its age, whether the row is there, stops, written again
+            ("lost", 2, 0.0, False, False, True),
+            ("deleted soon after the era began", 1, 5.0, False, False, True),
+            ("in the copy", 2, 0.0, True, False, False),
+            ("deleted in the same era", 1, 60.0, False, False, False),
+            ("lost, and the entry stops", 2, 0.0, False, True, False),
+        ]
+    )
+    async def test_a_row_that_the_store_has_lost(
+        self, _name: str, era: int, age_s: float, there: bool, stops: bool, again: bool
+    ) -> None:
+        registry = self.registries["e1"]
+        await self.register("e1")
+        registry._row_era = Era(1)
+        ids = {EntryId("e1")} if there else set()
+        if not there:
+            await self.table.transact([Write(PREFIX + "e1", None)])
+        if stops:
+            self.entries["e1"].members.update_own(leaving=True)
+        await registry.restore_row(ids, Era(era), age_s)
+        self.assertEqual(there or again, "e1" in await self.rows())
+
     def exchange_records(self, *names: str) -> None:
         """Lets these entries exchange records, so that they hold each other alive."""
         owns = [self.entries[name].members.own_record for name in names]
