--- a/tests/traffic/test_registry.py
+++ b/tests/traffic/test_registry.py
@@ -110,7 +110,7 @@
 
     @parameterized.expand(
         [
-            # name, era of the rows, its age, whether the row is there, stops, written again
+            # name, era of the rows, its age, whether the row is there, stops, is written again
             ("lost", 2, 0.0, False, False, True),
             ("deleted soon after the era began", 1, 5.0, False, False, True),
             ("in the copy", 2, 0.0, True, False, False),
