--- a/src/coralfall/placement/fleet_share.py
+++ b/src/coralfall/placement/fleet_share.py
@@ -2,11 +2,11 @@
 
 The entries that have a row in the store divide a whole number of units. An entry has a part only
 while it knows the rows as of a recent moment, and while its own row has been there for a settling
-time, which is longer by a whole window; it settles anew if it knew no rows of a whole window. Of two
-entries that spend within one window, each therefore counts the other; a row that disappears is
-counted for the settling time, too. So what is spent in
-a window never adds up to more than the whole, whichever entries start, end or can't reach each
-other. An entry that can't learn of the rows has no part.
+time, which is longer by a whole window; it settles anew if it knew no rows of a whole window. Of
+two entries that spend within one window, each therefore counts the other; a row that disappears is
+counted for the settling time, too. So what is spent in a window never adds up to more than the
+whole, whichever entries start, end or can't reach each other. An entry that can't learn of the rows
+has no part.
 """
 
 import abc
