Let the store of the soak come back from older copies

Rules judge as before: a version that the store has lost before its bound was over counts from when it is there again, a target's word that it leaves too; anything known by then may not come back. A target's rows have rising sequences.

--- a/tests/platform_adapter/standins.py
+++ b/tests/platform_adapter/standins.py
@@ -45,6 +45,8 @@
         self._client_addresses: t.Set[t.Any] = set()
         self.calls: t.List[str] = []
         self._rows: t.Dict[RowKey, t.Dict[str, t.Any]] = {}
+        #: What the operator and the instances wrote last, by row; ``None`` if they removed it.
+        self._said: t.Dict[RowKey, t.Optional[str]] = {}
         self._changed = asyncio.Event()
         self._server = HttpServer("store", self, "127.0.0.1:0")
 
@@ -65,11 +67,26 @@
     def put(self, table: str, key: str, value: t.Any) -> None:
         """Writes a row as the operator or an instance does."""
         data = base64.b64encode(json.dumps(value).encode()).decode()
+        self._said[table, "", key] = data
         self._apply([{"table": table, "part": "", "key": key, "value": data}], [])
 
     def remove(self, table: str, key: str) -> None:
+        self._said[table, "", key] = None
         self._apply([], [{"table": table, "part": "", "key": key}])
 
+    def lost_keys(self) -> t.List[RowKey]:
+        """Rows that are not as the operator and the instances wrote them last."""
+        return [
+            key for key, data in self._said.items() if self._rows.get(key, {}).get("value") != data
+        ]
+
+    def write_again(self, key: RowKey) -> None:
+        """Writes a row again as it was written last."""
+        table, part, name = key
+        row = {"table": table, "part": part, "key": name}
+        data = self._said[key]
+        self._apply([], [row]) if data is None else self._apply([{**row, "value": data}], [])
+
     def keys(self, table: str) -> t.List[str]:
         return sorted(
             [key for (name, _, key), row in self._rows.items() if name == table and "value" in row]
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import hashlib
+import time
 import typing as t
 
 #: Statuses that promise that a request has not run and never will.
@@ -158,6 +159,28 @@
     #: What the run itself found, beside what the rules find.
     faults: t.List[str] = dataclasses.field(default_factory=list)
 
+    def lose(self, since: float, bound_s: float) -> None:
+        """Notes that the store has lost what it took since a moment.
+
+        Entries need not know what was lost before the bound for it was over.
+        """
+        now = time.monotonic()
+        for version, at in self.version_at.items():
+            if at > since and at + bound_s > now:
+                self.version_at[version] = float("inf")
+        for target, at in self.leaving_at.items():
+            if at > since and at + bound_s > now:
+                self.leaving_at[target] = float("inf")
+
+    def take_again(self, table: str, name: str) -> None:
+        """Notes that the store has taken a row again that it had lost."""
+        now = time.monotonic()
+        for version, at in self.version_at.items():
+            if table == "op" and name == "config" and at == float("inf"):
+                self.version_at[version] = now
+        if table == "servers" and self.leaving_at.get(name) == float("inf"):
+            self.leaving_at[name] = now
+
     def started(self, entry: str, since: float, until: float) -> bool:
         """Whether a process of an entry began between two moments."""
         return any(one.entry == entry and since <= one.began <= until for one in self.lifetimes)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,7 +10,7 @@
 from tests.soak.callers import Caller
 from tests.soak.record import DEADLY, SLOW, Record, Sort, Tenant
 from tests.soak.rules import TIMED, TIMELESS, broken
-from tests.soak.troubles import CUTS, LOADS, RETRIES, TROUBLES, WORDS, Trouble
+from tests.soak.troubles import CUTS, DRILLS, LOADS, RETRIES, TROUBLES, WORDS, Trouble
 from tests.soak.world import World, strangers
 
 #: Seconds that entries may take to be ready at the start and once all troubles are over.
@@ -55,12 +55,14 @@
     timed: bool,
     deadly: bool = False,
     retries: bool = False,
+    drills: bool = False,
     entries: int = 4,
 ) -> Outcome:
     """Play one seed.
 
     :param deadly: whether some requests end each target that runs them, beside the troubles.
     :param retries: whether targets reject most requests while entries are killed in series, too.
+    :param drills: whether the store comes back from older copies, too.
     :param entries: how many entries there are.
     :param timed: whether bounds in time are judged too, which want a machine that is not busy.
     """
@@ -83,6 +85,7 @@
         if deadly:
             calling.append(asyncio.create_task(_send_deadly(world, callers[0], seed)))
         beside = [_play_beside(world, one, seed, seconds) for one in RETRIES if retries]
+        beside += [_play_beside(world, one, seed, seconds) for one in DRILLS if drills]
         await asyncio.gather(_play(world, rng, seconds, played), *beside)
         await _check_all_is_well(world, callers[0])
         for task in calling:
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -33,6 +33,7 @@
         self._record = record
         self._rng = rng
         self._in_hand = 0
+        self._sequence = 0
         self.service_time_s = 0.03
         #: How long work takes on its machine now, in percent, and whether its answers say so.
         self.pace = 100
@@ -64,7 +65,8 @@
 
     def listing(self, **status: t.Any) -> t.Dict[str, t.Any]:
         """Its row in the store."""
-        return self.row(self.service, self.zone, **status)
+        self._sequence += 1
+        return self.row(self.service, self.zone, sequence=self._sequence, **status)
 
     async def _run(self, received: ReceivedRequest) -> None:
         meant = received.header("x-expected-instance") == self.instance_id
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -37,6 +37,7 @@
             ("targets with limits", 5, 12.0, ""),
             ("targets that leave and reject", 6, 12.0, ""),
             ("retries beside kills in series", 7, 12.0, "retries"),
+            ("a store from older copies", 8, 12.0, "drills"),
         ]
     )
     def test_promises_hold_under_faults(
@@ -52,6 +53,7 @@
                     timed=False,
                     deadly=beside == "deadly",
                     retries=beside == "retries",
+                    drills=beside == "drills",
                 )
             )
         self.assertEqual([], outcome.faults[:5])
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -42,6 +42,13 @@
 _BURST_WORK = 4
 #: Seconds for which all targets of a service reject most of what comes.
 _REJECTS_MOST_S = (8.0, 15.0)
+#: Seconds of which a store loses the writes, for which it is away then, and the most until its
+#: writers write the next of them again.
+_LOST_S = (0.3, 5.0)
+_AWAY_S = (0.05, 1.5)
+_REWRITE_GAP_S = 0.3
+#: Seconds after which entries know what the store took.
+_KNOWN_S = 2.7
 #: Seconds of a series of kills, and between two of them.
 _SERIES_S = (3.0, 8.0)
 _SERIES_GAP_S = (0.15, 0.6)
@@ -394,6 +401,25 @@
             target.reject_share = 0.0
 
 
+async def come_back_older(world: World, rng: random.Random) -> None:
+    """The store is away for a moment and comes back from a copy, at times twice in a row."""
+    copy, copied_at = world.store.copy(), time.monotonic()
+    await asyncio.sleep(rng.uniform(*_LOST_S))
+    for _ in range(rng.randint(1, 2)):
+        async with _disturbance(world):
+            world.store.mode = "silent"
+            world.store.end_open_connections()
+            world.record.lose(copied_at, _KNOWN_S)
+            await asyncio.sleep(rng.uniform(*_AWAY_S))
+            world.store.restore(copy)
+            world.store.mode = "ok"
+        for table, part, name in world.store.lost_keys():
+            await asyncio.sleep(rng.uniform(0.0, _REWRITE_GAP_S))
+            world.store.write_again((table, part, name))
+            world.record.take_again(table, name)
+        await asyncio.sleep(rng.uniform(*_LONG_S))
+
+
 async def kill_in_series(world: World, rng: random.Random) -> None:
     """Entries are killed one after the other, each as soon as another is back."""
     until = time.monotonic() + rng.uniform(*_SERIES_S)
@@ -405,6 +431,9 @@
     await asyncio.gather(*under_way)
 
 
+#: Losses of what the store has taken, beside all other troubles.
+DRILLS: t.Tuple[Trouble, ...] = (come_back_older,)
+
 #: What makes entries retry while they start again and again.
 RETRIES: t.Tuple[Trouble, ...] = (reject_most, kill_in_series)
 
