--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -47,6 +47,10 @@
 _LOST_S = (0.3, 5.0)
 _AWAY_S = (0.05, 1.5)
 _REWRITE_GAP_S = 0.3
+#: Seconds between two heartbeats of the targets before that, and of a calm in which bounds in time
+#: are judged.
+_BEATS_S = (0.1, 0.5, 2.0)
+_CALM_S = 3.5
 #: Seconds after which entries know what the store took.
 _KNOWN_S = 2.7
 #: Seconds of a series of kills, and between two of them.
@@ -404,7 +408,13 @@
 async def come_back_older(world: World, rng: random.Random) -> None:
     """The store is away for a moment and comes back from a copy, at times twice in a row."""
     copy, copied_at = world.store.copy(), time.monotonic()
-    await asyncio.sleep(rng.uniform(*_LOST_S))
+    lost_until = copied_at + rng.uniform(*_LOST_S)
+    beat_s = rng.choice(_BEATS_S)
+    while time.monotonic() < lost_until:
+        # Heartbeats raise the counter far beyond that of the copy.
+        for target in world.targets:
+            world.store.put("servers", target.instance_id, target.listing())
+        await asyncio.sleep(beat_s)
     for _ in range(rng.randint(1, 2)):
         async with _disturbance(world):
             world.store.mode = "silent"
@@ -417,7 +427,8 @@
             await asyncio.sleep(rng.uniform(0.0, _REWRITE_GAP_S))
             world.store.write_again((table, part, name))
             world.record.take_again(table, name)
-        await asyncio.sleep(rng.uniform(*_LONG_S))
+        await asyncio.sleep(rng.choice((rng.uniform(*_LONG_S), _CALM_S)))
+        world.change()
 
 
 async def kill_in_series(world: World, rng: random.Random) -> None:
