--- a/src/coralfall/reporting/explain.py
+++ b/src/coralfall/reporting/explain.py
@@ -9,6 +9,7 @@
 import re
 import typing as t
 
+from .. import defaults
 from ..exceptions import CoralfallError
 
 #: Seconds before the end of a request whose events belong to its story.
@@ -168,6 +169,7 @@
             f" {fields.get('version')} in force, known as newest {fields.get('state_age_ms')} ms"
             f" before, targets {fields.get('targets_age_ms')} ms before"
         )
+    parts += _lost_rows(end, events, entry)
     parts += _quota(fields)
     parts += _asks(fields)
     sends = sends_of(fields)
@@ -190,6 +192,23 @@
     return "\n".join(parts)
 
 
+def _lost_rows(end: LogEvent, events: t.Sequence[LogEvent], entry: str) -> t.List[str]:
+    """Which rows the entry had lately from a store that came back from an older copy."""
+    last_by_rows: t.Dict[str, LogEvent] = {}
+    for event in events:
+        if event.event != "store.era-began" or event.fields.get("entry", "?") != entry:
+            continue
+        if 0 <= end.at - event.at <= defaults.CARRIED_ROW_S:
+            last_by_rows[event.fields.get("rows", "?")] = event
+    return [
+        f"  the store came back from an older copy: {rows} known {end.at - event.at:.1f} s before,"
+        f" at revision {event.fields.get('revision')} of era {event.fields.get('era')} after"
+        f" {event.fields.get('previous_revision')} of era {event.fields.get('previous_era')};"
+        f" lost rows in force: {event.fields.get('keys')}"
+        for rows, event in sorted(last_by_rows.items())
+    ]
+
+
 def _quota(fields: t.Mapping[str, str]) -> t.List[str]:
     """What a tenant's owner had said, if the request was refused for its tenant's limit."""
     parts = fields.get("quota", "").split(":")
--- a/tests/reporting/test_explain.py
+++ b/tests/reporting/test_explain.py
@@ -59,6 +59,14 @@
   20.3 edge-1 time=2026-08-30T10:00:48.100Z level=info event=request.ended entry=e1 id=b1 route=r1\
  service=s1 status=503 outcome=not-run reason=shed-503 ms=40 version=7 retry=budget\
  sends=i-11:shed-503:1:0.5/6:known:near
+  20.4 edge-1 time=2026-08-30T10:01:00.000Z level=warning event=store.era-began entry=e1 rows=targets\
+ era=2 revision=40 previous_era=1 previous_revision=61 carried=1 keys=servers/i-2
+  20.4 edge-2 time=2026-08-30T10:01:00.000Z level=warning event=store.era-began entry=e2 rows=targets\
+ era=2 revision=40 previous_era=1 previous_revision=61 carried=0 keys=none
+  20.5 edge-1 time=2026-08-30T10:01:12.500Z level=info event=request.ended entry=e1 id=o1 route=r1\
+ service=s1 status=503 outcome=not-run reason=no-target ms=40 version=7 sends=none
+  20.6 edge-1 time=2026-08-30T10:03:12.500Z level=info event=request.ended entry=e1 id=o2 route=r1\
+ service=s1 status=503 outcome=not-run reason=no-target ms=40 version=7 sends=none
 """.splitlines()
 
 
@@ -108,6 +116,12 @@
             ("when it asked", "w1", "-0.900 s  target.cooldown target=i-11 service=s1 seconds=3.0"),
             ("no retry", "b1", "not sent once more: the retry budget of the service was used up"),
             ("when it was", "b1", "-0.100 s  retry.exhausted service=s1 requests=20"),
+            (
+                "an older copy of the store",
+                "o1",
+                "from an older copy: targets known 12.5 s before, at revision 40 of era 2 after 61"
+                " of era 1; lost rows in force: servers/i-2\n",
+            ),
             ("no route", "abe", "cause: no route of the version in force matches"),
         ]
     )
@@ -132,6 +146,9 @@
     def test_not_told(self, _name: str, text: str) -> None:
         self.assertNotIn(text, explain("abc", LINES))
 
+    def test_a_store_that_came_back_long_before_is_not_told(self) -> None:
+        self.assertNotIn("older copy", explain("o2", LINES))
+
     def test_unknown(self) -> None:
         with self.assertRaises(ExplainError) as caught:
             explain("nobody", LINES)
