Add red tests of what coralfall entry loses with an older copy of its table

A claim that the table has lost is given out again, so that its command may run twice; rows written below the revision that the roster has reached are passed over.

--- a/src/coralfall/traffic/state_view.py
+++ b/src/coralfall/traffic/state_view.py
@@ -154,6 +154,13 @@
         """Returns a checksum that is equal at entries which carry the same rows."""
         return self.state_rows.carried.checksum ^ self.target_rows.carried.checksum
 
+    def carried_count_by_rows(self) -> t.Dict[str, int]:
+        """Returns the number of rows in force that the store has lost, by their kind."""
+        return {
+            self.state_rows.name: len(self.state_rows.carried),
+            self.target_rows.name: len(self.target_rows.carried),
+        }
+
     def carried_rows(self) -> "t.Tuple[CarriedRow, ...]":
         """Returns the rows of earlier eras that stay in force here."""
         rows = self.state_rows.carried.rows() + self.target_rows.carried.rows()
--- a/src/coralfall/traffic/telemetry.py
+++ b/src/coralfall/traffic/telemetry.py
@@ -218,9 +218,8 @@
     limited = len(node.steering.limits.in_force())
     gauge("targets_limited", limited, "Targets that name a limit for all entries together.")
     reports = node.targets.reports
-    for rows in (state_view.state_rows, state_view.target_rows):
-        carried = len(rows.carried)
-        gauge("rows_carried", carried, "Rows in force that the store has lost.", rows=rows.name)
+    for name, count in state_view.carried_count_by_rows().items():
+        gauge("rows_carried", count, "Rows in force that the store has lost.", rows=name)
     for service, count in reports.departures.detected_by_service.items():
         gauge("target_departures", count, "Targets that said so as they left.", service=service)
     for service, count in reports.cooldowns.started_by_service.items():
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -3,17 +3,19 @@
 import asyncio
 import unittest
 
+import msgspec
 from parameterized import parameterized
 
 from coralfall.bundles.bundle import Head, VersionRef, encode
-from coralfall.cluster.rows import head_key
-from coralfall.ids import BundleVersion, Digest, Revision
+from coralfall.cluster.rows import head_key, roster_key
+from coralfall.ids import BundleVersion, Digest, EntryId, Revision
 from coralfall.process.clock import ManualClock
 from coralfall.stores.memory_platform import MemoryPlatform
 from coralfall.stores.store import Write
 from tests import operators
 from tests.control_fleet import make_still_node
 from tests.members import make_member
+from tests.older_copy import copy_of, restore
 
 KEY = head_key(operators.COSECHA)
 
@@ -38,6 +40,24 @@
     async def revision(self) -> Revision:
         return (await self.table.read([KEY]))[KEY].revision
 
+    def test_a_member_that_joins_after_the_table_lost_rows_is_known(self) -> None:
+        asyncio.run(self._check_member_after_loss())
+
+    async def _check_member_after_loss(self) -> None:
+        membership = self.node.membership
+        copy = copy_of(self.table)
+        for name in ("b", "c", "d"):
+            await self.put_member(name)
+        await membership.poll()
+        restore(self.table, copy)
+        await self.put_member("e")
+        await membership.poll()
+        self.assertIn(EntryId("e"), self.node.roster.by_id)
+
+    async def put_member(self, name: str) -> None:
+        value = msgspec.msgpack.encode(make_member(name))
+        await self.table.transact([Write(roster_key(EntryId(name)), value)])
+
     def hold(self) -> None:
         rollout = self.node.rollouts[operators.COSECHA]
         for ref in rollout.missing():
--- a/tests/idempotency/test_claims.py
+++ b/tests/idempotency/test_claims.py
@@ -27,6 +27,7 @@
 from coralfall.stores.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
 from coralfall.stores.store import Write
 from tests.flaky_table import Fate, FlakyTable
+from tests.older_copy import copy_of, restore
 from tests.virtual_loop import LoopClock, VirtualLoop, run_virtual
 
 PARTNER, SERVICE = PartnerId("cosecha"), ServiceId("pedidos")
@@ -117,6 +118,19 @@
         await book.leave_unknown(held)
 
 
+class TestLostClaim(unittest.TestCase):
+    @with_fleet
+    async def test_a_command_whose_claim_the_table_lost_does_not_run_again(
+        self, fleet: Fleet
+    ) -> None:
+        table = fleet.memory.platform.table
+        copy = copy_of(table)
+        await settle(fleet.a, await claim(fleet.a), ClaimState.DONE)
+        await asyncio.sleep(LONG_S)
+        restore(table, copy)
+        self.assertIsNot(Claim, await outcome(fleet.b))
+
+
 SECOND_CLAIMS = [
     (ClaimState.CLAIMED, "f", ClaimBusyError),
     (ClaimState.RELEASED, "f", Claim),
--- a/tests/reporting/test_explain.py
+++ b/tests/reporting/test_explain.py
@@ -59,10 +59,10 @@
   20.3 edge-1 time=2026-08-30T10:00:48.100Z level=info event=request.ended entry=e1 id=b1 route=r1\
  service=s1 status=503 outcome=not-run reason=shed-503 ms=40 version=7 retry=budget\
  sends=i-11:shed-503:1:0.5/6:known:near
-  20.4 edge-1 time=2026-08-30T10:01:00.000Z level=warning event=store.era-began entry=e1 rows=targets\
- era=2 revision=40 previous_era=1 previous_revision=61 carried=1 keys=servers/i-2
-  20.4 edge-2 time=2026-08-30T10:01:00.000Z level=warning event=store.era-began entry=e2 rows=targets\
- era=2 revision=40 previous_era=1 previous_revision=61 carried=0 keys=none
+  20.4 edge-1 time=2026-08-30T10:01:00.000Z level=warning event=store.era-began entry=e1\
+ rows=targets era=2 revision=40 previous_era=1 previous_revision=61 carried=1 keys=servers/i-2
+  20.4 edge-2 time=2026-08-30T10:01:00.000Z level=warning event=store.era-began entry=e2\
+ rows=targets era=2 revision=40 previous_era=1 previous_revision=61 carried=0 keys=none
   20.5 edge-1 time=2026-08-30T10:01:12.500Z level=info event=request.ended entry=e1 id=o1 route=r1\
  service=s1 status=503 outcome=not-run reason=no-target ms=40 version=7 sends=none
   20.6 edge-1 time=2026-08-30T10:03:12.500Z level=info event=request.ended entry=e1 id=o2 route=r1\
