--- a/tests/traffic/test_store_eras.py
+++ b/tests/traffic/test_store_eras.py
@@ -200,7 +200,7 @@
 
 
 class OlderCopyTest(unittest.TestCase):
-    @parameterized.expand([("three entries", 3), ("twelve", 12)])
+    @parameterized.expand([("three entries", 3), ("twelve", 12), ("hundreds", 530)])
     def test_a_change_after_the_loss_is_in_force_in_time(self, _name: str, count: int) -> None:
         async def main(clock: Clock) -> t.List[int]:
             fleet = await started(clock, count)
@@ -226,7 +226,7 @@
 
         self.assertEqual([False] * count, run_virtual(main))
 
-    @parameterized.expand([("three entries", 3, 40), ("twelve", 12, 60)])
+    @parameterized.expand([("three entries", 3, 40), ("twelve", 12, 60), ("hundreds", 530, 700)])
     def test_few_calls_are_made_after_the_loss(self, _name: str, count: int, most: int) -> None:
         async def main(clock: Clock) -> int:
             fleet = await started(clock, count)
