Keep a replica's deletions in a module of their own

Replica held two jobs and some 350 lines. Tombstones now tells deletions in the present era from rows that were merely missing as it began: only the former are sent with all rows, and keep a carried row of another entry out; a row that was created again and lost while this entry lagged is no longer kept out. A message without carried rows costs no copy of all values any more.

--- a/src/coralfall/traffic/replica.py
+++ b/src/coralfall/traffic/replica.py
@@ -15,13 +15,12 @@
 from ..stores.store import Row
 from .carried_rows import CarriedRow, CarriedRows, NothingCarried, RowRules, RowVersion
 from .delta import Delta, DeltaRow, pack
+from .tombstones import Tombstones
 
 ValueT = t.TypeVar("ValueT")
 
-#: Most tombstones that are kept, so that a delta can include deletions; and of those, the most in a
-#: delta of all rows.
-_MAX_TOMBSTONES = 2048
-_MAX_SNAPSHOT_TOMBSTONES = 64
+#: Most deletions in a delta of all rows.
+_MAX_SNAPSHOT_DELETIONS = 64
 
 
 class Replica(t.Generic[ValueT]):
@@ -47,12 +46,9 @@
         #: Keys of deleted rows whose newest revision can't be decoded.
         self.unreadable_keys: t.Set[str] = set()
         self._held_by_key: t.Dict[str, RowVersion[ValueT]] = {}
-        #: Deletions in the present era, by key.
-        self._tombstones: t.Dict[str, RowVersion[ValueT]] = {}
+        self._tombstones: Tombstones[ValueT] = Tombstones(START)
         #: Rows of earlier eras that the store has lost.
         self.carried: CarriedRows[ValueT] = CarriedRows(name, decode, rules or NothingCarried())
-        #: Oldest revision of the era since which a delta can be made.
-        self._oldest_since = Revision(0)
         #: Era and revision as of which the rows are known.
         self.position = START
         #: Revision as of which the rows of the present era were first known.
@@ -102,26 +98,40 @@
         return changed
 
     def _begin_era(self, rows: t.Iterable[Row], position: Position, read_s: float) -> t.Set[str]:
-        before = self.values()
-        unreadable_before = self.unreadable_keys
-        previous = self._held_by_key
-        known_by_key = {**self._tombstones, **previous, **self.carried.versions()}
-        self._previous_position, self.position = self.position, position
-        self._held_by_key, self._tombstones, self.unreadable_keys = {}, {}, set()
-        self._era_revision = self._oldest_since = position.revision
-        self.read_s = read_s
+        before, unreadable_before = self.values(), self.unreadable_keys
+        known_by_key = self._known_by_key()
+        previous_rows = self._held_by_key
+        self._previous_position, self.position, self.read_s = self.position, position, read_s
+        self._held_by_key, self.unreadable_keys = {}, set()
+        self._tombstones = Tombstones(position)
+        self._era_revision = position.revision
         for row in rows:
             self._put(row, set())
             if row.key not in self._held_by_key and not self._drops_unreadable:
-                self._keep_readable(row, previous)
+                self._keep_readable(row, previous_rows)
+        self._compare_eras(known_by_key)
+        changed = _changed_keys(before, self.values())
+        return changed | (unreadable_before ^ self.unreadable_keys)
+
+    def _known_by_key(self) -> t.Dict[str, RowVersion[ValueT]]:
+        """Returns the last that is known of each row, in force or deleted."""
+        return {
+            **self._tombstones.by_key(),
+            **self._held_by_key,
+            **self.carried.versions(),
+        }
+
+    def _compare_eras(self, known_by_key: t.Dict[str, RowVersion[ValueT]]) -> None:
+        """Chooses which rows to carry, after the rows of a new era were taken in.
+
+        :param known_by_key: what was known of each row before.
+        """
         for key in self.unreadable_keys:
             known_by_key.pop(key, None)
-        for key, tombstone in self._tombstones.items():
-            known = known_by_key.get(key)
-            if known is not None and tombstone.position.revision > known.position.revision:
-                known_by_key[key] = RowVersion(
-                    tombstone.position, known.data, known.value, deleted=True
-                )
+        for key, known in list(known_by_key.items()):
+            tombstone = self._tombstones.get(key)
+            if tombstone is not None and tombstone.position.revision > known.position.revision:
+                known_by_key[key] = RowVersion(tombstone.position, known.data, known.value, True)
         for key in self._held_by_key:
             if self._previous_position > START and key not in known_by_key:
                 # All rows were known then, and it was not among them.
@@ -129,13 +139,11 @@
                 known_by_key[key] = absent
         self.carried.begin_era(known_by_key, self._held_by_key)
         for key, known in known_by_key.items():
-            if key not in self._held_by_key and key not in self.carried:
+            if not (key in self._held_by_key or key in self.carried or key in self._tombstones):
                 # An even older copy may have the row again.
-                self._tombstones[key] = RowVersion(position, known.data, known.value, deleted=True)
+                self._tombstones.add(key, self.position, known)
         if self._previous_position > START:
             self._log_era(self._previous_position)
-        changed = _changed_keys(before, self.values())
-        return changed | (unreadable_before ^ self.unreadable_keys)
 
     def _log_era(self, previous: Position) -> None:
         carried = sorted(self.carried.versions())
@@ -185,12 +193,15 @@
         """
         if position < self.position or position.era != self.position.era:
             return set()
-        before = self.values()
         rows = [
             row
             for row in rows
-            if row.position > self._previous_position and row.key not in self._tombstones
+            if row.position > self._previous_position
+            and not self._tombstones.was_deleted_in_era(row.key)
         ]
+        if not rows:
+            return set()
+        before = self.values()
         era_began = Position(position.era, self._era_revision)
         if not self.carried.merge(rows, self._held_by_key.get, era_began, era_age_s):
             return set()
@@ -208,34 +219,26 @@
     def delta(self, since: Position) -> Delta:
         """Returns what changed after a position; all rows if it is too old or of another era."""
         era, revision = since
-        if era != self.position.era or revision < self._oldest_since or revision == 0:
+        is_too_old = revision < self._tombstones.oldest_since or revision == START.revision
+        if era != self.position.era or is_too_old:
             rows = [
                 DeltaRow(key, held.position.revision, held.data)
                 for key, held in self._held_by_key.items()
             ]
-            return pack(START.revision, self.position, rows + self._newest_tombstones())
+            if self._previous_position > START:
+                # They may end rows of earlier eras that the receiver carries.
+                deletions = self._tombstones.newest_of_era(_MAX_SNAPSHOT_DELETIONS)
+                rows += [DeltaRow(key, removed_at, None) for key, removed_at in deletions.items()]
+            return pack(START.revision, self.position, rows)
         rows = [
             DeltaRow(key, held.position.revision, held.data)
             for key, held in self._held_by_key.items()
             if held.position.revision > revision
         ]
-        for key, tombstone in self._tombstones.items():
-            if tombstone.position.revision > revision:
-                rows.append(DeltaRow(key, tombstone.position.revision, None))
+        deletions = self._tombstones.since(revision)
+        rows += [DeltaRow(key, removed_at, None) for key, removed_at in deletions.items()]
         return pack(revision, self.position, rows)
 
-    def _newest_tombstones(self) -> t.List[DeltaRow]:
-        """Returns deletions of the present era, which may end rows that others carry."""
-        if self._previous_position == START:
-            return []
-        by_revision = sorted(
-            self._tombstones.items(), key=lambda item: item[1].position, reverse=True
-        )
-        return [
-            DeltaRow(key, tombstone.position.revision, None)
-            for key, tombstone in by_revision[:_MAX_SNAPSHOT_TOMBSTONES]
-        ]
-
     def oldest_missing(self) -> t.Optional[Revision]:
         """Returns the lowest revision of rows that the store lacks and may have deleted, if any."""
         revisions = [self.position.revision]
@@ -265,7 +268,7 @@
 
     def _advance(self, position: Position, read_s: float) -> None:
         if not self.is_loaded:
-            self._oldest_since = position.revision
+            self._tombstones.oldest_since = position.revision
         if position >= self.position:
             self.position = position
             self.read_s = max(self.read_s, read_s)
@@ -312,7 +315,7 @@
             held.data = data
             return
         self._held_by_key[key] = found
-        self._tombstones.pop(key, None)
+        self._tombstones.discard(key)
 
     def _is_first_of_era(self, held: RowVersion[ValueT], revision: Revision) -> bool:
         """Whether this is the first write of a row that other entries may know as lost."""
@@ -336,13 +339,7 @@
                 # It may be older than what is carried.
                 return
             self.carried.drop(key)
-        known = known or held or tombstone
-        data, value = (known.data, known.value) if known is not None else (b"", None)
-        self._tombstones[key] = RowVersion(position, data, value, deleted=True)
-        while len(self._tombstones) > _MAX_TOMBSTONES:
-            oldest = min(self._tombstones, key=lambda one: self._tombstones[one].position)
-            dropped = self._tombstones.pop(oldest)
-            self._oldest_since = max(self._oldest_since, dropped.position.revision)
+        self._tombstones.add(key, position, known or held or tombstone)
 
 
 def _changed_keys(before: t.Mapping[str, ValueT], after: t.Mapping[str, ValueT]) -> t.Set[str]:
