--- a/src/coralfall/traffic/replica.py
+++ b/src/coralfall/traffic/replica.py
@@ -288,32 +288,32 @@
     def _put(self, row: Row, unreadable: t.Set[str]) -> None:
         """Applies a row of the present era; adds the key of one that is dropped as unreadable."""
         key, data, revision = row.key, row.value, row.revision
-        position = Position(self.position.era, revision)
         if data is None:
-            self._remove(key, position)
+            self._remove(key, Position(self.position.era, revision))
             return
         held = self._held_by_key.get(key)
-        if held is not None and held.position >= position:
+        if held is not None and held.position.revision >= revision:
             return
         tombstone = self._tombstones.get(key)
-        if tombstone is not None and tombstone.position >= position:
+        if tombstone is not None and tombstone.position.revision >= revision:
             return
         try:
             value = self._decode(key, data)
         except DesiredStateError as error:
             log.error("row.unreadable", key=key, revision=revision, error=error.message)
             if self._drops_unreadable:
-                self._remove(key, position)
+                self._remove(key, Position(self.position.era, revision))
                 self.unreadable_keys.add(key)
                 unreadable.add(key)
             return
         self.unreadable_keys.discard(key)
-        found = RowVersion(position, data, value)
-        self.carried.settle(key, found, rewritten=revision > self._era_revision)
         if held is not None and held.value == value and not self._is_first_of_era(held, revision):
             # Later heartbeats count if the store loses them, but other entries need not hear them.
             held.data = data
+            self.carried.settle(key, held, rewritten=revision > self._era_revision)
             return
+        found = RowVersion(Position(self.position.era, revision), data, value)
+        self.carried.settle(key, found, rewritten=revision > self._era_revision)
         self._held_by_key[key] = found
         self._tombstones.discard(key)
 
