Read a store whose answers are stale at the usual pace

Such an answer is an error of its own now (stale-answer), costs one call, and the first in rank read again after the usual interval. 192 tests of followers, eras, gossip and pages pass.

--- a/src/coralfall/exceptions.py
+++ b/src/coralfall/exceptions.py
@@ -121,6 +121,12 @@
     code = "platform-unknown"
 
 
+class StaleAnswerError(PlatformUnavailableError):
+    """The platform answered as of a moment before one that it had reached; nothing was taken."""
+
+    code = "stale-answer"
+
+
 class HistoryLostError(PlatformError):
     """The platform no longer has the changes since a revision; read a snapshot instead."""
 
--- a/src/coralfall/traffic/follower.py
+++ b/src/coralfall/traffic/follower.py
@@ -12,7 +12,7 @@
 import typing as t
 
 from .. import defaults
-from ..exceptions import HistoryLostError, PlatformError, PlatformUnavailableError
+from ..exceptions import HistoryLostError, PlatformError, StaleAnswerError
 from ..ids import START, Position
 from ..process import log
 
@@ -104,14 +104,16 @@
                 await self.read()
             except PlatformError as error:
                 self._note_failure(error)
-                await asyncio.sleep(self._backoff_s() * self._rng.uniform(0.7, 1.0))
+                await asyncio.sleep(self._backoff_s(error) * self._rng.uniform(0.7, 1.0))
 
-    def _backoff_s(self) -> float:
+    def _backoff_s(self, error: PlatformError) -> float:
         """Returns the pause after a failed read; it is longer for entries of lower rank.
 
         The first ones retry often, so that the fleet soon learns that the store is back, at the
-        cost of few calls.
+        cost of few calls. A store that answers late is read by them as often as ever.
         """
+        if isinstance(error, StaleAnswerError) and self._members.rank() < defaults.BROADCAST_RANKS:
+            return self.pace.interval_s
         backoff_s = self._min_backoff_s * 2.0 ** min(self._consecutive_failures, 4)
         backoff_s = min(backoff_s, max(self._min_backoff_s, _MAX_BACKOFF_S))
         return min(
@@ -137,10 +139,11 @@
             await self._read_all(since)
             self._log_lost_history(since)
             return
-        if changes.position < since or changes.era != since.era:
+        if changes.era > since.era:
             # The revision that was asked for means another moment in the store's present era.
             await self._read_all(since)
             return
+        self._check_order(changes, since)
         self._consecutive_snapshots = 0
         self._before_apply(self._age_s())
         read_s = self._note_answer(changes, began, wait_s)
@@ -152,12 +155,7 @@
         self.reads += 1
         self._consecutive_snapshots += 1
         changes = await self._feed.snapshot(self._prefix)
-        if changes.position < since:
-            self.store_position = changes.position
-            raise PlatformUnavailableError(
-                f"the store stands at revision {changes.revision} of era {changes.era}, before"
-                f" revision {since.revision} of era {since.era}, which it had reached"
-            )
+        self._check_order(changes, since)
         self._before_apply(self._age_s())
         read_s = self._note_answer(changes, began, 0.0)
         since = self._newest_of_era(since)
@@ -165,6 +163,16 @@
         changed |= await self._read_deletions()
         self._publish(changed, since)
 
+    def _check_order(self, changes: "Changes", since: Position) -> None:
+        """Raises an error if an answer is older than what the store had reached before."""
+        if changes.position >= since:
+            return
+        self.store_position = changes.position
+        raise StaleAnswerError(
+            f"the store stands at revision {changes.revision} of era {changes.era}, before"
+            f" revision {since.revision} of era {since.era}, which it had reached"
+        )
+
     async def _read_deletions(self) -> t.Set[str]:
         """Reads which rows were deleted in the present era, if some are carried that it lacks.
 
