--- a/src/coralfall/traffic/carried_rows.py
+++ b/src/coralfall/traffic/carried_rows.py
@@ -178,17 +178,17 @@
         self._drop([key])
 
     def expire(
-        self, era_age_s: float, found_by_key: t.Callable[[str], t.Optional[RowVersion[ValueT]]]
+        self, era_age_s: float, find: t.Callable[[str], t.Optional[RowVersion[ValueT]]]
     ) -> t.Set[str]:
         """Drops rows that were not written again in time; returns their keys.
 
         :param era_age_s: seconds since the present era began.
-        :param found_by_key: returns the store's row of a key.
+        :param find: returns the store's row of a key.
         """
         expired = {
             key
             for key, lost in self._lost_by_key.items()
-            if era_age_s >= self._rules.hold_s(lost, found_by_key(key))
+            if era_age_s >= self._rules.hold_s(lost, find(key))
         }
         if expired:
             log.many("row.not-rewritten", "keys", sorted(expired), rows=self.name)
@@ -207,13 +207,13 @@
     def merge(
         self,
         rows: t.Iterable[CarriedRow],
-        found_by_key: t.Callable[[str], t.Optional[RowVersion[ValueT]]],
+        find: t.Callable[[str], t.Optional[RowVersion[ValueT]]],
         era_began: Position,
         era_age_s: float,
     ) -> t.Set[str]:
         """Adds rows that another entry carries; returns their keys.
 
-        :param found_by_key: returns the store's row of a key.
+        :param find: returns the store's row of a key.
         :param era_began: position as of which the rows of the present era were first known.
         :param era_age_s: seconds since it began.
         """
@@ -225,7 +225,7 @@
             known = self._lost_by_key.get(row.key)
             if known is not None and not self._is_newer(lost, known):
                 continue
-            found = found_by_key(row.key)
+            found = find(row.key)
             if era_age_s >= self._rules.hold_s(lost, found):
                 continue
             rewritten = found is not None and found.position > era_began
