--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -51,6 +51,8 @@
 #: are judged.
 _BEATS_S = (0.1, 0.5, 2.0)
 _CALM_S = 3.5
+#: Most seconds that a heartbeat comes late.
+_BEAT_S = 0.5
 #: Seconds after which entries know what the store took.
 _KNOWN_S = 2.7
 #: Seconds of a series of kills, and between two of them.
@@ -442,8 +444,16 @@
     await asyncio.gather(*under_way)
 
 
-#: Losses of what the store has taken, beside all other troubles.
-DRILLS: t.Tuple[Trouble, ...] = (come_back_older,)
+async def beat(world: World, rng: random.Random) -> None:
+    """Targets write their rows again, as they do all the time."""
+    await asyncio.sleep(rng.uniform(0.0, _BEAT_S))
+    for target in world.targets:
+        if world.store.mode == "ok" and not target.leaving:
+            world.store.put("servers", target.instance_id, target.listing())
+
+
+#: Losses of what the store has taken, beside all other troubles, and what shows that targets live.
+DRILLS: t.Tuple[Trouble, ...] = (come_back_older, beat)
 
 #: What makes entries retry while they start again and again.
 RETRIES: t.Tuple[Trouble, ...] = (reject_most, kill_in_series)
