Tell that a write may have been done if its answer can't be read

A write that the store had carried out counted as not done if the body of the answer, or now its era, could not be decoded: the error said that it had no effect. Seen by reading; test_a_write_that_was_answered_with_such_an_era_may_have_been_done is red before.

--- a/src/coralfall/platform/store.py
+++ b/src/coralfall/platform/store.py
@@ -15,6 +15,7 @@
     PlatformError,
     PlatformRejectedError,
     PlatformUnavailableError,
+    PlatformUnknownError,
 )
 from ..ids import Era, Revision
 from ..process import log
@@ -123,11 +124,14 @@
         answer = await self._write(body)
         if answer.status not in (200, _STATUS_CONFLICT):
             raise _status_error(answer)
-        result = _decode(answer)
+        try:
+            result, era = _decode(answer), _era(answer)
+        except PlatformUnavailableError as error:
+            # The write was carried out.
+            raise PlatformUnknownError(error.message, **error.fields) from error
         conflicts = tuple([_row(row) for row in result.rows])
         committed = answer.status == 200
-        revision = Revision(result.ver)
-        return TransactResult(committed, revision, conflicts, result.now_s, era=_era(answer))
+        return TransactResult(committed, Revision(result.ver), conflicts, result.now_s, era=era)
 
     async def _read(self, path: str, query: t.Dict[str, str], wait_s: float) -> t.Tuple[_Rows, Era]:
         """Returns the decoded answer, and the era that its revisions belong to."""
--- a/tests/platform_adapter/test_adapter.py
+++ b/tests/platform_adapter/test_adapter.py
@@ -473,6 +473,14 @@
         with self.assertRaisesRegex(PlatformUnavailableError, "Store-Era"):
             run_with_store(scenario)
 
+    def test_a_write_that_was_answered_with_such_an_era_may_have_been_done(self) -> None:
+        async def scenario(standin: StoreStandin, store: RowStore) -> None:
+            standin.era = "new"
+            await store.transact([Write("mine/a", b"1")])
+
+        with self.assertRaisesRegex(PlatformUnknownError, "Store-Era"):
+            run_with_store(scenario)
+
     def test_a_version_that_the_store_lost_is_lost_history(self) -> None:
         async def scenario(standin: StoreStandin, store: RowStore) -> None:
             standin.put("op", "config", config(1))
