Judge in histories that ready targets are used, and keep a lifted evacuation lifted a little longer

A target that is ready, in a zone that is not evacuated, has to be used 8.5 s after both it and the store are there. The operator may take 1.5 s to lift an evacuation again and entries 1.5 s to read it; half of the bound on evacuations was less than that, three fifths are not.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -227,7 +227,7 @@
 #: that the store may have lost.
 START_CONFIRM_S = 1.0
 #: Part of the bound on evacuations for which one stays lifted whose end the store has lost.
-LIFTED_EVACUATION_FRACTION = 0.5
+LIFTED_EVACUATION_FRACTION = 0.6
 #: Time without an answer of the store that counts as an outage.
 STORE_OUTAGE_S = 1.5
 #: Time between two rounds of gossip, and the number of entries that are asked in one.
--- a/tests/traffic/store_history.py
+++ b/tests/traffic/store_history.py
@@ -15,6 +15,8 @@
 RETURN_S = 2.0
 #: Seconds within which entries read a change at the latest, whichever of them is cut off.
 READ_S = 1.5
+#: Seconds after which a target that is ready is used, whatever the store has lost.
+UNUSED_S = BOUND_S + 6.0
 #: Seconds of calm after which all entries agree with the store.
 CALM_S = 18.0
 _LOOK_S = 0.1
@@ -285,6 +287,9 @@
             late = self._is_late(now, max(truth.since, since + grace_s))
             if truth.value is not False and late and entry.uses(target_id):
                 self._blame(entry, f"uses {target_id}, leaving {truth.value} for over {BOUND_S} s")
+            unused_s = now - max(truth.since, since)
+            if truth.value is False and unused_s > UNUSED_S and not entry.uses(target_id):
+                self._judge_unused(entry, int(target_id.removeprefix("t")), now)
         for zone in _ZONES:
             evacuation = self._truth_by_key.get(f"state/evacuate/{zone}")
             if evacuation is None or evacuation.value is None:
@@ -292,6 +297,14 @@
             if now - max(evacuation.since, since) > EVACUATION_BOUND_S:
                 self._judge_zone(entry, zone)
 
+    def _judge_unused(self, entry: StoreEntry, number: int, now: float) -> None:
+        """A target that is ready is used before long, unless its zone is or was evacuated."""
+        zone = self._zone_by_number[number]
+        # Each era begins the limits of what is carried anew.
+        ordered_at = max(self._written_at.get(f"state/evacuate/{zone}", 0.0), self._back_at)
+        if zone not in self._evacuated and now - ordered_at > CALM_S:
+            self._blame(entry, f"does not use t{number}, which is ready")
+
     def _judge_order(self, entry: StoreEntry) -> None:
         """What an entry once knew does not come back older, lost or not."""
         for key, truth in self._truth_by_key.items():
