--- a/src/coralfall/traffic/carried_rows.py
+++ b/src/coralfall/traffic/carried_rows.py
@@ -145,18 +145,21 @@
         self,
         known_by_key: t.Mapping[str, RowVersion[ValueT]],
         found_by_key: t.Mapping[str, RowVersion[ValueT]],
+        era_began: Position,
     ) -> None:
         """Chooses which rows to carry as an era begins.
 
         :param known_by_key: rows and deletions of the eras before.
-        :param found_by_key: rows of the store's copy.
+        :param found_by_key: rows of the store.
+        :param era_began: position as of which the rows of the present era were first known.
         """
         self._lost_by_key = {}
         for key, known in known_by_key.items():
             found = found_by_key.get(key)
             if found is not None and not known.deleted and found.value == known.value:
                 continue
-            if self._outlasts(known, found, rewritten=False):
+            rewritten = found is not None and found.position > era_began
+            if self._outlasts(known, found, rewritten):
                 self._lost_by_key[key] = known
         self._update_checksum()
 
--- a/src/coralfall/traffic/delta.py
+++ b/src/coralfall/traffic/delta.py
@@ -44,8 +44,9 @@
     rows: bytes
     #: Whether ``rows`` is compressed by zlib.
     packed: bool
-    #: Era of all revisions.
+    #: Era of all revisions, and the first of its revisions that the sender knows of.
     era: Era = Era(0)
+    era_revision: t.Optional[Revision] = None
 
     @property
     def position(self) -> Position:
@@ -68,13 +69,22 @@
             raise PeerFrameError(f"can't decode the rows of a delta: {error}") from error
 
 
-def pack(since: Revision, position: Position, rows: t.Sequence[DeltaRow]) -> Delta:
-    """Returns a delta with these rows, compressed if they are long."""
+def pack(
+    since: Revision,
+    position: Position,
+    rows: t.Sequence[DeltaRow],
+    era_revision: t.Optional[Revision] = None,
+) -> Delta:
+    """Returns a delta with these rows, compressed if they are long.
+
+    :param era_revision: first revision of the era as of which rows are known.
+    """
     era, revision = position
     content = _encoder.encode(rows)
     if len(content) < _COMPRESS_BYTES:
-        return Delta(since, revision, content, False, era)
-    return Delta(since, revision, zlib.compress(content, _COMPRESSION_LEVEL), True, era)
+        return Delta(since, revision, content, False, era, era_revision)
+    content = zlib.compress(content, _COMPRESSION_LEVEL)
+    return Delta(since, revision, content, True, era, era_revision)
 
 
 def _decompressed(content: bytes) -> bytes:
--- a/src/coralfall/traffic/replica.py
+++ b/src/coralfall/traffic/replica.py
@@ -51,7 +51,8 @@
         self.carried: CarriedRows[ValueT] = CarriedRows(name, decode, rules or NothingCarried())
         #: Era and revision as of which the rows are known.
         self.position = START
-        #: Revision as of which the rows of the present era were first known.
+        #: Revision as of which the rows of the present era were first known, here or by the entry
+        #: that sent all rows.
         self._era_revision = Revision(0)
         #: Position as of which the rows of the era before were last known.
         self._previous_position = START
@@ -76,15 +77,22 @@
         return held.value if held is not None else None
 
     def apply_snapshot(
-        self, rows: t.Iterable[Row], position: Position, read_s: float
+        self,
+        rows: t.Iterable[Row],
+        position: Position,
+        read_s: float,
+        era_revision: t.Optional[Revision] = None,
     ) -> t.Set[str]:
         """Applies all rows as of a position; returns the keys whose values changed.
 
         :param read_s: time of the store's clock at which the position was the newest.
+        :param era_revision: lowest revision of the era as of which rows were known to whom they
+            come from, if that is not the position's.
         """
         if position < self.position:
             return set()
         if position.era > self.position.era:
+            self._era_revision = position.revision if era_revision is None else era_revision
             return self._begin_era(rows, position, read_s)
         changed: t.Set[str] = set()
         seen: t.Set[str] = set()
@@ -104,7 +112,6 @@
         self._previous_position, self.position, self.read_s = self.position, position, read_s
         self._held_by_key, self.unreadable_keys = {}, set()
         self._tombstones = Tombstones(position)
-        self._era_revision = position.revision
         for row in rows:
             self._put(row, set())
             if row.key not in self._held_by_key and not self._drops_unreadable:
@@ -137,11 +144,12 @@
                 # All rows were known then, and it was not among them.
                 absent = RowVersion[ValueT](self._previous_position, b"", None, deleted=True)
                 known_by_key[key] = absent
-        self.carried.begin_era(known_by_key, self._held_by_key)
+        era_began = Position(self.position.era, self._era_revision)
+        self.carried.begin_era(known_by_key, self._held_by_key, era_began)
         for key, known in known_by_key.items():
             if not (key in self._held_by_key or key in self.carried or key in self._tombstones):
                 # An even older copy may have the row again.
-                self._tombstones.add(key, self.position, known)
+                self._tombstones.add_missing(key, known)
         if self._previous_position > START:
             self._log_era(self._previous_position)
 
@@ -229,7 +237,7 @@
                 # They may end rows of earlier eras that the receiver carries.
                 deletions = self._tombstones.newest_of_era(_MAX_SNAPSHOT_DELETIONS)
                 rows += [DeltaRow(key, removed_at, None) for key, removed_at in deletions.items()]
-            return pack(START.revision, self.position, rows)
+            return pack(START.revision, self.position, rows, self._era_revision)
         rows = [
             DeltaRow(key, held.position.revision, held.data)
             for key, held in self._held_by_key.items()
@@ -263,7 +271,7 @@
         """
         rows = t.cast(t.Iterable[Row], delta.unpack())
         if delta.is_whole:
-            return self.apply_snapshot(rows, delta.position, read_s)
+            return self.apply_snapshot(rows, delta.position, read_s, delta.era_revision)
         return self.apply_changes(rows, delta.position, read_s)
 
     def _advance(self, position: Position, read_s: float) -> None:
--- a/src/coralfall/traffic/tombstones.py
+++ b/src/coralfall/traffic/tombstones.py
@@ -20,6 +20,8 @@
     def __init__(self, began: Position) -> None:
         self._began = began
         self._by_key: t.Dict[str, RowVersion[ValueT]] = {}
+        #: Keys of rows that were missing as the era began.
+        self._missing_keys: t.Set[str] = set()
         #: Oldest revision since which all deletions are known.
         self.oldest_since = began.revision
 
@@ -41,6 +43,7 @@
 
         :param last: the row before it was deleted, if that is known.
         """
+        self._missing_keys.discard(key)
         data, value = (b"", None) if last is None else (last.data, last.value)
         self._by_key[key] = RowVersion(position, data, value, deleted=True)
         while len(self._by_key) > _MAX_TOMBSTONES:
@@ -48,14 +51,18 @@
             dropped = self._by_key.pop(oldest)
             self.oldest_since = max(self.oldest_since, dropped.position.revision)
 
+    def add_missing(self, key: str, last: RowVersion[ValueT]) -> None:
+        """Adds a row that was missing as the era began."""
+        self.add(key, self._began, last)
+        self._missing_keys.add(key)
+
     def discard(self, key: str) -> None:
         """Drops a deletion, since the row is there again."""
         self._by_key.pop(key, None)
 
     def was_deleted_in_era(self, key: str) -> bool:
         """Whether a row was deleted in the era, and not just missing as it began."""
-        tombstone = self._by_key.get(key)
-        return tombstone is not None and tombstone.position != self._began
+        return key in self._by_key and key not in self._missing_keys
 
     def since(self, revision: Revision) -> t.Dict[str, Revision]:
         """Returns the revisions of deletions after a revision, by key."""
