--- a/src/coralfall/traffic/carried_rows.py
+++ b/src/coralfall/traffic/carried_rows.py
@@ -127,7 +127,7 @@
     def __contains__(self, key: str) -> bool:
         return key in self._lost_by_key
 
-    def get(self, key: str) -> t.Optional[ValueT]:
+    def value_of(self, key: str) -> t.Optional[ValueT]:
         """Returns the value of a carried row; ``None`` if it is deleted."""
         return self._lost_by_key[key].in_force
 
@@ -172,7 +172,7 @@
         if lost is not None and not self._outlasts(lost, found, rewritten):
             self._drop([key])
 
-    def get_version(self, key: str) -> t.Optional[RowVersion[ValueT]]:
+    def version_of(self, key: str) -> t.Optional[RowVersion[ValueT]]:
         """Returns a carried row, or ``None`` if there is none."""
         return self._lost_by_key.get(key)
 
@@ -222,7 +222,7 @@
         """
         added = set()
         for row in rows:
-            lost = self._version_of(row)
+            lost = self._decoded(row)
             if lost is None or row.era >= era_began.era:
                 continue
             known = self._lost_by_key.get(row.key)
@@ -267,7 +267,7 @@
             return orders[0] > orders[1]
         return one.position > other.position
 
-    def _version_of(self, row: CarriedRow) -> t.Optional[RowVersion[ValueT]]:
+    def _decoded(self, row: CarriedRow) -> t.Optional[RowVersion[ValueT]]:
         value = None
         if row.data:
             try:
--- a/src/coralfall/traffic/replica.py
+++ b/src/coralfall/traffic/replica.py
@@ -72,7 +72,7 @@
     def get(self, key: str) -> t.Optional[ValueT]:
         """Returns one decoded row, or ``None`` if there is none."""
         if key in self.carried:
-            return self.carried.get(key)
+            return self.carried.value_of(key)
         held = self._held_by_key.get(key)
         return held.value if held is not None else None
 
@@ -341,7 +341,7 @@
         tombstone = self._tombstones.get(key)
         if tombstone is not None and position <= tombstone.position:
             return
-        known = self.carried.get_version(key)
+        known = self.carried.version_of(key)
         if known is not None:
             if position.revision <= min(self._era_revision, known.position.revision):
                 # It may be older than what is carried.
