--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -445,7 +445,8 @@
 class Proxy:
     """Passes connections on to an address, and nothing at all where it is told of a partition.
 
-    It finds out which entry has opened a connection by the owner of the connecting socket.
+    It finds out which entry has opened a connection by the owner of the connecting socket, once a
+    partition makes that matter.
 
     :param target: where connections are passed on to.
     :param owner: group of the target.
@@ -484,14 +485,14 @@
         self._tasks.add(task)
         out: t.Optional[asyncio.StreamWriter] = None
         pumps: t.List["asyncio.Task[None]"] = []
+        caller = _Caller(writer.get_extra_info("peername")[1], self.port, self._entries)
         try:
-            group = self._group_of(writer.get_extra_info("peername")[1])
-            await self._wait_open(group)
+            await self._wait_open(caller)
             host, _, port = self._target.rpartition(":")
             back, out = await asyncio.open_connection(host, int(port))
             pumps = [
-                asyncio.create_task(self._pump(reader, out, group)),
-                asyncio.create_task(self._pump(back, writer, group)),
+                asyncio.create_task(self._pump(reader, out, caller)),
+                asyncio.create_task(self._pump(back, writer, caller)),
             ]
             await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
         except (OSError, asyncio.CancelledError):
@@ -505,24 +506,61 @@
             if out is not None:
                 out.close()
 
-    async def _wait_open(self, group: str) -> None:
-        while self._is_cut(group, self._owner):
+    async def _wait_open(self, caller: "_Caller") -> None:
+        groups = {entry.region for entry in self._entries}
+        while any(self._is_cut(group, self._owner) for group in groups):
+            if not self._is_cut(await caller.find_group(), self._owner):
+                return
             await asyncio.sleep(0.05)
 
     async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, group: str
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, caller: "_Caller"
     ) -> None:
         try:
             while data := await reader.read(65536):
-                await self._wait_open(group)
+                await self._wait_open(caller)
                 writer.write(data)
                 await writer.drain()
         except OSError:
             return
 
-    def _group_of(self, port: int) -> str:
-        """Returns the group of the entry that has a connection from a local port."""
-        inode = _inode_of(port, self.port)
+
+#: Looks at the list of connections, of which one may miss some while it changes.
+_MAX_LOOKS = 5
+
+
+class _Caller:
+    """The entry that has opened a connection.
+
+    :param local_port: its port of the connection.
+    :param remote_port: the other one.
+    :param entries: the entries that may be it.
+    """
+
+    def __init__(self, local_port: int, remote_port: int, entries: t.Sequence[Entry]) -> None:
+        self._row = f"0100007F:{local_port:04X} 0100007F:{remote_port:04X} ".encode()
+        self._entries = entries
+        self._group = ""
+
+    async def find_group(self) -> str:
+        """Returns the region of the entry.
+
+        :raises ConnectionError: if it can't be found, as the entry has closed the connection, or as
+            the list of connections has changed too fast; the connection is to be closed then.
+        """
+        for _ in range(_MAX_LOOKS):
+            self._group = self._group or self._find()
+            if self._group:
+                return self._group
+            await asyncio.sleep(0.02)
+        raise ConnectionError("nobody owns the connection")
+
+    def _find(self) -> str:
+        table = pathlib.Path("/proc/net/tcp").read_bytes()
+        at = table.find(self._row)
+        if at < 0:
+            return ""
+        inode = table[at:].split(b"\n", 1)[0].split()[8].decode()
         for entry in self._entries:
             if entry.process is None or entry.process.poll() is not None:
                 continue
@@ -536,17 +574,6 @@
         return ""
 
 
-def _inode_of(local_port: int, remote_port: int) -> str:
-    with open("/proc/net/tcp", encoding="ascii") as table:
-        for line in table:
-            fields = line.split()
-            if fields[1].endswith(f":{local_port:04X}") and fields[2].endswith(
-                f":{remote_port:04X}"
-            ):
-                return fields[9]
-    return ""
-
-
 def run_case(folder: pathlib.Path, case: t.Callable[..., t.Awaitable[bool]]) -> t.NoReturn:
     """Runs a case, whose result is whether the rule held, and exits with 0, 1 or 2."""
     record = Record(folder)
