--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -574,8 +574,14 @@
         return ""
 
 
+def _interrupt(_number: int, _frame: t.Any) -> t.NoReturn:
+    """Ends the case, and with it all that it has started."""
+    raise KeyboardInterrupt("told to stop")
+
+
 def run_case(folder: pathlib.Path, case: t.Callable[..., t.Awaitable[bool]]) -> t.NoReturn:
     """Runs a case, whose result is whether the rule held, and exits with 0, 1 or 2."""
+    signal.signal(signal.SIGTERM, _interrupt)
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     status = 2
@@ -597,7 +603,7 @@
     with tempfile.TemporaryDirectory() as path:
         try:
             status = 0 if asyncio.run(limited(pathlib.Path(path))) else 1
-        except (CaseError, OSError, TimeoutError) as error:
+        except (CaseError, OSError, TimeoutError, KeyboardInterrupt) as error:
             record.say(f"could not run: {type(error).__name__}: {error}")
         finally:
             for entry in entries:
