--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -526,7 +526,29 @@
 
 
 #: Looks at the list of connections, of which one may miss some while it changes.
-_MAX_LOOKS = 5
+_MAX_LOOKS = 3
+
+
+class _Table:
+    """The kernel's list of connections, read ten times a second at most, as it may be long."""
+
+    def __init__(self) -> None:
+        self._rows = b""
+        self._read_at = -1.0
+
+    async def read(self, since: float) -> bytes:
+        """Returns the list as of a later time."""
+        while self._read_at <= since:
+            wait_s = self._read_at + 0.1 - time.monotonic()
+            if wait_s > 0:
+                await asyncio.sleep(wait_s)
+                continue
+            self._read_at = time.monotonic()
+            self._rows = pathlib.Path("/proc/net/tcp").read_bytes()
+        return self._rows
+
+
+_table = _Table()
 
 
 class _Caller:
@@ -541,6 +563,7 @@
         self._row = f"0100007F:{local_port:04X} 0100007F:{remote_port:04X} ".encode()
         self._entries = entries
         self._group = ""
+        self._opened_at = time.monotonic()
 
     async def find_group(self) -> str:
         """Returns the region of the entry.
@@ -548,15 +571,17 @@
         :raises ConnectionError: if it can't be found, as the entry has closed the connection, or as
             the list of connections has changed too fast; the connection is to be closed then.
         """
+        since = self._opened_at
         for _ in range(_MAX_LOOKS):
-            self._group = self._group or self._find()
+            if not self._group:
+                table = await _table.read(since)
+                self._group = self._find(table)
+                since = time.monotonic()
             if self._group:
                 return self._group
-            await asyncio.sleep(0.02)
         raise ConnectionError("nobody owns the connection")
 
-    def _find(self) -> str:
-        table = pathlib.Path("/proc/net/tcp").read_bytes()
+    def _find(self, table: bytes) -> str:
         at = table.find(self._row)
         if at < 0:
             return ""
