Tell a slow peer from a dead one by what the kernel has unanswered

Cause: TCP_USER_TIMEOUT of 0.4 s on connections to targets, store and entries. Linux counts it from the first window probe on and does not reset it when the probe is answered, so a peer that acknowledges and keeps its window closed is ended like one that is silent. TCP_INFO of both ends, every 4 ms, shows it: probe at 0.47 s answered, ETIMEDOUT at 0.89 s as the second is due; without the option the connection lives. A larger number would notice silent connections later.

Change: DeadPeerDetector reads TCP_INFO from each write on and ends a connection once data in flight, or a window probe that had to be answered, is unanswered for 0.4 s.

Two tests asserted that the option is set. They are replaced by ones that drop all segments of a connection in the kernel and expect the failure in time, and by one that the option is not set where it would end slow targets.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -395,9 +395,9 @@
 AFFINITY_CACHE_OBJECTS = 20_000
 #: Timeout for opening a connection to a target.
 TARGET_CONNECT_S = 0.35
-#: TCP user timeout: time for which sent data may stay unacknowledged before the connection is
-#: closed.
-TCP_USER_TIMEOUT_S = 0.4
+#: Time for which sent data may stay unanswered by the other side's kernel before a connection to
+#: the store, a target or another entry is closed.
+DEAD_PEER_TIMEOUT_S = 0.4
 #: Consecutive failed connections or exchanges after which a target is ejected.
 EJECTION_FAILURES = 3
 #: Time for which a target is ejected, first and longest.
--- a/src/coralfall/peering/channel.py
+++ b/src/coralfall/peering/channel.py
@@ -39,7 +39,7 @@
     PeerUnreachableError,
     PeerVersionError,
 )
-from ..process.sockets import end_when_silent
+from ..process.dead_peer import DeadPeerDetector
 from ..settings import split_address
 from .cipher import (
     PROOF_BYTES,
@@ -117,7 +117,7 @@
         self._ended = False
         self._peer: t.Optional[Hello] = None
         writer.transport.set_write_buffer_limits(high=defaults.PEER_WRITE_BUFFER_BYTES)
-        end_when_silent(writer.transport)
+        self._detector = DeadPeerDetector(writer.transport, defaults.DEAD_PEER_TIMEOUT_S)
 
     @property
     def peer(self) -> Hello:
@@ -211,6 +211,7 @@
     def _write(self, content: bytes) -> None:
         sealed = self._sealer.seal(content)
         self._writer.write(len(sealed).to_bytes(_LENGTH_BYTES, "big") + sealed)
+        self._detector.note_write()
         self._traffic.sent += _LENGTH_BYTES + len(sealed)
 
     async def _read_frame(self) -> bytes:
--- a/src/coralfall/traffic/connection.py
+++ b/src/coralfall/traffic/connection.py
@@ -14,7 +14,7 @@
 
 from .. import defaults
 from ..exceptions import CoralfallError
-from ..process.sockets import end_when_silent
+from ..process.dead_peer import DeadPeerDetector
 
 Headers = t.List[t.Tuple[bytes, bytes]]
 
@@ -72,6 +72,7 @@
         self.keep_alive_s: t.Optional[float] = None
         self._bodiless = False
         self._on_body_bytes: t.Optional[t.Callable[[int], None]] = None
+        self._detector: t.Optional[DeadPeerDetector] = None
         self._reset_parser()
 
     def _reset_parser(self) -> None:
@@ -84,6 +85,11 @@
         self._body_until_close = False
         self._ignore_surplus = False
 
+    def detect_dead_peer(self, timeout_s: float) -> None:
+        """Lets an exchange fail once the server has acknowledged nothing for that time."""
+        assert self._transport is not None
+        self._detector = DeadPeerDetector(self._transport, timeout_s)
+
     @property
     def is_reusable(self) -> bool:
         """Whether another request may be sent on this connection."""
@@ -116,7 +122,7 @@
         response_future = self._response_future
         self.has_received = False
         try:
-            transport.write(head + body if body else head)
+            self._write(head + body if body else head)
             if body_stream is not None:
                 await self._send_body_stream(body_stream, response_future)
             response = await response_future
@@ -135,16 +141,21 @@
     async def _send_body_stream(
         self, body_stream: t.AsyncIterator[bytes], response_future: "asyncio.Future[ServerResponse]"
     ) -> None:
-        assert self._transport is not None
         async for chunk in body_stream:
             if response_future.done():
                 # Early response: the server still expects the rest of the body, so no other
                 # request may follow on this connection.
                 self._reusable = False
                 return
-            self._transport.write(chunk)
+            self._write(chunk)
             await self._writable.wait()
 
+    def _write(self, data: bytes) -> None:
+        assert self._transport is not None
+        self._transport.write(data)
+        if self._detector is not None:
+            self._detector.note_write()
+
     def partial_response(self) -> t.Optional[ServerResponse]:
         """Returns the head of an incomplete response; ``None`` if it was not received."""
         if not self._head_complete:
@@ -154,8 +165,13 @@
     def abort(self) -> None:
         """Closes the connection immediately."""
         self._reusable = False
-        if self._transport is not None:
-            self._transport.abort()
+        if self._transport is None:
+            return
+        if self._detector is not None:
+            self._detector.stop()
+            if self._response_future is not None:
+                self._detector.reset_unsent()
+        self._transport.abort()
 
     # asyncio.Protocol
 
@@ -203,6 +219,8 @@
     def connection_lost(self, exc: t.Optional[Exception]) -> None:
         self._reusable = False
         self._writable.set()
+        if self._detector is not None:
+            self._detector.stop()
         self.lost_in_exchange = (
             self._response_future is not None and not self._response_future.done()
         )
@@ -293,10 +311,10 @@
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout_s):
-        transport, connection = await loop.create_connection(
+        _, connection = await loop.create_connection(
             lambda: ServerConnection(max_body_bytes), host, int(port)
         )
-    end_when_silent(transport)
+    connection.detect_dead_peer(defaults.DEAD_PEER_TIMEOUT_S)
     return connection
 
 
--- a/tests/linked_entry.py
+++ b/tests/linked_entry.py
@@ -18,7 +18,6 @@
 import typing as t
 
 from coralfall import __main__, defaults
-from coralfall.process.sockets import end_when_silent
 from coralfall.traffic import pool
 from coralfall.traffic.connection import ServerConnection
 
@@ -92,10 +91,10 @@
             raise ConnectionRefusedError("refused on the way")
         host, _, port = address.rpartition(":")
         async with asyncio.timeout(timeout_s):
-            transport, connection = await asyncio.get_running_loop().create_connection(
+            _, connection = await asyncio.get_running_loop().create_connection(
                 lambda: _LinkedConnection(self, address, max_body_bytes), host, int(port)
             )
-        end_when_silent(transport)
+        connection.detect_dead_peer(defaults.DEAD_PEER_TIMEOUT_S)
         return connection
 
     async def _reset_connections(self) -> None:
@@ -132,7 +131,7 @@
         if loss not in (Loss.SILENT, Loss.ONE_WAY):
             return await super().exchange(head, *rest, **options)
         # As the kernel does, which gets no acknowledgement of what is sent.
-        end = asyncio.get_running_loop().call_later(defaults.TCP_USER_TIMEOUT_S, self.abort)
+        end = asyncio.get_running_loop().call_later(defaults.DEAD_PEER_TIMEOUT_S, self.abort)
         try:
             if loss is Loss.SILENT:
                 head, rest, options = b"", (b"",), {}
--- a/tests/platform_adapter/test_adapter.py
+++ b/tests/platform_adapter/test_adapter.py
@@ -4,7 +4,6 @@
 import json
 import pathlib
 import re
-import socket
 import time
 import tomllib
 import typing as t
@@ -29,11 +28,12 @@
 from coralfall.platform.rows import PlatformRowCodec
 from coralfall.platform.store import RowStore
 from coralfall.stores.store import Check, Row, Write
-from coralfall.traffic.connection import connect
 from coralfall.traffic.model import DesiredState, RequestKind
 from coralfall.traffic.replica import Replica
 from coralfall.traffic.row_codec import Evacuation
 from coralfall.traffic.settings import BoundSettings, StoreSettings
+from coralfall.traffic.store_connections import StoreConnections
+from tests.blackhole import drop_arriving
 from tests.platform_adapter.standins import StoreStandin, config
 from tests.traffic.makers import at, make_record
 
@@ -363,16 +363,22 @@
 
         self.assertTrue(run_with_store(scenario).committed)
 
-    def test_tcp_user_timeout_is_set(self) -> None:
-        async def scenario(standin: StoreStandin, store: RowStore) -> t.Any:
-            connection = await connect(standin.address, 1.0, 1000)
-            assert connection._transport is not None
-            raw_socket = connection._transport.get_extra_info("socket")
-            timeout_ms = raw_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
-            connection.abort()
-            return timeout_ms
-
-        self.assertEqual(defaults.TCP_USER_TIMEOUT_S * 1000, run_with_store(scenario))
+    def test_write_fails_in_time_if_its_connection_goes_silent(self) -> None:
+        async def scenario() -> float:
+            def accept(_reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                drop_arriving([writer.get_extra_info("socket")])
+
+            server = await asyncio.start_server(accept, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            connections = StoreConnections(f"{host}:{port}", timeout_s=10.0)
+            began = time.monotonic()
+            with self.assertRaises(PlatformUnknownError):
+                # More than can arrive before the connection is silent.
+                await connections.write(b"POST / HTTP/1.1\r\n\r\n", b"1" * 8_000_000, "/")
+            server.close()
+            return time.monotonic() - began
+
+        self.assertLess(asyncio.run(scenario()), 2 * defaults.DEAD_PEER_TIMEOUT_S)
 
 
 class StoreTest(unittest.TestCase):
--- a/tests/platform_adapter/test_cut_entries.py
+++ b/tests/platform_adapter/test_cut_entries.py
@@ -108,13 +108,17 @@
 Scenario = t.Callable[[Fleet], t.Awaitable[None]]
 
 
-def run_fleet(scenario: Scenario, entries: int = 4) -> None:
+def run_fleet(
+    scenario: Scenario,
+    entries: int = 4,
+    instance_type: t.Type[InstanceStandin] = InstanceStandin,
+) -> None:
     """Runs a scenario with entries and six instances of each of two services."""
 
     async def main() -> None:
         with tempfile.TemporaryDirectory() as folder:
             async with StoreStandin() as store:
-                instances = [InstanceStandin(f"i-{number}") for number in range(12)]
+                instances = [instance_type(f"i-{number}") for number in range(12)]
                 for number, instance in enumerate(instances):
                     await instance.__aenter__()
                     row = instance.row(f"s{number // 6 + 1}", ZONES[number % len(ZONES)])
--- a/tests/platform_adapter/test_processes.py
+++ b/tests/platform_adapter/test_processes.py
@@ -120,10 +120,12 @@
         path: str = "/p/1",
         body: t.Optional[bytes] = None,
         key: t.Optional[str] = None,
+        deadline_ms: int = 2000,
     ) -> t.Tuple[int, bytes, str]:
         """Sends a request to an entry; returns status, body and the id of the request.
 
         :param key: tenant key to send as the credential, if any.
+        :param deadline_ms: for how long the caller says that it waits.
         """
         self._sent += 1
         request_id = f"{entry.name}-{self._sent}"
@@ -131,7 +133,7 @@
             "Host": "a.example",
             "X-Request-Id": request_id,
             "Cookie": "X-Affinity-Key=17",
-            "X-Request-Deadline": "2000",
+            "X-Request-Deadline": str(deadline_ms),
             "Connection": "close",
         }
         if key is not None:
--- a/tests/stream_server.py
+++ b/tests/stream_server.py
@@ -1,6 +1,7 @@
 """A server of streams on loopback: the part that stand-ins which speak raw bytes share."""
 
 import asyncio
+import socket
 import typing as t
 
 
@@ -35,6 +36,10 @@
         """Whether new connections are taken."""
         return self._server.is_serving()
 
+    def open_sockets(self) -> t.List[socket.socket]:
+        """The sockets of all connections."""
+        return [writer.get_extra_info("socket") for writer in self._writers]
+
     def go_down(self) -> None:
         """Refuse new connections and end all open ones, as when a process ends."""
         self.stop_listening()
--- a/tests/traffic/test_connection.py
+++ b/tests/traffic/test_connection.py
@@ -15,6 +15,7 @@
     ServerResponse,
     connect,
 )
+from tests.blackhole import drop_arriving
 from tests.traffic.scripted_target import ScriptedTarget
 from tests.traffic.test_forwarder import ok
 
@@ -136,7 +137,7 @@
 
 class SocketOptionsTest(unittest.TestCase):
     @parameterized.expand([("asyncio", asyncio.new_event_loop), ("uvloop", Loop)])
-    def test_no_probes_by_which_the_user_timeout_would_end_idle_connections(
+    def test_kernel_ends_neither_idle_connections_nor_those_to_slow_targets(
         self, _name: str, make_loop: t.Callable[[], asyncio.AbstractEventLoop]
     ) -> None:
         async def options() -> t.Tuple[int, int]:
@@ -150,4 +151,25 @@
                 return keep_alive, timeout_ms
 
         with asyncio.Runner(loop_factory=make_loop) as runner:
-            self.assertEqual((0, defaults.TCP_USER_TIMEOUT_S * 1000), runner.run(options()))
+            self.assertEqual((0, 0), runner.run(options()))
+
+
+class SilentTargetTest(unittest.TestCase):
+    @parameterized.expand([("asyncio", asyncio.new_event_loop), ("uvloop", Loop)])
+    def test_exchange_on_a_silent_connection_fails_in_time(
+        self, _name: str, make_loop: t.Callable[[], asyncio.AbstractEventLoop]
+    ) -> None:
+        async def failure() -> t.Tuple[str, bool]:
+            async with ScriptedTarget(ok) as target:
+                connection = await connect(target.address, 5.0, 1000)
+                await connection.exchange(b"GET /1 HTTP/1.1\r\n\r\n", b"")
+                drop_arriving(target.open_sockets())
+                try:
+                    async with asyncio.timeout(2 * defaults.DEAD_PEER_TIMEOUT_S):
+                        await connection.exchange(b"GET /2 HTTP/1.1\r\n\r\n", b"")
+                except BrokenResponseError as error:
+                    return error.message, connection.lost_in_exchange
+            raise AssertionError("an answer on a silent connection")
+
+        with asyncio.Runner(loop_factory=make_loop) as runner:
+            self.assertEqual(("connection closed", True), runner.run(failure()))
