Give a peer up only if it takes no byte, not if many messages wait for it

What callers saw: requests carried by another entry, or answers of one, ended 502 while that entry took bytes, if what waited for its stream took over 5 s: 16 MiB may be under way to one entry, and a link of 5 Mbit/s takes 27 s for them.

Cause: the limit of 5 s on a send included the wait for earlier sends, and its end cut the stream with all requests on it.

Change: the limit counts from the last byte that the other side took.

Measured: test_a_receiver_that_takes_bytes_slowly_is_not_given_up, 30 messages of 1 MB to a receiver that takes one in 0.12 s, limit 0.8 s: PeerTimeoutError before, all arrive with the change. A receiver that takes none is given up as before.

--- a/src/coralfall/peering/channel.py
+++ b/src/coralfall/peering/channel.py
@@ -134,7 +134,7 @@
         """Send a message; returns when it was handed over or the write buffer has room.
 
         :raises PeerFrameError: if the message is too long; nothing was sent, the channel lives.
-        :raises PeerTimeoutError: if the other side did not take it in time.
+        :raises PeerTimeoutError: if the other side took no byte for ``PEER_SEND_TIMEOUT_S``.
         :raises PeerClosedError: if the stream was closed or cut.
         """
         content = encode_message(message)
@@ -144,12 +144,8 @@
                 f"message of {size} bytes is over the limit of {defaults.MAX_FRAME_BYTES}"
             )
         try:
-            async with asyncio.timeout(defaults.PEER_SEND_TIMEOUT_S):
-                async with self._send_lock:
-                    await self._write_frame(content)
-        except TimeoutError as error:
-            self.abort()
-            raise PeerTimeoutError("the other side takes no more bytes") from error
+            async with self._send_lock:
+                await self._write_frame(content)
         except OSError as error:
             self.abort()
             raise PeerClosedError(f"the stream was cut: {error}") from error
@@ -206,7 +202,22 @@
         if self._writer.is_closing():
             raise PeerClosedError("the stream is closed")
         self._write(content)
-        await self._writer.drain()
+        await self._drain()
+
+    async def _drain(self) -> None:
+        transport = self._writer.transport
+        unsent = transport.get_write_buffer_size()
+        while True:
+            try:
+                async with asyncio.timeout(defaults.PEER_SEND_TIMEOUT_S):
+                    await self._writer.drain()
+                    return
+            except TimeoutError as error:
+                left = transport.get_write_buffer_size()
+                if left >= unsent:
+                    self.abort()
+                    raise PeerTimeoutError("the other side takes no more bytes") from error
+                unsent = left
 
     def _write(self, content: bytes) -> None:
         sealed = self._sealer.seal(content)
--- a/tests/peering/test_channel.py
+++ b/tests/peering/test_channel.py
@@ -328,6 +328,17 @@
                     await dialed.send(big)
         self.assertTrue(dialed.closed)
 
+    async def test_a_receiver_that_takes_bytes_slowly_is_not_given_up(self) -> None:
+        dialed, accepted = await self.meet(KEY, HELLO)
+        big = messages.ObjectAnswer(digest="d", data=bytes(1_000_000))
+        count = 30
+        with mock.patch.object(defaults, "PEER_SEND_TIMEOUT_S", 0.8):
+            sends = [asyncio.create_task(dialed.send(big)) for _ in range(count)]
+            for _ in range(count):
+                await asyncio.sleep(0.12)
+                self.assertEqual(big, await accepted.receive())
+            await asyncio.gather(*sends)
+
     async def test_cancelled_receive_closes(self) -> None:
         dialed, _ = await self.meet(KEY, HELLO)
         with self.assertRaises(TimeoutError):
