--- a/src/coralfall/forwarding/half_closed.py
+++ b/src/coralfall/forwarding/half_closed.py
@@ -34,7 +34,6 @@
         """
         connection = _HalfClosed(self, transport, address, waiting)
         self._open_by_address.setdefault(address, set()).add(connection)
-        detect_dead_peer(transport)
         transport.set_protocol(connection)
         # The protocol before may have stopped reading in the middle of a body.
         if not transport.is_reading():
@@ -119,6 +118,9 @@
         self.transport = transport
         self.address = address
         self.waiting = waiting
+        self._detector = detect_dead_peer(transport)
 
     def connection_lost(self, exc: t.Optional[Exception]) -> None:
+        if exc is None and self._detector.has_ended_it:
+            exc = TimeoutError("the target acknowledges nothing")
         self._owner.lost(self, exc)
--- a/src/coralfall/forwarding/target_check.py
+++ b/src/coralfall/forwarding/target_check.py
@@ -64,13 +64,16 @@
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        detect_dead_peer(transport)
+        self._detector = detect_dead_peer(transport)
         # uvloop's transports have no such base class.
         t.cast(asyncio.Transport, transport).write_eof()
 
     def connection_lost(self, exc: t.Optional[Exception]) -> None:
-        if not self.lost.done():
-            self.lost.set_result(exc)
+        if self.lost.done():
+            return
+        if exc is None and self._detector.has_ended_it:
+            exc = TimeoutError("the target acknowledges nothing")
+        self.lost.set_result(exc)
 
 
 async def is_serving_or_gone(address: str) -> bool:
--- a/src/coralfall/process/dead_peer.py
+++ b/src/coralfall/process/dead_peer.py
@@ -95,6 +95,8 @@
         self._timeout_s = timeout_s
         self._tracker = AckTracker(timeout_s)
         self._timer: t.Optional[asyncio.TimerHandle] = None
+        #: Whether it has ended the connection, which its protocol is told of without an error.
+        self.has_ended_it = False
         self._socket: t.Optional[socket.socket] = transport.get_extra_info("socket")
         if self._socket is None:
             return
@@ -160,6 +162,7 @@
             probes=state.probes,
             acked_ago_s=round(state.acked_ago_s, 3),
         )
+        self.has_ended_it = True
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         self._transport.abort()
 
--- a/tests/forwarding/test_half_closed.py
+++ b/tests/forwarding/test_half_closed.py
@@ -12,6 +12,7 @@
 from coralfall.exceptions import TargetNotRunError, TargetTimeoutError, TargetUnknownError
 from coralfall.forwarding.upstream import Upstream
 from tests import loopback
+from tests.blackhole import drop_arriving
 from tests.forwarding.test_dispatch import until
 from tests.forwarding.test_upstream import CLOCK, Case
 
@@ -172,6 +173,25 @@
             takes_connections.set()
             await self.is_released()
 
+    async def test_a_connection_that_goes_silent_is_not_one_that_the_target_ended(self) -> None:
+        target = BusyTarget()
+        sockets = []
+
+        async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            sockets.append(writer.get_extra_info("socket"))
+            await target(reader, writer)
+
+        async with loopback.raw_target(silent) as address:
+            asked = asyncio.ensure_future(self.ask(address, seconds=TIMEOUT_S))
+            await until(lambda: target.requests == 1)
+            drop_arriving(sockets)
+            asked.cancel()
+            with self.assertRaises(asyncio.CancelledError):
+                await asked
+            await until(lambda: not self.upstream._half_closed._open_by_address)
+            self.assertEqual((self.steering.in_use, self.upstream.given_up_count), (1, 1))
+        await self.is_released()
+
     async def test_not_before_the_deadline(self) -> None:
         """Guards against a target that has not heard of the cancellation and serves on."""
         target = BusyTarget()
--- a/tests/process/test_dead_peer.py
+++ b/tests/process/test_dead_peer.py
@@ -13,6 +13,7 @@
 from coralfall.process import dead_peer
 from coralfall.process.dead_peer import AckTracker, DeadPeerDetector
 from coralfall.process.fastloop import Loop
+from coralfall.process.sockets import detect_dead_peer
 from coralfall.process.tcp_state import TcpState, read_tcp_state
 from tests.blackhole import drop_arriving
 
@@ -227,6 +228,43 @@
 
         self.assertFalse(run(make_loop, scenario))
 
+    @parameterized.expand(LOOPS)
+    def test_a_half_closed_connection_to_a_paused_target_is_kept(
+        self, _name: str, make_loop: t.Callable[[], asyncio.AbstractEventLoop]
+    ) -> None:
+        async def scenario(pair: Pair) -> bool:
+            detect_dead_peer(pair.transport)
+            pair.transport.write(b"u" * 300_000)
+            pair.transport.write_eof()
+            await asyncio.sleep(4.0)
+            return pair.sender.lost_at.done()
+
+        with mock.patch.object(defaults, "DEAD_TARGET_TIMEOUT_S", 1.0):
+            self.assertFalse(run(make_loop, scenario))
+
+    @parameterized.expand(
+        [
+            (f"{name}, {what}", make_loop, size)
+            for name, make_loop in LOOPS
+            for what, size in (("idle", 0), ("with data that waits", 300_000))
+        ]
+    )
+    def test_a_half_closed_connection_to_a_lost_target_is_ended(
+        self, _name: str, make_loop: t.Callable[[], asyncio.AbstractEventLoop], size: int
+    ) -> None:
+        async def scenario(pair: Pair) -> None:
+            detect_dead_peer(pair.transport)
+            if size:
+                pair.transport.write(b"u" * size)
+                await asyncio.sleep(0.5)
+            drop_arriving([pair.peer])
+            pair.transport.write_eof()
+            async with asyncio.timeout(10.0):
+                await pair.sender.lost_at
+
+        with mock.patch.object(defaults, "DEAD_TARGET_TIMEOUT_S", 1.0):
+            run(make_loop, scenario)
+
     def test_the_kernel_decides_where_it_reports_too_little(self) -> None:
         async def scenario(pair: Pair) -> int:
             opened: socket.socket = pair.transport.get_extra_info("socket")
