Linger for callers that pause while they send a body that nobody reads

What callers saw: a caller whose request was answered before its body was whole (a refusal, or a target's early answer), and that goes on sending with pauses, found its connection reset and no answer; a 429 or 503 is a promise that it lost.

Cause: the rest of a body was dropped for 1 s in all, then the connection was closed with bytes unread or on their way, which resets it.

Change: it is dropped until nothing came for 3 s (1 s while the server stops), for 10 s and 64 MiB at most; before, the number of bytes had no bound.

Measured: a caller that pauses twice for 1.5 s: an error before, the answer with the change, on both loops.

--- a/src/coralfall/http/protocol.py
+++ b/src/coralfall/http/protocol.py
@@ -22,9 +22,13 @@
 
 Header = t.Tuple[bytes, bytes]
 
-#: Seconds for which a refused caller's bytes are read and dropped. Closing a connection with
-#: unread bytes would reset it, and the caller might never see why.
-LINGER_S = 1.0
+#: Seconds without a byte until which a refused caller's bytes are read and dropped. Closing a
+#: connection with unread bytes would reset it, and the caller might never see why.
+LINGER_S = 3.0
+#: The same while the server stops, and the most seconds and bytes for which a caller may go on.
+STOPPING_LINGER_S = 1.0
+MAX_LINGER_S = 10.0
+MAX_LINGER_BYTES = 64 * 1024 * 1024
 #: Connections above the bound that are still told so; those beyond are cut at once.
 OVERFLOW = 64
 #: Seconds after which a caller that found no free connection may come back.
@@ -145,6 +149,9 @@
         self._head_timer: t.Optional[asyncio.TimerHandle] = None
         # Whether what still comes is dropped.
         self._deaf = False
+        self._linger_until = 0.0
+        self._last_received_at = 0.0
+        self._dropped_bytes = 0
 
     @property
     def _settings(self) -> "HttpSettings":
@@ -172,6 +179,7 @@
 
     def data_received(self, data: bytes) -> None:
         if self._deaf:
+            self._drop(data)
             return
         self._unset_keepalive_if_required()
         self._shared.mark_busy(self)
@@ -383,7 +391,28 @@
 
     def _close_after_lingering(self) -> None:
         self.transport.write_eof()
-        self.loop.call_later(LINGER_S, self.transport.close)
+        now = self.loop.time()
+        self._last_received_at = now
+        self._linger_until = now + MAX_LINGER_S
+        self._linger()
+
+    def _linger(self) -> None:
+        if self.transport.is_closing():
+            return
+        idle_s = STOPPING_LINGER_S if self._shared.stopping else LINGER_S
+        until = min(self._last_received_at + idle_s, self._linger_until)
+        seconds = until - self.loop.time()
+        if seconds <= 0:
+            self.transport.close()
+            return
+        # Looked at again soon, since the server may stop meanwhile.
+        self.loop.call_later(min(seconds, STOPPING_LINGER_S), self._linger)
+
+    def _drop(self, data: bytes) -> None:
+        self._last_received_at = self.loop.time()
+        self._dropped_bytes += len(data)
+        if self._dropped_bytes > MAX_LINGER_BYTES:
+            self.transport.close()
 
 
 def _refusal_of(error: httptools.HttpParserError) -> _RefusedError:
--- a/tests/callers_http/test_server.py
+++ b/tests/callers_http/test_server.py
@@ -359,6 +359,26 @@
         caller.send(b"a" * 1000)
         self.assertEqual(await caller.rest(), b"")
 
+    async def test_a_caller_that_pauses_within_a_refused_body_sees_the_answer(self) -> None:
+        caller = await self.connect()
+        caller.send(b"POST /early HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n")
+        for _ in range(2):
+            await asyncio.sleep(1.5)
+            caller.send(b"a" * 1000)
+        await asyncio.sleep(0.1)
+        self.assertEqual((await caller.answer()).body, b"/early ")
+
+    async def test_a_refused_caller_that_sends_without_end_is_cut(self) -> None:
+        with mock.patch.object(protocol, "MAX_LINGER_BYTES", 100_000):
+            caller = await self.connect()
+            caller.send(b"POST /early HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n")
+            self.assertEqual((await caller.answer()).body, b"/early ")
+            with self.assertRaises(ConnectionError):
+                async with asyncio.timeout(PATIENCE_S):
+                    while True:
+                        caller.send(b"a" * 10_000)
+                        await caller.writer.drain()
+
 
 @ON_BOTH_LOOPS
 class BoundsTest(ServerTest):
