Take the parsing of a response out of the connection

No change of behaviour: ResponseParser reads one response, ServerConnection sends requests and watches the transport.

--- a/src/coralfall/platform/store.py
+++ b/src/coralfall/platform/store.py
@@ -20,7 +20,8 @@
 from ..ids import Era, Revision
 from ..process import log
 from ..stores.store import Changes, Check, Feed, Row, Table, TransactResult, Write
-from ..traffic.connection import ServerResponse, encode_head
+from ..traffic.connection import encode_head
+from ..traffic.response_parser import ServerResponse
 from ..traffic.settings import StoreSettings
 from ..traffic.store_connections import StoreConnections
 from . import names
--- a/src/coralfall/traffic/connection.py
+++ b/src/coralfall/traffic/connection.py
@@ -10,41 +10,9 @@
 import socket
 import typing as t
 
-import httptools
-
 from .. import defaults
-from ..exceptions import CoralfallError
 from ..process.dead_peer import DeadPeerDetector
-
-Headers = t.List[t.Tuple[bytes, bytes]]
-
-_NO_BODY_STATUSES = frozenset((204, 304))
-_FIRST_FINAL_STATUS = 200
-
-
-class BrokenResponseError(CoralfallError):
-    """The connection ended, or received invalid HTTP, before the response was complete."""
-
-    code = "answer-broken"
-
-
-class ServerResponse:
-    """A complete response."""
-
-    __slots__ = ("body", "headers", "status")
-
-    def __init__(self, status: int, headers: Headers, body: bytes) -> None:
-        self.status = status
-        #: Names in lower case.
-        self.headers = headers
-        self.body = body
-
-    def header(self, name: bytes) -> t.Optional[bytes]:
-        """Returns the first value of a header, whose name is given in lower case."""
-        for field, value in self.headers:
-            if field == name:
-                return value
-        return None
+from .response_parser import BrokenResponseError, ResponseParser, ServerResponse
 
 
 class ServerConnection(asyncio.Protocol):
@@ -70,20 +38,8 @@
         self.last_used_at = 0.0
         #: Idle timeout of the server, if it sent a ``Keep-Alive`` header.
         self.keep_alive_s: t.Optional[float] = None
-        self._bodiless = False
-        self._on_body_bytes: t.Optional[t.Callable[[int], None]] = None
         self._detector: t.Optional[DeadPeerDetector] = None
-        self._reset_parser()
-
-    def _reset_parser(self) -> None:
-        self._parser = httptools.HttpResponseParser(self)
-        self._headers: Headers = []
-        self._head_bytes = 0
-        self._body = bytearray()
-        self._status = 0
-        self._head_complete = False
-        self._body_until_close = False
-        self._ignore_surplus = False
+        self._parser = ResponseParser(max_body_bytes)
 
     def detect_dead_peer(self, timeout_s: float) -> None:
         """Lets an exchange fail once the server has acknowledged nothing for that time."""
@@ -117,8 +73,7 @@
         assert transport is not None and self._response_future is None
         loop = asyncio.get_running_loop()
         self._response_future = loop.create_future()
-        self._bodiless = bodiless
-        self._on_body_bytes = on_body_bytes
+        self._parser = ResponseParser(self._max_body_bytes, bodiless, on_body_bytes)
         response_future = self._response_future
         self.has_received = False
         try:
@@ -132,9 +87,7 @@
         finally:
             self._response_future = None
         self.completed_exchanges += 1
-        if self._reusable:
-            self._reset_parser()
-        else:
+        if not self._reusable:
             self.abort()
         return response
 
@@ -158,9 +111,7 @@
 
     def partial_response(self) -> t.Optional[ServerResponse]:
         """Returns the head of an incomplete response; ``None`` if it was not received."""
-        if not self._head_complete:
-            return None
-        return ServerResponse(self._status, self._headers, b"")
+        return self._parser.head
 
     def abort(self) -> None:
         """Closes the connection immediately."""
@@ -191,20 +142,31 @@
             return
         self.has_received = True
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._fail("the server switched protocols")
-        except httptools.HttpParserError as error:
-            self._fail(f"not an answer: {error}")
+            self._parser.feed(data)
+        except BrokenResponseError as error:
+            self._fail(error)
+            return
+        self._take_progress()
+
+    def _take_progress(self) -> None:
+        parser = self._parser
+        if not parser.keeps_connection:
+            self._reusable = False
+        if parser.keep_alive_s is not None:
+            self.keep_alive_s = parser.keep_alive_s
+        if parser.complete and self._response_future is not None:
+            self._response_future.set_result(parser.response)
 
     def eof_received(self) -> bool:
         self._reusable = False
-        if self._response_future is None or not self._head_complete or not self._body_until_close:
+        if self._response_future is None or self._response_future.done():
             return False
-        if self._was_reset():
-            self._fail("connection reset within an answer without a length")
-        else:
-            self._complete()
+        if self._parser.body_until_close and self._was_reset():
+            message = "connection reset within an answer without a length"
+            self._fail(BrokenResponseError(message))
+            return False
+        self._parser.end()
+        self._take_progress()
         return False
 
     def _was_reset(self) -> bool:
@@ -224,82 +186,13 @@
         self.lost_in_exchange = (
             self._response_future is not None and not self._response_future.done()
         )
-        self._fail(f"connection lost: {exc}" if exc else "connection closed")
-
-    # httptools
-
-    def on_message_begin(self) -> None:
-        if self._response_future is None or self._response_future.done():
-            # A message that follows a complete response belongs to no request.
-            self._reusable = False
-            self._ignore_surplus = True
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if self._ignore_surplus:
-            return
-        self._head_bytes += len(name) + len(value)
-        if self._head_bytes > defaults.MAX_ANSWER_HEAD_BYTES:
-            self._fail("head too long")
-            return
-        self._headers.append((name.lower(), value))
-
-    def on_headers_complete(self) -> None:
-        self._status = self._parser.get_status_code()
-        if self._status < _FIRST_FINAL_STATUS:
-            self._headers = []
-            return
-        if self._response_future is None or self._response_future.done():
-            return
-        self._head_complete = True
-        self._check_persistence()
-        if self._bodiless:
-            self._reusable = False
-            self._complete()
-
-    def _check_persistence(self) -> None:
-        names = set()
-        for name, value in self._headers:
-            names.add(name)
-            if name == b"connection" and b"close" in value.lower():
-                self._reusable = False
-            elif name == b"keep-alive":
-                self._read_keep_alive(value)
-        framed = b"content-length" in names or b"transfer-encoding" in names
-        self._body_until_close = not framed and self._status not in _NO_BODY_STATUSES
-        if self._body_until_close or not self._parser.should_keep_alive():
-            self._reusable = False
-
-    def _read_keep_alive(self, value: bytes) -> None:
-        for part in value.split(b","):
-            key, _, number = part.strip().partition(b"=")
-            if key.lower() == b"timeout" and number.isdigit():
-                self.keep_alive_s = float(number)
-
-    def on_body(self, body: bytes) -> None:
-        if self._response_future is None or self._response_future.done():
-            return
-        if len(self._body) + len(body) > self._max_body_bytes:
-            self._fail("body too long")
-            return
-        self._body += body
-        if self._on_body_bytes is not None:
-            self._on_body_bytes(len(body))
-
-    def on_message_complete(self) -> None:
-        if self._head_complete and not self._body_until_close:
-            self._complete()
-
-    def _complete(self) -> None:
-        if self._response_future is None or self._response_future.done():
-            return
-        self._response_future.set_result(
-            ServerResponse(self._status, self._headers, bytes(self._body))
-        )
+        message = f"connection lost: {exc}" if exc else "connection closed"
+        self._fail(BrokenResponseError(message))
 
-    def _fail(self, message: str) -> None:
+    def _fail(self, error: BrokenResponseError) -> None:
         self._reusable = False
         if self._response_future is not None and not self._response_future.done():
-            self._response_future.set_exception(BrokenResponseError(message))
+            self._response_future.set_exception(error)
 
 
 async def connect(address: str, timeout_s: float, max_body_bytes: int) -> ServerConnection:
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -42,8 +42,8 @@
     from ..placement.retry_budget import SharedRetryBudget
     from ..placement.targets import TargetRegistry, TargetState
     from ..process.clock import Clock
-    from .connection import ServerResponse
     from .crash_detector import CrashDetector
+    from .response_parser import ServerResponse
     from .target_connections import TargetConnections
     from .target_permits import TargetPermit, TargetPermits
     from .target_selection import TargetSelector
--- a/src/coralfall/traffic/reply.py
+++ b/src/coralfall/traffic/reply.py
@@ -17,7 +17,7 @@
 from ..ids import Outcome
 
 if t.TYPE_CHECKING:
-    from .connection import Headers, ServerResponse
+    from .response_parser import Headers, ServerResponse
 
 _STRIPPED_HEADERS = HOP_BY_HOP | {b"content-length", b"date"}
 #: ``Retry-After`` in seconds if the error names none.
--- a/src/coralfall/traffic/response_check.py
+++ b/src/coralfall/traffic/response_check.py
@@ -11,7 +11,7 @@
 if t.TYPE_CHECKING:
     from ..placement.affinity import AffinitySteering
     from ..placement.targets import TargetRegistry, TargetState
-    from .connection import ServerResponse
+    from .response_parser import ServerResponse
     from .steered_request import Attempt, SteeredRequest
     from .target_report_reader import TargetReportReader
     from .wire import HeaderNames
--- a/src/coralfall/traffic/steered_request.py
+++ b/src/coralfall/traffic/steered_request.py
@@ -12,8 +12,8 @@
     from ..placement.retry_budget import RetryPermit
     from ..placement.target_reports import TargetReport
     from .answer_memory import HeldAnswer
-    from .connection import Headers
     from .model import Route, Tenant
+    from .response_parser import Headers
     from .retry_policy import RetryVerdict
     from .target_permits import TargetPermit
 
--- a/src/coralfall/traffic/store_connections.py
+++ b/src/coralfall/traffic/store_connections.py
@@ -5,7 +5,8 @@
 
 from .. import defaults
 from ..exceptions import PlatformUnavailableError, PlatformUnknownError
-from .connection import BrokenResponseError, ServerConnection, ServerResponse, connect
+from .connection import ServerConnection, connect
+from .response_parser import BrokenResponseError, ServerResponse
 
 _MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 
--- a/src/coralfall/traffic/target_connections.py
+++ b/src/coralfall/traffic/target_connections.py
@@ -15,9 +15,10 @@
     from ..ids import EntryId, RegionId
     from ..placement.reachability import Reachability
     from ..placement.targets import TargetState
-    from .connection import ServerConnection, ServerResponse
+    from .connection import ServerConnection
     from .pool import ConnectionPool
     from .reach_checks import ReachChecks
+    from .response_parser import ServerResponse
     from .transit_client import TransitClient
 
 #: Reason of an attempt that failed on the way to the target, which says nothing about the target.
--- a/src/coralfall/traffic/target_exchange.py
+++ b/src/coralfall/traffic/target_exchange.py
@@ -5,7 +5,8 @@
 
 from .. import defaults
 from ..exceptions import TargetNotRunError, TargetTimeoutError, TargetUnknownError
-from .connection import BrokenResponseError, ServerConnection, ServerResponse
+from .connection import ServerConnection
+from .response_parser import BrokenResponseError, ServerResponse
 
 if t.TYPE_CHECKING:
     from ..placement.targets import TargetRegistry, TargetState
--- a/src/coralfall/traffic/target_report_reader.py
+++ b/src/coralfall/traffic/target_report_reader.py
@@ -17,8 +17,8 @@
 
 if t.TYPE_CHECKING:
     from ..process.clock import Clock
-    from .connection import ServerResponse
     from .model import Target
+    from .response_parser import ServerResponse
     from .wire import HeaderNames
 
 #: Statuses of rejections, which may name a cooldown.
--- a/src/coralfall/traffic/tenants.py
+++ b/src/coralfall/traffic/tenants.py
@@ -7,8 +7,8 @@
 
 if t.TYPE_CHECKING:
     from ..ids import RegionId, TenantId
-    from .connection import Headers
     from .model import Route, Tenant
+    from .response_parser import Headers
     from .settings import BoundSettings
     from .state_view import StateView
     from .wire import HeaderNames
--- a/src/coralfall/traffic/transit_client.py
+++ b/src/coralfall/traffic/transit_client.py
@@ -24,8 +24,8 @@
 from ..placement.transit_choice import choose_transit
 from ..process import log
 from ..process.child import Child
-from .connection import ServerResponse
 from .messages import TransitCancel, TransitOutcome, TransitReply, TransitRequest
+from .response_parser import ServerResponse
 from .target_connections import BUSY, NO_PATH, TargetConnection
 from .target_exchange import OutgoingRequest
 
--- a/src/coralfall/traffic/transit_server.py
+++ b/src/coralfall/traffic/transit_server.py
@@ -29,10 +29,10 @@
     from ..placement.reachability import Reachability
     from ..placement.targets import TargetRegistry, TargetState
     from ..process.clock import Clock
-    from .connection import ServerResponse
     from .crash_detector import CrashDetector
     from .pool import ConnectionPool
     from .response_check import ResponseCheck
+    from .response_parser import ServerResponse
     from .wire import HeaderNames
 
 
--- a/tests/traffic/test_connection.py
+++ b/tests/traffic/test_connection.py
@@ -9,12 +9,8 @@
 
 from coralfall import defaults
 from coralfall.process.fastloop import Loop
-from coralfall.traffic.connection import (
-    BrokenResponseError,
-    ServerConnection,
-    ServerResponse,
-    connect,
-)
+from coralfall.traffic.connection import ServerConnection, connect
+from coralfall.traffic.response_parser import BrokenResponseError, ServerResponse
 from tests.blackhole import drop_arriving
 from tests.traffic.scripted_target import ScriptedTarget
 from tests.traffic.test_forwarder import ok
--- a/tests/traffic/test_log_volume.py
+++ b/tests/traffic/test_log_volume.py
@@ -11,8 +11,8 @@
 from coralfall.process import log
 from coralfall.process.clock import ManualClock
 from coralfall.settings import LogSettings
-from coralfall.traffic.connection import ServerResponse
 from coralfall.traffic.members import Members
+from coralfall.traffic.response_parser import ServerResponse
 from coralfall.traffic.target_report_reader import TargetReportReader
 from tests.traffic.makers import SteeringFixture, make_record, make_target, seeded_rng
 
--- a/tests/traffic/test_target_reports.py
+++ b/tests/traffic/test_target_reports.py
@@ -10,8 +10,8 @@
 from coralfall.placement.targets import TargetRegistry
 from coralfall.platform.names import HEADERS
 from coralfall.process.clock import ManualClock
-from coralfall.traffic.connection import ServerResponse
 from coralfall.traffic.model import Target
+from coralfall.traffic.response_parser import ServerResponse
 from coralfall.traffic.target_report_reader import TargetReportReader
 from tests.traffic.makers import make_target
 
