Bound what an answer costs while it is received, in bytes, memory and time

What callers saw: one bad target of three at 50 requests a second for 8 s, answers without end. Header value: 163 of 400 requests refused and 26 timed out, those of the good targets too, 491 MB more memory. 1xx heads: 220 of 400 lost. Tiny chunks: 170 lost.

Cause: httptools gathers a line before it hands it on, so a head was bounded only once a field was whole, and each piece was copied with all before it. 1xx heads, chunk extensions and trailers had no bound. Bodies had one each, none together. What the kernel had ready was parsed in one go.

Change: bytes that are no body are counted before they are parsed: 64 KiB for a head with its interim ones and between two pieces of a body, and 16 for each byte of the body beyond that. Parts that cost a call each have a rate of their own, and a connection yields after 64 KiB. A cut answer is judged as any broken one. Trailers no longer come out as headers of the answer.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -414,6 +414,10 @@
 #: Maximum number of connections of callers, and the minimum however few files there are.
 MAX_CALLER_CONNECTIONS = 3000
 MIN_CALLER_CONNECTIONS = 32
+#: Memory of a process in MB if its settings don't tell it, and the fraction of it that answers may
+#: take while they are received.
+MEMORY_MB = 256
+RECEIVED_MEMORY_FRACTION = 0.125
 #: Idle time for which a connection to a target is reused.
 TARGET_IDLE_TIMEOUT_S = 3.0
 #: Time that must be left until a request's deadline for it to be sent to a target.
@@ -422,8 +426,18 @@
 STEER_RETRY_AFTER_S = 0.1
 #: Maximum size of a request body that is buffered whole.
 MAX_BUFFERED_UPLOAD_BYTES = 2 * 1024 * 1024
-#: Maximum size of the head (status line and headers) of a target's answer.
+#: Maximum size of the head (status line and headers, interim answers included) of an answer of a
+#: target or the store, and of all that comes between two pieces of its body.
 MAX_ANSWER_HEAD_BYTES = 64 * 1024
+#: Maximum size of what frames a body (chunk sizes, extensions, trailers) beyond that, by byte of
+#: the body.
+MAX_FRAMING_PER_BODY_BYTE = 16
+#: Maximum number of bytes of an answer that are parsed at a time.
+ANSWER_SLICE_BYTES = 16 * 1024
+#: Parts of an answer (header fields, pieces of the body) that may be parsed at once, and the
+#: maximum rate of further parts, of all answers together.
+FREE_ANSWER_PARTS = 64
+MAX_ANSWER_PARTS_PER_S = 50_000
 #: Time that a connection to a target may take before its service is suspected to be unreachable.
 REACH_SLOW_CONNECT_S = 0.15
 #: Time that a suspicion waits for a connection to any target of the service, time limit of a probe,
--- a/src/coralfall/traffic/connection.py
+++ b/src/coralfall/traffic/connection.py
@@ -12,19 +12,31 @@
 
 from .. import defaults
 from ..process.dead_peer import DeadPeerDetector
+from .receive_budget import ReceiveBudget, ReceivedBytes
 from .response_parser import BrokenResponseError, ResponseParser, ServerResponse
 
+#: Bytes after which other connections get their turn.
+_MAX_PARSED_AT_ONCE = 64 * 1024
+
 
 class ServerConnection(asyncio.Protocol):
     """A connection to a server; opened by :func:`connect`.
 
     :param max_body_bytes: size limit of a response's body.
+    :param budget: that its responses count toward.
     """
 
-    def __init__(self, max_body_bytes: int) -> None:
+    def __init__(self, max_body_bytes: int, budget: t.Optional[ReceiveBudget] = None) -> None:
         self._max_body_bytes = max_body_bytes
+        self._budget = budget if budget is not None else ReceiveBudget(max_body_bytes)
+        self._received: t.Optional[ReceivedBytes] = None
+        #: Bytes that were received and are not parsed yet.
+        self._unparsed = b""
+        self._is_paused = False
+        self._parse_timer: t.Optional[asyncio.TimerHandle] = None
         self._transport: t.Optional[asyncio.Transport] = None
         self._response_future: t.Optional[asyncio.Future[ServerResponse]] = None
+        self._address = ""
         self._reusable = True
         #: Number of successful exchanges.
         self.completed_exchanges = 0
@@ -75,6 +87,7 @@
         self._response_future = loop.create_future()
         self._parser = ResponseParser(self._max_body_bytes, bodiless, on_body_bytes)
         response_future = self._response_future
+        self._received = ReceivedBytes(self._budget, self._address, self._cut_off)
         self.has_received = False
         try:
             self._write(head + body if body else head)
@@ -86,6 +99,7 @@
             raise
         finally:
             self._response_future = None
+            self._received.release()
         self.completed_exchanges += 1
         if not self._reusable:
             self.abort()
@@ -118,6 +132,7 @@
         self._reusable = False
         if self._transport is None:
             return
+        self._drop_unparsed()
         if self._detector is not None:
             self._detector.stop()
             if self._response_future is not None:
@@ -128,6 +143,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = t.cast(asyncio.Transport, transport)
+        name = transport.get_extra_info("peername")
+        self._address = f"{name[0]}:{name[1]}" if name else ""
 
     def pause_writing(self) -> None:
         self._writable.clear()
@@ -141,12 +158,58 @@
             self.abort()
             return
         self.has_received = True
-        try:
-            self._parser.feed(data)
-        except BrokenResponseError as error:
-            self._fail(error)
+        self._unparsed += data
+        if self._parse_timer is None:
+            self._parse()
+
+    def _parse(self) -> None:
+        """Parses what was received, as much at a time as the budget allows."""
+        self._parse_timer = None
+        size = min(len(self._unparsed), _MAX_PARSED_AT_ONCE)
+        for start in range(0, size, defaults.ANSWER_SLICE_BYTES):
+            end = min(size, start + defaults.ANSWER_SLICE_BYTES)
+            parts = self._parser.parts
+            try:
+                self._parser.feed(self._unparsed[start:end])
+            except BrokenResponseError as error:
+                self._fail(error)
+                return
+            self._take_progress()
+            if self._response_future is None or self._response_future.done():
+                if end < len(self._unparsed):
+                    # Bytes after a complete response belong to no request.
+                    self._reusable = False
+                self._drop_unparsed()
+                return
+            now = asyncio.get_running_loop().time()
+            pause_s = self._budget.pause_for_parts(now, self._parser.parts - parts)
+            if pause_s:
+                self._pause_parsing(end, pause_s)
+                return
+        if size >= _MAX_PARSED_AT_ONCE:
+            self._pause_parsing(size, 0.0)
             return
-        self._take_progress()
+        self._drop_unparsed()
+
+    def _pause_parsing(self, parsed: int, seconds: float) -> None:
+        self._unparsed = self._unparsed[parsed:]
+        assert self._transport is not None
+        if not self._is_paused and not self._transport.is_closing():
+            self._transport.pause_reading()
+            self._is_paused = True
+        self._parse_timer = asyncio.get_running_loop().call_later(seconds, self._parse)
+
+    def _drop_unparsed(self) -> None:
+        """Forgets what is not parsed, and reads on."""
+        self._unparsed = b""
+        if self._parse_timer is not None:
+            self._parse_timer.cancel()
+            self._parse_timer = None
+        if self._is_paused:
+            self._is_paused = False
+            assert self._transport is not None
+            if not self._transport.is_closing():
+                self._transport.resume_reading()
 
     def _take_progress(self) -> None:
         parser = self._parser
@@ -154,8 +217,10 @@
             self._reusable = False
         if parser.keep_alive_s is not None:
             self.keep_alive_s = parser.keep_alive_s
-        if parser.complete and self._response_future is not None:
-            self._response_future.set_result(parser.response)
+        assert self._response_future is not None and self._received is not None
+        self._received.grow_to(parser.body_bytes)
+        if parser.complete and not self._response_future.done():
+            self._response_future.set_result(parser.take_response())
 
     def eof_received(self) -> bool:
         self._reusable = False
@@ -189,23 +254,36 @@
         message = f"connection lost: {exc}" if exc else "connection closed"
         self._fail(BrokenResponseError(message))
 
+    def _cut_off(self) -> None:
+        message = f"answers being received would take more than {self._budget.limit} bytes"
+        self._fail(BrokenResponseError(message))
+
     def _fail(self, error: BrokenResponseError) -> None:
         self._reusable = False
+        self._drop_unparsed()
+        self._parser.drop_body()
         if self._response_future is not None and not self._response_future.done():
             self._response_future.set_exception(error)
 
 
-async def connect(address: str, timeout_s: float, max_body_bytes: int) -> ServerConnection:
+async def connect(
+    address: str,
+    timeout_s: float,
+    max_body_bytes: int,
+    budget: t.Optional[ReceiveBudget] = None,
+) -> ServerConnection:
     """Opens a connection to a server.
 
     :param address: ``ip:port``.
+    :param max_body_bytes: size limit of a response's body.
+    :param budget: that its responses count toward, with those of other connections.
     :raises OSError: if the connection fails; ``TimeoutError`` if it takes too long.
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout_s):
         _, connection = await loop.create_connection(
-            lambda: ServerConnection(max_body_bytes), host, int(port)
+            lambda: ServerConnection(max_body_bytes, budget), host, int(port)
         )
     connection.detect_dead_peer(defaults.DEAD_PEER_TIMEOUT_S)
     return connection
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -35,6 +35,7 @@
 from .poll_intervals import PollIntervals, poll_intervals_for
 from .pool import ConnectAttempt, ConnectionPool
 from .quotas import Quotas
+from .receive_budget import ReceiveBudget
 from .registry import Registry
 from .start_gate import StartGate
 from .state_view import StateView
@@ -111,7 +112,7 @@
         self._start_gate = StartGate(self.state_view, self.members, clock)
         self.retry_share = FleetShare(settings.entry_id, settings.bounds, clock)
         self.budget = SharedRetryBudget(settings.bounds, self.retry_share, clock)
-        self.pool = ConnectionPool(clock)
+        self.pool = ConnectionPool(clock, ReceiveBudget(settings.max_received_bytes()))
         self.targets.on_restart = self.pool.discard_connections
         self.crash_detector = CrashDetector(self.targets, self.pool, clock)
         self.crash_detector.on_crash = self._note_crash
--- a/src/coralfall/traffic/pool.py
+++ b/src/coralfall/traffic/pool.py
@@ -12,6 +12,7 @@
 from .. import defaults
 from ..exceptions import TargetNotRunError
 from .connection import ServerConnection, connect
+from .receive_budget import ReceiveBudget
 
 if t.TYPE_CHECKING:
     from ..process.clock import Clock
@@ -58,12 +59,14 @@
     may close it at the same moment. A connection that was opened in advance and has carried none is
     as good as a new one.
 
+    :param budget: bounds the answers that are being received.
     :param clock: measures idle times. It must go on while the VM is suspended, as targets close
         idle connections in the meantime.
     """
 
-    def __init__(self, clock: "Clock") -> None:
+    def __init__(self, clock: "Clock", budget: t.Optional[ReceiveBudget] = None) -> None:
         self._clock = clock
+        self.budget = budget if budget is not None else ReceiveBudget(_MAX_ANSWER_BYTES)
         self._idle: t.Dict[str, t.List[ServerConnection]] = {}
         #: Connections to distant targets that were opened in advance, by address.
         self._preconnected: t.Dict[str, ServerConnection] = {}
@@ -106,7 +109,7 @@
             defaults.REACH_SLOW_CONNECT_S, self.on_slow_connect, target
         )
         try:
-            connection = await connect(target.address, timeout_s, _MAX_ANSWER_BYTES)
+            connection = await connect(target.address, timeout_s, _MAX_ANSWER_BYTES, self.budget)
         except (OSError, asyncio.TimeoutError) as error:
             if isinstance(error, OSError) and error.errno in _LOCAL_ERRNOS:
                 # The cause is on this entry, not at the target.
--- /dev/null
+++ b/src/coralfall/traffic/receive_budget.py
@@ -0,0 +1,87 @@
+"""Receive budget: bounds what answers that are being received cost together, in memory and time.
+
+Memory is bounded by cutting off the largest answer of the server that sends most (a per-source
+fair share under overload), so that servers with small answers notice nothing. Time is bounded by a
+token bucket for the parts that the parser has to handle one by one.
+"""
+
+import typing as t
+
+from .. import defaults
+
+
+class ReceivedBytes:
+    """The bytes of one answer that is being received.
+
+    :param budget: that they count toward.
+    :param source: address of the server.
+    :param cut_off: ends the answer.
+    """
+
+    def __init__(self, budget: "ReceiveBudget", source: str, cut_off: t.Callable[[], None]) -> None:
+        self._budget = budget
+        self.source = source
+        self.cut_off = cut_off
+        self.count = 0
+
+    def grow_to(self, count: int) -> None:
+        """Counts all bytes that were received so far."""
+        self._budget.add(self, count - self.count)
+
+    def release(self) -> None:
+        """Gives back all bytes, as the answer has ended."""
+        self._budget.remove(self)
+
+
+class ReceiveBudget:
+    """Bytes and parts of all answers that are being received.
+
+    :param limit: most bytes at a time.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.held = 0
+        #: Number of answers that were cut off.
+        self.cut_off_count = 0
+        self._counted: t.Set[ReceivedBytes] = set()
+        self._parts_paid_at = 0.0
+
+    def add(self, received: ReceivedBytes, count: int) -> None:
+        """Counts bytes of an answer, and cuts answers off while there are too many."""
+        received.count += count
+        self.held += count
+        self._counted.add(received)
+        while self.held > self.limit:
+            largest = self._largest_of_heaviest_source()
+            self.cut_off_count += 1
+            self.remove(largest)
+            largest.cut_off()
+
+    def remove(self, received: ReceivedBytes) -> None:
+        """Forgets an answer."""
+        self._counted.discard(received)
+        self.held -= received.count
+        received.count = 0
+
+    def pause_for_parts(self, now: float, parts: int) -> float:
+        """Returns the seconds that the receiver of an answer has to wait after parsing it.
+
+        :param now: monotonic time.
+        :param parts: number of parts parsed at once.
+        """
+        excess = parts - defaults.FREE_ANSWER_PARTS
+        if excess <= 0:
+            return 0.0
+        self._parts_paid_at = max(now, self._parts_paid_at)
+        self._parts_paid_at += excess / defaults.MAX_ANSWER_PARTS_PER_S
+        return self._parts_paid_at - now
+
+    def _largest_of_heaviest_source(self) -> ReceivedBytes:
+        held_by_source: t.Dict[str, int] = {}
+        for one in self._counted:
+            held_by_source[one.source] = held_by_source.get(one.source, 0) + one.count
+        heaviest = max(held_by_source, key=lambda source: held_by_source[source])
+        return max(
+            [one for one in self._counted if one.source == heaviest], key=lambda one: one.count
+        )
--- a/src/coralfall/traffic/response_parser.py
+++ b/src/coralfall/traffic/response_parser.py
@@ -1,4 +1,8 @@
-"""Response parser: reads one HTTP/1.1 response with httptools, and decides how it ends."""
+"""Response parser: reads one HTTP/1.1 response with httptools, and decides how it ends.
+
+httptools gathers a line before it hands it on, and drops chunk extensions unseen. So the bytes of
+whatever is no body are counted before they are parsed, and the parser is fed in slices.
+"""
 
 import typing as t
 
@@ -57,10 +61,14 @@
         self._on_body_bytes = on_body_bytes
         self._parser = httptools.HttpResponseParser(self)
         self._headers: Headers = []
-        self._head_bytes = 0
         self._body = bytearray()
+        #: Bytes received so far that are no body, and those since the last byte of the body.
+        self._framing_bytes = 0
+        self._stalled_bytes = 0
         self._status = 0
         self._problem: t.Optional[str] = None
+        #: Number of parts that were parsed: header fields, heads, and pieces of the body.
+        self.parts = 0
         #: Whether the head of the final response was received.
         self.head_complete = False
         #: Whether the response is complete.
@@ -72,27 +80,50 @@
         #: Idle timeout of the server, if it sent a ``Keep-Alive`` header.
         self.keep_alive_s: t.Optional[float] = None
 
-    @property
-    def response(self) -> ServerResponse:
-        """The response as far as it was received."""
-        return ServerResponse(self._status, self._headers, bytes(self._body))
+    def take_response(self) -> ServerResponse:
+        """Returns the response as far as it was received, and forgets its body."""
+        body = bytes(self._body)
+        self.drop_body()
+        return ServerResponse(self._status, self._headers, body)
+
+    def drop_body(self) -> None:
+        """Frees the memory of the body."""
+        self._body = bytearray()
 
     @property
     def head(self) -> t.Optional[ServerResponse]:
         """The response without its body; ``None`` if its head was not received."""
         return ServerResponse(self._status, self._headers, b"") if self.head_complete else None
 
+    @property
+    def body_bytes(self) -> int:
+        """Bytes of the body that were received."""
+        return len(self._body)
+
     def feed(self, data: bytes) -> None:
-        """Takes bytes from the connection.
+        """Takes a slice of at most ``ANSWER_SLICE_BYTES`` from the connection.
 
-        :raises BrokenResponseError: if they are no valid response.
+        :raises BrokenResponseError: if the response is not valid, or a part of it is too long.
         """
+        body_bytes = len(self._body)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._fail("the server switched protocols")
         except httptools.HttpParserError as error:
             self._fail(self._problem or f"not an answer: {error}")
+        self._check_framing(len(data), len(self._body) - body_bytes)
+
+    def _check_framing(self, size: int, body_size: int) -> None:
+        if self.complete:
+            return
+        self._framing_bytes += size - body_size
+        self._stalled_bytes = 0 if body_size else self._stalled_bytes + size
+        limit = defaults.MAX_ANSWER_HEAD_BYTES
+        if self._stalled_bytes > limit:
+            self._fail("framing too long" if self.head_complete else "head too long")
+        if self._framing_bytes > limit + defaults.MAX_FRAMING_PER_BODY_BYTE * len(self._body):
+            self._fail("framing too long")
 
     def end(self) -> None:
         """Takes in that the server has ended the connection."""
@@ -117,14 +148,13 @@
             self.keeps_connection = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self.complete:
-            return
-        self._head_bytes += len(name) + len(value)
-        if self._head_bytes > defaults.MAX_ANSWER_HEAD_BYTES:
-            self._refuse("head too long")
-        self._headers.append((name.lower(), value))
+        self.parts += 1
+        # A trailer is no header of the response.
+        if not self.head_complete:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
+        self.parts += 1
         if self.complete:
             return
         self._status = self._parser.get_status_code()
@@ -157,6 +187,7 @@
                 self.keep_alive_s = float(number)
 
     def on_body(self, body: bytes) -> None:
+        self.parts += 1
         if self.complete:
             return
         if len(self._body) + len(body) > self._max_body_bytes:
--- a/src/coralfall/traffic/settings.py
+++ b/src/coralfall/traffic/settings.py
@@ -125,6 +125,8 @@
     link_mbps: NonNegative = 0.0
     #: Most files and connections that the process may have open at a time.
     max_files: NonNegative = defaults.MAX_FILES
+    #: Most memory that the process may use, in MB.
+    memory_mb: NonNegative = defaults.MEMORY_MB
     #: ``ip:port`` to serve metrics on; they are not served if it is not given.
     metrics_address: t.Optional[str] = None
     #: Name of the installation, the same for all its entries and different from that of any other
@@ -169,6 +171,10 @@
         limit = int(min(defaults.MAX_CALLER_CONNECTIONS, free))
         return max(defaults.MIN_CALLER_CONNECTIONS, limit)
 
+    def max_received_bytes(self) -> int:
+        """Returns the most bytes of answers that are being received from targets at a time."""
+        return int(self.memory_mb * 1024 * 1024 * defaults.RECEIVED_MEMORY_FRACTION)
+
     def cold_limit_per_s(self, warmup_per_s: float) -> float:
         """Returns the requests a second that a cold target may get from all entries together."""
         return warmup_per_s * self.bounds.cold_overage + self.bounds.cold_slack
--- a/tests/linked_entry.py
+++ b/tests/linked_entry.py
@@ -20,6 +20,7 @@
 from coralfall import __main__, defaults
 from coralfall.traffic import pool
 from coralfall.traffic.connection import ServerConnection
+from coralfall.traffic.receive_budget import ReceiveBudget
 
 LINKS_VARIABLE = "LINKS_FILE"
 _POLL_S = 0.01
@@ -77,7 +78,9 @@
         is_concerned = not self._addresses or address in self._addresses
         return self._loss if is_concerned else Loss.NONE
 
-    async def connect(self, address: str, timeout_s: float, max_body_bytes: int) -> t.Any:
+    async def connect(
+        self, address: str, timeout_s: float, max_body_bytes: int, budget: ReceiveBudget
+    ) -> t.Any:
         """Stands in for :func:`coralfall.traffic.connection.connect`."""
         if self._poller is None:
             self._poller = asyncio.create_task(self._reset_connections())
@@ -92,7 +95,7 @@
         host, _, port = address.rpartition(":")
         async with asyncio.timeout(timeout_s):
             _, connection = await asyncio.get_running_loop().create_connection(
-                lambda: _LinkedConnection(self, address, max_body_bytes), host, int(port)
+                lambda: _LinkedConnection(self, address, max_body_bytes, budget), host, int(port)
             )
         connection.detect_dead_peer(defaults.DEAD_PEER_TIMEOUT_S)
         return connection
@@ -108,8 +111,10 @@
 class _LinkedConnection(ServerConnection):
     """A connection to a target that may be lost."""
 
-    def __init__(self, links: _Links, address: str, max_body_bytes: int) -> None:
-        super().__init__(max_body_bytes)
+    def __init__(
+        self, links: _Links, address: str, max_body_bytes: int, budget: ReceiveBudget
+    ) -> None:
+        super().__init__(max_body_bytes, budget)
         self._links = links
         self.address = address
 
