Notice a silent connection by the end of its stream, too

Cause: the kernel's time of the last data sent does not count the end of a stream, so it lay before the acknowledgement of the request, and nothing seemed unanswered. The test passes where both fall into one tick of the kernel, as they do on an idle machine.

Change: a segment that was sent again since the last look, with none received, is unanswered. Row of AckTrackerTest, which fails without the change.

--- a/src/coralfall/process/dead_peer.py
+++ b/src/coralfall/process/dead_peer.py
@@ -37,6 +37,7 @@
         self._timeout_s = timeout_s
         self._segments_in = -1
         self._probes = 0
+        self._retransmits = 0
         self._observed_at: t.Optional[float] = None
         #: Monotonic time from which on something is unanswered; ``None`` if nothing is.
         self.unanswered_since: t.Optional[float] = None
@@ -47,12 +48,14 @@
             self._segments_in = state.segments_in
             self.unanswered_since = None
             self._probes = 0
+            self._retransmits = state.retransmits
         if self.unanswered_since is None:
             if _has_unanswered_data(state):
                 self.unanswered_since = now - state.sent_ago_s
-            elif self._has_unanswered_probe(now, state):
+            elif state.retransmits > self._retransmits or self._has_unanswered_probe(now, state):
                 self.unanswered_since = now
         self._probes = state.probes
+        self._retransmits = state.retransmits
         self._observed_at = now
 
     def time_left_s(self, now: float) -> float:
--- a/tests/process/test_dead_peer.py
+++ b/tests/process/test_dead_peer.py
@@ -61,6 +61,15 @@
                 [(0.1, state(0.1, 5.0, in_flight=1)), (0.4, state(0.4, 0.1, 3, in_flight=0))],
                 TIMEOUT_S,
             ),
+            (
+                "end of the stream, which is no data, sent again",
+                [
+                    (0.1, state(5.0, 4.9, in_flight=1)),
+                    (0.2, state(5.1, 5.0, in_flight=1, retransmits=1)),
+                    (0.6, state(5.5, 5.4, in_flight=1, retransmits=2)),
+                ],
+                0.0,
+            ),
             (
                 "window closed",
                 [(n / 10, state(n / 10, n / 10, unsent=9)) for n in range(1, 20)],
