Bound what targets send beside a body (coralfall entry)

What was seen: interim answers without end stood the loop still for 0.9 to 1.05 s (one target, server in the same process); empty lines and chunk extensions without end were read until the deadline, up to 122 MB in 2 s.

Cause: aiohttp bounds lines and their number, not these.

--- a/src/coralfall/forwarding/upstream.py
+++ b/src/coralfall/forwarding/upstream.py
@@ -17,6 +17,7 @@
 from .. import defaults
 from ..balancing.steering import AttemptResult
 from ..exceptions import RefusedError, TargetNotRunError
+from .bounded_response import BoundedConnector
 from .exchange import EXCHANGE_ERRORS, Exchange, OutgoingRequest, TargetRequest
 from .half_closed import HalfClosedConnections
 from .request import READ_METHODS, RequestBody
@@ -46,10 +47,8 @@
     def __init__(self, steering: "Steering", clock: "Clock") -> None:
         self._steering = steering
         self._clock = clock
-        self._kept = aiohttp.TCPConnector(
-            limit=0, keepalive_timeout=defaults.CONNECTION_IDLE_TIMEOUT_S
-        )
-        self._fresh = aiohttp.TCPConnector(limit=0, force_close=True)
+        self._kept = BoundedConnector(limit=0, keepalive_timeout=defaults.CONNECTION_IDLE_TIMEOUT_S)
+        self._fresh = BoundedConnector(limit=0, force_close=True)
         self._open_by_address: t.Dict[str, int] = {}
         self._exchanges: t.Set[Exchange] = set()
         self._half_closed = HalfClosedConnections()
--- a/src/coralfall/traffic/response_parser.py
+++ b/src/coralfall/traffic/response_parser.py
@@ -10,6 +10,7 @@
 
 from .. import defaults
 from ..exceptions import CoralfallError
+from ..http.framing import FramingLimit
 
 Headers = t.List[t.Tuple[bytes, bytes]]
 
@@ -62,9 +63,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers: Headers = []
         self._body = bytearray()
-        #: Bytes received so far that are no body, and those since the last byte of the body.
-        self._framing_bytes = 0
-        self._stalled_bytes = 0
+        self._framing = FramingLimit(defaults.MAX_ANSWER_HEAD_BYTES)
         self._status = 0
         self._problem: t.Optional[str] = None
         #: Number of parts that were parsed: header fields, heads, and pieces of the body.
@@ -117,13 +116,9 @@
     def _check_framing(self, size: int, body_size: int) -> None:
         if self.complete:
             return
-        self._framing_bytes += size - body_size
-        self._stalled_bytes = 0 if body_size else self._stalled_bytes + size
-        limit = defaults.MAX_ANSWER_HEAD_BYTES
-        if self._stalled_bytes > limit:
-            self._fail("framing too long" if self.head_complete else "head too long")
-        if self._framing_bytes > limit + defaults.MAX_FRAMING_PER_BODY_BYTE * len(self._body):
-            self._fail("framing too long")
+        problem = self._framing.add(size, body_size)
+        if problem is not None:
+            self._fail(problem)
 
     def end(self) -> None:
         """Takes in that the server has ended the connection."""
--- a/tests/forwarding/test_upstream.py
+++ b/tests/forwarding/test_upstream.py
@@ -24,6 +24,7 @@
 from coralfall.forwarding.upstream import Upstream
 from coralfall.process.clock import Clock, ManualClock, SystemClock
 from tests import loopback
+from tests.traffic.test_endless_answers import ENDLESS, ENDLESS_ANSWERS, EndlessTarget
 
 ANSWERED = AttemptResult.ANSWERED
 NOT_RUN = AttemptResult.NOT_RUN
@@ -419,3 +420,29 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class EndlessAnswerTest(Case):
+    """Targets that send bytes without end in a part of an answer that is no body."""
+
+    @parameterized.expand(
+        [one for one in ENDLESS_ANSWERS if one[0] not in ("body with a length", "chunks")]
+    )
+    async def test_answer_without_end_is_cut_off(
+        self, _name: str, start: bytes, piece: bytes
+    ) -> None:
+        async with EndlessTarget(start, piece) as target:
+            with self.assertRaises(TargetUnknownError) as caught:
+                async with asyncio.timeout(20.0):
+                    exchange = await self.send(target.address, seconds=10.0)
+                    while await exchange.piece():
+                        continue
+            self.assertNotIsInstance(caught.exception, TargetTimeoutError)
+            self.assertLess(target.sent, ENDLESS)
+
+    async def test_interim_answers_and_tiny_chunks_pass(self) -> None:
+        interim = b"HTTP/1.1 100 Continue\r\n\r\n" * 20
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        body = b"1;x=y\r\na\r\n" * 30_000 + b"0\r\n\r\n"
+        async with loopback.raw_target(Script(interim + head + body)) as address:
+            self.assertEqual(b"a" * 30_000, await self.ask(address))
