--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,6 +1,7 @@
 """A TCP proxy on loopback that delays, cuts, silences, resets and refuses connections."""
 
 import asyncio
+import random
 import socket
 import struct
 import typing as t
@@ -35,6 +36,10 @@
         #: Whether bytes towards the target, and those from it, stay where they are.
         self.cut_up = False
         self.cut_down = False
+        #: Seconds for which it pauses as it reads what goes to the target, and how often it does.
+        self.read_pause_s = 0.0
+        self.read_pause_share = 0.0
+        self._rng = random.Random(0)
         self._links: t.Set[_Link] = set()
 
     def heal(self) -> None:
@@ -86,6 +91,8 @@
         try:
             while True:
                 data = await reader.read(_PIECE_BYTES)
+                if up and self._rng.random() < self.read_pause_share:
+                    await asyncio.sleep(self.read_pause_s)
                 while link.silent or (self.cut_up if up else self.cut_down):  # noqa: ASYNC110
                     await asyncio.sleep(0.02)
                 if self.delay_s:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,7 +10,16 @@
 from tests.soak.callers import Caller
 from tests.soak.record import DEADLY, SLOW, Record, Sort, Tenant
 from tests.soak.rules import TIMED, TIMELESS, broken
-from tests.soak.troubles import CUTS, DRILLS, LOADS, RETRIES, TROUBLES, WORDS, Trouble
+from tests.soak.troubles import (
+    CUTS,
+    DRILLS,
+    LOADS,
+    PEERS,
+    RETRIES,
+    TROUBLES,
+    WORDS,
+    Trouble,
+)
 from tests.soak.world import World, strangers
 
 #: Seconds that entries may take to be ready at the start and once all troubles are over.
@@ -34,6 +43,8 @@
 _RETRY_GAP_S = (0.5, 3.0)
 #: Seconds between two cuts of entries from targets.
 _CUT_GAP_S = (2.0, 12.0)
+#: Seconds between two beginnings of a trouble of targets that read slowly or send without end.
+_PEER_GAP_S = (2.0, 8.0)
 #: Seconds for which a request may fail once all is well again, and the pause between two tries.
 _WELL_S = 20.0
 _TRY_S = 0.1
@@ -82,6 +93,8 @@
             calling.append(asyncio.create_task(_repeat(world, cut, seed, _CUT_GAP_S)))
         for load in LOADS:
             calling.append(asyncio.create_task(_repeat(world, load, seed, _LOAD_GAP_S)))
+        for peer in PEERS:
+            calling.append(asyncio.create_task(_repeat(world, peer, seed, _PEER_GAP_S)))
         if deadly:
             calling.append(asyncio.create_task(_send_deadly(world, callers[0], seed)))
         beside = [_play_beside(world, one, seed, seconds) for one in RETRIES if retries]
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -14,6 +14,8 @@
 #: Seconds after which a process that ended is back.
 _BACK_S = 1.0
 _QUEUE = 6
+#: Size of its receive window, which an upload does not fit into.
+_WINDOW_BYTES = 8 * 1024
 
 
 class SoakTarget(InstanceStandin):
@@ -46,7 +48,11 @@
         self.reject_share = 0.0
         #: Whether what it rejects while it asks for a cooldown is proved not to have run.
         self.proves = True
+        #: What it sends again and again in place of answers, if anything, and how it begins.
+        self.endless: t.Optional[t.Tuple[bytes, bytes]] = None
+        self.endless_pause_s = 0.0
         self.proxy = Proxy("")
+        self.proxy.receive_bytes = _WINDOW_BYTES
         #: Called once it is back under another id, with the one that it had.
         self.on_restart: t.Callable[[str], None] = lambda instance_id: None
         self._restarts = 0
@@ -119,7 +125,15 @@
         await self.proxy.come_back()
         self.on_restart(previous)
 
+    async def _send_without_end(self, received: ReceivedRequest, start: bytes, rest: bytes) -> None:
+        await received.send(start)
+        while True:
+            await received.send(rest)
+            await asyncio.sleep(self.endless_pause_s)
+
     async def _answer(self, received: ReceivedRequest) -> None:
+        if self.endless is not None:
+            await self._send_without_end(received, *self.endless)
         if self._rng.random() < self.lose:
             received.reset()
             return
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -13,6 +13,7 @@
 from tests.soak.record import Cut, ReportedLimit, Sort, Tenant
 from tests.soak.targets import SLOTS, SoakTarget
 from tests.soak.world import SERVICES, SoakEntry, World
+from tests.traffic.test_endless_answers import ENDLESS_ANSWERS
 
 Trouble = t.Callable[[World, random.Random], t.Awaitable[None]]
 
@@ -35,6 +36,13 @@
 
 #: Seconds for which machines are busy with other work.
 _MOMENT_S = (0.3, 1.5)
+#: Seconds for which targets read slowly, of one pause, and how often they pause.
+_READS_SLOWLY_S = (1.0, 6.0)
+_READ_PAUSE_S = (0.5, 2.5)
+_READ_PAUSE_SHARES = (0.05, 0.2)
+#: Seconds for which a target sends without end, and between two pieces.
+_ENDLESS_S = (0.3, 3.0)
+_ENDLESS_PAUSES_S = (0.0, 0.01, 0.3)
 #: Seconds of a burst, between two requests of one of its senders, and how many times as long the
 #: work takes meanwhile.
 _BURST_S = (1.0, 5.0)
@@ -458,6 +466,35 @@
 #: What makes entries retry while they start again and again.
 RETRIES: t.Tuple[Trouble, ...] = (reject_most, kill_in_series)
 
+
+async def read_slowly(world: World, rng: random.Random) -> None:
+    """Some targets pause while they read requests."""
+    struck = rng.sample(world.targets, min(len(world.targets), rng.randint(1, 3)))
+    for target in struck:
+        target.proxy.read_pause_s = rng.uniform(*_READ_PAUSE_S)
+        target.proxy.read_pause_share = rng.choice(_READ_PAUSE_SHARES)
+    try:
+        await asyncio.sleep(rng.uniform(*_READS_SLOWLY_S))
+    finally:
+        for target in struck:
+            target.proxy.read_pause_share = 0.0
+
+
+async def answer_without_end(world: World, rng: random.Random) -> None:
+    """Targets send bytes without end in some part of their answers, slowly or at full speed."""
+    target = rng.choice(world.targets)
+    _, *answer = rng.choice(ENDLESS_ANSWERS)
+    target.endless_pause_s = rng.choice(_ENDLESS_PAUSES_S)
+    target.endless = (answer[0], answer[1])
+    try:
+        await asyncio.sleep(rng.uniform(*_ENDLESS_S))
+    finally:
+        target.endless = None
+
+
+#: Targets that read slowly, and that send without end, beside all other troubles.
+PEERS: t.Tuple[Trouble, ...] = (read_slowly, answer_without_end)
+
 #: Losses of links between entries and targets beside all other troubles.
 CUTS: t.Tuple[Trouble, ...] = (cut_from_targets,)
 
--- a/tests/stream_server.py
+++ b/tests/stream_server.py
@@ -8,6 +8,9 @@
 class StreamServer:
     """Serves each connection by :meth:`serve`, from ``async with`` on; its tasks end with it."""
 
+    #: Size of the receive buffer of its connections, if it is not the kernel's own.
+    receive_bytes: t.Optional[int] = None
+
     def __init__(self) -> None:
         self._tasks: t.Set[asyncio.Task[None]] = set()
         self._writers: t.Set[asyncio.StreamWriter] = set()
@@ -15,7 +18,7 @@
         self.address = ""
 
     async def __aenter__(self) -> t.Self:
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        await self._listen("127.0.0.1", 0)
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
         return self
@@ -49,7 +52,19 @@
     async def come_back(self) -> None:
         """Listen again at the same address."""
         host, _, port = self.address.rpartition(":")
-        self._server = await asyncio.start_server(self._accept, host, int(port))
+        await self._listen(host, int(port))
+
+    async def _listen(self, host: str, port: int) -> None:
+        if self.receive_bytes is None:
+            self._server = await asyncio.start_server(self._accept, host, port)
+            return
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_bytes)
+        listener.bind((host, port))
+        self._server = await asyncio.start_server(
+            self._accept, sock=listener, limit=self.receive_bytes
+        )
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection until it is over."""
--- a/tests/traffic/scripted_target.py
+++ b/tests/traffic/scripted_target.py
@@ -86,6 +86,9 @@
                 work = asyncio.ensure_future(self._script(received))
                 end = asyncio.ensure_future(reader.read(1))
                 await asyncio.wait({work, end}, return_when=asyncio.FIRST_COMPLETED)
+                if end.done():
+                    # A reset is no fault of the test.
+                    end.exception()
                 if not work.done():
                     self.caller_disconnected.set()
                     work.cancel()
