Tell a slow target from a lost entry that carries its request

What callers saw: requests that another entry carried ended 502 though it was at work, if the members held it dead for a moment and its target took over 1 s. A target that took 0.5 s made the entry the last choice, and at a request's deadline the way was blamed in place of the target.

Cause: an entry counted as silent while its targets had not answered; there was nothing else to hear of it.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -478,8 +478,10 @@
 TRANSIT_AVOID_S = 1.0
 TRANSIT_BUSY_S = 0.1
 TRANSIT_IDLE_S = 30.0
-#: Time without any answer on a stream after which other entries are preferred, and after which its
-#: requests are given up if the entry is not alive.
+#: Time between two signs of life of an entry that carries requests; without any for the first of
+#: the other times other entries are preferred, and for the second its requests are given up if the
+#: entry is not alive.
+TRANSIT_BEAT_S = 0.2
 TRANSIT_SILENT_S = 0.5
 TRANSIT_LOST_S = 1.0
 #: Retry-After of requests that no entry can carry.
--- a/src/coralfall/traffic/messages.py
+++ b/src/coralfall/traffic/messages.py
@@ -222,9 +222,14 @@
     TIMED_OUT = "timed-out"
 
 
+#: Number of a reply that ends no request, and only tells that its sender lives.
+BEAT_NUMBER = 0
+
+
 class TransitReply(Message, frozen=True, tag=43):
-    """The end of a request in transit."""
+    """The end of a request in transit, or a sign of life while some last."""
 
+    #: Of the request, or ``BEAT_NUMBER``.
     number: int
     outcome: TransitOutcome
     #: The target's answer.
--- a/src/coralfall/traffic/transit_server.py
+++ b/src/coralfall/traffic/transit_server.py
@@ -19,7 +19,7 @@
 from ..placement.lifetime import lifetime_of
 from ..process import log
 from ..process.child import Child
-from .messages import TransitCancel, TransitOutcome, TransitReply, TransitRequest
+from .messages import BEAT_NUMBER, TransitCancel, TransitOutcome, TransitReply, TransitRequest
 from .request_encoder import replace_time_left
 from .target_connections import BUSY, NO_PATH, DirectConnection
 from .target_exchange import OutgoingRequest, time_left_to_send
@@ -69,6 +69,7 @@
         self._clock = clock
         self._closed = False
         self._tasks: t.Dict["Channel", t.Dict[int, "asyncio.Task[None]"]] = {}
+        self._beats: t.Dict["Channel", "asyncio.Task[None]"] = {}
         #: Requests that this entry carries now, and that it has carried.
         self.load = 0
         self.carried_count = 0
@@ -77,7 +78,9 @@
 
     async def run(self) -> None:
         try:
-            await asyncio.get_running_loop().create_future()
+            while True:
+                await asyncio.sleep(defaults.TRANSIT_BEAT_S)
+                self._beat()
         finally:
             for channel in list(self._tasks):
                 self.drop(channel)
@@ -105,6 +108,23 @@
         """Ends all requests of a channel that was closed."""
         for task in list(self._tasks.pop(channel, {}).values()):
             task.cancel()
+        beat = self._beats.pop(channel, None)
+        if beat is not None:
+            beat.cancel()
+
+    def _beat(self) -> None:
+        """Tells the entries whose requests are in flight that this one lives."""
+        for channel, tasks in self._tasks.items():
+            beat = self._beats.get(channel)
+            if tasks and (beat is None or beat.done()):
+                self._beats[channel] = asyncio.create_task(self._send_beat(channel))
+
+    async def _send_beat(self, channel: "Channel") -> None:
+        try:
+            await channel.send(TransitReply(BEAT_NUMBER, TransitOutcome.NOT_SENT))
+        except PeerError:
+            # The requests end with the stream.
+            return
 
     async def _serve(self, channel: "Channel", request: TransitRequest) -> None:
         held = len(request.body)
--- a/tests/traffic/test_transit_client.py
+++ b/tests/traffic/test_transit_client.py
@@ -70,6 +70,28 @@
             for state in fleet.first.targets.by_id.values():
                 self.assertTrue(state.is_usable() and not state.is_cold())
 
+    async def test_an_entry_that_carries_a_slow_request_is_not_given_up(self) -> None:
+        """Guards against a target's silence that is taken for the carrying entry's."""
+
+        async def answer_late(received: ReceivedRequest) -> None:
+            await asyncio.sleep(2.0)
+            await received.answer()
+
+        async with cut_fleet(answer_late) as fleet:
+            children = [fleet.first.transit.client, *[one.server for one in fleet.carriers]]
+            tasks = [asyncio.create_task(child.run()) for child in children]
+            work = asyncio.create_task(
+                fleet.first.forward(fleet.first.request("unsafe", seconds=5.0))
+            )
+            while not fleet.arrivals():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            # The other entries hold the one that carries it dead.
+            with mock.patch.object(fleet.first.members, "alive_records", return_value=[]):
+                reply = await work
+            for task in tasks:
+                task.cancel()
+            self.assertEqual((200, b"whole"), (reply.status, reply.body))
+
     @parameterized.expand([("safe", 200, 2), ("unsafe", 502, 1)])
     async def test_an_entry_that_is_lost_with_a_request(
         self, kind: str, status: int, arrivals: int
