Bound what the store sends beside a body (coralfall entry)

The same fault as at targets: interim answers, empty lines and chunk extensions without end were read until the call's time limit. The store's client takes the type of its connector, and entries give it the bounded one; the layers stay as they are.

Measured: ten of the new test's thirty rows fail with aiohttp's own connector (20 s each), all pass with the bounded one.

--- a/src/coralfall/cluster/entry.py
+++ b/src/coralfall/cluster/entry.py
@@ -11,6 +11,7 @@
 
 from .. import defaults
 from ..bundles.trust import trust_of
+from ..forwarding.bounded_response import BoundedConnector
 from ..forwarding.callers import CallersApp
 from ..forwarding.dispatch import Dispatcher
 from ..forwarding.retry import RetryBudget
@@ -237,7 +238,7 @@
 
 async def _run(settings: EntrySettings) -> int:
     clock = SystemClock()
-    platform = HttpPlatform(settings.platform, clock)
+    platform = HttpPlatform(settings.platform, clock, connector_type=BoundedConnector)
     try:
         entry = Entry(settings, platform.platform, clock, random.Random())
         log.info("entry.starting", entry=settings.entry_id, vm=settings.vm_id)
--- a/src/coralfall/stores/http_platform.py
+++ b/src/coralfall/stores/http_platform.py
@@ -58,9 +58,15 @@
 class _Client:
     """Sends calls and turns every way they can fail into the platform layer's errors."""
 
-    def __init__(self, settings: "PlatformSettings", max_answer_bytes: int) -> None:
+    def __init__(
+        self,
+        settings: "PlatformSettings",
+        max_answer_bytes: int,
+        connector_type: t.Type[aiohttp.TCPConnector],
+    ) -> None:
         self._settings = settings
         self._max_answer_bytes = max_answer_bytes
+        self._connector_type = connector_type
         self._session: t.Optional[aiohttp.ClientSession] = None
 
     async def close(self) -> None:
@@ -122,7 +128,7 @@
         if self._session is None:
             timeout_s = self._settings.timeout_s
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=defaults.PLATFORM_CONNECTIONS),
+                connector=self._connector_type(limit=defaults.PLATFORM_CONNECTIONS),
                 timeout=aiohttp.ClientTimeout(total=timeout_s, connect=timeout_s / 2),
                 auto_decompress=False,
             )
@@ -193,6 +199,7 @@
     :param settings: where they answer and how long a call may take.
     :param clock: the VM's clocks.
     :param max_answer_bytes: longer answers are refused.
+    :param connector_type: opens the connections; one that bounds what comes beside a body.
     """
 
     def __init__(
@@ -200,8 +207,9 @@
         settings: "PlatformSettings",
         clock: "Clock",
         max_answer_bytes: int = defaults.MAX_PLATFORM_BODY_BYTES,
+        connector_type: t.Type[aiohttp.TCPConnector] = aiohttp.TCPConnector,
     ) -> None:
-        self._client = _Client(settings, max_answer_bytes)
+        self._client = _Client(settings, max_answer_bytes, connector_type)
         self.platform = Platform(
             HttpTable(self._client), HttpObjectStore(self._client), HttpVmList(self._client)
         )
--- a/tests/stores/test_http_platform.py
+++ b/tests/stores/test_http_platform.py
@@ -11,10 +11,12 @@
 from coralfall.bundles.bundle import digest_of
 from coralfall.exceptions import (
     ObjectMissingError,
+    PlatformError,
     PlatformRejectedError,
     PlatformUnavailableError,
     PlatformUnknownError,
 )
+from coralfall.forwarding.bounded_response import BoundedConnector
 from coralfall.ids import Revision, VmId, VmState, ZoneId
 from coralfall.process.clock import SystemClock
 from coralfall.settings import PlatformSettings
@@ -22,6 +24,7 @@
 from coralfall.stores.memory_platform import FaultMode, Faults, ServiceFault
 from coralfall.stores.store import Check, Platform, Row, Vm, Write
 from tests.platform_server import serve_platform
+from tests.traffic.test_endless_answers import ENDLESS, ENDLESS_ANSWERS, MAX_BODY, EndlessTarget
 
 DATA = b"a signed bundle"
 DIGEST = digest_of(DATA)
@@ -110,6 +113,25 @@
         with self.assertRaises(PlatformUnavailableError):
             await call(http.platform)
 
+    @parameterized.expand(
+        [
+            (f"{name}, {what}", call, *answer)
+            for name, call in WRITES[:1] + READS[:1]
+            for what, *answer in ENDLESS_ANSWERS
+        ]
+    )
+    async def test_answer_without_end_fails_before_its_time_limit(
+        self, _name: str, call: t.Any, start: bytes, piece: bytes
+    ) -> None:
+        async with EndlessTarget(start, piece) as store:
+            settings = PlatformSettings(url=f"http://{store.address}", timeout_s=60.0)
+            http = HttpPlatform(settings, SystemClock(), MAX_BODY, connector_type=BoundedConnector)
+            self.addAsyncCleanup(http.close)
+            with self.assertRaises(PlatformError):
+                async with asyncio.timeout(20.0):
+                    await call(http.platform)
+            self.assertLess(store.sent, ENDLESS)
+
     @parameterized.expand(WRITES + READS)
     async def test_down(self, _name: str, call: t.Any) -> None:
         down = ServiceFault(mode=FaultMode.DOWN)
--- a/tests/traffic/scripted_target.py
+++ b/tests/traffic/scripted_target.py
@@ -84,11 +84,8 @@
                 self.received.append(received)
                 self.request_received.set()
                 work = asyncio.ensure_future(self._script(received))
-                end = asyncio.ensure_future(reader.read(1))
+                end = asyncio.ensure_future(_read_until_end(reader))
                 await asyncio.wait({work, end}, return_when=asyncio.FIRST_COMPLETED)
-                if end.done():
-                    # A reset is no fault of the test.
-                    end.exception()
                 if not work.done():
                     self.caller_disconnected.set()
                     work.cancel()
@@ -99,3 +96,11 @@
             pass
         finally:
             writer.close()
+
+
+async def _read_until_end(reader: asyncio.StreamReader) -> None:
+    try:
+        await reader.read(1)
+    except OSError:
+        # A reset ends the connection as well.
+        return
