--- a/src/coralfall/traffic/connection.py
+++ b/src/coralfall/traffic/connection.py
@@ -11,6 +11,7 @@
 import typing as t
 
 from .. import defaults
+from ..process import log
 from ..process.dead_peer import DeadPeerDetector
 from .receive_budget import ReceiveBudget, ReceivedBytes
 from .response_parser import BrokenResponseError, ResponseParser, ServerResponse
@@ -172,6 +173,7 @@
             try:
                 self._parser.feed(self._unparsed[start:end])
             except BrokenResponseError as error:
+                log.info("answer.invalid", peer=self._address, reason=error.message)
                 self._fail(error)
                 return
             self._take_progress()
@@ -255,6 +257,7 @@
         self._fail(BrokenResponseError(message))
 
     def _cut_off(self) -> None:
+        log.info("answer.cut-off", peer=self._address, bytes=self._parser.body_bytes)
         message = f"answers being received would take more than {self._budget.limit} bytes"
         self._fail(BrokenResponseError(message))
 
--- a/src/coralfall/traffic/receive_budget.py
+++ b/src/coralfall/traffic/receive_budget.py
@@ -42,8 +42,6 @@
     def __init__(self, limit: int) -> None:
         self.limit = limit
         self.held = 0
-        #: Number of answers that were cut off.
-        self.cut_off_count = 0
         self._counted: t.Set[ReceivedBytes] = set()
         self._parts_paid_at = 0.0
 
@@ -54,7 +52,6 @@
         self._counted.add(received)
         while self.held > self.limit:
             largest = self._largest_of_heaviest_source()
-            self.cut_off_count += 1
             self.remove(largest)
             largest.cut_off()
 
