Return an early answer though its target reads no more of the body

What callers would have seen: an upload over 2 MiB that a target answers before it has read it whole, and goes on without reading, ended at its deadline.

Cause: the sender waited for room in the connection's buffer without looking for the answer.

Change: a complete or failed answer ends that wait.

--- a/src/coralfall/traffic/connection.py
+++ b/src/coralfall/traffic/connection.py
@@ -101,6 +101,7 @@
         finally:
             self._response_future = None
             self._received.release()
+            self._received = None
         self.completed_exchanges += 1
         if not self._reusable:
             self.abort()
@@ -223,6 +224,8 @@
         self._received.grow_to(parser.body_bytes)
         if parser.complete and not self._response_future.done():
             self._response_future.set_result(parser.take_response())
+            # Ends the wait of a body that the server may never read.
+            self._writable.set()
 
     def eof_received(self) -> bool:
         self._reusable = False
@@ -265,6 +268,7 @@
         self._reusable = False
         self._drop_unparsed()
         self._parser.drop_body()
+        self._writable.set()
         if self._response_future is not None and not self._response_future.done():
             self._response_future.set_exception(error)
 
--- a/tests/traffic/test_connection.py
+++ b/tests/traffic/test_connection.py
@@ -11,6 +11,7 @@
 from coralfall.process.fastloop import Loop
 from coralfall.traffic.connection import ServerConnection, connect
 from coralfall.traffic.response_parser import BrokenResponseError, ServerResponse
+from tests import loopback
 from tests.blackhole import drop_arriving
 from tests.traffic.scripted_target import ScriptedTarget
 from tests.traffic.test_forwarder import ok
@@ -169,3 +170,24 @@
 
         with asyncio.Runner(loop_factory=make_loop) as runner:
             self.assertEqual(("connection closed", True), runner.run(failure()))
+
+
+class EarlyAnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_answer_is_not_held_up_by_a_target_that_reads_no_more_of_the_body(
+        self,
+    ) -> None:
+        async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(0.2)
+            writer.write(HEAD + b"content-length: 5\r\n\r\nearly")
+            await asyncio.Event().wait()
+
+        async def chunks() -> t.AsyncIterator[bytes]:
+            for _ in range(1000):
+                yield b"u" * 64 * 1024
+
+        async with loopback.raw_target(answer) as address:
+            connection = await connect(address, 5.0, 1000)
+            async with asyncio.timeout(5.0):
+                response = await connection.exchange(b"POST /1 HTTP/1.1\r\n\r\n", b"", chunks())
+            self.assertEqual((b"early", False), (response.body, connection.is_reusable))
