Pace requests that come in tiny chunks

What was seen: ten callers that send chunks of one byte without end, at full speed, stood the loop of the callers' port still for 1.2 s at a time; one did for 0.25 s.

Cause: what the kernel had ready was parsed in one go, and uvicorn copies each piece of a body with all that was not read yet.

Change: requests are parsed in slices, share a pacer as answers do (http/part_pacer), and a body is handed on in one piece for each slice of work.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -432,12 +432,12 @@
 #: Maximum size of what frames a body (chunk sizes, extensions, trailers) beyond that, by byte of
 #: the body.
 MAX_FRAMING_PER_BODY_BYTE = 16
-#: Maximum number of bytes of an answer that are parsed at a time.
-ANSWER_SLICE_BYTES = 16 * 1024
-#: Parts of an answer (header fields, pieces of the body) that may be parsed at once, and the
-#: maximum rate of further parts, of all answers together.
-FREE_ANSWER_PARTS = 64
-MAX_ANSWER_PARTS_PER_S = 50_000
+#: Maximum number of bytes of a message that are parsed at a time.
+PARSED_SLICE_BYTES = 16 * 1024
+#: Parts of a message (header fields, pieces of the body) that may be parsed at once, and the
+#: maximum rate of further parts, of all answers together and of all requests together.
+FREE_PARTS = 64
+MAX_PARTS_PER_S = 50_000
 #: Time that a connection to a target may take before its service is suspected to be unreachable.
 REACH_SLOW_CONNECT_S = 0.15
 #: Time that a suspicion waits for a connection to any target of the service, time limit of a probe,
--- a/src/coralfall/http/protocol.py
+++ b/src/coralfall/http/protocol.py
@@ -14,7 +14,9 @@
 import msgspec
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, RequestResponseCycle
 
+from .. import defaults
 from .drain import DrainingProtocol
+from .part_pacer import PartPacer
 
 if t.TYPE_CHECKING:
     from ..process.metrics import Metrics
@@ -77,6 +79,7 @@
         self.stopping = False
         self.all: t.Set[CallerProtocol] = set()
         self._metrics = metrics
+        self.pacer = PartPacer()
         # Ordered from the one idle for longest.
         self._idle: t.Dict[CallerProtocol, None] = {}
         self._none_left = asyncio.Event()
@@ -149,6 +152,12 @@
         self._head_timer: t.Optional[asyncio.TimerHandle] = None
         # Whether what still comes is dropped.
         self._deaf = False
+        # What was received and is not parsed yet, and pieces of a body that were not handed on.
+        self._unparsed = b""
+        self._parse_timer: t.Optional[asyncio.TimerHandle] = None
+        self._paused_by_pacer = False
+        self._body_pieces: t.List[bytes] = []
+        self._parts = 0
         self._linger_until = 0.0
         self._last_received_at = 0.0
         self._dropped_bytes = 0
@@ -174,6 +183,8 @@
     def connection_lost(self, exc: t.Optional[Exception]) -> None:
         self._disarm_head_timer()
         self._unset_keepalive_if_required()
+        if self._parse_timer is not None:
+            self._parse_timer.cancel()
         self._shared.remove(self)
         super().connection_lost(exc)
 
@@ -183,6 +194,39 @@
             return
         self._unset_keepalive_if_required()
         self._shared.mark_busy(self)
+        self._unparsed += data
+        if self._parse_timer is None:
+            self._parse()
+
+    def _parse(self) -> None:
+        """Parses what was received, as much at a time as the pacer allows."""
+        self._parse_timer = None
+        data, self._unparsed = self._unparsed, b""
+        for start in range(0, len(data), defaults.PARSED_SLICE_BYTES):
+            if self._deaf:
+                self._drop(data[start:])
+                break
+            end = start + defaults.PARSED_SLICE_BYTES
+            self._parts = 0
+            self._take(data[start:end])
+            pause_s = self._shared.pacer.pause_s(self.loop.time(), self._parts)
+            if pause_s and not self._deaf:
+                self._pause_parsing(data[end:], pause_s)
+                return
+        self._hand_on_body()
+        if self._paused_by_pacer:
+            self._paused_by_pacer = False
+            if not self.flow.read_paused and not self.transport.is_closing():
+                self.transport.resume_reading()
+
+    def _pause_parsing(self, unparsed: bytes, seconds: float) -> None:
+        self._hand_on_body()
+        self._unparsed = unparsed
+        self._paused_by_pacer = True
+        self.transport.pause_reading()
+        self._parse_timer = self.loop.call_later(seconds, self._parse)
+
+    def _take(self, data: bytes) -> None:
         self._progressed = False
         try:
             self.parser.feed_data(data)
@@ -234,6 +278,13 @@
         self._head_bytes = 0
         self._seen.clear()
 
+    def _hand_on_body(self) -> None:
+        # In one piece, as each one is copied with all that was not read yet.
+        if self._body_pieces:
+            body = b"".join(self._body_pieces)
+            self._body_pieces.clear()
+            super().on_body(body)
+
     def on_url(self, url: bytes) -> None:
         self._head_bytes += len(url)
         if self._head_bytes > self._settings.max_header_bytes:
@@ -242,6 +293,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         # Runs for each field of each request, so it does its parent's work itself.
+        self._parts += 1
         self._head_bytes += len(name) + len(value) + _LINE_BYTES
         if self._head_bytes > self._settings.max_header_bytes:
             raise self._too_large()
@@ -268,9 +320,11 @@
 
     def on_body(self, body: bytes) -> None:
         self._progressed = True
-        super().on_body(body)
+        self._parts += 1
+        self._body_pieces.append(body)
 
     def on_message_complete(self) -> None:
+        self._hand_on_body()
         super().on_message_complete()
         self._in_head = True
         self._progressed = True
@@ -343,6 +397,7 @@
     def _refuse(self, refusal: _RefusedError) -> None:
         """Take nothing more from this caller, and tell it why where that can't be mistaken."""
         self._deaf = True
+        self._body_pieces.clear()
         self._disarm_head_timer()
         self._unset_keepalive_if_required()
         self._shared.count_refusal(refusal.code)
--- a/src/coralfall/traffic/connection.py
+++ b/src/coralfall/traffic/connection.py
@@ -168,8 +168,8 @@
         """Parses what was received, as much at a time as the budget allows."""
         self._parse_timer = None
         size = min(len(self._unparsed), _MAX_PARSED_AT_ONCE)
-        for start in range(0, size, defaults.ANSWER_SLICE_BYTES):
-            end = min(size, start + defaults.ANSWER_SLICE_BYTES)
+        for start in range(0, size, defaults.PARSED_SLICE_BYTES):
+            end = min(size, start + defaults.PARSED_SLICE_BYTES)
             parts = self._parser.parts
             try:
                 self._parser.feed(self._unparsed[start:end])
@@ -185,7 +185,7 @@
                 self._drop_unparsed()
                 return
             now = asyncio.get_running_loop().time()
-            pause_s = self._budget.pause_for_parts(now, self._parser.parts - parts)
+            pause_s = self._budget.pacer.pause_s(now, self._parser.parts - parts)
             if pause_s:
                 self._pause_parsing(end, pause_s)
                 return
--- a/src/coralfall/traffic/receive_budget.py
+++ b/src/coralfall/traffic/receive_budget.py
@@ -1,13 +1,13 @@
 """Receive budget: bounds what answers that are being received cost together, in memory and time.
 
 Memory is bounded by cutting off the largest answer of the server that sends most (a per-source
-fair share under overload), so that servers with small answers notice nothing. Time is bounded by a
-token bucket for the parts that the parser has to handle one by one.
+fair share under overload), so that servers with small answers notice nothing. Time is bounded by
+the pacer that all answers share.
 """
 
 import typing as t
 
-from .. import defaults
+from ..http.part_pacer import PartPacer
 
 
 class ReceivedBytes:
@@ -43,7 +43,7 @@
         self.limit = limit
         self.held = 0
         self._counted: t.Set[ReceivedBytes] = set()
-        self._parts_paid_at = 0.0
+        self.pacer = PartPacer()
 
     def add(self, received: ReceivedBytes, count: int) -> None:
         """Counts bytes of an answer, and cuts answers off while there are too many."""
@@ -61,19 +61,6 @@
         self.held -= received.count
         received.count = 0
 
-    def pause_for_parts(self, now: float, parts: int) -> float:
-        """Returns the seconds that the receiver of an answer has to wait after parsing it.
-
-        :param now: monotonic time.
-        :param parts: number of parts parsed at once.
-        """
-        excess = parts - defaults.FREE_ANSWER_PARTS
-        if excess <= 0:
-            return 0.0
-        self._parts_paid_at = max(now, self._parts_paid_at)
-        self._parts_paid_at += excess / defaults.MAX_ANSWER_PARTS_PER_S
-        return self._parts_paid_at - now
-
     def _largest_of_heaviest_source(self) -> ReceivedBytes:
         held_by_source: t.Dict[str, int] = {}
         for one in self._counted:
--- a/src/coralfall/traffic/response_parser.py
+++ b/src/coralfall/traffic/response_parser.py
@@ -100,7 +100,7 @@
         return len(self._body)
 
     def feed(self, data: bytes) -> None:
-        """Takes a slice of at most ``ANSWER_SLICE_BYTES`` from the connection.
+        """Takes a slice of at most ``PARSED_SLICE_BYTES`` from the connection.
 
         :raises BrokenResponseError: if the response is not valid, or a part of it is too long.
         """
--- a/tests/callers_http/test_server.py
+++ b/tests/callers_http/test_server.py
@@ -8,6 +8,7 @@
 
 from parameterized import parameterized, parameterized_class
 
+from coralfall import defaults
 from coralfall.exceptions import ListenError
 from coralfall.http import protocol, server
 from coralfall.http.listener import bind
@@ -359,6 +360,23 @@
         caller.send(b"a" * 1000)
         self.assertEqual(await caller.rest(), b"")
 
+    async def test_tiny_chunks_leave_the_loop_to_others(self) -> None:
+        """Guards against copying all of a body that waits with each of its chunks."""
+        caller = await self.connect()
+        caller.send(POST + CHUNKED + b"\r\n")
+        parsed = []
+        pause_s = protocol.PartPacer.pause_s
+
+        def note(pacer: protocol.PartPacer, now: float, parts: int) -> float:
+            parsed.append(parts)
+            return pause_s(pacer, now, parts)
+
+        with mock.patch.object(protocol.PartPacer, "pause_s", note):
+            caller.send(b"1\r\na\r\n" * 30_000 + b"0\r\n\r\n" + GOOD)
+            self.assertEqual((await caller.answer()).body, b"/echo " + b"a" * 30_000)
+            self.assertEqual((await caller.answer()).body, b"/echo ")
+        self.assertLess(max(parsed), defaults.PARSED_SLICE_BYTES // 6 + 2)
+
     async def test_a_caller_that_pauses_within_a_refused_body_sees_the_answer(self) -> None:
         caller = await self.connect()
         caller.send(b"POST /early HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n")
--- a/tests/traffic/test_endless_answers.py
+++ b/tests/traffic/test_endless_answers.py
@@ -7,6 +7,7 @@
 from parameterized import parameterized
 
 from coralfall import defaults
+from coralfall.http.part_pacer import PartPacer
 from coralfall.traffic.connection import connect
 from coralfall.traffic.receive_budget import ReceiveBudget, ReceivedBytes
 from coralfall.traffic.response_parser import BrokenResponseError, ServerResponse
@@ -92,8 +93,8 @@
                     await connection.exchange(b"GET / HTTP/1.1\r\n\r\n", b"")
             self.assertLess(target.sent, ENDLESS)
             # One slice may be parsed before its parts are counted.
-            parsed = connection._parser.parts - defaults.ANSWER_SLICE_BYTES
-            self.assertLessEqual(parsed, 2 * defaults.MAX_ANSWER_PARTS_PER_S)
+            parsed = connection._parser.parts - defaults.PARSED_SLICE_BYTES
+            self.assertLessEqual(parsed, 2 * defaults.MAX_PARTS_PER_S)
 
 
 def fields_of(size: int) -> bytes:
@@ -178,12 +179,12 @@
 
     @parameterized.expand(
         [
-            ("few", [(0.0, defaults.FREE_ANSWER_PARTS)], 0.0),
-            ("many", [(0.0, defaults.FREE_ANSWER_PARTS + 5000)], 0.1),
-            ("of several answers", [(0.0, defaults.FREE_ANSWER_PARTS + 5000)] * 2, 0.2),
+            ("few", [(0.0, defaults.FREE_PARTS)], 0.0),
+            ("many", [(0.0, defaults.FREE_PARTS + 5000)], 0.1),
+            ("of several answers", [(0.0, defaults.FREE_PARTS + 5000)] * 2, 0.2),
             (
                 "after a pause",
-                [(t_s, defaults.FREE_ANSWER_PARTS + 5000) for t_s in (0.0, 5.0)],
+                [(t_s, defaults.FREE_PARTS + 5000) for t_s in (0.0, 5.0)],
                 0.1,
             ),
         ]
@@ -191,7 +192,7 @@
     def test_pause_for_parts(
         self, _name: str, parsed: t.Sequence[t.Tuple[float, int]], expected: float
     ) -> None:
-        budget = ReceiveBudget(100)
+        pacer = PartPacer()
         for now, parts in parsed:
-            pause_s = budget.pause_for_parts(now, parts)
+            pause_s = pacer.pause_s(now, parts)
         self.assertAlmostEqual(expected, pause_s)
