--- a/src/coralfall/http/protocol.py
+++ b/src/coralfall/http/protocol.py
@@ -209,7 +209,7 @@
             end = start + defaults.PARSED_SLICE_BYTES
             self._parts = 0
             self._take(data[start:end])
-            if self._parts <= defaults.FREE_PARTS or self._deaf:
+            if self._parts <= defaults.FREE_PARTS or self._deaf or self.transport.is_closing():
                 continue
             pause_s = self._shared.pacer.pause_s(self.loop.time(), self._parts)
             self._pause_parsing(data[end:], pause_s)
