--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -414,10 +414,11 @@
 #: Maximum number of connections of callers, and the minimum however few files there are.
 MAX_CALLER_CONNECTIONS = 3000
 MIN_CALLER_CONNECTIONS = 32
-#: Memory of a process in MB if its settings don't tell it, and the fraction of it that answers may
-#: take while they are received.
+#: Memory of a process in MB if its settings don't tell it, the fraction of it that answers may take
+#: while they are received, and the minimum of that however little memory there is.
 MEMORY_MB = 256
 RECEIVED_MEMORY_FRACTION = 0.125
+MIN_RECEIVED_BYTES = 1024 * 1024
 #: Idle time for which a connection to a target is reused.
 TARGET_IDLE_TIMEOUT_S = 3.0
 #: Time that must be left until a request's deadline for it to be sent to a target.
--- a/src/coralfall/traffic/settings.py
+++ b/src/coralfall/traffic/settings.py
@@ -173,7 +173,8 @@
 
     def max_received_bytes(self) -> int:
         """Returns the most bytes of answers that are being received from targets at a time."""
-        return int(self.memory_mb * 1024 * 1024 * defaults.RECEIVED_MEMORY_FRACTION)
+        limit = int(self.memory_mb * 1024 * 1024 * defaults.RECEIVED_MEMORY_FRACTION)
+        return max(defaults.MIN_RECEIVED_BYTES, limit)
 
     def cold_limit_per_s(self, warmup_per_s: float) -> float:
         """Returns the requests a second that a cold target may get from all entries together."""
--- a/tests/platform_adapter/test_template.py
+++ b/tests/platform_adapter/test_template.py
@@ -105,6 +105,7 @@
             ("negative", "bounds.retrySlack", -1, "bounds.budget_slack: found -1"),
             ("text", "bounds.drainS", "soon", "bounds.drain_s: found 'soon'"),
             ("text for a limit", "limits.maxFds", "many", "max_files: found 'many'"),
+            ("text for the memory", "limits.memoryMb", "much", "memory_mb: found 'much'"),
             ("true", "bounds.graceS", True, "bounds.grace_s: found True"),
         ]
     )
--- a/tests/traffic/test_decisions.py
+++ b/tests/traffic/test_decisions.py
@@ -460,6 +460,14 @@
     ) -> None:
         self.assertEqual(expected, make_settings(max_files=max_files).max_caller_connections())
 
+    @parameterized.expand(
+        [("small", 200, 26_214_400), ("large", 552, 72_351_744), ("none", 0, 1_048_576)]
+    )
+    def test_answers_being_received_take_a_part_of_the_memory(
+        self, _name: str, memory_mb: float, expected: int
+    ) -> None:
+        self.assertEqual(expected, make_settings(memory_mb=memory_mb).max_received_bytes())
+
     def test_what_the_operator_writes_is_bound_by_the_tighter_of_two(self) -> None:
         self.assertEqual(1.5, BoundSettings(config_s=4.0, evacuation_s=1.5).state_deadline_s())
 
