Test answers that trickle without end

Each of the fifteen parts is now also sent byte by byte, one in a millisecond: the request ends at its own time (504; 502 at once for bytes that begin no answer), and the connection is closed.

No fault was found: the fifteen rows pass on, too. Slow answers were bounded by the request's time before.

--- a/tests/traffic/test_endless_answers.py
+++ b/tests/traffic/test_endless_answers.py
@@ -12,12 +12,14 @@
 from coralfall.traffic.receive_budget import ReceiveBudget, ReceivedBytes
 from coralfall.traffic.response_parser import BrokenResponseError, ServerResponse
 from tests.traffic.scripted_target import ReceivedRequest, ScriptedTarget
+from tests.traffic.test_forwarder import ForwarderHarness
 
 KIB = 1024
 MAX_BODY = 1024 * KIB
 #: Bytes that a server sends before it waits; more than any bound and the kernel's buffers.
 ENDLESS = 32 * 1024 * KIB
 PATIENCE_S = 20.0
+_TRICKLE_PAUSE_S = 0.001
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n"
 FILL = b"a" * 64 * KIB
@@ -44,24 +46,36 @@
 
 
 class EndlessTarget(ScriptedTarget):
-    """Sends a piece again and again."""
+    """Sends a piece again and again.
 
-    def __init__(self, start: bytes, piece: bytes) -> None:
+    :param pause_s: seconds after each byte of it; 0 sends it whole, without a pause.
+    """
+
+    def __init__(self, start: bytes, piece: bytes, pause_s: float = 0.0) -> None:
         super().__init__(self._send)
         self._start = start
         self._piece = piece
+        self._pause_s = pause_s
         self.sent = 0
 
     async def _send(self, received: ReceivedRequest) -> None:
         try:
             await received.send(self._start)
             while self.sent < ENDLESS:
-                await received.send(self._piece)
+                await self._send_piece(received)
                 self.sent += len(self._piece)
             await asyncio.Event().wait()
         except OSError:
             self.caller_disconnected.set()
 
+    async def _send_piece(self, received: ReceivedRequest) -> None:
+        if not self._pause_s:
+            await received.send(self._piece)
+            return
+        for byte in self._piece:
+            await received.send(bytes([byte]))
+            await asyncio.sleep(self._pause_s)
+
 
 class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
     @parameterized.expand(ENDLESS_ANSWERS)
@@ -97,6 +111,30 @@
             self.assertLessEqual(parsed, 2 * defaults.MAX_PARTS_PER_S)
 
 
+#: The same, and the status that a caller gets if the bytes come one by one. It is told at once of
+#: what begins no answer.
+SLOW_ENDLESS_ANSWERS = [
+    (name, start, piece, 502 if name == "no answer" else 504)
+    for name, start, piece in ENDLESS_ANSWERS
+]
+
+
+class SlowEndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
+    @parameterized.expand(SLOW_ENDLESS_ANSWERS)
+    async def test_answer_that_trickles_without_end_ends_with_the_request(
+        self, _name: str, start: bytes, piece: bytes, status: int
+    ) -> None:
+        async with EndlessTarget(start, piece, _TRICKLE_PAUSE_S) as target:
+            harness = ForwarderHarness([target.address])
+            request = harness.request("unsafe", seconds=0.3)
+            async with asyncio.timeout(PATIENCE_S):
+                reply = await harness.forward(request)
+                await target.caller_disconnected.wait()
+            harness.pool.close()
+        self.assertEqual(status, reply.status)
+        self.assertLess(target.sent, ENDLESS)
+
+
 def fields_of(size: int) -> bytes:
     return FIELD * (size // len(FIELD))
 
