Cut off no caller that reads an answer slowly as if it read nothing

What callers saw: on a contended service, a caller that read about 200 KB a second was cut off after the idle time (0.5 s in the test; 15 s by default) with 4.5 of 7 MB of its answer unread.

Cause: whether a caller takes anything was judged by our own write buffer. The kernel takes more of it only once about a third of its own buffer, up to megabytes, is free, so a caller that reads less than that in the idle time seemed to read nothing.

Change: what the kernel has not sent yet counts, too. Where the kernel does not report it, nothing changes. A caller that reads nothing is cut off as before (the row idle of the test beside it).

--- a/src/coralfall/http/drain.py
+++ b/src/coralfall/http/drain.py
@@ -5,10 +5,13 @@
 """
 
 import asyncio
+import socket
 import typing as t
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from ..process.tcp_state import read_tcp_state
+
 #: Extension of the ASGI scope: a coroutine function that returns when the caller has taken all that
 #: was written, or its connection has ended; see :meth:`DrainingProtocol.wait_drained`.
 DRAIN_EXTENSION = "coralfall.drain"
@@ -34,7 +37,8 @@
 
         :param cut_idle: whether a caller that takes nothing for the idle time is cut off.
         """
-        while unsent := self._unsent():
+        while self._unwritten():
+            unsent = self._unsent()
             # Without a high-water mark, writing is paused until nothing is left.
             self.transport.set_write_buffer_limits(high=0)
             try:
@@ -59,5 +63,19 @@
             return True
         return False
 
-    def _unsent(self) -> int:
+    def _unwritten(self) -> int:
+        """Returns the bytes that the kernel has not taken yet."""
         return 0 if self._is_closed() else self.transport.get_write_buffer_size()
+
+    def _unsent(self) -> int:
+        """Returns the bytes that have not left this machine.
+
+        The kernel takes more only once a large part of its own buffer is sent, which a slow caller
+        may not reach within the idle time.
+        """
+        unwritten = self._unwritten()
+        connected: t.Optional[socket.socket] = self.transport.get_extra_info("socket")
+        if not unwritten or connected is None:
+            return unwritten
+        state = read_tcp_state(connected)
+        return unwritten if state is None else unwritten + state.unsent_bytes
--- a/tests/traffic/test_answer_memory.py
+++ b/tests/traffic/test_answer_memory.py
@@ -111,6 +111,20 @@
                 while self.server.connection_count:  # noqa: ASYNC110
                     await asyncio.sleep(0.01)
 
+    async def test_caller_that_reads_slowly_is_not_cut_off(self) -> None:
+        """Guards against a slow caller that is taken for one that reads nothing, since the kernel
+        takes more of an answer only after a large part of its buffer was read."""
+        self.server.set_settings(HttpSettings(idle_timeout_s=0.5))
+        reader, _ = await self.ask()
+        await reader.readuntil(b"\r\n\r\n")
+        received = 0
+        slow_until = asyncio.get_running_loop().time() + 3.0
+        while asyncio.get_running_loop().time() < slow_until:
+            received += len(await reader.read(4096))
+            await asyncio.sleep(0.02)
+        await asyncio.wait_for(reader.readexactly(len(_BODY) - received), PATIENCE_S)
+        await self.wait_held(0)
+
     async def test_bounds_for_all_callers_and_for_one(self) -> None:
         """Guards against many callers that fill the memory together, or one alone."""
         for bodies, held, refused in ((0, {"a": 38}, "a"), (30, {"a": 30, "b": 16}, "c")):
