Follow a table that comes back from an older copy in coralfall entry

What callers saw: after the table lost rows, entries that joined were unknown to the others for ever, lost versions were never accepted, and an entry whose rows were lost went on as if it had them. Cause: feeds, rosters, heads and acknowledgements were compared by revisions, which go back with the table and are given out again.

The tests' older_copy raises the era, which it did not (the platform does).

Slots: a member that the table lost may dispatch until its lease ends. Others gain its slots only after that time, as after any change of the roster; an entry alone in a table of a later era no longer counts as the only one ever.

Open: the platform compares expected revisions without the era (docs/design/store-eras.md).

--- a/src/coralfall/bundles/rollout.py
+++ b/src/coralfall/bundles/rollout.py
@@ -35,13 +35,16 @@
     def learn_from_table(self, head: Head, revision: Revision) -> bool:
         """Take in the head row as the table has it.
 
-        The table's word is final: a staged bundle that it no longer names was withdrawn.
+        The table's word is final: a staged bundle that it no longer names was withdrawn. A head
+        that the table has lost stays in force, but what is written next replaces the table's row.
 
         :return: whether anything changed.
         """
-        if revision <= self.revision or _accepted_version(head) < _accepted_version(self.head):
+        if revision <= self.revision:
             return False
         self.revision = revision
+        if _accepted_version(head) < _accepted_version(self.head):
+            return False
         return not self._is_refused(head) and self._replace(head)
 
     def learn_from_peer(self, head: Head) -> bool:
--- a/src/coralfall/cluster/coordinator.py
+++ b/src/coralfall/cluster/coordinator.py
@@ -143,6 +143,8 @@
         while more:
             changes = await self._platform.table.changes((LEASE_PREFIX,), self._lease_since)
             self._lease_since = changes.revision
+            if changes.is_snapshot:
+                self._leases_by_id.clear()
             for row in changes.rows:
                 self._take_lease(row)
             more = changes.more
--- a/src/coralfall/cluster/membership.py
+++ b/src/coralfall/cluster/membership.py
@@ -8,10 +8,11 @@
 from ..bundles.bundle import Head, encode
 from ..bundles.rollout import PartnerRollout
 from ..exceptions import PlatformError, PlatformUnknownError
-from ..ids import EntryState, Incarnation, PartnerId, Revision
+from ..ids import EntryState, Era, Incarnation, PartnerId, Position, Revision
 from ..process import log
 from ..process.clock import Clock, PlatformClock
 from ..settings import EntrySettings
+from ..stores.era_table import join_position, split_revision
 from ..stores.store import Check, Platform, Row, TransactResult, Write
 from .lease import Lease
 from .roster import Roster, may_replace
@@ -98,17 +99,45 @@
         prefixes = (HEAD_PREFIX, ROSTER_PREFIX, COORDINATOR_KEY)
         rows: t.List[Row] = []
         since = self._since
+        has_all_rows = not since
         more = True
         while more:
             sent = self._clock.monotonic()
             changes = await self._table.changes(prefixes, since)
             self._observe(sent, changes.now)
             since = changes.revision
+            if changes.is_snapshot:
+                rows.clear()
+                has_all_rows = True
             rows += changes.rows
             more = changes.more
+        if split_revision(self._since).era < changes.era:
+            self._begin_era(changes.era)
         self._since = since
+        # A roster of an earlier era may also have come from a peer.
+        if has_all_rows and split_revision(self._roster.revision).era < changes.era:
+            self._replace_roster(rows, changes.era)
         self._take(rows)
 
+    def _begin_era(self, era: Era) -> None:
+        """Forgets what the table may have lost, but for heads, which stay in force."""
+        if self._since:
+            log.warning("table.era-began", era=era)
+        self.coordinator = None
+        self.coordinator_revision = Revision(0)
+
+    def _replace_roster(self, rows: t.Sequence[Row], era: Era) -> None:
+        """Takes the members from all rows, which don't tell what the table has lost."""
+        revision = join_position(Position(era, Revision(0)))
+        members = []
+        for row in rows:
+            if not row.key.startswith(ROSTER_PREFIX):
+                continue
+            revision = max(revision, row.revision)
+            if row.value is not None:
+                members.append(msgspec.msgpack.decode(row.value, type=Member))
+        self._roster.replace(members, revision)
+
     def _take(self, rows: t.Sequence[Row]) -> None:
         roster_rows = []
         for row in rows:
--- a/src/coralfall/cluster/node.py
+++ b/src/coralfall/cluster/node.py
@@ -21,6 +21,7 @@
 from ..lookups.lookup import Lookup
 from ..process.clock import Clock
 from ..settings import EntrySettings
+from ..stores.era_table import EraTable
 from ..stores.store import Platform
 from .control import Control
 from .conversation import Conversation
@@ -68,6 +69,7 @@
         callbacks: NodeCallbacks,
     ) -> None:
         self._callbacks = callbacks
+        platform = platform._replace(table=EraTable(platform.table))
         self.roster = Roster()
         self.rollouts = {partner: PartnerRollout(partner) for partner in settings.partners}
         self.lease = Lease(settings.lease, clock)
--- a/src/coralfall/cluster/roster.py
+++ b/src/coralfall/cluster/roster.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..ids import EntryId, Incarnation, Revision, VmId
+from ..stores.era_table import split_revision
 from .rows import ROSTER_PREFIX, Member
 
 if t.TYPE_CHECKING:
@@ -80,7 +81,9 @@
 
     def only_ever(self, entry_id: EntryId, incarnation: Incarnation) -> bool:
         """Whether no other entry, and no other life of this one, has left a trace."""
-        return not self._any_deleted and self._lives == {(entry_id, incarnation)}
+        # A table that came back from an older copy may have lost the trace.
+        is_complete = not self._any_deleted and not split_revision(self.revision).era
+        return is_complete and self._lives == {(entry_id, incarnation)}
 
     def ranked(self, key: str) -> t.List[EntryId]:
         """All members in rendezvous order for ``key``, the owner first."""
--- a/src/coralfall/stores/memory_platform.py
+++ b/src/coralfall/stores/memory_platform.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ..exceptions import ObjectMissingError, PlatformUnavailableError, PlatformUnknownError
-from ..ids import Digest, Revision, VmId
+from ..ids import Digest, Era, Revision, VmId
 from ..process.clock import Clock, SystemClock
 from .store import (
     Changes,
@@ -131,6 +131,7 @@
         self._clock = clock
         self._counters = counters
         self._revision = ABSENT
+        self._era = Era(0)
         #: Last written comes last, so changes are found from the end.
         self._rows_by_key: t.Dict[str, Row] = {}
 
@@ -151,10 +152,14 @@
         await self.gate.read()
         rows = self._rows_since(tuple(prefixes), since)
         if limit is None or len(rows) <= limit:
-            return Changes(tuple(rows), self._revision, self._clock.wall())
+            return Changes(tuple(rows), self._revision, self._clock.wall(), era=self._era)
         page = _whole_transactions(rows, limit)
         return Changes(
-            tuple(page), page[-1].revision, self._clock.wall(), more=len(page) < len(rows)
+            tuple(page),
+            page[-1].revision,
+            self._clock.wall(),
+            more=len(page) < len(rows),
+            era=self._era,
         )
 
     async def read(self, keys: t.Sequence[str]) -> t.Dict[str, Row]:
@@ -192,7 +197,7 @@
         return row
 
     def _result(self, committed: bool, conflicts: t.Tuple[Row, ...]) -> TransactResult:
-        return TransactResult(committed, self._revision, conflicts, self._clock.wall())
+        return TransactResult(committed, self._revision, conflicts, self._clock.wall(), self._era)
 
     def _rows_since(self, prefixes: t.Tuple[str, ...], since: Revision) -> t.List[Row]:
         found = []
--- a/src/coralfall/stores/store.py
+++ b/src/coralfall/stores/store.py
@@ -57,6 +57,8 @@
     more: bool = False
     #: Era that ``revision`` and those of the rows belong to.
     era: Era = Era(0)
+    #: Whether these are all rows that exist, since the caller's revision was of an earlier era.
+    is_snapshot: bool = False
 
     @property
     def position(self) -> Position:
--- a/tests/bundles/test_rollout.py
+++ b/tests/bundles/test_rollout.py
@@ -79,6 +79,11 @@
             rollout.hold(missing, bundle(missing.version))
         self.assertEqual(rollout.staged_version(), staged)
 
+    def test_a_head_that_the_table_lost_stays_and_its_row_may_be_written(self) -> None:
+        rollout = holding((head(2), 5))
+        self.assertFalse(rollout.learn_from_table(head(1), Revision(9)))
+        self.assertEqual((head(2), 9), (rollout.head, rollout.revision))
+
 
 class TestEffective(unittest.TestCase):
     @parameterized.expand(
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -54,6 +54,24 @@
         await membership.poll()
         self.assertIn(EntryId("e"), self.node.roster.by_id)
 
+    def test_an_entry_whose_rows_the_table_lost_joins_again(self) -> None:
+        asyncio.run(self._check_own_rows_lost())
+
+    async def _check_own_rows_lost(self) -> None:
+        membership = self.node.membership
+        await self.write(1)
+        await membership.poll()
+        self.hold()
+        copy = copy_of(self.table)
+        self.assertTrue(await membership.join(make_member("a")))
+        restore(self.table, copy)
+        await membership.poll()
+        self.assertIsNone(membership.member)
+        self.assertFalse(self.node.lease.may_dispatch())
+        self.assertTrue(await membership.join(make_member("a")))
+        assert membership.member is not None
+        self.assertEqual(2, membership.member.incarnation)
+
     async def put_member(self, name: str) -> None:
         value = msgspec.msgpack.encode(make_member(name))
         await self.table.transact([Write(roster_key(EntryId(name)), value)])
--- a/tests/cluster/test_node.py
+++ b/tests/cluster/test_node.py
@@ -6,10 +6,11 @@
 
 from parameterized import parameterized
 
-from coralfall.ids import EntryId, Revision
+from coralfall.ids import EntryId, Revision, TargetId
 from coralfall.process import log
 from coralfall.settings import LogSettings
 from tests.control_fleet import LEASE, LiveNode, World
+from tests.older_copy import copy_of, restore
 from tests.virtual_loop import on_virtual_time
 
 SETTLE_S = 40.0
@@ -82,6 +83,40 @@
             self.violations.append(f"{now:.1f}: {node.entry_id} is late with {self._accepted}")
 
 
+class SlotWatch:
+    """Looks at all nodes often and notes slots that two of them may use.
+
+    :param world: whose nodes.
+    """
+
+    def __init__(self, world: World) -> None:
+        self.violations: t.List[str] = []
+        self._world = world
+        self.task = asyncio.ensure_future(self._run())
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(0.1)
+            self._look(self._world.clock.monotonic())
+
+    def _look(self, now: float) -> None:
+        owner_by_slot: t.Dict[t.Tuple[TargetId, int], EntryId] = {}
+        for node in self._world.nodes_by_id.values():
+            if not node.serves:
+                continue
+            for slot in _usable_slots(node, now):
+                other = owner_by_slot.setdefault(slot, node.entry_id)
+                if other != node.entry_id:
+                    self.violations.append(f"{now:.1f}: {other} and {node.entry_id} use {slot}")
+
+
+def _usable_slots(node: LiveNode, now: float) -> t.Iterator[t.Tuple[TargetId, int]]:
+    for owned in node.node.slots._inventory.owned_by_target.values():
+        for slot in owned.values():
+            if slot.blocking_member is None and slot.prior_dispatch_until <= now:
+                yield slot.target_id, slot.index
+
+
 class TestRollout(unittest.TestCase):
     def setUp(self) -> None:
         log.configure(LogSettings(level="error"))
@@ -204,6 +239,39 @@
             self.assertTrue(node.serves, node.entry_id)
         self.assertEqual(watch.violations, [])
 
+    @parameterized.expand([(seed,) for seed in SEEDS])
+    def test_histories_with_older_copies(self, seed: int) -> None:
+        """Guards against entries that never hear of each other again, slots that two entries use
+        and versions that are never accepted, once the table has lost rows."""
+        self.check_older_copies(seed)
+
+    @on_virtual_time
+    async def check_older_copies(self, seed: int) -> None:
+        world = World(seed)
+        names = 5
+        await world.start_all(names)
+        self.assertTrue(await world.submit(1, "ana"))
+        await _accepted(world, 1)
+        slots = SlotWatch(world)
+        table = world.memory.platform.table
+        for _ in range(6):
+            copy = copy_of(table)
+            for _ in range(3):
+                await asyncio.sleep(world.rng.uniform(0.1, 2))
+                names = _disturb(world, names)
+            restore(table, copy)
+        world.trouble = 0.0
+        world.platform_up = True
+        world.cut.clear()
+        await asyncio.sleep(SETTLE_S)
+        self.assertTrue(await world.submit(2, "ana"))
+        await asyncio.sleep(SETTLE_S)
+        for node in world.nodes_by_id.values():
+            self.assertEqual((2, True), (node.in_force, node.serves), node.entry_id)
+            self.assertEqual(world.nodes_by_id.keys(), node.node.roster.by_id.keys())
+            self.assertEqual([], node.failures())
+        self.assertEqual([], slots.violations)
+
 
 async def _operate(world: World) -> None:
     version = 0
--- a/tests/idempotency/test_claim_sweep.py
+++ b/tests/idempotency/test_claim_sweep.py
@@ -10,8 +10,10 @@
 from coralfall.exceptions import PlatformError
 from coralfall.idempotency.claim_sweep import ClaimSweeper
 from coralfall.process.clock import ManualClock
+from coralfall.stores.era_table import EraTable
 from coralfall.stores.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
 from coralfall.stores.store import Write
+from tests.older_copy import copy_of, restore
 
 RETENTION_S = 100.0
 
@@ -57,6 +59,19 @@
         self.clock.advance(RETENTION_S)
         self.assertEqual(await self.sweeper.sweep(), 1)
 
+    async def test_rows_below_the_last_sweep_go_once_the_table_lost_rows(self) -> None:
+        sweeper = ClaimSweeper(EraTable(self.table), RETENTION_S)
+        copy = copy_of(self.table)
+        await self._write("a")
+        await self._write("b")
+        self.clock.advance(RETENTION_S)
+        self.assertEqual(2, await sweeper.sweep())
+        restore(self.table, copy)
+        await self._write("c")
+        self.clock.advance(RETENTION_S)
+        self.assertEqual(1, await sweeper.sweep())
+        self.assertEqual(set(), await self._left())
+
     async def test_a_young_row_of_an_old_transaction_is_come_back_to(self) -> None:
         old = ClaimRow(state=ClaimState.DONE, claim_id="", attempt=1, fingerprint="", at=0.0)
         young = msgspec.structs.replace(old, at=1.0)
--- a/tests/older_copy.py
+++ b/tests/older_copy.py
@@ -2,7 +2,7 @@
 
 import typing as t
 
-from coralfall.ids import Revision
+from coralfall.ids import Era, Revision
 from coralfall.stores.memory_platform import MemoryTable
 from coralfall.stores.store import Row, Table
 
@@ -15,7 +15,8 @@
 
 
 def restore(table: Table, copy: Copy) -> None:
-    """Loses what was written since the copy; revisions are given out again."""
+    """Loses what was written since the copy; revisions are given out again, in a new era."""
     assert isinstance(table, MemoryTable)
     rows, table._revision = copy
     table._rows_by_key = dict(rows)
+    table._era = Era(table._era + 1)
