Write again the claims that a table from an older copy has lost

What callers saw: a command with an idempotency key that the table had lost ran a second time when it was repeated. Cause: a key without a row counted as one that was never used.

Change: an entry that learns of a new era of its table writes again the claims that it holds and those that it settled in the last 60 s, and nobody claims a key for 5 s after the era was first noticed (503, not-run). A row tells when that was. The era is learnt from answers to claims or from the membership's reads, whichever comes first.

Not played on real processes.

--- a/src/coralfall/cluster/entry.py
+++ b/src/coralfall/cluster/entry.py
@@ -19,7 +19,7 @@
 from ..forwarding.upstream import Upstream
 from ..http.server import HttpServer
 from ..idempotency.claims import ClaimBook
-from ..ids import Digest, Incarnation, Outcome, RegionId, ServiceId
+from ..ids import Digest, Era, Incarnation, Outcome, RegionId, ServiceId
 from ..lookups.lookup_http import LookupHttp
 from ..peering.channel import Traffic
 from ..peering.fleetkey import load_fleet_key
@@ -82,6 +82,7 @@
                 start_loan_request=self._ask_loan,
                 announce=self._announce,
                 roster_changed=self._pace_claims,
+                era_began=self._note_era,
             ),
         )
         node = self.node
@@ -172,6 +173,9 @@
     def _pace_claims(self) -> None:
         self.claims.pace(max(1, len(self.node.roster.by_id)))
 
+    def _note_era(self, era: Era) -> None:
+        self.claims.note_era(era)
+
     def _make_peers(self, rng: random.Random) -> None:
         settings = self.settings
         clock = self._clock
--- a/src/coralfall/cluster/membership.py
+++ b/src/coralfall/cluster/membership.py
@@ -51,6 +51,7 @@
     :param lease: of the present life in the roster.
     :param apply_roster: makes the slots follow the roster, before the lease may count on it.
     :param acknowledged: revision of the roster by which the slots are used.
+    :param era_began: told when an answer is of a later era of the table than those before.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         lease: Lease,
         apply_roster: t.Callable[[], None],
         acknowledged: t.Callable[[], Revision],
+        era_began: t.Callable[[Era], None],
     ) -> None:
         self._settings = settings
         self._table = platform.table
@@ -72,6 +74,7 @@
         self._rollouts = rollouts
         self._apply_roster = apply_roster
         self._acknowledged = acknowledged
+        self._era_began = era_began
         self._since = Revision(0)
         self._renewals = 0
         self._last_incarnation = Incarnation(0)
@@ -125,6 +128,7 @@
             log.warning("table.era-began", era=era)
         self.coordinator = None
         self.coordinator_revision = Revision(0)
+        self._era_began(era)
 
     def _replace_roster(self, rows: t.Sequence[Row], era: Era) -> None:
         """Takes the members from all rows, which don't tell what the table has lost."""
--- a/src/coralfall/cluster/node.py
+++ b/src/coralfall/cluster/node.py
@@ -17,7 +17,7 @@
 from ..bundles.rollout import PartnerRollout
 from ..bundles.staging import PeerFetch, Staging
 from ..bundles.trust import trust_of
-from ..ids import RegionId, ServiceId
+from ..ids import Era, RegionId, ServiceId
 from ..lookups.lookup import Lookup
 from ..process.clock import Clock
 from ..settings import EntrySettings
@@ -48,6 +48,8 @@
     announce: t.Callable[[], None]
     #: Told after each change of the roster.
     roster_changed: t.Callable[[], None]
+    #: Told when the table came back from an older copy.
+    era_began: t.Callable[[Era], None]
 
 
 class Node:
@@ -83,6 +85,7 @@
             self.lease,
             self._follow_roster,
             lambda: self.slots.acknowledged_revision,
+            callbacks.era_began,
         )
         self.steering = FleetSteering(
             self.rollouts,
--- a/src/coralfall/cluster/rows.py
+++ b/src/coralfall/cluster/rows.py
@@ -11,6 +11,7 @@
     BundleVersion,
     EntryId,
     EntryState,
+    Era,
     IdempotencyKey,
     Incarnation,
     PartnerId,
@@ -32,6 +33,7 @@
 LEASE_PREFIX = "lease/"
 COORDINATOR_KEY = "coordinator"
 CLAIM_PREFIX = "claim/"
+CLAIM_ERA_KEY = "claim-era"
 
 
 class Member(msgspec.Struct, frozen=True, kw_only=True):
@@ -112,6 +114,10 @@
     #: ``None`` if it was too long to keep.
     body: t.Optional[bytes] = None
 
+    def without_body(self) -> "KeptAnswer":
+        """Returns what is kept of an answer that is too long."""
+        return KeptAnswer(self.status)
+
     def size(self) -> int:
         """Bytes of headers and body."""
         size = len(self.body or b"")
@@ -136,6 +142,15 @@
     answer: t.Optional[KeptAnswer] = None
 
 
+class ClaimEraRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Tells when the entries learned that the table had come back from an older copy."""
+
+    #: Era of the table.
+    era: Era
+    #: Platform's wall time, in seconds.
+    began_at: float
+
+
 def claim_key(partner: PartnerId, service: ServiceId, key: IdempotencyKey) -> str:
     """Key of the claim row of an idempotency key, of bounded length whatever the caller sent."""
     digest = hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -120,6 +120,13 @@
 MAX_PENDING_ANSWER_BYTES = 4 * 1024 * 1024
 #: Time for which a stopping entry tries to write the outcomes of its commands.
 CLAIM_FLUSH_TIMEOUT_S = 5.0
+#: Time for which no key can be claimed after the table came back from an older copy, in which
+#: entries write again the claims that it may have lost.
+CLAIM_HOLD_S = 5.0
+#: Time after a claim was settled, and number of settled claims, within which an entry can write it
+#: again.
+CLAIM_RECALL_S = 60.0
+MAX_RECENT_CLAIMS = 16384
 #: Time for which the row of an idempotency key is kept after its last write.
 CLAIM_RETENTION_S = 24 * 3600.0
 #: Maximum number of claim rows that are read in one round of removing expired ones.
--- a/src/coralfall/idempotency/claim_queue.py
+++ b/src/coralfall/idempotency/claim_queue.py
@@ -90,6 +90,11 @@
         self._taken_at = now
         return batch
 
+    @property
+    def retry_at(self) -> float:
+        """When to call the table again after writes failed."""
+        return self._retry_at
+
     def is_paused(self, now: float) -> bool:
         """Whether writes failed and it is too early to try again."""
         return now < self._retry_at
--- a/src/coralfall/idempotency/claim_record.py
+++ b/src/coralfall/idempotency/claim_record.py
@@ -71,6 +71,20 @@
     return _BLOCKED_BY_STATE[row.state]
 
 
+def judge_lost(row: t.Optional[ClaimRow], wanted: ClaimRow) -> Verdict:
+    """What may be done to have ``wanted`` in a table that may have lost it.
+
+    Other claimants dispatch nothing until this is over, so it replaces what they have released.
+    """
+    if row is None or row.state is ClaimState.RELEASED:
+        return Verdict.WRITE
+    if row.claim_id != wanted.claim_id:
+        return Verdict.BUSY if row.state is ClaimState.CLAIMED else Verdict.MOOT
+    if row.attempt == wanted.attempt and row.state is wanted.state:
+        return Verdict.WRITTEN
+    return Verdict.WRITE if row.state is ClaimState.CLAIMED else Verdict.MOOT
+
+
 _BLOCKED_BY_STATE = {
     ClaimState.CLAIMED: Verdict.BUSY,
     ClaimState.DONE: Verdict.DONE,
@@ -94,6 +108,8 @@
         self.row: t.Optional[ClaimRow] = None
         #: Whether a write of this record took effect or still may.
         self.touched = False
+        #: Whether the table may have lost the row.
+        self.may_be_lost = False
         #: Whether the record is part of a transaction under way.
         self.in_flight = False
         #: Whoever waits for the claim.
@@ -108,7 +124,7 @@
 
     def verdict(self) -> Verdict:
         """What to do next; the row must have been seen."""
-        return judge(self.row, self.wanted)
+        return (judge_lost if self.may_be_lost else judge)(self.row, self.wanted)
 
     def write(self) -> Write:
         """The write that makes the row what is wanted."""
--- a/src/coralfall/idempotency/claim_writer.py
+++ b/src/coralfall/idempotency/claim_writer.py
@@ -3,6 +3,7 @@
 import typing as t
 
 from ..exceptions import PlatformUnavailableError
+from ..ids import Era
 from .claim_record import ABSENT, ClaimRecord, Verdict
 
 if t.TYPE_CHECKING:
@@ -31,6 +32,8 @@
         self._platform_clock = platform_clock
         #: Transactions sent.
         self.transactions = 0
+        #: Latest era of the table's answers.
+        self.era = Era(0)
 
     async def write(self, records: t.Sequence[ClaimRecord]) -> None:
         """Write what is wanted, as far as the rows allow it; the records know the result.
@@ -53,6 +56,7 @@
             if row is None:
                 record.observe(ABSENT, None)
                 continue
+            self.era = max(self.era, row.era)
             record.observe_value(row.revision, row.value)
 
     async def _transact(self, records: t.Sequence[ClaimRecord]) -> bool:
@@ -69,6 +73,7 @@
             for record in records:
                 record.doubt()
             raise
+        self.era = max(self.era, result.era)
         self._platform_clock.observe(sent_at, self._clock.monotonic(), result.now)
         if result.committed:
             for record, row in sent:
--- a/src/coralfall/idempotency/claims.py
+++ b/src/coralfall/idempotency/claims.py
@@ -27,12 +27,13 @@
 from ..process.child import Child
 from ..process.clock import PlatformClock
 from ..settings import ClaimSettings
+from .claim_eras import ClaimHold, RecentClaims
 from .claim_queue import ClaimQueue
 from .claim_record import ClaimRecord, Verdict
 from .claim_writer import ClaimWriter
 
 if t.TYPE_CHECKING:
-    from ..ids import EntryId, IdempotencyKey, Incarnation, PartnerId, ServiceId
+    from ..ids import EntryId, Era, IdempotencyKey, Incarnation, PartnerId, ServiceId
     from ..process.clock import Clock
     from ..process.metrics import Metrics
     from ..stores.store import Table
@@ -88,6 +89,10 @@
         self._numbers = itertools.count(1)
         self._records_by_key: t.Dict[str, ClaimRecord] = {}
         self._queue = ClaimQueue(settings)
+        self._hold = ClaimHold(table, clock)
+        self._recent = RecentClaims()
+        #: Lost rows of keys that are in use here, to be written once they are not.
+        self._lost_later_by_key: t.Dict[str, ClaimRow] = {}
         self._waiting_bytes = 0
         self._wake = asyncio.Event()
         self._idle = asyncio.Event()
@@ -155,7 +160,7 @@
         """
         fits = self._waiting_bytes + answer.size() <= defaults.MAX_PENDING_ANSWER_BYTES
         if answer.size() > defaults.MAX_STORED_ANSWER_BYTES or not fits:
-            answer = KeptAnswer(answer.status)
+            answer = answer.without_body()
         self._settle(claim, ClaimState.DONE, answer)
         self._waiting_bytes += answer.size()
 
@@ -174,10 +179,18 @@
         """
         self._queue.pace(entries)
 
+    def note_era(self, era: "Era") -> None:
+        """Take in the era of an answer of the table that others than the book got."""
+        self._hold.note(era)
+        self._wake.set()
+
     async def run(self) -> None:
         """Write what is to be written, until cancelled."""
         while True:
             await self._wait_until_due()
+            if self._hold.is_behind:
+                await self._begin_era()
+                continue
             await self._flush(self._queue.take(_now()))
 
     async def stop(self) -> None:
@@ -199,6 +212,13 @@
             raise self._refusal("the entry is leaving")
         if len(self._records_by_key) >= defaults.MAX_OPEN_CLAIMS:
             raise self._refusal("the entry has too many commands open")
+        held_s = self._hold.seconds_left
+        if held_s:
+            message = (
+                "the table came back from an older copy; claims that it lost are written again"
+            )
+            self._count("refused")
+            raise RefusedError(message, max(defaults.RETRY_AFTER_S, held_s))
         trial_runs = self._queue.is_failing and self._flushing
         if trial_runs or self._queue.is_paused(_now()):
             raise self._refusal(_UNAVAILABLE)
@@ -282,7 +302,7 @@
     async def _wait_until_due(self) -> None:
         while True:
             self._wake.clear()
-            due = self._queue.due_at()
+            due = self._queue.retry_at if self._hold.is_behind else self._queue.due_at()
             if due is not None and due <= _now():
                 return
             timeout = None if due is None else due - _now()
@@ -304,10 +324,47 @@
             self._queue.succeeded()
         finally:
             self._flushing = False
+            self._hold.note(self._writer.era)
+            if self._hold.seconds_left:
+                self._refuse_all(batch)
             for record in batch:
                 record.in_flight = False
+                if self._hold.is_behind and _may_be_lost(record):
+                    self._write_again(record)
+                    continue
                 self._place(record)
 
+    async def _begin_era(self) -> None:
+        """Learn of the table's era, and write again what its copy may lack."""
+        self._refuse_all(self._queue.waiting())
+        try:
+            await self._hold.learn()
+        except PlatformError as error:
+            self._queue.failed(error, _now())
+            return
+        held_s = self._hold.seconds_left
+        log.warning("claims.era-began", held_s=round(held_s, 3), open=len(self._records_by_key))
+        for record in list(self._records_by_key.values()):
+            if _may_be_lost(record):
+                self._write_again(record)
+        for key, row in self._recent.rows_by_key(_now()).items():
+            if key in self._records_by_key:
+                self._lost_later_by_key[key] = row
+                continue
+            self._write_lost(key, row)
+
+    def _write_lost(self, key: str, row: ClaimRow) -> None:
+        record = ClaimRecord(key, row)
+        self._waiting_bytes += record.answer_bytes()
+        self._records_by_key[key] = record
+        self._idle.clear()
+        self._write_again(record)
+
+    def _write_again(self, record: ClaimRecord) -> None:
+        record.may_be_lost = True
+        record.revision = None
+        self._enqueue(record)
+
     def _refuse_all(self, records: t.Sequence[ClaimRecord]) -> None:
         for record in records:
             if record.waiter is not None and not record.waiter.done():
@@ -328,8 +385,14 @@
         if record.waiter is not None:
             self._answer(record, record.waiter, verdict)
             return
+        if verdict is Verdict.BUSY and record.may_be_lost and self._hold.seconds_left:
+            # Another entry is about to release it.
+            self._write_again(record)
+            return
         if record.held is not None:
             return
+        if verdict is Verdict.WRITTEN and record.wanted.state is not ClaimState.RELEASED:
+            self._recent.add(record.key, record.wanted, _now())
         if verdict is Verdict.MOOT and record.wanted.state is not ClaimState.RELEASED:
             log.warning("claims.moot", key=record.key, state=record.wanted.state.value)
         self._drop(record)
@@ -354,12 +417,20 @@
         del self._records_by_key[record.key]
         if not self._records_by_key:
             self._idle.set()
+        lost = self._lost_later_by_key.pop(record.key, None)
+        if lost is not None:
+            self._write_lost(record.key, lost)
 
     def _count(self, name: str) -> None:
         if self._metrics is not None:
             self._metrics.count(f"claims.{name}")
 
 
+def _may_be_lost(record: ClaimRecord) -> bool:
+    """Whether a later era of the table may lack a row that was or is to be written."""
+    return record.waiter is None and record.wanted.state is not ClaimState.RELEASED
+
+
 def _now() -> float:
     """Loop's time: pauses need no clock that goes on while the VM is suspended."""
     return asyncio.get_running_loop().time()
--- a/src/coralfall/stores/era_table.py
+++ b/src/coralfall/stores/era_table.py
@@ -37,7 +37,6 @@
 
     def __init__(self, table: Table) -> None:
         self._table = table
-        self._era = Era(0)
 
     async def transact(
         self, writes: t.Sequence[Write], checks: t.Sequence[Check] = ()
@@ -51,7 +50,6 @@
             expected = split_revision(check.expected).revision
             plain_checks.append(msgspec.structs.replace(check, expected=expected))
         result = await self._table.transact(plain_writes, plain_checks)
-        self._era = max(self._era, result.era)
         return msgspec.structs.replace(
             result,
             revision=join_position(Position(result.era, result.revision)),
@@ -75,7 +73,6 @@
             raise PlatformUnavailableError(
                 f"the table answered for era {changes.era}, after one for era {start.era}"
             )
-        self._era = max(self._era, changes.era)
         return msgspec.structs.replace(
             changes,
             rows=tuple([_in_era(row, changes.era) for row in changes.rows]),
@@ -85,7 +82,7 @@
 
     async def read(self, keys: t.Sequence[str]) -> t.Dict[str, Row]:
         rows_by_key = await self._table.read(keys)
-        return {key: _in_era(row, self._era) for key, row in rows_by_key.items()}
+        return {key: _in_era(row, row.era) for key, row in rows_by_key.items()}
 
 
 def _in_era(row: Row, era: Era) -> Row:
--- a/src/coralfall/stores/memory_platform.py
+++ b/src/coralfall/stores/memory_platform.py
@@ -170,7 +170,7 @@
             row = self._rows_by_key.get(key)
             if row is None or row.value is None:
                 continue
-            found[key] = row
+            found[key] = msgspec.structs.replace(row, era=self._era)
         return found
 
     def _apply(self, writes: t.Sequence[Write], checks: t.Sequence[Check]) -> TransactResult:
--- a/src/coralfall/stores/store.py
+++ b/src/coralfall/stores/store.py
@@ -14,6 +14,8 @@
     key: str
     value: t.Optional[bytes]
     revision: Revision
+    #: Era of the table that a read found it in.
+    era: Era = Era(0)
 
 
 class Write(msgspec.Struct, frozen=True):
--- a/tests/cluster/loan_fleet.py
+++ b/tests/cluster/loan_fleet.py
@@ -61,6 +61,7 @@
             start_loan_request=lambda *request: self.loans.ask(*request),
             announce=lambda: None,
             roster_changed=lambda: None,
+            era_began=lambda era: None,
         )
         settings = make_settings(self.entry_id, VmId(f"vm-{name}"))
         platform = MemoryPlatform(fleet.clock).platform
--- a/tests/control_fleet.py
+++ b/tests/control_fleet.py
@@ -158,6 +158,7 @@
         start_loan_request=unittest.mock.Mock(),
         announce=unittest.mock.Mock(),
         roster_changed=unittest.mock.Mock(),
+        era_began=unittest.mock.Mock(),
     )
     settings = make_settings(EntryId("a"), VmId("vm-a"))
     return Node(settings, platform, clock, random.Random(1), callbacks)
@@ -196,6 +197,7 @@
             start_loan_request=lambda *request: None,
             announce=self._spread_news,
             roster_changed=lambda: None,
+            era_began=lambda era: None,
         )
         self.node = Node(settings, platform, world.clock, world.rng, callbacks)
         self.node.control.may_join.set()
--- a/tests/idempotency/test_claims.py
+++ b/tests/idempotency/test_claims.py
@@ -22,8 +22,9 @@
     CoralfallError,
     RefusedError,
 )
+from coralfall.idempotency.claim_eras import RecentClaims
 from coralfall.idempotency.claims import Claim, ClaimBook
-from coralfall.ids import EntryId, IdempotencyKey, Incarnation, PartnerId, ServiceId
+from coralfall.ids import EntryId, Era, IdempotencyKey, Incarnation, PartnerId, ServiceId
 from coralfall.stores.memory_platform import FaultMode, Faults, MemoryPlatform, ServiceFault
 from coralfall.stores.store import Write
 from tests.flaky_table import Fate, FlakyTable
@@ -130,6 +131,102 @@
         restore(table, copy)
         self.assertIsNot(Claim, await outcome(fleet.b))
 
+    @parameterized.expand(
+        [
+            (ClaimState.CLAIMED, ClaimBusyError),
+            (ClaimState.DONE, ANSWER),
+            (ClaimState.UNKNOWN, ClaimUnknownError),
+            (ClaimState.RELEASED, Claim),
+        ]
+    )
+    @with_fleet
+    async def test_what_was_lost_is_known_again(
+        self, fleet: Fleet, state: ClaimState, expected: t.Any
+    ) -> None:
+        table = fleet.memory.platform.table
+        copy = copy_of(table)
+        await settle(fleet.a, await claim(fleet.a), state)
+        await asyncio.sleep(1.0)
+        restore(table, copy)
+        self.assertIs(RefusedError, await outcome(fleet.b))
+        fleet.a.note_era(Era(1))
+        await asyncio.sleep(defaults.CLAIM_HOLD_S / 2)
+        self.assertIs(state, await fleet.state())
+        self.assertIs(RefusedError, await outcome(fleet.a, key="another"))
+        await asyncio.sleep(defaults.CLAIM_HOLD_S / 2)
+        self.assertEqual(expected, await outcome(fleet.b))
+        self.assertIs(Claim, await outcome(fleet.b, key="another"))
+
+    @with_fleet
+    async def test_a_claim_whose_command_runs_meanwhile_is_settled(self, fleet: Fleet) -> None:
+        table = fleet.memory.platform.table
+        copy = copy_of(table)
+        held = await claim(fleet.a)
+        restore(table, copy)
+        self.assertIs(RefusedError, await outcome(fleet.b))
+        await settle(fleet.a, held, ClaimState.DONE)
+        await asyncio.sleep(defaults.CLAIM_HOLD_S + 1.0)
+        self.assertEqual(ANSWER, await outcome(fleet.b))
+
+    @with_fleet
+    async def test_a_book_that_starts_later_waits_no_longer_than_the_others(
+        self, fleet: Fleet
+    ) -> None:
+        table = fleet.memory.platform.table
+        restore(table, copy_of(table))
+        self.assertIs(RefusedError, await outcome(fleet.b))
+        await asyncio.sleep(defaults.CLAIM_HOLD_S)
+        late = fleet.book("late")
+        async with running(late):
+            late.note_era(Era(1))
+            await asyncio.sleep(0.1)
+            self.assertIs(Claim, await outcome(late))
+
+    @with_fleet
+    async def test_keys_are_not_claimed_while_the_era_s_beginning_is_not_known(
+        self, fleet: Fleet
+    ) -> None:
+        table = fleet.memory.platform.table
+        restore(table, copy_of(table))
+        fleet.down()
+        fleet.a.note_era(Era(1))
+        await asyncio.sleep(2 * defaults.CLAIM_HOLD_S)
+        self.assertIs(RefusedError, await outcome(fleet.a))
+        fleet.fates = []
+        await asyncio.sleep(2 * defaults.CLAIM_HOLD_S)
+        self.assertIs(Claim, await outcome(fleet.a))
+
+
+class RecentClaimsTest(unittest.TestCase):
+    @parameterized.expand(
+        [
+            # times of writing, keys that are kept
+            ("lately", [0.0, 1.0], ["0", "1"]),
+            ("long ago", [-defaults.CLAIM_RECALL_S, 1.0], ["1"]),
+            ("too many", [0.0, 1.0, 1.5, 1.7], ["1", "2", "3"]),
+        ]
+    )
+    def test_kept(self, _name: str, written_at: t.List[float], kept: t.List[str]) -> None:
+        recent = RecentClaims()
+        with unittest.mock.patch.object(defaults, "MAX_RECENT_CLAIMS", 3):
+            for number, now in enumerate(written_at):
+                recent.add(str(number), make_row(ClaimState.DONE), now)
+        self.assertEqual(kept, list(recent.rows_by_key(2.0)))
+
+    def test_answers_beyond_the_bound_are_kept_without_a_body(self) -> None:
+        recent = RecentClaims()
+        with unittest.mock.patch.object(defaults, "MAX_PENDING_ANSWER_BYTES", ANSWER.size()):
+            for key in "ab":
+                recent.add(key, make_row(ClaimState.DONE, ANSWER), 0.0)
+            recent.add("a", make_row(ClaimState.UNKNOWN), 0.0)
+            recent.add("c", make_row(ClaimState.DONE, ANSWER), 0.0)
+        answers = [row.answer for row in recent.rows_by_key(0.0).values()]
+        self.assertEqual([ANSWER.without_body(), None, ANSWER], answers)
+
+
+def make_row(state: ClaimState, answer: t.Optional[KeptAnswer] = None) -> ClaimRow:
+    return ClaimRow(state=state, claim_id="a/1", attempt=1, fingerprint="f", at=0.0, answer=answer)
+
 
 SECOND_CLAIMS = [
     (ClaimState.CLAIMED, "f", ClaimBusyError),
