--- a/src/coralfall/cluster/rows.py
+++ b/src/coralfall/cluster/rows.py
@@ -114,8 +114,8 @@
     #: ``None`` if it was too long to keep.
     body: t.Optional[bytes] = None
 
-    def without_body(self) -> "KeptAnswer":
-        """Returns what is kept of an answer that is too long."""
+    def status_only(self) -> "KeptAnswer":
+        """Returns what is kept of an answer that is too long: neither headers nor body."""
         return KeptAnswer(self.status)
 
     def size(self) -> int:
--- a/src/coralfall/idempotency/claim_eras.py
+++ b/src/coralfall/idempotency/claim_eras.py
@@ -100,7 +100,7 @@
             self._remove(next(iter(self._by_key)))
         size = _answer_bytes(row)
         if row.answer and self._answer_bytes + size > defaults.MAX_PENDING_ANSWER_BYTES:
-            row = msgspec.structs.replace(row, answer=row.answer.without_body())
+            row = msgspec.structs.replace(row, answer=row.answer.status_only())
             size = _answer_bytes(row)
         self._by_key[key] = row
         self._written_at_by_key[key] = now
--- a/src/coralfall/idempotency/claims.py
+++ b/src/coralfall/idempotency/claims.py
@@ -160,7 +160,7 @@
         """
         fits = self._waiting_bytes + answer.size() <= defaults.MAX_PENDING_ANSWER_BYTES
         if answer.size() > defaults.MAX_STORED_ANSWER_BYTES or not fits:
-            answer = answer.without_body()
+            answer = answer.status_only()
         self._settle(claim, ClaimState.DONE, answer)
         self._waiting_bytes += answer.size()
 
--- a/tests/idempotency/test_claims.py
+++ b/tests/idempotency/test_claims.py
@@ -221,7 +221,7 @@
             recent.add("a", make_row(ClaimState.UNKNOWN), 0.0)
             recent.add("c", make_row(ClaimState.DONE, ANSWER), 0.0)
         answers = [row.answer for row in recent.rows_by_key(0.0).values()]
-        self.assertEqual([ANSWER.without_body(), None, ANSWER], answers)
+        self.assertEqual([ANSWER.status_only(), None, ANSWER], answers)
 
 
 def make_row(state: ClaimState, answer: t.Optional[KeptAnswer] = None) -> ClaimRow:
@@ -472,7 +472,7 @@
         ]
     )
     @with_fleet
-    async def test_long_answers_are_kept_without_body(
+    async def test_long_answers_are_kept_status_only(
         self, fleet: Fleet, length: int, kept: bool
     ) -> None:
         body = b"x" * length
