Divide limits by the entries that have rows in the store

Cause: an entry divided a limit by the entries that its process had heard of. One that starts behind a cut hears of its own side alone: the answer to its first message names no others, and the store can't be read. So the cut region had all of the limit, as the other side had. By the same cause entries that went on forgot the other side after 120 s.

Change: entries that have rows in the store count, whoever was heard of. A start gets these rows from the entry that answers it, as it gets the desired state, and grants nothing until it has them.

Suspected only: cold shares and dispatchers.

--- a/src/coralfall/traffic/gossip_exchange.py
+++ b/src/coralfall/traffic/gossip_exchange.py
@@ -7,7 +7,6 @@
 import typing as t
 
 from .. import defaults
-from ..ids import START
 from .messages import GossipMessage
 
 if t.TYPE_CHECKING:
@@ -56,6 +55,7 @@
         #: Time since which this entry's membership checksum has differed from those of others.
         self._mismatch_since: t.Optional[float] = None
         members.on_pause = self._request_all_members
+        members.registered_ids = state_view.registered_ids
 
     def build_update(
         self,
@@ -131,10 +131,12 @@
             return self.build_update(**known)
         if message.carried_sum != self.state_view.carried_checksum():
             known["carried"] = self.state_view.carried_rows()
-        # An entry that has none reads them itself as it registers.
-        if message.entries_position > START:
-            known["entries_since"] = message.entries_position
-        return self.build_update(message.state_position, message.targets_position, **known)
+        return self.build_update(
+            message.state_position,
+            message.targets_position,
+            entries_since=message.entries_position,
+            **known,
+        )
 
     def merge(self, message: GossipMessage, asked_at: t.Optional[float] = None) -> bool:
         """Merges a message and returns whether its sender still has newer rows.
@@ -142,7 +144,7 @@
         :param asked_at: monotonic time at which the request was sent, if this is its reply.
         """
         state_view = self.state_view
-        self._merge_members(message, asked_at is not None)
+        self._merge_members(message)
         self.quarantine.merge(message.suspects)
         self.reports.limits.merge(message.limits)
         self.reports.departures.merge(message.departures)
@@ -161,18 +163,21 @@
         state_view.merge_carried(message)
         _apply(state_view.entry_rows, message.entries, message.entries_read_s)
         state_view.entry_rows.confirm(message.entries_position, message.entries_read_s)
+        # The first reply after a start lists all live entries that the sender knows. The others are
+        # known by their rows.
+        self._members.has_discovered_peers |= (
+            asked_at is not None
+            and any(record.ready for record in message.records[:1])
+            and state_view.entry_rows.is_loaded
+        )
         return (
             message.state_position > state_view.state_rows.position
             or message.targets_position > state_view.target_rows.position
         )
 
-    def _merge_members(self, message: GossipMessage, answered: bool) -> None:
+    def _merge_members(self, message: GossipMessage) -> None:
         members = self._members
         members.merge_records(message.records)
-        # The first reply after a start lists all entries that the sender knows.
-        members.has_discovered_peers |= answered and any(
-            record.ready for record in message.records[:1]
-        )
         members.merge_suspicions(message.suspicions)
         if message.members_sum == members.checksum():
             self._mismatch_since = None
--- a/src/coralfall/traffic/leases.py
+++ b/src/coralfall/traffic/leases.py
@@ -40,17 +40,17 @@
     def share(self) -> float:
         """Returns this entry's fraction of each limit; zero before it knows the size of the fleet.
 
-        Unreachable entries count until they are forgotten: they may only be partitioned from this
-        one, and use their shares.
+        Unreachable entries count, too: they may only be partitioned from this one, and use their
+        shares.
         """
-        return 1.0 / self._members.fleet_size() if self._members.has_discovered_peers else 0.0
+        return 1.0 / self._members.sharing_count() if self._members.has_discovered_peers else 0.0
 
     def duration_s(self) -> float:
         """Returns the duration of a lease.
 
         It grows with the fleet, so that the rate of renewals at an owner does not.
         """
-        scale = self._members.fleet_size() / defaults.QUOTA_BASE_ENTRIES
+        scale = self._members.sharing_count() / defaults.QUOTA_BASE_ENTRIES
         return defaults.QUOTA_LEASE_S * max(1.0, scale)
 
     def can_lease_to(self, slot: "Slot", owner_id: "EntryId") -> bool:
--- a/src/coralfall/traffic/members.py
+++ b/src/coralfall/traffic/members.py
@@ -52,6 +52,8 @@
         self._is_overloaded = False
         #: Whether other entries were discovered since this process started.
         self.has_discovered_peers = False
+        #: Ids of the entries that have rows in the store, as far as these are known.
+        self.registered_ids: t.Callable[[], t.FrozenSet[EntryId]] = frozenset
         #: Called when there is an update to gossip: at once, or as soon as the rate limit allows.
         self.on_update: t.Callable[[bool], None] = lambda at_once: None
         #: Called after this process was paused, and may have missed any message.
@@ -264,11 +266,16 @@
         return self._cached_ids
 
     def fleet_size(self) -> int:
+        """Returns how many entries there are; dead ones count until they are forgotten."""
+        return len(self._members_by_id) + 1
+
+    def sharing_count(self) -> int:
         """Returns how many entries share limits that hold for the fleet.
 
-        Dead entries count until they are forgotten.
+        Entries that were forgotten, or that this process has never heard of, count as long as they
+        have rows in the store: they may only be partitioned from this one.
         """
-        return len(self._members_by_id) + 1
+        return len(self.known_ids() | self.registered_ids())
 
     def address_of(self, entry_id: EntryId) -> t.Optional[str]:
         """Returns the address at which an entry takes messages of others."""
--- a/src/coralfall/traffic/state_view.py
+++ b/src/coralfall/traffic/state_view.py
@@ -9,7 +9,7 @@
 import typing as t
 
 from .. import defaults
-from ..ids import Era, TargetId
+from ..ids import START, Era, TargetId
 from ..placement.weighted_split import WeightedSplit
 from ..process import log
 from .lost_row_rules import StateRowRules, TargetRowRules
@@ -73,6 +73,9 @@
             rules=self._target_rules,
         )
         self.entry_rows: Replica["EntryRecord"] = Replica("entries", row_codec.decode_entry_row)
+        #: Ids in these rows, as of a position.
+        self._registered_ids: "t.FrozenSet[EntryId]" = frozenset()
+        self._registered_at = START
         self._state_prefix = row_codec.state_prefix
         self._target_prefix = row_codec.target_prefix
         #: Newest era of the store that any entry has told of, and when it began at the latest.
@@ -126,7 +129,12 @@
 
     def registered_ids(self) -> "t.FrozenSet[EntryId]":
         """Returns the ids of the entries that have rows in the store."""
-        return frozenset([one.entry_id for one in self.entry_rows.values().values()])
+        position = self.entry_rows.position
+        if self._registered_at != position:
+            self._registered_at = position
+            records = self.entry_rows.values().values()
+            self._registered_ids = frozenset([record.entry_id for record in records])
+        return self._registered_ids
 
     def apply_entry_snapshot(self, changes: "Changes", began: float) -> None:
         """Takes in all rows of entries.
--- a/tests/traffic/quota_fleet.py
+++ b/tests/traffic/quota_fleet.py
@@ -54,7 +54,7 @@
     def serving_records(self) -> t.Sequence[EntryRecord]:
         return self._serving
 
-    def fleet_size(self) -> int:
+    def sharing_count(self) -> int:
         return self._all
 
 
--- a/tests/traffic/test_registry.py
+++ b/tests/traffic/test_registry.py
@@ -108,6 +108,34 @@
         self.assertEqual({"e1", "e3"}, self.entries["e1"].state_view.registered_ids())
         self.assertAlmostEqual(0.0, self.entries["e1"].state_view.entries_age_s(), delta=0.01)
 
+    async def test_an_entry_that_starts_cut_off_from_the_store_counts_those_it_does_not_reach(
+        self,
+    ) -> None:
+        """Guards against two sides of a cut that each have the whole of a limit."""
+        for name, registry in self.registries.items():
+            registry.on_read = self.entries[name].state_view.apply_entry_snapshot
+        await self.register("e1", "e2", "e3")
+        reached = self.entries["e3"]
+        for _ in range(2):
+            started = EntryFixture("e2", self.clock)
+            reply = reached.exchange.build_reply(started.exchange.build_update())
+            started.exchange.merge(reply, self.clock.now)
+            self.assertEqual(3, started.members.sharing_count())
+            reached = started
+
+    async def test_forgotten_entries_share_limits_for_as_long_as_they_have_rows(self) -> None:
+        entry = self.entries["e3"]
+        self.registries["e3"].on_read = entry.state_view.apply_entry_snapshot
+        await self.register("e1", "e2", "e3")
+        self.clock.advance(2 * defaults.DEAD_ENTRY_RETENTION_S)
+        entry.members.start_round()
+        self.assertEqual((1, 3), (entry.members.fleet_size(), entry.members.sharing_count()))
+        await self.registries["e2"].unregister()
+        await self.registries["e3"].register()
+        self.clock.advance(2 * defaults.DEAD_ENTRY_RETENTION_S)
+        entry.members.start_round()
+        self.assertEqual(2, entry.members.sharing_count())
+
     @parameterized.expand(
         [
             # name, era of the rows, its age, whether the row is there, stops, is written again
