Read the table's rows in a class of its own, and name what callers are told apart from the book

No change in what is done, but for two alarms: table.era-began and claims.era-began no longer come at the start of an entry in a table whose era began long ago.

--- a/src/coralfall/cluster/membership.py
+++ b/src/coralfall/cluster/membership.py
@@ -29,6 +29,7 @@
     lease_key,
     roster_key,
 )
+from .table_feed import TableFeed
 
 
 class MembershipState(enum.Enum):
@@ -75,7 +76,8 @@
         self._apply_roster = apply_roster
         self._acknowledged = acknowledged
         self._era_began = era_began
-        self._since = Revision(0)
+        prefixes = (HEAD_PREFIX, ROSTER_PREFIX, COORDINATOR_KEY)
+        self._feed = TableFeed(platform.table, prefixes, clock, self._observe)
         self._renewals = 0
         self._last_incarnation = Incarnation(0)
         self._lease_revision = Revision(0)
@@ -99,33 +101,16 @@
 
         :raises PlatformError: if the table can't be read; what is known stays.
         """
-        prefixes = (HEAD_PREFIX, ROSTER_PREFIX, COORDINATOR_KEY)
-        rows: t.List[Row] = []
-        since = self._since
-        has_all_rows = not since
-        more = True
-        while more:
-            sent = self._clock.monotonic()
-            changes = await self._table.changes(prefixes, since)
-            self._observe(sent, changes.now)
-            since = changes.revision
-            if changes.is_snapshot:
-                rows.clear()
-                has_all_rows = True
-            rows += changes.rows
-            more = changes.more
-        if split_revision(self._since).era < changes.era:
-            self._begin_era(changes.era)
-        self._since = since
+        update = await self._feed.read()
+        if update.is_later_era:
+            self._begin_era(update.era)
         # A roster of an earlier era may also have come from a peer.
-        if has_all_rows and split_revision(self._roster.revision).era < changes.era:
-            self._replace_roster(rows, changes.era)
-        self._take(rows)
+        if update.has_all_rows and split_revision(self._roster.revision).era < update.era:
+            self._replace_roster(update.rows, update.era)
+        self._take(update.rows)
 
     def _begin_era(self, era: Era) -> None:
         """Forgets what the table may have lost, but for heads, which stay in force."""
-        if self._since:
-            log.warning("table.era-began", era=era)
         self.coordinator = None
         self.coordinator_revision = Revision(0)
         self._era_began(era)
--- a/src/coralfall/idempotency/claims.py
+++ b/src/coralfall/idempotency/claims.py
@@ -14,19 +14,12 @@
 
 from .. import defaults
 from ..cluster.rows import ClaimRow, ClaimState, KeptAnswer, claim_key
-from ..exceptions import (
-    ClaimBusyError,
-    ClaimError,
-    ClaimMismatchError,
-    ClaimUnknownError,
-    CoralfallError,
-    PlatformError,
-    RefusedError,
-)
+from ..exceptions import ClaimError, PlatformError, RefusedError
 from ..process import log
 from ..process.child import Child
 from ..process.clock import PlatformClock
 from ..settings import ClaimSettings
+from . import claim_errors
 from .claim_eras import ClaimHold, RecentClaims
 from .claim_queue import ClaimQueue
 from .claim_record import ClaimRecord, Verdict
@@ -233,11 +226,11 @@
         if record is None or record.wanted.state is ClaimState.RELEASED:
             return None
         if record.wanted.fingerprint != fingerprint:
-            raise _mismatch()
+            raise claim_errors.mismatch()
         if record.wanted.state is ClaimState.CLAIMED:
-            raise _busy()
+            raise claim_errors.busy()
         if record.wanted.state is ClaimState.UNKNOWN:
-            raise _unknown()
+            raise claim_errors.unknown()
         return record.wanted.answer
 
     def _begin(self, key: str, fingerprint: str) -> ClaimRecord:
@@ -343,7 +336,8 @@
             self._queue.failed(error, _now())
             return
         held_s = self._hold.seconds_left
-        log.warning("claims.era-began", held_s=round(held_s, 3), open=len(self._records_by_key))
+        if held_s:
+            log.warning("claims.era-began", held_s=round(held_s, 3), open=len(self._records_by_key))
         for record in list(self._records_by_key.values()):
             if _may_be_lost(record):
                 self._write_again(record)
@@ -410,7 +404,7 @@
         if verdict is Verdict.DONE and record.row is not None and record.row.answer is not None:
             waiter.set_result(record.row.answer)
             return
-        waiter.set_exception(_error_of(verdict))
+        waiter.set_exception(claim_errors.error_of(verdict))
 
     def _drop(self, record: ClaimRecord) -> None:
         self._waiting_bytes -= record.answer_bytes()
@@ -434,31 +428,3 @@
 def _now() -> float:
     """Loop's time: pauses need no clock that goes on while the VM is suspended."""
     return asyncio.get_running_loop().time()
-
-
-def _mismatch() -> ClaimError:
-    return ClaimMismatchError("the idempotency key names another command; use a new key")
-
-
-def _busy() -> ClaimError:
-    message = (
-        "a request with this idempotency key is in progress, or its outcome is not known yet; "
-        "retry with the same key"
-    )
-    return ClaimBusyError(message, defaults.RETRY_AFTER_S)
-
-
-def _unknown() -> ClaimError:
-    message = (
-        "a request with this idempotency key was dispatched, and its outcome stays unknown; "
-        "find out what it did before a new key is used"
-    )
-    return ClaimUnknownError(message)
-
-
-def _error_of(verdict: Verdict) -> CoralfallError:
-    if verdict is Verdict.MISMATCH:
-        return _mismatch()
-    if verdict is Verdict.UNKNOWN:
-        return _unknown()
-    return _busy()
