Say in the log which requests a stopping entry cuts off, and when

Cause: a request that was cut off as the process ended left no line and no count, and nothing told when the signal had come or how much of the grace was left, so the hypotheses of the incident (too little time left, killed too early, sent late) could not be told apart.

Change: Shutdown counts the grace from the last moment at which the process is known not to have been told (the interpreter's own handler, bounded by the tick). process.stopping tells age and time left, request.ended tells of requests that were cut off (reason cut-off, status 0) with stop_age_ms, stop_left_ms and time_left_ms, entry.stopped counts them, and coralfall_requests_total has the reason.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -177,6 +177,10 @@
 MAX_LOOKUP_ENTRIES = 4
 #: Time that an entry or target has to finish its requests when it is told to stop.
 GRACE_S = 30.0
+#: Part of that time in which a process ends after its last request was cut off, at most, and as a
+#: fraction of it.
+STOP_RESERVE_S = 1.0
+STOP_RESERVE_FRACTION = 0.1
 #: Number of failures of a child within the window that its supervisor tolerates; with one more the
 #: supervisor ends.
 MAX_CHILD_FAILURES = 5
--- a/src/coralfall/platform/run.py
+++ b/src/coralfall/platform/run.py
@@ -71,6 +71,6 @@
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
     if early.hung_up:
         reload()
-    status = await supervise(root)
-    log.info("entry.stopped", status=status)
+    status = await supervise(root, shutdown=node.shutdown)
+    log.info("entry.stopped", status=status, **node.shutdown_fields())
     return status
--- a/src/coralfall/process/supervisor.py
+++ b/src/coralfall/process/supervisor.py
@@ -16,6 +16,7 @@
 
 if t.TYPE_CHECKING:
     from .clock import Clock
+    from .shutdown import Shutdown
 
 DEFAULT_RESTART = RestartSettings()
 #: Least time that a child gets to stop, in seconds, when those before it used up the grace.
@@ -289,7 +290,9 @@
         slot.state = ChildState.ENDED
 
 
-async def supervise(root: Child, stop: t.Optional[asyncio.Event] = None) -> int:
+async def supervise(
+    root: Child, stop: t.Optional[asyncio.Event] = None, shutdown: "t.Optional[Shutdown]" = None
+) -> int:
     """Run a tree until SIGTERM, SIGINT or ``stop``; the exit status of the process.
 
     A second SIGINT cuts the orderly stop short. A second SIGTERM does not: whatever sends it
@@ -297,6 +300,7 @@
 
     :param root: the tree.
     :param stop: set it to stop the tree from within.
+    :param shutdown: begins with SIGTERM, also while the loop is busy.
     :return: 0 after an orderly stop, 1 if the tree failed or was interrupted.
     """
     stop = stop or asyncio.Event()
@@ -310,14 +314,27 @@
 
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, interrupt)
+    if shutdown is not None:
+        _begin_at_signal(shutdown)
     try:
-        return await _run_until(root, stop, interrupted)
+        return await _run_until(root, stop, interrupted, shutdown)
     finally:
         loop.remove_signal_handler(signal.SIGTERM)
         loop.remove_signal_handler(signal.SIGINT)
 
 
-async def _run_until(root: Child, stop: asyncio.Event, interrupted: asyncio.Event) -> int:
+def _begin_at_signal(shutdown: "Shutdown") -> None:
+    # The interpreter calls this before the loop comes to its own handler, which it wakes up for.
+    signal.signal(signal.SIGTERM, lambda _number, _frame: shutdown.begin())
+    signal.siginterrupt(signal.SIGTERM, False)
+
+
+async def _run_until(
+    root: Child,
+    stop: asyncio.Event,
+    interrupted: asyncio.Event,
+    shutdown: "t.Optional[Shutdown]",
+) -> int:
     started = asyncio.Event()
     running = asyncio.create_task(_start_and_run(root, started), name=root.name)
     try:
@@ -325,7 +342,7 @@
         if running.done():
             return _status_of(root, running)
         if started.is_set():
-            return await _stop_root(root, interrupted)
+            return await _stop_root(root, interrupted, shutdown)
         return 0
     finally:
         running.cancel()
@@ -338,8 +355,15 @@
     await root.run()
 
 
-async def _stop_root(root: Child, interrupted: asyncio.Event) -> int:
-    log.info("process.stopping", root=root.name)
+async def _stop_root(
+    root: Child, interrupted: asyncio.Event, shutdown: "t.Optional[Shutdown]"
+) -> int:
+    fields: t.Dict[str, t.Any] = {}
+    if shutdown is not None:
+        shutdown.begin()
+        fields["age_ms"] = round(shutdown.age_s() * 1000)
+        fields["left_ms"] = round(shutdown.left_s() * 1000)
+    log.info("process.stopping", root=root.name, **fields)
     stopping = asyncio.create_task(root.stop(), name=f"{root.name}/stop")
     try:
         await _wait_for_either(stopping, interrupted)
--- a/src/coralfall/traffic/callers.py
+++ b/src/coralfall/traffic/callers.py
@@ -20,6 +20,7 @@
 
     from ..placement.contention import Contention
     from ..process.clock import Clock
+    from ..process.shutdown import Shutdown
     from .forwarder import Forwarder
     from .quotas import Quotas
     from .state_view import StateView
@@ -29,6 +30,8 @@
 
 _REJECTED_METHODS = frozenset(("CONNECT", "TRACE"))
 _MAX_MILLISECONDS_DIGITS = 9
+#: Reason of a request that was cut off as the process stopped.
+CUT_OFF = "cut-off"
 
 
 class CallersApp:
@@ -41,6 +44,7 @@
     :param forwarder: forwards requests to targets.
     :param telemetry: counts requests.
     :param contention: tells which services are contended.
+    :param shutdown: tells when the process ends.
     :param clock: measures deadlines.
     """
 
@@ -53,6 +57,7 @@
         forwarder: "Forwarder",
         telemetry: "Telemetry",
         contention: "Contention",
+        shutdown: "Shutdown",
         clock: "Clock",
     ) -> None:
         self._names = names
@@ -62,12 +67,16 @@
         self._forwarder = forwarder
         self._telemetry = telemetry
         self._contention = contention
+        self._shutdown = shutdown
         self._clock = clock
         self._memory = MemoryAccount(defaults.MAX_BUFFERED_BYTES)
         #: Bytes of answers that wait for their callers.
         self.answer_memory = AnswerMemory(self._memory)
         #: Number of requests in flight.
         self.in_flight = 0
+        #: Requests that were refused, and that were cut off, as the process stops.
+        self.refused_at_stop = 0
+        self.cut_off_at_stop = 0
 
     async def __call__(self, scope: "Scope", receive: "Receive", send: "Send") -> None:
         if scope["type"] != "http":
@@ -93,6 +102,9 @@
         except CallerGoneError:
             self._log(scope, request, None, started_at)
             return
+        except asyncio.CancelledError:
+            self._note_cut_off(scope, request, started_at)
+            raise
         except CoralfallError as error:
             reply = reply_from_error(error)
         finally:
@@ -212,28 +224,36 @@
             raise RequestError("deadline", 400, "the time left is not in whole milliseconds")
         return int(value) / 1000
 
+    def _note_cut_off(
+        self, scope: "Scope", request: t.Optional[SteeredRequest], started_at: float
+    ) -> None:
+        self.cut_off_at_stop += 1
+        self._log(scope, request, None, started_at, CUT_OFF)
+
     def _log(
         self,
         scope: "Scope",
         request: t.Optional[SteeredRequest],
         reply: t.Optional[Reply],
         started_at: float,
+        no_reply: str = "caller-gone",
     ) -> None:
         state_view = self._state_view
         if request is None:
-            self._telemetry.count_rejected(reply)
+            self._telemetry.count_rejected(reply, no_reply)
             name = self._names.request_id
             log.info(
                 "request.refused",
                 id=(_header(scope["headers"], name) or b"").decode("latin-1"),
                 path=scope["path"],
                 status=reply.status if reply else 0,
-                reason=reply.reason if reply else "caller-gone",
+                reason=reply.reason if reply else no_reply,
+                **self._shutdown_fields(None),
                 version=state_view.version,
             )
             return
         now = self._clock.monotonic()
-        self._telemetry.count_request(request, reply, now - started_at)
+        self._telemetry.count_request(request, reply, now - started_at, no_reply)
         log.info(
             "request.ended",
             id=request.request_id,
@@ -241,8 +261,8 @@
             tenant=request.tenant.tenant_id if request.tenant is not None else "none",
             service=request.service,
             status=reply.status if reply else 0,
-            outcome=reply.outcome if reply else "caller-gone",
-            reason=reply.reason if reply else "caller-gone",
+            outcome=reply.outcome if reply else no_reply,
+            reason=reply.reason if reply else no_reply,
             ms=round((now - started_at) * 1000),
             aim_ms=round(request.route.latency_target_s * 1000),
             sends=",".join([str(send) for send in request.attempts]) or "none",
@@ -250,11 +270,24 @@
             **_dispatch_fields(request),
             **_fingerprint_fields(request),
             **({"quota": reply.detail} if reply is not None and reply.detail else {}),
+            **self._shutdown_fields(request),
             version=state_view.version,
             state_age_ms=round(state_view.state_age_s() * 1000),
             targets_age_ms=round(state_view.targets_age_s() * 1000),
         )
 
+    def _shutdown_fields(self, request: t.Optional[SteeredRequest]) -> t.Dict[str, int]:
+        """Returns the log fields that tell how far the process is on its way to stop, if it is."""
+        if not self._shutdown.is_begun:
+            return {}
+        fields = {
+            "stop_age_ms": round(self._shutdown.age_s() * 1000),
+            "stop_left_ms": round(self._shutdown.left_s() * 1000),
+        }
+        if request is not None:
+            fields["time_left_ms"] = round((request.deadline - self._clock.monotonic()) * 1000)
+        return fields
+
 
 def _retry_fields(request: SteeredRequest) -> t.Dict[str, str]:
     """Returns the log field that tells why a request was not sent once more, if it failed."""
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -18,6 +18,7 @@
 from ..process import log
 from ..process.child import PERIODIC_JITTER, Child, FunctionChild, PeriodicChild
 from ..process.metrics import Metrics
+from ..process.shutdown import Shutdown
 from ..process.supervisor import Supervisor
 from ..settings import HttpSettings
 from .callers import CallersApp
@@ -99,6 +100,8 @@
         self._store = store
         self.clock = clock
         self._rng = rng
+        #: When the process ends once it was told to stop.
+        self.shutdown = Shutdown(settings.bounds.grace_s, clock)
         self.telemetry = Telemetry()
         self.metrics = Metrics(settings.metrics)
         self.targets = TargetRegistry(clock, settings.bounds.target_visibility_s())
@@ -166,6 +169,7 @@
             self.forwarder,
             self.telemetry,
             self.contention,
+            self.shutdown,
             clock,
         )
         self._tick_due_at = clock.monotonic() + _TICK_S
@@ -223,6 +227,7 @@
         """Applies settings of which only reloadable ones differ; see :mod:`.settings_reloader`."""
         self.settings = settings
         log.set_level(settings.log)
+        self.shutdown.grace_s = settings.bounds.grace_s
         self.steering.settings = settings
         self.contention.settings = settings.dispatch
         self.budget.set_bounds(settings.bounds)
@@ -247,8 +252,17 @@
         await asyncio.sleep(self.settings.bounds.shutdown_accept_s())
         unregister.cancel()
 
+    def shutdown_fields(self) -> t.Dict[str, int]:
+        """Returns the log fields that tell how the entry stopped."""
+        return {
+            "age_ms": round(self.shutdown.age_s() * 1000),
+            "refused": self.callers.refused_at_stop,
+            "cut_off": self.callers.cut_off_at_stop,
+        }
+
     async def _tick(self) -> None:
         now = self.clock.monotonic()
+        self.shutdown.beat()
         self.telemetry.observe_loop_delay(max(0.0, now - self._tick_due_at))
         self._tick_due_at = now + _TICK_S * (1 + PERIODIC_JITTER)
         self.state_view.tick()
--- a/src/coralfall/traffic/telemetry.py
+++ b/src/coralfall/traffic/telemetry.py
@@ -85,12 +85,19 @@
         self._gauges: t.Dict[str, prometheus_client.Gauge] = {}
 
     def count_request(
-        self, request: "SteeredRequest", reply: "t.Optional[Reply]", seconds: float
+        self,
+        request: "SteeredRequest",
+        reply: "t.Optional[Reply]",
+        seconds: float,
+        no_reply: str = "caller-gone",
     ) -> None:
-        """Counts a request that ended; without a reply if its caller disconnected."""
+        """Counts a request that ended.
+
+        :param no_reply: reason for which there is no reply, if there is none.
+        """
         service = request.service
         status = str(reply.status) if reply is not None else "0"
-        reason = reply.reason if reply is not None else "caller-gone"
+        reason = reply.reason if reply is not None else no_reply
         self._requests.labels(service, status, reason).inc()
         self._seconds.labels(service).observe(seconds)
         if request.tenant is not None:
@@ -114,10 +121,13 @@
             self._tenant_labels.add(tenant_id)
         return tenant_id
 
-    def count_rejected(self, reply: "t.Optional[Reply]") -> None:
-        """Counts a request that was rejected before it had a route."""
+    def count_rejected(self, reply: "t.Optional[Reply]", no_reply: str = "caller-gone") -> None:
+        """Counts a request that was rejected before it had a route.
+
+        :param no_reply: reason for which there is no reply, if there is none.
+        """
         status = str(reply.status) if reply is not None else "0"
-        reason = reply.reason if reply is not None else "caller-gone"
+        reason = reply.reason if reply is not None else no_reply
         self._requests.labels("none", status, reason).inc()
 
     def count_crash(self, service: "ServiceId") -> None:
--- a/tests/traffic/test_answer_memory.py
+++ b/tests/traffic/test_answer_memory.py
@@ -5,10 +5,12 @@
 import typing as t
 from unittest import mock
 
+from coralfall.defaults import GRACE_S
 from coralfall.exceptions import OverLimitError, RefusedError
 from coralfall.forwarding.request import MemoryAccount
 from coralfall.http.server import HttpServer
 from coralfall.ids import Outcome, ServiceId
+from coralfall.process.shutdown import Shutdown
 from coralfall.settings import HttpSettings
 from coralfall.traffic.answer_memory import AnswerMemory, HeldAnswer
 from coralfall.traffic.callers import CallersApp
@@ -45,8 +47,12 @@
         forwarder: t.Any = FakeForwarder()
         clock = mock.Mock(**{"monotonic.return_value": 100.0})
         authenticator = mock.Mock(**{"authenticate.return_value": None})
-        parts: t.Any = (state_view, authenticator, self.quotas, forwarder, mock.Mock(), self, clock)
-        self.app = CallersApp(mock.Mock(request_id=b"id", time_left=b"left"), *parts)
+        contention: t.Any = self
+        shutdown = Shutdown(GRACE_S, clock)
+        parts: t.Any = (state_view, authenticator, self.quotas, forwarder, mock.Mock(), contention)
+        self.app = CallersApp(
+            mock.Mock(request_id=b"id", time_left=b"left"), *parts, shutdown, clock
+        )
         self.contended = True
         await self.start_server(HttpSettings(idle_timeout_s=60.0, idle_stop_s=0.1))
 
--- a/tests/traffic/test_target_selection.py
+++ b/tests/traffic/test_target_selection.py
@@ -28,6 +28,7 @@
 from coralfall.placement.target_reports import TargetReport
 from coralfall.platform.names import HEADERS
 from coralfall.process.clock import ManualClock
+from coralfall.process.shutdown import Shutdown
 from coralfall.traffic.callers import CallersApp, _dispatch_fields
 from coralfall.traffic.dispatch_selection import DispatchSelector
 from coralfall.traffic.model import RequestKind, Route, RouteId, Target
@@ -572,7 +573,9 @@
         contention = Contention(dispatch, ManualClock(0.0))
         other: t.Any = mock.Mock()
         other.authenticate.return_value = None
-        app = CallersApp(HEADERS, view, other, other, other, other, contention, ManualClock(0.0))
+        clock = ManualClock(0.0)
+        shutdown = Shutdown(defaults.GRACE_S, clock)
+        app = CallersApp(HEADERS, view, other, other, other, other, contention, shutdown, clock)
         keys = set()
         for path in (b"/a", b"/b"):
             headers = [(b"host", b"a.example"), (b"cookie", b"X-Affinity-Key=k")]
