End a process in order before it is killed

Cause: the supervisor gave its children the whole grace, counted from when the loop saw the signal, and each child that came after it 1 s more; the servers for look-ups and checks held an idle connection for 1 s each, one after the other.

Change: children stop by the Shutdown of the process: requests are cut off a reserve (0.5 s, a twelfth of a short grace) before the kill, and all parts together have half of the reserve after that. The grace counts from the last beat before the signal. Servers without callers' requests close idle connections after 0.1 s.

The row of test_supervisor that patched MIN_STOP_S has the same assertions without it: there is no such minimum any more, since it let the stop outlast the process.

Tests: three of the four rows of StopOrderTest fail on the supervisor before (with a grace of its own in place of the Shutdown): the first part that hangs ends at 16.0 s, when the kill comes, and those after it later.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -69,8 +69,10 @@
 HEADER_TIMEOUT_S = 5.0
 #: Idle timeout of a caller's connection; clients commonly keep theirs open for 15 s.
 CALLER_IDLE_TIMEOUT_S = 20.0
-#: Time for which a stopping server still answers requests on idle connections.
+#: Time for which a stopping server still answers requests on idle connections, and the same where
+#: only look-ups and checks come.
 SHUTDOWN_IDLE_TIMEOUT_S = 1.0
+SHUTDOWN_IDLE_CHECKS_TIMEOUT_S = 0.1
 #: Maximum number of connections to one server of an entry, and how many of them may be idle.
 MAX_CONNECTIONS = 1000
 MAX_IDLE_CONNECTIONS = 500
@@ -179,8 +181,10 @@
 GRACE_S = 30.0
 #: Part of that time in which a process ends after its last request was cut off, at most, and as a
 #: fraction of it.
-STOP_RESERVE_S = 1.0
-STOP_RESERVE_FRACTION = 0.1
+STOP_RESERVE_S = 0.5
+STOP_RESERVE_FRACTION = 1 / 12
+#: Time between two proofs that a process runs and was not told to stop.
+STOP_BEAT_S = 0.2
 #: Number of failures of a child within the window that its supervisor tolerates; with one more the
 #: supervisor ends.
 MAX_CHILD_FAILURES = 5
--- a/src/coralfall/process/shutdown.py
+++ b/src/coralfall/process/shutdown.py
@@ -4,6 +4,7 @@
 before that, so that the process ends in order and by itself.
 """
 
+import asyncio
 import math
 import typing as t
 
@@ -43,6 +44,17 @@
         if self._told_at is None:
             self._told_at = self._beat_at
 
+    def begin_now(self) -> None:
+        """Records that the process stops by itself, if it was not told to before."""
+        if self._told_at is None:
+            self._told_at = self._clock.monotonic()
+
+    async def run_beats(self) -> None:
+        """Beats until the process is told to stop."""
+        while not self.is_begun:
+            self.beat()
+            await asyncio.sleep(defaults.STOP_BEAT_S)
+
     def age_s(self) -> float:
         """Returns the seconds since the signal at most; 0 before it."""
         return 0.0 if self._told_at is None else self._clock.monotonic() - self._told_at
--- a/src/coralfall/process/supervisor.py
+++ b/src/coralfall/process/supervisor.py
@@ -13,14 +13,12 @@
 from ..settings import RestartSettings
 from . import log
 from .child import Child, Sleep
+from .shutdown import Shutdown
 
 if t.TYPE_CHECKING:
     from .clock import Clock
-    from .shutdown import Shutdown
 
 DEFAULT_RESTART = RestartSettings()
-#: Least time that a child gets to stop, in seconds, when those before it used up the grace.
-MIN_STOP_S = 1.0
 #: Seconds that a cancelled child may take to clean up before it is given up on.
 CANCEL_S = 5.0
 
@@ -71,6 +69,7 @@
     :param restart: how often and how soon children are restarted.
     :param grace_s: seconds that all children together may take to stop.
     :param sleep: waits that many seconds; given by tests.
+    :param shutdown: when the children have to have stopped; it replaces ``grace_s``.
     """
 
     def __init__(
@@ -82,13 +81,14 @@
         restart: RestartSettings = DEFAULT_RESTART,
         grace_s: float = GRACE_S,
         sleep: Sleep = asyncio.sleep,
+        shutdown: t.Optional[Shutdown] = None,
     ) -> None:
         self.name = name
         self._children = list(children)
         self._clock = clock
         self._random = random
         self._restart = restart
-        self._grace_s = grace_s
+        self._end_of_process = shutdown or Shutdown(grace_s, clock)
         self._sleep = sleep
         self._slots: t.List[_Slot] = []
 
@@ -249,10 +249,16 @@
         await asyncio.shield(self._shutdown)
 
     async def _stop_children(self) -> None:
-        deadline = self._clock.monotonic() + self._grace_s
+        self._end_of_process.begin_now()
         for slot in reversed(self._slots):
-            left = deadline - self._clock.monotonic()
-            await self._stop_child(slot, max(left, MIN_STOP_S))
+            await self._stop_child(slot, self._stop_time_s())
+
+    def _stop_time_s(self) -> float:
+        """Returns the seconds that the next child may take to stop."""
+        now = self._clock.monotonic()
+        serve_s = self._end_of_process.serves_until() - now
+        # What stops after the requests were cut off has the reserve for it.
+        return serve_s if serve_s > 0 else max(0.0, self._end_of_process.exits_by() - now)
 
     async def _stop_child(self, slot: _Slot, grace_s: float) -> None:
         slot.stopping = True
@@ -337,6 +343,7 @@
 ) -> int:
     started = asyncio.Event()
     running = asyncio.create_task(_start_and_run(root, started), name=root.name)
+    beats = None if shutdown is None else asyncio.create_task(shutdown.run_beats())
     try:
         await _wait_for_either(running, stop)
         if running.done():
@@ -346,6 +353,8 @@
         return 0
     finally:
         running.cancel()
+        if beats is not None:
+            beats.cancel()
         await asyncio.wait({running}, timeout=CANCEL_S)
 
 
@@ -360,7 +369,7 @@
 ) -> int:
     fields: t.Dict[str, t.Any] = {}
     if shutdown is not None:
-        shutdown.begin()
+        shutdown.begin_now()
         fields["age_ms"] = round(shutdown.age_s() * 1000)
         fields["left_ms"] = round(shutdown.left_s() * 1000)
     log.info("process.stopping", root=root.name, **fields)
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -64,6 +64,8 @@
 _REGISTRATION_WAIT_S = 5.0
 #: Seconds between two looks at which entries have rows.
 _SHARE_S = 1.0
+#: Bounds of the servers on which no requests of callers come.
+_CHECKS_HTTP = HttpSettings(idle_stop_s=defaults.SHUTDOWN_IDLE_CHECKS_TIMEOUT_S)
 #: Seconds for which an idle connection of a caller is kept beyond the limit of the desired state.
 _IDLE_MARGIN_S = 5.0
 
@@ -202,8 +204,8 @@
             self.transit.client,
             self.transit_server,
             FunctionChild("register", self.registry.register, temporary=True),
-            HttpServer("readiness", readiness, settings.readiness_address),
-            HttpServer("lookup", lookup, settings.lookup_address),
+            HttpServer("readiness", readiness, settings.readiness_address, _CHECKS_HTTP),
+            HttpServer("lookup", lookup, settings.lookup_address, _CHECKS_HTTP),
             self._callers_server,
             FunctionChild("registry", self.registry.run),
             PeriodicChild("tick", self._tick, _TICK_S, self._rng, self.metrics),
@@ -212,11 +214,11 @@
         ]
         if settings.metrics_address is not None:
             metrics = MetricsApp(self.telemetry, self)
-            children.insert(0, HttpServer("metrics", metrics, settings.metrics_address))
+            server = HttpServer("metrics", metrics, settings.metrics_address, _CHECKS_HTTP)
+            children.insert(0, server)
         for follower in self.followers:
             children.insert(3, FunctionChild("follower", follower.run))
-        grace_s = settings.bounds.grace_s
-        return Supervisor("entry", children, self.clock, self._rng, grace_s=grace_s)
+        return Supervisor("entry", children, self.clock, self._rng, shutdown=self.shutdown)
 
     @property
     def ready(self) -> bool:
@@ -262,7 +264,6 @@
 
     async def _tick(self) -> None:
         now = self.clock.monotonic()
-        self.shutdown.beat()
         self.telemetry.observe_loop_delay(max(0.0, now - self._tick_due_at))
         self._tick_due_at = now + _TICK_S * (1 + PERIODIC_JITTER)
         self.state_view.tick()
--- a/tests/process/test_shutdown.py
+++ b/tests/process/test_shutdown.py
@@ -1,6 +1,8 @@
 """Tests of the time that a process has once it was told to stop."""
 
+import asyncio
 import math
+import random
 import typing as t
 import unittest
 
@@ -8,8 +10,11 @@
 from hypothesis import strategies as st
 from parameterized import parameterized
 
+from coralfall.process.child import Child
 from coralfall.process.clock import ManualClock
 from coralfall.process.shutdown import Shutdown
+from coralfall.process.supervisor import Supervisor
+from tests.virtual_loop import LoopClock, run_virtual
 
 
 class ShutdownTest(unittest.TestCase):
@@ -20,7 +25,7 @@
         self.assertEqual(math.inf, shutdown.left_s())
         self.assertEqual(math.inf, shutdown.exits_by())
 
-    @parameterized.expand([(0.5, 100.45, 100.475), (6.0, 105.4, 105.7), (30.0, 129.0, 129.5)])
+    @parameterized.expand([(0.6, 100.55, 100.575), (6.0, 105.5, 105.75), (30.0, 129.5, 129.75)])
     def test_parts_of_the_grace(self, grace_s: float, serves: float, exits: float) -> None:
         shutdown = Shutdown(grace_s, ManualClock(100.0))
         shutdown.begin()
@@ -39,7 +44,7 @@
         clock.advance(1.0)
         shutdown.beat()
         shutdown.begin()
-        self.assertAlmostEqual(105.0 + 5.4, shutdown.serves_until())
+        self.assertAlmostEqual(105.0 + 5.5, shutdown.serves_until())
 
     @given(
         st.floats(0.1, 60.0),
@@ -61,3 +66,57 @@
         shutdown.beat()
         self.assertLess(shutdown.serves_until(), shutdown.exits_by())
         self.assertLess(shutdown.exits_by(), killed_at)
+
+
+class Part(Child):
+    """A child that takes its time to stop.
+
+    :param stop_s: seconds; infinite if it never does.
+    :param ended_at: gets the time at which it has ended.
+    """
+
+    def __init__(self, name: str, stop_s: float, clock: LoopClock, ended_at: t.List[float]) -> None:
+        self.name = name
+        self._stop_s = stop_s
+        self._clock = clock
+        self._ended_at = ended_at
+
+    async def run(self) -> None:
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self._ended_at.append(self._clock.monotonic())
+
+    async def stop(self) -> None:
+        await asyncio.sleep(self._stop_s)
+
+
+class StopOrderTest(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("all stop at once", (0.0, 0.0, 0.0), (10.0, 10.0, 10.0)),
+            ("the servers' time is cut", (0.0, 0.0, math.inf), (15.5, 15.5, 15.5)),
+            ("what stops later has the reserve", (0.1, 0.1, math.inf), (15.5, 15.6, 15.7)),
+            ("all hang", (math.inf, math.inf, math.inf), (15.5, 15.75, 15.75)),
+        ]
+    )
+    def test_all_parts_have_stopped_before_the_process_is_killed(
+        self, _name: str, stops_s: t.Sequence[float], expected: t.Sequence[float]
+    ) -> None:
+        """Each part had 1 s of its own after the grace, so the process was killed as it stopped."""
+
+        async def main(clock: LoopClock) -> t.List[float]:
+            ended_at: t.List[float] = []
+            parts = [Part("part", seconds, clock, ended_at) for seconds in stops_s]
+            shutdown = Shutdown(6.0, clock)
+            tree = Supervisor("root", parts, clock, random.Random(1), shutdown=shutdown)
+            await tree.start()
+            running = asyncio.create_task(tree.run())
+            await asyncio.sleep(10.0 - clock.monotonic())
+            shutdown.begin_now()
+            await tree.stop()
+            running.cancel()
+            return ended_at
+
+        for moment, found in zip(expected, run_virtual(main), strict=True):
+            self.assertAlmostEqual(moment, found, places=3)
--- a/tests/process/test_supervisor.py
+++ b/tests/process/test_supervisor.py
@@ -239,8 +239,7 @@
             [Probe("a", self.events), Probe("b", self.events, stop=stop)], grace_s=0.05
         )
         running = await self.run_until_settled(tree)
-        with mock.patch.object(supervisor, "MIN_STOP_S", 0.05):
-            await self.end(tree, running)
+        await self.end(tree, running)
         self.assertEqual(self.events[-4:], ["stop b", "end b", "stop a", "end a"])
         self.assertIn("child=b", self.logged(event)[0])
 
