Send nothing to a target that would outlast a stopping entry

Seen again in a test of our own: of 16 requests on kept connections with a time limit of 4.6 s and 3 s of work, 0 to 4.4 s after the SIGTERM, 7 were cut off 6.05 s after it, with 0.7 to 2.4 s of their time left.

Cause: nothing compared the time of a request with the time that the process has left. A class of fault: work is begun on a deadline of its own, without the deadline of whoever has to see it through.

Change: placement/stop_admission decides, without loop or network, for each request that a stopping entry takes, and again as the last check before each send, after body, quota, dispatcher, permit, connection and retry. A request is sent if its whole time ends before requests are cut off. A safe one is also sent with less time, up to the cut, if its service has lately needed no more for any answer; the target then stops by itself and says so. All others are refused as not run at once (503, reason stopping, Retry-After 0.1), also those that other entries ask this one to carry, which are told that this way is closed.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -185,6 +185,10 @@
 STOP_RESERVE_FRACTION = 1 / 12
 #: Time between two proofs that a process runs and was not told to stop.
 STOP_BEAT_S = 0.2
+#: Time that an answer of a target takes to reach the caller, where a stopping process waits for it.
+STOP_ANSWER_MARGIN_S = 0.1
+#: Time for which the longest answers of a service are remembered, at least.
+LONGEST_ANSWER_WINDOW_S = 30.0
 #: Number of failures of a child within the window that its supervisor tolerates; with one more the
 #: supervisor ends.
 MAX_CHILD_FAILURES = 5
--- a/src/coralfall/reporting/explain.py
+++ b/src/coralfall/reporting/explain.py
@@ -68,6 +68,8 @@
     "shed": "the target said that it did not run the request: full, leaving, or out of time",
     "budget": "the token of its retry was lost while it waited for a target; nothing was sent",
     "cancelled": "the caller left first, or the process ended",
+    "stopping": "the entry was told to stop and would have ended before the request's time: see"
+    " stop_left_ms and time_left_ms; nothing was sent by it since",
     "cut-off": "the process ended before the answer came; see stop_age_ms and time_left_ms",
     "unknown-key": "no tenant of the version in force has the key: see when it was taken away",
     "no-key": "the request carried no key, or two",
--- a/src/coralfall/traffic/callers.py
+++ b/src/coralfall/traffic/callers.py
@@ -8,6 +8,7 @@
 from ..forwarding.request import MemoryAccount, RequestBody, pieces_of
 from ..http.caller_watch import CallerWatch
 from ..http.drain import DRAIN_EXTENSION
+from ..placement.stop_admission import STOPPING
 from ..process import log
 from .answer_memory import AnswerMemory, HeldAnswer
 from .reply import Reply, reply_from_error
@@ -19,8 +20,8 @@
     from starlette.types import Receive, Scope, Send
 
     from ..placement.contention import Contention
+    from ..placement.stop_admission import StopAdmission
     from ..process.clock import Clock
-    from ..process.shutdown import Shutdown
     from .forwarder import Forwarder
     from .quotas import Quotas
     from .state_view import StateView
@@ -44,7 +45,7 @@
     :param forwarder: forwards requests to targets.
     :param telemetry: counts requests.
     :param contention: tells which services are contended.
-    :param shutdown: tells when the process ends.
+    :param stop_admission: decides on requests while the process stops.
     :param clock: measures deadlines.
     """
 
@@ -57,7 +58,7 @@
         forwarder: "Forwarder",
         telemetry: "Telemetry",
         contention: "Contention",
-        shutdown: "Shutdown",
+        stop_admission: "StopAdmission",
         clock: "Clock",
     ) -> None:
         self._names = names
@@ -67,7 +68,7 @@
         self._forwarder = forwarder
         self._telemetry = telemetry
         self._contention = contention
-        self._shutdown = shutdown
+        self._stop_admission = stop_admission
         self._clock = clock
         self._memory = MemoryAccount(defaults.MAX_BUFFERED_BYTES)
         #: Bytes of answers that wait for their callers.
@@ -114,6 +115,7 @@
         if body is not None and not body.ended:
             # Part of the body stays unread, so no request can follow on this connection.
             reply.headers.append((b"connection", b"close"))
+        self.refused_at_stop += reply.reason == STOPPING
         self._log(scope, request, reply, started_at)
         await send(
             {"type": "http.response.start", "status": reply.status, "headers": reply.headers}
@@ -142,9 +144,11 @@
     def _refuse_at_once(self, request: SteeredRequest, answer: HeldAnswer) -> None:
         """Refuses a request before its body is read, if it is known that it can't be served.
 
-        :raises RefusedError: if too many bytes of answers wait for their callers.
+        :raises RefusedError: if the process ends too soon, or if too many bytes of answers wait for
+            their callers.
         :raises OverLimitError: if the owners refused its tenant just now.
         """
+        self._stop_admission.check(request.service, request.deadline, request.is_idempotent)
         self._quotas.check_backoff(request.tenant)
         if request.contended:
             self.answer_memory.check_room(request.caller)
@@ -278,11 +282,12 @@
 
     def _shutdown_fields(self, request: t.Optional[SteeredRequest]) -> t.Dict[str, int]:
         """Returns the log fields that tell how far the process is on its way to stop, if it is."""
-        if not self._shutdown.is_begun:
+        shutdown = self._stop_admission.shutdown
+        if not shutdown.is_begun:
             return {}
         fields = {
-            "stop_age_ms": round(self._shutdown.age_s() * 1000),
-            "stop_left_ms": round(self._shutdown.left_s() * 1000),
+            "stop_age_ms": round(shutdown.age_s() * 1000),
+            "stop_left_ms": round(shutdown.left_s() * 1000),
         }
         if request is not None:
             fields["time_left_ms"] = round((request.deadline - self._clock.monotonic()) * 1000)
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -40,6 +40,7 @@
     from ..placement.quarantine import Quarantine
     from ..placement.reservation import TargetReservation
     from ..placement.retry_budget import SharedRetryBudget
+    from ..placement.stop_admission import StopAdmission
     from ..placement.targets import TargetRegistry, TargetState
     from ..process.clock import Clock
     from .crash_detector import CrashDetector
@@ -74,6 +75,7 @@
     :param crash_detector: is notified of connections that end during a request.
     :param quarantine: knows the requests that crash targets.
     :param permits: acquires tokens for attempts at targets that have a limit.
+    :param stop_admission: decides on requests while the process stops.
     :param clock: measures deadlines.
     """
 
@@ -88,6 +90,7 @@
         crash_detector: "CrashDetector",
         quarantine: "Quarantine",
         permits: "TargetPermits",
+        stop_admission: "StopAdmission",
         clock: "Clock",
     ) -> None:
         self._selector = selector
@@ -98,6 +101,7 @@
         self._crash_detector = crash_detector
         self._quarantine = quarantine
         self._permits = permits
+        self._stop_admission = stop_admission
         self._clock = clock
         #: Reads what responses report about their targets.
         self.report_reader = TargetReportReader(names, clock)
@@ -233,6 +237,8 @@
                 raise
             unanswered_since = started_at if isinstance(error, TargetTimeoutError) else None
             if unanswered_since is not None:
+                unanswered_s = self._clock.monotonic() - unanswered_since
+                self._stop_admission.record(request.service, unanswered_s)
                 reservation.record_latency(
                     self._clock.monotonic(), self._clock.monotonic() - started_at
                 )
@@ -252,6 +258,7 @@
                 reservation.cancel()
                 self._permits.return_token(attempt.permit)
         state.record_success()
+        self._stop_admission.record(request.service, attempt.duration_s)
         self._note_response(request, response)
         reservation.record_answer(self._clock.monotonic(), attempt.duration_s)
         attempt.result = str(response.status)
@@ -277,6 +284,7 @@
             time_left_s = time_left_to_send(self._targets, state, request.deadline, self._clock)
             if not request.is_trial and self._is_quarantined(request):
                 raise TargetNotRunError("not sent", reason=QUARANTINED)
+            target_time_s = self._target_time_s(request, connection)
             if not self._retry_policy.may_send(request):
                 raise TargetNotRunError("not sent", reason=RetryVerdict.BUDGET.value)
         except BaseException:
@@ -284,7 +292,9 @@
             raise
         attempt.sent = True
         attempt.sent_at = self._clock.monotonic()
-        response = await self._exchange_on_connection(connection, request, state, time_left_s)
+        response = await self._exchange_on_connection(
+            connection, request, state, time_left_s, target_time_s
+        )
         self.response_check.check(response, request, attempt, state)
         if request.is_idempotent:
             connection.release()
@@ -292,14 +302,25 @@
             connection.abort()
         return response
 
+    def _target_time_s(self, request: SteeredRequest, connection: TargetConnection) -> float:
+        """Returns the seconds that the target is given for a request.
+
+        :raises RefusedError: if the process ends too soon to send it.
+        """
+        # Another entry counts the time of a request that it carries by itself.
+        may_repeat = request.is_idempotent and connection.via is None
+        deadline = self._stop_admission.check(request.service, request.deadline, may_repeat)
+        return deadline - self._clock.monotonic()
+
     async def _exchange_on_connection(
         self,
         connection: TargetConnection,
         request: SteeredRequest,
         state: "TargetState",
         time_left_s: float,
+        target_time_s: float,
     ) -> "ServerResponse":
-        head, body, body_stream = self._request_encoder.encode(request, state.target, time_left_s)
+        head, body, body_stream = self._request_encoder.encode(request, state.target, target_time_s)
         take = request.held_answer.take if request.held_answer is not None else None
         outgoing = OutgoingRequest(head, body, body_stream, request.method == "HEAD", take)
         try:
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -14,6 +14,7 @@
 from ..placement.fleet_share import FleetShare
 from ..placement.quarantine import Quarantine, crash_digest
 from ..placement.retry_budget import SharedRetryBudget
+from ..placement.stop_admission import StopAdmission
 from ..placement.targets import TargetRegistry
 from ..process import log
 from ..process.child import PERIODIC_JITTER, Child, FunctionChild, PeriodicChild
@@ -104,6 +105,7 @@
         self._rng = rng
         #: When the process ends once it was told to stop.
         self.shutdown = Shutdown(settings.bounds.grace_s, clock)
+        self.stop_admission = StopAdmission(self.shutdown, clock)
         self.telemetry = Telemetry()
         self.metrics = Metrics(settings.metrics)
         self.targets = TargetRegistry(clock, settings.bounds.target_visibility_s())
@@ -152,10 +154,11 @@
             self.crash_detector,
             self.quarantine,
             self.target_permits,
+            self.stop_admission,
             clock,
         )
         self.transit_server = self.transit.build_server(
-            names, self.forwarder.response_check, self.crash_detector
+            names, self.forwarder.response_check, self.crash_detector, self.stop_admission
         )
         self.tenant_authenticator = TenantAuthenticator(names, self.state_view, settings.bounds)
         self.lookup = Lookup(settings, self.members, self.state_view)
@@ -171,7 +174,7 @@
             self.forwarder,
             self.telemetry,
             self.contention,
-            self.shutdown,
+            self.stop_admission,
             clock,
         )
         self._tick_due_at = clock.monotonic() + _TICK_S
--- a/src/coralfall/traffic/transit_parts.py
+++ b/src/coralfall/traffic/transit_parts.py
@@ -13,6 +13,7 @@
 from .transit_server import TransitServer
 
 if t.TYPE_CHECKING:
+    from ..placement.stop_admission import StopAdmission
     from ..placement.targets import TargetRegistry
     from ..process.clock import Clock
     from .crash_detector import CrashDetector
@@ -52,6 +53,7 @@
         names: "HeaderNames",
         response_check: "ResponseCheck",
         crash_detector: "CrashDetector",
+        stop_admission: "StopAdmission",
     ) -> TransitServer:
         """Returns the part that carries requests of other entries."""
         crash_detector.confirm_down = self.checks.confirm_down
@@ -62,5 +64,6 @@
             self.reachability,
             response_check,
             crash_detector,
+            stop_admission,
             self._clock,
         )
--- a/src/coralfall/traffic/transit_server.py
+++ b/src/coralfall/traffic/transit_server.py
@@ -27,6 +27,7 @@
 if t.TYPE_CHECKING:
     from ..peering.channel import Channel
     from ..placement.reachability import Reachability
+    from ..placement.stop_admission import StopAdmission
     from ..placement.targets import TargetRegistry, TargetState
     from ..process.clock import Clock
     from .crash_detector import CrashDetector
@@ -45,6 +46,7 @@
     :param reachability: tells whether a failed connection is evidence about its target.
     :param response_check: records what targets report about themselves.
     :param crash_detector: finds out whether a target's process has ended.
+    :param stop_admission: decides on requests while the process stops.
     :param clock: measures deadlines.
     """
 
@@ -58,6 +60,7 @@
         reachability: "Reachability",
         response_check: "ResponseCheck",
         crash_detector: "CrashDetector",
+        stop_admission: "StopAdmission",
         clock: "Clock",
     ) -> None:
         self._names = names
@@ -66,6 +69,7 @@
         self._reachability = reachability
         self._response_check = response_check
         self._crash_detector = crash_detector
+        self._stop_admission = stop_admission
         self._clock = clock
         self._closed = False
         self._tasks: t.Dict["Channel", t.Dict[int, "asyncio.Task[None]"]] = {}
@@ -147,8 +151,7 @@
     ) -> TransitReply:
         deadline = self._clock.monotonic() + request.time_left_ms / 1000
         try:
-            if self._closed:
-                raise TargetNotRunError("this entry is stopping", reason=NO_PATH)
+            self._check_stop(deadline)
             if self.load > defaults.MAX_TRANSITS or self.bytes_held > defaults.MAX_TRANSIT_BYTES:
                 raise TargetNotRunError("too many requests in transit", reason=BUSY)
             response = await self._exchange(request, deadline, hold)
@@ -191,6 +194,7 @@
         connection = await self._connect(state, request.reusable, deadline)
         try:
             time_left_s = time_left_to_send(self._targets, state, deadline, self._clock)
+            self._check_stop(deadline)
         except TargetNotRunError as error:
             connection.release()
             error.fields["cooldown_s"] = state.cooldown_s()
@@ -214,6 +218,14 @@
             connection.abort()
         return response
 
+    def _check_stop(self, deadline: float) -> None:
+        """Refuses a request that could be cut off.
+
+        :raises TargetNotRunError: if the process ends too soon.
+        """
+        if self._closed or not self._stop_admission.admits(deadline):
+            raise TargetNotRunError("this entry is stopping", reason=NO_PATH)
+
     async def _connect(
         self, state: "TargetState", reusable: bool, deadline: float
     ) -> DirectConnection:
--- a/tests/traffic/test_answer_memory.py
+++ b/tests/traffic/test_answer_memory.py
@@ -10,6 +10,7 @@
 from coralfall.forwarding.request import MemoryAccount
 from coralfall.http.server import HttpServer
 from coralfall.ids import Outcome, ServiceId
+from coralfall.placement.stop_admission import StopAdmission
 from coralfall.process.shutdown import Shutdown
 from coralfall.settings import HttpSettings
 from coralfall.traffic.answer_memory import AnswerMemory, HeldAnswer
@@ -48,10 +49,10 @@
         clock = mock.Mock(**{"monotonic.return_value": 100.0})
         authenticator = mock.Mock(**{"authenticate.return_value": None})
         contention: t.Any = self
-        shutdown = Shutdown(GRACE_S, clock)
+        admission = StopAdmission(Shutdown(GRACE_S, clock), clock)
         parts: t.Any = (state_view, authenticator, self.quotas, forwarder, mock.Mock(), contention)
         self.app = CallersApp(
-            mock.Mock(request_id=b"id", time_left=b"left"), *parts, shutdown, clock
+            mock.Mock(request_id=b"id", time_left=b"left"), *parts, admission, clock
         )
         self.contended = True
         await self.start_server(HttpSettings(idle_timeout_s=60.0, idle_stop_s=0.1))
--- a/tests/traffic/test_forwarder.py
+++ b/tests/traffic/test_forwarder.py
@@ -14,9 +14,11 @@
 from coralfall.placement.affinity import AffinitySteering
 from coralfall.placement.quarantine import Quarantine
 from coralfall.placement.retry_budget import SharedRetryBudget
+from coralfall.placement.stop_admission import StopAdmission
 from coralfall.placement.targets import TargetRegistry
 from coralfall.platform.names import HEADERS
 from coralfall.process.clock import Clock, SystemClock
+from coralfall.process.shutdown import Shutdown
 from coralfall.traffic import pool
 from coralfall.traffic.crash_detector import CrashDetector
 from coralfall.traffic.forwarder import Forwarder
@@ -77,6 +79,7 @@
         self.quarantine = Quarantine(defaults.QUARANTINE_S, clock)
         self.permits = make_permits(clock)
         self.limits = self.steering.limits
+        self.stop_admission = StopAdmission(Shutdown(defaults.GRACE_S, clock), clock)
         target_permits = TargetPermits(
             self.permits, self.limits, self.targets, self.steering.settings, clock
         )
@@ -91,6 +94,7 @@
             self.crash_detector,
             self.quarantine,
             target_permits,
+            self.stop_admission,
             clock,
         )
 
--- a/tests/traffic/test_transit_server.py
+++ b/tests/traffic/test_transit_server.py
@@ -53,7 +53,10 @@
         self.state = self.harness.targets.by_id[TargetId("t0")]
         self.channel = ReplyChannel()
         self.server: TransitServer = self.harness.transit.build_server(
-            HEADERS, self.harness.forwarder.response_check, self.harness.crash_detector
+            HEADERS,
+            self.harness.forwarder.response_check,
+            self.harness.crash_detector,
+            self.harness.stop_admission,
         )
 
     def start(self, time_left_ms: int = 60_000) -> None:
--- a/tests/traffic/transit_fleet.py
+++ b/tests/traffic/transit_fleet.py
@@ -23,7 +23,10 @@
         self.harness = ForwarderHarness(addresses)
         parts = self.harness.transit
         self.server = parts.build_server(
-            HEADERS, self.harness.forwarder.response_check, self.harness.crash_detector
+            HEADERS,
+            self.harness.forwarder.response_check,
+            self.harness.crash_detector,
+            self.harness.stop_admission,
         )
         self.received: t.List[TransitRequest] = []
         access = parts.client
