Count the grace from the signal also where a busy loop beats late

A beat that came late because the loop was busy put the signal up to that much too early: with a loop held for 0.5 s, requests would have been cut off at 5.0 s of a grace of 6 s, and refused for as much longer. While the process computes, the interpreter takes a signal at once, so only the time since the last beat in which the process did not run can lie between the signal and its handler.

--- a/src/coralfall/process/shutdown.py
+++ b/src/coralfall/process/shutdown.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import math
+import time
 import typing as t
 
 from .. import defaults
@@ -17,18 +18,24 @@
 class Shutdown:
     """Tells how much time is left once the process was told to stop.
 
-    The loop may see the signal late. Each :meth:`beat` shows that none had come by then, so the
-    grace is counted from the last one: what is computed here is never later than what is true.
+    A process that is kept from running sees the signal late. Each :meth:`beat` shows that none had
+    come by then, and while the process computes the interpreter takes a signal at once. What is
+    left of the time since the last beat is the most by which it can be late, and the grace is
+    counted from so long before.
 
     :param grace_s: seconds from the signal until the process is killed.
     :param clock: monotonic time.
+    :param cpu_time: seconds for which the process has run on a processor.
     """
 
-    def __init__(self, grace_s: float, clock: "Clock") -> None:
+    def __init__(
+        self, grace_s: float, clock: "Clock", cpu_time: t.Callable[[], float] = time.process_time
+    ) -> None:
         self.grace_s = grace_s
         self._clock = clock
-        self._beat_at = clock.monotonic()
+        self._cpu_time = cpu_time
         self._told_at: t.Optional[float] = None
+        self.beat()
 
     @property
     def is_begun(self) -> bool:
@@ -38,11 +45,15 @@
     def beat(self) -> None:
         """Records that the process runs and was not told to stop yet."""
         self._beat_at = self._clock.monotonic()
+        self._cpu_at_beat_s = self._cpu_time()
 
     def begin(self) -> None:
         """Records that the process was told to stop; only the first call counts."""
-        if self._told_at is None:
-            self._told_at = self._beat_at
+        if self._told_at is not None:
+            return
+        now = self._clock.monotonic()
+        not_running_s = now - self._beat_at - (self._cpu_time() - self._cpu_at_beat_s)
+        self._told_at = now - max(0.0, not_running_s)
 
     def begin_now(self) -> None:
         """Records that the process stops by itself, if it was not told to before."""
--- a/tests/process/test_shutdown.py
+++ b/tests/process/test_shutdown.py
@@ -32,19 +32,31 @@
         self.assertAlmostEqual(serves, shutdown.serves_until())
         self.assertAlmostEqual(exits, shutdown.exits_by())
 
-    def test_a_signal_that_is_seen_late_counts_from_the_last_beat(self) -> None:
+    @parameterized.expand(
+        [
+            ("paused or idle", 2.0, 0.0, 2.0),
+            ("busy", 2.0, 2.0, 0.0),
+            ("busy for a part of it", 2.0, 0.5, 1.5),
+            ("on several processors", 2.0, 3.0, 0.0),
+        ]
+    )
+    def test_a_signal_counts_from_when_it_may_have_come(
+        self, _name: str, since_beat_s: float, cpu_s: float, age_s: float
+    ) -> None:
         """A grace that began when the loop saw the signal ended after the process was killed."""
         clock = ManualClock(100.0)
-        shutdown = Shutdown(6.0, clock)
+        cpu = ManualClock(7.0)
+        shutdown = Shutdown(6.0, clock, cpu.monotonic)
         clock.advance(5.0)
         shutdown.beat()
-        clock.advance(2.0)
+        clock.advance(since_beat_s)
+        cpu.advance(cpu_s)
         shutdown.begin()
-        self.assertAlmostEqual(2.0, shutdown.age_s())
+        self.assertAlmostEqual(age_s, shutdown.age_s())
         clock.advance(1.0)
         shutdown.beat()
         shutdown.begin()
-        self.assertAlmostEqual(105.0 + 5.5, shutdown.serves_until())
+        self.assertAlmostEqual(107.0 - age_s + 5.5, shutdown.serves_until())
 
     @given(
         st.floats(0.1, 60.0),
@@ -55,7 +67,7 @@
         self, grace_s: float, steps: t.List[t.Tuple[str, float]], late_s: float
     ) -> None:
         clock = ManualClock(0.0)
-        shutdown = Shutdown(grace_s, clock)
+        shutdown = Shutdown(grace_s, clock, lambda: 0.0)
         for step, seconds in steps:
             clock.advance(seconds)
             if step == "beat":
--- a/tests/traffic/test_stop_admission.py
+++ b/tests/traffic/test_stop_admission.py
@@ -21,7 +21,7 @@
 
 def make_admission(grace_s: float = 6.0) -> t.Tuple[ManualClock, StopAdmission]:
     clock = ManualClock(100.0)
-    return clock, StopAdmission(Shutdown(grace_s, clock), clock)
+    return clock, StopAdmission(Shutdown(grace_s, clock, lambda: 0.0), clock)
 
 
 class StopAdmissionTest(unittest.TestCase):
