--- a/src/coralfall/process/log.py
+++ b/src/coralfall/process/log.py
@@ -12,6 +12,7 @@
 Warnings and errors that libraries log by :mod:`logging` come out as ``library.message``.
 """
 
+import asyncio
 import atexit
 import enum
 import logging
@@ -92,6 +93,8 @@
     """Turns what libraries log into events."""
 
     def emit(self, record: logging.LogRecord) -> None:
+        if _is_cancelled_application(record):
+            return
         try:
             message = record.getMessage()
         except (TypeError, ValueError, KeyError):
@@ -109,6 +112,13 @@
             warning("library.message", **fields)
 
 
+def _is_cancelled_application(record: logging.LogRecord) -> bool:
+    """Whether a record tells of a request that was cancelled, which has a line of its own."""
+    if record.name != "uvicorn.error" or not record.exc_info:
+        return False
+    return isinstance(record.exc_info[1], asyncio.CancelledError)
+
+
 #: Up to how many things that happen at once get a line each.
 SINGLE_LINES = 8
 #: Names in one line of :func:`many`.
--- a/tests/process/test_log.py
+++ b/tests/process/test_log.py
@@ -1,6 +1,7 @@
 """Tests of log: one event is one line, whatever is in it."""
 
 import ast
+import asyncio
 import enum
 import io
 import logging
@@ -134,6 +135,21 @@
         log.info("a.b", timestamp=1, message_type="x", event=2)
         self.assertIn("event=a.b timestamp_=1 message_type_=x event_=2\n", self.stream.getvalue())
 
+    @parameterized.expand(
+        [
+            ("a cancelled request", "uvicorn.error", asyncio.CancelledError(), 0),
+            ("a request that failed", "uvicorn.error", ValueError("bad"), 1),
+            ("another library's", "some.library", asyncio.CancelledError(), 1),
+        ]
+    )
+    def test_requests_that_a_stopping_server_cancels_are_no_errors(
+        self, _name: str, logger: str, error: BaseException, lines: int
+    ) -> None:
+        """Each request that was cut off at a stop added a traceback at level error."""
+        log.configure(LogSettings(), self.stream)
+        logging.getLogger(logger).error("Exception in ASGI application", exc_info=error)
+        self.assertEqual(lines, self.stream.getvalue().count("\n"))
+
     @parameterized.expand(
         [("info", ""), ("warning", "level=warning event=library.message logger=some.library")]
         + [("error", "level=error event=library.message logger=some.library")]
