Refuse waiting requests at the signal if they can't be served any more

A request that waits in a stopping entry for its body, a tenant's or a target's token, a dispatcher or a connection was refused only when its wait was over, though it was known at the signal that its time reaches past the end of the process. CallersApp now knows its requests in flight. Those that no target has are checked at the signal and every 0.2 s after it (an idempotent one may run out of time later), and refused with reason=stopping. One that waits for a retry gets what its attempts gave.

test_a_wait_in_vain_ends_with_the_signal has a row for each wait; these five rows and those of an idempotent request and of a retry fail with the check taken out (7 of 15). With a real entry, a POST with 9 s of which half a body has come: closed without an answer at the end of the grace before, now a 503 within 2 s of the SIGTERM (test_waiting_at_stop).

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -187,6 +187,8 @@
 STOP_BEAT_S = 0.2
 #: Time that an answer of a target takes to reach the caller, where a stopping process waits for it.
 STOP_ANSWER_MARGIN_S = 0.1
+#: Time between two checks for requests that wait in vain while a process stops.
+STOP_CHECK_S = 0.2
 #: Time for which the longest answers of a service are remembered, at least.
 LONGEST_ANSWER_WINDOW_S = 30.0
 #: Number of failures of a child within the window that its supervisor tolerates; with one more the
--- a/src/coralfall/traffic/callers.py
+++ b/src/coralfall/traffic/callers.py
@@ -15,6 +15,7 @@
 from .retry_policy import RetryVerdict
 from .steered_request import SteeredRequest
 from .tenants import allowed_regions_for
+from .waiting_requests import WaitingRequests, take_refusal
 
 if t.TYPE_CHECKING:
     from starlette.types import Receive, Scope, Send
@@ -73,6 +74,8 @@
         self._memory = MemoryAccount(defaults.MAX_BUFFERED_BYTES)
         #: Bytes of answers that wait for their callers.
         self.answer_memory = AnswerMemory(self._memory)
+        #: Requests in flight that may wait in vain as the process stops.
+        self.waiting = WaitingRequests(stop_admission)
         #: Number of requests in flight.
         self.in_flight = 0
         #: Requests that were refused, and that were cut off, as the process stops.
@@ -99,17 +102,23 @@
             request = self._build_request(scope, body, started_at)
             request.held_answer = answer
             self._refuse_at_once(request, answer)
+            self.waiting.add(request)
             reply = await self._serve(request, receive)
         except CallerGoneError:
             self._log(scope, request, None, started_at)
             return
         except asyncio.CancelledError:
-            self._note_cut_off(scope, request, started_at)
-            raise
+            refusal = None if request is None else take_refusal(request)
+            if refusal is None:
+                self._note_cut_off(scope, request, started_at)
+                raise
+            reply = reply_from_error(refusal)
         except CoralfallError as error:
             reply = reply_from_error(error)
         finally:
             self.in_flight -= 1
+            if request is not None:
+                self.waiting.discard(request)
             if body is not None:
                 body.release()
         if body is not None and not body.ended:
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -32,6 +32,7 @@
 from .target_exchange import STALE, OutgoingRequest, time_left_to_send
 from .target_permits import LIMITED
 from .target_report_reader import TargetReportReader
+from .waiting_requests import take_refusal
 
 if t.TYPE_CHECKING:
     from ..ids import TargetId
@@ -137,7 +138,7 @@
         failure: t.Optional[CoralfallError] = None
         while True:
             try:
-                reservation = await self._selector.select(request, tried, retry_target)
+                reservation = await self._select(request, tried, retry_target)
                 retry_target = None
             except RefusedError as refusal:
                 if failed_reply is not None:
@@ -190,6 +191,20 @@
             if not request.is_idempotent or not self._retry_policy.may_retry(request, None):
                 return failed_reply
 
+    async def _select(
+        self,
+        request: SteeredRequest,
+        tried: "t.Collection[TargetId]",
+        retry_target: "t.Optional[TargetState]",
+    ) -> "TargetReservation":
+        try:
+            return await self._selector.select(request, tried, retry_target)
+        except asyncio.CancelledError:
+            refusal = take_refusal(request)
+            if refusal is not None:
+                raise refusal from None
+            raise
+
     async def _attempt(
         self, request: SteeredRequest, reservation: "TargetReservation"
     ) -> "ServerResponse":
@@ -248,6 +263,10 @@
             attempt.result = str(error.fields.get("reason", error.code))
             raise
         except asyncio.CancelledError:
+            refusal = take_refusal(request)
+            if refusal is not None:
+                attempt.result = str(refusal.fields["reason"])
+                raise refusal from None
             attempt.result = "cancelled"
             raise
         finally:
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -253,6 +253,7 @@
         self.dispatch.server.close()
         self._callers_server.close_connections_after_answers()
         log.info("entry.leaving", in_hand=self.callers.in_flight)
+        self.callers.waiting.refuse_hopeless()
         unregister = asyncio.create_task(self.registry.unregister())
         await asyncio.sleep(self.settings.bounds.shutdown_accept_s())
         unregister.cancel()
--- a/src/coralfall/traffic/steered_request.py
+++ b/src/coralfall/traffic/steered_request.py
@@ -5,6 +5,7 @@
 from .model import RequestKind
 
 if t.TYPE_CHECKING:
+    from ..exceptions import RefusedError
     from ..forwarding.request import RequestBody
     from ..ids import EntryId, RegionId, ServiceId, TargetId
     from ..placement.fingerprint import Fingerprint, HeadDigest
@@ -18,6 +19,10 @@
     from .target_permits import TargetPermit
 
 
+#: Result of an attempt that goes on.
+_PENDING = "?"
+
+
 class Attempt:
     """One attempt to forward a request to a target, as recorded for the log.
 
@@ -68,11 +73,16 @@
         self.report: t.Optional["TargetReport"] = None
         #: Whether there is evidence that the target did not run the request.
         self.not_run = False
-        self.result = "?"
+        self.result = _PENDING
         self.duration_s = 0.0
         #: Entry that carried the request, if this one is cut off from the target's service.
         self.via: t.Optional["EntryId"] = None
 
+    @property
+    def is_at_target(self) -> bool:
+        """Whether the target may be at work on the request."""
+        return self.sent and self.result == _PENDING
+
     def __str__(self) -> str:
         via = f":via={self.via}" if self.via is not None else ""
         return f"{self.target_id}:{self.result}:{self.duration_s * 1000:.0f}:{self._context}{via}"
@@ -124,6 +134,7 @@
         "method",
         "object_key",
         "path",
+        "refusal",
         "remaining_s",
         "request_id",
         "retry_permit",
@@ -185,6 +196,8 @@
         self.retry_verdicts: "t.List[RetryVerdict]" = []
         #: Counts the bytes of its answer, if they are counted.
         self.held_answer: "t.Optional[HeldAnswer]" = None
+        #: Why its task was cancelled, if it waits in vain as the process stops.
+        self.refusal: "t.Optional[RefusedError]" = None
 
     def objective_at(self) -> float:
         """Returns the monotonic time after which the reply misses the latency objective."""
@@ -201,6 +214,11 @@
         """Whether a target may have run the request."""
         return any(send.sent and not send.not_run for send in self.attempts)
 
+    @property
+    def is_at_target(self) -> bool:
+        """Whether a target may be at work on the request."""
+        return bool(self.attempts) and self.attempts[-1].is_at_target
+
     @property
     def is_idempotent(self) -> bool:
         """Whether the request may run more than once."""
--- /dev/null
+++ b/src/coralfall/traffic/waiting_requests.py
@@ -0,0 +1,67 @@
+"""Waiting requests: those in flight that no target has yet, which a stop may make hopeless.
+
+A request waits for its body, for a token, for a dispatcher or for a connection. Once the process
+stops, its time may reach past the end of the process, so that it could only be refused when its
+wait is over. It is refused at once instead, while its caller still has time to ask another entry.
+"""
+
+import asyncio
+import typing as t
+
+from .. import defaults
+from ..exceptions import RefusedError
+
+if t.TYPE_CHECKING:
+    from ..placement.stop_admission import StopAdmission
+    from .steered_request import SteeredRequest
+
+
+class WaitingRequests:
+    """Knows the requests in flight, and ends the waits of those that can't be served any more.
+
+    :param stop_admission: decides on requests while the process stops.
+    """
+
+    def __init__(self, stop_admission: "StopAdmission") -> None:
+        self._stop_admission = stop_admission
+        self._task_by_request: t.Dict["SteeredRequest", "asyncio.Task[t.Any]"] = {}
+
+    def add(self, request: "SteeredRequest") -> None:
+        """Adds a request, which is served by the current task."""
+        task = asyncio.current_task()
+        assert task is not None
+        self._task_by_request[request] = task
+
+    def discard(self, request: "SteeredRequest") -> None:
+        """Removes a request whose reply is known."""
+        self._task_by_request.pop(request, None)
+
+    def refuse_hopeless(self) -> None:
+        """Refuses what waits in vain, now and again until requests are cut off.
+
+        The time that an idempotent request needs at a target may run out later than at the signal.
+        """
+        for request, task in list(self._task_by_request.items()):
+            if request.is_at_target:
+                continue
+            try:
+                self._stop_admission.check(request.service, request.deadline, request.is_idempotent)
+            except RefusedError as refusal:
+                request.refusal = refusal
+                self.discard(request)
+                task.cancel()
+        if self._stop_admission.shutdown.left_s() > 0:
+            loop = asyncio.get_running_loop()
+            loop.call_later(defaults.STOP_CHECK_S, self.refuse_hopeless)
+
+
+def take_refusal(request: "SteeredRequest") -> t.Optional[RefusedError]:
+    """Returns the refusal for which the current task was cancelled, and ends the cancellation.
+
+    :return: ``None`` if it was cancelled for another reason.
+    """
+    refusal, request.refusal = request.refusal, None
+    task = asyncio.current_task()
+    if refusal is not None and task is not None:
+        task.uncancel()
+    return refusal
