Give a target less time only while callers may not know of the stop

A safe request whose whole time does not fit was sent with less of it up to the end of the stop. From then on only requests are sent whose whole time fits.

--- a/src/coralfall/placement/stop_admission.py
+++ b/src/coralfall/placement/stop_admission.py
@@ -2,7 +2,7 @@
 
 A request is sent if the time that its target is given for it ends before requests are cut off. One
 that may be repeated is given less time than its caller allows, if its service has lately needed no
-more; any other is given all of it or is not sent.
+more and callers may not know yet that the entry stops. Any other is given all of it or is not sent.
 """
 
 import typing as t
@@ -23,11 +23,13 @@
     """Decides whether a request may be sent while the process stops.
 
     :param shutdown: tells when requests are cut off.
+    :param accept_s: seconds from the signal for which callers may not know of it.
     :param clock: monotonic time.
     """
 
-    def __init__(self, shutdown: "Shutdown", clock: "Clock") -> None:
+    def __init__(self, shutdown: "Shutdown", accept_s: float, clock: "Clock") -> None:
         self.shutdown = shutdown
+        self.accept_s = accept_s
         self._clock = clock
         self._longest_by_id: t.Dict["ServiceId", _LongestAnswer] = {}
 
@@ -56,7 +58,7 @@
         """
         if self.admits(deadline):
             return deadline
-        if not may_repeat:
+        if not may_repeat or self.shutdown.age_s() > self.accept_s:
             return None
         longest = self._longest_by_id.get(service)
         until = self._answers_until()
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -105,7 +105,8 @@
         self._rng = rng
         #: When the process ends once it was told to stop.
         self.shutdown = Shutdown(settings.bounds.grace_s, clock)
-        self.stop_admission = StopAdmission(self.shutdown, clock)
+        accept_s = settings.bounds.shutdown_accept_s()
+        self.stop_admission = StopAdmission(self.shutdown, accept_s, clock)
         self.telemetry = Telemetry()
         self.metrics = Metrics(settings.metrics)
         self.targets = TargetRegistry(clock, settings.bounds.target_visibility_s())
@@ -233,6 +234,7 @@
         self.settings = settings
         log.set_level(settings.log)
         self.shutdown.grace_s = settings.bounds.grace_s
+        self.stop_admission.accept_s = settings.bounds.shutdown_accept_s()
         self.steering.settings = settings
         self.contention.settings = settings.dispatch
         self.budget.set_bounds(settings.bounds)
