Count requests in a cooldown by when they reach the target's machine

Plays with all sends, arrivals and rejections kept show two ways, both from targets that pause as they read (the proxy's read_pause_s), and neither a send of the entry within the cooldown: - The rejection comes after the entry has given the request up, as its time was over: sent at 879.48, answered 504 at 881.49, read and rejected by the target at 881.61. The connection is closed by then. The users' rule counts from when a target 'has answered that machine'; this machine got no answer. - Requests were sent 26 ms before the rejection and lay in the target's buffers: sent at 1152.40, rejection at 1152.43, read at 1154.53, given up at 1154.42. They had reached the instance before.

A request that reaches the machine within the cooldown counts as before, whenever it is read.

--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -89,6 +89,12 @@
     keyed: bool = False
     #: Whether the target that it reached is the one that was meant.
     meant: bool = True
+    #: When it had reached the target's machine, if the target has read it only later.
+    reached_at: t.Optional[float] = None
+
+    def reached_between(self, since: float, until: float) -> bool:
+        """Whether it reached the target's machine between two moments."""
+        return since < (self.at if self.reached_at is None else self.reached_at) < until
 
 
 @dataclasses.dataclass
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -173,6 +173,7 @@
                 received.header("x-tenant") or "",
                 KEY in received.head.decode("latin-1"),
                 meant,
+                self.proxy.request_at(received.peer_port()),
             )
         )
 
--- a/tests/traffic/scripted_target.py
+++ b/tests/traffic/scripted_target.py
@@ -47,6 +47,11 @@
         head = f"HTTP/1.1 {status} X\r\n{''.join(lines)}\r\n"
         await self.send(head.encode() + body)
 
+    def peer_port(self) -> int:
+        """Port of the one who sent it; 0 if its connection is over."""
+        peer = self._writer.get_extra_info("peername")
+        return peer[1] if peer else 0
+
     def close(self) -> None:
         self._writer.close()
 
