Play idle callers that wake at stops in the soak

Ten callers keep an idle connection to each entry. Once that entry is told to stop, each sends one request 0 to 4.6 s later: an order (unsafe) or a report (safe), with 2 or 4.6 s of time, some with a body sent over 1.2 s. Targets work for 2 to 4 s on 7 of 10 of them, and stop with a 504 at the time that they were given, as the protocol says.

The rule on entries without links leaves these two sorts out: they are sent to stopping entries alone, which refuse many of them.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -5,6 +5,7 @@
     python -m tests.soak --seeds 50 --deadly        the same, with requests that end targets
     python -m tests.soak --seeds 50 --retries       the same, with rejections and kills in series
     python -m tests.soak --seeds 50 --drills        the same, with a store that loses writes
+    python -m tests.soak --seeds 50 --stops         entries told to stop, and nothing else
     python -m tests.soak --seconds 60 --jobs 2      longer runs
 
 Logs of a seed that showed a fault stay in the folder that is named, with what was played. It
@@ -37,6 +38,7 @@
         deadly=options.deadly,
         retries=options.retries,
         drills=options.drills,
+        stops=options.stops,
         entries=options.entries,
     )
     print(_line(seed, outcome), flush=True)
@@ -85,6 +87,7 @@
         "--retries", action="store_true", help="with rejections and kills in series"
     )
     parser.add_argument("--drills", action="store_true", help="with a store that loses writes")
+    parser.add_argument("--stops", action="store_true", help="with entries told to stop alone")
     parser.add_argument("--entries", type=int, default=4, help="how many entries there are")
     parser.add_argument("--folder", help="for logs of seeds that showed a fault")
     return asyncio.run(_all(parser.parse_args()))
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -7,11 +7,15 @@
 import time
 import typing as t
 
-from tests.soak.record import KEY, SLOW, Attempt, Record, Sort, Tenant
+from tests.soak.record import KEY, LONG, SLOW, Attempt, Record, Sort, Tenant
 
-#: Seconds that a caller waits for an answer, and those that it tells.
+if t.TYPE_CHECKING:
+    from tests.soak.record import Lifetime
+    from tests.soak.world import SoakEntry
+
+#: Seconds that a caller waits for an answer, and the same if its request may take long.
 PATIENCE_S = 4.0
-TOLD_MS = 2000
+LONG_PATIENCE_S = 9.0
 _LOOKUP_S = 1.0
 _UPLOAD_BYTES = 40_000
 #: Bytes that a slow caller has room for and reads at a time, and seconds between two reads.
@@ -19,6 +23,17 @@
 _SLOW_PAUSE_S = 0.1
 #: How often each sort of request is sent.
 _SORTS = (Sort.READ,) * 5 + (Sort.COMMAND,) * 4 + (Sort.UPLOAD,) + (Sort.SINCE,) * 3
+#: What idle callers send as they wake, how long they tell that they wait, for how many seconds
+#: they send a body, and seconds from the signal to the request.
+_WAKING_SORTS = (Sort.ORDER,) * 3 + (Sort.REPORT,)
+_WAKING_LIMITS_MS = (2000, 4600, 4600)
+_BODIES_S = (0.0, 0.0, 1.2)
+_WAKES_S = (0.0, 4.6)
+#: Seconds between two looks at the entry, between two tries to reach it, and between two short
+#: requests that keep a connection from being closed as idle.
+_LOOK_S = 0.02
+_RETRY_S = 0.5
+_KEEP_S = 8.0
 
 
 class Connection:
@@ -29,9 +44,17 @@
         self._writer = writer
         self.usable = True
 
-    async def exchange(self, attempt: Attempt, object_key: int) -> None:
-        """Send a request and note its answer."""
-        self._writer.write(_head_of(attempt, object_key) + attempt.body)
+    async def exchange(self, attempt: Attempt, object_key: int, body_s: float = 0.0) -> None:
+        """Send a request and note its answer.
+
+        :param body_s: seconds between the first byte of the body and the rest.
+        """
+        at_once = 1 if body_s else len(attempt.body)
+        self._writer.write(_head_of(attempt, object_key) + attempt.body[:at_once])
+        if body_s:
+            await asyncio.sleep(body_s)
+            self._writer.write(attempt.body[at_once:])
+        attempt.sent_whole_at = time.monotonic()
         try:
             head = (await self._reader.readuntil(b"\r\n\r\n")).decode("latin-1")
             fields = {}
@@ -112,16 +135,21 @@
         return await self._send(attempt, address, object_key=1)
 
     async def _send(
-        self, attempt: Attempt, address: str, object_key: t.Optional[int] = None
+        self,
+        attempt: Attempt,
+        address: str,
+        object_key: t.Optional[int] = None,
+        body_s: float = 0.0,
     ) -> Attempt:
         attempt.tenant = self._tenant
         self._record.attempts.append(attempt)
         connection = self._open.pop(address, None) if self._keeps else None
         try:
-            async with asyncio.timeout(PATIENCE_S):
+            patience_s = LONG_PATIENCE_S if attempt.sort in LONG else PATIENCE_S
+            async with asyncio.timeout(patience_s):
                 if connection is None or not connection.usable:
                     connection = await self._connect(address)
-                await connection.exchange(attempt, self._object(object_key))
+                await connection.exchange(attempt, self._object(object_key), body_s)
         except (OSError, TimeoutError):
             attempt.status = 0
         attempt.ended_at = time.monotonic()
@@ -160,7 +188,7 @@
             version = self._rng.randint(1, self._newest())
             path = f"{sort.value}{version}/{request_id}"
         body = b""
-        if sort is Sort.COMMAND:
+        if sort in (Sort.COMMAND, Sort.ORDER):
             body = f"order {request_id}".encode()
         if sort is Sort.UPLOAD:
             body = self._rng.randbytes(_UPLOAD_BYTES)
@@ -187,14 +215,67 @@
             self._asked_at = time.monotonic()
 
 
+class IdleCaller(Caller):
+    """Keeps an idle connection to one entry, and wakes within the grace once that has to stop.
+
+    :param entry: that it connects to.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        record: Record,
+        entry: "SoakEntry",
+        newest: t.Callable[[], int],
+        rng: random.Random,
+    ) -> None:
+        address = entry.caller_address
+        super().__init__(name, record, {}, {address: entry.name}, newest, True, rng)
+        self._entry = entry
+
+    async def run(self) -> None:
+        while True:
+            lifetime = self._entry.lifetime
+            if lifetime is None or not self._serves(lifetime):
+                await asyncio.sleep(_LOOK_S)
+                continue
+            if (await self.send(self._entry.caller_address, Sort.READ)).status != 200:
+                await asyncio.sleep(_RETRY_S)
+                continue
+            await self._stay_idle(lifetime)
+            if lifetime.told_at != float("inf"):
+                await asyncio.sleep(self._rng.uniform(*_WAKES_S))
+                await self._wake()
+
+    def _serves(self, lifetime: "Lifetime") -> bool:
+        process = self._entry.process
+        is_running = process is not None and process.poll() is None
+        is_current = self._entry.lifetime is lifetime
+        return is_running and is_current and lifetime.told_at == float("inf")
+
+    async def _stay_idle(self, lifetime: "Lifetime") -> None:
+        since = time.monotonic()
+        while self._serves(lifetime) and time.monotonic() - since < _KEEP_S:  # noqa: ASYNC110
+            await asyncio.sleep(_LOOK_S)
+
+    async def _wake(self) -> None:
+        address = self._entry.caller_address
+        if address not in self._open:
+            return
+        attempt = self._draw(self._rng.choice(_WAKING_SORTS), address)
+        attempt.time_limit_ms = self._rng.choice(_WAKING_LIMITS_MS)
+        body_s = self._rng.choice(_BODIES_S) if attempt.body else 0.0
+        await self._send(attempt, address, body_s=body_s)
+
+
 def _head_of(attempt: Attempt, object_key: int) -> bytes:
-    method = "GET" if attempt.sort in (Sort.READ, Sort.SINCE) else "POST"
+    method = "GET" if attempt.sort in (Sort.READ, Sort.SINCE, Sort.REPORT) else "POST"
     lines = [
         f"{method} {attempt.path} HTTP/1.1",
         "host: a.example",
         f"x-request-id: {attempt.request_id}",
         f"cookie: X-Affinity-Key={object_key}",
-        f"x-request-deadline: {TOLD_MS}",
+        f"x-request-deadline: {attempt.time_limit_ms}",
         f"x-credential: {KEY}{attempt.tenant.value}",
         # What a caller says of its tenant counts for nothing.
         f"X-Tenant: {Tenant.NOBODY.value}",
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -20,6 +20,12 @@
 _SLOW_TIMES = 100
 
 
+#: Milliseconds that callers tell that they wait, but for those that name a time of their own.
+TIME_LIMIT_MS = 2000
+#: Time-out of the routes whose requests may take long, in seconds.
+LONG_TIMEOUT_S = 5.0
+
+
 #: Begins each key of a caller; a target must never see one.
 KEY = "soak-key-"
 
@@ -46,6 +52,15 @@
     UPLOAD = "/upload/"
     #: Asks whether a desired state is in force; the version follows.
     SINCE = "/since"
+    #: A command, and a read, that may take seconds; sent at stops only.
+    ORDER = "/order/"
+    REPORT = "/report/"
+
+
+#: Sorts of requests that may run once.
+RUN_ONCE = frozenset((Sort.COMMAND, Sort.UPLOAD, Sort.ORDER))
+#: Sorts of requests whose work may take seconds.
+LONG = frozenset((Sort.ORDER, Sort.REPORT))
 
 
 @dataclasses.dataclass
@@ -69,6 +84,10 @@
     #: The version that a request of that sort asks for.
     version: int = 0
     tenant: Tenant = Tenant.CALM
+    #: What the caller tells that it waits; no route's time-out is shorter.
+    time_limit_ms: int = TIME_LIMIT_MS
+    #: When its last byte was sent; infinite while none of a slow body was.
+    sent_whole_at: float = float("inf")
 
 
 @dataclasses.dataclass
@@ -89,6 +108,8 @@
     keyed: bool = False
     #: Whether the target that it reached is the one that was meant.
     meant: bool = True
+    #: When the target had done its work; infinite if its connection ended before.
+    done_at: float = float("inf")
 
 
 @dataclasses.dataclass
@@ -150,6 +171,8 @@
     disturbances: t.List[t.Tuple[float, float, str]] = dataclasses.field(default_factory=list)
     #: When targets ended under a request, by its path.
     ended_at: t.Dict[str, t.List[float]] = dataclasses.field(default_factory=dict)
+    #: When all connections of a target were ended on its side, by target.
+    broke_off_at: t.Dict[str, t.List[float]] = dataclasses.field(default_factory=dict)
     #: Limits that targets named.
     limits: t.List[ReportedLimit] = dataclasses.field(default_factory=list)
     #: Times without requests that targets asked for.
@@ -190,6 +213,23 @@
         cuts = [cut for cut in self.cuts if cut.entry == entry]
         return any(cut.began < until and cut.ended > since for cut in cuts)
 
+    def disturbed(
+        self, whose: t.Optional[str], since: float, until: float, stable_s: float
+    ) -> bool:
+        """Whether an entry or a target was disturbed from a while before one moment until another.
+
+        :param whose: whose ways; ``None`` for anybody's.
+        """
+        for began, ended, struck in self.disturbances:
+            if whose is not None and struck not in ("", whose):
+                continue
+            if began < until and ended + stable_s > since:
+                return True
+        for cut in self.cuts:
+            if whose in (None, cut.entry) and cut.began < until and cut.ended + stable_s > since:
+                return True
+        return False
+
     def calm(self, entry: str, since: float, until: float, stable_s: float) -> bool:
         """Whether an entry was not disturbed from a while before one moment until another."""
         for began, ended, whose in self.disturbances:
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -8,7 +8,9 @@
 from tests.soak.record import (
     DEADLY,
     HOT_PER_S,
+    LONG,
     PROMISES,
+    RUN_ONCE,
     Attempt,
     Lifetime,
     Record,
@@ -41,7 +43,7 @@
 RETRY_RATIO = 0.2
 RETRY_SLACK = 64
 #: Sorts of requests that some desired state sends to each service.
-SORTS_BY_SERVICE = {"s1": frozenset(Sort), "s2": frozenset((Sort.COMMAND,))}
+SORTS_BY_SERVICE = {"s1": frozenset(Sort), "s2": frozenset((Sort.COMMAND, Sort.ORDER))}
 #: Targets that a request ends until it must be known, and how often it may arrive later.
 DEADLY_ENDS = 3
 DEADLY_LATER = 3
@@ -205,7 +207,7 @@
     """What may run once runs once."""
     runs = collections.Counter(a.request_id for a in record.arrivals if a.ran)
     for attempt in record.attempts:
-        if attempt.sort in (Sort.COMMAND, Sort.UPLOAD) and runs[attempt.request_id] > 1:
+        if attempt.sort in RUN_ONCE and runs[attempt.request_id] > 1:
             yield f"TWICE {_text(attempt)}: {runs[attempt.request_id]} times"
 
 
@@ -213,7 +215,7 @@
     """What a caller was told not to have run has not."""
     ran = {arrival.request_id for arrival in record.arrivals if arrival.ran}
     for attempt in record.attempts:
-        if attempt.sort not in (Sort.COMMAND, Sort.UPLOAD):
+        if attempt.sort not in RUN_ONCE:
             continue
         if attempt.status in PROMISES and attempt.request_id in ran:
             yield f"REFUSED {_text(attempt)}"
@@ -287,6 +289,9 @@
     for attempt in record.attempts:
         if attempt.tenant is not Tenant.CALM or attempt.status == 404 or attempt.path == DEADLY:
             continue
+        if attempt.sort in LONG:
+            # They are sent to entries that were told to stop, which refuse many of them.
+            continue
         if any(text in attempt.answer for text in _ASKED_BY_TARGETS):
             continue
         for began, is_cut in _cuts_during(attempt, record):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -7,7 +7,7 @@
 import time
 import typing as t
 
-from tests.soak.callers import Caller
+from tests.soak.callers import Caller, IdleCaller
 from tests.soak.record import DEADLY, SLOW, Record, Sort, Tenant
 from tests.soak.rules import TIMED, TIMELESS, broken
 from tests.soak.troubles import (
@@ -16,6 +16,7 @@
     LOADS,
     PEERS,
     RETRIES,
+    STOPS,
     TROUBLES,
     WORDS,
     Trouble,
@@ -26,6 +27,8 @@
 READY_S = 40.0
 _CALLERS = 8
 _SLOW_CALLERS = 2
+#: Callers with an idle connection to each entry.
+_IDLE_CALLERS = 10
 #: Whose key callers send that are not the calm tenant's.
 _TENANTS = {5: Tenant.NOBODY, 6: Tenant.HOT, 7: Tenant.HOT}
 #: Seconds of calm before the first trouble, and the most between two: a seed has its own. Dense
@@ -45,6 +48,7 @@
 _CUT_GAP_S = (2.0, 12.0)
 #: Seconds between two beginnings of a trouble of targets that read slowly or send without end.
 _PEER_GAP_S = (2.0, 8.0)
+_REPEATED = ((WORDS, _WORD_GAP_S), (CUTS, _CUT_GAP_S), (LOADS, _LOAD_GAP_S), (PEERS, _PEER_GAP_S))
 #: Seconds for which a request may fail once all is well again, and the pause between two tries.
 _WELL_S = 20.0
 _TRY_S = 0.1
@@ -67,6 +71,7 @@
     deadly: bool = False,
     retries: bool = False,
     drills: bool = False,
+    stops: bool = False,
     entries: int = 4,
 ) -> Outcome:
     """Play one seed.
@@ -74,6 +79,7 @@
     :param deadly: whether some requests end each target that runs them, beside the troubles.
     :param retries: whether targets reject most requests while entries are killed in series, too.
     :param drills: whether the store comes back from older copies, too.
+    :param stops: whether entries are told to stop one after the other, without other troubles.
     :param entries: how many entries there are.
     :param timed: whether bounds in time are judged too, which want a machine that is not busy.
     """
@@ -85,21 +91,20 @@
             return Outcome([f"not ready at the start: {late}"], 0, 0, played)
         callers = _callers(world, seed)
         calling = [asyncio.create_task(caller.run()) for caller in callers]
+        calling += [asyncio.create_task(caller.run()) for caller in _idle_callers(world, seed)]
         await asyncio.sleep(_WARM_UP_S)
         # Drawn from a seed of their own, so that the other troubles of each seed stay as they were.
-        for word in WORDS:
-            calling.append(asyncio.create_task(_repeat(world, word, seed, _WORD_GAP_S)))
-        for cut in CUTS:
-            calling.append(asyncio.create_task(_repeat(world, cut, seed, _CUT_GAP_S)))
-        for load in LOADS:
-            calling.append(asyncio.create_task(_repeat(world, load, seed, _LOAD_GAP_S)))
-        for peer in PEERS:
-            calling.append(asyncio.create_task(_repeat(world, peer, seed, _PEER_GAP_S)))
+        for troubles, gap_s in () if stops else _REPEATED:
+            for trouble in troubles:
+                calling.append(asyncio.create_task(_repeat(world, trouble, seed, gap_s)))
         if deadly:
             calling.append(asyncio.create_task(_send_deadly(world, callers[0], seed)))
         beside = [_play_beside(world, one, seed, seconds) for one in RETRIES if retries]
         beside += [_play_beside(world, one, seed, seconds) for one in DRILLS if drills]
-        await asyncio.gather(_play(world, rng, seconds, played), *beside)
+        beside += [_play_beside(world, one, seed, seconds) for one in STOPS if stops]
+        if not stops:
+            beside.append(_play(world, rng, seconds, played))
+        await asyncio.gather(*beside)
         await _check_all_is_well(world, callers[0])
         for task in calling:
             task.cancel()
@@ -129,6 +134,17 @@
     return callers
 
 
+def _idle_callers(world: World, seed: int) -> t.List[IdleCaller]:
+    callers = []
+    for entry in world.entries:
+        for number in range(_IDLE_CALLERS):
+            name = f"idle-{entry.name}-{number}"
+            # Drawn from a seed of its own, so that the troubles of each seed stay as they were.
+            rng = random.Random(f"{seed}-{name}")
+            callers.append(IdleCaller(name, world.record, entry, _newest(world), rng))
+    return callers
+
+
 def _newest(world: World) -> t.Callable[[], int]:
     return lambda: world.version
 
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -7,13 +7,25 @@
 
 from tests.platform_adapter.standins import InstanceStandin
 from tests.soak.proxy import Proxy
-from tests.soak.record import DEADLY, KEY, Arrival, Record, Rejection, answer_to, signature_of
+from tests.soak.record import (
+    DEADLY,
+    KEY,
+    LONG,
+    Arrival,
+    Record,
+    Rejection,
+    answer_to,
+    signature_of,
+)
 from tests.traffic.scripted_target import ReceivedRequest
 
 SLOTS = 6
 #: Seconds after which a process that ended is back.
 _BACK_S = 1.0
 _QUEUE = 6
+#: Seconds that work may take on requests of the sorts that may take long, and how many do.
+_LONG_WORK_S = (2.0, 4.0)
+_LONG_SHARE = 0.7
 #: Size of its receive window, which an upload does not fit into.
 _WINDOW_BYTES = 8 * 1024
 
@@ -77,7 +89,7 @@
     async def _run(self, received: ReceivedRequest) -> None:
         meant = received.header("x-expected-instance") == self.instance_id
         room = self._in_hand < SLOTS + _QUEUE and self._rng.random() >= self.reject_share
-        self._note(received, meant, meant and room and self.cooldown_s is None)
+        arrival = self._note(received, meant, meant and room and self.cooldown_s is None)
         if not meant:
             await received.answer(421, b"", x_response_signature="")
             return
@@ -86,8 +98,12 @@
             return
         self._in_hand += 1
         try:
-            work_s = self.service_time_s * self._rng.uniform(0.5, 1.5)
-            await asyncio.sleep(work_s * self.pace / 100)
+            work_s = self.service_time_s * self._rng.uniform(0.5, 1.5) * self.pace / 100
+            if _is_long(received):
+                await self._run_long(received, arrival)
+                return
+            await asyncio.sleep(work_s)
+            arrival.done_at = time.monotonic()
             if _path_of(received).startswith(DEADLY):
                 self._end_under(_path_of(received))
                 return
@@ -98,6 +114,18 @@
         finally:
             self._in_hand -= 1
 
+    async def _run_long(self, received: ReceivedRequest, arrival: Arrival) -> None:
+        """Works for seconds, or up to the time that it was given."""
+        work_s = random.Random(arrival.request_id).uniform(*_LONG_WORK_S)
+        given_s = int(received.header("x-request-deadline") or 0) / 1000
+        await asyncio.sleep(min(work_s, given_s))
+        arrival.done_at = time.monotonic()
+        if work_s > given_s:
+            signature = signature_of(self.instance_id, arrival.request_id)
+            await received.answer(504, b"", x_response_signature=signature)
+            return
+        await self._answer(received)
+
     async def _reject(self, received: ReceivedRequest) -> None:
         """Turn a request away, with proof that it did not run or without."""
         proof = "1" if self.proves or self.cooldown_s is None else ""
@@ -113,9 +141,14 @@
         if not self.proxy.listening:
             return
         self._record.ended_at.setdefault(path, []).append(time.monotonic())
+        self.note_broken_off()
         self.proxy.go_down()
         self._restarting = asyncio.create_task(self._restart())
 
+    def note_broken_off(self) -> None:
+        """Notes that all its connections are ended on its side."""
+        self._record.broke_off_at.setdefault(self.instance_id, []).append(time.monotonic())
+
     async def _restart(self) -> None:
         await asyncio.sleep(_BACK_S)
         previous = self.instance_id
@@ -157,24 +190,31 @@
         limit = "" if self.limit_per_s is None else f"{self.limit_per_s:g}"
         return {"server_limit": limit, "server_leaving": "1" if self.leaving else ""}
 
-    def _note(self, received: ReceivedRequest, meant: bool, ran: bool) -> None:
+    def _note(self, received: ReceivedRequest, meant: bool, ran: bool) -> Arrival:
         method = received.head.decode("latin-1").partition(" ")[0]
         request_id = received.header("x-request-id") or ""
-        self._record.arrivals.append(
-            Arrival(
-                request_id,
-                method,
-                _path_of(received),
-                received.body,
-                self.instance_id,
-                self.service,
-                time.monotonic(),
-                ran,
-                received.header("x-tenant") or "",
-                KEY in received.head.decode("latin-1"),
-                meant,
-            )
+        arrival = Arrival(
+            request_id,
+            method,
+            _path_of(received),
+            received.body,
+            self.instance_id,
+            self.service,
+            time.monotonic(),
+            ran,
+            received.header("x-tenant") or "",
+            KEY in received.head.decode("latin-1"),
+            meant,
         )
+        self._record.arrivals.append(arrival)
+        return arrival
+
+
+def _is_long(received: ReceivedRequest) -> bool:
+    if not _path_of(received).startswith(tuple([sort.value for sort in LONG])):
+        return False
+    # By the request, so that a repeat of it takes long as well.
+    return random.Random(f"{received.header('x-request-id')}-long").random() < _LONG_SHARE
 
 
 def _path_of(received: ReceivedRequest) -> str:
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -22,6 +22,8 @@
 _LEAST_TARGETS = 2
 #: Seconds that an interpreter takes to start.
 _BOOT_S = 0.4
+#: Seconds after its start from which an entry that has to stop has idle callers.
+_SETTLED_S = 3.0
 #: Seconds for which a leaving target serves on, and after which its address may be another's.
 _LEAVES_S = 7.0
 #: Seconds for which a target names a limit; it binds a few of them after it was first named.
@@ -90,8 +92,11 @@
 
 async def _restart(world: World, rng: random.Random, number: int) -> None:
     entry = _entry(world, rng)
-    if entry is None:
-        return
+    if entry is not None:
+        await _restart_entry(entry, rng, number)
+
+
+async def _restart_entry(entry: SoakEntry, rng: random.Random, number: int) -> None:
     entry.stopping = True
     try:
         await entry.end(number)
@@ -106,6 +111,19 @@
     await _restart(world, rng, signal.SIGTERM)
 
 
+async def stop_settled(world: World, rng: random.Random) -> None:
+    """Planned stops of one entry or two that have been there for a while."""
+    settled = []
+    for entry in world.entries:
+        lifetime = entry.lifetime
+        if lifetime is not None and time.monotonic() - lifetime.began > _SETTLED_S:
+            settled.append(entry)
+    rng.shuffle(settled)
+    await asyncio.gather(
+        *[_restart_entry(entry, rng, signal.SIGTERM) for entry in settled[: rng.randint(1, 2)]]
+    )
+
+
 async def roll(world: World, rng: random.Random) -> None:
     """Planned stops of all entries, one soon after the other."""
     stops = []
@@ -375,6 +393,7 @@
     world.targets.remove(target)
     successor = await world.add_target(rng.choice(SERVICES))
     target.proxy.target = successor.proxy.target
+    target.note_broken_off()
     target.proxy.reset_all()
     await asyncio.sleep(rng.uniform(*_UNHEARD_S))
     world.store.remove("servers", target.instance_id)
@@ -463,6 +482,9 @@
 #: Losses of what the store has taken, beside all other troubles, and what shows that targets live.
 DRILLS: t.Tuple[Trouble, ...] = (come_back_older, beat)
 
+#: Stops at which idle callers wake, with no other trouble.
+STOPS: t.Tuple[Trouble, ...] = (stop_settled,)
+
 #: What makes entries retry while they start again and again.
 RETRIES: t.Tuple[Trouble, ...] = (reject_most, kill_in_series)
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -12,7 +12,7 @@
 from tests.platform_adapter.standins import StoreStandin, config
 from tests.platform_adapter.test_processes import ZONES, EntryProcess
 from tests.soak.proxy import Proxy
-from tests.soak.record import HOT_PER_S, KEY, Lifetime, Record, Sort, Tenant
+from tests.soak.record import HOT_PER_S, KEY, LONG_TIMEOUT_S, Lifetime, Record, Sort, Tenant
 from tests.soak.targets import SoakTarget
 
 SERVICES = ("s1", "s2")
@@ -180,6 +180,10 @@
         ]
         for route, level in zip(routes, self._levels, strict=True):
             route["priority"] = level
+        order = {"prefix": Sort.ORDER.value, "kind": "unsafe", "service": routes[2]["service"]}
+        long = {"timeoutS": LONG_TIMEOUT_S, "latencyTargetS": LONG_TIMEOUT_S / 2}
+        routes.append({**model, "name": "order", **order, **long})
+        routes.append({**model, "name": "report", "prefix": Sort.REPORT.value, **long})
         for version in range(1, self.version + 1):
             prefix = f"{Sort.SINCE.value}{version}/"
             routes.append({**model, "name": f"since{version}", "prefix": prefix})
