Count lost requests at a stop in the soak as the users do

The rule was narrower than the users' LOST in three ways: an answer of the entry's own, given while the target was at work and time was left, counted as an answer; a request that was read and passed on to nobody could be cut off at any time; a connection whose end a caller noticed after the end of the process was left out. It was wider in one: a request that was passed on counts also where a target's or the entry's links were disturbed, and in the last sixth of the grace.

lost now asks, for each unsigned answer, whether a target ran the request and had not done its work. Not counted is what the users' page excuses: the time limit was reached; the target ended its connections; the ways of entry or target were disturbed from 3 s before; the last sixth of the grace, if the request was sent within 3 s. lost_in_entry holds requests that nobody got to 0.2 s after their last byte (and 0.7 s for a busy machine). ends_in_time is the part of lost on the end of the process.

Table of 32 rows.

--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -11,6 +11,7 @@
     LONG,
     PROMISES,
     RUN_ONCE,
+    Arrival,
     Attempt,
     Lifetime,
     Record,
@@ -25,6 +26,12 @@
 DRAIN_S = 2.0
 CONFIG_S = 2.0
 GRACE_S = 6.0
+#: Of the rule on lost requests: part of the grace in which a request may be ended while its target
+#: is at work, if it was sent within some seconds after the signal.
+LAST_GRACE_PART = 1 / 6
+EARLY_S = 3.0
+#: Time after its last byte from which a request that was read may no longer end unanswered.
+LOSS_SLACK_S = 0.2
 #: Of the users' quotas: seconds of a window, and by what part and number it may be exceeded.
 WINDOW_S = 5.0
 OVERAGE = 0.1
@@ -334,21 +341,86 @@
 
 def lost(record: Record) -> t.Iterator[str]:
     """A process that is told to stop answers what it passed on, and then ends by itself."""
-    passed_on = {arrival.request_id for arrival in record.arrivals}
-    for lifetime in record.lifetimes:
-        if lifetime.disturbed or lifetime.told_at == float("inf"):
-            continue
-        for attempt in record.attempts:
-            if attempt.status is not None or attempt.request_id not in passed_on:
-                continue
-            if _within(attempt, lifetime) and attempt.ended_at > lifetime.told_at:
-                yield f"LOST {_text(attempt)}, told to stop at {lifetime.told_at:.2f}"
+    arrivals_by_id: t.Dict[str, t.List[Arrival]] = {}
+    for arrival in record.arrivals:
+        arrivals_by_id.setdefault(arrival.request_id, []).append(arrival)
+    for lifetime in _planned_stops(record):
+        for attempt in _ended_at_stop(record, lifetime):
+            arrivals = arrivals_by_id.get(attempt.request_id, [])
+            replaced = _target_replaced(attempt, arrivals, lifetime, record)
+            told = f"told to stop at {lifetime.told_at:.2f}"
+            if attempt.status is None and arrivals:
+                targets = ", ".join([f"{one.target} from {one.at:.2f}" for one in arrivals])
+                yield f"LOST {_text(attempt)}, at {targets}, {told}"
+            elif replaced is not None:
+                yield f"LOST {_text(attempt)} in place of {replaced}, {told}"
         if lifetime.status not in (0, None) and not _barely_began(lifetime, record):
             yield f"LOST {lifetime.entry} ended with {lifetime.status}"
+
+
+def lost_in_entry(record: Record) -> t.Iterator[str]:
+    """A process that is told to stop answers in time what it read and did not pass on."""
+    passed_on = {arrival.request_id for arrival in record.arrivals}
+    for lifetime in _planned_stops(record):
+        for attempt in _ended_at_stop(record, lifetime):
+            if attempt.status is not None or attempt.request_id in passed_on:
+                continue
+            since, until = attempt.sent_at, attempt.ended_at
+            if until <= attempt.sent_whole_at + LOSS_SLACK_S + SLOW_S:
+                continue
+            # What was sent to a target may be on a way that was disturbed, of whichever target.
+            if not record.disturbed(None, since, until, STABLE_S):
+                told = f"told to stop at {lifetime.told_at:.2f}"
+                yield f"LOST {_text(attempt)}, passed on to nobody, {told}"
+
+
+def ends_in_time(record: Record) -> t.Iterator[str]:
+    """A process that is told to stop ends before it would be killed."""
+    for lifetime in _planned_stops(record):
         if lifetime.gone_at > lifetime.told_at + GRACE_S:
             yield f"LOST {lifetime.entry} was still there {GRACE_S} s after it was told to stop"
 
 
+def _planned_stops(record: Record) -> t.List[Lifetime]:
+    stopped = [one for one in record.lifetimes if one.told_at != float("inf")]
+    return [lifetime for lifetime in stopped if not lifetime.disturbed]
+
+
+def _ended_at_stop(record: Record, lifetime: Lifetime) -> t.Iterator[Attempt]:
+    """Requests that a process took and that ended after it was told to stop."""
+    for attempt in record.attempts:
+        if attempt.entry != lifetime.entry or attempt.ended_at <= lifetime.told_at:
+            continue
+        # A caller may notice the end of a connection later than the end of the process is noticed.
+        if lifetime.began <= attempt.sent_at < lifetime.gone_at:
+            yield attempt
+
+
+def _target_replaced(
+    attempt: Attempt, arrivals: t.Iterable[Arrival], lifetime: Lifetime, record: Record
+) -> t.Optional[str]:
+    """The target that was at work and sound as the entry gave an answer of its own, if any."""
+    since, until = attempt.sent_at, attempt.ended_at
+    if not attempt.status or attempt.signature:
+        return None
+    if until >= since + attempt.time_limit_ms / 1000:
+        return None
+    is_late = until >= lifetime.told_at + GRACE_S * (1 - LAST_GRACE_PART)
+    if is_late and since <= lifetime.told_at + EARLY_S:
+        return None
+    if record.disturbed(attempt.entry, since, until, STABLE_S):
+        return None
+    for arrival in arrivals:
+        if not arrival.ran or arrival.done_at <= until:
+            continue
+        broke_off_at = record.broke_off_at.get(arrival.target, ())
+        if any(arrival.at <= at <= until for at in broke_off_at):
+            continue
+        if not record.disturbed(arrival.target, since, until, STABLE_S):
+            return arrival.target
+    return None
+
+
 #: What holds however busy the machine is, and what has a bound in time besides.
 TIMELESS: t.Tuple[Rule, ...] = (
     mixed,
@@ -361,8 +433,17 @@
     twice,
     refused,
     reverts,
+    lost,
+)
+TIMED: t.Tuple[Rule, ...] = (
+    in_force,
+    drains,
+    in_cooldown,
+    quarantined,
+    served_while_cut,
+    lost_in_entry,
+    ends_in_time,
 )
-TIMED: t.Tuple[Rule, ...] = (in_force, drains, in_cooldown, quarantined, served_while_cut, lost)
 
 
 def broken(record: Record, rules: t.Iterable[Rule]) -> t.List[str]:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -22,7 +22,7 @@
     answer_to,
     signature_of,
 )
-from tests.soak.rules import TIMED, TIMELESS, broken
+from tests.soak.rules import TIMED, TIMELESS, broken, ends_in_time, lost, lost_in_entry
 from tests.soak.run import run
 
 
@@ -38,6 +38,8 @@
             ("targets that leave and reject", 6, 12.0, ""),
             ("retries beside kills in series", 7, 12.0, "retries"),
             ("a store from older copies", 8, 12.0, "drills"),
+            # Requests on kept connections were sent to targets though the process ended before.
+            ("stops with idle callers", 9, 10.0, "stops"),
         ]
     )
     def test_promises_hold_under_faults(
@@ -54,6 +56,7 @@
                     deadly=beside == "deadly",
                     retries=beside == "retries",
                     drills=beside == "drills",
+                    stops=beside == "stops",
                 )
             )
         self.assertEqual([], outcome.faults[:5])
@@ -278,6 +281,111 @@
         faults = broken(self.record(*seen), TIMELESS + TIMED)
         self.assertEqual([rule] if rule else [], [fault.split(" ")[0] for fault in faults])
 
+    @parameterized.expand(
+        [
+            ("closed", {"status": None}, {}, "LOST"),
+            ("closed in the last sixth", {"status": None, "ended_at": 14.5}, {}, "LOST"),
+            ("closed as its target's ways break", {"status": None}, {"target": "i-6"}, "LOST"),
+            (
+                "closed, noted after the end of the process",
+                {"status": None, "ended_at": 14.91},
+                {},
+                "LOST",
+            ),
+            ("closed before the signal", {"status": None, "sent_at": 8.1, "ended_at": 8.9}, {}, ""),
+            (
+                "closed by the next process",
+                {"status": None, "sent_at": 14.9, "ended_at": 15.2},
+                {},
+                "",
+            ),
+            ("closed by one that was disturbed", {"status": None, "entry": "e2"}, {}, ""),
+            (
+                "closed, not passed on",
+                {"status": None, "sent_at": 11.5, "sent_whole_at": 11.5, "ended_at": 12.5},
+                None,
+                "LOST",
+            ),
+            ("closed, on a broken way perhaps", {"status": None, "sent_whole_at": 9.5}, None, ""),
+            ("closed at once, not passed on", {"status": None, "sent_whole_at": 10.3}, None, ""),
+            ("closed, body not sent", {"status": None}, None, ""),
+            ("answered", {}, {}, ""),
+            ("answered in its place", {"status": 502, "signature": ""}, {}, "LOST"),
+            ("timed out in its place", {"status": 504, "signature": ""}, {}, "LOST"),
+            ("refused in its place", {"status": 503, "signature": ""}, {}, "LOST"),
+            ("answered by the target", {"status": 504}, {}, ""),
+            ("refused, not run", {"status": 503, "signature": ""}, {"ran": False}, ""),
+            ("refused, not passed on", {"status": 503, "signature": ""}, None, ""),
+            ("in its place before", {"status": 502, "signature": "", "ended_at": 8.9}, {}, ""),
+            ("after it had worked", {"status": 502, "signature": ""}, {"done_at": 10.4}, ""),
+            ("before it had worked", {"status": 502, "signature": ""}, {"done_at": 10.6}, "LOST"),
+            ("it broke off", {"status": 502, "signature": ""}, {"target": "i-5"}, ""),
+            ("its ways broke", {"status": 502, "signature": ""}, {"target": "i-6"}, ""),
+            (
+                "the entry's ways broke",
+                {"status": 502, "signature": "", "entry": "e1"},
+                {},
+                "",
+            ),
+            ("its time was over", {"status": 504, "signature": "", "ended_at": 12.0}, {}, ""),
+            (
+                "its time was nearly over",
+                {"status": 504, "signature": "", "ended_at": 11.9},
+                {},
+                "LOST",
+            ),
+            (
+                "in the last sixth, sent early",
+                {"status": 504, "signature": "", "ended_at": 14.0, "time_limit_ms": 4600},
+                {},
+                "",
+            ),
+            (
+                "before the last sixth",
+                {"status": 504, "signature": "", "ended_at": 13.9, "time_limit_ms": 4600},
+                {},
+                "LOST",
+            ),
+            (
+                "in the last sixth, sent late",
+                {"status": 504, "signature": "", "sent_at": 12.1, "ended_at": 14.0},
+                {"at": 12.2},
+                "LOST",
+            ),
+        ]
+    )
+    def test_what_a_stop_loses(
+        self,
+        _name: str,
+        request: t.Dict[str, t.Any],
+        arrived: t.Optional[t.Dict[str, t.Any]],
+        fault: str,
+    ) -> None:
+        """Entries are told to stop at 9.0; their grace is over at 15.0."""
+        seen: t.List[object] = [
+            Lifetime("e0", 0.0, 9.0, 14.9, status=0),
+            Lifetime("e1", 0.0, 9.0, 14.9, status=0),
+            Lifetime("e2", 0.0, 9.0, 14.9, status=0, disturbed=True),
+            attempt(sort=Sort.ORDER, **request),
+        ]
+        if arrived is not None:
+            seen.append(arrival(**{"done_at": float("inf"), **arrived}))
+        record = self.record(*seen)
+        record.broke_off_at = {"i-5": [10.3]}
+        record.disturbances = [(7.0, 8.0, "e1"), (7.0, 8.0, "i-6")]
+        found = broken(record, (lost, lost_in_entry, ends_in_time))
+        self.assertEqual([fault] if fault else [], [one.split(" ")[0] for one in found])
+
+    @parameterized.expand(
+        [("by itself", 14.9, 0, ""), ("late", 15.1, 0, "LOST"), ("badly", 14.9, 1, "LOST")]
+    )
+    def test_a_process_that_is_told_to_stop_ends(
+        self, _name: str, gone_at: float, status: int, fault: str
+    ) -> None:
+        record = self.record(Lifetime("e0", 0.0, 9.0, gone_at, status=status))
+        found = broken(record, (lost, lost_in_entry, ends_in_time))
+        self.assertEqual([fault] if fault else [], [one.split(" ")[0] for one in found])
+
     def test_an_entry_that_was_disturbed_is_excused_from_a_limit(self) -> None:
         record = self.record(*beyond_limit(18))
         record.disturbances.append((12.0, 13.0, "e0"))
