Answer work of the target stand-in that needs more than half of its time

The stand-in compared the time that work takes with what was left after the work was done, so work of more than half of its time limit was answered 504 unknown. It now compares with what is left as the work begins.

test_work_that_needs_most_of_its_time_is_answered: 504 before, 200 after (0.6 s of work within 1 s).

--- a/src/coralfall/standins/standin_target.py
+++ b/src/coralfall/standins/standin_target.py
@@ -217,10 +217,11 @@
             return
         effect = self._begin(work, body)
         seconds = self.service_seconds() if fault != "hang" else float("inf")
-        if not await work.spend(min(seconds, work.seconds_left())):
+        left = work.seconds_left()
+        if not await work.spend(min(seconds, left)):
             self.state.cancelled += 1
             return
-        if seconds > work.seconds_left():
+        if seconds > left or work.seconds_left() < 0:
             await work.answer(504, b"", self._reported_load(), Outcome.UNKNOWN)
             return
         if effect is not None:
--- a/tests/standins/test_standin_target.py
+++ b/tests/standins/test_standin_target.py
@@ -52,6 +52,14 @@
             self.assertEqual((got.status, got.headers["outcome"]), (status, outcome))
             self.assertEqual([effect.done for effect in standin.state.effects], [False] * effects)
 
+    async def test_work_that_needs_most_of_its_time_is_answered(self) -> None:
+        """Work was measured against what was left of its time after it was done."""
+        async with loopback.target(service_ms=0.0) as (address, standin):
+            standin.faults = Faults(slow_ms=600.0)
+            got = await ask(address, "POST", "/x", headers={"deadline-ms": "1000"})
+            self.assertEqual(got.status, 200)
+            self.assertEqual([effect.done for effect in standin.state.effects], [True])
+
     async def test_cancellation_frees_the_slot(self) -> None:
         async with loopback.target(slots=1, service_ms=60_000.0) as (address, standin):
             _reader, writer = await connect(address)
