End coralfall entry within the grace that its settings name

grace_s was the time that running requests have, and the supervisor was given 10 s more; the entry served on for lookup_ttl_s and two polls after that was written to the roster, however short the grace. With grace_s 6 and the default look-ups it had not ended 6.0 s after SIGTERM (killed, exit -9, in both cases of the process test that compared it). Users set one number, the time after which the service manager kills, and coralfall steer's grace_s is that number. So it is now here too: Shutdown counts it from the signal. Presence waits for half of it at most. A sixth, at most the 5 s of CLAIM_FLUSH_TIMEOUT_S, is kept after the last request for the claims, and parts that stop after the callers' server have all of it also if the server stops just before its end; before, they had what the server left, 0.1 s at worst.

Weighed and left: grace_s for running requests alone and a longer end derived from it. Nobody could read the time of the kill from the settings then.

--- a/src/coralfall/cluster/control.py
+++ b/src/coralfall/cluster/control.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from .. import defaults
 from ..balancing.handover import Ack
 from ..bundles.rollout import PartnerRollout
 from ..exceptions import PlatformError
@@ -23,6 +24,7 @@
     from ..balancing.slots import SlotTable
     from ..bundles.staging import Staging
     from ..lookups.lookup import Lookup
+    from ..process.shutdown import Shutdown
 
 #: Intervals between two reads of the roster after which every entry has read a change.
 READS_UNTIL_KNOWN = 2
@@ -220,18 +222,26 @@
     """Lets the entry join once its servers listen, and announces it before they stop.
 
     Look-ups may name the entry until every entry has read that it leaves, and callers hold
-    them for a while, so it serves on for as long as both take.
+    them for a while, so it serves on for as long as both take, and for half of the grace at most.
 
     :param control: joins when told to.
     :param membership: the entry's place in the roster.
     :param settings: how long look-ups last, and how often the roster is read.
+    :param shutdown: since when the process stops.
     """
 
     name = "presence"
 
-    def __init__(self, control: Control, membership: Membership, settings: EntrySettings) -> None:
+    def __init__(
+        self,
+        control: Control,
+        membership: Membership,
+        settings: EntrySettings,
+        shutdown: "Shutdown",
+    ) -> None:
         self._control = control
         self._membership = membership
+        self._shutdown = shutdown
         self._seconds = settings.lookup_ttl_s + READS_UNTIL_KNOWN * settings.lease.poll_s
 
     async def run(self) -> None:
@@ -239,9 +249,18 @@
         await asyncio.Event().wait()
 
     async def stop(self) -> None:
-        log.info("entry.leaving", serves_on_s=self._seconds)
+        accept_s = self._shutdown.grace_s * defaults.SHUTDOWN_ACCEPT_FRACTION
+        left_s = accept_s - self._shutdown.age_s()
+        log.info("entry.leaving", serves_on_s=round(max(0.0, min(self._seconds, left_s)), 3))
+        try:
+            async with asyncio.timeout(left_s):
+                await self._start_leaving()
+                await asyncio.sleep(self._seconds)
+        except TimeoutError:
+            return
+
+    async def _start_leaving(self) -> None:
         try:
             await self._membership.start_leaving()
         except PlatformError as error:
             log.warning("membership.leaving_failed", code=error.code, error=error.message)
-        await asyncio.sleep(self._seconds)
--- a/src/coralfall/cluster/entry.py
+++ b/src/coralfall/cluster/entry.py
@@ -32,6 +32,7 @@
 from ..process.clock import Clock, SystemClock
 from ..process.metrics import Metrics
 from ..process.pauses import PauseWatch
+from ..process.shutdown import Shutdown
 from ..process.supervisor import Supervisor, supervise
 from ..reporting.operators import make_operators_app
 from ..reporting.service_levels import ServiceLevels
@@ -71,6 +72,8 @@
         self._incarnation = Incarnation(int(clock.wall() * 1000))
         trust = trust_of(settings.partners)
         self.metrics = Metrics(settings.metrics)
+        #: When the process ends once it was told to stop.
+        self.shutdown = Shutdown(settings.grace_s, clock, settle_s=defaults.CLAIM_FLUSH_TIMEOUT_S)
         self.node = Node(
             settings,
             platform,
@@ -149,9 +152,16 @@
             PeriodicChild("gauges", self.gauges.set_all, GAUGES_S, rng, self.metrics),
             PeriodicChild("steering", self._refresh_steering, STEERING_S, rng, self.metrics),
             self.callers_server,
-            Presence(node.control, node.membership, self.settings),
+            Presence(node.control, node.membership, self.settings, self.shutdown),
         ]
-        return Supervisor("entry", children, self._clock, rng, grace_s=self.settings.grace_s + 10.0)
+        return Supervisor(
+            "entry",
+            children,
+            self._clock,
+            rng,
+            shutdown=self.shutdown,
+            server=self.callers_server,
+        )
 
     async def _keep_connections(self) -> None:
         try:
@@ -246,6 +256,6 @@
     try:
         entry = Entry(settings, platform.platform, clock, random.Random())
         log.info("entry.starting", entry=settings.entry_id, vm=settings.vm_id)
-        return await supervise(entry.root)
+        return await supervise(entry.root, shutdown=entry.shutdown)
     finally:
         await platform.close()
--- a/src/coralfall/process/shutdown.py
+++ b/src/coralfall/process/shutdown.py
@@ -26,12 +26,19 @@
     :param grace_s: seconds from the signal until the process is killed.
     :param clock: monotonic time.
     :param cpu_time: seconds for which the process has run on a processor.
+    :param settle_s: seconds that the process needs after its last request to write down what became
+        of them; at most ``STOP_SETTLE_FRACTION`` of the grace is kept for it.
     """
 
     def __init__(
-        self, grace_s: float, clock: "Clock", cpu_time: t.Callable[[], float] = time.process_time
+        self,
+        grace_s: float,
+        clock: "Clock",
+        cpu_time: t.Callable[[], float] = time.process_time,
+        settle_s: float = 0.0,
     ) -> None:
         self.grace_s = grace_s
+        self._settle_s = settle_s
         self._clock = clock
         self._cpu_time = cpu_time
         self._told_at: t.Optional[float] = None
@@ -72,7 +79,8 @@
 
     def serves_until(self) -> float:
         """Returns the monotonic time at which requests are cut off; infinite before the signal."""
-        return self._end_before(self._reserve_s())
+        settle_s = min(self._settle_s, self.grace_s * defaults.STOP_SETTLE_FRACTION)
+        return self._end_before(self._reserve_s() + settle_s)
 
     def exits_by(self) -> float:
         """Returns the monotonic time by which all parts stop; infinite before the signal."""
--- a/src/coralfall/process/supervisor.py
+++ b/src/coralfall/process/supervisor.py
@@ -70,6 +70,8 @@
     :param grace_s: seconds that all children together may take to stop.
     :param sleep: waits that many seconds; given by tests.
     :param shutdown: when the children have to have stopped; it replaces ``grace_s``.
+    :param server: the child that serves requests. Those that stop after it have the time until the
+        process exits, also if it stops earlier than requests would be cut off.
     """
 
     def __init__(
@@ -82,8 +84,11 @@
         grace_s: float = GRACE_S,
         sleep: Sleep = asyncio.sleep,
         shutdown: t.Optional[Shutdown] = None,
+        server: t.Optional[Child] = None,
     ) -> None:
         self.name = name
+        self._server = server
+        self._server_stopped = False
         self._children = list(children)
         self._clock = clock
         self._random = random
@@ -252,13 +257,17 @@
         self._end_of_process.begin_now()
         for slot in reversed(self._slots):
             await self._stop_child(slot, self._stop_time_s())
+            if slot.child is self._server:
+                self._server_stopped = True
 
     def _stop_time_s(self) -> float:
         """Returns the seconds that the next child may take to stop."""
         now = self._clock.monotonic()
         serve_s = self._end_of_process.serves_until() - now
-        # What stops after the requests were cut off has the reserve for it.
-        return serve_s if serve_s > 0 else max(0.0, self._end_of_process.exits_by() - now)
+        if serve_s > 0 and not self._server_stopped:
+            return serve_s
+        # What stops after the last request has the reserve for it.
+        return max(0.0, self._end_of_process.exits_by() - now)
 
     async def _stop_child(self, slot: _Slot, grace_s: float) -> None:
         slot.stopping = True
--- a/src/coralfall/settings.py
+++ b/src/coralfall/settings.py
@@ -146,7 +146,7 @@
     log: LogSettings = LogSettings()
     #: Statsd server that metrics are sent to.
     metrics: MetricsSettings = MetricsSettings()
-    #: Seconds that running requests have to finish when the entry is told to stop.
+    #: Time from the signal to stop until the process is killed.
     grace_s: float = defaults.GRACE_S
     #: Seconds for which callers may cache an answer to a look-up.
     lookup_ttl_s: float = defaults.LOOKUP_TTL_S
--- a/tests/process/test_shutdown.py
+++ b/tests/process/test_shutdown.py
@@ -25,9 +25,20 @@
         self.assertEqual(math.inf, shutdown.left_s())
         self.assertEqual(math.inf, shutdown.exits_by())
 
-    @parameterized.expand([(0.6, 100.55, 100.575), (6.0, 105.5, 105.75), (30.0, 129.5, 129.75)])
-    def test_parts_of_the_grace(self, grace_s: float, serves: float, exits: float) -> None:
-        shutdown = Shutdown(grace_s, ManualClock(100.0))
+    @parameterized.expand(
+        [
+            (0.6, 0.0, 100.55, 100.575),
+            (6.0, 0.0, 105.5, 105.75),
+            (6.0, 5.0, 104.5, 105.75),
+            (30.0, 0.0, 129.5, 129.75),
+            (30.0, 5.0, 124.5, 129.75),
+            (300.0, 5.0, 394.5, 399.75),
+        ]
+    )
+    def test_parts_of_the_grace(
+        self, grace_s: float, settle_s: float, serves: float, exits: float
+    ) -> None:
+        shutdown = Shutdown(grace_s, ManualClock(100.0), settle_s=settle_s)
         shutdown.begin()
         self.assertAlmostEqual(serves, shutdown.serves_until())
         self.assertAlmostEqual(exits, shutdown.exits_by())
@@ -132,3 +143,33 @@
 
         for moment, found in zip(expected, run_virtual(main), strict=True):
             self.assertAlmostEqual(moment, found, places=3)
+
+    @parameterized.expand(
+        [
+            ("the server stops just before its end", 24.4, 5.0, 39.4),
+            ("the server is cut off", math.inf, 5.0, 39.5),
+            ("what stops after it hangs", 1.0, math.inf, 39.75),
+        ]
+    )
+    def test_what_stops_after_the_server_has_time_to_settle(
+        self, _name: str, server_s: float, settling_s: float, expected: float
+    ) -> None:
+        """Outcomes had only the time to be written that the last request had left."""
+
+        async def main(clock: LoopClock) -> t.List[float]:
+            ended_at: t.List[float] = []
+            server = Part("server", server_s, clock, [])
+            parts = [Part("settles", settling_s, clock, ended_at), server]
+            shutdown = Shutdown(30.0, clock, settle_s=5.0)
+            tree = Supervisor(
+                "root", parts, clock, random.Random(1), shutdown=shutdown, server=server
+            )
+            await tree.start()
+            running = asyncio.create_task(tree.run())
+            await asyncio.sleep(10.0 - clock.monotonic())
+            await tree.stop()
+            running.cancel()
+            return ended_at
+
+        (ended_at,) = run_virtual(main)
+        self.assertAlmostEqual(expected, ended_at, places=3)
