Refuse requests that would outlast an entry that was told to stop

A request's deadline was not compared with the end of the process, so a stopping entry sent targets requests that it then cut off. StopAdmission, which coralfall steer has, now decides here too, by the whole time of the request: as it arrives, before its body is read; before each attempt (after body, claim, hedge and retry), so that none waits for a slot or a loan in vain; and as the last check before the send. A refusal is not-run, and gives the key back.

--- a/benchmarks/request_path.py
+++ b/benchmarks/request_path.py
@@ -27,6 +27,7 @@
 import uvloop
 from starlette.responses import Response
 
+from coralfall import defaults
 from coralfall.balancing.steering import AttemptResult, Reservation, Steering
 from coralfall.bundles import bundle
 from coralfall.forwarding.answer import Answer
@@ -43,7 +44,9 @@
     ServiceId,
     TargetId,
 )
+from coralfall.placement.stop_admission import StopAdmission
 from coralfall.process.clock import SystemClock
+from coralfall.process.shutdown import Shutdown
 
 if t.TYPE_CHECKING:
     from starlette.types import Receive, Scope, Send
@@ -166,9 +169,10 @@
     elif role == "entry":
         clock = SystemClock()
         steering = FixedSteering(address)
-        outgoing = Upstream(steering, clock)
+        stop_admission = StopAdmission(Shutdown(defaults.GRACE_S, clock), clock)
+        outgoing = Upstream(steering, stop_admission, clock)
         claims: t.Any = None  # Only commands claim keys.
-        dispatcher = Dispatcher(steering, outgoing, claims, RetryBudget, clock)
+        dispatcher = Dispatcher(steering, outgoing, claims, RetryBudget, stop_admission, clock)
         app = CallersApp(dispatcher, NoLookup())
     config = uvicorn.Config(
         app, port=0, log_level="error", access_log=False, lifespan="off", proxy_headers=False
--- a/src/coralfall/cluster/entry.py
+++ b/src/coralfall/cluster/entry.py
@@ -27,6 +27,7 @@
 from ..peering.peer_directory import PeerDirectory
 from ..peering.peer_server import PeerServer
 from ..peering.peers import PeerNetwork
+from ..placement.stop_admission import StopAdmission
 from ..process import log, loop
 from ..process.child import Child, FunctionChild, PeriodicChild
 from ..process.clock import Clock, SystemClock
@@ -74,6 +75,7 @@
         self.metrics = Metrics(settings.metrics)
         #: When the process ends once it was told to stop.
         self.shutdown = Shutdown(settings.grace_s, clock, settle_s=defaults.CLAIM_FLUSH_TIMEOUT_S)
+        stop_admission = StopAdmission(self.shutdown, clock)
         self.node = Node(
             settings,
             platform,
@@ -99,9 +101,11 @@
             self.metrics,
         )
         self._make_peers(rng)
-        self.upstream = Upstream(node.steering, clock)
+        self.upstream = Upstream(node.steering, stop_admission, clock)
         self.target_checks = TargetChecks(node.steering, clock)
-        dispatcher = Dispatcher(node.steering, self.upstream, self.claims, RetryBudget, clock)
+        dispatcher = Dispatcher(
+            node.steering, self.upstream, self.claims, RetryBudget, stop_admission, clock
+        )
         self.levels = ServiceLevels(clock, self.metrics)
         self._status_builder = StatusBuilder(
             settings.entry_id, self._incarnation, clock, node, self.directory, self.levels
--- a/src/coralfall/forwarding/carrier.py
+++ b/src/coralfall/forwarding/carrier.py
@@ -21,6 +21,7 @@
 if t.TYPE_CHECKING:
     from ..balancing.steering import Steering
     from ..ids import PartnerId, ServiceId
+    from ..placement.stop_admission import StopAdmission
     from ..process.clock import Clock
     from .exchange import Exchange
     from .request import CallerRequest
@@ -97,6 +98,7 @@
     :param steering: chooses targets and holds their slots.
     :param upstream: carries single exchanges.
     :param new_budget: makes the retry budget of a service.
+    :param stop_admission: decides on requests while the process stops.
     :param clock: for deadlines.
     """
 
@@ -105,11 +107,13 @@
         steering: "Steering",
         upstream: "Upstream",
         new_budget: t.Callable[[], Budget],
+        stop_admission: "StopAdmission",
         clock: "Clock",
     ) -> None:
         self._steering = steering
         self._upstream = upstream
         self._new_budget = new_budget
+        self._stop_admission = stop_admission
         self._clock = clock
         self._shared_by_service: t.Dict[t.Tuple["PartnerId", "ServiceId"], _ServiceShared] = {}
 
@@ -176,6 +180,7 @@
         if self._clock.monotonic() >= delivery.deadline:
             message = "deadline passed before the request was dispatched"
             raise RefusedError(message, defaults.RETRY_AFTER_S)
+        self._stop_admission.check(delivery.request.service, delivery.deadline, may_repeat=False)
         exchange = await self._send(delivery)
         first = await exchange.read(defaults.MAX_BUFFERED_ANSWER_BYTES)
         passed = headers_to_caller(exchange.headers)
--- a/src/coralfall/forwarding/dispatch.py
+++ b/src/coralfall/forwarding/dispatch.py
@@ -25,6 +25,7 @@
     from ..balancing.steering import Steering
     from ..bundles.bundle import Service
     from ..idempotency.claims import ClaimBook
+    from ..placement.stop_admission import StopAdmission
     from ..process.clock import Clock
     from .carrier import Budget
     from .request import CallerRequest
@@ -40,6 +41,7 @@
     :param upstream: carries single exchanges.
     :param claims: makes sure that a command with a key runs once.
     :param new_budget: makes the retry budget of a service.
+    :param stop_admission: decides on requests while the process stops.
     :param clock: for deadlines.
     """
 
@@ -49,12 +51,14 @@
         upstream: "Upstream",
         claims: "ClaimBook",
         new_budget: "t.Callable[[], Budget]",
+        stop_admission: "StopAdmission",
         clock: "Clock",
     ) -> None:
         self._steering = steering
         self._claims = claims
+        self._stop_admission = stop_admission
         self._clock = clock
-        self._carrier = Carrier(steering, upstream, new_budget, clock)
+        self._carrier = Carrier(steering, upstream, new_budget, stop_admission, clock)
 
     async def dispatch(self, request: "CallerRequest") -> Answer:
         """The answer to one request; errors become answers too.
@@ -87,6 +91,7 @@
 
     async def _dispatch(self, request: "CallerRequest", rules: "Service") -> Answer:
         deadline = self._clock.monotonic() + _allowed_seconds(request, rules)
+        self._stop_admission.check(request.service, deadline, may_repeat=False)
         delivery = Delivery(request, deadline)
         key = None if request.read else key_of(request, rules)
         if request.body is not None:
--- a/src/coralfall/forwarding/upstream.py
+++ b/src/coralfall/forwarding/upstream.py
@@ -24,6 +24,7 @@
 
 if t.TYPE_CHECKING:
     from ..balancing.steering import Reservation, Steering
+    from ..placement.stop_admission import StopAdmission
     from ..process.clock import Clock
 
 _CONNECT_TIMEOUT = aiohttp.ClientTimeout(connect=defaults.CONNECT_TIMEOUT_S)
@@ -41,11 +42,15 @@
     command lost on a dead connection, which is none.
 
     :param steering: owns the reservations.
+    :param stop_admission: decides on requests while the process stops.
     :param clock: for deadlines.
     """
 
-    def __init__(self, steering: "Steering", clock: "Clock") -> None:
+    def __init__(
+        self, steering: "Steering", stop_admission: "StopAdmission", clock: "Clock"
+    ) -> None:
         self._steering = steering
+        self._stop_admission = stop_admission
         self._clock = clock
         self._kept = BoundedConnector(limit=0, keepalive_timeout=defaults.CONNECTION_IDLE_TIMEOUT_S)
         self._fresh = BoundedConnector(limit=0, force_close=True)
@@ -61,7 +66,8 @@
         Gives the reservation back, whatever happens, once the target no longer serves the request.
 
         :param deadline: monotonic time at which the exchange is aborted.
-        :raises RefusedError: if the reservation no longer holds; nothing was sent.
+        :raises RefusedError: if the reservation no longer holds, or if the process ends before the
+            deadline; nothing was sent.
         :raises TargetNotRunError: with evidence that the target did not run the request.
         :raises TargetUnknownError: if bytes left and no answer came.
         """
@@ -84,6 +90,7 @@
             raise
         try:
             self._steering.check(reservation)
+            self._stop_admission.check(reservation.service, deadline, may_repeat=False)
             seconds = deadline - self._clock.monotonic()
             if seconds <= 0:
                 raise _too_late()
--- a/tests/forwarding/test_carrier.py
+++ b/tests/forwarding/test_carrier.py
@@ -119,7 +119,10 @@
         self.upstream = PlannedUpstream(self.steering, plans)
         self.budget = loopback.CountedBudget(retries)
         upstream: t.Any = self.upstream
-        self.carrier = Carrier(self.steering, upstream, lambda: self.budget, clock)
+        self.stop_admission = loopback.make_stop_admission(clock)
+        self.carrier = Carrier(
+            self.steering, upstream, lambda: self.budget, self.stop_admission, clock
+        )
         self.clock = clock
         for _ in range(seen):
             self.carrier.latency_of(loopback.PARTNER, loopback.SERVICE).record(USUAL_S)
@@ -205,6 +208,20 @@
 
         run_virtual(main)
 
+    @parameterized.expand([("goes_on", False, ["a", "b"]), ("stops", True, ["a"])])
+    def test_no_hedge_that_would_outlast_the_process(
+        self, _: str, stops: bool, attempts: t.List[str]
+    ) -> None:
+        async def main(clock: LoopClock) -> None:
+            fleet = Fleet(clock, 9, {"a": SLOW, "b": STUCK})
+            if stops:
+                begin = fleet.stop_admission.shutdown.begin_now
+                asyncio.get_running_loop().call_later(USUAL_S / 2, begin)
+            self.assertEqual(await fleet.carry(), "a")
+            self.assertEqual(fleet.upstream.attempts, attempts)
+
+        run_virtual(main)
+
     def test_no_hedge_while_waiting_for_a_slot(self) -> None:
         async def main(clock: LoopClock) -> None:
             fleet = Fleet(clock, 9, {"a": FAST, "b": FAST})
--- a/tests/forwarding/test_dispatch.py
+++ b/tests/forwarding/test_dispatch.py
@@ -587,3 +587,94 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class TestStop(unittest.IsolatedAsyncioTestCase):
+    """Requests at a stopping process were sent to targets though they could outlast it."""
+
+    async def test_refused_before_its_body_has_come(self) -> None:
+        async with loopback.target() as (address, standin), loopback.entry([address]) as entry:
+            entry.stop_admission.shutdown.grace_s = 2.0
+            entry.stop_admission.shutdown.begin_now()
+            reader, writer = await connect(entry.address)
+            writer.write(b"POST /calor/mando/x HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n")
+            head = await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+            self.assertIn(b" 503 ", head)
+            self.assertIn(b"coralfall-outcome: not-run\r\n", head)
+            self.assertIn(b"connection: close\r\n", head)
+            self.assertEqual((standin.state.effects, entry.steering.results), ([], []))
+
+    @parameterized.expand([("short", "100", 200), ("long", "5000", 503)])
+    async def test_time_that_the_caller_allows_decides(
+        self, _: str, deadline: str, status: int
+    ) -> None:
+        async with loopback.target() as (address, _standin), loopback.entry([address]) as entry:
+            entry.stop_admission.shutdown.grace_s = 2.0
+            entry.stop_admission.shutdown.begin_now()
+            got = await ask(entry.address, "GET", "/calor/mando/x", headers={DEADLINE: deadline})
+            self.assertEqual(got.status, status)
+
+    @parameterized.expand(
+        [
+            ("read", "GET", "mando", None),
+            ("command", "POST", "mando", None),
+            ("command_with_a_key", "POST", "pedidos", "k1"),
+        ]
+    )
+    async def test_told_to_stop_while_a_request_waits_for_a_slot(
+        self, _: str, method: str, service: str, key: t.Optional[str]
+    ) -> None:
+        async with loopback.target() as (address, standin), loopback.entry([address]) as entry:
+            shutdown = entry.stop_admission.shutdown
+            shutdown.grace_s = 2.0
+            entry.steering.wait_s = 0.05
+            entry.steering.waiting = shutdown.begin_now
+            headers = {} if key is None else {KEY: key}
+            path = f"/calor/{service}/x"
+            got = await ask(entry.address, method, path, headers=headers)
+            self.assertEqual((got.status, got.outcome), (503, "not-run"))
+            self.assertEqual(json.loads(got.body)["reason"], "stopping")
+            self.assertEqual((standin.state.effects, standin.state.reads), ([], 0))
+            self.assertEqual(entry.steering.in_use, 0)
+            if key is None:
+                return
+            # The key is free again, for an entry that goes on.
+            shutdown.grace_s = 60.0
+            got = await ask(entry.address, method, path, headers=headers)
+            self.assertEqual((got.status, got.outcome), (200, "done"))
+
+    @parameterized.expand([("read", "GET", "mando"), ("command", "POST", "mando")])
+    async def test_told_to_stop_before_a_retry(self, _: str, method: str, service: str) -> None:
+        async def shed(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            shutdown.begin_now()
+            writer.write(b"HTTP/1.1 503 Busy\r\noutcome: not-run\r\ncontent-length: 0\r\n\r\n")
+            await writer.drain()
+
+        async with (
+            loopback.raw_target(shed) as full,
+            loopback.target() as (address, standin),
+            loopback.entry([full, address]) as entry,
+        ):
+            shutdown = entry.stop_admission.shutdown
+            shutdown.grace_s = 2.0
+            got = await ask(entry.address, method, f"/calor/{service}/x")
+            self.assertEqual((got.status, got.outcome), (503, "not-run"))
+            self.assertEqual((standin.state.effects, standin.state.reads), ([], 0))
+            # No slot is held for it either.
+            self.assertEqual((entry.steering.results, entry.steering.in_use), ([NOT_RUN], 0))
+
+    async def test_a_repeat_is_refused_and_gets_the_kept_answer_later(self) -> None:
+        async with loopback.target() as (address, standin), loopback.entry([address]) as entry:
+            shutdown = entry.stop_admission.shutdown
+            headers = {KEY: "k1"}
+            first = await ask(entry.address, "POST", "/calor/pedidos/x", headers=headers)
+            shutdown.grace_s = 2.0
+            shutdown.begin_now()
+            refused = await ask(entry.address, "POST", "/calor/pedidos/x", headers=headers)
+            self.assertEqual((refused.status, refused.outcome), (503, "not-run"))
+            shutdown.grace_s = 60.0
+            again = await ask(entry.address, "POST", "/calor/pedidos/x", headers=headers)
+            self.assertEqual((again.status, again.body), (200, first.body))
+            self.assertEqual(len(standin.state.effects), 1)
--- a/tests/forwarding/test_half_closed.py
+++ b/tests/forwarding/test_half_closed.py
@@ -214,7 +214,7 @@
 
     async def test_not_once_the_target_is_no_longer_used(self) -> None:
         self.steering = GoneTargetSteering([], loopback.service())
-        self.upstream = Upstream(self.steering, CLOCK)
+        self.upstream = Upstream(self.steering, loopback.make_stop_admission(CLOCK), CLOCK)
         self.addAsyncCleanup(self.upstream.close)
         target = BusyTarget()
         async with loopback.raw_target(target) as address:
--- a/tests/forwarding/test_upstream.py
+++ b/tests/forwarding/test_upstream.py
@@ -22,6 +22,7 @@
 from coralfall.forwarding.exchange import Exchange, TargetRequest
 from coralfall.forwarding.request import MemoryAccount, RequestBody
 from coralfall.forwarding.upstream import Upstream
+from coralfall.placement.stop_admission import STOPPING, StopAdmission
 from coralfall.process.clock import Clock, ManualClock, SystemClock
 from tests import loopback
 from tests.traffic.test_endless_answers import ENDLESS, ENDLESS_ANSWERS, EndlessTarget
@@ -107,12 +108,23 @@
         return 0.0 if len(self.asked) % self.asks == 0 else math.inf
 
 
+class StoppingSteering(loopback.LineSteering):
+    """Steering of a process that is told to stop as a request is about to be sent."""
+
+    def __init__(self, stop_admission: StopAdmission) -> None:
+        super().__init__([], loopback.service())
+        self._stop_admission = stop_admission
+
+    def check(self, reservation: Reservation) -> None:
+        self._stop_admission.shutdown.begin_now()
+
+
 class Case(unittest.IsolatedAsyncioTestCase):
     """Gives an upstream over a steering that keeps results."""
 
     async def asyncSetUp(self) -> None:
         self.steering = loopback.LineSteering([], loopback.service())
-        self.upstream = Upstream(self.steering, CLOCK)
+        self.upstream = Upstream(self.steering, loopback.make_stop_admission(CLOCK), CLOCK)
         self.addAsyncCleanup(self.upstream.close)
 
     async def send(
@@ -246,9 +258,29 @@
             await asyncio.sleep(0.01)
         self.assertEqual((script.requests, self.steering.results), ([], [CANCELLED]))
 
+    @parameterized.expand([("in_time", 5.0, 1), ("past_the_end", 30.0, 0)])
+    async def test_a_stop_after_all_waits_is_found_before_sending(
+        self, _: str, seconds: float, sent: int
+    ) -> None:
+        """A request whose time reached past the end of the process was sent to a target."""
+        stop_admission = loopback.make_stop_admission(CLOCK)
+        self.steering = StoppingSteering(stop_admission)
+        self.upstream = Upstream(self.steering, stop_admission, CLOCK)
+        self.addAsyncCleanup(self.upstream.close)
+        script = Script(OK)
+        async with loopback.raw_target(script) as address:
+            if sent:
+                await self.ask(address, "POST", seconds=seconds)
+            else:
+                with self.assertRaises(RefusedError) as caught:
+                    await self.ask(address, "POST", seconds=seconds)
+                self.assertEqual(caught.exception.fields["reason"], STOPPING)
+            await asyncio.sleep(0.01)
+        self.assertEqual((len(script.requests), self.steering.in_use), (sent, 0))
+
     async def test_pause_after_the_check_is_found_before_sending(self) -> None:
         clock = ManualClock()
-        self.upstream = Upstream(PausingSteering(clock), clock)
+        self.upstream = Upstream(PausingSteering(clock), loopback.make_stop_admission(clock), clock)
         self.addAsyncCleanup(self.upstream.close)
         script = Script(OK)
         async with loopback.raw_target(script) as address:
@@ -261,7 +293,8 @@
     async def test_target_refuses_what_comes_after_its_deadline(
         self, _: str, paused_s: float, runs: bool
     ) -> None:
-        self.upstream = Upstream(self.steering, PausedClock(paused_s))
+        clock = PausedClock(paused_s)
+        self.upstream = Upstream(self.steering, loopback.make_stop_admission(CLOCK), clock)
         self.addAsyncCleanup(self.upstream.close)
         async with loopback.target() as (address, standin):
             if runs:
@@ -288,7 +321,7 @@
         self, _: str, make: t.Type[loopback.LineSteering], told: bool
     ) -> None:
         self.steering = make([], loopback.service())
-        self.upstream = Upstream(self.steering, CLOCK)
+        self.upstream = Upstream(self.steering, loopback.make_stop_admission(CLOCK), CLOCK)
         self.addAsyncCleanup(self.upstream.close)
         script = Script(OK)
         async with loopback.raw_target(script) as address:
@@ -315,7 +348,7 @@
                 yield bytes(1000)
 
         self.steering = steering = PacedSteering(asks)
-        self.upstream = Upstream(steering, CLOCK)
+        self.upstream = Upstream(steering, loopback.make_stop_admission(CLOCK), CLOCK)
         self.addAsyncCleanup(self.upstream.close)
         body = RequestBody(pieces(), 3000, MemoryAccount())
         async with loopback.target() as (address, standin):
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -27,7 +27,9 @@
     ServiceId,
     TargetId,
 )
+from coralfall.placement.stop_admission import StopAdmission
 from coralfall.process.clock import Clock, SystemClock
+from coralfall.process.shutdown import Shutdown
 from coralfall.settings import TargetStandinSettings
 from coralfall.standins.standin_target import TargetStandin
 from coralfall.stores.memory_platform import Counters, MemoryTable
@@ -98,6 +100,11 @@
     return bundle.Service(**{**rules, **changes})
 
 
+def make_stop_admission(clock: Clock, grace_s: float = 30.0) -> StopAdmission:
+    """Admission of a process that was not told to stop yet."""
+    return StopAdmission(Shutdown(grace_s, clock), clock)
+
+
 class LineSteering(Steering):
     """Hands out targets in the order given, skipping tried ones, and keeps what it was told."""
 
@@ -110,6 +117,8 @@
         self.lapsed = False
         #: Seconds until a slot is had.
         self.wait_s = 0.0
+        #: Called while a slot is waited for.
+        self.waiting: t.Callable[[], None] = lambda: None
 
     async def reserve(
         self,
@@ -121,6 +130,7 @@
         body_bytes: int,
     ) -> Reservation:
         if self.wait_s:
+            self.waiting()
             await asyncio.sleep(self.wait_s)
         for address in self.addresses:
             if address in tried:
@@ -220,6 +230,7 @@
     table: MemoryTable
     memory: MemoryAccount
     observed: t.List[Observed]
+    stop_admission: StopAdmission
 
 
 @contextlib.asynccontextmanager
@@ -228,21 +239,23 @@
     rules: t.Optional[bundle.Service] = None,
     retries: int = 2,
     clock: t.Optional[Clock] = None,
+    grace_s: float = 30.0,
 ) -> t.AsyncIterator[Entry]:
     """Serve the callers' port over targets at ``addresses``, best first."""
     steering = LineSteering(addresses, rules or service())
     budget = CountedBudget(retries)
     clock = clock or SystemClock()
-    upstream = Upstream(steering, clock)
+    stop_admission = make_stop_admission(clock, grace_s)
+    upstream = Upstream(steering, stop_admission, clock)
     table = MemoryTable(clock, Counters())
     claims = ClaimBook(table, EntryId("entry"), Incarnation(1), clock)
-    dispatcher = Dispatcher(steering, upstream, claims, lambda: budget, clock)
+    dispatcher = Dispatcher(steering, upstream, claims, lambda: budget, stop_admission, clock)
     running = asyncio.ensure_future(claims.run())
     try:
         observer = ListObserver()
         app = CallersApp(dispatcher, FixedLookup(), observer)
         async with serving(app) as address:
-            yield Entry(address, steering, budget, table, app.memory, observer.seen)
+            yield Entry(address, steering, budget, table, app.memory, observer.seen, stop_admission)
     finally:
         running.cancel()
         await upstream.close()
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -134,6 +134,7 @@
         self.trace_slots = True
         self.ttl_s = 3.0
         self.lookup_ttl_s = 5.0
+        self.grace_s = 10.0
         self.version = 0
         self._public_keys: t.Dict[str, str] = {}
         new_fleet_key(folder / "fleet.key")
@@ -398,7 +399,7 @@
 caller_address = "{addresses[0]}"
 peer_address = "{addresses[1]}"
 operator_address = "{addresses[2]}"
-grace_s = 10.0
+grace_s = {self.grace_s}
 {self._trace_text("trace_slots = true")}
 lookup_ttl_s = {self.lookup_ttl_s}
 [platform]
