Say how many keys stay claimed also when the end of the process cuts a stop off

ClaimBook.stop gave up after 5 s and then wrote claims.unsettled. With a short grace the supervisor cancels it earlier, and nothing was said. It now says so however it ends.

tests.idempotency.test_claims.TestStop: cut_off fails before. Real process whose platform is stopped (SIGSTOP), grace 6 s, a command in flight at SIGTERM: it is answered, the process ends with 0 before the kill, claims.unsettled count=1 (missing before).

--- a/src/coralfall/idempotency/claims.py
+++ b/src/coralfall/idempotency/claims.py
@@ -189,7 +189,8 @@
     async def stop(self) -> None:
         """Refuse new claims, and return when what became of the others is written.
 
-        Gives up after ``defaults.CLAIM_FLUSH_TIMEOUT_S``: a key that is not settled stays claimed.
+        Gives up after ``defaults.CLAIM_FLUSH_TIMEOUT_S``, or as it is cancelled: a key that is not
+        settled stays claimed.
         """
         self._stopping = True
         self._queue.closing = True
@@ -198,7 +199,11 @@
             async with asyncio.timeout(defaults.CLAIM_FLUSH_TIMEOUT_S):
                 await self._idle.wait()
         except asyncio.TimeoutError:
-            log.warning("claims.unsettled", count=len(self._records_by_key))
+            return
+        finally:
+            # The process may end sooner, which cancels this.
+            if self._records_by_key:
+                log.warning("claims.unsettled", count=len(self._records_by_key))
 
     def _check_open(self) -> None:
         if self._stopping:
--- a/tests/idempotency/test_claims.py
+++ b/tests/idempotency/test_claims.py
@@ -514,6 +514,25 @@
         await fleet.a.stop()
         self.assertEqual(await fleet.state(), ClaimState.CLAIMED)
 
+    @parameterized.expand([("time_is_up", LONG_S, 1), ("cut_off", 1.0, 1), ("settled", LONG_S, 0)])
+    @with_fleet
+    async def test_tells_what_is_not_settled(
+        self, fleet: Fleet, _: str, seconds: float, count: int
+    ) -> None:
+        """A stop that was cut off by the end of the process said nothing of its open keys."""
+        held = await claim(fleet.a)
+        if count:
+            fleet.down()
+        await fleet.a.finish(held, ANSWER)
+        with (
+            unittest.mock.patch("coralfall.process.log.warning") as warning,
+            contextlib.suppress(TimeoutError),
+        ):
+            async with asyncio.timeout(seconds):
+                await fleet.a.stop()
+        calls = [call for call in warning.mock_calls if call.args == ("claims.unsettled",)]
+        self.assertEqual([call.kwargs for call in calls], [{"count": 1}] * count)
+
 
 NAMES = ("k1", "k2", "k3")
 FINGERPRINTS = ("f", "g")
--- a/tests/test_entry_stops.py
+++ b/tests/test_entry_stops.py
@@ -149,3 +149,26 @@
         # What is sent early enough is served, though the process stops.
         self.assertTrue(begun, seen)
         self.assertEqual(0, exit_status, seen)
+
+    async def test_ends_before_the_kill_while_the_platform_hangs(self) -> None:
+        """Guards against calls to the platform that keep a stopping entry until it is killed."""
+        caller = KeptCaller(self.fleet, "pedidos", 0)
+        self.addAsyncCleanup(caller.close)
+        await self.set_service_time(_SERVICE_TIME_S)
+        before = len(await self.begun())
+        sending = asyncio.create_task(caller.send())
+
+        async def runs() -> bool:
+            return len(await self.begun()) > before
+
+        await self.fleet.until(runs, "the command runs")
+        self.fleet.signal("platform", signal.SIGSTOP)
+        self.fleet.signal("e1", signal.SIGTERM)
+        killing = asyncio.create_task(self.kill_at(time.monotonic()))
+        exit_status = await self.fleet.exit_status("e1")
+        killing.cancel()
+        seen = self.fleet.log_of("e1")
+        self.assertEqual((await sending)[1:], (200, "done"), seen)
+        self.assertEqual(0, exit_status, seen)
+        # Its key stays claimed, since the table could not be told.
+        self.assertIn("event=claims.unsettled count=1", seen)
