Tell callers of a stopping entry with each answer that its connection ends

Kept connections were told so only once the entry took no new ones, 7 s after the signal, and idle ones were closed 1 s later, at a moment that no caller can foresee. coralfall steer does it from the signal on; now this entry does too.

--- a/src/coralfall/cluster/control.py
+++ b/src/coralfall/cluster/control.py
@@ -228,6 +228,7 @@
     :param membership: the entry's place in the roster.
     :param settings: how long look-ups last, and how often the roster is read.
     :param shutdown: since when the process stops.
+    :param close_connections: makes callers open connections to other entries from then on.
     """
 
     name = "presence"
@@ -238,9 +239,11 @@
         membership: Membership,
         settings: EntrySettings,
         shutdown: "Shutdown",
+        close_connections: t.Callable[[], None],
     ) -> None:
         self._control = control
         self._membership = membership
+        self._close_connections = close_connections
         self._shutdown = shutdown
         self._seconds = settings.lookup_ttl_s + READS_UNTIL_KNOWN * settings.lease.poll_s
 
@@ -249,6 +252,7 @@
         await asyncio.Event().wait()
 
     async def stop(self) -> None:
+        self._close_connections()
         accept_s = self._shutdown.grace_s * defaults.SHUTDOWN_ACCEPT_FRACTION
         left_s = accept_s - self._shutdown.age_s()
         log.info("entry.leaving", serves_on_s=round(max(0.0, min(self._seconds, left_s)), 3))
--- a/src/coralfall/cluster/entry.py
+++ b/src/coralfall/cluster/entry.py
@@ -156,7 +156,13 @@
             PeriodicChild("gauges", self.gauges.set_all, GAUGES_S, rng, self.metrics),
             PeriodicChild("steering", self._refresh_steering, STEERING_S, rng, self.metrics),
             self.callers_server,
-            Presence(node.control, node.membership, self.settings, self.shutdown),
+            Presence(
+                node.control,
+                node.membership,
+                self.settings,
+                self.shutdown,
+                self.callers_server.close_connections_after_answers,
+            ),
         ]
         return Supervisor(
             "entry",
--- a/tests/cluster/test_presence.py
+++ b/tests/cluster/test_presence.py
@@ -63,10 +63,14 @@
                 lease=LeaseSettings(poll_s=1.0),
                 lookup_ttl_s=5.0,
             )
-            presence = Presence(other, membership, settings, shutdown)
+            closed_at: t.List[float] = []
+            presence = Presence(
+                other, membership, settings, shutdown, lambda: closed_at.append(clock.monotonic())
+            )
             shutdown.begin_now()
             began = clock.monotonic()
             await presence.stop()
+            self.assertEqual(closed_at, [began])
             return clock.monotonic() - began
 
         self.assertAlmostEqual(expected, run_virtual(main), places=3)
--- a/tests/test_entry_stops.py
+++ b/tests/test_entry_stops.py
@@ -172,3 +172,18 @@
         self.assertEqual(0, exit_status, seen)
         # Its key stays claimed, since the table could not be told.
         self.assertIn("event=claims.unsettled count=1", seen)
+
+    async def test_answers_tell_callers_from_the_signal_on_that_the_connection_ends(self) -> None:
+        """Guards against kept connections that end as their callers send commands on them."""
+        url = self.fleet.url("e1", "acopio")
+
+        async def closes() -> bool:
+            async with self.session.post(url, data=b"x") as answer:
+                self.assertEqual(answer.status, 200)
+                return answer.headers.get("connection") == "close"
+
+        self.assertFalse(await closes())
+        self.fleet.signal("e1", signal.SIGTERM)
+        await self.fleet.until(lambda: "entry.leaving" in self.fleet.log_of("e1"), "e1 stops")
+        self.assertTrue(await closes())
+        self.assertEqual(0, await self.fleet.exit_status("e1"))
