Bound the lines a second of one kind in a class of its own

RefusalLog counted its lines itself; what a stopping entry refuses needs the same. No change of behaviour: tests.balancing passes as it was (224 tests with test_layers).

--- a/src/coralfall/balancing/refusals.py
+++ b/src/coralfall/balancing/refusals.py
@@ -9,6 +9,7 @@
 
 from ..exceptions import RefusedError
 from ..process import log
+from ..process.line_limiter import LineLimiter
 
 if t.TYPE_CHECKING:
     from ..ids import PartnerId, RegionId, ServiceId
@@ -34,17 +35,6 @@
     TARGET_LEAVING = "target-leaving"
 
 
-class _Lines:
-    """Lines of one service in the current second."""
-
-    __slots__ = ("left_out", "second", "written")
-
-    def __init__(self) -> None:
-        self.second = 0
-        self.written = 0
-        self.left_out = 0
-
-
 class RefusalLog:
     """Writes ``slot.refused`` lines.
 
@@ -54,8 +44,9 @@
 
     def __init__(self, slots: "SlotTable", clock: "Clock") -> None:
         self._slots = slots
-        self._clock = clock
-        self._lines_by_service: t.Dict[t.Tuple["PartnerId", "ServiceId"], _Lines] = {}
+        self._limiter: LineLimiter[t.Tuple[PartnerId, ServiceId]] = LineLimiter(
+            clock, MAX_LINES_PER_S
+        )
         #: Tells which loans of a service this entry has asked for; set where loans are made.
         self.describe_loans: t.Callable[["ServiceId"], str] = _no_loans
 
@@ -74,7 +65,7 @@
         :param waiting: requests of the service that wait now.
         :param regions: regions that the request may go to.
         """
-        left_out = self._take_line(partner, service)
+        left_out = self._limiter.take((partner, service))
         if left_out is None:
             return
         states = self._slots.states(service)
@@ -93,21 +84,6 @@
             left_out=left_out,
         )
 
-    def _take_line(self, partner: "PartnerId", service: "ServiceId") -> t.Optional[int]:
-        """Returns how many lines were left out since the last, or ``None`` for no line now."""
-        lines = self._lines_by_service.setdefault((partner, service), _Lines())
-        second = int(self._clock.monotonic())
-        if second != lines.second:
-            lines.second = second
-            lines.written = 0
-        if lines.written >= MAX_LINES_PER_S:
-            lines.left_out += 1
-            return None
-        lines.written += 1
-        left_out = lines.left_out
-        lines.left_out = 0
-        return left_out
-
 
 def _no_loans(service: "ServiceId") -> str:
     return "none"
