--- a/src/coralfall/cluster/entry.py
+++ b/src/coralfall/cluster/entry.py
@@ -27,11 +27,13 @@
 from ..peering.peer_directory import PeerDirectory
 from ..peering.peer_server import PeerServer
 from ..peering.peers import PeerNetwork
+from ..placement.stop_admission import StopAdmission
 from ..process import log, loop
 from ..process.child import Child, FunctionChild, PeriodicChild
 from ..process.clock import Clock, SystemClock
 from ..process.metrics import Metrics
 from ..process.pauses import PauseWatch
+from ..process.shutdown import Shutdown
 from ..process.supervisor import Supervisor, supervise
 from ..reporting.operators import make_operators_app
 from ..reporting.service_levels import ServiceLevels
@@ -71,6 +73,9 @@
         self._incarnation = Incarnation(int(clock.wall() * 1000))
         trust = trust_of(settings.partners)
         self.metrics = Metrics(settings.metrics)
+        #: When the process ends once it was told to stop.
+        self.shutdown = Shutdown(settings.grace_s, clock, settle_s=defaults.CLAIM_FLUSH_TIMEOUT_S)
+        stop_admission = StopAdmission(self.shutdown, clock)
         self.node = Node(
             settings,
             platform,
@@ -96,9 +101,11 @@
             self.metrics,
         )
         self._make_peers(rng)
-        self.upstream = Upstream(node.steering, clock)
+        self.upstream = Upstream(node.steering, stop_admission, clock)
         self.target_checks = TargetChecks(node.steering, clock)
-        dispatcher = Dispatcher(node.steering, self.upstream, self.claims, RetryBudget, clock)
+        dispatcher = Dispatcher(
+            node.steering, self.upstream, self.claims, RetryBudget, stop_admission, clock
+        )
         self.levels = ServiceLevels(clock, self.metrics)
         self._status_builder = StatusBuilder(
             settings.entry_id, self._incarnation, clock, node, self.directory, self.levels
@@ -149,9 +156,22 @@
             PeriodicChild("gauges", self.gauges.set_all, GAUGES_S, rng, self.metrics),
             PeriodicChild("steering", self._refresh_steering, STEERING_S, rng, self.metrics),
             self.callers_server,
-            Presence(node.control, node.membership, self.settings),
+            Presence(
+                node.control,
+                node.membership,
+                self.settings,
+                self.shutdown,
+                self.callers_server.close_connections_after_answers,
+            ),
         ]
-        return Supervisor("entry", children, self._clock, rng, grace_s=self.settings.grace_s + 10.0)
+        return Supervisor(
+            "entry",
+            children,
+            self._clock,
+            rng,
+            shutdown=self.shutdown,
+            server=self.callers_server,
+        )
 
     async def _keep_connections(self) -> None:
         try:
@@ -246,6 +266,6 @@
     try:
         entry = Entry(settings, platform.platform, clock, random.Random())
         log.info("entry.starting", entry=settings.entry_id, vm=settings.vm_id)
-        return await supervise(entry.root)
+        return await supervise(entry.root, shutdown=entry.shutdown)
     finally:
         await platform.close()
