Join the stops of coralfall entry with those of steer

coralfall entry gives no request less time than its caller allows, so callers' ignorance of the stop counts for 0 s there. The test of cancelled requests in the log sets the level of uvicorn's logger itself: another test file silences it, which made the row of a request that failed depend on the order of the files.

--- a/benchmarks/request_path.py
+++ b/benchmarks/request_path.py
@@ -169,7 +169,7 @@
     elif role == "entry":
         clock = SystemClock()
         steering = FixedSteering(address)
-        stop_admission = StopAdmission(Shutdown(defaults.GRACE_S, clock), clock)
+        stop_admission = StopAdmission(Shutdown(defaults.GRACE_S, clock), 0.0, clock)
         outgoing = Upstream(steering, stop_admission, clock)
         claims: t.Any = None  # Only commands claim keys.
         dispatcher = Dispatcher(steering, outgoing, claims, RetryBudget, stop_admission, clock)
--- a/src/coralfall/cluster/entry.py
+++ b/src/coralfall/cluster/entry.py
@@ -75,7 +75,7 @@
         self.metrics = Metrics(settings.metrics)
         #: When the process ends once it was told to stop.
         self.shutdown = Shutdown(settings.grace_s, clock, settle_s=defaults.CLAIM_FLUSH_TIMEOUT_S)
-        stop_admission = StopAdmission(self.shutdown, clock)
+        stop_admission = StopAdmission(self.shutdown, 0.0, clock)
         self.node = Node(
             settings,
             platform,
--- a/src/coralfall/placement/stop_admission.py
+++ b/src/coralfall/placement/stop_admission.py
@@ -23,7 +23,8 @@
     """Decides whether a request may be sent while the process stops.
 
     :param shutdown: tells when requests are cut off.
-    :param accept_s: seconds from the signal for which callers may not know of it.
+    :param accept_s: seconds from the signal for which callers may not know of it; 0 if no request
+        is given less time than its caller allows.
     :param clock: monotonic time.
     """
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -102,7 +102,7 @@
 
 def make_stop_admission(clock: Clock, grace_s: float = 30.0) -> StopAdmission:
     """Admission of a process that was not told to stop yet."""
-    return StopAdmission(Shutdown(grace_s, clock), clock)
+    return StopAdmission(Shutdown(grace_s, clock), 0.0, clock)
 
 
 class LineSteering(Steering):
--- a/tests/process/test_log.py
+++ b/tests/process/test_log.py
@@ -147,7 +147,11 @@
     ) -> None:
         """Each request that was cut off at a stop added a traceback at level error."""
         log.configure(LogSettings(), self.stream)
-        logging.getLogger(logger).error("Exception in ASGI application", exc_info=error)
+        library = logging.getLogger(logger)
+        # Other tests silence uvicorn.
+        self.addCleanup(library.setLevel, library.level)
+        library.setLevel(logging.ERROR)
+        library.error("Exception in ASGI application", exc_info=error)
         self.assertEqual(lines, self.stream.getvalue().count("\n"))
 
     @parameterized.expand(
