Answer pipelined requests that were read before a stopping server closes

Cause: while a server stops, each request that is read makes its own answer close the connection. Requests that were pipelined behind it had been read whole and were dropped without an answer.

Change: the newest request that was read closes the connection. The one before it does so no more, unless its answer has begun, which tells the caller about the close, or unless its caller asked for the close.

Conclusion: requests that were read behind one that closes the connection are answered or refused.

--- a/src/coralfall/http/protocol.py
+++ b/src/coralfall/http/protocol.py
@@ -149,6 +149,8 @@
         self._seen: t.Set[bytes] = set()
         # The request before the newest one.
         self._previous: t.Optional[RequestResponseCycle] = None
+        # The request whose answer closes the connection because the server stops.
+        self._closing: t.Optional[RequestResponseCycle] = None
         self._head_timer: t.Optional[asyncio.TimerHandle] = None
         # Whether what still comes is dropped.
         self._deaf = False
@@ -262,7 +264,7 @@
     def shutdown(self) -> None:
         """Close once the requests in flight are answered, or soon if there are none."""
         if self.cycle is not None and not self.cycle.response_complete:
-            self.cycle.keep_alive = False
+            self._close_after_newest()
             return
         # A request may be on its way already; it is answered if it comes in time.
         self._unset_keepalive_if_required()
@@ -316,8 +318,21 @@
         self._begun = False
         self._progressed = True
         self._head_bytes = 0
-        if self._shared.stopping or self.parser.should_upgrade():
+        if self.parser.should_upgrade():
             self.cycle.keep_alive = False
+        if self._shared.stopping:
+            self._close_after_newest()
+
+    def _close_after_newest(self) -> None:
+        """Closes the connection after the newest request instead of the one before it."""
+        before = self._closing
+        if before is self.cycle:
+            return
+        if before is not None and before is self._previous and not before.response_started:
+            # Closing after its answer would drop the newest one, which was read already.
+            before.keep_alive = True
+        self._closing = self.cycle if self.cycle.keep_alive else None
+        self.cycle.keep_alive = False
 
     def on_body(self, body: bytes) -> None:
         self._progressed = True
--- a/tests/callers_http/test_server.py
+++ b/tests/callers_http/test_server.py
@@ -544,6 +544,34 @@
             self.assertEqual(await caller.rest(), b"")
         await asyncio.wait_for(stopping, PATIENCE_S)
 
+    @parameterized.expand([("in one piece", SLOW + GOOD + GOOD, b""), ("apart", SLOW, GOOD + GOOD)])
+    async def test_pipelined_requests_are_answered_before_the_close(
+        self, _name: str, before: bytes, after: bytes
+    ) -> None:
+        """The answer to the first one closed the connection, though the others had been read."""
+        self.server.close_connections_after_answers()
+        caller = await self.connect()
+        caller.send(before)
+        await asyncio.wait_for(self.application.arrived.wait(), PATIENCE_S)
+        stopping = await self.stop()
+        caller.send(after)
+        await asyncio.sleep(0.01)
+        self.application.release.set()
+        answers = [await caller.answer() for _ in range(3)]
+        self.assertEqual([200] * 3, [answer.status for answer in answers])
+        connection = [answer.headers.get(b"connection") for answer in answers]
+        self.assertEqual([None, None, b"close"], connection)
+        self.assertEqual(await caller.rest(), b"")
+        await asyncio.wait_for(stopping, PATIENCE_S)
+
+    async def test_what_follows_the_last_request_of_a_caller_is_not_answered(self) -> None:
+        self.server.close_connections_after_answers()
+        caller = await self.connect()
+        caller.send(b"GET /slow HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n" + GOOD)
+        await asyncio.wait_for(self.application.arrived.wait(), PATIENCE_S)
+        self.application.release.set()
+        self.assertEqual(1, (await caller.rest()).count(b"HTTP/1.1 200"))
+
     async def test_connections_that_nobody_took_yet_are_answered(self) -> None:
         host, port = self.server.bound_address.split(":")
         sockets = [socket.create_connection((host, int(port))) for _ in range(20)]
