Keep the grace of the signal when settings change while an entry stops

Cause: a reload replaced the grace also after the SIGTERM. With a longer one, requests were admitted by it, though the supervisor cuts them off by the old one and the kill is due by it; with a shorter one, the entry cut off what it had admitted by the old one.

Change: the grace is fixed once the process stops. Until the loop has seen the signal it can still change, as a SIGHUP that came before the SIGTERM may be handled after it.

The tests of it fail without the change.

Conclusion: this relies on the kill being due by the grace that was in force at the signal.

--- a/src/coralfall/process/shutdown.py
+++ b/src/coralfall/process/shutdown.py
@@ -35,6 +35,7 @@
         self._clock = clock
         self._cpu_time = cpu_time
         self._told_at: t.Optional[float] = None
+        self._is_stopping = False
         self.beat()
 
     @property
@@ -56,9 +57,19 @@
         self._told_at = now - max(0.0, not_running_s)
 
     def begin_now(self) -> None:
-        """Records that the process stops by itself, if it was not told to before."""
+        """Records that the process stops now, by itself if it was not told to before."""
         if self._told_at is None:
             self._told_at = self._clock.monotonic()
+        self._is_stopping = True
+
+    def set_grace(self, grace_s: float) -> None:
+        """Applies a changed setting, unless the process stops already.
+
+        Requests were admitted by the grace of the signal, and the kill is due by it. A change that
+        came just before the signal may be applied just after it, so the signal alone fixes nothing.
+        """
+        if not self._is_stopping:
+            self.grace_s = grace_s
 
     async def run_beats(self) -> None:
         """Beats until the process is told to stop."""
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -233,7 +233,7 @@
         """Applies settings of which only reloadable ones differ; see :mod:`.settings_reloader`."""
         self.settings = settings
         log.set_level(settings.log)
-        self.shutdown.grace_s = settings.bounds.grace_s
+        self.shutdown.set_grace(settings.bounds.grace_s)
         self.stop_admission.accept_s = settings.bounds.shutdown_accept_s()
         self.steering.settings = settings
         self.contention.settings = settings.dispatch
--- a/tests/platform_adapter/test_stops.py
+++ b/tests/platform_adapter/test_stops.py
@@ -18,6 +18,9 @@
 _WAKES_S = (0.0, 4.4)
 _CALLERS = 16
 _READ_S = 12.0
+#: A grace that is written to the settings file after the signal, and when.
+_CHANGED_GRACE_S = 30.0
+_CHANGE_AFTER_S = 0.5
 
 
 class KeptCaller:
@@ -79,7 +82,24 @@
         self, _name: str, body_s: float
     ) -> None:
         """Requests on kept connections were sent to targets though the process ended before."""
+        self._check_stop(body_s)
 
+    def test_a_grace_that_changes_after_the_signal_does_not_move_the_end(self) -> None:
+        """Requests were sent to targets by a longer grace, and the process was not over in time."""
+
+        async def change(entry: EntryProcess) -> None:
+            await asyncio.sleep(_CHANGE_AFTER_S)
+            with entry.settings.open("a") as settings:
+                settings.write(f"[bounds]\ngrace_s = {_CHANGED_GRACE_S}\n")
+            entry.signal(signal.SIGHUP)
+
+        self._check_stop(0.0, change)
+
+    def _check_stop(
+        self,
+        body_s: float,
+        after_signal: t.Optional[t.Callable[[EntryProcess], t.Awaitable[None]]] = None,
+    ) -> None:
         async def scenario(installation: Installation, instances: t.List[InstanceStandin]) -> None:
             entry = installation.entries[0]
             callers = [KeptCaller(entry, number) for number in range(_CALLERS)]
@@ -98,6 +118,8 @@
                 return await caller.send(body_s)
 
             waking = [asyncio.create_task(wake(one, n)) for n, one in enumerate(callers)]
+            if after_signal is not None:
+                await after_signal(entry)
             status = await entry.wait_ended()
             took_s = time.monotonic() - told_at
             status_by_id = dict(await asyncio.gather(*waking))
--- a/tests/process/test_shutdown.py
+++ b/tests/process/test_shutdown.py
@@ -58,6 +58,28 @@
         shutdown.begin()
         self.assertAlmostEqual(107.0 - age_s + 5.5, shutdown.serves_until())
 
+    @parameterized.expand([("longer", 30.0), ("shorter", 3.0)])
+    def test_settings_that_change_while_the_process_stops(self, _name: str, grace_s: float) -> None:
+        """A reload moved the end, though the kill was due by the grace of the signal."""
+        shutdown = Shutdown(6.0, ManualClock(100.0))
+        shutdown.begin()
+        shutdown.begin_now()
+        shutdown.set_grace(grace_s)
+        self.assertAlmostEqual(105.5, shutdown.serves_until())
+        self.assertAlmostEqual(105.75, shutdown.exits_by())
+
+    @parameterized.expand([("before the signal", False), ("before the loop sees it", True)])
+    def test_settings_that_change_before_the_process_stops(
+        self, _name: str, is_begun: bool
+    ) -> None:
+        shutdown = Shutdown(6.0, ManualClock(100.0))
+        if is_begun:
+            shutdown.begin()
+        shutdown.set_grace(3.0)
+        shutdown.begin()
+        shutdown.begin_now()
+        self.assertAlmostEqual(102.75, shutdown.serves_until())
+
     @given(
         st.floats(0.1, 60.0),
         st.lists(st.tuples(st.sampled_from(("beat", "pause")), st.floats(0.0, 10.0)), max_size=20),
