Give once-only requests less time, too, in the first second of a stop

For as long as look-ups are valid (1 s), a caller does as it was told, and 4.4 s are left for its request: it is sent with less time if all answers of its service in the last half minute took less. Its target then ends it by itself, and says so. After that second all callers who keep look-ups for longer than they may have to ask another entry.

--- a/src/coralfall/cluster/entry.py
+++ b/src/coralfall/cluster/entry.py
@@ -27,7 +27,7 @@
 from ..peering.peer_directory import PeerDirectory
 from ..peering.peer_server import PeerServer
 from ..peering.peers import PeerNetwork
-from ..placement.stop_admission import StopAdmission
+from ..placement.stop_admission import NO_LESS_TIME, StopAdmission
 from ..process import log, loop
 from ..process.child import Child, FunctionChild, PeriodicChild
 from ..process.clock import Clock, SystemClock
@@ -75,7 +75,7 @@
         self.metrics = Metrics(settings.metrics)
         #: When the process ends once it was told to stop.
         self.shutdown = Shutdown(settings.grace_s, clock, settle_s=defaults.CLAIM_FLUSH_TIMEOUT_S)
-        stop_admission = StopAdmission(self.shutdown, 0.0, clock)
+        stop_admission = StopAdmission(self.shutdown, NO_LESS_TIME, clock)
         self.node = Node(
             settings,
             platform,
--- a/src/coralfall/placement/stop_admission.py
+++ b/src/coralfall/placement/stop_admission.py
@@ -1,8 +1,9 @@
 """Stop admission: which requests an entry that was told to stop still sends to targets.
 
-A request is sent if the time that its target is given for it ends before requests are cut off. One
-that may be repeated is given less time than its caller allows, if its service has lately needed no
-more and callers may not know yet that the entry stops. Any other is given all of it or is not sent.
+A request is sent if the time that its target is given for it ends before requests are cut off. The
+target gets less time than the caller allows if its service has lately needed no more, as long as
+callers may not know of the stop; that is longer for what may be repeated. Otherwise a request gets
+all of its time or is not sent.
 """
 
 import typing as t
@@ -19,18 +20,30 @@
 STOPPING = "stopping"
 
 
+class AcceptTimes(t.NamedTuple):
+    """Seconds from the signal for which targets may be given less time than callers allow."""
+
+    #: Of requests that may run once only.
+    once_s: float
+    #: Of those that may be repeated.
+    repeatable_s: float
+
+
+#: No request is given less time than its caller allows.
+NO_LESS_TIME = AcceptTimes(0.0, 0.0)
+
+
 class StopAdmission:
     """Decides whether a request may be sent while the process stops.
 
     :param shutdown: tells when requests are cut off.
-    :param accept_s: seconds from the signal for which callers may not know of it; 0 if no request
-        is given less time than its caller allows.
+    :param accept_times: for how long callers may not know of the signal.
     :param clock: monotonic time.
     """
 
-    def __init__(self, shutdown: "Shutdown", accept_s: float, clock: "Clock") -> None:
+    def __init__(self, shutdown: "Shutdown", accept_times: AcceptTimes, clock: "Clock") -> None:
         self.shutdown = shutdown
-        self.accept_s = accept_s
+        self.accept_times = accept_times
         self._clock = clock
         self._longest_by_id: t.Dict["ServiceId", _LongestAnswer] = {}
 
@@ -59,7 +72,8 @@
         """
         if self.admits(deadline):
             return deadline
-        if not may_repeat or self.shutdown.age_s() > self.accept_s:
+        times = self.accept_times
+        if self.shutdown.age_s() > (times.repeatable_s if may_repeat else times.once_s):
             return None
         longest = self._longest_by_id.get(service)
         until = self._answers_until()
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -14,7 +14,7 @@
 from ..placement.fleet_share import FleetShare
 from ..placement.quarantine import Quarantine, crash_digest
 from ..placement.retry_budget import SharedRetryBudget
-from ..placement.stop_admission import StopAdmission
+from ..placement.stop_admission import AcceptTimes, StopAdmission
 from ..placement.targets import TargetRegistry
 from ..process import log
 from ..process.child import PERIODIC_JITTER, Child, FunctionChild, PeriodicChild
@@ -105,8 +105,7 @@
         self._rng = rng
         #: When the process ends once it was told to stop.
         self.shutdown = Shutdown(settings.bounds.grace_s, clock)
-        accept_s = settings.bounds.shutdown_accept_s()
-        self.stop_admission = StopAdmission(self.shutdown, accept_s, clock)
+        self.stop_admission = StopAdmission(self.shutdown, _accept_times(settings), clock)
         self.telemetry = Telemetry()
         self.metrics = Metrics(settings.metrics)
         self.targets = TargetRegistry(clock, settings.bounds.target_visibility_s())
@@ -234,7 +233,7 @@
         self.settings = settings
         log.set_level(settings.log)
         self.shutdown.set_grace(settings.bounds.grace_s)
-        self.stop_admission.accept_s = settings.bounds.shutdown_accept_s()
+        self.stop_admission.accept_times = _accept_times(settings)
         self.steering.settings = settings
         self.contention.settings = settings.dispatch
         self.budget.set_bounds(settings.bounds)
@@ -440,6 +439,15 @@
     return poll_intervals_for(bounds.state_deadline_s()), poll_intervals_for(bounds.drain_s)
 
 
+def _accept_times(settings: "SteerSettings") -> AcceptTimes:
+    """Returns for how long callers may come who were told of this entry before it stopped.
+
+    Some keep a look-up for longer than they may, and are waited for with what may be repeated.
+    """
+    bounds = settings.bounds
+    return AcceptTimes(once_s=bounds.lookup_ttl_s(), repeatable_s=bounds.shutdown_accept_s())
+
+
 def _own_record(settings: "SteerSettings", clock: "Clock") -> EntryRecord:
     return EntryRecord(
         entry_id=settings.entry_id,
