Keep a quarter of a second for the answer of a target that was given less time

With 0.25 s the targets' last answers have that much more, and whatever whole time does not fit is refused 0.15 s earlier.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -188,7 +188,7 @@
 #: Time between two proofs that a process runs and was not told to stop.
 STOP_BEAT_S = 0.2
 #: Time that an answer of a target takes to reach the caller, where a stopping process waits for it.
-STOP_ANSWER_MARGIN_S = 0.1
+STOP_ANSWER_MARGIN_S = 0.25
 #: Time between two checks for requests that wait in vain while a process stops.
 STOP_CHECK_S = 0.2
 #: Time for which the longest answers of a service are remembered, at least.
