Tell callers whose requests are cut off at a stop

A request that a target still had when a stopping process cut it off ended with a reset connection, which its caller can't tell from a failure of the network. It is answered 504 with outcome unknown now, 0.1 s before connections are closed; the line has status=504 reason=cut-off. Nothing changes for what is begun: only requests that came before the signal, or whose target does not keep to its time, are still there by then. Both rows of the test fail before (no answer), with a request of 24 s of work and a time limit of 18 s at the signal.

--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -189,6 +189,8 @@
 STOP_BEAT_S = 0.2
 #: Time that an answer of a target takes to reach the caller, where a stopping process waits for it.
 STOP_ANSWER_MARGIN_S = 0.25
+#: Time before requests are cut off at which callers are told so, where they can be.
+STOP_LAST_ANSWERS_S = 0.1
 #: Time between two checks for requests that wait in vain while a process stops.
 STOP_CHECK_S = 0.2
 #: Time for which the longest answers of a service are remembered, at least.
--- a/src/coralfall/traffic/callers.py
+++ b/src/coralfall/traffic/callers.py
@@ -15,7 +15,7 @@
 from .retry_policy import RetryVerdict
 from .steered_request import SteeredRequest
 from .tenants import allowed_regions_for
-from .waiting_requests import WaitingRequests, take_refusal
+from .waiting_requests import CUT_OFF, WaitingRequests, take_cut_off, take_refusal
 
 if t.TYPE_CHECKING:
     from starlette.types import Receive, Scope, Send
@@ -32,8 +32,6 @@
 
 _REJECTED_METHODS = frozenset(("CONNECT", "TRACE"))
 _MAX_MILLISECONDS_DIGITS = 9
-#: Reason of a request that was cut off as the process stopped.
-CUT_OFF = "cut-off"
 
 
 class CallersApp:
@@ -108,11 +106,11 @@
             self._log(scope, request, None, started_at)
             return
         except asyncio.CancelledError:
-            refusal = None if request is None else take_refusal(request)
-            if refusal is None:
+            ended_by = None if request is None else take_refusal(request) or take_cut_off(request)
+            if ended_by is None:
                 self._note_cut_off(scope, request, started_at)
                 raise
-            reply = reply_from_error(refusal)
+            reply = reply_from_error(ended_by)
         except CoralfallError as error:
             reply = reply_from_error(error)
         finally:
@@ -125,6 +123,7 @@
             # Part of the body stays unread, so no request can follow on this connection.
             reply.headers.append((b"connection", b"close"))
         self.refused_at_stop += reply.reason == STOPPING
+        self.cut_off_at_stop += reply.reason == CUT_OFF
         self._log(scope, request, reply, started_at)
         await send(
             {"type": "http.response.start", "status": reply.status, "headers": reply.headers}
--- a/src/coralfall/traffic/steered_request.py
+++ b/src/coralfall/traffic/steered_request.py
@@ -129,6 +129,7 @@
         "headers",
         "held_answer",
         "host",
+        "is_cut_off",
         "is_late",
         "is_trial",
         "method",
@@ -198,6 +199,8 @@
         self.held_answer: "t.Optional[HeldAnswer]" = None
         #: Why its task was cancelled, if it waits in vain as the process stops.
         self.refusal: "t.Optional[RefusedError]" = None
+        #: Whether its task was cancelled because the process ends before its target has answered.
+        self.is_cut_off = False
 
     def objective_at(self) -> float:
         """Returns the monotonic time after which the reply misses the latency objective."""
--- a/src/coralfall/traffic/waiting_requests.py
+++ b/src/coralfall/traffic/waiting_requests.py
@@ -9,12 +9,15 @@
 import typing as t
 
 from .. import defaults
-from ..exceptions import RefusedError
+from ..exceptions import RefusedError, TargetTimeoutError
 
 if t.TYPE_CHECKING:
     from ..placement.stop_admission import StopAdmission
     from .steered_request import SteeredRequest
 
+#: Reason of a request that was cut off as the process stopped.
+CUT_OFF = "cut-off"
+
 
 class WaitingRequests:
     """Knows the requests in flight, and ends the waits of those that can't be served any more.
@@ -50,9 +53,33 @@
                 request.refusal = refusal
                 self.discard(request)
                 task.cancel()
-        if self._stop_admission.shutdown.left_s() > 0:
-            loop = asyncio.get_running_loop()
-            loop.call_later(defaults.STOP_CHECK_S, self.refuse_hopeless)
+        left_s = self._stop_admission.shutdown.left_s() - defaults.STOP_LAST_ANSWERS_S
+        loop = asyncio.get_running_loop()
+        if left_s > 0:
+            loop.call_later(min(left_s, defaults.STOP_CHECK_S), self.refuse_hopeless)
+            return
+        self._cut_off()
+
+    def _cut_off(self) -> None:
+        """Ends the requests that targets still have, so that their callers get an answer."""
+        for request, task in list(self._task_by_request.items()):
+            request.is_cut_off = True
+            self.discard(request)
+            task.cancel()
+
+
+def take_cut_off(request: "SteeredRequest") -> t.Optional[TargetTimeoutError]:
+    """Returns the error of a request that was cut off, and ends the cancellation of its task.
+
+    :return: ``None`` if the current task was cancelled for another reason.
+    """
+    if not request.is_cut_off:
+        return None
+    request.is_cut_off = False
+    task = asyncio.current_task()
+    if task is not None:
+        task.uncancel()
+    return TargetTimeoutError("this entry stops before the target has answered", reason=CUT_OFF)
 
 
 def take_refusal(request: "SteeredRequest") -> t.Optional[RefusedError]:
--- a/tests/platform_adapter/test_stops.py
+++ b/tests/platform_adapter/test_stops.py
@@ -39,7 +39,9 @@
             "127.0.0.1", self._entry.ports["caller"]
         )
 
-    async def send(self, body_s: float = 0.0) -> t.Tuple[str, int]:
+    async def send(
+        self, body_s: float = 0.0, time_limit_s: float = _TIME_LIMIT_S
+    ) -> t.Tuple[str, int]:
         """Sends a request and returns its id and the status of its whole answer, or 0.
 
         :param body_s: seconds that it takes to send the body.
@@ -51,7 +53,7 @@
             "POST /p/1 HTTP/1.1\r\nHost: a.example\r\n"
             f"X-Request-Id: {request_id}\r\n"
             f"Cookie: X-Affinity-Key={self._number}\r\n"
-            f"X-Request-Deadline: {_TIME_LIMIT_S * 1000:.0f}\r\n"
+            f"X-Request-Deadline: {time_limit_s * 1000:.0f}\r\n"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
         try:
@@ -136,3 +138,31 @@
 
         route = {"kind": "unsafe", "timeoutS": 5.0, "maxAttempts": 1}
         run_scenario(scenario, entries=1, route=route)
+
+    @parameterized.expand([("safe",), ("unsafe",)])
+    def test_callers_of_requests_that_are_cut_off_are_told_so(self, kind: str) -> None:
+        """Their connections were reset, which looks like a failure of the network."""
+
+        async def scenario(installation: Installation, instances: t.List[InstanceStandin]) -> None:
+            entry = installation.entries[0]
+            for instance in instances:
+                instance.service_time_s = 4 * _GRACE_S
+            caller = KeptCaller(entry, 0)
+            await caller.connect()
+            asking = asyncio.create_task(caller.send(time_limit_s=3 * _GRACE_S))
+
+            async def is_at_target() -> bool:
+                return any(instance.executed_ids for instance in instances)
+
+            await installation.wait_until("the request is at a target", is_at_target)
+            entry.signal(signal.SIGTERM)
+            status = await entry.wait_ended()
+            log = entry.log.read_text()
+            self.assertEqual(504, (await asking)[1], log)
+            caller.close()
+            self.assertEqual(1, sum([len(instance.executed_ids) for instance in instances]), log)
+            self.assertIn("status=504 outcome=unknown reason=cut-off", log)
+            self.assertIn("refused=0 cut_off=1", log)
+            self.assertEqual(0, status, log)
+
+        run_scenario(scenario, entries=1, route={"kind": kind, "timeoutS": 30.0})
