Stop in order what runs while other parts of a process still start

Cause: a SIGTERM before all parts had started cancelled the tree at once. The callers' port is opened before the last parts start, and by then the desired state is known, so requests that it had taken and sent to targets were cut off.

Change: a supervisor that is told to stop while it starts stops the children that run, in reverse order and within the grace. Roots of other kinds are cancelled as before.

The test with a child that starts and one that runs fails without the change.

Conclusion: a child that is itself still starting is cancelled as before.

--- a/src/coralfall/process/supervisor.py
+++ b/src/coralfall/process/supervisor.py
@@ -139,7 +139,10 @@
             await self._cancel_children()
 
     async def stop(self) -> None:
-        """Stop the children in reverse order; those that outlast the grace are cancelled."""
+        """Stop the children in reverse order; those that outlast the grace are cancelled.
+
+        During :meth:`start`, which then returns, those that run already are stopped.
+        """
         if not self._end.done():
             self._end.set_result(None)
         try:
@@ -348,7 +351,8 @@
         await _wait_for_either(running, stop)
         if running.done():
             return _status_of(root, running)
-        if started.is_set():
+        if started.is_set() or isinstance(root, Supervisor):
+            # Some children of a supervisor run, and may serve, while others start.
             return await _stop_root(root, interrupted, shutdown)
         return 0
     finally:
--- a/tests/process/test_supervisor.py
+++ b/tests/process/test_supervisor.py
@@ -316,6 +316,29 @@
         self.assertEqual(await asyncio.wait_for(task, PATIENCE_S), 0)
         self.assertIn("end a", self.events)
 
+    async def test_children_that_run_while_others_start_are_asked_to_stop(self) -> None:
+        """A server that was open before all parts had started cut off its requests."""
+        tree = self.tree(
+            [
+                Probe("a", self.events),
+                Probe("b", self.events, start="wait"),
+                Probe("c", self.events),
+            ]
+        )
+        task = asyncio.create_task(supervise(tree))
+        await self.settle()
+        os.kill(os.getpid(), signal.SIGTERM)
+        self.assertEqual(await asyncio.wait_for(task, PATIENCE_S), 0)
+        self.assertEqual(self.events, ["start a", "start b", "stop a", "end a"])
+
+    async def test_stop_before_the_start(self) -> None:
+        stop = asyncio.Event()
+        stop.set()
+        tree = self.tree([Probe("a", self.events), Probe("b", self.events)])
+        self.assertEqual(await asyncio.wait_for(supervise(tree, stop), PATIENCE_S), 0)
+        for name in ("a", "b"):
+            self.assertEqual(f"start {name}" in self.events, f"end {name}" in self.events)
+
 
 class ChildTest(TreeTest):
     async def test_a_function_is_called_again_for_each_restart(self) -> None:
