Test that tokens of waits that end early are given back

A stop now ends many waits for tenants' tokens at once. Eight rows end nine waits 0 to 40 ms after they began, with 24 ms to an owner and back, and find the whole burst of nine again after 0.5 s. No change of logic.

--- a/tests/traffic/test_quotas.py
+++ b/tests/traffic/test_quotas.py
@@ -73,6 +73,30 @@
         self.assertEqual((9, 0), (len(fleet.granted_at), len(fleet.rejected_at)))
 
 
+class EndedWaitTest(unittest.TestCase):
+    @parameterized.expand([(f"{ms} ms", ms / 1000) for ms in (0, 6, 12, 13, 20, 24, 25, 40)])
+    def test_tokens_of_waits_that_end_early_are_given_back(
+        self, _name: str, after_s: float
+    ) -> None:
+        """A stop ends many waits at once, before, while and after the owners grant their tokens."""
+
+        async def scenario(fleet: QuotaFleet) -> None:
+            entries = [fleet.rng.choice(fleet.entries) for _ in range(9)]
+            waits = [asyncio.create_task(one.quotas.acquire(fleet.tenant)) for one in entries]
+            await asyncio.sleep(after_s)
+            for entry, wait in zip(entries, waits, strict=True):
+                wait.cancel()
+                await asyncio.wait({wait})
+                if not wait.cancelled():
+                    entry.quotas.return_token(fleet.tenant, wait.result())
+            await asyncio.sleep(0.5)
+            for _ in range(9):
+                fleet.send_request(fleet.rng.choice(fleet.entries))
+
+        fleet = run_scenario(scenario, 12, 3.0, 9.0, STRICT_BOUNDS)
+        self.assertEqual((9, 0), (len(fleet.granted_at), len(fleet.rejected_at)))
+
+
 class StartTest(unittest.TestCase):
     @parameterized.expand(
         [
