--- a/tests/traffic/test_waiting_requests.py
+++ b/tests/traffic/test_waiting_requests.py
@@ -14,10 +14,13 @@
 from coralfall.process.clock import Clock, SystemClock
 from coralfall.process.shutdown import Shutdown
 from coralfall.traffic.callers import CallersApp
+from coralfall.traffic.dispatch_selection import DispatchSelector
 from coralfall.traffic.model import RequestKind
+from coralfall.traffic.target_selection import LocalSelector
 from tests.traffic.makers import PEDIDOS, make_route
 from tests.traffic.scripted_target import ReceivedRequest, ScriptedTarget
 from tests.traffic.test_forwarder import ForwarderHarness, ok, server_error
+from tests.traffic.test_target_selection import FakeClient
 from tests.virtual_loop import LoopClock, run_virtual
 
 _GRACE_S = 6.0
@@ -49,7 +52,7 @@
             self.quotas,
             self.forwarding.forwarder,
             mock.Mock(),
-            mock.Mock(**{"is_contended.return_value": False}),
+            mock.Mock(**{"is_contended.return_value": True}),
             self.admission,
             clock,
         )
@@ -106,6 +109,21 @@
     return mock.patch.object(harness.forwarding.forwarder._selector, "select", _forever)
 
 
+def _wait_in_queue(harness: CallersHarness) -> t.Any:
+    forwarding = harness.forwarding
+    # Busy, then queued, without a notice.
+    client = FakeClient("B300 Q300")
+    client.notice = asyncio.get_running_loop().create_future()
+    selector = DispatchSelector(
+        LocalSelector(forwarding.steering, forwarding.clock),
+        client,
+        forwarding.steering,
+        forwarding.targets,
+        forwarding.clock,
+    )
+    return mock.patch.object(forwarding.forwarder, "_selector", selector)
+
+
 def _wait_for_permit(harness: CallersHarness) -> t.Any:
     return mock.patch.object(harness.forwarding.forwarder._permits, "acquire", _forever)
 
@@ -118,6 +136,7 @@
     ("body", _wait_in_body, b"part", False),
     ("quota", _wait_for_quota, b"", False),
     ("dispatcher", _wait_for_dispatcher, b"", True),
+    ("queue of a dispatcher", _wait_in_queue, b"", True),
     ("permit", _wait_for_permit, b"", True),
     ("connection", _wait_for_connection, b"", True),
 ]
