Test that a wait that a stop ends gives back the dispatcher's slot

The test of the last check before a send has a second row, in which the request is refused while it waits for its target's token. No change of logic.

--- a/tests/traffic/test_forwarding_stops.py
+++ b/tests/traffic/test_forwarding_stops.py
@@ -15,6 +15,7 @@
 from coralfall.traffic.reply import Reply
 from coralfall.traffic.target_permits import TargetPermit
 from coralfall.traffic.target_selection import LocalSelector
+from coralfall.traffic.waiting_requests import WaitingRequests
 from tests.traffic.scripted_target import ReceivedRequest, Script, ScriptedTarget
 from tests.traffic.test_forwarder import (
     ForwarderHarness,
@@ -127,8 +128,9 @@
 
 
 class LastCheckTest(unittest.TestCase):
-    def test_what_a_refused_request_held_is_given_back(self) -> None:
-        """Guards against slots and tokens that are lost at the last check before a send."""
+    @parameterized.expand([("at the last check", False), ("while it waits", True)])
+    def test_what_a_refused_request_held_is_given_back(self, _name: str, waits: bool) -> None:
+        """Guards against slots and tokens that are lost when a request is refused at a stop."""
         client = FakeClient("A100")
         permit = TargetPermit(
             LimitKey(kind=LimitKind.TARGET, name="t0"), Limit(1.0, 1.0), EntryId("e9")
@@ -144,8 +146,14 @@
                 request = harness.request("unsafe", seconds=_LIMIT_S)
                 request.contended = True
 
+                waiting = WaitingRequests(harness.stop_admission)
+
                 async def stop_and_acquire(*_args: t.Any) -> TargetPermit:
                     _stop(harness)
+                    if waits:
+                        waiting.add(request)
+                        waiting.refuse_hopeless()
+                        await asyncio.Event().wait()
                     return permit
 
                 permits = harness.forwarder._permits
@@ -156,7 +164,7 @@
                     reply = await harness.forward(request)
                 harness.pool.close()
                 self.assertEqual((503, "stopping"), (reply.status, reply.reason))
-                returned.assert_called_once_with(permit)
+                returned.assert_called_once_with(None if waits else permit)
                 self.assertFalse(request.may_have_run())
                 self.assertEqual(0, len(target.received))
                 state = harness.targets.by_id[TargetId("t0")]
