Have nothing carried by another entry whose target should be given less time

Since once-only requests may be given less time in the first second of a stop, the check for requests that another entry carries, which asked as for once-only ones, let them through with less time. That entry counts the time by itself and gives the target all that the caller allows, past the end of the stopping entry. They are now checked for their whole time. Both rows of test_a_stopping_entry_sends_through_another_only_what_it_can_await failed (200 instead of 503) with the times for which less is given; the tests of forwarding, transit and stops pass twice.

--- a/src/coralfall/placement/stop_admission.py
+++ b/src/coralfall/placement/stop_admission.py
@@ -89,11 +89,23 @@
         :raises RefusedError: if the request must not be sent.
         """
         target_deadline = self.target_deadline(service, deadline, may_repeat)
-        if target_deadline is not None:
-            return target_deadline
+        if target_deadline is None:
+            raise self._refusal()
+        return target_deadline
+
+    def check_whole(self, deadline: float) -> None:
+        """Refuses a request whose target can't be given less time than its caller allows.
+
+        :param deadline: monotonic time by which the caller gets its reply.
+        :raises RefusedError: if the request must not be sent.
+        """
+        if not self.admits(deadline):
+            raise self._refusal()
+
+    def _refusal(self) -> RefusedError:
         left_s = self.shutdown.left_s()
         message = f"this entry stops and serves for {left_s:.1f} s more; ask another"
-        raise RefusedError(message, defaults.STEER_RETRY_AFTER_S, reason=STOPPING)
+        return RefusedError(message, defaults.STEER_RETRY_AFTER_S, reason=STOPPING)
 
     def _answers_until(self) -> float:
         return self.shutdown.serves_until() - defaults.STOP_ANSWER_MARGIN_S
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -326,9 +326,12 @@
 
         :raises RefusedError: if the process ends too soon to send it.
         """
-        # Another entry counts the time of a request that it carries by itself.
-        may_repeat = request.is_idempotent and connection.via is None
-        deadline = self._stop_admission.check(request.service, request.deadline, may_repeat)
+        deadline = request.deadline
+        if connection.via is not None:
+            # Another entry tells the target how much of the caller's time is left.
+            self._stop_admission.check_whole(deadline)
+        else:
+            deadline = self._stop_admission.check(request.service, deadline, request.is_idempotent)
         return deadline - self._clock.monotonic()
 
     async def _exchange_on_connection(
--- a/tests/traffic/test_transit_stops.py
+++ b/tests/traffic/test_transit_stops.py
@@ -6,6 +6,7 @@
 
 from parameterized import parameterized
 
+from coralfall.placement.stop_admission import AcceptTimes
 from coralfall.process.clock import SystemClock
 from coralfall.process.supervisor import Supervisor
 from coralfall.traffic.target_connections import NO_PATH
@@ -66,10 +67,13 @@
     async def test_a_stopping_entry_sends_through_another_only_what_it_can_await(
         self, kind: str
     ) -> None:
+        """Commands were carried with a time limit that reached past the end of this entry."""
         async with cut_fleet() as fleet:
             shutdown = fleet.first.stop_admission.shutdown
             shutdown.grace_s = _GRACE_S
-            # Even if the service has lately needed little time: the other entry counts all of it.
+            # Even if the service has lately needed little time, so that an own target would be given
+            # less: the other entry counts all of it.
+            fleet.first.stop_admission.accept_times = AcceptTimes(1.0, 1.0)
             fleet.first.stop_admission.record(fleet.first.request(kind).service, 0.01)
             shutdown.begin_now()
             reply = await fleet.first.forward(fleet.first.request(kind, 1, seconds=_LIMIT_S))
