--- a/tests/traffic/test_transit_stops.py
+++ b/tests/traffic/test_transit_stops.py
@@ -71,8 +71,8 @@
         async with cut_fleet() as fleet:
             shutdown = fleet.first.stop_admission.shutdown
             shutdown.grace_s = _GRACE_S
-            # Even if the service has lately needed little time, so that an own target would be given
-            # less: the other entry counts all of it.
+            # Even if the service has lately needed so little that less would be given on an own
+            # connection: the other entry counts all of it.
             fleet.first.stop_admission.accept_times = AcceptTimes(1.0, 1.0)
             fleet.first.stop_admission.record(fleet.first.request(kind).service, 0.01)
             shutdown.begin_now()
