Answer a retry that is cut off with what its first target answered

Since callers are told of a cut-off, a request whose first target had answered 500, and which a second one still had at the cut, got the entry's own 504 instead of that answer. The forwarder now returns the answer that there is, as it does when a retry is refused or fails. test_a_retry_that_is_cut_off_ends_with_the_answer_that_there_is fails before (504), and the 112 tests of forwarding, stops and waiting requests pass.

--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -32,7 +32,7 @@
 from .target_exchange import STALE, OutgoingRequest, time_left_to_send
 from .target_permits import LIMITED
 from .target_report_reader import TargetReportReader
-from .waiting_requests import take_refusal
+from .waiting_requests import take_cut_off, take_refusal
 
 if t.TYPE_CHECKING:
     from ..ids import TargetId
@@ -151,6 +151,10 @@
                 if failed_reply is not None:
                     return failed_reply
                 raise _more_severe(failure, refusal) from refusal
+            except asyncio.CancelledError:
+                if failed_reply is not None and take_cut_off(request) is not None:
+                    return failed_reply
+                raise
             except TargetError as error:
                 failure = _more_severe(failure, error)
                 if error.fields.get("reason") == NO_SOCKETS and failed_reply is None:
--- a/tests/traffic/test_waiting_requests.py
+++ b/tests/traffic/test_waiting_requests.py
@@ -249,6 +249,29 @@
 
         asyncio.run(main())
 
+    def test_a_retry_that_is_cut_off_ends_with_the_answer_that_there_is(self) -> None:
+        """The answer of a target was replaced by one of the entry's own."""
+
+        async def main() -> None:
+            async def fail_then_hang(received: ReceivedRequest) -> None:
+                if len(target.received) == 1:
+                    await server_error(received)
+                    return
+                harness.stop()
+                await asyncio.Event().wait()
+
+            async with ScriptedTarget(fail_then_hang) as target:
+                harness = CallersHarness([target.address] * 2, SystemClock(), RequestKind.SAFE)
+                harness.shutdown.grace_s = 1.0
+                async with asyncio.timeout(_PATIENCE_S):
+                    self.assertEqual(500, await harness.ask(20.0))
+                harness.forwarding.pool.close()
+                self.assertEqual(2, len(target.received))
+                for state in harness.forwarding.targets.by_id.values():
+                    self.assertEqual(0, state.in_flight)
+
+        asyncio.run(main())
+
     @parameterized.expand([("first", False), ("second", True)])
     def test_a_caller_that_leaves_at_the_same_time(self, _name: str, gone_first: bool) -> None:
         """Guards against a cancellation that is taken for the other one and ends nothing."""
