--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -32,7 +32,7 @@
 from .target_exchange import STALE, OutgoingRequest, time_left_to_send
 from .target_permits import LIMITED
 from .target_report_reader import TargetReportReader
-from .waiting_requests import take_refusal
+from .waiting_requests import take_cut_off, take_refusal
 
 if t.TYPE_CHECKING:
     from ..ids import TargetId
@@ -151,6 +151,10 @@
                 if failed_reply is not None:
                     return failed_reply
                 raise _more_severe(failure, refusal) from refusal
+            except asyncio.CancelledError:
+                if failed_reply is not None and take_cut_off(request) is not None:
+                    return failed_reply
+                raise
             except TargetError as error:
                 failure = _more_severe(failure, error)
                 if error.fields.get("reason") == NO_SOCKETS and failed_reply is None:
@@ -326,9 +330,12 @@
 
         :raises RefusedError: if the process ends too soon to send it.
         """
-        # Another entry counts the time of a request that it carries by itself.
-        may_repeat = request.is_idempotent and connection.via is None
-        deadline = self._stop_admission.check(request.service, request.deadline, may_repeat)
+        deadline = request.deadline
+        if connection.via is not None:
+            # Another entry tells the target how much of the caller's time is left.
+            self._stop_admission.check_whole(deadline)
+        else:
+            deadline = self._stop_admission.check(request.service, deadline, request.is_idempotent)
         return deadline - self._clock.monotonic()
 
     async def _exchange_on_connection(
--- a/tests/traffic/test_waiting_requests.py
+++ b/tests/traffic/test_waiting_requests.py
@@ -14,10 +14,13 @@
 from coralfall.process.clock import Clock, SystemClock
 from coralfall.process.shutdown import Shutdown
 from coralfall.traffic.callers import CallersApp
+from coralfall.traffic.dispatch_selection import DispatchSelector
 from coralfall.traffic.model import RequestKind
+from coralfall.traffic.target_selection import LocalSelector
 from tests.traffic.makers import PEDIDOS, make_route
 from tests.traffic.scripted_target import ReceivedRequest, ScriptedTarget
 from tests.traffic.test_forwarder import ForwarderHarness, ok, server_error
+from tests.traffic.test_target_selection import FakeClient
 from tests.virtual_loop import LoopClock, run_virtual
 
 _GRACE_S = 6.0
@@ -49,7 +52,7 @@
             self.quotas,
             self.forwarding.forwarder,
             mock.Mock(),
-            mock.Mock(**{"is_contended.return_value": False}),
+            mock.Mock(**{"is_contended.return_value": True}),
             self.admission,
             clock,
         )
@@ -106,6 +109,21 @@
     return mock.patch.object(harness.forwarding.forwarder._selector, "select", _forever)
 
 
+def _wait_in_queue(harness: CallersHarness) -> t.Any:
+    forwarding = harness.forwarding
+    # Busy, then queued, without a notice.
+    client = FakeClient("B300 Q300")
+    client.notice = asyncio.get_running_loop().create_future()
+    selector = DispatchSelector(
+        LocalSelector(forwarding.steering, forwarding.clock),
+        client,
+        forwarding.steering,
+        forwarding.targets,
+        forwarding.clock,
+    )
+    return mock.patch.object(forwarding.forwarder, "_selector", selector)
+
+
 def _wait_for_permit(harness: CallersHarness) -> t.Any:
     return mock.patch.object(harness.forwarding.forwarder._permits, "acquire", _forever)
 
@@ -118,6 +136,7 @@
     ("body", _wait_in_body, b"part", False),
     ("quota", _wait_for_quota, b"", False),
     ("dispatcher", _wait_for_dispatcher, b"", True),
+    ("queue of a dispatcher", _wait_in_queue, b"", True),
     ("permit", _wait_for_permit, b"", True),
     ("connection", _wait_for_connection, b"", True),
 ]
@@ -230,6 +249,29 @@
 
         asyncio.run(main())
 
+    def test_a_retry_that_is_cut_off_ends_with_the_answer_that_there_is(self) -> None:
+        """The answer of a target was replaced by one of the entry's own."""
+
+        async def main() -> None:
+            async def fail_then_hang(received: ReceivedRequest) -> None:
+                if len(target.received) == 1:
+                    await server_error(received)
+                    return
+                harness.stop()
+                await asyncio.Event().wait()
+
+            async with ScriptedTarget(fail_then_hang) as target:
+                harness = CallersHarness([target.address] * 2, SystemClock(), RequestKind.SAFE)
+                harness.shutdown.grace_s = 1.0
+                async with asyncio.timeout(_PATIENCE_S):
+                    self.assertEqual(500, await harness.ask(20.0))
+                harness.forwarding.pool.close()
+                self.assertEqual(2, len(target.received))
+                for state in harness.forwarding.targets.by_id.values():
+                    self.assertEqual(0, state.in_flight)
+
+        asyncio.run(main())
+
     @parameterized.expand([("first", False), ("second", True)])
     def test_a_caller_that_leaves_at_the_same_time(self, _name: str, gone_first: bool) -> None:
         """Guards against a cancellation that is taken for the other one and ends nothing."""
