Log and count what a stopping entry refuses and cuts off

Nothing told operators that a stop cost requests, nor when the process ended. stop.refused (info) and stop.cut-off (warning) lines, five a second for each service at most; counts of the same names; entry.stopped with how many of each. Without entry.stopped the process was killed.

--- a/src/coralfall/cluster/entry.py
+++ b/src/coralfall/cluster/entry.py
@@ -15,6 +15,7 @@
 from ..forwarding.callers import CallersApp
 from ..forwarding.dispatch import Dispatcher
 from ..forwarding.retry import RetryBudget
+from ..forwarding.stop_log import StopLog
 from ..forwarding.target_check import TargetChecks
 from ..forwarding.upstream import Upstream
 from ..http.server import HttpServer
@@ -111,7 +112,8 @@
             settings.entry_id, self._incarnation, clock, node, self.directory, self.levels
         )
         self.gauges = Gauges(self.metrics, node, self.upstream)
-        callers = CallersApp(dispatcher, LookupHttp(node.lookup), self.levels)
+        self.stop_log = StopLog(self.shutdown, self.metrics, clock)
+        callers = CallersApp(dispatcher, LookupHttp(node.lookup), self.levels, self.stop_log)
         operators = make_operators_app(self.status, self.ready, trust, settings.entry_id)
         self.callers_server = HttpServer(
             "callers",
@@ -266,6 +268,14 @@
     try:
         entry = Entry(settings, platform.platform, clock, random.Random())
         log.info("entry.starting", entry=settings.entry_id, vm=settings.vm_id)
-        return await supervise(entry.root, shutdown=entry.shutdown)
+        status = await supervise(entry.root, shutdown=entry.shutdown)
+        log.info(
+            "entry.stopped",
+            status=status,
+            age_ms=round(entry.shutdown.age_s() * 1000),
+            refused=entry.stop_log.refused_count,
+            cut_off=entry.stop_log.cut_off_count,
+        )
+        return status
     finally:
         await platform.close()
--- a/src/coralfall/forwarding/answer.py
+++ b/src/coralfall/forwarding/answer.py
@@ -46,6 +46,8 @@
     stream: t.Optional[BodyStream] = None
     #: Rules of the service that was asked, if there is such a service.
     rules: t.Optional[Service] = None
+    #: Why the request was refused, where its error says so.
+    reason: t.Optional[str] = None
 
     def all_headers(self) -> Headers:
         """Headers together with those that every answer carries."""
@@ -68,7 +70,7 @@
     status = _status_of(error)
     if status == 503 or isinstance(error, ClaimBusyError):
         headers += _retry_after(getattr(error, "retry_after", defaults.RETRY_AFTER_S))
-    return Answer(status, headers, body, outcome)
+    return Answer(status, headers, body, outcome, reason=error.fields.get("reason"))
 
 
 def _status_of(error: CoralfallError) -> int:
--- a/src/coralfall/forwarding/callers.py
+++ b/src/coralfall/forwarding/callers.py
@@ -8,6 +8,7 @@
 from ..exceptions import CallerGoneError, RequestError, TargetError
 from ..http.caller_watch import CallerWatch
 from ..ids import Outcome, PartnerId, ServiceId
+from ..placement.stop_admission import STOPPING
 from .answer import Answer, answer_of
 from .request import CallerRequest, MemoryAccount, RequestBody, pieces_of
 
@@ -16,6 +17,7 @@
 
     from .dispatch import Dispatcher
     from .observer import RequestObserver
+    from .stop_log import StopLog
 
 _LOOKUP_PATH = "/lookup"
 _FIRST_SERVER_ERROR = 500
@@ -49,6 +51,7 @@
     :param dispatcher: carries requests.
     :param lookup: answers look-ups.
     :param observer: is told of each request that is over.
+    :param stop_log: is told of each request that is refused or cut off as the process stops.
     """
 
     def __init__(
@@ -56,10 +59,12 @@
         dispatcher: "Dispatcher",
         lookup: LookupSource,
         observer: "t.Optional[RequestObserver]" = None,
+        stop_log: "t.Optional[StopLog]" = None,
     ) -> None:
         self._dispatcher = dispatcher
         self._lookup = lookup
         self._observer = observer
+        self._stop_log = stop_log
         #: Bytes of bodies that are held, of all requests together.
         self.memory = MemoryAccount()
 
@@ -74,10 +79,17 @@
         except RequestError as error:
             await _send_whole(_closing(answer_of(error, Outcome.NOT_RUN)), send)
             return
-        if request.read and request.body is None:
-            await self._serve_read(request, scope, receive, send)
-        else:
-            await self._serve(request, scope, send)
+        began = time.perf_counter()
+        try:
+            if request.read and request.body is None:
+                await self._serve_read(request, scope, receive, send)
+            else:
+                await self._serve(request, scope, send)
+        except asyncio.CancelledError:
+            # Only the end of the server does this: the cancellation by a caller ends further in.
+            if self._stop_log is not None:
+                self._stop_log.note_cut_off(request, time.perf_counter() - began)
+            raise
 
     def _look_up(self, scope: "Scope") -> Answer:
         if scope["method"] not in ("GET", "HEAD"):
@@ -117,10 +129,12 @@
         self._observe(request, answer, began, whole)
 
     def _observe(self, request: CallerRequest, answer: Answer, began: float, whole: bool) -> None:
+        seconds = time.perf_counter() - began
+        if self._stop_log is not None and answer.reason == STOPPING:
+            self._stop_log.note_refused(request, seconds)
         if self._observer is None or answer.rules is None:
             return
         well = whole and answer.status < _FIRST_SERVER_ERROR
-        seconds = time.perf_counter() - began
         self._observer.ended(
             request.partner, request.service, answer.rules, answer.outcome, well, seconds
         )
--- a/tests/test_entry_stops.py
+++ b/tests/test_entry_stops.py
@@ -104,6 +104,13 @@
                 paths.add(effect["path"])
         return paths
 
+    async def runs_something(self) -> bool:
+        """Whether any target runs a request."""
+        for target in TARGETS:
+            if (await self.fleet.effects(self.session, target))["in_flight"]:
+                return True
+        return False
+
     async def kill_at(self, told_at: float) -> None:
         """Ends the entry as a service manager does once the grace is over."""
         with contextlib.suppress(ProcessLookupError):
@@ -148,6 +155,8 @@
         self.assertEqual(begun, answered, seen)
         # What is sent early enough is served, though the process stops.
         self.assertTrue(begun, seen)
+        refused = sum(answer == (503, "not-run") for answer in answer_by_path.values())
+        self.assertIn(f" refused={refused} cut_off=0\n", seen)
         self.assertEqual(0, exit_status, seen)
 
     async def test_ends_before_the_kill_while_the_platform_hangs(self) -> None:
@@ -155,13 +164,8 @@
         caller = KeptCaller(self.fleet, "pedidos", 0)
         self.addAsyncCleanup(caller.close)
         await self.set_service_time(_SERVICE_TIME_S)
-        before = len(await self.begun())
         sending = asyncio.create_task(caller.send())
-
-        async def runs() -> bool:
-            return len(await self.begun()) > before
-
-        await self.fleet.until(runs, "the command runs")
+        await self.fleet.until(self.runs_something, "the command runs")
         self.fleet.signal("platform", signal.SIGSTOP)
         self.fleet.signal("e1", signal.SIGTERM)
         killing = asyncio.create_task(self.kill_at(time.monotonic()))
@@ -187,3 +191,41 @@
         await self.fleet.until(lambda: "entry.leaving" in self.fleet.log_of("e1"), "e1 stops")
         self.assertTrue(await closes())
         self.assertEqual(0, await self.fleet.exit_status("e1"))
+
+    @parameterized.expand([("read", "catalogo", "GET"), ("command with a key", "pedidos", "POST")])
+    async def test_what_is_cut_off_is_logged_and_counts_as_unknown(
+        self, _name: str, service: str, method: str
+    ) -> None:
+        """The end of the process cut requests off without a word of them."""
+        await self.set_service_time(_GRACE_S * 10)
+        self.fleet.timeout_ms = int(_GRACE_S * 5000)
+        self.fleet.roll_out()
+        url = self.fleet.url("e1", service)
+        headers = {"idempotency-key": "k1"}
+
+        async def send() -> t.Tuple[int, str]:
+            async with self.session.request(method, url, data=b"x", headers=headers) as answer:
+                return answer.status, (await answer.json())["code"]
+
+        sending = asyncio.create_task(send())
+        await self.fleet.until(self.runs_something, "the request runs")
+        self.fleet.signal("e1", signal.SIGTERM)
+        killing = asyncio.create_task(self.kill_at(time.monotonic()))
+        exit_status = await self.fleet.exit_status("e1")
+        killing.cancel()
+        seen = self.fleet.log_of("e1")
+        with self.assertRaises(aiohttp.ClientError):
+            await sending
+        self.assertEqual(0, exit_status, seen)
+        self.assertIn(f"event=stop.cut-off partner=cosecha service={service} method={method}", seen)
+        self.assertIn(" refused=0 cut_off=1\n", seen)
+        if service != "pedidos":
+            return
+        # An entry that asks the table is told at once that nobody will know.
+        self.fleet.start_entry("e1")
+        await self.fleet.up(self.session, "e1")
+
+        async def unknown() -> bool:
+            return await send() == (409, "claim-unknown")
+
+        await self.fleet.until(unknown, "the key is known to have ended unknown")
