--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -5,6 +5,8 @@
 import pathlib
 import random
 import signal
+import subprocess
+import threading
 import time
 import typing as t
 
@@ -23,6 +25,19 @@
 _LOOK_S = 0.02
 
 
+class _EndWatch(threading.Thread):
+    """Notes when a process ends, also while the loop of the run is busy with other worlds."""
+
+    def __init__(self, process: "subprocess.Popen[bytes]") -> None:
+        super().__init__(daemon=True)
+        self._process = process
+        self.ended_at = float("inf")
+
+    def run(self) -> None:
+        self._process.wait()
+        self.ended_at = time.monotonic()
+
+
 class SoakEntry(EntryProcess):
     """An entry whose ways to the store and from its peers lead through proxies.
 
@@ -73,14 +88,16 @@
         """Send a signal that ends the process, and wait until it is gone."""
         assert self.lifetime is not None and self.process is not None
         lifetime = self.lifetime
+        watch = _EndWatch(self.process)
+        watch.start()
         if number == signal.SIGTERM:
             lifetime.told_at = time.monotonic()
         else:
             lifetime.disturbed = True
         self.signal(number)
-        while self.process.poll() is None:  # noqa: ASYNC110
+        while watch.is_alive():  # noqa: ASYNC110
             await asyncio.sleep(_LOOK_S)
-        lifetime.gone_at = time.monotonic()
+        lifetime.gone_at = watch.ended_at
         if number == signal.SIGTERM:
             lifetime.status = self.process.returncode
 
