--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,7 +9,7 @@
 
 from tests.soak.callers import Caller, IdleCaller
 from tests.soak.record import DEADLY, SLOW, Record, Sort, Tenant
-from tests.soak.rules import TIMED, TIMELESS, broken
+from tests.soak.rules import TIMED, TIMELESS, broken, lost
 from tests.soak.troubles import (
     CUTS,
     DRILLS,
@@ -115,6 +115,9 @@
         _close_record(world)
         world.record.faults += strangers(folder)[:1]
         rules = TIMELESS + TIMED if timed else TIMELESS
+        if stops and not timed:
+            # With no other trouble, nothing else excuses that a request is lost.
+            rules += (lost,)
         faults = broken(world.record, rules)
         served = sum(attempt.status == 200 for attempt in world.record.attempts)
         return Outcome(faults, len(world.record.attempts), served, played)
