Ask for disturbances first where the soak says why a lost request would be excused

That the target had done its work excuses an answer of the entry's own, but not a connection that is closed, unless something disturbed the answer's way; the line said the first for both. What counts is unchanged.

--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -404,8 +404,6 @@
     since, until = attempt.sent_at, attempt.ended_at
     if not arrival.ran:
         return "not run"
-    if arrival.done_at <= until:
-        return "had done its work"
     if until >= since + attempt.time_limit_ms / 1000:
         return "no time left"
     broke_off_at = record.broke_off_at.get(arrival.target, ())
@@ -414,6 +412,8 @@
     for whose in (attempt.entry, arrival.target):
         if record.disturbed(whose, since, until, STABLE_S):
             return f"{whose} disturbed"
+    if arrival.done_at <= until:
+        return "had done its work"
     is_late = until >= lifetime.told_at + GRACE_S * (1 - LAST_GRACE_PART)
     return "last sixth" if is_late and since <= lifetime.told_at + EARLY_S else ""
 
