End a process at once when its log is written

Plays of the soak with stops alone: entries whose log says entry.stopped after 5.4 to 5.6 s were still there 6.0 s after the SIGTERM.

--- a/src/coralfall/__main__.py
+++ b/src/coralfall/__main__.py
@@ -15,9 +15,10 @@
         early.hold()
         from .exceptions import CoralfallError
         from .platform.run import run_steer
+        from .process.end import end_process
 
         try:
-            sys.exit(run_steer())
+            end_process(run_steer())
         except CoralfallError as error:
             print(f"coralfall: {error.code}: {error.message}", file=sys.stderr)
             sys.exit(1)
--- a/src/coralfall/cli.py
+++ b/src/coralfall/cli.py
@@ -37,9 +37,10 @@
 def entry(settings: SettingsFile) -> None:
     """Run an entry process on an entry VM."""
     from .cluster.entry import run_entry
+    from .process.end import end_process
     from .settings import EntrySettings, load_settings
 
-    raise typer.Exit(run_entry(load_settings(settings, EntrySettings)))
+    end_process(run_entry(load_settings(settings, EntrySettings)))
 
 
 @app.command()
@@ -55,11 +56,12 @@
 ) -> None:
     """Run an entry process on the users' platform."""
     from .platform.run import check_settings, run_steer
+    from .process.end import end_process
 
     if check:
         print(check_settings(settings))
         return
-    raise typer.Exit(run_steer(settings))
+    end_process(run_steer(settings))
 
 
 @app.command()
--- a/src/coralfall/process/log.py
+++ b/src/coralfall/process/log.py
@@ -163,6 +163,12 @@
     _identity.update(fields)
 
 
+def close() -> None:
+    """Write what waits to be written, as far as its reader takes it within a moment."""
+    if isinstance(_destination, _DescriptorDestination):
+        _destination.writer.close()
+
+
 def dropped_lines() -> int:
     """Lines that were not written since the start."""
     if isinstance(_destination, _DescriptorDestination):
