Let a caller that still sends its body see the answer that refuses it

An answer with connection: close, and any answer of a stopping server, made uvicorn close the connection as its last byte was written, before the server could linger. With unread bytes on it that resets the connection: the caller's next write failed (EPIPE), and it never saw the refusal. The cycle now closes by way of the protocol, which lingers where the body is not whole. coralfall steer has the same server.

tests.forwarding.test_dispatch: 503 at a stop and 413 at any time, both fail before.

--- a/src/coralfall/http/protocol.py
+++ b/src/coralfall/http/protocol.py
@@ -129,6 +129,21 @@
             await self._none_left.wait()
 
 
+class _CycleTransport:
+    """A connection as uvicorn's cycle sees it, which closes it right after an answer.
+
+    :param protocol: decides whether the connection may be closed at once.
+    :param transport: of the connection.
+    """
+
+    __slots__ = ("close", "is_closing", "write")
+
+    def __init__(self, protocol: "CallerProtocol", transport: asyncio.Transport) -> None:
+        self.close = protocol.close_after_answer
+        self.is_closing = transport.is_closing
+        self.write = transport.write
+
+
 class CallerProtocol(DrainingProtocol):
     """One caller's connection.
 
@@ -170,6 +185,7 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         super().connection_made(transport)
+        self._cycle_transport: t.Any = _CycleTransport(self, transport)
         excess = self._shared.add(self)
         if excess > OVERFLOW:
             self._deaf = True
@@ -311,6 +327,7 @@
         self._check_head()
         self._previous = self.cycle
         super().on_headers_complete()
+        self.cycle.transport = self._cycle_transport
         self._disarm_head_timer()
         self._in_head = False
         self._begun = False
@@ -344,6 +361,13 @@
         if self.timeout_keep_alive_task is not None:
             self._shared.mark_idle(self)
 
+    def close_after_answer(self) -> None:
+        """Closes the connection, unless its caller still sends the body of what was answered."""
+        if self._is_idle() and self.cycle.more_body and not self._deaf:
+            # The end of the answer follows, which lingers.
+            return
+        self.transport.close()
+
     # Rules
 
     def _check_head(self) -> None:
--- a/tests/forwarding/test_dispatch.py
+++ b/tests/forwarding/test_dispatch.py
@@ -678,3 +678,25 @@
             again = await ask(entry.address, "POST", "/calor/pedidos/x", headers=headers)
             self.assertEqual((again.status, again.body), (200, first.body))
             self.assertEqual(len(standin.state.effects), 1)
+
+    @parameterized.expand([("stopping", 90_000, b" 503 "), ("too_long", 70_000_000, b" 413 ")])
+    async def test_a_caller_that_still_sends_its_body_sees_the_refusal(
+        self, _: str, length: int, status: bytes
+    ) -> None:
+        """The connection was reset at once, so that the caller's next write failed."""
+        async with loopback.target() as (address, _standin), loopback.entry([address]) as entry:
+            if b"503" in status:
+                entry.stop_admission.shutdown.grace_s = 2.0
+                entry.stop_admission.shutdown.begin_now()
+            reader, writer = await connect(entry.address)
+            head = f"POST /calor/mando/x HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n"
+            writer.write(head.encode())
+            # The answer has been sent by then.
+            await asyncio.sleep(0.1)
+            for _ in range(9):
+                writer.write(b"y" * 10_000)
+                await writer.drain()
+                await asyncio.sleep(0.01)
+            answer = await reader.read()
+            writer.close()
+            self.assertIn(status, answer.partition(b"\r\n")[0])
