Name the requests in flight by what they are

They were kept as waiting requests first, and are asked for what targets have since requests that are cut off are answered. A rename and its docstrings; no change of behaviour.

--- a/src/coralfall/traffic/callers.py
+++ b/src/coralfall/traffic/callers.py
@@ -11,11 +11,11 @@
 from ..placement.stop_admission import STOPPING
 from ..process import log
 from .answer_memory import AnswerMemory, HeldAnswer
+from .in_flight_requests import CUT_OFF, InFlightRequests, take_cut_off, take_refusal
 from .reply import Reply, reply_from_error
 from .retry_policy import RetryVerdict
 from .steered_request import SteeredRequest
 from .tenants import allowed_regions_for
-from .waiting_requests import CUT_OFF, WaitingRequests, take_cut_off, take_refusal
 
 if t.TYPE_CHECKING:
     from starlette.types import Receive, Scope, Send
@@ -72,8 +72,8 @@
         self._memory = MemoryAccount(defaults.MAX_BUFFERED_BYTES)
         #: Bytes of answers that wait for their callers.
         self.answer_memory = AnswerMemory(self._memory)
-        #: Requests in flight that may wait in vain as the process stops.
-        self.waiting = WaitingRequests(stop_admission)
+        #: Requests in flight that a stop may have to end.
+        self.requests = InFlightRequests(stop_admission)
         #: Number of requests in flight.
         self.in_flight = 0
         #: Requests that were refused, and that were cut off, as the process stops.
@@ -100,7 +100,7 @@
             request = self._build_request(scope, body, started_at)
             request.held_answer = answer
             self._refuse_at_once(request, answer)
-            self.waiting.add(request)
+            self.requests.add(request)
             reply = await self._serve(request, receive)
         except CallerGoneError:
             self._log(scope, request, None, started_at)
@@ -116,7 +116,7 @@
         finally:
             self.in_flight -= 1
             if request is not None:
-                self.waiting.discard(request)
+                self.requests.discard(request)
             if body is not None:
                 body.release()
         if body is not None and not body.ended:
--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -21,6 +21,7 @@
 from ..placement.fingerprint import caller_digest
 from ..placement.targets import COOLDOWN, WITHDRAWN
 from .crash_detector import InterruptedRequest
+from .in_flight_requests import take_cut_off, take_refusal
 from .pool import NO_SOCKETS
 from .reply import Reply, reply_from_error, reply_from_response
 from .request_encoder import RequestEncoder
@@ -32,7 +33,6 @@
 from .target_exchange import STALE, OutgoingRequest, time_left_to_send
 from .target_permits import LIMITED
 from .target_report_reader import TargetReportReader
-from .waiting_requests import take_cut_off, take_refusal
 
 if t.TYPE_CHECKING:
     from ..ids import TargetId
--- a/src/coralfall/traffic/waiting_requests.py
+++ b/src/coralfall/traffic/in_flight_requests.py
@@ -1,8 +1,8 @@
-"""Waiting requests: those in flight that no target has yet, which a stop may make hopeless.
+"""Requests in flight at an entry, which a stop may have to end.
 
-A request waits for its body, for a token, for a dispatcher or for a connection. Once the process
-stops, its time may reach past the end of the process, so that it could only be refused when its
-wait is over. It is refused at once instead, while its caller still has time to ask another entry.
+A request waits for its body, a token, a dispatcher or a connection, and its time may come to reach
+past the end of the process meanwhile. It is refused at once then, while its caller has time to ask
+another entry. What targets still have at the end is answered as cut off.
 """
 
 import asyncio
@@ -19,8 +19,8 @@
 CUT_OFF = "cut-off"
 
 
-class WaitingRequests:
-    """Knows the requests in flight, and ends the waits of those that can't be served any more.
+class InFlightRequests:
+    """Knows the requests in flight, and ends those that can't be served any more at a stop.
 
     :param stop_admission: decides on requests while the process stops.
     """
@@ -39,10 +39,11 @@
         """Removes a request whose reply is known."""
         self._task_by_request.pop(request, None)
 
-    def refuse_hopeless(self) -> None:
-        """Refuses what waits in vain, now and again until requests are cut off.
+    def end_at_stop(self) -> None:
+        """Refuses what waits in vain, now and at intervals, and cuts off what is left at the end.
 
-        The time that an idempotent request needs at a target may run out later than at the signal.
+        A request that may be given less time than its caller allows may wait in vain later than at
+        the signal.
         """
         for request, task in list(self._task_by_request.items()):
             if request.is_at_target:
@@ -56,7 +57,7 @@
         left_s = self._stop_admission.shutdown.left_s() - defaults.STOP_LAST_ANSWERS_S
         loop = asyncio.get_running_loop()
         if left_s > 0:
-            loop.call_later(min(left_s, defaults.STOP_CHECK_S), self.refuse_hopeless)
+            loop.call_later(min(left_s, defaults.STOP_CHECK_S), self.end_at_stop)
             return
         self._cut_off()
 
--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -254,7 +254,7 @@
         self.dispatch.server.close()
         self._callers_server.close_connections_after_answers()
         log.info("entry.leaving", in_hand=self.callers.in_flight)
-        self.callers.waiting.refuse_hopeless()
+        self.callers.requests.end_at_stop()
         unregister = asyncio.create_task(self.registry.unregister())
         await asyncio.sleep(self.settings.bounds.shutdown_accept_s())
         unregister.cancel()
--- a/tests/traffic/test_forwarding_stops.py
+++ b/tests/traffic/test_forwarding_stops.py
@@ -12,10 +12,10 @@
 from coralfall.placement.buckets import Limit, LimitKey, LimitKind
 from coralfall.placement.dispatch import AttemptOutcome
 from coralfall.traffic.dispatch_selection import DispatchSelector
+from coralfall.traffic.in_flight_requests import InFlightRequests
 from coralfall.traffic.reply import Reply
 from coralfall.traffic.target_permits import TargetPermit
 from coralfall.traffic.target_selection import LocalSelector
-from coralfall.traffic.waiting_requests import WaitingRequests
 from tests.traffic.scripted_target import ReceivedRequest, Script, ScriptedTarget
 from tests.traffic.test_forwarder import (
     ForwarderHarness,
@@ -146,13 +146,13 @@
                 request = harness.request("unsafe", seconds=_LIMIT_S)
                 request.contended = True
 
-                waiting = WaitingRequests(harness.stop_admission)
+                waiting = InFlightRequests(harness.stop_admission)
 
                 async def stop_and_acquire(*_args: t.Any) -> TargetPermit:
                     _stop(harness)
                     if waits:
                         waiting.add(request)
-                        waiting.refuse_hopeless()
+                        waiting.end_at_stop()
                         await asyncio.Event().wait()
                     return permit
 
--- a/tests/traffic/test_waiting_requests.py
+++ b/tests/traffic/test_in_flight_requests.py
@@ -90,7 +90,7 @@
 
     def stop(self) -> None:
         self.shutdown.begin_now()
-        self.app.waiting.refuse_hopeless()
+        self.app.requests.end_at_stop()
 
 
 async def _forever(*_args: t.Any, **_options: t.Any) -> t.Any:
