--- a/tests/process/test_review_findings.py
+++ b/tests/process/test_review_findings.py
@@ -5,9 +5,12 @@
 import typing as t
 import unittest
 
+from parameterized import parameterized
+
 from coralfall.ids import ServiceId
 from coralfall.placement.stop_admission import NO_LESS_TIME, StopAdmission
 from coralfall.process.child import Child, FunctionChild
+from coralfall.process.clock import ManualClock
 from coralfall.process.shutdown import Shutdown
 from coralfall.process.supervisor import Supervisor, supervise
 from coralfall.settings import RestartSettings
@@ -110,3 +113,14 @@
 
         ended_at, killed_at = run_virtual(main)
         self.assertLess(ended_at, killed_at)
+
+
+class LastSixthTest(unittest.TestCase):
+    @parameterized.expand([(6.0, 0.0), (30.0, 0.0), (6.0, 5.0), (30.0, 5.0)])
+    def test_requests_are_served_until_the_last_sixth_of_the_grace(
+        self, grace_s: float, settle_s: float
+    ) -> None:
+        """Guards against requests that are cut off while the users still count them."""
+        shutdown = Shutdown(grace_s, ManualClock(100.0), settle_s=settle_s)
+        shutdown.begin()
+        self.assertGreaterEqual(shutdown.serves_until(), 100.0 + grace_s * 5 / 6)
