Begin a stop anew when a tree that ended by itself is restarted

Found by the review: a supervisor that gives up began its stop, and its parent restarts the same object, so the next stop gave its children no time, and an entry that shares the clock refused every request (coralfall dev; real roots are never restarted).

--- a/src/coralfall/process/shutdown.py
+++ b/src/coralfall/process/shutdown.py
@@ -42,6 +42,7 @@
         self._clock = clock
         self._cpu_time = cpu_time
         self._told_at: t.Optional[float] = None
+        self._was_told = False
         self._is_stopping = False
         self.beat()
 
@@ -62,6 +63,7 @@
         now = self._clock.monotonic()
         not_running_s = now - self._beat_at - (self._cpu_time() - self._cpu_at_beat_s)
         self._told_at = now - max(0.0, not_running_s)
+        self._was_told = True
 
     def begin_now(self) -> None:
         """Records that the process stops now, by itself if it was not told to before."""
@@ -69,6 +71,14 @@
             self._told_at = self._clock.monotonic()
         self._is_stopping = True
 
+    def restart(self) -> None:
+        """Forgets a stop that was not asked for: what has ended by itself begins again."""
+        if self._was_told:
+            return
+        self._told_at = None
+        self._is_stopping = False
+        self.beat()
+
     def set_grace(self, grace_s: float) -> None:
         """Applies a changed setting, unless the process stops already.
 
--- a/src/coralfall/process/supervisor.py
+++ b/src/coralfall/process/supervisor.py
@@ -112,6 +112,8 @@
 
         :raises SupervisorError: if one keeps failing; those started are stopped again.
         """
+        self._end_of_process.restart()
+        self._server_stopped = False
         self._slots = [_Slot(child) for child in self._children]
         # Holds what ended the supervisor, or None once it was told to stop.
         self._end: asyncio.Future[t.Optional[SupervisorError]] = (
