Bound clean-ups of a stop by when the process has to exit

Found by the review: each part that was cancelled had 5 s to clean up, so a process with a grace of 6 s ended 10 s after the signal when two of them hung (virtual time; dispatch, permits, reach checks and peers close streams there, which takes up to 5 s if a peer takes no bytes). SlowCleanUpTest fails before.

--- a/src/coralfall/process/shutdown.py
+++ b/src/coralfall/process/shutdown.py
@@ -110,6 +110,10 @@
             return self._end_before(reserve_s + min(reserve_s, settle_s / 2))
         return self._end_before(reserve_s / 2)
 
+    def exit_left_s(self) -> float:
+        """Returns the seconds until all parts have to have stopped; infinite before the signal."""
+        return self.exits_by() - self._clock.monotonic()
+
     def left_s(self) -> float:
         """Returns the seconds until requests are cut off; infinite before the signal."""
         return self.serves_until() - self._clock.monotonic()
--- a/src/coralfall/process/supervisor.py
+++ b/src/coralfall/process/supervisor.py
@@ -19,8 +19,10 @@
     from .clock import Clock
 
 DEFAULT_RESTART = RestartSettings()
-#: Seconds that a cancelled child may take to clean up before it is given up on.
+#: Seconds that a cancelled child may take to clean up before it is given up on; fewer if the
+#: process has to exit before, but never less than the second.
 CANCEL_S = 5.0
+MIN_CANCEL_S = 0.02
 
 
 class ChildState(enum.Enum):
@@ -303,13 +305,20 @@
             slot.state = ChildState.ENDED
             return
         slot.keeper.cancel()
-        await asyncio.wait({slot.keeper}, timeout=CANCEL_S)
+        await asyncio.wait({slot.keeper}, timeout=_clean_up_s(self._end_of_process))
         if not slot.keeper.done():
             log.error("child.stuck", supervisor=self.name, child=slot.child.name)
             return
         slot.state = ChildState.ENDED
 
 
+def _clean_up_s(shutdown: t.Optional[Shutdown]) -> float:
+    """Returns the seconds that what was cancelled may take to clean up."""
+    if shutdown is None:
+        return CANCEL_S
+    return min(CANCEL_S, max(MIN_CANCEL_S, shutdown.exit_left_s()))
+
+
 async def supervise(
     root: Child, stop: t.Optional[asyncio.Event] = None, shutdown: "t.Optional[Shutdown]" = None
 ) -> int:
@@ -370,7 +379,7 @@
         running.cancel()
         if beats is not None:
             beats.cancel()
-        await asyncio.wait({running}, timeout=CANCEL_S)
+        await asyncio.wait({running}, timeout=_clean_up_s(shutdown))
 
 
 async def _start_and_run(root: Child, started: asyncio.Event) -> None:
@@ -397,7 +406,7 @@
         return _status_of(root, stopping)
     finally:
         stopping.cancel()
-        await asyncio.wait({stopping}, timeout=CANCEL_S)
+        await asyncio.wait({stopping}, timeout=_clean_up_s(shutdown))
 
 
 async def _wait_for_either(task: "asyncio.Task[None]", event: asyncio.Event) -> None:
