Serve requests of coralfall entry until the last sixth of the grace

Found by the review: the time for claims was taken beside the reserve, so requests were cut off at 4.5 s of a grace of 6 s and at 24.5 s of 30 s, before the last sixth, in which the users excuse it. Requests are served until that sixth now; claims have what is left of it but for the last 0.5 s, as before 4.5 s of a grace of 30 s.

--- a/src/coralfall/balancing/steering.py
+++ b/src/coralfall/balancing/steering.py
@@ -67,7 +67,7 @@
         :param tried: targets of earlier attempts of the request, which are not used again.
         :param deadline: monotonic time by which the request must be over.
         :param body_bytes: length of the request's body, or its upper bound.
-        :raises RefusedError: at once, or after ``defaults.MAX_QUEUE_S`` at most.
+        :raises RefusedError: at once, or after ``defaults.MAX_QUEUE_WAIT_S`` at most.
         """
 
     @abc.abstractmethod
--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -183,8 +183,8 @@
 #: fraction of it.
 STOP_RESERVE_S = 0.5
 STOP_RESERVE_FRACTION = 1 / 12
-#: Most of that time, as a fraction, in which outcomes are written down after the last request.
-STOP_SETTLE_FRACTION = 1 / 6
+#: Part of that time, as a fraction, before which no request is cut off.
+STOP_LAST_FRACTION = 1 / 6
 #: Time between two proofs that a process runs and was not told to stop.
 STOP_BEAT_S = 0.2
 #: Time that an answer of a target takes to reach the caller, where a stopping process waits for it.
--- a/src/coralfall/process/shutdown.py
+++ b/src/coralfall/process/shutdown.py
@@ -27,7 +27,7 @@
     :param clock: monotonic time.
     :param cpu_time: seconds for which the process has run on a processor.
     :param settle_s: seconds that the process needs after its last request to write down what became
-        of them; at most ``STOP_SETTLE_FRACTION`` of the grace is kept for it.
+        of them. Requests are served until ``STOP_LAST_FRACTION`` of the grace is left all the same.
     """
 
     def __init__(
@@ -104,11 +104,8 @@
 
     def exits_by(self) -> float:
         """Returns the monotonic time by which all parts stop; infinite before the signal."""
-        reserve_s, settle_s = self._reserve_s(), self._settle_time_s()
-        if settle_s > 0:
-            # The interpreter takes long to exit on a busy machine, and there is time for it here.
-            return self._end_before(reserve_s + min(reserve_s, settle_s / 2))
-        return self._end_before(reserve_s / 2)
+        reserve_s = self._reserve_s()
+        return self._end_before(reserve_s if self._settle_time_s() > 0 else reserve_s / 2)
 
     def exit_left_s(self) -> float:
         """Returns the seconds until all parts have to have stopped; infinite before the signal."""
@@ -124,7 +121,8 @@
         return self._told_at + self.grace_s - seconds
 
     def _settle_time_s(self) -> float:
-        return min(self._settle_s, self.grace_s * defaults.STOP_SETTLE_FRACTION)
+        last_s = self.grace_s * defaults.STOP_LAST_FRACTION
+        return max(0.0, min(self._settle_s, last_s - self._reserve_s()))
 
     def _reserve_s(self) -> float:
         return min(defaults.STOP_RESERVE_S, self.grace_s * defaults.STOP_RESERVE_FRACTION)
