End the dials to other entries with the time of the request

Found by the review: an entry that is cut off from targets dials others to carry a request, twice for 0.6 s at most, whatever time the request has: one with 0.1 s left was answered after 1.20 s.

--- a/src/coralfall/traffic/forwarder.py
+++ b/src/coralfall/traffic/forwarder.py
@@ -291,13 +291,11 @@
         self, request: SteeredRequest, reservation: "TargetReservation", attempt: Attempt
     ) -> "ServerResponse":
         state = reservation.state
-        connect_timeout_s = min(
-            defaults.TARGET_CONNECT_S, request.deadline - self._clock.monotonic()
-        )
-        if connect_timeout_s <= 0:
+        time_left_s = request.deadline - self._clock.monotonic()
+        if time_left_s <= 0:
             raise TargetNotRunError("no time left to send", reason="late")
         connection = await self._connections.acquire(
-            state, request.is_idempotent, request.allowed_regions, connect_timeout_s
+            state, request.is_idempotent, request.allowed_regions, time_left_s
         )
         attempt.via = connection.via
         try:
--- a/src/coralfall/traffic/target_connections.py
+++ b/src/coralfall/traffic/target_connections.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+import asyncio
 import typing as t
 
 from .. import defaults
@@ -122,19 +123,21 @@
         state: "TargetState",
         is_idempotent: bool,
         regions: "t.Collection[RegionId]",
-        timeout_s: float,
+        time_left_s: float,
     ) -> TargetConnection:
         """Returns a connection to a target.
 
         :param is_idempotent: whether a connection that has carried a request may be used.
         :param regions: regions that may serve the request; any if empty.
-        :param timeout_s: time limit for opening an own connection.
+        :param time_left_s: seconds until the request's deadline.
         :raises TargetNotRunError: if there is none; the reason is ``NO_PATH`` if this says nothing
             about the target.
         :raises RefusedError: if the entry is cut off, and no other can carry the request.
         """
         service = state.target.service
+        ends_at = asyncio.get_running_loop().time() + time_left_s
         if not self._reachability.is_cut_off(service):
+            timeout_s = min(defaults.TARGET_CONNECT_S, time_left_s)
             try:
                 connection = await self._pool.acquire(state.target, is_idempotent, timeout_s)
                 return DirectConnection(self._pool, state, connection)
@@ -144,7 +147,11 @@
                 await self._checks.settle(service, defaults.REACH_SETTLE_S)
                 if not self._reachability.is_cut_off(service):
                     raise
-        return await self._transit.acquire(state, is_idempotent, regions)
+        try:
+            async with asyncio.timeout_at(ends_at):
+                return await self._transit.acquire(state, is_idempotent, regions)
+        except TimeoutError as error:
+            raise TargetNotRunError("no time left to send", reason="late") from error
 
     def note_interrupted(self, state: "TargetState") -> None:
         """Records that an own connection was lost while a request was in flight on it."""
