--- a/src/coralfall/traffic/node.py
+++ b/src/coralfall/traffic/node.py
@@ -105,7 +105,7 @@
         self._rng = rng
         #: When the process ends once it was told to stop.
         self.shutdown = Shutdown(settings.bounds.grace_s, clock)
-        self.stop_admission = StopAdmission(self.shutdown, _accept_times(settings), clock)
+        self.stop_admission = StopAdmission(self.shutdown, accept_times_of(settings), clock)
         self.telemetry = Telemetry()
         self.metrics = Metrics(settings.metrics)
         self.targets = TargetRegistry(clock, settings.bounds.target_visibility_s())
@@ -233,7 +233,7 @@
         self.settings = settings
         log.set_level(settings.log)
         self.shutdown.set_grace(settings.bounds.grace_s)
-        self.stop_admission.accept_times = _accept_times(settings)
+        self.stop_admission.accept_times = accept_times_of(settings)
         self.steering.settings = settings
         self.contention.settings = settings.dispatch
         self.budget.set_bounds(settings.bounds)
@@ -439,7 +439,7 @@
     return poll_intervals_for(bounds.state_deadline_s()), poll_intervals_for(bounds.drain_s)
 
 
-def _accept_times(settings: "SteerSettings") -> AcceptTimes:
+def accept_times_of(settings: "SteerSettings") -> AcceptTimes:
     """Returns for how long callers may come who were told of this entry before it stopped.
 
     Some keep a look-up for longer than they may, and are waited for with what may be repeated.
--- a/tests/process/test_shutdown.py
+++ b/tests/process/test_shutdown.py
@@ -113,6 +113,24 @@
         self.assertLess(shutdown.exits_by(), killed_at)
 
 
+class BeatsTest(unittest.TestCase):
+    def test_beats_go_on_until_the_signal(self) -> None:
+        """Guards against a grace that is counted from the start of the process."""
+
+        async def main(clock: LoopClock) -> t.Tuple[float, bool]:
+            shutdown = Shutdown(6.0, clock, lambda: 0.0)
+            beats = asyncio.create_task(shutdown.run_beats())
+            await asyncio.sleep(60.0)
+            shutdown.begin()
+            age_s = shutdown.age_s()
+            await asyncio.sleep(1.0)
+            return age_s, beats.done()
+
+        age_s, has_ended = run_virtual(main)
+        self.assertLessEqual(age_s, 0.2 + 1e-6)
+        self.assertTrue(has_ended)
+
+
 class Part(Child):
     """A child that takes its time to stop.
 
--- a/tests/traffic/test_stop_admission.py
+++ b/tests/traffic/test_stop_admission.py
@@ -3,6 +3,7 @@
 import typing as t
 import unittest
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 from parameterized import parameterized
@@ -13,6 +14,9 @@
 from coralfall.placement.stop_admission import STOPPING, AcceptTimes, StopAdmission
 from coralfall.process.clock import ManualClock
 from coralfall.process.shutdown import Shutdown
+from coralfall.traffic.node import accept_times_of
+from coralfall.traffic.settings import BoundSettings
+from tests.traffic.makers import make_settings
 
 SERVICE = ServiceId("s1")
 #: Seconds after the signal until which targets have to answer, with a grace of 6 s.
@@ -64,6 +68,14 @@
             assert found is not None
             self.assertAlmostEqual(100.0 + expected, found)
 
+    @parameterized.expand([(6.0, 1.0, 3.0), (3.0, 0.5, 1.5)])
+    def test_time_for_which_callers_may_not_know_of_the_stop(
+        self, grace_s: float, once_s: float, repeatable_s: float
+    ) -> None:
+        bounds = BoundSettings(grace_s=grace_s)
+        settings = msgspec.structs.replace(make_settings(), bounds=bounds)
+        self.assertEqual(AcceptTimes(once_s, repeatable_s), accept_times_of(settings))
+
     def test_all_is_sent_before_the_signal(self) -> None:
         clock, admission = make_admission()
         clock.advance(1000.0)
