--- a/src/coralfall/defaults.py
+++ b/src/coralfall/defaults.py
@@ -191,7 +191,7 @@
 STOP_ANSWER_MARGIN_S = 0.25
 #: Time before requests are cut off at which callers are told so, where they can be.
 STOP_LAST_ANSWERS_S = 0.1
-#: Time between two checks for requests that wait in vain while a process stops.
+#: Time between two checks for requests that can no longer be served while a process stops.
 STOP_CHECK_S = 0.2
 #: Time for which the longest answers of a service are remembered, at least.
 LONGEST_ANSWER_WINDOW_S = 30.0
--- a/src/coralfall/process/supervisor.py
+++ b/src/coralfall/process/supervisor.py
@@ -95,7 +95,7 @@
         self._clock = clock
         self._random = random
         self._restart = restart
-        self._end_of_process = shutdown or Shutdown(grace_s, clock)
+        self._shutdown = shutdown or Shutdown(grace_s, clock)
         self._sleep = sleep
         self._slots: t.List[_Slot] = []
 
@@ -114,14 +114,14 @@
 
         :raises SupervisorError: if one keeps failing; those started are stopped again.
         """
-        self._end_of_process.restart()
+        self._shutdown.restart()
         self._server_stopped = False
         self._slots = [_Slot(child) for child in self._children]
         # Holds what ended the supervisor, or None once it was told to stop.
         self._end: asyncio.Future[t.Optional[SupervisorError]] = (
             asyncio.get_running_loop().create_future()
         )
-        self._shutdown: t.Optional[asyncio.Task[None]] = None
+        self._stopping: t.Optional[asyncio.Task[None]] = None
         try:
             for slot in self._slots:
                 self._launch(slot)
@@ -254,14 +254,14 @@
 
     async def _shut_down(self) -> None:
         # Stopping and watching both wait for the one shutdown.
-        if self._shutdown is None:
-            self._shutdown = asyncio.create_task(
+        if self._stopping is None:
+            self._stopping = asyncio.create_task(
                 self._stop_children(), name=f"{self.name}/shutdown"
             )
-        await asyncio.shield(self._shutdown)
+        await asyncio.shield(self._stopping)
 
     async def _stop_children(self) -> None:
-        self._end_of_process.begin_now()
+        self._shutdown.begin_now()
         for slot in reversed(self._slots):
             await self._stop_child(slot, self._stop_time_s())
             if slot.child is self._server:
@@ -270,11 +270,11 @@
     def _stop_time_s(self) -> float:
         """Returns the seconds that the next child may take to stop."""
         now = self._clock.monotonic()
-        serve_s = self._end_of_process.serves_until() - now
+        serve_s = self._shutdown.serves_until() - now
         if serve_s > 0 and not self._server_stopped:
             return serve_s
         # What stops after the last request has the reserve for it.
-        return max(0.0, self._end_of_process.exits_by() - now)
+        return max(0.0, self._shutdown.exits_by() - now)
 
     async def _stop_child(self, slot: _Slot, grace_s: float) -> None:
         slot.stopping = True
@@ -294,8 +294,8 @@
 
     async def _cancel_children(self) -> None:
         """Cancel what still runs; returns at once after an orderly stop."""
-        if self._shutdown is not None and not self._shutdown.done():
-            self._shutdown.cancel()
+        if self._stopping is not None and not self._stopping.done():
+            self._stopping.cancel()
         for slot in reversed(self._slots):
             slot.stopping = True
             await self._cancel(slot)
@@ -305,7 +305,7 @@
             slot.state = ChildState.ENDED
             return
         slot.keeper.cancel()
-        await asyncio.wait({slot.keeper}, timeout=_clean_up_s(self._end_of_process))
+        await asyncio.wait({slot.keeper}, timeout=_clean_up_s(self._shutdown))
         if not slot.keeper.done():
             log.error("child.stuck", supervisor=self.name, child=slot.child.name)
             return
--- a/src/coralfall/traffic/in_flight_requests.py
+++ b/src/coralfall/traffic/in_flight_requests.py
@@ -40,9 +40,9 @@
         self._task_by_request.pop(request, None)
 
     def end_at_stop(self) -> None:
-        """Refuses what waits in vain, now and at intervals, and cuts off what is left at the end.
+        """Refuses what can no longer be served, now and at intervals; cuts off the rest at the end.
 
-        A request that may be given less time than its caller allows may wait in vain later than at
+        A request that may get less time than its caller allows can run out of it later than at
         the signal.
         """
         for request, task in list(self._task_by_request.items()):
--- a/src/coralfall/traffic/steered_request.py
+++ b/src/coralfall/traffic/steered_request.py
@@ -197,7 +197,7 @@
         self.retry_verdicts: "t.List[RetryVerdict]" = []
         #: Counts the bytes of its answer, if they are counted.
         self.held_answer: "t.Optional[HeldAnswer]" = None
-        #: Why its task was cancelled, if it waits in vain as the process stops.
+        #: Why its task was cancelled, if it can no longer be served as the process stops.
         self.refusal: "t.Optional[RefusedError]" = None
         #: Whether its task was cancelled because the process ends before its target has answered.
         self.is_cut_off = False
--- a/tests/forwarding/test_dispatch.py
+++ b/tests/forwarding/test_dispatch.py
@@ -585,10 +585,6 @@
     return sent
 
 
-if __name__ == "__main__":
-    unittest.main()
-
-
 class TestStop(unittest.IsolatedAsyncioTestCase):
     """Requests at a stopping process were sent to targets though they could outlast it."""
 
@@ -700,3 +696,7 @@
             answer = await reader.read()
             writer.close()
             self.assertIn(status, answer.partition(b"\r\n")[0])
+
+
+if __name__ == "__main__":
+    unittest.main()
