--- a/review/lib-2/lab.py
+++ b/review/lib-2/lab.py
@@ -589,6 +589,10 @@
     }
 
 
+def _interrupt(_number: int, _frame: t.Any) -> None:
+    raise CannotRun("told to end")
+
+
 async def _limited(running: t.Awaitable[bool]) -> bool:
     try:
         return await asyncio.wait_for(running, 112)
@@ -611,9 +615,11 @@
     scratch = pathlib.Path(tempfile.mkdtemp(prefix="coralfall-review-"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write("begin", trouble=trouble)
+    # A script that is told to end ends its entries too.
+    signal.signal(signal.SIGTERM, _interrupt)
     try:
         held = asyncio.run(_limited(case(record, scratch, trouble)))
-    except (CannotRun, TimeoutError, OSError) as error:
+    except Exception as error:  # Anything unexpected says nothing of the rule.
         record.write("could-not-run", error=repr(error))
         print(f"could not run: {error!r}")
         return 2
